Library crates: network, platform, configuration, ledger, engines, scheduler, peers, stand-ins

Cause: the thin path needs each interface behind one module before it can be put together. Ruled out: one big crate (builds and reads worse), real TCP in tests (paused time jumps while the kernel holds data). Change: a crate for each job; NetStack is TCP or memory, so the whole host runs under paused time.

--- /dev/null
+++ b/crates/dillspool_config/src/lib.rs
@@ -0,0 +1,22 @@
+//! Declared configuration and host settings: parsing, checks, versions and deltas.
+//!
+//! A configuration is applied as a whole, under a version that only grows. Between versions it
+//! travels as a delta bound to its base. See `docs/design/configuration.md`.
+
+mod check;
+mod delta;
+mod error;
+mod key;
+mod parse;
+mod settings;
+mod snapshot;
+mod store;
+
+pub use check::check_configuration;
+pub use delta::ConfigDelta;
+pub use error::ConfigError;
+pub use key::{CallerKey, hash_key};
+pub use parse::parse_configuration;
+pub use settings::{HostAddresses, load_settings, parse_settings};
+pub use snapshot::{ConfigSnapshot, ConfigVersion, digest_configuration};
+pub use store::{AppliedConfig, ApplyError, AuditRow, ConfigHead, ConfigStore};
--- /dev/null
+++ b/crates/dillspool_io/src/lib.rs
@@ -0,0 +1,18 @@
+//! Network and clock of a process, replaceable in tests.
+//!
+//! A [`NetStack`] opens and accepts connections: over TCP in the daemons, in memory in the tests,
+//! where time is paused and links are cut or frozen on order. See `docs/design/io.md`.
+
+mod body;
+mod client;
+mod clock;
+mod memory;
+mod server;
+mod stack;
+
+pub use body::{BoxError, ResponseBody, channel_body, full_body, read_body, text_response};
+pub use client::{HttpClient, HttpError};
+pub use clock::{UnixMillis, WallClock};
+pub use memory::{LinkMode, MemoryNet};
+pub use server::{HttpHandler, ServerLimits, handler, serve_http};
+pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- /dev/null
+++ b/crates/dillspool_io/src/memory.rs
@@ -0,0 +1,237 @@
+//! A network in memory, for tests under paused time.
+//!
+//! Each node has an IP address of its own; links between two nodes are cut or frozen on order,
+//! which stands for a killed process, a partition or a stopped process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::task::{Context, Poll, Waker};
+
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
+use tokio::sync::mpsc;
+
+use crate::stack::{NetListener, NetStack, NetStream};
+
+/// Bytes in flight in one direction, as a socket buffer holds them.
+const BUFFER_BYTES: usize = 64 * 1024;
+/// Connections waiting to be accepted.
+const BACKLOG: usize = 1024;
+/// First port given to a listener that asked for port 0.
+const FIRST_PORT: u16 = 20_000;
+
+/// State of the link between two nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkMode {
+    /// Traffic flows.
+    Open,
+    /// Nothing arrives and nothing fails, as when a process is stopped.
+    Frozen,
+    /// Connections break and new ones are refused.
+    Cut,
+}
+
+/// An unordered pair of nodes.
+type NodePair = (IpAddr, IpAddr);
+
+#[derive(Debug, Default)]
+struct NetState {
+    listeners: BTreeMap<SocketAddr, mpsc::Sender<NetStream>>,
+    modes: BTreeMap<NodePair, LinkMode>,
+    links: Vec<(NodePair, Weak<Mutex<LinkState>>)>,
+    next_port: u16,
+}
+
+/// The network; each node takes its [`NetStack`] from it.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryNet {
+    state: Arc<Mutex<NetState>>,
+}
+
+fn pair(a: IpAddr, b: IpAddr) -> NodePair {
+    if a <= b { (a, b) } else { (b, a) }
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl MemoryNet {
+    /// A network without nodes.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The stack of the node with this address.
+    pub fn stack(&self, node: IpAddr) -> NetStack {
+        let connecting = self.clone();
+        let listening = self.clone();
+        NetStack::new(
+            move |to| {
+                let net = connecting.clone();
+                Box::pin(async move { net.connect(node, to).await })
+            },
+            move |at| {
+                let listener = listening.listen(at);
+                Box::pin(async move { listener })
+            },
+        )
+    }
+
+    /// Changes the link between two nodes, also for open connections.
+    pub fn set_link(&self, a: IpAddr, b: IpAddr, mode: LinkMode) {
+        let mut state = locked(&self.state);
+        state.modes.insert(pair(a, b), mode);
+        state.links.retain(|(_, link)| link.strong_count() > 0);
+        for (nodes, link) in &state.links {
+            let Some(link) = link.upgrade() else { continue };
+            if *nodes == pair(a, b) {
+                locked(&link).change(mode);
+            }
+        }
+    }
+
+    fn listen(&self, at: SocketAddr) -> io::Result<NetListener> {
+        let mut state = locked(&self.state);
+        let mut local = at;
+        if at.port() == 0 {
+            state.next_port = state.next_port.max(FIRST_PORT) + 1;
+            local.set_port(state.next_port);
+        }
+        let used = state
+            .listeners
+            .get(&local)
+            .is_some_and(|sender| !sender.is_closed());
+        if used {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let (sender, receiver) = mpsc::channel(BACKLOG);
+        state.listeners.insert(local, sender);
+        Ok(NetListener::new(local, receiver))
+    }
+
+    async fn connect(&self, from: IpAddr, to: SocketAddr) -> io::Result<NetStream> {
+        let nodes = pair(from, to.ip());
+        loop {
+            let mode = locked(&self.state)
+                .modes
+                .get(&nodes)
+                .copied()
+                .unwrap_or(LinkMode::Open);
+            match mode {
+                LinkMode::Open => break,
+                LinkMode::Cut => return Err(io::ErrorKind::ConnectionRefused.into()),
+                // A frozen node answers no handshake; look again as a retransmission would.
+                LinkMode::Frozen => tokio::time::sleep(CONNECT_RETRY).await,
+            }
+        }
+        let (near, far) = tokio::io::duplex(BUFFER_BYTES);
+        let link = Arc::new(Mutex::new(LinkState::default()));
+        let accept = {
+            let mut state = locked(&self.state);
+            state.links.push((nodes, Arc::downgrade(&link)));
+            state.listeners.get(&to).cloned()
+        };
+        let Some(accept) = accept else {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        };
+        let far = LinkStream {
+            inner: far,
+            link: Arc::clone(&link),
+            side: 1,
+        };
+        accept
+            .send(NetStream::new(far))
+            .await
+            .map_err(|_closed| io::Error::from(io::ErrorKind::ConnectionRefused))?;
+        Ok(NetStream::new(LinkStream {
+            inner: near,
+            link,
+            side: 0,
+        }))
+    }
+}
+
+/// How often a connection attempt to a frozen node is repeated.
+const CONNECT_RETRY: std::time::Duration = std::time::Duration::from_millis(100);
+
+#[derive(Debug)]
+struct LinkState {
+    mode: LinkMode,
+    /// Tasks to wake when the mode changes: readers and writers of both sides.
+    wakers: [Option<Waker>; 4],
+}
+
+impl Default for LinkState {
+    fn default() -> Self {
+        Self {
+            mode: LinkMode::Open,
+            wakers: Default::default(),
+        }
+    }
+}
+
+impl LinkState {
+    fn change(&mut self, mode: LinkMode) {
+        // A broken connection stays broken when the link is mended.
+        if self.mode != LinkMode::Cut {
+            self.mode = mode;
+        }
+        for waker in self.wakers.iter_mut().filter_map(Option::take) {
+            waker.wake();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct LinkStream {
+    inner: DuplexStream,
+    link: Arc<Mutex<LinkState>>,
+    side: usize,
+}
+
+impl LinkStream {
+    /// Registers for mode changes; `Ready(Ok)` means that traffic flows.
+    fn poll_open(&self, writer: usize, cx: &Context<'_>) -> Poll<io::Result<()>> {
+        let mut state = locked(&self.link);
+        state.wakers[self.side * 2 + writer] = Some(cx.waker().clone());
+        match state.mode {
+            LinkMode::Open => Poll::Ready(Ok(())),
+            LinkMode::Frozen => Poll::Pending,
+            LinkMode::Cut => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+        }
+    }
+}
+
+impl AsyncRead for LinkStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.poll_open(0, cx))?;
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for LinkStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.poll_open(1, cx))?;
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.poll_open(1, cx))?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/dillspool_peer/src/links.rs
@@ -0,0 +1,262 @@
+//! All connections of a host to its peers.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dillspool_io::{BoxFuture, NetStack};
+use dillspool_schema::Name;
+use dillspool_schema::messages::{
+    ConfigQuery, ConfigTransfer, HeartbeatMessage, LivenessQuery, PeerMessage, PlacementReport,
+    ReleaseMessage, ReserveAnswer, ReserveMessage,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::PeerError;
+use crate::codec::ControlBytes;
+use crate::dialer::keep_link;
+use crate::error::NotConnectedSnafu;
+use crate::hello::PeerIdentity;
+use crate::view::HostView;
+
+/// Messages waiting for a slow peer before it counts as not connected.
+const OUTBOX_LIMIT: usize = 1024;
+/// Time in which a peer answers a question about a host.
+const LIVENESS_LIMIT: Duration = Duration::from_secs(1);
+
+type ReserveFn = dyn Fn(ReserveMessage) -> BoxFuture<Option<ReserveAnswer>> + Send + Sync;
+type ReportFn = dyn Fn(&Name, u64, PlacementReport) + Send + Sync;
+
+/// What a host does with its peers' messages.
+#[derive(Clone)]
+pub struct PeerHandlers {
+    /// Schedules a request.
+    pub reserve: Arc<ReserveFn>,
+    /// Takes a placement back.
+    pub release: Arc<dyn Fn(ReleaseMessage) + Send + Sync>,
+    /// Takes a host's placements over; arguments are host and incarnation.
+    pub report: Arc<ReportFn>,
+    /// All placements of this host, for a scheduler that was just connected.
+    pub placements: Arc<dyn Fn() -> Vec<PlacementReport> + Send + Sync>,
+    /// The state of this host for its heartbeat.
+    pub heartbeat: Arc<dyn Fn() -> HeartbeatMessage + Send + Sync>,
+    /// Answers a peer that lacks the newest configuration.
+    pub config: Arc<dyn Fn(ConfigQuery) -> Option<ConfigTransfer> + Send + Sync>,
+    /// Takes a configuration that a peer sent.
+    pub take_config: Arc<dyn Fn(ConfigTransfer) + Send + Sync>,
+}
+
+impl fmt::Debug for PeerHandlers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("PeerHandlers")
+    }
+}
+
+/// Times of the links.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkSettings {
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a connection is given up.
+    pub silence: Duration,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_secs(1),
+            silence: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What a link carries to its peer.
+pub(crate) enum LinkOrder {
+    Send(PeerMessage),
+    Reserve(ReserveMessage, oneshot::Sender<ReserveAnswer>),
+    Liveness(LivenessQuery, oneshot::Sender<bool>),
+}
+
+struct LinkHandle {
+    address: Name,
+    outbox: mpsc::Sender<LinkOrder>,
+    cancel: CancellationToken,
+}
+
+/// The connections that this host dials.
+#[derive(Clone)]
+pub struct PeerLinks {
+    pub(crate) stack: NetStack,
+    pub(crate) identity: PeerIdentity,
+    pub(crate) handlers: PeerHandlers,
+    pub(crate) settings: LinkSettings,
+    pub(crate) view: HostView,
+    pub(crate) bytes: ControlBytes,
+    links: Arc<Mutex<BTreeMap<Name, LinkHandle>>>,
+}
+
+impl fmt::Debug for PeerLinks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "PeerLinks({} links)", self.lock().len())
+    }
+}
+
+impl PeerLinks {
+    /// A host without connections.
+    pub fn new(
+        stack: NetStack,
+        identity: PeerIdentity,
+        handlers: PeerHandlers,
+        settings: LinkSettings,
+        view: HostView,
+    ) -> Self {
+        let bytes = ControlBytes::default();
+        Self {
+            stack,
+            identity,
+            handlers,
+            settings,
+            view,
+            bytes,
+            links: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, LinkHandle>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Bytes of control traffic so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.bytes.total()
+    }
+
+    /// Opens and closes connections so that they go to these hosts.
+    pub fn set_targets(&self, targets: &BTreeMap<Name, Name>, cancel: &CancellationToken) {
+        let mut links = self.lock();
+        links.retain(|host, link| {
+            let keep = targets.get(host) == Some(&link.address);
+            if !keep {
+                link.cancel.cancel();
+            }
+            keep
+        });
+        for (host, address) in targets {
+            if links.contains_key(host) {
+                continue;
+            }
+            let Ok(to) = address.parse::<SocketAddr>() else {
+                log::warn!("event=bad_peer_address host={host} address={address}");
+                continue;
+            };
+            let (outbox, orders) = mpsc::channel(OUTBOX_LIMIT);
+            let cancel = cancel.child_token();
+            let link = LinkHandle {
+                address: Name::clone(address),
+                outbox,
+                cancel: cancel.clone(),
+            };
+            links.insert(Name::clone(host), link);
+            tokio::spawn(keep_link(
+                self.clone(),
+                Name::clone(host),
+                to,
+                orders,
+                cancel,
+            ));
+        }
+    }
+
+    fn outbox(&self, host: &str) -> Result<mpsc::Sender<LinkOrder>, PeerError> {
+        let links = self.lock();
+        match links.get(host) {
+            Some(link) => Ok(link.outbox.clone()),
+            None => NotConnectedSnafu { host }.fail(),
+        }
+    }
+
+    /// Asks a host that schedules a pool for a placement.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NotConnected`] when the host is out of reach or becomes so before it answers.
+    pub async fn reserve(
+        &self,
+        host: &str,
+        message: ReserveMessage,
+    ) -> Result<ReserveAnswer, PeerError> {
+        let (sender, receiver) = oneshot::channel();
+        let order = LinkOrder::Reserve(message, sender);
+        if self.outbox(host)?.try_send(order).is_err() {
+            return NotConnectedSnafu { host }.fail();
+        }
+        match receiver.await {
+            Ok(answer) => Ok(answer),
+            Err(_dropped) => NotConnectedSnafu { host }.fail(),
+        }
+    }
+
+    /// Gives a placement back to the host that granted it.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NotConnected`]; the placement report of the next connection makes up for it.
+    pub fn release(&self, host: &str, message: ReleaseMessage) -> Result<(), PeerError> {
+        let order = LinkOrder::Send(PeerMessage::Free(message));
+        if self.outbox(host)?.try_send(order).is_err() {
+            return NotConnectedSnafu { host }.fail();
+        }
+        Ok(())
+    }
+
+    /// Asks a peer for a newer configuration than `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NotConnected`].
+    pub fn ask_config(&self, host: &str, base: u64) -> Result<(), PeerError> {
+        let order = LinkOrder::Send(PeerMessage::Want(ConfigQuery { base }));
+        if self.outbox(host)?.try_send(order).is_err() {
+            return NotConnectedSnafu { host }.fail();
+        }
+        Ok(())
+    }
+
+    /// Whether any connected peer has heard of an incarnation of a host within the lease time.
+    ///
+    /// `None` when no peer answered.
+    pub async fn ask_liveness(&self, host: &Name, incarnation: u64) -> Option<bool> {
+        let outboxes: Vec<mpsc::Sender<LinkOrder>> = self
+            .lock()
+            .values()
+            .map(|link| link.outbox.clone())
+            .collect();
+        let mut answers = tokio::task::JoinSet::new();
+        for outbox in outboxes {
+            let query = LivenessQuery {
+                host: Name::clone(host),
+                incarnation,
+            };
+            answers.spawn(async move {
+                let (sender, receiver) = oneshot::channel();
+                outbox.try_send(LinkOrder::Liveness(query, sender)).ok()?;
+                tokio::time::timeout(LIVENESS_LIMIT, receiver)
+                    .await
+                    .ok()?
+                    .ok()
+            });
+        }
+        let mut heard = None;
+        while let Some(answer) = answers.join_next().await {
+            match answer {
+                Ok(Some(true)) => return Some(true),
+                Ok(Some(false)) => heard = Some(false),
+                Ok(None) | Err(_) => {}
+            }
+        }
+        heard
+    }
+}
--- /dev/null
+++ b/crates/dillspool_peer/src/listener.rs
@@ -0,0 +1,148 @@
+//! One task for each peer that dials this host.
+
+use dillspool_io::{NetListener, NetStream};
+use dillspool_schema::messages::{LivenessAnswer, PeerMessage};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_tungstenite::accept_async_with_config;
+use tokio_util::sync::CancellationToken;
+
+use crate::PeerError;
+use crate::codec::{PeerChannel, PeerReceiver, PeerSender, websocket_config};
+use crate::error::ConnectionSnafu;
+use crate::hello::{PeerSide, ProvenPeer, exchange_hello};
+use crate::links::PeerLinks;
+use crate::view::OwnerJudgement;
+
+/// Answers waiting to be sent.
+const ANSWER_LIMIT: usize = 1024;
+
+impl PeerLinks {
+    /// Accepts the connections of peers until `cancel`.
+    pub async fn serve(self, mut listener: NetListener, cancel: CancellationToken) {
+        loop {
+            let stream = tokio::select! {
+                stream = listener.accept() => stream,
+                () = cancel.cancelled() => return,
+            };
+            let Some(stream) = stream else { return };
+            let links = self.clone();
+            let cancel = cancel.clone();
+            tokio::spawn(async move {
+                let ended = tokio::select! {
+                    ended = serve_peer(&links, stream) => ended,
+                    () = cancel.cancelled() => return,
+                };
+                if let Err(error) = ended {
+                    log::debug!("event=peer_left error=\"{error}\"");
+                }
+            });
+        }
+    }
+}
+
+async fn serve_peer(links: &PeerLinks, stream: NetStream) -> Result<(), PeerError> {
+    let greeting = tokio::time::timeout(links.settings.silence, greet(links, stream));
+    let Ok(greeted) = greeting.await else {
+        return ConnectionSnafu {
+            reason: "no greeting in time",
+        }
+        .fail();
+    };
+    let (mut sender, mut receiver, peer) = greeted?;
+    let (answers, mut outbox) = mpsc::channel::<PeerMessage>(ANSWER_LIMIT);
+    // Dropped with the connection: whoever waits for a placement on it has gone.
+    let mut reserves = tokio::task::JoinSet::new();
+    let mut heard = Instant::now();
+    loop {
+        let silence = tokio::time::sleep_until(heard + links.settings.silence);
+        tokio::select! {
+            message = receiver.receive() => {
+                heard = Instant::now();
+                if let Some(answer) = take(links, &peer, message?, &answers, &mut reserves) {
+                    sender.send(&answer).await?;
+                }
+            }
+            Some(answer) = outbox.recv() => sender.send(&answer).await?,
+            Some(_done) = reserves.join_next() => {}
+            () = silence => return ConnectionSnafu { reason: "silence" }.fail(),
+        }
+    }
+}
+
+async fn greet(
+    links: &PeerLinks,
+    stream: NetStream,
+) -> Result<(PeerSender, PeerReceiver, ProvenPeer), PeerError> {
+    let socket = match accept_async_with_config(stream, Some(websocket_config())).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            return ConnectionSnafu {
+                reason: error.to_string(),
+            }
+            .fail();
+        }
+    };
+    let (mut sender, mut receiver) = PeerChannel::new(socket, links.bytes.clone()).split();
+    let peer = exchange_hello(
+        &links.identity,
+        PeerSide::Acceptor,
+        &mut sender,
+        &mut receiver,
+    )
+    .await?;
+    Ok((sender, receiver, peer))
+}
+
+fn take(
+    links: &PeerLinks,
+    peer: &ProvenPeer,
+    message: PeerMessage,
+    answers: &mpsc::Sender<PeerMessage>,
+    reserves: &mut tokio::task::JoinSet<()>,
+) -> Option<PeerMessage> {
+    let handlers = &links.handlers;
+    match message {
+        PeerMessage::Beat(beat) => {
+            links
+                .view
+                .note_heartbeat(&peer.host, peer.incarnation, &beat);
+            Some(PeerMessage::Beat((handlers.heartbeat)()))
+        }
+        PeerMessage::Ask(ask) => {
+            let reserve = (handlers.reserve)(ask);
+            let answers = answers.clone();
+            reserves.spawn(async move {
+                if let Some(answer) = reserve.await {
+                    let _peer_left = answers.send(PeerMessage::Answer(answer)).await;
+                }
+            });
+            None
+        }
+        PeerMessage::Free(release) => {
+            (handlers.release)(release);
+            None
+        }
+        PeerMessage::Held(report) => {
+            (handlers.report)(&peer.host, peer.incarnation, report);
+            None
+        }
+        PeerMessage::Heard(query) => {
+            let alive = links.view.judge(&query.host, query.incarnation) == OwnerJudgement::Alive;
+            let (host, incarnation) = (query.host, query.incarnation);
+            Some(PeerMessage::Alive(LivenessAnswer {
+                host,
+                incarnation,
+                alive,
+            }))
+        }
+        PeerMessage::Want(query) => (handlers.config)(query).map(PeerMessage::Config),
+        PeerMessage::Hello(_)
+        | PeerMessage::Answer(_)
+        | PeerMessage::Alive(_)
+        | PeerMessage::Config(_) => {
+            log::warn!("event=unexpected_message host={}", peer.host);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_peer/src/view.rs
@@ -0,0 +1,257 @@
+//! Who is alive, as this host sees it.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dillspool_platform::{HostEntry, HostKind, HostState};
+use dillspool_schema::Name;
+use dillspool_schema::messages::HeartbeatMessage;
+use tokio::time::Instant;
+
+use crate::rendezvous::rank_hosts;
+
+/// A host not heard of for this long is taken for dead; three heartbeats.
+pub const LEASE_TIME: Duration = Duration::from_secs(3);
+/// Hosts that may schedule a pool; entry hosts keep connections to them.
+const CANDIDATES: usize = 3;
+
+/// What is known of another host.
+#[derive(Clone, Debug)]
+pub struct PeerStatus {
+    /// Newest incarnation heard of.
+    pub incarnation: u64,
+    /// When it was last heard of.
+    pub heard: Instant,
+    /// Configuration version that it named last.
+    pub config: u64,
+    /// Whether it drains.
+    pub draining: bool,
+    /// Whether this host's own connection to it is up.
+    pub linked: bool,
+}
+
+#[derive(Debug)]
+struct ViewState {
+    entries: BTreeMap<Name, HostEntry>,
+    list_read: Option<Instant>,
+    peers: BTreeMap<Name, PeerStatus>,
+    draining: bool,
+}
+
+/// The host list joined with what heartbeats tell.
+#[derive(Clone, Debug)]
+pub struct HostView {
+    host: Name,
+    failure_domain: Name,
+    incarnation: u64,
+    started: Instant,
+    state: Arc<Mutex<ViewState>>,
+}
+
+impl HostView {
+    /// A view of a host that has just started.
+    pub fn new(host: Name, failure_domain: Name, incarnation: u64) -> Self {
+        let state = ViewState {
+            entries: BTreeMap::new(),
+            list_read: None,
+            peers: BTreeMap::new(),
+            draining: false,
+        };
+        let started = Instant::now();
+        Self {
+            host,
+            failure_domain,
+            incarnation,
+            started,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ViewState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This host's name.
+    pub fn host(&self) -> &Name {
+        &self.host
+    }
+
+    /// Takes over the platform's host list.
+    pub fn take_list(&self, entries: Vec<HostEntry>) {
+        let mut state = self.lock();
+        state.entries = entries
+            .into_iter()
+            .map(|entry| (Name::clone(&entry.name), entry))
+            .collect();
+        state.list_read = Some(Instant::now());
+    }
+
+    /// Whether the host list was read within the lease time.
+    pub fn is_list_fresh(&self) -> bool {
+        self.lock()
+            .list_read
+            .is_some_and(|at| at.elapsed() < LEASE_TIME)
+    }
+
+    /// Names of the hosts on the list.
+    pub fn listed_hosts(&self) -> Vec<Name> {
+        let state = self.lock();
+        let hosts = state
+            .entries
+            .values()
+            .filter(|entry| entry.kind == HostKind::Host);
+        hosts.map(|entry| Name::clone(&entry.name)).collect()
+    }
+
+    /// Whether the list shows a backend server as leaving.
+    pub fn is_leaving(&self, backend: &str) -> bool {
+        let state = self.lock();
+        state
+            .entries
+            .get(backend)
+            .is_some_and(|entry| entry.state == HostState::Leaving)
+    }
+
+    /// Notes a sign of life of a host.
+    pub fn note_heartbeat(&self, host: &Name, incarnation: u64, beat: &HeartbeatMessage) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let peer = state.peers.entry(Name::clone(host)).or_insert(PeerStatus {
+            incarnation,
+            heard: now,
+            config: beat.config,
+            draining: beat.draining,
+            linked: false,
+        });
+        if incarnation < peer.incarnation {
+            return;
+        }
+        peer.incarnation = incarnation;
+        peer.heard = now;
+        peer.config = beat.config;
+        peer.draining = beat.draining;
+    }
+
+    /// Notes whether this host's own connection to a host is up.
+    pub fn note_link(&self, host: &Name, linked: bool) {
+        if let Some(peer) = self.lock().peers.get_mut(host) {
+            peer.linked = linked;
+        }
+    }
+
+    /// Marks this host as draining.
+    pub fn set_draining(&self) {
+        self.lock().draining = true;
+    }
+
+    /// Whether this host drains.
+    pub fn is_draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    /// What is known of the other hosts.
+    pub fn peers(&self) -> BTreeMap<Name, PeerStatus> {
+        self.lock().peers.clone()
+    }
+
+    /// Whether anyone was heard of within the lease time: a peer, or the platform.
+    pub fn is_connected(&self) -> bool {
+        let state = self.lock();
+        let heard = state
+            .peers
+            .values()
+            .any(|peer| peer.heard.elapsed() < LEASE_TIME);
+        let listed = state.list_read.is_some_and(|at| at.elapsed() < LEASE_TIME);
+        heard || listed
+    }
+
+    /// Hosts this host should keep a connection to.
+    ///
+    /// Those of its failure domain, and the candidates for each pool: never all.
+    pub fn dial_targets(&self, pools: &[Name]) -> BTreeMap<Name, Name> {
+        let mut targets = BTreeMap::new();
+        let candidates: Vec<Name> = pools
+            .iter()
+            .flat_map(|pool| self.candidates(pool))
+            .collect();
+        let state = self.lock();
+        for entry in state.entries.values() {
+            let near = entry.failure_domain == self.failure_domain;
+            let wanted = near || candidates.contains(&entry.name);
+            if entry.kind == HostKind::Host && entry.name != self.host && wanted {
+                targets.insert(Name::clone(&entry.name), Name::clone(&entry.address));
+            }
+        }
+        targets
+    }
+
+    /// Whether a connection that this host should keep is down.
+    pub fn has_lost_link(&self, pools: &[Name]) -> bool {
+        let targets = self.dial_targets(pools);
+        let state = self.lock();
+        targets
+            .keys()
+            .any(|host| state.peers.get(host).is_none_or(|peer| !peer.linked))
+    }
+
+    /// The first hosts in rendezvous order for a pool, among the live ones of the list.
+    pub fn candidates(&self, pool: &str) -> Vec<Name> {
+        let state = self.lock();
+        let live = state
+            .entries
+            .values()
+            .filter(|entry| entry.kind == HostKind::Host && entry.state == HostState::Live);
+        let mut ranked = rank_hosts(pool, live.map(|entry| &entry.name));
+        ranked.truncate(CANDIDATES);
+        ranked
+    }
+
+    /// The host that schedules a pool now, as far as this host can reach one; itself if none.
+    pub fn scheduler(&self, pool: &str) -> Name {
+        let candidates = self.candidates(pool);
+        let state = self.lock();
+        let usable = |host: &&Name| {
+            if **host == self.host {
+                return !state.draining;
+            }
+            state.peers.get(*host).is_some_and(|peer| {
+                peer.linked && !peer.draining && peer.heard.elapsed() < LEASE_TIME
+            })
+        };
+        candidates
+            .iter()
+            .find(usable)
+            .map_or_else(|| Name::clone(&self.host), Name::clone)
+    }
+
+    /// What this host alone knows of an incarnation of a host.
+    pub fn judge(&self, host: &str, incarnation: u64) -> OwnerJudgement {
+        if host == &*self.host {
+            let own = incarnation == self.incarnation;
+            return if own {
+                OwnerJudgement::Alive
+            } else {
+                OwnerJudgement::Dead
+            };
+        }
+        let state = self.lock();
+        match state.peers.get(host) {
+            Some(peer) if incarnation < peer.incarnation => OwnerJudgement::Dead,
+            Some(peer) if peer.heard.elapsed() < LEASE_TIME => OwnerJudgement::Alive,
+            Some(_) | None if self.started.elapsed() < LEASE_TIME => OwnerJudgement::Alive,
+            Some(_) | None => OwnerJudgement::Unheard,
+        }
+    }
+}
+
+/// What one host knows of the owner of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerJudgement {
+    /// Heard of within the lease time.
+    Alive,
+    /// Replaced by a newer incarnation.
+    Dead,
+    /// Not heard of for the lease time; others may have heard of it.
+    Unheard,
+}
--- /dev/null
+++ b/crates/dillspool_platform/src/lib.rs
@@ -0,0 +1,20 @@
+//! The platform's services: table, object store and host list.
+//!
+//! Each service is a plain struct of closures, so that the users' real service can be put behind
+//! it. Every call ends in one of three ways: done, not done, or unknown, because an answer can be
+//! lost after the write took effect. See `docs/design/platform.md`.
+
+mod error;
+mod hosts;
+mod memory;
+mod objects;
+mod table;
+
+pub use error::PlatformError;
+pub use hosts::{HostEntry, HostKind, HostList, HostListReply, HostState};
+pub use memory::{MemoryHosts, MemoryObjects, MemoryTable, StoreFault, StoreUsage};
+pub use objects::{ObjectReply, ObjectStore, PutRequest};
+pub use table::{
+    CommitReply, CommitRequest, ReadReply, ReadRequest, RowExpect, RowWrite, ScanReply,
+    ScanRequest, ScannedRow, TableRow, TableStore,
+};
--- /dev/null
+++ b/crates/dillspool_platform/src/memory.rs
@@ -0,0 +1,322 @@
+//! The services in memory, behind the stand-ins and in tests.
+//!
+//! They count what is asked of them and fail on order: down, slow, or with the answer lost after
+//! the write took effect.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dillspool_schema::Name;
+
+use crate::PlatformError;
+use crate::hosts::{HostEntry, HostList, HostListReply};
+use crate::objects::{ObjectReply, ObjectStore, PutRequest};
+use crate::table::{
+    CommitReply, CommitRequest, ReadReply, ReadRequest, RowExpect, RowWrite, ScanReply,
+    ScanRequest, ScannedRow, TableRow, TableStore,
+};
+
+/// What goes wrong with one call, or with all until it is mended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    None,
+    /// The call is refused without effect.
+    Refuse,
+    /// The call takes effect but its answer is lost.
+    LoseAnswer,
+    /// The call is lost without effect, and looks like a lost answer.
+    LoseCall,
+    /// The call seems lost, and takes effect after this time.
+    Late(Duration),
+}
+
+/// What was asked of a service so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreUsage {
+    /// Calls that read.
+    pub reads: u64,
+    /// Calls that write.
+    pub writes: u64,
+    /// Rows written.
+    pub rows: u64,
+}
+
+#[derive(Debug, Default)]
+struct TableState {
+    rows: BTreeMap<Name, TableRow>,
+    next_version: u64,
+    outage: Option<StoreFault>,
+    next_commits: VecDeque<StoreFault>,
+    usage: StoreUsage,
+}
+
+/// A table in memory.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryTable {
+    state: Arc<Mutex<TableState>>,
+}
+
+fn lost() -> PlatformError {
+    PlatformError::Unknown {
+        reason: "the answer was lost".to_owned(),
+    }
+}
+
+fn refused() -> PlatformError {
+    PlatformError::NotDone {
+        reason: "the service is down".to_owned(),
+    }
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl MemoryTable {
+    /// An empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Lets every call fail this way until [`StoreFault::None`] is set.
+    pub fn set_outage(&self, fault: StoreFault) {
+        locked(&self.state).outage = (fault != StoreFault::None).then_some(fault);
+    }
+
+    /// Lets the next commits fail, one fault for each in turn.
+    pub fn fail_commits(&self, faults: impl IntoIterator<Item = StoreFault>) {
+        locked(&self.state).next_commits.extend(faults);
+    }
+
+    /// What was asked so far.
+    pub fn usage(&self) -> StoreUsage {
+        locked(&self.state).usage
+    }
+
+    /// Reads rows.
+    pub fn read(&self, request: &ReadRequest) -> Result<ReadReply, PlatformError> {
+        let mut state = locked(&self.state);
+        state.usage.reads += 1;
+        state.check_outage()?;
+        let rows = request
+            .keys
+            .iter()
+            .map(|key| state.rows.get(key).cloned())
+            .collect();
+        Ok(ReadReply { rows })
+    }
+
+    /// Reads a range of rows.
+    pub fn scan(&self, request: &ScanRequest) -> Result<ScanReply, PlatformError> {
+        let mut state = locked(&self.state);
+        state.usage.reads += 1;
+        state.check_outage()?;
+        let start = Name::clone(&request.prefix).max(Name::clone(&request.after));
+        let rows = state
+            .rows
+            .range(start..)
+            .filter(|(key, _)| **key != request.after)
+            .take_while(|(key, _)| key.starts_with(&*request.prefix))
+            .take(request.limit)
+            .map(|(key, row)| ScannedRow {
+                key: Name::clone(key),
+                row: row.clone(),
+            })
+            .collect();
+        Ok(ScanReply { rows })
+    }
+
+    /// Commits rows, with the fault that is due.
+    pub fn commit(&self, request: CommitRequest) -> Result<CommitReply, PlatformError> {
+        let mut state = locked(&self.state);
+        state.usage.writes += 1;
+        let fault = state.outage.or_else(|| state.next_commits.pop_front());
+        match fault.unwrap_or(StoreFault::None) {
+            StoreFault::None => Ok(state.apply(request.writes)),
+            StoreFault::Refuse => Err(refused()),
+            StoreFault::LoseCall => Err(lost()),
+            StoreFault::LoseAnswer => {
+                state.apply(request.writes);
+                Err(lost())
+            }
+            StoreFault::Late(delay) => {
+                let table = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    locked(&table.state).apply(request.writes);
+                });
+                Err(lost())
+            }
+        }
+    }
+
+    /// This table as a service.
+    pub fn store(&self) -> TableStore {
+        let (reading, scanning, committing) = (self.clone(), self.clone(), self.clone());
+        TableStore {
+            read: Arc::new(move |request| {
+                let reply = reading.read(&request);
+                Box::pin(async move { yielding(reply).await })
+            }),
+            scan: Arc::new(move |request| {
+                let reply = scanning.scan(&request);
+                Box::pin(async move { yielding(reply).await })
+            }),
+            commit: Arc::new(move |request| {
+                let table = committing.clone();
+                // The effect comes after a yield, so that calls of several tasks interleave.
+                Box::pin(async move {
+                    tokio::task::yield_now().await;
+                    table.commit(request)
+                })
+            }),
+        }
+    }
+}
+
+async fn yielding<T>(reply: T) -> T {
+    tokio::task::yield_now().await;
+    reply
+}
+
+impl TableState {
+    fn check_outage(&self) -> Result<(), PlatformError> {
+        match self.outage {
+            None | Some(StoreFault::None) => Ok(()),
+            Some(StoreFault::Refuse) => Err(refused()),
+            Some(StoreFault::LoseAnswer | StoreFault::LoseCall | StoreFault::Late(_)) => {
+                Err(lost())
+            }
+        }
+    }
+
+    fn holds(&self, write: &RowWrite) -> bool {
+        let found = self.rows.get(&write.key).map(|row| row.version);
+        match write.expect {
+            RowExpect::Any => true,
+            RowExpect::Absent => found.is_none(),
+            RowExpect::Version(version) => found == Some(version),
+        }
+    }
+
+    fn apply(&mut self, writes: Vec<RowWrite>) -> CommitReply {
+        let conflicts: Vec<Name> = writes
+            .iter()
+            .filter(|write| !self.holds(write))
+            .map(|write| Name::clone(&write.key))
+            .collect();
+        if !conflicts.is_empty() {
+            return CommitReply::Conflict(conflicts);
+        }
+        for write in writes {
+            self.usage.rows += 1;
+            self.next_version += 1;
+            let version = self.next_version;
+            match write.value {
+                Some(value) => self.rows.insert(write.key, TableRow { value, version }),
+                None => self.rows.remove(&write.key),
+            };
+        }
+        CommitReply::Committed
+    }
+}
+
+/// An object store in memory.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryObjects {
+    objects: Arc<Mutex<BTreeMap<Name, String>>>,
+    outage: Arc<Mutex<bool>>,
+}
+
+impl MemoryObjects {
+    /// An empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Refuses all calls until mended.
+    pub fn set_down(&self, down: bool) {
+        *locked(&self.outage) = down;
+    }
+
+    /// Reads an object.
+    pub fn get(&self, key: &Name) -> Result<ObjectReply, PlatformError> {
+        self.check()?;
+        Ok(ObjectReply {
+            text: locked(&self.objects).get(key).cloned(),
+        })
+    }
+
+    /// Writes an object.
+    pub fn put(&self, request: PutRequest) -> Result<(), PlatformError> {
+        self.check()?;
+        locked(&self.objects).insert(request.key, request.text);
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), PlatformError> {
+        if *locked(&self.outage) {
+            Err(refused())
+        } else {
+            Ok(())
+        }
+    }
+
+    /// This store as a service.
+    pub fn store(&self) -> ObjectStore {
+        let (getting, putting) = (self.clone(), self.clone());
+        ObjectStore {
+            get: Arc::new(move |key| {
+                let reply = getting.get(&key);
+                Box::pin(async move { yielding(reply).await })
+            }),
+            put: Arc::new(move |request| {
+                let reply = putting.put(request);
+                Box::pin(async move { yielding(reply).await })
+            }),
+        }
+    }
+}
+
+/// A host list in memory.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryHosts {
+    entries: Arc<Mutex<BTreeMap<Name, HostEntry>>>,
+}
+
+impl MemoryHosts {
+    /// An empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds or replaces an entry.
+    pub fn set(&self, entry: HostEntry) {
+        locked(&self.entries).insert(Name::clone(&entry.name), entry);
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, name: &str) {
+        locked(&self.entries).remove(name);
+    }
+
+    /// Reads the list.
+    pub fn list(&self) -> HostListReply {
+        HostListReply {
+            entries: locked(&self.entries).values().cloned().collect(),
+        }
+    }
+
+    /// This list as a service.
+    pub fn store(&self) -> HostList {
+        let hosts = self.clone();
+        HostList {
+            list: Arc::new(move |()| {
+                let reply = hosts.list();
+                Box::pin(async move { yielding(Ok(reply)).await })
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_pool/src/lib.rs
@@ -0,0 +1,17 @@
+//! The scheduler of a pool: group queues, decode slots, links and placements.
+//!
+//! One host schedules a pool at a time, chosen by rendezvous hashing; two at once may cost goodput
+//! but never a promise. All state is soft. See `docs/design/scheduler.md`.
+
+mod affinity;
+mod engines;
+mod health;
+mod queue;
+mod scheduler;
+mod state;
+mod sweep;
+
+pub use engines::{DecodeState, PrefillState};
+pub use queue::{FairQueue, QueueTag, WaitingRequest};
+pub use scheduler::{LivenessCheck, PoolScheduler, SchedulerCounts};
+pub use state::{PoolState, ReserveOutcome};
--- /dev/null
+++ b/crates/dillspool_pool/src/scheduler.rs
@@ -0,0 +1,233 @@
+//! A pool's scheduler as the rest of the host sees it.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dillspool_config::ConfigSnapshot;
+use dillspool_engine::EngineClient;
+use dillspool_schema::configuration::PoolEntry;
+use dillspool_schema::messages::{HeldPlacement, ReleaseMessage, ReserveAnswer, ReserveMessage};
+use dillspool_schema::{Name, StreamId};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::state::{PoolState, ReserveOutcome};
+use crate::sweep::sweep_engines;
+
+/// How long a scheduler stays awake after it was last asked.
+const AWAKE_TIME: Duration = Duration::from_secs(10);
+
+/// Whether the owner of a stream is dead beyond doubt.
+///
+/// The first argument is the host, the second its incarnation. See `docs/design/orphans.md`.
+#[derive(Clone)]
+pub struct LivenessCheck {
+    /// Returns true only for an owner that no host has heard of for the lease time.
+    pub is_dead: Arc<dyn Fn(Name, u64) -> dillspool_io::BoxFuture<bool> + Send + Sync>,
+    /// Whether this host is the one that should schedule a pool now.
+    pub is_scheduler: Arc<dyn Fn(&str) -> bool + Send + Sync>,
+}
+
+impl fmt::Debug for LivenessCheck {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("LivenessCheck")
+    }
+}
+
+/// What a scheduler did so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SchedulerCounts {
+    /// Requests granted.
+    pub granted: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Streams of dead owners, or released ones, that were cancelled on engines.
+    pub orphans: u64,
+}
+
+pub(crate) struct SchedulerInner {
+    pub(crate) state: PoolState,
+    waiters: BTreeMap<StreamId, oneshot::Sender<ReserveAnswer>>,
+    pub(crate) counts: SchedulerCounts,
+    last_asked: Option<Instant>,
+}
+
+/// Handle of a pool's scheduler on this host.
+#[derive(Clone)]
+pub struct PoolScheduler {
+    pool: Name,
+    inner: Arc<Mutex<SchedulerInner>>,
+    changed: Arc<Notify>,
+}
+
+impl fmt::Debug for PoolScheduler {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "PoolScheduler({})", self.pool)
+    }
+}
+
+impl PoolScheduler {
+    /// Starts a scheduler for a pool; it sleeps until it is asked or chosen.
+    pub fn start(
+        pool: &PoolEntry,
+        snapshot: &ConfigSnapshot,
+        engines: EngineClient,
+        liveness: LivenessCheck,
+        cancel: CancellationToken,
+    ) -> Self {
+        let inner = SchedulerInner {
+            state: PoolState::new(pool, snapshot, Instant::now()),
+            waiters: BTreeMap::new(),
+            counts: SchedulerCounts::default(),
+            last_asked: None,
+        };
+        let scheduler = Self {
+            pool: Name::clone(&pool.name),
+            inner: Arc::new(Mutex::new(inner)),
+            changed: Arc::new(Notify::new()),
+        };
+        tokio::spawn(pump_queue(scheduler.clone(), cancel.clone()));
+        tokio::spawn(sweep_engines(scheduler.clone(), engines, liveness, cancel));
+        scheduler
+    }
+
+    /// Name of the pool.
+    pub fn pool(&self) -> &Name {
+        &self.pool
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, SchedulerInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state and pumps the queue.
+    pub(crate) fn update<T>(&self, change: impl FnOnce(&mut PoolState, Instant) -> T) -> T {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let result = change(&mut inner.state, now);
+        inner.pump(now);
+        drop(inner);
+        self.changed.notify_one();
+        result
+    }
+
+    /// Asks for a placement and waits for the answer; dropping the future withdraws the request.
+    pub async fn reserve(&self, message: ReserveMessage) -> Option<ReserveAnswer> {
+        let stream = message.stream.clone();
+        let (sender, receiver) = oneshot::channel();
+        {
+            let now = Instant::now();
+            let mut inner = self.lock();
+            inner.last_asked = Some(now);
+            match inner.state.submit(message, now) {
+                ReserveOutcome::Answered(answer) => {
+                    inner.counts.refused += 1;
+                    return Some(answer);
+                }
+                ReserveOutcome::Waiting => inner.waiters.insert(stream, sender),
+            };
+            inner.pump(now);
+        }
+        self.changed.notify_one();
+        receiver.await.ok()
+    }
+
+    /// Gives a placement back.
+    pub fn release(&self, message: &ReleaseMessage) {
+        self.update(|state, now| state.release(message, now));
+        self.lock().waiters.remove(&message.stream);
+    }
+
+    /// Takes over all placements that an entry host, named with its incarnation, holds.
+    pub fn report(&self, host: &Name, incarnation: u64, held: &[HeldPlacement]) {
+        self.update(|state, now| state.report((host, incarnation), held, now));
+    }
+
+    /// Takes a new configuration over.
+    pub fn configure(&self, snapshot: &ConfigSnapshot) {
+        self.update(|state, now| state.configure(snapshot, now));
+    }
+
+    /// Marks the backend servers that are leaving.
+    pub fn set_leaving(&self, is_leaving: impl Fn(&str) -> bool) {
+        self.update(|state, _now| state.set_leaving(is_leaving));
+    }
+
+    /// Refuses new requests from now on.
+    pub fn set_draining(&self) {
+        self.update(|state, _now| state.set_draining());
+    }
+
+    /// Requests waiting and slots held.
+    pub fn load(&self) -> (usize, usize) {
+        self.lock().state.counts()
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> SchedulerCounts {
+        self.lock().counts
+    }
+
+    pub(crate) fn was_asked_lately(&self) -> bool {
+        self.lock()
+            .last_asked
+            .is_some_and(|at| at.elapsed() < AWAKE_TIME)
+    }
+}
+
+impl SchedulerInner {
+    fn pump(&mut self, now: Instant) {
+        for answer in self.state.pump(now) {
+            if answer.grant.is_some() {
+                self.counts.granted += 1;
+            } else {
+                self.counts.refused += 1;
+            }
+            let Some(waiter) = self.waiters.remove(&answer.stream) else {
+                continue;
+            };
+            let stream = answer.stream.clone();
+            let granted = answer.grant.is_some();
+            if waiter.send(answer).is_err() && granted {
+                // The asker left while it waited.
+                self.release_unused(stream, now);
+            }
+        }
+    }
+
+    fn release_unused(&mut self, stream: StreamId, now: Instant) {
+        use dillspool_schema::messages::ReleaseCause::Cancelled;
+        let pool = "".into();
+        let message = ReleaseMessage {
+            stream,
+            pool,
+            cause: Cancelled,
+            tokens: 0,
+            cached: 0,
+        };
+        self.state.release(&message, now);
+    }
+}
+
+/// Pumps the queue whenever a prefill engine becomes free or a deadline may have passed.
+async fn pump_queue(scheduler: PoolScheduler, cancel: CancellationToken) {
+    loop {
+        let wake = scheduler.lock().state.next_wake(Instant::now());
+        let nap = async {
+            match wake {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = nap => {
+                scheduler.lock().pump(Instant::now());
+            }
+            () = scheduler.changed.notified() => {}
+            () = cancel.cancelled() => return,
+        }
+    }
+}
--- a/crates/dillspool_schema/src/secret.rs
+++ b/crates/dillspool_schema/src/secret.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A secret from the settings whose `Debug` form hides the value.
-#[derive(Clone, Deserialize, Serialize)]
+#[derive(Clone, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Secret(String);
 
--- /dev/null
+++ b/crates/dillspool_standin/src/engine/mod.rs
@@ -0,0 +1,12 @@
+//! A model engine as a timing model.
+
+mod cache;
+mod decode;
+mod model;
+mod prefill;
+mod server;
+mod state;
+
+pub use model::{EngineFault, EngineModel};
+pub use server::EngineStandIn;
+pub use state::token_text;
