--- /dev/null
+++ b/crates/dillspool/src/local.rs
@@ -0,0 +1,51 @@
+//! Commands that need no host.
+
+use std::io::Read;
+use std::path::Path;
+use std::process::ExitCode;
+
+use clap::CommandFactory;
+use dillspool_config::parse_configuration;
+use dillspool_schema::configuration::Configuration;
+use snafu::ResultExt;
+
+use crate::admin_client::{CliError, FileSnafu, ReadSnafu};
+use crate::args::CliArgs;
+
+/// Reads and checks a configuration file.
+pub(crate) fn read_configuration(file: &Path) -> Result<(String, Configuration), CliError> {
+    let what = file.display().to_string();
+    let text = std::fs::read_to_string(file).context(ReadSnafu { what: &what })?;
+    let configuration = parse_configuration(&what, &text).context(FileSnafu)?;
+    Ok((text, configuration))
+}
+
+pub(crate) fn check(file: &Path) -> Result<ExitCode, CliError> {
+    let (_, configuration) = read_configuration(file)?;
+    println!(
+        "{} is valid: {} groups, {} pools, {} backend servers, {} routes",
+        file.display(),
+        configuration.group.len(),
+        configuration.pool.len(),
+        configuration.backend.len(),
+        configuration.route.len()
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+pub(crate) fn hash_key() -> Result<ExitCode, CliError> {
+    let mut key = String::new();
+    std::io::stdin()
+        .read_to_string(&mut key)
+        .context(ReadSnafu {
+            what: "standard input",
+        })?;
+    println!("{}", dillspool_config::hash_key(key.trim()));
+    Ok(ExitCode::SUCCESS)
+}
+
+pub(crate) fn completions(shell: clap_complete::Shell) -> ExitCode {
+    let mut command = CliArgs::command();
+    clap_complete::generate(shell, &mut command, "dillspool", &mut std::io::stdout());
+    ExitCode::SUCCESS
+}
--- a/crates/dillspool_engine/src/error.rs
+++ b/crates/dillspool_engine/src/error.rs
@@ -26,6 +26,14 @@
         /// What broke off.
         reason: String,
     },
+    /// The stream is open but gives no tokens; the engine still holds memory for it.
+    #[snafu(display(
+        "the engine's stream stalled: no token within {limit:?}; cancel it and go on elsewhere"
+    ))]
+    Stalled {
+        /// Longest silence that was allowed.
+        limit: std::time::Duration,
+    },
     /// The engine sent something that belongs to another request or to no protocol.
     #[snafu(display("the engine sent a wrong answer: {reason}; the stream is given up"))]
     Wrong {
--- a/crates/dillspool_engine/src/tokens.rs
+++ b/crates/dillspool_engine/src/tokens.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::EngineError;
-use crate::error::{BrokenOffSnafu, WrongSnafu};
+use crate::error::{BrokenOffSnafu, StalledSnafu, WrongSnafu};
 use crate::lines::LineBuffer;
 
 /// Reads token events, checking that each belongs to the stream and comes in order.
@@ -52,8 +52,8 @@
             }
             let frame = match tokio::time::timeout(self.stall_limit, self.body.frame()).await {
                 Err(_elapsed) => {
-                    let reason = format!("no token within {:?}", self.stall_limit);
-                    return BrokenOffSnafu { reason }.fail();
+                    let limit = self.stall_limit;
+                    return StalledSnafu { limit }.fail();
                 }
                 Ok(None) => {
                     return BrokenOffSnafu {
--- /dev/null
+++ b/crates/dillspool_entry/src/answer.rs
@@ -0,0 +1,223 @@
+//! Model requests over HTTP: streamed or whole.
+
+use bytes::Bytes;
+use dillspool_io::{BoxError, ResponseBody, channel_body, text_response};
+use dillspool_schema::Name;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::context::EntryContext;
+use crate::metrics::InFlight;
+use crate::openai::{AnswerHead, ApiForm, GenerationRequest};
+use crate::problem::{RequestProblem, WorkOutcome};
+use crate::stream::{AnswerPart, AnswerStream, AnswerTerms};
+
+/// Events waiting for a slow caller; the engine keeps what does not fit.
+const CALLER_BUFFER: usize = 64;
+
+/// What goes along with a request until its answer has ended.
+pub(crate) struct RequestPermit {
+    pub(crate) _in_flight: InFlight,
+    pub(crate) _permit: tokio::sync::OwnedSemaphorePermit,
+}
+
+/// Serves a model request.
+pub(crate) async fn answer_request(
+    context: EntryContext,
+    terms: AnswerTerms,
+    permit: RequestPermit,
+) -> Result<Response<ResponseBody>, RequestProblem> {
+    let group = Name::clone(&terms.group.name);
+    let request = terms.request.clone();
+    let mut gone = GoneCounter::new(&context, &group);
+    let (mut answer, first) = match open_answer(&context, terms).await {
+        Ok(opened) => opened,
+        Err(problem) => {
+            gone.settle_problem(&problem);
+            return Err(problem);
+        }
+    };
+    let head = answer_head(&context, &request);
+    if request.stream {
+        return Ok(stream_answer(&context, head, answer, first, permit, gone));
+    }
+    match collect_answer(&mut answer, first).await {
+        Ok(whole) => {
+            gone.is_settled = true;
+            let prompt = answer.prompt_tokens;
+            let text = head.whole(&whole.text, &whole.finish, prompt, whole.tokens);
+            Ok(text_response(StatusCode::OK, "application/json", text))
+        }
+        Err(problem) => {
+            gone.settle_problem(&problem);
+            Err(problem)
+        }
+    }
+}
+
+/// Opens the stream and reads its first part, so that failures up to then have a status.
+async fn open_answer(
+    context: &EntryContext,
+    terms: AnswerTerms,
+) -> Result<(AnswerStream, AnswerPart), RequestProblem> {
+    let mut answer = AnswerStream::open(context.clone(), terms).await?;
+    let first = answer.next().await?;
+    Ok((answer, first))
+}
+
+fn answer_head(context: &EntryContext, request: &GenerationRequest) -> AnswerHead {
+    let prefix = match request.form {
+        ApiForm::Chat => "chatcmpl",
+        ApiForm::Text => "cmpl",
+    };
+    AnswerHead {
+        form: request.form,
+        id: format!("{prefix}-{}", context.ids.next()),
+        model: Name::clone(&request.model),
+        created: context.clock.now().0 / 1000,
+    }
+}
+
+/// Counts a request whose caller left before the end.
+struct GoneCounter {
+    context: EntryContext,
+    group: Name,
+    is_settled: bool,
+}
+
+impl GoneCounter {
+    fn new(context: &EntryContext, group: &Name) -> Self {
+        Self {
+            context: context.clone(),
+            group: Name::clone(group),
+            is_settled: false,
+        }
+    }
+
+    /// The request ended with a problem, which is counted in place of a caller that left.
+    fn settle_problem(&mut self, problem: &RequestProblem) {
+        self.is_settled = true;
+        let outcome = match problem.outcome {
+            WorkOutcome::NotRun => "refused",
+            WorkOutcome::Unknown => "failed",
+            WorkOutcome::Incomplete => "incomplete",
+        };
+        self.context
+            .metrics
+            .count_request(&self.group, outcome, problem.code);
+    }
+}
+
+impl Drop for GoneCounter {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.context
+                .metrics
+                .count_request(&self.group, "gone", "caller_left");
+        }
+    }
+}
+
+struct WholeAnswer {
+    text: String,
+    finish: Name,
+    tokens: u64,
+}
+
+async fn collect_answer(
+    answer: &mut AnswerStream,
+    first: AnswerPart,
+) -> Result<WholeAnswer, RequestProblem> {
+    let (mut text, mut tokens) = (String::new(), 0);
+    let mut part = first;
+    loop {
+        match part {
+            AnswerPart::Token(token) => {
+                text.push_str(&token);
+                tokens += 1;
+            }
+            AnswerPart::End(finish) => {
+                return Ok(WholeAnswer {
+                    text,
+                    finish,
+                    tokens,
+                });
+            }
+        }
+        part = answer.next().await?;
+    }
+}
+
+fn stream_answer(
+    context: &EntryContext,
+    head: AnswerHead,
+    answer: AnswerStream,
+    first: AnswerPart,
+    permit: RequestPermit,
+    gone: GoneCounter,
+) -> Response<ResponseBody> {
+    let (sender, receiver) = mpsc::channel(CALLER_BUFFER);
+    let tasks = context.tasks.clone();
+    tasks.spawn(async move {
+        pump_events(&head, answer, first, sender, gone).await;
+        drop(permit);
+    });
+    let mut response = Response::new(channel_body(receiver));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+type EventSender = mpsc::Sender<Result<Bytes, BoxError>>;
+
+async fn pump_events(
+    head: &AnswerHead,
+    mut answer: AnswerStream,
+    first: AnswerPart,
+    sender: EventSender,
+    mut gone: GoneCounter,
+) {
+    let mut part = Ok(first);
+    loop {
+        let event = match &part {
+            Ok(AnswerPart::Token(text)) => event_line(&head.chunk(Some(text), None)),
+            Ok(AnswerPart::End(finish)) => {
+                gone.is_settled = true;
+                let mut last = event_line(&head.chunk(None, Some(finish)));
+                last.push_str("data: [DONE]\n\n");
+                // A caller that left now has been sent all but the end mark.
+                let _caller_left = sender.send(Ok(last.into())).await;
+                return;
+            }
+            Err(problem) => {
+                gone.settle_problem(problem);
+                break_off(&sender, problem).await;
+                return;
+            }
+        };
+        if sender.send(Ok(event.into())).await.is_err() {
+            return;
+        }
+        part = tokio::select! {
+            part = answer.next() => part,
+            () = sender.closed() => return,
+        };
+    }
+}
+
+fn event_line(data: &str) -> String {
+    format!("data: {data}\n\n")
+}
+
+/// Ends a stream that cannot be finished: an error event, then a broken connection.
+///
+/// The caller sees neither `[DONE]` nor the end of the body, so it cannot take the answer for
+/// whole.
+async fn break_off(sender: &EventSender, problem: &RequestProblem) {
+    let event = event_line(&problem.text());
+    if sender.send(Ok(event.into())).await.is_ok() {
+        let _caller_left = sender.send(Err("the answer broke off".into())).await;
+    }
+}
--- /dev/null
+++ b/crates/dillspool_entry/src/ids.rs
@@ -0,0 +1,34 @@
+//! Stream ids of this process.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dillspool_schema::{Name, StreamId};
+
+/// Gives out stream ids, none of them twice.
+#[derive(Clone, Debug)]
+pub struct StreamIds {
+    host: Name,
+    incarnation: u64,
+    next: Arc<AtomicU64>,
+}
+
+impl StreamIds {
+    /// Ids of an incarnation of a host.
+    pub fn new(host: Name, incarnation: u64) -> Self {
+        Self {
+            host,
+            incarnation,
+            next: Arc::default(),
+        }
+    }
+
+    /// The next id.
+    pub fn next(&self) -> StreamId {
+        StreamId {
+            host: Name::clone(&self.host),
+            incarnation: self.incarnation,
+            sequence: self.next.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_host/src/admin.rs
@@ -0,0 +1,325 @@
+//! The operators' HTTP interface.
+
+use std::fmt;
+use std::sync::Arc;
+
+use dillspool_config::{
+    AppliedConfig, ApplyError, AuditRow, CallerKey, ConfigVersion, parse_configuration,
+};
+use dillspool_io::{HttpHandler, ResponseBody, handler, read_body, text_response};
+use dillspool_peer::HostView;
+use dillspool_platform::TableStore;
+use dillspool_schema::Name;
+use dillspool_schema::settings::OperatorKey;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio_util::sync::CancellationToken;
+
+use crate::acks::read_acks;
+use crate::config_keeper::ConfigKeeper;
+use crate::directory::PoolDirectory;
+use crate::metrics::{HostMetrics, HostReadings};
+
+/// Longest configuration text in bytes; the two-year size needs about 2 MB.
+const CONFIG_LIMIT: usize = 16 * 1024 * 1024;
+/// Audit rows in one answer.
+const AUDIT_ROWS: usize = 100;
+
+/// A configuration to apply.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ApplyRequest {
+    /// Version that the operator looked at, to lose a race knowingly; `None` to skip the check.
+    pub expected: Option<ConfigVersion>,
+    /// The TOML text.
+    pub text: String,
+}
+
+/// What an apply led to.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ApplyReply {
+    /// Version that is committed.
+    pub version: ConfigVersion,
+    /// What changed, a line each.
+    pub changes: Vec<String>,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConfigReply {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Its digest.
+    pub digest: Name,
+    /// The configuration.
+    pub configuration: dillspool_schema::configuration::Configuration,
+}
+
+/// One host in the status.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct HostLine {
+    /// Name.
+    pub host: Name,
+    /// Whether the platform's list has it.
+    pub listed: bool,
+    /// Version that it acknowledged.
+    pub version: ConfigVersion,
+    /// Whether it drains, as far as this host knows.
+    pub draining: bool,
+}
+
+/// One pool in the status.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PoolLine {
+    /// Name.
+    pub pool: Name,
+    /// Host that schedules it, as this host sees it.
+    pub scheduler: Name,
+    /// Requests waiting at this host's scheduler.
+    pub waiting: usize,
+    /// Slots held at this host's scheduler.
+    pub held: usize,
+}
+
+/// The state of the system as one host sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StatusReply {
+    /// Host that answers.
+    pub host: Name,
+    /// Newest committed version, `None` while the table does not answer.
+    pub committed: Option<ConfigVersion>,
+    /// Version in force on this host.
+    pub in_force: ConfigVersion,
+    /// All hosts.
+    pub hosts: Vec<HostLine>,
+    /// All pools.
+    pub pools: Vec<PoolLine>,
+}
+
+/// Why an operator's request was not carried out.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AdminProblem {
+    /// Short cause for machines.
+    pub code: Name,
+    /// What happened and what to do.
+    pub message: String,
+}
+
+/// What the operators' listener needs of the host.
+#[derive(Clone)]
+pub(crate) struct AdminContext {
+    pub(crate) keeper: ConfigKeeper,
+    pub(crate) table: TableStore,
+    pub(crate) view: HostView,
+    pub(crate) directory: PoolDirectory,
+    pub(crate) operators: Arc<[OperatorKey]>,
+    pub(crate) metrics: Arc<HostMetrics>,
+    pub(crate) readings: Arc<dyn Fn() -> HostReadings + Send + Sync>,
+    /// Why the host is not ready, `None` when it is.
+    pub(crate) unready_reason: Arc<dyn Fn() -> Option<&'static str> + Send + Sync>,
+    /// Cancelled to start a drain.
+    pub(crate) drain: CancellationToken,
+    pub(crate) attempt_token: Arc<dyn Fn() -> Name + Send + Sync>,
+}
+
+impl fmt::Debug for AdminContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("AdminContext")
+    }
+}
+
+/// A request that is not carried out, with its status.
+struct AdminRefusal {
+    status: StatusCode,
+    problem: AdminProblem,
+}
+
+type AdminResult = Result<Response<ResponseBody>, AdminRefusal>;
+
+/// The handler of the operators' listener.
+pub(crate) fn operators_handler(context: AdminContext) -> HttpHandler {
+    handler(move |request| {
+        let context = context.clone();
+        async move {
+            match dispatch(&context, request).await {
+                Ok(response) => response,
+                Err(refusal) => json(refusal.status, &refusal.problem),
+            }
+        }
+    })
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<ResponseBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    text_response(status, "application/json", text)
+}
+
+fn problem(status: StatusCode, code: &str, message: impl fmt::Display) -> AdminRefusal {
+    let problem = AdminProblem {
+        code: code.into(),
+        message: message.to_string(),
+    };
+    AdminRefusal { status, problem }
+}
+
+async fn dispatch(context: &AdminContext, request: Request<Incoming>) -> AdminResult {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/healthz") => return Ok(text_response(StatusCode::OK, "text/plain", "ok")),
+        (&Method::GET, "/readyz") => return Ok(readiness(context)),
+        (&Method::GET, "/metrics") => return Ok(metrics(context)),
+        _ => {}
+    }
+    let operator = authenticate(context, &request)?;
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/apply") => apply(context, operator, request).await,
+        (&Method::GET, "/config") => config(context),
+        (&Method::GET, "/status") => Ok(json(StatusCode::OK, &status(context).await)),
+        (&Method::GET, "/audit") => audit(context, request.uri().query()).await,
+        (&Method::POST, "/drain") => {
+            log::info!("event=drain_asked operator={operator}");
+            context.drain.cancel();
+            Ok(json(StatusCode::ACCEPTED, &()))
+        }
+        _ => Err(problem(
+            StatusCode::NOT_FOUND,
+            "no_such_path",
+            "see docs/operators/api.md",
+        )),
+    }
+}
+
+fn readiness(context: &AdminContext) -> Response<ResponseBody> {
+    match (context.unready_reason)() {
+        None => text_response(StatusCode::OK, "text/plain", "ready"),
+        Some(reason) => text_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", reason),
+    }
+}
+
+fn metrics(context: &AdminContext) -> Response<ResponseBody> {
+    let text = context.metrics.text((context.readings)());
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    text_response(StatusCode::OK, content_type, text)
+}
+
+fn authenticate(context: &AdminContext, request: &Request<Incoming>) -> Result<Name, AdminRefusal> {
+    let key = request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(CallerKey::from_bearer);
+    let operator = key.and_then(|key| {
+        context
+            .operators
+            .iter()
+            .find(|operator| key.matches(&operator.key_hash))
+    });
+    let Some(operator) = operator else {
+        let message = "the key is missing or unknown; set DILLSPOOL_KEY to an operator's key";
+        return Err(problem(StatusCode::UNAUTHORIZED, "unknown_key", message));
+    };
+    Ok(Name::clone(&operator.name))
+}
+
+async fn apply(context: &AdminContext, operator: Name, request: Request<Incoming>) -> AdminResult {
+    let refuse = |code, message: String| Err(problem(StatusCode::BAD_REQUEST, code, message));
+    let body = match read_body(request.into_body(), CONFIG_LIMIT).await {
+        Ok(body) => body,
+        Err(error) => return refuse("bad_body", error.to_string()),
+    };
+    let request: ApplyRequest = match serde_json::from_slice(&body) {
+        Ok(request) => request,
+        Err(error) => return refuse("bad_body", error.to_string()),
+    };
+    let configuration = match parse_configuration("configuration", &request.text) {
+        Ok(configuration) => configuration,
+        Err(error) => return refuse("invalid_configuration", error.to_string()),
+    };
+    let token = (context.attempt_token)();
+    let store = context.keeper.store();
+    match store
+        .apply(request.expected, &configuration, operator, token)
+        .await
+    {
+        Ok(AppliedConfig { version, changes }) => {
+            context.keeper.poll().await;
+            Ok(json(StatusCode::OK, &ApplyReply { version, changes }))
+        }
+        Err(error) => {
+            let (status, code) = match error {
+                ApplyError::LostRace { .. } => (StatusCode::CONFLICT, "lost_race"),
+                ApplyError::NotApplied { .. } => (StatusCode::SERVICE_UNAVAILABLE, "not_applied"),
+                ApplyError::Unclear { .. } => (StatusCode::GATEWAY_TIMEOUT, "unclear"),
+                ApplyError::Corrupt { .. } => (StatusCode::INTERNAL_SERVER_ERROR, "corrupt"),
+            };
+            Err(problem(status, code, error))
+        }
+    }
+}
+
+fn config(context: &AdminContext) -> AdminResult {
+    let Some(snapshot) = context.keeper.current() else {
+        let message = "no configuration was applied yet; apply one with `dillspool apply`";
+        return Err(problem(StatusCode::NOT_FOUND, "not_configured", message));
+    };
+    let reply = ConfigReply {
+        version: snapshot.version,
+        digest: Name::clone(&snapshot.digest),
+        configuration: snapshot.configuration.clone(),
+    };
+    Ok(json(StatusCode::OK, &reply))
+}
+
+async fn status(context: &AdminContext) -> StatusReply {
+    let acks = read_acks(&context.table).await.unwrap_or_default();
+    let newest = context.keeper.store().head().await.ok();
+    let listed = context.view.listed_hosts();
+    let peers = context.view.peers();
+    let mut names: Vec<Name> = listed.iter().chain(acks.keys()).map(Name::clone).collect();
+    names.sort();
+    names.dedup();
+    let host_line = |host: Name| HostLine {
+        listed: listed.contains(&host),
+        version: acks.get(&host).map_or(ConfigVersion(0), |ack| ack.version),
+        draining: peers.get(&host).is_some_and(|peer| peer.draining),
+        host,
+    };
+    let pool_line = |scheduler: dillspool_pool::PoolScheduler| {
+        let (waiting, held) = scheduler.load();
+        let pool = Name::clone(scheduler.pool());
+        PoolLine {
+            scheduler: context.view.scheduler(&pool),
+            pool,
+            waiting,
+            held,
+        }
+    };
+    StatusReply {
+        host: Name::clone(context.view.host()),
+        committed: newest.map(|it| it.map_or(ConfigVersion(0), |head| head.version)),
+        in_force: context.keeper.version(),
+        hosts: names.into_iter().map(host_line).collect(),
+        pools: context.directory.all().into_iter().map(pool_line).collect(),
+    }
+}
+
+async fn audit(context: &AdminContext, query: Option<&str>) -> AdminResult {
+    let after = query
+        .and_then(|query| query.strip_prefix("after="))
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    let rows: Result<Vec<AuditRow>, ApplyError> = context
+        .keeper
+        .store()
+        .audit(ConfigVersion(after), AUDIT_ROWS)
+        .await;
+    match rows {
+        Ok(rows) => Ok(json(StatusCode::OK, &rows)),
+        Err(error) => Err(problem(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "store_down",
+            error,
+        )),
+    }
+}
--- /dev/null
+++ b/crates/dillspool_host/src/daemon.rs
@@ -0,0 +1,500 @@
+//! Puts the parts of a host together, and takes them down again.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dillspool_config::{ConfigError, ConfigStore, HostAddresses};
+use dillspool_engine::EngineClient;
+use dillspool_entry::{
+    EntryContext, EntryMetrics, HostChecks, PlacementRegistry, RetryBudget, StreamIds,
+    callers_handler,
+};
+use dillspool_io::{HttpClient, NetListener, NetStack, ServerLimits, WallClock, serve_http};
+use dillspool_ledger::{CallLedger, LedgerSettings};
+use dillspool_peer::{HostView, LinkSettings, PeerHandlers, PeerIdentity, PeerLinks};
+use dillspool_platform::{HostList, ObjectStore, TableStore};
+use dillspool_pool::LivenessCheck;
+use dillspool_schema::Name;
+use dillspool_schema::messages::HeartbeatMessage;
+use dillspool_schema::settings::HostSettings;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::admin::{AdminContext, operators_handler};
+use crate::alive_rows::AliveRows;
+use crate::config_keeper::{ConfigKeeper, acknowledge_versions};
+use crate::desk::placement_desk;
+use crate::directory::PoolDirectory;
+use crate::membership::follow_hosts;
+use crate::metrics::{HostMetrics, HostReadings};
+use crate::upkeep::{show_alive, sweep_ledger};
+
+/// Time for the platform's balancer to notice that a draining host is not ready.
+const BALANCER_TIME: Duration = Duration::from_secs(5);
+/// How often a drain looks whether the last request has ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
+/// Why a host does not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// The settings are wrong.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// What is wrong, with the remedy.
+        source: ConfigError,
+    },
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}; free the port or choose another"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// What a host takes from outside: network and clock.
+#[derive(Clone, Debug)]
+pub struct HostEnvironment {
+    /// The network.
+    pub stack: NetStack,
+    /// The wall clock; its time at the start is the host's incarnation.
+    pub clock: WallClock,
+}
+
+/// Addresses that a host listens on, with the ports that the system chose.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+}
+
+/// A running host.
+pub struct HostDaemon {
+    /// Where it listens.
+    pub addresses: ListenAddresses,
+    host: Name,
+    view: HostView,
+    directory: PoolDirectory,
+    registry: PlacementRegistry,
+    metrics: EntryMetrics,
+    tasks: TaskTracker,
+    drain_timeout: Duration,
+    drain: CancellationToken,
+    /// Ends the callers' listener.
+    callers: CancellationToken,
+    callers_served: tokio::task::JoinHandle<()>,
+    /// Ends everything.
+    cancel: CancellationToken,
+}
+
+impl fmt::Debug for HostDaemon {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "HostDaemon({})", self.host)
+    }
+}
+
+struct Listeners {
+    callers: NetListener,
+    operators: NetListener,
+    peers: NetListener,
+}
+
+impl Listeners {
+    async fn open(stack: &NetStack, addresses: &HostAddresses) -> Result<Self, DaemonError> {
+        let open = async |address| stack.listen(address).await.context(ListenSnafu { address });
+        Ok(Self {
+            callers: open(addresses.callers).await?,
+            operators: open(addresses.operators).await?,
+            peers: open(addresses.peers).await?,
+        })
+    }
+
+    fn addresses(&self) -> ListenAddresses {
+        ListenAddresses {
+            callers: self.callers.local_addr(),
+            operators: self.operators.local_addr(),
+            peers: self.peers.local_addr(),
+        }
+    }
+}
+
+/// The parts that several roles share.
+#[derive(Clone)]
+struct HostParts {
+    settings: Arc<HostSettings>,
+    environment: HostEnvironment,
+    incarnation: u64,
+    table: TableStore,
+    list: HostList,
+    view: HostView,
+    keeper: ConfigKeeper,
+    engines: EngineClient,
+    directory: PoolDirectory,
+    registry: PlacementRegistry,
+    links: PeerLinks,
+    rows: AliveRows,
+    metrics: EntryMetrics,
+    tasks: TaskTracker,
+    cancel: CancellationToken,
+}
+
+impl HostParts {
+    fn new(
+        settings: HostSettings,
+        environment: HostEnvironment,
+        addresses: &HostAddresses,
+    ) -> Self {
+        let cancel = CancellationToken::new();
+        let incarnation = environment.clock.now().0;
+        let platform = HttpClient::pooled(&environment.stack);
+        let limit = Duration::from_millis(settings.platform.timeout_ms.into());
+        let table = TableStore::http(&platform, addresses.table, limit);
+        let objects = ObjectStore::http(&platform, addresses.objects, limit);
+        let list = HostList::http(&platform, addresses.hosts, limit);
+        let store = ConfigStore::new(table.clone(), objects, environment.clock.clone());
+        let host = Name::clone(&settings.host);
+        let view = HostView::new(host, Name::clone(&settings.failure_domain), incarnation);
+        let engines = EngineClient::new(&environment.stack);
+        let directory = PoolDirectory::new(engines.clone(), cancel.clone());
+        let registry = PlacementRegistry::default();
+        let keeper = ConfigKeeper::new(store);
+        let identity = PeerIdentity {
+            host: Name::clone(&settings.host),
+            incarnation,
+            key: settings.keys.peer_key.clone(),
+        };
+        let handlers = peer_handlers(&keeper, &directory, &registry, &view);
+        let stack = environment.stack.clone();
+        let links = PeerLinks::new(
+            stack,
+            identity,
+            handlers,
+            LinkSettings::default(),
+            view.clone(),
+        );
+        Self {
+            settings: Arc::new(settings),
+            environment,
+            incarnation,
+            rows: AliveRows::new(table.clone()),
+            table,
+            list,
+            view,
+            keeper,
+            engines,
+            directory,
+            registry,
+            links,
+            metrics: EntryMetrics::default(),
+            tasks: TaskTracker::new(),
+            cancel,
+        }
+    }
+
+    fn liveness(&self) -> LivenessCheck {
+        let (rows, view, links) = (self.rows.clone(), self.view.clone(), self.links.clone());
+        let choosing = self.view.clone();
+        LivenessCheck {
+            is_dead: Arc::new(move |host, incarnation| {
+                let (rows, view, links) = (rows.clone(), view.clone(), links.clone());
+                Box::pin(async move { rows.is_dead(&view, &links, host, incarnation).await })
+            }),
+            is_scheduler: Arc::new(move |pool| choosing.scheduler(pool) == *choosing.host()),
+        }
+    }
+
+    fn entry_context(&self) -> EntryContext {
+        let limits = self.settings.limits.clone().unwrap_or_default();
+        let owner = format!("{}.{}", self.settings.host, self.incarnation);
+        let ledger = CallLedger::new(
+            self.table.clone(),
+            self.environment.clock.clone(),
+            LedgerSettings::default(),
+            owner.into(),
+            self.cancel.clone(),
+        );
+        let isolated = self.view.clone();
+        let leaving = self.view.clone();
+        EntryContext {
+            config: self.keeper.subscribe(),
+            engines: self.engines.clone(),
+            plain: HttpClient::single_use(&self.environment.stack),
+            desk: placement_desk(
+                self.view.clone(),
+                self.links.clone(),
+                self.directory.clone(),
+            ),
+            registry: self.registry.clone(),
+            ledger,
+            clock: self.environment.clock.clone(),
+            next_backend: Arc::default(),
+            ids: StreamIds::new(Name::clone(&self.settings.host), self.incarnation),
+            retries: RetryBudget::default(),
+            metrics: self.metrics.clone(),
+            in_flight: Arc::new(Semaphore::new(limits.max_in_flight as usize)),
+            max_body_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
+            body_timeout: Duration::from_millis(limits.body_timeout_ms.into()),
+            tasks: self.tasks.clone(),
+            checks: HostChecks {
+                closed_reason: Arc::new(move || isolated.is_isolated().then_some(ISOLATED)),
+                is_leaving: Arc::new(move |backend| leaving.is_leaving(backend)),
+            },
+        }
+    }
+
+    fn admin_context(&self, drain: &CancellationToken) -> AdminContext {
+        let (view, keeper) = (self.view.clone(), self.keeper.clone());
+        let unready_reason = move || {
+            if view.is_draining() {
+                return Some("the host drains");
+            }
+            if keeper.current().is_none() {
+                return Some("no configuration is in force yet");
+            }
+            view.is_isolated().then_some(ISOLATED)
+        };
+        let parts = self.clone();
+        let attempts = AtomicU64::new(0);
+        let owner = format!("{}.{}", self.settings.host, self.incarnation);
+        AdminContext {
+            keeper: self.keeper.clone(),
+            table: self.table.clone(),
+            view: self.view.clone(),
+            directory: self.directory.clone(),
+            operators: self.settings.keys.operators.clone().into(),
+            metrics: Arc::new(HostMetrics::new(&self.metrics)),
+            readings: Arc::new(move || parts.readings()),
+            unready_reason: Arc::new(unready_reason),
+            drain: drain.clone(),
+            attempt_token: Arc::new(move || {
+                let attempt = attempts.fetch_add(1, Ordering::Relaxed);
+                format!("{owner}.apply.{attempt}").into()
+            }),
+        }
+    }
+
+    fn readings(&self) -> HostReadings {
+        let counts: Vec<_> = self
+            .directory
+            .all()
+            .iter()
+            .map(dillspool_pool::PoolScheduler::counts)
+            .collect();
+        HostReadings {
+            config_version: self.keeper.version().0,
+            control_bytes: self.links.control_bytes(),
+            peers_linked: self
+                .view
+                .peers()
+                .values()
+                .filter(|peer| peer.linked)
+                .count(),
+            placements: self.registry.len(),
+            orphans: counts.iter().map(|it| it.orphans).sum(),
+            granted: counts.iter().map(|it| it.granted).sum(),
+            refused: counts.iter().map(|it| it.refused).sum(),
+        }
+    }
+
+    /// Follows configuration changes with the schedulers.
+    async fn follow_config(self) {
+        let liveness = self.liveness();
+        let mut versions = self.keeper.subscribe();
+        loop {
+            let current = versions.borrow_and_update().clone();
+            if let Some(snapshot) = current {
+                self.directory.configure(&snapshot, &liveness);
+            }
+            tokio::select! {
+                changed = versions.changed() => if changed.is_err() { return },
+                () = self.cancel.cancelled() => return,
+            }
+        }
+    }
+
+    fn spawn_roles(&self) {
+        let parts = self.clone();
+        tokio::spawn(parts.clone().follow_config());
+        tokio::spawn(parts.keeper.clone().keep(parts.cancel.clone()));
+        tokio::spawn(acknowledge_versions(
+            parts.keeper.clone(),
+            parts.table.clone(),
+            Name::clone(&parts.settings.host),
+            parts.incarnation,
+            parts.cancel.clone(),
+        ));
+        tokio::spawn(follow_hosts(
+            parts.list.clone(),
+            parts.view.clone(),
+            parts.links.clone(),
+            parts.directory.clone(),
+            parts.cancel.clone(),
+        ));
+        tokio::spawn(show_alive(
+            parts.rows.clone(),
+            parts.view.clone(),
+            parts.directory.clone(),
+            parts.cancel.clone(),
+        ));
+        tokio::spawn(sweep_ledger(
+            parts.table.clone(),
+            parts.environment.clock.clone(),
+            parts.view.clone(),
+            parts.cancel.clone(),
+        ));
+    }
+}
+
+const ISOLATED: &str = "this host hears neither its peers nor the platform; use another host";
+
+fn peer_handlers(
+    keeper: &ConfigKeeper,
+    directory: &PoolDirectory,
+    registry: &PlacementRegistry,
+    view: &HostView,
+) -> PeerHandlers {
+    let (reserving, releasing, reporting) =
+        (directory.clone(), directory.clone(), directory.clone());
+    let (registry, pools) = (registry.clone(), directory.clone());
+    let (beating, view) = (keeper.clone(), view.clone());
+    let (giving, taking) = (keeper.clone(), keeper.clone());
+    PeerHandlers {
+        reserve: Arc::new(move |message| {
+            let pool = reserving.get(&message.pool);
+            Box::pin(async move { pool?.reserve(message).await })
+        }),
+        release: Arc::new(move |message| {
+            if let Some(pool) = releasing.get(&message.pool) {
+                pool.release(&message);
+            }
+        }),
+        report: Arc::new(move |host, incarnation, report| {
+            if let Some(pool) = reporting.get(&report.pool) {
+                pool.report(host, incarnation, &report.placements);
+            }
+        }),
+        placements: Arc::new(move || registry.reports(&pools.names())),
+        heartbeat: Arc::new(move || HeartbeatMessage {
+            config: beating.version().0,
+            draining: view.is_draining(),
+        }),
+        config: Arc::new(move |query| giving.transfer(&query)),
+        take_config: Arc::new(move |transfer| taking.take_transfer(&transfer)),
+    }
+}
+
+impl HostDaemon {
+    /// Starts a host.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] with the remedy.
+    pub async fn start(
+        settings: HostSettings,
+        environment: HostEnvironment,
+    ) -> Result<Self, DaemonError> {
+        let addresses =
+            HostAddresses::from_settings("settings", &settings).context(SettingsSnafu)?;
+        let host_limits = settings.limits.clone().unwrap_or_default();
+        let listeners = Listeners::open(&environment.stack, &addresses).await?;
+        let listening = listeners.addresses();
+        let parts = HostParts::new(settings, environment, &addresses);
+        let (drain, callers) = (CancellationToken::new(), CancellationToken::new());
+        let limits = ServerLimits {
+            max_connections: host_limits.max_connections as usize,
+            header_timeout: Duration::from_millis(host_limits.header_timeout_ms.into()),
+        };
+        let handler = callers_handler(parts.entry_context());
+        let callers_served = tokio::spawn(serve_http(
+            listeners.callers,
+            limits,
+            handler,
+            callers.clone(),
+        ));
+        let handler = operators_handler(parts.admin_context(&drain));
+        let limits = ServerLimits::default();
+        tokio::spawn(serve_http(
+            listeners.operators,
+            limits,
+            handler,
+            parts.cancel.clone(),
+        ));
+        tokio::spawn(
+            parts
+                .links
+                .clone()
+                .serve(listeners.peers, parts.cancel.clone()),
+        );
+        parts.spawn_roles();
+        log::info!("event=host_started host={}", parts.settings.host);
+        Ok(Self {
+            addresses: listening,
+            host: Name::clone(&parts.settings.host),
+            drain_timeout: Duration::from_millis(host_limits.drain_timeout_ms.into()),
+            view: parts.view,
+            directory: parts.directory,
+            registry: parts.registry,
+            metrics: parts.metrics,
+            tasks: parts.tasks,
+            drain,
+            callers,
+            callers_served,
+            cancel: parts.cancel,
+        })
+    }
+
+    /// Name of the host.
+    pub fn host(&self) -> &Name {
+        &self.host
+    }
+
+    /// Waits until an operator asks for a drain.
+    pub async fn drain_asked(&self) {
+        self.drain.cancelled().await;
+    }
+
+    /// Placements that this host holds.
+    pub fn held_placements(&self) -> usize {
+        self.registry.len()
+    }
+
+    /// Ends the host after its requests: nothing is cut off within the drain time.
+    ///
+    /// Readiness goes off first and requests are still taken until the balancer has noticed;
+    /// the schedulers' roles go to other hosts at once. See `docs/design/drain.md`.
+    pub async fn drain(self) {
+        log::info!("event=drain_started host={}", self.host);
+        self.view.set_draining();
+        self.directory.set_draining();
+        let deadline = tokio::time::Instant::now() + self.drain_timeout;
+        tokio::time::sleep(BALANCER_TIME.min(self.drain_timeout / 2)).await;
+        self.callers.cancel();
+        let finished = async {
+            let _served = self.callers_served.await;
+            while self.metrics.in_flight() > 0 {
+                tokio::time::sleep(DRAIN_LOOK).await;
+            }
+            self.tasks.close();
+            self.tasks.wait().await;
+        };
+        let whole = tokio::time::timeout_at(deadline, finished).await.is_ok();
+        log::info!("event=drain_ended host={} whole={whole}", self.host);
+        self.cancel.cancel();
+    }
+
+    /// Ends the host at once, as a crash would.
+    pub fn stop(&self) {
+        self.callers.cancel();
+        self.cancel.cancel();
+    }
+}
--- /dev/null
+++ b/crates/dillspool_host/src/directory.rs
@@ -0,0 +1,94 @@
+//! The pools' schedulers on this host.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dillspool_config::ConfigSnapshot;
+use dillspool_engine::EngineClient;
+use dillspool_pool::{LivenessCheck, PoolScheduler};
+use dillspool_schema::Name;
+use tokio_util::sync::CancellationToken;
+
+struct PoolEntryHandle {
+    scheduler: PoolScheduler,
+    cancel: CancellationToken,
+}
+
+/// One scheduler for each declared pool; most of them sleep.
+#[derive(Clone)]
+pub(crate) struct PoolDirectory {
+    pools: Arc<Mutex<BTreeMap<Name, PoolEntryHandle>>>,
+    engines: EngineClient,
+    cancel: CancellationToken,
+}
+
+impl PoolDirectory {
+    pub(crate) fn new(engines: EngineClient, cancel: CancellationToken) -> Self {
+        Self {
+            pools: Arc::default(),
+            engines,
+            cancel,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, PoolEntryHandle>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts, changes and stops schedulers so that they fit a configuration.
+    pub(crate) fn configure(&self, snapshot: &ConfigSnapshot, liveness: &LivenessCheck) {
+        let mut pools = self.lock();
+        pools.retain(|name, entry| {
+            let declared = snapshot.pool(name).is_some();
+            if !declared {
+                entry.cancel.cancel();
+            }
+            declared
+        });
+        for pool in &snapshot.configuration.pool {
+            if let Some(entry) = pools.get(&pool.name) {
+                entry.scheduler.configure(snapshot);
+                continue;
+            }
+            let cancel = self.cancel.child_token();
+            let scheduler = PoolScheduler::start(
+                pool,
+                snapshot,
+                self.engines.clone(),
+                liveness.clone(),
+                cancel.clone(),
+            );
+            pools.insert(
+                Name::clone(&pool.name),
+                PoolEntryHandle { scheduler, cancel },
+            );
+        }
+    }
+
+    pub(crate) fn get(&self, pool: &str) -> Option<PoolScheduler> {
+        self.lock().get(pool).map(|entry| entry.scheduler.clone())
+    }
+
+    pub(crate) fn all(&self) -> Vec<PoolScheduler> {
+        self.lock()
+            .values()
+            .map(|entry| entry.scheduler.clone())
+            .collect()
+    }
+
+    pub(crate) fn names(&self) -> Vec<Name> {
+        self.lock().keys().cloned().collect()
+    }
+
+    pub(crate) fn set_leaving(&self, is_leaving: &dyn Fn(&str) -> bool) {
+        for scheduler in self.all() {
+            scheduler.set_leaving(is_leaving);
+        }
+    }
+
+    pub(crate) fn set_draining(&self) {
+        for scheduler in self.all() {
+            scheduler.set_draining();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_host/src/metrics.rs
@@ -0,0 +1,118 @@
+//! The host's metrics in the text form of Prometheus.
+
+use dillspool_entry::EntryMetrics;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::{Registry, Unit};
+
+/// What the host itself shows; read when it is scraped.
+#[derive(Debug)]
+pub(crate) struct HostMetrics {
+    registry: Registry,
+    config_version: Gauge,
+    control_bytes: Counter,
+    peers_linked: Gauge,
+    placements: Gauge,
+    orphans: Counter,
+    granted: Counter,
+    refused: Counter,
+}
+
+/// Values at the time of a scrape.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct HostReadings {
+    pub(crate) config_version: u64,
+    pub(crate) control_bytes: u64,
+    pub(crate) peers_linked: usize,
+    pub(crate) placements: usize,
+    pub(crate) orphans: u64,
+    pub(crate) granted: u64,
+    pub(crate) refused: u64,
+}
+
+impl HostMetrics {
+    pub(crate) fn new(entry: &EntryMetrics) -> Self {
+        let mut registry = Registry::with_prefix("dillspool");
+        entry.register(&mut registry);
+        let metrics = Self {
+            config_version: Gauge::default(),
+            control_bytes: Counter::default(),
+            peers_linked: Gauge::default(),
+            placements: Gauge::default(),
+            orphans: Counter::default(),
+            granted: Counter::default(),
+            refused: Counter::default(),
+            registry: Registry::default(),
+        };
+        let mut add = |name: &str, help: &str, gauge: &Gauge| {
+            registry.register(name, help, gauge.clone());
+        };
+        add(
+            "config_version",
+            "Configuration version in force",
+            &metrics.config_version,
+        );
+        add(
+            "peers_linked",
+            "Peer connections that are up",
+            &metrics.peers_linked,
+        );
+        add(
+            "placements",
+            "Placements held by this host",
+            &metrics.placements,
+        );
+        let mut add = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        add(
+            "orphans",
+            "Streams of dead owners cancelled",
+            &metrics.orphans,
+        );
+        add(
+            "grants",
+            "Placements granted by this host's schedulers",
+            &metrics.granted,
+        );
+        add(
+            "refusals",
+            "Placements refused by this host's schedulers",
+            &metrics.refused,
+        );
+        registry.register_with_unit(
+            "control",
+            "Control traffic between hosts, both ways",
+            Unit::Bytes,
+            metrics.control_bytes.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    pub(crate) fn text(&self, readings: HostReadings) -> String {
+        let gauge = |gauge: &Gauge, value: usize| {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        gauge(
+            &self.config_version,
+            usize::try_from(readings.config_version).unwrap_or(usize::MAX),
+        );
+        gauge(&self.peers_linked, readings.peers_linked);
+        gauge(&self.placements, readings.placements);
+        let raise = |counter: &Counter, value: u64| {
+            counter.inc_by(value.saturating_sub(counter.get()));
+        };
+        raise(&self.control_bytes, readings.control_bytes);
+        raise(&self.orphans, readings.orphans);
+        raise(&self.granted, readings.granted);
+        raise(&self.refused, readings.refused);
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _infallible = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/dillspool_peer/src/dialer.rs
+++ b/crates/dillspool_peer/src/dialer.rs
@@ -1,11 +1,14 @@
 //! One task for each peer that this host dials.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use backon::BackoffBuilder;
-use dillspool_schema::messages::{HeartbeatMessage, LivenessQuery, PeerMessage, ReserveAnswer};
+use dillspool_schema::messages::{
+    ConfigQuery, HeartbeatMessage, LivenessQuery, PeerMessage, ReserveAnswer,
+};
 use dillspool_schema::{Name, StreamId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior};
@@ -148,7 +151,9 @@
             }
             message = receiver.receive() => {
                 heard = Instant::now();
-                take(links, peer, message?, &mut open);
+                if let Some(reply) = take(links, peer, message?, &mut open) {
+                    sender.send(&reply).await?;
+                }
             }
         }
     }
@@ -173,12 +178,18 @@
     }
 }
 
-fn take(links: &PeerLinks, peer: &ProvenPeer, message: PeerMessage, open: &mut OpenQuestions) {
+fn take(
+    links: &PeerLinks,
+    peer: &ProvenPeer,
+    message: PeerMessage,
+    open: &mut OpenQuestions,
+) -> Option<PeerMessage> {
     match message {
         PeerMessage::Beat(beat) => {
             links
                 .view
                 .note_heartbeat(&peer.host, peer.incarnation, &beat);
+            return even_out(links, &beat);
         }
         PeerMessage::Answer(answer) => {
             if let Some(waiting) = open.reserves.remove(&answer.stream) {
@@ -208,4 +219,18 @@
             log::warn!("event=unexpected_message host={}", peer.host);
         }
     }
+    None
+}
+
+/// Evens out the configurations of both sides: the newer one travels, as a delta if it can.
+fn even_out(links: &PeerLinks, beat: &HeartbeatMessage) -> Option<PeerMessage> {
+    let own = (links.handlers.heartbeat)().config;
+    match own.cmp(&beat.config) {
+        Ordering::Less => Some(PeerMessage::Want(ConfigQuery { base: own })),
+        Ordering::Greater => {
+            let query = ConfigQuery { base: beat.config };
+            (links.handlers.config)(query).map(PeerMessage::Config)
+        }
+        Ordering::Equal => None,
+    }
 }
--- a/crates/dillspool_peer/src/links.rs
+++ b/crates/dillspool_peer/src/links.rs
@@ -212,19 +212,6 @@
         Ok(())
     }
 
-    /// Asks a peer for a newer configuration than `base`.
-    ///
-    /// # Errors
-    ///
-    /// [`PeerError::NotConnected`].
-    pub fn ask_config(&self, host: &str, base: u64) -> Result<(), PeerError> {
-        let order = LinkOrder::Send(PeerMessage::Want(ConfigQuery { base }));
-        if self.outbox(host)?.try_send(order).is_err() {
-            return NotConnectedSnafu { host }.fail();
-        }
-        Ok(())
-    }
-
     /// Whether any connected peer has heard of an incarnation of a host within the lease time.
     ///
     /// `None` when no peer answered.
--- a/crates/dillspool_peer/src/listener.rs
+++ b/crates/dillspool_peer/src/listener.rs
@@ -137,10 +137,11 @@
             }))
         }
         PeerMessage::Want(query) => (handlers.config)(query).map(PeerMessage::Config),
-        PeerMessage::Hello(_)
-        | PeerMessage::Answer(_)
-        | PeerMessage::Alive(_)
-        | PeerMessage::Config(_) => {
+        PeerMessage::Config(transfer) => {
+            (handlers.take_config)(transfer);
+            None
+        }
+        PeerMessage::Hello(_) | PeerMessage::Answer(_) | PeerMessage::Alive(_) => {
             log::warn!("event=unexpected_message host={}", peer.host);
             None
         }
--- a/crates/dillspool_peer/src/view.rs
+++ b/crates/dillspool_peer/src/view.rs
@@ -166,6 +166,15 @@
         heard || listed
     }
 
+    /// Whether nobody was heard of for the lease time although there are others.
+    ///
+    /// An isolated host cannot know whether its configuration is still in force, and stops
+    /// taking requests. See `docs/design/configuration.md`.
+    pub fn is_isolated(&self) -> bool {
+        let others = self.listed_hosts().iter().any(|host| *host != self.host);
+        others && self.started.elapsed() >= LEASE_TIME && !self.is_connected()
+    }
+
     /// Hosts this host should keep a connection to.
     ///
     /// Those of its failure domain, and the candidates for each pool: never all.
--- /dev/null
+++ b/crates/dillspoold/src/main.rs
@@ -0,0 +1,89 @@
+//! The daemon of an entry host.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use dillspool_config::load_settings;
+use dillspool_host::{HostDaemon, HostEnvironment, set_up_log};
+use dillspool_io::{NetStack, WallClock};
+use tokio::signal::unix::{SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Routes requests to separate prefill and decode pools.
+#[derive(Debug, Parser)]
+#[command(name = "dillspoold", version)]
+struct DaemonArgs {
+    /// Settings file of this host.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Only check the settings; exit 0 if they are valid.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = DaemonArgs::parse();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("error: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &DaemonArgs) -> Result<(), String> {
+    let settings = load_settings(&args.settings).map_err(|error| error.to_string())?;
+    if args.check {
+        println!("{} is valid", args.settings.display());
+        return Ok(());
+    }
+    set_up_log(settings.log.as_ref()).map_err(|error| error.to_string())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| {
+            format!("cannot start the runtime: {error}; check the limits on threads")
+        })?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: dillspool_schema::settings::HostSettings) -> Result<(), String> {
+    let environment = HostEnvironment {
+        stack: NetStack::tcp(),
+        clock: WallClock::system(),
+    };
+    let daemon = HostDaemon::start(settings, environment)
+        .await
+        .map_err(|error| error.to_string())?;
+    print_addresses(&daemon)
+        .map_err(|error| format!("cannot write to standard output: {error}"))?;
+    wait_for_end(&daemon)
+        .await
+        .map_err(|error| format!("cannot wait for signals: {error}"))?;
+    daemon.drain().await;
+    Ok(())
+}
+
+/// Tells whoever started the process which ports the system chose.
+fn print_addresses(daemon: &HostDaemon) -> std::io::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "callers {}", daemon.addresses.callers)?;
+    writeln!(out, "operators {}", daemon.addresses.operators)?;
+    writeln!(out, "peers {}", daemon.addresses.peers)?;
+    out.flush()
+}
+
+async fn wait_for_end(daemon: &HostDaemon) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+        () = daemon.drain_asked() => {}
+    }
+    Ok(())
+}
