Unrepeatable calls: fault rows, interleavings and the whole path; a sender remembers its sendings

Cause: the ledger had no proof yet. Writing it showed one fault: a resend in an outage, on the host that had sent the call itself, was told not_run (an_answer_that_cannot_be_recorded_yet_is_recorded_later was red without RecentKeys). Ruled out: a lease on the key (a paused holder wakes), not_run as unknown throughout an outage (then no first sending could ever be called not run). Change: RecentKeys; tables of commit and service faults; 512 fixed interleavings by proptest.

--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -14,6 +14,7 @@
 
 use crate::batch::{BatchWriter, WriteOutcome};
 use crate::call::CallRequest;
+use crate::recent::RecentKeys;
 use crate::record::{CallRecord, CallState, RecordedAnswer};
 
 /// Pause between two tries to settle what became of an unclear write.
@@ -84,6 +85,8 @@
     settings: LedgerSettings,
     owner: Name,
     sequence: Arc<AtomicU64>,
+    /// Keys whose call this process was allowed to send.
+    sent_here: RecentKeys,
     /// Attempts given up while it was unclear whether their intent was written.
     given_up: Arc<Mutex<BTreeSet<Name>>>,
     cancel: CancellationToken,
@@ -122,13 +125,33 @@
             settings,
             owner,
             sequence: Arc::default(),
+            sent_here: RecentKeys::default(),
             given_up: Arc::default(),
             cancel,
         }
     }
 
     /// Puts the intent of a call into the table, or tells why the call must not be sent.
+    ///
+    /// A refusal as not run speaks for this sending; if this process remembers that it sent the
+    /// call before, the answer is unknown instead, also while the table is out.
     pub async fn begin(&self, request: CallRequest) -> BeginOutcome {
+        let key = request.key.clone();
+        let outcome = self.enter(request).await;
+        match outcome {
+            BeginOutcome::Run(_) => self.sent_here.add(key),
+            BeginOutcome::NotRun if self.sent_here.contains(&key) => {
+                return BeginOutcome::Unknown { in_progress: true };
+            }
+            BeginOutcome::NotRun
+            | BeginOutcome::Recorded(_)
+            | BeginOutcome::Unknown { .. }
+            | BeginOutcome::Mismatch => {}
+        }
+        outcome
+    }
+
+    async fn enter(&self, request: CallRequest) -> BeginOutcome {
         let begun = Instant::now();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let token: Name = format!("{}.{sequence}", self.owner).into();
@@ -260,6 +283,7 @@
 
     /// Frees the key of a call that was not sent and never will be.
     pub fn abandon(&self, ticket: CallTicket) {
+        self.sent_here.remove(&ticket.request.key);
         self.close_later(ticket.request, ticket.token);
     }
 
--- a/crates/dillspool_ledger/src/lib.rs
+++ b/crates/dillspool_ledger/src/lib.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod call;
 mod ledger;
+mod recent;
 mod record;
 mod sweep;
 
--- /dev/null
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -0,0 +1,222 @@
+//! Interleavings of hosts, store answers, pauses and crashes, chosen by `proptest`.
+//!
+//! `stateright` cannot be had here; this explores the code itself instead of a model of it.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dillspool_io::{UnixMillis, WallClock};
+use dillspool_ledger::{
+    BeginOutcome, CallKey, CallLedger, CallRequest, LedgerSettings, RecordedAnswer,
+};
+use dillspool_platform::{MemoryTable, StoreFault};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tokio_util::sync::CancellationToken;
+
+/// What a host does with the right to send.
+#[derive(Clone, Copy, Debug)]
+enum AfterBegin {
+    /// Sends and records the answer.
+    Finish,
+    /// Sends and dies before the answer is recorded.
+    DieAfterSend,
+    /// Dies before it sends.
+    DieBeforeSend,
+    /// Decides not to send.
+    Abandon,
+    /// Stands still for this many milliseconds, then sends and records.
+    Pause(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    host: usize,
+    at_ms: u64,
+    after: AfterBegin,
+}
+
+#[derive(Clone, Debug)]
+struct Outage {
+    from_ms: u64,
+    for_ms: u64,
+    fault: StoreFault,
+}
+
+#[derive(Clone, Debug)]
+struct Interleaving {
+    attempts: Vec<Attempt>,
+    faults: Vec<StoreFault>,
+    outage: Option<Outage>,
+}
+
+fn fault() -> impl Strategy<Value = StoreFault> {
+    prop_oneof![
+        3 => Just(StoreFault::None),
+        1 => Just(StoreFault::Refuse),
+        2 => Just(StoreFault::LoseAnswer),
+        2 => Just(StoreFault::LoseCall),
+        2 => (1_u64..4000).prop_map(|ms| StoreFault::Late(Duration::from_millis(ms))),
+    ]
+}
+
+fn after_begin() -> impl Strategy<Value = AfterBegin> {
+    prop_oneof![
+        3 => Just(AfterBegin::Finish),
+        1 => Just(AfterBegin::DieAfterSend),
+        1 => Just(AfterBegin::DieBeforeSend),
+        1 => Just(AfterBegin::Abandon),
+        1 => (1_u64..20_000).prop_map(AfterBegin::Pause),
+    ]
+}
+
+fn attempt() -> impl Strategy<Value = Attempt> {
+    (0_usize..3, 0_u64..6000, after_begin()).prop_map(|(host, at_ms, after)| Attempt {
+        host,
+        at_ms,
+        after,
+    })
+}
+
+fn outage() -> impl Strategy<Value = Option<Outage>> {
+    proptest::option::of((0_u64..5000, 1_u64..10_000, fault()).prop_map(
+        |(from_ms, for_ms, fault)| Outage {
+            from_ms,
+            for_ms,
+            fault,
+        },
+    ))
+}
+
+fn interleaving() -> impl Strategy<Value = Interleaving> {
+    (
+        proptest::collection::vec(attempt(), 1..7),
+        proptest::collection::vec(fault(), 0..10),
+        outage(),
+    )
+        .prop_map(|(attempts, faults, outage)| Interleaving {
+            attempts,
+            faults,
+            outage,
+        })
+}
+
+fn request() -> CallRequest {
+    CallRequest::new(CallKey::new("stations", "r-1"), "POST", "/readings", b"41")
+}
+
+/// The backend server: counts runs and answers with the count.
+#[derive(Clone, Debug, Default)]
+struct Backend {
+    runs: Arc<Mutex<u8>>,
+}
+
+impl Backend {
+    fn run(&self) -> RecordedAnswer {
+        let mut runs = self.runs.lock().expect("no test panics with the lock");
+        *runs += 1;
+        RecordedAnswer::new(201, "text/plain", &[*runs])
+    }
+
+    fn runs(&self) -> u8 {
+        *self.runs.lock().expect("no test panics with the lock")
+    }
+}
+
+async fn carry_out(ledger: CallLedger, backend: Backend, attempt: Attempt) -> bool {
+    tokio::time::sleep(Duration::from_millis(attempt.at_ms)).await;
+    let ticket = match ledger.begin(request()).await {
+        BeginOutcome::Run(ticket) => ticket,
+        BeginOutcome::Recorded(answer) => {
+            assert_eq!(answer.bytes(), vec![1], "another answer than the run gave");
+            return false;
+        }
+        BeginOutcome::Mismatch => panic!("the calls are the same"),
+        BeginOutcome::Unknown { .. } | BeginOutcome::NotRun => return false,
+    };
+    match attempt.after {
+        AfterBegin::Finish => ledger.finish(ticket, backend.run()).await,
+        AfterBegin::DieAfterSend => {
+            backend.run();
+        }
+        AfterBegin::DieBeforeSend => {}
+        AfterBegin::Abandon => {
+            ledger.abandon(ticket);
+            return false;
+        }
+        AfterBegin::Pause(millis) => {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            ledger.finish(ticket, backend.run()).await;
+        }
+    }
+    // The key was used up, by a run or by a death.
+    true
+}
+
+async fn play(interleaving: Interleaving) {
+    let table = MemoryTable::new();
+    table.fail_commits(interleaving.faults);
+    let clock = WallClock::tokio(UnixMillis(1));
+    let ledgers: Vec<CallLedger> = (0..3)
+        .map(|host| {
+            let owner = format!("entry-{host}.1").into();
+            let cancel = CancellationToken::new();
+            let settings = LedgerSettings::default();
+            CallLedger::new(table.store(), clock.clone(), settings, owner, cancel)
+        })
+        .collect();
+    if let Some(outage) = interleaving.outage {
+        let table = table.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(outage.from_ms)).await;
+            table.set_outage(outage.fault);
+            tokio::time::sleep(Duration::from_millis(outage.for_ms)).await;
+            table.set_outage(StoreFault::None);
+        });
+    }
+    let backend = Backend::default();
+    let mut attempts = tokio::task::JoinSet::new();
+    for attempt in interleaving.attempts {
+        attempts.spawn(carry_out(
+            ledgers[attempt.host].clone(),
+            backend.clone(),
+            attempt,
+        ));
+    }
+    let used: Vec<bool> = attempts.join_all().await;
+    assert!(backend.runs() <= 1, "the call ran {} times", backend.runs());
+    table.mend();
+    tokio::time::sleep(Duration::from_mins(2)).await;
+    let last = ledgers[0].begin(request()).await;
+    let free = !used.contains(&true);
+    match last {
+        BeginOutcome::Run(_) => assert!(free, "a key that was used may run again"),
+        BeginOutcome::Recorded(_) => assert_eq!(backend.runs(), 1),
+        BeginOutcome::Unknown { .. } => assert!(!free, "a free key is stuck"),
+        BeginOutcome::NotRun | BeginOutcome::Mismatch => panic!("the store is well: {last:?}"),
+    }
+}
+
+/// The same cases in every run, so that the verdict is the same.
+fn fixed_cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(2026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(512))]
+
+    #[test]
+    fn a_call_runs_at_most_once_and_a_free_key_stays_free(interleaving in interleaving()) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime can be built");
+        runtime.block_on(play(interleaving));
+    }
+}
--- a/crates/dillspool_platform/src/memory.rs
+++ b/crates/dillspool_platform/src/memory.rs
@@ -90,6 +90,13 @@
         locked(&self.state).next_commits.extend(faults);
     }
 
+    /// Ends all faults, also those that were due.
+    pub fn mend(&self) {
+        let mut state = locked(&self.state);
+        state.outage = None;
+        state.next_commits.clear();
+    }
+
     /// What was asked so far.
     pub fn usage(&self) -> StoreUsage {
         locked(&self.state).usage
