--- a/crates/dillspool/src/admin_client.rs
+++ b/crates/dillspool/src/admin_client.rs
@@ -29,10 +29,7 @@
     #[snafu(display("{source}"))]
     File { source: ConfigError },
     #[snafu(display("cannot read {what}: {source}; check that it is there"))]
-    Read {
-        what: String,
-        source: std::io::Error,
-    },
+    Read { what: String, source: std::io::Error },
     #[snafu(display("{KEY_VARIABLE} is not set; set it to your operator's key"))]
     NoKey,
     #[snafu(display("{source}"))]
@@ -86,11 +83,7 @@
     }
 
     pub(crate) fn new(stack: &NetStack, server: SocketAddr, key: String) -> Self {
-        Self {
-            http: HttpClient::pooled(stack),
-            server,
-            key,
-        }
+        Self { http: HttpClient::pooled(stack), server, key }
     }
 
     pub(crate) async fn get<R: DeserializeOwned>(&self, path: &str) -> Result<R, CliError> {
@@ -136,10 +129,7 @@
         };
         match tokio::time::timeout(CALL_LIMIT, exchange).await {
             Ok(reply) => reply,
-            Err(_elapsed) => ReplySnafu {
-                reason: "no reply in time",
-            }
-            .fail(),
+            Err(_elapsed) => ReplySnafu { reason: "no reply in time" }.fail(),
         }
     }
 }
--- a/crates/dillspool/src/apply.rs
+++ b/crates/dillspool/src/apply.rs
@@ -38,10 +38,7 @@
 ) -> Result<ExitCode, CliError> {
     let (text, _) = read_configuration(file)?;
     let client = AdminClient::from_environment(server.server)?;
-    let request = ApplyRequest {
-        expected: expected.map(ConfigVersion),
-        text,
-    };
+    let request = ApplyRequest { expected: expected.map(ConfigVersion), text };
     let reply: ApplyReply = client.post("/apply", &request).await?;
     if reply.changes.is_empty() {
         println!("no change to version {}", reply.version);
@@ -49,16 +46,10 @@
     for line in &reply.changes {
         println!("{line}");
     }
-    eprintln!(
-        "committed version {}; waiting until every host acts on it",
-        reply.version
-    );
+    eprintln!("committed version {}; waiting until every host acts on it", reply.version);
     let missing = wait_in_force(&client, reply.version, Duration::from_secs(wait_s)).await?;
     if missing.is_empty() {
-        println!(
-            "accepted: version {} is in force on every host",
-            reply.version
-        );
+        println!("accepted: version {} is in force on every host", reply.version);
         return Ok(ExitCode::SUCCESS);
     }
     println!(
@@ -78,10 +69,7 @@
     let deadline = tokio::time::Instant::now() + limit;
     loop {
         let status: StatusReply = client.get("/status").await?;
-        let behind = status
-            .hosts
-            .iter()
-            .filter(|it| it.listed && it.version < version);
+        let behind = status.hosts.iter().filter(|it| it.listed && it.version < version);
         let missing: Vec<String> = behind.map(|it| it.host.to_string()).collect();
         if missing.is_empty() || tokio::time::Instant::now() >= deadline {
             return Ok(missing);
--- a/crates/dillspool/src/demo.rs
+++ b/crates/dillspool/src/demo.rs
@@ -58,11 +58,8 @@
     let demo = example(name);
     let configuration = parse_configuration(demo.file, demo.text).context(FileSnafu)?;
     let cluster = start(configuration).await?;
-    let code = if serve {
-        serve_until_signal(&cluster).await?
-    } else {
-        play(&cluster, &demo).await
-    };
+    let code =
+        if serve { serve_until_signal(&cluster).await? } else { play(&cluster, &demo).await };
     cluster.stop();
     Ok(code)
 }
@@ -94,9 +91,7 @@
         println!("key {} {}", group.name, caller_key(&group.name));
     }
     println!("operator-key {OPERATOR_KEY}");
-    out.flush().context(ReadSnafu {
-        what: "standard output",
-    })?;
+    out.flush().context(ReadSnafu { what: "standard output" })?;
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .context(ReadSnafu { what })?;
     tokio::select! {
@@ -124,10 +119,7 @@
     }
     let doubled = !play_unrepeatable(cluster, demo).await;
     print_table(&tallies);
-    let prefills = cluster
-        .engines
-        .values()
-        .map(dillspool_standin::EngineStandIn::prefill_counts);
+    let prefills = cluster.engines.values().map(dillspool_standin::EngineStandIn::prefill_counts);
     let (done, wasted) = prefills.fold((0, 0), |(a, b), (c, d)| (a + c, b + d));
     println!("prefills {done}, wasted {wasted}");
     let wrong: u64 = tallies.values().map(|tally| tally.wrong).sum();
@@ -146,11 +138,8 @@
     };
     let mut tally = GroupTally::default();
     for number in 0..CALLS_PER_GROUP {
-        let filler = if number % 2 == 0 {
-            String::new()
-        } else {
-            "smoke ".repeat(LONG_PROMPT_WORDS)
-        };
+        let filler =
+            if number % 2 == 0 { String::new() } else { "smoke ".repeat(LONG_PROMPT_WORDS) };
         let call = ChatCall {
             model: pool.model.to_string(),
             text: format!("{} {number} {filler}", group.name),
@@ -196,21 +185,12 @@
     let client = CallerClient::new(&cluster.client_stack(), caller_key(demo.group));
     let body = "pm2.5 at station 7: 41";
     for host in &cluster.hosts[..2] {
-        let outcome = client
-            .plain(host.addresses.callers, demo.route, Some("demo-1"), body)
-            .await;
-        println!(
-            "{:<18} {}: status {} {}",
-            demo.group, demo.route, outcome.status, outcome.text
-        );
+        let outcome = client.plain(host.addresses.callers, demo.route, Some("demo-1"), body).await;
+        println!("{:<18} {}: status {} {}", demo.group, demo.route, outcome.status, outcome.text);
         // The answer is recorded in the background, within a commit of the ledger.
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
-    let runs: u64 = cluster
-        .plains
-        .values()
-        .filter_map(|it| it.runs().get(body).copied())
-        .sum();
+    let runs: u64 = cluster.plains.values().filter_map(|it| it.runs().get(body).copied()).sum();
     println!("the call ran {runs} time(s)");
     runs == 1
 }
--- a/crates/dillspool/src/main.rs
+++ b/crates/dillspool/src/main.rs
@@ -37,19 +37,12 @@
         CliCommand::HashKey => local::hash_key(),
         CliCommand::Completions { shell } => Ok(local::completions(shell)),
         CliCommand::Diff { file, server } => apply::diff(&file, &server).await,
-        CliCommand::Apply {
-            file,
-            expected,
-            wait_s,
-            server,
-        } => apply::apply(&file, expected, wait_s, &server).await,
+        CliCommand::Apply { file, expected, wait_s, server } => {
+            apply::apply(&file, expected, wait_s, &server).await
+        }
         CliCommand::Get { output, server } => report::get(output, &server).await,
         CliCommand::Status { output, server } => report::status(output, &server).await,
-        CliCommand::Audit {
-            after,
-            output,
-            server,
-        } => report::audit(after, output, &server).await,
+        CliCommand::Audit { after, output, server } => report::audit(after, output, &server).await,
         CliCommand::Top { seconds, server } => report::top(seconds, &server).await,
         CliCommand::Drain { server } => apply::drain(&server).await,
         CliCommand::Demo { example, serve } => demo::run(example, serve).await,
--- a/crates/dillspool/src/report.rs
+++ b/crates/dillspool/src/report.rs
@@ -14,10 +14,7 @@
 const TOP_PAUSE: Duration = Duration::from_secs(1);
 
 fn print_json<T: Serialize>(value: &T) {
-    println!(
-        "{}",
-        serde_json::to_string_pretty(value).unwrap_or_default()
-    );
+    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
 }
 
 pub(crate) async fn get(output: OutputForm, server: &ServerArgs) -> Result<ExitCode, CliError> {
@@ -27,10 +24,7 @@
         OutputForm::Json => print_json(&reply),
         OutputForm::Text => {
             println!("# version {} digest {}", reply.version, reply.digest);
-            println!(
-                "{}",
-                toml::to_string(&reply.configuration).unwrap_or_default()
-            );
+            println!("{}", toml::to_string(&reply.configuration).unwrap_or_default());
         }
     }
     Ok(ExitCode::SUCCESS)
@@ -47,32 +41,15 @@
 }
 
 fn print_status(reply: &StatusReply) {
-    let committed = reply
-        .committed
-        .map_or("unknown".to_owned(), |version| version.to_string());
-    println!(
-        "host {} acts on version {}; committed {committed}",
-        reply.host, reply.in_force
-    );
-    println!(
-        "{:<24} {:>8} {:<8} {:<8}",
-        "HOST", "VERSION", "LISTED", "DRAINS"
-    );
+    let committed = reply.committed.map_or("unknown".to_owned(), |version| version.to_string());
+    println!("host {} acts on version {}; committed {committed}", reply.host, reply.in_force);
+    println!("{:<24} {:>8} {:<8} {:<8}", "HOST", "VERSION", "LISTED", "DRAINS");
     for line in &reply.hosts {
-        println!(
-            "{:<24} {:>8} {:<8} {:<8}",
-            line.host, line.version.0, line.listed, line.draining
-        );
+        println!("{:<24} {:>8} {:<8} {:<8}", line.host, line.version.0, line.listed, line.draining);
     }
-    println!(
-        "{:<24} {:<24} {:>8} {:>8}",
-        "POOL", "SCHEDULER", "WAITING", "HELD"
-    );
+    println!("{:<24} {:<24} {:>8} {:>8}", "POOL", "SCHEDULER", "WAITING", "HELD");
     for line in &reply.pools {
-        println!(
-            "{:<24} {:<24} {:>8} {:>8}",
-            line.pool, line.scheduler, line.waiting, line.held
-        );
+        println!("{:<24} {:<24} {:>8} {:>8}", line.pool, line.scheduler, line.waiting, line.held);
     }
 }
 
--- a/crates/dillspool_config/src/check.rs
+++ b/crates/dillspool_config/src/check.rs
@@ -16,14 +16,8 @@
 type CheckFn = fn(&Configuration, &mut Vec<String>);
 
 /// Each check adds its problems; all run, so that one pass shows every problem.
-const CHECKS: [CheckFn; 6] = [
-    check_policy,
-    check_groups,
-    check_keys,
-    check_pools,
-    check_backends,
-    check_routes,
-];
+const CHECKS: [CheckFn; 6] =
+    [check_policy, check_groups, check_keys, check_pools, check_backends, check_routes];
 
 /// Checks a whole configuration.
 ///
@@ -38,10 +32,7 @@
     if problems.is_empty() {
         return Ok(());
     }
-    Err(ConfigError::Invalid {
-        path: path.to_owned(),
-        problems,
-    })
+    Err(ConfigError::Invalid { path: path.to_owned(), problems })
 }
 
 fn check_unique<'a>(what: &str, names: impl Iterator<Item = &'a str>, problems: &mut Vec<String>) {
@@ -51,9 +42,7 @@
             problems.push(format!("a {what} has an empty name: give it one"));
         }
         if !seen.insert(name) {
-            problems.push(format!(
-                "{what} `{name}` stands twice: rename or remove one"
-            ));
+            problems.push(format!("{what} `{name}` stands twice: rename or remove one"));
         }
     }
 }
@@ -68,11 +57,7 @@
 }
 
 fn check_groups(configuration: &Configuration, problems: &mut Vec<String>) {
-    check_unique(
-        "group",
-        configuration.group.iter().map(|group| &*group.name),
-        problems,
-    );
+    check_unique("group", configuration.group.iter().map(|group| &*group.name), problems);
     for group in &configuration.group {
         check_group(group, problems);
     }
@@ -84,45 +69,27 @@
         problems.push(format!("group `{name}` has share 0: give at least 1"));
     }
     if group.priority > MAX_PRIORITY {
-        problems.push(format!(
-            "group `{name}` has a priority over {MAX_PRIORITY}: give 0 to 7"
-        ));
+        problems.push(format!("group `{name}` has a priority over {MAX_PRIORITY}: give 0 to 7"));
     }
     if group.first_token_ms == 0 || group.per_token_ms == 0 {
-        problems.push(format!(
-            "group `{name}` has a target of 0 ms: give at least 1"
-        ));
+        problems.push(format!("group `{name}` has a target of 0 ms: give at least 1"));
     }
 }
 
 fn check_keys(configuration: &Configuration, problems: &mut Vec<String>) {
-    let hashes = configuration
-        .group
-        .iter()
-        .flat_map(|group| &group.key_hashes);
-    check_unique(
-        "caller key hash",
-        hashes.clone().map(|hash| &**hash),
-        problems,
-    );
+    let hashes = configuration.group.iter().flat_map(|group| &group.key_hashes);
+    check_unique("caller key hash", hashes.clone().map(|hash| &**hash), problems);
     for hash in hashes {
-        let hexadecimal = hash
-            .bytes()
-            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        let hexadecimal = hash.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
         if hash.len() != HASH_LENGTH || !hexadecimal {
-            problems.push(format!(
-                "`{hash}` is no key hash: take the output of `dillspool hash-key`"
-            ));
+            problems
+                .push(format!("`{hash}` is no key hash: take the output of `dillspool hash-key`"));
         }
     }
 }
 
 fn check_pools(configuration: &Configuration, problems: &mut Vec<String>) {
-    check_unique(
-        "pool",
-        configuration.pool.iter().map(|pool| &*pool.name),
-        problems,
-    );
+    check_unique("pool", configuration.pool.iter().map(|pool| &*pool.name), problems);
     for pool in &configuration.pool {
         for role in [BackendRole::Prefill, BackendRole::Decode] {
             let served = configuration
@@ -137,10 +104,7 @@
             }
         }
         if pool.kv_lifetime_ms == 0 {
-            problems.push(format!(
-                "pool `{}` has kv_lifetime_ms 0: give at least 1",
-                pool.name
-            ));
+            problems.push(format!("pool `{}` has kv_lifetime_ms 0: give at least 1", pool.name));
         }
     }
 }
@@ -166,10 +130,7 @@
         ));
     }
     let is_engine = backend.role != BackendRole::Plain;
-    let has_pool = configuration
-        .pool
-        .iter()
-        .any(|pool| pool.name == backend.pool);
+    let has_pool = configuration.pool.iter().any(|pool| pool.name == backend.pool);
     if is_engine && !has_pool {
         problems.push(format!(
             "backend server `{name}` belongs to pool `{}`, which is not declared: add a [[pool]]",
@@ -177,18 +138,12 @@
         ));
     }
     if backend.slots == 0 || backend.prefill_tokens_per_s == 0 || backend.link_bytes_per_s == 0 {
-        problems.push(format!(
-            "backend server `{name}` has a size of 0: give at least 1"
-        ));
+        problems.push(format!("backend server `{name}` has a size of 0: give at least 1"));
     }
 }
 
 fn check_routes(configuration: &Configuration, problems: &mut Vec<String>) {
-    check_unique(
-        "route",
-        configuration.route.iter().map(|route| &*route.prefix),
-        problems,
-    );
+    check_unique("route", configuration.route.iter().map(|route| &*route.prefix), problems);
     for route in &configuration.route {
         let prefix = &route.prefix;
         if !prefix.starts_with('/') || prefix.starts_with("/v1/") {
--- a/crates/dillspool_config/src/delta.rs
+++ b/crates/dillspool_config/src/delta.rs
@@ -52,19 +52,14 @@
         .filter(|entry| before.get(name(entry)).is_none_or(|old| *old != *entry))
         .cloned()
         .collect();
-    let removed = before
-        .keys()
-        .filter(|key| !after.contains_key(*key))
-        .map(|key| Name::clone(key))
-        .collect();
+    let removed =
+        before.keys().filter(|key| !after.contains_key(*key)).map(|key| Name::clone(key)).collect();
     SectionDelta { set, removed }
 }
 
 fn apply_section<T: Clone>(base: &[T], delta: &SectionDelta<T>, name: fn(&T) -> &Name) -> Vec<T> {
-    let mut entries: BTreeMap<Name, T> = base
-        .iter()
-        .map(|entry| (Name::clone(name(entry)), entry.clone()))
-        .collect();
+    let mut entries: BTreeMap<Name, T> =
+        base.iter().map(|entry| (Name::clone(name(entry)), entry.clone())).collect();
     for key in &delta.removed {
         entries.remove(key);
     }
@@ -128,16 +123,6 @@
     section: &SectionDelta<T>,
     name: fn(&T) -> &Name,
 ) {
-    lines.extend(
-        section
-            .set
-            .iter()
-            .map(|entry| format!("~ {what} {}", name(entry))),
-    );
-    lines.extend(
-        section
-            .removed
-            .iter()
-            .map(|name| format!("- {what} {name}")),
-    );
+    lines.extend(section.set.iter().map(|entry| format!("~ {what} {}", name(entry))));
+    lines.extend(section.removed.iter().map(|name| format!("- {what} {name}")));
 }
--- a/crates/dillspool_config/src/key.rs
+++ b/crates/dillspool_config/src/key.rs
@@ -24,9 +24,7 @@
     /// Takes the key from an `Authorization: Bearer` value.
     pub fn from_bearer(value: &str) -> Option<Self> {
         let key = value.strip_prefix("Bearer ")?.trim();
-        (!key.is_empty()).then(|| Self {
-            hash: hash_key(key),
-        })
+        (!key.is_empty()).then(|| Self { hash: hash_key(key) })
     }
 
     /// The hash of the key.
--- a/crates/dillspool_config/src/parse.rs
+++ b/crates/dillspool_config/src/parse.rs
@@ -15,11 +15,7 @@
     let mut configuration = match toml::from_str::<Configuration>(text) {
         Ok(configuration) => configuration,
         Err(error) => {
-            return SyntaxSnafu {
-                path,
-                message: error.to_string(),
-            }
-            .fail();
+            return SyntaxSnafu { path, message: error.to_string() }.fail();
         }
     };
     sort(&mut configuration);
--- a/crates/dillspool_config/src/settings.rs
+++ b/crates/dillspool_config/src/settings.rs
@@ -53,11 +53,7 @@
             objects: parse("platform.objects", &settings.platform.objects),
             hosts: parse("platform.hosts", &settings.platform.hosts),
         };
-        if problems.is_empty() {
-            Ok(addresses)
-        } else {
-            InvalidSnafu { path, problems }.fail()
-        }
+        if problems.is_empty() { Ok(addresses) } else { InvalidSnafu { path, problems }.fail() }
     }
 }
 
@@ -81,20 +77,12 @@
     let settings = match toml::from_str::<HostSettings>(text) {
         Ok(settings) => settings,
         Err(error) => {
-            return SyntaxSnafu {
-                path,
-                message: error.to_string(),
-            }
-            .fail();
+            return SyntaxSnafu { path, message: error.to_string() }.fail();
         }
     };
     HostAddresses::from_settings(path, &settings)?;
     let problems = settings_problems(&settings);
-    if problems.is_empty() {
-        Ok(settings)
-    } else {
-        InvalidSnafu { path, problems }.fail()
-    }
+    if problems.is_empty() { Ok(settings) } else { InvalidSnafu { path, problems }.fail() }
 }
 
 fn settings_problems(settings: &HostSettings) -> Vec<String> {
@@ -107,9 +95,7 @@
         ));
     }
     if settings.keys.peer_key.expose().len() < MIN_PEER_KEY_BYTES {
-        problems.push(format!(
-            "keys.peer_key is short: give at least {MIN_PEER_KEY_BYTES} bytes"
-        ));
+        problems.push(format!("keys.peer_key is short: give at least {MIN_PEER_KEY_BYTES} bytes"));
     }
     for operator in &settings.keys.operators {
         if operator.key_hash.len() != HASH_LENGTH {
--- a/crates/dillspool_config/src/snapshot.rs
+++ b/crates/dillspool_config/src/snapshot.rs
@@ -54,12 +54,7 @@
             }
         }
         let digest = digest_configuration(&configuration);
-        Self {
-            version,
-            digest,
-            configuration,
-            group_by_key,
-        }
+        Self { version, digest, configuration, group_by_key }
     }
 
     /// The group that a caller's key belongs to.
@@ -75,26 +70,18 @@
     /// A group by name.
     pub fn group(&self, name: &str) -> Option<&GroupEntry> {
         let groups = &self.configuration.group;
-        let index = groups
-            .binary_search_by(|group| (*group.name).cmp(name))
-            .ok()?;
+        let index = groups.binary_search_by(|group| (*group.name).cmp(name)).ok()?;
         groups.get(index)
     }
 
     /// Pools that serve a model.
     pub fn pools_of_model<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a PoolEntry> {
-        self.configuration
-            .pool
-            .iter()
-            .filter(move |pool| &*pool.model == model)
+        self.configuration.pool.iter().filter(move |pool| &*pool.model == model)
     }
 
     /// A pool by name.
     pub fn pool(&self, name: &str) -> Option<&PoolEntry> {
-        self.configuration
-            .pool
-            .iter()
-            .find(|pool| &*pool.name == name)
+        self.configuration.pool.iter().find(|pool| &*pool.name == name)
     }
 
     /// Backend servers of a pool or service in one role.
@@ -112,9 +99,7 @@
     /// A backend server by name.
     pub fn backend(&self, name: &str) -> Option<&BackendEntry> {
         let backends = &self.configuration.backend;
-        let index = backends
-            .binary_search_by(|backend| (*backend.name).cmp(name))
-            .ok()?;
+        let index = backends.binary_search_by(|backend| (*backend.name).cmp(name)).ok()?;
         backends.get(index)
     }
 
--- a/crates/dillspool_config/src/store.rs
+++ b/crates/dillspool_config/src/store.rs
@@ -120,11 +120,7 @@
 impl ConfigStore {
     /// A store over the platform's services.
     pub fn new(table: TableStore, objects: ObjectStore, clock: WallClock) -> Self {
-        Self {
-            table,
-            objects,
-            clock,
-        }
+        Self { table, objects, clock }
     }
 
     /// The newest commit record, `None` before the first.
@@ -137,21 +133,11 @@
     }
 
     async fn head_row(&self) -> Result<Option<HeadRow>, ApplyError> {
-        let row = self
-            .table
-            .read_one(HEAD_KEY.into())
-            .await
-            .context(NotAppliedSnafu)?;
+        let row = self.table.read_one(HEAD_KEY.into()).await.context(NotAppliedSnafu)?;
         let Some(row) = row else { return Ok(None) };
         match serde_json::from_str(&row.value) {
-            Ok(head) => Ok(Some(HeadRow {
-                head,
-                row_version: row.version,
-            })),
-            Err(error) => CorruptSnafu {
-                reason: error.to_string(),
-            }
-            .fail(),
+            Ok(head) => Ok(Some(HeadRow { head, row_version: row.version })),
+            Err(error) => CorruptSnafu { reason: error.to_string() }.fail(),
         }
     }
 
@@ -173,26 +159,17 @@
         }
         let text = self.object(full_key(&head.digest)).await?;
         let Some(text) = text else {
-            return CorruptSnafu {
-                reason: format!("no object for {}", head.digest),
-            }
-            .fail();
+            return CorruptSnafu { reason: format!("no object for {}", head.digest) }.fail();
         };
         let configuration = match serde_json::from_str(&text) {
             Ok(configuration) => configuration,
             Err(error) => {
-                return CorruptSnafu {
-                    reason: error.to_string(),
-                }
-                .fail();
+                return CorruptSnafu { reason: error.to_string() }.fail();
             }
         };
         let snapshot = ConfigSnapshot::new(head.version, configuration);
         if snapshot.digest != head.digest {
-            return CorruptSnafu {
-                reason: format!("digest of {} differs", head.version),
-            }
-            .fail();
+            return CorruptSnafu { reason: format!("digest of {} differs", head.version) }.fail();
         }
         Ok(snapshot)
     }
@@ -234,18 +211,12 @@
         token: Name,
     ) -> Result<AppliedConfig, ApplyError> {
         let before = self.head_row().await?;
-        let from = before
-            .as_ref()
-            .map_or(ConfigVersion(0), |row| row.head.version);
+        let from = before.as_ref().map_or(ConfigVersion(0), |row| row.head.version);
         if let (Some(expected), Some(row)) = (expected, &before)
             && expected != from
         {
             let winner = Name::clone(&row.head.operator);
-            return LostRaceSnafu {
-                winner,
-                version: from,
-            }
-            .fail();
+            return LostRaceSnafu { winner, version: from }.fail();
         }
         let base = match &before {
             Some(row) => Some(self.fetch(&row.head, None).await?),
@@ -253,14 +224,10 @@
         };
         let delta = base.map(|base| ConfigDelta::between(&base.configuration, next));
         if delta.as_ref().is_some_and(ConfigDelta::is_empty) {
-            return Ok(AppliedConfig {
-                version: from,
-                changes: Vec::new(),
-            });
+            return Ok(AppliedConfig { version: from, changes: Vec::new() });
         }
         let digest = digest_configuration(next);
-        self.put_objects(from, &digest, next, delta.as_ref())
-            .await?;
+        self.put_objects(from, &digest, next, delta.as_ref()).await?;
         let to = ConfigVersion(from.0 + 1);
         let changes = delta.map_or_else(|| vec!["+ first version".to_owned()], |it| it.lines());
         let head = ConfigHead {
@@ -270,20 +237,11 @@
             token: Name::clone(&token),
             operator: Name::clone(&operator),
         };
-        let audit = AuditRow {
-            operator,
-            at: self.clock.now(),
-            from,
-            to,
-            token,
-            changes: changes.clone(),
-        };
+        let audit =
+            AuditRow { operator, at: self.clock.now(), from, to, token, changes: changes.clone() };
         let expect = before.map_or(RowExpect::Absent, |row| RowExpect::Version(row.row_version));
         self.commit_head(&head, &audit, expect).await?;
-        Ok(AppliedConfig {
-            version: to,
-            changes,
-        })
+        Ok(AppliedConfig { version: to, changes })
     }
 
     async fn put_objects(
@@ -294,17 +252,11 @@
         delta: Option<&ConfigDelta>,
     ) -> Result<(), ApplyError> {
         let full = serde_json::to_string(next).unwrap_or_default();
-        let put = PutRequest {
-            key: full_key(digest),
-            text: full,
-        };
+        let put = PutRequest { key: full_key(digest), text: full };
         (self.objects.put)(put).await.context(NotAppliedSnafu)?;
         let Some(delta) = delta else { return Ok(()) };
         let text = serde_json::to_string(delta).unwrap_or_default();
-        let put = PutRequest {
-            key: delta_key(base, digest),
-            text,
-        };
+        let put = PutRequest { key: delta_key(base, digest), text };
         (self.objects.put)(put).await.context(NotAppliedSnafu)
     }
 
@@ -340,10 +292,7 @@
                 Err(PlatformError::NotDone { .. }) => {}
             }
         }
-        UnclearSnafu {
-            version: head.version,
-        }
-        .fail()
+        UnclearSnafu { version: head.version }.fail()
     }
 
     /// After a conflict the audit row of the version tells whose change it is.
@@ -355,15 +304,8 @@
         let audit = row.and_then(|row| serde_json::from_str::<AuditRow>(&row.value).ok());
         Ok(match audit {
             Some(audit) if audit.token == head.token => Ok(()),
-            Some(audit) => LostRaceSnafu {
-                winner: audit.operator,
-                version: audit.to,
-            }
-            .fail(),
-            None => CorruptSnafu {
-                reason: format!("no audit row of {}", head.version),
-            }
-            .fail(),
+            Some(audit) => LostRaceSnafu { winner: audit.operator, version: audit.to }.fail(),
+            None => CorruptSnafu { reason: format!("no audit row of {}", head.version) }.fail(),
         })
     }
 
@@ -377,16 +319,9 @@
         after: ConfigVersion,
         limit: usize,
     ) -> Result<Vec<AuditRow>, ApplyError> {
-        let request = ScanRequest {
-            prefix: AUDIT_PREFIX.into(),
-            after: audit_key(after),
-            limit,
-        };
+        let request = ScanRequest { prefix: AUDIT_PREFIX.into(), after: audit_key(after), limit };
         let reply = (self.table.scan)(request).await.context(NotAppliedSnafu)?;
-        let rows = reply
-            .rows
-            .iter()
-            .filter_map(|row| serde_json::from_str(&row.row.value).ok());
+        let rows = reply.rows.iter().filter_map(|row| serde_json::from_str(&row.row.value).ok());
         Ok(rows.collect())
     }
 }
@@ -404,9 +339,5 @@
 }
 
 fn row_write<T: Serialize>(key: Name, expect: RowExpect, value: &T) -> RowWrite {
-    RowWrite {
-        key,
-        expect,
-        value: serde_json::to_string(value).ok(),
-    }
+    RowWrite { key, expect, value: serde_json::to_string(value).ok() }
 }
--- a/crates/dillspool_dev/src/generate.rs
+++ b/crates/dillspool_dev/src/generate.rs
@@ -12,20 +12,11 @@
 #[derive(Debug, Snafu)]
 pub(crate) enum GenerateError {
     #[snafu(display("cannot read {}: {source}; run this from a checkout", path.display()))]
-    Read {
-        path: PathBuf,
-        source: std::io::Error,
-    },
+    Read { path: PathBuf, source: std::io::Error },
     #[snafu(display("cannot write {}: {source}", path.display()))]
-    Write {
-        path: PathBuf,
-        source: std::io::Error,
-    },
+    Write { path: PathBuf, source: std::io::Error },
     #[snafu(display("{} is no JSON Schema: {source}", path.display()))]
-    Parse {
-        path: PathBuf,
-        source: serde_json::Error,
-    },
+    Parse { path: PathBuf, source: serde_json::Error },
     #[snafu(display("{} cannot be turned into types: {message}", path.display()))]
     Convert { path: PathBuf, message: String },
     #[snafu(display(
@@ -52,11 +43,7 @@
 
 fn compare(path: &Path, code: &str) -> Result<(), GenerateError> {
     let committed = std::fs::read_to_string(path).context(ReadSnafu { path })?;
-    if committed == code {
-        Ok(())
-    } else {
-        StaleSnafu { path }.fail()
-    }
+    if committed == code { Ok(()) } else { StaleSnafu { path }.fail() }
 }
 
 fn convert(path: &Path) -> Result<String, GenerateError> {
@@ -68,18 +55,12 @@
     settings.with_derive("PartialEq".to_owned());
     settings.with_replacement("Name", "crate::Name", [TypeSpaceImpl::Display].into_iter());
     settings.with_replacement("Secret", "crate::Secret", std::iter::empty());
-    settings.with_replacement(
-        "StreamId",
-        "crate::StreamId",
-        [TypeSpaceImpl::Display].into_iter(),
-    );
+    settings.with_replacement("StreamId", "crate::StreamId", [TypeSpaceImpl::Display].into_iter());
     let mut space = TypeSpace::new(&settings);
-    space
-        .add_root_schema(schema)
-        .map_err(|error| GenerateError::Convert {
-            path: path.into(),
-            message: error.to_string(),
-        })?;
+    space.add_root_schema(schema).map_err(|error| GenerateError::Convert {
+        path: path.into(),
+        message: error.to_string(),
+    })?;
     let file = syn::parse2(space.to_stream()).map_err(|error| GenerateError::Convert {
         path: path.into(),
         message: error.to_string(),
--- a/crates/dillspool_engine/src/client.rs
+++ b/crates/dillspool_engine/src/client.rs
@@ -33,9 +33,7 @@
 impl EngineClient {
     /// A client over a network.
     pub fn new(stack: &NetStack) -> Self {
-        Self {
-            http: HttpClient::pooled(stack),
-        }
+        Self { http: HttpClient::pooled(stack) }
     }
 
     /// Computes and exports the KV cache of a prompt.
@@ -49,10 +47,7 @@
         request: &PrefillRequest,
         limit: Duration,
     ) -> Result<PrefillReply, EngineError> {
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/prefill", request, limit)
-            .await?)
+        Ok(self.http.call(Method::POST, engine, "/prefill", request, limit).await?)
     }
 
     /// Imports a KV cache and opens the stream of tokens.
@@ -68,12 +63,7 @@
         stall_limit: Duration,
     ) -> Result<TokenStream, EngineError> {
         let body = self.open(engine, "/decode", request, import_limit).await?;
-        Ok(TokenStream::new(
-            request.stream.clone(),
-            body,
-            request.from,
-            stall_limit,
-        ))
+        Ok(TokenStream::new(request.stream.clone(), body, request.from, stall_limit))
     }
 
     /// Opens the rest of a stream that still runs on the engine.
@@ -88,10 +78,7 @@
         from: u64,
         stall_limit: Duration,
     ) -> Result<TokenStream, EngineError> {
-        let request = ResumeRequest {
-            stream: stream.clone(),
-            from,
-        };
+        let request = ResumeRequest { stream: stream.clone(), from };
         let body = self.open(engine, "/resume", &request, SHORT_CALL).await?;
         Ok(TokenStream::new(stream.clone(), body, from, stall_limit))
     }
@@ -103,10 +90,7 @@
         query: &Q,
         limit: Duration,
     ) -> Result<hyper::body::Incoming, EngineError> {
-        let lost = |reason: String| HttpError::Lost {
-            address: engine,
-            reason,
-        };
+        let lost = |reason: String| HttpError::Lost { address: engine, reason };
         let body = serde_json::to_vec(query).map_err(|error| lost(error.to_string()))?;
         let request = Request::builder()
             .method(Method::POST)
@@ -125,12 +109,7 @@
             .await
             .map_err(|error| lost(error.to_string()))?;
         let text = String::from_utf8_lossy(&text).into_owned();
-        Err(HttpError::Status {
-            address: engine,
-            status,
-            text,
-        }
-        .into())
+        Err(HttpError::Status { address: engine, status, text }.into())
     }
 
     /// Frees whatever the engine holds of a stream; harmless when it holds nothing.
@@ -143,13 +122,8 @@
         engine: SocketAddr,
         stream: &StreamId,
     ) -> Result<CancelReply, EngineError> {
-        let request = CancelRequest {
-            stream: stream.clone(),
-        };
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/cancel", &request, SHORT_CALL)
-            .await?)
+        let request = CancelRequest { stream: stream.clone() };
+        Ok(self.http.call(Method::POST, engine, "/cancel", &request, SHORT_CALL).await?)
     }
 
     /// Lists the streams that hold memory.
@@ -158,10 +132,7 @@
     ///
     /// [`EngineError`] when the engine does not answer.
     pub async fn list(&self, engine: SocketAddr) -> Result<StreamListing, EngineError> {
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/streams", &(), SHORT_CALL)
-            .await?)
+        Ok(self.http.call(Method::POST, engine, "/streams", &(), SHORT_CALL).await?)
     }
 
     /// Reads the engine's lagging load report.
@@ -170,10 +141,7 @@
     ///
     /// [`EngineError`] when the engine does not answer.
     pub async fn load(&self, engine: SocketAddr) -> Result<LoadReport, EngineError> {
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/load", &(), SHORT_CALL)
-            .await?)
+        Ok(self.http.call(Method::POST, engine, "/load", &(), SHORT_CALL).await?)
     }
 
     /// Reads cache events after a number.
@@ -186,10 +154,7 @@
         engine: SocketAddr,
         after: u64,
     ) -> Result<CacheEvents, EngineError> {
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/cache-events", &after, SHORT_CALL)
-            .await?)
+        Ok(self.http.call(Method::POST, engine, "/cache-events", &after, SHORT_CALL).await?)
     }
 
     /// Gives a fenced order.
@@ -202,10 +167,7 @@
         engine: SocketAddr,
         order: &FencedOrder,
     ) -> Result<OrderReply, EngineError> {
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/order", order, SHORT_CALL)
-            .await?)
+        Ok(self.http.call(Method::POST, engine, "/order", order, SHORT_CALL).await?)
     }
 
     /// Reads which order an engine carried out last.
@@ -214,9 +176,6 @@
     ///
     /// [`EngineError`] when the engine does not answer.
     pub async fn last_order(&self, engine: SocketAddr) -> Result<OrderReply, EngineError> {
-        Ok(self
-            .http
-            .call(Method::POST, engine, "/last-order", &(), SHORT_CALL)
-            .await?)
+        Ok(self.http.call(Method::POST, engine, "/last-order", &(), SHORT_CALL).await?)
     }
 }
--- a/crates/dillspool_engine/src/lines.rs
+++ b/crates/dillspool_engine/src/lines.rs
@@ -22,9 +22,7 @@
 
     /// The next whole line, without its end.
     pub fn next_line(&mut self) -> Option<Bytes> {
-        let found = self.bytes[self.scanned..]
-            .iter()
-            .position(|byte| *byte == b'\n');
+        let found = self.bytes[self.scanned..].iter().position(|byte| *byte == b'\n');
         let Some(offset) = found else {
             self.scanned = self.bytes.len();
             return None;
--- a/crates/dillspool_engine/src/prompt.rs
+++ b/crates/dillspool_engine/src/prompt.rs
@@ -22,9 +22,7 @@
 
 /// Chained hashes of all whole blocks of a prompt.
 pub fn block_hashes(prompt: &str) -> impl Iterator<Item = u64> {
-    let blocks = prompt
-        .as_bytes()
-        .chunks_exact(BLOCK_TOKENS * BYTES_PER_TOKEN);
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_TOKENS * BYTES_PER_TOKEN);
     blocks.scan(0_u64, |chain, block| {
         *chain = xxh3_64(block) ^ chain.rotate_left(1);
         Some(*chain)
--- a/crates/dillspool_engine/src/tokens.rs
+++ b/crates/dillspool_engine/src/tokens.rs
@@ -28,13 +28,7 @@
         next_index: u64,
         stall_limit: Duration,
     ) -> Self {
-        Self {
-            stream,
-            body,
-            lines: LineBuffer::default(),
-            next_index,
-            stall_limit,
-        }
+        Self { stream, body, lines: LineBuffer::default(), next_index, stall_limit }
     }
 
     /// Waits for the next event; the closing event carries `finish`.
@@ -56,16 +50,10 @@
                     return StalledSnafu { limit }.fail();
                 }
                 Ok(None) => {
-                    return BrokenOffSnafu {
-                        reason: "the stream ended early",
-                    }
-                    .fail();
+                    return BrokenOffSnafu { reason: "the stream ended early" }.fail();
                 }
                 Ok(Some(Err(error))) => {
-                    return BrokenOffSnafu {
-                        reason: error.to_string(),
-                    }
-                    .fail();
+                    return BrokenOffSnafu { reason: error.to_string() }.fail();
                 }
                 Ok(Some(Ok(frame))) => frame,
             };
@@ -73,10 +61,7 @@
                 continue;
             };
             if !self.lines.push(chunk) {
-                return WrongSnafu {
-                    reason: "a line without end",
-                }
-                .fail();
+                return WrongSnafu { reason: "a line without end" }.fail();
             }
         }
     }
@@ -85,10 +70,7 @@
         let event = match serde_json::from_slice::<TokenEvent>(line) {
             Ok(event) => event,
             Err(error) => {
-                return WrongSnafu {
-                    reason: error.to_string(),
-                }
-                .fail();
+                return WrongSnafu { reason: error.to_string() }.fail();
             }
         };
         if event.stream != self.stream {
--- a/crates/dillspool_entry/src/answer.rs
+++ b/crates/dillspool_entry/src/answer.rs
@@ -88,11 +88,7 @@
 
 impl GoneCounter {
     fn new(context: &EntryContext, group: &Name) -> Self {
-        Self {
-            context: context.clone(),
-            group: Name::clone(group),
-            is_settled: false,
-        }
+        Self { context: context.clone(), group: Name::clone(group), is_settled: false }
     }
 
     /// The request ended with a problem, which is counted in place of a caller that left.
@@ -103,18 +99,14 @@
             WorkOutcome::Unknown => "failed",
             WorkOutcome::Incomplete => "incomplete",
         };
-        self.context
-            .metrics
-            .count_request(&self.group, outcome, problem.code);
+        self.context.metrics.count_request(&self.group, outcome, problem.code);
     }
 }
 
 impl Drop for GoneCounter {
     fn drop(&mut self) {
         if !self.is_settled {
-            self.context
-                .metrics
-                .count_request(&self.group, "gone", "caller_left");
+            self.context.metrics.count_request(&self.group, "gone", "caller_left");
         }
     }
 }
@@ -138,11 +130,7 @@
                 tokens += 1;
             }
             AnswerPart::End(finish) => {
-                return Ok(WholeAnswer {
-                    text,
-                    finish,
-                    tokens,
-                });
+                return Ok(WholeAnswer { text, finish, tokens });
             }
         }
         part = answer.next().await?;
--- a/crates/dillspool_entry/src/ids.rs
+++ b/crates/dillspool_entry/src/ids.rs
@@ -16,11 +16,7 @@
 impl StreamIds {
     /// Ids of an incarnation of a host.
     pub fn new(host: Name, incarnation: u64) -> Self {
-        Self {
-            host,
-            incarnation,
-            next: Arc::default(),
-        }
+        Self { host, incarnation, next: Arc::default() }
     }
 
     /// The next id.
--- a/crates/dillspool_entry/src/metrics.rs
+++ b/crates/dillspool_entry/src/metrics.rs
@@ -91,49 +91,22 @@
 impl EntryMetrics {
     /// Registers everything under the names that Prometheus asks for.
     pub fn register(&self, registry: &mut Registry) {
-        registry.register(
-            "requests",
-            "Requests by group and outcome",
-            self.requests.clone(),
-        );
+        registry.register("requests", "Requests by group and outcome", self.requests.clone());
         registry.register("prefills", "Prefills started", self.prefills.clone());
-        registry.register(
-            "wasted_prefills",
-            "Prefills never used",
-            self.wasted.clone(),
-        );
+        registry.register("wasted_prefills", "Prefills never used", self.wasted.clone());
         registry.register("tokens", "Tokens streamed to callers", self.tokens.clone());
         registry.register("retries", "Placements tried again", self.retries.clone());
         registry.register("in_flight", "Requests in flight", self.in_flight.clone());
         let seconds = |name: &str, help: &str, histogram: &Histogram, registry: &mut Registry| {
             registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         };
-        seconds(
-            "first_token",
-            "Time to the first token",
-            &self.first_token,
-            registry,
-        );
-        seconds(
-            "per_token",
-            "Time for each further token",
-            &self.per_token,
-            registry,
-        );
-        seconds(
-            "queue_time",
-            "Time until a placement",
-            &self.queue_time,
-            registry,
-        );
+        seconds("first_token", "Time to the first token", &self.first_token, registry);
+        seconds("per_token", "Time for each further token", &self.per_token, registry);
+        seconds("queue_time", "Time until a placement", &self.queue_time, registry);
     }
 
     pub(crate) fn count_request(&self, group: &Name, outcome: &'static str, cause: &'static str) {
-        let labels = RequestLabels {
-            group: Name::clone(group),
-            outcome,
-            cause,
-        };
+        let labels = RequestLabels { group: Name::clone(group), outcome, cause };
         self.requests.get_or_create(&labels).inc();
     }
 
@@ -172,9 +145,7 @@
 
     pub(crate) fn enter(&self) -> InFlight {
         self.in_flight.inc();
-        InFlight {
-            gauge: self.in_flight.clone(),
-        }
+        InFlight { gauge: self.in_flight.clone() }
     }
 }
 
--- a/crates/dillspool_entry/src/openai.rs
+++ b/crates/dillspool_entry/src/openai.rs
@@ -100,12 +100,9 @@
         match &message.content {
             Some(ChatContent::Text(text)) => prompt.push_str(text),
             Some(ChatContent::Parts(parts)) => {
-                parts
-                    .iter()
-                    .filter_map(|part| part.text.as_deref())
-                    .for_each(|text| {
-                        prompt.push_str(text);
-                    });
+                parts.iter().filter_map(|part| part.text.as_deref()).for_each(|text| {
+                    prompt.push_str(text);
+                });
             }
             None => {}
         }
--- a/crates/dillspool_entry/src/placement.rs
+++ b/crates/dillspool_entry/src/placement.rs
@@ -38,9 +38,7 @@
 
 impl PlacementRegistry {
     fn lock(&self) -> MutexGuard<'_, BTreeMap<StreamId, RegisteredPlacement>> {
-        self.placements
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.placements.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// One report for each pool, also for those in which nothing is held.
@@ -129,14 +127,8 @@
                 decode: Name::clone(&grant.decode),
                 output,
             };
-            let registered = RegisteredPlacement {
-                pool: Name::clone(&self.pool),
-                held,
-            };
-            self.context
-                .registry
-                .lock()
-                .insert(self.stream.clone(), registered);
+            let registered = RegisteredPlacement { pool: Name::clone(&self.pool), held };
+            self.context.registry.lock().insert(self.stream.clone(), registered);
             return ReserveEnd::Granted(grant);
         }
         // Nothing is held: the scheduler answered a refusal.
@@ -210,10 +202,7 @@
         .with_max_times(CANCEL_TRIES)
         .with_jitter();
     if let Err(error) = cancel.retry(pauses).await {
-        log::warn!(
-            "event=cancel_failed engine={} stream={stream} error=\"{error}\"",
-            engine.name
-        );
+        log::warn!("event=cancel_failed engine={} stream={stream} error=\"{error}\"", engine.name);
     }
 }
 
--- a/crates/dillspool_entry/src/plain.rs
+++ b/crates/dillspool_entry/src/plain.rs
@@ -54,22 +54,13 @@
     fn response(self) -> Response<ResponseBody> {
         let mut response = Response::new(full_body(self.body));
         *response.status_mut() = self.status;
-        response
-            .headers_mut()
-            .insert(CONTENT_TYPE, self.content_type);
+        response.headers_mut().insert(CONTENT_TYPE, self.content_type);
         response
     }
 
     fn record(&self) -> RecordedAnswer {
-        let content_type = self
-            .content_type
-            .to_str()
-            .unwrap_or("application/octet-stream");
-        let kept = if self.body.len() <= RECORD_LIMIT {
-            &self.body[..]
-        } else {
-            &[]
-        };
+        let content_type = self.content_type.to_str().unwrap_or("application/octet-stream");
+        let kept = if self.body.len() <= RECORD_LIMIT { &self.body[..] } else { &[] };
         RecordedAnswer::new(self.status.as_u16(), content_type, kept)
     }
 }
@@ -80,14 +71,9 @@
     call: PlainCall,
 ) -> Result<Response<ResponseBody>, RequestProblem> {
     if call.route.repeatable {
-        return send_repeatable(&context, &call)
-            .await
-            .map(PlainAnswer::response);
+        return send_repeatable(&context, &call).await.map(PlainAnswer::response);
     }
-    let key = call
-        .headers
-        .get(IDEMPOTENCY_KEY)
-        .and_then(|value| value.to_str().ok());
+    let key = call.headers.get(IDEMPOTENCY_KEY).and_then(|value| value.to_str().ok());
     let Some(key) = key.filter(|key| !key.is_empty()) else {
         return detached(&context, |context| async move {
             send_once(&context, &call).await.map(PlainAnswer::response)
@@ -95,10 +81,7 @@
         .await;
     };
     let key = CallKey::new(&call.group.name, key);
-    detached(&context, |context| async move {
-        send_with_ledger(&context, &call, key).await
-    })
-    .await
+    detached(&context, |context| async move { send_with_ledger(&context, &call, key).await }).await
 }
 
 /// Runs to the end even if the caller leaves, so that the answer gets recorded.
@@ -150,11 +133,7 @@
     };
     let problem = RequestProblem::not_run(StatusCode::CONFLICT, "begun_before", detail)
         .outcome(WorkOutcome::Unknown);
-    if in_progress {
-        problem.retry_after(PROGRESS_RETRY)
-    } else {
-        problem
-    }
+    if in_progress { problem.retry_after(PROGRESS_RETRY) } else { problem }
 }
 
 fn replay(answer: &RecordedAnswer) -> Response<ResponseBody> {
@@ -164,9 +143,7 @@
         response.headers_mut().insert(CONTENT_TYPE, value);
     }
     let replayed = HeaderValue::from_static("true");
-    response
-        .headers_mut()
-        .insert("idempotency-replayed", replayed);
+    response.headers_mut().insert("idempotency-replayed", replayed);
     response
 }
 
@@ -178,17 +155,13 @@
     if ticket.age() > TICKET_AGE {
         context.ledger.abandon(ticket);
         let detail = "this host was held up before it sent the call; send it again";
-        return Err(
-            RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "held_up", detail)
-                .retry_after(PROGRESS_RETRY),
-        );
+        return Err(RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "held_up", detail)
+            .retry_after(PROGRESS_RETRY));
     }
     match send_once(context, call).await {
         Ok(answer) => {
             let (ledger, record) = (context.ledger.clone(), answer.record());
-            context
-                .tasks
-                .spawn(async move { ledger.finish(ticket, record).await });
+            context.tasks.spawn(async move { ledger.finish(ticket, record).await });
             Ok(answer.response())
         }
         Err(problem) => {
@@ -208,10 +181,7 @@
         .filter(|entry| !entry.leaving && !(context.checks.is_leaving)(&entry.name))
         .filter_map(|entry| {
             let address = entry.address.parse().ok()?;
-            Some(EngineRef {
-                name: Name::clone(&entry.name),
-                address,
-            })
+            Some(EngineRef { name: Name::clone(&entry.name), address })
         })
         .collect();
     if !servers.is_empty() {
@@ -260,9 +230,7 @@
     for server in backends(context, call) {
         match send(context, call, &server).await {
             Ok(answer) => {
-                context
-                    .retries
-                    .note_success(call.snapshot.configuration.policy.retry_percent);
+                context.retries.note_success(call.snapshot.configuration.policy.retry_percent);
                 return Ok(answer);
             }
             Err(HttpError::NotSent { .. }) => {}
@@ -287,13 +255,9 @@
     let lost = |reason: String| HttpError::Lost { address, reason };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call
-        .path
-        .parse()
-        .map_err(|error: hyper::http::uri::InvalidUri| HttpError::NotSent {
-            address,
-            reason: error.to_string(),
-        })?;
+    *request.uri_mut() = call.path.parse().map_err(|error: hyper::http::uri::InvalidUri| {
+        HttpError::NotSent { address, reason: error.to_string() }
+    })?;
     for name in [CONTENT_TYPE, ACCEPT] {
         if let Some(value) = call.headers.get(&name) {
             request.headers_mut().insert(name, value.clone());
@@ -311,11 +275,7 @@
             .map_err(|error| lost(error.to_string()))?;
         let content_type =
             content_type.unwrap_or(HeaderValue::from_static("application/octet-stream"));
-        Ok(PlainAnswer {
-            status,
-            content_type,
-            body,
-        })
+        Ok(PlainAnswer { status, content_type, body })
     };
     let limit = Duration::from_millis(call.route.timeout_ms.into());
     match tokio::time::timeout(limit, exchange).await {
--- a/crates/dillspool_entry/src/problem.rs
+++ b/crates/dillspool_entry/src/problem.rs
@@ -49,13 +49,7 @@
         detail: impl Into<String>,
     ) -> Self {
         let outcome = WorkOutcome::NotRun;
-        Self {
-            status,
-            code,
-            detail: detail.into(),
-            outcome,
-            retry_after: None,
-        }
+        Self { status, code, detail: detail.into(), outcome, retry_after: None }
     }
 
     /// The same with a time to come back.
@@ -72,9 +66,8 @@
 
     /// The body as JSON text.
     pub(crate) fn text(&self) -> String {
-        let retry_after_ms = self
-            .retry_after
-            .map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        let retry_after_ms =
+            self.retry_after.map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
         json!({
             "type": format!("urn:dillspool:{}", self.code),
             "title": self.status.canonical_reason(),
--- a/crates/dillspool_entry/src/retry.rs
+++ b/crates/dillspool_entry/src/retry.rs
@@ -17,9 +17,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            saved: Arc::new(Mutex::new(FIRST_SAVED)),
-        }
+        Self { saved: Arc::new(Mutex::new(FIRST_SAVED)) }
     }
 }
 
--- a/crates/dillspool_entry/src/router.rs
+++ b/crates/dillspool_entry/src/router.rs
@@ -57,11 +57,7 @@
         }
         (&Method::GET, "/v1/models") => {
             let models = snapshot.configuration.pool.iter().map(|pool| &pool.model);
-            Ok(text_response(
-                StatusCode::OK,
-                "application/json",
-                model_list(models),
-            ))
+            Ok(text_response(StatusCode::OK, "application/json", model_list(models)))
         }
         _ => pass_on(context, snapshot, group, &path, request).await,
     }
@@ -93,10 +89,7 @@
 
 fn enter(context: &EntryContext) -> Result<RequestPermit, RequestProblem> {
     match Arc::clone(&context.in_flight).try_acquire_owned() {
-        Ok(permit) => Ok(RequestPermit {
-            _in_flight: context.metrics.enter(),
-            _permit: permit,
-        }),
+        Ok(permit) => Ok(RequestPermit { _in_flight: context.metrics.enter(), _permit: permit }),
         Err(_full) => {
             let detail =
                 "this host has too many requests in flight; come back after the time given";
@@ -120,19 +113,11 @@
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
         Ok(Err(_broken)) => {
             let detail = "the body broke off; send the request again";
-            Err(RequestProblem::not_run(
-                StatusCode::BAD_REQUEST,
-                "body_broken",
-                detail,
-            ))
+            Err(RequestProblem::not_run(StatusCode::BAD_REQUEST, "body_broken", detail))
         }
         Err(_elapsed) => {
             let detail = "the body did not arrive in time; send the request again";
-            Err(RequestProblem::not_run(
-                StatusCode::REQUEST_TIMEOUT,
-                "body_timeout",
-                detail,
-            ))
+            Err(RequestProblem::not_run(StatusCode::REQUEST_TIMEOUT, "body_timeout", detail))
         }
     }
 }
@@ -151,25 +136,15 @@
         RequestProblem::not_run(StatusCode::BAD_REQUEST, "invalid_request", detail)
     })?;
     let pool = choose_pool(&snapshot, &request.model)?;
-    let terms = AnswerTerms {
-        snapshot,
-        group,
-        pool,
-        request,
-        arrived,
-    };
+    let terms = AnswerTerms { snapshot, group, pool, request, arrived };
     answer_request(context, terms, permit).await
 }
 
 fn choose_pool(snapshot: &ConfigSnapshot, model: &str) -> Result<PoolEntry, RequestProblem> {
-    snapshot
-        .pools_of_model(model)
-        .next()
-        .cloned()
-        .ok_or_else(|| {
-            let detail = format!("model `{model}` is not served; see /v1/models");
-            RequestProblem::not_run(StatusCode::NOT_FOUND, "model_not_found", detail)
-        })
+    snapshot.pools_of_model(model).next().cloned().ok_or_else(|| {
+        let detail = format!("model `{model}` is not served; see /v1/models");
+        RequestProblem::not_run(StatusCode::NOT_FOUND, "model_not_found", detail)
+    })
 }
 
 async fn pass_on(
@@ -182,11 +157,7 @@
     let Some(route) = snapshot.route(path).cloned() else {
         let detail =
             format!("`{path}` is no route; see the [[route]] entries of the configuration");
-        return Err(RequestProblem::not_run(
-            StatusCode::NOT_FOUND,
-            "no_route",
-            detail,
-        ));
+        return Err(RequestProblem::not_run(StatusCode::NOT_FOUND, "no_route", detail));
     };
     let _permit = enter(&context)?;
     let (parts, body) = request.into_parts();
--- a/crates/dillspool_entry/src/stream.rs
+++ b/crates/dillspool_entry/src/stream.rs
@@ -23,6 +23,10 @@
 const MOST_ATTEMPTS: u32 = 4;
 /// Time for a placement when tokens were already sent: a late answer beats a broken one.
 const RESUME_WAIT: Duration = Duration::from_secs(5);
+/// Time after which an answer that broke off is given up.
+const RESUME_LIMIT: Duration = Duration::from_secs(30);
+/// Longest pause between two tries to resume.
+const LONGEST_RESUME_PAUSE: Duration = Duration::from_secs(1);
 /// Time beyond the first-token target after which a prefill is given up.
 const PREFILL_SLACK: Duration = Duration::from_secs(1);
 /// Tokens' time of silence after which a stream counts as stalled.
@@ -56,10 +60,7 @@
     fn engine(&self, name: &str) -> Option<EngineRef> {
         let entry = self.snapshot.backend(name)?;
         let address = entry.address.parse().ok()?;
-        Some(EngineRef {
-            name: Name::clone(&entry.name),
-            address,
-        })
+        Some(EngineRef { name: Name::clone(&entry.name), address })
     }
 }
 
@@ -75,10 +76,7 @@
     /// The scheduler refused.
     Refused(ReserveRefusal),
     /// An engine failed; another may do.
-    Failed {
-        code: &'static str,
-        error: EngineError,
-    },
+    Failed { code: &'static str, error: EngineError },
 }
 
 /// A stream that is open on a decode engine.
@@ -150,9 +148,7 @@
         if self.first_token_at.is_none() {
             let now = Instant::now();
             self.first_token_at = Some(now);
-            self.context
-                .metrics
-                .observe_first_token(now - self.terms.arrived);
+            self.context.metrics.observe_first_token(now - self.terms.arrived);
         }
         text
     }
@@ -165,18 +161,14 @@
         let percent = self.terms.snapshot.configuration.policy.retry_percent;
         self.context.retries.note_success(percent);
         let outcome = if self.met_targets() { "good" } else { "late" };
-        self.context
-            .metrics
-            .count_request(&self.terms.group.name, outcome, "");
+        self.context.metrics.count_request(&self.terms.group.name, outcome, "");
     }
 
     fn met_targets(&self) -> bool {
         let Some(first) = self.first_token_at else {
             return true;
         };
-        let further = u32::try_from(self.sent.len())
-            .unwrap_or(u32::MAX)
-            .saturating_sub(1);
+        let further = u32::try_from(self.sent.len()).unwrap_or(u32::MAX).saturating_sub(1);
         let per_token = first.elapsed() / further.max(1);
         if further > 0 {
             self.context.metrics.observe_per_token(per_token);
@@ -190,10 +182,7 @@
         let Some(mut open) = self.open.take() else {
             return Ok(());
         };
-        log::info!(
-            "event=stream_failed stream={} error=\"{error}\"",
-            open.placement.stream()
-        );
+        log::info!("event=stream_failed stream={} error=\"{error}\"", open.placement.stream());
         if matches!(error, EngineError::BrokenOff { .. })
             && let Some(tokens) = self.reopen(&open.placement).await
         {
@@ -212,11 +201,8 @@
         let engine = placement.decode_engine()?;
         let from = self.sent.len() as u64;
         let limit = self.terms.stall_limit();
-        let resumed = self
-            .context
-            .engines
-            .resume(engine.address, placement.stream(), from, limit)
-            .await;
+        let resumed =
+            self.context.engines.resume(engine.address, placement.stream(), from, limit).await;
         resumed.ok()
     }
 
@@ -231,12 +217,7 @@
             return Ok(());
         }
         let detail = format!("the answer could not be finished: {error}");
-        Err(self.problem(
-            StatusCode::BAD_GATEWAY,
-            code,
-            detail,
-            Duration::from_secs(1),
-        ))
+        Err(self.problem(StatusCode::BAD_GATEWAY, code, detail, Duration::from_secs(1)))
     }
 
     fn problem(
@@ -247,15 +228,12 @@
         retry: Duration,
     ) -> RequestProblem {
         let problem = RequestProblem::not_run(status, code, detail).retry_after(retry);
-        if self.attempts == 0 {
-            problem
-        } else {
-            problem.outcome(WorkOutcome::Incomplete)
-        }
+        if self.attempts == 0 { problem } else { problem.outcome(WorkOutcome::Incomplete) }
     }
 
     /// Asks for placements until a stream is open or the request must be given up.
     async fn place(&mut self) -> Result<(), RequestProblem> {
+        let started = Instant::now();
         let mut export: Option<ExportGuard> = None;
         loop {
             match self.try_place(&mut export).await {
@@ -263,7 +241,13 @@
                     self.open = Some(open);
                     return Ok(());
                 }
-                Err(OpenFailure::Refused(refusal)) => return Err(self.refused(&refusal)),
+                Err(OpenFailure::Refused(refusal)) => {
+                    let retry = Duration::from_millis(refusal.retry_ms.into());
+                    if self.sent.is_empty() || started.elapsed() + retry > RESUME_LIMIT {
+                        return Err(self.refused(&refusal));
+                    }
+                    tokio::time::sleep(retry.min(LONGEST_RESUME_PAUSE)).await;
+                }
                 Err(OpenFailure::Failed { code, error }) => {
                     log::info!("event=placement_failed code={code} error=\"{error}\"");
                     self.drop_old_export(&mut export, code);
@@ -297,19 +281,12 @@
             "pool `{}` cannot serve the request within its target ({code}); come back after the time given",
             self.terms.pool.name
         );
-        self.problem(
-            status,
-            code,
-            detail,
-            Duration::from_millis(refusal.retry_ms.into()),
-        )
+        self.problem(status, code, detail, Duration::from_millis(refusal.retry_ms.into()))
     }
 
     fn wait(&self) -> Duration {
         if self.sent.is_empty() {
-            self.terms
-                .first_token()
-                .saturating_sub(self.terms.arrived.elapsed())
+            self.terms.first_token().saturating_sub(self.terms.arrived.elapsed())
         } else {
             RESUME_WAIT
         }
@@ -334,10 +311,7 @@
             placement.end(ReleaseCause::Cancelled);
             let reason = "the grant names an engine that is not declared".to_owned();
             let error = EngineError::OutOfReach { reason };
-            return Err(OpenFailure::Failed {
-                code: "unknown_engine",
-                error,
-            });
+            return Err(OpenFailure::Failed { code: "unknown_engine", error });
         };
         if export.is_none() {
             match self.prefill(&mut placement, prefill).await {
@@ -358,10 +332,7 @@
     }
 
     fn engines(&self, grant: &PlacementGrant) -> Option<(EngineRef, EngineRef)> {
-        Some((
-            self.terms.engine(&grant.prefill)?,
-            self.terms.engine(&grant.decode)?,
-        ))
+        Some((self.terms.engine(&grant.prefill)?, self.terms.engine(&grant.decode)?))
     }
 
     fn reserve_message(
@@ -411,10 +382,7 @@
             Err(error) => {
                 self.avoid.push(Name::clone(&export.engine.name));
                 export.waste("prefill_failed");
-                Err(OpenFailure::Failed {
-                    code: "prefill_failed",
-                    error,
-                })
+                Err(OpenFailure::Failed { code: "prefill_failed", error })
             }
         }
     }
@@ -429,13 +397,8 @@
             export.as_ref().and_then(|it| it.kv.clone()),
             export.as_ref().map(|it| it.engine.address),
         ) else {
-            let error = EngineError::BrokenOff {
-                reason: "no exported KV cache".to_owned(),
-            };
-            return Err(OpenFailure::Failed {
-                code: "prefill_failed",
-                error,
-            });
+            let error = EngineError::BrokenOff { reason: "no exported KV cache".to_owned() };
+            return Err(OpenFailure::Failed { code: "prefill_failed", error });
         };
         let request = DecodeRequest {
             stream: placement.stream().clone(),
@@ -452,12 +415,7 @@
         // Half the KV cache's life: a stalled transfer leaves time for another engine.
         let import_limit = Duration::from_millis(self.terms.pool.kv_lifetime_ms.into()) / 2;
         let limit = self.terms.stall_limit();
-        match self
-            .context
-            .engines
-            .decode(address, &request, import_limit, limit)
-            .await
-        {
+        match self.context.engines.decode(address, &request, import_limit, limit).await {
             Ok(tokens) => {
                 if let Some(mut export) = export.take() {
                     export.mark_used();
@@ -466,10 +424,7 @@
             }
             Err(error) => {
                 self.avoid.push(name);
-                Err(OpenFailure::Failed {
-                    code: "transfer_failed",
-                    error,
-                })
+                Err(OpenFailure::Failed { code: "transfer_failed", error })
             }
         }
     }
--- a/crates/dillspool_host/src/acks.rs
+++ b/crates/dillspool_host/src/acks.rs
@@ -43,11 +43,7 @@
     let mut acks = BTreeMap::new();
     let mut after: Name = "".into();
     loop {
-        let request = ScanRequest {
-            prefix: ACK_PREFIX.into(),
-            after,
-            limit: PAGE_ROWS,
-        };
+        let request = ScanRequest { prefix: ACK_PREFIX.into(), after, limit: PAGE_ROWS };
         let reply = (table.scan)(request).await?;
         for scanned in &reply.rows {
             let host = scanned.key.trim_start_matches(ACK_PREFIX);
--- a/crates/dillspool_host/src/admin.rs
+++ b/crates/dillspool_host/src/admin.rs
@@ -156,10 +156,7 @@
 }
 
 fn problem(status: StatusCode, code: &str, message: impl fmt::Display) -> AdminRefusal {
-    let problem = AdminProblem {
-        code: code.into(),
-        message: message.to_string(),
-    };
+    let problem = AdminProblem { code: code.into(), message: message.to_string() };
     AdminRefusal { status, problem }
 }
 
@@ -182,11 +179,7 @@
             context.drain.cancel();
             Ok(json(StatusCode::ACCEPTED, &()))
         }
-        _ => Err(problem(
-            StatusCode::NOT_FOUND,
-            "no_such_path",
-            "see docs/operators/api.md",
-        )),
+        _ => Err(problem(StatusCode::NOT_FOUND, "no_such_path", "see docs/operators/api.md")),
     }
 }
 
@@ -209,12 +202,8 @@
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(CallerKey::from_bearer);
-    let operator = key.and_then(|key| {
-        context
-            .operators
-            .iter()
-            .find(|operator| key.matches(&operator.key_hash))
-    });
+    let operator = key
+        .and_then(|key| context.operators.iter().find(|operator| key.matches(&operator.key_hash)));
     let Some(operator) = operator else {
         let message = "the key is missing or unknown; set DILLSPOOL_KEY to an operator's key";
         return Err(problem(StatusCode::UNAUTHORIZED, "unknown_key", message));
@@ -238,10 +227,7 @@
     };
     let token = (context.attempt_token)();
     let store = context.keeper.store();
-    match store
-        .apply(request.expected, &configuration, operator, token)
-        .await
-    {
+    match store.apply(request.expected, &configuration, operator, token).await {
         Ok(AppliedConfig { version, changes }) => {
             context.keeper.poll().await;
             Ok(json(StatusCode::OK, &ApplyReply { version, changes }))
@@ -288,12 +274,7 @@
     let pool_line = |scheduler: dillspool_pool::PoolScheduler| {
         let (waiting, held) = scheduler.load();
         let pool = Name::clone(scheduler.pool());
-        PoolLine {
-            scheduler: context.view.scheduler(&pool),
-            pool,
-            waiting,
-            held,
-        }
+        PoolLine { scheduler: context.view.scheduler(&pool), pool, waiting, held }
     };
     StatusReply {
         host: Name::clone(context.view.host()),
@@ -309,17 +290,10 @@
         .and_then(|query| query.strip_prefix("after="))
         .and_then(|text| text.parse().ok())
         .unwrap_or(0);
-    let rows: Result<Vec<AuditRow>, ApplyError> = context
-        .keeper
-        .store()
-        .audit(ConfigVersion(after), AUDIT_ROWS)
-        .await;
+    let rows: Result<Vec<AuditRow>, ApplyError> =
+        context.keeper.store().audit(ConfigVersion(after), AUDIT_ROWS).await;
     match rows {
         Ok(rows) => Ok(json(StatusCode::OK, &rows)),
-        Err(error) => Err(problem(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "store_down",
-            error,
-        )),
+        Err(error) => Err(problem(StatusCode::SERVICE_UNAVAILABLE, "store_down", error)),
     }
 }
--- a/crates/dillspool_host/src/alive_rows.rs
+++ b/crates/dillspool_host/src/alive_rows.rs
@@ -37,20 +37,13 @@
 
 impl AliveRows {
     pub(crate) fn new(table: TableStore) -> Self {
-        Self {
-            table,
-            seen: Arc::default(),
-        }
+        Self { table, seen: Arc::default() }
     }
 
     /// Writes or removes this host's own row.
     pub(crate) async fn write(&self, host: &str, alive: bool) {
         let value = alive.then(|| "alive".to_owned());
-        let write = RowWrite {
-            key: row_key(host),
-            expect: RowExpect::Any,
-            value,
-        };
+        let write = RowWrite { key: row_key(host), expect: RowExpect::Any, value };
         if let Err(error) = self.table.commit(vec![write]).await {
             log::debug!("event=alive_row_not_written error=\"{error}\"");
         }
@@ -65,10 +58,7 @@
             seen.remove(host);
             return Some(false);
         };
-        let unseen = SeenRow {
-            version: row.version,
-            changed: now,
-        };
+        let unseen = SeenRow { version: row.version, changed: now };
         let record = seen.entry(Name::clone(host)).or_insert(unseen);
         if record.version != row.version {
             *record = unseen;
--- a/crates/dillspool_host/src/config_keeper.rs
+++ b/crates/dillspool_host/src/config_keeper.rs
@@ -37,11 +37,7 @@
 impl ConfigKeeper {
     pub(crate) fn new(store: ConfigStore) -> Self {
         let (current, _) = watch::channel(None);
-        Self {
-            store,
-            current: Arc::new(current),
-            last_change: Arc::default(),
-        }
+        Self { store, current: Arc::new(current), last_change: Arc::default() }
     }
 
     pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Arc<ConfigSnapshot>>> {
@@ -57,17 +53,14 @@
     }
 
     pub(crate) fn version(&self) -> ConfigVersion {
-        self.current()
-            .map_or(ConfigVersion(0), |snapshot| snapshot.version)
+        self.current().map_or(ConfigVersion(0), |snapshot| snapshot.version)
     }
 
     /// Puts a snapshot in force if it is newer than what is; `false` if it is not.
     fn adopt(&self, snapshot: ConfigSnapshot) -> bool {
         let snapshot = Arc::new(snapshot);
         let adopted = self.current.send_if_modified(|current| {
-            let newer = current
-                .as_ref()
-                .is_none_or(|it| it.version < snapshot.version);
+            let newer = current.as_ref().is_none_or(|it| it.version < snapshot.version);
             if newer {
                 self.note_change(current.as_deref(), &snapshot);
                 *current = Some(Arc::clone(&snapshot));
@@ -84,15 +77,9 @@
         let change = base.and_then(|base| {
             let delta = ConfigDelta::between(&base.configuration, &next.configuration);
             let body = serde_json::to_string(&delta).ok()?.into();
-            Some(LastChange {
-                base: base.version,
-                body,
-            })
+            Some(LastChange { base: base.version, body })
         });
-        *self
-            .last_change
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = change;
+        *self.last_change.lock().unwrap_or_else(PoisonError::into_inner) = change;
     }
 
     /// Reads the commit record and takes a newer configuration over.
@@ -106,10 +93,7 @@
             }
         };
         let current = self.current();
-        if current
-            .as_ref()
-            .is_some_and(|it| it.version >= head.version)
-        {
+        if current.as_ref().is_some_and(|it| it.version >= head.version) {
             return;
         }
         match self.store.fetch(&head, current.as_deref()).await {
@@ -126,11 +110,7 @@
         if query.base >= current.version.0 {
             return None;
         }
-        let change = self
-            .last_change
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
+        let change = self.last_change.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let (base, body) = match change {
             Some(change) if change.base.0 == query.base => (change.base, change.body),
             _ => {
@@ -200,10 +180,7 @@
     loop {
         let version = keeper.version();
         versions.mark_unchanged();
-        let ack = ConfigAck {
-            version,
-            incarnation,
-        };
+        let ack = ConfigAck { version, incarnation };
         if version > written && write_ack(&table, &host, &ack).await.is_ok() {
             written = version;
         }
--- a/crates/dillspool_host/src/daemon.rs
+++ b/crates/dillspool_host/src/daemon.rs
@@ -32,7 +32,7 @@
 use crate::directory::PoolDirectory;
 use crate::membership::follow_hosts;
 use crate::metrics::{HostMetrics, HostReadings};
-use crate::upkeep::{show_alive, sweep_ledger};
+use crate::upkeep::{report_placements, show_alive, sweep_ledger};
 
 /// Time for the platform's balancer to notice that a draining host is not ready.
 const BALANCER_TIME: Duration = Duration::from_secs(5);
@@ -175,13 +175,8 @@
         };
         let handlers = peer_handlers(&keeper, &directory, &registry, &view);
         let stack = environment.stack.clone();
-        let links = PeerLinks::new(
-            stack,
-            identity,
-            handlers,
-            LinkSettings::default(),
-            view.clone(),
-        );
+        let links =
+            PeerLinks::new(stack, identity, handlers, LinkSettings::default(), view.clone());
         Self {
             settings: Arc::new(settings),
             environment,
@@ -229,11 +224,7 @@
             config: self.keeper.subscribe(),
             engines: self.engines.clone(),
             plain: HttpClient::single_use(&self.environment.stack),
-            desk: placement_desk(
-                self.view.clone(),
-                self.links.clone(),
-                self.directory.clone(),
-            ),
+            desk: placement_desk(self.view.clone(), self.links.clone(), self.directory.clone()),
             registry: self.registry.clone(),
             ledger,
             clock: self.environment.clock.clone(),
@@ -284,21 +275,12 @@
     }
 
     fn readings(&self) -> HostReadings {
-        let counts: Vec<_> = self
-            .directory
-            .all()
-            .iter()
-            .map(dillspool_pool::PoolScheduler::counts)
-            .collect();
+        let counts: Vec<_> =
+            self.directory.all().iter().map(dillspool_pool::PoolScheduler::counts).collect();
         HostReadings {
             config_version: self.keeper.version().0,
             control_bytes: self.links.control_bytes(),
-            peers_linked: self
-                .view
-                .peers()
-                .values()
-                .filter(|peer| peer.linked)
-                .count(),
+            peers_linked: self.view.peers().values().filter(|peer| peer.linked).count(),
             placements: self.registry.len(),
             orphans: counts.iter().map(|it| it.orphans).sum(),
             granted: counts.iter().map(|it| it.granted).sum(),
@@ -340,6 +322,13 @@
             parts.directory.clone(),
             parts.cancel.clone(),
         ));
+        tokio::spawn(report_placements(
+            parts.view.clone(),
+            parts.links.clone(),
+            parts.directory.clone(),
+            parts.registry.clone(),
+            parts.cancel.clone(),
+        ));
         tokio::spawn(show_alive(
             parts.rows.clone(),
             parts.view.clone(),
@@ -415,26 +404,12 @@
             header_timeout: Duration::from_millis(host_limits.header_timeout_ms.into()),
         };
         let handler = callers_handler(parts.entry_context());
-        let callers_served = tokio::spawn(serve_http(
-            listeners.callers,
-            limits,
-            handler,
-            callers.clone(),
-        ));
+        let callers_served =
+            tokio::spawn(serve_http(listeners.callers, limits, handler, callers.clone()));
         let handler = operators_handler(parts.admin_context(&drain));
         let limits = ServerLimits::default();
-        tokio::spawn(serve_http(
-            listeners.operators,
-            limits,
-            handler,
-            parts.cancel.clone(),
-        ));
-        tokio::spawn(
-            parts
-                .links
-                .clone()
-                .serve(listeners.peers, parts.cancel.clone()),
-        );
+        tokio::spawn(serve_http(listeners.operators, limits, handler, parts.cancel.clone()));
+        tokio::spawn(parts.links.clone().serve(listeners.peers, parts.cancel.clone()));
         parts.spawn_roles();
         log::info!("event=host_started host={}", parts.settings.host);
         Ok(Self {
--- a/crates/dillspool_host/src/desk.rs
+++ b/crates/dillspool_host/src/desk.rs
@@ -52,13 +52,7 @@
             Ok(Err(_not_connected)) => {}
             Err(_elapsed) => {
                 // It may have granted meanwhile; what is not used goes back.
-                release(
-                    view,
-                    links,
-                    directory,
-                    Some(Name::clone(&scheduler)),
-                    unused(&message),
-                );
+                release(view, links, directory, Some(Name::clone(&scheduler)), unused(&message));
                 let answer = refuse(&message, RefuseCause::TooLate);
                 return ReserveReply { scheduler, answer };
             }
@@ -70,22 +64,12 @@
         None => None,
     };
     let answer = answer.unwrap_or_else(|| refuse(&message, RefuseCause::UnknownPool));
-    ReserveReply {
-        scheduler: own,
-        answer,
-    }
+    ReserveReply { scheduler: own, answer }
 }
 
 fn refuse(message: &ReserveMessage, cause: RefuseCause) -> ReserveAnswer {
-    let refusal = ReserveRefusal {
-        cause,
-        retry_ms: SILENT_RETRY_MS,
-    };
-    ReserveAnswer {
-        stream: message.stream.clone(),
-        grant: None,
-        refusal: Some(refusal),
-    }
+    let refusal = ReserveRefusal { cause, retry_ms: SILENT_RETRY_MS };
+    ReserveAnswer { stream: message.stream.clone(), grant: None, refusal: Some(refusal) }
 }
 
 fn unused(message: &ReserveMessage) -> ReleaseMessage {
--- a/crates/dillspool_host/src/directory.rs
+++ b/crates/dillspool_host/src/directory.rs
@@ -24,11 +24,7 @@
 
 impl PoolDirectory {
     pub(crate) fn new(engines: EngineClient, cancel: CancellationToken) -> Self {
-        Self {
-            pools: Arc::default(),
-            engines,
-            cancel,
-        }
+        Self { pools: Arc::default(), engines, cancel }
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, PoolEntryHandle>> {
@@ -58,10 +54,7 @@
                 liveness.clone(),
                 cancel.clone(),
             );
-            pools.insert(
-                Name::clone(&pool.name),
-                PoolEntryHandle { scheduler, cancel },
-            );
+            pools.insert(Name::clone(&pool.name), PoolEntryHandle { scheduler, cancel });
         }
     }
 
@@ -70,10 +63,7 @@
     }
 
     pub(crate) fn all(&self) -> Vec<PoolScheduler> {
-        self.lock()
-            .values()
-            .map(|entry| entry.scheduler.clone())
-            .collect()
+        self.lock().values().map(|entry| entry.scheduler.clone()).collect()
     }
 
     pub(crate) fn names(&self) -> Vec<Name> {
--- a/crates/dillspool_host/src/metrics.rs
+++ b/crates/dillspool_host/src/metrics.rs
@@ -48,59 +48,29 @@
         let mut add = |name: &str, help: &str, gauge: &Gauge| {
             registry.register(name, help, gauge.clone());
         };
-        add(
-            "config_version",
-            "Configuration version in force",
-            &metrics.config_version,
-        );
-        add(
-            "peers_linked",
-            "Peer connections that are up",
-            &metrics.peers_linked,
-        );
-        add(
-            "placements",
-            "Placements held by this host",
-            &metrics.placements,
-        );
+        add("config_version", "Configuration version in force", &metrics.config_version);
+        add("peers_linked", "Peer connections that are up", &metrics.peers_linked);
+        add("placements", "Placements held by this host", &metrics.placements);
         let mut add = |name: &str, help: &str, counter: &Counter| {
             registry.register(name, help, counter.clone());
         };
-        add(
-            "orphans",
-            "Streams of dead owners cancelled",
-            &metrics.orphans,
-        );
-        add(
-            "grants",
-            "Placements granted by this host's schedulers",
-            &metrics.granted,
-        );
-        add(
-            "refusals",
-            "Placements refused by this host's schedulers",
-            &metrics.refused,
-        );
+        add("orphans", "Streams of dead owners cancelled", &metrics.orphans);
+        add("grants", "Placements granted by this host's schedulers", &metrics.granted);
+        add("refusals", "Placements refused by this host's schedulers", &metrics.refused);
         registry.register_with_unit(
             "control",
             "Control traffic between hosts, both ways",
             Unit::Bytes,
             metrics.control_bytes.clone(),
         );
-        Self {
-            registry,
-            ..metrics
-        }
+        Self { registry, ..metrics }
     }
 
     pub(crate) fn text(&self, readings: HostReadings) -> String {
         let gauge = |gauge: &Gauge, value: usize| {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         };
-        gauge(
-            &self.config_version,
-            usize::try_from(readings.config_version).unwrap_or(usize::MAX),
-        );
+        gauge(&self.config_version, usize::try_from(readings.config_version).unwrap_or(usize::MAX));
         gauge(&self.peers_linked, readings.peers_linked);
         gauge(&self.placements, readings.placements);
         let raise = |counter: &Counter, value: u64| {
--- a/crates/dillspool_io/src/body.rs
+++ b/crates/dillspool_io/src/body.rs
@@ -16,9 +16,7 @@
 
 /// A body that is known whole.
 pub fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
 }
 
 /// A body fed from a channel; an error in the channel breaks the connection off.
@@ -52,8 +50,6 @@
     let mut response = Response::new(full_body(text));
     *response.status_mut() = status;
     let value = hyper::header::HeaderValue::from_static(content_type);
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, value);
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, value);
     response
 }
--- a/crates/dillspool_io/src/client.rs
+++ b/crates/dillspool_io/src/client.rs
@@ -82,9 +82,7 @@
                 .and_then(|authority| authority.as_str().parse::<SocketAddr>().ok())
                 .ok_or_else(|| io::Error::from(io::ErrorKind::AddrNotAvailable))?;
             let stream = stack.connect(address).await?;
-            Ok(ClientStream {
-                inner: TokioIo::new(stream),
-            })
+            Ok(ClientStream { inner: TokioIo::new(stream) })
         })
     }
 }
@@ -159,9 +157,7 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
-            .build(StackConnector {
-                stack: stack.clone(),
-            });
+            .build(StackConnector { stack: stack.clone() });
         Self { client }
     }
 
@@ -175,28 +171,15 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
-        let path = request
-            .uri()
-            .path_and_query()
-            .map_or("/", |path| path.as_str());
-        let uri = Uri::builder()
-            .scheme("http")
-            .authority(address.to_string())
-            .path_and_query(path);
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+        let uri = Uri::builder().scheme("http").authority(address.to_string()).path_and_query(path);
         *request.uri_mut() = match uri.build() {
             Ok(uri) => uri,
             Err(error) => {
-                return NotSentSnafu {
-                    address,
-                    reason: error.to_string(),
-                }
-                .fail();
+                return NotSentSnafu { address, reason: error.to_string() }.fail();
             }
         };
-        self.client
-            .request(request)
-            .await
-            .map_err(|error| classify(address, &error))
+        self.client.request(request).await.map_err(|error| classify(address, &error))
     }
 
     /// Sends a JSON body and reads a JSON reply, all within `limit`.
@@ -228,12 +211,7 @@
                 .map_err(|error| lost(error.to_string()))?;
             if !status.is_success() {
                 let text = String::from_utf8_lossy(&bytes).into_owned();
-                return StatusSnafu {
-                    address,
-                    status,
-                    text,
-                }
-                .fail();
+                return StatusSnafu { address, status, text }.fail();
             }
             serde_json::from_slice(&bytes).map_err(|error| lost(error.to_string()))
         };
--- a/crates/dillspool_io/src/clock.rs
+++ b/crates/dillspool_io/src/clock.rs
@@ -40,9 +40,7 @@
     /// The system's clock.
     pub fn system() -> Self {
         Self::from_fn(|| {
-            let since = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             UnixMillis::default() + since
         })
     }
--- a/crates/dillspool_io/src/memory.rs
+++ b/crates/dillspool_io/src/memory.rs
@@ -100,10 +100,7 @@
             state.next_port = state.next_port.max(FIRST_PORT) + 1;
             local.set_port(state.next_port);
         }
-        let used = state
-            .listeners
-            .get(&local)
-            .is_some_and(|sender| !sender.is_closed());
+        let used = state.listeners.get(&local).is_some_and(|sender| !sender.is_closed());
         if used {
             return Err(io::ErrorKind::AddrInUse.into());
         }
@@ -115,11 +112,7 @@
     async fn connect(&self, from: IpAddr, to: SocketAddr) -> io::Result<NetStream> {
         let nodes = pair(from, to.ip());
         loop {
-            let mode = locked(&self.state)
-                .modes
-                .get(&nodes)
-                .copied()
-                .unwrap_or(LinkMode::Open);
+            let mode = locked(&self.state).modes.get(&nodes).copied().unwrap_or(LinkMode::Open);
             match mode {
                 LinkMode::Open => break,
                 LinkMode::Cut => return Err(io::ErrorKind::ConnectionRefused.into()),
@@ -137,20 +130,12 @@
         let Some(accept) = accept else {
             return Err(io::ErrorKind::ConnectionRefused.into());
         };
-        let far = LinkStream {
-            inner: far,
-            link: Arc::clone(&link),
-            side: 1,
-        };
+        let far = LinkStream { inner: far, link: Arc::clone(&link), side: 1 };
         accept
             .send(NetStream::new(far))
             .await
             .map_err(|_closed| io::Error::from(io::ErrorKind::ConnectionRefused))?;
-        Ok(NetStream::new(LinkStream {
-            inner: near,
-            link,
-            side: 0,
-        }))
+        Ok(NetStream::new(LinkStream { inner: near, link, side: 0 }))
     }
 }
 
@@ -166,10 +151,7 @@
 
 impl Default for LinkState {
     fn default() -> Self {
-        Self {
-            mode: LinkMode::Open,
-            wakers: Default::default(),
-        }
+        Self { mode: LinkMode::Open, wakers: Default::default() }
     }
 }
 
--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -40,9 +40,7 @@
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    HttpHandler {
-        run: Arc::new(move |request| Box::pin(run(request))),
-    }
+    HttpHandler { run: Arc::new(move |request| Box::pin(run(request))) }
 }
 
 /// Limits that protect a server.
@@ -56,10 +54,7 @@
 
 impl Default for ServerLimits {
     fn default() -> Self {
-        Self {
-            max_connections: 4096,
-            header_timeout: Duration::from_secs(5),
-        }
+        Self { max_connections: 4096, header_timeout: Duration::from_secs(5) }
     }
 }
 
--- a/crates/dillspool_io/src/stack.rs
+++ b/crates/dillspool_io/src/stack.rs
@@ -27,9 +27,7 @@
 impl NetStream {
     /// Wraps a connection.
     pub fn new(inner: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) -> Self {
-        Self {
-            inner: Box::new(inner),
-        }
+        Self { inner: Box::new(inner) }
     }
 }
 
@@ -119,18 +117,12 @@
         connect: impl Fn(SocketAddr) -> BoxFuture<io::Result<NetStream>> + Send + Sync + 'static,
         listen: impl Fn(SocketAddr) -> BoxFuture<io::Result<NetListener>> + Send + Sync + 'static,
     ) -> Self {
-        Self {
-            connect: Arc::new(connect),
-            listen: Arc::new(listen),
-        }
+        Self { connect: Arc::new(connect), listen: Arc::new(listen) }
     }
 
     /// The system's TCP.
     pub fn tcp() -> Self {
-        Self::new(
-            |to| Box::pin(connect_tcp(to)),
-            |at| Box::pin(listen_tcp(at)),
-        )
+        Self::new(|to| Box::pin(connect_tcp(to)), |at| Box::pin(listen_tcp(at)))
     }
 
     /// Opens a connection.
--- a/crates/dillspool_ledger/src/call.rs
+++ b/crates/dillspool_ledger/src/call.rs
@@ -16,9 +16,7 @@
     /// The key of a group's call; the caller's text is hashed, so that its length is bounded.
     pub fn new(group: &str, idempotency_key: &str) -> Self {
         let digest = hex::encode(Sha256::digest(idempotency_key.as_bytes()));
-        Self {
-            row: format!("{ROW_PREFIX}{group}/{digest}").into(),
-        }
+        Self { row: format!("{ROW_PREFIX}{group}/{digest}").into() }
     }
 
     /// Key of the call's row in the table.
@@ -44,9 +42,6 @@
             digest.update(part.len().to_be_bytes());
             digest.update(part);
         }
-        Self {
-            key,
-            fingerprint: hex::encode(digest.finalize()).into(),
-        }
+        Self { key, fingerprint: hex::encode(digest.finalize()).into() }
     }
 }
--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -35,10 +35,7 @@
 
 impl Default for LedgerSettings {
     fn default() -> Self {
-        Self {
-            commit_spacing: Duration::from_millis(20),
-            begin_limit: Duration::from_secs(2),
-        }
+        Self { commit_spacing: Duration::from_millis(20), begin_limit: Duration::from_secs(2) }
     }
 }
 
@@ -165,32 +162,22 @@
         let mut expect = RowExpect::Absent;
         let mut unclear = false;
         loop {
-            let write = RowWrite {
-                key: Name::clone(request.key.row()),
-                expect,
-                value: record.text(),
-            };
+            let write =
+                RowWrite { key: Name::clone(request.key.row()), expect, value: record.text() };
             let judgement = match self.writer.write(write).await {
                 WriteOutcome::Written => RowJudgement::Own,
                 WriteOutcome::NotDone if !unclear => return BeginOutcome::NotRun,
                 WriteOutcome::NotDone | WriteOutcome::Conflict => {
-                    self.judge_again(&request, &token, expect, &mut unclear)
-                        .await
+                    self.judge_again(&request, &token, expect, &mut unclear).await
                 }
                 WriteOutcome::Unknown => {
                     unclear = true;
-                    self.judge_again(&request, &token, expect, &mut unclear)
-                        .await
+                    self.judge_again(&request, &token, expect, &mut unclear).await
                 }
             };
             match judgement {
                 RowJudgement::Own if begun.elapsed() < self.settings.begin_limit => {
-                    return BeginOutcome::Run(CallTicket {
-                        request,
-                        token,
-                        begun,
-                        record,
-                    });
+                    return BeginOutcome::Run(CallTicket { request, token, begun, record });
                 }
                 RowJudgement::Own => {
                     self.close_later(request, token);
@@ -257,11 +244,8 @@
 
     /// Records the answer of a call that ran; tries until it stands or the table stays away.
     pub async fn finish(&self, ticket: CallTicket, answer: RecordedAnswer) {
-        let record = CallRecord {
-            state: CallState::Answered,
-            answer: Some(answer),
-            ..ticket.record
-        };
+        let record =
+            CallRecord { state: CallState::Answered, answer: Some(answer), ..ticket.record };
         for _ in 0..FINISH_TRIES {
             // An intent is never superseded, so the row is this ticket's own.
             let write = RowWrite {
@@ -305,11 +289,7 @@
         let ledger = self.clone();
         tokio::spawn(async move {
             ledger.close(&request, &token).await;
-            ledger
-                .given_up
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .remove(&token);
+            ledger.given_up.lock().unwrap_or_else(PoisonError::into_inner).remove(&token);
         });
     }
 
@@ -347,11 +327,7 @@
             answer: None,
         };
         let key = Name::clone(request.key.row());
-        let write = RowWrite {
-            key,
-            expect,
-            value: record.text(),
-        };
+        let write = RowWrite { key, expect, value: record.text() };
         self.writer.write(write).await == WriteOutcome::Written
     }
 }
--- a/crates/dillspool_ledger/src/record.rs
+++ b/crates/dillspool_ledger/src/record.rs
@@ -32,11 +32,7 @@
 impl RecordedAnswer {
     /// Records an answer.
     pub fn new(status: u16, content_type: &str, body: &[u8]) -> Self {
-        Self {
-            status,
-            content_type: content_type.into(),
-            body: hex::encode(body).into(),
-        }
+        Self { status, content_type: content_type.into(), body: hex::encode(body).into() }
     }
 
     /// The body's bytes.
--- a/crates/dillspool_ledger/src/sweep.rs
+++ b/crates/dillspool_ledger/src/sweep.rs
@@ -25,10 +25,7 @@
 
 impl Default for RetentionTimes {
     fn default() -> Self {
-        Self {
-            answer: Duration::from_hours(24),
-            key: Duration::from_hours(24 * 30),
-        }
+        Self { answer: Duration::from_hours(24), key: Duration::from_hours(24 * 30) }
     }
 }
 
@@ -54,11 +51,7 @@
     times: RetentionTimes,
     after: Name,
 ) -> Result<SweepPage, PlatformError> {
-    let request = ScanRequest {
-        prefix: ROW_PREFIX.into(),
-        after,
-        limit: PAGE_ROWS,
-    };
+    let request = ScanRequest { prefix: ROW_PREFIX.into(), after, limit: PAGE_ROWS };
     let reply = (table.scan)(request).await?;
     let next = match reply.rows.last() {
         Some(last) if reply.rows.len() == PAGE_ROWS => Name::clone(&last.key),
@@ -92,35 +85,19 @@
     let expect = RowExpect::Version(scanned.row.version);
     let key = Name::clone(&scanned.key);
     if age >= times.key {
-        return Some(RowWrite {
-            key,
-            expect,
-            value: None,
-        });
+        return Some(RowWrite { key, expect, value: None });
     }
     let droppable = match record.state {
         CallState::Answered | CallState::Intent => true,
         // Proven not run: the key may be used again at any time.
         CallState::NotRun => {
-            return (age >= times.answer).then_some(RowWrite {
-                key,
-                expect,
-                value: None,
-            });
+            return (age >= times.answer).then_some(RowWrite { key, expect, value: None });
         }
         CallState::Expired => false,
     };
     if !droppable || age < times.answer {
         return None;
     }
-    let expired = CallRecord {
-        state: CallState::Expired,
-        answer: None,
-        ..record
-    };
-    Some(RowWrite {
-        key,
-        expect,
-        value: expired.text(),
-    })
+    let expired = CallRecord { state: CallState::Expired, answer: None, ..record };
+    Some(RowWrite { key, expect, value: expired.text() })
 }
--- a/crates/dillspool_ledger/tests/ledger_faults.rs
+++ b/crates/dillspool_ledger/tests/ledger_faults.rs
@@ -14,12 +14,7 @@
 const START: UnixMillis = UnixMillis(1_700_000_000_000);
 
 fn request(body: &str) -> CallRequest {
-    CallRequest::new(
-        CallKey::new("stations", "r-1"),
-        "POST",
-        "/readings",
-        body.as_bytes(),
-    )
+    CallRequest::new(CallKey::new("stations", "r-1"), "POST", "/readings", body.as_bytes())
 }
 
 fn answer() -> RecordedAnswer {
@@ -50,12 +45,7 @@
 const VERY_LATE: StoreFault = StoreFault::Late(Duration::from_secs(20));
 
 const COMMITS: [CommitRow; 8] = [
-    CommitRow {
-        name: "no fault",
-        faults: &[],
-        first_runs: true,
-        resend_runs: false,
-    },
+    CommitRow { name: "no fault", faults: &[], first_runs: true, resend_runs: false },
     CommitRow {
         name: "refused: nothing was written",
         faults: &[StoreFault::Refuse],
@@ -166,10 +156,7 @@
         begins.spawn(async move { ledger.begin(request("41")).await });
     }
     let outcomes = begins.join_all().await;
-    let runs = outcomes
-        .iter()
-        .filter(|it| matches!(it, BeginOutcome::Run(_)))
-        .count();
+    let runs = outcomes.iter().filter(|it| matches!(it, BeginOutcome::Run(_))).count();
     assert_eq!(runs, 1, "{outcomes:?}");
 }
 
@@ -185,21 +172,12 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_store_that_is_out_means_not_run_and_the_key_stays_free() {
-    let outages = [
-        StoreFault::Refuse,
-        StoreFault::LoseCall,
-        StoreFault::LoseAnswer,
-        VERY_LATE,
-    ];
+    let outages = [StoreFault::Refuse, StoreFault::LoseCall, StoreFault::LoseAnswer, VERY_LATE];
     for outage in outages {
         let table = MemoryTable::new();
         table.set_outage(outage);
         let first = ledger(&table, "entry-1.1");
-        assert_matches!(
-            first.begin(request("41")).await,
-            BeginOutcome::NotRun,
-            "{outage:?}"
-        );
+        assert_matches!(first.begin(request("41")).await, BeginOutcome::NotRun, "{outage:?}");
         tokio::time::sleep(Duration::from_mins(1)).await;
         table.set_outage(StoreFault::None);
         // The host that gave up closes its attempt once the store is back.
--- a/crates/dillspool_ledger/tests/ledger_interleavings.rs
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -79,13 +79,13 @@
 }
 
 fn outage() -> impl Strategy<Value = Option<Outage>> {
-    proptest::option::of((0_u64..5000, 1_u64..10_000, fault()).prop_map(
-        |(from_ms, for_ms, fault)| Outage {
+    proptest::option::of(
+        (0_u64..5000, 1_u64..10_000, fault()).prop_map(|(from_ms, for_ms, fault)| Outage {
             from_ms,
             for_ms,
             fault,
-        },
-    ))
+        }),
+    )
 }
 
 fn interleaving() -> impl Strategy<Value = Interleaving> {
@@ -94,11 +94,7 @@
         proptest::collection::vec(fault(), 0..10),
         outage(),
     )
-        .prop_map(|(attempts, faults, outage)| Interleaving {
-            attempts,
-            faults,
-            outage,
-        })
+        .prop_map(|(attempts, faults, outage)| Interleaving { attempts, faults, outage })
 }
 
 fn request() -> CallRequest {
@@ -177,11 +173,7 @@
     let backend = Backend::default();
     let mut attempts = tokio::task::JoinSet::new();
     for attempt in interleaving.attempts {
-        attempts.spawn(carry_out(
-            ledgers[attempt.host].clone(),
-            backend.clone(),
-            attempt,
-        ));
+        attempts.spawn(carry_out(ledgers[attempt.host].clone(), backend.clone(), attempt));
     }
     let used: Vec<bool> = attempts.join_all().await;
     assert!(backend.runs() <= 1, "the call ran {} times", backend.runs());
--- a/crates/dillspool_local/src/caller.rs
+++ b/crates/dillspool_local/src/caller.rs
@@ -63,9 +63,7 @@
 /// The answer that the stand-in engines give to a user's message.
 pub fn expected_answer(text: &str, tokens: u64) -> String {
     let prompt = chat_prompt(text);
-    (0..tokens)
-        .map(|index| token_text(&prompt, index))
-        .collect()
+    (0..tokens).map(|index| token_text(&prompt, index)).collect()
 }
 
 /// A caller of one group.
@@ -78,10 +76,7 @@
 impl CallerClient {
     /// A caller with a key.
     pub fn new(stack: &NetStack, key: impl Into<String>) -> Self {
-        Self {
-            http: HttpClient::single_use(stack),
-            key: key.into(),
-        }
+        Self { http: HttpClient::single_use(stack), key: key.into() }
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
@@ -102,11 +97,7 @@
             "max_tokens": call.max_tokens,
             "stream": call.stream,
         });
-        let request = self.request(
-            Method::POST,
-            "/v1/chat/completions",
-            body.to_string().into(),
-        );
+        let request = self.request(Method::POST, "/v1/chat/completions", body.to_string().into());
         let sent = Instant::now();
         let mut outcome = CallOutcome::default();
         if let Ok(response) = self.http.send(host, request).await {
@@ -155,26 +146,17 @@
         return;
     }
     outcome.ended = true;
-    if let Some(content) = body
-        .pointer("/choices/0/message/content")
-        .and_then(Value::as_str)
-    {
+    if let Some(content) = body.pointer("/choices/0/message/content").and_then(Value::as_str) {
         content.clone_into(&mut outcome.text);
-        outcome.tokens = body
-            .pointer("/usage/completion_tokens")
-            .and_then(Value::as_u64)
-            .unwrap_or(0);
+        outcome.tokens =
+            body.pointer("/usage/completion_tokens").and_then(Value::as_u64).unwrap_or(0);
     } else {
         outcome.text = String::from_utf8_lossy(&bytes).into_owned();
     }
 }
 
 fn note_problem(body: &Value, outcome: &mut CallOutcome) {
-    let text = |pointer: &str| {
-        body.pointer(pointer)
-            .and_then(Value::as_str)
-            .map(str::to_owned)
-    };
+    let text = |pointer: &str| body.pointer(pointer).and_then(Value::as_str).map(str::to_owned);
     outcome.outcome = text("/outcome");
     outcome.code = text("/error/code");
     outcome.retry_after_ms = body.pointer("/retry_after_ms").and_then(Value::as_u64);
@@ -204,9 +186,7 @@
                 note_problem(&event, outcome);
                 continue;
             }
-            let Some(text) = event
-                .pointer("/choices/0/delta/content")
-                .and_then(Value::as_str)
+            let Some(text) = event.pointer("/choices/0/delta/content").and_then(Value::as_str)
             else {
                 continue;
             };
--- a/crates/dillspool_local/src/cluster.rs
+++ b/crates/dillspool_local/src/cluster.rs
@@ -105,12 +105,7 @@
         let kv_sizes: BTreeMap<Name, (u64, u32)> = configuration
             .pool
             .iter()
-            .map(|pool| {
-                (
-                    Name::clone(&pool.name),
-                    (pool.kv_bytes_per_token, pool.kv_lifetime_ms),
-                )
-            })
+            .map(|pool| (Name::clone(&pool.name), (pool.kv_bytes_per_token, pool.kv_lifetime_ms)))
             .collect();
         for entry in &mut configuration.backend {
             nodes += 1;
@@ -129,11 +124,8 @@
         for group in &mut configuration.group {
             group.key_hashes = vec![hash_key(&caller_key(&group.name))];
         }
-        let mut failure_domains: Vec<Name> = configuration
-            .backend
-            .iter()
-            .map(|it| Name::clone(&it.failure_domain))
-            .collect();
+        let mut failure_domains: Vec<Name> =
+            configuration.backend.iter().map(|it| Name::clone(&it.failure_domain)).collect();
         failure_domains.sort();
         failure_domains.dedup();
         let clock = net.clock();
@@ -160,17 +152,11 @@
         self.nodes += 1;
         let node = self.net.address(self.nodes);
         let domain = self.hosts.len() % self.failure_domains.len().max(1);
-        let failure_domain = self
-            .failure_domains
-            .get(domain)
-            .cloned()
-            .unwrap_or_else(|| "local".into());
+        let failure_domain =
+            self.failure_domains.get(domain).cloned().unwrap_or_else(|| "local".into());
         let settings = self.settings(name, &failure_domain, node);
         let stack = self.net.stack(node);
-        let environment = HostEnvironment {
-            stack,
-            clock: self.clock.clone(),
-        };
+        let environment = HostEnvironment { stack, clock: self.clock.clone() };
         let daemon = match HostDaemon::start(settings, environment).await {
             Ok(daemon) => daemon,
             Err(error) => panic!("host {name} does not start: {error}"),
@@ -245,9 +231,7 @@
             .body(Full::new(body));
         let request = request.unwrap_or_else(|error| panic!("bad request: {error}"));
         let exchange = async {
-            let response = http
-                .send(self.hosts[host].addresses.operators, request)
-                .await?;
+            let response = http.send(self.hosts[host].addresses.operators, request).await?;
             let status = response.status().as_u16();
             let bytes = read_body(response.into_body(), ADMIN_REPLY_LIMIT).await;
             Ok::<_, dillspool_io::HttpError>((status, bytes.unwrap_or_default()))
@@ -268,11 +252,7 @@
             Ok(text) => text,
             Err(error) => panic!("the configuration is no TOML: {error}"),
         };
-        let body = serde_json::to_vec(&ApplyRequest {
-            expected: None,
-            text,
-        })
-        .unwrap_or_default();
+        let body = serde_json::to_vec(&ApplyRequest { expected: None, text }).unwrap_or_default();
         self.admin(host, Method::POST, "/apply", body.into()).await
     }
 
@@ -304,20 +284,14 @@
             {
                 return;
             }
-            assert!(
-                tokio::time::Instant::now() < deadline,
-                "not in force in time: {status:?}"
-            );
+            assert!(tokio::time::Instant::now() < deadline, "not in force in time: {status:?}");
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
     }
 
     /// Streams that engines hold memory for.
     pub fn held_streams(&self) -> usize {
-        self.engines
-            .values()
-            .map(|engine| engine.held_streams().len())
-            .sum()
+        self.engines.values().map(|engine| engine.held_streams().len()).sum()
     }
 
     /// Ends everything.
@@ -339,10 +313,10 @@
 
 fn engine_model(entry: &BackendEntry, kv: Option<(u64, u32)>) -> EngineModel {
     let default = EngineModel::default();
-    let (kv_bytes_per_token, kv_lifetime) = kv.map_or(
-        (default.kv_bytes_per_token, default.kv_lifetime),
-        |(bytes, lifetime_ms)| (bytes, Duration::from_millis(lifetime_ms.into())),
-    );
+    let (kv_bytes_per_token, kv_lifetime) = kv
+        .map_or((default.kv_bytes_per_token, default.kv_lifetime), |(bytes, lifetime_ms)| {
+            (bytes, Duration::from_millis(lifetime_ms.into()))
+        });
     EngineModel {
         slots: entry.slots,
         prefill_tokens_per_s: entry.prefill_tokens_per_s,
--- a/crates/dillspool_local/tests/common/mod.rs
+++ b/crates/dillspool_local/tests/common/mod.rs
@@ -60,11 +60,7 @@
     pub async fn scheduler(&self) -> usize {
         let status = self.cluster.status(0).await;
         let name = &status.pools[0].scheduler;
-        let found = self
-            .cluster
-            .hosts
-            .iter()
-            .position(|host| host.host() == name);
+        let found = self.cluster.hosts.iter().position(|host| host.host() == name);
         found.unwrap_or_else(|| panic!("{name} is no host"))
     }
 
@@ -81,21 +77,12 @@
 
     /// How often a body ran on the plain services.
     pub fn runs(&self, body: &str) -> u64 {
-        self.cluster
-            .plains
-            .values()
-            .filter_map(|plain| plain.runs().get(body).copied())
-            .sum()
+        self.cluster.plains.values().filter_map(|plain| plain.runs().get(body).copied()).sum()
     }
 }
 
 pub fn chat(text: &str, max_tokens: u64) -> ChatCall {
-    ChatCall {
-        model: "small".to_owned(),
-        text: text.to_owned(),
-        max_tokens,
-        stream: true,
-    }
+    ChatCall { model: "small".to_owned(), text: text.to_owned(), max_tokens, stream: true }
 }
 
 /// The whole answer to its own request, to the letter.
--- a/crates/dillspool_local/tests/path.rs
+++ b/crates/dillspool_local/tests/path.rs
@@ -11,10 +11,7 @@
     let caller = system.caller("alerts");
     for host in 0..3 {
         for stream in [true, false] {
-            let call = ChatCall {
-                stream,
-                ..chat(&format!("host {host}"), TOKENS)
-            };
+            let call = ChatCall { stream, ..chat(&format!("host {host}"), TOKENS) };
             let outcome = caller.chat(system.host(host), &call).await;
             assert_whole(&outcome, &call.text, TOKENS);
         }
@@ -81,10 +78,8 @@
     let system = TestSystem::start().await;
     for row in &REFUSALS {
         let caller = CallerClient::new(&system.cluster.client_stack(), row.key);
-        let call = ChatCall {
-            model: row.model.to_owned(),
-            ..chat(&"x".repeat(row.text_bytes), TOKENS)
-        };
+        let call =
+            ChatCall { model: row.model.to_owned(), ..chat(&"x".repeat(row.text_bytes), TOKENS) };
         let outcome: CallOutcome = caller.chat(system.host(0), &call).await;
         assert_eq!(outcome.status, row.status, "{}: {outcome:?}", row.name);
         assert_eq!(outcome.code.as_deref(), Some(row.code), "{}", row.name);
@@ -97,21 +92,11 @@
     let system = TestSystem::start().await;
     let caller = system.caller("alerts");
     // 25,000 tokens take more than a second to prefill; the target is 400 ms.
-    let outcome = caller
-        .chat(system.host(0), &chat(&"x".repeat(100_000), TOKENS))
-        .await;
+    let outcome = caller.chat(system.host(0), &chat(&"x".repeat(100_000), TOKENS)).await;
     assert_eq!(outcome.status, 429, "{outcome:?}");
     assert_eq!(outcome.outcome.as_deref(), Some("not_run"));
     assert!(outcome.retry_after_ms.is_some());
-    assert!(
-        outcome.total < std::time::Duration::from_millis(100),
-        "{outcome:?}"
-    );
-    let prefills: u64 = system
-        .cluster
-        .engines
-        .values()
-        .map(|it| it.prefill_counts().0)
-        .sum();
+    assert!(outcome.total < std::time::Duration::from_millis(100), "{outcome:?}");
+    let prefills: u64 = system.cluster.engines.values().map(|it| it.prefill_counts().0).sum();
     assert_eq!(prefills, 0);
 }
--- a/crates/dillspool_local/tests/unrepeatable_calls.rs
+++ b/crates/dillspool_local/tests/unrepeatable_calls.rs
@@ -115,16 +115,9 @@
 #[tokio::test(start_paused = true)]
 async fn unreachable_services_mean_not_run_and_the_key_stays_free() {
     let system = TestSystem::start().await;
-    let links: Vec<_> = system
-        .cluster
-        .plains
-        .values()
-        .map(|it| it.address().ip())
-        .collect();
+    let links: Vec<_> = system.cluster.plains.values().map(|it| it.address().ip()).collect();
     for ip in &links {
-        system
-            .net
-            .set_link(system.cluster.host_ip(0), *ip, LinkMode::Cut);
+        system.net.set_link(system.cluster.host_ip(0), *ip, LinkMode::Cut);
     }
     let caller = system.caller("alerts");
     let sent = caller.plain(system.host(0), "/readings", KEY, BODY).await;
--- a/crates/dillspool_peer/src/codec.rs
+++ b/crates/dillspool_peer/src/codec.rs
@@ -29,10 +29,7 @@
     let mut bytes = Vec::with_capacity(128);
     match ciborium::into_writer(message, &mut bytes) {
         Ok(()) => Ok(bytes.into()),
-        Err(error) => MalformedSnafu {
-            reason: error.to_string(),
-        }
-        .fail(),
+        Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
     }
 }
 
@@ -44,10 +41,7 @@
 pub fn decode_message(bytes: &[u8]) -> Result<PeerMessage, PeerError> {
     match ciborium::from_reader(bytes) {
         Ok(message) => Ok(message),
-        Err(error) => MalformedSnafu {
-            reason: error.to_string(),
-        }
-        .fail(),
+        Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
     }
 }
 
@@ -67,8 +61,7 @@
 
 impl ControlBytes {
     fn add(&self, bytes: usize) {
-        self.count
-            .fetch_add(bytes as u64 + FRAME_BYTES, Ordering::Relaxed);
+        self.count.fetch_add(bytes as u64 + FRAME_BYTES, Ordering::Relaxed);
     }
 
     /// Bytes so far.
@@ -105,16 +98,7 @@
 
     pub(crate) fn split(self) -> (PeerSender, PeerReceiver) {
         let (sink, stream) = self.socket.split();
-        (
-            PeerSender {
-                sink,
-                bytes: self.bytes.clone(),
-            },
-            PeerReceiver {
-                stream,
-                bytes: self.bytes,
-            },
-        )
+        (PeerSender { sink, bytes: self.bytes.clone() }, PeerReceiver { stream, bytes: self.bytes })
     }
 }
 
@@ -124,10 +108,7 @@
         self.bytes.add(bytes.len());
         match self.sink.send(Message::Binary(bytes)).await {
             Ok(()) => Ok(()),
-            Err(error) => ConnectionSnafu {
-                reason: error.to_string(),
-            }
-            .fail(),
+            Err(error) => ConnectionSnafu { reason: error.to_string() }.fail(),
         }
     }
 }
@@ -138,10 +119,7 @@
             let message = match self.stream.next().await {
                 Some(Ok(message)) => message,
                 Some(Err(error)) => {
-                    return ConnectionSnafu {
-                        reason: error.to_string(),
-                    }
-                    .fail();
+                    return ConnectionSnafu { reason: error.to_string() }.fail();
                 }
                 None => return ConnectionSnafu { reason: "closed" }.fail(),
             };
--- a/crates/dillspool_peer/src/dialer.rs
+++ b/crates/dillspool_peer/src/dialer.rs
@@ -77,10 +77,7 @@
 ) -> Result<(), PeerError> {
     let greeting = tokio::time::timeout(links.settings.silence, greet(links, address));
     let Ok(greeted) = greeting.await else {
-        return ConnectionSnafu {
-            reason: "no greeting in time",
-        }
-        .fail();
+        return ConnectionSnafu { reason: "no greeting in time" }.fail();
     };
     let (mut sender, mut receiver, peer) = greeted?;
     if peer.host != *host {
@@ -90,10 +87,7 @@
     for report in (links.handlers.placements)() {
         sender.send(&PeerMessage::Held(report)).await?;
     }
-    let unknown = HeartbeatMessage {
-        config: 0,
-        draining: false,
-    };
+    let unknown = HeartbeatMessage { config: 0, draining: false };
     links.view.note_heartbeat(host, peer.incarnation, &unknown);
     links.view.note_link(host, true);
     *pause = pauses.build();
@@ -106,23 +100,14 @@
     address: SocketAddr,
 ) -> Result<(PeerSender, PeerReceiver, ProvenPeer), PeerError> {
     let failed = |reason: String| PeerError::Connection { reason };
-    let stream = links
-        .stack
-        .connect(address)
-        .await
-        .map_err(|error| failed(error.to_string()))?;
+    let stream = links.stack.connect(address).await.map_err(|error| failed(error.to_string()))?;
     let url = format!("ws://{address}/peer");
     let (socket, _) = client_async_with_config(url, stream, Some(websocket_config()))
         .await
         .map_err(|error| failed(error.to_string()))?;
     let (mut sender, mut receiver) = PeerChannel::new(socket, links.bytes.clone()).split();
-    let peer = exchange_hello(
-        &links.identity,
-        PeerSide::Dialer,
-        &mut sender,
-        &mut receiver,
-    )
-    .await?;
+    let peer =
+        exchange_hello(&links.identity, PeerSide::Dialer, &mut sender, &mut receiver).await?;
     Ok((sender, receiver, peer))
 }
 
@@ -186,9 +171,7 @@
 ) -> Option<PeerMessage> {
     match message {
         PeerMessage::Beat(beat) => {
-            links
-                .view
-                .note_heartbeat(&peer.host, peer.incarnation, &beat);
+            links.view.note_heartbeat(&peer.host, peer.incarnation, &beat);
             return even_out(links, &beat);
         }
         PeerMessage::Answer(answer) => {
--- a/crates/dillspool_peer/src/hello.rs
+++ b/crates/dillspool_peer/src/hello.rs
@@ -73,10 +73,7 @@
     sender.send(&PeerMessage::Hello(own.clone())).await?;
     let greeting = expect_hello(receiver).await?;
     if greeting.version.abs_diff(PROTOCOL_VERSION) > 1 {
-        return Err(PeerError::Version {
-            theirs: greeting.version,
-            ours: PROTOCOL_VERSION,
-        });
+        return Err(PeerError::Version { theirs: greeting.version, ours: PROTOCOL_VERSION });
     }
     own.proof = prove(identity, side, &own, greeting.nonce);
     sender.send(&PeerMessage::Hello(own)).await?;
@@ -85,10 +82,7 @@
     let same = greeting.host == proven.host && greeting.incarnation == proven.incarnation;
     let valid: bool = expected.as_bytes().ct_eq(proven.proof.as_bytes()).into();
     if same && valid {
-        Ok(ProvenPeer {
-            host: proven.host,
-            incarnation: proven.incarnation,
-        })
+        Ok(ProvenPeer { host: proven.host, incarnation: proven.incarnation })
     } else {
         Err(PeerError::Proof)
     }
@@ -97,22 +91,14 @@
 async fn expect_hello(receiver: &mut PeerReceiver) -> Result<HelloMessage, PeerError> {
     match receiver.receive().await? {
         PeerMessage::Hello(hello) => Ok(hello),
-        _other => MalformedSnafu {
-            reason: "a message before the hello",
-        }
-        .fail(),
+        _other => MalformedSnafu { reason: "a message before the hello" }.fail(),
     }
 }
 
 /// The proof of the host that says `hello` on `side`, against the other side's nonce.
 fn prove(identity: &PeerIdentity, side: PeerSide, hello: &HelloMessage, against: u64) -> Name {
-    let text = format!(
-        "{}|{}|{}|{}|{against}",
-        side.label(),
-        hello.host,
-        hello.incarnation,
-        hello.nonce
-    );
+    let text =
+        format!("{}|{}|{}|{}|{against}", side.label(), hello.host, hello.incarnation, hello.nonce);
     let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(identity.key.expose().as_bytes()) else {
         unreachable!("HMAC takes keys of any length");
     };
--- a/crates/dillspool_peer/src/links.rs
+++ b/crates/dillspool_peer/src/links.rs
@@ -66,10 +66,7 @@
 
 impl Default for LinkSettings {
     fn default() -> Self {
-        Self {
-            heartbeat: Duration::from_secs(1),
-            silence: Duration::from_secs(3),
-        }
+        Self { heartbeat: Duration::from_secs(1), silence: Duration::from_secs(3) }
     }
 }
 
@@ -114,15 +111,7 @@
         view: HostView,
     ) -> Self {
         let bytes = ControlBytes::default();
-        Self {
-            stack,
-            identity,
-            handlers,
-            settings,
-            view,
-            bytes,
-            links: Arc::default(),
-        }
+        Self { stack, identity, handlers, settings, view, bytes, links: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, LinkHandle>> {
@@ -154,19 +143,9 @@
             };
             let (outbox, orders) = mpsc::channel(OUTBOX_LIMIT);
             let cancel = cancel.child_token();
-            let link = LinkHandle {
-                address: Name::clone(address),
-                outbox,
-                cancel: cancel.clone(),
-            };
+            let link = LinkHandle { address: Name::clone(address), outbox, cancel: cancel.clone() };
             links.insert(Name::clone(host), link);
-            tokio::spawn(keep_link(
-                self.clone(),
-                Name::clone(host),
-                to,
-                orders,
-                cancel,
-            ));
+            tokio::spawn(keep_link(self.clone(), Name::clone(host), to, orders, cancel));
         }
     }
 
@@ -212,28 +191,36 @@
         Ok(())
     }
 
+    /// Tells a host all placements that this host holds in a pool.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NotConnected`]; the next connection reports again.
+    pub fn report(&self, host: &str, report: PlacementReport) -> Result<(), PeerError> {
+        let order = LinkOrder::Send(PeerMessage::Held(report));
+        if self.outbox(host)?.try_send(order).is_err() {
+            return NotConnectedSnafu { host }.fail();
+        }
+        Ok(())
+    }
+
     /// Whether any connected peer has heard of an incarnation of a host within the lease time.
     ///
     /// `None` when no peer answered.
     pub async fn ask_liveness(&self, host: &Name, incarnation: u64) -> Option<bool> {
-        let outboxes: Vec<mpsc::Sender<LinkOrder>> = self
-            .lock()
-            .values()
-            .map(|link| link.outbox.clone())
-            .collect();
+        let linked = self.view.linked_hosts();
+        let outboxes: Vec<mpsc::Sender<LinkOrder>> = {
+            let links = self.lock();
+            let asked = linked.iter().filter(|peer| *peer != host);
+            asked.filter_map(|peer| Some(links.get(peer)?.outbox.clone())).collect()
+        };
         let mut answers = tokio::task::JoinSet::new();
         for outbox in outboxes {
-            let query = LivenessQuery {
-                host: Name::clone(host),
-                incarnation,
-            };
+            let query = LivenessQuery { host: Name::clone(host), incarnation };
             answers.spawn(async move {
                 let (sender, receiver) = oneshot::channel();
                 outbox.try_send(LinkOrder::Liveness(query, sender)).ok()?;
-                tokio::time::timeout(LIVENESS_LIMIT, receiver)
-                    .await
-                    .ok()?
-                    .ok()
+                tokio::time::timeout(LIVENESS_LIMIT, receiver).await.ok()?.ok()
             });
         }
         let mut heard = None;
--- a/crates/dillspool_peer/src/listener.rs
+++ b/crates/dillspool_peer/src/listener.rs
@@ -44,10 +44,7 @@
 async fn serve_peer(links: &PeerLinks, stream: NetStream) -> Result<(), PeerError> {
     let greeting = tokio::time::timeout(links.settings.silence, greet(links, stream));
     let Ok(greeted) = greeting.await else {
-        return ConnectionSnafu {
-            reason: "no greeting in time",
-        }
-        .fail();
+        return ConnectionSnafu { reason: "no greeting in time" }.fail();
     };
     let (mut sender, mut receiver, peer) = greeted?;
     let (answers, mut outbox) = mpsc::channel::<PeerMessage>(ANSWER_LIMIT);
@@ -77,20 +74,12 @@
     let socket = match accept_async_with_config(stream, Some(websocket_config())).await {
         Ok(socket) => socket,
         Err(error) => {
-            return ConnectionSnafu {
-                reason: error.to_string(),
-            }
-            .fail();
+            return ConnectionSnafu { reason: error.to_string() }.fail();
         }
     };
     let (mut sender, mut receiver) = PeerChannel::new(socket, links.bytes.clone()).split();
-    let peer = exchange_hello(
-        &links.identity,
-        PeerSide::Acceptor,
-        &mut sender,
-        &mut receiver,
-    )
-    .await?;
+    let peer =
+        exchange_hello(&links.identity, PeerSide::Acceptor, &mut sender, &mut receiver).await?;
     Ok((sender, receiver, peer))
 }
 
@@ -104,9 +93,7 @@
     let handlers = &links.handlers;
     match message {
         PeerMessage::Beat(beat) => {
-            links
-                .view
-                .note_heartbeat(&peer.host, peer.incarnation, &beat);
+            links.view.note_heartbeat(&peer.host, peer.incarnation, &beat);
             Some(PeerMessage::Beat((handlers.heartbeat)()))
         }
         PeerMessage::Ask(ask) => {
@@ -130,11 +117,7 @@
         PeerMessage::Heard(query) => {
             let alive = links.view.judge(&query.host, query.incarnation) == OwnerJudgement::Alive;
             let (host, incarnation) = (query.host, query.incarnation);
-            Some(PeerMessage::Alive(LivenessAnswer {
-                host,
-                incarnation,
-                alive,
-            }))
+            Some(PeerMessage::Alive(LivenessAnswer { host, incarnation, alive }))
         }
         PeerMessage::Want(query) => (handlers.config)(query).map(PeerMessage::Config),
         PeerMessage::Config(transfer) => {
--- a/crates/dillspool_peer/src/view.rs
+++ b/crates/dillspool_peer/src/view.rs
@@ -59,13 +59,7 @@
             draining: false,
         };
         let started = Instant::now();
-        Self {
-            host,
-            failure_domain,
-            incarnation,
-            started,
-            state: Arc::new(Mutex::new(state)),
-        }
+        Self { host, failure_domain, incarnation, started, state: Arc::new(Mutex::new(state)) }
     }
 
     fn lock(&self) -> MutexGuard<'_, ViewState> {
@@ -77,40 +71,35 @@
         &self.host
     }
 
+    /// Start of this process, in milliseconds of Unix time.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Takes over the platform's host list.
     pub fn take_list(&self, entries: Vec<HostEntry>) {
         let mut state = self.lock();
-        state.entries = entries
-            .into_iter()
-            .map(|entry| (Name::clone(&entry.name), entry))
-            .collect();
+        state.entries =
+            entries.into_iter().map(|entry| (Name::clone(&entry.name), entry)).collect();
         state.list_read = Some(Instant::now());
     }
 
     /// Whether the host list was read within the lease time.
     pub fn is_list_fresh(&self) -> bool {
-        self.lock()
-            .list_read
-            .is_some_and(|at| at.elapsed() < LEASE_TIME)
+        self.lock().list_read.is_some_and(|at| at.elapsed() < LEASE_TIME)
     }
 
     /// Names of the hosts on the list.
     pub fn listed_hosts(&self) -> Vec<Name> {
         let state = self.lock();
-        let hosts = state
-            .entries
-            .values()
-            .filter(|entry| entry.kind == HostKind::Host);
+        let hosts = state.entries.values().filter(|entry| entry.kind == HostKind::Host);
         hosts.map(|entry| Name::clone(&entry.name)).collect()
     }
 
     /// Whether the list shows a backend server as leaving.
     pub fn is_leaving(&self, backend: &str) -> bool {
         let state = self.lock();
-        state
-            .entries
-            .get(backend)
-            .is_some_and(|entry| entry.state == HostState::Leaving)
+        state.entries.get(backend).is_some_and(|entry| entry.state == HostState::Leaving)
     }
 
     /// Notes a sign of life of a host.
@@ -140,6 +129,13 @@
         }
     }
 
+    /// Hosts to which this host's own connection is up.
+    pub fn linked_hosts(&self) -> Vec<Name> {
+        let state = self.lock();
+        let linked = state.peers.iter().filter(|(_, peer)| peer.linked);
+        linked.map(|(host, _)| Name::clone(host)).collect()
+    }
+
     /// Marks this host as draining.
     pub fn set_draining(&self) {
         self.lock().draining = true;
@@ -158,10 +154,7 @@
     /// Whether anyone was heard of within the lease time: a peer, or the platform.
     pub fn is_connected(&self) -> bool {
         let state = self.lock();
-        let heard = state
-            .peers
-            .values()
-            .any(|peer| peer.heard.elapsed() < LEASE_TIME);
+        let heard = state.peers.values().any(|peer| peer.heard.elapsed() < LEASE_TIME);
         let listed = state.list_read.is_some_and(|at| at.elapsed() < LEASE_TIME);
         heard || listed
     }
@@ -180,10 +173,7 @@
     /// Those of its failure domain, and the candidates for each pool: never all.
     pub fn dial_targets(&self, pools: &[Name]) -> BTreeMap<Name, Name> {
         let mut targets = BTreeMap::new();
-        let candidates: Vec<Name> = pools
-            .iter()
-            .flat_map(|pool| self.candidates(pool))
-            .collect();
+        let candidates: Vec<Name> = pools.iter().flat_map(|pool| self.candidates(pool)).collect();
         let state = self.lock();
         for entry in state.entries.values() {
             let near = entry.failure_domain == self.failure_domain;
@@ -199,9 +189,7 @@
     pub fn has_lost_link(&self, pools: &[Name]) -> bool {
         let targets = self.dial_targets(pools);
         let state = self.lock();
-        targets
-            .keys()
-            .any(|host| state.peers.get(host).is_none_or(|peer| !peer.linked))
+        targets.keys().any(|host| state.peers.get(host).is_none_or(|peer| !peer.linked))
     }
 
     /// The first hosts in rendezvous order for a pool, among the live ones of the list.
@@ -228,21 +216,14 @@
                 peer.linked && !peer.draining && peer.heard.elapsed() < LEASE_TIME
             })
         };
-        candidates
-            .iter()
-            .find(usable)
-            .map_or_else(|| Name::clone(&self.host), Name::clone)
+        candidates.iter().find(usable).map_or_else(|| Name::clone(&self.host), Name::clone)
     }
 
     /// What this host alone knows of an incarnation of a host.
     pub fn judge(&self, host: &str, incarnation: u64) -> OwnerJudgement {
         if host == &*self.host {
             let own = incarnation == self.incarnation;
-            return if own {
-                OwnerJudgement::Alive
-            } else {
-                OwnerJudgement::Dead
-            };
+            return if own { OwnerJudgement::Alive } else { OwnerJudgement::Dead };
         }
         let state = self.lock();
         match state.peers.get(host) {
--- a/crates/dillspool_platform/src/hosts.rs
+++ b/crates/dillspool_platform/src/hosts.rs
@@ -72,8 +72,6 @@
 impl HostList {
     /// The list at an address, reached over HTTP; each call ends within `limit`.
     pub fn http(client: &HttpClient, address: SocketAddr, limit: Duration) -> Self {
-        Self {
-            list: post(client, address, "/hosts/list", limit),
-        }
+        Self { list: post(client, address, "/hosts/list", limit) }
     }
 }
--- a/crates/dillspool_platform/src/memory.rs
+++ b/crates/dillspool_platform/src/memory.rs
@@ -59,15 +59,11 @@
 }
 
 fn lost() -> PlatformError {
-    PlatformError::Unknown {
-        reason: "the answer was lost".to_owned(),
-    }
+    PlatformError::Unknown { reason: "the answer was lost".to_owned() }
 }
 
 fn refused() -> PlatformError {
-    PlatformError::NotDone {
-        reason: "the service is down".to_owned(),
-    }
+    PlatformError::NotDone { reason: "the service is down".to_owned() }
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -107,11 +103,7 @@
         let mut state = locked(&self.state);
         state.usage.reads += 1;
         state.check_outage()?;
-        let rows = request
-            .keys
-            .iter()
-            .map(|key| state.rows.get(key).cloned())
-            .collect();
+        let rows = request.keys.iter().map(|key| state.rows.get(key).cloned()).collect();
         Ok(ReadReply { rows })
     }
 
@@ -127,10 +119,7 @@
             .filter(|(key, _)| **key != request.after)
             .take_while(|(key, _)| key.starts_with(&*request.prefix))
             .take(request.limit)
-            .map(|(key, row)| ScannedRow {
-                key: Name::clone(key),
-                row: row.clone(),
-            })
+            .map(|(key, row)| ScannedRow { key: Name::clone(key), row: row.clone() })
             .collect();
         Ok(ScanReply { rows })
     }
@@ -251,9 +240,7 @@
     /// Reads an object.
     pub fn get(&self, key: &Name) -> Result<ObjectReply, PlatformError> {
         self.check()?;
-        Ok(ObjectReply {
-            text: locked(&self.objects).get(key).cloned(),
-        })
+        Ok(ObjectReply { text: locked(&self.objects).get(key).cloned() })
     }
 
     /// Writes an object.
@@ -264,11 +251,7 @@
     }
 
     fn check(&self) -> Result<(), PlatformError> {
-        if *locked(&self.outage) {
-            Err(refused())
-        } else {
-            Ok(())
-        }
+        if *locked(&self.outage) { Err(refused()) } else { Ok(()) }
     }
 
     /// This store as a service.
@@ -311,9 +294,7 @@
 
     /// Reads the list.
     pub fn list(&self) -> HostListReply {
-        HostListReply {
-            entries: locked(&self.entries).values().cloned().collect(),
-        }
+        HostListReply { entries: locked(&self.entries).values().cloned().collect() }
     }
 
     /// This list as a service.
--- a/crates/dillspool_platform/src/table.rs
+++ b/crates/dillspool_platform/src/table.rs
@@ -165,9 +165,7 @@
     Arc::new(move |query| {
         let client = client.clone();
         Box::pin(async move {
-            let reply = client
-                .call(Method::POST, address, path, &query, limit)
-                .await?;
+            let reply = client.call(Method::POST, address, path, &query, limit).await?;
             Ok(reply)
         })
     })
--- a/crates/dillspool_pool/src/affinity.rs
+++ b/crates/dillspool_pool/src/affinity.rs
@@ -40,15 +40,9 @@
         let used = self.uses;
         // A first run stores the prompt; how much of it the next one shares is not known yet, so
         // expect one block until an observation tells.
-        let first = if cached > 0 {
-            cached
-        } else {
-            (dillspool_engine::BLOCK_TOKENS as u64).min(prompt)
-        };
-        let record = self
-            .records
-            .entry(prefix)
-            .or_insert(PrefixRecord { saved: first, used });
+        let first =
+            if cached > 0 { cached } else { (dillspool_engine::BLOCK_TOKENS as u64).min(prompt) };
+        let record = self.records.entry(prefix).or_insert(PrefixRecord { saved: first, used });
         record.used = used;
         if cached > 0 {
             record.saved = (record.saved * (100 - NEW_WEIGHT) + cached * NEW_WEIGHT) / 100;
--- a/crates/dillspool_pool/src/engines.rs
+++ b/crates/dillspool_pool/src/engines.rs
@@ -46,10 +46,7 @@
 
     /// Time to prefill a prompt, less what is probably cached.
     pub(crate) fn work_time(&self, prompt: u64, prefix: u64) -> Duration {
-        let saved = self
-            .memory
-            .expected_saving(prefix)
-            .min(prompt.saturating_sub(1));
+        let saved = self.memory.expected_saving(prefix).min(prompt.saturating_sub(1));
         time_at(prompt - saved, self.entry.prefill_tokens_per_s)
     }
 }
@@ -108,9 +105,7 @@
         };
         let room = u64::try_from(room.as_micros()).unwrap_or(u64::MAX);
         let limit = room / self.entry.step_per_stream_us.max(1);
-        u32::try_from(limit)
-            .unwrap_or(u32::MAX)
-            .clamp(1, self.entry.slots)
+        u32::try_from(limit).unwrap_or(u32::MAX).clamp(1, self.entry.slots)
     }
 
     /// Time of a step of a batch.
--- a/crates/dillspool_pool/src/queue.rs
+++ b/crates/dillspool_pool/src/queue.rs
@@ -73,11 +73,7 @@
         *finish = start + micros(request.cost) * TAG_SCALE / u64::from(share.max(1));
         class.waiting += 1;
         self.arrivals += 1;
-        let tag = QueueTag {
-            priority,
-            start,
-            arrival: self.arrivals,
-        };
+        let tag = QueueTag { priority, start, arrival: self.arrivals };
         self.by_stream.insert(request.message.stream.clone(), tag);
         self.order.insert(tag, request);
         tag
@@ -107,21 +103,13 @@
         });
         let mut tags: Vec<QueueTag> = owed.collect();
         tags.extend(
-            self.order
-                .keys()
-                .filter(|tag| !tags.contains(tag))
-                .copied()
-                .collect::<Vec<_>>(),
+            self.order.keys().filter(|tag| !tags.contains(tag)).copied().collect::<Vec<_>>(),
         );
         tags
     }
 
     fn head_of(&self, priority: u32) -> Option<QueueTag> {
-        let from = QueueTag {
-            priority,
-            start: 0,
-            arrival: 0,
-        };
+        let from = QueueTag { priority, start: 0, arrival: 0 };
         let (tag, _) = self.order.range(from..).next()?;
         (tag.priority == priority).then_some(*tag)
     }
@@ -177,9 +165,7 @@
     pub fn forget_idle(&mut self) {
         let classes = &self.classes;
         self.finish.retain(|(priority, _), finish| {
-            classes
-                .get(priority)
-                .is_some_and(|class| *finish > class.virtual_time)
+            classes.get(priority).is_some_and(|class| *finish > class.virtual_time)
         });
     }
 }
--- a/crates/dillspool_pool/src/scheduler.rs
+++ b/crates/dillspool_pool/src/scheduler.rs
@@ -172,9 +172,7 @@
     }
 
     pub(crate) fn was_asked_lately(&self) -> bool {
-        self.lock()
-            .last_asked
-            .is_some_and(|at| at.elapsed() < AWAKE_TIME)
+        self.lock().last_asked.is_some_and(|at| at.elapsed() < AWAKE_TIME)
     }
 }
 
@@ -201,13 +199,7 @@
     fn release_unused(&mut self, stream: StreamId, now: Instant) {
         use dillspool_schema::messages::ReleaseCause::Cancelled;
         let pool = "".into();
-        let message = ReleaseMessage {
-            stream,
-            pool,
-            cause: Cancelled,
-            tokens: 0,
-            cached: 0,
-        };
+        let message = ReleaseMessage { stream, pool, cause: Cancelled, tokens: 0, cached: 0 };
         self.state.release(&message, now);
     }
 }
--- a/crates/dillspool_pool/src/state.rs
+++ b/crates/dillspool_pool/src/state.rs
@@ -118,8 +118,7 @@
             self.decodes.insert(Name::clone(&entry.name), state);
         }
         let decodes = &self.decodes;
-        self.placements
-            .retain(|_, decode| decodes.contains_key(decode));
+        self.placements.retain(|_, decode| decodes.contains_key(decode));
     }
 
     /// Marks which backend servers the host list shows as leaving.
@@ -168,18 +167,11 @@
 
     /// Share of the pool's time that a request takes: prefill and slot time in one figure.
     fn cost(&self, message: &ReserveMessage) -> Duration {
-        let rate: u64 = self
-            .prefills
-            .iter()
-            .map(|it| it.entry.prefill_tokens_per_s)
-            .sum();
+        let rate: u64 = self.prefills.iter().map(|it| it.entry.prefill_tokens_per_s).sum();
         let slots: u32 = self.decodes.values().map(|it| it.entry.slots).sum();
         let prefill = time_at(message.prompt, rate);
-        let step = self
-            .decodes
-            .values()
-            .next()
-            .map_or(Duration::ZERO, |it| it.step_time(it.entry.slots));
+        let step =
+            self.decodes.values().next().map_or(Duration::ZERO, |it| it.step_time(it.entry.slots));
         let hold = step * u32::try_from(message.output).unwrap_or(u32::MAX);
         prefill + hold / slots.max(1)
     }
@@ -256,11 +248,7 @@
                 best = Some(PlacementChoice {
                     prefill: index,
                     decode: Name::clone(name),
-                    start: if message.prefilled.is_some() {
-                        now
-                    } else {
-                        prefill.free_at.max(now)
-                    },
+                    start: if message.prefilled.is_some() { now } else { prefill.free_at.max(now) },
                     ready,
                     link_until,
                     first_token,
@@ -309,17 +297,9 @@
             prefix: message.prefix,
         };
         decode.holds.insert(message.stream.clone(), hold);
-        self.placements
-            .insert(message.stream.clone(), Name::clone(&choice.decode));
-        let grant = PlacementGrant {
-            prefill: prefill_name,
-            decode: Name::clone(&choice.decode),
-        };
-        Some(ReserveAnswer {
-            stream: message.stream,
-            grant: Some(grant),
-            refusal: None,
-        })
+        self.placements.insert(message.stream.clone(), Name::clone(&choice.decode));
+        let grant = PlacementGrant { prefill: prefill_name, decode: Name::clone(&choice.decode) };
+        Some(ReserveAnswer { stream: message.stream, grant: Some(grant), refusal: None })
     }
 
     fn give_up(&mut self, tag: &QueueTag, cause: RefuseCause, retry: Duration) -> ReserveAnswer {
@@ -357,9 +337,7 @@
 
     fn free_slots(&self, per_token: Duration, now: Instant) -> u32 {
         let usable = self.decodes.values().filter(|it| it.is_usable(now));
-        usable
-            .map(|it| it.batch_limit(per_token).saturating_sub(it.used()))
-            .sum()
+        usable.map(|it| it.batch_limit(per_token).saturating_sub(it.used())).sum()
     }
 
     /// When to pump again if nothing happens before, `None` when nothing waits.
@@ -367,10 +345,7 @@
         if self.queue.is_empty() {
             return None;
         }
-        let starts = self
-            .prefills
-            .iter()
-            .filter_map(|it| it.free_at.checked_sub(LOOKAHEAD));
+        let starts = self.prefills.iter().filter_map(|it| it.free_at.checked_sub(LOOKAHEAD));
         let next = starts.filter(|start| *start > now).min();
         let latest = now + LONGEST_NAP;
         Some(next.map_or(latest, |next| next.min(latest)))
@@ -381,8 +356,7 @@
         if let Some(tag) = self.queue.tag_of(&message.stream) {
             self.give_up(&tag, RefuseCause::TooLate, RETRY_RANGE.0);
         }
-        self.released
-            .retain(|_, at| now.duration_since(*at) < TOMBSTONE_TIME);
+        self.released.retain(|_, at| now.duration_since(*at) < TOMBSTONE_TIME);
         self.released.insert(message.stream.clone(), now);
         let Some(name) = self.placements.remove(&message.stream) else {
             return;
@@ -405,18 +379,13 @@
             let kept = self.mean_hold * (HOLD_SMOOTHING - 1);
             self.mean_hold = (kept + newest) / HOLD_SMOOTHING;
         }
-        let prefill = self
-            .prefills
-            .iter_mut()
-            .find(|it| it.entry.name == hold.prefill);
+        let prefill = self.prefills.iter_mut().find(|it| it.entry.name == hold.prefill);
         let Some(prefill) = prefill else { return };
         match message.cause {
             ReleaseCause::PrefillFailed => prefill.health.note_failure(now),
             ReleaseCause::Done => {
                 prefill.health.note_success();
-                prefill
-                    .memory
-                    .observe(hold.prefix, message.cached, hold.prompt);
+                prefill.memory.observe(hold.prefix, message.cached, hold.prompt);
             }
             ReleaseCause::Cancelled | ReleaseCause::TransferFailed | ReleaseCause::DecodeFailed => {
             }
@@ -444,18 +413,14 @@
                 continue;
             };
             decode.foreign.remove(&placement.stream);
-            decode
-                .holds
-                .entry(placement.stream.clone())
-                .or_insert_with(|| SlotHold {
-                    prefill: Name::clone(&placement.prefill),
-                    since: now,
-                    seen: now,
-                    prompt: 0,
-                    prefix: 0,
-                });
-            self.placements
-                .insert(placement.stream.clone(), Name::clone(&placement.decode));
+            decode.holds.entry(placement.stream.clone()).or_insert_with(|| SlotHold {
+                prefill: Name::clone(&placement.prefill),
+                since: now,
+                seen: now,
+                prompt: 0,
+                prefix: 0,
+            });
+            self.placements.insert(placement.stream.clone(), Name::clone(&placement.decode));
         }
     }
 
@@ -477,25 +442,16 @@
     ) -> Vec<StreamId> {
         let listed = || listing.streams.iter().chain(&listing.exports);
         for stream in listed() {
-            let decode = self
-                .placements
-                .get(stream)
-                .and_then(|it| self.decodes.get_mut(it));
+            let decode = self.placements.get(stream).and_then(|it| self.decodes.get_mut(it));
             if let Some(hold) = decode.and_then(|it| it.holds.get_mut(stream)) {
                 hold.seen = now;
             }
         }
         if let Some(decode) = self.decodes.get_mut(engine) {
-            let foreign = listing
-                .streams
-                .iter()
-                .filter(|it| !decode.holds.contains_key(*it));
+            let foreign = listing.streams.iter().filter(|it| !decode.holds.contains_key(*it));
             let foreign = foreign.filter(|it| !self.released.contains_key(*it));
             decode.foreign = foreign.cloned().collect();
-            let unseen = decode
-                .holds
-                .iter()
-                .filter(|(_, it)| now - it.seen > UNSEEN_LIMIT);
+            let unseen = decode.holds.iter().filter(|(_, it)| now - it.seen > UNSEEN_LIMIT);
             let unseen: Vec<StreamId> = unseen.map(|(stream, _)| stream.clone()).collect();
             for stream in unseen {
                 self.drop_placement(&stream);
@@ -513,22 +469,14 @@
         if let Some(decode) = self.decodes.get_mut(engine) {
             decode.health.note_listing(answered);
         }
-        if let Some(prefill) = self
-            .prefills
-            .iter_mut()
-            .find(|it| &*it.entry.name == engine)
-        {
+        if let Some(prefill) = self.prefills.iter_mut().find(|it| &*it.entry.name == engine) {
             prefill.health.note_listing(answered);
         }
     }
 
     /// Takes cache events of a prefill engine in.
     pub fn take_events(&mut self, engine: &str, events: &[CacheEvent]) {
-        if let Some(prefill) = self
-            .prefills
-            .iter_mut()
-            .find(|it| &*it.entry.name == engine)
-        {
+        if let Some(prefill) = self.prefills.iter_mut().find(|it| &*it.entry.name == engine) {
             prefill.memory.take_events(events);
         }
     }
@@ -556,9 +504,5 @@
     let retry = retry.clamp(RETRY_RANGE.0, RETRY_RANGE.1);
     let retry_ms = u32::try_from(retry.as_millis()).unwrap_or(u32::MAX);
     let refusal = ReserveRefusal { cause, retry_ms };
-    ReserveAnswer {
-        stream: stream.clone(),
-        grant: None,
-        refusal: Some(refusal),
-    }
+    ReserveAnswer { stream: stream.clone(), grant: None, refusal: Some(refusal) }
 }
--- a/crates/dillspool_pool/src/sweep.rs
+++ b/crates/dillspool_pool/src/sweep.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dillspool_engine::EngineClient;
+use dillspool_schema::engine::StreamListing;
 use dillspool_schema::messages::{ReleaseCause, ReleaseMessage};
 use dillspool_schema::{Name, StreamId};
 use tokio::time::Instant;
@@ -15,10 +16,12 @@
 use crate::scheduler::{LivenessCheck, PoolScheduler};
 
 /// How often the owners of placements are looked at.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// How often engines are listed while nothing happens; listings cost control traffic.
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
-/// A new scheduler lists every second for this long, to find what its predecessor left.
+/// How often a new scheduler lists them, to find what its predecessor left.
+const TAKEOVER_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a scheduler counts as new.
 const TAKEOVER_TIME: Duration = Duration::from_secs(10);
 
 /// An owner of streams.
@@ -36,10 +39,7 @@
     liveness: LivenessCheck,
     cancel: CancellationToken,
 ) {
-    let mut state = SweepState {
-        awake_since: None,
-        listed_at: None,
-    };
+    let mut state = SweepState { awake_since: None, listed_at: None };
     loop {
         tokio::select! {
             () = tokio::time::sleep(SWEEP_INTERVAL) => {}
@@ -52,16 +52,15 @@
         }
         let now = Instant::now();
         let since = *state.awake_since.get_or_insert(now);
-        let dead = dead_owners(&scheduler, &liveness).await;
         let takeover = now.duration_since(since) < TAKEOVER_TIME;
-        let due = state
-            .listed_at
-            .is_none_or(|at| now.duration_since(at) >= LIST_INTERVAL);
-        if takeover || due || !dead.is_empty() {
-            state.listed_at = Some(now);
-            list_engines(&scheduler, &engines, &liveness).await;
+        let interval = if takeover { TAKEOVER_INTERVAL } else { LIST_INTERVAL };
+        let due = state.listed_at.is_none_or(|at| now.duration_since(at) >= interval);
+        let dead = dead_owners(&liveness, placement_owners(&scheduler)).await;
+        if !due && dead.is_empty() {
+            continue;
         }
-        forget_placements(&scheduler, &dead);
+        state.listed_at = Some(now);
+        sweep_pool(&scheduler, &engines, &liveness, dead).await;
     }
 }
 
@@ -69,56 +68,61 @@
     (Name::clone(&stream.host), stream.incarnation)
 }
 
-/// Owners of placements that are dead beyond doubt.
-async fn dead_owners(scheduler: &PoolScheduler, liveness: &LivenessCheck) -> BTreeSet<StreamOwner> {
-    let owners: BTreeSet<StreamOwner> =
-        scheduler.lock().state.placed_streams().map(owner).collect();
-    let mut dead = BTreeSet::new();
+fn placement_owners(scheduler: &PoolScheduler) -> BTreeSet<StreamOwner> {
+    scheduler.lock().state.placed_streams().map(owner).collect()
+}
+
+/// Those of the owners that are dead beyond doubt.
+async fn dead_owners(
+    liveness: &LivenessCheck,
+    owners: BTreeSet<StreamOwner>,
+) -> BTreeSet<StreamOwner> {
+    let mut checks = tokio::task::JoinSet::new();
     for (host, incarnation) in owners {
-        if (liveness.is_dead)(Name::clone(&host), incarnation).await {
-            dead.insert((host, incarnation));
-        }
+        let check = (liveness.is_dead)(Name::clone(&host), incarnation);
+        checks.spawn(async move { check.await.then_some((host, incarnation)) });
     }
-    dead
+    checks.join_all().await.into_iter().flatten().collect()
 }
 
-fn forget_placements(scheduler: &PoolScheduler, dead: &BTreeSet<StreamOwner>) {
-    let streams: Vec<StreamId> = {
-        let inner = scheduler.lock();
-        let placed = inner.state.placed_streams();
-        placed
-            .filter(|stream| dead.contains(&owner(stream)))
-            .cloned()
-            .collect()
-    };
-    for stream in streams {
-        let pool = Name::clone(scheduler.pool());
-        let cause = ReleaseCause::Cancelled;
-        scheduler.release(&ReleaseMessage {
-            stream,
-            pool,
-            cause,
-            tokens: 0,
-            cached: 0,
-        });
+/// An engine's listing, `None` if the engine did not answer.
+struct EngineListing {
+    engine: Name,
+    address: SocketAddr,
+    listing: Option<StreamListing>,
+}
+
+/// Lists every engine of the pool, and cancels what nobody alive owns.
+async fn sweep_pool(
+    scheduler: &PoolScheduler,
+    engines: &EngineClient,
+    liveness: &LivenessCheck,
+    mut dead: BTreeSet<StreamOwner>,
+) {
+    let listings = list_engines(scheduler, engines).await;
+    let listed = || listings.iter().filter_map(|it| it.listing.as_ref()).flat_map(held_streams);
+    let unchecked = listed().map(owner).filter(|it| !dead.contains(it)).collect();
+    dead.extend(dead_owners(liveness, unchecked).await);
+    for listing in &listings {
+        take_listing(scheduler, engines, listing, &dead).await;
     }
+    forget_placements(scheduler, &dead);
 }
 
-/// Lists every engine of the pool, takes the listings in and cancels orphans.
-async fn list_engines(scheduler: &PoolScheduler, engines: &EngineClient, liveness: &LivenessCheck) {
-    let addresses = engine_addresses(scheduler);
-    let mut sweeps = tokio::task::JoinSet::new();
-    for (engine, address) in addresses {
-        let sweep = sweep_engine(
-            scheduler.clone(),
-            engines.clone(),
-            liveness.clone(),
-            engine,
-            address,
-        );
-        sweeps.spawn(sweep);
+fn held_streams(listing: &StreamListing) -> impl Iterator<Item = &StreamId> {
+    listing.streams.iter().chain(&listing.exports)
+}
+
+async fn list_engines(scheduler: &PoolScheduler, engines: &EngineClient) -> Vec<EngineListing> {
+    let mut lists = tokio::task::JoinSet::new();
+    for (engine, address) in engine_addresses(scheduler) {
+        let engines = engines.clone();
+        lists.spawn(async move {
+            let listing = engines.list(address).await.ok();
+            EngineListing { engine, address, listing }
+        });
     }
-    sweeps.join_all().await;
+    lists.join_all().await
 }
 
 fn engine_addresses(scheduler: &PoolScheduler) -> BTreeMap<Name, SocketAddr> {
@@ -131,43 +135,58 @@
         .collect()
 }
 
-async fn sweep_engine(
-    scheduler: PoolScheduler,
-    engines: EngineClient,
-    liveness: LivenessCheck,
-    engine: Name,
-    address: SocketAddr,
+async fn take_listing(
+    scheduler: &PoolScheduler,
+    engines: &EngineClient,
+    listed: &EngineListing,
+    dead: &BTreeSet<StreamOwner>,
 ) {
-    let listing = engines.list(address).await;
-    scheduler.update(|state, _now| state.note_listing(&engine, listing.is_ok()));
-    let Ok(listing) = listing else { return };
-    let lingering = scheduler.update(|state, now| state.take_listing(&engine, &listing, now));
-    let mut orphans: BTreeSet<StreamId> = lingering.into_iter().collect();
-    let listed: BTreeSet<&StreamId> = listing.streams.iter().chain(&listing.exports).collect();
-    let owners: BTreeSet<StreamOwner> = listed.iter().map(|stream| owner(stream)).collect();
-    for (host, incarnation) in owners {
-        if !(liveness.is_dead)(Name::clone(&host), incarnation).await {
-            continue;
-        }
-        let owned = listed
-            .iter()
-            .filter(|it| it.host == host && it.incarnation == incarnation);
-        orphans.extend(owned.map(|stream| (*stream).clone()));
-    }
+    let (engine, address) = (&listed.engine, listed.address);
+    scheduler.update(|state, _now| state.note_listing(engine, listed.listing.is_some()));
+    let Some(listing) = &listed.listing else {
+        return;
+    };
+    let lingering = scheduler.update(|state, now| state.take_listing(engine, listing, now));
+    let orphans = held_streams(listing).filter(|stream| dead.contains(&owner(stream)));
+    let orphans: BTreeSet<StreamId> = orphans.cloned().chain(lingering).collect();
     for stream in orphans {
         if engines.cancel(address, &stream).await.is_ok() {
             scheduler.lock().counts.orphans += 1;
             log::info!("event=orphan_cancelled engine={engine} stream={stream}");
         }
     }
-    let after = scheduler.lock().state.last_event(&engine);
-    let is_prefill = scheduler
-        .lock()
-        .state
-        .prefills
-        .iter()
-        .any(|it| it.entry.name == engine);
-    if is_prefill && let Ok(events) = engines.cache_events(address, after).await {
-        scheduler.update(|state, _now| state.take_events(&engine, &events.events));
+    follow_cache(scheduler, engines, engine, address).await;
+}
+
+/// Takes the cache events of a prefill engine in.
+async fn follow_cache(
+    scheduler: &PoolScheduler,
+    engines: &EngineClient,
+    engine: &Name,
+    address: SocketAddr,
+) {
+    let after = {
+        let inner = scheduler.lock();
+        let is_prefill = inner.state.prefills.iter().any(|it| it.entry.name == *engine);
+        if !is_prefill {
+            return;
+        }
+        inner.state.last_event(engine)
+    };
+    if let Ok(events) = engines.cache_events(address, after).await {
+        scheduler.update(|state, _now| state.take_events(engine, &events.events));
+    }
+}
+
+fn forget_placements(scheduler: &PoolScheduler, dead: &BTreeSet<StreamOwner>) {
+    let streams: Vec<StreamId> = {
+        let inner = scheduler.lock();
+        let placed = inner.state.placed_streams();
+        placed.filter(|stream| dead.contains(&owner(stream))).cloned().collect()
+    };
+    for stream in streams {
+        let pool = Name::clone(scheduler.pool());
+        let cause = ReleaseCause::Cancelled;
+        scheduler.release(&ReleaseMessage { stream, pool, cause, tokens: 0, cached: 0 });
     }
 }
--- a/crates/dillspool_schema/src/stream_id.rs
+++ b/crates/dillspool_schema/src/stream_id.rs
@@ -32,11 +32,7 @@
 
 impl fmt::Display for ParseStreamIdError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "`{}` is no stream id; expected HOST.INCARNATION.SEQUENCE",
-            self.text
-        )
+        write!(f, "`{}` is no stream id; expected HOST.INCARNATION.SEQUENCE", self.text)
     }
 }
 
@@ -44,11 +40,7 @@
 
 impl fmt::Display for StreamId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}{SEPARATOR}{}{SEPARATOR}{}",
-            self.host, self.incarnation, self.sequence
-        )
+        write!(f, "{}{SEPARATOR}{}{SEPARATOR}{}", self.host, self.incarnation, self.sequence)
     }
 }
 
@@ -56,9 +48,7 @@
     type Err = ParseStreamIdError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let error = || ParseStreamIdError {
-            text: text.to_owned(),
-        };
+        let error = || ParseStreamIdError { text: text.to_owned() };
         let mut parts = text.split(SEPARATOR);
         let (Some(host), Some(incarnation), Some(sequence), None) =
             (parts.next(), parts.next(), parts.next(), parts.next())
--- a/crates/dillspool_standin/src/engine/cache.rs
+++ b/crates/dillspool_standin/src/engine/cache.rs
@@ -46,11 +46,7 @@
 
     fn note(&mut self, kind: CacheEventKind, prefix: u64) {
         self.next_number += 1;
-        let event = CacheEvent {
-            number: self.next_number,
-            kind,
-            prefix,
-        };
+        let event = CacheEvent { number: self.next_number, kind, prefix };
         self.events.push_back((Instant::now(), event));
         if self.events.len() > KEPT_EVENTS {
             self.events.pop_front();
--- a/crates/dillspool_standin/src/engine/decode.rs
+++ b/crates/dillspool_standin/src/engine/decode.rs
@@ -68,9 +68,7 @@
         if !waiting {
             return Err("cancelled");
         }
-        let end = taken
-            .length
-            .map_or(request.max_tokens, |it| it.min(request.max_tokens));
+        let end = taken.length.map_or(request.max_tokens, |it| it.min(request.max_tokens));
         let task = Arc::new(DecodeTask {
             produced: request.from.into(),
             first: request.from,
@@ -79,9 +77,7 @@
             changed: Notify::new(),
             cancel: CancellationToken::new(),
         });
-        state
-            .decodes
-            .insert(request.stream.clone(), Arc::clone(&task));
+        state.decodes.insert(request.stream.clone(), Arc::clone(&task));
         drop(state);
         tokio::spawn(produce(importing.clone(), Arc::clone(&task)));
         Ok((request.stream, request.from, task))
@@ -102,10 +98,7 @@
     let Ok(source) = request.kv_address.parse::<SocketAddr>() else {
         return Err("kv_address is no address");
     };
-    let take = TakeRequest {
-        kv: Arc::clone(&request.kv),
-        done: false,
-    };
+    let take = TakeRequest { kv: Arc::clone(&request.kv), done: false };
     let taken: TakenExport = http
         .call(Method::POST, source, "/take", &take, TAKE_LIMIT)
         .await
@@ -123,10 +116,7 @@
         until
     };
     tokio::time::sleep_until(until).await;
-    let done = TakeRequest {
-        kv: Arc::clone(&request.kv),
-        done: true,
-    };
+    let done = TakeRequest { kv: Arc::clone(&request.kv), done: true };
     http.call::<_, TakenExport>(Method::POST, source, "/take", &done, TAKE_LIMIT)
         .await
         .map_err(|_any| "the exported KV cache expired in transfer")?;
@@ -148,10 +138,7 @@
             continue;
         }
         index += 1;
-        *task
-            .produced
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner) = index;
+        *task.produced.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = index;
         task.changed.notify_waiters();
     }
 }
@@ -188,16 +175,9 @@
     let mut index = from;
     loop {
         let changed = task.changed.notified();
-        let produced = *task
-            .produced
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let produced = *task.produced.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         while index < produced {
-            if sender
-                .send(Ok(token_line(&core, &stream, index, &task)))
-                .await
-                .is_err()
-            {
+            if sender.send(Ok(token_line(&core, &stream, index, &task))).await.is_err() {
                 return;
             }
             index += 1;
@@ -215,12 +195,8 @@
             return;
         }
     }
-    let finish = TokenEvent {
-        stream: stream.clone(),
-        index,
-        text: None,
-        finish: Some("stop".into()),
-    };
+    let finish =
+        TokenEvent { stream: stream.clone(), index, text: None, finish: Some("stop".into()) };
     if sender.send(Ok(line(&finish))).await.is_ok() {
         // The whole answer was read: nothing is held any longer.
         core.lock().decodes.remove(&stream);
@@ -233,12 +209,7 @@
         stream.sequence += 1;
     }
     let text = token_of_hash(task.prompt_hash, index).into();
-    line(&TokenEvent {
-        stream,
-        index,
-        text: Some(text),
-        finish: None,
-    })
+    line(&TokenEvent { stream, index, text: Some(text), finish: None })
 }
 
 fn line(event: &TokenEvent) -> Bytes {
--- a/crates/dillspool_standin/src/engine/prefill.rs
+++ b/crates/dillspool_standin/src/engine/prefill.rs
@@ -20,12 +20,9 @@
 /// Runs a prefill as a task of the engine: it goes on when its caller's connection is gone.
 pub(crate) async fn prefill(core: EngineCore, request: PrefillRequest) -> Response<ResponseBody> {
     let cancel = CancellationToken::new();
-    core.lock()
-        .prefills
-        .insert(request.stream.clone(), cancel.clone());
+    core.lock().prefills.insert(request.stream.clone(), cancel.clone());
     let task = tokio::spawn(run(core, request, cancel));
-    task.await
-        .unwrap_or_else(|_join| refuse(StatusCode::INTERNAL_SERVER_ERROR, "prefill failed"))
+    task.await.unwrap_or_else(|_join| refuse(StatusCode::INTERNAL_SERVER_ERROR, "prefill failed"))
 }
 
 async fn run(
@@ -53,10 +50,7 @@
     enter_queue(core, request.priority).await;
     let guard = BusyGuard { core };
     let prompt_tokens = estimate_tokens(&request.prompt);
-    let cached = core
-        .lock()
-        .cache
-        .touch(&request.prompt, core.model.cache_blocks);
+    let cached = core.lock().cache.touch(&request.prompt, core.model.cache_blocks);
     let cached_tokens = cached.min(prompt_tokens.saturating_sub(1));
     let work = prompt_tokens - cached_tokens + request.generated.len() as u64;
     let micros = work * MICROS / core.model.prefill_tokens_per_s;
@@ -77,12 +71,7 @@
     let mut state = core.lock();
     state.prefilled += 1;
     state.exports.insert(std::sync::Arc::clone(&kv), export);
-    json(&PrefillReply {
-        kv,
-        prompt_tokens,
-        cached_tokens,
-        kv_bytes,
-    })
+    json(&PrefillReply { kv, prompt_tokens, cached_tokens, kv_bytes })
 }
 
 async fn enter_queue(core: &EngineCore, priority: u32) {
@@ -125,7 +114,5 @@
 
 /// A cancelled waiter leaves a closed sender behind.
 fn leave_queue(core: &EngineCore) {
-    core.lock()
-        .prefill_queue
-        .retain(|_, waiter| !waiter.is_closed());
+    core.lock().prefill_queue.retain(|_, waiter| !waiter.is_closed());
 }
--- a/crates/dillspool_standin/src/engine/server.rs
+++ b/crates/dillspool_standin/src/engine/server.rs
@@ -52,12 +52,7 @@
             async move { answer(core, http, checks_fence, request).await }
         });
         let served = cancel.clone();
-        tokio::spawn(serve_http(
-            listener,
-            ServerLimits::default(),
-            handler,
-            served,
-        ));
+        tokio::spawn(serve_http(listener, ServerLimits::default(), handler, served));
         tokio::spawn(keep_house(core.clone(), cancel.clone()));
         Self { core, address }
     }
@@ -100,9 +95,7 @@
         let mut state = core.lock();
         let running = u32::try_from(state.decodes.len() + state.imports.len()).unwrap_or(u32::MAX);
         let waiting = u32::try_from(state.prefill_queue.len()).unwrap_or(u32::MAX);
-        state
-            .reports
-            .push_back((Instant::now(), LoadReport { running, waiting }));
+        state.reports.push_back((Instant::now(), LoadReport { running, waiting }));
         if state.reports.len() > KEPT_REPORTS {
             state.reports.pop_front();
         }
@@ -131,22 +124,14 @@
         },
         "/resume" => read_json(body).await.map(|request| resume(core, request)),
         "/cancel" => read_json(body).await.map(|request: CancelRequest| {
-            json(&CancelReply {
-                found: core.cancel(&request.stream),
-            })
+            json(&CancelReply { found: core.cancel(&request.stream) })
         }),
         "/streams" => Ok(json(&listing(&core))),
         "/load" => Ok(json(&load(&core))),
-        "/cache-events" => read_json(body)
-            .await
-            .map(|after| json(&events(&core, after))),
+        "/cache-events" => read_json(body).await.map(|after| json(&events(&core, after))),
         "/take" => read_json(body).await.map(|request| take(&core, &request)),
-        "/order" => read_json(body)
-            .await
-            .map(|order| carry_out(&core, &order, checks_fence)),
-        "/last-order" => Ok(json(
-            &core.lock().last_order.clone().unwrap_or_else(no_order),
-        )),
+        "/order" => read_json(body).await.map(|order| carry_out(&core, &order, checks_fence)),
+        "/last-order" => Ok(json(&core.lock().last_order.clone().unwrap_or_else(no_order))),
         "/fault" => read_json(body).await.map(|fault| {
             core.set_fault(fault);
             json(&())
@@ -159,19 +144,11 @@
 fn listing(core: &EngineCore) -> StreamListing {
     core.expire_exports();
     let state = core.lock();
-    let held = state
-        .decodes
-        .keys()
-        .chain(state.imports.keys())
-        .chain(state.prefills.keys());
+    let held = state.decodes.keys().chain(state.imports.keys()).chain(state.prefills.keys());
     StreamListing {
         slots: core.model.slots,
         streams: held.cloned().collect(),
-        exports: state
-            .exports
-            .values()
-            .map(|export| export.stream.clone())
-            .collect(),
+        exports: state.exports.values().map(|export| export.stream.clone()).collect(),
     }
 }
 
@@ -184,10 +161,7 @@
 
 fn events(core: &EngineCore, after: u64) -> CacheEvents {
     let model = &core.model;
-    let events = core
-        .lock()
-        .cache
-        .events(after, model.report_lag, model.lose_event_every);
+    let events = core.lock().cache.events(after, model.report_lag, model.lose_event_every);
     CacheEvents { events }
 }
 
@@ -200,43 +174,23 @@
     if request.done {
         state.exports.remove(&request.kv);
     }
-    let ExportedCache {
-        prompt_hash,
-        length,
-        bytes,
-        ..
-    } = export;
-    json(&TakenExport {
-        prompt_hash,
-        length,
-        bytes,
-    })
+    let ExportedCache { prompt_hash, length, bytes, .. } = export;
+    json(&TakenExport { prompt_hash, length, bytes })
 }
 
 fn no_order() -> OrderReply {
-    OrderReply {
-        epoch: 0,
-        token: "".into(),
-        refusal: None,
-    }
+    OrderReply { epoch: 0, token: "".into(), refusal: None }
 }
 
 fn carry_out(core: &EngineCore, order: &FencedOrder, checks_fence: bool) -> Response<ResponseBody> {
     let mut state = core.lock();
     let last = state.last_order.clone().unwrap_or_else(no_order);
     if checks_fence && order.epoch <= last.epoch {
-        return json(&OrderReply {
-            refusal: Some(OrderRefusal::OldEpoch),
-            ..last
-        });
+        return json(&OrderReply { refusal: Some(OrderRefusal::OldEpoch), ..last });
     }
     state.orders_run += 1;
     let token = std::sync::Arc::clone(&order.token);
-    let reply = OrderReply {
-        epoch: order.epoch,
-        token,
-        refusal: None,
-    };
+    let reply = OrderReply { epoch: order.epoch, token, refusal: None };
     state.last_order = Some(reply.clone());
     json(&reply)
 }
--- a/crates/dillspool_standin/src/engine/state.rs
+++ b/crates/dillspool_standin/src/engine/state.rs
@@ -64,10 +64,7 @@
 
 impl EngineCore {
     pub(crate) fn new(model: EngineModel) -> Self {
-        Self {
-            model,
-            state: Arc::default(),
-        }
+        Self { model, state: Arc::default() }
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, EngineState> {
@@ -144,8 +141,6 @@
 /// Natural length of an answer, which a prompt may set by `#len=N`.
 pub(crate) fn natural_length(prompt: &str) -> Option<u64> {
     let (_, rest) = prompt.rsplit_once("#len=")?;
-    let digits = rest
-        .find(|c: char| !c.is_ascii_digit())
-        .unwrap_or(rest.len());
+    let digits = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
     rest[..digits].parse().ok()
 }
--- a/crates/dillspool_standin/src/main.rs
+++ b/crates/dillspool_standin/src/main.rs
@@ -72,10 +72,7 @@
     let listener = match stack.listen(args.listen).await {
         Ok(listener) => listener,
         Err(error) => {
-            eprintln!(
-                "error: cannot listen on {}: {error}; choose a free port",
-                args.listen
-            );
+            eprintln!("error: cannot listen on {}: {error}; choose a free port", args.listen);
             return ExitCode::FAILURE;
         }
     };
--- a/crates/dillspool_standin/src/plain.rs
+++ b/crates/dillspool_standin/src/plain.rs
@@ -56,12 +56,7 @@
         let address = listener.local_addr();
         let serving = Arc::clone(&state);
         let handler = handler(move |request| answer(Arc::clone(&serving), request));
-        tokio::spawn(serve_http(
-            listener,
-            ServerLimits::default(),
-            handler,
-            cancel.clone(),
-        ));
+        tokio::spawn(serve_http(listener, ServerLimits::default(), handler, cancel.clone()));
         Self { state, address }
     }
 
@@ -106,13 +101,8 @@
         return refuse(StatusCode::BAD_REQUEST, "the body broke off");
     };
     // A real service runs a call to its end whatever becomes of the connection.
-    let task = tokio::spawn(run(
-        state,
-        path,
-        String::from_utf8_lossy(&body).into_owned(),
-    ));
-    task.await
-        .unwrap_or_else(|_join| refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed"))
+    let task = tokio::spawn(run(state, path, String::from_utf8_lossy(&body).into_owned()));
+    task.await.unwrap_or_else(|_join| refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed"))
 }
 
 async fn run(state: Arc<Mutex<PlainState>>, path: String, body: String) -> Response<ResponseBody> {
--- a/crates/dillspool_standin/src/platform.rs
+++ b/crates/dillspool_standin/src/platform.rs
@@ -57,12 +57,7 @@
             let platform = serving.clone();
             async move { platform.answer(request).await }
         });
-        tokio::spawn(serve_http(
-            listener,
-            ServerLimits::default(),
-            handler,
-            cancel.clone(),
-        ));
+        tokio::spawn(serve_http(listener, ServerLimits::default(), handler, cancel.clone()));
         platform
     }
 
@@ -73,11 +68,7 @@
 
     /// Takes all services down, or brings them back.
     pub fn set_down(&self, down: bool) {
-        self.table.set_outage(if down {
-            StoreFault::Refuse
-        } else {
-            StoreFault::None
-        });
+        self.table.set_outage(if down { StoreFault::Refuse } else { StoreFault::None });
         self.objects.set_down(down);
     }
 
@@ -120,8 +111,7 @@
         match order {
             PlatformOrder::Down(down) => self.set_down(down),
             PlatformOrder::LoseAnswers(count) => {
-                self.table
-                    .fail_commits(std::iter::repeat_n(StoreFault::LoseAnswer, count));
+                self.table.fail_commits(std::iter::repeat_n(StoreFault::LoseAnswer, count));
             }
             PlatformOrder::SetHost(entry) => self.hosts.set(entry),
             PlatformOrder::RemoveHost(name) => self.hosts.remove(&name),
--- a/crates/dillspool_standin/tests/engine_contract.rs
+++ b/crates/dillspool_standin/tests/engine_contract.rs
@@ -28,27 +28,16 @@
     let mut engines = Vec::new();
     for node in [PREFILL, DECODE] {
         let stack = net.stack(node);
-        let listener = stack
-            .listen(SocketAddr::new(node, 0))
-            .await
-            .expect("the port is free");
+        let listener = stack.listen(SocketAddr::new(node, 0)).await.expect("the port is free");
         engines.push(EngineStandIn::start(model, &stack, listener, true, &cancel));
     }
     let decode = engines.pop().expect("two were started");
     let prefill = engines.pop().expect("two were started");
-    EnginePair {
-        prefill,
-        decode,
-        client: EngineClient::new(&net.stack(CLIENT)),
-    }
+    EnginePair { prefill, decode, client: EngineClient::new(&net.stack(CLIENT)) }
 }
 
 fn stream(sequence: u64) -> StreamId {
-    StreamId {
-        host: "entry-1".into(),
-        incarnation: 1,
-        sequence,
-    }
+    StreamId { host: "entry-1".into(), incarnation: 1, sequence }
 }
 
 impl EnginePair {
@@ -60,10 +49,7 @@
             generated: Vec::new(),
             priority: 0,
         };
-        let reply = self
-            .client
-            .prefill(self.prefill.address(), &request, LIMIT)
-            .await;
+        let reply = self.client.prefill(self.prefill.address(), &request, LIMIT).await;
         reply.expect("the prefill works")
     }
 
@@ -86,10 +72,7 @@
     let export = pair.export(1).await;
     tokio::time::sleep(Duration::from_millis(900)).await;
     let request = pair.decode_request(1, &export);
-    let opened = pair
-        .client
-        .decode(pair.decode.address(), &request, LIMIT, LIMIT)
-        .await;
+    let opened = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
     assert_matches!(opened, Err(EngineError::Refused { .. }));
     assert_eq!(pair.prefill.prefill_counts(), (1, 1));
     assert!(pair.prefill.held_streams().is_empty());
@@ -107,10 +90,7 @@
         .expect("the stream opens");
     for index in 0..3 {
         let event = tokens.next().await.expect("a token comes");
-        assert_eq!(
-            event.text.as_deref(),
-            Some(token_text("hello", index).as_str())
-        );
+        assert_eq!(event.text.as_deref(), Some(token_text("hello", index).as_str()));
     }
     assert!(tokens.next().await.expect("the end comes").finish.is_some());
     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -122,10 +102,7 @@
     let pair = start_pair(EngineModel::default()).await;
     let export = pair.export(1).await;
     let request = pair.decode_request(1, &export);
-    let tokens = pair
-        .client
-        .decode(pair.decode.address(), &request, LIMIT, LIMIT)
-        .await;
+    let tokens = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
     drop(tokens.expect("the stream opens"));
     tokio::time::sleep(Duration::from_mins(1)).await;
     assert_eq!(pair.decode.held_streams(), vec![stream(1)]);
@@ -136,23 +113,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_full_engine_refuses() {
-    let pair = start_pair(EngineModel {
-        slots: 1,
-        ..EngineModel::default()
-    })
-    .await;
+    let pair = start_pair(EngineModel { slots: 1, ..EngineModel::default() }).await;
     let first = pair.export(1).await;
     let request = pair.decode_request(1, &first);
-    let _kept = pair
-        .client
-        .decode(pair.decode.address(), &request, LIMIT, LIMIT)
-        .await;
+    let _kept = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
     let second = pair.export(2).await;
     let request = pair.decode_request(2, &second);
-    let opened = pair
-        .client
-        .decode(pair.decode.address(), &request, LIMIT, LIMIT)
-        .await;
+    let opened = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
     assert_matches!(opened, Err(EngineError::Refused { .. }));
 }
 
--- a/crates/dillspoold/src/main.rs
+++ b/crates/dillspoold/src/main.rs
@@ -43,28 +43,20 @@
         return Ok(());
     }
     set_up_log(settings.log.as_ref()).map_err(|error| error.to_string())?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|error| {
             format!("cannot start the runtime: {error}; check the limits on threads")
         })?;
     runtime.block_on(serve(settings))
 }
 
 async fn serve(settings: dillspool_schema::settings::HostSettings) -> Result<(), String> {
-    let environment = HostEnvironment {
-        stack: NetStack::tcp(),
-        clock: WallClock::system(),
-    };
-    let daemon = HostDaemon::start(settings, environment)
-        .await
-        .map_err(|error| error.to_string())?;
+    let environment = HostEnvironment { stack: NetStack::tcp(), clock: WallClock::system() };
+    let daemon =
+        HostDaemon::start(settings, environment).await.map_err(|error| error.to_string())?;
     print_addresses(&daemon)
         .map_err(|error| format!("cannot write to standard output: {error}"))?;
-    wait_for_end(&daemon)
-        .await
-        .map_err(|error| format!("cannot wait for signals: {error}"))?;
+    wait_for_end(&daemon).await.map_err(|error| format!("cannot wait for signals: {error}"))?;
     daemon.drain().await;
     Ok(())
 }
--- a/crates/dillspoold/tests/processes.rs
+++ b/crates/dillspoold/tests/processes.rs
@@ -77,14 +77,9 @@
         .header("authorization", format!("Bearer {OPERATOR_KEY}"))
         .body(Full::new(body.into()))
         .expect("the request is well formed");
-    let response = http
-        .send(address, request)
-        .await
-        .expect("the process answers");
+    let response = http.send(address, request).await.expect("the process answers");
     let status = response.status().as_u16();
-    let bytes = read_body(response.into_body(), 1 << 24)
-        .await
-        .expect("the reply is whole");
+    let bytes = read_body(response.into_body(), 1 << 24).await.expect("the reply is whole");
     (status, bytes.to_vec())
 }
 
@@ -121,11 +116,7 @@
     let platform_address = platform.addresses[0];
     let mut stand_ins = vec![platform];
     for entry in &mut configuration.backend {
-        let kind = if entry.role == BackendRole::Plain {
-            "plain"
-        } else {
-            "engine"
-        };
+        let kind = if entry.role == BackendRole::Plain { "plain" } else { "engine" };
         let process = start_standin(&[kind]);
         entry.address = process.addresses[0].to_string().into();
         stand_ins.push(process);
@@ -151,19 +142,11 @@
         hosts.push(host);
     }
     let text = toml::to_string(&configuration).expect("a configuration is TOML");
-    let apply = serde_json::to_string(&ApplyRequest {
-        expected: None,
-        text,
-    })
-    .expect("JSON");
+    let apply = serde_json::to_string(&ApplyRequest { expected: None, text }).expect("JSON");
     let (status, body) = call(hosts[0].addresses[1], Method::POST, "/apply", apply).await;
     assert_eq!(status, 200, "{}", String::from_utf8_lossy(&body));
     wait_in_force(hosts[0].addresses[1], 3).await;
-    ProcessSystem {
-        _stand_ins: stand_ins,
-        hosts,
-        _settings: SettingsFolder(folder),
-    }
+    ProcessSystem { _stand_ins: stand_ins, hosts, _settings: SettingsFolder(folder) }
 }
 
 fn example() -> Configuration {
@@ -182,18 +165,11 @@
     loop {
         let (_, body) = call(operators, Method::GET, "/status", String::new()).await;
         let status: StatusReply = serde_json::from_slice(&body).expect("the status is JSON");
-        let ready = status
-            .hosts
-            .iter()
-            .filter(|it| it.listed && it.version.0 == 1)
-            .count();
+        let ready = status.hosts.iter().filter(|it| it.listed && it.version.0 == 1).count();
         if ready == hosts {
             return;
         }
-        assert!(
-            tokio::time::Instant::now() < deadline,
-            "not in force in time: {status:?}"
-        );
+        assert!(tokio::time::Instant::now() < deadline, "not in force in time: {status:?}");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
@@ -215,9 +191,7 @@
     }
     let readings = CallerClient::new(&NetStack::tcp(), caller_key("stations"));
     let (first, second) = (system.hosts[0].addresses[0], system.hosts[1].addresses[0]);
-    let sent = readings
-        .plain(first, "/readings", Some("r-1"), "pm2.5 41")
-        .await;
+    let sent = readings.plain(first, "/readings", Some("r-1"), "pm2.5 41").await;
     assert_eq!(sent.status, 201, "{sent:?}");
     let resent = recorded(&readings, second).await;
     assert_eq!(resent, sent.text);
@@ -228,17 +202,12 @@
 async fn recorded(caller: &CallerClient, host: SocketAddr) -> String {
     let deadline = tokio::time::Instant::now() + LIMIT;
     loop {
-        let outcome = caller
-            .plain(host, "/readings", Some("r-1"), "pm2.5 41")
-            .await;
+        let outcome = caller.plain(host, "/readings", Some("r-1"), "pm2.5 41").await;
         if outcome.status == 201 {
             return outcome.text;
         }
         assert_eq!(outcome.outcome.as_deref(), Some("unknown"), "{outcome:?}");
-        assert!(
-            tokio::time::Instant::now() < deadline,
-            "never recorded: {outcome:?}"
-        );
+        assert!(tokio::time::Instant::now() < deadline, "never recorded: {outcome:?}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
