Configuration: acceptance, races, outages and isolation proved

Cause: no proof yet of the acceptance rule. Ruled out: acceptance at commit, a lease at the table, a majority (docs/design/configuration.md).

--- /dev/null
+++ b/crates/dillspool_config/tests/apply_interleavings.rs
@@ -0,0 +1,126 @@
+//! Operators who race one another while the table fails: one commit for each version.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use dillspool_config::{
+    AppliedConfig, ApplyError, ConfigStore, ConfigVersion, parse_configuration,
+};
+use dillspool_io::{UnixMillis, WallClock};
+use dillspool_platform::{MemoryObjects, MemoryTable, StoreFault};
+use dillspool_schema::Name;
+use dillspool_schema::configuration::Configuration;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+#[derive(Clone, Debug)]
+struct OperatorMove {
+    at_ms: u64,
+    share: u32,
+}
+
+#[derive(Clone, Debug)]
+struct ApplyRace {
+    moves: Vec<OperatorMove>,
+    faults: Vec<StoreFault>,
+}
+
+fn fault() -> impl Strategy<Value = StoreFault> {
+    prop_oneof![
+        3 => Just(StoreFault::None),
+        1 => Just(StoreFault::Refuse),
+        2 => Just(StoreFault::LoseAnswer),
+        2 => Just(StoreFault::LoseCall),
+        2 => (1_u64..2000).prop_map(|ms| StoreFault::Late(Duration::from_millis(ms))),
+    ]
+}
+
+fn race() -> impl Strategy<Value = ApplyRace> {
+    let one = (0_u64..3000, 1_u32..1000);
+    let moves = one.prop_map(|(at_ms, share)| OperatorMove { at_ms, share });
+    (proptest::collection::vec(moves, 1..7), proptest::collection::vec(fault(), 0..8))
+        .prop_map(|(moves, faults)| ApplyRace { moves, faults })
+}
+
+fn configuration(share: u32) -> Configuration {
+    let text = format!(
+        "[policy]\ngoodput_weight = 50\n[[group]]\nname = \"a\"\nshare = {share}\npriority = 0\n\
+         first_token_ms = 400\nper_token_ms = 35\n"
+    );
+    parse_configuration("test", &text).expect("it is valid")
+}
+
+async fn play(race: ApplyRace) {
+    let (table, objects) = (MemoryTable::new(), MemoryObjects::new());
+    let clock = WallClock::tokio(UnixMillis(1));
+    let store = ConfigStore::new(table.store(), objects.store(), clock);
+    table.fail_commits(race.faults);
+    let mut racing = tokio::task::JoinSet::new();
+    for (number, operator_move) in race.moves.into_iter().enumerate() {
+        let store = store.clone();
+        let token: Name = format!("attempt-{number}").into();
+        racing.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(operator_move.at_ms)).await;
+            let next = configuration(operator_move.share);
+            let applied = store.apply(None, &next, "operator".into(), Name::clone(&token)).await;
+            (token, applied)
+        });
+    }
+    let outcomes = racing.join_all().await;
+    table.mend();
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    check(&store, outcomes).await;
+}
+
+async fn check(store: &ConfigStore, outcomes: Vec<(Name, Result<AppliedConfig, ApplyError>)>) {
+    let rows = store.audit(ConfigVersion(0), 100).await.expect("the table answers");
+    let versions: Vec<u64> = rows.iter().map(|row| row.to.0).collect();
+    let expected: Vec<u64> = (1..=rows.len() as u64).collect();
+    assert_eq!(versions, expected, "each version has one row, none is left out");
+    let tokens: BTreeSet<Name> = rows.iter().map(|row| Name::clone(&row.token)).collect();
+    assert_eq!(tokens.len(), rows.len(), "no attempt took effect twice");
+    for (token, outcome) in outcomes {
+        let took_effect = tokens.contains(&token);
+        match outcome {
+            Ok(applied) if applied.changes.is_empty() => assert!(!took_effect),
+            Ok(applied) => {
+                let row = rows.iter().find(|row| row.token == token);
+                assert_eq!(row.map(|row| row.to), Some(applied.version), "told of its own version");
+            }
+            Err(ApplyError::LostRace { .. } | ApplyError::NotApplied { .. }) => {
+                assert!(!took_effect, "{token} was told that nothing changed");
+            }
+            Err(ApplyError::Unclear { .. }) => {}
+            Err(error @ ApplyError::Corrupt { .. }) => panic!("{error}"),
+        }
+    }
+    let Some(head) = store.head().await.expect("the table answers") else {
+        assert!(rows.is_empty());
+        return;
+    };
+    assert_eq!(head.version.0, rows.len() as u64);
+    store.fetch(&head, None).await.expect("the newest configuration can be read");
+}
+
+fn fixed_cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(2026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(256))]
+
+    #[test]
+    fn racing_applies_leave_one_line_of_versions(race in race()) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime can be built");
+        runtime.block_on(play(race));
+    }
+}
--- a/crates/dillspool_local/src/cluster.rs
+++ b/crates/dillspool_local/src/cluster.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_config::hash_key;
-use dillspool_host::{ApplyRequest, HostDaemon, HostEnvironment, StatusReply};
+use dillspool_config::{AuditRow, hash_key};
+use dillspool_host::{ApplyRequest, ConfigReply, HostDaemon, HostEnvironment, StatusReply};
 use dillspool_io::{HttpClient, MemoryNet, NetStack, UnixMillis, WallClock, read_body};
 use dillspool_platform::{HostEntry, HostKind, HostState};
 use dillspool_schema::configuration::{BackendEntry, BackendRole, Configuration};
@@ -269,6 +269,32 @@
         }
     }
 
+    /// The configuration that a host acts on.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the host does not answer.
+    pub async fn config_in_force(&self, host: usize) -> Configuration {
+        let (_, body) = self.admin(host, Method::GET, "/config", Bytes::new()).await;
+        match serde_json::from_slice::<ConfigReply>(&body) {
+            Ok(reply) => reply.configuration,
+            Err(error) => panic!("the configuration cannot be read: {error}"),
+        }
+    }
+
+    /// The audit trail as a host reads it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the host does not answer.
+    pub async fn audit(&self, host: usize) -> Vec<AuditRow> {
+        let (_, body) = self.admin(host, Method::GET, "/audit", Bytes::new()).await;
+        match serde_json::from_slice(&body) {
+            Ok(rows) => rows,
+            Err(error) => panic!("the audit trail cannot be read: {error}"),
+        }
+    }
+
     /// Waits until all hosts of the list act on a version and hear their peers.
     ///
     /// # Panics
