--- a/crates/dillspool_entry/src/answer.rs
+++ b/crates/dillspool_entry/src/answer.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::context::EntryContext;
 use crate::metrics::InFlight;
@@ -47,7 +48,11 @@
     if request.stream {
         return Ok(stream_answer(&context, head, answer, first, permit, gone));
     }
-    match collect_answer(&mut answer, first).await {
+    let collected = tokio::select! {
+        collected = collect_answer(&mut answer, first) => collected,
+        () = context.cancel.cancelled() => Err(host_ended()),
+    };
+    match collected {
         Ok(whole) => {
             gone.is_settled = true;
             let prompt = answer.prompt_tokens;
@@ -71,6 +76,13 @@
     Ok((answer, first))
 }
 
+/// The host ends before the answer does.
+fn host_ended() -> RequestProblem {
+    let detail = "the host ended before the answer; send the request again to another host";
+    RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "host_ended", detail)
+        .outcome(WorkOutcome::Incomplete)
+}
+
 fn answer_head(context: &EntryContext, request: &GenerationRequest) -> AnswerHead {
     let prefix = match request.form {
         ApiForm::Chat => "chatcmpl",
@@ -151,9 +163,9 @@
     gone: GoneCounter,
 ) -> Response<ResponseBody> {
     let (sender, receiver) = mpsc::channel(CALLER_BUFFER);
-    let tasks = context.tasks.clone();
+    let (tasks, cancel) = (context.tasks.clone(), context.cancel.clone());
     tasks.spawn(async move {
-        pump_events(&head, answer, first, sender, gone).await;
+        pump_events(&cancel, &head, answer, first, sender, gone).await;
         drop(permit);
     });
     let mut response = Response::new(channel_body(receiver));
@@ -166,6 +178,7 @@
 type EventSender = mpsc::Sender<Result<Bytes, BoxError>>;
 
 async fn pump_events(
+    cancel: &CancellationToken,
     head: &AnswerHead,
     mut answer: AnswerStream,
     first: AnswerPart,
@@ -195,6 +208,7 @@
         }
         part = tokio::select! {
             part = answer.next() => part,
+            () = cancel.cancelled() => Err(host_ended()),
             () = sender.closed() => return,
         };
     }
--- a/crates/dillspool_entry/src/context.rs
+++ b/crates/dillspool_entry/src/context.rs
@@ -12,6 +12,7 @@
 use dillspool_schema::Name;
 use dillspool_schema::messages::{ReleaseMessage, ReserveAnswer, ReserveMessage};
 use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::ids::StreamIds;
@@ -95,4 +96,6 @@
     pub tasks: TaskTracker,
     /// State of the host.
     pub checks: HostChecks,
+    /// Ends all answers when the host's drain time is over.
+    pub cancel: CancellationToken,
 }
--- a/crates/dillspool_host/src/daemon.rs
+++ b/crates/dillspool_host/src/daemon.rs
@@ -36,8 +36,8 @@
 
 /// Time for the platform's balancer to notice that a draining host is not ready.
 const BALANCER_TIME: Duration = Duration::from_secs(5);
-/// How often a drain looks whether the last request has ended.
-const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Time for answers that outlast the drain to give back what they hold.
+const GIVE_BACK_TIME: Duration = Duration::from_secs(3);
 
 /// Why a host does not start.
 #[derive(Debug, Snafu)]
@@ -86,13 +86,14 @@
     view: HostView,
     directory: PoolDirectory,
     registry: PlacementRegistry,
-    metrics: EntryMetrics,
     tasks: TaskTracker,
     drain_timeout: Duration,
     drain: CancellationToken,
     /// Ends the callers' listener.
     callers: CancellationToken,
     callers_served: tokio::task::JoinHandle<()>,
+    /// Ends all answers.
+    answers: CancellationToken,
     /// Ends everything.
     cancel: CancellationToken,
 }
@@ -145,6 +146,8 @@
     rows: AliveRows,
     metrics: EntryMetrics,
     tasks: TaskTracker,
+    /// Ends all answers.
+    answers: CancellationToken,
     cancel: CancellationToken,
 }
 
@@ -192,6 +195,7 @@
             links,
             metrics: EntryMetrics::default(),
             tasks: TaskTracker::new(),
+            answers: CancellationToken::new(),
             cancel,
         }
     }
@@ -236,6 +240,7 @@
             max_body_bytes: usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
             body_timeout: Duration::from_millis(limits.body_timeout_ms.into()),
             tasks: self.tasks.clone(),
+            cancel: self.answers.clone(),
             checks: HostChecks {
                 closed_reason: Arc::new(move || isolated.is_isolated().then_some(ISOLATED)),
                 is_leaving: Arc::new(move |backend| leaving.is_leaving(backend)),
@@ -419,8 +424,8 @@
             view: parts.view,
             directory: parts.directory,
             registry: parts.registry,
-            metrics: parts.metrics,
             tasks: parts.tasks,
+            answers: parts.answers,
             drain,
             callers,
             callers_served,
@@ -454,15 +459,17 @@
         let deadline = tokio::time::Instant::now() + self.drain_timeout;
         tokio::time::sleep(BALANCER_TIME.min(self.drain_timeout / 2)).await;
         self.callers.cancel();
-        let finished = async {
+        let mut finished = std::pin::pin!(async {
             let _served = self.callers_served.await;
-            while self.metrics.in_flight() > 0 {
-                tokio::time::sleep(DRAIN_LOOK).await;
-            }
             self.tasks.close();
             self.tasks.wait().await;
-        };
-        let whole = tokio::time::timeout_at(deadline, finished).await.is_ok();
+        });
+        let whole = tokio::time::timeout_at(deadline, finished.as_mut()).await.is_ok();
+        if !whole {
+            // What is left ends with an error, and gives back what it holds.
+            self.answers.cancel();
+            let _still_busy = tokio::time::timeout(GIVE_BACK_TIME, finished).await;
+        }
         log::info!("event=drain_ended host={} whole={whole}", self.host);
         self.cancel.cancel();
     }
