Bench: both mixes against three baselines and an upper bound, in memory under paused time

Ruled out: a simulator of its own (the bench runs the real hosts and the stand-in engines). Change: dillspool_bench; hosts can be given another placement desk; jitter from a seed.

--- /dev/null
+++ b/crates/dillspool_bench/src/main.rs
@@ -0,0 +1,65 @@
+//! Measures the decisions under load, and the slopes of docs/CAPACITY.md.
+#![expect(clippy::cast_precision_loss, reason = "figures of a few seconds' run are far below 2^52")]
+
+mod bound;
+mod figures;
+mod mix;
+mod plot;
+mod policy;
+mod report;
+mod scenario;
+mod slopes;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use crate::mix::MixName;
+
+/// Measures dillspool on one machine, with stand-ins and paused time.
+#[derive(Debug, Parser)]
+#[command(name = "dillspool-bench")]
+struct BenchArgs {
+    #[command(subcommand)]
+    command: Option<BenchCommand>,
+    /// Which users' mix to play.
+    #[arg(long, value_enum, default_value_t = MixName::HewaSafi)]
+    mix: MixName,
+    /// Seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds of virtual time that requests arrive.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Loads to play, as multiples of the capacity.
+    #[arg(long, value_delimiter = ',', default_value = "0.5,1.0,1.5,2.0,3.0")]
+    loads: Vec<f64>,
+    /// Only this policy.
+    #[arg(long, value_enum)]
+    policy: Option<policy::PolicyName>,
+    /// Folder for the figures as JSON and plots.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+#[derive(Debug, Subcommand)]
+enum BenchCommand {
+    /// Measure the slopes of docs/CAPACITY.md.
+    Slopes,
+}
+
+fn main() -> ExitCode {
+    let args = BenchArgs::parse();
+    let done = match args.command {
+        Some(BenchCommand::Slopes) => slopes::run(),
+        None => report::run(&args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/dillspool_host/src/config_keeper.rs
+++ b/crates/dillspool_host/src/config_keeper.rs
@@ -8,7 +8,8 @@
 use dillspool_schema::Name;
 use dillspool_schema::configuration::Configuration;
 use dillspool_schema::messages::{ConfigQuery, ConfigTransfer};
-use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -152,10 +153,11 @@
     }
 
     /// Polls until `cancel`.
-    pub(crate) async fn keep(self, cancel: CancellationToken) {
+    pub(crate) async fn keep(self, seed: u64, cancel: CancellationToken) {
+        let mut random = SmallRng::seed_from_u64(seed);
         loop {
             self.poll().await;
-            let jitter = rand::rng().random_range(Duration::ZERO..POLL_JITTER);
+            let jitter = random.random_range(Duration::ZERO..POLL_JITTER);
             tokio::select! {
                 () = tokio::time::sleep(POLL_INTERVAL + jitter) => {}
                 () = cancel.cancelled() => return,
--- a/crates/dillspool_host/src/daemon.rs
+++ b/crates/dillspool_host/src/daemon.rs
@@ -9,8 +9,8 @@
 use dillspool_config::{ConfigError, ConfigStore, HostAddresses};
 use dillspool_engine::EngineClient;
 use dillspool_entry::{
-    EntryContext, EntryMetrics, HostChecks, PlacementRegistry, RetryBudget, StreamIds,
-    callers_handler,
+    EntryContext, EntryMetrics, HostChecks, PlacementDesk, PlacementRegistry, RetryBudget,
+    StreamIds, callers_handler,
 };
 use dillspool_io::{HttpClient, NetListener, NetStack, ServerLimits, WallClock, serve_http};
 use dillspool_ledger::{CallLedger, LedgerSettings};
@@ -28,7 +28,7 @@
 use crate::admin::{AdminContext, operators_handler};
 use crate::alive_rows::AliveRows;
 use crate::config_keeper::{ConfigKeeper, acknowledge_versions};
-use crate::desk::placement_desk;
+use crate::desk::{DeskChoice, placement_desk};
 use crate::directory::PoolDirectory;
 use crate::membership::follow_hosts;
 use crate::metrics::{HostMetrics, HostReadings};
@@ -58,13 +58,17 @@
     },
 }
 
-/// What a host takes from outside: network and clock.
+/// What a host takes from outside.
 #[derive(Clone, Debug)]
 pub struct HostEnvironment {
     /// The network.
     pub stack: NetStack,
     /// The wall clock; its time at the start is the host's incarnation.
     pub clock: WallClock,
+    /// Seed of the jitter of periodic work.
+    pub seed: u64,
+    /// Another way to place requests than the pool's scheduler, for comparisons.
+    pub desk: Option<DeskChoice>,
 }
 
 /// Addresses that a host listens on, with the ports that the system chose.
@@ -212,6 +216,13 @@
         }
     }
 
+    fn placement_desk(&self) -> PlacementDesk {
+        match &self.environment.desk {
+            Some(choice) => (choice.build)(self.keeper.subscribe(), self.engines.clone()),
+            None => placement_desk(self.view.clone(), self.links.clone(), self.directory.clone()),
+        }
+    }
+
     fn entry_context(&self) -> EntryContext {
         let limits = self.settings.limits.clone().unwrap_or_default();
         let owner = format!("{}.{}", self.settings.host, self.incarnation);
@@ -228,7 +239,7 @@
             config: self.keeper.subscribe(),
             engines: self.engines.clone(),
             plain: HttpClient::single_use(&self.environment.stack),
-            desk: placement_desk(self.view.clone(), self.links.clone(), self.directory.clone()),
+            desk: self.placement_desk(),
             registry: self.registry.clone(),
             ledger,
             clock: self.environment.clock.clone(),
@@ -312,7 +323,7 @@
     fn spawn_roles(&self) {
         let parts = self.clone();
         tokio::spawn(parts.clone().follow_config());
-        tokio::spawn(parts.keeper.clone().keep(parts.cancel.clone()));
+        tokio::spawn(parts.keeper.clone().keep(parts.environment.seed, parts.cancel.clone()));
         tokio::spawn(acknowledge_versions(
             parts.keeper.clone(),
             parts.table.clone(),
@@ -325,6 +336,7 @@
             parts.view.clone(),
             parts.links.clone(),
             parts.directory.clone(),
+            parts.environment.seed,
             parts.cancel.clone(),
         ));
         tokio::spawn(report_placements(
--- a/crates/dillspool_host/src/desk.rs
+++ b/crates/dillspool_host/src/desk.rs
@@ -1,8 +1,11 @@
 //! Where this host's requests get their placements.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_config::ConfigSnapshot;
+use dillspool_engine::EngineClient;
 use dillspool_entry::{PlacementDesk, ReserveReply};
 use dillspool_peer::{HostView, PeerLinks};
 use dillspool_schema::Name;
@@ -10,6 +13,8 @@
     RefuseCause, ReleaseMessage, ReserveAnswer, ReserveMessage, ReserveRefusal,
 };
 
+use tokio::sync::watch;
+
 use crate::directory::PoolDirectory;
 
 /// Time beyond the request's own for an answer to come from another host.
@@ -17,6 +22,23 @@
 /// When to come back after a scheduler did not answer.
 const SILENT_RETRY_MS: u32 = 500;
 
+/// Another way to place requests, built from the configuration and the engines' client.
+#[derive(Clone)]
+pub struct DeskChoice {
+    /// Builds the desk of a host.
+    pub build: Arc<DeskBuilder>,
+}
+
+type DeskBuilder = dyn Fn(watch::Receiver<Option<Arc<ConfigSnapshot>>>, EngineClient) -> PlacementDesk
+    + Send
+    + Sync;
+
+impl fmt::Debug for DeskChoice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("DeskChoice")
+    }
+}
+
 /// Asks the scheduler that rendezvous hashing names, or this host's own when none is in reach.
 pub(crate) fn placement_desk(
     view: HostView,
--- a/crates/dillspool_host/src/membership.rs
+++ b/crates/dillspool_host/src/membership.rs
@@ -4,7 +4,8 @@
 
 use dillspool_peer::{HostView, PeerLinks};
 use dillspool_platform::HostList;
-use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio_util::sync::CancellationToken;
 
 use crate::directory::PoolDirectory;
@@ -20,8 +21,10 @@
     view: HostView,
     links: PeerLinks,
     directory: PoolDirectory,
+    seed: u64,
     cancel: CancellationToken,
 ) {
+    let mut random = SmallRng::seed_from_u64(seed);
     loop {
         match (list.list)(()).await {
             Ok(reply) => view.take_list(reply.entries),
@@ -29,7 +32,7 @@
         }
         links.set_targets(&view.dial_targets(&directory.names()), &cancel);
         directory.set_leaving(&|backend| view.is_leaving(backend));
-        let jitter = rand::rng().random_range(Duration::ZERO..LIST_JITTER);
+        let jitter = random.random_range(Duration::ZERO..LIST_JITTER);
         tokio::select! {
             () = tokio::time::sleep(LIST_INTERVAL + jitter) => {}
             () = cancel.cancelled() => return,
--- a/crates/dillspool_local/src/cluster.rs
+++ b/crates/dillspool_local/src/cluster.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use dillspool_config::{AuditRow, hash_key};
-use dillspool_host::{ApplyRequest, ConfigReply, HostDaemon, HostEnvironment, StatusReply};
+use dillspool_host::{
+    ApplyRequest, ConfigReply, DeskChoice, HostDaemon, HostEnvironment, StatusReply,
+};
 use dillspool_io::{HttpClient, MemoryNet, NetStack, UnixMillis, WallClock, read_body};
 use dillspool_platform::{HostEntry, HostKind, HostState};
 use dillspool_schema::configuration::{BackendEntry, BackendRole, Configuration};
@@ -83,6 +85,8 @@
     pub hosts: Vec<HostDaemon>,
     /// The configuration with the addresses that the stand-ins got.
     pub configuration: Configuration,
+    /// Another way to place requests, for hosts that are added from now on.
+    pub desk: Option<DeskChoice>,
     clock: WallClock,
     failure_domains: Vec<Name>,
     cancel: CancellationToken,
@@ -136,6 +140,7 @@
             plains,
             hosts: Vec::new(),
             configuration,
+            desk: None,
             clock,
             failure_domains,
             cancel,
@@ -156,7 +161,12 @@
             self.failure_domains.get(domain).cloned().unwrap_or_else(|| "local".into());
         let settings = self.settings(name, &failure_domain, node);
         let stack = self.net.stack(node);
-        let environment = HostEnvironment { stack, clock: self.clock.clone() };
+        let environment = HostEnvironment {
+            stack,
+            clock: self.clock.clone(),
+            seed: self.nodes.into(),
+            desk: self.desk.clone(),
+        };
         let daemon = match HostDaemon::start(settings, environment).await {
             Ok(daemon) => daemon,
             Err(error) => panic!("host {name} does not start: {error}"),
--- a/crates/dillspool_standin/src/engine/decode.rs
+++ b/crates/dillspool_standin/src/engine/decode.rs
@@ -78,6 +78,7 @@
             cancel: CancellationToken::new(),
         });
         state.decodes.insert(request.stream.clone(), Arc::clone(&task));
+        state.imported += 1;
         drop(state);
         tokio::spawn(produce(importing.clone(), Arc::clone(&task)));
         Ok((request.stream, request.from, task))
--- a/crates/dillspool_standin/src/engine/server.rs
+++ b/crates/dillspool_standin/src/engine/server.rs
@@ -79,6 +79,11 @@
         (state.prefilled, state.wasted_exports)
     }
 
+    /// KV caches that were imported, each the use of a prefill.
+    pub fn imports_done(&self) -> u64 {
+        self.core.lock().imported
+    }
+
     /// Fenced orders that were carried out.
     pub fn orders_run(&self) -> u64 {
         self.core.lock().orders_run
--- a/crates/dillspool_standin/src/engine/state.rs
+++ b/crates/dillspool_standin/src/engine/state.rs
@@ -52,6 +52,8 @@
     pub(crate) last_order: Option<OrderReply>,
     pub(crate) orders_run: u64,
     pub(crate) prefilled: u64,
+    /// Imports that ended well: prefills that were of use.
+    pub(crate) imported: u64,
     pub(crate) wasted_exports: u64,
 }
 
--- a/crates/dillspoold/src/main.rs
+++ b/crates/dillspoold/src/main.rs
@@ -51,7 +51,10 @@
 }
 
 async fn serve(settings: dillspool_schema::settings::HostSettings) -> Result<(), String> {
-    let environment = HostEnvironment { stack: NetStack::tcp(), clock: WallClock::system() };
+    let clock = WallClock::system();
+    // Hosts that start together differ by their names and start times.
+    let seed = clock.now().0 ^ u64::from(std::process::id());
+    let environment = HostEnvironment { stack: NetStack::tcp(), clock, seed, desk: None };
     let daemon =
         HostDaemon::start(settings, environment).await.map_err(|error| error.to_string())?;
     print_addresses(&daemon)
