--- a/crates/dillspool_bench/src/figures.rs
+++ b/crates/dillspool_bench/src/figures.rs
@@ -1,18 +1,23 @@
 //! Figures of a run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::bound::upper_bound;
+use crate::bound::{BoundOrder, upper_bound};
 use crate::mix::{Arrival, UserMix};
 use crate::scenario::{RequestEnd, RequestRecord, RunResult};
 
 /// Longest time that a histogram holds, in microseconds.
 const LONGEST_US: u64 = 120_000_000;
 
+/// Length of the windows over which shares are compared.
+const SHARE_WINDOW_S: u64 = 10;
+/// Refusals in a window from which on a group counts as backlogged.
+const LEAST_REFUSED: usize = 10;
+
 /// Times in milliseconds.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub(crate) struct TimeFigures {
@@ -44,7 +49,12 @@
     pub(crate) policy: &'static str,
     pub(crate) load: f64,
     pub(crate) good: usize,
+    /// Bound for a policy that favours no size.
     pub(crate) bound: usize,
+    /// Bound for any policy.
+    pub(crate) strict_bound: usize,
+    /// Largest error of a backlogged group's share of its class over 10 s, in hundredths.
+    pub(crate) share_error: Option<f64>,
     pub(crate) wrong: usize,
     /// Good and sent by second of arrival, for the most urgent group.
     pub(crate) urgent_by_second: Vec<(usize, usize)>,
@@ -65,7 +75,8 @@
         result: &RunResult,
     ) -> Self {
         let arrivals: Vec<Arrival> = result.records.iter().map(|it| it.arrival.clone()).collect();
-        let bounds = upper_bound(mix, &arrivals, seconds);
+        let bounds = upper_bound(mix, &arrivals, seconds, BoundOrder::SizeBlind);
+        let strict = upper_bound(mix, &arrivals, seconds, BoundOrder::Strict);
         let mut groups = BTreeMap::new();
         for group in mix.groups {
             let records: Vec<&RequestRecord> =
@@ -79,6 +90,8 @@
             load,
             good: groups.values().map(|it| it.good).sum(),
             bound: groups.values().map(|it| it.bound).sum(),
+            strict_bound: strict.values().sum(),
+            share_error: share_error(mix, &result.records),
             urgent_by_second: by_second(&result.records, mix.groups[0].group, seconds),
             wrong: count(result.records.iter(), RequestEnd::Wrong),
             prefills: result.prefills,
@@ -101,6 +114,53 @@
     }
 }
 
+/// Over windows of 10 s in which every group of a class was refused requests.
+fn share_error(mix: &UserMix, records: &[RequestRecord]) -> Option<f64> {
+    let windows: BTreeSet<u64> =
+        records.iter().map(|it| it.arrival.at.as_secs() / SHARE_WINDOW_S).collect();
+    let mut worst: Option<f64> = None;
+    for names in mix.classes().values().filter(|names| names.len() > 1) {
+        for window in &windows {
+            let inside = |it: &&RequestRecord| it.arrival.at.as_secs() / SHARE_WINDOW_S == *window;
+            let error =
+                window_error(mix, names, &records.iter().filter(inside).collect::<Vec<_>>());
+            worst = worst.into_iter().chain(error).reduce(f64::max);
+        }
+    }
+    worst
+}
+
+fn window_error(mix: &UserMix, names: &[&str], records: &[&RequestRecord]) -> Option<f64> {
+    let of = |name: &str| -> Vec<&RequestRecord> {
+        records.iter().copied().filter(|it| it.arrival.group == name).collect()
+    };
+    let backlogged = |name: &&str| {
+        of(name).iter().filter(|it| it.end == RequestEnd::Refused).count() >= LEAST_REFUSED
+    };
+    if !names.iter().all(|name| backlogged(name)) {
+        return None;
+    }
+    let served = |name: &str| -> f64 {
+        let all = of(name);
+        let whole = all.iter().filter(|it| matches!(it.end, RequestEnd::Good | RequestEnd::Late));
+        let cost = |it: &&&RequestRecord| {
+            let cost = mix.cost(it.arrival.prompt, it.arrival.max_tokens);
+            cost.prefill + cost.decode
+        };
+        whole.map(|it| cost(&it)).sum()
+    };
+    let share = |name: &str| {
+        let entry = mix.configuration.group.iter().find(|it| &*it.name == name);
+        entry.map_or(0.0, |it| f64::from(it.share))
+    };
+    let total_served: f64 = names.iter().map(|name| served(name)).sum();
+    let total_share: f64 = names.iter().map(|name| share(name)).sum();
+    let errors = names
+        .iter()
+        .map(|name| (served(name) / total_served - share(name) / total_share).abs() * 100.0);
+    errors.reduce(f64::max)
+}
+
 fn by_second(records: &[RequestRecord], group: &str, seconds: u64) -> Vec<(usize, usize)> {
     let mut counts = vec![(0, 0); usize::try_from(seconds).unwrap_or(0)];
     for record in records.iter().filter(|it| it.arrival.group == group) {
--- a/crates/dillspool_bench/src/mix.rs
+++ b/crates/dillspool_bench/src/mix.rs
@@ -1,5 +1,6 @@
 //! What the two users' callers send.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use clap::ValueEnum;
@@ -96,6 +97,8 @@
     /// Prompt tokens that an engine may have cached.
     pub(crate) shared: u64,
     pub(crate) output: u64,
+    /// Output tokens at most, which is all that the caller tells.
+    pub(crate) max_tokens: u64,
     /// When the caller leaves, if it does.
     pub(crate) leaves_after: Option<Duration>,
 }
@@ -147,6 +150,16 @@
         }
     }
 
+    /// Groups by priority class.
+    pub(crate) fn classes(&self) -> BTreeMap<u32, Vec<&'static str>> {
+        let mut classes: BTreeMap<u32, Vec<&'static str>> = BTreeMap::new();
+        for group in self.groups {
+            let entry = self.configuration.group.iter().find(|it| &*it.name == group.group);
+            classes.entry(entry.map_or(0, |it| it.priority)).or_default().push(group.group);
+        }
+        classes
+    }
+
     /// Requests a second at which the busier kind of engine is just full.
     pub(crate) fn capacity(&self) -> f64 {
         let mut cost = EngineCost::default();
@@ -211,6 +224,7 @@
             prompt: prompt as u64,
             shared: (self.shared.0 / 256 * 256) as u64,
             output,
+            max_tokens: self.output.1,
             text,
             leaves_after: leaves.then(|| Duration::from_millis(random.random_range(10..2000))),
         }
--- a/crates/dillspool_bench/src/report.rs
+++ b/crates/dillspool_bench/src/report.rs
@@ -84,28 +84,32 @@
 
 fn print_totals(figures: &[RunFigures]) {
     println!(
-        "\n{:<14} {:>5} {:>7} {:>7} {:>9} {:>9} {:>8} {:>6} {:>8} {:>5}",
+        "\n{:<14} {:>5} {:>7} {:>7} {:>9} {:>7} {:>9} {:>8} {:>6} {:>6} {:>8} {:>5}",
         "POLICY",
         "LOAD",
         "GOOD",
         "BOUND",
         "OF BOUND",
+        "STRICT",
         "PREFILLS",
         "WASTED%",
+        "SHARE",
         "WRONG",
         "DOUBLED",
         "HELD"
     );
     for run in figures {
         println!(
-            "{:<14} {:>5.1} {:>7} {:>7} {:>8.1}% {:>9} {:>8.2} {:>6} {:>8} {:>5}",
+            "{:<14} {:>5.1} {:>7} {:>7} {:>8.1}% {:>7} {:>9} {:>8.2} {:>6} {:>6} {:>8} {:>5}",
             run.policy,
             run.load,
             run.good,
             run.bound,
             run.part_of_bound(),
+            run.strict_bound,
             run.prefills,
             run.wasted_percent(),
+            run.share_error.map_or("-".to_owned(), |error| format!("{error:.1}")),
             run.wrong,
             run.doubled,
             run.held_after
--- a/crates/dillspool_bench/src/scenario.rs
+++ b/crates/dillspool_bench/src/scenario.rs
@@ -133,7 +133,7 @@
         let call = ChatCall {
             model: mix.model.to_owned(),
             text: arrival.text.clone(),
-            max_tokens: arrival.output,
+            max_tokens: arrival.max_tokens,
             stream: true,
         };
         calls.spawn(async move {
--- a/crates/dillspool_pool/src/lib.rs
+++ b/crates/dillspool_pool/src/lib.rs
@@ -4,6 +4,7 @@
 //! but never a promise. All state is soft. See `docs/design/scheduler.md`.
 
 mod affinity;
+mod class_service;
 mod engines;
 mod health;
 mod queue;
--- a/crates/dillspool_pool/src/queue.rs
+++ b/crates/dillspool_pool/src/queue.rs
@@ -37,6 +37,8 @@
     pub cost: Duration,
     /// Target for each further token.
     pub per_token: Duration,
+    /// Priority class, 0 first.
+    pub priority: u32,
 }
 
 #[derive(Debug, Default)]
--- a/crates/dillspool_pool/src/state.rs
+++ b/crates/dillspool_pool/src/state.rs
@@ -14,6 +14,7 @@
 use dillspool_schema::{Name, StreamId};
 use tokio::time::Instant;
 
+use crate::class_service::ClassService;
 use crate::engines::{DecodeState, PrefillState, SlotHold, time_at};
 use crate::queue::{FairQueue, QueueTag, WaitingRequest};
 
@@ -68,6 +69,7 @@
     queue: FairQueue,
     released: BTreeMap<StreamId, Instant>,
     mean_hold: Duration,
+    service: ClassService,
     draining: bool,
 }
 
@@ -83,6 +85,7 @@
             queue: FairQueue::default(),
             released: BTreeMap::new(),
             mean_hold: FIRST_HOLD,
+            service: ClassService::new(now),
             draining: false,
         };
         state.configure(snapshot, now);
@@ -159,6 +162,7 @@
             due: now + Duration::from_millis(message.wait_ms.into()),
             cost: self.cost(&message),
             per_token: Duration::from_millis(group.per_token_ms.into()),
+            priority,
             message,
         };
         self.queue.push(request, share, priority);
@@ -281,6 +285,7 @@
         now: Instant,
     ) -> Option<ReserveAnswer> {
         let request = self.queue.serve(tag)?;
+        self.service.note(request.priority, request.cost, now);
         let message = request.message;
         let prefill = &mut self.prefills[choice.prefill];
         if message.prefilled.is_none() {
@@ -328,11 +333,13 @@
         let free = self.free_slots(request.per_token, now);
         let beyond = (ahead.requests + 1).saturating_sub(free);
         let slot_wait = self.mean_hold * beyond / held.max(1);
+        // Requests of higher classes that come meanwhile go first.
+        let wait = self.service.stretch(request.priority, prefill_wait.max(slot_wait));
         let bytes = request.message.prompt * self.pool.kv_bytes_per_token;
         let after = self.decodes.values().next().map_or(Duration::ZERO, |it| {
             time_at(bytes, it.entry.link_bytes_per_s) + it.step_time(it.used())
         });
-        now + prefill_wait.max(slot_wait) + self.least_work(request) + after
+        now + wait + self.least_work(request) + after
     }
 
     fn free_slots(&self, per_token: Duration, now: Instant) -> u32 {
