--- a/crates/dillspool_bench/src/figures.rs
+++ b/crates/dillspool_bench/src/figures.rs
@@ -137,7 +137,7 @@
     let backlogged = |name: &&str| {
         of(name).iter().filter(|it| it.end == RequestEnd::Refused).count() >= LEAST_REFUSED
     };
-    if !names.iter().all(|name| backlogged(name)) {
+    if !names.iter().all(backlogged) {
         return None;
     }
     let served = |name: &str| -> f64 {
