Bench: slopes, real processes at rest and under load, real run under faults

Cause: docs/CAPACITY.md needs measured slopes. Ruled out: resident memory for small things (peak_alloc counts what is allocated). Change: dillspool-bench slopes, processes and faults.

--- a/crates/dillspool_bench/src/main.rs
+++ b/crates/dillspool_bench/src/main.rs
@@ -2,7 +2,9 @@
 #![expect(clippy::cast_precision_loss, reason = "figures of a few seconds' run are far below 2^52")]
 
 mod bound;
+mod faults;
 mod figures;
+mod idle;
 mod mix;
 mod plot;
 mod policy;
@@ -17,6 +19,10 @@
 
 use crate::mix::MixName;
 
+/// Counts what is allocated, for the slopes of memory.
+#[global_allocator]
+static ALLOCATED: peak_alloc::PeakAlloc = peak_alloc::PeakAlloc;
+
 /// Measures dillspool on one machine, with stand-ins and paused time.
 #[derive(Debug, Parser)]
 #[command(name = "dillspool-bench")]
@@ -47,12 +53,22 @@
 enum BenchCommand {
     /// Measure the slopes of docs/CAPACITY.md.
     Slopes,
+    /// Measure real processes at rest and under load; needs the release build.
+    Processes,
+    /// Run processes under faults; needs the release build of the whole workspace.
+    Faults,
 }
 
 fn main() -> ExitCode {
     let args = BenchArgs::parse();
     let done = match args.command {
         Some(BenchCommand::Slopes) => slopes::run(),
+        Some(BenchCommand::Processes) => {
+            mix::UserMix::load(args.mix).and_then(|mix| idle::run(&mix, args.seed))
+        }
+        Some(BenchCommand::Faults) => {
+            mix::UserMix::load(args.mix).and_then(|mix| faults::run(&mix, args.seed))
+        }
         None => report::run(&args),
     };
     match done {
