Decision and token cost: idle groups forgotten seldom, chunks built from a prepared start, two worker threads

Cause: each decision looked at all 6,900 groups to forget idle ones; each token built a JSON tree; eight worker threads woke for every token and each kept memory. Ruled out: the engines' table (cost hardly grows from 20 to 320 engines). Change: forgetting once in 4,096 arrivals; a chunk is one formatted text; at most two worker threads.

--- a/crates/dillspool_entry/src/answer.rs
+++ b/crates/dillspool_entry/src/answer.rs
@@ -88,12 +88,9 @@
         ApiForm::Chat => "chatcmpl",
         ApiForm::Text => "cmpl",
     };
-    AnswerHead {
-        form: request.form,
-        id: format!("{prefix}-{}", context.ids.next()),
-        model: Name::clone(&request.model),
-        created: context.clock.now().0 / 1000,
-    }
+    let id = format!("{prefix}-{}", context.ids.next());
+    let created = context.clock.now().0 / 1000;
+    AnswerHead::new(request.form, id, Name::clone(&request.model), created)
 }
 
 /// Counts a request whose caller left before the end.
@@ -188,10 +185,10 @@
     let mut part = Ok(first);
     loop {
         let event = match &part {
-            Ok(AnswerPart::Token(text)) => event_line(&head.chunk(Some(text), None)),
+            Ok(AnswerPart::Token(text)) => event_line(&head.token_chunk(text)),
             Ok(AnswerPart::End(finish)) => {
                 gone.is_settled = true;
-                let mut last = event_line(&head.chunk(None, Some(finish)));
+                let mut last = event_line(&head.last_chunk(finish));
                 last.push_str("data: [DONE]\n\n");
                 // A caller that left now has been sent all but the end mark.
                 let _caller_left = sender.send(Ok(last.into())).await;
--- a/crates/dillspool_entry/src/openai.rs
+++ b/crates/dillspool_entry/src/openai.rs
@@ -114,68 +114,77 @@
 /// What the answers of one request have in common.
 #[derive(Clone, Debug)]
 pub(crate) struct AnswerHead {
-    pub(crate) form: ApiForm,
-    pub(crate) id: String,
-    pub(crate) model: Name,
+    form: ApiForm,
+    /// Start of every event up to its choice, so that a token costs one small text.
+    chunk_start: String,
+    id: String,
+    model: Name,
     /// Unix time in seconds.
-    pub(crate) created: u64,
+    created: u64,
 }
 
 impl AnswerHead {
-    /// One event of a streamed answer.
-    pub(crate) fn chunk(&self, text: Option<&str>, finish: Option<&str>) -> String {
-        let choice = match self.form {
-            ApiForm::Chat => {
-                let delta = text.map_or_else(
-                    || json!({}),
-                    |text| json!({"role": "assistant", "content": text}),
-                );
-                json!({"index": 0, "delta": delta, "finish_reason": finish})
-            }
-            ApiForm::Text => {
-                json!({"index": 0, "text": text.unwrap_or(""), "finish_reason": finish})
-            }
-        };
-        let object = match self.form {
+    pub(crate) fn new(form: ApiForm, id: String, model: Name, created: u64) -> Self {
+        let object = match form {
             ApiForm::Chat => "chat.completion.chunk",
             ApiForm::Text => "text_completion",
         };
-        self.body(object, &choice, None)
+        let shown = serde_json::to_string(&model).unwrap_or_default();
+        let chunk_start = format!(
+            "{{\"id\":\"{id}\",\"object\":\"{object}\",\"created\":{created},\"model\":{shown},\
+             \"choices\":[{{\"index\":0,"
+        );
+        Self { form, chunk_start, id, model, created }
+    }
+
+    /// One event of a streamed answer that carries a token.
+    pub(crate) fn token_chunk(&self, text: &str) -> String {
+        let text = serde_json::to_string(text).unwrap_or_default();
+        let start = &self.chunk_start;
+        match self.form {
+            ApiForm::Chat => format!(
+                "{start}\"delta\":{{\"role\":\"assistant\",\"content\":{text}}},\"finish_reason\":null}}]}}"
+            ),
+            ApiForm::Text => format!("{start}\"text\":{text},\"finish_reason\":null}}]}}"),
+        }
+    }
+
+    /// The event that ends a streamed answer.
+    pub(crate) fn last_chunk(&self, finish: &str) -> String {
+        let finish = serde_json::to_string(finish).unwrap_or_default();
+        let part = match self.form {
+            ApiForm::Chat => "\"delta\":{}",
+            ApiForm::Text => "\"text\":\"\"",
+        };
+        format!("{}{part},\"finish_reason\":{finish}}}]}}", self.chunk_start)
     }
 
     /// A whole answer.
     pub(crate) fn whole(&self, text: &str, finish: &str, prompt: u64, output: u64) -> String {
-        let choice = match self.form {
+        let (object, choice) = match self.form {
             ApiForm::Chat => {
                 let message = json!({"role": "assistant", "content": text});
-                json!({"index": 0, "message": message, "finish_reason": finish})
+                let choice = json!({"index": 0, "message": message, "finish_reason": finish});
+                ("chat.completion", choice)
+            }
+            ApiForm::Text => {
+                let choice = json!({"index": 0, "text": text, "finish_reason": finish});
+                ("text_completion", choice)
             }
-            ApiForm::Text => json!({"index": 0, "text": text, "finish_reason": finish}),
-        };
-        let object = match self.form {
-            ApiForm::Chat => "chat.completion",
-            ApiForm::Text => "text_completion",
         };
-        let usage = json!({
-            "prompt_tokens": prompt,
-            "completion_tokens": output,
-            "total_tokens": prompt + output,
-        });
-        self.body(object, &choice, Some(usage))
-    }
-
-    fn body(&self, object: &str, choice: &Value, usage: Option<Value>) -> String {
-        let mut body = json!({
+        json!({
             "id": self.id,
             "object": object,
             "created": self.created,
             "model": self.model,
             "choices": [choice],
-        });
-        if let (Some(usage), Some(fields)) = (usage, body.as_object_mut()) {
-            fields.insert("usage".to_owned(), usage);
-        }
-        body.to_string()
+            "usage": {
+                "prompt_tokens": prompt,
+                "completion_tokens": output,
+                "total_tokens": prompt + output,
+            },
+        })
+        .to_string()
     }
 }
 
--- a/crates/dillspool_pool/src/queue.rs
+++ b/crates/dillspool_pool/src/queue.rs
@@ -15,6 +15,9 @@
 /// Virtual time units of a microsecond of pool time at share 1.
 const TAG_SCALE: u64 = 1_000;
 
+/// Arrivals after which idle groups are forgotten.
+const FORGET_EVERY: u64 = 4096;
+
 /// Place of a request in the order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueTag {
@@ -59,6 +62,8 @@
     finish: BTreeMap<(u32, Name), u64>,
     classes: BTreeMap<u32, ClassState>,
     arrivals: u64,
+    /// Count of arrivals at which idle groups are forgotten next.
+    forget_at: u64,
 }
 
 fn micros(span: Duration) -> u64 {
@@ -164,7 +169,13 @@
     }
 
     /// Forgets groups whose virtual finish lies behind their class, to bound the memory.
+    ///
+    /// It looks at every group, so it does so only once for many served requests.
     pub fn forget_idle(&mut self) {
+        if self.arrivals < self.forget_at {
+            return;
+        }
+        self.forget_at = self.arrivals + FORGET_EVERY;
         let classes = &self.classes;
         self.finish.retain(|(priority, _), finish| {
             classes.get(priority).is_some_and(|class| *finish > class.virtual_time)
--- a/crates/dillspoold/src/main.rs
+++ b/crates/dillspoold/src/main.rs
@@ -10,6 +10,9 @@
 use dillspool_io::{NetStack, WallClock};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Threads of the runtime at most; docs/CAPACITY.md has the measurement.
+const MOST_WORKERS: usize = 2;
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
@@ -43,13 +46,22 @@
         return Ok(());
     }
     set_up_log(settings.log.as_ref()).map_err(|error| error.to_string())?;
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|error| {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_threads())
+        .enable_all()
+        .build()
+        .map_err(|error| {
             format!("cannot start the runtime: {error}; check the limits on threads")
         })?;
     runtime.block_on(serve(settings))
 }
 
+/// Entry hosts are small: more threads cost wake-ups and memory and bring nothing.
+fn worker_threads() -> usize {
+    let cores = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
+    cores.min(MOST_WORKERS)
+}
+
 async fn serve(settings: dillspool_schema::settings::HostSettings) -> Result<(), String> {
     let clock = WallClock::system();
     // Hosts that start together differ by their names and start times.
