--- a/crates/dillspool_bench/src/slopes.rs
+++ b/crates/dillspool_bench/src/slopes.rs
@@ -1,6 +1,7 @@
 //! Slopes of docs/CAPACITY.md: a figure for several sizes, a line through them, and a check of
 //! the line at a size that it was not drawn through.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use dillspool_config::{ConfigDelta, ConfigSnapshot, ConfigVersion, parse_configuration};
@@ -161,10 +162,10 @@
     text
 }
 
-fn snapshot(groups: u32, engines: u32) -> Result<ConfigSnapshot, String> {
+fn snapshot(groups: u32, engines: u32) -> Result<Arc<ConfigSnapshot>, String> {
     let configuration = parse_configuration("slopes", &config_text(groups, engines))
         .map_err(|error| error.to_string())?;
-    Ok(ConfigSnapshot::new(ConfigVersion(1), configuration))
+    Ok(Arc::new(ConfigSnapshot::new(ConfigVersion(1), configuration)))
 }
 
 fn configuration() {
@@ -225,6 +226,18 @@
         }
         (ALLOCATED.current_usage() - before) as f64
     };
+    let sleeping = |pools: u32| {
+        let Ok(snapshot) = snapshot(6900, pools * 20) else { return 0.0 };
+        let now = tokio::time::Instant::now();
+        let before = ALLOCATED.current_usage();
+        let declared = &snapshot.configuration.pool;
+        let states: Vec<PoolState> =
+            declared.iter().map(|pool| PoolState::new(pool, &snapshot, now)).collect();
+        let held = ALLOCATED.current_usage() - before;
+        drop(states);
+        held as f64
+    };
+    report("memory of sleeping schedulers, per pool", "B", &[20, 40, 80, 135], sleeping);
     report("memory of placements, per placement", "B", &[80, 160, 240, 320], placements);
     println!(
         "{:<44} {:>8} {:>8} {:>8} (us)",
@@ -249,7 +262,7 @@
     let text = config_text(6900, engines).replace("pool = \"pool-", "pool = \"x-");
     let text = rename_pools(&text);
     let configuration = parse_configuration("slopes", &text).map_err(|error| error.to_string())?;
-    let snapshot = ConfigSnapshot::new(ConfigVersion(1), configuration);
+    let snapshot = Arc::new(ConfigSnapshot::new(ConfigVersion(1), configuration));
     let Some(pool) = snapshot.configuration.pool.first() else { return Err("no pool".to_owned()) };
     let mut now = tokio::time::Instant::now();
     let mut state = PoolState::new(pool, &snapshot, now);
--- a/crates/dillspool_host/src/directory.rs
+++ b/crates/dillspool_host/src/directory.rs
@@ -32,7 +32,7 @@
     }
 
     /// Starts, changes and stops schedulers so that they fit a configuration.
-    pub(crate) fn configure(&self, snapshot: &ConfigSnapshot, liveness: &LivenessCheck) {
+    pub(crate) fn configure(&self, snapshot: &Arc<ConfigSnapshot>, liveness: &LivenessCheck) {
         let mut pools = self.lock();
         pools.retain(|name, entry| {
             let declared = snapshot.pool(name).is_some();
--- a/crates/dillspool_pool/src/scheduler.rs
+++ b/crates/dillspool_pool/src/scheduler.rs
@@ -73,7 +73,7 @@
     /// Starts a scheduler for a pool; it sleeps until it is asked or chosen.
     pub fn start(
         pool: &PoolEntry,
-        snapshot: &ConfigSnapshot,
+        snapshot: &Arc<ConfigSnapshot>,
         engines: EngineClient,
         liveness: LivenessCheck,
         cancel: CancellationToken,
@@ -147,7 +147,7 @@
     }
 
     /// Takes a new configuration over.
-    pub fn configure(&self, snapshot: &ConfigSnapshot) {
+    pub fn configure(&self, snapshot: &Arc<ConfigSnapshot>) {
         self.update(|state, now| state.configure(snapshot, now));
     }
 
--- a/crates/dillspool_pool/src/state.rs
+++ b/crates/dillspool_pool/src/state.rs
@@ -1,11 +1,12 @@
 //! Decisions of a pool's scheduler: who is served next, and where.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_config::ConfigSnapshot;
 use dillspool_engine::CacheEvent;
-use dillspool_schema::configuration::{BackendRole, GroupEntry, PoolEntry};
+use dillspool_schema::configuration::{BackendRole, PoolEntry};
 use dillspool_schema::engine::StreamListing;
 use dillspool_schema::messages::{
     HeldPlacement, PlacementGrant, RefuseCause, ReleaseCause, ReleaseMessage, ReserveAnswer,
@@ -62,7 +63,8 @@
 #[derive(Debug)]
 pub struct PoolState {
     pool: PoolEntry,
-    groups: BTreeMap<Name, GroupEntry>,
+    /// Shared by all pools of a host: the groups are many.
+    snapshot: Arc<ConfigSnapshot>,
     pub(crate) prefills: Vec<PrefillState>,
     pub(crate) decodes: BTreeMap<Name, DecodeState>,
     placements: BTreeMap<StreamId, Name>,
@@ -75,10 +77,10 @@
 
 impl PoolState {
     /// An empty scheduler for a pool of a configuration.
-    pub fn new(pool: &PoolEntry, snapshot: &ConfigSnapshot, now: Instant) -> Self {
+    pub fn new(pool: &PoolEntry, snapshot: &Arc<ConfigSnapshot>, now: Instant) -> Self {
         let mut state = Self {
             pool: pool.clone(),
-            groups: BTreeMap::new(),
+            snapshot: Arc::clone(snapshot),
             prefills: Vec::new(),
             decodes: BTreeMap::new(),
             placements: BTreeMap::new(),
@@ -93,12 +95,11 @@
     }
 
     /// Takes a new configuration over; placements on engines that stay are kept.
-    pub fn configure(&mut self, snapshot: &ConfigSnapshot, now: Instant) {
+    pub fn configure(&mut self, snapshot: &Arc<ConfigSnapshot>, now: Instant) {
         if let Some(pool) = snapshot.pool(&self.pool.name) {
             self.pool = pool.clone();
         }
-        let named = |group: &GroupEntry| (Name::clone(&group.name), group.clone());
-        self.groups = snapshot.configuration.group.iter().map(named).collect();
+        self.snapshot = Arc::clone(snapshot);
         let mut old: BTreeMap<Name, PrefillState> = std::mem::take(&mut self.prefills)
             .into_iter()
             .map(|prefill| (Name::clone(&prefill.entry.name), prefill))
@@ -154,7 +155,7 @@
         if self.queue.len() >= QUEUE_LIMIT {
             return refuse(RefuseCause::QueueFull, self.mean_hold);
         }
-        let Some(group) = self.groups.get(&message.group) else {
+        let Some(group) = self.snapshot.group(&message.group) else {
             return refuse(RefuseCause::UnknownPool, RETRY_RANGE.1);
         };
         let (share, priority) = (group.share, group.priority);
@@ -311,7 +312,7 @@
         let share = self
             .queue
             .get(tag)
-            .and_then(|request| self.groups.get(&request.message.group))
+            .and_then(|request| self.snapshot.group(&request.message.group))
             .map_or(1, |group| group.share);
         let stream = match self.queue.withdraw(tag, share) {
             Some(request) => request.message.stream,
