--- a/crates/dillspool_bench/src/faults.rs
+++ b/crates/dillspool_bench/src/faults.rs
@@ -30,6 +30,8 @@
 const FREE_LIMIT: Duration = Duration::from_secs(5);
 /// Unrepeatable calls a second.
 const READINGS_PER_S: u64 = 20;
+/// Time in which a refused connection is told from one that broke later.
+const CONNECT_TIME: Duration = Duration::from_millis(5);
 /// Sendings of one unrepeatable call at most.
 const MOST_SENDINGS: usize = 12;
 
@@ -224,7 +226,7 @@
             continue;
         }
         tokio::time::sleep_until(started + arrival.at).await;
-        let host = hosts[number % hosts.len()];
+        let hosts = Arc::clone(&hosts);
         calls.spawn(async move {
             let caller = CallerClient::new(&NetStack::tcp(), caller_key(arrival.group));
             let call = ChatCall {
@@ -234,13 +236,32 @@
                 stream: number % 2 == 0,
             };
             let sent = Instant::now();
-            let outcome = caller.chat(host, &call).await;
+            let outcome = send_balanced(&caller, &hosts, number, &call).await;
             RequestTrace { arrival, outcome, sent }
         });
     }
     calls.join_all().await
 }
 
+/// Sends to a host, and to the next one if it takes no connection, as the balancer would.
+async fn send_balanced(
+    caller: &CallerClient,
+    hosts: &[std::net::SocketAddr],
+    number: usize,
+    call: &ChatCall,
+) -> CallOutcome {
+    let mut outcome = CallOutcome::default();
+    for step in 0..hosts.len() {
+        let sent = Instant::now();
+        outcome = caller.chat(hosts[(number + step) % hosts.len()], call).await;
+        let refused = outcome.status == 0 && sent.elapsed() < CONNECT_TIME;
+        if !refused {
+            break;
+        }
+    }
+    outcome
+}
+
 /// One unrepeatable call with all its sendings.
 #[derive(Default)]
 struct ReadingTrace {
