--- /dev/null
+++ b/crates/dillspool_engine/tests/lines.rs
@@ -0,0 +1,57 @@
+//! Lines from engines: any split of the bytes gives the same lines, and memory is bounded.
+
+use bytes::Bytes;
+use dillspool_engine::{LineBuffer, block_hashes, estimate_tokens, prefix_hash};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn fixed_cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(2026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(512))]
+
+    #[test]
+    fn any_split_gives_the_same_lines(text in "[a-c\n]{0,80}", cuts in proptest::collection::vec(1_usize..10, 0..40)) {
+        let mut buffer = LineBuffer::default();
+        let mut lines = Vec::new();
+        let mut rest = text.as_bytes();
+        let mut cuts = cuts.into_iter();
+        while !rest.is_empty() {
+            let size = cuts.next().unwrap_or(rest.len()).min(rest.len());
+            let (chunk, after) = rest.split_at(size);
+            prop_assert!(buffer.push(&Bytes::copy_from_slice(chunk)));
+            while let Some(line) = buffer.next_line() {
+                lines.push(String::from_utf8_lossy(&line).into_owned());
+            }
+            rest = after;
+        }
+        let mut expected: Vec<&str> = text.split('\n').collect();
+        expected.pop();
+        prop_assert_eq!(lines, expected);
+    }
+}
+
+#[test]
+fn a_line_without_end_is_given_up() {
+    let mut buffer = LineBuffer::default();
+    let chunk = Bytes::from(vec![b'x'; 64 * 1024]);
+    let taken = (0..100).take_while(|_| buffer.push(&chunk)).count();
+    assert!(taken < 8, "{taken} chunks of 64 KiB were kept");
+}
+
+#[test]
+fn prompts_share_a_hash_as_far_as_they_share_a_block() {
+    let shared = "s".repeat(1024);
+    assert_eq!(prefix_hash(&format!("{shared}one")), prefix_hash(&format!("{shared}two")));
+    assert_ne!(prefix_hash(&shared), prefix_hash(&"t".repeat(1024)));
+    assert_eq!(prefix_hash("short"), 0);
+    assert_eq!(block_hashes(&"s".repeat(4096)).count(), 4);
+    assert_eq!(estimate_tokens(""), 1);
+}
--- /dev/null
+++ b/crates/dillspool_platform/tests/table_contract.rs
@@ -0,0 +1,82 @@
+//! What the table promises, and how its faults look from outside.
+
+use assert_matches::assert_matches;
+use dillspool_platform::{
+    CommitReply, MemoryTable, PlatformError, RowExpect, RowWrite, ScanRequest, StoreFault,
+};
+
+fn write(key: &str, expect: RowExpect, value: &str) -> RowWrite {
+    RowWrite { key: key.into(), expect, value: Some(value.to_owned()) }
+}
+
+/// A fault, what the caller is told, and whether the row is there afterwards.
+struct FaultRow {
+    name: &'static str,
+    fault: StoreFault,
+    unknown: bool,
+    written: bool,
+}
+
+const FAULTS: [FaultRow; 3] = [
+    FaultRow { name: "refused", fault: StoreFault::Refuse, unknown: false, written: false },
+    FaultRow { name: "answer lost", fault: StoreFault::LoseAnswer, unknown: true, written: true },
+    FaultRow { name: "call lost", fault: StoreFault::LoseCall, unknown: true, written: false },
+];
+
+#[tokio::test]
+async fn each_fault_tells_what_is_known() {
+    for row in &FAULTS {
+        let table = MemoryTable::new();
+        table.fail_commits([row.fault]);
+        let store = table.store();
+        let reply = store.commit(vec![write("k", RowExpect::Absent, "v")]).await;
+        match reply {
+            Err(PlatformError::Unknown { .. }) => assert!(row.unknown, "{}", row.name),
+            Err(PlatformError::NotDone { .. }) => assert!(!row.unknown, "{}", row.name),
+            Ok(reply) => panic!("{}: {reply:?}", row.name),
+        }
+        let found = store.read_one("k".into()).await.expect("the table answers");
+        assert_eq!(found.is_some(), row.written, "{}", row.name);
+    }
+}
+
+#[tokio::test]
+async fn rows_are_written_together_or_not_at_all() {
+    let store = MemoryTable::new().store();
+    let first = store.commit(vec![write("a", RowExpect::Absent, "1")]).await;
+    assert_matches!(first, Ok(CommitReply::Committed));
+    let both = vec![write("b", RowExpect::Absent, "2"), write("a", RowExpect::Absent, "2")];
+    let reply = store.commit(both).await.expect("the table answers");
+    assert_eq!(reply, CommitReply::Conflict(vec!["a".into()]));
+    assert_eq!(store.read_one("b".into()).await, Ok(None));
+}
+
+#[tokio::test]
+async fn a_version_is_good_for_one_write() {
+    let store = MemoryTable::new().store();
+    store.commit(vec![write("a", RowExpect::Absent, "1")]).await.expect("the table answers");
+    let row = store.read_one("a".into()).await.expect("the table answers").expect("it is there");
+    let on_version = |value| vec![write("a", RowExpect::Version(row.version), value)];
+    assert_matches!(store.commit(on_version("2")).await, Ok(CommitReply::Committed));
+    assert_matches!(store.commit(on_version("3")).await, Ok(CommitReply::Conflict(_)));
+}
+
+#[tokio::test]
+async fn a_scan_goes_on_after_its_last_key() {
+    let store = MemoryTable::new().store();
+    for key in ["x/1", "x/2", "x/3", "y/1"] {
+        store.commit(vec![write(key, RowExpect::Any, key)]).await.expect("the table answers");
+    }
+    let mut after = "".into();
+    let mut keys: Vec<String> = Vec::new();
+    loop {
+        let request = ScanRequest { prefix: "x/".into(), after, limit: 2 };
+        let reply = (store.scan)(request).await.expect("the table answers");
+        keys.extend(reply.rows.iter().map(|row| row.key.to_string()));
+        match reply.rows.last() {
+            Some(last) => after = std::sync::Arc::clone(&last.key),
+            None => break,
+        }
+    }
+    assert_eq!(keys, ["x/1", "x/2", "x/3"]);
+}
