--- a/crates/dillspool_pool/src/state.rs
+++ b/crates/dillspool_pool/src/state.rs
@@ -31,10 +31,6 @@
 const RELEASE_GRACE: Duration = Duration::from_secs(2);
 /// A placement that no engine has listed for this long is dropped: its release was lost.
 const UNSEEN_LIMIT: Duration = Duration::from_secs(15);
-/// Weights are given in hundredths.
-const FULL_WEIGHT: f64 = 100.0;
-/// Releases that must be expected, trusted by the weight of goodput, to promise a slot early.
-const EARLY_LIMIT: f64 = 0.5;
 /// Requests that may wait in one pool.
 const QUEUE_LIMIT: usize = 4096;
 /// Shortest and longest time after which a refused caller is told to come back.
@@ -245,9 +241,7 @@
             if !decode.is_usable(now) || avoided(name) {
                 continue;
             }
-            let limit = decode.batch_limit(request.per_token);
-            let early = self.expected_releases(decode, ready.duration_since(now));
-            if decode.used() >= limit + early {
+            if decode.used() >= decode.batch_limit(request.per_token) {
                 continue;
             }
             let transfer = time_at(bytes, decode.entry.link_bytes_per_s);
@@ -269,18 +263,6 @@
         best
     }
 
-    /// Slots of an engine that are promised before they are free.
-    ///
-    /// The knob between the users' weights: promised early, a slot idles less and a prefill may be
-    /// wasted; promised late, the other way round. See `docs/POLICY.md`.
-    fn expected_releases(&self, decode: &DecodeState, until_ready: Duration) -> u32 {
-        let weight = self.snapshot.configuration.policy.goodput_weight;
-        let holds = f64::from(decode.used());
-        let expected = holds * until_ready.as_secs_f64() / self.mean_hold.as_secs_f64().max(0.01);
-        let trusted = expected * f64::from(weight) / FULL_WEIGHT;
-        u32::from(trusted >= EARLY_LIMIT)
-    }
-
     /// The engine on which the prompt is ready first, and when.
     fn choose_prefill(&self, message: &ReserveMessage, now: Instant) -> Option<(usize, Instant)> {
         let mut engines = self.prefills.iter().enumerate();
