Grown files split, one home for fixed property cases

Change: dillspool_pool: state, placing, placements; dillspool_host: daemon, parts; dillspool_cases; the model list names each model once. Conclusion: each module has one job again.

--- a/crates/dillspool_config/tests/apply_interleavings.rs
+++ b/crates/dillspool_config/tests/apply_interleavings.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use dillspool_cases::{fixed_cases, run_paused};
 use dillspool_config::{
     AppliedConfig, ApplyError, ConfigStore, ConfigVersion, parse_configuration,
 };
@@ -11,7 +12,6 @@
 use dillspool_schema::Name;
 use dillspool_schema::configuration::Configuration;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 #[derive(Clone, Debug)]
 struct OperatorMove {
@@ -102,25 +102,11 @@
     store.fetch(&head, None).await.expect("the newest configuration can be read");
 }
 
-fn fixed_cases(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(2026),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed_cases(256))]
 
     #[test]
     fn racing_applies_leave_one_line_of_versions(race in race()) {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime can be built");
-        runtime.block_on(play(race));
+        run_paused(play(race));
     }
 }
--- a/crates/dillspool_config/tests/files.rs
+++ b/crates/dillspool_config/tests/files.rs
@@ -1,9 +1,9 @@
 //! Configuration and settings files: what is wrong is said with line and remedy.
 
 use assert_matches::assert_matches;
+use dillspool_cases::fixed_cases;
 use dillspool_config::{ConfigDelta, ConfigError, parse_configuration, parse_settings};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const VALID: &str = include_str!("../../../examples/hewa-safi.toml");
 const SETTINGS: &str = include_str!("../../../examples/dillspoold.toml");
@@ -142,15 +142,6 @@
     assert_matches!(dillspool_config::load_settings(missing), Err(ConfigError::Read { .. }));
 }
 
-fn fixed_cases(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(2026),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed_cases(256))]
 
--- a/crates/dillspool_engine/tests/lines.rs
+++ b/crates/dillspool_engine/tests/lines.rs
@@ -1,18 +1,9 @@
 //! Lines from engines: any split of the bytes gives the same lines, and memory is bounded.
 
 use bytes::Bytes;
+use dillspool_cases::fixed_cases;
 use dillspool_engine::{LineBuffer, block_hashes, estimate_tokens, prefix_hash};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-
-fn fixed_cases(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(2026),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
 
 proptest! {
     #![proptest_config(fixed_cases(512))]
--- a/crates/dillspool_entry/src/router.rs
+++ b/crates/dillspool_entry/src/router.rs
@@ -1,11 +1,13 @@
 //! From an HTTP request to the part of the host that serves it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dillspool_config::{CallerKey, ConfigSnapshot};
 use dillspool_io::{HttpHandler, ResponseBody, handler, read_body, text_response};
+use dillspool_schema::Name;
 use dillspool_schema::configuration::{GroupEntry, PoolEntry};
 use hyper::body::{Body, Incoming};
 use hyper::header::AUTHORIZATION;
@@ -56,8 +58,9 @@
             generate(context, snapshot, group, ApiForm::Text, request, arrived).await
         }
         (&Method::GET, "/v1/models") => {
-            let models = snapshot.configuration.pool.iter().map(|pool| &pool.model);
-            Ok(text_response(StatusCode::OK, "application/json", model_list(models)))
+            let pools = &snapshot.configuration.pool;
+            let models: BTreeSet<&Name> = pools.iter().map(|pool| &pool.model).collect();
+            Ok(text_response(StatusCode::OK, "application/json", model_list(models.into_iter())))
         }
         _ => pass_on(context, snapshot, group, &path, request).await,
     }
--- a/crates/dillspool_host/src/lib.rs
+++ b/crates/dillspool_host/src/lib.rs
@@ -13,6 +13,7 @@
 mod log_setup;
 mod membership;
 mod metrics;
+mod parts;
 mod upkeep;
 
 pub use acks::ConfigAck;
--- a/crates/dillspool_ledger/tests/ledger_interleavings.rs
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -5,13 +5,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use dillspool_cases::{fixed_cases, run_paused};
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_ledger::{
     BeginOutcome, CallKey, CallLedger, CallRequest, LedgerSettings, RecordedAnswer,
 };
 use dillspool_platform::{MemoryTable, StoreFault};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tokio_util::sync::CancellationToken;
 
 /// What a host does with the right to send.
@@ -189,26 +189,11 @@
     }
 }
 
-/// The same cases in every run, so that the verdict is the same.
-fn fixed_cases(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(2026),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed_cases(512))]
 
     #[test]
     fn a_call_runs_at_most_once_and_a_free_key_stays_free(interleaving in interleaving()) {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .expect("a runtime can be built");
-        runtime.block_on(play(interleaving));
+        run_paused(play(interleaving));
     }
 }
--- a/crates/dillspool_peer/tests/peers.rs
+++ b/crates/dillspool_peer/tests/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_cases::fixed_cases;
 use dillspool_io::{LinkMode, MemoryNet};
 use dillspool_peer::{
     HostView, LinkSettings, OwnerJudgement, PeerHandlers, PeerIdentity, PeerLinks, decode_message,
@@ -13,18 +14,8 @@
 use dillspool_schema::messages::{HeartbeatMessage, PeerMessage};
 use dillspool_schema::{Name, Secret, StreamId};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tokio_util::sync::CancellationToken;
 
-fn fixed_cases(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(2026),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed_cases(2048))]
 
--- a/crates/dillspool_pool/src/lib.rs
+++ b/crates/dillspool_pool/src/lib.rs
@@ -7,6 +7,8 @@
 mod class_service;
 mod engines;
 mod health;
+mod placements;
+mod placing;
 mod queue;
 mod scheduler;
 mod state;
