--- a/crates/dillspool_bench/src/main.rs
+++ b/crates/dillspool_bench/src/main.rs
@@ -6,6 +6,7 @@
 mod figures;
 mod idle;
 mod mix;
+mod overhead;
 mod plot;
 mod policy;
 mod report;
@@ -44,6 +45,12 @@
     /// Only this policy.
     #[arg(long, value_enum)]
     policy: Option<policy::PolicyName>,
+    /// Let one decode engine die in the middle of the run and come back 10 s later.
+    #[arg(long)]
+    kill_engine: bool,
+    /// Let the last group send this many times as much.
+    #[arg(long, default_value_t = 1.0)]
+    flood: f64,
     /// Folder for the figures as JSON and plots.
     #[arg(long)]
     out: Option<PathBuf>,
@@ -55,6 +62,8 @@
     Slopes,
     /// Measure real processes at rest and under load; needs the release build.
     Processes,
+    /// Measure what the router adds to an answer.
+    Overhead,
     /// Run processes under faults; needs the release build of the whole workspace.
     Faults,
 }
@@ -66,6 +75,7 @@
         Some(BenchCommand::Processes) => {
             mix::UserMix::load(args.mix).and_then(|mix| idle::run(&mix, args.seed))
         }
+        Some(BenchCommand::Overhead) => overhead::run(),
         Some(BenchCommand::Faults) => {
             mix::UserMix::load(args.mix).and_then(|mix| faults::run(&mix, args.seed))
         }
--- a/crates/dillspool_bench/src/mix.rs
+++ b/crates/dillspool_bench/src/mix.rs
@@ -175,13 +175,25 @@
 
     /// Arrivals of a run: each group's own Poisson stream, the urgent one with a burst.
     pub(crate) fn arrivals(&self, load: f64, seconds: u64, seed: u64) -> Vec<Arrival> {
+        self.flooded_arrivals(load, seconds, seed, 1.0)
+    }
+
+    /// The same with the last group's rate raised; the others' arrivals stay as they are.
+    pub(crate) fn flooded_arrivals(
+        &self,
+        load: f64,
+        seconds: u64,
+        seed: u64,
+        flood: f64,
+    ) -> Vec<Arrival> {
         let mut arrivals = Vec::new();
         let capacity = self.capacity();
         for (number, group) in self.groups.iter().enumerate() {
             let mut random = SmallRng::seed_from_u64(seed * 1000 + number as u64);
             let (from, to, factor) = BURST;
             let lift = if group.bursts { 1.0 + (to - from) * (factor - 1.0) } else { 1.0 };
-            let rate = capacity * load * group.weight / lift;
+            let raised = if number + 1 == self.groups.len() { flood } else { 1.0 };
+            let rate = capacity * load * group.weight * raised / lift;
             let mut at = 0.0;
             loop {
                 let part = at / seconds as f64;
--- a/crates/dillspool_bench/src/report.rs
+++ b/crates/dillspool_bench/src/report.rs
@@ -7,7 +7,7 @@
 use crate::mix::UserMix;
 use crate::plot::plot_goodput;
 use crate::policy::{POLICIES, PolicyName};
-use crate::scenario::run_scenario;
+use crate::scenario::{RunPlan, run_scenario};
 
 /// Runs at once; each is one thread under paused time.
 const THREADS: usize = 6;
@@ -66,7 +66,15 @@
                     let Some((policy, load)) = jobs.get(index) else {
                         return Ok::<(), String>(());
                     };
-                    let result = run_scenario(mix, *policy, *load, args.seconds, args.seed)?;
+                    let plan = RunPlan {
+                        policy: *policy,
+                        load: *load,
+                        seconds: args.seconds,
+                        seed: args.seed,
+                        kill_engine: args.kill_engine,
+                        flood: args.flood,
+                    };
+                    let result = run_scenario(mix, plan)?;
                     let figures = RunFigures::of(mix, policy.text(), *load, args.seconds, &result);
                     done.lock().map_err(|error| error.to_string())?.push((index, figures));
                 }
--- a/crates/dillspool_bench/src/scenario.rs
+++ b/crates/dillspool_bench/src/scenario.rs
@@ -7,7 +7,8 @@
 use dillspool_local::{
     CallOutcome, CallerClient, ChatCall, ClusterNet, LocalCluster, caller_key, expected_answer,
 };
-use dillspool_schema::configuration::GroupEntry;
+use dillspool_schema::configuration::{BackendRole, GroupEntry};
+use dillspool_standin::EngineFault;
 use tokio::time::Instant;
 
 use crate::mix::{Arrival, UserMix};
@@ -63,26 +64,36 @@
     pub(crate) held_after: usize,
 }
 
+/// What a run plays.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunPlan {
+    pub(crate) policy: PolicyName,
+    pub(crate) load: f64,
+    pub(crate) seconds: u64,
+    pub(crate) seed: u64,
+    /// Whether a decode engine dies in the middle.
+    pub(crate) kill_engine: bool,
+    /// How many times as much the last group sends.
+    pub(crate) flood: f64,
+}
+
+/// Time for which an engine is dead.
+const DEAD_TIME: Duration = Duration::from_secs(10);
+
 /// Runs a scenario on a thread of its own.
-pub(crate) fn run_scenario(
-    mix: &UserMix,
-    policy: PolicyName,
-    load: f64,
-    seconds: u64,
-    seed: u64,
-) -> Result<RunResult, String> {
+pub(crate) fn run_scenario(mix: &UserMix, plan: RunPlan) -> Result<RunResult, String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .map_err(|error| format!("cannot build a runtime: {error}"))?;
-    Ok(runtime.block_on(play(mix, policy, load, seconds, seed)))
+    Ok(runtime.block_on(play(mix, plan)))
 }
 
-async fn play(mix: &UserMix, policy: PolicyName, load: f64, seconds: u64, seed: u64) -> RunResult {
+async fn play(mix: &UserMix, plan: RunPlan) -> RunResult {
     let net = ClusterNet::Memory(MemoryNet::new());
     let mut cluster = LocalCluster::start(net, mix.configuration.clone()).await;
-    cluster.desk = policy.desk(seed);
+    cluster.desk = plan.policy.desk(plan.seed);
     for index in 1..=HOSTS {
         cluster.add_host(&format!("entry-{index}")).await;
     }
@@ -91,8 +102,11 @@
     assert_eq!(status, 200, "the examples are valid");
     cluster.wait_in_force(1, Duration::from_secs(10)).await;
     tokio::time::sleep(SETTLE_TIME).await;
-    let readings = tokio::spawn(send_readings(ReadingSender::new(&cluster, mix), seconds));
-    let records = send_all(&cluster, mix, load, seconds, seed).await;
+    let readings = tokio::spawn(send_readings(ReadingSender::new(&cluster, mix), plan.seconds));
+    if plan.kill_engine {
+        kill_engine(&cluster, mix, Duration::from_secs(plan.seconds) / 3);
+    }
+    let records = send_all(&cluster, mix, plan).await;
     let sent = readings.await.unwrap_or(0);
     tokio::time::sleep(Duration::from_secs(10)).await;
     let mut runs: BTreeMap<String, u64> = BTreeMap::new();
@@ -116,16 +130,25 @@
     result
 }
 
-async fn send_all(
-    cluster: &LocalCluster,
-    mix: &UserMix,
-    load: f64,
-    seconds: u64,
-    seed: u64,
-) -> Vec<RequestRecord> {
+/// Lets the first decode engine die after a time, and come back empty.
+fn kill_engine(cluster: &LocalCluster, mix: &UserMix, after: Duration) {
+    let declared = &mix.configuration.backend;
+    let Some(entry) = declared.iter().find(|it| it.role == BackendRole::Decode) else { return };
+    let engine = cluster.engines[&entry.name].clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(after).await;
+        engine.set_fault(EngineFault::Dead);
+        tokio::time::sleep(DEAD_TIME).await;
+        engine.set_fault(EngineFault::None);
+    });
+}
+
+async fn send_all(cluster: &LocalCluster, mix: &UserMix, plan: RunPlan) -> Vec<RequestRecord> {
     let started = Instant::now();
     let mut calls = tokio::task::JoinSet::new();
-    for (number, arrival) in mix.arrivals(load, seconds, seed).into_iter().enumerate() {
+    let RunPlan { load, seconds, seed, flood, .. } = plan;
+    let arrivals = mix.flooded_arrivals(load, seconds, seed, flood);
+    for (number, arrival) in arrivals.into_iter().enumerate() {
         tokio::time::sleep_until(started + arrival.at).await;
         let client = CallerClient::new(&cluster.client_stack(), caller_key(arrival.group));
         let host = cluster.hosts[number % HOSTS].addresses.callers;
