--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -162,20 +162,7 @@
         let mut expect = RowExpect::Absent;
         let mut unclear = false;
         loop {
-            let write =
-                RowWrite { key: Name::clone(request.key.row()), expect, value: record.text() };
-            let judgement = match self.writer.write(write).await {
-                WriteOutcome::Written => RowJudgement::Own,
-                WriteOutcome::NotDone if !unclear => return BeginOutcome::NotRun,
-                WriteOutcome::NotDone | WriteOutcome::Conflict => {
-                    self.judge_again(&request, &token, expect, &mut unclear).await
-                }
-                WriteOutcome::Unknown => {
-                    unclear = true;
-                    self.judge_again(&request, &token, expect, &mut unclear).await
-                }
-            };
-            match judgement {
+            match self.write_intent(&request, &record, expect, &mut unclear).await {
                 RowJudgement::Own if begun.elapsed() < self.settings.begin_limit => {
                     return BeginOutcome::Run(CallTicket { request, token, begun, record });
                 }
@@ -198,6 +185,26 @@
         }
     }
 
+    /// Writes the intent once and tells what became of it.
+    async fn write_intent(
+        &self,
+        request: &CallRequest,
+        record: &CallRecord,
+        expect: RowExpect,
+        unclear: &mut bool,
+    ) -> RowJudgement {
+        let write = RowWrite { key: Name::clone(request.key.row()), expect, value: record.text() };
+        match self.writer.write(write).await {
+            WriteOutcome::Written => return RowJudgement::Own,
+            WriteOutcome::NotDone if !*unclear => {
+                return RowJudgement::End(BeginOutcome::NotRun);
+            }
+            WriteOutcome::Unknown => *unclear = true,
+            WriteOutcome::NotDone | WriteOutcome::Conflict => {}
+        }
+        self.judge_again(request, &record.token, expect, unclear).await
+    }
+
     /// Reads the row back; without an answer, the same write may be tried again.
     async fn judge_again(
         &self,
--- a/crates/dillspool_peer/src/dialer.rs
+++ b/crates/dillspool_peer/src/dialer.rs
@@ -125,6 +125,8 @@
     loop {
         tokio::select! {
             _ = beat.tick() => {
+                // The peer may beat on its own link alone.
+                let heard = links.view.last_heard(&peer.host).map_or(heard, |it| it.max(heard));
                 if heard.elapsed() > links.settings.silence {
                     return ConnectionSnafu { reason: "silence" }.fail();
                 }
--- a/crates/dillspool_peer/src/listener.rs
+++ b/crates/dillspool_peer/src/listener.rs
@@ -1,7 +1,7 @@
 //! One task for each peer that dials this host.
 
 use dillspool_io::{NetListener, NetStream};
-use dillspool_schema::messages::{LivenessAnswer, PeerMessage};
+use dillspool_schema::messages::{ConfigQuery, HeartbeatMessage, LivenessAnswer, PeerMessage};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_tungstenite::accept_async_with_config;
@@ -94,7 +94,7 @@
     match message {
         PeerMessage::Beat(beat) => {
             links.view.note_heartbeat(&peer.host, peer.incarnation, &beat);
-            Some(PeerMessage::Beat((handlers.heartbeat)()))
+            answer_heartbeat(links, peer, &beat)
         }
         PeerMessage::Ask(ask) => {
             let reserve = (handlers.reserve)(ask);
@@ -130,3 +130,18 @@
         }
     }
 }
+
+/// Sends a peer that is behind the newer configuration; else beats back, unless this host's own
+/// link to the peer does so already.
+fn answer_heartbeat(
+    links: &PeerLinks,
+    peer: &ProvenPeer,
+    beat: &HeartbeatMessage,
+) -> Option<PeerMessage> {
+    let own = (links.handlers.heartbeat)();
+    if own.config > beat.config {
+        let query = ConfigQuery { base: beat.config };
+        return (links.handlers.config)(query).map(PeerMessage::Config);
+    }
+    (!links.view.is_linked(&peer.host)).then_some(PeerMessage::Beat(own))
+}
--- a/crates/dillspool_peer/src/view.rs
+++ b/crates/dillspool_peer/src/view.rs
@@ -131,6 +131,16 @@
         }
     }
 
+    /// Whether this host's own connection to a host is up.
+    pub fn is_linked(&self, host: &str) -> bool {
+        self.lock().peers.get(host).is_some_and(|peer| peer.linked)
+    }
+
+    /// When a host was last heard of, over whichever connection.
+    pub fn last_heard(&self, host: &str) -> Option<Instant> {
+        self.lock().peers.get(host).map(|peer| peer.heard)
+    }
+
     /// Hosts to which this host's own connection is up.
     pub fn linked_hosts(&self) -> Vec<Name> {
         let state = self.lock();
