Routes take a path and what lies below it; one log line a request with its id

Cause: reading as a newcomer: the route /readings took /readings-of-others too (the new row was red: 201 for 404); a request left no line in the log, and lines of its failures named no request. Ruled out: nothing. Change: prefixes end at a slash; request_whole and request_ended lines; the id in the answer is the one in the log. Conclusion: a request can be followed from its answer's id.

--- a/crates/dillspool_config/src/snapshot.rs
+++ b/crates/dillspool_config/src/snapshot.rs
@@ -108,7 +108,13 @@
         self.configuration
             .route
             .iter()
-            .filter(|route| path.starts_with(&*route.prefix))
+            .filter(|route| takes(&route.prefix, path))
             .max_by_key(|route| route.prefix.len())
     }
 }
+
+/// Whether a route's prefix is the path or a folder above it.
+fn takes(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
+}
--- a/crates/dillspool_entry/src/answer.rs
+++ b/crates/dillspool_entry/src/answer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dillspool_io::{BoxError, ResponseBody, channel_body, text_response};
-use dillspool_schema::Name;
+use dillspool_schema::{Name, StreamId};
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc;
@@ -12,7 +12,7 @@
 
 use crate::context::EntryContext;
 use crate::metrics::InFlight;
-use crate::openai::{AnswerHead, ApiForm, GenerationRequest};
+use crate::openai::{AnswerHead, ApiForm};
 use crate::problem::{RequestProblem, WorkOutcome};
 use crate::stream::{AnswerPart, AnswerStream, AnswerTerms};
 
@@ -34,9 +34,9 @@
     terms: AnswerTerms,
     permit: RequestPermit,
 ) -> Result<Response<ResponseBody>, RequestProblem> {
-    let group = Name::clone(&terms.group.name);
-    let request = terms.request.clone();
-    let mut gone = GoneCounter::new(&context, &group);
+    let streamed = terms.request.stream;
+    let mut gone = GoneCounter::new(&context, &terms);
+    let head = answer_head(&context, &terms);
     let (mut answer, first) = match open_answer(&context, terms).await {
         Ok(opened) => opened,
         Err(problem) => {
@@ -44,8 +44,7 @@
             return Err(problem);
         }
     };
-    let head = answer_head(&context, &request);
-    if request.stream {
+    if streamed {
         return Ok(stream_answer(&context, head, answer, first, permit, gone));
     }
     let collected = tokio::select! {
@@ -83,26 +82,32 @@
         .outcome(WorkOutcome::Incomplete)
 }
 
-fn answer_head(context: &EntryContext, request: &GenerationRequest) -> AnswerHead {
-    let prefix = match request.form {
+fn answer_head(context: &EntryContext, terms: &AnswerTerms) -> AnswerHead {
+    let prefix = match terms.request.form {
         ApiForm::Chat => "chatcmpl",
         ApiForm::Text => "cmpl",
     };
-    let id = format!("{prefix}-{}", context.ids.next());
+    let id = format!("{prefix}-{}", terms.id);
     let created = context.clock.now().0 / 1000;
-    AnswerHead::new(request.form, id, Name::clone(&request.model), created)
+    AnswerHead::new(terms.request.form, id, Name::clone(&terms.request.model), created)
 }
 
 /// Counts a request whose caller left before the end.
 struct GoneCounter {
     context: EntryContext,
+    id: StreamId,
     group: Name,
     is_settled: bool,
 }
 
 impl GoneCounter {
-    fn new(context: &EntryContext, group: &Name) -> Self {
-        Self { context: context.clone(), group: Name::clone(group), is_settled: false }
+    fn new(context: &EntryContext, terms: &AnswerTerms) -> Self {
+        Self {
+            context: context.clone(),
+            id: terms.id.clone(),
+            group: Name::clone(&terms.group.name),
+            is_settled: false,
+        }
     }
 
     /// The request ended with a problem, which is counted in place of a caller that left.
@@ -114,6 +119,13 @@
             WorkOutcome::Incomplete => "incomplete",
         };
         self.context.metrics.count_request(&self.group, outcome, problem.code);
+        log::info!(
+            "event=request_ended request={} group={} outcome={outcome} code={} status={}",
+            self.id,
+            self.group,
+            problem.code,
+            problem.status.as_u16()
+        );
     }
 }
 
@@ -121,6 +133,10 @@
     fn drop(&mut self) {
         if !self.is_settled {
             self.context.metrics.count_request(&self.group, "gone", "caller_left");
+            let (id, group) = (&self.id, &self.group);
+            log::info!(
+                "event=request_ended request={id} group={group} outcome=gone code=caller_left"
+            );
         }
     }
 }
--- a/crates/dillspool_entry/src/router.rs
+++ b/crates/dillspool_entry/src/router.rs
@@ -139,7 +139,8 @@
         RequestProblem::not_run(StatusCode::BAD_REQUEST, "invalid_request", detail)
     })?;
     let pool = choose_pool(&snapshot, &request.model)?;
-    let terms = AnswerTerms { snapshot, group, pool, request, arrived };
+    let id = context.ids.next();
+    let terms = AnswerTerms { id, snapshot, group, pool, request, arrived };
     answer_request(context, terms, permit).await
 }
 
--- a/crates/dillspool_entry/src/stream.rs
+++ b/crates/dillspool_entry/src/stream.rs
@@ -5,12 +5,12 @@
 
 use dillspool_config::ConfigSnapshot;
 use dillspool_engine::{EngineError, TokenStream, estimate_tokens, prefix_hash};
-use dillspool_schema::Name;
 use dillspool_schema::configuration::{GroupEntry, PoolEntry};
 use dillspool_schema::engine::{DecodeRequest, PrefillRequest};
 use dillspool_schema::messages::{
     PlacementGrant, RefuseCause, ReleaseCause, ReserveMessage, ReserveRefusal,
 };
+use dillspool_schema::{Name, StreamId};
 use hyper::StatusCode;
 use tokio::time::Instant;
 
@@ -37,6 +37,8 @@
 /// What a caller asked, with the terms of its group and pool.
 #[derive(Clone, Debug)]
 pub(crate) struct AnswerTerms {
+    /// Names the request in the log and in its answer.
+    pub(crate) id: StreamId,
     pub(crate) snapshot: Arc<ConfigSnapshot>,
     pub(crate) group: GroupEntry,
     pub(crate) pool: PoolEntry,
@@ -161,7 +163,17 @@
         let percent = self.terms.snapshot.configuration.policy.retry_percent;
         self.context.retries.note_success(percent);
         let outcome = if self.met_targets() { "good" } else { "late" };
-        self.context.metrics.count_request(&self.terms.group.name, outcome, "");
+        let group = &self.terms.group.name;
+        self.context.metrics.count_request(group, outcome, "");
+        let first = self.first_token_at.map_or(0, |at| (at - self.terms.arrived).as_millis());
+        log::info!(
+            "event=request_whole request={} group={group} outcome={outcome} tokens={} first_token_ms={first} \
+             total_ms={} placements={}",
+            self.terms.id,
+            self.sent.len(),
+            self.terms.arrived.elapsed().as_millis(),
+            self.attempts
+        );
     }
 
     fn met_targets(&self) -> bool {
@@ -182,7 +194,11 @@
         let Some(mut open) = self.open.take() else {
             return Ok(());
         };
-        log::info!("event=stream_failed stream={} error=\"{error}\"", open.placement.stream());
+        log::info!(
+            "event=stream_failed request={} stream={} error=\"{error}\"",
+            self.terms.id,
+            open.placement.stream()
+        );
         if matches!(error, EngineError::BrokenOff { .. })
             && let Some(tokens) = self.reopen(&open.placement).await
         {
--- a/crates/dillspool_local/tests/path.rs
+++ b/crates/dillspool_local/tests/path.rs
@@ -100,3 +100,27 @@
     let prefills: u64 = system.cluster.engines.values().map(|it| it.prefill_counts().0).sum();
     assert_eq!(prefills, 0);
 }
+
+/// A path, and whether a route takes it.
+struct RouteRow {
+    path: &'static str,
+    status: u16,
+}
+
+const ROUTES: [RouteRow; 5] = [
+    RouteRow { path: "/readings", status: 201 },
+    RouteRow { path: "/readings/7", status: 201 },
+    RouteRow { path: "/readings?station=7", status: 201 },
+    RouteRow { path: "/readings-of-others", status: 404 },
+    RouteRow { path: "/", status: 404 },
+];
+
+#[tokio::test(start_paused = true)]
+async fn a_route_takes_its_path_and_what_lies_below_it() {
+    let system = TestSystem::start().await;
+    let caller = system.caller("alerts");
+    for row in &ROUTES {
+        let outcome = caller.plain(system.host(0), row.path, None, row.path).await;
+        assert_eq!(outcome.status, row.status, "{}: {outcome:?}", row.path);
+    }
+}
