Acceptance counts hosts that the lagging list does not show yet

Cause: running the README by hand: right after its start the only host was not on the list it had read, so no host counted and the first apply was called accepted without any confirmation. The same would hold for a host that has just started, or while the list cannot be read. Ruled out: waiting for the list (it lags as long as it likes). The rule is one function of the status reply. Conclusion: accepted is said only when it is confirmed by everyone this host knows to serve.

--- a/crates/dillspool/src/apply.rs
+++ b/crates/dillspool/src/apply.rs
@@ -60,7 +60,7 @@
     Ok(ExitCode::from(NOT_EVERYWHERE))
 }
 
-/// Waits until every listed host has acknowledged a version; returns those that have not.
+/// Waits until a version can be called accepted; returns what is still missing.
 pub(crate) async fn wait_in_force(
     client: &AdminClient,
     version: ConfigVersion,
@@ -69,8 +69,7 @@
     let deadline = tokio::time::Instant::now() + limit;
     loop {
         let status: StatusReply = client.get("/status").await?;
-        let behind = status.hosts.iter().filter(|it| it.listed && it.version < version);
-        let missing: Vec<String> = behind.map(|it| it.host.to_string()).collect();
+        let missing = status.unconfirmed(version);
         if missing.is_empty() || tokio::time::Instant::now() >= deadline {
             return Ok(missing);
         }
--- a/crates/dillspool_host/src/admin.rs
+++ b/crates/dillspool_host/src/admin.rs
@@ -63,6 +63,9 @@
     pub host: Name,
     /// Whether the platform's list has it.
     pub listed: bool,
+    /// Whether a change must be in force on it to be accepted: it is on the list, answers this
+    /// request, or was heard of of late.
+    pub counted: bool,
     /// Version that it acknowledged.
     pub version: ConfigVersion,
     /// Whether it drains, as far as this host knows.
@@ -91,12 +94,27 @@
     pub committed: Option<ConfigVersion>,
     /// Version in force on this host.
     pub in_force: ConfigVersion,
+    /// Whether the platform's list was read of late; without it nothing is called accepted.
+    pub list_fresh: bool,
     /// All hosts.
     pub hosts: Vec<HostLine>,
     /// All pools.
     pub pools: Vec<PoolLine>,
 }
 
+impl StatusReply {
+    /// Why a version cannot be called accepted yet: a line for each host that has not confirmed
+    /// it, and one if the list of hosts is not known. Empty once it is accepted.
+    pub fn unconfirmed(&self, version: ConfigVersion) -> Vec<String> {
+        let behind = self.hosts.iter().filter(|it| it.counted && it.version < version);
+        let mut lines: Vec<String> = behind.map(|it| it.host.to_string()).collect();
+        if !self.list_fresh {
+            lines.push("hosts of the platform's list, which cannot be read".to_owned());
+        }
+        lines
+    }
+}
+
 /// Why an operator's request was not carried out.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct AdminProblem {
@@ -262,11 +280,17 @@
     let newest = context.keeper.store().head().await.ok();
     let listed = context.view.listed_hosts();
     let peers = context.view.peers();
-    let mut names: Vec<Name> = listed.iter().chain(acks.keys()).map(Name::clone).collect();
+    let own = context.view.host();
+    let heard = |host: &Name| {
+        peers.get(host).is_some_and(|peer| peer.heard.elapsed() < dillspool_peer::LEASE_TIME)
+    };
+    let known = listed.iter().chain(acks.keys()).chain(peers.keys());
+    let mut names: Vec<Name> = known.chain([own]).map(Name::clone).collect();
     names.sort();
     names.dedup();
     let host_line = |host: Name| HostLine {
         listed: listed.contains(&host),
+        counted: listed.contains(&host) || host == *own || heard(&host),
         version: acks.get(&host).map_or(ConfigVersion(0), |ack| ack.version),
         draining: peers.get(&host).is_some_and(|peer| peer.draining),
         host,
@@ -280,6 +304,7 @@
         host: Name::clone(context.view.host()),
         committed: newest.map(|it| it.map_or(ConfigVersion(0), |head| head.version)),
         in_force: context.keeper.version(),
+        list_fresh: context.view.is_list_fresh(),
         hosts: names.into_iter().map(host_line).collect(),
         pools: context.directory.all().into_iter().map(pool_line).collect(),
     }
--- a/crates/dillspool_local/tests/configuration.rs
+++ b/crates/dillspool_local/tests/configuration.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{TestSystem, assert_whole, chat};
-use dillspool_config::{ConfigDelta, digest_configuration};
+use dillspool_config::{ConfigDelta, ConfigVersion, digest_configuration};
 use dillspool_io::LinkMode;
 use dillspool_platform::{PutRequest, RowExpect, RowWrite, StoreFault};
 use dillspool_schema::Name;
@@ -233,3 +233,18 @@
         assert_eq!(system.cluster.config_in_force(host).await.group[0].share, 55);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_the_list_does_not_show_counts_while_it_is_heard() {
+    let system = TestSystem::start().await;
+    for host in ["entry-1", "entry-2", "entry-3"] {
+        system.cluster.platform.hosts.remove(host);
+    }
+    let (status, _) = system.cluster.apply(0, &with_share(&system, 55)).await;
+    assert_eq!(status, 200);
+    // At this moment only the host that applied it acts on it.
+    let status = system.cluster.status(0).await;
+    assert_eq!(status.unconfirmed(ConfigVersion(2)).len(), 2, "{status:?}");
+    tokio::time::sleep(FORCE_LIMIT).await;
+    assert!(system.cluster.status(0).await.unconfirmed(ConfigVersion(2)).is_empty());
+}
