Acceptance test made able to fail

Ruled out: the rule itself (its table of six rows can fail and passes). Change: the test waits until every host has read the empty list, and asserts that.

--- a/crates/dillspool_local/tests/configuration.rs
+++ b/crates/dillspool_local/tests/configuration.rs
@@ -240,6 +240,9 @@
     for host in ["entry-1", "entry-2", "entry-3"] {
         system.cluster.platform.hosts.remove(host);
     }
+    // Every host has read the empty list by then, and still hears the others' last heartbeats.
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    assert!(system.cluster.status(0).await.hosts.iter().all(|it| !it.listed));
     let (status, _) = system.cluster.apply(0, &with_share(&system, 55)).await;
     assert_eq!(status, 200);
     // At this moment only the host that applied it acts on it.
