--- a/crates/dillspool_cases/src/lib.rs
+++ b/crates/dillspool_cases/src/lib.rs
@@ -1,7 +1,10 @@
 //! Property tests that give the same verdict in every run; for tests only.
 
 use std::future::Future;
+use std::time::Duration;
 
+use dillspool_platform::StoreFault;
+use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
 /// Seed of all property tests.
@@ -12,6 +15,17 @@
     Config { cases, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() }
 }
 
+/// What may become of a commit; one that comes late does so within `latest_ms` milliseconds.
+pub fn commit_fault(latest_ms: u64) -> impl Strategy<Value = StoreFault> {
+    prop_oneof![
+        3 => Just(StoreFault::None),
+        1 => Just(StoreFault::Refuse),
+        2 => Just(StoreFault::LoseAnswer),
+        2 => Just(StoreFault::LoseCall),
+        2 => (1..latest_ms).prop_map(|ms| StoreFault::Late(Duration::from_millis(ms))),
+    ]
+}
+
 /// Runs a case on one thread under paused time.
 ///
 /// # Panics
--- a/crates/dillspool_config/tests/apply_interleavings.rs
+++ b/crates/dillspool_config/tests/apply_interleavings.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use dillspool_cases::{fixed_cases, run_paused};
+use dillspool_cases::{commit_fault, fixed_cases, run_paused};
 use dillspool_config::{
     AppliedConfig, ApplyError, ConfigStore, ConfigVersion, parse_configuration,
 };
@@ -25,20 +25,10 @@
     faults: Vec<StoreFault>,
 }
 
-fn fault() -> impl Strategy<Value = StoreFault> {
-    prop_oneof![
-        3 => Just(StoreFault::None),
-        1 => Just(StoreFault::Refuse),
-        2 => Just(StoreFault::LoseAnswer),
-        2 => Just(StoreFault::LoseCall),
-        2 => (1_u64..2000).prop_map(|ms| StoreFault::Late(Duration::from_millis(ms))),
-    ]
-}
-
 fn race() -> impl Strategy<Value = ApplyRace> {
     let one = (0_u64..3000, 1_u32..1000);
     let moves = one.prop_map(|(at_ms, share)| OperatorMove { at_ms, share });
-    (proptest::collection::vec(moves, 1..7), proptest::collection::vec(fault(), 0..8))
+    (proptest::collection::vec(moves, 1..7), proptest::collection::vec(commit_fault(2000), 0..8))
         .prop_map(|(moves, faults)| ApplyRace { moves, faults })
 }
 
--- a/crates/dillspool_entry/src/stream.rs
+++ b/crates/dillspool_entry/src/stream.rs
@@ -288,7 +288,6 @@
         let (status, code) = match refusal.cause {
             RefuseCause::TooLate => (StatusCode::TOO_MANY_REQUESTS, "too_late"),
             RefuseCause::QueueFull => (StatusCode::TOO_MANY_REQUESTS, "queue_full"),
-            RefuseCause::LinkFull => (StatusCode::TOO_MANY_REQUESTS, "link_full"),
             RefuseCause::NoEngine => (StatusCode::SERVICE_UNAVAILABLE, "no_engine"),
             RefuseCause::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
             RefuseCause::UnknownPool => (StatusCode::SERVICE_UNAVAILABLE, "unknown_pool"),
--- a/crates/dillspool_host/src/daemon.rs
+++ b/crates/dillspool_host/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dillspool_config::{ConfigError, HostAddresses};
-use dillspool_entry::{PlacementRegistry, callers_handler};
+use dillspool_entry::callers_handler;
 use dillspool_io::{NetListener, NetStack, ServerLimits, WallClock, serve_http};
 use dillspool_peer::HostView;
 use dillspool_schema::Name;
@@ -74,7 +74,6 @@
     host: Name,
     view: HostView,
     directory: PoolDirectory,
-    registry: PlacementRegistry,
     tasks: TaskTracker,
     drain_timeout: Duration,
     drain: CancellationToken,
@@ -154,7 +153,6 @@
             drain_timeout: Duration::from_millis(host_limits.drain_timeout_ms.into()),
             view: parts.view,
             directory: parts.directory,
-            registry: parts.registry,
             tasks: parts.tasks,
             answers: parts.answers,
             drain,
@@ -174,11 +172,6 @@
         self.drain.cancelled().await;
     }
 
-    /// Placements that this host holds.
-    pub fn held_placements(&self) -> usize {
-        self.registry.len()
-    }
-
     /// Ends the host after its requests: nothing is cut off within the drain time.
     ///
     /// Readiness goes off first and requests are still taken until the balancer has noticed;
--- a/crates/dillspool_ledger/tests/ledger_interleavings.rs
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dillspool_cases::{fixed_cases, run_paused};
+use dillspool_cases::{commit_fault, fixed_cases, run_paused};
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_ledger::{
     BeginOutcome, CallKey, CallLedger, CallRequest, LedgerSettings, RecordedAnswer,
@@ -50,16 +50,6 @@
     outage: Option<Outage>,
 }
 
-fn fault() -> impl Strategy<Value = StoreFault> {
-    prop_oneof![
-        3 => Just(StoreFault::None),
-        1 => Just(StoreFault::Refuse),
-        2 => Just(StoreFault::LoseAnswer),
-        2 => Just(StoreFault::LoseCall),
-        2 => (1_u64..4000).prop_map(|ms| StoreFault::Late(Duration::from_millis(ms))),
-    ]
-}
-
 fn after_begin() -> impl Strategy<Value = AfterBegin> {
     prop_oneof![
         3 => Just(AfterBegin::Finish),
@@ -80,18 +70,15 @@
 
 fn outage() -> impl Strategy<Value = Option<Outage>> {
     proptest::option::of(
-        (0_u64..5000, 1_u64..10_000, fault()).prop_map(|(from_ms, for_ms, fault)| Outage {
-            from_ms,
-            for_ms,
-            fault,
-        }),
+        (0_u64..5000, 1_u64..10_000, commit_fault(4000))
+            .prop_map(|(from_ms, for_ms, fault)| Outage { from_ms, for_ms, fault }),
     )
 }
 
 fn interleaving() -> impl Strategy<Value = Interleaving> {
     (
         proptest::collection::vec(attempt(), 1..7),
-        proptest::collection::vec(fault(), 0..10),
+        proptest::collection::vec(commit_fault(4000), 0..10),
         outage(),
     )
         .prop_map(|(attempts, faults, outage)| Interleaving { attempts, faults, outage })
--- a/crates/dillspool_standin/tests/engine_contract.rs
+++ b/crates/dillspool_standin/tests/engine_contract.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use dillspool_engine::{EngineClient, EngineError};
+use dillspool_engine::{EngineClient, EngineError, TokenStream};
 use dillspool_io::MemoryNet;
 use dillspool_schema::StreamId;
 use dillspool_schema::engine::{DecodeRequest, PrefillReply, PrefillRequest};
@@ -53,8 +53,8 @@
         reply.expect("the prefill works")
     }
 
-    fn decode_request(&self, sequence: u64, export: &PrefillReply) -> DecodeRequest {
-        DecodeRequest {
+    async fn open(&self, sequence: u64, export: &PrefillReply) -> Result<TokenStream, EngineError> {
+        let request = DecodeRequest {
             stream: stream(sequence),
             model: "m".into(),
             kv: std::sync::Arc::clone(&export.kv),
@@ -62,7 +62,8 @@
             from: 0,
             max_tokens: 3,
             priority: 0,
-        }
+        };
+        self.client.decode(self.decode.address(), &request, LIMIT, LIMIT).await
     }
 }
 
@@ -71,8 +72,7 @@
     let pair = start_pair(EngineModel::default()).await;
     let export = pair.export(1).await;
     tokio::time::sleep(Duration::from_millis(900)).await;
-    let request = pair.decode_request(1, &export);
-    let opened = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
+    let opened = pair.open(1, &export).await;
     assert_matches!(opened, Err(EngineError::Refused { .. }));
     assert_eq!(pair.prefill.prefill_counts(), (1, 1));
     assert!(pair.prefill.held_streams().is_empty());
@@ -82,12 +82,7 @@
 async fn a_stream_read_to_its_end_holds_nothing() {
     let pair = start_pair(EngineModel::default()).await;
     let export = pair.export(1).await;
-    let request = pair.decode_request(1, &export);
-    let mut tokens = pair
-        .client
-        .decode(pair.decode.address(), &request, LIMIT, LIMIT)
-        .await
-        .expect("the stream opens");
+    let mut tokens = pair.open(1, &export).await.expect("the stream opens");
     for index in 0..3 {
         let event = tokens.next().await.expect("a token comes");
         assert_eq!(event.text.as_deref(), Some(token_text("hello", index).as_str()));
@@ -101,8 +96,7 @@
 async fn a_stream_left_by_its_reader_holds_memory_until_it_is_cancelled() {
     let pair = start_pair(EngineModel::default()).await;
     let export = pair.export(1).await;
-    let request = pair.decode_request(1, &export);
-    let tokens = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
+    let tokens = pair.open(1, &export).await;
     drop(tokens.expect("the stream opens"));
     tokio::time::sleep(Duration::from_mins(1)).await;
     assert_eq!(pair.decode.held_streams(), vec![stream(1)]);
@@ -115,11 +109,9 @@
 async fn a_full_engine_refuses() {
     let pair = start_pair(EngineModel { slots: 1, ..EngineModel::default() }).await;
     let first = pair.export(1).await;
-    let request = pair.decode_request(1, &first);
-    let _kept = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
+    let _kept = pair.open(1, &first).await;
     let second = pair.export(2).await;
-    let request = pair.decode_request(2, &second);
-    let opened = pair.client.decode(pair.decode.address(), &request, LIMIT, LIMIT).await;
+    let opened = pair.open(2, &second).await;
     assert_matches!(opened, Err(EngineError::Refused { .. }));
 }
 
@@ -128,11 +120,6 @@
     let pair = start_pair(EngineModel::default()).await;
     let export = pair.export(1).await;
     pair.decode.set_fault(EngineFault::WrongStream);
-    let request = pair.decode_request(1, &export);
-    let mut tokens = pair
-        .client
-        .decode(pair.decode.address(), &request, LIMIT, LIMIT)
-        .await
-        .expect("the stream opens");
+    let mut tokens = pair.open(1, &export).await.expect("the stream opens");
     assert_matches!(tokens.next().await, Err(EngineError::Wrong { .. }));
 }
