--- a/crates/dillspool_dev/src/generate.rs
+++ b/crates/dillspool_dev/src/generate.rs
@@ -6,7 +6,7 @@
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 /// Schema files, by name without ending.
-const SCHEMAS: [&str; 4] = ["configuration", "engine", "messages", "settings"];
+const SCHEMAS: [&str; 6] = ["configuration", "engine", "messages", "relay", "router", "settings"];
 
 /// Why the types could not be generated, or differ from the committed ones.
 #[derive(Debug, Snafu)]
--- /dev/null
+++ b/crates/dillspool_forward/src/book.rs
@@ -0,0 +1,168 @@
+//! What this host has under way at each backend server, and how the last sends went.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dillspool_routing::BackendId;
+use tokio::time::Instant;
+
+/// Weight of the newest observation in an average; some ten sends decide.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// Latency assumed of a backend server that has not answered yet, in milliseconds.
+const ASSUMED_LATENCY_MS: f64 = 60.0;
+/// First time that a backend server is left out after a send that did not get through.
+const FIRST_ASIDE: Duration = Duration::from_millis(500);
+/// Longest time that it is left out.
+const LONGEST_ASIDE: Duration = Duration::from_secs(4);
+/// Failures in a row after which a backend server is left out.
+const FAILURES_BEFORE_ASIDE: u32 = 2;
+/// Entries kept at most; ids are new with each start of a backend server.
+const MOST_ENTRIES: usize = 8192;
+
+#[derive(Clone, Copy, Debug)]
+struct BackendLoad {
+    outstanding: u32,
+    tokens: u64,
+    latency_ms: f64,
+    /// Average of failures, 0 to 1.
+    failures: f64,
+    failures_in_row: u32,
+    aside_until: Option<Instant>,
+    full_until: Option<Instant>,
+}
+
+impl Default for BackendLoad {
+    fn default() -> Self {
+        Self {
+            outstanding: 0,
+            tokens: 0,
+            latency_ms: ASSUMED_LATENCY_MS,
+            failures: 0.0,
+            failures_in_row: 0,
+            aside_until: None,
+            full_until: None,
+        }
+    }
+}
+
+/// A reading of one backend server's entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LoadReading {
+    pub(crate) outstanding: u32,
+    pub(crate) tokens: u64,
+    pub(crate) latency_ms: f64,
+    pub(crate) failures: f64,
+    pub(crate) is_aside: bool,
+    pub(crate) is_full: bool,
+}
+
+/// The book of all backend servers, by id.
+#[derive(Clone, Debug, Default)]
+pub struct BackendBook {
+    loads: Arc<Mutex<HashMap<BackendId, BackendLoad>>>,
+}
+
+impl BackendBook {
+    fn with<T>(&self, id: &BackendId, run: impl FnOnce(&mut BackendLoad) -> T) -> T {
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        if loads.len() >= MOST_ENTRIES {
+            loads.retain(|_id, load| load.outstanding > 0);
+        }
+        run(loads.entry(BackendId::clone(id)).or_default())
+    }
+
+    pub(crate) fn read(&self, id: &BackendId) -> LoadReading {
+        let now = Instant::now();
+        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let load = loads.get(id).copied().unwrap_or_default();
+        LoadReading {
+            outstanding: load.outstanding,
+            tokens: load.tokens,
+            latency_ms: load.latency_ms,
+            failures: load.failures,
+            is_aside: load.aside_until.is_some_and(|until| until > now),
+            is_full: load.full_until.is_some_and(|until| until > now),
+        }
+    }
+
+    /// Notes work that is sent to a backend server until the ticket is dropped.
+    pub fn enter(&self, id: &BackendId, tokens: u64) -> LoadTicket {
+        self.with(id, |load| {
+            load.outstanding += 1;
+            load.tokens += tokens;
+        });
+        LoadTicket { book: self.clone(), id: BackendId::clone(id), tokens }
+    }
+
+    /// Notes an answer that came as it should.
+    pub(crate) fn note_success(&self, id: &BackendId, latency: Duration) {
+        let latency_ms = latency.as_secs_f64() * 1000.0;
+        self.with(id, |load| {
+            load.latency_ms += NEWEST_WEIGHT * (latency_ms - load.latency_ms);
+            load.failures -= NEWEST_WEIGHT * load.failures;
+            load.failures_in_row = 0;
+            load.aside_until = None;
+        });
+    }
+
+    /// Notes a failure that the backend server told of.
+    pub(crate) fn note_failure(&self, id: &BackendId) {
+        self.with(id, |load| load.failures += NEWEST_WEIGHT * (1.0 - load.failures));
+    }
+
+    /// Notes that a backend server did not answer; leaves it out for a while when that repeats.
+    pub(crate) fn note_silence(&self, id: &BackendId, cause: &str) {
+        let now = Instant::now();
+        let aside = self.with(id, |load| {
+            load.failures += NEWEST_WEIGHT * (1.0 - load.failures);
+            load.failures_in_row += 1;
+            if load.failures_in_row < FAILURES_BEFORE_ASIDE {
+                return None;
+            }
+            let doublings = (load.failures_in_row - FAILURES_BEFORE_ASIDE).min(8);
+            let span = (FIRST_ASIDE * 2_u32.pow(doublings)).min(LONGEST_ASIDE);
+            load.aside_until = Some(now + span);
+            Some((load.failures_in_row, span))
+        });
+        if let Some((failures, span)) = aside {
+            let span_ms = span.as_millis();
+            log::info!(
+                "event=backend_aside backend={id} failures={failures} for_ms={span_ms} cause=\"{cause}\""
+            );
+        }
+    }
+
+    /// Notes that a backend server has no room for now.
+    pub(crate) fn note_full(&self, id: &BackendId, span: Duration) {
+        let until = Instant::now() + span;
+        self.with(id, |load| load.full_until = Some(until));
+    }
+}
+
+/// Work under way at a backend server; dropping it takes it off the book.
+#[derive(Debug)]
+pub struct LoadTicket {
+    book: BackendBook,
+    id: BackendId,
+    tokens: u64,
+}
+
+impl LoadTicket {
+    /// Notes that the work grew to more tokens than was noted.
+    pub fn grow_to(&mut self, tokens: u64) {
+        let growth = tokens.saturating_sub(self.tokens);
+        self.tokens += growth;
+        self.book.with(&self.id, |load| load.tokens += growth);
+    }
+}
+
+impl Drop for LoadTicket {
+    fn drop(&mut self) {
+        let tokens = self.tokens;
+        self.book.with(&self.id, |load| {
+            load.outstanding = load.outstanding.saturating_sub(1);
+            load.tokens = load.tokens.saturating_sub(tokens);
+        });
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/budget.rs
@@ -0,0 +1,111 @@
+//! The budget of repeated sends, a part of which every host may spend by itself.
+//!
+//! All hosts share one budget a service. A count shared through the store would cost a write a
+//! request; instead each host spends the ratio of its own requests and an equal part of what is
+//! allowed beyond it.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dillspool_schema::Name;
+use tokio::time::Instant;
+
+/// Part of the budget that is spent at most; the rest covers windows that begin elsewhere on
+/// other hosts, and refusals that cannot be foreseen.
+const SPENT_PART: f64 = 0.75;
+/// Hosts assumed before any count is known; more than either site has today.
+const ASSUMED_HOSTS: usize = 16;
+/// Parts into which a window is cut for counting.
+const SLICES: u32 = 20;
+
+/// The budget as the platform states it, for all hosts together.
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetTerms {
+    /// Repeated sends for each request of a window.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Repeated sends of a window beyond the ratio.
+    pub extra: f64,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    /// Start of a slice, its requests and its repeated sends.
+    slices: VecDeque<(Instant, u32, u32)>,
+}
+
+impl ServiceWindow {
+    fn slice(&mut self, now: Instant, terms: &BudgetTerms) -> &mut (Instant, u32, u32) {
+        while self.slices.front().is_some_and(|slice| now - slice.0 > terms.window) {
+            self.slices.pop_front();
+        }
+        let fresh = self.slices.back().is_none_or(|slice| now - slice.0 > terms.window / SLICES);
+        if fresh {
+            self.slices.push_back((now, 0, 0));
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
+    }
+
+    fn sums(&self) -> (u32, u32) {
+        self.slices.iter().fold((0, 0), |sums, slice| (sums.0 + slice.1, sums.1 + slice.2))
+    }
+}
+
+/// The budgets of all services.
+#[derive(Clone, Debug)]
+pub struct RetryBudgets {
+    terms: BudgetTerms,
+    hosts: Arc<AtomicUsize>,
+    windows: Arc<Mutex<HashMap<Name, ServiceWindow>>>,
+}
+
+impl RetryBudgets {
+    /// Empty budgets.
+    pub fn new(terms: BudgetTerms) -> Self {
+        let hosts = Arc::new(AtomicUsize::new(ASSUMED_HOSTS));
+        Self { terms, hosts, windows: Arc::default() }
+    }
+
+    /// Takes the number of hosts that share the budget.
+    pub fn set_hosts(&self, hosts: usize) {
+        self.hosts.store(hosts.max(1), Ordering::Relaxed);
+    }
+
+    fn with_window<T>(&self, service: &Name, run: impl FnOnce(&mut ServiceWindow) -> T) -> T {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        run(windows.entry(Name::clone(service)).or_default())
+    }
+
+    /// Notes a request of a caller.
+    pub fn note_request(&self, service: &Name) {
+        self.with_window(service, |window| window.slice(Instant::now(), &self.terms).1 += 1);
+    }
+
+    /// Notes a repeated send that was not asked for before, such as a refused prefill.
+    pub fn note_extra(&self, service: &Name) {
+        self.with_window(service, |window| window.slice(Instant::now(), &self.terms).2 += 1);
+    }
+
+    /// Takes one repeated send from the budget, if this host's part has one left.
+    #[must_use]
+    pub fn take(&self, service: &Name) -> bool {
+        let hosts = self.hosts.load(Ordering::Relaxed);
+        self.with_window(service, |window| {
+            window.slice(Instant::now(), &self.terms);
+            let (requests, extras) = window.sums();
+            let own_part = self.terms.ratio * f64::from(requests);
+            #[expect(clippy::cast_precision_loss, reason = "hosts are counted in hundreds")]
+            let shared_part = self.terms.extra / hosts as f64;
+            let allowed = SPENT_PART * (own_part + shared_part);
+            if f64::from(extras) + 1.0 > allowed {
+                return false;
+            }
+            window.slice(Instant::now(), &self.terms).2 += 1;
+            true
+        })
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/choose.rs
@@ -0,0 +1,87 @@
+//! Which backend server gets a request.
+
+use std::sync::Arc;
+
+use dillspool_routing::{BackendEntry, BackendId, DirectoryView, EngineStage};
+use rand::Rng;
+
+use crate::book::BackendBook;
+
+/// Cost of another failure domain for a plain call, as a factor: its bytes are billed, about
+/// 1% of a call's worth, and it takes a millisecond more.
+const FAR_FACTOR: f64 = 1.3;
+/// How much one failure in one call raises the cost of a backend server.
+const FAILURE_FACTOR: f64 = 6.0;
+/// Cost of another failure domain for a stream, in tokens of a typical request.
+const FAR_TOKENS: f64 = 3_000.0;
+/// Part by which costs are spread, so that hosts with the same view do not all choose alike.
+const SPREAD: f64 = 0.1;
+
+/// Chooses among backend servers from the place of one host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Chooser<'a> {
+    pub(crate) view: &'a DirectoryView,
+    pub(crate) book: &'a BackendBook,
+    pub(crate) failure_domain: &'a str,
+}
+
+impl Chooser<'_> {
+    /// The backend server of a service with the least expected wait.
+    pub(crate) fn plain(&self, service: &str, tried: &[BackendId]) -> Option<Arc<BackendEntry>> {
+        let candidates = self.view.ready(service).filter(|entry| !tried.contains(&entry.id));
+        self.least(candidates, |entry| {
+            let load = self.book.read(&entry.id);
+            let far = if self.is_near(entry) { 1.0 } else { FAR_FACTOR };
+            let queue = f64::from(load.outstanding + 1) * load.latency_ms;
+            (load.is_aside, queue * (1.0 + FAILURE_FACTOR * load.failures) * far)
+        })
+    }
+
+    /// Engines of one stage, least loaded first; those that are left out come last.
+    pub(crate) fn engines(
+        &self,
+        service: &str,
+        stage: EngineStage,
+        near: &str,
+        tried: &[BackendId],
+    ) -> Vec<Arc<BackendEntry>> {
+        let mut ranked: Vec<((bool, bool), f64, Arc<BackendEntry>)> = self
+            .view
+            .ready_in_stage(service, stage)
+            .filter(|entry| !tried.contains(&entry.id))
+            .map(|entry| {
+                let load = self.book.read(&entry.id);
+                let far = if &*entry.failure_domain == near { 0.0 } else { FAR_TOKENS };
+                #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+                let tokens = load.tokens as f64;
+                let cost = (tokens + far + 1.0) * (1.0 + FAILURE_FACTOR * load.failures);
+                let rank = (load.is_aside, load.is_full);
+                (rank, cost * spread(), Arc::clone(entry))
+            })
+            .collect();
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        ranked.into_iter().map(|(_rank, _cost, entry)| entry).collect()
+    }
+
+    fn is_near(&self, entry: &BackendEntry) -> bool {
+        &*entry.failure_domain == self.failure_domain
+    }
+
+    fn least<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a Arc<BackendEntry>>,
+        cost: impl Fn(&BackendEntry) -> (bool, f64),
+    ) -> Option<Arc<BackendEntry>> {
+        candidates
+            .map(|entry| {
+                let (aside, cost) = cost(entry);
+                (aside, cost * spread(), entry)
+            })
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_aside, _cost, entry)| Arc::clone(entry))
+    }
+}
+
+fn spread() -> f64 {
+    1.0 + rand::rng().random_range(0.0..SPREAD)
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/context.rs
@@ -0,0 +1,45 @@
+//! What all requests of a host share.
+
+use std::sync::Arc;
+
+use dillspool_routing::DirectoryView;
+use dillspool_schema::Name;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::book::BackendBook;
+use crate::budget::RetryBudgets;
+use crate::calls::BackendCalls;
+use crate::choose::Chooser;
+use crate::metrics::ForwardMetrics;
+
+/// Shared by all requests of a host.
+#[derive(Clone, Debug)]
+pub struct ForwardContext {
+    /// Failure domain of this host.
+    pub failure_domain: Name,
+    /// Calls to backend servers.
+    pub calls: BackendCalls,
+    /// The backend servers known now.
+    pub directory: watch::Receiver<Arc<DirectoryView>>,
+    /// What is under way at them.
+    pub book: BackendBook,
+    /// Budget of repeated sends.
+    pub budgets: RetryBudgets,
+    /// Counters and histograms.
+    pub metrics: ForwardMetrics,
+    /// Work that goes on when its request is gone, such as giving memory back.
+    pub tasks: TaskTracker,
+}
+
+impl ForwardContext {
+    /// The directory as it is now.
+    pub(crate) fn view(&self) -> Arc<DirectoryView> {
+        Arc::clone(&self.directory.borrow())
+    }
+
+    /// Chooses from this host's place.
+    pub(crate) fn chooser<'a>(&'a self, view: &'a DirectoryView) -> Chooser<'a> {
+        Chooser { view, book: &self.book, failure_domain: &self.failure_domain }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/generate.rs
@@ -0,0 +1,484 @@
+//! Model requests: decode memory first, then the prefill, then the stream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_io::{ResponseBody, read_response_body};
+use dillspool_routing::{BackendEntry, BackendId, EngineStage, GenerationTerms, RoutedRequest};
+use dillspool_schema::Name;
+use hyper::{HeaderMap, Response, StatusCode};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::book::LoadTicket;
+use crate::calls::{BackendAnswer, CallError, ForwardTerms, HoldTerms, PrefilledPrompt};
+use crate::context::ForwardContext;
+use crate::refusal::{Refusal, RefusalCause};
+use crate::relay::StreamRelay;
+use crate::trace::RequestTrace;
+
+/// How far an answer may outgrow the caller's guess before its memory was not reserved; 2.5 was
+/// the best of four in the trial (docs/design/platform_site.md).
+const HINT_FACTOR: f64 = 2.5;
+/// Tokens reserved for an answer at least.
+const SMALLEST_ANSWER: u64 = 500;
+/// Life of a reservation: a prefill, its move and the first event take well under a second, and
+/// a longer one keeps memory from others.
+const HOLD_LIFE: Duration = Duration::from_millis(2000);
+/// Time for which an engine that refused a reservation counts as full: some events' time.
+const FULL_SPAN: Duration = Duration::from_millis(100);
+/// When to come back after a refusal for want of memory: about the time that a running answer
+/// still takes, spread so that the refused do not return together.
+const COME_BACK_MS: std::ops::Range<u64> = 3_300..4_500;
+/// When to come back if no engine is known; directories recover within seconds.
+const NO_ENGINE_RETRY: Duration = Duration::from_millis(1000);
+/// When to come back after an engine's refusal of a request that had its memory.
+const NOT_RUN_RETRY_MS: std::ops::Range<u64> = 100..400;
+/// Longest wait for a prefill; its engine queues prompts one after another.
+const PREFILL_LIMIT: Duration = Duration::from_millis(1500);
+/// Part of the route's time-out that a caller on its first attempt has left at least.
+const FIRST_ATTEMPT_PART: f64 = 0.9;
+/// Longest wait for memory of a caller that was refused before; a second refusal is its last.
+const RETURNED_WAIT: Duration = Duration::from_millis(1000);
+/// Pause between two rounds of asking for memory.
+const ASK_PAUSE_MS: std::ops::Range<u64> = 60..120;
+/// Largest failure body that is passed on, in bytes.
+const LARGEST_FAILURE: usize = 1024 * 1024;
+
+/// Answers a streaming request.
+pub(crate) async fn answer_stream(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+    trace: RequestTrace,
+) -> Result<Response<ResponseBody>, (Refusal, RequestTrace)> {
+    let mut generation = Generation::new(context, request);
+    let mut trace = trace;
+    match generation.open().await {
+        Ok(OpenEnd::Stream(open, headers)) => {
+            context.metrics.note_first_part(request.age());
+            let status = open.status;
+            let relay = StreamRelay::new(generation, open, trace);
+            let mut response = Response::new(relay.into_body());
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            // The stream may go on at another engine, so its length is not the first engine's.
+            response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+            Ok(response)
+        }
+        Ok(OpenEnd::Failure(response)) => {
+            trace.failed(response.status().as_u16());
+            Ok(response)
+        }
+        Err(refusal) => Err((refusal, trace)),
+    }
+}
+
+/// A stream that an engine has begun.
+pub(crate) struct OpenStream {
+    pub(crate) entry: Arc<BackendEntry>,
+    pub(crate) status: StatusCode,
+    pub(crate) body: ResponseBody,
+    _ticket: LoadTicket,
+}
+
+/// How opening ended, if not by a refusal.
+enum OpenEnd {
+    Stream(OpenStream, HeaderMap),
+    /// An engine's own failure, for the caller.
+    Failure(Response<ResponseBody>),
+}
+
+/// Memory reserved at an engine, given back unless it was used.
+struct HoldGuard {
+    context: ForwardContext,
+    entry: Arc<BackendEntry>,
+    hold: Option<Name>,
+}
+
+impl Drop for HoldGuard {
+    fn drop(&mut self) {
+        let Some(hold) = self.hold.take() else { return };
+        let release = (self.context.calls.release_hold)(Arc::clone(&self.entry), hold);
+        let id = BackendId::clone(&self.entry.id);
+        self.context.tasks.spawn(async move {
+            // A reservation that is not given back lapses by itself.
+            if let Err(error) = release.await {
+                log::debug!("event=hold_not_released backend={id} cause=\"{error}\"");
+            }
+        });
+    }
+}
+
+/// A prefill's result, given up unless it was used.
+struct PrefillGuard {
+    context: ForwardContext,
+    prefilled: Option<PrefilledPrompt>,
+}
+
+impl Drop for PrefillGuard {
+    fn drop(&mut self) {
+        let Some(prefilled) = self.prefilled.take() else { return };
+        let (entry, handle) = (prefilled.engine, prefilled.handle);
+        let release = (self.context.calls.release_prefill)(Arc::clone(&entry), handle);
+        self.context.tasks.spawn(async move {
+            if let Err(error) = release.await {
+                log::debug!("event=prefill_not_released backend={} cause=\"{error}\"", entry.id);
+            }
+        });
+    }
+}
+
+/// A decode engine with memory for the request.
+struct Placement {
+    entry: Arc<BackendEntry>,
+    hold: HoldGuard,
+    ticket: LoadTicket,
+}
+
+/// One model request and its sends so far.
+pub(crate) struct Generation {
+    context: ForwardContext,
+    pub(crate) request: Arc<RoutedRequest>,
+    sends: u32,
+    tried: Vec<BackendId>,
+    may_have_run: bool,
+    /// Last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl Generation {
+    fn new(context: &ForwardContext, request: &Arc<RoutedRequest>) -> Self {
+        Self {
+            context: context.clone(),
+            request: Arc::clone(request),
+            sends: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+            last_event: request.resume_after,
+        }
+    }
+
+    /// Whether the stream may go on at another engine.
+    pub(crate) fn can_reopen(&self) -> bool {
+        let route = &self.request.route;
+        route.resumable && self.sends < route.max_attempts
+    }
+
+    /// Opens the rest of the stream behind the last event that the caller has.
+    pub(crate) async fn reopen(&mut self) -> Result<OpenStream, Refusal> {
+        if !self.can_reopen() {
+            return Err(Refusal::new(RefusalCause::Unknown));
+        }
+        match self.open().await? {
+            OpenEnd::Stream(open, _headers) => Ok(open),
+            OpenEnd::Failure(_response) => Err(Refusal::new(RefusalCause::Unknown)),
+        }
+    }
+
+    pub(crate) fn note_success(&self, open: &OpenStream) {
+        self.context.book.note_success(&open.entry.id, self.request.age());
+    }
+
+    pub(crate) fn note_broken(&mut self, open: &OpenStream, cause: &str) {
+        self.context.book.note_silence(&open.entry.id, cause);
+    }
+
+    /// Finds memory, prefills and opens the stream.
+    async fn open(&mut self) -> Result<OpenEnd, Refusal> {
+        loop {
+            self.check_sends()?;
+            let placement = self.place().await?;
+            let prefilled = self.prefill(&placement).await;
+            if self.request.remaining().is_zero() {
+                return Err(self.conclude());
+            }
+            if let Some(end) = self.send(placement, prefilled).await? {
+                return Ok(end);
+            }
+        }
+    }
+
+    fn check_sends(&self) -> Result<(), Refusal> {
+        let over = self.request.remaining().is_zero();
+        if over || self.sends >= self.request.route.max_attempts {
+            return Err(self.conclude());
+        }
+        if self.sends > 0 {
+            if !self.context.budgets.take(&self.request.service) {
+                log::info!(
+                    "event=retry_budget_empty id={} service={}",
+                    self.request.id,
+                    self.request.service
+                );
+                return Err(self.conclude());
+            }
+            self.context.metrics.note_repeated_send();
+        }
+        Ok(())
+    }
+
+    /// The final answer when no more sends are possible.
+    fn conclude(&self) -> Refusal {
+        let over = self.request.remaining().is_zero();
+        match (self.may_have_run, over) {
+            (true, true) => Refusal::new(RefusalCause::TimedOut),
+            (true, false) => Refusal::new(RefusalCause::Unknown),
+            (false, true) => Refusal::new(RefusalCause::TooLateNotRun),
+            (false, false) => come_back(RefusalCause::NotRun, NOT_RUN_RETRY_MS),
+        }
+    }
+
+    /// Reserves memory at a decode engine.
+    async fn place(&self) -> Result<Placement, Refusal> {
+        let wait_until = self.request.arrived + self.longest_wait();
+        loop {
+            let view = self.context.view();
+            let chooser = self.context.chooser(&view);
+            let near = &self.context.failure_domain;
+            let engines =
+                chooser.engines(&self.request.service, EngineStage::Decode, near, &self.tried);
+            if engines.is_empty() {
+                return self.without_reservation(&view);
+            }
+            for entry in engines {
+                if let Some(placement) = self.reserve(&entry).await {
+                    return Ok(placement);
+                }
+            }
+            if Instant::now() >= wait_until {
+                return Err(self.no_memory());
+            }
+            let pause = rand::rng().random_range(ASK_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// A service whose backend servers play no parts takes its streams like plain requests.
+    fn without_reservation(
+        &self,
+        view: &dillspool_routing::DirectoryView,
+    ) -> Result<Placement, Refusal> {
+        let chooser = self.context.chooser(view);
+        let entry = chooser
+            .plain(&self.request.service, &self.tried)
+            .filter(|entry| entry.stage.is_none())
+            .ok_or_else(|| Refusal::come_back(RefusalCause::NoBackend, NO_ENGINE_RETRY))?;
+        let hold =
+            HoldGuard { context: self.context.clone(), entry: Arc::clone(&entry), hold: None };
+        let ticket = self.context.book.enter(&entry.id, 0);
+        Ok(Placement { entry, hold, ticket })
+    }
+
+    fn no_memory(&self) -> Refusal {
+        if self.may_have_run {
+            return self.conclude();
+        }
+        come_back(RefusalCause::NoMemory, COME_BACK_MS)
+    }
+
+    /// A caller that was refused before has used up part of its time.
+    fn longest_wait(&self) -> Duration {
+        let request = &self.request;
+        let budget = request.caller_deadline - request.arrived;
+        let is_first = budget >= request.route.timeout.mul_f64(FIRST_ATTEMPT_PART);
+        if is_first && self.sends == 0 { Duration::ZERO } else { RETURNED_WAIT }
+    }
+
+    async fn reserve(&self, entry: &Arc<BackendEntry>) -> Option<Placement> {
+        let tokens = self.request.generation.as_ref().map_or(SMALLEST_ANSWER, expected_tokens);
+        let ticket = self.context.book.enter(&entry.id, tokens);
+        let terms = HoldTerms { tokens, life: HOLD_LIFE };
+        let reserved = (self.context.calls.reserve)(Arc::clone(entry), terms).await;
+        match reserved {
+            Ok(hold) => {
+                let hold = HoldGuard {
+                    context: self.context.clone(),
+                    entry: Arc::clone(entry),
+                    hold: Some(hold),
+                };
+                Some(Placement { entry: Arc::clone(entry), hold, ticket })
+            }
+            Err(CallError::Refused { .. }) => {
+                self.context.metrics.note_hold_refused();
+                self.context.book.note_full(&entry.id, FULL_SPAN);
+                None
+            }
+            Err(error @ (CallError::NotSent { .. } | CallError::Lost { .. })) => {
+                self.context.book.note_silence(&entry.id, &error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Prefills near the decode engine; without a result the decode engine prefills itself.
+    async fn prefill(&self, placement: &Placement) -> PrefillGuard {
+        let context = self.context.clone();
+        let mut guard = PrefillGuard { context, prefilled: None };
+        if placement.entry.stage.is_none() {
+            return guard;
+        }
+        let view = self.context.view();
+        let chooser = self.context.chooser(&view);
+        let near = &placement.entry.failure_domain;
+        let service = &self.request.service;
+        let engines = chooser.engines(service, EngineStage::Prefill, near, &[]);
+        let Some(entry) = engines.first() else { return guard };
+        let tokens = self.request.generation.as_ref().map_or(1, |terms| terms.prompt_tokens);
+        let _ticket = self.context.book.enter(&entry.id, tokens);
+        self.context.metrics.note_prefill();
+        let limit = self.request.remaining().min(PREFILL_LIMIT);
+        let call =
+            (self.context.calls.prefill)(Arc::clone(entry), Arc::clone(&self.request), limit);
+        let error = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(prefilled)) => {
+                guard.prefilled = Some(prefilled);
+                return guard;
+            }
+            Ok(Err(error)) => error,
+            Err(_elapsed) => CallError::Lost { reason: format!("no prefill within {limit:?}") },
+        };
+        log::info!(
+            "event=prefill_failed id={} backend={} after_ms={} cause=\"{error}\"",
+            self.request.id,
+            entry.id,
+            self.request.age().as_millis(),
+        );
+        match &error {
+            CallError::Refused { .. } => {
+                self.context.budgets.note_extra(service);
+                self.context.book.note_full(&entry.id, FULL_SPAN);
+            }
+            CallError::NotSent { reason } | CallError::Lost { reason } => {
+                self.context.book.note_silence(&entry.id, reason);
+            }
+        }
+        guard
+    }
+
+    /// Sends the request; `None` when it did not run and may be sent again.
+    async fn send(
+        &mut self,
+        placement: Placement,
+        mut prefill: PrefillGuard,
+    ) -> Result<Option<OpenEnd>, Refusal> {
+        let Placement { entry, mut hold, ticket } = placement;
+        if !self.context.view().is_ready(&entry.id) {
+            // It began to leave while the prompt was prefilled.
+            self.tried.push(BackendId::clone(&entry.id));
+            return Ok(None);
+        }
+        let terms = ForwardTerms {
+            time_budget: self.request.remaining(),
+            hold: hold.hold.clone(),
+            prefilled: prefill.prefilled.clone(),
+            resume_after: self.last_event,
+        };
+        log::info!(
+            "event=stream_placed id={} backend={} prefill={} after_ms={} resume_after={}",
+            self.request.id,
+            entry.id,
+            prefill.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.id),
+            self.request.age().as_millis(),
+            self.last_event.unwrap_or(0),
+        );
+        let remaining = self.request.remaining();
+        let call =
+            (self.context.calls.forward)(Arc::clone(&entry), Arc::clone(&self.request), terms);
+        let sent = match tokio::time::timeout(remaining, call).await {
+            Ok(sent) => sent,
+            Err(_elapsed) => Err(CallError::Lost { reason: format!("silent for {remaining:?}") }),
+        };
+        let answer = match sent {
+            Err(CallError::NotSent { reason }) => {
+                self.note_failed_send(&entry, &reason);
+                return Ok(None);
+            }
+            sent => {
+                self.sends += 1;
+                hold.hold = None;
+                prefill.prefilled = None;
+                sent
+            }
+        };
+        match answer {
+            Ok(answer) => self.take_head(entry, ticket, answer).await,
+            Err(CallError::Refused { status }) => {
+                self.note_failed_send(&entry, &format!("refused with {status}, not run"));
+                Ok(None)
+            }
+            Err(CallError::NotSent { reason } | CallError::Lost { reason }) => {
+                self.note_unclear(&entry, &reason)
+            }
+        }
+    }
+
+    async fn take_head(
+        &mut self,
+        entry: Arc<BackendEntry>,
+        ticket: LoadTicket,
+        answer: BackendAnswer,
+    ) -> Result<Option<OpenEnd>, Refusal> {
+        if answer.did_not_run {
+            self.note_failed_send(&entry, &format!("refused with {}, not run", answer.status));
+            return Ok(None);
+        }
+        let (status, headers) = (answer.status, answer.headers.clone());
+        if answer.is_genuine_success() {
+            let open = OpenStream { entry, status, body: answer.body, _ticket: ticket };
+            return Ok(Some(OpenEnd::Stream(open, headers)));
+        }
+        if answer.is_genuine_failure()
+            && let Ok(body) = read_response_body(answer.body, LARGEST_FAILURE).await
+        {
+            self.context.book.note_failure(&entry.id);
+            let mut response = Response::new(dillspool_io::full_body(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+            return Ok(Some(OpenEnd::Failure(response)));
+        }
+        let cause = format!("status {} without proof of its origin", status.as_u16());
+        self.note_unclear(&entry, &cause)
+    }
+
+    /// It may have run: only a stream that can be resumed goes on.
+    fn note_unclear(
+        &mut self,
+        entry: &BackendEntry,
+        cause: &str,
+    ) -> Result<Option<OpenEnd>, Refusal> {
+        self.may_have_run = true;
+        self.context.book.note_silence(&entry.id, cause);
+        self.note_failed_send(entry, cause);
+        if self.request.route.is_repeatable() { Ok(None) } else { Err(self.conclude()) }
+    }
+
+    fn note_failed_send(&mut self, entry: &BackendEntry, cause: &str) {
+        self.tried.push(BackendId::clone(&entry.id));
+        log::info!(
+            "event=send_failed id={} backend={} after_ms={} cause=\"{cause}\"",
+            self.request.id,
+            entry.id,
+            self.request.age().as_millis(),
+        );
+    }
+}
+
+/// Tokens that a request will take at its engine, prompt and answer.
+fn expected_tokens(terms: &GenerationTerms) -> u64 {
+    let hint = terms.output_hint.unwrap_or(terms.output_limit);
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "token counts are far below 2^52 and not negative"
+    )]
+    let guess = (hint as f64 * HINT_FACTOR) as u64;
+    let answer = guess.max(SMALLEST_ANSWER).min(terms.output_limit.max(1));
+    terms.prompt_tokens + answer
+}
+
+fn come_back(cause: RefusalCause, range: std::ops::Range<u64>) -> Refusal {
+    let after = rand::rng().random_range(range);
+    Refusal::come_back(cause, Duration::from_millis(after))
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/lib.rs
@@ -0,0 +1,31 @@
+//! The path of a request to its backend server and of the answer back.
+//!
+//! Plain requests go to one backend server of their service. Model requests reserve decode
+//! memory, are prefilled, and are streamed event by event. What may be sent again, and when,
+//! is decided here and nowhere else; `docs/design/platform_site.md` has the reasons.
+
+mod answer;
+mod book;
+mod budget;
+mod calls;
+mod choose;
+mod context;
+mod events;
+mod generate;
+mod metrics;
+mod plain;
+mod refusal;
+mod relay;
+mod trace;
+
+pub use answer::answer_request;
+pub use book::{BackendBook, LoadTicket};
+pub use budget::{BudgetTerms, RetryBudgets};
+pub use calls::{
+    BackendAnswer, BackendCalls, CallError, ForwardTerms, HoldTerms, OrderOutcome, PrefilledPrompt,
+    StageOrder,
+};
+pub use context::ForwardContext;
+pub use events::{EventSplitter, StreamEvent};
+pub use metrics::{ForwardMetrics, OutcomeLabels};
+pub use refusal::{Refusal, RefusalCause};
--- /dev/null
+++ b/crates/dillspool_forward/src/metrics.rs
@@ -0,0 +1,125 @@
+//! What a host counts of the requests that it forwards.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use dillspool_schema::Name;
+use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// A route and how its request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct OutcomeLabels {
+    /// Name of the route; empty when none was found.
+    pub route: Name,
+    /// `answered`, `failed`, `refused`, `broken` or `caller_gone`.
+    pub outcome: &'static str,
+    /// Cause of a refusal, empty otherwise.
+    pub cause: &'static str,
+}
+
+impl EncodeLabelSet for OutcomeLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let pairs = [("route", &*self.route), ("outcome", self.outcome), ("cause", self.cause)];
+        for (key, value) in pairs {
+            let mut label = encoder.encode_label();
+            let mut key_encoder = label.encode_label_key()?;
+            key_encoder.write_str(key)?;
+            let mut value_encoder = key_encoder.encode_label_value()?;
+            value_encoder.write_str(value)?;
+            value_encoder.finish()?;
+        }
+        Ok(())
+    }
+}
+
+/// Counters and histograms of the requests of one host.
+#[derive(Clone, Debug)]
+pub struct ForwardMetrics {
+    requests: Family<OutcomeLabels, Counter>,
+    in_flight: Gauge,
+    first_part: Histogram,
+    whole: Histogram,
+    repeated_sends: Counter,
+    prefills: Counter,
+    holds_refused: Counter,
+}
+
+impl Default for ForwardMetrics {
+    fn default() -> Self {
+        // 5 ms to 10 s in steps of a factor 1.6.
+        let buckets = || exponential_buckets(0.005, 1.6, 17);
+        Self {
+            requests: Family::default(),
+            in_flight: Gauge::default(),
+            first_part: Histogram::new(buckets()),
+            whole: Histogram::new(buckets()),
+            repeated_sends: Counter::default(),
+            prefills: Counter::default(),
+            holds_refused: Counter::default(),
+        }
+    }
+}
+
+impl ForwardMetrics {
+    /// Registers all figures.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("forward_requests", "Requests by outcome", self.requests.clone());
+        registry.register("forward_in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register_with_unit(
+            "forward_first_part",
+            "Time to the first part of an answer",
+            Unit::Seconds,
+            self.first_part.clone(),
+        );
+        registry.register_with_unit(
+            "forward_whole",
+            "Time to the end of an answer",
+            Unit::Seconds,
+            self.whole.clone(),
+        );
+        registry.register(
+            "forward_repeated_sends",
+            "Sends to another backend server",
+            self.repeated_sends.clone(),
+        );
+        registry.register("forward_prefills", "Prefills asked for", self.prefills.clone());
+        registry.register(
+            "forward_holds_refused",
+            "Reservations that an engine refused",
+            self.holds_refused.clone(),
+        );
+    }
+
+    pub(crate) fn enter(&self) {
+        self.in_flight.inc();
+    }
+
+    pub(crate) fn leave(&self, labels: OutcomeLabels, lasted: Duration) {
+        self.in_flight.dec();
+        if labels.outcome == "answered" {
+            self.whole.observe(lasted.as_secs_f64());
+        }
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn note_first_part(&self, after: Duration) {
+        self.first_part.observe(after.as_secs_f64());
+    }
+
+    pub(crate) fn note_repeated_send(&self) {
+        self.repeated_sends.inc();
+    }
+
+    pub(crate) fn note_prefill(&self) {
+        self.prefills.inc();
+    }
+
+    pub(crate) fn note_hold_refused(&self) {
+        self.holds_refused.inc();
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/plain.rs
@@ -0,0 +1,215 @@
+//! Requests whose answer is passed on whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dillspool_io::{ResponseBody, full_body, read_response_body};
+use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use hyper::{HeaderMap, Response, StatusCode};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::calls::{CallError, ForwardTerms};
+use crate::context::ForwardContext;
+use crate::refusal::{Refusal, RefusalCause};
+
+/// Largest answer that is passed on whole, in bytes.
+const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
+/// Backend servers that may turn out unreachable for one request.
+const MOST_UNREACHABLE: usize = 3;
+/// Time for which a backend server that refused counts as full: about one call's work.
+const FULL_SPAN: Duration = Duration::from_millis(60);
+/// When to come back, as parts of the objective: soon enough to be served within it, spread so
+/// that refused callers do not return together.
+const COME_BACK_PARTS: std::ops::Range<f64> = 0.3..0.9;
+
+/// What became of one send.
+enum SendOutcome {
+    /// The backend server's own answer, whole.
+    Whole(WholeAnswer),
+    /// Nothing was sent.
+    NotSent(String),
+    /// The backend server did not run it.
+    NotRun,
+    /// It may have run.
+    Unclear(String),
+}
+
+/// An answer that was read to its end.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl WholeAnswer {
+    fn response(self) -> Response<ResponseBody> {
+        let mut response = Response::new(full_body(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+        response
+    }
+}
+
+/// Sends of one request so far.
+struct SendRecord {
+    tried: Vec<BackendId>,
+    sends: u32,
+    unreachable: usize,
+    may_have_run: bool,
+    failure: Option<WholeAnswer>,
+}
+
+pub(crate) async fn answer_plain(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut record = SendRecord {
+        tried: Vec::new(),
+        sends: 0,
+        unreachable: 0,
+        may_have_run: false,
+        failure: None,
+    };
+    while let Some(entry) = next_backend(context, request, &record) {
+        record.tried.push(BackendId::clone(&entry.id));
+        let limit = send_limit(request, &record);
+        let started = Instant::now();
+        let outcome = send_whole(context, request, &entry, limit).await;
+        match outcome {
+            SendOutcome::Whole(answer) => {
+                record.sends += 1;
+                if !answer.status.is_server_error() {
+                    context.book.note_success(&entry.id, started.elapsed());
+                    return Ok(answer.response());
+                }
+                context.book.note_failure(&entry.id);
+                log_resend(request, &entry, &format!("status {}", answer.status.as_u16()));
+                record.failure = Some(answer);
+                record.may_have_run = true;
+                if !request.route.is_repeatable() {
+                    break;
+                }
+            }
+            SendOutcome::NotSent(cause) => {
+                context.book.note_silence(&entry.id, &cause);
+                log_resend(request, &entry, &cause);
+                record.unreachable += 1;
+            }
+            SendOutcome::NotRun => {
+                context.book.note_full(&entry.id, FULL_SPAN);
+                context.book.note_failure(&entry.id);
+                log_resend(request, &entry, "refused, not run");
+                record.sends += 1;
+            }
+            SendOutcome::Unclear(cause) => {
+                context.book.note_silence(&entry.id, &cause);
+                log_resend(request, &entry, &cause);
+                record.sends += 1;
+                record.may_have_run = true;
+                if !request.route.is_repeatable() {
+                    break;
+                }
+            }
+        }
+    }
+    conclude(request, record)
+}
+
+fn log_resend(request: &RoutedRequest, entry: &BackendEntry, cause: &str) {
+    log::info!(
+        "event=send_failed id={} backend={} after_ms={} cause=\"{cause}\"",
+        request.id,
+        entry.id,
+        request.age().as_millis(),
+    );
+}
+
+/// The next backend server to send to, if the request may be sent once more.
+fn next_backend(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    record: &SendRecord,
+) -> Option<Arc<BackendEntry>> {
+    if record.sends >= request.route.max_attempts
+        || record.unreachable > MOST_UNREACHABLE
+        || request.remaining().is_zero()
+    {
+        return None;
+    }
+    let view = context.view();
+    let entry = context.chooser(&view).plain(&request.service, &record.tried)?;
+    if record.sends > 0 {
+        if !context.budgets.take(&request.service) {
+            log::info!("event=retry_budget_empty id={} service={}", request.id, request.service);
+            return None;
+        }
+        context.metrics.note_repeated_send();
+    }
+    Some(entry)
+}
+
+/// Time that one send may take: all that is left, unless another send could follow.
+fn send_limit(request: &RoutedRequest, record: &SendRecord) -> Duration {
+    let remaining = request.remaining();
+    let is_last = record.sends + 1 >= request.route.max_attempts;
+    if is_last || !request.route.is_repeatable() {
+        return remaining;
+    }
+    remaining.min((remaining / 2).max(request.route.objective))
+}
+
+async fn send_whole(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+    entry: &Arc<BackendEntry>,
+    limit: Duration,
+) -> SendOutcome {
+    let _ticket = context.book.enter(&entry.id, 0);
+    let terms = ForwardTerms { time_budget: request.remaining(), ..ForwardTerms::default() };
+    let exchange = async {
+        let answer = (context.calls.forward)(Arc::clone(entry), Arc::clone(request), terms).await?;
+        if answer.did_not_run {
+            return Err(CallError::Refused { status: answer.status });
+        }
+        if !answer.is_genuine_success() && !answer.is_genuine_failure() {
+            let reason = format!("status {} without proof of its origin", answer.status.as_u16());
+            return Err(CallError::Lost { reason });
+        }
+        let (status, headers) = (answer.status, answer.headers);
+        let body = read_response_body(answer.body, LARGEST_ANSWER)
+            .await
+            .map_err(|error| CallError::Lost { reason: error.to_string() })?;
+        Ok(WholeAnswer { status, headers, body })
+    };
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(Ok(answer)) => SendOutcome::Whole(answer),
+        Ok(Err(CallError::NotSent { reason })) => SendOutcome::NotSent(reason),
+        Ok(Err(CallError::Refused { .. })) => SendOutcome::NotRun,
+        Ok(Err(CallError::Lost { reason })) => SendOutcome::Unclear(reason),
+        Err(_elapsed) => SendOutcome::Unclear(format!("no answer within {limit:?}")),
+    }
+}
+
+fn conclude(
+    request: &RoutedRequest,
+    record: SendRecord,
+) -> Result<Response<ResponseBody>, Refusal> {
+    if let Some(failure) = record.failure {
+        return Ok(failure.response());
+    }
+    if record.may_have_run {
+        let over = request.remaining().is_zero();
+        let cause = if over { RefusalCause::TimedOut } else { RefusalCause::Unknown };
+        return Err(Refusal::new(cause));
+    }
+    let cause = match (record.tried.is_empty(), request.remaining().is_zero()) {
+        (_, true) => RefusalCause::TooLateNotRun,
+        (true, false) => RefusalCause::NoBackend,
+        (false, false) => RefusalCause::NotRun,
+    };
+    let part = rand::rng().random_range(COME_BACK_PARTS);
+    Err(Refusal::come_back(cause, request.route.objective.mul_f64(part)))
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -0,0 +1,112 @@
+//! Final answers of the router's own.
+
+use std::time::Duration;
+
+use dillspool_io::{ResponseBody, text_response};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// Why the router answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// No configuration or no backend server is known yet.
+    NotReady,
+    /// The request names no attempt, or is malformed.
+    Malformed,
+    /// The body is longer than the configuration allows.
+    BodyTooLarge,
+    /// The body did not arrive.
+    BodyLost,
+    /// This host has too much in flight.
+    HostFull,
+    /// No route takes the request.
+    NoRoute,
+    /// No backend server of the service takes requests.
+    NoBackend,
+    /// No engine had memory for the answer.
+    NoMemory,
+    /// The backend servers that were asked did not run it.
+    NotRun,
+    /// The time is over before the request ran.
+    TooLateNotRun,
+    /// The time is over and the request may have run.
+    TimedOut,
+    /// The backend server's answer was lost or was none.
+    Unknown,
+}
+
+impl RefusalCause {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::Malformed => "malformed",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyLost => "body_lost",
+            Self::HostFull => "host_full",
+            Self::NoRoute => "no_route",
+            Self::NoBackend => "no_backend",
+            Self::NoMemory => "no_memory",
+            Self::NotRun => "not_run",
+            Self::TooLateNotRun => "too_late_not_run",
+            Self::TimedOut => "timed_out",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Status of the answer; 503 says that the request did not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NotReady
+            | Self::HostFull
+            | Self::NoBackend
+            | Self::NoMemory
+            | Self::NotRun
+            | Self::TooLateNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLost => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+/// A final answer of the router's own, with when to come back if the request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal without a time to come back.
+    pub fn new(cause: RefusalCause) -> Self {
+        Self { cause, retry_after: None }
+    }
+
+    /// A refusal of a request that did not run.
+    pub fn come_back(cause: RefusalCause, after: Duration) -> Self {
+        Self { cause, retry_after: Some(after) }
+    }
+
+    /// The answer to the caller.
+    pub fn response(&self) -> Response<ResponseBody> {
+        let mut response =
+            text_response(self.cause.status(), "text/plain", self.cause.name().to_owned());
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        if self.cause == RefusalCause::BodyLost || self.cause == RefusalCause::BodyTooLarge {
+            // What is left of the body would be read as the next request.
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/trace.rs
@@ -0,0 +1,71 @@
+//! One line in the log and one count for each request, however it ends.
+
+use std::sync::Arc;
+
+use dillspool_routing::RoutedRequest;
+use dillspool_schema::Name;
+
+use crate::metrics::{ForwardMetrics, OutcomeLabels};
+use crate::refusal::Refusal;
+
+/// Reports the end of a request; one that is dropped before reports that the caller left.
+#[derive(Debug)]
+pub(crate) struct RequestTrace {
+    request: Arc<RoutedRequest>,
+    metrics: ForwardMetrics,
+    ended: bool,
+}
+
+impl RequestTrace {
+    pub(crate) fn new(request: &Arc<RoutedRequest>, metrics: &ForwardMetrics) -> Self {
+        metrics.enter();
+        Self { request: Arc::clone(request), metrics: metrics.clone(), ended: false }
+    }
+
+    /// The whole answer was given to the caller's connection.
+    pub(crate) fn answered(&mut self, status: u16) {
+        self.end("answered", "", &format!("status={status}"));
+    }
+
+    /// A backend server's failure was given to the caller.
+    pub(crate) fn failed(&mut self, status: u16) {
+        self.end("failed", "", &format!("status={status}"));
+    }
+
+    pub(crate) fn refused(&mut self, refusal: &Refusal) {
+        let after_ms = refusal.retry_after.map_or(0, |after| after.as_millis());
+        let detail =
+            format!("status={} retry_after_ms={after_ms}", refusal.cause.status().as_u16());
+        self.end("refused", refusal.cause.name(), &detail);
+    }
+
+    /// The answer broke off; the caller sees its connection break.
+    pub(crate) fn broken(&mut self, detail: &str) {
+        self.end("broken", "", &format!("detail=\"{detail}\""));
+    }
+
+    fn end(&mut self, outcome: &'static str, cause: &'static str, detail: &str) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let request = &self.request;
+        let lasted = request.age();
+        log::info!(
+            "event=request_ended id={} route={} service={} config={} outcome={outcome} cause={cause} after_ms={} {detail}",
+            request.id,
+            request.route.name,
+            request.service,
+            request.config_version,
+            lasted.as_millis(),
+        );
+        let route = Name::clone(&request.route.name);
+        self.metrics.leave(OutcomeLabels { route, outcome, cause }, lasted);
+    }
+}
+
+impl Drop for RequestTrace {
+    fn drop(&mut self) {
+        self.end("caller_gone", "", "");
+    }
+}
--- a/crates/dillspool_io/src/body.rs
+++ b/crates/dillspool_io/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests and responses.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
@@ -41,6 +41,24 @@
     Ok(Limited::new(body, limit).collect().await?.to_bytes())
 }
 
+/// Reads the whole body of a response of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails when the body is longer than `limit` or breaks off.
+pub async fn read_response_body(mut body: ResponseBody, limit: usize) -> Result<Bytes, BoxError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers carry nothing that is passed on.
+        let Ok(data) = frame?.into_data() else { continue };
+        if whole.len() + data.len() > limit {
+            return Err(format!("the body is over {limit} bytes").into());
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
 /// A whole response with a content type.
 pub fn text_response(
     status: StatusCode,
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -6,13 +6,17 @@
 mod body;
 mod client;
 mod clock;
+mod exchange;
 mod memory;
 mod server;
 mod stack;
 
-pub use body::{BoxError, ResponseBody, channel_body, full_body, read_body, text_response};
+pub use body::{
+    BoxError, ResponseBody, channel_body, full_body, read_body, read_response_body, text_response,
+};
 pub use client::{HttpClient, HttpError};
 pub use clock::{UnixMillis, WallClock};
+pub use exchange::{ExchangeBody, exchange_once};
 pub use memory::{LinkMode, MemoryNet};
-pub use server::{HttpHandler, ServerLimits, handler, serve_http};
+pub use server::{HttpHandler, ServerLimits, handler, serve_http, serve_http_live};
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::body::ResponseBody;
@@ -48,7 +48,7 @@
 pub struct ServerLimits {
     /// Connections served at once; further ones wait in the backlog.
     pub max_connections: usize,
-    /// Time to receive a request head.
+    /// Time to receive a request head, counted from the end of the exchange before it.
     pub header_timeout: Duration,
 }
 
@@ -60,12 +60,25 @@
 
 /// Serves until `cancel`; then lets the open connections finish their exchange.
 pub async fn serve_http(
-    mut listener: NetListener,
+    listener: NetListener,
     limits: ServerLimits,
     handler: HttpHandler,
     cancel: CancellationToken,
 ) {
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let (_sender, limits) = watch::channel(limits);
+    serve_http_live(listener, limits, handler, cancel).await;
+}
+
+/// As [`serve_http`], with limits that may change; each new connection takes those in force.
+///
+/// The number of connections is the one of the start.
+pub async fn serve_http_live(
+    mut listener: NetListener,
+    limits: watch::Receiver<ServerLimits>,
+    handler: HttpHandler,
+    cancel: CancellationToken,
+) {
+    let permits = Arc::new(Semaphore::new(limits.borrow().max_connections));
     let tracker = tokio_util::task::TaskTracker::new();
     loop {
         let permit = tokio::select! {
@@ -79,6 +92,7 @@
         let (Ok(permit), Some(stream)) = (permit, stream) else {
             break;
         };
+        let limits = *limits.borrow();
         let connection = serve_connection(stream, limits, handler.clone(), cancel.clone());
         tracker.spawn(async move {
             connection.await;
--- a/crates/dillspool_io/src/stack.rs
+++ b/crates/dillspool_io/src/stack.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -138,10 +140,22 @@
 
 async fn connect_tcp(to: SocketAddr) -> io::Result<NetStream> {
     let stream = TcpStream::connect(to).await?;
-    stream.set_nodelay(true)?;
+    set_options(&stream)?;
     Ok(NetStream::new(stream))
 }
 
+/// Sends small writes at once, and notices a peer that fell silent.
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+}
+
 async fn listen_tcp(at: SocketAddr) -> io::Result<NetListener> {
     let listener = TcpListener::bind(at).await?;
     let local = listener.local_addr()?;
@@ -161,7 +175,9 @@
                     continue;
                 }
             };
-            if stream.set_nodelay(true).is_err() {
+            if let Err(error) = set_options(&stream) {
+                // The peer may have gone already.
+                log::debug!("event=socket_options_failed address={local} error=\"{error}\"");
                 continue;
             }
             if sender.send(NetStream::new(stream)).await.is_err() {
@@ -172,5 +188,14 @@
     Ok(NetListener::new(local, receiver))
 }
 
+/// Rest of a connection after which the peer is probed. Probes cost a packet each; a caller's
+/// stream is given up after some seconds of silence, so a dead peer must be noticed before.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which the peer counts as gone.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Time that sent bytes may go without an acknowledgement; covers two lost packets in a row.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
 /// Pause after a failed accept, such as one for want of file descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/dillspool_platform/src/lib.rs
+++ b/crates/dillspool_platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod objects;
 mod table;
+mod watch;
 
 pub use error::PlatformError;
 pub use hosts::{HostEntry, HostKind, HostList, HostListQuery, HostListReply, HostState};
@@ -18,3 +19,4 @@
     CommitReply, CommitRequest, ReadReply, ReadRequest, RowExpect, RowWrite, ScanReply,
     ScanRequest, ScannedRow, TableRow, TableStore,
 };
+pub use watch::{ChangedRow, TableDelta, TableWatch, WatchError};
--- /dev/null
+++ b/crates/dillspool_roles/src/lease.rs
@@ -0,0 +1,126 @@
+//! The lease under which one host gives orders.
+
+use std::time::Duration;
+
+use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableRow, TableStore};
+use dillspool_schema::Name;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// Key of the lease's row.
+const LEASE_KEY: &str = "orders/lease";
+/// Time after the write of a term within which its orders must be sent. Together with the wait
+/// of the next holder it keeps the orders of two holders apart.
+const TERM_LIFE: Duration = Duration::from_millis(1500);
+/// Factor by which another host waits longer than the platform asks for.
+const TAKE_OVER_FACTOR: u32 = 2;
+
+/// The row that names the holder.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct LeaseRow {
+    /// Host that gives orders.
+    pub holder: Name,
+    /// Fencing token of its newest term.
+    pub fence: u64,
+    /// Tells this write from all others.
+    pub token: u64,
+    /// Engines that were ordered to change, by id.
+    pub ordered: Vec<Name>,
+}
+
+/// The right to send orders for a short time.
+#[derive(Clone, Debug)]
+pub struct OrderTerm {
+    /// Fencing token of the orders.
+    pub fence: u64,
+    /// Engines that were ordered before or are ordered now.
+    pub ordered: Vec<Name>,
+    ends: Instant,
+}
+
+impl OrderTerm {
+    /// Whether orders may still be sent.
+    pub fn is_valid(&self) -> bool {
+        Instant::now() < self.ends
+    }
+}
+
+/// Takes terms of the lease.
+#[derive(Clone, Debug)]
+pub struct OrderLease {
+    store: TableStore,
+    host: Name,
+    /// Time that must lie between the orders of two holders.
+    apart: Duration,
+}
+
+impl OrderLease {
+    /// A lease for a host; `apart` is the platform's time between two holders.
+    pub fn new(store: TableStore, host: Name, apart: Duration) -> Self {
+        Self { store, host, apart }
+    }
+
+    /// Reads the lease.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] when the store does not answer.
+    pub async fn read(&self) -> Result<Option<(LeaseRow, u64)>, PlatformError> {
+        let row = self.store.read_one(LEASE_KEY.into()).await?;
+        Ok(row.and_then(|row| parse(&row)))
+    }
+
+    /// Takes a term to order changes of `engines`; `None` when another host has the lease.
+    ///
+    /// A host that is not the holder waits until the row has rested for long enough.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] when the store does not answer; a write that may have been done gives
+    /// no term, and the next try finds its row.
+    pub async fn take(
+        &self,
+        engines: &[Name],
+        token: u64,
+    ) -> Result<Option<OrderTerm>, PlatformError> {
+        let before = self.read().await?;
+        if let Some((row, _version)) = &before
+            && row.holder != self.host
+        {
+            tokio::time::sleep(self.apart * TAKE_OVER_FACTOR).await;
+        }
+        let started = Instant::now();
+        let (expect, fence, mut ordered) = match before {
+            Some((row, version)) => (RowExpect::Version(version), row.fence + 1, row.ordered),
+            None => (RowExpect::Absent, 1, Vec::new()),
+        };
+        ordered.extend(engines.iter().cloned());
+        let row = LeaseRow { holder: Name::clone(&self.host), fence, token, ordered };
+        let Ok(text) = serde_json::to_string(&row) else { return Ok(None) };
+        let write = RowWrite { key: LEASE_KEY.into(), expect, value: Some(text) };
+        match self.store.commit(vec![write]).await? {
+            CommitReply::Committed => {
+                log::info!("event=lease_taken holder={} fence={fence}", self.host);
+                Ok(Some(OrderTerm { fence, ordered: row.ordered, ends: started + TERM_LIFE }))
+            }
+            CommitReply::Conflict(_keys) => {
+                log::info!("event=lease_lost holder={} fence={fence}", self.host);
+                Ok(None)
+            }
+        }
+    }
+}
+
+fn parse(row: &TableRow) -> Option<(LeaseRow, u64)> {
+    match serde_json::from_str(&row.value) {
+        Ok(lease) => Some((lease, row.version)),
+        Err(error) => {
+            // Written over by the next term; the fence starts from its version, which is higher
+            // than any fence before it.
+            log::warn!("event=lease_malformed version={} cause=\"{error}\"", row.version);
+            let holder = Name::from("");
+            let lease = LeaseRow { holder, fence: row.version, token: 0, ordered: Vec::new() };
+            Some((lease, row.version))
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_router/src/config_tracker.rs
@@ -0,0 +1,61 @@
+//! From the configuration's row to the configuration in force.
+
+use std::sync::Arc;
+
+use dillspool_routing::RoutingConfig;
+use dillspool_watch::TableBelief;
+use tokio::sync::watch;
+
+use crate::site::SiteProtocol;
+
+/// Puts each newer configuration in force, whole, until the belief ends.
+///
+/// A configuration that cannot be decoded leaves the last good one in force.
+pub async fn track_config(
+    site: SiteProtocol,
+    mut belief: watch::Receiver<TableBelief>,
+    config: watch::Sender<Option<Arc<RoutingConfig>>>,
+) {
+    let key = &site.config_row.1;
+    let mut seen = 0;
+    loop {
+        let row = belief.borrow_and_update().rows.get(key).cloned();
+        if let Some(row) = row
+            && row.version > seen
+            && let Some(text) = row.value
+        {
+            seen = row.version;
+            apply(&site, &text, row.version, &config);
+        }
+        if belief.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn apply(
+    site: &SiteProtocol,
+    text: &str,
+    row_version: u64,
+    config: &watch::Sender<Option<Arc<RoutingConfig>>>,
+) {
+    let decoded = match (site.decode_config)(text) {
+        Ok(decoded) => decoded,
+        Err(cause) => {
+            log::error!("event=config_malformed row={row_version} cause=\"{cause}\"");
+            return;
+        }
+    };
+    let before = config.borrow().as_ref().map(|config| config.version);
+    if before.is_some_and(|before| before >= decoded.version) {
+        log::info!("event=config_older version={} before={before:?}", decoded.version);
+        return;
+    }
+    log::info!(
+        "event=config_applied version={} row={row_version} before={} routes={}",
+        decoded.version,
+        before.unwrap_or(0),
+        decoded.routes.len(),
+    );
+    config.send_replace(Some(Arc::new(decoded)));
+}
--- /dev/null
+++ b/crates/dillspool_router/src/daemon.rs
@@ -0,0 +1,285 @@
+//! Starts, reloads and stops the parts of a routing host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use dillspool_forward::{BackendBook, ForwardContext, ForwardMetrics, RetryBudgets};
+use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
+use dillspool_roles::{KeeperSettings, StagePlan, keep_stages};
+use dillspool_routing::{DirectoryView, RoutingConfig};
+use dillspool_schema::Name;
+use dillspool_watch::{
+    FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers, serve_relay,
+};
+use prometheus_client::registry::Registry;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::config_tracker::track_config;
+use crate::directory_tracker::{DirectorySettings, track_directory};
+use crate::ingress::IngressState;
+use crate::peer_list::{PeerList, keep_peer_list};
+use crate::settings::RouterConfig;
+use crate::site::SiteProtocol;
+use crate::status::{metrics_handler, readiness_handler};
+
+/// Connections of callers at most; each may need a second descriptor for its backend server.
+const MOST_CALLER_CONNECTIONS: usize = 1_800;
+/// Connections for readiness and metrics at most.
+const MOST_STATUS_CONNECTIONS: usize = 16;
+/// Time that a connection may rest before a configuration is known.
+const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after the signal to stop in which new connections still come: the platform asks for
+/// readiness each second and takes a host out after two misses.
+const STILL_LISTED: Duration = Duration::from_millis(2_600);
+/// Time before the kill at which what still runs is broken off.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Longest extra wait before this host tries to give orders, spread over the hosts.
+const LONGEST_ORDER_DELAY_MS: u64 = 2_500;
+
+/// Why a host cannot start.
+#[derive(Debug, Snafu)]
+pub enum RouterError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}; check [listen] of the settings"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+}
+
+/// A running host.
+#[derive(Debug)]
+pub struct RouterDaemon {
+    config: RouterConfig,
+    stopping: Arc<AtomicBool>,
+    /// Ends taking callers' connections.
+    callers: CancellationToken,
+    /// Ends everything else.
+    background: CancellationToken,
+    serving: TaskTracker,
+    peers: PeerList,
+}
+
+impl RouterDaemon {
+    /// Starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// [`RouterError::Listen`] naming the address.
+    pub async fn start(
+        config: RouterConfig,
+        stack: NetStack,
+        site: SiteProtocol,
+    ) -> Result<Self, RouterError> {
+        let (callers, background) = (CancellationToken::new(), CancellationToken::new());
+        let callers_listener = listen(&stack, config.callers).await?;
+        let readiness_listener = listen(&stack, config.readiness).await?;
+        let peers_listener = listen(&stack, config.peers).await?;
+        let metrics_listener = listen(&stack, config.metrics).await?;
+        let beliefs = Beliefs::start(&config, &stack, &site, peers_listener, &background);
+        let budgets = RetryBudgets::new(config.budget);
+        let metrics = ForwardMetrics::default();
+        let context = ForwardContext {
+            failure_domain: Name::clone(&config.failure_domain),
+            calls: site.calls.clone(),
+            directory: beliefs.directory.clone(),
+            book: BackendBook::default(),
+            budgets: budgets.clone(),
+            metrics: metrics.clone(),
+            tasks: TaskTracker::new(),
+        };
+        let stopping = Arc::new(AtomicBool::new(false));
+        let daemon = Self {
+            config,
+            stopping,
+            callers,
+            background,
+            serving: TaskTracker::new(),
+            peers: beliefs.peers.clone(),
+        };
+        daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
+        daemon.start_keepers(&beliefs, &site, budgets);
+        daemon.start_callers(&beliefs, &site, context, callers_listener);
+        log::info!(
+            "event=started failure_domain={} callers={} site={}",
+            daemon.config.failure_domain,
+            daemon.config.callers,
+            site.label,
+        );
+        Ok(daemon)
+    }
+
+    fn start_status(
+        &self,
+        beliefs: &Beliefs,
+        metrics: &ForwardMetrics,
+        readiness: NetListener,
+        figures: NetListener,
+    ) {
+        let limits =
+            ServerLimits { max_connections: MOST_STATUS_CONNECTIONS, ..ServerLimits::default() };
+        let (config, directory) = (beliefs.config.clone(), beliefs.directory.clone());
+        let stopping = Arc::clone(&self.stopping);
+        let is_ready = move || {
+            let known = config.borrow().is_some() && !directory.borrow().entries.is_empty();
+            known && !stopping.load(Ordering::Relaxed)
+        };
+        let handler = readiness_handler(is_ready);
+        tokio::spawn(serve_http(readiness, limits, handler, self.background.clone()));
+        let mut registry = Registry::with_prefix("dillspool");
+        metrics.register(&mut registry);
+        let handler = metrics_handler(registry);
+        tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
+    }
+
+    fn start_keepers(&self, beliefs: &Beliefs, site: &SiteProtocol, budgets: RetryBudgets) {
+        tokio::spawn(keep_peer_list(
+            self.config.clone(),
+            site.store.clone(),
+            beliefs.peers.clone(),
+            budgets,
+            self.background.clone(),
+        ));
+        let settings = KeeperSettings {
+            host: Name::clone(&self.config.host),
+            plan: StagePlan { prefill_share: self.config.prefill_share },
+            apart: self.config.orders_apart,
+            delay: order_delay(&self.config.host),
+        };
+        tokio::spawn(keep_stages(
+            settings,
+            site.store.clone(),
+            site.calls.clone(),
+            beliefs.config.clone(),
+            beliefs.directory.clone(),
+            self.background.clone(),
+        ));
+    }
+
+    fn start_callers(
+        &self,
+        beliefs: &Beliefs,
+        site: &SiteProtocol,
+        context: ForwardContext,
+        listener: NetListener,
+    ) {
+        let stopping = Arc::clone(&self.stopping);
+        let state = IngressState::new(site.clone(), context, beliefs.config.clone(), stopping);
+        let limits = caller_limits(beliefs.config.clone(), &self.background);
+        let serve = serve_http_live(listener, limits, state.handler(), self.callers.clone());
+        self.serving.spawn(serve);
+    }
+
+    /// Takes what may change without a restart from new settings.
+    pub fn reload(&self, config: RouterConfig) {
+        log::info!("event=reloaded seeds={:?}", config.seeds);
+        self.peers.set_seeds(config.seeds);
+    }
+
+    /// Stops: no new callers, open answers to their end, nothing beyond the grace.
+    pub async fn stop(self) {
+        let deadline = tokio::time::Instant::now() + self.config.grace.saturating_sub(KILL_MARGIN);
+        log::info!("event=stopping grace_ms={}", self.config.grace.as_millis());
+        self.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep_until(deadline.min(tokio::time::Instant::now() + STILL_LISTED)).await;
+        self.callers.cancel();
+        self.serving.close();
+        let finished = tokio::time::timeout_at(deadline, self.serving.wait()).await.is_ok();
+        self.background.cancel();
+        log::info!("event=stopped all_answers_finished={finished}");
+    }
+}
+
+/// What the host believes, and the tasks that keep it.
+struct Beliefs {
+    config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    directory: watch::Receiver<Arc<DirectoryView>>,
+    peers: PeerList,
+}
+
+impl Beliefs {
+    fn start(
+        config: &RouterConfig,
+        stack: &NetStack,
+        site: &SiteProtocol,
+        peers_listener: NetListener,
+        cancel: &CancellationToken,
+    ) -> Self {
+        let operator = SharedBelief::new(Name::clone(&site.config_row.0));
+        let backends = SharedBelief::new(Name::clone(&site.directory_table));
+        let reach = watch::Sender::new(StoreReach::unknown());
+        let settings = FollowSettings::with_wait(config.watch_wait);
+        for belief in [&operator, &backends] {
+            tokio::spawn(follow_table(
+                site.watch.clone(),
+                belief.clone(),
+                reach.clone(),
+                settings.clone(),
+                cancel.clone(),
+            ));
+        }
+        let all = vec![operator.clone(), backends.clone()];
+        let reached = reach.subscribe();
+        tokio::spawn(serve_relay(peers_listener, all.clone(), reached.clone(), cancel.clone()));
+        let peers = PeerList::new(config);
+        let listed = peers.clone();
+        let asked = move || listed.addresses();
+        let relay = relay_from_peers(stack.clone(), asked, all, reached.clone(), cancel.clone());
+        tokio::spawn(relay);
+        let (config_sender, config_receiver) = watch::channel(None);
+        tokio::spawn(track_config(site.clone(), operator.subscribe(), config_sender));
+        let (view_sender, directory) = watch::channel(Arc::default());
+        tokio::spawn(track_directory(
+            site.clone(),
+            DirectorySettings { lapse_grace: config.lapse_grace },
+            backends.subscribe(),
+            reached,
+            view_sender,
+        ));
+        Self { config: config_receiver, directory, peers }
+    }
+}
+
+/// The limits on callers' connections, as the configuration in force says.
+fn caller_limits(
+    mut config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    cancel: &CancellationToken,
+) -> watch::Receiver<ServerLimits> {
+    let limits = |idle| ServerLimits {
+        max_connections: MOST_CALLER_CONNECTIONS,
+        // A connection that rests is waiting for its next head.
+        header_timeout: idle,
+    };
+    let (sender, receiver) = watch::channel(limits(FIRST_IDLE_TIMEOUT));
+    let cancel = cancel.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                changed = config.changed() => if changed.is_err() { return },
+                () = cancel.cancelled() => return,
+            }
+            let idle = config.borrow_and_update().as_ref().map(|now| now.limits.idle_timeout);
+            sender.send_replace(limits(idle.unwrap_or(FIRST_IDLE_TIMEOUT)));
+        }
+    });
+    receiver
+}
+
+async fn listen(stack: &NetStack, address: SocketAddr) -> Result<NetListener, RouterError> {
+    stack.listen(address).await.context(ListenSnafu { address })
+}
+
+/// Spreads the hosts' tries for the lease by their names.
+fn order_delay(host: &str) -> Duration {
+    let hash = host
+        .bytes()
+        .fold(0_u64, |hash, byte| hash.wrapping_mul(1_099_511_628_211) ^ u64::from(byte));
+    Duration::from_millis(hash % LONGEST_ORDER_DELAY_MS)
+}
--- /dev/null
+++ b/crates/dillspool_router/src/ingress.rs
@@ -0,0 +1,157 @@
+//! From a caller's HTTP request to a routed request.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dillspool_forward::{ForwardContext, Refusal, RefusalCause, answer_request};
+use dillspool_io::{HttpHandler, ResponseBody, handler, read_body};
+use dillspool_routing::{RequestTerms, RoutedRequest, RoutingConfig};
+use dillspool_schema::Name;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{Request, Response, Uri};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
+
+use crate::site::SiteProtocol;
+
+/// When to come back to a host that is not ready; another host takes the connection then.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// When to come back to a host that has too much in flight.
+const FULL_RETRY: Duration = Duration::from_millis(300);
+/// Requests in flight at most. Each takes two descriptors of some 3,900, and its body counts
+/// towards the memory of the process.
+const MOST_IN_FLIGHT: usize = 1_500;
+
+/// What every caller's request needs of the host.
+#[derive(Clone)]
+pub struct IngressState {
+    /// The site's protocol.
+    pub site: SiteProtocol,
+    /// The path to backend servers.
+    pub context: ForwardContext,
+    /// The configuration in force.
+    pub config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    /// Set once the host is to stop; answers then close their connections.
+    pub stopping: Arc<AtomicBool>,
+    in_flight: Arc<Semaphore>,
+}
+
+impl fmt::Debug for IngressState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("IngressState")
+    }
+}
+
+impl IngressState {
+    /// State with nothing in flight.
+    pub fn new(
+        site: SiteProtocol,
+        context: ForwardContext,
+        config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+        stopping: Arc<AtomicBool>,
+    ) -> Self {
+        let in_flight = Arc::new(Semaphore::new(MOST_IN_FLIGHT));
+        Self { site, context, config, stopping, in_flight }
+    }
+
+    /// The handler of the callers' listener.
+    pub fn handler(self) -> HttpHandler {
+        handler(move |request| {
+            let state = self.clone();
+            async move { state.answer(request).await }
+        })
+    }
+
+    async fn answer(&self, mut request: Request<Incoming>) -> Response<ResponseBody> {
+        let arrived = Instant::now();
+        let terms = (self.site.take_terms)(request.headers_mut());
+        let id = terms.id.clone();
+        let mut response = match self.route(request, terms, arrived).await {
+            Ok((routed, _permit)) => answer_request(self.context.clone(), routed).await,
+            Err(refusal) => {
+                let id = id.as_deref().unwrap_or("");
+                log::info!("event=request_refused id={id} cause={}", refusal.cause.name());
+                refusal.response()
+            }
+        };
+        if let Some(id) = &id {
+            (self.site.mark_answer)(response.headers_mut(), id);
+        }
+        if self.stopping.load(Ordering::Relaxed) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        terms: RequestTerms,
+        arrived: Instant,
+    ) -> Result<(RoutedRequest, tokio::sync::OwnedSemaphorePermit), Refusal> {
+        let current = self.config.borrow().clone();
+        let Some(config) = current else {
+            return Err(Refusal::come_back(RefusalCause::NotReady, NOT_READY_RETRY));
+        };
+        let Ok(permit) = Arc::clone(&self.in_flight).try_acquire_owned() else {
+            return Err(Refusal::come_back(RefusalCause::HostFull, FULL_RETRY));
+        };
+        let id = terms.id.ok_or(Refusal::new(RefusalCause::Malformed))?;
+        let (parts, body) = request.into_parts();
+        let host = host_of(&parts.headers, &parts.uri)
+            .ok_or(Refusal::new(RefusalCause::Malformed))?
+            .to_owned();
+        let route = config.routes.find(&host, parts.uri.path()).cloned();
+        let route = route.ok_or(Refusal::new(RefusalCause::NoRoute))?;
+        let service = route.service_for(&id).map(Name::clone);
+        let service = service.ok_or(Refusal::new(RefusalCause::NoRoute))?;
+        let caller_deadline = arrived + terms.time_budget.unwrap_or(route.timeout);
+        let deadline = caller_deadline.min(arrived + route.timeout);
+        let body = receive(body, config.limits.body_bytes, deadline).await?;
+        let routed = RoutedRequest {
+            id,
+            method: parts.method,
+            uri: origin_form(&parts.uri),
+            headers: parts.headers,
+            body,
+            arrived,
+            caller_deadline,
+            deadline,
+            route,
+            service,
+            generation: terms.generation,
+            resume_after: terms.resume_after,
+            config_version: config.version,
+        };
+        Ok((routed, permit))
+    }
+}
+
+fn host_of<'a>(headers: &'a hyper::HeaderMap, uri: &'a Uri) -> Option<&'a str> {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+    uri.authority().map(hyper::http::uri::Authority::as_str).or(header)
+}
+
+/// Path and query alone, as a backend server takes them.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+async fn receive(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::new(RefusalCause::BodyTooLarge));
+    }
+    match tokio::time::timeout_at(deadline, read_body(body, limit)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(RefusalCause::BodyTooLarge))
+        }
+        Ok(Err(_broken)) => Err(Refusal::new(RefusalCause::BodyLost)),
+        Err(_elapsed) => Err(Refusal::new(RefusalCause::BodyLost)),
+    }
+}
--- /dev/null
+++ b/crates/dillspool_router/src/settings.rs
@@ -0,0 +1,176 @@
+//! The settings file of a routing host, read and checked.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use dillspool_forward::BudgetTerms;
+use dillspool_schema::Name;
+use dillspool_schema::router::RouterSettings;
+use snafu::{ResultExt, Snafu};
+
+/// Time after an outage in which lapsed backend servers may register again; the users' letter
+/// promises about two seconds.
+const LAPSE_GRACE_S: f64 = 2.0;
+/// Part of a pool's engines that prefill; docs/design/platform_site.md has the rounds.
+const PREFILL_SHARE: f64 = 0.2;
+/// Deadline of a store's call; an answer takes milliseconds, a slow one 60 times as long.
+const STORE_TIMEOUT_MS: u32 = 700;
+/// How long a watch is held open; a lost one is noticed that much later.
+const WATCH_WAIT_MS: u32 = 2_500;
+
+/// Why the settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("cannot read {}: {source}; give the settings file with --settings", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+    /// The file is no TOML, or a field is missing or unknown.
+    #[snafu(display("{}: {}; see docs/operators/router.md", path.display(), source.message()))]
+    Syntax {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        source: toml::de::Error,
+    },
+    /// A field has a value that cannot be used.
+    #[snafu(display("{field} is `{value}`: {remedy}"))]
+    Field {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// What to write instead.
+        remedy: &'static str,
+    },
+}
+
+/// Checked settings, with units.
+#[derive(Clone, Debug)]
+pub struct RouterConfig {
+    /// Name of this host.
+    pub host: Name,
+    /// Its failure domain.
+    pub failure_domain: Name,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub readiness: SocketAddr,
+    /// Where other hosts connect.
+    pub peers: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// Deadline of a store's call.
+    pub store_timeout: Duration,
+    /// How long a watch is held open.
+    pub watch_wait: Duration,
+    /// Peer addresses known from the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Budget of repeated sends.
+    pub budget: BudgetTerms,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Time after an outage in which lapsed backend servers may register again.
+    pub lapse_grace: Duration,
+    /// Time between the orders of two holders.
+    pub orders_apart: Duration,
+    /// Part of a pool's engines that prefill.
+    pub prefill_share: f64,
+    /// Log level.
+    pub log_level: log::LevelFilter,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// [`SettingsError`] naming the field and what to write.
+pub fn load_settings(path: &Path) -> Result<RouterConfig, SettingsError> {
+    let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+    let settings: RouterSettings = toml::from_str(&text).context(SyntaxSnafu { path })?;
+    check(&settings)
+}
+
+fn check(settings: &RouterSettings) -> Result<RouterConfig, SettingsError> {
+    let listen = &settings.listen;
+    let seeds = settings.peers.seeds.iter().map(|seed| address("peers.seeds", seed));
+    let (retry, orders) = (&settings.retry, &settings.orders);
+    let lifecycle = &settings.lifecycle;
+    let level = settings.log.as_ref().map_or("info", |log| &*log.level);
+    Ok(RouterConfig {
+        host: name("host", &settings.host)?,
+        failure_domain: name("failure_domain", &settings.failure_domain)?,
+        callers: address("listen.callers", &listen.callers)?,
+        readiness: address("listen.readiness", &listen.readiness)?,
+        peers: address("listen.peers", &listen.peers)?,
+        metrics: address("listen.metrics", &listen.metrics)?,
+        store: address("store.address", &settings.store.address)?,
+        store_timeout: millis(settings.store.call_timeout_ms, STORE_TIMEOUT_MS),
+        watch_wait: millis(settings.store.watch_wait_ms, WATCH_WAIT_MS),
+        seeds: seeds.collect::<Result<_, _>>()?,
+        budget: BudgetTerms {
+            ratio: not_negative("retry.ratio", retry.ratio)?,
+            window: seconds("retry.window_s", retry.window_s)?,
+            extra: not_negative("retry.extra", retry.extra)?,
+        },
+        grace: seconds("lifecycle.grace_s", lifecycle.grace_s)?,
+        lapse_grace: seconds(
+            "lifecycle.lapse_grace_s",
+            lifecycle.lapse_grace_s.unwrap_or(LAPSE_GRACE_S),
+        )?,
+        orders_apart: seconds("orders.lease_ms", orders.lease_ms / 1000.0)?,
+        prefill_share: not_negative(
+            "orders.prefill_share",
+            orders.prefill_share.unwrap_or(PREFILL_SHARE),
+        )?,
+        log_level: level.parse().map_err(|_unknown| SettingsError::Field {
+            field: "log.level",
+            value: level.to_owned(),
+            remedy: "give error, warn, info, debug or trace",
+        })?,
+    })
+}
+
+fn name(field: &'static str, value: &Name) -> Result<Name, SettingsError> {
+    if value.is_empty() {
+        let remedy = "give a name";
+        return FieldSnafu { field, value: "", remedy }.fail();
+    }
+    Ok(Name::clone(value))
+}
+
+fn address(field: &'static str, value: &str) -> Result<SocketAddr, SettingsError> {
+    value.parse().map_err(|_malformed| SettingsError::Field {
+        field,
+        value: value.to_owned(),
+        remedy: "give IP number and port",
+    })
+}
+
+fn not_negative(field: &'static str, value: f64) -> Result<f64, SettingsError> {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    let remedy = "give a number that is not negative";
+    FieldSnafu { field, value: value.to_string(), remedy }.fail()
+}
+
+fn seconds(field: &'static str, value: f64) -> Result<Duration, SettingsError> {
+    Duration::try_from_secs_f64(value).map_err(|_range| SettingsError::Field {
+        field,
+        value: value.to_string(),
+        remedy: "give a time that is not negative",
+    })
+}
+
+/// A time in milliseconds; zero, which no call could keep, stands for the default.
+fn millis(value: u32, default: u32) -> Duration {
+    Duration::from_millis(u64::from(if value == 0 { default } else { value }))
+}
--- /dev/null
+++ b/crates/dillspool_router/src/site.rs
@@ -0,0 +1,41 @@
+//! A site's protocol, as closures and functions that a site's adapter fills.
+
+use std::fmt;
+use std::sync::Arc;
+
+use dillspool_forward::BackendCalls;
+use dillspool_platform::{TableStore, TableWatch};
+use dillspool_routing::{BackendEntry, RequestTerms, RoutingConfig};
+use dillspool_schema::Name;
+use hyper::HeaderMap;
+
+/// Everything that differs between sites.
+#[derive(Clone)]
+pub struct SiteProtocol {
+    /// Decodes a request's terms and leaves what is passed on.
+    pub take_terms: fn(&mut HeaderMap) -> RequestTerms,
+    /// Names the request in an answer of the router's own.
+    pub mark_answer: fn(&mut HeaderMap, &str),
+    /// Decodes a configuration.
+    pub decode_config: fn(&str) -> Result<RoutingConfig, String>,
+    /// Decodes the row of a backend server with an id.
+    pub decode_backend: fn(&str, &str) -> Result<BackendEntry, String>,
+    /// Table and key of the configuration.
+    pub config_row: (Name, Name),
+    /// Table of the backend servers.
+    pub directory_table: Name,
+    /// Calls to backend servers.
+    pub calls: BackendCalls,
+    /// Follows the store's tables.
+    pub watch: TableWatch,
+    /// The product's own rows in the store.
+    pub store: TableStore,
+    /// Names the protocol in the log.
+    pub label: Arc<str>,
+}
+
+impl fmt::Debug for SiteProtocol {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SiteProtocol").field("label", &self.label).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/dillspool_routerd/src/main.rs
@@ -0,0 +1,91 @@
+//! The daemon of a host that routes requests on a prepared platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use dillspool_io::{HttpClient, NetStack};
+use dillspool_router::{RouterConfig, RouterDaemon, SiteProtocol, load_settings, set_up_log};
+use tokio::signal::unix::{SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Routes requests to separate prefill and decode pools on a prepared platform.
+#[derive(Debug, Parser)]
+#[command(name = "dillspool-routerd", version)]
+struct RouterArgs {
+    /// Settings file of this host.
+    #[arg(long, env = "DILLSPOOL_CONFIG")]
+    settings: PathBuf,
+    /// Only check the settings; exit 0 if they are valid.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = RouterArgs::parse();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("error: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &RouterArgs) -> Result<(), String> {
+    let config = load_settings(&args.settings).map_err(|error| error.to_string())?;
+    if args.check {
+        println!("{} is valid", args.settings.display());
+        return Ok(());
+    }
+    set_up_log(&config.host, config.log_level).map_err(|error| error.to_string())?;
+    // A host has a part of one core: more threads cost wake-ups and bring nothing.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("cannot start the runtime: {error}; check the limits"))?;
+    runtime.block_on(serve(args, config))
+}
+
+async fn serve(args: &RouterArgs, config: RouterConfig) -> Result<(), String> {
+    let describe = |error: std::io::Error| format!("cannot wait for signals: {error}");
+    let mut terminate = signal(SignalKind::terminate()).map_err(describe)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(describe)?;
+    let stack = NetStack::tcp();
+    let site = prepared_platform(&stack, &config);
+    let daemon =
+        RouterDaemon::start(config, stack, site).await.map_err(|error| error.to_string())?;
+    loop {
+        tokio::select! {
+            _signal = terminate.recv() => break,
+            interrupted = tokio::signal::ctrl_c() => {
+                interrupted.map_err(describe)?;
+                break;
+            }
+            _signal = reload.recv() => match load_settings(&args.settings) {
+                Ok(config) => daemon.reload(config),
+                Err(error) => log::error!("event=reload_refused cause=\"{error}\""),
+            },
+        }
+    }
+    daemon.stop().await;
+    Ok(())
+}
+
+fn prepared_platform(stack: &NetStack, config: &RouterConfig) -> SiteProtocol {
+    let http = HttpClient::pooled(stack);
+    SiteProtocol {
+        take_terms: dillspool_site::take_terms,
+        mark_answer: dillspool_site::mark_answer,
+        decode_config: dillspool_site::decode_config,
+        decode_backend: dillspool_site::decode_backend,
+        config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
+        directory_table: dillspool_site::DIRECTORY_TABLE.into(),
+        calls: dillspool_site::backend_calls(stack),
+        watch: dillspool_site::table_watch(&http, config.store, config.store_timeout),
+        store: dillspool_site::host_table(&http, config.store, config.store_timeout),
+        label: "prepared platform".into(),
+    }
+}
--- /dev/null
+++ b/crates/dillspool_routing/src/lib.rs
@@ -0,0 +1,14 @@
+//! Requests, routes and backend servers, as the router sees them.
+//!
+//! These types say what a request needs and where it may go. They know neither a wire format nor
+//! a policy; see `docs/design/platform_site.md`.
+
+mod backend;
+mod config;
+mod request;
+mod route;
+
+pub use backend::{BackendEntry, BackendId, BackendState, DirectoryView, EngineStage};
+pub use config::{ClientLimits, EnginePool, RoutingConfig, ServiceEntry};
+pub use request::{GenerationTerms, PromptPart, RequestTerms, RoutedRequest};
+pub use route::{RequestKind, RouteEntry, RouteTable, ServiceShare};
--- /dev/null
+++ b/crates/dillspool_routing/src/request.rs
@@ -0,0 +1,91 @@
+//! A request on its way to a backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dillspool_schema::Name;
+use hyper::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
+
+use crate::route::RouteEntry;
+
+/// A part of a prompt that requests may share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part.
+    pub id: Name,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// What a request asks of a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GenerationTerms {
+    /// Name of the model.
+    pub model: Name,
+    /// Length of the prompt in tokens.
+    pub prompt_tokens: u64,
+    /// Most tokens that the answer may have.
+    pub output_limit: u64,
+    /// The caller's guess of the answer's length in tokens.
+    pub output_hint: Option<u64>,
+    /// The parts of the prompt in order; the last belongs to this request or its session.
+    pub prompt_parts: Vec<PromptPart>,
+}
+
+/// What the head of a request says, decoded.
+#[derive(Clone, Debug, Default)]
+pub struct RequestTerms {
+    /// Names this attempt of the caller.
+    pub id: Option<Name>,
+    /// How long the caller waits from now on.
+    pub time_budget: Option<Duration>,
+    /// Set for a model request.
+    pub generation: Option<GenerationTerms>,
+    /// The last event that the caller has of an answer that broke off.
+    pub resume_after: Option<u64>,
+}
+
+/// A request that was read whole and has a route.
+#[derive(Clone, Debug)]
+pub struct RoutedRequest {
+    /// Names this attempt of the caller.
+    pub id: Name,
+    /// Its method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub uri: Uri,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// The body, unchanged.
+    pub body: Bytes,
+    /// When its head had been read.
+    pub arrived: Instant,
+    /// When the caller stops waiting.
+    pub caller_deadline: Instant,
+    /// When it must have its final answer.
+    pub deadline: Instant,
+    /// Its route.
+    pub route: Arc<RouteEntry>,
+    /// The service that takes it.
+    pub service: Name,
+    /// Set for a model request.
+    pub generation: Option<GenerationTerms>,
+    /// The last event that the caller has of an answer that broke off.
+    pub resume_after: Option<u64>,
+    /// Version of the configuration that chose the route.
+    pub config_version: u64,
+}
+
+impl RoutedRequest {
+    /// Time left until the final answer is due.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time since the request arrived.
+    pub fn age(&self) -> Duration {
+        self.arrived.elapsed()
+    }
+}
--- a/crates/dillspool_schema/src/lib.rs
+++ b/crates/dillspool_schema/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod configuration;
 pub mod engine;
 pub mod messages;
+pub mod relay;
+pub mod router;
 pub mod settings;
 
 mod name;
--- /dev/null
+++ b/crates/dillspool_schema/src/router.rs
@@ -0,0 +1,10 @@
+//! Settings of one host on a prepared platform.
+#![allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::clone_on_ref_ptr,
+    missing_docs,
+    reason = "generated from the schema; see docs/design/schema.md"
+)]
+
+include!("generated/router.rs");
--- /dev/null
+++ b/crates/dillspool_watch/src/belief.rs
@@ -0,0 +1,122 @@
+//! The rows of one table as this host believes them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dillspool_platform::{ChangedRow, TableDelta};
+use dillspool_schema::Name;
+use tokio::sync::watch;
+
+/// One row, or the fact that it was deleted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowBelief {
+    /// Version that its last change gave it.
+    pub version: u64,
+    /// Its text, `None` once it was deleted.
+    pub value: Option<Arc<str>>,
+}
+
+/// The rows of one table, deleted ones included.
+#[derive(Clone, Debug, Default)]
+pub struct TableBelief {
+    /// Version of the store up to which this is complete; 0 before the first rows.
+    pub version: u64,
+    /// Rows by key.
+    pub rows: BTreeMap<Name, RowBelief>,
+}
+
+impl TableBelief {
+    /// Takes what is newer; returns whether a row changed.
+    pub fn merge(&mut self, delta: &TableDelta) -> bool {
+        let mut changed = false;
+        for row in &delta.rows {
+            changed |= self.merge_row(row);
+        }
+        if delta.full {
+            changed |= self.delete_missing(delta);
+        }
+        self.version = self.version.max(delta.version);
+        changed
+    }
+
+    fn merge_row(&mut self, row: &ChangedRow) -> bool {
+        let known = self.rows.get(&row.key);
+        if known.is_some_and(|known| known.version >= row.version) {
+            return false;
+        }
+        let same = known.is_some_and(|known| known.value == row.value);
+        let belief = RowBelief { version: row.version, value: row.value.clone() };
+        self.rows.insert(Name::clone(&row.key), belief);
+        !same
+    }
+
+    /// Rows that a whole read does not show were deleted, unless they are newer than the read.
+    fn delete_missing(&mut self, delta: &TableDelta) -> bool {
+        let mut changed = false;
+        for (key, belief) in &mut self.rows {
+            let shown = delta.rows.iter().any(|row| row.key == *key);
+            if shown || belief.value.is_none() || belief.version > delta.version {
+                continue;
+            }
+            *belief = RowBelief { version: delta.version, value: None };
+            changed = true;
+        }
+        changed
+    }
+
+    /// All rows as one delta, deleted ones included.
+    pub fn to_delta(&self) -> TableDelta {
+        let row = |(key, belief): (&Name, &RowBelief)| ChangedRow {
+            key: Name::clone(key),
+            version: belief.version,
+            value: belief.value.clone(),
+        };
+        TableDelta { full: true, version: self.version, rows: self.rows.iter().map(row).collect() }
+    }
+
+    /// The text of a row that exists.
+    pub fn value(&self, key: &str) -> Option<&Arc<str>> {
+        self.rows.get(key)?.value.as_ref()
+    }
+}
+
+/// A table's belief that the follower writes and everybody else watches.
+#[derive(Clone, Debug)]
+pub struct SharedBelief {
+    /// Name of the table.
+    pub table: Name,
+    sender: watch::Sender<TableBelief>,
+}
+
+impl SharedBelief {
+    /// An empty belief.
+    pub fn new(table: Name) -> Self {
+        Self { table, sender: watch::Sender::new(TableBelief::default()) }
+    }
+
+    /// Merges a delta and wakes the watchers if anything changed, also only the version from 0.
+    pub fn merge(&self, delta: &TableDelta) -> bool {
+        let mut changed = false;
+        self.sender.send_if_modified(|belief| {
+            let first = belief.version == 0 && delta.version > 0;
+            changed = belief.merge(delta);
+            changed || first
+        });
+        changed
+    }
+
+    /// Watches the belief.
+    pub fn subscribe(&self) -> watch::Receiver<TableBelief> {
+        self.sender.subscribe()
+    }
+
+    /// Version up to which the belief is complete.
+    pub fn version(&self) -> u64 {
+        self.sender.borrow().version
+    }
+
+    /// The whole belief as a delta.
+    pub fn to_delta(&self) -> TableDelta {
+        self.sender.borrow().to_delta()
+    }
+}
--- /dev/null
+++ b/crates/dillspool_watch/src/lib.rs
@@ -0,0 +1,12 @@
+//! What a host believes of the store's tables, and how it keeps that up to date.
+//!
+//! Every row carries the version that the store gave it, so beliefs from the store and from
+//! other hosts merge in any order and never go back. See `docs/design/platform_site.md`.
+
+mod belief;
+mod follow;
+mod relay;
+
+pub use belief::{RowBelief, SharedBelief, TableBelief};
+pub use follow::{FollowSettings, StoreReach, follow_table};
+pub use relay::{RelayError, relay_from_peers, serve_relay};
--- /dev/null
+++ b/crates/dillspool_watch/src/relay.rs
@@ -0,0 +1,265 @@
+//! Hosts that reach the store relay its tables to hosts that do not.
+//!
+//! A host asks only while its own store cannot be reached, so the relay costs nothing on a calm
+//! day and needs no mesh.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dillspool_io::{NetListener, NetStack, NetStream};
+use dillspool_platform::{ChangedRow, TableDelta};
+use dillspool_schema::relay::{RelayMessage, RelayRow};
+use futures_util::{SinkExt, StreamExt};
+use snafu::Snafu;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+use tokio_util::sync::CancellationToken;
+
+use crate::belief::SharedBelief;
+use crate::follow::StoreReach;
+
+/// Time to open a connection to a peer, some round trips between failure domains.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time without a message after which a peer is left; it repeats itself every [`REPEAT`].
+const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
+/// Time after which a peer repeats the version that it has, as a sign of life.
+const REPEAT: Duration = Duration::from_millis(700);
+/// Shortest time between two messages that carry changes.
+const SPACING: Duration = Duration::from_millis(100);
+/// Pause before another peer is tried.
+const NEXT_PEER_PAUSE: Duration = Duration::from_millis(150);
+/// Largest message in bytes; a configuration at the two-year size is about 1.4 MB.
+const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
+/// Time that the store must be out of reach before peers are asked; a lost packet takes less.
+const ASK_AFTER: Duration = Duration::from_millis(300);
+
+/// Why a relay ended.
+#[derive(Debug, Snafu)]
+pub enum RelayError {
+    /// The peer could not be reached or left.
+    #[snafu(display("the relay from {address} ended: {reason}; another peer is tried"))]
+    Ended {
+        /// The peer.
+        address: SocketAddr,
+        /// What ended it.
+        reason: String,
+    },
+    /// A message could not be read.
+    #[snafu(display("malformed relay message: {reason}; all hosts must run one version"))]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_LIMIT))
+        .max_frame_size(Some(MESSAGE_LIMIT))
+        .read_buffer_size(4 * 1024)
+        .write_buffer_size(0)
+}
+
+/// Relays beliefs to every host that connects, until `cancel`.
+pub async fn serve_relay(
+    mut listener: NetListener,
+    beliefs: Vec<SharedBelief>,
+    reach: watch::Receiver<StoreReach>,
+    cancel: CancellationToken,
+) {
+    loop {
+        let stream = tokio::select! {
+            stream = listener.accept() => stream,
+            () = cancel.cancelled() => return,
+        };
+        let Some(stream) = stream else { return };
+        let (beliefs, reach, cancel) = (beliefs.clone(), reach.clone(), cancel.clone());
+        tokio::spawn(async move {
+            let ended = tokio::select! {
+                ended = relay_to(stream, beliefs, reach) => ended,
+                () = cancel.cancelled() => return,
+            };
+            if let Err(reason) = ended {
+                log::debug!("event=relay_left cause=\"{reason}\"");
+            }
+        });
+    }
+}
+
+async fn relay_to(
+    stream: NetStream,
+    beliefs: Vec<SharedBelief>,
+    mut reach: watch::Receiver<StoreReach>,
+) -> Result<(), String> {
+    let accept = accept_async_with_config(stream, Some(config()));
+    let accepted = tokio::time::timeout(CONNECT_LIMIT, accept).await;
+    let socket = accepted.map_err(|elapsed| elapsed.to_string())?;
+    let mut socket = socket.map_err(|error| error.to_string())?;
+    let mut sent = vec![TableDelta { full: true, version: 0, rows: Vec::new() }; beliefs.len()];
+    let mut watchers: Vec<_> = beliefs.iter().map(SharedBelief::subscribe).collect();
+    loop {
+        if !reach.borrow_and_update().reachable {
+            return Err("this host does not reach the store either".to_owned());
+        }
+        for (belief, before) in beliefs.iter().zip(&mut sent) {
+            let now = belief.to_delta();
+            let message = difference(&belief.table, before, &now);
+            let bytes = encode(&message).map_err(|error| error.to_string())?;
+            socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())?;
+            *before = now;
+        }
+        tokio::time::sleep(SPACING).await;
+        let changed = futures_util::future::select_all(
+            watchers.iter_mut().map(|watcher| Box::pin(watcher.changed())),
+        );
+        tokio::select! {
+            _changed = changed => {}
+            _lost = reach.changed() => {}
+            () = tokio::time::sleep(REPEAT) => {}
+            incoming = socket.next() => {
+                if !matches!(incoming, Some(Ok(_))) {
+                    return Err("the peer left".to_owned());
+                }
+            }
+        }
+    }
+}
+
+/// The whole table the first time, then only rows that changed.
+fn difference(table: &std::sync::Arc<str>, before: &TableDelta, now: &TableDelta) -> RelayMessage {
+    let full = before.version == 0;
+    let known = |row: &ChangedRow| {
+        !full && before.rows.iter().any(|old| old.key == row.key && old.version == row.version)
+    };
+    let rows = now.rows.iter().filter(|row| !known(row)).map(|row| RelayRow {
+        key: std::sync::Arc::clone(&row.key),
+        version: row.version,
+        value: row.value.as_deref().map(str::to_owned),
+    });
+    RelayMessage {
+        table: std::sync::Arc::clone(table),
+        full,
+        version: now.version,
+        age_ms: 0,
+        rows: rows.collect(),
+    }
+}
+
+fn encode(message: &RelayMessage) -> Result<Vec<u8>, RelayError> {
+    let mut bytes = Vec::with_capacity(256);
+    match ciborium::into_writer(message, &mut bytes) {
+        Ok(()) => Ok(bytes),
+        Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<RelayMessage, RelayError> {
+    match ciborium::from_reader(bytes) {
+        Ok(message) => Ok(message),
+        Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
+    }
+}
+
+/// Takes the tables from peers whenever the store is out of reach, until `cancel`.
+///
+/// `peers` is asked each time for the addresses to try, best first.
+pub async fn relay_from_peers(
+    stack: NetStack,
+    peers: impl Fn() -> Vec<SocketAddr> + Send + Sync,
+    beliefs: Vec<SharedBelief>,
+    reach: watch::Receiver<StoreReach>,
+    cancel: CancellationToken,
+) {
+    tokio::select! {
+        () = relay_forever(&stack, &peers, &beliefs, reach) => {}
+        () = cancel.cancelled() => {}
+    }
+}
+
+async fn relay_forever(
+    stack: &NetStack,
+    peers: &(impl Fn() -> Vec<SocketAddr> + Send + Sync),
+    beliefs: &[SharedBelief],
+    mut reach: watch::Receiver<StoreReach>,
+) {
+    let mut next = 0_usize;
+    loop {
+        if reach.wait_for(|reach| !reach.reachable).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(ASK_AFTER).await;
+        let addresses = peers();
+        let address = addresses.get(next % addresses.len().max(1)).copied();
+        let (Some(address), false) = (address, reach.borrow().reachable) else {
+            tokio::time::sleep(NEXT_PEER_PAUSE).await;
+            continue;
+        };
+        let started = Instant::now();
+        let ended = tokio::select! {
+            ended = take_from(stack, address, beliefs) => ended,
+            regained = reach.wait_for(|reach| reach.reachable) => {
+                if regained.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        if let Err(error) = ended {
+            let held_ms = started.elapsed().as_millis();
+            log::info!("event=relay_ended peer={address} held_ms={held_ms} cause=\"{error}\"");
+        }
+        next = next.wrapping_add(1);
+        tokio::time::sleep(NEXT_PEER_PAUSE).await;
+    }
+}
+
+async fn take_from(
+    stack: &NetStack,
+    address: SocketAddr,
+    beliefs: &[SharedBelief],
+) -> Result<(), RelayError> {
+    let ended = |reason: String| RelayError::Ended { address, reason };
+    let opening = tokio::time::timeout(CONNECT_LIMIT, open(stack, address)).await;
+    let mut socket = opening.map_err(|elapsed| ended(elapsed.to_string()))?.map_err(ended)?;
+    let mut first = true;
+    loop {
+        let incoming = tokio::time::timeout(SILENCE_LIMIT, socket.next()).await;
+        let bytes = match incoming {
+            Ok(Some(Ok(Message::Binary(bytes)))) => bytes,
+            Ok(Some(Ok(_other))) => continue,
+            Ok(Some(Err(error))) => return Err(ended(error.to_string())),
+            Ok(None) => return Err(ended("the peer closed".to_owned())),
+            Err(_elapsed) => return Err(ended("silence".to_owned())),
+        };
+        let message = decode(&bytes)?;
+        if first {
+            log::info!("event=relay_started peer={address} version={}", message.version);
+            first = false;
+        }
+        take(beliefs, message);
+    }
+}
+
+async fn open(stack: &NetStack, address: SocketAddr) -> Result<WebSocketStream<NetStream>, String> {
+    let stream = stack.connect(address).await.map_err(|error| error.to_string())?;
+    let opened = client_async_with_config(format!("ws://{address}/"), stream, Some(config())).await;
+    let (socket, _response) = opened.map_err(|error| error.to_string())?;
+    Ok(socket)
+}
+
+fn take(beliefs: &[SharedBelief], message: RelayMessage) {
+    let Some(belief) = beliefs.iter().find(|belief| belief.table == message.table) else {
+        log::warn!("event=relay_of_unknown_table table={}", message.table);
+        return;
+    };
+    let row = |row: RelayRow| ChangedRow {
+        key: row.key,
+        version: row.version,
+        value: row.value.map(std::sync::Arc::from),
+    };
+    let rows = message.rows.into_iter().map(row).collect();
+    belief.merge(&TableDelta { full: message.full, version: message.version, rows });
+}
