--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -157,8 +157,9 @@
                 | OrderOutcome::Fenced),
             ) => {
                 log::info!(
-                    "event=order_answered backend={id} stage={stage:?} fence={} outcome={outcome:?}",
-                    term.fence
+                    "event=order_answered backend={id} stage={stage:?} fence={} orders_taken={} outcome={outcome:?}",
+                    term.fence,
+                    change.entry.orders_taken,
                 );
             }
             Err(
