--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -181,6 +181,7 @@
 
     pub(crate) fn note_broken(&mut self, open: &OpenStream, cause: &str) {
         self.context.book.note_silence(&open.entry.id, cause);
+        self.tried.push(BackendId::clone(&open.entry.id));
     }
 
     /// Finds memory, prefills and opens the stream.
--- /dev/null
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -0,0 +1,266 @@
+//! Backend servers as closures that play a script and record what reached them.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dillspool_forward::{
+    BackendAnswer, BackendBook, BackendCalls, BudgetTerms, CallError, ForwardContext,
+    ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
+};
+use dillspool_io::{BoxError, channel_body, full_body};
+use dillspool_routing::{
+    BackendEntry, BackendState, DirectoryView, EngineStage, GenerationTerms, RequestKind,
+    RouteEntry, RoutedRequest, ServiceShare,
+};
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+/// What a backend server does with the next request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A genuine answer, whole.
+    Answer(u16, &'static str),
+    /// A success without the server's seal.
+    Unsealed(u16),
+    /// A success that names another request.
+    OtherRequest,
+    /// A success with an encoded body.
+    Encoded,
+    /// It says that the request did not run.
+    NotRun(u16),
+    /// No connection can be made.
+    Unreachable,
+    /// The connection breaks after the request was sent.
+    Lost,
+    /// No answer ever comes.
+    Silent,
+    /// An answer whose body breaks off after these parts.
+    Broken(Vec<&'static str>),
+    /// A stream of these parts with a clean end.
+    Stream(Vec<&'static str>),
+}
+
+/// One request that reached a backend server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub backend: String,
+    pub terms: ForwardTerms,
+    pub at: Instant,
+}
+
+/// What happened, in order.
+#[derive(Debug, Default)]
+pub struct Record {
+    pub arrivals: Vec<Arrival>,
+    pub prefills: Vec<String>,
+    pub holds: Vec<(String, u64)>,
+    pub released_holds: Vec<String>,
+    pub released_prefills: Vec<String>,
+}
+
+/// A site of scripted backend servers.
+#[derive(Clone, Default)]
+pub struct ScriptedSite {
+    /// Steps by backend id; the last one repeats.
+    pub steps: Arc<Mutex<BTreeMap<String, VecDeque<Step>>>>,
+    /// Backends that refuse reservations.
+    pub full: Arc<Mutex<Vec<String>>>,
+    /// Whether prefills are refused.
+    pub refuses_prefill: Arc<Mutex<bool>>,
+    pub record: Arc<Mutex<Record>>,
+}
+
+pub fn entry(id: &str, domain: &str, stage: Option<EngineStage>) -> BackendEntry {
+    BackendEntry {
+        id: id.into(),
+        service: "service".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        failure_domain: domain.into(),
+        state: BackendState::Ready,
+        stage,
+        orders_taken: 0,
+    }
+}
+
+pub fn view(entries: impl IntoIterator<Item = BackendEntry>) -> DirectoryView {
+    let entries = entries.into_iter().map(|entry| (Arc::clone(&entry.id), Arc::new(entry)));
+    DirectoryView { entries: entries.collect() }
+}
+
+impl ScriptedSite {
+    pub fn script(&self, id: &str, steps: impl IntoIterator<Item = Step>) {
+        self.steps.lock().unwrap().insert(id.to_owned(), steps.into_iter().collect());
+    }
+
+    fn next_step(&self, id: &str) -> Step {
+        let mut steps = self.steps.lock().unwrap();
+        let queue = steps.entry(id.to_owned()).or_default();
+        if queue.len() > 1 {
+            return queue.pop_front().expect("it has steps");
+        }
+        queue.front().cloned().unwrap_or(Step::Answer(200, "ok"))
+    }
+
+    fn calls(&self) -> BackendCalls {
+        let (site, prefiller, reserver) = (self.clone(), self.clone(), self.clone());
+        let (hold_dropper, prefill_dropper) = (self.clone(), self.clone());
+        BackendCalls {
+            forward: Arc::new(move |entry, _request, terms| {
+                let site = site.clone();
+                Box::pin(async move {
+                    let step = site.next_step(&entry.id);
+                    if !matches!(step, Step::Unreachable) {
+                        let arrival = Arrival {
+                            backend: entry.id.to_string(),
+                            terms,
+                            at: Instant::now(),
+                        };
+                        site.record.lock().unwrap().arrivals.push(arrival);
+                    }
+                    play(step).await
+                })
+            }),
+            prefill: Arc::new(move |engine, request, _limit| {
+                let site = prefiller.clone();
+                Box::pin(async move {
+                    site.record.lock().unwrap().prefills.push(engine.id.to_string());
+                    if *site.refuses_prefill.lock().unwrap() {
+                        return Err(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE });
+                    }
+                    let tokens = request.generation.as_ref().map_or(0, |it| it.prompt_tokens);
+                    Ok(PrefilledPrompt { engine, handle: "handle".into(), tokens })
+                })
+            }),
+            reserve: Arc::new(move |entry, terms| {
+                let site = reserver.clone();
+                Box::pin(async move {
+                    if site.full.lock().unwrap().contains(&entry.id.to_string()) {
+                        return Err(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE });
+                    }
+                    let mut record = site.record.lock().unwrap();
+                    record.holds.push((entry.id.to_string(), terms.tokens));
+                    Ok(format!("hold-{}", record.holds.len()).into())
+                })
+            }),
+            release_hold: Arc::new(move |_entry, hold| {
+                let site = hold_dropper.clone();
+                Box::pin(async move {
+                    site.record.lock().unwrap().released_holds.push(hold.to_string());
+                    Ok(())
+                })
+            }),
+            release_prefill: Arc::new(move |_entry, handle| {
+                let site = prefill_dropper.clone();
+                Box::pin(async move {
+                    site.record.lock().unwrap().released_prefills.push(handle.to_string());
+                    Ok(())
+                })
+            }),
+            order: Arc::new(|_entry, _order| Box::pin(async { Ok(OrderOutcome::Started) })),
+        }
+    }
+
+    /// A context over the site and the sender of its directory.
+    pub fn context(
+        &self,
+        view: DirectoryView,
+    ) -> (ForwardContext, watch::Sender<Arc<DirectoryView>>) {
+        let (sender, directory) = watch::channel(Arc::new(view));
+        let budget =
+            BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 1_000_000.0 };
+        let context = ForwardContext {
+            failure_domain: "near".into(),
+            calls: self.calls(),
+            directory,
+            book: BackendBook::default(),
+            budgets: RetryBudgets::new(budget),
+            metrics: ForwardMetrics::default(),
+            tasks: TaskTracker::new(),
+        };
+        (context, sender)
+    }
+}
+
+async fn play(step: Step) -> Result<BackendAnswer, CallError> {
+    let whole = |status: u16, text: &'static str| BackendAnswer {
+        status: StatusCode::from_u16(status).expect("a status"),
+        headers: HeaderMap::new(),
+        names_request: true,
+        is_sealed: true,
+        is_encoded: false,
+        did_not_run: false,
+        body: full_body(text),
+    };
+    match step {
+        Step::Answer(status, text) => Ok(whole(status, text)),
+        Step::Unsealed(status) => Ok(BackendAnswer { is_sealed: false, ..whole(status, "x") }),
+        Step::OtherRequest => Ok(BackendAnswer { names_request: false, ..whole(200, "other") }),
+        Step::Encoded => Ok(BackendAnswer { is_encoded: true, ..whole(200, "zip") }),
+        Step::NotRun(status) => Ok(BackendAnswer { did_not_run: true, ..whole(status, "") }),
+        Step::Unreachable => Err(CallError::NotSent { reason: "unreachable".to_owned() }),
+        Step::Lost => Err(CallError::Lost { reason: "reset".to_owned() }),
+        Step::Silent => std::future::pending().await,
+        Step::Stream(parts) => Ok(BackendAnswer { body: parts_body(parts, true), ..whole(200, "") }),
+        Step::Broken(parts) => {
+            Ok(BackendAnswer { body: parts_body(parts, false), ..whole(200, "") })
+        }
+    }
+}
+
+fn parts_body(parts: Vec<&'static str>, clean: bool) -> dillspool_io::ResponseBody {
+    let (sender, receiver) = mpsc::channel(64);
+    for part in parts {
+        sender.try_send(Ok(Bytes::from(part))).expect("room for the parts");
+    }
+    if !clean {
+        let error: BoxError = "reset".into();
+        sender.try_send(Err(error)).expect("room for the error");
+    }
+    channel_body(receiver)
+}
+
+/// A request of a kind, with the route's terms.
+pub fn request(kind: RequestKind, max_attempts: u32, resumable: bool) -> RoutedRequest {
+    let timeout = Duration::from_secs(if kind == RequestKind::Streaming { 14 } else { 3 });
+    let route = RouteEntry {
+        name: "route".into(),
+        host: "a.example".into(),
+        path_prefix: "/x/".into(),
+        kind,
+        timeout,
+        objective: Duration::from_millis(300),
+        pause_target: Some(Duration::from_millis(300)),
+        priority: 1,
+        max_attempts,
+        resumable,
+        shares: vec![ServiceShare { service: "service".into(), weight: 1 }],
+    };
+    let generation = (kind == RequestKind::Streaming).then(|| GenerationTerms {
+        model: "m".into(),
+        prompt_tokens: 1000,
+        output_limit: 800,
+        output_hint: Some(100),
+        prompt_parts: Vec::new(),
+    });
+    let arrived = Instant::now();
+    RoutedRequest {
+        id: "request-1".into(),
+        method: Method::POST,
+        uri: Uri::from_static("/x/1"),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"body"),
+        arrived,
+        caller_deadline: arrived + timeout,
+        deadline: arrived + timeout,
+        route: Arc::new(route),
+        service: "service".into(),
+        generation,
+        resume_after: None,
+        config_version: 1,
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/tests/events.rs
@@ -0,0 +1,62 @@
+//! However its bytes are cut, a stream yields the same whole events.
+
+use dillspool_forward::{EventSplitter, StreamEvent};
+use proptest::prelude::*;
+
+fn split(parts: &[&[u8]]) -> Vec<StreamEvent> {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for part in parts {
+        splitter.push(part);
+        while let Some(event) = splitter.next_event() {
+            events.push(event);
+        }
+    }
+    events
+}
+
+struct EventCase {
+    bytes: &'static str,
+    ids: Vec<Option<u64>>,
+}
+
+#[test]
+fn ids_and_ends_are_found() {
+    let cases = [
+        EventCase { bytes: "id: 1\ndata: a\n\n", ids: vec![Some(1)] },
+        EventCase { bytes: "id:7\r\ndata: a\r\n\r\n", ids: vec![Some(7)] },
+        EventCase { bytes: "weights: 2\nid: 3\ndata: a\n\nid: 4\n\n", ids: vec![Some(3), Some(4)] },
+        EventCase { bytes: "data: id: 9\n\n", ids: vec![None] },
+        EventCase { bytes: "id: 1\ndata: a\n", ids: vec![] },
+        EventCase { bytes: ": comment\n\n", ids: vec![None] },
+    ];
+    for case in cases {
+        let ids: Vec<_> = split(&[case.bytes.as_bytes()]).iter().map(|event| event.id).collect();
+        assert_eq!(ids, case.ids, "{:?}", case.bytes);
+    }
+}
+
+proptest! {
+    #[test]
+    fn cuts_do_not_matter(
+        lengths in prop::collection::vec(0_usize..40, 1..12),
+        crlf in any::<bool>(),
+        cuts in prop::collection::vec(0_usize..600, 0..20),
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let text: String = lengths
+            .iter()
+            .enumerate()
+            .map(|(at, length)| format!("id: {at}{end}data: {}{end}{end}", "x".repeat(*length)))
+            .collect();
+        let bytes = text.as_bytes();
+        let mut cuts: Vec<usize> = cuts.into_iter().filter(|cut| *cut < bytes.len()).collect();
+        cuts.extend([0, bytes.len()]);
+        cuts.sort_unstable();
+        let parts: Vec<&[u8]> = cuts.windows(2).map(|pair| &bytes[pair[0]..pair[1]]).collect();
+        let events = split(&parts);
+        let joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        prop_assert_eq!(joined, bytes);
+        prop_assert_eq!(events.len(), lengths.len());
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/tests/plain.rs
@@ -0,0 +1,132 @@
+//! Plain requests: what is sent again, what the caller is told.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ScriptedSite, Step, entry, request, view};
+use dillspool_forward::{answer_request, BudgetTerms, RetryBudgets};
+use dillspool_io::read_response_body;
+use dillspool_routing::RequestKind;
+use dillspool_routing::RequestKind::{Idempotent, NonIdempotent};
+
+struct PlainCase {
+    name: &'static str,
+    kind: RequestKind,
+    max_attempts: u32,
+    /// What the first backend server asked does; the second always answers.
+    first: Step,
+    status: u16,
+    /// Requests that reached a backend server.
+    arrivals: usize,
+    retry_after: bool,
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_failure_of_a_backend_server_has_its_answer() {
+    let case = |name, kind, max_attempts, first, status, arrivals, retry_after| PlainCase {
+        name,
+        kind,
+        max_attempts,
+        first,
+        status,
+        arrivals,
+        retry_after,
+    };
+    let cases = [
+        case("answered", NonIdempotent, 1, Step::Answer(200, "ok"), 200, 1, false),
+        case("own failure, unrepeatable", NonIdempotent, 2, Step::Answer(500, "no"), 500, 1, false),
+        case("own failure, repeatable", Idempotent, 2, Step::Answer(500, "no"), 200, 2, false),
+        case("own failure, one attempt", Idempotent, 1, Step::Answer(500, "no"), 500, 1, false),
+        case("a caller's failure", Idempotent, 2, Step::Answer(404, "no"), 404, 1, false),
+        case("not run, one attempt", NonIdempotent, 1, Step::NotRun(503), 503, 1, true),
+        case("not run, two attempts", NonIdempotent, 2, Step::NotRun(503), 200, 2, false),
+        case("another server's address", NonIdempotent, 1, Step::NotRun(421), 503, 1, true),
+        case("unreachable", NonIdempotent, 1, Step::Unreachable, 200, 1, false),
+        case("lost, unrepeatable", NonIdempotent, 2, Step::Lost, 502, 1, false),
+        case("lost, repeatable", Idempotent, 2, Step::Lost, 200, 2, false),
+        case("silent, unrepeatable", NonIdempotent, 2, Step::Silent, 504, 1, false),
+        case("silent, repeatable", Idempotent, 2, Step::Silent, 200, 2, false),
+        case("no seal, unrepeatable", NonIdempotent, 2, Step::Unsealed(200), 502, 1, false),
+        case("no seal, repeatable", Idempotent, 2, Step::Unsealed(200), 200, 2, false),
+        case("a refusal without proof", NonIdempotent, 2, Step::Unsealed(503), 502, 1, false),
+        case("a sealed refusal without proof", NonIdempotent, 2, Step::Answer(503, ""), 502, 1, false),
+        case("another request's answer", NonIdempotent, 2, Step::OtherRequest, 502, 1, false),
+        case("an encoded answer", NonIdempotent, 2, Step::Encoded, 502, 1, false),
+        case("cut short, unrepeatable", NonIdempotent, 2, Step::Broken(vec!["o"]), 502, 1, false),
+        case("cut short, repeatable", Idempotent, 2, Step::Broken(vec!["o"]), 200, 2, false),
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        // The near one costs less, so it is asked first.
+        site.script("first", [case.first.clone()]);
+        let backends = [entry("first", "near", None), entry("second", "far", None)];
+        let (context, _directory) = site.context(view(backends));
+        let routed = request(case.kind, case.max_attempts, false);
+        let answer = answer_request(context, routed).await;
+        assert_eq!(answer.status().as_u16(), case.status, "{}", case.name);
+        let retry_after = answer.headers().contains_key("retry-after");
+        assert_eq!(retry_after, case.retry_after, "{}", case.name);
+        let arrivals = site.record.lock().unwrap().arrivals.len();
+        assert_eq!(arrivals, case.arrivals, "{}", case.name);
+        if answer.status().is_success() {
+            let body = read_response_body(answer.into_body(), 100).await.expect("a whole body");
+            assert_eq!(&body[..], b"ok", "{}", case.name);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_time_budget_is_what_remains() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Silent]);
+    let backends = [entry("first", "near", None), entry("second", "far", None)];
+    let (context, _directory) = site.context(view(backends));
+    let answer = answer_request(context, request(Idempotent, 2, false)).await;
+    assert_eq!(answer.status().as_u16(), 200);
+    let record = site.record.lock().unwrap();
+    let budgets: Vec<_> = record.arrivals.iter().map(|it| it.terms.time_budget).collect();
+    assert_eq!(budgets, [Duration::from_secs(3), Duration::from_millis(1500)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_request_reaches_no_second_backend_server() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Silent]);
+    let backends = [entry("first", "near", None), entry("second", "far", None)];
+    let (context, _directory) = site.context(view(backends));
+    let answer = answer_request(context, request(Idempotent, 2, false));
+    let left = tokio::time::timeout(Duration::from_millis(200), answer).await;
+    assert!(left.is_err());
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(site.record.lock().unwrap().arrivals.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeated_sends_end_with_the_budget() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Answer(500, "no")]);
+    site.script("second", [Step::Answer(500, "no")]);
+    let backends = [entry("first", "near", None), entry("second", "far", None)];
+    let (mut context, _directory) = site.context(view(backends));
+    let terms = BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 8.0 };
+    context.budgets = RetryBudgets::new(terms);
+    context.budgets.set_hosts(8);
+    for _request in 0..100 {
+        let _answer = answer_request(context.clone(), request(Idempotent, 2, false)).await;
+    }
+    let extras = site.record.lock().unwrap().arrivals.len() - 100;
+    // At most the ratio and this host's part of what is beyond it; most of that is spent.
+    assert!((10..=21).contains(&extras), "{extras}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_backend_server_gets_nothing() {
+    let site = ScriptedSite::default();
+    let mut leaving = entry("first", "near", None);
+    leaving.state = dillspool_routing::BackendState::Draining;
+    let (context, _directory) = site.context(view([leaving]));
+    let answer = answer_request(context, request(NonIdempotent, 1, false)).await;
+    assert_eq!(answer.status().as_u16(), 503);
+    assert!(site.record.lock().unwrap().arrivals.is_empty());
+}
