--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -115,11 +115,8 @@
                 Box::pin(async move {
                     let step = site.next_step(&entry.id);
                     if !matches!(step, Step::Unreachable) {
-                        let arrival = Arrival {
-                            backend: entry.id.to_string(),
-                            terms,
-                            at: Instant::now(),
-                        };
+                        let arrival =
+                            Arrival { backend: entry.id.to_string(), terms, at: Instant::now() };
                         site.record.lock().unwrap().arrivals.push(arrival);
                     }
                     play(step).await
@@ -205,7 +202,9 @@
         Step::Unreachable => Err(CallError::NotSent { reason: "unreachable".to_owned() }),
         Step::Lost => Err(CallError::Lost { reason: "reset".to_owned() }),
         Step::Silent => std::future::pending().await,
-        Step::Stream(parts) => Ok(BackendAnswer { body: parts_body(parts, true), ..whole(200, "") }),
+        Step::Stream(parts) => {
+            Ok(BackendAnswer { body: parts_body(parts, true), ..whole(200, "") })
+        }
         Step::Broken(parts) => {
             Ok(BackendAnswer { body: parts_body(parts, false), ..whole(200, "") })
         }
--- a/crates/dillspool_forward/tests/plain.rs
+++ b/crates/dillspool_forward/tests/plain.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{ScriptedSite, Step, entry, request, view};
-use dillspool_forward::{answer_request, BudgetTerms, RetryBudgets};
+use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
 use dillspool_io::read_response_body;
 use dillspool_routing::RequestKind;
 use dillspool_routing::RequestKind::{Idempotent, NonIdempotent};
@@ -50,7 +50,15 @@
         case("no seal, unrepeatable", NonIdempotent, 2, Step::Unsealed(200), 502, 1, false),
         case("no seal, repeatable", Idempotent, 2, Step::Unsealed(200), 200, 2, false),
         case("a refusal without proof", NonIdempotent, 2, Step::Unsealed(503), 502, 1, false),
-        case("a sealed refusal without proof", NonIdempotent, 2, Step::Answer(503, ""), 502, 1, false),
+        case(
+            "a sealed refusal without proof",
+            NonIdempotent,
+            2,
+            Step::Answer(503, ""),
+            502,
+            1,
+            false,
+        ),
         case("another request's answer", NonIdempotent, 2, Step::OtherRequest, 502, 1, false),
         case("an encoded answer", NonIdempotent, 2, Step::Encoded, 502, 1, false),
         case("cut short, unrepeatable", NonIdempotent, 2, Step::Broken(vec!["o"]), 502, 1, false),
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -67,7 +67,7 @@
     /// [`PlatformError`] when the store does not answer.
     pub async fn read(&self) -> Result<Option<(LeaseRow, u64)>, PlatformError> {
         let row = self.store.read_one(LEASE_KEY.into()).await?;
-        Ok(row.and_then(|row| parse(&row)))
+        Ok(row.map(|row| parse(&row)))
     }
 
     /// Takes a term to order changes of `engines`; `None` when another host has the lease.
@@ -84,10 +84,16 @@
         token: u64,
     ) -> Result<Option<OrderTerm>, PlatformError> {
         let before = self.read().await?;
-        if let Some((row, _version)) = &before
+        if let Some((row, version)) = &before
             && row.holder != self.host
         {
+            let rested = *version;
             tokio::time::sleep(self.apart * TAKE_OVER_FACTOR).await;
+            let now = self.read().await?.map(|(_row, version)| version);
+            if now != Some(rested) {
+                log::info!("event=lease_held holder={} by={}", self.host, row.holder);
+                return Ok(None);
+            }
         }
         let started = Instant::now();
         let (expect, fence, mut ordered) = match before {
@@ -111,16 +117,16 @@
     }
 }
 
-fn parse(row: &TableRow) -> Option<(LeaseRow, u64)> {
+fn parse(row: &TableRow) -> (LeaseRow, u64) {
     match serde_json::from_str(&row.value) {
-        Ok(lease) => Some((lease, row.version)),
+        Ok(lease) => (lease, row.version),
         Err(error) => {
             // Written over by the next term; the fence starts from its version, which is higher
             // than any fence before it.
             log::warn!("event=lease_malformed version={} cause=\"{error}\"", row.version);
             let holder = Name::from("");
             let lease = LeaseRow { holder, fence: row.version, token: 0, ordered: Vec::new() };
-            Some((lease, row.version))
+            (lease, row.version)
         }
     }
 }
--- /dev/null
+++ b/crates/dillspool_roles/tests/lease.rs
@@ -0,0 +1,101 @@
+//! One host gives orders: terms, take-over, lost answers, a holder that was paused.
+
+use std::time::Duration;
+
+use dillspool_platform::{MemoryTable, PlatformError, StoreFault};
+use dillspool_roles::OrderLease;
+use tokio::time::Instant;
+
+const APART: Duration = Duration::from_secs(3);
+
+fn lease(table: &MemoryTable, host: &str) -> OrderLease {
+    OrderLease::new(table.store(), host.into(), APART)
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_host_has_it_and_fences_rise() {
+    let table = MemoryTable::new();
+    let a = lease(&table, "a");
+    let first = a.take(&["e1".into()], 1).await.expect("an answer").expect("a term");
+    let second = a.take(&["e2".into()], 2).await.expect("an answer").expect("a term");
+    assert_eq!((first.fence, second.fence), (1, 2));
+    assert_eq!(second.ordered, ["e1".into(), "e2".into()]);
+    assert!(second.is_valid());
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_host_takes_over_only_after_a_rest() {
+    let table = MemoryTable::new();
+    lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    let started = Instant::now();
+    let term = lease(&table, "b").take(&[], 2).await.expect("an answer").expect("a term");
+    assert!(started.elapsed() >= 2 * APART);
+    assert_eq!(term.fence, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_goes_on_keeps_others_away() {
+    let table = MemoryTable::new();
+    let a = lease(&table, "a");
+    a.take(&[], 1).await.expect("an answer").expect("a term");
+    let b = lease(&table, "b");
+    let waiting = tokio::spawn(async move { b.take(&[], 2).await });
+    tokio::time::sleep(APART).await;
+    a.take(&[], 3).await.expect("an answer").expect("a term");
+    assert!(waiting.await.expect("no panic").expect("an answer").is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_hosts_that_take_over_one_gets_it() {
+    let table = MemoryTable::new();
+    lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    let (b, c) = (lease(&table, "b"), lease(&table, "c"));
+    let (b, c) = tokio::join!(b.take(&[], 2), c.take(&[], 3));
+    let taken = [b, c].into_iter().filter(|it| matches!(it, Ok(Some(_)))).count();
+    assert_eq!(taken, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_term_ends_before_another_host_may_begin() {
+    let table = MemoryTable::new();
+    let term = lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    // A paused holder wakes: its clock went on, so it sends nothing.
+    tokio::time::sleep(2 * APART - Duration::from_millis(1)).await;
+    assert!(!term.is_valid());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_gives_no_term_and_the_fence_still_rises() {
+    let table = MemoryTable::new();
+    table.fail_commits([StoreFault::LoseAnswer]);
+    let a = lease(&table, "a");
+    let lost = a.take(&[], 1).await;
+    assert!(matches!(lost, Err(PlatformError::Unknown { .. })));
+    let term = a.take(&[], 2).await.expect("an answer").expect("a term");
+    assert_eq!(term.fence, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_write_does_not_replace_a_newer_term() {
+    let table = MemoryTable::new();
+    table.fail_commits([StoreFault::Late(Duration::from_secs(2))]);
+    let a = lease(&table, "a");
+    assert!(a.take(&[], 1).await.is_err());
+    let term = a.take(&[], 2).await.expect("an answer").expect("a term");
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let (row, _version) = a.read().await.expect("an answer").expect("a row");
+    assert_eq!((row.fence, row.token), (term.fence, 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_malformed_row_is_replaced_with_a_higher_fence() {
+    let table = MemoryTable::new();
+    let write = dillspool_platform::RowWrite {
+        key: "orders/lease".into(),
+        expect: dillspool_platform::RowExpect::Any,
+        value: Some("{".to_owned()),
+    };
+    table.store().commit(vec![write]).await.expect("written");
+    let term = lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    assert!(term.fence >= 2);
+}
--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -23,6 +23,8 @@
     pub version: u64,
     /// Rows by key.
     pub rows: BTreeMap<Name, RowBelief>,
+    /// Version of the newest whole read; rows that it did not show did not exist then.
+    whole_at: u64,
 }
 
 impl TableBelief {
@@ -34,6 +36,7 @@
         }
         if delta.full {
             changed |= self.delete_missing(delta);
+            self.whole_at = self.whole_at.max(delta.version);
         }
         self.version = self.version.max(delta.version);
         changed
@@ -41,7 +44,9 @@
 
     fn merge_row(&mut self, row: &ChangedRow) -> bool {
         let known = self.rows.get(&row.key);
-        if known.is_some_and(|known| known.version >= row.version) {
+        // A change up to the newest whole read would have been in it.
+        let oldest = known.map_or(0, |known| known.version).max(self.whole_at);
+        if row.version <= oldest {
             return false;
         }
         let same = known.is_some_and(|known| known.value == row.value);
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -17,8 +17,7 @@
     pub wait: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
-    /// Shortest time between two questions that brought changes; bounds the calls when a table
-    /// changes all the time.
+    /// Shortest time between two questions; bounds the calls when a table changes all the time.
     pub spacing: Duration,
     /// First pause after a failed call; doubles up to `longest_pause`.
     pub first_pause: Duration,
@@ -102,13 +101,10 @@
             read_whole(&store, &belief, &settings).await
         };
         match outcome {
-            Ok(changed) => {
+            Ok(_changed) => {
                 complete = true;
                 pause = settings.first_pause;
                 note_reach(&reach, &belief.table, true, "answered");
-                if changed {
-                    tokio::time::sleep_until(asked + settings.spacing).await;
-                }
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(
@@ -116,6 +112,7 @@
                     belief.table,
                     belief.version()
                 );
+                note_reach(&reach, &belief.table, true, "answered");
                 complete = false;
             }
             Err(WatchError::Store { source }) => {
@@ -124,6 +121,8 @@
                 pause = (pause * 2).min(settings.longest_pause);
             }
         }
+        // A store that answers at once, whatever it is asked, must not be asked without end.
+        tokio::time::sleep_until(asked + settings.spacing).await;
     }
 }
 
--- /dev/null
+++ b/crates/dillspool_watch/tests/belief.rs
@@ -0,0 +1,80 @@
+//! Beliefs merge in any order to the newest rows, and never go back.
+
+use dillspool_platform::{ChangedRow, TableDelta};
+use dillspool_watch::TableBelief;
+use proptest::prelude::*;
+
+fn row(key: &str, version: u64, value: Option<&str>) -> ChangedRow {
+    ChangedRow { key: key.into(), version, value: value.map(Into::into) }
+}
+
+fn delta(full: bool, version: u64, rows: Vec<ChangedRow>) -> TableDelta {
+    TableDelta { full, version, rows }
+}
+
+struct MergeCase {
+    name: &'static str,
+    then: TableDelta,
+    value: Option<&'static str>,
+    changed: bool,
+}
+
+#[test]
+fn what_is_newer_wins() {
+    let case = |name, then, value, changed| MergeCase { name, then, value, changed };
+    let cases = [
+        case("newer", delta(false, 9, vec![row("a", 9, Some("y"))]), Some("y"), true),
+        case("older", delta(false, 9, vec![row("a", 3, Some("y"))]), Some("x"), false),
+        case("the same again", delta(false, 9, vec![row("a", 9, Some("x"))]), Some("x"), false),
+        case("deleted", delta(false, 9, vec![row("a", 9, None)]), None, true),
+        case("deleted long ago", delta(false, 9, vec![row("a", 4, None)]), Some("x"), false),
+        case("missing in a whole read", delta(true, 9, vec![]), None, true),
+        case("missing in an older whole read", delta(true, 4, vec![]), Some("x"), false),
+        case("missing in a part", delta(false, 9, vec![]), Some("x"), false),
+    ];
+    for case in cases {
+        let mut belief = TableBelief::default();
+        belief.merge(&delta(true, 5, vec![row("a", 5, Some("x"))]));
+        assert_eq!(belief.merge(&case.then), case.changed, "{}", case.name);
+        assert_eq!(belief.value("a").map(|it| &**it), case.value, "{}", case.name);
+        assert!(belief.version >= 5, "{}", case.name);
+    }
+}
+
+proptest! {
+    /// A history of one table, cut into deltas that arrive in any order and more than once, some
+    /// of them as whole reads.
+    #[test]
+    fn any_order_ends_in_the_newest_rows(
+        history in prop::collection::vec((0_u8..4, any::<bool>()), 1..20),
+        order in prop::collection::vec((0_usize..20, any::<bool>()), 1..40),
+    ) {
+        let key = |at: u8| format!("k{at}");
+        let rows_at = |version: usize| {
+            let mut rows = std::collections::BTreeMap::new();
+            for (at, (name, kept)) in history.iter().take(version).enumerate() {
+                let text = kept.then(|| format!("v{at}"));
+                rows.insert(key(*name), (at as u64 + 1, text));
+            }
+            rows
+        };
+        let mut belief = TableBelief::default();
+        for (at, whole) in &order {
+            let version = (*at % history.len()) + 1;
+            let shown = rows_at(version).into_iter().map(|(key, (version, text))| {
+                row(&key, version, text.as_deref())
+            });
+            // A whole read does not show deleted rows.
+            let rows = shown.filter(|row| !*whole || row.value.is_some()).collect();
+            let before = belief.clone();
+            belief.merge(&delta(*whole, version as u64, rows));
+            for (key, old) in &before.rows {
+                prop_assert!(belief.rows[key].version >= old.version);
+            }
+        }
+        let newest = order.iter().map(|(at, _)| (*at % history.len()) + 1).max().unwrap_or(1);
+        for (key, (_version, text)) in rows_at(newest) {
+            prop_assert_eq!(belief.value(&key).map(|it| it.to_string()), text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -0,0 +1,231 @@
+//! A host that the store turns away takes the tables from a host that it serves.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dillspool_io::MemoryNet;
+use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
+use dillspool_watch::{
+    FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers, serve_relay,
+};
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// A table of the store with one row, and who may read it.
+#[derive(Clone, Default)]
+struct TestStore {
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+}
+
+#[derive(Default)]
+struct StoreState {
+    version: u64,
+    text: String,
+    forgets_below: u64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Access {
+    Served,
+    TurnedAway,
+    Silent,
+}
+
+impl TestStore {
+    fn write(&self, text: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        state.text = text.to_owned();
+        self.changed.notify_waiters();
+    }
+
+    fn delta(&self, full: bool) -> TableDelta {
+        let state = self.state.lock().unwrap();
+        let value = Some(Arc::from(state.text.as_str()));
+        let row = ChangedRow { key: "config".into(), version: state.version, value };
+        TableDelta { full, version: state.version, rows: vec![row] }
+    }
+
+    fn watch(&self, access: watch::Receiver<Access>) -> TableWatch {
+        let (store, other) = (self.clone(), self.clone());
+        let (for_snapshot, for_changes) = (access.clone(), access);
+        TableWatch {
+            snapshot: Arc::new(move |_table| {
+                let (store, access) = (store.clone(), *for_snapshot.borrow());
+                Box::pin(async move {
+                    admit(access).await?;
+                    Ok(store.delta(true))
+                })
+            }),
+            changes: Arc::new(move |_table, after, wait| {
+                let (store, access) = (other.clone(), *for_changes.borrow());
+                Box::pin(async move {
+                    admit(access).await.map_err(|source| WatchError::Store { source })?;
+                    let changed = store.changed.notified();
+                    let (version, forgets) = {
+                        let state = store.state.lock().unwrap();
+                        (state.version, state.forgets_below)
+                    };
+                    if after < forgets {
+                        return Err(WatchError::HistoryGone);
+                    }
+                    if version <= after {
+                        let _changed = tokio::time::timeout(wait, changed).await;
+                    }
+                    let mut delta = store.delta(false);
+                    delta.rows.retain(|row| row.version > after);
+                    Ok(delta)
+                })
+            }),
+        }
+    }
+}
+
+async fn admit(access: Access) -> Result<(), PlatformError> {
+    match access {
+        Access::Served => Ok(()),
+        Access::TurnedAway => Err(PlatformError::NotDone { reason: "turned away".to_owned() }),
+        Access::Silent => std::future::pending().await,
+    }
+}
+
+struct TestHost {
+    belief: SharedBelief,
+    access: watch::Sender<Access>,
+    reach: watch::Receiver<StoreReach>,
+}
+
+impl TestHost {
+    fn text(&self) -> Option<String> {
+        let belief = self.belief.subscribe();
+        let text = belief.borrow().value("config").map(ToString::to_string);
+        text
+    }
+}
+
+async fn host(net: &MemoryNet, store: &TestStore, own: &str, peer: &str) -> TestHost {
+    let cancel = CancellationToken::new();
+    let belief = SharedBelief::new("op".into());
+    let (access, reader) = watch::channel(Access::Served);
+    let reach_sender = watch::Sender::new(StoreReach::unknown());
+    let reach = reach_sender.subscribe();
+    let settings = FollowSettings::with_wait(Duration::from_millis(2500));
+    tokio::spawn(follow_table(
+        store.watch(reader),
+        belief.clone(),
+        reach_sender,
+        settings,
+        cancel.clone(),
+    ));
+    let own: SocketAddr = own.parse().unwrap();
+    let peer: SocketAddr = peer.parse().unwrap();
+    let stack = net.stack(own.ip());
+    let listener = stack.listen(own).await.expect("a free address");
+    let beliefs = vec![belief.clone()];
+    tokio::spawn(serve_relay(listener, beliefs.clone(), reach.clone(), cancel.clone()));
+    let peers = move || vec![peer];
+    tokio::spawn(relay_from_peers(stack, peers, beliefs, reach.clone(), cancel));
+    TestHost { belief, access, reach }
+}
+
+async fn two_hosts(store: &TestStore) -> (TestHost, TestHost) {
+    let net = MemoryNet::new();
+    let a = host(&net, store, "10.0.0.1:8146", "10.0.0.2:8146").await;
+    let b = host(&net, store, "10.0.0.2:8146", "10.0.0.1:8146").await;
+    (a, b)
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_within_the_spacing() {
+    let store = TestStore::default();
+    store.write("one");
+    let (a, b) = two_hosts(&store).await;
+    pass(50).await;
+    assert_eq!((a.text().as_deref(), b.text().as_deref()), (Some("one"), Some("one")));
+    store.write("two");
+    store.write("three");
+    pass(700).await;
+    assert_eq!((a.text().as_deref(), b.text().as_deref()), (Some("three"), Some("three")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn history_that_is_gone_is_read_anew() {
+    let store = TestStore::default();
+    store.write("one");
+    let (a, _b) = two_hosts(&store).await;
+    pass(50).await;
+    store.state.lock().unwrap().forgets_below = 100;
+    store.write("two");
+    pass(3500).await;
+    assert_eq!(a.text().as_deref(), Some("two"));
+    assert!(a.reach.borrow().reachable, "an answered question is no outage");
+}
+
+struct OutageCase {
+    access: Access,
+    /// Time within which the relay must bring a change, in ms.
+    within: u64,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_host_without_the_store_learns_from_its_peer() {
+    let cases = [
+        OutageCase { access: Access::TurnedAway, within: 3500 },
+        // The question under way must first count as lost.
+        OutageCase { access: Access::Silent, within: 4500 },
+    ];
+    for case in cases {
+        let store = TestStore::default();
+        store.write("one");
+        let (a, b) = two_hosts(&store).await;
+        pass(50).await;
+        a.access.send_replace(case.access);
+        pass(2600).await;
+        store.write("two");
+        pass(case.within).await;
+        assert_eq!(a.text().as_deref(), Some("two"));
+        store.write("three");
+        pass(700).await;
+        assert_eq!(a.text().as_deref(), Some("three"), "further changes come at once");
+        a.access.send_replace(Access::Served);
+        // A question that the store left open ends first.
+        pass(4000).await;
+        assert!(a.reach.borrow().reachable && b.reach.borrow().reachable);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_starts_in_an_outage_learns_from_its_peer() {
+    let store = TestStore::default();
+    store.write("one");
+    let net = MemoryNet::new();
+    let _a = host(&net, &store, "10.0.0.1:8146", "10.0.0.2:8146").await;
+    pass(50).await;
+    let b = host(&net, &store, "10.0.0.2:8146", "10.0.0.1:8146").await;
+    b.access.send_replace(Access::TurnedAway);
+    pass(1000).await;
+    assert_eq!(b.text().as_deref(), Some("one"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_any_source_the_last_belief_stays() {
+    let store = TestStore::default();
+    store.write("one");
+    let (a, b) = two_hosts(&store).await;
+    pass(50).await;
+    a.access.send_replace(Access::TurnedAway);
+    b.access.send_replace(Access::TurnedAway);
+    pass(2600).await;
+    store.write("two");
+    pass(20_000).await;
+    assert_eq!((a.text().as_deref(), b.text().as_deref()), (Some("one"), Some("one")));
+    a.access.send_replace(Access::Served);
+    pass(2000).await;
+    assert_eq!((a.text().as_deref(), b.text().as_deref()), (Some("two"), Some("two")));
+}
