--- a/crates/dillspool_forward/tests/events.rs
+++ b/crates/dillspool_forward/tests/events.rs
@@ -47,7 +47,7 @@
         let mut text = String::new();
         for (at, length) in lengths.iter().enumerate() {
             let data = "x".repeat(*length);
-            text += &format!("id: {at}{end}data: {data}{end}{end}");
+            text.extend(["id: ", &at.to_string(), end, "data: ", &data, end, end]);
         }
         let bytes = text.as_bytes();
         let mut cuts: Vec<usize> = cuts.into_iter().filter(|cut| *cut < bytes.len()).collect();
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -145,6 +145,7 @@
             site.store.clone(),
             beliefs.peers.clone(),
             budgets,
+            beliefs.is_source.clone(),
             self.background.clone(),
         ));
         let settings = KeeperSettings {
@@ -202,6 +203,7 @@
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
     peers: PeerList,
+    is_source: watch::Sender<bool>,
 }
 
 impl Beliefs {
@@ -216,12 +218,14 @@
         let backends = SharedBelief::new(Name::clone(&site.directory_table));
         let reach = watch::Sender::new(StoreReach::unknown());
         let settings = FollowSettings::with_wait(config.watch_wait);
+        let is_source = watch::Sender::new(false);
         for belief in [&operator, &backends] {
             tokio::spawn(follow_table(
                 site.watch.clone(),
                 belief.clone(),
                 reach.clone(),
                 settings.clone(),
+                is_source.subscribe(),
                 cancel.clone(),
             ));
         }
@@ -230,8 +234,8 @@
         tokio::spawn(serve_relay(peers_listener, all.clone(), reached.clone(), cancel.clone()));
         let peers = PeerList::new(config);
         let listed = peers.clone();
-        let asked = move || listed.addresses();
-        let relay = relay_from_peers(stack.clone(), asked, all, reached.clone(), cancel.clone());
+        let asked = move || listed.relay_peers();
+        let relay = relay_from_peers(stack.clone(), asked, all, reach, cancel.clone());
         tokio::spawn(relay);
         let (config_sender, config_receiver) = watch::channel(None);
         tokio::spawn(track_config(site.clone(), operator.subscribe(), config_sender));
@@ -243,7 +247,7 @@
             reached,
             view_sender,
         ));
-        Self { config: config_receiver, directory, peers }
+        Self { config: config_receiver, directory, peers, is_source }
     }
 }
 
--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -74,13 +74,13 @@
 
     /// Whether a row that is missing now may belong to a living backend server.
     fn may_lapse(&self, state: StoreReach) -> bool {
-        !state.reachable || state.since.elapsed() < self.settings.lapse_grace
+        !state.is_reachable() || state.since.elapsed() < self.settings.lapse_grace
     }
 
     /// When lapsed entries count as gone, while the store is reachable and there are any.
     fn lapse_end(&self, state: StoreReach) -> Option<Instant> {
         let any = self.known.values().any(|known| known.lapsed);
-        (any && state.reachable).then(|| state.since + self.settings.lapse_grace)
+        (any && state.is_reachable()).then(|| state.since + self.settings.lapse_grace)
     }
 
     fn update(&mut self, belief: &TableBelief, state: StoreReach) -> bool {
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -7,8 +7,11 @@
 use dillspool_forward::RetryBudgets;
 use dillspool_platform::{PlatformError, RowExpect, RowWrite, ScanRequest, TableStore};
 use dillspool_schema::Name;
+use dillspool_watch::RelayPeers;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::settings::RouterConfig;
 
@@ -18,9 +21,14 @@
 /// retry budget.
 const MOST_HOSTS: usize = 500;
 /// Time between two reads of the list: hosts change some times an hour.
-const READ_EVERY: Duration = Duration::from_secs(20);
+const READ_EVERY: Duration = Duration::from_secs(60);
 /// Time after the first read, when hosts that start together have written their rows.
 const SECOND_READ: Duration = Duration::from_secs(3);
+/// Hosts of a failure domain up to which each reads the store itself: their calls cost less than
+/// a source's shorter questions would.
+const MOST_DIRECT_HOSTS: usize = 4;
+/// Hosts of a larger failure domain that read the store for the others; two, so that one may go.
+const SOURCES: usize = 2;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -50,6 +58,35 @@
         }
     }
 
+    /// Sources of this host's failure domain, in the order in which this host tries them; `None`
+    /// where each host reads the store itself.
+    fn sources(&self) -> Option<Vec<SocketAddr>> {
+        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        let near = listed.iter().filter(|row| row.failure_domain == self.failure_domain);
+        let mut near: Vec<SocketAddr> = near.map(|row| row.peers).collect();
+        if near.len() <= MOST_DIRECT_HOSTS {
+            return None;
+        }
+        // All hosts of the domain must come to the same order.
+        near.sort_by_key(|address| rank(address));
+        near.truncate(SOURCES);
+        // Half of the hosts begin with either source.
+        let shift = rank(&self.own) % near.len() as u64;
+        near.rotate_left(usize::try_from(shift).unwrap_or_default());
+        Some(near)
+    }
+
+    /// Whether other hosts rely on this one's questions to the store.
+    pub(crate) fn is_source(&self) -> bool {
+        self.sources().is_some_and(|sources| sources.contains(&self.own))
+    }
+
+    /// Where this host takes the tables from.
+    pub(crate) fn relay_peers(&self) -> RelayPeers {
+        let sources = self.sources().filter(|sources| !sources.contains(&self.own));
+        RelayPeers { sources: sources.unwrap_or_default(), all: self.addresses() }
+    }
+
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
     }
@@ -71,12 +108,18 @@
     }
 }
 
+/// Spreads addresses evenly.
+fn rank(address: &SocketAddr) -> u64 {
+    xxh3_64(address.to_string().as_bytes())
+}
+
 /// Writes this host's row and reads the others' until `cancel`.
 pub(crate) async fn keep_peer_list(
     config: RouterConfig,
     store: TableStore,
     peers: PeerList,
     budgets: RetryBudgets,
+    is_source: watch::Sender<bool>,
     cancel: CancellationToken,
 ) {
     let keep = async {
@@ -90,6 +133,7 @@
                 Ok(rows) => {
                     budgets.set_hosts(rows.len());
                     *peers.listed.lock().unwrap_or_else(PoisonError::into_inner) = rows;
+                    is_source.send_replace(peers.is_source());
                 }
                 Err(error) => log::debug!("event=host_rows_not_read cause=\"{error}\""),
             }
--- a/crates/dillspool_router/tests/directory.rs
+++ b/crates/dillspool_router/tests/directory.rs
@@ -10,7 +10,6 @@
 use dillspool_routing::DirectoryView;
 use dillspool_watch::{SharedBelief, StoreReach};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 struct TrackedDirectory {
     belief: SharedBelief,
@@ -21,7 +20,7 @@
 impl TrackedDirectory {
     fn start() -> Self {
         let belief = SharedBelief::new("servers".into());
-        let reach = watch::Sender::new(StoreReach { reachable: true, since: Instant::now() });
+        let reach = watch::Sender::new(StoreReach { direct: true, ..StoreReach::unknown() });
         let (sender, view) = watch::channel(Arc::default());
         let settings = DirectorySettings { lapse_grace: Duration::from_secs(2) };
         let site = common::site(&common::TestSite::default());
@@ -36,7 +35,7 @@
     }
 
     fn reach(&self, reachable: bool) {
-        self.reach.send_replace(StoreReach { reachable, since: Instant::now() });
+        self.reach.send_replace(StoreReach { direct: reachable, ..StoreReach::unknown() });
     }
 
     fn is_known(&self) -> bool {
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -9,12 +9,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::belief::SharedBelief;
+use crate::reach::{self, StoreReach};
 
 /// How the store is followed.
 #[derive(Clone, Debug)]
 pub struct FollowSettings {
     /// How long the store may hold a question for changes open.
     pub wait: Duration,
+    /// The same on a host that relays the store's tables to others, which rely on its age.
+    pub source_wait: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
     /// Shortest time between two questions; bounds the calls when a table changes all the time.
@@ -30,6 +33,8 @@
     pub fn with_wait(wait: Duration) -> Self {
         Self {
             wait,
+            // With the relay's own pauses this stays below the age that spares a question.
+            source_wait: Duration::from_millis(800),
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
             // A quarter of the shortest time in which a change must be in force.
@@ -40,44 +45,19 @@
     }
 }
 
-/// Whether this host reaches the store, and since when.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StoreReach {
-    /// Whether the last call was answered.
-    pub reachable: bool,
-    /// When that began.
-    pub since: Instant,
-}
-
-impl StoreReach {
-    /// The start: not reached yet.
-    pub fn unknown() -> Self {
-        Self { reachable: false, since: Instant::now() }
-    }
-}
-
-fn note_reach(reach: &watch::Sender<StoreReach>, table: &str, reachable: bool, cause: &str) {
-    reach.send_if_modified(|state| {
-        if state.reachable == reachable {
-            return false;
-        }
-        let before_ms = state.since.elapsed().as_millis();
-        let event = if reachable { "store_regained" } else { "store_lost" };
-        log::info!("event={event} table={table} after_ms={before_ms} cause=\"{cause}\"");
-        *state = StoreReach { reachable, since: Instant::now() };
-        true
-    });
-}
-
 /// Keeps a belief up to date until `cancel`.
+///
+/// While a peer's relay is fresh the store is not asked. `is_source` tells whether other hosts
+/// rely on this one.
 pub async fn follow_table(
     store: TableWatch,
     belief: SharedBelief,
     reach: watch::Sender<StoreReach>,
     settings: FollowSettings,
+    is_source: watch::Receiver<bool>,
     cancel: CancellationToken,
 ) {
-    let follow = follow_forever(store, belief, reach, settings);
+    let follow = follow_forever(store, belief, reach, settings, is_source);
     tokio::select! {
         () = follow => {}
         () = cancel.cancelled() => {}
@@ -89,6 +69,7 @@
     belief: SharedBelief,
     reach: watch::Sender<StoreReach>,
     settings: FollowSettings,
+    is_source: watch::Receiver<bool>,
 ) {
     // A belief that came from another host may lack rows, so the first read is always whole.
     let mut complete = false;
@@ -96,9 +77,14 @@
     // After a failure the next question is short, so that the store's return is seen at once.
     let mut wait = Duration::ZERO;
     loop {
+        while let Some(until) = spared_until(&reach) {
+            tokio::time::sleep_until(until).await;
+            wait = Duration::ZERO;
+        }
         let asked = Instant::now();
         let outcome = if complete {
-            ask_changes(&store, &belief, wait, settings.slack).await
+            let longest = if *is_source.borrow() { settings.source_wait } else { settings.wait };
+            ask_changes(&store, &belief, wait.min(longest), settings.slack).await
         } else {
             read_whole(&store, &belief, &settings).await
         };
@@ -107,7 +93,7 @@
                 complete = true;
                 pause = settings.first_pause;
                 wait = settings.wait;
-                note_reach(&reach, &belief.table, true, "answered");
+                note_answered(&reach);
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(
@@ -115,11 +101,11 @@
                     belief.table,
                     belief.version()
                 );
-                note_reach(&reach, &belief.table, true, "answered");
+                note_answered(&reach);
                 complete = false;
             }
             Err(WatchError::Store { source }) => {
-                note_reach(&reach, &belief.table, false, &source.to_string());
+                reach::note(&reach, &source.to_string(), |state| state.direct = false);
                 wait = Duration::ZERO;
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(settings.longest_pause);
@@ -130,6 +116,18 @@
     }
 }
 
+/// When the next question is due, while a peer's word spares it.
+fn spared_until(reach: &watch::Sender<StoreReach>) -> Option<Instant> {
+    reach.borrow().spared_until().filter(|until| *until > Instant::now())
+}
+
+fn note_answered(reach: &watch::Sender<StoreReach>) {
+    reach::note(reach, "answered", |state| {
+        state.direct = true;
+        state.answered = Some(Instant::now());
+    });
+}
+
 async fn read_whole(
     store: &TableWatch,
     belief: &SharedBelief,
--- a/crates/dillspool_watch/src/lib.rs
+++ b/crates/dillspool_watch/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod belief;
 mod follow;
+mod reach;
 mod relay;
 
 pub use belief::{RowBelief, SharedBelief, TableBelief};
-pub use follow::{FollowSettings, StoreReach, follow_table};
-pub use relay::{RelayError, relay_from_peers, serve_relay};
+pub use follow::{FollowSettings, follow_table};
+pub use reach::StoreReach;
+pub use relay::{RelayError, RelayPeers, relay_from_peers, serve_relay};
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -1,7 +1,8 @@
 //! Hosts that reach the store relay its tables to hosts that do not.
 //!
-//! A host asks only while its own store cannot be reached, so the relay costs nothing on a calm
-//! day and needs no mesh.
+//! Where a failure domain has few hosts, each reads the store and asks a peer only while it
+//! cannot. Where it has many, a few sources read the store and relay to the others, which ask the
+//! store only while no source is fresh; every call to the store is billed.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,20 +20,24 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::belief::SharedBelief;
-use crate::follow::StoreReach;
+use crate::reach::{self, StoreReach};
 
 /// Time to open a connection to a peer, some round trips between failure domains.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Time without a message after which a peer is left; it repeats itself every [`REPEAT`].
 const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
 /// Time after which a peer repeats the version that it has, as a sign of life.
-const REPEAT: Duration = Duration::from_millis(700);
+const REPEAT: Duration = Duration::from_millis(500);
+/// Age of a source's own knowledge beyond which it is no source.
+const SOURCE_AGE_LIMIT: Duration = Duration::from_millis(4000);
 /// Shortest time between two messages that carry changes.
 const SPACING: Duration = Duration::from_millis(100);
 /// Pause before another peer is tried.
 const NEXT_PEER_PAUSE: Duration = Duration::from_millis(150);
 /// Largest message in bytes; a configuration at the two-year size is about 1.4 MB.
 const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
+/// Pause before peers are looked for again.
+const LOOK_AGAIN: Duration = Duration::from_secs(1);
 /// Time that the store must be out of reach before peers are asked; a lost packet takes less.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 
@@ -101,12 +106,12 @@
     let mut sent = vec![TableDelta { full: true, version: 0, rows: Vec::new() }; beliefs.len()];
     let mut watchers: Vec<_> = beliefs.iter().map(SharedBelief::subscribe).collect();
     loop {
-        if !reach.borrow_and_update().reachable {
-            return Err("this host does not reach the store either".to_owned());
-        }
+        let state = *reach.borrow_and_update();
+        let age = state.age().filter(|age| state.direct && *age < SOURCE_AGE_LIMIT);
+        let age = age.ok_or("this host does not reach the store itself")?;
         for (belief, before) in beliefs.iter().zip(&mut sent) {
             let now = belief.to_delta();
-            let message = difference(&belief.table, before, &now);
+            let message = difference(&belief.table, before, &now, age);
             let bytes = encode(&message).map_err(|error| error.to_string())?;
             socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())?;
             *before = now;
@@ -129,7 +134,12 @@
 }
 
 /// The whole table the first time, then only rows that changed.
-fn difference(table: &std::sync::Arc<str>, before: &TableDelta, now: &TableDelta) -> RelayMessage {
+fn difference(
+    table: &std::sync::Arc<str>,
+    before: &TableDelta,
+    now: &TableDelta,
+    age: Duration,
+) -> RelayMessage {
     let full = before.version == 0;
     let known = |row: &ChangedRow| {
         !full && before.rows.iter().any(|old| old.key == row.key && old.version == row.version)
@@ -143,7 +153,7 @@
         table: std::sync::Arc::clone(table),
         full,
         version: now.version,
-        age_ms: 0,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         rows: rows.collect(),
     }
 }
@@ -163,14 +173,24 @@
     }
 }
 
-/// Takes the tables from peers whenever the store is out of reach, until `cancel`.
+/// The peers that this host may take the tables from.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RelayPeers {
+    /// Sources of this host's failure domain, best first; empty when it reads the store itself.
+    pub sources: Vec<SocketAddr>,
+    /// All peers, best first, for when the store is out of reach.
+    pub all: Vec<SocketAddr>,
+}
+
+/// Takes the tables from peers, always where sources are named and else while the store is out
+/// of reach, until `cancel`.
 ///
-/// `peers` is asked each time for the addresses to try, best first.
+/// `peers` is asked each time for the addresses to try.
 pub async fn relay_from_peers(
     stack: NetStack,
-    peers: impl Fn() -> Vec<SocketAddr> + Send + Sync,
+    peers: impl Fn() -> RelayPeers + Send + Sync,
     beliefs: Vec<SharedBelief>,
-    reach: watch::Receiver<StoreReach>,
+    reach: watch::Sender<StoreReach>,
     cancel: CancellationToken,
 ) {
     tokio::select! {
@@ -181,37 +201,40 @@
 
 async fn relay_forever(
     stack: &NetStack,
-    peers: &(impl Fn() -> Vec<SocketAddr> + Send + Sync),
+    peers: &(impl Fn() -> RelayPeers + Send + Sync),
     beliefs: &[SharedBelief],
-    mut reach: watch::Receiver<StoreReach>,
+    reach: watch::Sender<StoreReach>,
 ) {
     let mut next = 0_usize;
+    let mut changes = reach.subscribe();
     loop {
-        if reach.wait_for(|reach| !reach.reachable).await.is_err() {
-            return;
-        }
-        tokio::time::sleep(ASK_AFTER).await;
-        let addresses = peers();
-        let address = addresses.get(next % addresses.len().max(1)).copied();
-        let (Some(address), false) = (address, reach.borrow().reachable) else {
-            tokio::time::sleep(NEXT_PEER_PAUSE).await;
+        let direct = changes.borrow_and_update().direct;
+        let listed = peers();
+        let addresses = if direct { listed.sources } else { listed.all };
+        if addresses.is_empty() {
+            tokio::select! {
+                _changed = changes.changed() => {}
+                () = tokio::time::sleep(LOOK_AGAIN) => {}
+            }
             continue;
-        };
+        }
+        if !direct {
+            tokio::time::sleep(ASK_AFTER).await;
+        }
+        let address = addresses[next % addresses.len()];
         let started = Instant::now();
+        let mut regained = changes.clone();
         let ended = tokio::select! {
-            ended = take_from(stack, address, beliefs) => ended,
-            regained = reach.wait_for(|reach| reach.reachable) => {
-                if regained.is_err() {
-                    return;
-                }
-                continue;
-            }
+            ended = take_from(stack, address, beliefs, &reach) => ended,
+            // A host that was turned away goes back to its own questions.
+            _regained = regained.wait_for(|state| state.direct), if !direct => Ok(()),
         };
+        reach::note(&reach, "relay ended", |state| state.relayed = false);
         if let Err(error) = ended {
             let held_ms = started.elapsed().as_millis();
             log::info!("event=relay_ended peer={address} held_ms={held_ms} cause=\"{error}\"");
+            next = next.wrapping_add(1);
         }
-        next = next.wrapping_add(1);
         tokio::time::sleep(NEXT_PEER_PAUSE).await;
     }
 }
@@ -220,6 +243,7 @@
     stack: &NetStack,
     address: SocketAddr,
     beliefs: &[SharedBelief],
+    reach: &watch::Sender<StoreReach>,
 ) -> Result<(), RelayError> {
     let ended = |reason: String| RelayError::Ended { address, reason };
     let opening = tokio::time::timeout(CONNECT_LIMIT, open(stack, address)).await;
@@ -239,7 +263,14 @@
             log::info!("event=relay_started peer={address} version={}", message.version);
             first = false;
         }
+        // An age that this host's clock cannot reach back to is too old to count.
+        let age = Duration::from_millis(message.age_ms);
+        let as_of = Instant::now().checked_sub(age);
         take(beliefs, message);
+        reach::note(reach, "relayed", |state| {
+            state.relayed = true;
+            state.relayed_as_of = as_of;
+        });
     }
 }
 
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -1,13 +1,15 @@
 //! A host that the store turns away takes the tables from a host that it serves.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dillspool_io::MemoryNet;
+use dillspool_io::{LinkMode, MemoryNet};
 use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
 use dillspool_watch::{
-    FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers, serve_relay,
+    FollowSettings, RelayPeers, SharedBelief, StoreReach, follow_table, relay_from_peers,
+    serve_relay,
 };
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
@@ -16,6 +18,8 @@
 #[derive(Clone, Default)]
 struct TestStore {
     state: Arc<Mutex<StoreState>>,
+    /// Questions that were served.
+    questions: Arc<AtomicUsize>,
     changed: Arc<Notify>,
 }
 
@@ -63,6 +67,7 @@
                 let (store, access) = (other.clone(), *for_changes.borrow());
                 Box::pin(async move {
                     admit(access).await.map_err(|source| WatchError::Store { source })?;
+                    store.questions.fetch_add(1, Ordering::Relaxed);
                     let changed = store.changed.notified();
                     let (version, forgets) = {
                         let state = store.state.lock().unwrap();
@@ -106,17 +111,30 @@
 }
 
 async fn host(net: &MemoryNet, store: &TestStore, own: &str, peer: &str) -> TestHost {
+    host_as(net, store, own, peer, false, false).await
+}
+
+async fn host_as(
+    net: &MemoryNet,
+    store: &TestStore,
+    own: &str,
+    peer: &str,
+    is_source: bool,
+    takes_from_peer: bool,
+) -> TestHost {
     let cancel = CancellationToken::new();
     let belief = SharedBelief::new("op".into());
     let (access, reader) = watch::channel(Access::Served);
     let reach_sender = watch::Sender::new(StoreReach::unknown());
     let reach = reach_sender.subscribe();
+    let relayed = reach_sender.clone();
     let settings = FollowSettings::with_wait(Duration::from_millis(2500));
     tokio::spawn(follow_table(
         store.watch(reader),
         belief.clone(),
         reach_sender,
         settings,
+        watch::channel(is_source).1,
         cancel.clone(),
     ));
     let own: SocketAddr = own.parse().unwrap();
@@ -125,8 +143,9 @@
     let listener = stack.listen(own).await.expect("a free address");
     let beliefs = vec![belief.clone()];
     tokio::spawn(serve_relay(listener, beliefs.clone(), reach.clone(), cancel.clone()));
-    let peers = move || vec![peer];
-    tokio::spawn(relay_from_peers(stack, peers, beliefs, reach.clone(), cancel));
+    let sources = if takes_from_peer { vec![peer] } else { Vec::new() };
+    let peers = move || RelayPeers { sources: sources.clone(), all: vec![peer] };
+    tokio::spawn(relay_from_peers(stack, peers, beliefs, relayed, cancel));
     TestHost { belief, access, reach }
 }
 
@@ -164,7 +183,7 @@
     store.write("two");
     pass(3500).await;
     assert_eq!(a.text().as_deref(), Some("two"));
-    assert!(a.reach.borrow().reachable, "an answered question is no outage");
+    assert!(a.reach.borrow().is_reachable(), "an answered question is no outage");
 }
 
 struct OutageCase {
@@ -196,7 +215,7 @@
         a.access.send_replace(Access::Served);
         // A question that the store left open and a pause end first.
         pass(1500).await;
-        assert!(a.reach.borrow().reachable && b.reach.borrow().reachable);
+        assert!(a.reach.borrow().is_reachable() && b.reach.borrow().is_reachable());
     }
 }
 
@@ -229,3 +248,57 @@
     pass(2000).await;
     assert_eq!((a.text().as_deref(), b.text().as_deref()), (Some("two"), Some("two")));
 }
+
+/// A source and a host that takes its tables from it.
+async fn source_and_follower(net: &MemoryNet, store: &TestStore) -> (TestHost, TestHost) {
+    let source = host_as(net, store, "10.0.0.1:8146", "10.0.0.2:8146", true, false).await;
+    pass(50).await;
+    let follower = host_as(net, store, "10.0.0.2:8146", "10.0.0.1:8146", false, true).await;
+    pass(1000).await;
+    (source, follower)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fresh_source_spares_the_follower_its_questions() {
+    let store = TestStore::default();
+    store.write("one");
+    let (source, follower) = source_and_follower(&MemoryNet::new(), &store).await;
+    // From now on the store would not answer the follower, which does not notice.
+    follower.access.send_replace(Access::TurnedAway);
+    let before = store.questions.load(Ordering::Relaxed);
+    pass(8000).await;
+    assert!(store.questions.load(Ordering::Relaxed) - before <= 12);
+    assert!(follower.reach.borrow().direct && source.reach.borrow().direct);
+    store.write("two");
+    pass(700).await;
+    assert_eq!(follower.text().as_deref(), Some("two"));
+}
+
+struct SourceFault {
+    name: &'static str,
+    access: Access,
+    link: LinkMode,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_follower_asks_itself_once_its_source_is_not_fresh() {
+    let cases = [
+        SourceFault { name: "cut off", access: Access::Served, link: LinkMode::Cut },
+        SourceFault { name: "paused", access: Access::Served, link: LinkMode::Frozen },
+        SourceFault { name: "turned away", access: Access::TurnedAway, link: LinkMode::Open },
+        SourceFault { name: "without answers", access: Access::Silent, link: LinkMode::Open },
+    ];
+    for case in cases {
+        let (store, net) = (TestStore::default(), MemoryNet::new());
+        store.write("one");
+        let (source, follower) = source_and_follower(&net, &store).await;
+        source.access.send_replace(case.access);
+        let address = |text: &str| text.parse().expect("an address");
+        net.set_link(address("10.0.0.1"), address("10.0.0.2"), case.link);
+        pass(900).await;
+        store.write("two");
+        // A change must be in force within two seconds.
+        pass(1900).await;
+        assert_eq!(follower.text().as_deref(), Some("two"), "{}", case.name);
+    }
+}
