--- a/crates/dillspool/src/args.rs
+++ b/crates/dillspool/src/args.rs
@@ -109,6 +109,13 @@
         #[command(flatten)]
         server: ServerArgs,
     },
+    /// Tell the story of one request from the logs of routing hosts.
+    Explain {
+        /// The request's id.
+        id: String,
+        /// Log files; standard input when there are none.
+        files: Vec<PathBuf>,
+    },
     /// Hash a key read from standard input, for configuration and settings files.
     HashKey,
     /// Print the completions of a shell.
--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -1,7 +1,7 @@
 //! Commands that need no host.
 
 use std::io::Read;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::CommandFactory;
@@ -45,3 +45,22 @@
     clap_complete::generate(shell, &mut command, "dillspool", &mut std::io::stdout());
     ExitCode::SUCCESS
 }
+
+/// Prints the story of one request, from files or standard input.
+pub(crate) fn explain_request(id: &str, files: &[PathBuf]) -> Result<ExitCode, CliError> {
+    let mut text = String::new();
+    for file in files {
+        let what = file.display().to_string();
+        text += &std::fs::read_to_string(file).context(ReadSnafu { what })?;
+        text.push('\n');
+    }
+    if files.is_empty() {
+        std::io::stdin().read_to_string(&mut text).context(ReadSnafu { what: "standard input" })?;
+    }
+    let Some(story) = dillspool_explain::explain(id, text.lines()) else {
+        eprintln!("error: no line names {id}; give the logs of all hosts of that time");
+        return Ok(ExitCode::FAILURE);
+    };
+    print!("{story}");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/dillspool_explain/src/lib.rs
@@ -0,0 +1,9 @@
+//! The story of one request, from the logs of several hosts.
+//!
+//! `docs/OPERATIONS.md` shows how it is used.
+
+mod line;
+mod story;
+
+pub use line::LogLine;
+pub use story::{RequestStory, explain};
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -55,7 +55,6 @@
     let mut trace = trace;
     match generation.open().await {
         Ok(OpenEnd::Stream(open, headers)) => {
-            context.metrics.note_first_part(request.age());
             let status = open.status;
             let relay = StreamRelay::new(generation, open, trace);
             let mut response = Response::new(relay.into_body());
@@ -175,6 +174,10 @@
         }
     }
 
+    pub(crate) fn note_first_event(&self, after: Duration) {
+        self.context.metrics.note_first_part(after);
+    }
+
     pub(crate) fn note_success(&self, open: &OpenStream) {
         self.context.book.note_success(&open.entry.id, self.request.age());
     }
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -13,7 +13,7 @@
 
 use crate::events::EventSplitter;
 use crate::generate::{Generation, OpenStream};
-use crate::trace::RequestTrace;
+use crate::trace::{RequestTrace, StreamFigures};
 
 /// Silence after which a stream that may be resumed goes on elsewhere. Callers give up after two
 /// seconds at the earliest, and a new prefill takes some hundred milliseconds.
@@ -35,9 +35,8 @@
     splitter: EventSplitter,
     trace: RequestTrace,
     status: u16,
-    events: u64,
+    figures: StreamFigures,
     last_at: Instant,
-    longest_pause: Duration,
 }
 
 impl StreamRelay {
@@ -49,9 +48,8 @@
             splitter: EventSplitter::default(),
             trace,
             status,
-            events: 0,
+            figures: StreamFigures::default(),
             last_at: Instant::now(),
-            longest_pause: Duration::ZERO,
         }
     }
 
@@ -78,14 +76,7 @@
         if let Some(open) = &self.open {
             self.generation.note_success(open);
         }
-        let request = &self.generation.request;
-        log::debug!(
-            "event=stream_ended id={} events={} longest_pause_ms={}",
-            request.id,
-            self.events,
-            self.longest_pause.as_millis(),
-        );
-        self.trace.answered(self.status);
+        self.trace.streamed(self.status, &self.figures);
     }
 
     /// Reads until at least one event is whole.
@@ -125,19 +116,26 @@
                 return Err(format!("event {id} after event {last}"));
             }
             self.generation.last_event = event.id.or(self.generation.last_event);
-            self.events += 1;
+            self.figures.events += 1;
             taken.extend_from_slice(&event.bytes);
         }
         if !taken.is_empty() {
-            let pause = self.last_at.elapsed();
-            if self.events > 1 {
-                self.longest_pause = self.longest_pause.max(pause);
-            }
-            self.last_at = Instant::now();
+            self.note_events();
         }
         Ok(taken.freeze())
     }
 
+    fn note_events(&mut self) {
+        if self.figures.first_after.is_zero() {
+            self.figures.first_after = self.generation.request.age();
+            self.generation.note_first_event(self.figures.first_after);
+        } else {
+            let pause = self.last_at.elapsed();
+            self.figures.longest_pause = self.figures.longest_pause.max(pause);
+        }
+        self.last_at = Instant::now();
+    }
+
     /// Goes on at another engine, or ends the answer as broken.
     async fn recover(&mut self, cause: &str) -> Result<(), BoxError> {
         let failed = self.open.take();
@@ -147,7 +145,7 @@
             "event=stream_broke id={} backend={} events={} after_ms={} cause=\"{cause}\"",
             request.id,
             failed.as_ref().map_or("", |open| &*open.entry.id),
-            self.events,
+            self.figures.events,
             request.age().as_millis(),
         );
         if let Some(failed) = failed {
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -1,6 +1,7 @@
 //! One line in the log and one count for each request, however it ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use dillspool_routing::RoutedRequest;
 use dillspool_schema::Name;
@@ -8,6 +9,17 @@
 use crate::metrics::{ForwardMetrics, OutcomeLabels};
 use crate::refusal::Refusal;
 
+/// How the events of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StreamFigures {
+    /// Events passed on.
+    pub(crate) events: u64,
+    /// Time from the request's arrival to its first event.
+    pub(crate) first_after: Duration,
+    /// Longest time between two events.
+    pub(crate) longest_pause: Duration,
+}
+
 /// Reports the end of a request; one that is dropped before reports that the caller left.
 #[derive(Debug)]
 pub(crate) struct RequestTrace {
@@ -27,6 +39,17 @@
         self.end("answered", "", &format!("status={status}"));
     }
 
+    /// The whole stream was given to the caller's connection.
+    pub(crate) fn streamed(&mut self, status: u16, figures: &StreamFigures) {
+        let detail = format!(
+            "status={status} events={} first_ms={} longest_pause_ms={}",
+            figures.events,
+            figures.first_after.as_millis(),
+            figures.longest_pause.as_millis(),
+        );
+        self.end("answered", "", &detail);
+    }
+
     /// A backend server's failure was given to the caller.
     pub(crate) fn failed(&mut self, status: u16) {
         self.end("failed", "", &format!("status={status}"));
