--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -17,10 +17,12 @@
 const LONGEST_ASIDE: Duration = Duration::from_secs(4);
 /// Failures in a row after which a backend server is left out.
 const FAILURES_BEFORE_ASIDE: u32 = 2;
+/// Time after which a prefill's duration says nothing any more: queues fill and drain in seconds.
+const PREFILL_MEMORY: Duration = Duration::from_secs(3);
 /// Entries kept at most; ids are new with each start of a backend server.
 const MOST_ENTRIES: usize = 8192;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct BackendLoad {
     outstanding: u32,
     tokens: u64,
@@ -30,6 +32,10 @@
     failures_in_row: u32,
     aside_until: Option<Instant>,
     full_until: Option<Instant>,
+    /// How long the last prefill took, and when it ended.
+    last_prefill: Option<(Duration, Instant)>,
+    /// When the prefills under way were asked for.
+    prefills: Vec<Instant>,
 }
 
 impl Default for BackendLoad {
@@ -42,6 +48,8 @@
             failures_in_row: 0,
             aside_until: None,
             full_until: None,
+            last_prefill: None,
+            prefills: Vec::new(),
         }
     }
 }
@@ -75,7 +83,7 @@
     pub(crate) fn read(&self, id: &BackendId) -> LoadReading {
         let now = Instant::now();
         let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        let load = loads.get(id).copied().unwrap_or_default();
+        let load = loads.get(id).cloned().unwrap_or_default();
         LoadReading {
             outstanding: load.outstanding,
             tokens: load.tokens,
@@ -133,6 +141,26 @@
         }
     }
 
+    /// Notes a prefill that is asked for; drop the ticket when it has ended.
+    pub(crate) fn enter_prefill(&self, id: &BackendId) -> PrefillTicket {
+        let started = Instant::now();
+        self.with(id, |load| load.prefills.push(started));
+        PrefillTicket { book: self.clone(), id: BackendId::clone(id), started }
+    }
+
+    /// How long a prefill at this engine is expected to take: as long as the last one, which
+    /// counts for less the older it is, and at least as long as those under way have taken.
+    pub(crate) fn prefill_wait(&self, id: &BackendId) -> Duration {
+        self.with(id, |load| {
+            let last = load.last_prefill.map_or(Duration::ZERO, |(took, ended)| {
+                let left = PREFILL_MEMORY.saturating_sub(ended.elapsed());
+                took.mul_f64(left.as_secs_f64() / PREFILL_MEMORY.as_secs_f64())
+            });
+            let under_way = load.prefills.iter().map(Instant::elapsed).max();
+            last.max(under_way.unwrap_or_default())
+        })
+    }
+
     /// Notes that a backend server has no room for now.
     pub(crate) fn note_full(&self, id: &BackendId, span: Duration) {
         let until = Instant::now() + span;
@@ -166,3 +194,23 @@
         });
     }
 }
+
+/// A prefill under way; dropping it notes how long it took.
+#[derive(Debug)]
+pub(crate) struct PrefillTicket {
+    book: BackendBook,
+    id: BackendId,
+    started: Instant,
+}
+
+impl Drop for PrefillTicket {
+    fn drop(&mut self) {
+        let started = self.started;
+        self.book.with(&self.id, |load| {
+            load.last_prefill = Some((started.elapsed(), Instant::now()));
+            if let Some(at) = load.prefills.iter().position(|other| *other == started) {
+                load.prefills.swap_remove(at);
+            }
+        });
+    }
+}
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -34,8 +34,18 @@
 const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
 /// When to come back after an engine's refusal of a request that had its memory.
 const NOT_RUN_RETRY_MS: std::ops::Range<u64> = 100..400;
-/// Longest wait for a prefill; its engine queues prompts one after another.
-const PREFILL_LIMIT: Duration = Duration::from_millis(1500);
+/// Longest wait for a prefill; its engine queues prompts one after another. One that is given up
+/// may be read for nothing, at nearly the worth of its answer.
+const PREFILL_LIMIT: Duration = Duration::from_millis(2500);
+/// Wait for a prefill above which part of the prompts is read at decode engines: with what the
+/// stream needs to begin, the first event would be late. At 400 ms four in ten of the streams
+/// that were read there paused too long (hewasafi-nbo trouble-1), more than would have been late.
+const PREFILL_OVERLOADED: Duration = Duration::from_millis(700);
+/// Part of the prompts that is read at decode engines then. Reading there holds up the streams
+/// of that engine, so the rest goes on to queue.
+const DIRECT_PART: f64 = 0.5;
+/// Waits for a prefill that differ by less count as equal, in ms; a prompt takes about 90.
+const PREFILL_STEP_MS: u128 = 100;
 /// Part of the route's time-out that a caller on its first attempt has left at least.
 const FIRST_ATTEMPT_PART: f64 = 0.9;
 /// Longest wait for memory of a caller that was refused before; a second refusal is its last.
@@ -326,13 +336,14 @@
         let near = &placement.entry.failure_domain;
         let service = &self.request.service;
         let engines = chooser.engines(service, EngineStage::Prefill, near, &[]);
-        let Some(entry) = engines.first() else { return guard };
+        let Some(entry) = self.prefill_engine(engines) else { return guard };
         let tokens = self.request.generation.as_ref().map_or(1, |terms| terms.prompt_tokens);
-        let _ticket = self.context.book.enter(&entry.id, tokens);
+        let _load = self.context.book.enter(&entry.id, tokens);
+        let _prefill = self.context.book.enter_prefill(&entry.id);
         self.context.metrics.note_prefill();
         let limit = self.request.remaining().min(PREFILL_LIMIT);
         let call =
-            (self.context.calls.prefill)(Arc::clone(entry), Arc::clone(&self.request), limit);
+            (self.context.calls.prefill)(Arc::clone(&entry), Arc::clone(&self.request), limit);
         let error = match tokio::time::timeout(limit, call).await {
             Ok(Ok(prefilled)) => {
                 guard.prefilled = Some(prefilled);
@@ -359,6 +370,17 @@
         guard
     }
 
+    /// The prefill engine with the shortest wait; `None` when the decode engine does better.
+    fn prefill_engine(&self, engines: Vec<Arc<BackendEntry>>) -> Option<Arc<BackendEntry>> {
+        let waits =
+            engines.into_iter().map(|entry| (self.context.book.prefill_wait(&entry.id), entry));
+        // Of equal waits the first, which is the nearest, wins.
+        let (wait, entry) =
+            waits.min_by_key(|(wait, _entry)| wait.as_millis() / PREFILL_STEP_MS)?;
+        let overloaded = wait > PREFILL_OVERLOADED && rand::rng().random_bool(DIRECT_PART);
+        (!overloaded).then_some(entry)
+    }
+
     /// Sends the request; `None` when it did not run and may be sent again.
     async fn send(
         &mut self,
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -78,7 +78,9 @@
                 continue;
             }
             tokio::time::sleep(self.settings.delay).await;
-            self.order(&changes).await;
+            if !self.changes().is_empty() {
+                self.order(&changes).await;
+            }
             steady = 0;
         }
     }
--- a/crates/dillspool_roles/src/plan.rs
+++ b/crates/dillspool_roles/src/plan.rs
@@ -4,6 +4,9 @@
 
 use dillspool_routing::{BackendEntry, DirectoryView, EngineStage};
 
+/// Engines of a pool below which none is turned to prefill: the few that decode are needed more.
+const FEWEST_TO_TURN_BACK: usize = 4;
+
 /// How a pool's engines are divided.
 #[derive(Clone, Copy, Debug)]
 pub struct StagePlan {
@@ -33,20 +36,29 @@
         share.clamp(1, engines.max(1))
     }
 
-    /// Prefill engines beyond the plan, which should decode instead.
+    /// Engines that should change their part so that the plan holds.
     ///
-    /// Engines are never turned back: that takes a decode engine's memory away for the time of
-    /// the switch, and a pool without a prefill engine goes on by prefilling at its decode
-    /// engines.
+    /// An engine that decodes is turned only if enough others go on decoding; until it has
+    /// changed, prompts beyond the prefill engines' pace are read at decode engines.
     pub fn changes(self, view: &DirectoryView, service: &str) -> Vec<StageChange> {
-        let engines = view.ready(service).filter(|entry| entry.stage.is_some()).count();
+        let in_stage = |stage| -> Vec<Arc<BackendEntry>> {
+            let mut engines: Vec<_> = view.ready_in_stage(service, stage).cloned().collect();
+            // The order must be the same on every host, and keep engines in different domains.
+            engines.sort_by(|a, b| (&a.failure_domain, &a.id).cmp(&(&b.failure_domain, &b.id)));
+            engines
+        };
+        let (prefill, decode) = (in_stage(EngineStage::Prefill), in_stage(EngineStage::Decode));
+        let engines = prefill.len() + decode.len();
         let keep = self.prefill_engines(engines);
-        let mut prefill: Vec<_> =
-            view.ready_in_stage(service, EngineStage::Prefill).cloned().collect();
-        // The order must be the same on every host, and keep engines in different domains.
-        prefill.sort_by(|a, b| (&a.failure_domain, &a.id).cmp(&(&b.failure_domain, &b.id)));
-        let spare = prefill.len().saturating_sub(keep);
-        let change = |entry| StageChange { entry, stage: EngineStage::Decode };
-        prefill.into_iter().take(spare).map(change).collect()
+        let change = |stage| move |entry| StageChange { entry, stage };
+        if prefill.len() >= keep {
+            let spare = prefill.len() - keep;
+            return prefill.into_iter().take(spare).map(change(EngineStage::Decode)).collect();
+        }
+        if engines < FEWEST_TO_TURN_BACK {
+            return Vec::new();
+        }
+        let short = keep - prefill.len();
+        decode.into_iter().take(short).map(change(EngineStage::Prefill)).collect()
     }
 }
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -21,7 +21,7 @@
 /// retry budget.
 const MOST_HOSTS: usize = 500;
 /// Time between two reads of the list: hosts change some times an hour.
-const READ_EVERY: Duration = Duration::from_secs(60);
+const READ_EVERY: Duration = Duration::from_mins(1);
 /// Time after the first read, when hosts that start together have written their rows.
 const SECOND_READ: Duration = Duration::from_secs(3);
 /// Hosts of a failure domain up to which each reads the store itself: their calls cost less than
@@ -68,7 +68,7 @@
             return None;
         }
         // All hosts of the domain must come to the same order.
-        near.sort_by_key(|address| rank(address));
+        near.sort_by_key(rank);
         near.truncate(SOURCES);
         // Half of the hosts begin with either source.
         let shift = rank(&self.own) % near.len() as u64;
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -29,7 +29,7 @@
 /// Time after which a peer repeats the version that it has, as a sign of life.
 const REPEAT: Duration = Duration::from_millis(500);
 /// Age of a source's own knowledge beyond which it is no source.
-const SOURCE_AGE_LIMIT: Duration = Duration::from_millis(4000);
+const SOURCE_AGE_LIMIT: Duration = Duration::from_secs(4);
 /// Shortest time between two messages that carry changes.
 const SPACING: Duration = Duration::from_millis(100);
 /// Pause before another peer is tried.
