--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -48,8 +48,9 @@
 const PREFILL_STEP_MS: u128 = 100;
 /// Part of the route's time-out that a caller on its first attempt has left at least.
 const FIRST_ATTEMPT_PART: f64 = 0.9;
-/// Longest wait for memory of a caller that was refused before; a second refusal is its last.
-const RETURNED_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait for memory of a caller that was refused before; a second refusal is its last. A
+/// longer wait serves more of them late in place of others in time (trials with 0, 0.5, 1 and 3 s).
+const RETURNED_WAIT: Duration = Duration::from_millis(200);
 /// Pause between two rounds of asking for memory.
 const ASK_PAUSE_MS: std::ops::Range<u64> = 60..120;
 /// Largest failure body that is passed on, in bytes.
