--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -11,7 +11,8 @@
 use dillspool_routing::{DirectoryView, RoutingConfig};
 use dillspool_schema::Name;
 use dillspool_watch::{
-    FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers, serve_relay,
+    FollowRole, FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers,
+    serve_relay,
 };
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
@@ -38,8 +39,9 @@
 const STILL_LISTED: Duration = Duration::from_millis(2_600);
 /// Time before the kill at which what still runs is broken off.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// Longest extra wait before this host tries to give orders, spread over the hosts.
-const LONGEST_ORDER_DELAY_MS: u64 = 2_500;
+/// Longest extra wait before this host tries to give orders, spread over the hosts: once the first
+/// has given them, the others find that in the row of the lease and do not wait for it.
+const LONGEST_ORDER_DELAY_MS: u64 = 5_000;
 
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
@@ -145,7 +147,7 @@
             site.store.clone(),
             beliefs.peers.clone(),
             budgets,
-            beliefs.is_source.clone(),
+            beliefs.role.clone(),
             self.background.clone(),
         ));
         let settings = KeeperSettings {
@@ -203,7 +205,7 @@
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
     peers: PeerList,
-    is_source: watch::Sender<bool>,
+    role: watch::Sender<FollowRole>,
 }
 
 impl Beliefs {
@@ -218,14 +220,14 @@
         let backends = SharedBelief::new(Name::clone(&site.directory_table));
         let reach = watch::Sender::new(StoreReach::unknown());
         let settings = FollowSettings::with_wait(config.watch_wait);
-        let is_source = watch::Sender::new(false);
+        let role = watch::Sender::new(FollowRole::Alone);
         for belief in [&operator, &backends] {
             tokio::spawn(follow_table(
                 site.watch.clone(),
                 belief.clone(),
                 reach.clone(),
                 settings.clone(),
-                is_source.subscribe(),
+                role.subscribe(),
                 cancel.clone(),
             ));
         }
@@ -247,7 +249,7 @@
             reached,
             view_sender,
         ));
-        Self { config: config_receiver, directory, peers, is_source }
+        Self { config: config_receiver, directory, peers, role }
     }
 }
 
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -7,7 +7,7 @@
 use dillspool_forward::RetryBudgets;
 use dillspool_platform::{PlatformError, RowExpect, RowWrite, ScanRequest, TableStore};
 use dillspool_schema::Name;
-use dillspool_watch::RelayPeers;
+use dillspool_watch::{FollowRole, RelayPeers};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -76,15 +76,25 @@
         Some(near)
     }
 
-    /// Whether other hosts rely on this one's questions to the store.
-    pub(crate) fn is_source(&self) -> bool {
-        self.sources().is_some_and(|sources| sources.contains(&self.own))
+    /// Whose questions to the store this host's beliefs come from.
+    pub(crate) fn role(&self) -> FollowRole {
+        match self.sources() {
+            None => FollowRole::Alone,
+            Some(sources) if sources.contains(&self.own) => FollowRole::Source,
+            Some(_sources) => FollowRole::Relayed,
+        }
     }
 
     /// Where this host takes the tables from.
     pub(crate) fn relay_peers(&self) -> RelayPeers {
-        let sources = self.sources().filter(|sources| !sources.contains(&self.own));
-        RelayPeers { sources: sources.unwrap_or_default(), all: self.addresses() }
+        let known = self.sources().unwrap_or_default();
+        let own = self.own;
+        // Sources see the store's return first.
+        let others = self.addresses().into_iter().filter(|address| !known.contains(address));
+        let near = known.iter().copied().filter(|address| *address != own);
+        let all = near.chain(others).collect();
+        let sources = if known.contains(&own) { Vec::new() } else { known.clone() };
+        RelayPeers { sources, all }
     }
 
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -119,7 +129,7 @@
     store: TableStore,
     peers: PeerList,
     budgets: RetryBudgets,
-    is_source: watch::Sender<bool>,
+    role: watch::Sender<FollowRole>,
     cancel: CancellationToken,
 ) {
     let keep = async {
@@ -133,7 +143,7 @@
                 Ok(rows) => {
                     budgets.set_hosts(rows.len());
                     *peers.listed.lock().unwrap_or_else(PoisonError::into_inner) = rows;
-                    is_source.send_replace(peers.is_source());
+                    role.send_replace(peers.role());
                 }
                 Err(error) => log::debug!("event=host_rows_not_read cause=\"{error}\""),
             }
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -11,6 +11,17 @@
 use crate::belief::SharedBelief;
 use crate::reach::{self, StoreReach};
 
+/// Whose questions to the store a host's beliefs come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FollowRole {
+    /// Its own.
+    Alone,
+    /// Its own, on which other hosts rely.
+    Source,
+    /// A source's, as long as one is fresh.
+    Relayed,
+}
+
 /// How the store is followed.
 #[derive(Clone, Debug)]
 pub struct FollowSettings {
@@ -26,6 +37,8 @@
     pub first_pause: Duration,
     /// Longest pause after a failed call.
     pub longest_pause: Duration,
+    /// The same on a host with sources, which see the store's return before.
+    pub relayed_pause: Duration,
 }
 
 impl FollowSettings {
@@ -41,23 +54,39 @@
             spacing: Duration::from_millis(300),
             first_pause: Duration::from_millis(100),
             longest_pause: Duration::from_millis(600),
+            relayed_pause: Duration::from_secs(2),
+        }
+    }
+}
+
+impl FollowSettings {
+    fn longest_wait(&self, role: FollowRole) -> Duration {
+        match role {
+            FollowRole::Alone | FollowRole::Relayed => self.wait,
+            FollowRole::Source => self.source_wait,
+        }
+    }
+
+    fn longest_pause(&self, role: FollowRole) -> Duration {
+        match role {
+            FollowRole::Alone | FollowRole::Source => self.longest_pause,
+            FollowRole::Relayed => self.relayed_pause,
         }
     }
 }
 
 /// Keeps a belief up to date until `cancel`.
 ///
-/// While a peer's relay is fresh the store is not asked. `is_source` tells whether other hosts
-/// rely on this one.
+/// While a peer's relay is fresh the store is not asked.
 pub async fn follow_table(
     store: TableWatch,
     belief: SharedBelief,
     reach: watch::Sender<StoreReach>,
     settings: FollowSettings,
-    is_source: watch::Receiver<bool>,
+    role: watch::Receiver<FollowRole>,
     cancel: CancellationToken,
 ) {
-    let follow = follow_forever(store, belief, reach, settings, is_source);
+    let follow = follow_forever(store, belief, reach, settings, role);
     tokio::select! {
         () = follow => {}
         () = cancel.cancelled() => {}
@@ -69,7 +98,7 @@
     belief: SharedBelief,
     reach: watch::Sender<StoreReach>,
     settings: FollowSettings,
-    is_source: watch::Receiver<bool>,
+    role: watch::Receiver<FollowRole>,
 ) {
     // A belief that came from another host may lack rows, so the first read is always whole.
     let mut complete = false;
@@ -83,7 +112,7 @@
         }
         let asked = Instant::now();
         let outcome = if complete {
-            let longest = if *is_source.borrow() { settings.source_wait } else { settings.wait };
+            let longest = settings.longest_wait(*role.borrow());
             ask_changes(&store, &belief, wait.min(longest), settings.slack).await
         } else {
             read_whole(&store, &belief, &settings).await
@@ -108,7 +137,7 @@
                 reach::note(&reach, &source.to_string(), |state| state.direct = false);
                 wait = Duration::ZERO;
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(settings.longest_pause);
+                pause = (pause * 2).min(settings.longest_pause(*role.borrow()));
             }
         }
         // A store that answers at once, whatever it is asked, must not be asked without end.
--- a/crates/dillspool_watch/src/lib.rs
+++ b/crates/dillspool_watch/src/lib.rs
@@ -9,6 +9,6 @@
 mod relay;
 
 pub use belief::{RowBelief, SharedBelief, TableBelief};
-pub use follow::{FollowSettings, follow_table};
+pub use follow::{FollowRole, FollowSettings, follow_table};
 pub use reach::StoreReach;
 pub use relay::{RelayError, RelayPeers, relay_from_peers, serve_relay};
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -8,8 +8,8 @@
 use dillspool_io::{LinkMode, MemoryNet};
 use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
 use dillspool_watch::{
-    FollowSettings, RelayPeers, SharedBelief, StoreReach, follow_table, relay_from_peers,
-    serve_relay,
+    FollowRole, FollowSettings, RelayPeers, SharedBelief, StoreReach, follow_table,
+    relay_from_peers, serve_relay,
 };
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
@@ -111,7 +111,7 @@
 }
 
 async fn host(net: &MemoryNet, store: &TestStore, own: &str, peer: &str) -> TestHost {
-    host_as(net, store, own, peer, false, false).await
+    host_as(net, store, own, peer, FollowRole::Alone).await
 }
 
 async fn host_as(
@@ -119,8 +119,7 @@
     store: &TestStore,
     own: &str,
     peer: &str,
-    is_source: bool,
-    takes_from_peer: bool,
+    role: FollowRole,
 ) -> TestHost {
     let cancel = CancellationToken::new();
     let belief = SharedBelief::new("op".into());
@@ -134,7 +133,7 @@
         belief.clone(),
         reach_sender,
         settings,
-        watch::channel(is_source).1,
+        watch::channel(role).1,
         cancel.clone(),
     ));
     let own: SocketAddr = own.parse().unwrap();
@@ -143,7 +142,7 @@
     let listener = stack.listen(own).await.expect("a free address");
     let beliefs = vec![belief.clone()];
     tokio::spawn(serve_relay(listener, beliefs.clone(), reach.clone(), cancel.clone()));
-    let sources = if takes_from_peer { vec![peer] } else { Vec::new() };
+    let sources = if role == FollowRole::Relayed { vec![peer] } else { Vec::new() };
     let peers = move || RelayPeers { sources: sources.clone(), all: vec![peer] };
     tokio::spawn(relay_from_peers(stack, peers, beliefs, relayed, cancel));
     TestHost { belief, access, reach }
@@ -251,9 +250,9 @@
 
 /// A source and a host that takes its tables from it.
 async fn source_and_follower(net: &MemoryNet, store: &TestStore) -> (TestHost, TestHost) {
-    let source = host_as(net, store, "10.0.0.1:8146", "10.0.0.2:8146", true, false).await;
+    let source = host_as(net, store, "10.0.0.1:8146", "10.0.0.2:8146", FollowRole::Source).await;
     pass(50).await;
-    let follower = host_as(net, store, "10.0.0.2:8146", "10.0.0.1:8146", false, true).await;
+    let follower = host_as(net, store, "10.0.0.2:8146", "10.0.0.1:8146", FollowRole::Relayed).await;
     pass(1000).await;
     (source, follower)
 }
