--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -4,29 +4,19 @@
 use std::time::Duration;
 
 use dillspool_io::{ResponseBody, read_response_body};
-use dillspool_routing::{BackendEntry, BackendId, EngineStage, GenerationTerms, RoutedRequest};
-use dillspool_schema::Name;
+use dillspool_routing::{BackendEntry, BackendId, EngineStage, RoutedRequest};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 
 use crate::book::LoadTicket;
-use crate::calls::{BackendAnswer, CallError, ForwardTerms, HoldTerms, PrefilledPrompt};
+use crate::calls::{BackendAnswer, CallError, ForwardTerms};
 use crate::context::ForwardContext;
+use crate::placement::{HoldGuard, Placement, PrefillGuard, prefill, reserve};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
 use crate::trace::RequestTrace;
 
-/// How far an answer may outgrow the caller's guess before its memory was not reserved: 1.9 was
-/// the best of 1.9, 2.5 and 3.2 (`docs/design/platform_site.md`).
-const HINT_FACTOR: f64 = 1.9;
-/// Tokens reserved for an answer at least.
-const SMALLEST_ANSWER: u64 = 500;
-/// Life of a reservation: a prefill, its move and the first event take well under a second, and
-/// a longer one keeps memory from others.
-const HOLD_LIFE: Duration = Duration::from_secs(2);
-/// Time for which an engine that refused a reservation counts as full: some events' time.
-const FULL_SPAN: Duration = Duration::from_millis(100);
 /// When to come back after a refusal for want of memory: about the time that a running answer
 /// still takes, spread so that the refused do not return together.
 const COME_BACK_MS: std::ops::Range<u64> = 3_300..4_500;
@@ -34,18 +24,6 @@
 const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
 /// When to come back after an engine's refusal of a request that had its memory.
 const NOT_RUN_RETRY_MS: std::ops::Range<u64> = 100..400;
-/// Longest wait for a prefill; its engine queues prompts one after another. One that is given up
-/// may be read for nothing, at nearly the worth of its answer.
-const PREFILL_LIMIT: Duration = Duration::from_millis(2500);
-/// Wait for a prefill above which part of the prompts is read at decode engines: with what the
-/// stream needs to begin, the first event would be late. At 400 ms four in ten of the streams
-/// that were read there paused too long (hewasafi-nbo trouble-1), more than would have been late.
-const PREFILL_OVERLOADED: Duration = Duration::from_millis(700);
-/// Part of the prompts that is read at decode engines then. Reading there holds up the streams
-/// of that engine, so the rest goes on to queue.
-const DIRECT_PART: f64 = 0.5;
-/// Waits for a prefill that differ by less count as equal, in ms; a prompt takes about 90.
-const PREFILL_STEP_MS: u128 = 100;
 /// Part of the route's time-out that a caller on its first attempt has left at least.
 const FIRST_ATTEMPT_PART: f64 = 0.9;
 /// Longest wait for memory of a caller that was refused before; a second refusal is its last. A
@@ -98,53 +76,6 @@
     Failure(Response<ResponseBody>),
 }
 
-/// Memory reserved at an engine, given back unless it was used.
-struct HoldGuard {
-    context: ForwardContext,
-    entry: Arc<BackendEntry>,
-    hold: Option<Name>,
-}
-
-impl Drop for HoldGuard {
-    fn drop(&mut self) {
-        let Some(hold) = self.hold.take() else { return };
-        let release = (self.context.calls.release_hold)(Arc::clone(&self.entry), hold);
-        let id = BackendId::clone(&self.entry.id);
-        self.context.tasks.spawn(async move {
-            // A reservation that is not given back lapses by itself.
-            if let Err(error) = release.await {
-                log::debug!("event=hold_not_released backend={id} cause=\"{error}\"");
-            }
-        });
-    }
-}
-
-/// A prefill's result, given up unless it was used.
-struct PrefillGuard {
-    context: ForwardContext,
-    prefilled: Option<PrefilledPrompt>,
-}
-
-impl Drop for PrefillGuard {
-    fn drop(&mut self) {
-        let Some(prefilled) = self.prefilled.take() else { return };
-        let (entry, handle) = (prefilled.engine, prefilled.handle);
-        let release = (self.context.calls.release_prefill)(Arc::clone(&entry), handle);
-        self.context.tasks.spawn(async move {
-            if let Err(error) = release.await {
-                log::debug!("event=prefill_not_released backend={} cause=\"{error}\"", entry.id);
-            }
-        });
-    }
-}
-
-/// A decode engine with memory for the request.
-struct Placement {
-    entry: Arc<BackendEntry>,
-    hold: HoldGuard,
-    ticket: LoadTicket,
-}
-
 /// One model request and its sends so far.
 pub(crate) struct Generation {
     context: ForwardContext,
@@ -203,7 +134,7 @@
         loop {
             self.check_sends()?;
             let placement = self.place().await?;
-            let prefilled = self.prefill(&placement).await;
+            let prefilled = prefill(&self.context, &self.request, &placement).await;
             if self.request.remaining().is_zero() {
                 return Err(self.conclude());
             }
@@ -256,7 +187,7 @@
                 return self.without_reservation(&view);
             }
             for entry in engines {
-                if let Some(placement) = self.reserve(&entry).await {
+                if let Some(placement) = reserve(&self.context, &self.request, &entry).await {
                     return Ok(placement);
                 }
             }
@@ -278,8 +209,7 @@
             .plain(&self.request.service, &self.tried)
             .filter(|entry| entry.stage.is_none())
             .ok_or_else(|| Refusal::come_back(RefusalCause::NoBackend, NO_ENGINE_RETRY))?;
-        let hold =
-            HoldGuard { context: self.context.clone(), entry: Arc::clone(&entry), hold: None };
+        let hold = HoldGuard::empty(&self.context, &entry);
         let ticket = self.context.book.enter(&entry.id, 0);
         Ok(Placement { entry, hold, ticket })
     }
@@ -299,89 +229,6 @@
         if is_first && self.sends == 0 { Duration::ZERO } else { RETURNED_WAIT }
     }
 
-    async fn reserve(&self, entry: &Arc<BackendEntry>) -> Option<Placement> {
-        let tokens = self.request.generation.as_ref().map_or(SMALLEST_ANSWER, expected_tokens);
-        let ticket = self.context.book.enter(&entry.id, tokens);
-        let terms = HoldTerms { tokens, life: HOLD_LIFE };
-        let reserved = (self.context.calls.reserve)(Arc::clone(entry), terms).await;
-        match reserved {
-            Ok(hold) => {
-                let hold = HoldGuard {
-                    context: self.context.clone(),
-                    entry: Arc::clone(entry),
-                    hold: Some(hold),
-                };
-                Some(Placement { entry: Arc::clone(entry), hold, ticket })
-            }
-            Err(CallError::Refused { .. }) => {
-                self.context.metrics.note_hold_refused();
-                self.context.book.note_full(&entry.id, FULL_SPAN);
-                None
-            }
-            Err(error @ (CallError::NotSent { .. } | CallError::Lost { .. })) => {
-                self.context.book.note_silence(&entry.id, &error.to_string());
-                None
-            }
-        }
-    }
-
-    /// Prefills near the decode engine; without a result the decode engine prefills itself.
-    async fn prefill(&self, placement: &Placement) -> PrefillGuard {
-        let context = self.context.clone();
-        let mut guard = PrefillGuard { context, prefilled: None };
-        if placement.entry.stage.is_none() {
-            return guard;
-        }
-        let view = self.context.view();
-        let chooser = self.context.chooser(&view);
-        let near = &placement.entry.failure_domain;
-        let service = &self.request.service;
-        let engines = chooser.engines(service, EngineStage::Prefill, near, &[]);
-        let Some(entry) = self.prefill_engine(engines) else { return guard };
-        let tokens = self.request.generation.as_ref().map_or(1, |terms| terms.prompt_tokens);
-        let _load = self.context.book.enter(&entry.id, tokens);
-        let _prefill = self.context.book.enter_prefill(&entry.id);
-        self.context.metrics.note_prefill();
-        let limit = self.request.remaining().min(PREFILL_LIMIT);
-        let call =
-            (self.context.calls.prefill)(Arc::clone(&entry), Arc::clone(&self.request), limit);
-        let error = match tokio::time::timeout(limit, call).await {
-            Ok(Ok(prefilled)) => {
-                guard.prefilled = Some(prefilled);
-                return guard;
-            }
-            Ok(Err(error)) => error,
-            Err(_elapsed) => CallError::Lost { reason: format!("no prefill within {limit:?}") },
-        };
-        log::info!(
-            "event=prefill_failed id={} backend={} after_ms={} cause=\"{error}\"",
-            self.request.id,
-            entry.id,
-            self.request.age().as_millis(),
-        );
-        match &error {
-            CallError::Refused { .. } => {
-                self.context.budgets.note_extra(service);
-                self.context.book.note_full(&entry.id, FULL_SPAN);
-            }
-            CallError::NotSent { reason } | CallError::Lost { reason } => {
-                self.context.book.note_silence(&entry.id, reason);
-            }
-        }
-        guard
-    }
-
-    /// The prefill engine with the shortest wait; `None` when the decode engine does better.
-    fn prefill_engine(&self, engines: Vec<Arc<BackendEntry>>) -> Option<Arc<BackendEntry>> {
-        let waits =
-            engines.into_iter().map(|entry| (self.context.book.prefill_wait(&entry.id), entry));
-        // Of equal waits the first, which is the nearest, wins.
-        let (wait, entry) =
-            waits.min_by_key(|(wait, _entry)| wait.as_millis() / PREFILL_STEP_MS)?;
-        let overloaded = wait > PREFILL_OVERLOADED && rand::rng().random_bool(DIRECT_PART);
-        (!overloaded).then_some(entry)
-    }
-
     /// Sends the request; `None` when it did not run and may be sent again.
     async fn send(
         &mut self,
@@ -491,20 +338,6 @@
     }
 }
 
-/// Tokens that a request will take at its engine, prompt and answer.
-fn expected_tokens(terms: &GenerationTerms) -> u64 {
-    let hint = terms.output_hint.unwrap_or(terms.output_limit);
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "token counts are far below 2^52 and not negative"
-    )]
-    let guess = (hint as f64 * HINT_FACTOR) as u64;
-    let answer = guess.max(SMALLEST_ANSWER).min(terms.output_limit.max(1));
-    terms.prompt_tokens + answer
-}
-
 fn come_back(cause: RefusalCause, range: std::ops::Range<u64>) -> Refusal {
     let after = rand::rng().random_range(range);
     Refusal::come_back(cause, Duration::from_millis(after))
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod events;
 mod generate;
 mod metrics;
+mod placement;
 mod plain;
 mod refusal;
 mod relay;
