--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -7,7 +7,8 @@
 
 use dillspool_io::NetStack;
 use dillspool_site_standin::{
-    BackendFault, RunLog, StandinBackend, StandinKind, StandinStore, StoreMode,
+    BackendFault, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore, StoreMode,
+    config_text,
 };
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
@@ -226,26 +227,22 @@
     fn write_config(&mut self) {
         self.config_version += 1;
         let version = self.config_version;
-        let route = |kind: CallKind, word: &str, service: &str, attempts: u32, resumable: bool| {
-            format!(
-                r#"{{"name":"{word}{attempts}{resumable}","host":"{ROUTE_HOST}","pathPrefix":"{}","kind":"{word}","timeoutMs":2500,"objectiveMs":300,"maxAttempts":{attempts},"resumable":{resumable},"service":"{service}"}}"#,
-                prefix(kind)
-            )
+        let probe = format!("/version-{version}/");
+        let route = |kind, word, service, attempts, is_resumable| StandinRoute {
+            prefix: prefix(kind),
+            kind: word,
+            service,
+            attempts,
+            is_resumable,
         };
-        let probe = format!(
-            r#"{{"name":"probe","host":"{ROUTE_HOST}","pathPrefix":"/version-{version}/","kind":"idempotent","timeoutMs":2500,"objectiveMs":300,"maxAttempts":2,"service":"plain"}}"#
-        );
-        let routes = [
+        let mut routes = vec![
             route(CallKind::Repeatable, "idempotent", "plain", 2, false),
             route(CallKind::Unrepeatable, "non_idempotent", "plain", 2, false),
             route(CallKind::ResumableStream, "streaming", "pool", 3, true),
             route(CallKind::Stream, "streaming", "pool", 2, false),
-            probe,
         ];
-        let text = format!(
-            r#"{{"version":{version},"routes":[{}],"services":[],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
-            routes.join(",")
-        );
+        routes.push(StandinRoute { prefix: &probe, ..routes[0].clone() });
+        let text = config_text(version, ROUTE_HOST, &routes);
         self.store.write("op", "config", Some(&text));
     }
 
--- a/crates/dillspool_soak/tests/check.rs
+++ b/crates/dillspool_soak/tests/check.rs
@@ -2,7 +2,7 @@
 
 use dillspool_io::NetStack;
 use dillspool_site_standin::{
-    REQUEST_ID, RunLog, StandinBackend, StandinKind, expected_answer, stream_text,
+    EXPECTED_BACKEND, REQUEST_ID, RunLog, StandinBackend, StandinKind, expected_answer, stream_text,
 };
 use dillspool_soak::{CallKind, CallOutcome, CallRecord, check_calls};
 use http_body_util::Full;
@@ -18,7 +18,7 @@
         let request = Request::builder()
             .uri("/x")
             .header(REQUEST_ID, id)
-            .header("dillspool-expect-instance", "b")
+            .header(EXPECTED_BACKEND, "b")
             .body(Full::default())
             .expect("a request");
         let limit = Duration::from_secs(5);
