--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -72,6 +72,8 @@
     pub full: Arc<Mutex<Vec<String>>>,
     /// Whether prefills are refused.
     pub refuses_prefill: Arc<Mutex<bool>>,
+    /// How long a prefill takes.
+    pub prefill_takes: Arc<Mutex<Duration>>,
     pub record: Arc<Mutex<Record>>,
 }
 
@@ -126,6 +128,8 @@
                 let site = prefiller.clone();
                 Box::pin(async move {
                     site.record.lock().unwrap().prefills.push(engine.id.to_string());
+                    let takes = *site.prefill_takes.lock().unwrap();
+                    tokio::time::sleep(takes).await;
                     if *site.refuses_prefill.lock().unwrap() {
                         return Err(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE });
                     }
--- a/crates/dillspool_forward/tests/streams.rs
+++ b/crates/dillspool_forward/tests/streams.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{ScriptedSite, Step, entry, request, view};
@@ -186,3 +187,52 @@
         assert_eq!(answer.status().as_u16(), case.status, "{:?}", case.step);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn part_of_the_prompts_is_read_at_decode_engines_while_prefills_are_slow() {
+    let site = ScriptedSite::default();
+    site.script("decode-1", [Step::Stream(vec![ONE])]);
+    site.script("decode-2", [Step::Stream(vec![ONE])]);
+    *site.prefill_takes.lock().unwrap() = Duration::from_millis(900);
+    let (context, _directory) = site.context(pool());
+    let answers = |count: usize| {
+        let context = context.clone();
+        async move {
+            for _request in 0..count {
+                let routed = request(RequestKind::Streaming, 1, false);
+                let answer = answer_request(context.clone(), routed).await;
+                assert_eq!(body_of(answer).await.as_deref(), Ok(ONE));
+            }
+        }
+    };
+    // Nothing is known of the prefill engine yet, so the first prompt goes there.
+    answers(1).await;
+    assert_eq!(site.record.lock().unwrap().prefills.len(), 1);
+    answers(60).await;
+    let slow = site.record.lock().unwrap().prefills.len();
+    assert!((10..=50).contains(&slow), "{slow} of 61");
+    // Once prefills are fast again, all prompts go there.
+    *site.prefill_takes.lock().unwrap() = Duration::from_millis(90);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    answers(20).await;
+    assert_eq!(site.record.lock().unwrap().prefills.len(), slow + 20);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_returns_waits_a_moment_for_memory() {
+    let site = ScriptedSite::default();
+    site.script("decode-1", [Step::Stream(vec![ONE])]);
+    site.full.lock().unwrap().extend(["decode-1".to_owned(), "decode-2".to_owned()]);
+    let (context, _directory) = site.context(pool());
+    let mut routed = request(RequestKind::Streaming, 1, false);
+    // It has used up a third of its time.
+    routed.caller_deadline -= Duration::from_secs(5);
+    routed.deadline = routed.caller_deadline;
+    let full = Arc::clone(&site.full);
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        full.lock().unwrap().clear();
+    });
+    let answer = answer_request(context, routed).await;
+    assert_eq!(answer.status().as_u16(), 200);
+}
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -18,5 +18,5 @@
 pub use directory_tracker::{DirectorySettings, track_directory};
 pub use ingress::IngressState;
 pub use log_writer::{LogSetupError, set_up_log};
-pub use settings::{RouterConfig, SettingsError, load_settings};
+pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -174,3 +174,25 @@
 fn millis(value: u32, default: u32) -> Duration {
     Duration::from_millis(u64::from(if value == 0 { default } else { value }))
 }
+
+/// Notices that a settings file was replaced, also when no signal says so.
+#[derive(Clone, Debug)]
+pub struct SettingsWatch {
+    path: PathBuf,
+    text: Option<String>,
+}
+
+impl SettingsWatch {
+    /// Watches a file from its present text on.
+    pub fn new(path: &Path) -> Self {
+        Self { path: path.to_owned(), text: std::fs::read_to_string(path).ok() }
+    }
+
+    /// Whether the file has another text than last time; one that cannot be read has not changed.
+    pub fn has_changed(&mut self) -> bool {
+        let Ok(text) = std::fs::read_to_string(&self.path) else { return false };
+        let changed = self.text.as_ref() != Some(&text);
+        self.text = Some(text);
+        changed
+    }
+}
--- /dev/null
+++ b/crates/dillspool_router/tests/settings.rs
@@ -0,0 +1,83 @@
+//! Settings are checked, and a file that changes is noticed.
+
+use std::path::PathBuf;
+
+use dillspool_router::{SettingsWatch, load_settings};
+
+const GOOD: &str = r#"host = "host-1"
+failure_domain = "domain"
+[listen]
+callers = "10.0.0.1:8144"
+readiness = "10.0.0.1:8140"
+peers = "10.0.0.1:8146"
+metrics = "10.0.0.1:7660"
+[store]
+address = "10.200.0.1:8142"
+[peers]
+seeds = ["10.0.0.1:8146", "10.0.0.2:8146"]
+[retry]
+ratio = 0.2
+window_s = 10
+extra = 56
+[lifecycle]
+grace_s = 8
+[orders]
+lease_ms = 3000
+"#;
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a writable folder");
+    path
+}
+
+struct SettingsCase {
+    name: &'static str,
+    from: &'static str,
+    to: &'static str,
+    /// What the message names, empty when the settings are good.
+    names: &'static [&'static str],
+}
+
+#[test]
+fn a_bad_field_is_named_with_its_remedy() {
+    let case = |name, from, to, names| SettingsCase { name, from, to, names };
+    let cases = [
+        case("good", "", "", &[]),
+        case("fractions", "extra = 56", "extra = 56.5", &[]),
+        case("no seeds", r#"["10.0.0.1:8146", "10.0.0.2:8146"]"#, "[]", &[]),
+        case("missing", "failure_domain = \"domain\"\n", "", &["failure_domain"]),
+        case("unknown", "ratio = 0.2", "ratio = 0.2\nrate = 1", &["rate"]),
+        case("empty", "\"host-1\"", "\"\"", &["host", "give a name"]),
+        case("address", "10.0.0.1:8140", "nowhere", &["listen.readiness", "IP number and port"]),
+        case("negative", "grace_s = 8", "grace_s = -8", &["lifecycle.grace_s", "not negative"]),
+        case("a gap", "ratio = 0.2", "ratio = ", &["settings-a gap.toml"]),
+    ];
+    for case in cases {
+        let text = GOOD.replace(case.from, case.to);
+        let text = if case.from.is_empty() { GOOD.to_owned() } else { text };
+        let path = write(&format!("settings-{}.toml", case.name), &text);
+        match load_settings(&path) {
+            Ok(_config) => assert!(case.names.is_empty(), "{} is taken", case.name),
+            Err(error) => {
+                let message = error.to_string();
+                assert!(!case.names.is_empty(), "{}: {message}", case.name);
+                for name in case.names {
+                    assert!(message.contains(name), "{}: {message}", case.name);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_replaced_file_is_noticed_once() {
+    let path = write("watched.toml", GOOD);
+    let mut watch = SettingsWatch::new(&path);
+    assert!(!watch.has_changed());
+    write("watched.toml", &GOOD.replace("10.0.0.2", "10.0.0.3"));
+    assert!(watch.has_changed());
+    assert!(!watch.has_changed());
+    std::fs::remove_file(&path).expect("the file is there");
+    assert!(!watch.has_changed());
+}
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -2,12 +2,19 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use dillspool_io::{HttpClient, NetStack};
-use dillspool_router::{RouterConfig, RouterDaemon, SiteProtocol, load_settings, set_up_log};
+use dillspool_router::{
+    RouterConfig, RouterDaemon, SettingsWatch, SiteProtocol, load_settings, set_up_log,
+};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Time between two looks at the settings file, which may change without a signal; its seeds
+/// matter only while the store is out of reach.
+const LOOK_AT_SETTINGS: Duration = Duration::from_secs(5);
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
@@ -57,6 +64,7 @@
     let site = prepared_platform(&stack, &config);
     let daemon =
         RouterDaemon::start(config, stack, site).await.map_err(|error| error.to_string())?;
+    let mut watch = SettingsWatch::new(&args.settings);
     loop {
         tokio::select! {
             _signal = terminate.recv() => break,
@@ -64,9 +72,9 @@
                 interrupted.map_err(describe)?;
                 break;
             }
-            _signal = reload.recv() => match load_settings(&args.settings) {
-                Ok(config) => daemon.reload(config),
-                Err(error) => log::error!("event=reload_refused cause=\"{error}\""),
+            _signal = reload.recv() => reload_settings(args, &daemon),
+            () = tokio::time::sleep(LOOK_AT_SETTINGS) => if watch.has_changed() {
+                reload_settings(args, &daemon);
             },
         }
     }
@@ -74,6 +82,13 @@
     Ok(())
 }
 
+fn reload_settings(args: &RouterArgs, daemon: &RouterDaemon) {
+    match load_settings(&args.settings) {
+        Ok(config) => daemon.reload(config),
+        Err(error) => log::error!("event=reload_refused cause=\"{error}\""),
+    }
+}
+
 fn prepared_platform(stack: &NetStack, config: &RouterConfig) -> SiteProtocol {
     let http = HttpClient::pooled(stack);
     SiteProtocol {
