--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -1,6 +1,6 @@
 //! The rows of one table as this host believes them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use dillspool_platform::{ChangedRow, TableDelta};
@@ -57,10 +57,10 @@
 
     /// Rows that a whole read does not show were deleted, unless they are newer than the read.
     fn delete_missing(&mut self, delta: &TableDelta) -> bool {
+        let shown: BTreeSet<&Name> = delta.rows.iter().map(|row| &row.key).collect();
         let mut changed = false;
         for (key, belief) in &mut self.rows {
-            let shown = delta.rows.iter().any(|row| row.key == *key);
-            if shown || belief.value.is_none() || belief.version > delta.version {
+            if shown.contains(key) || belief.value.is_none() || belief.version > delta.version {
                 continue;
             }
             *belief = RowBelief { version: delta.version, value: None };
@@ -69,14 +69,15 @@
         changed
     }
 
-    /// All rows as one delta, deleted ones included.
-    pub fn to_delta(&self) -> TableDelta {
+    /// The rows that are newer than a version, deleted ones included; all of them behind 0.
+    pub fn changes_since(&self, version: u64) -> TableDelta {
+        let newer = self.rows.iter().filter(|(_key, belief)| belief.version > version);
         let row = |(key, belief): (&Name, &RowBelief)| ChangedRow {
             key: Name::clone(key),
             version: belief.version,
             value: belief.value.clone(),
         };
-        TableDelta { full: true, version: self.version, rows: self.rows.iter().map(row).collect() }
+        TableDelta { full: version == 0, version: self.version, rows: newer.map(row).collect() }
     }
 
     /// The text of a row that exists.
@@ -120,8 +121,8 @@
         self.sender.borrow().version
     }
 
-    /// The whole belief as a delta.
-    pub fn to_delta(&self) -> TableDelta {
-        self.sender.borrow().to_delta()
+    /// The rows that are newer than a version, the whole belief behind 0.
+    pub fn changes_since(&self, version: u64) -> TableDelta {
+        self.sender.borrow().changes_since(version)
     }
 }
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -103,18 +103,18 @@
     let accepted = tokio::time::timeout(CONNECT_LIMIT, accept).await;
     let socket = accepted.map_err(|elapsed| elapsed.to_string())?;
     let mut socket = socket.map_err(|error| error.to_string())?;
-    let mut sent = vec![TableDelta { full: true, version: 0, rows: Vec::new() }; beliefs.len()];
+    // Version of each table up to which the peer has it.
+    let mut sent = vec![0; beliefs.len()];
     let mut watchers: Vec<_> = beliefs.iter().map(SharedBelief::subscribe).collect();
     loop {
         let state = *reach.borrow_and_update();
         let age = state.age().filter(|age| state.direct && *age < SOURCE_AGE_LIMIT);
         let age = age.ok_or("this host does not reach the store itself")?;
-        for (belief, before) in beliefs.iter().zip(&mut sent) {
-            let now = belief.to_delta();
-            let message = difference(&belief.table, before, &now, age);
+        for (belief, known) in beliefs.iter().zip(&mut sent) {
+            let message = changes_since(belief, *known, age);
+            *known = message.version;
             let bytes = encode(&message).map_err(|error| error.to_string())?;
             socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())?;
-            *before = now;
         }
         tokio::time::sleep(SPACING).await;
         let changed = futures_util::future::select_all(
@@ -133,28 +133,21 @@
     }
 }
 
-/// The whole table the first time, then only rows that changed.
-fn difference(
-    table: &std::sync::Arc<str>,
-    before: &TableDelta,
-    now: &TableDelta,
-    age: Duration,
-) -> RelayMessage {
-    let full = before.version == 0;
-    let known = |row: &ChangedRow| {
-        !full && before.rows.iter().any(|old| old.key == row.key && old.version == row.version)
-    };
-    let rows = now.rows.iter().filter(|row| !known(row)).map(|row| RelayRow {
-        key: std::sync::Arc::clone(&row.key),
+/// The whole table the first time, then only rows that changed: every row that is newer than a
+/// complete belief has a higher version.
+fn changes_since(belief: &SharedBelief, known: u64, age: Duration) -> RelayMessage {
+    let delta = belief.changes_since(known);
+    let row = |row: ChangedRow| RelayRow {
+        key: row.key,
         version: row.version,
         value: row.value.as_deref().map(str::to_owned),
-    });
+    };
     RelayMessage {
-        table: std::sync::Arc::clone(table),
-        full,
-        version: now.version,
+        table: std::sync::Arc::clone(&belief.table),
+        full: delta.full,
+        version: delta.version,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        rows: rows.collect(),
+        rows: delta.rows.into_iter().map(row).collect(),
     }
 }
 
--- a/crates/dillspool_watch/tests/belief.rs
+++ b/crates/dillspool_watch/tests/belief.rs
@@ -78,3 +78,37 @@
         }
     }
 }
+
+proptest! {
+    /// A peer that gets the changes behind what it has ends with the same rows.
+    #[test]
+    fn changes_behind_a_version_bring_a_peer_up_to_date(
+        steps in prop::collection::vec((0_u8..4, any::<bool>(), any::<bool>()), 1..30),
+        looks in prop::collection::vec(any::<bool>(), 30),
+    ) {
+        let (mut source, mut peer) = (TableBelief::default(), TableBelief::default());
+        let mut table = std::collections::BTreeMap::new();
+        for (at, (name, kept, whole)) in steps.iter().enumerate() {
+            let (version, key) = (at as u64 + 1, format!("k{name}"));
+            let text = kept.then(|| format!("v{at}"));
+            table.insert(key.clone(), (version, text.clone()));
+            let changed = vec![row(&key, version, text.as_deref())];
+            let all = || table.iter().filter(|(_, (_, text))| text.is_some());
+            let shown =
+                || all().map(|(key, (version, text))| row(key, *version, text.as_deref())).collect();
+            source.merge(&if *whole {
+                delta(true, version, shown())
+            } else {
+                delta(false, version, changed)
+            });
+            if looks[at] {
+                peer.merge(&source.changes_since(peer.version));
+            }
+        }
+        peer.merge(&source.changes_since(peer.version));
+        for (key, (_version, text)) in &table {
+            prop_assert_eq!(peer.value(key).map(ToString::to_string), text.clone());
+            prop_assert_eq!(source.value(key).map(ToString::to_string), text.clone());
+        }
+    }
+}
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -104,7 +104,7 @@
 
 impl TestHost {
     fn text(&self) -> Option<String> {
-        let delta = self.belief.to_delta();
+        let delta = self.belief.changes_since(0);
         let row = delta.rows.iter().find(|row| &*row.key == "config")?;
         row.value.as_deref().map(str::to_owned)
     }
