--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use dillspool_platform::{TableWatch, WatchError};
-use rand::Rng;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -12,9 +11,6 @@
 use crate::belief::SharedBelief;
 use crate::reach::{self, StoreReach};
 
-/// Part of a pause that is kept, drawn anew each time.
-const PAUSE_PARTS: std::ops::Range<f64> = 0.5..1.0;
-
 /// Whose questions to the store a host's beliefs come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FollowRole {
@@ -35,8 +31,6 @@
     pub source_wait: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
-    /// Time for a whole read, all its pages together; the store's client bounds each page.
-    pub whole_limit: Duration,
     /// Shortest time between two questions; bounds the calls when a table changes all the time.
     pub spacing: Duration,
     /// First pause after a failed call; doubles up to `longest_pause`.
@@ -56,8 +50,6 @@
             source_wait: Duration::from_millis(800),
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
-            // Six pages at 3,000 backend servers, while hundreds of hosts start at once.
-            whole_limit: Duration::from_secs(5),
             // A quarter of the shortest time in which a change must be in force.
             spacing: Duration::from_millis(300),
             first_pause: Duration::from_millis(100),
@@ -144,9 +136,7 @@
             Err(WatchError::Store { source }) => {
                 reach::note(&reach, &source.to_string(), |state| state.direct = false);
                 wait = Duration::ZERO;
-                // Hosts that start together must not come back together.
-                let part = rand::rng().random_range(PAUSE_PARTS);
-                tokio::time::sleep(pause.mul_f64(part)).await;
+                tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(settings.longest_pause(*role.borrow()));
             }
         }
@@ -173,9 +163,8 @@
     settings: &FollowSettings,
 ) -> Result<bool, WatchError> {
     let snapshot = (store.snapshot)(Arc::clone(&belief.table));
-    let limit = settings.whole_limit;
-    let answer = tokio::time::timeout(limit, snapshot).await;
-    let answer = answer.map_err(|_elapsed| silent(limit))?;
+    let answer = tokio::time::timeout(settings.slack, snapshot).await;
+    let answer = answer.map_err(|_elapsed| silent(settings.slack))?;
     let delta = answer.map_err(|source| WatchError::Store { source })?;
     Ok(belief.merge(&delta))
 }
