--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -81,6 +81,7 @@
     context: ForwardContext,
     pub(crate) request: Arc<RoutedRequest>,
     sends: u32,
+    prefills: u32,
     tried: Vec<BackendId>,
     may_have_run: bool,
     /// Last event that the caller has.
@@ -93,6 +94,7 @@
             context: context.clone(),
             request: Arc::clone(request),
             sends: 0,
+            prefills: 0,
             tried: Vec::new(),
             may_have_run: false,
             last_event: request.resume_after,
@@ -134,7 +136,7 @@
         loop {
             self.check_sends()?;
             let placement = self.place().await?;
-            let prefilled = prefill(&self.context, &self.request, &placement).await;
+            let prefilled = self.prefill(&placement).await;
             if self.request.remaining().is_zero() {
                 return Err(self.conclude());
             }
@@ -144,6 +146,15 @@
         }
     }
 
+    /// Prefills, if the budget allows it: only the first prefill of a request is not a repeat.
+    async fn prefill(&mut self, placement: &Placement) -> PrefillGuard {
+        if self.prefills > 0 && !self.context.budgets.take(&self.request.service) {
+            return PrefillGuard::empty(&self.context);
+        }
+        self.prefills += 1;
+        prefill(&self.context, &self.request, placement).await
+    }
+
     fn check_sends(&self) -> Result<(), Refusal> {
         let over = self.request.remaining().is_zero();
         if over || self.sends >= self.request.route.max_attempts {
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -68,6 +68,13 @@
     pub(crate) prefilled: Option<PrefilledPrompt>,
 }
 
+impl PrefillGuard {
+    /// No result: the decode engine reads the prompt itself.
+    pub(crate) fn empty(context: &ForwardContext) -> Self {
+        Self { context: context.clone(), prefilled: None }
+    }
+}
+
 impl Drop for PrefillGuard {
     fn drop(&mut self) {
         let Some(prefilled) = self.prefilled.take() else { return };
@@ -122,7 +129,7 @@
     request: &Arc<RoutedRequest>,
     placement: &Placement,
 ) -> PrefillGuard {
-    let mut guard = PrefillGuard { context: context.clone(), prefilled: None };
+    let mut guard = PrefillGuard::empty(context);
     if placement.entry.stage.is_none() {
         return guard;
     }
--- a/crates/dillspool_forward/tests/streams.rs
+++ b/crates/dillspool_forward/tests/streams.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{ScriptedSite, Step, entry, request, view};
-use dillspool_forward::answer_request;
+use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
 use dillspool_io::{ResponseBody, read_response_body};
 use dillspool_routing::{DirectoryView, EngineStage, RequestKind};
 use hyper::Response;
@@ -236,3 +236,22 @@
     let answer = answer_request(context, routed).await;
     assert_eq!(answer.status().as_u16(), 200);
 }
+
+#[tokio::test(start_paused = true)]
+async fn repeated_prefills_are_in_the_budget_too() {
+    let site = ScriptedSite::default();
+    site.script("decode-1", [Step::NotRun(503)]);
+    site.script("decode-2", [Step::NotRun(503)]);
+    let (mut context, _directory) = site.context(pool());
+    let terms = BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 8.0 };
+    context.budgets = RetryBudgets::new(terms);
+    context.budgets.set_hosts(8);
+    for _request in 0..100 {
+        let routed = request(RequestKind::Streaming, 2, false);
+        let _answer = answer_request(context.clone(), routed).await;
+    }
+    let record = site.record.lock().unwrap();
+    let repeats = record.arrivals.len() + record.prefills.len() - 200;
+    // The ratio of 100 requests and this host's part of what is beyond it.
+    assert!((10..=21).contains(&repeats), "{repeats}");
+}
