--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -14,6 +14,9 @@
 /// How far an answer may outgrow the caller's guess before its memory was not reserved: 1.9 was
 /// the best of 1.9, 2.5 and 3.2 (`docs/design/platform_site.md`).
 const HINT_FACTOR: f64 = 1.9;
+/// Time for which an engine that refused a prefill gets none: it leaves or changes its stage, and
+/// every refusal counts towards the retry budget.
+const REFUSED_SPAN: Duration = Duration::from_secs(1);
 /// Tokens reserved for an answer at least.
 const SMALLEST_ANSWER: u64 = 500;
 /// Life of a reservation: a prefill, its move and the first event take well under a second, and
@@ -162,7 +165,7 @@
     match &error {
         CallError::Refused { .. } => {
             context.budgets.note_extra(service);
-            context.book.note_full(&entry.id, FULL_SPAN);
+            context.book.note_full(&entry.id, REFUSED_SPAN);
         }
         CallError::NotSent { reason } | CallError::Lost { reason } => {
             context.book.note_silence(&entry.id, reason);
@@ -176,7 +179,8 @@
     book: &BackendBook,
     engines: Vec<Arc<BackendEntry>>,
 ) -> Option<Arc<BackendEntry>> {
-    let waits = engines.into_iter().map(|entry| (book.prefill_wait(&entry.id), entry));
+    let open = engines.into_iter().filter(|entry| !book.read(&entry.id).is_full);
+    let waits = open.map(|entry| (book.prefill_wait(&entry.id), entry));
     // Of equal waits the first, which is the nearest, wins.
     let (wait, entry) = waits.min_by_key(|(wait, _entry)| wait.as_millis() / PREFILL_STEP_MS)?;
     let overloaded = wait > PREFILL_OVERLOADED && rand::rng().random_bool(DIRECT_PART);
--- a/crates/dillspool_forward/tests/streams.rs
+++ b/crates/dillspool_forward/tests/streams.rs
@@ -255,3 +255,21 @@
     // The ratio of 100 requests and this host's part of what is beyond it.
     assert!((10..=21).contains(&repeats), "{repeats}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_refused_a_prefill_is_not_asked_again_at_once() {
+    let site = ScriptedSite::default();
+    site.script("decode-1", [Step::Stream(vec![ONE])]);
+    site.script("decode-2", [Step::Stream(vec![ONE])]);
+    *site.refuses_prefill.lock().unwrap() = true;
+    let (context, _directory) = site.context(pool());
+    for _request in 0..10 {
+        let routed = request(RequestKind::Streaming, 1, false);
+        let answer = answer_request(context.clone(), routed).await;
+        assert_eq!(body_of(answer).await.as_deref(), Ok(ONE));
+    }
+    assert_eq!(site.record.lock().unwrap().prefills.len(), 1);
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    let _answer = answer_request(context, request(RequestKind::Streaming, 1, false)).await;
+    assert_eq!(site.record.lock().unwrap().prefills.len(), 2);
+}
