A silent engine keeps its stream until another engine is prepared

A stream that may be resumed was closed at its engine after 1.3 s of silence; then all engines were asked once for memory, and where none had any the caller's connection was broken off 142 ms after the cut. Engines that preempt a stream are silent for that long and go on. Ruled out: that the engine cut first. Change: the silent engine keeps its stream while memory is looked for and the prompt is prefilled elsewhere; its events end the search, and what was prepared is given back. A stream that did break waits for memory until two seconds after its last event instead of asking once. Reading moved to reader.rs.

--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -31,6 +31,9 @@
 const RETURNED_WAIT: Duration = Duration::from_millis(200);
 /// Pause between two rounds of asking for memory.
 const ASK_PAUSE_MS: std::ops::Range<u64> = 60..120;
+/// The same for a stream that is to go on elsewhere, which may take some seconds; each round
+/// asks all engines.
+const REOPEN_PAUSE_MS: std::ops::Range<u64> = 250..400;
 /// Largest failure body that is passed on, in bytes.
 const LARGEST_FAILURE: usize = 1024 * 1024;
 
@@ -42,7 +45,7 @@
 ) -> Result<Response<ResponseBody>, (Refusal, RequestTrace)> {
     let mut generation = Generation::new(context, request);
     let mut trace = trace;
-    match generation.open().await {
+    match generation.open(None).await {
         Ok(OpenEnd::Stream(open, headers)) => {
             let status = open.status;
             let relay = StreamRelay::new(generation, open, trace);
@@ -76,6 +79,31 @@
     Failure(Response<ResponseBody>),
 }
 
+/// A decode engine with memory and, if there is one, the prefill's result; given back unless
+/// the request is sent there.
+pub(crate) struct PreparedSend {
+    placement: Placement,
+    prefill: PrefillGuard,
+}
+
+/// How long memory is waited for.
+struct MemoryWait {
+    until: Instant,
+    /// Pause between two rounds of asking, in milliseconds.
+    pause_ms: std::ops::Range<u64>,
+}
+
+impl MemoryWait {
+    /// For a request that has just arrived: a caller that was refused before has used up part of
+    /// its time and waits; a fresh one does not.
+    fn of_arrival(request: &RoutedRequest) -> Self {
+        let budget = request.caller_deadline - request.arrived;
+        let is_first = budget >= request.route.timeout.mul_f64(FIRST_ATTEMPT_PART);
+        let wait = if is_first { Duration::ZERO } else { RETURNED_WAIT };
+        Self { until: request.arrived + wait, pause_ms: ASK_PAUSE_MS }
+    }
+}
+
 /// One model request and its sends so far.
 pub(crate) struct Generation {
     context: ForwardContext,
@@ -84,6 +112,7 @@
     prefills: u32,
     tried: Vec<BackendId>,
     may_have_run: bool,
+    memory_wait: MemoryWait,
     /// Last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
@@ -97,6 +126,7 @@
             prefills: 0,
             tried: Vec::new(),
             may_have_run: false,
+            memory_wait: MemoryWait::of_arrival(request),
             last_event: request.resume_after,
         }
     }
@@ -107,12 +137,33 @@
         route.resumable && self.sends < route.max_attempts
     }
 
+    /// Waits for memory until then, if that is later than before.
+    pub(crate) fn wait_for_memory_until(&mut self, until: Instant) {
+        self.memory_wait.until = self.memory_wait.until.max(until);
+        self.memory_wait.pause_ms = REOPEN_PAUSE_MS;
+    }
+
+    /// Prepares another engine while one that is silent still has the stream.
+    pub(crate) async fn prepare_beside(
+        &mut self,
+        silent: &BackendId,
+    ) -> Result<PreparedSend, Refusal> {
+        if !self.tried.contains(silent) {
+            self.tried.push(BackendId::clone(silent));
+        }
+        self.wait_for_memory_until(self.request.deadline);
+        self.prepare().await
+    }
+
     /// Opens the rest of the stream behind the last event that the caller has.
-    pub(crate) async fn reopen(&mut self) -> Result<OpenStream, Refusal> {
+    pub(crate) async fn reopen(
+        &mut self,
+        prepared: Option<PreparedSend>,
+    ) -> Result<OpenStream, Refusal> {
         if !self.can_reopen() {
             return Err(Refusal::new(RefusalCause::Unknown));
         }
-        match self.open().await? {
+        match self.open(prepared).await? {
             OpenEnd::Stream(open, _headers) => Ok(open),
             OpenEnd::Failure(_response) => Err(Refusal::new(RefusalCause::Unknown)),
         }
@@ -131,21 +182,36 @@
         self.tried.push(BackendId::clone(&open.entry.id));
     }
 
-    /// Finds memory, prefills and opens the stream.
-    async fn open(&mut self) -> Result<OpenEnd, Refusal> {
+    /// Opens the stream, at the prepared engine first.
+    async fn open(&mut self, prepared: Option<PreparedSend>) -> Result<OpenEnd, Refusal> {
+        let mut next = prepared;
         loop {
-            self.check_sends()?;
-            let placement = self.place().await?;
-            let prefilled = self.prefill(&placement).await;
-            if self.request.remaining().is_zero() {
-                return Err(self.conclude());
-            }
-            if let Some(end) = self.send(placement, prefilled).await? {
+            let prepared = match next.take() {
+                Some(prepared) => prepared,
+                None => self.prepare().await?,
+            };
+            if let Some(end) = self.send(prepared).await? {
                 return Ok(end);
             }
         }
     }
 
+    /// Finds memory and prefills.
+    async fn prepare(&mut self) -> Result<PreparedSend, Refusal> {
+        if self.request.remaining().is_zero() || self.sends >= self.request.route.max_attempts {
+            return Err(self.conclude());
+        }
+        let placement = self.place().await?;
+        if self.sends > 0 {
+            self.take_budget()?;
+        }
+        let prefill = self.prefill(&placement).await;
+        if self.request.remaining().is_zero() {
+            return Err(self.conclude());
+        }
+        Ok(PreparedSend { placement, prefill })
+    }
+
     /// Prefills, if the budget allows it: only the first prefill of a request is not a repeat.
     async fn prefill(&mut self, placement: &Placement) -> PrefillGuard {
         if self.prefills > 0 && !self.context.budgets.take(&self.request.service) {
@@ -155,23 +221,15 @@
         prefill(&self.context, &self.request, placement).await
     }
 
-    fn check_sends(&self) -> Result<(), Refusal> {
-        let over = self.request.remaining().is_zero();
-        if over || self.sends >= self.request.route.max_attempts {
-            return Err(self.conclude());
-        }
-        if self.sends > 0 {
-            if !self.context.budgets.take(&self.request.service) {
-                log::info!(
-                    "event=retry_budget_empty id={} service={}",
-                    self.request.id,
-                    self.request.service
-                );
-                return Err(self.conclude());
-            }
+    /// Takes a repeated send from the budget of all hosts.
+    fn take_budget(&self) -> Result<(), Refusal> {
+        if self.context.budgets.take(&self.request.service) {
             self.context.metrics.note_repeated_send();
+            return Ok(());
         }
-        Ok(())
+        let request = &self.request;
+        log::info!("event=retry_budget_empty id={} service={}", request.id, request.service);
+        Err(self.conclude())
     }
 
     /// The final answer when no more sends are possible.
@@ -187,7 +245,6 @@
 
     /// Reserves memory at a decode engine.
     async fn place(&self) -> Result<Placement, Refusal> {
-        let wait_until = self.request.arrived + self.longest_wait();
         loop {
             let view = self.context.view();
             let chooser = self.context.chooser(&view);
@@ -202,10 +259,10 @@
                     return Ok(placement);
                 }
             }
-            if Instant::now() >= wait_until {
+            if Instant::now() >= self.memory_wait.until {
                 return Err(self.no_memory());
             }
-            let pause = rand::rng().random_range(ASK_PAUSE_MS);
+            let pause = rand::rng().random_range(self.memory_wait.pause_ms.clone());
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
@@ -232,20 +289,9 @@
         come_back(RefusalCause::NoMemory, COME_BACK_MS)
     }
 
-    /// A caller that was refused before has used up part of its time.
-    fn longest_wait(&self) -> Duration {
-        let request = &self.request;
-        let budget = request.caller_deadline - request.arrived;
-        let is_first = budget >= request.route.timeout.mul_f64(FIRST_ATTEMPT_PART);
-        if is_first && self.sends == 0 { Duration::ZERO } else { RETURNED_WAIT }
-    }
-
     /// Sends the request; `None` when it did not run and may be sent again.
-    async fn send(
-        &mut self,
-        placement: Placement,
-        mut prefill: PrefillGuard,
-    ) -> Result<Option<OpenEnd>, Refusal> {
+    async fn send(&mut self, prepared: PreparedSend) -> Result<Option<OpenEnd>, Refusal> {
+        let PreparedSend { placement, mut prefill } = prepared;
         let Placement { entry, mut hold, ticket } = placement;
         if !self.context.view().is_ready(&entry.id) {
             // It began to leave while the prompt was prefilled.
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod placement;
 mod plain;
+mod reader;
 mod refusal;
 mod relay;
 mod trace;
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -3,53 +3,65 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dillspool_io::{BoxError, BoxFuture, ResponseBody};
-use dillspool_routing::RequestKind;
+use dillspool_routing::BackendId;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use crate::events::EventSplitter;
-use crate::generate::{Generation, OpenStream};
+use crate::generate::{Generation, OpenStream, PreparedSend};
+use crate::reader::{ReadPart, StreamReader};
+use crate::refusal::Refusal;
 use crate::trace::{RequestTrace, StreamFigures};
 
-/// Silence after which a stream that may be resumed goes on elsewhere. Callers give up after two
-/// seconds at the earliest, and a new prefill takes some hundred milliseconds.
+/// Silence after which another engine is looked for. Callers give up after two seconds at the
+/// earliest, and a new prefill takes some hundred milliseconds.
 const STALL_LIMIT: Duration = Duration::from_millis(1300);
+/// Pause before another engine is looked for once more for a stream that is still silent.
+const LOOK_AGAIN: Duration = Duration::from_secs(1);
+/// Time since the last event for which memory is waited for after a stream broke; callers give
+/// up after two seconds without an event at the earliest.
+const REOPEN_PATIENCE: Duration = Duration::from_secs(2);
 /// Pause before a broken answer's connection is closed, so that events handed over are written.
 const BREAK_PAUSE: Duration = Duration::from_millis(20);
 
-/// What was read from the engine.
-enum ReadPart {
+/// What comes next for the caller.
+enum NextPart {
     Events(Bytes),
     End,
+    /// The engine's stream is of no more use.
     Broken(String),
+    /// Another engine can go on in place of one that is silent.
+    Elsewhere(Box<PreparedSend>),
 }
 
 /// A stream under way; dropping it closes the engine's connection.
 pub(crate) struct StreamRelay {
     generation: Generation,
-    open: Option<OpenStream>,
-    splitter: EventSplitter,
+    reader: Option<StreamReader>,
     trace: RequestTrace,
     status: u16,
     figures: StreamFigures,
+    /// When the caller got the last event, or the stream was opened.
     last_at: Instant,
+    /// When another engine may be looked for at the earliest.
+    next_look: Instant,
 }
 
 impl StreamRelay {
     pub(crate) fn new(generation: Generation, open: OpenStream, trace: RequestTrace) -> Self {
         let status = open.status.as_u16();
+        let last_event = generation.last_event;
         Self {
             generation,
-            open: Some(open),
-            splitter: EventSplitter::default(),
+            reader: Some(StreamReader::new(open, last_event)),
             trace,
             status,
             figures: StreamFigures::default(),
             last_at: Instant::now(),
+            next_look: Instant::now(),
         }
     }
 
@@ -62,70 +74,69 @@
     async fn next(&mut self) -> Result<Option<Bytes>, BoxError> {
         loop {
             match self.read().await {
-                ReadPart::Events(bytes) => return Ok(Some(bytes)),
-                ReadPart::End => {
+                NextPart::Events(bytes) => return Ok(Some(bytes)),
+                NextPart::End => {
                     self.end_well();
                     return Ok(None);
                 }
-                ReadPart::Broken(cause) => self.recover(&cause).await?,
+                NextPart::Broken(cause) => {
+                    let patience = self.last_at + REOPEN_PATIENCE;
+                    self.generation.wait_for_memory_until(patience);
+                    self.go_on(&cause, None).await?;
+                }
+                NextPart::Elsewhere(prepared) => self.go_on("silence", Some(*prepared)).await?,
             }
         }
     }
 
     fn end_well(&mut self) {
-        if let Some(open) = &self.open {
-            self.generation.note_success(open);
+        if let Some(reader) = &self.reader {
+            self.generation.note_success(&reader.open);
         }
         self.trace.streamed(self.status, &self.figures);
     }
 
-    /// Reads until at least one event is whole.
-    async fn read(&mut self) -> ReadPart {
+    /// Reads on; a silent engine keeps its stream until another one is ready to take it over,
+    /// since its events may still come.
+    async fn read(&mut self) -> NextPart {
         loop {
-            let Some(open) = &mut self.open else {
-                return ReadPart::Broken("no stream is open".to_owned());
-            };
-            let limit = read_limit(&self.generation, self.last_at);
-            let frame = match tokio::time::timeout_at(limit, open.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return ReadPart::Broken(error.to_string()),
-                Ok(None) if self.splitter.is_empty() => return ReadPart::End,
-                Ok(None) => return ReadPart::Broken("it ended within an event".to_owned()),
-                Err(_elapsed) => return ReadPart::Broken("silence or the time limit".to_owned()),
+            let Some(reader) = &mut self.reader else {
+                return NextPart::Broken("no stream is open".to_owned());
             };
-            let Ok(bytes) = frame.into_data() else { continue };
-            self.splitter.push(&bytes);
-            if self.splitter.is_overlong() {
-                return ReadPart::Broken("an event without end".to_owned());
-            }
-            match self.take_events() {
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => return ReadPart::Events(events),
-                Err(cause) => return ReadPart::Broken(cause),
+            let deadline = self.generation.request.deadline;
+            let may_look = self.generation.can_reopen();
+            let look_at = self.next_look.max(reader.last_at + STALL_LIMIT);
+            let limit = if may_look { deadline.min(look_at) } else { deadline };
+            let mut part = reader.read(limit).await;
+            if matches!(part, ReadPart::Silent) && Instant::now() < deadline {
+                let silent = BackendId::clone(&reader.open.entry.id);
+                tokio::select! {
+                    biased;
+                    late = reader.read(deadline) => part = late,
+                    prepared = self.generation.prepare_beside(&silent) => match prepared {
+                        Ok(prepared) => return NextPart::Elsewhere(Box::new(prepared)),
+                        Err(refusal) => {
+                            log_no_other(&self.generation, refusal);
+                            self.next_look = Instant::now() + LOOK_AGAIN;
+                            continue;
+                        }
+                    },
+                }
             }
-        }
-    }
-
-    /// The whole events read so far, checked for their order.
-    fn take_events(&mut self) -> Result<Bytes, String> {
-        let mut taken = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let (Some(id), Some(last)) = (event.id, self.generation.last_event)
-                && id <= last
-            {
-                return Err(format!("event {id} after event {last}"));
+            match part {
+                ReadPart::Events(bytes, count) => {
+                    self.note_events(count);
+                    return NextPart::Events(bytes);
+                }
+                ReadPart::End => return NextPart::End,
+                ReadPart::Broken(cause) => return NextPart::Broken(cause),
+                ReadPart::Silent => return NextPart::Broken("the time limit".to_owned()),
             }
-            self.generation.last_event = event.id.or(self.generation.last_event);
-            self.figures.events += 1;
-            taken.extend_from_slice(&event.bytes);
-        }
-        if !taken.is_empty() {
-            self.note_events();
         }
-        Ok(taken.freeze())
     }
 
-    fn note_events(&mut self) {
+    fn note_events(&mut self, count: u64) {
+        self.figures.events += count;
         if self.figures.first_after.is_zero() {
             self.figures.first_after = self.generation.request.age();
             self.generation.note_first_event(self.figures.first_after);
@@ -137,25 +148,23 @@
     }
 
     /// Goes on at another engine, or ends the answer as broken.
-    async fn recover(&mut self, cause: &str) -> Result<(), BoxError> {
-        let failed = self.open.take();
-        self.splitter = EventSplitter::default();
+    async fn go_on(&mut self, cause: &str, prepared: Option<PreparedSend>) -> Result<(), BoxError> {
+        let failed = self.reader.take();
         let request = Arc::clone(&self.generation.request);
         log::info!(
             "event=stream_broke id={} backend={} events={} after_ms={} cause=\"{cause}\"",
             request.id,
-            failed.as_ref().map_or("", |open| &*open.entry.id),
+            failed.as_ref().map_or("", |reader| &*reader.open.entry.id),
             self.figures.events,
             request.age().as_millis(),
         );
         if let Some(failed) = failed {
-            self.generation.note_broken(&failed, cause);
+            self.generation.last_event = failed.last_event;
+            self.generation.note_broken(&failed.open, cause);
         }
-        let reopened = self.generation.reopen().await;
-        match reopened {
+        match self.generation.reopen(prepared).await {
             Ok(open) => {
-                self.open = Some(open);
-                self.last_at = Instant::now();
+                self.reader = Some(StreamReader::new(open, self.generation.last_event));
                 Ok(())
             }
             Err(refusal) => {
@@ -167,6 +176,15 @@
     }
 }
 
+fn log_no_other(generation: &Generation, refusal: Refusal) {
+    log::info!(
+        "event=stream_silent id={} after_ms={} cause=\"no other engine: {}\"",
+        generation.request.id,
+        generation.request.age().as_millis(),
+        refusal.cause.name(),
+    );
+}
+
 type RelayPart = Result<Frame<Bytes>, BoxError>;
 
 /// The next part of the body, and the relay unless it is over.
@@ -184,16 +202,6 @@
     })
 }
 
-/// When reading from the engine ends: at the deadline, or earlier if the stream can go on
-/// elsewhere.
-fn read_limit(generation: &Generation, last_at: Instant) -> Instant {
-    let request = &generation.request;
-    if request.route.kind == RequestKind::Streaming && generation.can_reopen() {
-        return request.deadline.min(last_at + STALL_LIMIT);
-    }
-    request.deadline
-}
-
 /// A body that is only ever polled by one task, behind a lock that is never contended.
 struct SyncBody<B> {
     inner: std::sync::Mutex<B>,
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -43,6 +43,10 @@
     Broken(Vec<&'static str>),
     /// A stream of these parts with a clean end.
     Stream(Vec<&'static str>),
+    /// A stream whose parts each come after a pause, in milliseconds, with a clean end.
+    Paced(Vec<(u64, &'static str)>),
+    /// A stream of these parts that then falls silent.
+    Stalled(Vec<&'static str>),
 }
 
 /// One request that reached a backend server.
@@ -212,9 +216,30 @@
         Step::Broken(parts) => {
             Ok(BackendAnswer { body: parts_body(parts, false), ..whole(200, "") })
         }
+        Step::Paced(parts) => {
+            Ok(BackendAnswer { body: paced_body(parts, Duration::ZERO), ..whole(200, "") })
+        }
+        Step::Stalled(parts) => {
+            let parts = parts.into_iter().map(|part| (0, part)).collect();
+            Ok(BackendAnswer { body: paced_body(parts, Duration::from_mins(10)), ..whole(200, "") })
+        }
     }
 }
 
+fn paced_body(parts: Vec<(u64, &'static str)>, end_after: Duration) -> dillspool_io::ResponseBody {
+    let (sender, receiver) = mpsc::channel(64);
+    tokio::spawn(async move {
+        for (pause_ms, part) in parts {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            if sender.send(Ok(Bytes::from(part))).await.is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(end_after).await;
+    });
+    channel_body(receiver)
+}
+
 fn parts_body(parts: Vec<&'static str>, clean: bool) -> dillspool_io::ResponseBody {
     let (sender, receiver) = mpsc::channel(64);
     for part in parts {
