--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -12,9 +12,10 @@
 use crate::book::LoadTicket;
 use crate::calls::{BackendAnswer, CallError, ForwardTerms};
 use crate::context::ForwardContext;
-use crate::placement::{HoldGuard, Placement, PrefillGuard, prefill, reserve};
+use crate::prefill::{PrefillGuard, prefill};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
+use crate::reservation::{HoldGuard, Placement, reserve};
 use crate::trace::RequestTrace;
 
 /// When to come back after a refusal for want of memory: about the time that a running answer
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -13,11 +13,12 @@
 mod events;
 mod generate;
 mod metrics;
-mod placement;
 mod plain;
+mod prefill;
 mod reader;
 mod refusal;
 mod relay;
+mod reservation;
 mod trace;
 
 pub use answer::answer_request;
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -74,6 +74,8 @@
     pub steps: Arc<Mutex<BTreeMap<String, VecDeque<Step>>>>,
     /// Backends that refuse reservations.
     pub full: Arc<Mutex<Vec<String>>>,
+    /// Free tokens of backends that have few; all others have enough.
+    pub memory: Arc<Mutex<BTreeMap<String, u64>>>,
     /// Whether prefills are refused.
     pub refuses_prefill: Arc<Mutex<bool>>,
     /// How long a prefill takes.
@@ -147,6 +149,13 @@
                     if site.full.lock().unwrap().contains(&entry.id.to_string()) {
                         return Err(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE });
                     }
+                    if let Some(free) = site.memory.lock().unwrap().get_mut(&*entry.id) {
+                        let Some(left) = free.checked_sub(terms.tokens) else {
+                            let status = StatusCode::SERVICE_UNAVAILABLE;
+                            return Err(CallError::Refused { status });
+                        };
+                        *free = left;
+                    }
                     let mut record = site.record.lock().unwrap();
                     record.holds.push((entry.id.to_string(), terms.tokens));
                     Ok(format!("hold-{}", record.holds.len()).into())
