One log and one page of metrics for both daemons; beliefs as gauges

Ruled out: keeping two set-ups that differ by a stream. Change: crates dillspool_log (bounded queue, own thread, text or JSON lines on standard output) and dillspool_metrics (labels, page); gauges of backend servers, configuration and the store's reach; a histogram of prefills.

--- a/crates/dillspool_entry/src/metrics.rs
+++ b/crates/dillspool_entry/src/metrics.rs
@@ -1,6 +1,5 @@
 //! What an entry host counts.
 
-use std::fmt::Write;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
@@ -10,6 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use dillspool_metrics::write_labels;
 use dillspool_schema::Name;
 
 /// A group and how its request ended.
@@ -25,9 +25,8 @@
 
 impl EncodeLabelSet for RequestLabels {
     fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
-        write_label(encoder, "group", &self.group)?;
-        write_label(encoder, "outcome", self.outcome)?;
-        write_label(encoder, "cause", self.cause)
+        let labels = [("group", &*self.group), ("outcome", self.outcome), ("cause", self.cause)];
+        write_labels(encoder, &labels)
     }
 }
 
@@ -40,23 +39,10 @@
 
 impl EncodeLabelSet for CauseLabels {
     fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
-        write_label(encoder, "cause", self.cause)
+        write_labels(encoder, &[("cause", self.cause)])
     }
 }
 
-fn write_label(
-    encoder: &mut LabelSetEncoder<'_>,
-    key: &str,
-    value: &str,
-) -> Result<(), std::fmt::Error> {
-    let mut label = encoder.encode_label();
-    let mut key_encoder = label.encode_label_key()?;
-    key_encoder.write_str(key)?;
-    let mut value_encoder = key_encoder.encode_label_value()?;
-    value_encoder.write_str(value)?;
-    value_encoder.finish()
-}
-
 /// Counters and histograms of the callers' side.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
--- a/crates/dillspool_forward/src/metrics.rs
+++ b/crates/dillspool_forward/src/metrics.rs
@@ -1,8 +1,8 @@
 //! What a host counts of the requests that it forwards.
 
-use std::fmt::Write;
 use std::time::Duration;
 
+use dillspool_metrics::write_labels;
 use dillspool_schema::Name;
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -24,16 +24,8 @@
 
 impl EncodeLabelSet for OutcomeLabels {
     fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
-        let pairs = [("route", &*self.route), ("outcome", self.outcome), ("cause", self.cause)];
-        for (key, value) in pairs {
-            let mut label = encoder.encode_label();
-            let mut key_encoder = label.encode_label_key()?;
-            key_encoder.write_str(key)?;
-            let mut value_encoder = key_encoder.encode_label_value()?;
-            value_encoder.write_str(value)?;
-            value_encoder.finish()?;
-        }
-        Ok(())
+        let labels = [("route", &*self.route), ("outcome", self.outcome), ("cause", self.cause)];
+        write_labels(encoder, &labels)
     }
 }
 
@@ -46,6 +38,7 @@
     whole: Histogram,
     repeated_sends: Counter,
     prefills: Counter,
+    prefill_time: Histogram,
     holds_refused: Counter,
 }
 
@@ -60,6 +53,7 @@
             whole: Histogram::new(buckets()),
             repeated_sends: Counter::default(),
             prefills: Counter::default(),
+            prefill_time: Histogram::new(buckets()),
             holds_refused: Counter::default(),
         }
     }
@@ -88,6 +82,12 @@
             self.repeated_sends.clone(),
         );
         registry.register("forward_prefills", "Prefills asked for", self.prefills.clone());
+        registry.register_with_unit(
+            "forward_prefill",
+            "Time from asking for a prefill to its result or failure",
+            Unit::Seconds,
+            self.prefill_time.clone(),
+        );
         registry.register(
             "forward_holds_refused",
             "Reservations that an engine refused",
@@ -119,6 +119,10 @@
         self.prefills.inc();
     }
 
+    pub(crate) fn note_prefill_end(&self, took: Duration) {
+        self.prefill_time.observe(took.as_secs_f64());
+    }
+
     pub(crate) fn note_hold_refused(&self) {
         self.holds_refused.inc();
     }
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -5,6 +5,7 @@
 
 use dillspool_routing::{BackendEntry, EngineStage, RoutedRequest};
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::book::BackendBook;
 use crate::calls::{CallError, PrefilledPrompt};
@@ -75,7 +76,10 @@
     context.metrics.note_prefill();
     let limit = request.remaining().min(PREFILL_LIMIT);
     let call = (context.calls.prefill)(Arc::clone(&entry), Arc::clone(request), limit);
-    let error = match tokio::time::timeout(limit, call).await {
+    let started = Instant::now();
+    let ended = tokio::time::timeout(limit, call).await;
+    context.metrics.note_prefill_end(started.elapsed());
+    let error = match ended {
         Ok(Ok(prefilled)) => {
             guard.prefilled = Some(prefilled);
             return guard;
--- a/crates/dillspool_host/src/admin.rs
+++ b/crates/dillspool_host/src/admin.rs
@@ -209,9 +209,7 @@
 }
 
 fn metrics(context: &AdminContext) -> Response<ResponseBody> {
-    let text = context.metrics.text((context.readings)());
-    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-    text_response(StatusCode::OK, content_type, text)
+    context.metrics.page((context.readings)())
 }
 
 fn authenticate(context: &AdminContext, request: &Request<Incoming>) -> Result<Name, AdminRefusal> {
--- a/crates/dillspool_host/src/lib.rs
+++ b/crates/dillspool_host/src/lib.rs
@@ -10,7 +10,6 @@
 mod daemon;
 mod desk;
 mod directory;
-mod log_setup;
 mod membership;
 mod metrics;
 mod parts;
@@ -22,4 +21,3 @@
 };
 pub use daemon::{DaemonError, HostDaemon, HostEnvironment, ListenAddresses};
 pub use desk::DeskChoice;
-pub use log_setup::{LogError, set_up_log};
--- a/crates/dillspool_host/src/metrics.rs
+++ b/crates/dillspool_host/src/metrics.rs
@@ -1,7 +1,9 @@
 //! The host's metrics in the text form of Prometheus.
 
 use dillspool_entry::EntryMetrics;
-use prometheus_client::encoding::text::encode;
+use dillspool_io::ResponseBody;
+use dillspool_metrics::metrics_page;
+use hyper::Response;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
@@ -66,7 +68,7 @@
         Self { registry, ..metrics }
     }
 
-    pub(crate) fn text(&self, readings: HostReadings) -> String {
+    pub(crate) fn page(&self, readings: HostReadings) -> Response<ResponseBody> {
         let gauge = |gauge: &Gauge, value: usize| {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         };
@@ -80,9 +82,6 @@
         raise(&self.orphans, readings.orphans);
         raise(&self.granted, readings.granted);
         raise(&self.refused, readings.refused);
-        let mut text = String::new();
-        // Writing to a string cannot fail.
-        let _infallible = encode(&mut text, &self.registry);
-        text
+        metrics_page(&self.registry)
     }
 }
--- a/crates/dillspool_local/src/processes.rs
+++ b/crates/dillspool_local/src/processes.rs
@@ -59,7 +59,12 @@
             let word = line.split(' ').next_back().unwrap_or_default().to_owned();
             word.parse().unwrap_or_else(|_none| panic!("`{line}` names no address"))
         };
-        let addresses = BufReader::new(out).lines().take(lines).map(last_word).collect();
+        // The log comes by the same way.
+        let is_log = |line: &std::io::Result<String>| {
+            line.as_ref().is_ok_and(|line| line.starts_with("time_ms="))
+        };
+        let told = BufReader::new(out).lines().filter(|line| !is_log(line));
+        let addresses = told.take(lines).map(last_word).collect();
         Self { child, addresses }
     }
 
--- /dev/null
+++ b/crates/dillspool_router/src/belief_metrics.rs
@@ -0,0 +1,92 @@
+//! What a host believes, as gauges that are read when they are scraped.
+
+use std::sync::Arc;
+
+use dillspool_metrics::write_labels;
+use dillspool_routing::{BackendEntry, DirectoryView, EngineStage, RoutingConfig};
+use dillspool_schema::Name;
+use dillspool_watch::StoreReach;
+use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use tokio::sync::watch;
+
+/// A service and the part that its backend servers play.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct BackendLabels {
+    service: Name,
+    /// `prefill`, `decode` or `plain`.
+    part: &'static str,
+    /// `ready` or `draining`.
+    state: &'static str,
+}
+
+impl BackendLabels {
+    fn of(entry: &BackendEntry) -> Self {
+        let part = match entry.stage {
+            Some(EngineStage::Prefill) => "prefill",
+            Some(EngineStage::Decode) => "decode",
+            None => "plain",
+        };
+        let state = if entry.is_ready() { "ready" } else { "draining" };
+        Self { service: Name::clone(&entry.service), part, state }
+    }
+}
+
+impl EncodeLabelSet for BackendLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let labels = [("service", &*self.service), ("part", self.part), ("state", self.state)];
+        write_labels(encoder, &labels)
+    }
+}
+
+/// Gauges of the directory, the configuration and the store's reach.
+#[derive(Clone, Debug)]
+pub(crate) struct BeliefMetrics {
+    config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    directory: watch::Receiver<Arc<DirectoryView>>,
+    reach: watch::Receiver<StoreReach>,
+    backends: Family<BackendLabels, Gauge>,
+    config_version: Gauge,
+    store_in_reach: Gauge,
+}
+
+impl BeliefMetrics {
+    /// Gauges of these beliefs.
+    pub(crate) fn new(
+        config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+        directory: watch::Receiver<Arc<DirectoryView>>,
+        reach: watch::Receiver<StoreReach>,
+    ) -> Self {
+        Self {
+            config,
+            directory,
+            reach,
+            backends: Family::default(),
+            config_version: Gauge::default(),
+            store_in_reach: Gauge::default(),
+        }
+    }
+
+    /// Registers all gauges.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        registry.register("backends", "Backend servers in use", self.backends.clone());
+        let version = self.config_version.clone();
+        registry.register("config_version", "Configuration version in force", version);
+        let in_reach = self.store_in_reach.clone();
+        registry.register("store_in_reach", "Whether the store is heard of, 0 or 1", in_reach);
+    }
+
+    /// Takes over what is believed now.
+    pub(crate) fn refresh(&self) {
+        let version = self.config.borrow().as_ref().map_or(0, |config| config.version);
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.store_in_reach.set(i64::from(self.reach.borrow().is_reachable()));
+        // A part that nobody plays any more must not keep its last count.
+        self.backends.clear();
+        for entry in self.directory.borrow().entries.values() {
+            self.backends.get_or_create(&BackendLabels::of(entry)).inc();
+        }
+    }
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -20,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::belief_metrics::BeliefMetrics;
 use crate::config_tracker::track_config;
 use crate::directory_tracker::{DirectorySettings, track_directory};
 use crate::ingress::IngressState;
@@ -137,7 +138,13 @@
         tokio::spawn(serve_http(readiness, limits, handler, self.background.clone()));
         let mut registry = Registry::with_prefix("dillspool");
         metrics.register(&mut registry);
-        let handler = metrics_handler(registry);
+        let believed = BeliefMetrics::new(
+            beliefs.config.clone(),
+            beliefs.directory.clone(),
+            beliefs.reach.clone(),
+        );
+        believed.register(&mut registry);
+        let handler = metrics_handler(registry, move || believed.refresh());
         tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
     }
 
@@ -204,6 +211,7 @@
 struct Beliefs {
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
+    reach: watch::Receiver<StoreReach>,
     peers: PeerList,
     role: watch::Sender<FollowRole>,
 }
@@ -246,10 +254,10 @@
             site.clone(),
             DirectorySettings { lapse_grace: config.lapse_grace },
             backends.subscribe(),
-            reached,
+            reached.clone(),
             view_sender,
         ));
-        Self { config: config_receiver, directory, peers, role }
+        Self { config: config_receiver, directory, reach: reached, peers, role }
     }
 }
 
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -3,11 +3,11 @@
 //! A site's protocol comes in as a [`SiteProtocol`] of closures; see
 //! `docs/design/platform_site.md`.
 
+mod belief_metrics;
 mod config_tracker;
 mod daemon;
 mod directory_tracker;
 mod ingress;
-mod log_writer;
 mod peer_list;
 mod settings;
 mod site;
@@ -17,6 +17,5 @@
 pub use daemon::{RouterDaemon, RouterError};
 pub use directory_tracker::{DirectorySettings, track_directory};
 pub use ingress::IngressState;
-pub use log_writer::{LogSetupError, set_up_log};
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
--- a/crates/dillspool_router/src/status.rs
+++ b/crates/dillspool_router/src/status.rs
@@ -3,13 +3,10 @@
 use std::sync::Arc;
 
 use dillspool_io::{HttpHandler, handler, text_response};
+use dillspool_metrics::metrics_page;
 use hyper::StatusCode;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 
-/// Content type of the text form of metrics.
-const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
 /// Answers 200 while `is_ready`, else 503, whatever the path.
 pub(crate) fn readiness_handler(
     is_ready: impl Fn() -> bool + Send + Sync + 'static,
@@ -26,20 +23,15 @@
     })
 }
 
-/// Answers with all metrics as text.
-pub(crate) fn metrics_handler(registry: Registry) -> HttpHandler {
+/// Answers with all metrics as text, as they are after `refresh`.
+pub(crate) fn metrics_handler(
+    registry: Registry,
+    refresh: impl Fn() + Send + Sync + 'static,
+) -> HttpHandler {
     let registry = Arc::new(registry);
     handler(move |_request| {
-        let registry = Arc::clone(&registry);
-        async move {
-            let mut text = String::new();
-            match encode(&mut text, &registry) {
-                Ok(()) => text_response(StatusCode::OK, METRICS_TYPE, text),
-                Err(error) => {
-                    log::error!("event=metrics_failed cause=\"{error}\"");
-                    text_response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "failed\n")
-                }
-            }
-        }
+        refresh();
+        let page = metrics_page(&registry);
+        async move { page }
     })
 }
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -194,3 +194,22 @@
     host.daemon.stop().await;
     assert!(started.elapsed() < Duration::from_secs(8));
 }
+
+#[tokio::test(start_paused = true)]
+async fn metrics_show_what_the_host_believes() {
+    let site = TestSite::default();
+    site.write_config("7 /x/");
+    let host = TestHost::start(site).await;
+    assert_eq!(host.get(CALLERS, "/x/1", "body", true).await.0, 200);
+    let (status, text) = host.get("10.0.0.1:7660", "/metrics", "", false).await;
+    assert_eq!(status, 200);
+    let lines = [
+        "dillspool_backends{service=\"service\",part=\"plain\",state=\"ready\"} 1",
+        "dillspool_config_version 7",
+        "dillspool_store_in_reach 1",
+        "dillspool_forward_requests_total{route=\"route\",outcome=\"answered\",cause=\"\"} 1",
+    ];
+    for line in lines {
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
+    }
+}
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -6,9 +6,8 @@
 
 use clap::Parser;
 use dillspool_io::{HttpClient, NetStack};
-use dillspool_router::{
-    RouterConfig, RouterDaemon, SettingsWatch, SiteProtocol, load_settings, set_up_log,
-};
+use dillspool_log::{LineForm, LogSetup, set_up_log};
+use dillspool_router::{RouterConfig, RouterDaemon, SettingsWatch, SiteProtocol, load_settings};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Time between two looks at the settings file, which may change without a signal; its seeds
@@ -47,7 +46,9 @@
         println!("{} is valid", args.settings.display());
         return Ok(());
     }
-    set_up_log(&config.host, config.log_level).map_err(|error| error.to_string())?;
+    let host = std::sync::Arc::clone(&config.host);
+    set_up_log(LogSetup { host, level: config.log_level, form: LineForm::Text })
+        .map_err(|error| error.to_string())?;
     // A host has a part of one core: more threads cost wake-ups and bring nothing.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/dillspoold/src/main.rs
+++ b/crates/dillspoold/src/main.rs
@@ -6,8 +6,10 @@
 
 use clap::Parser;
 use dillspool_config::load_settings;
-use dillspool_host::{HostDaemon, HostEnvironment, set_up_log};
+use dillspool_host::{HostDaemon, HostEnvironment};
 use dillspool_io::{NetStack, WallClock};
+use dillspool_log::{LineForm, LogSetup, set_up_log};
+use dillspool_schema::settings::{HostSettings, LogFormat};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Threads of the runtime at most; docs/CAPACITY.md has the measurement.
@@ -45,7 +47,7 @@
         println!("{} is valid", args.settings.display());
         return Ok(());
     }
-    set_up_log(settings.log.as_ref()).map_err(|error| error.to_string())?;
+    set_up_log(log_setup(&settings)?).map_err(|error| error.to_string())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(worker_threads())
         .enable_all()
@@ -56,13 +58,27 @@
     runtime.block_on(serve(settings))
 }
 
+fn log_setup(settings: &HostSettings) -> Result<LogSetup, String> {
+    let log = settings.log.as_ref();
+    let level = log.map_or("info", |log| &*log.level);
+    let remedy = "give error, warn, info, debug or trace";
+    Ok(LogSetup {
+        host: std::sync::Arc::clone(&settings.host),
+        level: level.parse().map_err(|_none| format!("log.level is `{level}`: {remedy}"))?,
+        form: match log.map(|log| log.format) {
+            None | Some(LogFormat::Text) => LineForm::Text,
+            Some(LogFormat::Json) => LineForm::Json,
+        },
+    })
+}
+
 /// Entry hosts are small: more threads cost wake-ups and memory and bring nothing.
 fn worker_threads() -> usize {
     let cores = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
     cores.min(MOST_WORKERS)
 }
 
-async fn serve(settings: dillspool_schema::settings::HostSettings) -> Result<(), String> {
+async fn serve(settings: HostSettings) -> Result<(), String> {
     let clock = WallClock::system();
     // Hosts that start together differ by their names and start times.
     let seed = clock.now().0 ^ u64::from(std::process::id());
