Labels of metrics are escaped

Cause: the encoder passes label values on as they are; a quote or a line end in a route's name, which the operators choose, would spoil the whole page. Change: backslash, quote and line end are escaped. Test: crates/dillspool_metrics/tests/page.rs, red before.

--- a/crates/dillspool_metrics/src/labels.rs
+++ b/crates/dillspool_metrics/src/labels.rs
@@ -1,10 +1,13 @@
 //! Labels of a metric, from names and values.
 
+use std::borrow::Cow;
 use std::fmt::{self, Write};
 
 use prometheus_client::encoding::LabelSetEncoder;
 
-/// Writes labels in their order.
+/// Writes labels in their order, with what the text form reserves escaped.
+///
+/// The encoder passes values on as they are, and names of routes come from the operators.
 ///
 /// # Errors
 ///
@@ -18,8 +21,16 @@
         let mut name_encoder = label.encode_label_key()?;
         name_encoder.write_str(name)?;
         let mut value_encoder = name_encoder.encode_label_value()?;
-        value_encoder.write_str(value)?;
+        value_encoder.write_str(&escaped(value))?;
         value_encoder.finish()?;
     }
     Ok(())
 }
+
+/// Escapes as the text form asks for (OpenMetrics 1.0, ABNF of `escaped-string`).
+fn escaped(value: &str) -> Cow<'_, str> {
+    if !value.contains(['\\', '"', '\n']) {
+        return Cow::Borrowed(value);
+    }
+    Cow::Owned(value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n"))
+}
--- a/crates/dillspool_metrics/tests/page.rs
+++ b/crates/dillspool_metrics/tests/page.rs
@@ -31,6 +31,10 @@
             pairs: vec![("b", ""), ("a", "x\"y")],
             line: "dillspool_seen_total{b=\"\",a=\"x\\\"y\"} 1",
         },
+        LabelCase {
+            pairs: vec![("a", "x\\y\nz")],
+            line: "dillspool_seen_total{a=\"x\\\\y\\nz\"} 1",
+        },
     ];
     for case in cases {
         let mut registry = Registry::with_prefix("dillspool");
