Hosts with wide links are the sources; whole reads are bounded page by page

Sources were chosen by hash; one with a link of 10 Mbit/s sent 0.75 MB to each of 50 hosts (1.2 MB/s, its whole link), and six pages of the directory had 0.7 s in all, which such a link cannot keep.

--- a/crates/dillspool_metrics/src/labels.rs
+++ b/crates/dillspool_metrics/src/labels.rs
@@ -27,7 +27,7 @@
     Ok(())
 }
 
-/// Escapes as the text form asks for (OpenMetrics 1.0, ABNF of `escaped-string`).
+/// Escapes as the text form asks for (`OpenMetrics` 1.0, ABNF of `escaped-string`).
 fn escaped(value: &str) -> Cow<'_, str> {
     if !value.contains(['\\', '"', '\n']) {
         return Cow::Borrowed(value);
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -11,6 +11,7 @@
 mod peer_list;
 mod settings;
 mod site;
+mod sources;
 mod status;
 
 pub use config_tracker::track_config;
@@ -19,3 +20,4 @@
 pub use ingress::IngressState;
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
+pub use sources::{HostRow, choose_sources};
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -8,12 +8,11 @@
 use dillspool_platform::{PlatformError, RowExpect, RowWrite, ScanRequest, TableStore};
 use dillspool_schema::Name;
 use dillspool_watch::{FollowRole, RelayPeers};
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::settings::RouterConfig;
+use crate::sources::{HostRow, choose_sources};
 
 /// Start of the keys of hosts.
 const HOST_PREFIX: &str = "hosts/";
@@ -24,21 +23,9 @@
 const READ_EVERY: Duration = Duration::from_mins(1);
 /// Time after the first read, when hosts that start together have written their rows.
 const SECOND_READ: Duration = Duration::from_secs(3);
-/// Hosts of a failure domain up to which each reads the store itself: their calls cost less than
-/// a source's shorter questions would.
-const MOST_DIRECT_HOSTS: usize = 4;
-/// Hosts of a larger failure domain that read the store for the others; two, so that one may go.
-const SOURCES: usize = 2;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// A host's own row.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-struct HostRow {
-    peers: SocketAddr,
-    failure_domain: Name,
-}
-
 /// Where other hosts are asked for what they have read from the store.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerList {
@@ -63,17 +50,7 @@
     fn sources(&self) -> Option<Vec<SocketAddr>> {
         let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
         let near = listed.iter().filter(|row| row.failure_domain == self.failure_domain);
-        let mut near: Vec<SocketAddr> = near.map(|row| row.peers).collect();
-        if near.len() <= MOST_DIRECT_HOSTS {
-            return None;
-        }
-        // All hosts of the domain must come to the same order.
-        near.sort_by_key(rank);
-        near.truncate(SOURCES);
-        // Half of the hosts begin with either source.
-        let shift = rank(&self.own) % near.len() as u64;
-        near.rotate_left(usize::try_from(shift).unwrap_or_default());
-        Some(near)
+        choose_sources(&near.collect::<Vec<_>>(), &self.own)
     }
 
     /// Whose questions to the store this host's beliefs come from.
@@ -118,11 +95,6 @@
     }
 }
 
-/// Spreads addresses evenly.
-fn rank(address: &SocketAddr) -> u64 {
-    xxh3_64(address.to_string().as_bytes())
-}
-
 /// Writes this host's row and reads the others' until `cancel`.
 pub(crate) async fn keep_peer_list(
     config: RouterConfig,
@@ -158,7 +130,11 @@
 }
 
 async fn write_own(config: &RouterConfig, store: &TableStore) -> Result<(), PlatformError> {
-    let row = HostRow { peers: config.peers, failure_domain: Name::clone(&config.failure_domain) };
+    let row = HostRow {
+        peers: config.peers,
+        failure_domain: Name::clone(&config.failure_domain),
+        link_mbps: config.link_mbps,
+    };
     let value = serde_json::to_string(&row)
         .map_err(|error| PlatformError::NotDone { reason: error.to_string() })?;
     let key = format!("{HOST_PREFIX}{}", config.host).into();
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -73,6 +73,8 @@
     pub watch_wait: Duration,
     /// Peer addresses known from the start.
     pub seeds: Vec<SocketAddr>,
+    /// Bandwidth of this host's link in Mbit/s, 0 if unknown.
+    pub link_mbps: f64,
     /// Budget of repeated sends.
     pub budget: BudgetTerms,
     /// Time from the signal to stop until the process is killed.
@@ -115,6 +117,7 @@
         store_timeout: millis(settings.store.call_timeout_ms, STORE_TIMEOUT_MS),
         watch_wait: millis(settings.store.watch_wait_ms, WATCH_WAIT_MS),
         seeds: seeds.collect::<Result<_, _>>()?,
+        link_mbps: not_negative("peers.link_mbps", settings.peers.link_mbps.unwrap_or_default())?,
         budget: BudgetTerms {
             ratio: not_negative("retry.ratio", retry.ratio)?,
             window: seconds("retry.window_s", retry.window_s)?,
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -29,6 +29,7 @@
         store_timeout: Duration::from_millis(700),
         watch_wait: Duration::from_millis(2500),
         seeds: vec![],
+        link_mbps: 0.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
         grace: Duration::from_secs(8),
         lapse_grace: Duration::from_secs(2),
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -31,6 +31,8 @@
     pub source_wait: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
+    /// Time for a whole read, which may take many pages; each page has a deadline of its own.
+    pub whole_limit: Duration,
     /// Shortest time between two questions; bounds the calls when a table changes all the time.
     pub spacing: Duration,
     /// First pause after a failed call; doubles up to `longest_pause`.
@@ -50,6 +52,8 @@
             source_wait: Duration::from_millis(800),
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
+            // 3,000 backend servers are 1.3 MB, 1.1 s on the narrowest link (10 Mbit/s).
+            whole_limit: Duration::from_secs(8),
             // A quarter of the shortest time in which a change must be in force.
             spacing: Duration::from_millis(300),
             first_pause: Duration::from_millis(100),
@@ -163,8 +167,8 @@
     settings: &FollowSettings,
 ) -> Result<bool, WatchError> {
     let snapshot = (store.snapshot)(Arc::clone(&belief.table));
-    let answer = tokio::time::timeout(settings.slack, snapshot).await;
-    let answer = answer.map_err(|_elapsed| silent(settings.slack))?;
+    let answer = tokio::time::timeout(settings.whole_limit, snapshot).await;
+    let answer = answer.map_err(|_elapsed| silent(settings.whole_limit))?;
     let delta = answer.map_err(|source| WatchError::Store { source })?;
     Ok(belief.merge(&delta))
 }
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -5,6 +5,7 @@
 //! store only while no source is fresh; every call to the store is billed.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_io::{NetListener, NetStack, NetStream};
@@ -12,7 +13,7 @@
 use dillspool_schema::relay::{RelayMessage, RelayRow};
 use futures_util::{SinkExt, StreamExt};
 use snafu::Snafu;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -26,6 +27,12 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Time without a message after which a peer is left; it repeats itself every [`REPEAT`].
 const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
+/// The same before the first message, which carries whole tables and may wait for others.
+const FIRST_LIMIT: Duration = Duration::from_secs(6);
+/// Peers to which whole tables are sent at once; each takes memory for the time of its sending.
+const MOST_WHOLE_SENDS: usize = 8;
+/// Time for one sending; whole tables of 0.75 MB take 0.6 s on the narrowest link (10 Mbit/s).
+const SEND_LIMIT: Duration = Duration::from_secs(4);
 /// Time after which a peer repeats the version that it has, as a sign of life.
 const REPEAT: Duration = Duration::from_millis(500);
 /// Age of a source's own knowledge beyond which it is no source.
@@ -75,6 +82,7 @@
     reach: watch::Receiver<StoreReach>,
     cancel: CancellationToken,
 ) {
+    let whole_sends = Arc::new(Semaphore::new(MOST_WHOLE_SENDS));
     loop {
         let stream = tokio::select! {
             stream = listener.accept() => stream,
@@ -82,9 +90,10 @@
         };
         let Some(stream) = stream else { return };
         let (beliefs, reach, cancel) = (beliefs.clone(), reach.clone(), cancel.clone());
+        let whole_sends = Arc::clone(&whole_sends);
         tokio::spawn(async move {
             let ended = tokio::select! {
-                ended = relay_to(stream, beliefs, reach) => ended,
+                ended = relay_to(stream, beliefs, reach, whole_sends) => ended,
                 () = cancel.cancelled() => return,
             };
             if let Err(reason) = ended {
@@ -98,6 +107,7 @@
     stream: NetStream,
     beliefs: Vec<SharedBelief>,
     mut reach: watch::Receiver<StoreReach>,
+    whole_sends: Arc<Semaphore>,
 ) -> Result<(), String> {
     let accept = accept_async_with_config(stream, Some(config()));
     let accepted = tokio::time::timeout(CONNECT_LIMIT, accept).await;
@@ -106,16 +116,15 @@
     // Version of each table up to which the peer has it.
     let mut sent = vec![0; beliefs.len()];
     let mut watchers: Vec<_> = beliefs.iter().map(SharedBelief::subscribe).collect();
+    let mut whole = Some(whole_sends.acquire_owned().await.map_err(|error| error.to_string())?);
     loop {
         let state = *reach.borrow_and_update();
         let age = state.age().filter(|age| state.direct && *age < SOURCE_AGE_LIMIT);
         let age = age.ok_or("this host does not reach the store itself")?;
-        for (belief, known) in beliefs.iter().zip(&mut sent) {
-            let message = changes_since(belief, *known, age);
-            *known = message.version;
-            let bytes = encode(&message).map_err(|error| error.to_string())?;
-            socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())?;
-        }
+        let sending = send_changes(&mut socket, &beliefs, &mut sent, age);
+        let ended = tokio::time::timeout(SEND_LIMIT, sending).await;
+        ended.map_err(|_elapsed| "the peer does not read")??;
+        drop(whole.take());
         tokio::time::sleep(SPACING).await;
         let changed = futures_util::future::select_all(
             watchers.iter_mut().map(|watcher| Box::pin(watcher.changed())),
@@ -133,6 +142,22 @@
     }
 }
 
+/// Sends what the peer does not have of each table.
+async fn send_changes(
+    socket: &mut WebSocketStream<NetStream>,
+    beliefs: &[SharedBelief],
+    sent: &mut [u64],
+    age: Duration,
+) -> Result<(), String> {
+    for (belief, known) in beliefs.iter().zip(sent) {
+        let message = changes_since(belief, *known, age);
+        *known = message.version;
+        let bytes = encode(&message).map_err(|error| error.to_string())?;
+        socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
 /// The whole table the first time, then only rows that changed: every row that is newer than a
 /// complete belief has a higher version.
 fn changes_since(belief: &SharedBelief, known: u64, age: Duration) -> RelayMessage {
@@ -143,7 +168,7 @@
         value: row.value.as_deref().map(str::to_owned),
     };
     RelayMessage {
-        table: std::sync::Arc::clone(&belief.table),
+        table: Arc::clone(&belief.table),
         full: delta.full,
         version: delta.version,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
@@ -243,7 +268,8 @@
     let mut socket = opening.map_err(|elapsed| ended(elapsed.to_string()))?.map_err(ended)?;
     let mut first = true;
     loop {
-        let incoming = tokio::time::timeout(SILENCE_LIMIT, socket.next()).await;
+        let limit = if first { FIRST_LIMIT } else { SILENCE_LIMIT };
+        let incoming = tokio::time::timeout(limit, socket.next()).await;
         let bytes = match incoming {
             Ok(Some(Ok(Message::Binary(bytes)))) => bytes,
             Ok(Some(Ok(_other))) => continue,
@@ -282,7 +308,7 @@
     let row = |row: RelayRow| ChangedRow {
         key: row.key,
         version: row.version,
-        value: row.value.map(std::sync::Arc::from),
+        value: row.value.map(Arc::from),
     };
     let rows = message.rows.into_iter().map(row).collect();
     belief.merge(&TableDelta { full: message.full, version: message.version, rows });
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -301,3 +301,27 @@
         assert_eq!(follower.text().as_deref(), Some("two"), "{}", case.name);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn peers_that_do_not_read_keep_the_tables_from_no_other() {
+    let store = TestStore::default();
+    // More than the network holds for a peer that does not read.
+    let text = "x".repeat(300_000);
+    store.write(&text);
+    let net = MemoryNet::new();
+    let a = host(&net, &store, "10.0.0.1:8146", "10.0.0.2:8146").await;
+    pass(50).await;
+    assert_eq!(a.text().as_deref(), Some(text.as_str()));
+    let mut stuck = Vec::new();
+    for last in 20..36_u8 {
+        let stack = net.stack([10, 0, 0, last].into());
+        let stream = stack.connect(([10, 0, 0, 1], 8146).into()).await.expect("a connection");
+        let opened = tokio_tungstenite::client_async("ws://10.0.0.1:8146/", stream).await;
+        stuck.push(opened.expect("a relay"));
+    }
+    let b = host(&net, &store, "10.0.0.2:8146", "10.0.0.1:8146").await;
+    b.access.send_replace(Access::TurnedAway);
+    store.write("two");
+    pass(12_000).await;
+    assert_eq!(b.text().as_deref(), Some("two"));
+}
