A failed prefill goes to another engine; one that refuses connections is left out at once

Change: an engine that refuses a connection is left out at the first failure; prefill engines that are left out get nothing; a failed prefill goes to another engine, within the retry budget where it counts. Test: crates/dillspool_forward/tests/prefills.rs, red before.

--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -119,16 +119,23 @@
         self.with(id, |load| load.failures += NEWEST_WEIGHT * (1.0 - load.failures));
     }
 
+    /// Notes that no connection could be made; leaves the backend server out at once.
+    pub(crate) fn note_unreachable(&self, id: &BackendId, cause: &str) {
+        self.note_no_answer(id, 1, cause);
+    }
+
     /// Notes that a backend server did not answer; leaves it out for a while when that repeats.
     pub(crate) fn note_silence(&self, id: &BackendId, cause: &str) {
+        self.note_no_answer(id, FAILURES_BEFORE_ASIDE, cause);
+    }
+
+    /// Leaves a backend server out from so many failures in a row on, for longer each time.
+    fn note_no_answer(&self, id: &BackendId, failures_before: u32, cause: &str) {
         let now = Instant::now();
         let aside = self.with(id, |load| {
             load.failures += NEWEST_WEIGHT * (1.0 - load.failures);
             load.failures_in_row += 1;
-            if load.failures_in_row < FAILURES_BEFORE_ASIDE {
-                return None;
-            }
-            let doublings = (load.failures_in_row - FAILURES_BEFORE_ASIDE).min(8);
+            let doublings = load.failures_in_row.checked_sub(failures_before)?.min(8);
             let span = (FIRST_ASIDE * 2_u32.pow(doublings)).min(LONGEST_ASIDE);
             load.aside_until = Some(now + span);
             Some((load.failures_in_row, span))
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -322,6 +322,7 @@
         };
         let answer = match sent {
             Err(CallError::NotSent { reason }) => {
+                self.context.book.note_unreachable(&entry.id, &reason);
                 self.note_failed_send(&entry, &reason);
                 return Ok(None);
             }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -94,7 +94,7 @@
                 }
             }
             SendOutcome::NotSent(cause) => {
-                context.book.note_silence(&entry.id, &cause);
+                context.book.note_unreachable(&entry.id, &cause);
                 log_resend(request, &entry, &cause);
                 record.unreachable += 1;
             }
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_routing::{BackendEntry, EngineStage, RoutedRequest};
+use dillspool_routing::{BackendEntry, BackendId, EngineStage, RoutedRequest};
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::book::BackendBook;
 use crate::calls::{CallError, PrefilledPrompt};
 use crate::context::ForwardContext;
 use crate::reservation::Placement;
@@ -18,6 +17,9 @@
 /// Longest wait for a prefill; its engine queues prompts one after another. One that is given up
 /// may be read for nothing, at nearly the worth of its answer.
 const PREFILL_LIMIT: Duration = Duration::from_millis(2500);
+/// Age of a request from which no other engine is asked after a failed prefill; the first event
+/// would be late then.
+const LATEST_REPEAT: Duration = Duration::from_millis(700);
 /// Wait for a prefill above which part of the prompts is read at decode engines: with what the
 /// stream needs to begin, the first event would be late. At 400 ms four in ten of the streams
 /// that were read there paused too long (hewasafi-nbo trouble-1), more than would have been late.
@@ -54,7 +56,8 @@
     }
 }
 
-/// Prefills near the decode engine; without a result the decode engine prefills itself.
+/// Prefills near the decode engine; without a result the decode engine prefills itself, which
+/// holds up the streams that run there.
 pub(crate) async fn prefill(
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
@@ -64,53 +67,94 @@
     if placement.entry.stage.is_none() {
         return guard;
     }
-    let view = context.view();
-    let chooser = context.chooser(&view);
-    let near = &placement.entry.failure_domain;
-    let service = &request.service;
-    let engines = chooser.engines(service, EngineStage::Prefill, near, &[]);
-    let Some(entry) = prefill_engine(&context.book, engines) else { return guard };
+    let mut tried = Vec::new();
+    while let Some(entry) = next_engine(context, request, placement, &tried) {
+        tried.push(BackendId::clone(&entry.id));
+        let error = match ask(context, request, &entry).await {
+            Ok(prefilled) => {
+                guard.prefilled = Some(prefilled);
+                return guard;
+            }
+            Err(error) => error,
+        };
+        log::info!(
+            "event=prefill_failed id={} backend={} after_ms={} cause=\"{error}\"",
+            request.id,
+            entry.id,
+            request.age().as_millis(),
+        );
+        if !note_failure(context, request, &entry.id, &error) {
+            break;
+        }
+    }
+    guard
+}
+
+/// Asks one engine for a prefill.
+async fn ask(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+    entry: &Arc<BackendEntry>,
+) -> Result<PrefilledPrompt, CallError> {
     let tokens = request.generation.as_ref().map_or(1, |terms| terms.prompt_tokens);
     let _load = context.book.enter(&entry.id, tokens);
     let _prefill = context.book.enter_prefill(&entry.id);
     context.metrics.note_prefill();
     let limit = request.remaining().min(PREFILL_LIMIT);
-    let call = (context.calls.prefill)(Arc::clone(&entry), Arc::clone(request), limit);
+    let call = (context.calls.prefill)(Arc::clone(entry), Arc::clone(request), limit);
     let started = Instant::now();
     let ended = tokio::time::timeout(limit, call).await;
     context.metrics.note_prefill_end(started.elapsed());
-    let error = match ended {
-        Ok(Ok(prefilled)) => {
-            guard.prefilled = Some(prefilled);
-            return guard;
+    let silent = |_elapsed| CallError::Lost { reason: format!("no prefill within {limit:?}") };
+    ended.map_err(silent)?
+}
+
+/// Notes a failed prefill and tells whether another engine may be asked.
+fn note_failure(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    engine: &BackendId,
+    error: &CallError,
+) -> bool {
+    let in_time = request.age() < LATEST_REPEAT;
+    match error {
+        CallError::NotSent { reason } => {
+            context.book.note_unreachable(engine, reason);
+            in_time
         }
-        Ok(Err(error)) => error,
-        Err(_elapsed) => CallError::Lost { reason: format!("no prefill within {limit:?}") },
-    };
-    log::info!(
-        "event=prefill_failed id={} backend={} after_ms={} cause=\"{error}\"",
-        request.id,
-        entry.id,
-        request.age().as_millis(),
-    );
-    match &error {
         CallError::Refused { .. } => {
-            context.budgets.note_extra(service);
-            context.book.note_full(&entry.id, REFUSED_SPAN);
+            context.book.note_full(engine, REFUSED_SPAN);
+            // The refusal counts as a repeated send itself.
+            let in_budget = context.budgets.take(&request.service);
+            if !in_budget {
+                context.budgets.note_extra(&request.service);
+            }
+            in_time && in_budget
         }
-        CallError::NotSent { reason } | CallError::Lost { reason } => {
-            context.book.note_silence(&entry.id, reason);
+        CallError::Lost { reason } => {
+            context.book.note_silence(engine, reason);
+            in_time && context.budgets.take(&request.service)
         }
     }
-    guard
 }
 
 /// The prefill engine with the shortest wait; `None` when the decode engine does better.
-fn prefill_engine(
-    book: &BackendBook,
-    engines: Vec<Arc<BackendEntry>>,
+fn next_engine(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    placement: &Placement,
+    tried: &[BackendId],
 ) -> Option<Arc<BackendEntry>> {
-    let open = engines.into_iter().filter(|entry| !book.read(&entry.id).is_full);
+    let (view, book) = (context.view(), &context.book);
+    let near = &placement.entry.failure_domain;
+    let engines =
+        context.chooser(&view).engines(&request.service, EngineStage::Prefill, near, tried);
+    let is_open = |entry: &Arc<BackendEntry>| {
+        let load = book.read(&entry.id);
+        // One that fails at once would look like the fastest.
+        !load.is_full && !load.is_aside
+    };
+    let open = engines.into_iter().filter(is_open);
     let waits = open.map(|entry| (book.prefill_wait(&entry.id), entry));
     // Of equal waits the first, which is the nearest, wins.
     let (wait, entry) = waits.min_by_key(|(wait, _entry)| wait.as_millis() / PREFILL_STEP_MS)?;
--- a/crates/dillspool_forward/src/reservation.rs
+++ b/crates/dillspool_forward/src/reservation.rs
@@ -93,8 +93,12 @@
             context.book.note_full(&entry.id, FULL_SPAN);
             None
         }
-        Err(error @ (CallError::NotSent { .. } | CallError::Lost { .. })) => {
-            context.book.note_silence(&entry.id, &error.to_string());
+        Err(CallError::NotSent { reason }) => {
+            context.book.note_unreachable(&entry.id, &reason);
+            None
+        }
+        Err(CallError::Lost { reason }) => {
+            context.book.note_silence(&entry.id, &reason);
             None
         }
     }
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -76,6 +76,8 @@
     pub full: Arc<Mutex<Vec<String>>>,
     /// Free tokens of backends that have few; all others have enough.
     pub memory: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// How prefills fail, by engine.
+    pub prefill_fails: Arc<Mutex<BTreeMap<String, CallError>>>,
     /// Whether prefills are refused.
     pub refuses_prefill: Arc<Mutex<bool>>,
     /// How long a prefill takes.
@@ -136,6 +138,9 @@
                     site.record.lock().unwrap().prefills.push(engine.id.to_string());
                     let takes = *site.prefill_takes.lock().unwrap();
                     tokio::time::sleep(takes).await;
+                    if let Some(error) = site.prefill_fails.lock().unwrap().get(&*engine.id) {
+                        return Err(error.clone());
+                    }
                     if *site.refuses_prefill.lock().unwrap() {
                         return Err(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE });
                     }
--- /dev/null
+++ b/crates/dillspool_forward/tests/prefills.rs
@@ -0,0 +1,112 @@
+//! What becomes of a prompt whose prefill engine fails.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ScriptedSite, Step, entry, request, view};
+use dillspool_forward::{BudgetTerms, CallError, RetryBudgets, answer_request};
+use dillspool_routing::{EngineStage, RequestKind};
+use hyper::StatusCode;
+
+const ONE: &str = "id: 1\ndata: a\n\n";
+
+struct FailureCase {
+    name: &'static str,
+    /// How the nearer prefill engine fails.
+    failure: CallError,
+    /// Whether the other one fails likewise.
+    both_fail: bool,
+    /// Repeated sends that the budget allows.
+    budget: f64,
+    /// Engines that two requests in a row ask for a prefill.
+    asked: Vec<&'static str>,
+    /// Whether the first and the second request have a prefill's result.
+    prefilled: [bool; 2],
+}
+
+fn unreachable_engine() -> CallError {
+    CallError::NotSent { reason: "connection refused".to_owned() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_prompt_goes_to_another_prefill_engine_when_one_fails() {
+    let refused = || CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE };
+    let lost = || CallError::Lost { reason: "reset".to_owned() };
+    let cases = [
+        FailureCase {
+            name: "nobody listens: the next one, without a repeat; then it is left out",
+            failure: unreachable_engine(),
+            both_fail: false,
+            budget: 0.0,
+            asked: vec!["prefill-1", "prefill-2", "prefill-2"],
+            prefilled: [true, true],
+        },
+        FailureCase {
+            name: "nobody listens anywhere: the decode engine reads the prompt",
+            failure: unreachable_engine(),
+            both_fail: true,
+            budget: 100.0,
+            asked: vec!["prefill-1", "prefill-2"],
+            prefilled: [false, false],
+        },
+        FailureCase {
+            name: "refused: the next one within the budget",
+            failure: refused(),
+            both_fail: false,
+            budget: 100.0,
+            asked: vec!["prefill-1", "prefill-2", "prefill-2"],
+            prefilled: [true, true],
+        },
+        FailureCase {
+            name: "refused and no budget: the decode engine reads the prompt",
+            failure: refused(),
+            both_fail: false,
+            budget: 0.0,
+            asked: vec!["prefill-1", "prefill-2"],
+            prefilled: [false, true],
+        },
+        FailureCase {
+            name: "broken off: the next one within the budget",
+            failure: lost(),
+            both_fail: false,
+            budget: 100.0,
+            asked: vec!["prefill-1", "prefill-2", "prefill-1", "prefill-2"],
+            prefilled: [true, true],
+        },
+    ];
+    for case in cases {
+        play(case).await;
+    }
+}
+
+async fn play(case: FailureCase) {
+    let site = ScriptedSite::default();
+    site.script("decode-1", [Step::Stream(vec![ONE])]);
+    {
+        let mut fails = site.prefill_fails.lock().unwrap();
+        fails.insert("prefill-1".to_owned(), case.failure.clone());
+        if case.both_fail {
+            fails.insert("prefill-2".to_owned(), case.failure.clone());
+        }
+    }
+    let engines = view([
+        entry("decode-1", "near", Some(EngineStage::Decode)),
+        entry("prefill-1", "near", Some(EngineStage::Prefill)),
+        entry("prefill-2", "far", Some(EngineStage::Prefill)),
+    ]);
+    let (mut context, _directory) = site.context(engines);
+    let window = Duration::from_secs(10);
+    context.budgets = RetryBudgets::new(BudgetTerms { ratio: 0.0, window, extra: case.budget });
+    context.budgets.set_hosts(1);
+    for _request in 0..2 {
+        let routed = request(RequestKind::Streaming, 1, false);
+        let answer = answer_request(context.clone(), routed).await;
+        assert_eq!(answer.status().as_u16(), 200, "{}", case.name);
+    }
+    let record = site.record.lock().unwrap();
+    assert_eq!(record.prefills, case.asked, "{}", case.name);
+    let prefilled: Vec<bool> =
+        record.arrivals.iter().map(|arrival| arrival.terms.prefilled.is_some()).collect();
+    assert_eq!(prefilled, case.prefilled, "{}", case.name);
+}
