The lease's row remembers the newest 512 orders; unused fields out; memory_wait.rs

Cause: every order was added to the row of the lease for good: some 5,000 orders on, the row would pass the store's 64 KB and no host could order again. The number of orders of an engine's row was decoded and carried to the call, which does not send it; a term carried the list that nobody read. Ruled out: keeping only engines of the directory, which an outage may empty. Test: the_row_remembers_only_the_newest_orders, red before.

--- a/crates/dillspool_forward/src/calls.rs
+++ b/crates/dillspool_forward/src/calls.rs
@@ -83,8 +83,6 @@
     pub holder: Name,
     /// Fencing token; never falls.
     pub fence: u64,
-    /// Orders that the engine must have taken so far.
-    pub orders_taken: u64,
 }
 
 /// What an engine answered to an order.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -12,6 +12,7 @@
 use crate::book::LoadTicket;
 use crate::calls::{BackendAnswer, CallError, ForwardTerms};
 use crate::context::ForwardContext;
+use crate::memory_wait::MemoryWait;
 use crate::prefill::{PrefillGuard, prefill};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
@@ -25,16 +26,6 @@
 const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
 /// When to come back after an engine's refusal of a request that had its memory.
 const NOT_RUN_RETRY_MS: std::ops::Range<u64> = 100..400;
-/// Part of the route's time-out that a caller on its first attempt has left at least.
-const FIRST_ATTEMPT_PART: f64 = 0.9;
-/// Longest wait for memory of a caller that was refused before; a second refusal is its last. A
-/// longer wait serves more of them late in place of others in time (trials with 0, 0.5, 1 and 3 s).
-const RETURNED_WAIT: Duration = Duration::from_millis(200);
-/// Pause between two rounds of asking for memory.
-const ASK_PAUSE_MS: std::ops::Range<u64> = 60..120;
-/// The same for a stream that is to go on elsewhere, which may take some seconds; each round
-/// asks all engines.
-const REOPEN_PAUSE_MS: std::ops::Range<u64> = 250..400;
 /// Largest failure body that is passed on, in bytes.
 const LARGEST_FAILURE: usize = 1024 * 1024;
 
@@ -87,24 +78,6 @@
     prefill: PrefillGuard,
 }
 
-/// How long memory is waited for.
-struct MemoryWait {
-    until: Instant,
-    /// Pause between two rounds of asking, in milliseconds.
-    pause_ms: std::ops::Range<u64>,
-}
-
-impl MemoryWait {
-    /// For a request that has just arrived: a caller that was refused before has used up part of
-    /// its time and waits; a fresh one does not.
-    fn of_arrival(request: &RoutedRequest) -> Self {
-        let budget = request.caller_deadline - request.arrived;
-        let is_first = budget >= request.route.timeout.mul_f64(FIRST_ATTEMPT_PART);
-        let wait = if is_first { Duration::ZERO } else { RETURNED_WAIT };
-        Self { until: request.arrived + wait, pause_ms: ASK_PAUSE_MS }
-    }
-}
-
 /// One model request and its sends so far.
 pub(crate) struct Generation {
     context: ForwardContext,
@@ -140,8 +113,7 @@
 
     /// Waits for memory until then, if that is later than before.
     pub(crate) fn wait_for_memory_until(&mut self, until: Instant) {
-        self.memory_wait.until = self.memory_wait.until.max(until);
-        self.memory_wait.pause_ms = REOPEN_PAUSE_MS;
+        self.memory_wait.extend(until);
     }
 
     /// Prepares another engine while one that is silent still has the stream.
@@ -261,7 +233,7 @@
                     return Ok(placement);
                 }
             }
-            if Instant::now() >= self.memory_wait.until {
+            if self.memory_wait.is_over() {
                 log::info!(
                     "event=memory_refused id={} engines={asked} directory={} after_ms={}",
                     self.request.id,
@@ -270,8 +242,7 @@
                 );
                 return Err(self.no_memory());
             }
-            let pause = rand::rng().random_range(self.memory_wait.pause_ms.clone());
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            self.memory_wait.pause().await;
         }
     }
 
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod events;
 mod generate;
+mod memory_wait;
 mod metrics;
 mod plain;
 mod prefill;
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -93,7 +93,6 @@
         failure_domain: domain.into(),
         state: BackendState::Ready,
         stage,
-        orders_taken: 0,
     }
 }
 
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -152,7 +152,6 @@
             stage: change.stage,
             holder: Name::clone(&self.settings.host),
             fence: term.fence,
-            orders_taken: change.entry.orders_taken,
         };
         let outcome = (self.calls.order)(Arc::clone(&change.entry), order).await;
         let stage = change.stage;
@@ -164,9 +163,8 @@
                 | OrderOutcome::Fenced),
             ) => {
                 log::info!(
-                    "event=order_answered backend={id} stage={stage:?} fence={} orders_taken={} outcome={outcome:?}",
+                    "event=order_answered backend={id} stage={stage:?} fence={} outcome={outcome:?}",
                     term.fence,
-                    change.entry.orders_taken,
                 );
             }
             Err(
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -15,6 +15,10 @@
 /// Factor by which another host waits longer than the platform asks for.
 const TAKE_OVER_FACTOR: u32 = 2;
 
+/// Engines that the row remembers at most, the newest: a pool is ordered some at a time, and a row
+/// may have 64 KB.
+const MOST_ORDERED: usize = 512;
+
 /// The row that names the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct LeaseRow {
@@ -24,7 +28,7 @@
     pub fence: u64,
     /// Tells this write from all others.
     pub token: u64,
-    /// Engines that were ordered to change, by id.
+    /// Engines that were ordered to change, by id, the newest last.
     pub ordered: Vec<Name>,
 }
 
@@ -33,8 +37,6 @@
 pub struct OrderTerm {
     /// Fencing token of the orders.
     pub fence: u64,
-    /// Engines that were ordered before or are ordered now.
-    pub ordered: Vec<Name>,
     ends: Instant,
 }
 
@@ -101,13 +103,14 @@
             None => (RowExpect::Absent, 1, Vec::new()),
         };
         ordered.extend(engines.iter().cloned());
+        ordered.drain(..ordered.len().saturating_sub(MOST_ORDERED));
         let row = LeaseRow { holder: Name::clone(&self.host), fence, token, ordered };
         let Ok(text) = serde_json::to_string(&row) else { return Ok(None) };
         let write = RowWrite { key: LEASE_KEY.into(), expect, value: Some(text) };
         match self.store.commit(vec![write]).await? {
             CommitReply::Committed => {
                 log::info!("event=lease_taken holder={} fence={fence}", self.host);
-                Ok(Some(OrderTerm { fence, ordered: row.ordered, ends: started + TERM_LIFE }))
+                Ok(Some(OrderTerm { fence, ends: started + TERM_LIFE }))
             }
             CommitReply::Conflict(_keys) => {
                 log::info!("event=lease_lost holder={} fence={fence}", self.host);
--- a/crates/dillspool_roles/tests/lease.rs
+++ b/crates/dillspool_roles/tests/lease.rs
@@ -1,5 +1,6 @@
 //! One host gives orders: terms, take-over, lost answers, a holder that was paused.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_platform::{MemoryTable, PlatformError, StoreFault};
@@ -19,7 +20,8 @@
     let first = a.take(&["e1".into()], 1).await.expect("an answer").expect("a term");
     let second = a.take(&["e2".into()], 2).await.expect("an answer").expect("a term");
     assert_eq!((first.fence, second.fence), (1, 2));
-    assert_eq!(second.ordered, ["e1".into(), "e2".into()]);
+    let (row, _version) = a.read().await.expect("an answer").expect("a row");
+    assert_eq!(row.ordered, ["e1".into(), "e2".into()]);
     assert!(second.is_valid());
 }
 
@@ -99,3 +101,18 @@
     let term = lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
     assert!(term.fence >= 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_row_remembers_only_the_newest_orders() {
+    let table = MemoryTable::new();
+    let a = lease(&table, "a");
+    let ids = |round: u64| -> Vec<Arc<str>> {
+        (0..200).map(|number| format!("engine-{round}-{number}").into()).collect()
+    };
+    for round in 0..10 {
+        a.take(&ids(round), round).await.expect("an answer").expect("a term");
+    }
+    let (row, _version) = a.read().await.expect("an answer").expect("a row");
+    assert!(row.ordered.len() < 1000, "{}", row.ordered.len());
+    assert!(row.ordered.ends_with(&ids(9)), "the newest are there");
+}
--- a/crates/dillspool_roles/tests/plan.rs
+++ b/crates/dillspool_roles/tests/plan.rs
@@ -12,7 +12,6 @@
         failure_domain: "domain".into(),
         state,
         stage: Some(part),
-        orders_taken: 0,
     })
 }
 
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -85,7 +85,6 @@
         failure_domain: "domain".into(),
         state,
         stage: None,
-        orders_taken: 0,
     })
 }
 
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -42,8 +42,6 @@
     pub state: BackendState,
     /// Set for a model engine.
     pub stage: Option<EngineStage>,
-    /// Orders that it has taken since its start.
-    pub orders_taken: u64,
 }
 
 impl BackendEntry {
