A model engine's failure that never comes whole ends at the time limit

Cause: read while reviewing: the body of a failure before a stream was read without a limit, so an engine that sent the head and fell silent held the caller beyond the route's time-out. Change: what is left of the request's time bounds the reading; 504 then. Test: a_failure_that_never_comes_whole_ends_at_the_time_limit, red before (500 after the ten minutes of the script).

--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dillspool_io::{ResponseBody, read_response_body};
 use dillspool_routing::{BackendEntry, BackendId, EngineStage, RoutedRequest};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -340,18 +341,32 @@
             let open = OpenStream { entry, status, body: answer.body, _ticket: ticket };
             return Ok(Some(OpenEnd::Stream(open, headers)));
         }
-        if answer.is_genuine_failure()
-            && let Ok(body) = read_response_body(answer.body, LARGEST_FAILURE).await
-        {
-            self.context.book.note_failure(&entry.id);
-            let mut response = Response::new(dillspool_io::full_body(body));
-            *response.status_mut() = status;
-            *response.headers_mut() = headers;
-            response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
-            return Ok(Some(OpenEnd::Failure(response)));
+        if !answer.is_genuine_failure() {
+            let cause = format!("status {} without proof of its origin", status.as_u16());
+            return self.note_unclear(&entry, &cause);
         }
-        let cause = format!("status {} without proof of its origin", status.as_u16());
-        self.note_unclear(&entry, &cause)
+        let reading = read_response_body(answer.body, LARGEST_FAILURE);
+        match tokio::time::timeout(self.request.remaining(), reading).await {
+            Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, status, headers, body))),
+            Ok(Err(error)) => self.note_unclear(&entry, &error.to_string()),
+            Err(_elapsed) => self.note_unclear(&entry, "the failure did not come whole"),
+        }
+    }
+
+    /// An engine's own failure, for the caller.
+    fn pass_failure(
+        &self,
+        entry: &BackendEntry,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> OpenEnd {
+        self.context.book.note_failure(&entry.id);
+        let mut response = Response::new(dillspool_io::full_body(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+        OpenEnd::Failure(response)
     }
 
     /// It may have run: only a stream that can be resumed goes on.
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -45,6 +45,8 @@
     Stream(Vec<&'static str>),
     /// A stream whose parts each come after a pause, in milliseconds, with a clean end.
     Paced(Vec<(u64, &'static str)>),
+    /// The head of a genuine failure whose body never comes whole.
+    StalledFailure(u16),
     /// A stream of these parts that then falls silent.
     Stalled(Vec<&'static str>),
 }
@@ -232,6 +234,10 @@
         Step::Paced(parts) => {
             Ok(BackendAnswer { body: paced_body(parts, Duration::ZERO), ..whole(200, "") })
         }
+        Step::StalledFailure(status) => {
+            let body = paced_body(vec![(0, "part")], Duration::from_mins(10));
+            Ok(BackendAnswer { body, ..whole(status, "") })
+        }
         Step::Stalled(parts) => {
             let parts = parts.into_iter().map(|part| (0, part)).collect();
             Ok(BackendAnswer { body: paced_body(parts, Duration::from_mins(10)), ..whole(200, "") })
--- a/crates/dillspool_forward/tests/stalls.rs
+++ b/crates/dillspool_forward/tests/stalls.rs
@@ -134,3 +134,19 @@
     assert_eq!(record.arrivals.len(), case.arrivals, "{}", case.name);
     assert_eq!(record.released_holds.len(), case.given_back, "{}", case.name);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_failure_that_never_comes_whole_ends_at_the_time_limit() {
+    for kind in [RequestKind::Streaming, RequestKind::NonIdempotent] {
+        let site = ScriptedSite::default();
+        let stage = (kind == RequestKind::Streaming).then_some(EngineStage::Decode);
+        site.script("one", [Step::StalledFailure(500)]);
+        let (context, _directory) = site.context(view([entry("one", "near", stage)]));
+        let routed = request(kind, 1, false);
+        let limit = routed.remaining();
+        let started = tokio::time::Instant::now();
+        let answer = answer_request(context, routed).await;
+        assert_eq!(answer.status().as_u16(), 504, "{kind:?}");
+        assert!(started.elapsed() <= limit + Duration::from_millis(5), "{kind:?}");
+    }
+}
