Tests of the forwarder share their pool and events

Cause: the same pool and events stood in five test files. Change: both are in tests/common; no expectation changes.

--- a/crates/dillspool_forward/tests/admission.rs
+++ b/crates/dillspool_forward/tests/admission.rs
@@ -4,11 +4,9 @@
 
 use std::time::Duration;
 
-use common::{ScriptedSite, Step, entry, request, view};
+use common::{ONE, ScriptedSite, Step, pool, request};
 use dillspool_forward::answer_request;
-use dillspool_routing::{EngineStage, RequestKind};
-
-const ONE: &str = "id: 1\ndata: a\n\n";
+use dillspool_routing::RequestKind;
 
 struct MemoryCase {
     name: &'static str,
@@ -95,12 +93,7 @@
         site.script(id, [Step::Stream(vec![ONE])]);
         site.memory.lock().unwrap().insert(id.to_owned(), free);
     }
-    let engines = view([
-        entry("decode-1", "near", Some(EngineStage::Decode)),
-        entry("decode-2", "far", Some(EngineStage::Decode)),
-        entry("prefill-1", "near", Some(EngineStage::Prefill)),
-    ]);
-    let (context, _directory) = site.context(engines);
+    let (context, _directory) = site.context(pool());
     let tasks = context.tasks.clone();
     let mut routed = request(RequestKind::Streaming, 1, false);
     if let Some(generation) = &mut routed.generation {
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -103,6 +103,20 @@
     DirectoryView { version: 1, entries: entries.collect() }
 }
 
+/// Events of a stream.
+pub const ONE: &str = "id: 1\ndata: a\n\n";
+pub const TWO: &str = "id: 2\ndata: b\n\n";
+pub const THREE: &str = "id: 3\ndata: c\n\n";
+
+/// Two decode engines, of which the first is nearer, and a prefill engine.
+pub fn pool() -> DirectoryView {
+    view([
+        entry("decode-1", "near", Some(EngineStage::Decode)),
+        entry("decode-2", "far", Some(EngineStage::Decode)),
+        entry("prefill-1", "near", Some(EngineStage::Prefill)),
+    ])
+}
+
 impl ScriptedSite {
     pub fn script(&self, id: &str, steps: impl IntoIterator<Item = Step>) {
         self.steps.lock().unwrap().insert(id.to_owned(), steps.into_iter().collect());
--- a/crates/dillspool_forward/tests/log_lines.rs
+++ b/crates/dillspool_forward/tests/log_lines.rs
@@ -4,7 +4,7 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use common::{ScriptedSite, Step, entry, request, view};
+use common::{ONE, ScriptedSite, Step, entry, request, view};
 use dillspool_cases::{fixed_cases, run_paused};
 use dillspool_forward::answer_request;
 use dillspool_io::read_response_body;
@@ -12,8 +12,6 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use proptest::prelude::*;
 
-const ONE: &str = "id: 1\ndata: a\n\n";
-
 /// Keeps all lines; tests of this file run one after another.
 struct LineCapture {
     lines: Mutex<Vec<String>>,
--- a/crates/dillspool_forward/tests/prefills.rs
+++ b/crates/dillspool_forward/tests/prefills.rs
@@ -4,13 +4,11 @@
 
 use std::time::Duration;
 
-use common::{ScriptedSite, Step, entry, request, view};
+use common::{ONE, ScriptedSite, Step, entry, request, view};
 use dillspool_forward::{BudgetTerms, CallError, RetryBudgets, answer_request};
 use dillspool_routing::{EngineStage, RequestKind};
 use hyper::StatusCode;
 
-const ONE: &str = "id: 1\ndata: a\n\n";
-
 struct FailureCase {
     name: &'static str,
     /// How the nearer prefill engine fails.
--- a/crates/dillspool_forward/tests/stalls.rs
+++ b/crates/dillspool_forward/tests/stalls.rs
@@ -5,22 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{ScriptedSite, Step, entry, request, view};
+use common::{ONE, ScriptedSite, Step, THREE, TWO, entry, pool, request, view};
 use dillspool_forward::answer_request;
 use dillspool_io::read_response_body;
-use dillspool_routing::{DirectoryView, EngineStage, RequestKind};
-
-const ONE: &str = "id: 1\ndata: a\n\n";
-const TWO: &str = "id: 2\ndata: b\n\n";
-const THREE: &str = "id: 3\ndata: c\n\n";
-
-fn pool() -> DirectoryView {
-    view([
-        entry("decode-1", "near", Some(EngineStage::Decode)),
-        entry("decode-2", "far", Some(EngineStage::Decode)),
-        entry("prefill-1", "near", Some(EngineStage::Prefill)),
-    ])
-}
+use dillspool_routing::{EngineStage, RequestKind};
 
 struct StallCase {
     name: &'static str,
--- a/crates/dillspool_forward/tests/streams.rs
+++ b/crates/dillspool_forward/tests/streams.rs
@@ -5,24 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{ScriptedSite, Step, entry, request, view};
+use common::{ONE, ScriptedSite, Step, THREE, TWO, pool, request};
 use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
 use dillspool_io::{ResponseBody, read_response_body};
-use dillspool_routing::{DirectoryView, EngineStage, RequestKind};
+use dillspool_routing::RequestKind;
 use hyper::Response;
 
-const ONE: &str = "id: 1\ndata: a\n\n";
-const TWO: &str = "id: 2\ndata: b\n\n";
-const THREE: &str = "id: 3\ndata: c\n\n";
-
-fn pool() -> DirectoryView {
-    view([
-        entry("decode-1", "near", Some(EngineStage::Decode)),
-        entry("decode-2", "far", Some(EngineStage::Decode)),
-        entry("prefill-1", "near", Some(EngineStage::Prefill)),
-    ])
-}
-
 async fn body_of(answer: Response<ResponseBody>) -> Result<String, String> {
     let body = read_response_body(answer.into_body(), 10_000).await;
     body.map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
