Reading on and plain sends in shorter functions

Cause: read as a newcomer: StreamRelay::read nested a search in a match in a loop; answer_plain held five outcomes and two breaks. Change: look_elsewhere and take beside read; SendRecord notes its failures, and next_backend alone decides whether another send is allowed. Test: the tables of streams, stalls and plain, unchanged. Conclusion: no change of behaviour.

--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use crate::book::BackendBook;
 use crate::calls::{CallError, ForwardTerms};
 use crate::context::ForwardContext;
 use crate::refusal::{Refusal, RefusalCause};
@@ -55,6 +56,7 @@
 }
 
 /// Sends of one request so far.
+#[derive(Default)]
 struct SendRecord {
     tried: Vec<BackendId>,
     sends: u32,
@@ -63,59 +65,64 @@
     failure: Option<WholeAnswer>,
 }
 
+impl SendRecord {
+    /// Notes a send that brought no answer for the caller yet, and what it says of the backend
+    /// server.
+    fn note_failure(
+        &mut self,
+        book: &BackendBook,
+        request: &RoutedRequest,
+        id: &BackendId,
+        outcome: SendOutcome,
+    ) {
+        let cause = match outcome {
+            SendOutcome::Whole(answer) => {
+                book.note_failure(id);
+                let cause = format!("status {}", answer.status.as_u16());
+                self.sends += 1;
+                self.may_have_run = true;
+                self.failure = Some(answer);
+                cause
+            }
+            SendOutcome::NotSent(cause) => {
+                book.note_unreachable(id, &cause);
+                self.unreachable += 1;
+                cause
+            }
+            SendOutcome::NotRun => {
+                book.note_full(id, FULL_SPAN);
+                book.note_failure(id);
+                self.sends += 1;
+                "refused, not run".to_owned()
+            }
+            SendOutcome::Unclear(cause) => {
+                book.note_silence(id, &cause);
+                self.sends += 1;
+                self.may_have_run = true;
+                cause
+            }
+        };
+        log_send_failed(request, id, &cause);
+    }
+}
+
 pub(crate) async fn answer_plain(
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mut record = SendRecord {
-        tried: Vec::new(),
-        sends: 0,
-        unreachable: 0,
-        may_have_run: false,
-        failure: None,
-    };
+    let mut record = SendRecord::default();
     while let Some((entry, directory)) = next_backend(context, request, &record) {
         trace.chose(&entry.id, directory);
         record.tried.push(BackendId::clone(&entry.id));
         let limit = send_limit(request, &record);
         let started = Instant::now();
-        let outcome = send_whole(context, request, &entry, limit).await;
-        match outcome {
-            SendOutcome::Whole(answer) => {
-                record.sends += 1;
-                if !answer.status.is_server_error() {
-                    context.book.note_success(&entry.id, started.elapsed());
-                    return Ok(answer.response());
-                }
-                context.book.note_failure(&entry.id);
-                log_send_failed(request, &entry.id, &format!("status {}", answer.status.as_u16()));
-                record.failure = Some(answer);
-                record.may_have_run = true;
-                if !request.route.is_repeatable() {
-                    break;
-                }
-            }
-            SendOutcome::NotSent(cause) => {
-                context.book.note_unreachable(&entry.id, &cause);
-                log_send_failed(request, &entry.id, &cause);
-                record.unreachable += 1;
-            }
-            SendOutcome::NotRun => {
-                context.book.note_full(&entry.id, FULL_SPAN);
-                context.book.note_failure(&entry.id);
-                log_send_failed(request, &entry.id, "refused, not run");
-                record.sends += 1;
-            }
-            SendOutcome::Unclear(cause) => {
-                context.book.note_silence(&entry.id, &cause);
-                log_send_failed(request, &entry.id, &cause);
-                record.sends += 1;
-                record.may_have_run = true;
-                if !request.route.is_repeatable() {
-                    break;
-                }
+        match send_whole(context, request, &entry, limit).await {
+            SendOutcome::Whole(answer) if !answer.status.is_server_error() => {
+                context.book.note_success(&entry.id, started.elapsed());
+                return Ok(answer.response());
             }
+            failed => record.note_failure(&context.book, request, &entry.id, failed),
         }
     }
     conclude(request, record)
@@ -130,6 +137,7 @@
 ) -> Option<(Arc<BackendEntry>, u64)> {
     if record.sends >= request.route.max_attempts
         || record.unreachable > MOST_UNREACHABLE
+        || (record.may_have_run && !request.route.is_repeatable())
         || request.remaining().is_zero()
     {
         return None;
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -99,39 +99,53 @@
     /// Reads on; a silent engine keeps its stream until another one is ready to take it over,
     /// since its events may still come.
     async fn read(&mut self) -> NextPart {
+        let deadline = self.generation.request.deadline;
         loop {
             let Some(reader) = &mut self.reader else {
                 return NextPart::Broken("no stream is open".to_owned());
             };
-            let deadline = self.generation.request.deadline;
-            let may_look = self.generation.can_reopen();
             let look_at = self.next_look.max(reader.last_at + STALL_LIMIT);
+            let may_look = self.generation.can_reopen();
             let limit = if may_look { deadline.min(look_at) } else { deadline };
-            let mut part = reader.read(limit).await;
-            if matches!(part, ReadPart::Silent) && Instant::now() < deadline {
-                let silent = BackendId::clone(&reader.open.entry.id);
-                tokio::select! {
-                    biased;
-                    late = reader.read(deadline) => part = late,
-                    prepared = self.generation.prepare_beside(&silent) => match prepared {
-                        Ok(prepared) => return NextPart::Elsewhere(Box::new(prepared)),
-                        Err(refusal) => {
-                            log_no_other(&self.generation, refusal);
-                            self.next_look = Instant::now() + LOOK_AGAIN;
-                            continue;
-                        }
-                    },
-                }
+            let part = reader.read(limit).await;
+            if !matches!(part, ReadPart::Silent) || Instant::now() >= deadline {
+                return self.take(part);
             }
-            match part {
-                ReadPart::Events(bytes, count) => {
-                    self.note_events(count);
-                    return NextPart::Events(bytes);
+            if let Some(part) = self.look_elsewhere().await {
+                return part;
+            }
+        }
+    }
+
+    /// Looks for another engine until the silent one's events come; `None` when there is none.
+    async fn look_elsewhere(&mut self) -> Option<NextPart> {
+        let reader = self.reader.as_mut()?;
+        let deadline = self.generation.request.deadline;
+        let silent = BackendId::clone(&reader.open.entry.id);
+        tokio::select! {
+            biased;
+            part = reader.read(deadline) => Some(self.take(part)),
+            prepared = self.generation.prepare_beside(&silent) => match prepared {
+                Ok(prepared) => Some(NextPart::Elsewhere(Box::new(prepared))),
+                Err(refusal) => {
+                    log_no_other(&self.generation, refusal);
+                    self.next_look = Instant::now() + LOOK_AGAIN;
+                    None
                 }
-                ReadPart::End => return NextPart::End,
-                ReadPart::Broken(cause) => return NextPart::Broken(cause),
-                ReadPart::Silent => return NextPart::Broken("the time limit".to_owned()),
+            },
+        }
+    }
+
+    /// What a part of the engine's stream is for the caller.
+    fn take(&mut self, part: ReadPart) -> NextPart {
+        match part {
+            ReadPart::Events(bytes, count) => {
+                self.note_events(count);
+                NextPart::Events(bytes)
             }
+            ReadPart::End => NextPart::End,
+            ReadPart::Broken(cause) => NextPart::Broken(cause),
+            ReadPart::Silent => NextPart::Broken("the time limit".to_owned()),
         }
     }
 
