The last line of a stream names the stages of its first event and why it was late

Cause: the logs told that a stream was late, not why. Change: reserved, prefilled and opened times, the time that a caller had spent before, pauses, reopenings and a cause in request_ended; `dillspool late` counts them over logs. Ruled out: a line a stage, which would double the volume.

--- a/crates/dillspool/src/args.rs
+++ b/crates/dillspool/src/args.rs
@@ -116,6 +116,11 @@
         /// Log files; standard input when there are none.
         files: Vec<PathBuf>,
     },
+    /// Count how the requests in the logs of routing hosts ended, and why streams were late.
+    Late {
+        /// Log files; standard input when there are none.
+        files: Vec<PathBuf>,
+    },
     /// Hash a key read from standard input, for configuration and settings files.
     HashKey,
     /// Print the completions of a shell.
--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -48,6 +48,24 @@
 
 /// Prints the story of one request, from files or standard input.
 pub(crate) fn explain_request(id: &str, files: &[PathBuf]) -> Result<ExitCode, CliError> {
+    let text = read_logs(files)?;
+    let Some(story) = dillspool_explain::explain(id, text.lines()) else {
+        eprintln!("error: no line names {id}; give the logs of all hosts of that time");
+        return Ok(ExitCode::FAILURE);
+    };
+    print!("{story}");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints how the requests in some logs ended.
+pub(crate) fn count_ends(files: &[PathBuf]) -> Result<ExitCode, CliError> {
+    let text = read_logs(files)?;
+    print!("{}", dillspool_explain::EndTable::of(text.lines()));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads log files one after another, or standard input when there are none.
+fn read_logs(files: &[PathBuf]) -> Result<String, CliError> {
     let mut text = String::new();
     for file in files {
         let what = file.display().to_string();
@@ -57,10 +75,5 @@
     if files.is_empty() {
         std::io::stdin().read_to_string(&mut text).context(ReadSnafu { what: "standard input" })?;
     }
-    let Some(story) = dillspool_explain::explain(id, text.lines()) else {
-        eprintln!("error: no line names {id}; give the logs of all hosts of that time");
-        return Ok(ExitCode::FAILURE);
-    };
-    print!("{story}");
-    Ok(ExitCode::SUCCESS)
+    Ok(text)
 }
--- a/crates/dillspool/src/main.rs
+++ b/crates/dillspool/src/main.rs
@@ -35,6 +35,7 @@
     match args.command {
         CliCommand::Check { file } => local::check(&file),
         CliCommand::Explain { id, files } => local::explain_request(&id, &files),
+        CliCommand::Late { files } => local::count_ends(&files),
         CliCommand::HashKey => local::hash_key(),
         CliCommand::Completions { shell } => Ok(local::completions(shell)),
         CliCommand::Diff { file, server } => apply::diff(&file, &server).await,
--- a/crates/dillspool_explain/src/lib.rs
+++ b/crates/dillspool_explain/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! `docs/OPERATIONS.md` shows how it is used.
 
+mod late;
 mod line;
 mod story;
 
+pub use late::{EndTable, RequestEnd};
 pub use line::LogLine;
 pub use story::{RequestStory, explain};
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -18,6 +18,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
 use crate::reservation::{HoldGuard, Placement, reserve};
+use crate::stages::FirstEventStages;
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
 
 /// When to come back after a refusal for want of memory: about the time that a running answer
@@ -62,6 +63,8 @@
     pub(crate) entry: Arc<BackendEntry>,
     pub(crate) status: StatusCode,
     pub(crate) body: ResponseBody,
+    /// Whether the engine reads the prompt itself.
+    pub(crate) read_at_decode: bool,
     _ticket: LoadTicket,
 }
 
@@ -72,6 +75,14 @@
     Failure(Response<ResponseBody>),
 }
 
+/// A request that a decode engine took.
+struct SentRequest {
+    entry: Arc<BackendEntry>,
+    ticket: LoadTicket,
+    /// Whether the engine reads the prompt itself.
+    read_at_decode: bool,
+}
+
 /// A decode engine with memory and, if there is one, the prefill's result; given back unless
 /// the request is sent there.
 pub(crate) struct PreparedSend {
@@ -88,6 +99,8 @@
     tried: Vec<BackendId>,
     may_have_run: bool,
     memory_wait: MemoryWait,
+    /// How the stream came to its first event.
+    pub(crate) stages: FirstEventStages,
     /// Last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
@@ -102,6 +115,7 @@
             tried: Vec::new(),
             may_have_run: false,
             memory_wait: MemoryWait::of_arrival(request),
+            stages: FirstEventStages::default(),
             last_event: request.resume_after,
         }
     }
@@ -177,10 +191,15 @@
             return Err(self.conclude());
         }
         let placement = self.place().await?;
+        let reserved = self.request.age();
         if self.sends > 0 {
             self.take_budget()?;
         }
         let prefill = self.prefill(&placement).await;
+        if self.is_before_first_event() {
+            let prefilled = self.request.age();
+            self.stages = FirstEventStages { reserved, prefilled, ..FirstEventStages::default() };
+        }
         if self.request.remaining().is_zero() {
             return Err(self.conclude());
         }
@@ -196,6 +215,10 @@
         prefill(&self.context, &self.request, placement).await
     }
 
+    fn is_before_first_event(&self) -> bool {
+        self.last_event == self.request.resume_after
+    }
+
     /// Takes a repeated send from the budget of all hosts.
     fn take_budget(&self) -> Result<(), Refusal> {
         if self.context.budgets.take(&self.request.service) {
@@ -301,6 +324,7 @@
             Ok(sent) => sent,
             Err(_elapsed) => Err(CallError::Lost { reason: format!("silent for {remaining:?}") }),
         };
+        let read_at_decode = prefill.prefilled.is_none() && entry.stage.is_some();
         let answer = match sent {
             Err(CallError::NotSent { reason }) => {
                 self.context.book.note_unreachable(&entry.id, &reason);
@@ -315,7 +339,10 @@
             }
         };
         match answer {
-            Ok(answer) => self.take_head(entry, ticket, answer).await,
+            Ok(answer) => {
+                let taken = SentRequest { entry, ticket, read_at_decode };
+                self.take_head(taken, answer).await
+            }
             Err(CallError::Refused { status }) => {
                 self.note_failed_send(&entry, &format!("refused with {status}, not run"));
                 Ok(None)
@@ -328,17 +355,21 @@
 
     async fn take_head(
         &mut self,
-        entry: Arc<BackendEntry>,
-        ticket: LoadTicket,
+        sent: SentRequest,
         answer: BackendAnswer,
     ) -> Result<Option<OpenEnd>, Refusal> {
+        let SentRequest { entry, ticket, read_at_decode } = sent;
         if answer.did_not_run {
             self.note_failed_send(&entry, &format!("refused with {}, not run", answer.status));
             return Ok(None);
         }
         let (status, headers) = (answer.status, answer.headers.clone());
         if answer.is_genuine_success() {
-            let open = OpenStream { entry, status, body: answer.body, _ticket: ticket };
+            if self.is_before_first_event() {
+                self.stages.opened = self.request.age();
+            }
+            let body = answer.body;
+            let open = OpenStream { entry, status, body, read_at_decode, _ticket: ticket };
             return Ok(Some(OpenEnd::Stream(open, headers)));
         }
         if !answer.is_genuine_failure() {
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod refusal;
 mod relay;
 mod reservation;
+mod stages;
 mod trace;
 
 pub use answer::answer_request;
--- a/crates/dillspool_forward/src/memory_wait.rs
+++ b/crates/dillspool_forward/src/memory_wait.rs
@@ -7,8 +7,6 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-/// Part of the route's time-out that a caller on its first attempt has left at least.
-const FIRST_ATTEMPT_PART: f64 = 0.9;
 /// Longest wait for memory of a caller that was refused before; a second refusal is its last. A
 /// longer wait serves more of them late in place of others in time (trials with 0, 0.5, 1 and 3 s).
 const RETURNED_WAIT: Duration = Duration::from_millis(200);
@@ -30,9 +28,7 @@
     /// For a request that has just arrived: a caller that was refused before has used up part of
     /// its time and waits; a fresh one does not.
     pub(crate) fn of_arrival(request: &RoutedRequest) -> Self {
-        let budget = request.caller_deadline - request.arrived;
-        let is_first = budget >= request.route.timeout.mul_f64(FIRST_ATTEMPT_PART);
-        let wait = if is_first { Duration::ZERO } else { RETURNED_WAIT };
+        let wait = if request.is_returned() { RETURNED_WAIT } else { Duration::ZERO };
         Self { until: request.arrived + wait, pause_ms: ASK_PAUSE_MS }
     }
 
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -14,7 +14,8 @@
 use crate::generate::{Generation, OpenStream, PreparedSend};
 use crate::reader::{ReadPart, StreamReader};
 use crate::refusal::Refusal;
-use crate::trace::{RequestTrace, StreamFigures};
+use crate::stages::StreamFigures;
+use crate::trace::RequestTrace;
 
 /// Silence after which another engine is looked for. Callers give up after two seconds at the
 /// earliest, and a new prefill takes some hundred milliseconds.
@@ -44,8 +45,8 @@
     trace: RequestTrace,
     status: u16,
     figures: StreamFigures,
-    /// When the caller got the last event, or the stream was opened.
-    last_at: Instant,
+    /// When the stream was opened.
+    opened_at: Instant,
     /// When another engine may be looked for at the earliest.
     next_look: Instant,
 }
@@ -54,13 +55,14 @@
     pub(crate) fn new(generation: Generation, open: OpenStream, trace: RequestTrace) -> Self {
         let status = open.status.as_u16();
         let last_event = generation.last_event;
+        let read_at_decode = open.read_at_decode;
         Self {
             generation,
             reader: Some(StreamReader::new(open, last_event)),
             trace,
             status,
-            figures: StreamFigures::default(),
-            last_at: Instant::now(),
+            figures: StreamFigures { read_at_decode, ..StreamFigures::default() },
+            opened_at: Instant::now(),
             next_look: Instant::now(),
         }
     }
@@ -80,7 +82,8 @@
                     return Ok(None);
                 }
                 NextPart::Broken(cause) => {
-                    let patience = self.last_at + REOPEN_PATIENCE;
+                    let last_at = self.figures.last_at.unwrap_or(self.opened_at);
+                    let patience = last_at + REOPEN_PATIENCE;
                     self.generation.wait_for_memory_until(patience);
                     self.go_on(&cause, None).await?;
                 }
@@ -93,7 +96,7 @@
         if let Some(reader) = &self.reader {
             self.generation.note_success(&reader.open);
         }
-        self.trace.streamed(self.status, &self.figures);
+        self.trace.streamed(self.status, &self.generation.stages, &self.figures);
     }
 
     /// Reads on; a silent engine keeps its stream until another one is ready to take it over,
@@ -150,15 +153,10 @@
     }
 
     fn note_events(&mut self, count: u64) {
-        self.figures.events += count;
-        if self.figures.first_after.is_zero() {
-            self.figures.first_after = self.generation.request.age();
-            self.generation.note_first_event(self.figures.first_after);
-        } else {
-            let pause = self.last_at.elapsed();
-            self.figures.longest_pause = self.figures.longest_pause.max(pause);
+        let age = self.generation.request.age();
+        if self.figures.note_events(count, age) {
+            self.generation.note_first_event(age);
         }
-        self.last_at = Instant::now();
     }
 
     /// Goes on at another engine, or ends the answer as broken.
@@ -178,12 +176,13 @@
         }
         match self.generation.reopen(prepared).await {
             Ok(open) => {
+                self.figures.reopened += 1;
                 self.reader = Some(StreamReader::new(open, self.generation.last_event));
                 Ok(())
             }
             Err(refusal) => {
                 let detail = format!("{cause}; not resumed: {}", refusal.cause.name());
-                self.trace.broken(&detail);
+                self.trace.broken(&detail, &self.generation.stages, &self.figures);
                 Err(detail.into())
             }
         }
--- /dev/null
+++ b/crates/dillspool_forward/src/stages.rs
@@ -0,0 +1,124 @@
+//! How a stream came to its first event, and why it was late.
+
+use std::time::Duration;
+
+use dillspool_routing::RoutedRequest;
+use tokio::time::Instant;
+
+/// When each stage before a stream's first event ended, as times from the request's arrival.
+///
+/// The first event is the one that the caller's latency objective is about; what happens when a
+/// stream goes on elsewhere later is told by its pauses.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FirstEventStages {
+    /// Decode memory was reserved.
+    pub(crate) reserved: Duration,
+    /// The prompt was read, or it was left to the decode engine.
+    pub(crate) prefilled: Duration,
+    /// The head of the decode engine's answer came.
+    pub(crate) opened: Duration,
+}
+
+/// How the events of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StreamFigures {
+    /// Events passed on.
+    pub(crate) events: u64,
+    /// Time from the request's arrival to its first event.
+    pub(crate) first_after: Duration,
+    /// When the caller got the last event, if any.
+    pub(crate) last_at: Option<Instant>,
+    /// Longest time between two events.
+    pub(crate) longest_pause: Duration,
+    /// Times that the stream went on at another engine.
+    pub(crate) reopened: u32,
+    /// Whether the prompt was read by the decode engine itself.
+    pub(crate) read_at_decode: bool,
+}
+
+impl StreamFigures {
+    /// Notes events that the caller gets now; true with the first of them.
+    pub(crate) fn note_events(&mut self, count: u64, age: Duration) -> bool {
+        let now = Instant::now();
+        let is_first = self.last_at.is_none();
+        match self.last_at {
+            None => self.first_after = age,
+            Some(last_at) => self.longest_pause = self.longest_pause.max(now - last_at),
+        }
+        self.last_at = Some(now);
+        self.events += count;
+        is_first
+    }
+}
+
+/// Why a whole stream was not in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LateCause {
+    /// The caller came back with an answer that had broken off.
+    Continued,
+    /// The caller had been refused before, and the objective counts from its first attempt.
+    Returned,
+    /// It waited for decode memory.
+    Memory,
+    /// It waited for its prefill.
+    Prefill,
+    /// The decode engine took the request late.
+    Opening,
+    /// The decode engine's first event came late.
+    FirstEvent,
+    /// It went on at another engine.
+    Reopened,
+    /// Its engine paused.
+    Pause,
+}
+
+impl LateCause {
+    /// The cause; `None` when the stream was in time.
+    pub(crate) fn of(
+        request: &RoutedRequest,
+        stages: &FirstEventStages,
+        figures: &StreamFigures,
+    ) -> Option<Self> {
+        if request.resume_after.is_some() {
+            return Some(Self::Continued);
+        }
+        let objective = request.route.objective;
+        let first = figures.first_after;
+        if first > objective {
+            return Some(Self::longest_stage(stages, first));
+        }
+        if request.is_returned() && request.spent_before() + first > objective {
+            return Some(Self::Returned);
+        }
+        let target = request.route.pause_target?;
+        match (figures.longest_pause > target, figures.reopened > 0) {
+            (false, _) => None,
+            (true, true) => Some(Self::Reopened),
+            (true, false) => Some(Self::Pause),
+        }
+    }
+
+    fn longest_stage(stages: &FirstEventStages, first: Duration) -> Self {
+        let took = [
+            (stages.reserved, Self::Memory),
+            (stages.prefilled.saturating_sub(stages.reserved), Self::Prefill),
+            (stages.opened.saturating_sub(stages.prefilled), Self::Opening),
+            (first.saturating_sub(stages.opened), Self::FirstEvent),
+        ];
+        took.into_iter().max_by_key(|(took, _cause)| *took).map_or(Self::FirstEvent, |it| it.1)
+    }
+
+    /// Name in the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Continued => "continued",
+            Self::Returned => "returned",
+            Self::Memory => "memory",
+            Self::Prefill => "prefill",
+            Self::Opening => "opening",
+            Self::FirstEvent => "first_event",
+            Self::Reopened => "reopened",
+            Self::Pause => "pause",
+        }
+    }
+}
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -1,7 +1,6 @@
 //! One line in the log and one count for each request, however it ends.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use dillspool_routing::{BackendId, RoutedRequest};
 use dillspool_schema::Name;
@@ -9,17 +8,7 @@
 use crate::budget::RetryBudgets;
 use crate::metrics::{ForwardMetrics, OutcomeLabels};
 use crate::refusal::Refusal;
-
-/// How the events of a stream came.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct StreamFigures {
-    /// Events passed on.
-    pub(crate) events: u64,
-    /// Time from the request's arrival to its first event.
-    pub(crate) first_after: Duration,
-    /// Longest time between two events.
-    pub(crate) longest_pause: Duration,
-}
+use crate::stages::{FirstEventStages, LateCause, StreamFigures};
 
 /// Reports the end of a request; one that is dropped before reports that the caller left.
 #[derive(Debug)]
@@ -60,14 +49,30 @@
     }
 
     /// The whole stream was given to the caller's connection.
-    pub(crate) fn streamed(&mut self, status: u16, figures: &StreamFigures) {
-        let detail = format!(
-            "status={status} events={} first_ms={} longest_pause_ms={}",
-            figures.events,
+    pub(crate) fn streamed(
+        &mut self,
+        status: u16,
+        stages: &FirstEventStages,
+        figures: &StreamFigures,
+    ) {
+        let late = LateCause::of(&self.request, stages, figures).map_or("", LateCause::name);
+        let detail = format!("status={status} late={late} {}", self.stream_words(stages, figures));
+        self.end("answered", "", &detail);
+    }
+
+    fn stream_words(&self, stages: &FirstEventStages, figures: &StreamFigures) -> String {
+        format!(
+            "spent_before_ms={} reserved_ms={} prefilled_ms={} opened_ms={} first_ms={} events={} longest_pause_ms={} reopened={} read_at_decode={}",
+            self.request.spent_before().as_millis(),
+            stages.reserved.as_millis(),
+            stages.prefilled.as_millis(),
+            stages.opened.as_millis(),
             figures.first_after.as_millis(),
+            figures.events,
             figures.longest_pause.as_millis(),
-        );
-        self.end("answered", "", &detail);
+            figures.reopened,
+            figures.read_at_decode,
+        )
     }
 
     /// A backend server's failure was given to the caller.
@@ -77,14 +82,23 @@
 
     pub(crate) fn refused(&mut self, refusal: &Refusal) {
         let after_ms = refusal.retry_after.map_or(0, |after| after.as_millis());
-        let detail =
-            format!("status={} retry_after_ms={after_ms}", refusal.cause.status().as_u16());
+        let detail = format!(
+            "status={} spent_before_ms={} retry_after_ms={after_ms}",
+            refusal.cause.status().as_u16(),
+            self.request.spent_before().as_millis(),
+        );
         self.end("refused", refusal.cause.name(), &detail);
     }
 
     /// The answer broke off; the caller sees its connection break.
-    pub(crate) fn broken(&mut self, detail: &str) {
-        self.end("broken", "", &format!("detail=\"{detail}\""));
+    pub(crate) fn broken(
+        &mut self,
+        detail: &str,
+        stages: &FirstEventStages,
+        figures: &StreamFigures,
+    ) {
+        let words = self.stream_words(stages, figures);
+        self.end("broken", "", &format!("{words} detail=\"{detail}\""));
     }
 
     fn end(&mut self, outcome: &'static str, cause: &'static str, detail: &str) {
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -10,6 +10,10 @@
 
 use crate::route::RouteEntry;
 
+/// Part of the route's time limit that a first attempt may have spent: the way to this host, and
+/// callers whose own limit is a little shorter.
+const FRESH_SLACK: f64 = 0.1;
+
 /// A part of a prompt that requests may share.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -88,4 +92,16 @@
     pub fn age(&self) -> Duration {
         self.arrived.elapsed()
     }
+
+    /// Time that the caller had spent before this attempt, as far as the route's time limit shows
+    /// it: a caller on its first attempt has about as much left.
+    pub fn spent_before(&self) -> Duration {
+        let left = self.caller_deadline.saturating_duration_since(self.arrived);
+        self.route.timeout.saturating_sub(left)
+    }
+
+    /// Whether the caller was refused, or lost an answer, before this attempt.
+    pub fn is_returned(&self) -> bool {
+        self.spent_before() > self.route.timeout.mul_f64(FRESH_SLACK)
+    }
 }
