Prompts of answers that are late anyway yield at the prefill engines

Change: a prefill names its rank (an answer under way, one that can be in time, one that is late anyway), which platform/ turns into the engine's urgency; the time that a caller spent before is learnt from the longest time that callers of its route name, since an operator may change the route's limit.

--- a/crates/dillspool_forward/src/calls.rs
+++ b/crates/dillspool_forward/src/calls.rs
@@ -52,6 +52,26 @@
     }
 }
 
+/// How soon an engine should take up work, relative to other work that waits there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkRank {
+    /// A running answer waits for it.
+    Urgent,
+    /// An answer that can be in time.
+    Normal,
+    /// An answer that is late whatever happens; it yields to those that can be in time.
+    Late,
+}
+
+/// What is said beside the request itself when its prompt is to be read.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefillTerms {
+    /// Time after which the result is of no use.
+    pub limit: Duration,
+    /// Its place among the prompts that wait.
+    pub rank: WorkRank,
+}
+
 /// What is said beside the request itself when it is sent to a backend server.
 #[derive(Clone, Debug, Default)]
 pub struct ForwardTerms {
@@ -143,8 +163,9 @@
 type ForwardFn = dyn Fn(Arc<BackendEntry>, Arc<RoutedRequest>, ForwardTerms) -> Reply<BackendAnswer>
     + Send
     + Sync;
-type PrefillFn =
-    dyn Fn(Arc<BackendEntry>, Arc<RoutedRequest>, Duration) -> Reply<PrefilledPrompt> + Send + Sync;
+type PrefillFn = dyn Fn(Arc<BackendEntry>, Arc<RoutedRequest>, PrefillTerms) -> Reply<PrefilledPrompt>
+    + Send
+    + Sync;
 type ReserveFn = dyn Fn(Arc<BackendEntry>, HoldTerms) -> Reply<Name> + Send + Sync;
 type ReleaseFn = dyn Fn(Arc<BackendEntry>, Name) -> Reply<()> + Send + Sync;
 type OrderFn = dyn Fn(Arc<BackendEntry>, StageOrder) -> Reply<OrderOutcome> + Send + Sync;
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::book::LoadTicket;
-use crate::calls::{BackendAnswer, CallError, ForwardTerms};
+use crate::calls::{BackendAnswer, CallError, ForwardTerms, WorkRank};
 use crate::context::ForwardContext;
 use crate::memory_wait::MemoryWait;
 use crate::prefill::{PrefillGuard, prefill};
@@ -212,7 +212,19 @@
             return PrefillGuard::empty(&self.context);
         }
         self.prefills += 1;
-        prefill(&self.context, &self.request, placement).await
+        prefill(&self.context, &self.request, placement, self.rank()).await
+    }
+
+    /// An answer that is under way pauses until its prompt has been read again; one that is late
+    /// anyway, as when many callers come back at once, yields to those that can be in time.
+    fn rank(&self) -> WorkRank {
+        if !self.is_before_first_event() {
+            WorkRank::Urgent
+        } else if self.request.is_late() {
+            WorkRank::Late
+        } else {
+            WorkRank::Normal
+        }
     }
 
     fn is_before_first_event(&self) -> bool {
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -27,8 +27,8 @@
 pub use book::{BackendBook, LoadTicket};
 pub use budget::{BudgetReading, BudgetTerms, RetryBudgets};
 pub use calls::{
-    BackendAnswer, BackendCalls, CallError, ForwardTerms, HoldTerms, OrderOutcome, PrefilledPrompt,
-    StageOrder,
+    BackendAnswer, BackendCalls, CallError, ForwardTerms, HoldTerms, OrderOutcome, PrefillTerms,
+    PrefilledPrompt, StageOrder, WorkRank,
 };
 pub use context::ForwardContext;
 pub use events::{EventSplitter, StreamEvent};
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::calls::{CallError, PrefilledPrompt};
+use crate::calls::{CallError, PrefillTerms, PrefilledPrompt, WorkRank};
 use crate::context::ForwardContext;
 use crate::reservation::Placement;
 
@@ -62,6 +62,7 @@
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
     placement: &Placement,
+    rank: WorkRank,
 ) -> PrefillGuard {
     let mut guard = PrefillGuard::empty(context);
     if placement.entry.stage.is_none() {
@@ -70,7 +71,7 @@
     let mut tried = Vec::new();
     while let Some(entry) = next_engine(context, request, placement, &tried) {
         tried.push(BackendId::clone(&entry.id));
-        let error = match ask(context, request, &entry).await {
+        let error = match ask(context, request, &entry, rank).await {
             Ok(prefilled) => {
                 guard.prefilled = Some(prefilled);
                 return guard;
@@ -95,13 +96,15 @@
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
     entry: &Arc<BackendEntry>,
+    rank: WorkRank,
 ) -> Result<PrefilledPrompt, CallError> {
     let tokens = request.generation.as_ref().map_or(1, |terms| terms.prompt_tokens);
     let _load = context.book.enter(&entry.id, tokens);
     let _prefill = context.book.enter_prefill(&entry.id);
     context.metrics.note_prefill();
     let limit = request.remaining().min(PREFILL_LIMIT);
-    let call = (context.calls.prefill)(Arc::clone(entry), Arc::clone(request), limit);
+    let terms = PrefillTerms { limit, rank };
+    let call = (context.calls.prefill)(Arc::clone(entry), Arc::clone(request), terms);
     let started = Instant::now();
     let ended = tokio::time::timeout(limit, call).await;
     context.metrics.note_prefill_end(started.elapsed());
--- a/crates/dillspool_forward/src/stages.rs
+++ b/crates/dillspool_forward/src/stages.rs
@@ -87,7 +87,7 @@
         if first > objective {
             return Some(Self::longest_stage(stages, first));
         }
-        if request.is_returned() && request.spent_before() + first > objective {
+        if request.is_returned() && request.spent_before + first > objective {
             return Some(Self::Returned);
         }
         let target = request.route.pause_target?;
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -63,7 +63,7 @@
     fn stream_words(&self, stages: &FirstEventStages, figures: &StreamFigures) -> String {
         format!(
             "spent_before_ms={} reserved_ms={} prefilled_ms={} opened_ms={} first_ms={} events={} longest_pause_ms={} reopened={} read_at_decode={}",
-            self.request.spent_before().as_millis(),
+            self.request.spent_before.as_millis(),
             stages.reserved.as_millis(),
             stages.prefilled.as_millis(),
             stages.opened.as_millis(),
@@ -85,7 +85,7 @@
         let detail = format!(
             "status={} spent_before_ms={} retry_after_ms={after_ms}",
             refusal.cause.status().as_u16(),
-            self.request.spent_before().as_millis(),
+            self.request.spent_before.as_millis(),
         );
         self.end("refused", refusal.cause.name(), &detail);
     }
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dillspool_forward::{
     BackendAnswer, BackendBook, BackendCalls, BudgetTerms, CallError, ForwardContext,
-    ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
+    ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets, WorkRank,
 };
 use dillspool_io::{BoxError, channel_body, full_body};
 use dillspool_routing::{
@@ -64,6 +64,7 @@
 pub struct Record {
     pub arrivals: Vec<Arrival>,
     pub prefills: Vec<String>,
+    pub ranks: Vec<WorkRank>,
     pub holds: Vec<(String, u64)>,
     pub released_holds: Vec<String>,
     pub released_prefills: Vec<String>,
@@ -147,10 +148,14 @@
                     play(step).await
                 })
             }),
-            prefill: Arc::new(move |engine, request, _limit| {
+            prefill: Arc::new(move |engine, request, terms| {
                 let site = prefiller.clone();
                 Box::pin(async move {
-                    site.record.lock().unwrap().prefills.push(engine.id.to_string());
+                    {
+                        let mut record = site.record.lock().unwrap();
+                        record.prefills.push(engine.id.to_string());
+                        record.ranks.push(terms.rank);
+                    }
                     let takes = *site.prefill_takes.lock().unwrap();
                     tokio::time::sleep(takes).await;
                     if let Some(error) = site.prefill_fails.lock().unwrap().get(&*engine.id) {
@@ -316,7 +321,7 @@
         headers: HeaderMap::new(),
         body: Bytes::from_static(b"body"),
         arrived,
-        caller_deadline: arrived + timeout,
+        spent_before: Duration::ZERO,
         deadline: arrived + timeout,
         route: Arc::new(route),
         service: "service".into(),
--- a/crates/dillspool_forward/tests/late_causes.rs
+++ b/crates/dillspool_forward/tests/late_causes.rs
@@ -46,7 +46,7 @@
 fn leave(_request: &mut RoutedRequest) {}
 
 fn spend_a_second(request: &mut RoutedRequest) {
-    request.caller_deadline -= Duration::from_secs(2);
+    request.spent_before = Duration::from_secs(2);
 }
 
 fn continue_behind_first(request: &mut RoutedRequest) {
--- a/crates/dillspool_forward/tests/streams.rs
+++ b/crates/dillspool_forward/tests/streams.rs
@@ -216,8 +216,8 @@
     let (context, _directory) = site.context(pool());
     let mut routed = request(RequestKind::Streaming, 1, false);
     // It has used up a third of its time.
-    routed.caller_deadline -= Duration::from_secs(5);
-    routed.deadline = routed.caller_deadline;
+    routed.spent_before = Duration::from_secs(5);
+    routed.deadline -= Duration::from_secs(5);
     let full = Arc::clone(&site.full);
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
+use crate::patience::PatienceTable;
 use crate::site::SiteProtocol;
 
 /// When to come back to a host that is not ready; another host takes the connection then.
@@ -38,6 +39,7 @@
     /// Set once the host is to stop; answers then close their connections.
     pub stopping: Arc<AtomicBool>,
     in_flight: Arc<Semaphore>,
+    patience: PatienceTable,
 }
 
 impl fmt::Debug for IngressState {
@@ -55,7 +57,8 @@
         stopping: Arc<AtomicBool>,
     ) -> Self {
         let in_flight = Arc::new(Semaphore::new(MOST_IN_FLIGHT));
-        Self { site, context, config, stopping, in_flight }
+        let patience = PatienceTable::default();
+        Self { site, context, config, stopping, in_flight, patience }
     }
 
     /// The handler of the callers' listener.
@@ -109,8 +112,9 @@
         let route = route.ok_or(Refusal::new(RefusalCause::NoRoute))?;
         let service = route.service_for(&id).map(Name::clone);
         let service = service.ok_or(Refusal::new(RefusalCause::NoRoute))?;
-        let caller_deadline = arrived + terms.time_budget.unwrap_or(route.timeout);
-        let deadline = caller_deadline.min(arrived + route.timeout);
+        let caller_time = terms.time_budget.unwrap_or(route.timeout);
+        let spent_before = self.patience.note(&route.name, caller_time).saturating_sub(caller_time);
+        let deadline = arrived + caller_time.min(route.timeout);
         let body = receive(body, config.limits.body_bytes, deadline).await?;
         let routed = RoutedRequest {
             id,
@@ -119,7 +123,7 @@
             headers: parts.headers,
             body,
             arrived,
-            caller_deadline,
+            spent_before,
             deadline,
             route,
             service,
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -10,9 +10,8 @@
 
 use crate::route::RouteEntry;
 
-/// Part of the route's time limit that a first attempt may have spent: the way to this host, and
-/// callers whose own limit is a little shorter.
-const FRESH_SLACK: f64 = 0.1;
+/// Time that a first attempt may seem to have spent: the way to this host, a lost packet on it.
+const FRESH_SLACK: Duration = Duration::from_millis(100);
 
 /// A part of a prompt that requests may share.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,8 +65,8 @@
     pub body: Bytes,
     /// When its head had been read.
     pub arrived: Instant,
-    /// When the caller stops waiting.
-    pub caller_deadline: Instant,
+    /// Time that the caller had spent before this attempt; a refused one comes back later.
+    pub spent_before: Duration,
     /// When it must have its final answer.
     pub deadline: Instant,
     /// Its route.
@@ -93,15 +92,14 @@
         self.arrived.elapsed()
     }
 
-    /// Time that the caller had spent before this attempt, as far as the route's time limit shows
-    /// it: a caller on its first attempt has about as much left.
-    pub fn spent_before(&self) -> Duration {
-        let left = self.caller_deadline.saturating_duration_since(self.arrived);
-        self.route.timeout.saturating_sub(left)
+    /// Whether its first event can no longer be in time: the objective counts from the caller's
+    /// first attempt, and an answer that broke off has paused for too long already.
+    pub fn is_late(&self) -> bool {
+        self.resume_after.is_some() || self.spent_before + self.age() > self.route.objective
     }
 
     /// Whether the caller was refused, or lost an answer, before this attempt.
     pub fn is_returned(&self) -> bool {
-        self.spent_before() > self.route.timeout.mul_f64(FRESH_SLACK)
+        self.spent_before > FRESH_SLACK
     }
 }
