Prompts spill to decode engines by the predicted wait, as a part of the objective

Change: the part rises evenly from 0.35 to 0.7 of the objective; answers that are late anyway never hold others up.

--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -20,13 +20,13 @@
 /// Age of a request from which no other engine is asked after a failed prefill; the first event
 /// would be late then.
 const LATEST_REPEAT: Duration = Duration::from_millis(700);
-/// Wait for a prefill above which part of the prompts is read at decode engines: with what the
-/// stream needs to begin, the first event would be late. At 400 ms four in ten of the streams
-/// that were read there paused too long (hewasafi-nbo trouble-1), more than would have been late.
-const PREFILL_OVERLOADED: Duration = Duration::from_millis(700);
-/// Part of the prompts that is read at decode engines then. Reading there holds up the streams
-/// of that engine, so the rest goes on to queue.
-const DIRECT_PART: f64 = 0.5;
+/// Wait for a prefill, as a part of the objective, from which some prompts are read at decode
+/// engines. The rest of the objective goes to finding memory, the move, the first token, and to
+/// queues that have grown since this host last saw them.
+const SPILL_FROM: f64 = 0.35;
+/// Wait from which all prompts are read there. In between the part rises evenly, so that hosts
+/// that see one queue do not all turn away from it at once.
+const SPILL_ALL: f64 = 0.7;
 /// Waits for a prefill that differ by less count as equal, in ms; a prompt takes about 90.
 const PREFILL_STEP_MS: u128 = 100;
 
@@ -69,7 +69,7 @@
         return guard;
     }
     let mut tried = Vec::new();
-    while let Some(entry) = next_engine(context, request, placement, &tried) {
+    while let Some(entry) = next_engine(context, request, placement, rank, &tried) {
         tried.push(BackendId::clone(&entry.id));
         let error = match ask(context, request, &entry, rank).await {
             Ok(prefilled) => {
@@ -146,6 +146,7 @@
     context: &ForwardContext,
     request: &RoutedRequest,
     placement: &Placement,
+    rank: WorkRank,
     tried: &[BackendId],
 ) -> Option<Arc<BackendEntry>> {
     let (view, book) = (context.view(), &context.book);
@@ -161,6 +162,13 @@
     let waits = open.map(|entry| (book.prefill_wait(&entry.id), entry));
     // Of equal waits the first, which is the nearest, wins.
     let (wait, entry) = waits.min_by_key(|(wait, _entry)| wait.as_millis() / PREFILL_STEP_MS)?;
-    let overloaded = wait > PREFILL_OVERLOADED && rand::rng().random_bool(DIRECT_PART);
-    (!overloaded).then_some(entry)
+    let spills = rank != WorkRank::Late
+        && rand::rng().random_bool(spilled_part(wait, request.route.objective));
+    (!spills).then_some(entry)
+}
+
+/// Part of the prompts that decode engines read while prefills take so long.
+fn spilled_part(wait: Duration, objective: Duration) -> f64 {
+    let part = wait.as_secs_f64() / objective.as_secs_f64().max(f64::EPSILON);
+    ((part - SPILL_FROM) / (SPILL_ALL - SPILL_FROM)).clamp(0.0, 1.0)
 }
