--- /dev/null
+++ b/crates/dillspool_capacity/src/meter.rs
@@ -0,0 +1,170 @@
+//! Observes the model requests that pass through one host.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dillspool_schema::Name;
+use tokio::time::Instant;
+
+use crate::decay::DecayedSum;
+use crate::need::DemandReading;
+
+/// Prefills whose pace is kept.
+const KEPT_PACES: usize = 32;
+/// Part of them that was faster than the pace that counts. Some find their prompt in the engine's
+/// cache in part, and many wait in its queue; below full load a third or more do neither.
+const FASTER_PART: f64 = 0.25;
+/// Services kept at most; the names come from the configuration.
+const MOST_SERVICES: usize = 256;
+
+#[derive(Debug)]
+struct ServiceMeter {
+    prompts: DecayedSum,
+    prompt_tokens: DecayedSum,
+    /// Token-seconds and seconds for which answers have held decode memory.
+    held_token_s: DecayedSum,
+    held_s: DecayedSum,
+    /// Answers that gave their memory back.
+    ended: DecayedSum,
+    /// Answers that hold memory, their tokens, and until when they are in the sums above.
+    holding: u32,
+    holding_tokens: u64,
+    summed_at: Instant,
+    /// Seconds a token of the newest prefills.
+    paces: VecDeque<f64>,
+}
+
+impl ServiceMeter {
+    fn new(now: Instant) -> Self {
+        let sum = DecayedSum::new(now);
+        Self {
+            prompts: sum,
+            prompt_tokens: sum,
+            held_token_s: sum,
+            held_s: sum,
+            ended: sum,
+            holding: 0,
+            holding_tokens: 0,
+            summed_at: now,
+            paces: VecDeque::new(),
+        }
+    }
+
+    /// Adds what the answers under way have held since the last time, so that long ones count
+    /// before they end.
+    #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+    fn sum_up(&mut self, now: Instant) {
+        let span_s = now.saturating_duration_since(self.summed_at).as_secs_f64();
+        self.held_token_s.add(now, span_s * self.holding_tokens as f64);
+        self.held_s.add(now, span_s * f64::from(self.holding));
+        self.summed_at = now;
+    }
+
+    fn note_pace(&mut self, seconds_a_token: f64) {
+        if self.paces.len() >= KEPT_PACES {
+            self.paces.pop_front();
+        }
+        self.paces.push_back(seconds_a_token);
+    }
+
+    /// Seconds a token of a prefill that neither waits nor finds its prompt in the cache.
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the position lies within a few dozen"
+    )]
+    fn pace(&self) -> Option<f64> {
+        let mut paces: Vec<f64> = self.paces.iter().copied().collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get((paces.len() as f64 * FASTER_PART) as usize).copied()
+    }
+
+    fn read(&mut self, now: Instant) -> Option<DemandReading> {
+        self.sum_up(now);
+        let pace = self.pace()?;
+        let (prompts, ended) = (self.prompts.read(now), self.ended.read(now));
+        if prompts <= 0.0 || ended <= 0.0 {
+            return None;
+        }
+        Some(DemandReading {
+            prompts,
+            ended,
+            read_s: self.prompt_tokens.read(now) / prompts * pace,
+            // What is held over what ends: answers that still run are in the first only, as in
+            // the estimate of a mean life from censored observations.
+            held_token_s: self.held_token_s.read(now) / ended,
+            held_s: self.held_s.read(now) / ended,
+        })
+    }
+}
+
+/// The meters of all services.
+#[derive(Clone, Debug, Default)]
+pub struct DemandMeter {
+    services: Arc<Mutex<HashMap<Name, ServiceMeter>>>,
+}
+
+impl DemandMeter {
+    fn with<T>(&self, service: &Name, run: impl FnOnce(&mut ServiceMeter, Instant) -> T) -> T {
+        let now = Instant::now();
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if services.len() >= MOST_SERVICES {
+            services.retain(|_service, meter| meter.holding > 0);
+        }
+        let meter = services.entry(Name::clone(service)).or_insert_with(|| ServiceMeter::new(now));
+        run(meter, now)
+    }
+
+    /// Notes a prompt of so many tokens, also one that is refused.
+    #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+    pub fn note_prompt(&self, service: &Name, tokens: u64) {
+        self.with(service, |meter, now| {
+            meter.prompts.add(now, 1.0);
+            meter.prompt_tokens.add(now, tokens as f64);
+        });
+    }
+
+    /// Notes how long a prefill of so many tokens took, with its wait.
+    #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+    pub fn note_prefill(&self, service: &Name, tokens: u64, took: Duration) {
+        let seconds_a_token = took.as_secs_f64() / tokens.max(1) as f64;
+        self.with(service, |meter, _now| meter.note_pace(seconds_a_token));
+    }
+
+    /// Notes an answer that holds so many tokens of decode memory until the ticket is dropped.
+    #[must_use]
+    pub fn enter(&self, service: &Name, tokens: u64) -> MemoryTicket {
+        self.with(service, |meter, now| {
+            meter.sum_up(now);
+            meter.holding += 1;
+            meter.holding_tokens += tokens;
+        });
+        MemoryTicket { meter: self.clone(), service: Name::clone(service), tokens }
+    }
+
+    /// What a service's requests ask; `None` before anything is known.
+    pub fn read(&self, service: &Name) -> Option<DemandReading> {
+        self.with(service, ServiceMeter::read)
+    }
+}
+
+/// Decode memory that an answer holds; dropping it notes that it is given back.
+#[derive(Debug)]
+pub struct MemoryTicket {
+    meter: DemandMeter,
+    service: Name,
+    tokens: u64,
+}
+
+impl Drop for MemoryTicket {
+    fn drop(&mut self) {
+        self.meter.with(&self.service, |meter, now| {
+            meter.sum_up(now);
+            meter.holding = meter.holding.saturating_sub(1);
+            meter.holding_tokens = meter.holding_tokens.saturating_sub(self.tokens);
+            meter.ended.add(now, 1.0);
+        });
+    }
+}
--- /dev/null
+++ b/crates/dillspool_capacity/tests/meter.rs
@@ -0,0 +1,102 @@
+//! What a host learns of its requests.
+
+use std::time::Duration;
+
+use dillspool_capacity::DemandMeter;
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+/// Ten requests one after another, each held for three seconds.
+async fn play(meter: &DemandMeter) {
+    for _request in 0..10 {
+        meter.note_prompt(&"pool".into(), 3_000);
+        meter.note_prefill(&"pool".into(), 3_000, seconds(0.1));
+        let ticket = meter.enter(&"pool".into(), 4_000);
+        tokio::time::sleep(seconds(3.0)).await;
+        drop(ticket);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_known_before_an_answer_has_ended() {
+    let meter = DemandMeter::default();
+    assert_eq!(meter.read(&"pool".into()), None);
+    meter.note_prompt(&"pool".into(), 3_000);
+    meter.note_prefill(&"pool".into(), 3_000, seconds(0.1));
+    let _ticket = meter.enter(&"pool".into(), 4_000);
+    tokio::time::sleep(seconds(1.0)).await;
+    assert_eq!(meter.read(&"pool".into()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_means_of_what_passed_are_read() {
+    let meter = DemandMeter::default();
+    play(&meter).await;
+    let reading = meter.read(&"pool".into()).expect("a reading");
+    assert!((reading.read_s - 0.1).abs() < 1e-6, "{reading:?}");
+    assert!((reading.held_s - 3.0).abs() < 0.2, "{reading:?}");
+    assert!((reading.held_token_s - 12_000.0).abs() < 800.0, "{reading:?}");
+    assert_eq!(meter.read(&"other".into()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_that_still_run_count_too() {
+    let meter = DemandMeter::default();
+    play(&meter).await;
+    let short = meter.read(&"pool".into()).expect("a reading").held_s;
+    let _long: Vec<_> = (0..10).map(|_| meter.enter(&"pool".into(), 4_000)).collect();
+    tokio::time::sleep(seconds(10.0)).await;
+    let long = meter.read(&"pool".into()).expect("a reading").held_s;
+    assert!(long > 2.0 * short, "{short} {long}");
+}
+
+struct PaceCase {
+    name: &'static str,
+    /// How long prefills of 1,000 tokens take, in ms.
+    took_ms: &'static [u64],
+    read_ms: f64,
+}
+
+#[tokio::test(start_paused = true)]
+async fn neither_queues_nor_cached_prompts_decide_the_pace() {
+    let cases = [
+        PaceCase { name: "all alike", took_ms: &[30, 30, 30, 30], read_ms: 30.0 },
+        PaceCase {
+            name: "half wait",
+            took_ms: &[30, 400, 30, 900, 31, 250, 30, 30],
+            read_ms: 30.0,
+        },
+        PaceCase {
+            name: "one was cached",
+            took_ms: &[2, 30, 31, 30, 30, 32, 90, 200],
+            read_ms: 30.0,
+        },
+    ];
+    for case in cases {
+        let meter = DemandMeter::default();
+        meter.note_prompt(&"pool".into(), 1_000);
+        for took in case.took_ms {
+            meter.note_prefill(&"pool".into(), 1_000, Duration::from_millis(*took));
+        }
+        drop(meter.enter(&"pool".into(), 1_000));
+        let reading = meter.read(&"pool".into()).expect("a reading");
+        assert!((reading.read_s * 1000.0 - case.read_ms).abs() < 1.5, "{}: {reading:?}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_old_counts_for_less() {
+    let meter = DemandMeter::default();
+    play(&meter).await;
+    tokio::time::sleep(seconds(300.0)).await;
+    let reading = meter.read(&"pool".into()).expect("a reading");
+    assert!(reading.prompts < 0.1, "{reading:?}");
+    for _request in 0..4 {
+        meter.note_prompt(&"pool".into(), 9_000);
+        meter.note_prefill(&"pool".into(), 9_000, seconds(0.3));
+    }
+    let later = meter.read(&"pool".into()).expect("a reading");
+    assert!(later.read_s > 2.8 * reading.read_s, "{reading:?} {later:?}");
+}
--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -17,6 +17,12 @@
 const LONGEST_ASIDE: Duration = Duration::from_secs(4);
 /// Failures in a row after which a backend server is left out.
 const FAILURES_BEFORE_ASIDE: u32 = 2;
+/// First time that an engine gets no requests after it refused one that had its memory. A prefill
+/// is lost with each; one engine of many is missed little, also when only the prefill's result
+/// was gone.
+const FIRST_REFUSING: Duration = Duration::from_secs(2);
+/// Longest such time; an engine takes some seconds to change its part.
+const LONGEST_REFUSING: Duration = Duration::from_secs(8);
 /// Time after which a prefill's duration says nothing any more: queues fill and drain in seconds.
 const PREFILL_MEMORY: Duration = Duration::from_secs(3);
 /// Entries kept at most; ids are new with each start of a backend server.
@@ -32,6 +38,9 @@
     failures_in_row: u32,
     aside_until: Option<Instant>,
     full_until: Option<Instant>,
+    /// Requests in a row that it refused although it had reserved memory for them.
+    refusals_in_row: u32,
+    refuses_until: Option<Instant>,
     /// How long the last prefill took, and when it ended.
     last_prefill: Option<(Duration, Instant)>,
     /// When the prefills under way were asked for.
@@ -48,6 +57,8 @@
             failures_in_row: 0,
             aside_until: None,
             full_until: None,
+            refusals_in_row: 0,
+            refuses_until: None,
             last_prefill: None,
             prefills: Vec::new(),
         }
@@ -63,6 +74,8 @@
     pub(crate) failures: f64,
     pub(crate) is_aside: bool,
     pub(crate) is_full: bool,
+    /// It reserves memory for requests that it then refuses.
+    pub(crate) is_refusing: bool,
 }
 
 /// The book of all backend servers, by id.
@@ -91,6 +104,7 @@
             failures: load.failures,
             is_aside: load.aside_until.is_some_and(|until| until > now),
             is_full: load.full_until.is_some_and(|until| until > now),
+            is_refusing: load.refuses_until.is_some_and(|until| until > now),
         }
     }
 
@@ -114,6 +128,29 @@
         });
     }
 
+    /// Notes that an engine took up a request for which it had reserved memory.
+    pub(crate) fn note_taken(&self, id: &BackendId) {
+        self.with(id, |load| {
+            load.refusals_in_row = 0;
+            load.refuses_until = None;
+        });
+    }
+
+    /// Notes that an engine refused a request for which it had reserved memory: it changes its
+    /// part or leaves, and goes on reserving. It gets none for a while, longer each time.
+    pub(crate) fn note_refused_reserved(&self, id: &BackendId) {
+        let now = Instant::now();
+        let (refusals, span) = self.with(id, |load| {
+            let doublings = load.refusals_in_row.min(8);
+            let span = (FIRST_REFUSING * 2_u32.pow(doublings)).min(LONGEST_REFUSING);
+            load.refusals_in_row += 1;
+            load.refuses_until = Some(now + span);
+            (load.refusals_in_row, span)
+        });
+        let span_ms = span.as_millis();
+        log::info!("event=backend_refusing backend={id} refusals={refusals} for_ms={span_ms}");
+    }
+
     /// Notes a failure that the backend server told of.
     pub(crate) fn note_failure(&self, id: &BackendId) {
         self.with(id, |load| load.failures += NEWEST_WEIGHT * (1.0 - load.failures));
--- a/crates/dillspool_forward/src/choose.rs
+++ b/crates/dillspool_forward/src/choose.rs
@@ -45,12 +45,18 @@
         near: &str,
         tried: &[BackendId],
     ) -> Vec<Arc<BackendEntry>> {
-        let mut ranked: Vec<((bool, bool), f64, Arc<BackendEntry>)> = self
+        let candidates: Vec<_> = self
             .view
             .ready_in_stage(service, stage)
             .filter(|entry| !tried.contains(&entry.id))
-            .map(|entry| {
-                let load = self.book.read(&entry.id);
+            .map(|entry| (entry, self.book.read(&entry.id)))
+            .collect();
+        // If all refuse, the cause is not theirs, and they are asked as ever.
+        let all_refuse = candidates.iter().all(|(_entry, load)| load.is_refusing);
+        let mut ranked: Vec<((bool, bool), f64, Arc<BackendEntry>)> = candidates
+            .into_iter()
+            .filter(|(_entry, load)| all_refuse || !load.is_refusing)
+            .map(|(entry, load)| {
                 let far = if &*entry.failure_domain == near { 0.0 } else { FAR_TOKENS };
                 #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
                 let tokens = load.tokens as f64;
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use dillspool_capacity::DemandMeter;
 use dillspool_routing::DirectoryView;
 use dillspool_schema::Name;
 use tokio::sync::watch;
@@ -24,6 +25,8 @@
     pub directory: watch::Receiver<Arc<DirectoryView>>,
     /// What is under way at them.
     pub book: BackendBook,
+    /// What requests ask of their engines.
+    pub demand: DemandMeter,
     /// Budget of repeated sends.
     pub budgets: RetryBudgets,
     /// Counters and histograms.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -10,14 +10,13 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::book::LoadTicket;
 use crate::calls::{BackendAnswer, CallError, ForwardTerms, WorkRank};
 use crate::context::ForwardContext;
 use crate::memory_wait::MemoryWait;
 use crate::prefill::{PrefillGuard, prefill};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
-use crate::reservation::{HoldGuard, Placement, reserve};
+use crate::reservation::{HoldGuard, Placement, StreamTicket, reserve};
 use crate::stages::FirstEventStages;
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
 
@@ -37,6 +36,9 @@
     request: &Arc<RoutedRequest>,
     trace: RequestTrace,
 ) -> Result<Response<ResponseBody>, (Refusal, RequestTrace)> {
+    if let Some(terms) = &request.generation {
+        context.demand.note_prompt(&request.service, terms.prompt_tokens);
+    }
     let mut generation = Generation::new(context, request);
     let mut trace = trace;
     match generation.open(None).await {
@@ -65,7 +67,7 @@
     pub(crate) body: ResponseBody,
     /// Whether the engine reads the prompt itself.
     pub(crate) read_at_decode: bool,
-    _ticket: LoadTicket,
+    _ticket: StreamTicket,
 }
 
 /// How opening ended, if not by a refusal.
@@ -78,7 +80,7 @@
 /// A request that a decode engine took.
 struct SentRequest {
     entry: Arc<BackendEntry>,
-    ticket: LoadTicket,
+    ticket: StreamTicket,
     /// Whether the engine reads the prompt itself.
     read_at_decode: bool,
 }
@@ -293,7 +295,7 @@
             .filter(|entry| entry.stage.is_none())
             .ok_or_else(|| Refusal::come_back(RefusalCause::NoBackend, NO_ENGINE_RETRY))?;
         let hold = HoldGuard::empty(&self.context, &entry);
-        let ticket = self.context.book.enter(&entry.id, 0);
+        let ticket = StreamTicket::without_memory(self.context.book.enter(&entry.id, 0));
         Ok(Placement { entry, reserved: 0, hold, ticket })
     }
 
@@ -356,6 +358,7 @@
                 self.take_head(taken, answer).await
             }
             Err(CallError::Refused { status }) => {
+                self.context.book.note_refused_reserved(&entry.id);
                 self.note_failed_send(&entry, &format!("refused with {status}, not run"));
                 Ok(None)
             }
@@ -372,9 +375,11 @@
     ) -> Result<Option<OpenEnd>, Refusal> {
         let SentRequest { entry, ticket, read_at_decode } = sent;
         if answer.did_not_run {
+            self.context.book.note_refused_reserved(&entry.id);
             self.note_failed_send(&entry, &format!("refused with {}, not run", answer.status));
             return Ok(None);
         }
+        self.context.book.note_taken(&entry.id);
         let (status, headers) = (answer.status, answer.headers.clone());
         if answer.is_genuine_success() {
             if self.is_before_first_event() {
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -107,7 +107,11 @@
     let call = (context.calls.prefill)(Arc::clone(entry), Arc::clone(request), terms);
     let started = Instant::now();
     let ended = tokio::time::timeout(limit, call).await;
-    context.metrics.note_prefill_end(started.elapsed());
+    let took = started.elapsed();
+    context.metrics.note_prefill_end(took);
+    if let Ok(Ok(prefilled)) = &ended {
+        context.demand.note_prefill(&request.service, prefilled.tokens, took);
+    }
     let silent = |_elapsed| CallError::Lost { reason: format!("no prefill within {limit:?}") };
     ended.map_err(silent)?
 }
--- a/crates/dillspool_forward/src/reservation.rs
+++ b/crates/dillspool_forward/src/reservation.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_capacity::MemoryTicket;
 use dillspool_routing::{BackendEntry, BackendId, GenerationTerms, RoutedRequest};
 use dillspool_schema::Name;
 
@@ -63,7 +64,21 @@
     /// Tokens reserved there; 0 at a backend server that reserves nothing.
     pub(crate) reserved: u64,
     pub(crate) hold: HoldGuard,
-    pub(crate) ticket: LoadTicket,
+    pub(crate) ticket: StreamTicket,
+}
+
+/// An answer's place in this host's books, until it has ended.
+pub(crate) struct StreamTicket {
+    _load: LoadTicket,
+    /// `None` at a backend server that reserves nothing.
+    _memory: Option<MemoryTicket>,
+}
+
+impl StreamTicket {
+    /// For a backend server that reserves nothing.
+    pub(crate) fn without_memory(load: LoadTicket) -> Self {
+        Self { _load: load, _memory: None }
+    }
 }
 
 /// Reserves memory for a request at one engine, if enough is left beside it for growing answers.
@@ -73,12 +88,14 @@
     entry: &Arc<BackendEntry>,
 ) -> Option<Placement> {
     let need = MemoryNeed::of(request.generation.as_ref());
-    let ticket = context.book.enter(&entry.id, need.reserved);
+    let load = context.book.enter(&entry.id, need.reserved);
     let terms = HoldTerms { tokens: need.reserved, life: HOLD_LIFE };
     let hold = ask(context, entry, terms).await?;
     let hold = HoldGuard { context: context.clone(), entry: Arc::clone(entry), hold: Some(hold) };
     let terms = HoldTerms { tokens: need.headroom, life: HEADROOM_LIFE };
     let _lapses = ask(context, entry, terms).await?;
+    let memory = context.demand.enter(&request.service, need.reserved);
+    let ticket = StreamTicket { _load: load, _memory: Some(memory) };
     Some(Placement { entry: Arc::clone(entry), reserved: need.reserved, hold, ticket })
 }
 
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dillspool_capacity::DemandMeter;
 use dillspool_forward::{
     BackendAnswer, BackendBook, BackendCalls, BudgetTerms, CallError, ForwardContext,
     ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets, WorkRank,
@@ -217,6 +218,7 @@
             calls: self.calls(),
             directory,
             book: BackendBook::default(),
+            demand: DemandMeter::default(),
             budgets: RetryBudgets::new(budget),
             metrics: ForwardMetrics::default(),
             tasks: TaskTracker::new(),
--- /dev/null
+++ b/crates/dillspool_forward/tests/refusing.rs
@@ -0,0 +1,71 @@
+//! An engine that reserves memory and then refuses the request is left alone for a while.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ONE, ScriptedSite, Step, pool, request};
+use dillspool_forward::{ForwardContext, answer_request};
+use dillspool_routing::RequestKind;
+
+struct RefusingCase {
+    name: &'static str,
+    /// What the engines do.
+    first: Step,
+    second: Step,
+    /// Requests one after another, a hundred milliseconds apart.
+    requests: usize,
+    /// How many of them reach the first and the second engine.
+    arrivals: [usize; 2],
+}
+
+async fn ask(context: &ForwardContext) {
+    let mut routed = request(RequestKind::Streaming, 2, false);
+    routed.route = {
+        let mut route = (*routed.route).clone();
+        route.objective = Duration::from_secs(1);
+        route.into()
+    };
+    drop(answer_request(context.clone(), routed).await);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn it_gets_requests_again_after_some_seconds() {
+    let whole = || Step::Stream(vec![ONE]);
+    let cases = [
+        RefusingCase {
+            name: "one refuses",
+            first: Step::NotRun(503),
+            second: whole(),
+            requests: 15,
+            arrivals: [1, 15],
+        },
+        RefusingCase {
+            name: "it refuses again after two seconds, and is left alone for longer",
+            first: Step::NotRun(503),
+            second: whole(),
+            requests: 40,
+            arrivals: [2, 40],
+        },
+        RefusingCase {
+            name: "all refuse: that is not theirs, and they are asked as ever",
+            first: Step::NotRun(503),
+            second: Step::NotRun(503),
+            requests: 10,
+            arrivals: [10, 10],
+        },
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        site.script("decode-1", [case.first]);
+        site.script("decode-2", [case.second]);
+        let (context, _directory) = site.context(pool());
+        for _request in 0..case.requests {
+            ask(&context).await;
+        }
+        let record = site.record.lock().unwrap();
+        let count = |id| record.arrivals.iter().filter(|arrival| arrival.backend == id).count();
+        assert_eq!([count("decode-1"), count("decode-2")], case.arrivals, "{}", case.name);
+    }
+}
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -1,6 +1,6 @@
 //! Watches the pools and orders what the plan asks for.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,16 +12,17 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::lease::{OrderLease, OrderTerm};
-use crate::plan::{StageChange, StagePlan};
+use crate::lease::{LeaseRow, OrderLease, OrderTerm};
+use crate::plan::{StageChange, pool_engines, stage_changes};
+use crate::targets::PoolTargets;
 
 /// How stages are kept.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct KeeperSettings {
     /// This host.
     pub host: Name,
     /// How pools are divided.
-    pub plan: StagePlan,
+    pub targets: PoolTargets,
     /// Time that must lie between the orders of two holders.
     pub apart: Duration,
     /// Time before this host acts, other than on any other host; see [`keep_stages`].
@@ -31,6 +32,8 @@
 /// Time after which an engine that was ordered and shows no change is ordered again; a late
 /// order may be carried out twelve seconds after it was sent.
 const ORDER_AGAIN: Duration = Duration::from_secs(20);
+/// Time for which a few prefill engines must be missing before decode engines take their place.
+const SHORT_SPAN: Duration = Duration::from_secs(30);
 /// Time between two looks at the pools.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// Looks in a row that must ask for the same change, so that one lapsed entry turns no engine.
@@ -49,14 +52,30 @@
     cancel: CancellationToken,
 ) {
     let lease = OrderLease::new(store, Name::clone(&settings.host), settings.apart);
-    let mut keeper =
-        StageKeeper { settings, lease, calls, config, directory, ordered: HashMap::new() };
+    let mut keeper = StageKeeper {
+        settings,
+        lease,
+        calls,
+        config,
+        directory,
+        ordered: HashMap::new(),
+        seen_fence: 0,
+        short_since: HashMap::new(),
+    };
     tokio::select! {
         () = keeper.run() => {}
         () = cancel.cancelled() => {}
     }
 }
 
+/// Engines to order and the targets that ask for it.
+#[derive(Debug, Default)]
+struct DueChanges {
+    changes: Vec<StageChange>,
+    /// Prefill engines by service.
+    targets: BTreeMap<Name, usize>,
+}
+
 struct StageKeeper {
     settings: KeeperSettings,
     lease: OrderLease,
@@ -65,6 +84,10 @@
     directory: watch::Receiver<Arc<DirectoryView>>,
     /// When an engine was ordered, by any host.
     ordered: HashMap<Name, Instant>,
+    /// Fence of the newest row of the lease whose targets were taken.
+    seen_fence: u64,
+    /// Since when pools have had too few prefill engines.
+    short_since: HashMap<Name, Instant>,
 }
 
 impl StageKeeper {
@@ -72,40 +95,50 @@
         let mut steady = 0;
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
-            let changes = self.changes();
-            steady = if changes.is_empty() { 0 } else { steady + 1 };
+            let due = self.changes();
+            steady = if due.changes.is_empty() { 0 } else { steady + 1 };
             if steady < STEADY_LOOKS {
                 continue;
             }
             tokio::time::sleep(self.settings.delay).await;
-            if !self.changes().is_empty() {
+            let due = self.changes();
+            if !due.changes.is_empty() {
                 log::info!(
                     "event=stage_changes_due count={} directory={}",
-                    changes.len(),
+                    due.changes.len(),
                     self.directory.borrow().version,
                 );
-                self.order(&changes).await;
+                self.order(&due).await;
             }
             steady = 0;
         }
     }
 
-    fn changes(&self) -> Vec<StageChange> {
-        let Some(config) = self.config.borrow().clone() else { return Vec::new() };
+    /// Changes that are due now. An engine that was ordered and shows no change yet stays among
+    /// those that are picked, so that no other one is ordered in its place.
+    fn changes(&mut self) -> DueChanges {
+        let mut due = DueChanges::default();
+        let Some(config) = self.config.borrow().clone() else { return due };
         let view = Arc::clone(&self.directory.borrow());
-        let pools = config.services.values().filter(|service| service.engine.is_some());
-        pools
-            .flat_map(|service| self.settings.plan.changes(&view, &service.name))
-            .filter(|change| {
-                self.ordered.get(&change.entry.id).is_none_or(|at| at.elapsed() > ORDER_AGAIN)
-            })
-            .collect()
+        let now = Instant::now();
+        for service in config.services.values() {
+            let Some(pool) = &service.engine else { continue };
+            let keep = self.settings.targets.update(&service.name, pool, &view, now);
+            due.targets.insert(Name::clone(&service.name), keep);
+            if self.may_order(&service.name, &view, keep, now) {
+                due.changes.extend(stage_changes(&view, &service.name, keep));
+            }
+        }
+        due.changes.retain(|change| {
+            self.ordered.get(&change.entry.id).is_none_or(|at| at.elapsed() > ORDER_AGAIN)
+        });
+        due
     }
 
-    async fn order(&mut self, changes: &[StageChange]) {
+    async fn order(&mut self, due: &DueChanges) {
         // Another host may have acted while this one waited.
         match self.lease.read().await {
-            Ok(Some((row, _version))) => self.note_ordered(&row.ordered, changes),
+            Ok(Some((row, _version))) => self.take_over(&row, due),
             Ok(None) => {}
             Err(error) => {
                 log::info!("event=lease_unreadable cause=\"{error}\"");
@@ -113,13 +146,14 @@
             }
         }
         let open = self.changes();
-        let wanted: Vec<_> = changes.iter().filter(|change| open.contains(change)).collect();
+        let is_open = |change: &&StageChange| open.changes.contains(change);
+        let wanted: Vec<_> = due.changes.iter().filter(is_open).collect();
         if wanted.is_empty() {
             return;
         }
         let ids: Vec<Name> = wanted.iter().map(|change| Name::clone(&change.entry.id)).collect();
         let token = write_token(&self.settings.host);
-        let term = match self.lease.take(&ids, token).await {
+        let term = match self.lease.take(&ids, &open.targets, token).await {
             Ok(Some(term)) => term,
             Ok(None) => return,
             Err(error) => {
@@ -127,18 +161,45 @@
                 return;
             }
         };
+        self.settings.targets.note_written(&open.targets);
+        self.seen_fence = term.fence;
         for change in wanted {
             self.send(change, &term).await;
         }
     }
 
-    fn note_ordered(&mut self, ids: &[Name], changes: &[StageChange]) {
+    /// Whether a pool's changes may be ordered. Decode engines are turned at once when half of the
+    /// prefill engines or fewer are left; otherwise only when that lasts, since a crashed engine
+    /// mostly returns sooner than another one has changed its part.
+    fn may_order(
+        &mut self,
+        service: &Name,
+        view: &DirectoryView,
+        keep: usize,
+        now: Instant,
+    ) -> bool {
+        let (prefill, _decode) = pool_engines(view, service);
+        if prefill.len() >= keep {
+            self.short_since.remove(service);
+            return true;
+        }
+        let since = *self.short_since.entry(Name::clone(service)).or_insert(now);
+        prefill.len() * 2 <= keep || now.saturating_duration_since(since) >= SHORT_SPAN
+    }
+
+    /// Takes what the lease's row says: what was ordered by whichever host, and, if another host
+    /// wrote it since, the targets.
+    fn take_over(&mut self, row: &LeaseRow, due: &DueChanges) {
         let now = Instant::now();
-        for id in ids {
-            if changes.iter().any(|change| change.entry.id == *id) {
+        for id in &row.ordered {
+            if due.changes.iter().any(|change| change.entry.id == *id) {
                 self.ordered.entry(Name::clone(id)).or_insert(now);
             }
         }
+        if row.fence > self.seen_fence {
+            self.seen_fence = row.fence;
+            self.settings.targets.adopt(&row.targets);
+        }
     }
 
     async fn send(&mut self, change: &StageChange, term: &OrderTerm) {
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -1,5 +1,6 @@
 //! The lease under which one host gives orders.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableRow, TableStore};
@@ -30,6 +31,17 @@
     pub token: u64,
     /// Engines that were ordered to change, by id, the newest last.
     pub ordered: Vec<Name>,
+    /// Prefill engines that each pool keeps, by service; a fleet that starts anew begins with them.
+    #[serde(default)]
+    pub targets: BTreeMap<Name, usize>,
+}
+
+impl LeaseRow {
+    /// A row of nobody whose next term has the fence after this one.
+    fn empty(fence: u64) -> Self {
+        let holder = Name::from("");
+        Self { holder, fence, token: 0, ordered: Vec::new(), targets: BTreeMap::new() }
+    }
 }
 
 /// The right to send orders for a short time.
@@ -72,7 +84,8 @@
         Ok(row.map(|row| parse(&row)))
     }
 
-    /// Takes a term to order changes of `engines`; `None` when another host has the lease.
+    /// Takes a term to order changes of `engines` towards `targets`; `None` when another host has
+    /// the lease.
     ///
     /// A host that is not the holder waits until the row has rested for long enough.
     ///
@@ -83,6 +96,7 @@
     pub async fn take(
         &self,
         engines: &[Name],
+        targets: &BTreeMap<Name, usize>,
         token: u64,
     ) -> Result<Option<OrderTerm>, PlatformError> {
         let before = self.read().await?;
@@ -98,13 +112,17 @@
             }
         }
         let started = Instant::now();
-        let (expect, fence, mut ordered) = match before {
-            Some((row, version)) => (RowExpect::Version(version), row.fence + 1, row.ordered),
-            None => (RowExpect::Absent, 1, Vec::new()),
+        let (expect, before) = match before {
+            Some((row, version)) => (RowExpect::Version(version), row),
+            None => (RowExpect::Absent, LeaseRow::empty(0)),
         };
+        let (fence, mut ordered) = (before.fence + 1, before.ordered);
+        let mut kept = before.targets;
+        kept.extend(targets.iter().map(|(service, engines)| (Name::clone(service), *engines)));
         ordered.extend(engines.iter().cloned());
         ordered.drain(..ordered.len().saturating_sub(MOST_ORDERED));
-        let row = LeaseRow { holder: Name::clone(&self.host), fence, token, ordered };
+        let row =
+            LeaseRow { holder: Name::clone(&self.host), fence, token, ordered, targets: kept };
         let Ok(text) = serde_json::to_string(&row) else { return Ok(None) };
         let write = RowWrite { key: LEASE_KEY.into(), expect, value: Some(text) };
         match self.store.commit(vec![write]).await? {
@@ -127,9 +145,7 @@
             // Written over by the next term; the fence starts from its version, which is higher
             // than any fence before it.
             log::warn!("event=lease_malformed version={} cause=\"{error}\"", row.version);
-            let holder = Name::from("");
-            let lease = LeaseRow { holder, fence: row.version, token: 0, ordered: Vec::new() };
-            (lease, row.version)
+            (LeaseRow::empty(row.version), row.version)
         }
     }
 }
--- a/crates/dillspool_roles/src/lib.rs
+++ b/crates/dillspool_roles/src/lib.rs
@@ -1,12 +1,17 @@
 //! Which engines prefill and which decode, and the one host that orders it.
 //!
+//! How many of a pool prefill follows from what its requests ask (`dillspool_capacity`), unless
+//! the settings say it; see `docs/design/split.md`.
+//!
 //! Orders come from the holder of a lease: a row of the store that is written under a condition
 //! before each round of orders. See `docs/design/platform_site.md`.
 
 mod keeper;
 mod lease;
 mod plan;
+mod targets;
 
 pub use keeper::{KeeperSettings, keep_stages};
 pub use lease::{LeaseRow, OrderLease, OrderTerm};
-pub use plan::{StageChange, StagePlan};
+pub use plan::{StageChange, engines_for_share, stage_changes};
+pub use targets::{PoolTargets, ShareRule};
--- a/crates/dillspool_roles/src/plan.rs
+++ b/crates/dillspool_roles/src/plan.rs
@@ -3,16 +3,14 @@
 use std::sync::Arc;
 
 use dillspool_routing::{BackendEntry, DirectoryView, EngineStage};
+use dillspool_schema::Name;
 
 /// Engines of a pool below which none is turned to prefill: the few that decode are needed more.
 const FEWEST_TO_TURN_BACK: usize = 4;
 
-/// How a pool's engines are divided.
-#[derive(Clone, Copy, Debug)]
-pub struct StagePlan {
-    /// Part of a pool's engines that prefill.
-    pub prefill_share: f64,
-}
+/// Part of a pool's decode engines that is turned to prefill at once: each is gone until its answers
+/// have ended and it has changed.
+const TURNED_AT_ONCE: f64 = 0.125;
 
 /// An engine that should change its part.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,42 +21,78 @@
     pub stage: EngineStage,
 }
 
-impl StagePlan {
-    /// Prefill engines that a pool of `engines` keeps; at least one.
-    pub fn prefill_engines(self, engines: usize) -> usize {
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "engines are counted in thousands and the share lies between 0 and 1"
-        )]
-        let share = (engines as f64 * self.prefill_share.clamp(0.0, 1.0)).ceil() as usize;
-        share.clamp(1, engines.max(1))
+/// Prefill engines for a part of a pool of `engines`; at least one.
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "engines are counted in thousands and the share lies between 0 and 1"
+)]
+pub fn engines_for_share(engines: usize, share: f64) -> usize {
+    let part = (engines as f64 * share.clamp(0.0, 1.0)).ceil() as usize;
+    part.clamp(1, engines.max(1))
+}
+
+/// Engines of a pool that play a part and take requests: those that prefill, those that decode.
+pub fn pool_engines(
+    view: &DirectoryView,
+    service: &str,
+) -> (Vec<Arc<BackendEntry>>, Vec<Arc<BackendEntry>>) {
+    let in_stage = |stage| view.ready_in_stage(service, stage).cloned().collect();
+    (in_stage(EngineStage::Prefill), in_stage(EngineStage::Decode))
+}
+
+/// Engines that should change their part so that `keep` prefill.
+///
+/// An engine that decodes is turned only if enough others go on decoding; until it has changed,
+/// prompts beyond the prefill engines' pace are read at decode engines. The result is the same on
+/// every host with the same view.
+pub fn stage_changes(view: &DirectoryView, service: &str, keep: usize) -> Vec<StageChange> {
+    let (prefill, decode) = pool_engines(view, service);
+    if prefill.len() >= keep {
+        let spare = prefill.len() - keep;
+        return turn(prefill, &decode, spare, EngineStage::Decode);
     }
+    if prefill.len() + decode.len() < FEWEST_TO_TURN_BACK {
+        return Vec::new();
+    }
+    let short = keep - prefill.len();
+    let at_once = engines_for_share(decode.len(), TURNED_AT_ONCE);
+    turn(decode, &prefill, short.min(at_once), EngineStage::Prefill)
+}
 
-    /// Engines that should change their part so that the plan holds.
-    ///
-    /// An engine that decodes is turned only if enough others go on decoding; until it has
-    /// changed, prompts beyond the prefill engines' pace are read at decode engines.
-    pub fn changes(self, view: &DirectoryView, service: &str) -> Vec<StageChange> {
-        let in_stage = |stage| -> Vec<Arc<BackendEntry>> {
-            let mut engines: Vec<_> = view.ready_in_stage(service, stage).cloned().collect();
-            // The order must be the same on every host, and keep engines in different domains.
-            engines.sort_by(|a, b| (&a.failure_domain, &a.id).cmp(&(&b.failure_domain, &b.id)));
-            engines
-        };
-        let (prefill, decode) = (in_stage(EngineStage::Prefill), in_stage(EngineStage::Decode));
-        let engines = prefill.len() + decode.len();
-        let keep = self.prefill_engines(engines);
-        let change = |stage| move |entry| StageChange { entry, stage };
-        if prefill.len() >= keep {
-            let spare = prefill.len() - keep;
-            return prefill.into_iter().take(spare).map(change(EngineStage::Decode)).collect();
-        }
-        if engines < FEWEST_TO_TURN_BACK {
-            return Vec::new();
-        }
-        let short = keep - prefill.len();
-        decode.into_iter().take(short).map(change(EngineStage::Prefill)).collect()
+/// Turns `count` of the engines `from`, each from the failure domain that has most of them in
+/// excess of those that play the other part, so that every domain keeps both: moves between
+/// domains cost, and a domain may be lost.
+fn turn(
+    mut from: Vec<Arc<BackendEntry>>,
+    others: &[Arc<BackendEntry>],
+    count: usize,
+    stage: EngineStage,
+) -> Vec<StageChange> {
+    let mut others: Vec<Name> =
+        others.iter().map(|entry| Name::clone(&entry.failure_domain)).collect();
+    let mut changes = Vec::new();
+    while changes.len() < count && !from.is_empty() {
+        let next = pick(&from, &others);
+        let entry = from.swap_remove(next);
+        others.push(Name::clone(&entry.failure_domain));
+        changes.push(StageChange { entry, stage });
     }
+    changes
+}
+
+/// Position of the engine to turn next; of equal ones the first by domain and id.
+fn pick(from: &[Arc<BackendEntry>], others: &[Name]) -> usize {
+    let excess = |domain: &Name| {
+        let own = from.iter().filter(|entry| entry.failure_domain == *domain).count();
+        let other = others.iter().filter(|name| *name == domain).count();
+        (other, usize::MAX - own)
+    };
+    let key = |entry: &BackendEntry| {
+        let domain = Name::clone(&entry.failure_domain);
+        (excess(&domain), domain, Name::clone(&entry.id))
+    };
+    let first = from.iter().enumerate().min_by_key(|(_at, entry)| key(entry));
+    first.map_or(0, |(at, _entry)| at)
 }
--- a/crates/dillspool_roles/tests/lease.rs
+++ b/crates/dillspool_roles/tests/lease.rs
@@ -1,10 +1,11 @@
 //! One host gives orders: terms, take-over, lost answers, a holder that was paused.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_platform::{MemoryTable, PlatformError, StoreFault};
-use dillspool_roles::OrderLease;
+use dillspool_roles::{LeaseRow, OrderLease};
 use tokio::time::Instant;
 
 const APART: Duration = Duration::from_secs(3);
@@ -17,8 +18,10 @@
 async fn the_first_host_has_it_and_fences_rise() {
     let table = MemoryTable::new();
     let a = lease(&table, "a");
-    let first = a.take(&["e1".into()], 1).await.expect("an answer").expect("a term");
-    let second = a.take(&["e2".into()], 2).await.expect("an answer").expect("a term");
+    let first =
+        a.take(&["e1".into()], &BTreeMap::new(), 1).await.expect("an answer").expect("a term");
+    let second =
+        a.take(&["e2".into()], &BTreeMap::new(), 2).await.expect("an answer").expect("a term");
     assert_eq!((first.fence, second.fence), (1, 2));
     let (row, _version) = a.read().await.expect("an answer").expect("a row");
     assert_eq!(row.ordered, ["e1".into(), "e2".into()]);
@@ -28,9 +31,13 @@
 #[tokio::test(start_paused = true)]
 async fn another_host_takes_over_only_after_a_rest() {
     let table = MemoryTable::new();
-    lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    lease(&table, "a").take(&[], &BTreeMap::new(), 1).await.expect("an answer").expect("a term");
     let started = Instant::now();
-    let term = lease(&table, "b").take(&[], 2).await.expect("an answer").expect("a term");
+    let term = lease(&table, "b")
+        .take(&[], &BTreeMap::new(), 2)
+        .await
+        .expect("an answer")
+        .expect("a term");
     assert!(started.elapsed() >= 2 * APART);
     assert_eq!(term.fence, 2);
 }
@@ -39,20 +46,21 @@
 async fn a_holder_that_goes_on_keeps_others_away() {
     let table = MemoryTable::new();
     let a = lease(&table, "a");
-    a.take(&[], 1).await.expect("an answer").expect("a term");
+    a.take(&[], &BTreeMap::new(), 1).await.expect("an answer").expect("a term");
     let b = lease(&table, "b");
-    let waiting = tokio::spawn(async move { b.take(&[], 2).await });
+    let waiting = tokio::spawn(async move { b.take(&[], &BTreeMap::new(), 2).await });
     tokio::time::sleep(APART).await;
-    a.take(&[], 3).await.expect("an answer").expect("a term");
+    a.take(&[], &BTreeMap::new(), 3).await.expect("an answer").expect("a term");
     assert!(waiting.await.expect("no panic").expect("an answer").is_none());
 }
 
 #[tokio::test(start_paused = true)]
 async fn of_two_hosts_that_take_over_one_gets_it() {
     let table = MemoryTable::new();
-    lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    lease(&table, "a").take(&[], &BTreeMap::new(), 1).await.expect("an answer").expect("a term");
     let (b, c) = (lease(&table, "b"), lease(&table, "c"));
-    let (b, c) = tokio::join!(b.take(&[], 2), c.take(&[], 3));
+    let targets = BTreeMap::new();
+    let (b, c) = tokio::join!(b.take(&[], &targets, 2), c.take(&[], &targets, 3));
     let taken = [b, c].into_iter().filter(|it| matches!(it, Ok(Some(_)))).count();
     assert_eq!(taken, 1);
 }
@@ -60,7 +68,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_term_ends_before_another_host_may_begin() {
     let table = MemoryTable::new();
-    let term = lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    let term = lease(&table, "a")
+        .take(&[], &BTreeMap::new(), 1)
+        .await
+        .expect("an answer")
+        .expect("a term");
     // A paused holder wakes: its clock went on, so it sends nothing.
     tokio::time::sleep(Duration::from_millis(5_999)).await;
     assert!(!term.is_valid());
@@ -71,9 +83,9 @@
     let table = MemoryTable::new();
     table.fail_commits([StoreFault::LoseAnswer]);
     let a = lease(&table, "a");
-    let lost = a.take(&[], 1).await;
+    let lost = a.take(&[], &BTreeMap::new(), 1).await;
     assert!(matches!(lost, Err(PlatformError::Unknown { .. })));
-    let term = a.take(&[], 2).await.expect("an answer").expect("a term");
+    let term = a.take(&[], &BTreeMap::new(), 2).await.expect("an answer").expect("a term");
     assert_eq!(term.fence, 2);
 }
 
@@ -82,8 +94,8 @@
     let table = MemoryTable::new();
     table.fail_commits([StoreFault::Late(Duration::from_secs(2))]);
     let a = lease(&table, "a");
-    assert!(a.take(&[], 1).await.is_err());
-    let term = a.take(&[], 2).await.expect("an answer").expect("a term");
+    assert!(a.take(&[], &BTreeMap::new(), 1).await.is_err());
+    let term = a.take(&[], &BTreeMap::new(), 2).await.expect("an answer").expect("a term");
     tokio::time::sleep(Duration::from_secs(5)).await;
     let (row, _version) = a.read().await.expect("an answer").expect("a row");
     assert_eq!((row.fence, row.token), (term.fence, 2));
@@ -98,7 +110,11 @@
         value: Some("{".to_owned()),
     };
     table.store().commit(vec![write]).await.expect("written");
-    let term = lease(&table, "a").take(&[], 1).await.expect("an answer").expect("a term");
+    let term = lease(&table, "a")
+        .take(&[], &BTreeMap::new(), 1)
+        .await
+        .expect("an answer")
+        .expect("a term");
     assert!(term.fence >= 2);
 }
 
@@ -110,9 +126,29 @@
         (0..200).map(|number| format!("engine-{round}-{number}").into()).collect()
     };
     for round in 0..10 {
-        a.take(&ids(round), round).await.expect("an answer").expect("a term");
+        a.take(&ids(round), &BTreeMap::new(), round).await.expect("an answer").expect("a term");
     }
     let (row, _version) = a.read().await.expect("an answer").expect("a row");
     assert!(row.ordered.len() < 1000, "{}", row.ordered.len());
     assert!(row.ordered.ends_with(&ids(9)), "the newest are there");
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_row_keeps_the_targets_of_all_pools() {
+    let table = MemoryTable::new();
+    let targets = |pool: &str, engines| BTreeMap::from([(pool.into(), engines)]);
+    let a = lease(&table, "a");
+    a.take(&[], &targets("one", 3), 1).await.expect("an answer").expect("a term");
+    a.take(&[], &targets("two", 5), 2).await.expect("an answer").expect("a term");
+    a.take(&[], &targets("one", 2), 3).await.expect("an answer").expect("a term");
+    let (row, _version) = a.read().await.expect("an answer").expect("a row");
+    let expected = BTreeMap::from([("one".into(), 2), ("two".into(), 5)]);
+    assert_eq!(row.targets, expected);
+}
+
+#[test]
+fn a_row_of_an_earlier_release_has_no_targets() {
+    let text = r#"{"holder":"a","fence":4,"token":9,"ordered":["e1"]}"#;
+    let row: LeaseRow = serde_json::from_str(text).expect("a row");
+    assert!(row.targets.is_empty());
+}
--- a/crates/dillspool_roles/tests/plan.rs
+++ b/crates/dillspool_roles/tests/plan.rs
@@ -1,20 +1,26 @@
 //! How many engines change their part, and which.
 
-use dillspool_roles::StagePlan;
-use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage};
 use std::sync::Arc;
 
-fn engine(id: String, part: EngineStage, state: BackendState) -> Arc<BackendEntry> {
+use dillspool_roles::{engines_for_share, stage_changes};
+use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage};
+
+fn engine(id: String, domain: &str, part: EngineStage, state: BackendState) -> Arc<BackendEntry> {
     Arc::new(BackendEntry {
         id: id.into(),
         service: "pool".into(),
         address: ([127, 0, 0, 1], 9).into(),
-        failure_domain: "domain".into(),
+        failure_domain: domain.into(),
         state,
         stage: Some(part),
     })
 }
 
+fn view(entries: impl IntoIterator<Item = Arc<BackendEntry>>) -> DirectoryView {
+    let entries = entries.into_iter().map(|it| (Arc::clone(&it.id), it)).collect();
+    DirectoryView { version: 1, entries }
+}
+
 struct PlanCase {
     name: &'static str,
     prefill: usize,
@@ -38,7 +44,8 @@
         case("four of nine, a fifth stays", 4, 0, 5, 0.2, 2),
         case("as planned", 2, 0, 7, 0.2, 0),
         case("fewer than planned: one turns back", 1, 0, 8, 0.2, 1),
-        case("none is left: two turn back", 0, 0, 9, 0.2, 2),
+        case("none is left: two turn back, an eighth at once", 0, 0, 9, 0.2, 2),
+        case("of many an eighth turns back at once", 0, 0, 80, 0.5, 10),
         case("a small pool keeps decoding", 0, 0, 3, 0.2, 0),
         case("one always stays", 3, 0, 0, 0.0, 2),
         case("the whole pool may prefill", 3, 0, 0, 1.0, 0),
@@ -48,22 +55,74 @@
     ];
     for case in cases {
         let ready = BackendState::Ready;
-        let prefill =
-            (0..case.prefill).map(|at| engine(format!("p{at:02}"), EngineStage::Prefill, ready));
+        let part =
+            |at: usize, part, state| engine(format!("{part:?}{at:02}"), "domain", part, state);
+        let prefill = (0..case.prefill).map(|at| part(at, EngineStage::Prefill, ready));
         let leaving = (0..case.draining)
-            .map(|at| engine(format!("x{at}"), EngineStage::Prefill, BackendState::Draining));
-        let decode =
-            (0..case.decode).map(|at| engine(format!("d{at:02}"), EngineStage::Decode, ready));
-        let entries = prefill.chain(leaving).chain(decode);
-        let view = DirectoryView {
-            version: 1,
-            entries: entries.map(|it| (Arc::clone(&it.id), it)).collect(),
-        };
-        let changes = StagePlan { prefill_share: case.share }.changes(&view, "pool");
+            .map(|at| part(at + 50, EngineStage::Prefill, BackendState::Draining));
+        let decode = (0..case.decode).map(|at| part(at, EngineStage::Decode, ready));
+        let view = view(prefill.chain(leaving).chain(decode));
+        let keep = engines_for_share(case.prefill + case.decode, case.share);
+        let changes = stage_changes(&view, "pool", keep);
         assert_eq!(changes.len(), case.turned, "{}", case.name);
-        let short = case.prefill
-            < StagePlan { prefill_share: case.share }.prefill_engines(case.prefill + case.decode);
+        let short = case.prefill < keep;
         let stage = if short { EngineStage::Prefill } else { EngineStage::Decode };
         assert!(changes.iter().all(|change| change.stage == stage), "{}", case.name);
     }
 }
+
+struct DomainCase {
+    name: &'static str,
+    /// Domains of the engines that prefill and of those that decode.
+    prefill: &'static [&'static str],
+    decode: &'static [&'static str],
+    keep: usize,
+    /// Domains of the engines that are turned, in order.
+    turned: &'static [&'static str],
+}
+
+#[test]
+fn every_domain_keeps_engines_of_both_parts() {
+    let cases = [
+        DomainCase {
+            name: "the domain without a decode engine gets one",
+            prefill: &["a", "a", "b", "c"],
+            decode: &["b", "c", "c", "b", "b"],
+            keep: 3,
+            turned: &["a"],
+        },
+        DomainCase {
+            name: "with equal decode engines the domain with most prefill engines",
+            prefill: &["a", "b", "b", "c"],
+            decode: &["a", "b", "c"],
+            keep: 3,
+            turned: &["b"],
+        },
+        DomainCase {
+            name: "the domain without a prefill engine gets one",
+            prefill: &["a", "b"],
+            decode: &["a", "a", "b", "b", "c", "c", "c"],
+            keep: 3,
+            turned: &["c"],
+        },
+        DomainCase {
+            name: "two are turned in two domains",
+            prefill: &["a", "a", "b", "b"],
+            decode: &["c", "c", "c", "a", "b"],
+            keep: 2,
+            turned: &["a", "b"],
+        },
+    ];
+    for case in cases {
+        let engines = |domains: &[&str], part| -> Vec<Arc<BackendEntry>> {
+            let ready = BackendState::Ready;
+            let named = domains.iter().enumerate();
+            named.map(|(at, domain)| engine(format!("{part:?}{at}"), domain, part, ready)).collect()
+        };
+        let prefill = engines(case.prefill, EngineStage::Prefill);
+        let view = view(prefill.into_iter().chain(engines(case.decode, EngineStage::Decode)));
+        let changes = stage_changes(&view, "pool", case.keep);
+        let domains: Vec<&str> = changes.iter().map(|it| &*it.entry.failure_domain).collect();
+        assert_eq!(domains, case.turned, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/dillspool_roles/tests/targets.rs
@@ -0,0 +1,133 @@
+//! How many engines prefill: by the settings, by what is observed, by what another host agreed on.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_capacity::DemandMeter;
+use dillspool_roles::{PoolTargets, ShareRule};
+use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EnginePool, EngineStage};
+use tokio::time::Instant;
+
+const POOL: EnginePool = EnginePool {
+    slots: 64,
+    memory_tokens: 40_000,
+    handle_life: Duration::from_millis(500),
+    longest_hold: Duration::from_secs(2),
+    switch_time: Duration::from_secs(6),
+};
+
+fn view(engines: usize) -> DirectoryView {
+    let entries = (0..engines).map(|at| {
+        let entry = BackendEntry {
+            id: format!("engine-{at}").into(),
+            service: "pool".into(),
+            address: ([127, 0, 0, 1], 9).into(),
+            failure_domain: "domain".into(),
+            state: BackendState::Ready,
+            stage: Some(if at < 3 { EngineStage::Prefill } else { EngineStage::Decode }),
+        };
+        (Arc::clone(&entry.id), Arc::new(entry))
+    });
+    DirectoryView { version: 1, entries: entries.collect() }
+}
+
+/// Twenty requests of which each is read for `read_ms` and holds 4,000 tokens for three seconds.
+async fn play(demand: &DemandMeter, read_ms: u64) {
+    for _request in 0..20 {
+        demand.note_prompt(&"pool".into(), 3_000);
+        demand.note_prefill(&"pool".into(), 3_000, Duration::from_millis(read_ms));
+        let ticket = demand.enter(&"pool".into(), 4_000);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        drop(ticket);
+    }
+}
+
+struct RuleCase {
+    name: &'static str,
+    rule: ShareRule,
+    /// Time of a prefill; nothing is observed without it.
+    read_ms: Option<u64>,
+    /// Seconds for which the pool is looked at then.
+    looks: u64,
+    engines: usize,
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_rule_decides() {
+    let observed = ShareRule::Observed { at_first: 0.33 };
+    let cases = [
+        RuleCase {
+            name: "nothing is known",
+            rule: observed,
+            read_ms: None,
+            looks: 100,
+            engines: 3,
+        },
+        RuleCase {
+            name: "prompts are read fast: one fewer, soon",
+            rule: observed,
+            read_ms: Some(60),
+            looks: 3,
+            engines: 2,
+        },
+        RuleCase {
+            name: "prompts are read slowly: more, but not soon",
+            rule: observed,
+            read_ms: Some(400),
+            looks: 30,
+            engines: 3,
+        },
+        RuleCase {
+            name: "prompts are read slowly for long",
+            rule: observed,
+            read_ms: Some(400),
+            looks: 62,
+            engines: 6,
+        },
+        RuleCase {
+            name: "the settings say it",
+            rule: ShareRule::Fixed(0.5),
+            read_ms: Some(60),
+            looks: 100,
+            engines: 5,
+        },
+    ];
+    for case in cases {
+        let demand = DemandMeter::default();
+        if let Some(read_ms) = case.read_ms {
+            play(&demand, read_ms).await;
+        }
+        let mut targets = PoolTargets::new(case.rule, demand);
+        let mut engines = 0;
+        for look in 0..=case.looks {
+            let now = Instant::now() + Duration::from_secs(look);
+            engines = targets.update(&"pool".into(), &POOL, &view(9), now);
+        }
+        assert_eq!(engines, case.engines, "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_another_host_agreed_on_goes_first() {
+    let demand = DemandMeter::default();
+    play(&demand, 60).await;
+    let mut targets = PoolTargets::new(ShareRule::Observed { at_first: 0.33 }, demand);
+    let look = |targets: &mut PoolTargets, at_s: u64| {
+        let now = Instant::now() + Duration::from_secs(at_s);
+        targets.update(&"pool".into(), &POOL, &view(9), now)
+    };
+    look(&mut targets, 0);
+    assert_eq!(look(&mut targets, 2), 2);
+    // The row says what this host started from: its own change stands.
+    targets.adopt(&BTreeMap::from([("pool".into(), 3)]));
+    assert_eq!(look(&mut targets, 3), 2);
+    // Another host has changed it meanwhile: that counts, until it is seen to be off anew.
+    targets.adopt(&BTreeMap::from([("pool".into(), 4)]));
+    assert_eq!(look(&mut targets, 4), 4);
+    assert_eq!(look(&mut targets, 6), 2);
+    // Once written, one's own target is what was agreed on.
+    targets.note_written(&BTreeMap::from([("pool".into(), 2)]));
+    targets.adopt(&BTreeMap::from([("pool".into(), 2)]));
+    assert_eq!(look(&mut targets, 7), 2);
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -5,9 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use dillspool_capacity::DemandMeter;
 use dillspool_forward::{BackendBook, ForwardContext, ForwardMetrics, RetryBudgets};
 use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
-use dillspool_roles::{KeeperSettings, StagePlan, keep_stages};
+use dillspool_roles::{KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::{DirectoryView, RoutingConfig};
 use dillspool_schema::Name;
 use dillspool_watch::{
@@ -87,6 +88,7 @@
         let peers_listener = listen(&stack, config.peers).await?;
         let metrics_listener = listen(&stack, config.metrics).await?;
         let beliefs = Beliefs::start(&config, &stack, &site, peers_listener, &background);
+        let demand = DemandMeter::default();
         let budgets = RetryBudgets::new(config.budget);
         let metrics = ForwardMetrics::default();
         let context = ForwardContext {
@@ -94,6 +96,7 @@
             calls: site.calls.clone(),
             directory: beliefs.directory.clone(),
             book: BackendBook::default(),
+            demand: demand.clone(),
             budgets: budgets.clone(),
             metrics: metrics.clone(),
             tasks: TaskTracker::new(),
@@ -108,7 +111,7 @@
             peers: beliefs.peers.clone(),
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
-        daemon.start_keepers(&beliefs, &site, budgets);
+        daemon.start_keepers(&beliefs, &site, budgets, demand);
         daemon.start_callers(&beliefs, &site, context, callers_listener);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
@@ -148,7 +151,13 @@
         tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
     }
 
-    fn start_keepers(&self, beliefs: &Beliefs, site: &SiteProtocol, budgets: RetryBudgets) {
+    fn start_keepers(
+        &self,
+        beliefs: &Beliefs,
+        site: &SiteProtocol,
+        budgets: RetryBudgets,
+        demand: DemandMeter,
+    ) {
         tokio::spawn(keep_peer_list(
             self.config.clone(),
             site.store.clone(),
@@ -159,7 +168,7 @@
         ));
         let settings = KeeperSettings {
             host: Name::clone(&self.config.host),
-            plan: StagePlan { prefill_share: self.config.prefill_share },
+            targets: PoolTargets::new(self.config.share_rule, demand),
             apart: self.config.orders_apart,
             delay: order_delay(&self.config.host),
         };
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dillspool_forward::BudgetTerms;
+use dillspool_roles::ShareRule;
 use dillspool_schema::Name;
 use dillspool_schema::router::RouterSettings;
 use snafu::{ResultExt, Snafu};
@@ -12,8 +13,8 @@
 /// Time after an outage in which lapsed backend servers may register again; the users' letter
 /// promises about two seconds.
 const LAPSE_GRACE_S: f64 = 2.0;
-/// Part of a pool's engines that prefill; `docs/design/platform_site.md` has the rounds.
-const PREFILL_SHARE: f64 = 0.2;
+/// Part of a pool's engines that prefill before anything is observed; `docs/design/split.md`.
+const FIRST_SHARE: f64 = 0.33;
 /// Deadline of a store's call; an answer takes milliseconds, a slow one 60 times as long.
 const STORE_TIMEOUT_MS: u32 = 700;
 /// How long a watch is held open; a lost one is noticed that much later.
@@ -83,8 +84,8 @@
     pub lapse_grace: Duration,
     /// Time between the orders of two holders.
     pub orders_apart: Duration,
-    /// Part of a pool's engines that prefill.
-    pub prefill_share: f64,
+    /// What decides how many engines of a pool prefill.
+    pub share_rule: ShareRule,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -129,10 +130,7 @@
             lifecycle.lapse_grace_s.unwrap_or(LAPSE_GRACE_S),
         )?,
         orders_apart: seconds("orders.lease_ms", orders.lease_ms / 1000.0)?,
-        prefill_share: not_negative(
-            "orders.prefill_share",
-            orders.prefill_share.unwrap_or(PREFILL_SHARE),
-        )?,
+        share_rule: share_rule(orders.prefill_share)?,
         log_level: level.parse().map_err(|_unknown| SettingsError::Field {
             field: "log.level",
             value: level.to_owned(),
@@ -141,6 +139,18 @@
     })
 }
 
+/// The rule for an optional part of a pool.
+fn share_rule(share: Option<f64>) -> Result<ShareRule, SettingsError> {
+    match share {
+        None => Ok(ShareRule::Observed { at_first: FIRST_SHARE }),
+        Some(share) if share > 0.0 && share < 1.0 => Ok(ShareRule::Fixed(share)),
+        Some(share) => {
+            let remedy = "give a part between 0 and 1, or leave it out so that it follows the load";
+            FieldSnafu { field: "orders.prefill_share", value: share.to_string(), remedy }.fail()
+        }
+    }
+}
+
 fn name(field: &'static str, value: &Name) -> Result<Name, SettingsError> {
     if value.is_empty() {
         let remedy = "give a name";
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -9,6 +9,7 @@
 use common::TestSite;
 use dillspool_forward::BudgetTerms;
 use dillspool_io::{HttpClient, MemoryNet, read_body};
+use dillspool_roles::ShareRule;
 use dillspool_router::{RouterConfig, RouterDaemon};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -34,7 +35,7 @@
         grace: Duration::from_secs(8),
         lapse_grace: Duration::from_secs(2),
         orders_apart: Duration::from_secs(3),
-        prefill_share: 0.2,
+        share_rule: ShareRule::Fixed(0.2),
         log_level: log::LevelFilter::Info,
     }
 }
