Each prefill sets a repeated send aside before it is sent

Ruled out: stopping only while refusals are 3 s old (probes of all hosts pass the budget; 8 for 6 in the test) and no limit before the first refusal (40 at once). Change: a permit before each call, given back when the engine took it; without one the decode engine reads the prompt. The case 'refused and no budget' now expects that nothing more is asked while the window holds a refusal, which is stricter. Test: refusals_stop_before_the_budget_is_spent, red before.

--- a/crates/dillspool_forward/src/budget.rs
+++ b/crates/dillspool_forward/src/budget.rs
@@ -48,6 +48,10 @@
 struct ServiceWindow {
     /// Start of a slice, its requests and its repeated sends.
     slices: VecDeque<(Instant, u32, u32)>,
+    /// Calls under way that count as repeated sends if they are refused.
+    reserved: u32,
+    /// When such a call was refused last.
+    refused_at: Option<Instant>,
 }
 
 impl ServiceWindow {
@@ -98,11 +102,6 @@
         self.with_window(service, |window| window.slice(Instant::now(), &self.terms).1 += 1);
     }
 
-    /// Notes a repeated send that was not asked for before, such as a refused prefill.
-    pub fn note_extra(&self, service: &Name) {
-        self.with_window(service, |window| window.slice(Instant::now(), &self.terms).2 += 1);
-    }
-
     /// What the window holds now and what it allows this host.
     pub fn read(&self, service: &Name) -> BudgetReading {
         self.with_window(service, |window| self.read_window(window))
@@ -119,12 +118,33 @@
         BudgetReading { requests, repeats, allowed, hosts }
     }
 
+    /// Takes a repeated send for a call that counts as one only if it is refused; give it back when
+    /// it was taken up.
+    ///
+    /// `None` when this host's part cannot bear the call. What is kept back for windows that begin
+    /// elsewhere may be set aside for such calls, since few of them are refused; once one was
+    /// refused within the window, only what is spent otherwise, too.
+    pub(crate) fn reserve(&self, service: &Name) -> Option<BudgetPermit> {
+        let bears = self.with_window(service, |window| {
+            let reading = self.read_window(window);
+            let refused = window.refused_at.is_some_and(|at| at.elapsed() < self.terms.window);
+            let part = if refused { reading.allowed } else { reading.allowed / SPENT_PART };
+            // A small part shall not rule such calls out: one at a time, until one is refused.
+            let first = !refused && window.reserved == 0;
+            let bears = first || f64::from(reading.repeats + window.reserved) + 1.0 <= part;
+            window.reserved += u32::from(bears);
+            bears
+        });
+        let service = Name::clone(service);
+        bears.then(|| BudgetPermit { budgets: self.clone(), service, is_settled: false })
+    }
+
     /// Takes one repeated send from the budget, if this host's part has one left.
     #[must_use]
     pub fn take(&self, service: &Name) -> bool {
         self.with_window(service, |window| {
             let reading = self.read_window(window);
-            if f64::from(reading.repeats) + 1.0 > reading.allowed {
+            if f64::from(reading.repeats + window.reserved) + 1.0 > reading.allowed {
                 return false;
             }
             window.slice(Instant::now(), &self.terms).2 += 1;
@@ -132,3 +152,38 @@
         })
     }
 }
+
+/// A repeated send that is set aside for a call; one whose end never becomes known stays counted.
+#[derive(Debug)]
+pub(crate) struct BudgetPermit {
+    budgets: RetryBudgets,
+    service: Name,
+    is_settled: bool,
+}
+
+impl BudgetPermit {
+    /// The call was taken up, or never sent, and does not count.
+    pub(crate) fn give_back(mut self) {
+        self.budgets.with_window(&self.service, |window| window.reserved -= 1);
+        self.is_settled = true;
+    }
+
+    /// The call was refused.
+    pub(crate) fn note_refused(self) {
+        let now = Instant::now();
+        self.budgets.with_window(&self.service, |window| window.refused_at = Some(now));
+    }
+}
+
+impl Drop for BudgetPermit {
+    fn drop(&mut self) {
+        if self.is_settled {
+            return;
+        }
+        let terms = &self.budgets.terms;
+        self.budgets.with_window(&self.service, |window| {
+            window.reserved -= 1;
+            window.slice(Instant::now(), terms).2 += 1;
+        });
+    }
+}
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -7,9 +7,11 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use crate::budget::BudgetPermit;
 use crate::calls::{CallError, PrefillTerms, PrefilledPrompt, WorkRank};
 use crate::context::ForwardContext;
 use crate::reservation::Placement;
+use crate::trace::log_budget_empty;
 
 /// Time for which an engine that refused a prefill gets none: it leaves or changes its stage, and
 /// every refusal counts towards the retry budget.
@@ -71,8 +73,13 @@
     let mut tried = Vec::new();
     while let Some(entry) = next_engine(context, request, placement, rank, &tried) {
         tried.push(BackendId::clone(&entry.id));
+        let Some(permit) = context.budgets.reserve(&request.service) else {
+            log_budget_empty(request, &context.budgets);
+            return guard;
+        };
         let error = match ask(context, request, &entry, rank).await {
             Ok(prefilled) => {
+                permit.give_back();
                 guard.prefilled = Some(prefilled);
                 return guard;
             }
@@ -84,7 +91,7 @@
             entry.id,
             request.age().as_millis(),
         );
-        if !note_failure(context, request, &entry.id, &error) {
+        if !note_failure(context, request, &entry.id, &error, permit) {
             break;
         }
     }
@@ -122,25 +129,28 @@
     request: &RoutedRequest,
     engine: &BackendId,
     error: &CallError,
+    permit: BudgetPermit,
 ) -> bool {
     let in_time = request.age() < LATEST_REPEAT;
     match error {
         CallError::NotSent { reason } => {
+            permit.give_back();
             context.book.note_unreachable(engine, reason);
             in_time
         }
         CallError::Refused { .. } => {
+            permit.note_refused();
             context.book.note_full(engine, REFUSED_SPAN);
-            // The refusal counts as a repeated send itself.
-            let in_budget = context.budgets.take(&request.service);
-            if !in_budget {
-                context.budgets.note_extra(&request.service);
-            }
-            in_time && in_budget
+            in_time
         }
         CallError::Lost { reason } => {
             context.book.note_silence(engine, reason);
-            in_time && context.budgets.take(&request.service)
+            // One of the two counts: this call if it was refused, else the next one.
+            let again = in_time && context.budgets.take(&request.service);
+            if again {
+                permit.give_back();
+            }
+            again
         }
     }
 }
--- a/crates/dillspool_forward/tests/prefills.rs
+++ b/crates/dillspool_forward/tests/prefills.rs
@@ -57,12 +57,12 @@
             prefilled: [true, true],
         },
         FailureCase {
-            name: "refused and no budget: the decode engine reads the prompt",
+            name: "refused and no budget: decode engines read prompts while refusals are recent",
             failure: refused(),
             both_fail: false,
             budget: 0.0,
-            asked: vec!["prefill-1", "prefill-2"],
-            prefilled: [false, true],
+            asked: vec!["prefill-1"],
+            prefilled: [false, false],
         },
         FailureCase {
             name: "broken off: the next one within the budget",
@@ -108,3 +108,48 @@
         record.arrivals.iter().map(|arrival| arrival.terms.prefilled.is_some()).collect();
     assert_eq!(prefilled, case.prefilled, "{}", case.name);
 }
+
+struct SpendCase {
+    name: &'static str,
+    /// Requests at a time, a second apart.
+    at_once: usize,
+    /// Repeated sends that the budget allows.
+    budget: f64,
+    /// Refused prefills at most.
+    most: usize,
+}
+
+#[tokio::test(start_paused = true)]
+async fn refusals_stop_before_the_budget_is_spent() {
+    let cases = [
+        SpendCase { name: "one at a time", at_once: 1, budget: 8.0, most: 8 },
+        SpendCase { name: "many at a time", at_once: 40, budget: 8.0, most: 8 },
+        SpendCase { name: "a large budget", at_once: 10, budget: 40.0, most: 40 },
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        let prefills = (0..5).map(|at| format!("prefill-{at}"));
+        let engines = prefills.map(|id| entry(&id, "near", Some(EngineStage::Prefill)));
+        let decode = entry("decode-1", "near", Some(EngineStage::Decode));
+        site.script("decode-1", [Step::Stream(vec![ONE])]);
+        *site.refuses_prefill.lock().unwrap() = true;
+        *site.prefill_takes.lock().unwrap() = Duration::from_millis(2);
+        let (mut context, _directory) = site.context(view(engines.chain([decode])));
+        let window = Duration::from_secs(10);
+        let terms = BudgetTerms { ratio: 0.0, window, extra: case.budget };
+        context.budgets = RetryBudgets::new(terms);
+        context.budgets.set_hosts(1);
+        for _second in 0..9 {
+            let all = (0..case.at_once).map(|_request| {
+                let routed = request(RequestKind::Streaming, 1, false);
+                answer_request(context.clone(), routed)
+            });
+            for answer in futures_util::future::join_all(all).await {
+                assert_eq!(answer.status(), StatusCode::OK, "{}", case.name);
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        let refused = site.record.lock().unwrap().prefills.len();
+        assert!((1..=case.most).contains(&refused), "{}: {refused}", case.name);
+    }
+}
