--- a/crates/dillspool_capacity/src/target.rs
+++ b/crates/dillspool_capacity/src/target.rs
@@ -7,6 +7,12 @@
 /// Distance of the need from the target, in engines, above which it asks for a change: half an
 /// engine by rounding, and what readings of some dozen requests vary by.
 const DEAD_BAND: f64 = 0.65;
+/// The same as a part of the target, for large pools: readings of some dozen requests vary by a
+/// fifth, and of many hosts the one that is furthest off would decide.
+const DEAD_PART: f64 = 0.25;
+/// Part of the dead band by which a smaller target stays above the need, since the host that asks
+/// for it is mostly one that reads too low.
+const CAUTION: f64 = 0.33;
 /// Time for which the need must be below the target. A prefill engine has nothing to finish before
 /// it turns, and decode memory is what most requests are refused for, so this costs little.
 const FEWER_SPAN: Duration = Duration::from_secs(2);
@@ -52,8 +58,9 @@
     /// two, one decodes.
     pub fn update(&mut self, need: f64, all: usize, now: Instant) -> Option<TargetChange> {
         #[expect(clippy::cast_precision_loss, reason = "engines are counted in thousands")]
-        let distance = need - self.engines as f64;
-        if distance.abs() <= DEAD_BAND {
+        let target = self.engines as f64;
+        let (distance, band) = (need - target, DEAD_BAND.max(DEAD_PART * target));
+        if distance.abs() <= band {
             self.off = None;
             return None;
         }
@@ -66,6 +73,7 @@
             return None;
         }
         let from = self.engines;
+        let need = if more { need } else { need + CAUTION * band };
         *self = Self::new(engines_for(need, all));
         (from != self.engines).then_some(TargetChange { from, to: self.engines })
     }
--- a/crates/dillspool_forward/src/calls.rs
+++ b/crates/dillspool_forward/src/calls.rs
@@ -55,8 +55,6 @@
 /// How soon an engine should take up work, relative to other work that waits there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkRank {
-    /// A running answer waits for it.
-    Urgent,
     /// An answer that can be in time.
     Normal,
     /// An answer that is late whatever happens; it yields to those that can be in time.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -217,16 +217,11 @@
         prefill(&self.context, &self.request, placement, self.rank()).await
     }
 
-    /// An answer that is under way pauses until its prompt has been read again; one that is late
-    /// anyway, as when many callers come back at once, yields to those that can be in time.
+    /// An answer that is late anyway, as when many callers come back at once, yields to those that
+    /// can be in time.
     fn rank(&self) -> WorkRank {
-        if !self.is_before_first_event() {
-            WorkRank::Urgent
-        } else if self.request.is_late() {
-            WorkRank::Late
-        } else {
-            WorkRank::Normal
-        }
+        let under_way = !self.is_before_first_event();
+        if self.request.is_late() && !under_way { WorkRank::Late } else { WorkRank::Normal }
     }
 
     fn is_before_first_event(&self) -> bool {
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -1,6 +1,6 @@
 //! Watches the pools and orders what the plan asks for.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,14 +68,6 @@
     }
 }
 
-/// Engines to order and the targets that ask for it.
-#[derive(Debug, Default)]
-struct DueChanges {
-    changes: Vec<StageChange>,
-    /// Prefill engines by service.
-    targets: BTreeMap<Name, usize>,
-}
-
 struct StageKeeper {
     settings: KeeperSettings,
     lease: OrderLease,
@@ -96,16 +88,16 @@
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
             let due = self.changes();
-            steady = if due.changes.is_empty() { 0 } else { steady + 1 };
+            steady = if due.is_empty() { 0 } else { steady + 1 };
             if steady < STEADY_LOOKS {
                 continue;
             }
             tokio::time::sleep(self.settings.delay).await;
             let due = self.changes();
-            if !due.changes.is_empty() {
+            if !due.is_empty() {
                 log::info!(
                     "event=stage_changes_due count={} directory={}",
-                    due.changes.len(),
+                    due.len(),
                     self.directory.borrow().version,
                 );
                 self.order(&due).await;
@@ -116,26 +108,25 @@
 
     /// Changes that are due now. An engine that was ordered and shows no change yet stays among
     /// those that are picked, so that no other one is ordered in its place.
-    fn changes(&mut self) -> DueChanges {
-        let mut due = DueChanges::default();
+    fn changes(&mut self) -> Vec<StageChange> {
+        let mut due = Vec::new();
         let Some(config) = self.config.borrow().clone() else { return due };
         let view = Arc::clone(&self.directory.borrow());
         let now = Instant::now();
         for service in config.services.values() {
             let Some(pool) = &service.engine else { continue };
             let keep = self.settings.targets.update(&service.name, pool, &view, now);
-            due.targets.insert(Name::clone(&service.name), keep);
             if self.may_order(&service.name, &view, keep, now) {
-                due.changes.extend(stage_changes(&view, &service.name, keep));
+                due.extend(stage_changes(&view, &service.name, keep));
             }
         }
-        due.changes.retain(|change| {
+        due.retain(|change| {
             self.ordered.get(&change.entry.id).is_none_or(|at| at.elapsed() > ORDER_AGAIN)
         });
         due
     }
 
-    async fn order(&mut self, due: &DueChanges) {
+    async fn order(&mut self, due: &[StageChange]) {
         // Another host may have acted while this one waited.
         match self.lease.read().await {
             Ok(Some((row, _version))) => self.take_over(&row, due),
@@ -146,14 +137,14 @@
             }
         }
         let open = self.changes();
-        let is_open = |change: &&StageChange| open.changes.contains(change);
-        let wanted: Vec<_> = due.changes.iter().filter(is_open).collect();
+        let is_open = |change: &&StageChange| open.contains(change);
+        let wanted: Vec<_> = due.iter().filter(is_open).collect();
         if wanted.is_empty() {
             return;
         }
         let ids: Vec<Name> = wanted.iter().map(|change| Name::clone(&change.entry.id)).collect();
-        let token = write_token(&self.settings.host);
-        let term = match self.lease.take(&ids, &open.targets, token).await {
+        let (targets, token) = (self.settings.targets.decided(), write_token(&self.settings.host));
+        let term = match self.lease.take(&ids, &targets, token).await {
             Ok(Some(term)) => term,
             Ok(None) => return,
             Err(error) => {
@@ -161,7 +152,7 @@
                 return;
             }
         };
-        self.settings.targets.note_written(&open.targets);
+        self.settings.targets.note_written(&targets);
         self.seen_fence = term.fence;
         for change in wanted {
             self.send(change, &term).await;
@@ -189,10 +180,10 @@
 
     /// Takes what the lease's row says: what was ordered by whichever host, and, if another host
     /// wrote it since, the targets.
-    fn take_over(&mut self, row: &LeaseRow, due: &DueChanges) {
+    fn take_over(&mut self, row: &LeaseRow, due: &[StageChange]) {
         let now = Instant::now();
         for id in &row.ordered {
-            if due.changes.iter().any(|change| change.entry.id == *id) {
+            if due.iter().any(|change| change.entry.id == *id) {
                 self.ordered.entry(Name::clone(id)).or_insert(now);
             }
         }
--- a/crates/dillspool_roles/src/plan.rs
+++ b/crates/dillspool_roles/src/plan.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use dillspool_routing::{BackendEntry, DirectoryView, EngineStage};
-use dillspool_schema::Name;
 
 /// Engines of a pool below which none is turned to prefill: the few that decode are needed more.
 const FEWEST_TO_TURN_BACK: usize = 4;
@@ -51,48 +50,18 @@
     let (prefill, decode) = pool_engines(view, service);
     if prefill.len() >= keep {
         let spare = prefill.len() - keep;
-        return turn(prefill, &decode, spare, EngineStage::Decode);
+        return turn(prefill, spare, EngineStage::Decode);
     }
     if prefill.len() + decode.len() < FEWEST_TO_TURN_BACK {
         return Vec::new();
     }
     let short = keep - prefill.len();
     let at_once = engines_for_share(decode.len(), TURNED_AT_ONCE);
-    turn(decode, &prefill, short.min(at_once), EngineStage::Prefill)
+    turn(decode, short.min(at_once), EngineStage::Prefill)
 }
 
-/// Turns `count` of the engines `from`, each from the failure domain that has most of them in
-/// excess of those that play the other part, so that every domain keeps both: moves between
-/// domains cost, and a domain may be lost.
-fn turn(
-    mut from: Vec<Arc<BackendEntry>>,
-    others: &[Arc<BackendEntry>],
-    count: usize,
-    stage: EngineStage,
-) -> Vec<StageChange> {
-    let mut others: Vec<Name> =
-        others.iter().map(|entry| Name::clone(&entry.failure_domain)).collect();
-    let mut changes = Vec::new();
-    while changes.len() < count && !from.is_empty() {
-        let next = pick(&from, &others);
-        let entry = from.swap_remove(next);
-        others.push(Name::clone(&entry.failure_domain));
-        changes.push(StageChange { entry, stage });
-    }
-    changes
-}
-
-/// Position of the engine to turn next; of equal ones the first by domain and id.
-fn pick(from: &[Arc<BackendEntry>], others: &[Name]) -> usize {
-    let excess = |domain: &Name| {
-        let own = from.iter().filter(|entry| entry.failure_domain == *domain).count();
-        let other = others.iter().filter(|name| *name == domain).count();
-        (other, usize::MAX - own)
-    };
-    let key = |entry: &BackendEntry| {
-        let domain = Name::clone(&entry.failure_domain);
-        (excess(&domain), domain, Name::clone(&entry.id))
-    };
-    let first = from.iter().enumerate().min_by_key(|(_at, entry)| key(entry));
-    first.map_or(0, |(at, _entry)| at)
+/// The first `count` engines by domain and id, an order that is the same on every host.
+fn turn(mut engines: Vec<Arc<BackendEntry>>, count: usize, stage: EngineStage) -> Vec<StageChange> {
+    engines.sort_by(|a, b| (&a.failure_domain, &a.id).cmp(&(&b.failure_domain, &b.id)));
+    engines.into_iter().take(count).map(|entry| StageChange { entry, stage }).collect()
 }
--- a/crates/dillspool_roles/src/targets.rs
+++ b/crates/dillspool_roles/src/targets.rs
@@ -38,12 +38,21 @@
 struct LearntTarget {
     target: SplitTarget,
     /// What the holders of the lease last agreed on, as far as this host knows.
-    agreed: usize,
+    agreed: Option<usize>,
+    /// Whether it was decided by observation, here or by another host. What follows from the first
+    /// part does not: a host that knows few engines yet would fix too low a number for all.
+    is_decided: bool,
 }
 
 impl LearntTarget {
-    fn new(engines: usize) -> Self {
-        Self { target: SplitTarget::new(engines), agreed: engines }
+    /// The first part of a pool.
+    fn at_first(engines: usize) -> Self {
+        Self { target: SplitTarget::new(engines), agreed: None, is_decided: false }
+    }
+
+    /// What another host wrote.
+    fn adopted(engines: usize) -> Self {
+        Self { target: SplitTarget::new(engines), agreed: Some(engines), is_decided: true }
     }
 }
 
@@ -71,13 +80,15 @@
         let reading = self.demand.read(service);
         let known = reading.filter(|it| it.prompts.min(it.ended) >= FEWEST_OBSERVED);
         let Some(reading) = known else {
-            return self.learnt.get(service).map_or(at_first, |learnt| learnt.target.engines);
+            let decided = self.learnt.get(service).filter(|learnt| learnt.is_decided);
+            return decided.map_or(at_first, |learnt| learnt.target.engines);
         };
         let memory = EngineMemory { tokens: pool.memory_tokens, slots: pool.slots };
         let need = prefill_need(engines, &reading, memory);
-        let fresh = || LearntTarget::new(at_first);
-        let target = &mut self.learnt.entry(Name::clone(service)).or_insert_with(fresh).target;
-        if let Some(change) = target.update(need, engines, now) {
+        let fresh = || LearntTarget::at_first(at_first);
+        let learnt = self.learnt.entry(Name::clone(service)).or_insert_with(fresh);
+        if let Some(change) = learnt.target.update(need, engines, now) {
+            learnt.is_decided = true;
             log::info!(
                 "event=split_changed service={service} from={} to={} engines={engines} need={need:.2} read_ms={:.0} held_token_s={:.0} held_ms={:.0} prompts={:.0} ended={:.0} directory={}",
                 change.from,
@@ -90,26 +101,33 @@
                 view.version,
             );
         }
-        target.engines
+        learnt.target.engines
+    }
+
+    /// The targets that were decided by observation.
+    pub fn decided(&self) -> BTreeMap<Name, usize> {
+        let decided = self.learnt.iter().filter(|(_service, learnt)| learnt.is_decided);
+        decided.map(|(service, learnt)| (Name::clone(service), learnt.target.engines)).collect()
     }
 
     /// Takes the targets that a holder of the lease wrote. Where it wrote another one than this
     /// host knew of, what this host saw before counts no longer as a reason to change it.
     pub fn adopt(&mut self, targets: &BTreeMap<Name, usize>) {
         for (service, engines) in targets {
-            if self.learnt.get(service).is_some_and(|learnt| learnt.agreed == *engines) {
+            if self.learnt.get(service).is_some_and(|learnt| learnt.agreed == Some(*engines)) {
                 continue;
             }
             log::info!("event=split_adopted service={service} to={engines}");
-            self.learnt.insert(Name::clone(service), LearntTarget::new(*engines));
+            self.learnt.insert(Name::clone(service), LearntTarget::adopted(*engines));
         }
     }
 
     /// Notes that this host wrote its targets into the lease's row.
     pub fn note_written(&mut self, targets: &BTreeMap<Name, usize>) {
         for (service, engines) in targets {
-            let fresh = || LearntTarget::new(*engines);
-            self.learnt.entry(Name::clone(service)).or_insert_with(fresh).agreed = *engines;
+            if let Some(learnt) = self.learnt.get_mut(service) {
+                learnt.agreed = Some(*engines);
+            }
         }
     }
 }
