The keeper's test plays a fixed share

Change: the cases play a fixed share of 0.33, whose targets are those that they were written for; no expectation changed. Conclusion: the loop is tested apart from the rule, which has tests of its own (targets.rs).

--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -148,7 +148,7 @@
         let (directory, listed) = watch::channel(view(case.at_first.0, case.at_first.1));
         let cancel = CancellationToken::new();
         for host in 0..HOSTS {
-            let rule = ShareRule::Observed { at_first: 0.2 };
+            let rule = ShareRule::Fixed(0.33);
             let settings = KeeperSettings {
                 host: format!("host-{host}").into(),
                 targets: PoolTargets::new(rule, DemandMeter::default()),
