Crashed engines do not lower the first split

Cause (read in the code): before its readings count a host took the first part of the engines that it knew at that moment, so that one crash among nine asked for two prefill engines in place of three, and for a decode engine back once it had returned. Change: the first part is that of the most engines seen. Test: crashed_engines_do_not_lower_the_first_part, red before.

--- a/crates/dillspool_roles/src/targets.rs
+++ b/crates/dillspool_roles/src/targets.rs
@@ -31,6 +31,8 @@
     rule: ShareRule,
     demand: DemandMeter,
     learnt: HashMap<Name, LearntTarget>,
+    /// Most engines that each pool was seen to have: those that have crashed mostly return.
+    most_seen: HashMap<Name, usize>,
 }
 
 /// The target of one pool.
@@ -59,7 +61,7 @@
 impl PoolTargets {
     /// Targets without any knowledge.
     pub fn new(rule: ShareRule, demand: DemandMeter) -> Self {
-        Self { rule, demand, learnt: HashMap::new() }
+        Self { rule, demand, learnt: HashMap::new(), most_seen: HashMap::new() }
     }
 
     /// Prefill engines that a pool keeps now, by what was observed until now.
@@ -76,7 +78,9 @@
             ShareRule::Fixed(share) => return engines_for_share(engines, share),
             ShareRule::Observed { at_first } => at_first,
         };
-        let at_first = engines_at_first(engines, share);
+        let most = self.most_seen.entry(Name::clone(service)).or_default();
+        *most = engines.max(*most);
+        let at_first = engines_at_first(*most, share);
         let reading = self.demand.read(service);
         let known = reading.filter(|it| it.prompts.min(it.ended) >= FEWEST_OBSERVED);
         let Some(reading) = known else {
@@ -87,6 +91,9 @@
         let need = prefill_need(engines, &reading, memory);
         let fresh = || LearntTarget::at_first(at_first);
         let learnt = self.learnt.entry(Name::clone(service)).or_insert_with(fresh);
+        if !learnt.is_decided && learnt.target.engines != at_first {
+            *learnt = fresh();
+        }
         if let Some(change) = learnt.target.update(need, engines, now) {
             learnt.is_decided = true;
             log::info!(
--- a/crates/dillspool_roles/tests/targets.rs
+++ b/crates/dillspool_roles/tests/targets.rs
@@ -150,3 +150,11 @@
     look(&mut targets, 9);
     assert!(targets.decided().is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn crashed_engines_do_not_lower_the_first_part() {
+    let rule = ShareRule::Observed { at_first: 0.2 };
+    let mut targets = PoolTargets::new(rule, DemandMeter::default());
+    let mut look = |engines| targets.update(&"pool".into(), &POOL, &view(engines), Instant::now());
+    assert_eq!([look(9), look(7), look(9)], [3, 3, 3]);
+}
