--- a/crates/dillspool_capacity/src/need.rs
+++ b/crates/dillspool_capacity/src/need.rs
@@ -3,8 +3,8 @@
 /// Load of the prefill engines, 0 to 1, at the moment at which decode memory is full. Prompts come
 /// at random, and a queue of them grows without bound as the load nears 1, where a full memory
 /// only refuses what is over it; what is over 0.8 for a while is read at decode engines. The
-/// figure holds for any lengths and paces; twelve copies of a deployment bore it out
-/// (`docs/DECIDING.md`).
+/// figure holds for any lengths and paces; on three deployments the rounded need is the best fixed split
+/// (`docs/design/split.md`).
 const PREFILL_LOAD: f64 = 0.8;
 
 /// What an average request of a pool asks of its engines.
--- a/crates/dillspool_capacity/src/target.rs
+++ b/crates/dillspool_capacity/src/target.rs
@@ -17,8 +17,8 @@
 /// it turns, and decode memory is what most requests are refused for, so this costs little.
 const FEWER_SPAN: Duration = Duration::from_secs(2);
 /// Time for which the need must be above it. A decode engine ends its answers before it turns and is
-/// gone for ten seconds and more, which costs a tenth of the worth of half a minute and is repaid
-/// within minutes (`docs/DECIDING.md`); a burst shall not cause it.
+/// gone for ten seconds and more, which costs up to a tenth of the worth of half a minute
+/// (`docs/DECIDING.md`); a need that lasts for less than a minute, as in a burst, does not repay it.
 const MORE_SPAN: Duration = Duration::from_mins(1);
 
 /// The target of one pool as this host knows it.
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -24,7 +24,8 @@
 const LATEST_REPEAT: Duration = Duration::from_millis(700);
 /// Wait for a prefill, as a part of the objective, from which some prompts are read at decode
 /// engines. The rest of the objective goes to finding memory, the move, the first token, and to
-/// queues that have grown since this host last saw them.
+/// queues that have grown since this host last saw them. The best of five pairs of figures on three
+/// deployments (`docs/DECIDING.md`, round 3).
 const SPILL_FROM: f64 = 0.35;
 /// Wait from which all prompts are read there. In between the part rises evenly, so that hosts
 /// that see one queue do not all turn away from it at once.
