--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -311,6 +311,10 @@
             self.tried.push(BackendId::clone(&entry.id));
             return Ok(None);
         }
+        let generation = self.request.generation.as_ref();
+        let (prompt, guess) = generation.map_or((0, 0), |terms| {
+            (terms.prompt_tokens, terms.output_hint.unwrap_or(terms.output_limit))
+        });
         let terms = ForwardTerms {
             time_budget: self.request.remaining(),
             hold: hold.hold.clone(),
@@ -318,7 +322,7 @@
             resume_after: self.last_event,
         };
         log::info!(
-            "event=stream_placed id={} backend={} directory={} reserved={reserved} prefill={} after_ms={} resume_after={}",
+            "event=stream_placed id={} backend={} directory={} reserved={reserved} prompt={prompt} guess={guess} prefill={} after_ms={} resume_after={}",
             self.request.id,
             entry.id,
             view.version,
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -154,11 +154,29 @@
 
     fn note_events(&mut self, count: u64) {
         let age = self.generation.request.age();
-        if self.figures.note_events(count, age) {
-            self.generation.note_first_event(age);
+        match self.figures.note_events(count, age) {
+            None => self.generation.note_first_event(age),
+            Some(pause) => self.log_pause(pause),
         }
     }
 
+    /// A pause that makes an answer late is told with its moment, since its cause lies in what else
+    /// its engine did then.
+    fn log_pause(&self, pause: Duration) {
+        let request = &self.generation.request;
+        if request.route.pause_target.is_none_or(|target| pause <= target) {
+            return;
+        }
+        log::info!(
+            "event=stream_paused id={} backend={} pause_ms={} events={} after_ms={}",
+            request.id,
+            self.reader.as_ref().map_or("", |reader| &*reader.open.entry.id),
+            pause.as_millis(),
+            self.figures.events,
+            request.age().as_millis(),
+        );
+    }
+
     /// Goes on at another engine, or ends the answer as broken.
     async fn go_on(&mut self, cause: &str, prepared: Option<PreparedSend>) -> Result<(), BoxError> {
         let failed = self.reader.take();
--- a/crates/dillspool_forward/src/stages.rs
+++ b/crates/dillspool_forward/src/stages.rs
@@ -37,17 +37,18 @@
 }
 
 impl StreamFigures {
-    /// Notes events that the caller gets now; true with the first of them.
-    pub(crate) fn note_events(&mut self, count: u64, age: Duration) -> bool {
+    /// Notes events that the caller gets now; returns the pause before them, `None` before the
+    /// first.
+    pub(crate) fn note_events(&mut self, count: u64, age: Duration) -> Option<Duration> {
         let now = Instant::now();
-        let is_first = self.last_at.is_none();
-        match self.last_at {
+        let pause = self.last_at.map(|last_at| now - last_at);
+        match pause {
             None => self.first_after = age,
-            Some(last_at) => self.longest_pause = self.longest_pause.max(now - last_at),
+            Some(pause) => self.longest_pause = self.longest_pause.max(pause),
         }
         self.last_at = Some(now);
         self.events += count;
-        is_first
+        pause
     }
 }
 
