--- /dev/null
+++ b/crates/dillspool_admission/src/request.rs
@@ -0,0 +1,158 @@
+//! What is asked of the planner, and what it decides.
+
+use std::time::Duration;
+
+use dillspool_schema::Name;
+
+/// Names a request with the planner; unique among those under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub u64);
+
+/// How much an answer is worth to its caller, most first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkClass {
+    /// An answer that has begun and must go on elsewhere; its caller leaves within seconds.
+    UnderWay,
+    /// An answer whose first event can still be in time.
+    InTime,
+    /// An answer that is late whatever happens, as of a caller that was refused before.
+    Late,
+}
+
+/// A model request that needs an engine.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest {
+    /// What it is worth.
+    pub class: WorkClass,
+    /// Rank of its route; 0 is the highest.
+    pub priority: u32,
+    /// Failure domain of the host that has the caller.
+    pub domain: Name,
+    /// Tokens to read before the first event, those of a broken answer included.
+    pub prompt_tokens: u64,
+    /// The caller's guess of the answer's tokens.
+    pub guess_tokens: u64,
+    /// Most tokens that the answer may have.
+    pub most_tokens: u64,
+    /// Time in which the first event is in time; zero when it is late anyway.
+    pub objective_left: Duration,
+    /// Longest that it may wait for an engine, whatever comes of it.
+    pub patience: Duration,
+    /// Time until the caller gives up.
+    pub time_left: Duration,
+    /// Longest pause between two events of an answer that is in time.
+    pub pause_target: Option<Duration>,
+    /// Engines that it must not go to again.
+    pub excluded: Vec<Name>,
+    /// Engines that have refused it a place until now.
+    pub refusals: usize,
+}
+
+/// Where a request runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamPlacement {
+    /// Engine that decodes.
+    pub decode: Name,
+    /// Tokens of memory to reserve there.
+    pub reserve_tokens: u64,
+    /// Engine that reads the prompt; `None` when the decode engine reads it itself.
+    pub prefill: Option<Name>,
+}
+
+/// Why a request was turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnAwayCause {
+    /// No engine takes requests.
+    NoEngine,
+    /// No engine will have memory for it in time.
+    NoMemory,
+    /// No engine will have read its prompt in time.
+    NoPrefill,
+    /// So many engines refused it that what is believed of them cannot be right.
+    Refused,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlacementDecision {
+    /// It runs there.
+    Place(StreamPlacement),
+    /// It waits; a later look at the line decides.
+    Wait,
+    /// It is refused at once.
+    TurnAway {
+        /// Why.
+        cause: TurnAwayCause,
+        /// When its caller should come back.
+        come_back: Duration,
+    },
+}
+
+/// What an engine did other than expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineFault {
+    /// It had no memory for a reservation.
+    NoMemory,
+    /// It refused a prefill.
+    PrefillRefused,
+    /// It refused a request for which it had reserved memory.
+    ReservedRefused,
+    /// It gave no connection.
+    Unreachable,
+    /// It gave no proper answer.
+    Silent,
+}
+
+/// How a stream left its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Whether its answer is whole, so that its life tells of others.
+    pub is_whole: bool,
+    /// Mean time between two of its events, if it had some.
+    pub event_gap: Option<Duration>,
+}
+
+/// What the engines of a pool have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolTerms {
+    /// Tokens that fit into an engine's memory.
+    pub memory_tokens: u64,
+    /// Requests that an engine runs at once.
+    pub slots: u32,
+}
+
+/// The limits by which the planner decides; `docs/design/admission.md` has the run behind each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionPolicy {
+    /// Part of the guess that is reserved at the engine.
+    pub reserved_part: f64,
+    /// Standard deviations of an engine's foreseen memory that must fit beside its mean.
+    pub memory_deviations: f64,
+    /// Part of an engine's memory that must be left beside a late answer.
+    pub late_margin: f64,
+    /// Longest wait of a late answer for memory, as a part of the mean life of an answer.
+    pub late_wait: f64,
+    /// Whether prompts may be read at decode engines.
+    pub reads_at_decode: bool,
+    /// Engines that may refuse one request before it is turned away.
+    pub most_refusals: usize,
+}
+
+impl PoolTerms {
+    /// Of engines that the configuration says nothing of: nothing is foreseen to run out, and their
+    /// own refusals decide.
+    pub const UNKNOWN: Self = Self { memory_tokens: u32::MAX as u64, slots: u32::MAX };
+}
+
+impl Default for AdmissionPolicy {
+    fn default() -> Self {
+        Self {
+            reserved_part: 0.5,
+            memory_deviations: 1.5,
+            late_margin: 0.13,
+            late_wait: 0.5,
+            reads_at_decode: true,
+            most_refusals: 12,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_admission/src/waiting.rs
@@ -0,0 +1,72 @@
+//! Requests that wait for an engine, in the order in which they are served.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+use crate::request::{PlacementRequest, TicketId};
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRecord {
+    pub(crate) ticket: TicketId,
+    pub(crate) request: PlacementRequest,
+    pub(crate) since: Moment,
+    /// When waiting any longer is of no use.
+    pub(crate) give_up: Moment,
+    /// Memory that it will reserve.
+    pub(crate) tokens: u64,
+}
+
+impl WaitingRecord {
+    /// What has waited longer goes first among equals, so that nobody is passed without end.
+    fn rank(&self) -> (crate::request::WorkClass, u32, Moment) {
+        (self.request.class, self.request.priority, self.since)
+    }
+}
+
+/// All requests that wait, first to be served first.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitingLine {
+    records: Vec<WaitingRecord>,
+}
+
+impl WaitingLine {
+    pub(crate) fn push(&mut self, record: WaitingRecord) {
+        let at = self.records.partition_point(|other| other.rank() <= record.rank());
+        self.records.insert(at, record);
+    }
+
+    pub(crate) fn remove(&mut self, ticket: TicketId) {
+        self.records.retain(|record| record.ticket != ticket);
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// The tickets in order.
+    pub(crate) fn tickets(&self) -> Vec<TicketId> {
+        self.records.iter().map(|record| record.ticket).collect()
+    }
+
+    pub(crate) fn get(&self, ticket: TicketId) -> Option<&WaitingRecord> {
+        self.records.iter().find(|record| record.ticket == ticket)
+    }
+
+    /// Memory that those will take who are served before a request of this kind.
+    pub(crate) fn tokens_ahead(&self, request: &PlacementRequest) -> u64 {
+        let rank = (request.class, request.priority);
+        let before =
+            |record: &&WaitingRecord| (record.request.class, record.request.priority) <= rank;
+        self.records.iter().filter(before).map(|record| record.tokens).sum()
+    }
+
+    /// How long the first has waited.
+    pub(crate) fn longest_wait(&self, now: Moment) -> Duration {
+        self.records.iter().map(|record| now.since(record.since)).max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/dillspool_admission/tests/overload.rs
@@ -0,0 +1,123 @@
+//! Loads at their worst, replayed: what is served in time, late and not at all.
+//!
+//! `loads/` holds arrivals that were recorded from the logs of hosts; `docs/design/admission.md` says
+//! which decision answers which pattern. Each case names a policy that lacks the decision, with
+//! which the same load must miss the case's counts, so that a case that cannot fail is noticed.
+
+mod model;
+
+use dillspool_admission::AdmissionPolicy;
+use model::{Arrival, Outcome, PoolModel, load, play};
+
+/// What a load must come to.
+struct Counts {
+    /// Answers in time at least, and at most so many that lost their memory or paused for too long.
+    in_time: usize,
+    preempted: usize,
+    paused: usize,
+    /// Callers that were refused twice at most.
+    refused_twice: usize,
+    /// Longest time that a refused caller was held, in ms.
+    longest_held: u64,
+}
+
+impl Counts {
+    fn are_met(&self, outcome: &Outcome) -> bool {
+        outcome.in_time >= self.in_time
+            && outcome.preempted <= self.preempted
+            && outcome.paused <= self.paused
+            && outcome.refused_twice <= self.refused_twice
+            && outcome.longest_held <= self.longest_held
+    }
+}
+
+struct LoadCase {
+    name: &'static str,
+    pool: PoolModel,
+    load: Vec<Arrival>,
+    counts: Counts,
+    /// The same policy without the decision that answers this load.
+    without: AdmissionPolicy,
+}
+
+fn recorded() -> Vec<Arrival> {
+    load(include_str!("loads/double_burst.csv"))
+}
+
+fn changed(change: impl Fn(&mut Arrival)) -> Vec<Arrival> {
+    let mut load = recorded();
+    load.iter_mut().for_each(change);
+    load.sort_by_key(|arrival| arrival.at_ms);
+    load
+}
+
+#[test]
+fn worst_loads_are_served_as_far_as_engines_allow() {
+    let usual = AdmissionPolicy::default;
+    let cases = [
+        LoadCase {
+            name: "a burst upon a burst",
+            pool: PoolModel::default(),
+            load: recorded(),
+            counts: Counts {
+                in_time: 1_600,
+                preempted: 80,
+                paused: 140,
+                refused_twice: 180,
+                longest_held: 2_000,
+            },
+            without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
+        },
+        LoadCase {
+            name: "a third of the decode engines is lost in it",
+            pool: PoolModel { lost: Some((17, 14_000)), ..PoolModel::default() },
+            load: recorded(),
+            counts: Counts {
+                in_time: 1_200,
+                preempted: 120,
+                paused: 250,
+                refused_twice: 600,
+                longest_held: 2_000,
+            },
+            without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
+        },
+        LoadCase {
+            name: "answers twice as long",
+            pool: PoolModel { decode: 100, ..PoolModel::default() },
+            load: changed(|arrival| {
+                arrival.guess *= 2;
+                arrival.made = (arrival.made * 2).min(10_880);
+            }),
+            counts: Counts {
+                in_time: 1_450,
+                preempted: 100,
+                paused: 260,
+                refused_twice: 180,
+                longest_held: 2_500,
+            },
+            without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
+        },
+        LoadCase {
+            name: "all callers at once, as after the loss of all hosts",
+            pool: PoolModel::default(),
+            load: changed(|arrival| arrival.at_ms = arrival.at_ms / 2_000 * 2_000),
+            counts: Counts {
+                in_time: 1_200,
+                preempted: 80,
+                paused: 140,
+                refused_twice: 300,
+                longest_held: 2_000,
+            },
+            without: AdmissionPolicy { late_wait: 0.0, ..usual() },
+        },
+    ];
+    for case in cases {
+        let outcome = play(case.pool, usual(), &case.load);
+        let without = play(case.pool, case.without, &case.load);
+        assert!(case.counts.are_met(&outcome), "{}: {outcome:?}", case.name);
+        assert!(!case.counts.are_met(&without), "{}: also without: {without:?}", case.name);
+        assert!(outcome.fullest <= 100, "{}: more reserved than there is", case.name);
+        let (large, served) = outcome.largest;
+        assert!(served * 2 >= large, "{}: {served} of {large} large answers", case.name);
+    }
+}
--- a/crates/dillspool_dev/src/generate.rs
+++ b/crates/dillspool_dev/src/generate.rs
@@ -6,7 +6,8 @@
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 /// Schema files, by name without ending.
-const SCHEMAS: [&str; 6] = ["configuration", "engine", "messages", "relay", "router", "settings"];
+const SCHEMAS: [&str; 7] =
+    ["configuration", "engine", "messages", "relay", "router", "schedule", "settings"];
 
 /// Why the types could not be generated, or differ from the committed ones.
 #[derive(Debug, Snafu)]
--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -17,14 +17,6 @@
 const LONGEST_ASIDE: Duration = Duration::from_secs(4);
 /// Failures in a row after which a backend server is left out.
 const FAILURES_BEFORE_ASIDE: u32 = 2;
-/// First time that an engine gets no requests after it refused one that had its memory. A prefill
-/// is lost with each; one engine of many is missed little, also when only the prefill's result
-/// was gone.
-const FIRST_REFUSING: Duration = Duration::from_secs(2);
-/// Longest such time; an engine takes some seconds to change its part.
-const LONGEST_REFUSING: Duration = Duration::from_secs(8);
-/// Time after which a prefill's duration says nothing any more: queues fill and drain in seconds.
-const PREFILL_MEMORY: Duration = Duration::from_secs(3);
 /// Entries kept at most; ids are new with each start of a backend server.
 const MOST_ENTRIES: usize = 8192;
 
@@ -38,13 +30,6 @@
     failures_in_row: u32,
     aside_until: Option<Instant>,
     full_until: Option<Instant>,
-    /// Requests in a row that it refused although it had reserved memory for them.
-    refusals_in_row: u32,
-    refuses_until: Option<Instant>,
-    /// How long the last prefill took, and when it ended.
-    last_prefill: Option<(Duration, Instant)>,
-    /// When the prefills under way were asked for.
-    prefills: Vec<Instant>,
 }
 
 impl Default for BackendLoad {
@@ -57,10 +42,6 @@
             failures_in_row: 0,
             aside_until: None,
             full_until: None,
-            refusals_in_row: 0,
-            refuses_until: None,
-            last_prefill: None,
-            prefills: Vec::new(),
         }
     }
 }
@@ -74,8 +55,6 @@
     pub(crate) failures: f64,
     pub(crate) is_aside: bool,
     pub(crate) is_full: bool,
-    /// It reserves memory for requests that it then refuses.
-    pub(crate) is_refusing: bool,
 }
 
 /// The book of all backend servers, by id.
@@ -104,7 +83,6 @@
             failures: load.failures,
             is_aside: load.aside_until.is_some_and(|until| until > now),
             is_full: load.full_until.is_some_and(|until| until > now),
-            is_refusing: load.refuses_until.is_some_and(|until| until > now),
         }
     }
 
@@ -128,29 +106,6 @@
         });
     }
 
-    /// Notes that an engine took up a request for which it had reserved memory.
-    pub(crate) fn note_taken(&self, id: &BackendId) {
-        self.with(id, |load| {
-            load.refusals_in_row = 0;
-            load.refuses_until = None;
-        });
-    }
-
-    /// Notes that an engine refused a request for which it had reserved memory: it changes its
-    /// part or leaves, and goes on reserving. It gets none for a while, longer each time.
-    pub(crate) fn note_refused_reserved(&self, id: &BackendId) {
-        let now = Instant::now();
-        let (refusals, span) = self.with(id, |load| {
-            let doublings = load.refusals_in_row.min(8);
-            let span = (FIRST_REFUSING * 2_u32.pow(doublings)).min(LONGEST_REFUSING);
-            load.refusals_in_row += 1;
-            load.refuses_until = Some(now + span);
-            (load.refusals_in_row, span)
-        });
-        let span_ms = span.as_millis();
-        log::info!("event=backend_refusing backend={id} refusals={refusals} for_ms={span_ms}");
-    }
-
     /// Notes a failure that the backend server told of.
     pub(crate) fn note_failure(&self, id: &BackendId) {
         self.with(id, |load| load.failures += NEWEST_WEIGHT * (1.0 - load.failures));
@@ -185,26 +140,6 @@
         }
     }
 
-    /// Notes a prefill that is asked for; drop the ticket when it has ended.
-    pub(crate) fn enter_prefill(&self, id: &BackendId) -> PrefillTicket {
-        let started = Instant::now();
-        self.with(id, |load| load.prefills.push(started));
-        PrefillTicket { book: self.clone(), id: BackendId::clone(id), started }
-    }
-
-    /// How long a prefill at this engine is expected to take: as long as the last one, which
-    /// counts for less the older it is, and at least as long as those under way have taken.
-    pub(crate) fn prefill_wait(&self, id: &BackendId) -> Duration {
-        self.with(id, |load| {
-            let last = load.last_prefill.map_or(Duration::ZERO, |(took, ended)| {
-                let left = PREFILL_MEMORY.saturating_sub(ended.elapsed());
-                took.mul_f64(left.as_secs_f64() / PREFILL_MEMORY.as_secs_f64())
-            });
-            let under_way = load.prefills.iter().map(Instant::elapsed).max();
-            last.max(under_way.unwrap_or_default())
-        })
-    }
-
     /// Notes that a backend server has no room for now.
     pub(crate) fn note_full(&self, id: &BackendId, span: Duration) {
         let until = Instant::now() + span;
@@ -238,23 +173,3 @@
         });
     }
 }
-
-/// A prefill under way; dropping it notes how long it took.
-#[derive(Debug)]
-pub(crate) struct PrefillTicket {
-    book: BackendBook,
-    id: BackendId,
-    started: Instant,
-}
-
-impl Drop for PrefillTicket {
-    fn drop(&mut self) {
-        let started = self.started;
-        self.book.with(&self.id, |load| {
-            load.last_prefill = Some((started.elapsed(), Instant::now()));
-            if let Some(at) = load.prefills.iter().position(|other| *other == started) {
-                load.prefills.swap_remove(at);
-            }
-        });
-    }
-}
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -4,6 +4,7 @@
 
 use dillspool_capacity::DemandMeter;
 use dillspool_routing::DirectoryView;
+use dillspool_scheduler::ScheduleClient;
 use dillspool_schema::Name;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -23,7 +24,9 @@
     pub calls: BackendCalls,
     /// The backend servers known now.
     pub directory: watch::Receiver<Arc<DirectoryView>>,
-    /// What is under way at them.
+    /// Decides where model requests run.
+    pub schedule: ScheduleClient,
+    /// What is under way at backend servers that play no part.
     pub book: BackendBook,
     /// What requests ask of their engines.
     pub demand: DemandMeter,
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -4,25 +4,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dillspool_admission::{EngineFault, WorkClass};
 use dillspool_io::{ResponseBody, read_response_body};
-use dillspool_routing::{BackendEntry, BackendId, EngineStage, RoutedRequest};
+use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use dillspool_scheduler::DeskNote;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 
 use crate::calls::{BackendAnswer, CallError, ForwardTerms, WorkRank};
 use crate::context::ForwardContext;
-use crate::memory_wait::MemoryWait;
+use crate::placement::{Placement, StreamTicket, place, placement_request};
 use crate::prefill::{PrefillGuard, prefill};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
-use crate::reservation::{HoldGuard, Placement, StreamTicket, reserve};
 use crate::stages::FirstEventStages;
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
 
-/// When to come back after a refusal for want of memory: about the time that a running answer
-/// still takes, spread so that the refused do not return together.
-const COME_BACK_MS: std::ops::Range<u64> = 3_300..4_500;
 /// When to come back if no engine is known; directories recover within seconds.
 const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
 /// When to come back after an engine's refusal of a request that had its memory.
@@ -67,7 +65,7 @@
     pub(crate) body: ResponseBody,
     /// Whether the engine reads the prompt itself.
     pub(crate) read_at_decode: bool,
-    _ticket: StreamTicket,
+    ticket: StreamTicket,
 }
 
 /// How opening ended, if not by a refusal.
@@ -100,7 +98,8 @@
     prefills: u32,
     tried: Vec<BackendId>,
     may_have_run: bool,
-    memory_wait: MemoryWait,
+    /// Until when an answer under way waits for other engines.
+    wait_until: Option<Instant>,
     /// How the stream came to its first event.
     pub(crate) stages: FirstEventStages,
     /// Last event that the caller has.
@@ -116,7 +115,7 @@
             prefills: 0,
             tried: Vec::new(),
             may_have_run: false,
-            memory_wait: MemoryWait::of_arrival(request),
+            wait_until: None,
             stages: FirstEventStages::default(),
             last_event: request.resume_after,
         }
@@ -128,9 +127,9 @@
         route.resumable && self.sends < route.max_attempts
     }
 
-    /// Waits for memory until then, if that is later than before.
-    pub(crate) fn wait_for_memory_until(&mut self, until: Instant) {
-        self.memory_wait.extend(until);
+    /// Waits for other engines until then, if that is later than before.
+    pub(crate) fn wait_for_engines_until(&mut self, until: Instant) {
+        self.wait_until = self.wait_until.max(Some(until));
     }
 
     /// Prepares another engine while one that is silent still has the stream.
@@ -141,7 +140,7 @@
         if !self.tried.contains(silent) {
             self.tried.push(BackendId::clone(silent));
         }
-        self.wait_for_memory_until(self.request.deadline);
+        self.wait_for_engines_until(self.request.deadline);
         self.prepare().await
     }
 
@@ -163,16 +162,28 @@
         self.context.metrics.note_first_part(after);
     }
 
-    pub(crate) fn note_success(&self, open: &OpenStream) {
-        self.context.book.note_success(&open.entry.id, self.request.age());
+    /// Notes a whole answer, with the mean gap between two of its events.
+    pub(crate) fn note_success(&self, open: &mut OpenStream, event_gap: Option<Duration>) {
+        open.ticket.end_whole(event_gap);
+        if open.entry.stage.is_none() {
+            self.context.book.note_success(&open.entry.id, self.request.age());
+        }
     }
 
     pub(crate) fn note_broken(&mut self, open: &OpenStream, cause: &str) {
         self.may_have_run = true;
-        self.context.book.note_silence(&open.entry.id, cause);
+        self.note_no_answer(&open.entry, &open.ticket, cause);
         self.tried.push(BackendId::clone(&open.entry.id));
     }
 
+    /// A model engine is judged where its pool is scheduled, any other backend server here.
+    fn note_no_answer(&self, entry: &BackendEntry, ticket: &StreamTicket, cause: &str) {
+        if entry.stage.is_none() {
+            self.context.book.note_silence(&entry.id, cause);
+        }
+        ticket.note_fault(&entry.id, EngineFault::Silent);
+    }
+
     /// Opens the stream, at the prepared engine first.
     async fn open(&mut self, prepared: Option<PreparedSend>) -> Result<OpenEnd, Refusal> {
         let mut next = prepared;
@@ -249,62 +260,54 @@
         }
     }
 
-    /// Reserves memory at a decode engine.
+    /// Finds engines: one that decodes and has reserved memory, and mostly one that prefills.
     async fn place(&self) -> Result<Placement, Refusal> {
-        loop {
-            let view = self.context.view();
-            let chooser = self.context.chooser(&view);
-            let near = &self.context.failure_domain;
-            let engines =
-                chooser.engines(&self.request.service, EngineStage::Decode, near, &self.tried);
-            if engines.is_empty() {
-                return self.without_reservation(&view);
-            }
-            let asked = engines.len();
-            for entry in engines {
-                if let Some(placement) = reserve(&self.context, &self.request, &entry).await {
-                    return Ok(placement);
-                }
-            }
-            if self.memory_wait.is_over() {
-                log::info!(
-                    "event=memory_refused id={} engines={asked} directory={} after_ms={}",
-                    self.request.id,
-                    view.version,
-                    self.request.age().as_millis(),
-                );
-                return Err(self.no_memory());
-            }
-            self.memory_wait.pause().await;
+        let view = self.context.view();
+        let mut backends = view.ready(&self.request.service).peekable();
+        if backends.peek().is_some() && backends.all(|entry| entry.stage.is_none()) {
+            return self.place_without_parts(&view);
         }
+        let (class, patience) = (self.class(), self.patience());
+        let question =
+            placement_request(&self.context, &self.request, class, patience, &self.tried);
+        let placed = place(&self.context, &self.request, question).await;
+        placed.map_err(|refusal| if self.may_have_run { self.conclude() } else { refusal })
+    }
+
+    fn class(&self) -> WorkClass {
+        if !self.is_before_first_event() {
+            WorkClass::UnderWay
+        } else if self.request.is_late() {
+            WorkClass::Late
+        } else {
+            WorkClass::InTime
+        }
+    }
+
+    /// Longest wait for engines that is of any use.
+    fn patience(&self) -> Duration {
+        let remaining = self.request.remaining();
+        self.wait_until.map_or(remaining, |until| {
+            remaining.min(until.saturating_duration_since(Instant::now()))
+        })
     }
 
     /// A service whose backend servers play no parts takes its streams like plain requests.
-    fn without_reservation(
+    fn place_without_parts(
         &self,
         view: &dillspool_routing::DirectoryView,
     ) -> Result<Placement, Refusal> {
-        let chooser = self.context.chooser(view);
-        let entry = chooser
+        let entry = self
+            .context
+            .chooser(view)
             .plain(&self.request.service, &self.tried)
-            .filter(|entry| entry.stage.is_none())
             .ok_or_else(|| Refusal::come_back(RefusalCause::NoBackend, NO_ENGINE_RETRY))?;
-        let hold = HoldGuard::empty(&self.context, &entry);
-        let ticket = StreamTicket::without_memory(self.context.book.enter(&entry.id, 0));
-        Ok(Placement { entry, reserved: 0, hold, ticket })
+        Ok(Placement::without_memory(&self.context, entry))
     }
 
-    fn no_memory(&self) -> Refusal {
-        if self.may_have_run {
-            return self.conclude();
-        }
-        come_back(RefusalCause::NoMemory, COME_BACK_MS)
-    }
-
-    /// Sends the request; `None` when it did not run and may be sent again.
     async fn send(&mut self, prepared: PreparedSend) -> Result<Option<OpenEnd>, Refusal> {
         let PreparedSend { placement, mut prefill } = prepared;
-        let Placement { entry, reserved, mut hold, ticket } = placement;
+        let Placement { entry, reserved, mut hold, ticket, prefill: _ } = placement;
         let view = self.context.view();
         if !view.is_ready(&entry.id) {
             // It began to leave while the prompt was prefilled.
@@ -340,8 +343,7 @@
         let read_at_decode = prefill.prefilled.is_none() && entry.stage.is_some();
         let answer = match sent {
             Err(CallError::NotSent { reason }) => {
-                self.context.book.note_unreachable(&entry.id, &reason);
-                self.note_failed_send(&entry, &reason);
+                self.note_not_sent(&entry, &ticket, &reason);
                 return Ok(None);
             }
             sent => {
@@ -357,12 +359,11 @@
                 self.take_head(taken, answer).await
             }
             Err(CallError::Refused { status }) => {
-                self.context.book.note_refused_reserved(&entry.id);
-                self.note_failed_send(&entry, &format!("refused with {status}, not run"));
+                self.note_refused_reserved(&entry, &ticket, status);
                 Ok(None)
             }
             Err(CallError::NotSent { reason } | CallError::Lost { reason }) => {
-                self.note_unclear(&entry, &reason)
+                self.note_unclear(&entry, &ticket, &reason)
             }
         }
     }
@@ -374,29 +375,28 @@
     ) -> Result<Option<OpenEnd>, Refusal> {
         let SentRequest { entry, ticket, read_at_decode } = sent;
         if answer.did_not_run {
-            self.context.book.note_refused_reserved(&entry.id);
-            self.note_failed_send(&entry, &format!("refused with {}, not run", answer.status));
+            self.note_refused_reserved(&entry, &ticket, answer.status);
             return Ok(None);
         }
-        self.context.book.note_taken(&entry.id);
+        ticket.note(&DeskNote::Started);
         let (status, headers) = (answer.status, answer.headers.clone());
         if answer.is_genuine_success() {
             if self.is_before_first_event() {
                 self.stages.opened = self.request.age();
             }
             let body = answer.body;
-            let open = OpenStream { entry, status, body, read_at_decode, _ticket: ticket };
+            let open = OpenStream { entry, status, body, read_at_decode, ticket };
             return Ok(Some(OpenEnd::Stream(open, headers)));
         }
         if !answer.is_genuine_failure() {
             let cause = format!("status {} without proof of its origin", status.as_u16());
-            return self.note_unclear(&entry, &cause);
+            return self.note_unclear(&entry, &ticket, &cause);
         }
         let reading = read_response_body(answer.body, LARGEST_FAILURE);
         match tokio::time::timeout(self.request.remaining(), reading).await {
             Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, status, headers, body))),
-            Ok(Err(error)) => self.note_unclear(&entry, &error.to_string()),
-            Err(_elapsed) => self.note_unclear(&entry, "the failure did not come whole"),
+            Ok(Err(error)) => self.note_unclear(&entry, &ticket, &error.to_string()),
+            Err(_elapsed) => self.note_unclear(&entry, &ticket, "the failure did not come whole"),
         }
     }
 
@@ -420,14 +420,35 @@
     fn note_unclear(
         &mut self,
         entry: &BackendEntry,
+        ticket: &StreamTicket,
         cause: &str,
     ) -> Result<Option<OpenEnd>, Refusal> {
         self.may_have_run = true;
-        self.context.book.note_silence(&entry.id, cause);
+        self.note_no_answer(entry, ticket, cause);
         self.note_failed_send(entry, cause);
         if self.request.route.is_repeatable() { Ok(None) } else { Err(self.conclude()) }
     }
 
+    /// Nothing was sent, so another engine may be.
+    fn note_not_sent(&mut self, entry: &BackendEntry, ticket: &StreamTicket, cause: &str) {
+        if entry.stage.is_none() {
+            self.context.book.note_unreachable(&entry.id, cause);
+        }
+        ticket.note_fault(&entry.id, EngineFault::Unreachable);
+        self.note_failed_send(entry, cause);
+    }
+
+    /// It did not run: an engine that reserves memory and refuses the request changes its part.
+    fn note_refused_reserved(
+        &mut self,
+        entry: &BackendEntry,
+        ticket: &StreamTicket,
+        status: StatusCode,
+    ) {
+        ticket.note_fault(&entry.id, EngineFault::ReservedRefused);
+        self.note_failed_send(entry, &format!("refused with {status}, not run"));
+    }
+
     fn note_failed_send(&mut self, entry: &BackendEntry, cause: &str) {
         self.tried.push(BackendId::clone(&entry.id));
         log_send_failed(&self.request, &entry.id, cause);
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -12,14 +12,13 @@
 mod context;
 mod events;
 mod generate;
-mod memory_wait;
 mod metrics;
+mod placement;
 mod plain;
 mod prefill;
 mod reader;
 mod refusal;
 mod relay;
-mod reservation;
 mod stages;
 mod trace;
 
--- /dev/null
+++ b/crates/dillspool_forward/src/placement.rs
@@ -0,0 +1,232 @@
+//! From a decision to engines that have taken it: memory at a decode engine, or another decision.
+//!
+//! A reservation is kept at its engine for as long as the request runs there, whatever of it the
+//! answer has grown into. `docs/design/admission.md` has the reasons for its size.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_admission::{
+    EngineFault, PlacementDecision, PlacementRequest, StreamEnd, StreamPlacement, TurnAwayCause,
+    WorkClass,
+};
+use dillspool_capacity::MemoryTicket;
+use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use dillspool_scheduler::{DeskNote, PlacementTicket};
+use dillspool_schema::Name;
+
+use crate::calls::{CallError, HoldTerms};
+use crate::context::ForwardContext;
+use crate::refusal::{Refusal, RefusalCause};
+use crate::trace::log_turned_away;
+
+/// Life of a reservation: a prefill, its move and the first event take well under a second, and
+/// a longer one keeps memory from others.
+const HOLD_LIFE: Duration = Duration::from_secs(2);
+/// When to come back if a pool is not known yet; directories and configurations come within
+/// seconds.
+const UNKNOWN_POOL_RETRY: Duration = Duration::from_secs(1);
+
+/// Memory reserved at an engine, given back unless it was used.
+pub(crate) struct HoldGuard {
+    context: ForwardContext,
+    entry: Arc<BackendEntry>,
+    pub(crate) hold: Option<Name>,
+}
+
+impl HoldGuard {
+    /// For a backend server that reserves nothing.
+    pub(crate) fn empty(context: &ForwardContext, entry: &Arc<BackendEntry>) -> Self {
+        Self { context: context.clone(), entry: Arc::clone(entry), hold: None }
+    }
+}
+
+impl Drop for HoldGuard {
+    fn drop(&mut self) {
+        let Some(hold) = self.hold.take() else { return };
+        let release = (self.context.calls.release_hold)(Arc::clone(&self.entry), hold);
+        let id = BackendId::clone(&self.entry.id);
+        self.context.tasks.spawn(async move {
+            // A reservation that is not given back lapses by itself.
+            if let Err(error) = release.await {
+                log::debug!("event=hold_not_released backend={id} cause=\"{error}\"");
+            }
+        });
+    }
+}
+
+/// A decode engine with memory for the request.
+pub(crate) struct Placement {
+    pub(crate) entry: Arc<BackendEntry>,
+    /// Tokens reserved there; 0 at a backend server that reserves nothing.
+    pub(crate) reserved: u64,
+    /// Engine that reads the prompt; `None` when the decode engine does.
+    pub(crate) prefill: Option<Name>,
+    pub(crate) hold: HoldGuard,
+    pub(crate) ticket: StreamTicket,
+}
+
+impl Placement {
+    /// At a backend server that plays no part and reserves nothing.
+    pub(crate) fn without_memory(context: &ForwardContext, entry: Arc<BackendEntry>) -> Self {
+        let hold = HoldGuard::empty(context, &entry);
+        let load = context.book.enter(&entry.id, 0);
+        let ticket = StreamTicket { schedule: None, _load: Some(load), _memory: None };
+        Self { entry, reserved: 0, prefill: None, hold, ticket }
+    }
+}
+
+/// An answer's place in the books, until it has ended.
+pub(crate) struct StreamTicket {
+    /// `None` at a backend server that plays no part.
+    schedule: Option<PlacementTicket>,
+    _load: Option<crate::book::LoadTicket>,
+    /// `None` at a backend server that reserves nothing.
+    _memory: Option<MemoryTicket>,
+}
+
+impl StreamTicket {
+    /// Tells what became of the request at its engines.
+    pub(crate) fn note(&self, note: &DeskNote) {
+        if let Some(schedule) = &self.schedule {
+            schedule.note(note);
+        }
+    }
+
+    /// Tells that an engine did other than expected.
+    pub(crate) fn note_fault(&self, engine: &Name, fault: EngineFault) {
+        self.note(&DeskNote::Fault { engine: Name::clone(engine), fault });
+    }
+
+    /// Asks for another prefill engine.
+    pub(crate) async fn ask_prefill(&self, request: &PlacementRequest) -> Option<Name> {
+        self.schedule.as_ref()?.ask_prefill(request).await
+    }
+
+    /// Tells that the answer is whole.
+    pub(crate) fn end_whole(&mut self, event_gap: Option<Duration>) {
+        if let Some(schedule) = &mut self.schedule {
+            schedule.end(StreamEnd { is_whole: true, event_gap });
+        }
+    }
+}
+
+/// What is asked of the planner for a request as it stands now.
+pub(crate) fn placement_request(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    class: WorkClass,
+    patience: Duration,
+    excluded: &[BackendId],
+) -> PlacementRequest {
+    let (prompt_tokens, guess_tokens, most_tokens) =
+        request.generation.as_ref().map_or((0, 0, 0), |terms| {
+            let guess = terms.output_hint.unwrap_or(terms.output_limit).min(terms.output_limit);
+            (terms.prompt_tokens, guess, terms.output_limit)
+        });
+    let spent = request.spent_before + request.age();
+    PlacementRequest {
+        class,
+        priority: request.route.priority,
+        domain: Name::clone(&context.failure_domain),
+        prompt_tokens,
+        guess_tokens,
+        most_tokens,
+        objective_left: request.route.objective.saturating_sub(spent),
+        patience: patience.min(request.remaining()),
+        time_left: request.remaining(),
+        pause_target: request.route.pause_target,
+        excluded: excluded.to_vec(),
+        refusals: 0,
+    }
+}
+
+/// Finds engines for a request: asks where it runs and reserves memory there, once more where an
+/// engine has none after all.
+pub(crate) async fn place(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+    mut question: PlacementRequest,
+) -> Result<Placement, Refusal> {
+    let ticket = context.schedule.open(&request.service);
+    let class = question.class;
+    loop {
+        let decided = ticket.ask(&question).await;
+        let placement = match decided {
+            Some(PlacementDecision::Place(placement)) => placement,
+            Some(PlacementDecision::TurnAway { cause, come_back }) => {
+                log_turned_away(context, request, &question, cause, come_back);
+                return Err(Refusal::come_back(refusal_cause(cause), come_back));
+            }
+            Some(PlacementDecision::Wait) | None => {
+                return Err(Refusal::come_back(RefusalCause::NoBackend, UNKNOWN_POOL_RETRY));
+            }
+        };
+        if let Some(entry) = context.view().entries.get(&placement.decode).cloned()
+            && let Some(hold) = reserve(context, request, &ticket, &entry, &placement).await
+        {
+            return Ok(taken(context, request, entry, placement, hold, ticket));
+        }
+        let fresh =
+            placement_request(context, request, class, question.patience, &question.excluded);
+        question = PlacementRequest { refusals: question.refusals + 1, ..fresh };
+        if request.remaining().is_zero() {
+            return Err(Refusal::new(RefusalCause::TooLateNotRun));
+        }
+    }
+}
+
+fn taken(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    entry: Arc<BackendEntry>,
+    placement: StreamPlacement,
+    hold: Name,
+    ticket: PlacementTicket,
+) -> Placement {
+    let reserved = placement.reserve_tokens;
+    let memory = context.demand.enter(&request.service, reserved);
+    let hold = HoldGuard { context: context.clone(), entry: Arc::clone(&entry), hold: Some(hold) };
+    let ticket = StreamTicket { schedule: Some(ticket), _load: None, _memory: Some(memory) };
+    Placement { entry, reserved, prefill: placement.prefill, hold, ticket }
+}
+
+fn refusal_cause(cause: TurnAwayCause) -> RefusalCause {
+    match cause {
+        TurnAwayCause::NoEngine => RefusalCause::NoBackend,
+        TurnAwayCause::NoMemory => RefusalCause::NoMemory,
+        TurnAwayCause::NoPrefill => RefusalCause::NoPrefill,
+        TurnAwayCause::Refused => RefusalCause::NotRun,
+    }
+}
+
+/// Asks one engine for memory.
+async fn reserve(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    ticket: &PlacementTicket,
+    entry: &Arc<BackendEntry>,
+    placement: &StreamPlacement,
+) -> Option<Name> {
+    let terms = HoldTerms { tokens: placement.reserve_tokens, life: HOLD_LIFE };
+    let error = match (context.calls.reserve)(Arc::clone(entry), terms).await {
+        Ok(hold) => return Some(hold),
+        Err(error) => error,
+    };
+    let fault = match &error {
+        CallError::Refused { .. } => {
+            context.metrics.note_hold_refused();
+            EngineFault::NoMemory
+        }
+        CallError::NotSent { .. } => EngineFault::Unreachable,
+        CallError::Lost { .. } => EngineFault::Silent,
+    };
+    log::info!(
+        "event=reservation_failed id={} backend={} tokens={} cause=\"{error}\"",
+        request.id,
+        entry.id,
+        placement.reserve_tokens,
+    );
+    ticket.note(&DeskNote::Fault { engine: Name::clone(&entry.id), fault });
+    None
+}
--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -25,6 +25,8 @@
     NoBackend,
     /// No engine had memory for the answer.
     NoMemory,
+    /// No engine would read the prompt in time.
+    NoPrefill,
     /// The backend servers that were asked did not run it.
     NotRun,
     /// The time is over before the request ran.
@@ -47,6 +49,7 @@
             Self::NoRoute => "no_route",
             Self::NoBackend => "no_backend",
             Self::NoMemory => "no_memory",
+            Self::NoPrefill => "no_prefill",
             Self::NotRun => "not_run",
             Self::TooLateNotRun => "too_late_not_run",
             Self::TimedOut => "timed_out",
@@ -61,6 +64,7 @@
             | Self::HostFull
             | Self::NoBackend
             | Self::NoMemory
+            | Self::NoPrefill
             | Self::NotRun
             | Self::TooLateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed => StatusCode::BAD_REQUEST,
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -84,7 +84,7 @@
                 NextPart::Broken(cause) => {
                     let last_at = self.figures.last_at.unwrap_or(self.opened_at);
                     let patience = last_at + REOPEN_PATIENCE;
-                    self.generation.wait_for_memory_until(patience);
+                    self.generation.wait_for_engines_until(patience);
                     self.go_on(&cause, None).await?;
                 }
                 NextPart::Elsewhere(prepared) => self.go_on("silence", Some(*prepared)).await?,
@@ -93,8 +93,9 @@
     }
 
     fn end_well(&mut self) {
-        if let Some(reader) = &self.reader {
-            self.generation.note_success(&reader.open);
+        let event_gap = self.figures.mean_gap();
+        if let Some(reader) = &mut self.reader {
+            self.generation.note_success(&mut reader.open, event_gap);
         }
         self.trace.streamed(self.status, &self.generation.stages, &self.figures);
     }
--- a/crates/dillspool_forward/src/stages.rs
+++ b/crates/dillspool_forward/src/stages.rs
@@ -26,6 +26,8 @@
     pub(crate) events: u64,
     /// Time from the request's arrival to its first event.
     pub(crate) first_after: Duration,
+    /// When the caller got the first event, if any.
+    pub(crate) first_at: Option<Instant>,
     /// When the caller got the last event, if any.
     pub(crate) last_at: Option<Instant>,
     /// Longest time between two events.
@@ -37,13 +39,22 @@
 }
 
 impl StreamFigures {
+    /// Mean time between two events, if there were some.
+    pub(crate) fn mean_gap(&self) -> Option<Duration> {
+        let gaps = u32::try_from(self.events.checked_sub(1)?).ok().filter(|gaps| *gaps > 0)?;
+        Some(self.last_at?.saturating_duration_since(self.first_at?) / gaps)
+    }
+
     /// Notes events that the caller gets now; returns the pause before them, `None` before the
     /// first.
     pub(crate) fn note_events(&mut self, count: u64, age: Duration) -> Option<Duration> {
         let now = Instant::now();
         let pause = self.last_at.map(|last_at| now - last_at);
         match pause {
-            None => self.first_after = age,
+            None => {
+                self.first_after = age;
+                self.first_at = Some(now);
+            }
             Some(pause) => self.longest_pause = self.longest_pause.max(pause),
         }
         self.last_at = Some(now);
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -1,11 +1,14 @@
 //! One line in the log and one count for each request, however it ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use dillspool_admission::{PlacementRequest, TurnAwayCause};
 use dillspool_routing::{BackendId, RoutedRequest};
 use dillspool_schema::Name;
 
 use crate::budget::RetryBudgets;
+use crate::context::ForwardContext;
 use crate::metrics::{ForwardMetrics, OutcomeLabels};
 use crate::refusal::Refusal;
 use crate::stages::{FirstEventStages, LateCause, StreamFigures};
@@ -153,3 +156,24 @@
         reading.hosts,
     );
 }
+
+/// Why a request is refused for want of engines, and what that rested on.
+pub(crate) fn log_turned_away(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    question: &PlacementRequest,
+    cause: TurnAwayCause,
+    come_back: Duration,
+) {
+    log::info!(
+        "event=turned_away id={} class={:?} cause={cause:?} prompt={} guess={} refused={} directory={} after_ms={} come_back_ms={}",
+        request.id,
+        question.class,
+        question.prompt_tokens,
+        question.guess_tokens,
+        question.refusals,
+        context.view().version,
+        request.age().as_millis(),
+        come_back.as_millis(),
+    );
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -10,6 +10,7 @@
 use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
 use dillspool_roles::{KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::{DirectoryView, RoutingConfig};
+use dillspool_scheduler::{PoolDesk, ScheduleClient, serve_schedule};
 use dillspool_schema::Name;
 use dillspool_watch::{
     FollowRole, FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers,
@@ -87,14 +88,17 @@
         let readiness_listener = listen(&stack, config.readiness).await?;
         let peers_listener = listen(&stack, config.peers).await?;
         let metrics_listener = listen(&stack, config.metrics).await?;
+        let schedule_listener = listen(&stack, config.schedule).await?;
         let beliefs = Beliefs::start(&config, &stack, &site, peers_listener, &background);
         let demand = DemandMeter::default();
         let budgets = RetryBudgets::new(config.budget);
         let metrics = ForwardMetrics::default();
+        let schedule = start_schedule(&config, &stack, &beliefs, schedule_listener, &background);
         let context = ForwardContext {
             failure_domain: Name::clone(&config.failure_domain),
             calls: site.calls.clone(),
             directory: beliefs.directory.clone(),
+            schedule,
             book: BackendBook::default(),
             demand: demand.clone(),
             budgets: budgets.clone(),
@@ -270,6 +274,31 @@
     }
 }
 
+/// Starts this host's own decisions, its service to others that ask it, and its link to the
+/// scheduler that it asks.
+fn start_schedule(
+    config: &RouterConfig,
+    stack: &NetStack,
+    beliefs: &Beliefs,
+    listener: NetListener,
+    cancel: &CancellationToken,
+) -> ScheduleClient {
+    let desk = PoolDesk::new(config.policy.admission, hash_of(&config.host));
+    let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
+    tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
+    tokio::spawn(serve_schedule(listener, desk.clone(), cancel.clone()));
+    let client = ScheduleClient::new(desk);
+    log::info!("event=policy {:?}", config.policy);
+    if !config.policy.schedule {
+        return client;
+    }
+    let listed = beliefs.peers.clone();
+    let peers = move |service: &str| listed.schedule_peers(service);
+    let host = Name::clone(&config.host);
+    tokio::spawn(client.clone().run(stack.clone(), host, peers, known, cancel.clone()));
+    client
+}
+
 /// The limits on callers' connections, as the configuration in force says.
 fn caller_limits(
     mut config: watch::Receiver<Option<Arc<RoutingConfig>>>,
@@ -301,8 +330,9 @@
 
 /// Spreads the hosts' tries for the lease by their names.
 fn order_delay(host: &str) -> Duration {
-    let hash = host
-        .bytes()
-        .fold(0_u64, |hash, byte| hash.wrapping_mul(1_099_511_628_211) ^ u64::from(byte));
-    Duration::from_millis(hash % LONGEST_ORDER_DELAY_MS)
+    Duration::from_millis(hash_of(host) % LONGEST_ORDER_DELAY_MS)
+}
+
+fn hash_of(host: &str) -> u64 {
+    host.bytes().fold(0_u64, |hash, byte| hash.wrapping_mul(1_099_511_628_211) ^ u64::from(byte))
 }
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -6,6 +6,7 @@
 
 use dillspool_forward::RetryBudgets;
 use dillspool_platform::{PlatformError, RowExpect, RowWrite, ScanRequest, TableStore};
+use dillspool_scheduler::{SchedulePeers, SchedulerCandidate, rank_candidates};
 use dillspool_schema::Name;
 use dillspool_watch::{FollowRole, RelayPeers};
 use tokio::sync::watch;
@@ -30,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PeerList {
     own: SocketAddr,
+    own_schedule: SocketAddr,
     failure_domain: Name,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     listed: Arc<Mutex<Vec<HostRow>>>,
@@ -39,6 +41,7 @@
     pub(crate) fn new(config: &RouterConfig) -> Self {
         Self {
             own: config.peers,
+            own_schedule: config.schedule,
             failure_domain: Name::clone(&config.failure_domain),
             seeds: Arc::new(Mutex::new(config.seeds.clone())),
             listed: Arc::default(),
@@ -53,6 +56,19 @@
         choose_sources(&near.collect::<Vec<_>>(), &self.own)
     }
 
+    /// Hosts that could schedule the pool of a service, the best first.
+    pub(crate) fn schedule_peers(&self, service: &str) -> SchedulePeers {
+        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        let hosts: Vec<_> = listed
+            .iter()
+            .filter_map(|row| {
+                let link_mbps = row.link_mbps;
+                Some(SchedulerCandidate { address: row.schedule?, link_mbps })
+            })
+            .collect();
+        SchedulePeers { own: Some(self.own_schedule), ranked: rank_candidates(service, &hosts) }
+    }
+
     /// Whose questions to the store this host's beliefs come from.
     pub(crate) fn role(&self) -> FollowRole {
         match self.sources() {
@@ -132,6 +148,7 @@
 async fn write_own(config: &RouterConfig, store: &TableStore) -> Result<(), PlatformError> {
     let row = HostRow {
         peers: config.peers,
+        schedule: Some(config.schedule),
         failure_domain: Name::clone(&config.failure_domain),
         link_mbps: config.link_mbps,
     };
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -10,6 +10,8 @@
 use dillspool_schema::router::RouterSettings;
 use snafu::{ResultExt, Snafu};
 
+use crate::policy::{self, PolicyConfig};
+
 /// Time after an outage in which lapsed backend servers may register again; the users' letter
 /// promises about two seconds.
 const LAPSE_GRACE_S: f64 = 2.0;
@@ -64,6 +66,8 @@
     pub readiness: SocketAddr,
     /// Where other hosts connect.
     pub peers: SocketAddr,
+    /// Where other hosts ask this one as the scheduler of a pool.
+    pub schedule: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
     /// The store.
@@ -86,6 +90,8 @@
     pub orders_apart: Duration,
     /// What decides how many engines of a pool prefill.
     pub share_rule: ShareRule,
+    /// How requests for engines are decided on.
+    pub policy: PolicyConfig,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -113,6 +119,7 @@
         callers: address("listen.callers", &listen.callers)?,
         readiness: address("listen.readiness", &listen.readiness)?,
         peers: address("listen.peers", &listen.peers)?,
+        schedule: address("listen.schedule", &listen.schedule)?,
         metrics: address("listen.metrics", &listen.metrics)?,
         store: address("store.address", &settings.store.address)?,
         store_timeout: millis(settings.store.call_timeout_ms, STORE_TIMEOUT_MS),
@@ -131,6 +138,7 @@
         )?,
         orders_apart: seconds("orders.lease_ms", orders.lease_ms / 1000.0)?,
         share_rule: share_rule(orders.prefill_share)?,
+        policy: policy::check(settings.policy.as_ref())?,
         log_level: level.parse().map_err(|_unknown| SettingsError::Field {
             field: "log.level",
             value: level.to_owned(),
--- a/crates/dillspool_router/src/sources.rs
+++ b/crates/dillspool_router/src/sources.rs
@@ -22,6 +22,9 @@
 pub struct HostRow {
     /// Where other hosts connect.
     pub peers: SocketAddr,
+    /// Where other hosts ask it as a scheduler; absent where an older version runs.
+    #[serde(default)]
+    pub schedule: Option<SocketAddr>,
     /// Its failure domain.
     pub failure_domain: Name,
     /// Bandwidth of its link in Mbit/s; 0 when its settings do not say.
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -10,7 +10,7 @@
 use dillspool_forward::BudgetTerms;
 use dillspool_io::{HttpClient, MemoryNet, read_body};
 use dillspool_roles::ShareRule;
-use dillspool_router::{RouterConfig, RouterDaemon};
+use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 
@@ -26,6 +26,7 @@
         readiness: address(READINESS),
         peers: address("10.0.0.1:8146"),
         metrics: address("10.0.0.1:7660"),
+        schedule: address("10.0.0.1:7661"),
         store: address("10.0.0.9:1"),
         store_timeout: Duration::from_millis(700),
         watch_wait: Duration::from_millis(2500),
@@ -36,6 +37,7 @@
         lapse_grace: Duration::from_secs(2),
         orders_apart: Duration::from_secs(3),
         share_rule: ShareRule::Fixed(0.2),
+        policy: PolicyConfig::default(),
         log_level: log::LevelFilter::Info,
     }
 }
--- a/crates/dillspool_router/tests/settings.rs
+++ b/crates/dillspool_router/tests/settings.rs
@@ -11,6 +11,7 @@
 readiness = "10.0.0.1:8140"
 peers = "10.0.0.1:8146"
 metrics = "10.0.0.1:7660"
+schedule = "10.0.0.1:7661"
 [store]
 address = "10.200.0.1:8142"
 [peers]
@@ -51,6 +52,25 @@
         case("empty", "\"host-1\"", "\"\"", &["host", "give a name"]),
         case("address", "10.0.0.1:8140", "nowhere", &["listen.readiness", "IP number and port"]),
         case("negative", "grace_s = 8", "grace_s = -8", &["lifecycle.grace_s", "not negative"]),
+        case(
+            "a policy",
+            "[orders]",
+            "[policy]\nschedule = false\nlate_margin = 0.2\n[orders]",
+            &[],
+        ),
+        case(
+            "a policy out of range",
+            "[orders]",
+            "[policy]\nreserved_part = 4.5\n[orders]",
+            &["policy.reserved_part", "between 0 and 4"],
+        ),
+        case(
+            "a policy of none",
+            "[orders]",
+            "[policy]\nmost_refusals = 0\n[orders]",
+            &["policy.most_refusals", "between 1 and 64"],
+        ),
+        case("an unknown policy", "[orders]", "[policy]\nluck = 1\n[orders]", &["luck"]),
         case("a gap", "ratio = 0.2", "ratio = ", &["settings-a gap.toml"]),
     ];
     for case in cases {
--- /dev/null
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -0,0 +1,263 @@
+//! Decisions for the requests of this host: by the scheduler of their pool, or by itself.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dillspool_admission::{PlacementDecision, PlacementRequest, StreamEnd, TicketId};
+use dillspool_io::NetStack;
+use dillspool_routing::RoutingConfig;
+use dillspool_schema::Name;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::desk::{DeskNote, PoolDesk};
+use crate::link::{PoolLink, ScheduleSocket, open_link};
+
+/// Pause before schedulers are looked for again.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// Time between two tries to come back to a better scheduler than the one that is linked.
+const BETTER_EVERY: Duration = Duration::from_secs(2);
+
+/// The schedulers of a pool as this host sees them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SchedulePeers {
+    /// Where this host takes questions itself.
+    pub own: Option<SocketAddr>,
+    /// Where hosts ask, the best first; this host is among them once it is known.
+    pub ranked: Vec<SocketAddr>,
+}
+
+type PeersFn = dyn Fn(&str) -> SchedulePeers + Send + Sync;
+
+/// Asks where requests run, and tells what became of them.
+#[derive(Clone)]
+pub struct ScheduleClient {
+    desk: PoolDesk,
+    links: Arc<Mutex<HashMap<Name, PoolLink>>>,
+    next_ticket: Arc<AtomicU64>,
+}
+
+impl fmt::Debug for ScheduleClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ScheduleClient")
+    }
+}
+
+impl ScheduleClient {
+    /// A client that decides by its own desk until [`ScheduleClient::run`] finds schedulers.
+    pub fn new(desk: PoolDesk) -> Self {
+        Self { desk, links: Arc::default(), next_ticket: Arc::default() }
+    }
+
+    /// Links this host to the scheduler of each pool until `cancel`.
+    pub async fn run(
+        self,
+        stack: NetStack,
+        host: Name,
+        peers: impl Fn(&str) -> SchedulePeers + Send + Sync + 'static,
+        mut config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+        cancel: CancellationToken,
+    ) {
+        let peers: Arc<PeersFn> = Arc::new(peers);
+        let mut keepers = JoinSet::new();
+        loop {
+            let known = config.borrow_and_update().clone();
+            let services = known.iter().flat_map(|known| known.services.values());
+            for service in services.filter(|service| service.engine.is_some()) {
+                if self.link(&service.name).is_some() {
+                    continue;
+                }
+                let link = PoolLink::default();
+                self.with_links(|links| links.insert(Name::clone(&service.name), link.clone()));
+                let keeper = LinkKeeper {
+                    link,
+                    stack: stack.clone(),
+                    host: Name::clone(&host),
+                    service: Name::clone(&service.name),
+                    peers: Arc::clone(&peers),
+                };
+                keepers.spawn(async move { keeper.run().await });
+            }
+            tokio::select! {
+                changed = config.changed() => if changed.is_err() { return },
+                // Dropping the keepers ends their links.
+                () = cancel.cancelled() => return,
+            }
+        }
+    }
+
+    fn with_links<T>(&self, run: impl FnOnce(&mut HashMap<Name, PoolLink>) -> T) -> T {
+        run(&mut self.links.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn link(&self, service: &str) -> Option<PoolLink> {
+        self.with_links(|links| links.get(service).cloned())
+    }
+
+    /// Opens a ticket for a request.
+    pub fn open(&self, service: &Name) -> PlacementTicket {
+        let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1);
+        PlacementTicket {
+            desk: self.desk.clone(),
+            link: self.link(service),
+            service: Name::clone(service),
+            id,
+            is_over: false,
+        }
+    }
+}
+
+/// A request that needs engines, from its first question to its end; dropping it takes it off
+/// everywhere.
+pub struct PlacementTicket {
+    desk: PoolDesk,
+    link: Option<PoolLink>,
+    service: Name,
+    id: TicketId,
+    is_over: bool,
+}
+
+impl fmt::Debug for PlacementTicket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PlacementTicket").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl PlacementTicket {
+    /// Asks where the request runs, and waits as long as the decision says; `None` when its pool is
+    /// not known.
+    pub async fn ask(&self, request: &PlacementRequest) -> Option<PlacementDecision> {
+        if let Some(link) = &self.link
+            && let Some(decision) = link.ask(self.id.0, request).await
+        {
+            if let PlacementDecision::Place(placement) = &decision {
+                let placement = placement.clone();
+                link.hold(self.id.0, request, &placement, true);
+                self.desk.adopt(self.id, &self.service, request, placement, None);
+            }
+            return Some(decision);
+        }
+        let decision = self.ask_own_desk(request).await?;
+        if let PlacementDecision::Place(placement) = &decision
+            && let Some(link) = &self.link
+        {
+            link.hold(self.id.0, request, placement, false);
+        }
+        Some(decision)
+    }
+
+    async fn ask_own_desk(&self, request: &PlacementRequest) -> Option<PlacementDecision> {
+        let (sender, receiver) = oneshot::channel();
+        let decide = move |decision| {
+            // The request may be gone.
+            let _taken = sender.send(decision);
+        };
+        match self.desk.ask(self.id, &self.service, request.clone(), decide)? {
+            PlacementDecision::Wait => receiver.await.ok(),
+            decision => Some(decision),
+        }
+    }
+
+    /// Asks for another prefill engine; `None` when the decode engine should read the prompt.
+    pub async fn ask_prefill(&self, request: &PlacementRequest) -> Option<Name> {
+        if let Some(link) = &self.link
+            && let Some(prefill) = link.ask_prefill(self.id.0, request).await
+        {
+            return prefill;
+        }
+        self.desk.ask_prefill(self.id, request)
+    }
+
+    /// Tells what became of the request.
+    pub fn note(&self, note: &DeskNote) {
+        if let Some(link) = &self.link {
+            link.note(self.id.0, note);
+        }
+        self.desk.note(self.id, note.clone());
+    }
+
+    /// Tells that the request is over, and how.
+    pub fn end(&mut self, end: StreamEnd) {
+        if !self.is_over {
+            self.is_over = true;
+            self.note(&DeskNote::Ended(end));
+        }
+    }
+}
+
+impl Drop for PlacementTicket {
+    fn drop(&mut self) {
+        self.end(StreamEnd { is_whole: false, event_gap: None });
+    }
+}
+
+/// Keeps the link to the best scheduler that answers.
+struct LinkKeeper {
+    link: PoolLink,
+    stack: NetStack,
+    host: Name,
+    service: Name,
+    peers: Arc<PeersFn>,
+}
+
+impl LinkKeeper {
+    async fn run(&self) {
+        loop {
+            let mut next = self.best(None).await;
+            while let Some((address, socket)) = next.take() {
+                log::info!("event=scheduler_linked service={} peer={address}", self.service);
+                next = tokio::select! {
+                    ended = self.link.run(socket) => {
+                        let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
+                        log::info!(
+                            "event=scheduler_lost service={} peer={address} cause=\"{cause}\"",
+                            self.service,
+                        );
+                        None
+                    }
+                    better = self.better_than(address) => better,
+                };
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// The best scheduler that serves, up to one that is known; `None` when that is this host.
+    async fn best(&self, up_to: Option<SocketAddr>) -> Option<(SocketAddr, ScheduleSocket)> {
+        let peers = (self.peers)(&self.service);
+        for address in peers.ranked {
+            if Some(address) == peers.own || Some(address) == up_to {
+                return None;
+            }
+            match open_link(&self.stack, address, &self.host, &self.service).await {
+                Ok(socket) => return Some((address, socket)),
+                Err(error) => {
+                    log::debug!("event=scheduler_not_linked peer={address} cause=\"{error}\"");
+                }
+            }
+        }
+        None
+    }
+
+    /// Waits for a better scheduler than the one that is linked.
+    async fn better_than(&self, address: SocketAddr) -> Option<(SocketAddr, ScheduleSocket)> {
+        loop {
+            tokio::time::sleep(BETTER_EVERY).await;
+            let peers = (self.peers)(&self.service);
+            let own_first = peers.ranked.iter().position(|it| Some(*it) == peers.own);
+            let linked = peers.ranked.iter().position(|it| *it == address);
+            if own_first < linked && own_first.is_some() {
+                // This host has learnt that it comes before the scheduler that it asks.
+                return None;
+            }
+            if let Some(better) = self.best(Some(address)).await {
+                return Some(better);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_scheduler/src/lib.rs
@@ -0,0 +1,19 @@
+//! One host schedules the requests of a pool for all hosts.
+//!
+//! Every host has a [`PoolDesk`] and listens for others; which one they ask follows from the rows
+//! of the hosts. What a scheduler knows is told to it by the hosts it serves, and another one
+//! learns it from them anew. A host that reaches no scheduler decides from its own streams with
+//! the same code. See `docs/design/scheduling.md`.
+
+mod candidates;
+mod client;
+mod desk;
+mod link;
+mod serve;
+mod wire;
+
+pub use candidates::{SchedulerCandidate, rank_candidates};
+pub use client::{PlacementTicket, ScheduleClient, SchedulePeers};
+pub use desk::{DeskNote, PoolDesk};
+pub use serve::serve_schedule;
+pub use wire::ScheduleError;
--- /dev/null
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -0,0 +1,326 @@
+//! A host's link to the scheduler of one pool.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dillspool_admission::{PlacementDecision, PlacementRequest, StreamPlacement};
+use dillspool_io::{NetStack, NetStream};
+use dillspool_schema::Name;
+use dillspool_schema::schedule::{
+    ScheduleAsk, ScheduleBeat, ScheduleHeld, ScheduleHello, ScheduleMessage,
+};
+use futures_util::{SinkExt, StreamExt};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, client_async_with_config};
+
+use crate::desk::DeskNote;
+use crate::wire::{self, PROTOCOL_VERSION, ScheduleError};
+
+/// Time between two signs of life.
+pub(crate) const BEAT_EVERY: Duration = Duration::from_millis(400);
+/// Silence after which a scheduler counts as gone; some beats, one of which may be lost.
+const SCHEDULER_SILENCE: Duration = Duration::from_millis(1300);
+/// Time to open a link, some round trips between failure domains; a lost packet takes a second.
+const OPEN_LIMIT: Duration = Duration::from_millis(300);
+/// Time for one message.
+const SEND_LIMIT: Duration = Duration::from_millis(500);
+/// Time for a scheduler's answer, after which this host decides by itself: a fiftieth to a tenth of
+/// the time in which a first event is due.
+const ANSWER_LIMIT: Duration = Duration::from_millis(80);
+/// Time beyond a request's patience for the decision on one that waits.
+const WAIT_SLACK: Duration = Duration::from_millis(200);
+/// Messages that wait to be sent.
+const QUEUED_MESSAGES: usize = 256;
+/// Answers to one question: that it waits, and the decision.
+const ANSWERS: usize = 2;
+
+/// A link that a scheduler has accepted.
+pub(crate) type ScheduleSocket = WebSocketStream<NetStream>;
+
+/// What a scheduler answered.
+enum ScheduleReply {
+    Decided(PlacementDecision),
+    Reader(Option<Name>),
+}
+
+/// A request of this host that has its engines.
+#[derive(Clone, Debug)]
+struct HeldRecord {
+    request: PlacementRequest,
+    placement: StreamPlacement,
+    started: Option<Instant>,
+}
+
+impl HeldRecord {
+    fn message(&self, ticket: u64) -> ScheduleMessage {
+        ScheduleMessage::Held(ScheduleHeld {
+            ticket,
+            request: wire::request_to_wire(&self.request),
+            placement: wire::placement_to_wire(self.placement.clone()),
+            ran_ms: self.started.map(|started| wire::millis(started.elapsed())),
+        })
+    }
+}
+
+#[derive(Default)]
+struct LinkState {
+    /// Takes messages while a scheduler is linked.
+    sender: Option<mpsc::Sender<ScheduleMessage>>,
+    pending: HashMap<u64, mpsc::Sender<ScheduleReply>>,
+    held: HashMap<u64, HeldRecord>,
+}
+
+/// Questions and notes of this host about one pool.
+#[derive(Clone, Default)]
+pub(crate) struct PoolLink {
+    state: Arc<Mutex<LinkState>>,
+}
+
+impl PoolLink {
+    fn with<T>(&self, run: impl FnOnce(&mut LinkState) -> T) -> T {
+        run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Asks the scheduler; `None` when there is none, or no answer.
+    pub(crate) async fn ask(
+        &self,
+        ticket: u64,
+        request: &PlacementRequest,
+    ) -> Option<PlacementDecision> {
+        let mut answers = self.send_question(ticket, request, false)?;
+        let first = tokio::time::timeout(ANSWER_LIMIT, answers.recv()).await;
+        let first = self.answer_of(ticket, first.ok().flatten());
+        if !matches!(first, Some(PlacementDecision::Wait)) {
+            self.forget_question(ticket);
+            return first;
+        }
+        let limit = request.patience + WAIT_SLACK;
+        let later = tokio::time::timeout(limit, answers.recv()).await;
+        let later = self.answer_of(ticket, later.ok().flatten());
+        self.forget_question(ticket);
+        later
+    }
+
+    /// Asks for another prefill engine; `None` when there is no scheduler or no answer.
+    pub(crate) async fn ask_prefill(
+        &self,
+        ticket: u64,
+        request: &PlacementRequest,
+    ) -> Option<Option<Name>> {
+        let mut answers = self.send_question(ticket, request, true)?;
+        let answer = tokio::time::timeout(ANSWER_LIMIT, answers.recv()).await;
+        self.forget_question(ticket);
+        match answer {
+            Ok(Some(ScheduleReply::Reader(prefill))) => Some(prefill),
+            Ok(Some(ScheduleReply::Decided(_)) | None) | Err(_) => None,
+        }
+    }
+
+    fn send_question(
+        &self,
+        ticket: u64,
+        request: &PlacementRequest,
+        reader_only: bool,
+    ) -> Option<mpsc::Receiver<ScheduleReply>> {
+        let request = wire::request_to_wire(request);
+        let ask = ScheduleAsk { ticket, request, reader_only };
+        let (sender, receiver) = mpsc::channel(ANSWERS);
+        self.with(|state| {
+            let link = state.sender.as_ref()?;
+            link.try_send(ScheduleMessage::Ask(ask)).ok()?;
+            state.pending.insert(ticket, sender);
+            Some(receiver)
+        })
+    }
+
+    /// The decision in an answer; one that did not come shows a scheduler that is of no use.
+    fn answer_of(&self, ticket: u64, reply: Option<ScheduleReply>) -> Option<PlacementDecision> {
+        match reply {
+            Some(ScheduleReply::Decided(decision)) => Some(decision),
+            Some(ScheduleReply::Reader(_)) => None,
+            None => {
+                log::info!("event=scheduler_silent ticket={ticket}");
+                self.with(|state| state.sender = None);
+                None
+            }
+        }
+    }
+
+    fn forget_question(&self, ticket: u64) {
+        self.with(|state| state.pending.remove(&ticket));
+    }
+
+    /// Keeps a request that has its engines, and tells the scheduler if it does not know of it.
+    pub(crate) fn hold(
+        &self,
+        ticket: u64,
+        request: &PlacementRequest,
+        placement: &StreamPlacement,
+        is_known: bool,
+    ) {
+        let (request, placement) = (request.clone(), placement.clone());
+        let record = HeldRecord { request, placement, started: None };
+        self.with(|state| {
+            if !is_known && let Some(sender) = &state.sender {
+                // A full queue costs knowledge, not a promise.
+                let _sent = sender.try_send(record.message(ticket));
+            }
+            state.held.insert(ticket, record);
+        });
+    }
+
+    /// Tells the scheduler what became of a request.
+    pub(crate) fn note(&self, ticket: u64, note: &DeskNote) {
+        self.with(|state| {
+            match note {
+                DeskNote::Started => {
+                    if let Some(held) = state.held.get_mut(&ticket) {
+                        held.started = Some(Instant::now());
+                    }
+                }
+                DeskNote::Ended(_) => {
+                    state.held.remove(&ticket);
+                }
+                DeskNote::Prefilled { .. } | DeskNote::Fault { .. } => {}
+            }
+            if let Some(sender) = &state.sender {
+                let _sent = sender.try_send(wire::note_to_wire(ticket, note.clone()));
+            }
+        });
+    }
+
+    /// Whether a scheduler is linked.
+    pub(crate) fn is_linked(&self) -> bool {
+        self.with(|state| state.sender.is_some())
+    }
+
+    /// Serves a link until it ends; questions go nowhere before and after that.
+    pub(crate) async fn run(&self, socket: ScheduleSocket) -> Result<(), ScheduleError> {
+        let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
+        self.with(|state| {
+            for (ticket, held) in &state.held {
+                // A full queue costs knowledge, not a promise.
+                let _sent = sender.try_send(held.message(*ticket));
+            }
+            state.sender = Some(sender);
+        });
+        let (writer, reader) = socket.split();
+        let ended = tokio::select! {
+            ended = self.read(reader) => ended,
+            ended = write_queue(writer, queue) => ended,
+        };
+        self.with(|state| {
+            state.sender = None;
+            state.pending.clear();
+        });
+        ended
+    }
+
+    async fn read(
+        &self,
+        mut reader: impl StreamExt<Item = Result<Message, tokio_tungstenite::tungstenite::Error>>
+        + Unpin,
+    ) -> Result<(), ScheduleError> {
+        loop {
+            let incoming = tokio::time::timeout(SCHEDULER_SILENCE, reader.next()).await;
+            match read_part(incoming.ok())? {
+                ScheduleMessage::Decided(decided) => {
+                    let ticket = decided.ticket;
+                    let decision = wire::decision_from_wire(decided);
+                    self.reply(ticket, ScheduleReply::Decided(decision));
+                }
+                ScheduleMessage::Reader(reader) => {
+                    self.reply(reader.ticket, ScheduleReply::Reader(reader.prefill));
+                }
+                ScheduleMessage::Beat(_)
+                | ScheduleMessage::Hello(_)
+                | ScheduleMessage::Ask(_)
+                | ScheduleMessage::Held(_)
+                | ScheduleMessage::Note(_) => {}
+            }
+            if !self.is_linked() {
+                return Err(ended("an answer did not come in time"));
+            }
+        }
+    }
+
+    fn reply(&self, ticket: u64, reply: ScheduleReply) {
+        let pending = self.with(|state| state.pending.get(&ticket).cloned());
+        match pending {
+            Some(sender) => {
+                let _taken = sender.try_send(reply);
+            }
+            // This host has decided meanwhile; its own note tells the scheduler.
+            None => log::debug!("event=schedule_answer_late ticket={ticket}"),
+        }
+    }
+}
+
+fn ended(reason: &str) -> ScheduleError {
+    ScheduleError::Ended { reason: reason.to_owned() }
+}
+
+type IncomingPart = Option<Result<Message, tokio_tungstenite::tungstenite::Error>>;
+
+/// A message of the scheduler; anything that is none of its messages ends the link.
+fn read_part(incoming: Option<IncomingPart>) -> Result<ScheduleMessage, ScheduleError> {
+    match incoming {
+        Some(Some(Ok(Message::Binary(bytes)))) => wire::decode(&bytes),
+        Some(Some(Ok(_other))) => Err(ended("the scheduler closed it")),
+        Some(Some(Err(error))) => Err(ended(&error.to_string())),
+        Some(None) => Err(ended("the scheduler closed it")),
+        None => Err(ended("silence")),
+    }
+}
+
+async fn write_queue(
+    mut writer: impl SinkExt<Message, Error = tokio_tungstenite::tungstenite::Error> + Unpin,
+    mut queue: mpsc::Receiver<ScheduleMessage>,
+) -> Result<(), ScheduleError> {
+    loop {
+        let message = match tokio::time::timeout(BEAT_EVERY, queue.recv()).await {
+            Ok(Some(message)) => message,
+            Ok(None) => return Err(ended("an answer did not come in time")),
+            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { waiting: 0 }),
+        };
+        send(&mut writer, &message).await?;
+    }
+}
+
+async fn send(
+    writer: &mut (impl SinkExt<Message, Error = tokio_tungstenite::tungstenite::Error> + Unpin),
+    message: &ScheduleMessage,
+) -> Result<(), ScheduleError> {
+    let sent = tokio::time::timeout(SEND_LIMIT, writer.send(wire::encode(message)?)).await;
+    let sent = sent.map_err(|_elapsed| ended("the scheduler does not read"))?;
+    sent.map_err(|error| ended(&error.to_string()))
+}
+
+/// Opens a link and waits for the scheduler's word that it serves the pool.
+pub(crate) async fn open_link(
+    stack: &NetStack,
+    address: SocketAddr,
+    host: &Name,
+    service: &Name,
+) -> Result<ScheduleSocket, ScheduleError> {
+    let opening = async {
+        let stream = stack.connect(address).await.map_err(|error| ended(&error.to_string()))?;
+        let config = Some(wire::socket_config());
+        let opened = client_async_with_config(format!("ws://{address}/"), stream, config).await;
+        let (mut socket, _response) = opened.map_err(|error| ended(&error.to_string()))?;
+        let hello = ScheduleHello {
+            version: PROTOCOL_VERSION,
+            host: Name::clone(host),
+            service: Name::clone(service),
+        };
+        send(&mut socket, &ScheduleMessage::Hello(hello)).await?;
+        let first = socket.next().await;
+        read_part(Some(first)).map(|_beat| socket)
+    };
+    let opened = tokio::time::timeout(OPEN_LIMIT, opening).await;
+    opened.map_err(|_elapsed| ended("it does not answer"))?
+}
--- /dev/null
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -0,0 +1,224 @@
+//! Takes the questions of other hosts.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dillspool_admission::{PlacementRequest, StreamEnd, TicketId};
+use dillspool_io::{NetListener, NetStream};
+use dillspool_schema::Name;
+use dillspool_schema::schedule::{ScheduleBeat, ScheduleHello, ScheduleMessage, ScheduleReader};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
+use tokio_util::sync::CancellationToken;
+
+use crate::desk::{DeskNote, PoolDesk};
+use crate::link::BEAT_EVERY;
+use crate::wire::{self, PROTOCOL_VERSION, ScheduleError};
+
+/// Time for a host to open its link, some round trips between failure domains.
+const OPEN_LIMIT: Duration = Duration::from_millis(500);
+/// Silence after which a host counts as gone; it beats as often as the scheduler.
+const HOST_SILENCE: Duration = Duration::from_secs(3);
+/// Time for one message; a host that does not read it is gone.
+const SEND_LIMIT: Duration = Duration::from_secs(1);
+/// Messages that wait to be sent to one host.
+const QUEUED_MESSAGES: usize = 256;
+/// Bits of a ticket that are the host's own; the rest number its link.
+const TICKET_BITS: u32 = 32;
+
+type HostWriter = SplitSink<WebSocketStream<NetStream>, Message>;
+type HostReader = SplitStream<WebSocketStream<NetStream>>;
+
+/// Answers every host that connects until `cancel`.
+pub async fn serve_schedule(mut listener: NetListener, desk: PoolDesk, cancel: CancellationToken) {
+    // The tickets of this host itself have the number 0.
+    let links = Arc::new(AtomicU64::new(1));
+    loop {
+        let stream = tokio::select! {
+            stream = listener.accept() => stream,
+            () = cancel.cancelled() => return,
+        };
+        let Some(stream) = stream else { return };
+        let (desk, cancel) = (desk.clone(), cancel.clone());
+        let number = links.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serve_host(stream, desk, number) => {}
+                () = cancel.cancelled() => {}
+            }
+        });
+    }
+}
+
+async fn serve_host(stream: NetStream, desk: PoolDesk, number: u64) {
+    let opening = accept_async_with_config(stream, Some(wire::socket_config()));
+    let Ok(Ok(socket)) = tokio::time::timeout(OPEN_LIMIT, opening).await else { return };
+    let (writer, mut reader) = socket.split();
+    let hello = match read_hello(&mut reader, &desk).await {
+        Ok(hello) => hello,
+        Err(error) => {
+            log::info!("event=schedule_refused cause=\"{error}\"");
+            return;
+        }
+    };
+    let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
+    // The host waits for a word that it is served.
+    let _queued = sender.try_send(ScheduleMessage::Beat(ScheduleBeat { waiting: 0 }));
+    let mut host =
+        ServedHost { desk, number, service: hello.service, sender, tickets: HashSet::new() };
+    log::info!("event=schedule_host_joined host={} service={}", hello.host, host.service);
+    let ended = tokio::select! {
+        ended = host.read(&mut reader) => ended,
+        ended = write_queue(writer, queue) => ended,
+    };
+    let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
+    log::info!(
+        "event=schedule_host_left host={} service={} requests={} cause=\"{cause}\"",
+        hello.host,
+        host.service,
+        host.tickets.len(),
+    );
+}
+
+async fn read_message(reader: &mut HostReader) -> Result<ScheduleMessage, ScheduleError> {
+    let ended = |reason: &str| ScheduleError::Ended { reason: reason.to_owned() };
+    loop {
+        match tokio::time::timeout(HOST_SILENCE, reader.next()).await {
+            Ok(Some(Ok(Message::Binary(bytes)))) => return wire::decode(&bytes),
+            Ok(Some(Ok(_other))) => {}
+            Ok(Some(Err(error))) => return Err(ended(&error.to_string())),
+            Ok(None) => return Err(ended("the host closed it")),
+            Err(_elapsed) => return Err(ended("silence")),
+        }
+    }
+}
+
+async fn read_hello(
+    reader: &mut HostReader,
+    desk: &PoolDesk,
+) -> Result<ScheduleHello, ScheduleError> {
+    let malformed = |reason: String| ScheduleError::Malformed { reason };
+    let ScheduleMessage::Hello(hello) = read_message(reader).await? else {
+        return Err(malformed("the first message is no greeting".to_owned()));
+    };
+    if hello.version != PROTOCOL_VERSION {
+        return Err(malformed(format!("version {}", hello.version)));
+    }
+    if !desk.knows(&hello.service) {
+        let reason = format!("the pool {} is not known here yet", hello.service);
+        return Err(ScheduleError::Ended { reason });
+    }
+    Ok(hello)
+}
+
+/// Sends what is queued, and a sign of life now and then.
+async fn write_queue(
+    mut writer: HostWriter,
+    mut queue: mpsc::Receiver<ScheduleMessage>,
+) -> Result<(), ScheduleError> {
+    loop {
+        let message = match tokio::time::timeout(BEAT_EVERY, queue.recv()).await {
+            Ok(Some(message)) => message,
+            Ok(None) => return Ok(()),
+            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { waiting: 0 }),
+        };
+        let sending = writer.send(wire::encode(&message)?);
+        let sent = tokio::time::timeout(SEND_LIMIT, sending).await;
+        let ended = |reason: String| ScheduleError::Ended { reason };
+        sent.map_err(|_elapsed| ended("the host does not read".to_owned()))?
+            .map_err(|error| ended(error.to_string()))?;
+    }
+}
+
+/// A host that is served, until its link ends.
+struct ServedHost {
+    desk: PoolDesk,
+    number: u64,
+    service: Name,
+    sender: mpsc::Sender<ScheduleMessage>,
+    /// Requests under way, by the host's own numbers.
+    tickets: HashSet<u64>,
+}
+
+impl ServedHost {
+    fn ticket(&self, own: u64) -> TicketId {
+        TicketId((self.number << TICKET_BITS) | (own & ((1 << TICKET_BITS) - 1)))
+    }
+
+    async fn read(&mut self, reader: &mut HostReader) -> Result<(), ScheduleError> {
+        loop {
+            match read_message(reader).await? {
+                ScheduleMessage::Ask(ask) if ask.reader_only => {
+                    let request = wire::request_from_wire(ask.request);
+                    let prefill = self.desk.ask_prefill(self.ticket(ask.ticket), &request);
+                    let reply = ScheduleReader { ticket: ask.ticket, prefill };
+                    self.send(ScheduleMessage::Reader(reply))?;
+                }
+                ScheduleMessage::Ask(ask) => {
+                    let request = wire::request_from_wire(ask.request);
+                    self.ask(ask.ticket, request)?;
+                }
+                ScheduleMessage::Held(held) => {
+                    self.tickets.insert(held.ticket);
+                    self.desk.adopt(
+                        self.ticket(held.ticket),
+                        &self.service,
+                        &wire::request_from_wire(held.request),
+                        wire::placement_from_wire(held.placement),
+                        held.ran_ms.map(Duration::from_millis),
+                    );
+                }
+                ScheduleMessage::Note(note) => {
+                    let ticket = note.ticket;
+                    let note = wire::note_from_wire(note);
+                    if matches!(note, DeskNote::Ended(_)) {
+                        self.tickets.remove(&ticket);
+                    }
+                    self.desk.note(self.ticket(ticket), note);
+                }
+                ScheduleMessage::Beat(_beat) => {}
+                ScheduleMessage::Hello(_)
+                | ScheduleMessage::Decided(_)
+                | ScheduleMessage::Reader(_) => {
+                    let reason = "a scheduler's message from a host".to_owned();
+                    return Err(ScheduleError::Malformed { reason });
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, own: u64, request: PlacementRequest) -> Result<(), ScheduleError> {
+        self.tickets.insert(own);
+        let sender = self.sender.clone();
+        let decide_later = move |decision| {
+            // A host that has left needs no decision; its requests are taken off.
+            let _sent = sender.try_send(wire::decision_to_wire(own, decision));
+        };
+        let decision = self.desk.ask(self.ticket(own), &self.service, request, decide_later);
+        let unknown = || ScheduleError::Ended { reason: "the pool is gone".to_owned() };
+        self.send(wire::decision_to_wire(own, decision.ok_or_else(unknown)?))
+    }
+
+    fn send(&self, message: ScheduleMessage) -> Result<(), ScheduleError> {
+        let full = |error: mpsc::error::TrySendError<_>| ScheduleError::Ended {
+            reason: error.to_string(),
+        };
+        self.sender.try_send(message).map_err(full)
+    }
+}
+
+impl Drop for ServedHost {
+    fn drop(&mut self) {
+        // Engines close the streams of a host that has gone; one that lives asks another scheduler
+        // and tells it what it holds.
+        for own in &self.tickets {
+            let end = StreamEnd { is_whole: false, event_gap: None };
+            self.desk.note(self.ticket(*own), DeskNote::Ended(end));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -0,0 +1,207 @@
+//! Messages between a host and a scheduler, and their types on both sides.
+
+use std::time::Duration;
+
+use dillspool_admission::{
+    EngineFault, PlacementDecision, PlacementRequest, StreamEnd, StreamPlacement, TurnAwayCause,
+    WorkClass,
+};
+use dillspool_schema::Name;
+use dillspool_schema::schedule::{
+    ScheduleCause, ScheduleClass, ScheduleDecision, ScheduleEvent, ScheduleMessage, ScheduleNote,
+    SchedulePlacement, ScheduleRequest, ScheduleTurnAway,
+};
+use snafu::Snafu;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::desk::DeskNote;
+
+/// Version of the protocol; hosts of other versions are not served and decide by themselves.
+pub(crate) const PROTOCOL_VERSION: u32 = 1;
+/// Largest message in bytes; a question names at most some dozen engines.
+const MESSAGE_LIMIT: usize = 64 * 1024;
+
+/// Why a link to a scheduler ended.
+#[derive(Debug, Snafu)]
+pub enum ScheduleError {
+    /// The other side is gone, or does not answer.
+    #[snafu(display("the link ended: {reason}; another scheduler is asked"))]
+    Ended {
+        /// What ended it.
+        reason: String,
+    },
+    /// A message could not be read or written.
+    #[snafu(display("malformed message: {reason}; all hosts must run one version"))]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_LIMIT))
+        .max_frame_size(Some(MESSAGE_LIMIT))
+        .read_buffer_size(4 * 1024)
+        .write_buffer_size(0)
+}
+
+pub(crate) fn encode(message: &ScheduleMessage) -> Result<Message, ScheduleError> {
+    let mut bytes = Vec::with_capacity(256);
+    match ciborium::into_writer(message, &mut bytes) {
+        Ok(()) => Ok(Message::Binary(bytes.into())),
+        Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
+    }
+}
+
+pub(crate) fn decode(bytes: &[u8]) -> Result<ScheduleMessage, ScheduleError> {
+    match ciborium::from_reader(bytes) {
+        Ok(message) => Ok(message),
+        Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
+    }
+}
+
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn request_to_wire(request: &PlacementRequest) -> ScheduleRequest {
+    ScheduleRequest {
+        class: match request.class {
+            WorkClass::UnderWay => ScheduleClass::UnderWay,
+            WorkClass::InTime => ScheduleClass::InTime,
+            WorkClass::Late => ScheduleClass::Late,
+        },
+        priority: request.priority,
+        domain: Name::clone(&request.domain),
+        prompt: request.prompt_tokens,
+        guess: request.guess_tokens,
+        most: request.most_tokens,
+        objective_ms: millis(request.objective_left),
+        patience_ms: millis(request.patience),
+        left_ms: millis(request.time_left),
+        pause_ms: request.pause_target.map(millis),
+        excluded: request.excluded.clone(),
+        refusals: u32::try_from(request.refusals).unwrap_or(u32::MAX),
+    }
+}
+
+pub(crate) fn request_from_wire(request: ScheduleRequest) -> PlacementRequest {
+    PlacementRequest {
+        class: match request.class {
+            ScheduleClass::UnderWay => WorkClass::UnderWay,
+            ScheduleClass::InTime => WorkClass::InTime,
+            ScheduleClass::Late => WorkClass::Late,
+        },
+        priority: request.priority,
+        domain: request.domain,
+        prompt_tokens: request.prompt,
+        guess_tokens: request.guess,
+        most_tokens: request.most,
+        objective_left: Duration::from_millis(request.objective_ms),
+        patience: Duration::from_millis(request.patience_ms),
+        time_left: Duration::from_millis(request.left_ms),
+        pause_target: request.pause_ms.map(Duration::from_millis),
+        excluded: request.excluded,
+        refusals: request.refusals as usize,
+    }
+}
+
+pub(crate) fn placement_to_wire(placement: StreamPlacement) -> SchedulePlacement {
+    SchedulePlacement {
+        decode: placement.decode,
+        reserve: placement.reserve_tokens,
+        prefill: placement.prefill,
+    }
+}
+
+pub(crate) fn placement_from_wire(placement: SchedulePlacement) -> StreamPlacement {
+    StreamPlacement {
+        decode: placement.decode,
+        reserve_tokens: placement.reserve,
+        prefill: placement.prefill,
+    }
+}
+
+/// A decision on the wire; one without a placement or a refusal says that the request waits.
+pub(crate) fn decision_to_wire(ticket: u64, decision: PlacementDecision) -> ScheduleMessage {
+    let mut message = ScheduleDecision { ticket, placement: None, turned_away: None };
+    match decision {
+        PlacementDecision::Place(placement) => {
+            message.placement = Some(placement_to_wire(placement));
+        }
+        PlacementDecision::Wait => {}
+        PlacementDecision::TurnAway { cause, come_back } => {
+            let cause = match cause {
+                TurnAwayCause::NoEngine => ScheduleCause::NoEngine,
+                TurnAwayCause::NoMemory => ScheduleCause::NoMemory,
+                TurnAwayCause::NoPrefill => ScheduleCause::NoPrefill,
+                TurnAwayCause::Refused => ScheduleCause::Refused,
+            };
+            message.turned_away = Some(ScheduleTurnAway { cause, come_back_ms: millis(come_back) });
+        }
+    }
+    ScheduleMessage::Decided(message)
+}
+
+pub(crate) fn decision_from_wire(message: ScheduleDecision) -> PlacementDecision {
+    if let Some(placement) = message.placement {
+        return PlacementDecision::Place(placement_from_wire(placement));
+    }
+    let Some(turned_away) = message.turned_away else { return PlacementDecision::Wait };
+    let cause = match turned_away.cause {
+        ScheduleCause::NoEngine => TurnAwayCause::NoEngine,
+        ScheduleCause::NoMemory => TurnAwayCause::NoMemory,
+        ScheduleCause::NoPrefill => TurnAwayCause::NoPrefill,
+        ScheduleCause::Refused => TurnAwayCause::Refused,
+    };
+    let come_back = Duration::from_millis(turned_away.come_back_ms);
+    PlacementDecision::TurnAway { cause, come_back }
+}
+
+pub(crate) fn note_to_wire(ticket: u64, note: DeskNote) -> ScheduleMessage {
+    let mut message =
+        ScheduleNote { ticket, event: ScheduleEvent::Ended, engine: None, took_ms: None };
+    match note {
+        DeskNote::Prefilled { took } => {
+            message.event = ScheduleEvent::Prefilled;
+            message.took_ms = Some(millis(took));
+        }
+        DeskNote::Started => message.event = ScheduleEvent::Started,
+        DeskNote::Fault { engine, fault } => {
+            message.engine = Some(engine);
+            message.event = match fault {
+                EngineFault::NoMemory => ScheduleEvent::NoMemory,
+                EngineFault::PrefillRefused => ScheduleEvent::PrefillRefused,
+                EngineFault::ReservedRefused => ScheduleEvent::ReservedRefused,
+                EngineFault::Unreachable => ScheduleEvent::Unreachable,
+                EngineFault::Silent => ScheduleEvent::Silent,
+            };
+        }
+        DeskNote::Ended(end) => {
+            message.took_ms = end.event_gap.map(millis);
+            if end.is_whole {
+                message.event = ScheduleEvent::EndedWhole;
+            }
+        }
+    }
+    ScheduleMessage::Note(message)
+}
+
+pub(crate) fn note_from_wire(message: ScheduleNote) -> DeskNote {
+    let took = message.took_ms.map(Duration::from_millis);
+    let engine = message.engine.unwrap_or_default();
+    let fault = |fault| DeskNote::Fault { engine, fault };
+    match message.event {
+        ScheduleEvent::Prefilled => DeskNote::Prefilled { took: took.unwrap_or_default() },
+        ScheduleEvent::Started => DeskNote::Started,
+        ScheduleEvent::EndedWhole => DeskNote::Ended(StreamEnd { is_whole: true, event_gap: took }),
+        ScheduleEvent::Ended => DeskNote::Ended(StreamEnd { is_whole: false, event_gap: None }),
+        ScheduleEvent::NoMemory => fault(EngineFault::NoMemory),
+        ScheduleEvent::PrefillRefused => fault(EngineFault::PrefillRefused),
+        ScheduleEvent::ReservedRefused => fault(EngineFault::ReservedRefused),
+        ScheduleEvent::Unreachable => fault(EngineFault::Unreachable),
+        ScheduleEvent::Silent => fault(EngineFault::Silent),
+    }
+}
--- /dev/null
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -0,0 +1,273 @@
+//! Hosts that ask a scheduler, lose it, and find another one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_admission::{AdmissionPolicy, PlacementDecision, PlacementRequest, WorkClass};
+use dillspool_cases::run_paused;
+use dillspool_io::{LinkMode, MemoryNet};
+use dillspool_routing::{
+    BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage, RouteTable,
+    RoutingConfig, ServiceEntry,
+};
+use dillspool_scheduler::{
+    DeskNote, PlacementTicket, PoolDesk, ScheduleClient, SchedulePeers, SchedulerCandidate,
+    rank_candidates, serve_schedule,
+};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+const SERVICE: &str = "service";
+
+fn address(host: u8) -> SocketAddr {
+    format!("10.0.0.{host}:7661").parse().expect("an address")
+}
+
+/// A pool of two small decode engines, each with room for one request, and a prefill engine.
+fn config() -> RoutingConfig {
+    let pool = EnginePool {
+        slots: 1,
+        memory_tokens: 60_000,
+        handle_life: Duration::from_millis(500),
+        longest_hold: Duration::from_secs(2),
+        switch_time: Duration::from_secs(6),
+    };
+    let service = ServiceEntry {
+        name: SERVICE.into(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine: Some(pool),
+    };
+    let limits = ClientLimits {
+        head_bytes: 16_384,
+        body_bytes: 65_536,
+        head_timeout: Duration::from_secs(2),
+        idle_timeout: Duration::from_secs(10),
+    };
+    let services = BTreeMap::from([(SERVICE.into(), service)]);
+    RoutingConfig { version: 1, routes: RouteTable::default(), services, limits }
+}
+
+fn view() -> DirectoryView {
+    let entry = |id: &str, stage| BackendEntry {
+        id: id.into(),
+        service: SERVICE.into(),
+        address: ([10, 0, 1, 1], 9).into(),
+        failure_domain: "domain".into(),
+        state: BackendState::Ready,
+        stage: Some(stage),
+    };
+    let entries = [
+        entry("decode-1", EngineStage::Decode),
+        entry("decode-2", EngineStage::Decode),
+        entry("prefill-1", EngineStage::Prefill),
+    ];
+    let entries = entries.into_iter().map(|entry| (Arc::clone(&entry.id), Arc::new(entry)));
+    DirectoryView { version: 1, entries: entries.collect() }
+}
+
+fn request() -> PlacementRequest {
+    PlacementRequest {
+        class: WorkClass::InTime,
+        priority: 1,
+        domain: "domain".into(),
+        prompt_tokens: 1_000,
+        guess_tokens: 1_000,
+        most_tokens: 10_000,
+        objective_left: Duration::from_millis(900),
+        patience: Duration::from_secs(14),
+        time_left: Duration::from_secs(14),
+        pause_target: Some(Duration::from_millis(300)),
+        excluded: Vec::new(),
+        refusals: 0,
+    }
+}
+
+/// A host with its own desk, which serves others and asks the first in `order` that answers.
+struct TestHost {
+    client: ScheduleClient,
+    cancel: CancellationToken,
+    _config: watch::Sender<Option<Arc<RoutingConfig>>>,
+    _view: watch::Sender<Arc<DirectoryView>>,
+}
+
+impl TestHost {
+    async fn start(net: &MemoryNet, host: u8, order: &[u8]) -> Self {
+        let stack = net.stack(address(host).ip());
+        let cancel = CancellationToken::new();
+        let desk = PoolDesk::new(AdmissionPolicy::default(), u64::from(host));
+        let (config_sender, known) = watch::channel(Some(Arc::new(config())));
+        let (view_sender, directory) = watch::channel(Arc::new(view()));
+        tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
+        let listener = stack.listen(address(host)).await.expect("a free address");
+        tokio::spawn(serve_schedule(listener, desk.clone(), cancel.clone()));
+        let client = ScheduleClient::new(desk);
+        let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
+        let own = Some(address(host));
+        let peers = move |_service: &str| SchedulePeers { own, ranked: ranked.clone() };
+        let name = format!("host-{host}").into();
+        tokio::spawn(client.clone().run(stack, name, peers, known, cancel.clone()));
+        Self { client, cancel, _config: config_sender, _view: view_sender }
+    }
+
+    async fn ask(&self) -> (PlacementTicket, Option<PlacementDecision>) {
+        let ticket = self.client.open(&SERVICE.into());
+        let decision = ticket.ask(&request()).await;
+        (ticket, decision)
+    }
+}
+
+async fn settle() {
+    tokio::time::sleep(Duration::from_secs(1)).await;
+}
+
+fn engine(decision: Option<&PlacementDecision>) -> Option<String> {
+    match decision {
+        Some(PlacementDecision::Place(placement)) => Some(placement.decode.to_string()),
+        Some(PlacementDecision::Wait | PlacementDecision::TurnAway { .. }) | None => None,
+    }
+}
+
+/// Three hosts of which the first schedules.
+async fn three_hosts(net: &MemoryNet) -> Vec<TestHost> {
+    let mut hosts = Vec::new();
+    for host in 1..=3 {
+        hosts.push(TestHost::start(net, host, &[1, 2, 3]).await);
+    }
+    settle().await;
+    hosts
+}
+
+#[test]
+fn what_one_host_placed_all_others_know() {
+    run_paused(async {
+        let hosts = three_hosts(&MemoryNet::new()).await;
+        let (_first, one) = hosts[1].ask().await;
+        let (second, two) = hosts[2].ask().await;
+        let mut engines = [engine(one.as_ref()), engine(two.as_ref())];
+        engines.sort();
+        assert_eq!(engines, [Some("decode-1".to_owned()), Some("decode-2".to_owned())]);
+        // Both engines are full: nobody is placed, whichever host asks.
+        for host in &hosts {
+            let (_ticket, decision) = host.ask().await;
+            assert_eq!(engine(decision.as_ref()), None);
+        }
+        drop(second);
+        settle().await;
+        let (_ticket, decision) = hosts[1].ask().await;
+        assert!(engine(decision.as_ref()).is_some(), "what ended is free for all");
+    });
+}
+
+struct LossCase {
+    name: &'static str,
+    /// What becomes of the scheduler's links.
+    mode: Option<LinkMode>,
+    /// Time within which a request is decided right after that.
+    within_ms: u64,
+}
+
+#[test]
+fn a_host_decides_alone_until_it_finds_another_scheduler() {
+    let cases = [
+        LossCase { name: "its process ends", mode: None, within_ms: 5 },
+        LossCase { name: "it is cut off", mode: Some(LinkMode::Frozen), within_ms: 100 },
+    ];
+    for case in cases {
+        run_paused(async {
+            let net = MemoryNet::new();
+            let hosts = three_hosts(&net).await;
+            let (held, one) = hosts[2].ask().await;
+            assert!(engine(one.as_ref()).is_some(), "{}", case.name);
+            match case.mode {
+                None => hosts[0].cancel.cancel(),
+                Some(mode) => {
+                    for other in [2, 3] {
+                        net.set_link(address(1).ip(), address(other).ip(), mode);
+                    }
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            let asked = tokio::time::Instant::now();
+            let (ticket, decision) = hosts[1].ask().await;
+            let took = asked.elapsed();
+            assert!(engine(decision.as_ref()).is_some(), "{}", case.name);
+            assert!(took <= Duration::from_millis(case.within_ms), "{}: {took:?}", case.name);
+            drop(ticket);
+            // The second host schedules now, and has been told what the third one holds.
+            tokio::time::sleep(Duration::from_secs(4)).await;
+            let (_one_more, decision) = hosts[1].ask().await;
+            let other = engine(decision.as_ref());
+            assert!(other.is_some() && other != engine(one.as_ref()), "{}", case.name);
+            let (_ticket, decision) = hosts[1].ask().await;
+            assert_eq!(engine(decision.as_ref()), None, "{}: both are full", case.name);
+            held.note(&DeskNote::Started);
+        });
+    }
+}
+
+#[test]
+fn hosts_come_back_to_the_better_scheduler() {
+    run_paused(async {
+        let net = MemoryNet::new();
+        let hosts = three_hosts(&net).await;
+        let cut = |mode| {
+            for other in [2, 3] {
+                net.set_link(address(1).ip(), address(other).ip(), mode);
+            }
+        };
+        cut(LinkMode::Frozen);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        cut(LinkMode::Open);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        // All three decide with one desk again: the first host's own request is seen by the others.
+        let (_first, one) = hosts[0].ask().await;
+        let (_second, two) = hosts[1].ask().await;
+        assert!(engine(one.as_ref()).is_some() && engine(two.as_ref()).is_some());
+        let (_third, none) = hosts[2].ask().await;
+        assert_eq!(engine(none.as_ref()), None);
+    });
+}
+
+struct RankCase {
+    name: &'static str,
+    service: &'static str,
+    links: [f64; 4],
+    /// Hosts that must come first, in any order.
+    first: &'static [u8],
+}
+
+#[test]
+fn wide_links_come_first_and_all_hosts_agree() {
+    let cases = [
+        RankCase { name: "one wide", service: "a", links: [20.0, 200.0, 20.0, 20.0], first: &[1] },
+        RankCase {
+            name: "two wide",
+            service: "a",
+            links: [200.0, 20.0, 20.0, 200.0],
+            first: &[0, 3],
+        },
+        RankCase {
+            name: "no figures",
+            service: "b",
+            links: [0.0, 0.0, 0.0, 0.0],
+            first: &[0, 1, 2, 3],
+        },
+    ];
+    for case in cases {
+        let host = |(at, link_mbps): (usize, f64)| {
+            let address = address(u8::try_from(at).expect("few hosts"));
+            SchedulerCandidate { address, link_mbps }
+        };
+        let mut hosts: Vec<_> = case.links.into_iter().enumerate().map(host).collect();
+        let ranked = rank_candidates(case.service, &hosts);
+        hosts.reverse();
+        assert_eq!(ranked, rank_candidates(case.service, &hosts), "{}: any order", case.name);
+        let mut first = ranked[..case.first.len()].to_vec();
+        first.sort();
+        let expected: Vec<_> = case.first.iter().map(|host| address(*host)).collect();
+        assert_eq!(first, expected, "{}", case.name);
+    }
+}
--- a/crates/dillspool_schema/src/lib.rs
+++ b/crates/dillspool_schema/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod messages;
 pub mod relay;
 pub mod router;
+pub mod schedule;
 pub mod settings;
 
 mod name;
--- a/crates/dillspool_soak/src/router.rs
+++ b/crates/dillspool_soak/src/router.rs
@@ -15,6 +15,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
     pub(crate) peers: SocketAddr,
+    pub(crate) schedule: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) store: SocketAddr,
 }
@@ -98,6 +99,7 @@
 readiness = "{}"
 peers = "{}"
 metrics = "{}"
+schedule = "{}"
 [store]
 address = "{}"
 [peers]
@@ -116,6 +118,7 @@
         place.readiness,
         place.peers,
         place.metrics,
+        place.schedule,
         place.store,
         seeds.join(", "),
     )
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -170,6 +170,7 @@
         readiness: at(8140),
         peers: at(8146),
         metrics: at(7660),
+        schedule: at(7661),
         store,
     }
 }
