--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -35,6 +35,9 @@
 const GAP_WEIGHT: f64 = 0.05;
 /// Time beside the reading of a prompt until its first event: calls, the move, the first token.
 const OPENING: Duration = Duration::from_millis(40);
+/// Part of the objective in which a first event must be foreseen to come: queues are not exactly known,
+/// and in a burst all of them grow up to what is allowed.
+const SURE_PART: f64 = 0.8;
 /// Time over which releases of memory are foreseen, as a part of the mean life of an answer.
 const RELEASE_PART: f64 = 0.25;
 /// Wait for a prefill beyond which a late answer is not begun: its memory would be held for nothing.
@@ -492,7 +495,8 @@
         match request.class {
             WorkClass::InTime => {
                 let read = tokens_time(request.prompt_tokens, self.pace.token_s());
-                wait + read + OPENING + self.gap(request) <= request.objective_left
+                let first = wait + read + OPENING + self.gap(request);
+                first <= request.objective_left.mul_f64(SURE_PART)
             }
             WorkClass::UnderWay => wait <= request.patience,
             WorkClass::Late => wait <= LATE_PREFILL_WAIT,
@@ -552,16 +556,14 @@
 
     /// Longest time for which it is of use to wait.
     fn longest_wait(&self, request: &PlacementRequest) -> Duration {
+        let read = tokens_time(request.prompt_tokens, self.pace.token_s());
+        let rest = read + OPENING + self.gap(request);
         let useful = match request.class {
             WorkClass::UnderWay => request.patience,
-            WorkClass::InTime => {
-                let read = tokens_time(request.prompt_tokens, self.pace.token_s());
-                let rest = read + OPENING + self.gap(request);
-                request.objective_left.saturating_sub(rest)
-            }
+            WorkClass::InTime => request.objective_left.saturating_sub(rest),
             WorkClass::Late => self.lengths.mean_life().mul_f64(self.policy.late_wait),
         };
-        useful.min(request.patience)
+        useful.min(request.patience.saturating_sub(rest))
     }
 
     /// Time until memory is foreseen to be given back for a request and all that go before it.
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -147,10 +147,10 @@
 impl Default for AdmissionPolicy {
     fn default() -> Self {
         Self {
-            reserved_part: 0.5,
-            memory_deviations: 1.5,
-            late_margin: 0.13,
-            late_wait: 0.5,
+            reserved_part: 0.4,
+            memory_deviations: 1.8,
+            late_margin: 0.05,
+            late_wait: 1.0,
             reads_at_decode: true,
             most_refusals: 12,
         }
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -21,6 +21,11 @@
 use crate::stages::FirstEventStages;
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
 
+/// Time without an event after which callers leave: the longest of this, and so many objectives and
+/// pause targets; as the platform's callers do.
+const LEAST_SILENCE: Duration = Duration::from_secs(2);
+const SILENCE_OBJECTIVES: u32 = 4;
+const SILENCE_PAUSES: u32 = 8;
 /// When to come back if no engine is known; directories recover within seconds.
 const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
 /// When to come back after an engine's refusal of a request that had its memory.
@@ -284,9 +289,12 @@
         }
     }
 
-    /// Longest wait for engines that is of any use.
+    /// Longest wait for engines that is of any use: callers leave after some time without an event.
     fn patience(&self) -> Duration {
-        let remaining = self.request.remaining();
+        let route = &self.request.route;
+        let silence = (route.objective * SILENCE_OBJECTIVES).max(LEAST_SILENCE);
+        let silence = route.pause_target.map_or(silence, |it| silence.max(it * SILENCE_PAUSES));
+        let remaining = self.request.remaining().min(silence.saturating_sub(self.request.age()));
         self.wait_until.map_or(remaining, |until| {
             remaining.min(until.saturating_duration_since(Instant::now()))
         })
