--- a/crates/dillspool_admission/src/decode_book.rs
+++ b/crates/dillspool_admission/src/decode_book.rs
@@ -33,7 +33,7 @@
     pub(crate) reserve_tokens: u64,
     /// When its engine took it; until then only its reservation counts.
     pub(crate) started: Option<Moment>,
-    /// When it was placed, if its engine reads the prompt itself.
+    /// Since when its engine reads the prompt itself, if it does.
     pub(crate) read_since: Option<Moment>,
 }
 
@@ -136,6 +136,12 @@
         }
     }
 
+    pub(crate) fn note_reads(&mut self, ticket: TicketId, now: Moment) {
+        if let Some(stream) = self.streams.iter_mut().find(|stream| stream.ticket == ticket) {
+            stream.read_since = Some(now);
+        }
+    }
+
     /// Tokens that are left beside a stream if it ran here, by what is foreseen and by what the
     /// engine counts as reserved; less than zero when there is no room.
     #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -230,6 +230,15 @@
         }
     }
 
+    /// Notes that the decode engine reads the prompt itself, other than decided.
+    pub fn note_reads_itself(&mut self, ticket: TicketId, now: Moment) {
+        self.leave_prefill(ticket);
+        let Some(placed) = self.placed.get(&ticket) else { return };
+        if let Some(book) = self.decode.get_mut(&placed.decode) {
+            book.note_reads(ticket, now);
+        }
+    }
+
     /// Notes that the decode engine took a request.
     pub fn note_started(&mut self, ticket: TicketId, now: Moment) {
         let Some(placed) = self.placed.get(&ticket) else { return };
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use dillspool_capacity::DemandMeter;
 use dillspool_routing::DirectoryView;
 use dillspool_scheduler::ScheduleClient;
 use dillspool_schema::Name;
@@ -28,8 +27,6 @@
     pub schedule: ScheduleClient,
     /// What is under way at backend servers that play no part.
     pub book: BackendBook,
-    /// What requests ask of their engines.
-    pub demand: DemandMeter,
     /// Budget of repeated sends.
     pub budgets: RetryBudgets,
     /// Counters and histograms.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -39,9 +39,6 @@
     request: &Arc<RoutedRequest>,
     trace: RequestTrace,
 ) -> Result<Response<ResponseBody>, (Refusal, RequestTrace)> {
-    if let Some(terms) = &request.generation {
-        context.demand.note_prompt(&request.service, terms.prompt_tokens);
-    }
     let mut generation = Generation::new(context, request);
     let mut trace = trace;
     match generation.open(None).await {
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -10,11 +10,11 @@
     EngineFault, PlacementDecision, PlacementRequest, StreamEnd, StreamPlacement, TurnAwayCause,
     WorkClass,
 };
-use dillspool_capacity::MemoryTicket;
 use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
 use dillspool_scheduler::{DeskNote, PlacementTicket};
 use dillspool_schema::Name;
 
+use crate::book::LoadTicket;
 use crate::calls::{CallError, HoldTerms};
 use crate::context::ForwardContext;
 use crate::refusal::{Refusal, RefusalCause};
@@ -71,7 +71,7 @@
     pub(crate) fn without_memory(context: &ForwardContext, entry: Arc<BackendEntry>) -> Self {
         let hold = HoldGuard::empty(context, &entry);
         let load = context.book.enter(&entry.id, 0);
-        let ticket = StreamTicket { schedule: None, _load: Some(load), _memory: None };
+        let ticket = StreamTicket { schedule: None, _load: Some(load) };
         Self { entry, reserved: 0, prefill: None, hold, ticket }
     }
 }
@@ -80,9 +80,7 @@
 pub(crate) struct StreamTicket {
     /// `None` at a backend server that plays no part.
     schedule: Option<PlacementTicket>,
-    _load: Option<crate::book::LoadTicket>,
-    /// `None` at a backend server that reserves nothing.
-    _memory: Option<MemoryTicket>,
+    _load: Option<LoadTicket>,
 }
 
 impl StreamTicket {
@@ -165,7 +163,7 @@
         if let Some(entry) = context.view().entries.get(&placement.decode).cloned()
             && let Some(hold) = reserve(context, request, &ticket, &entry, &placement).await
         {
-            return Ok(taken(context, request, entry, placement, hold, ticket));
+            return Ok(taken(context, entry, placement, hold, ticket));
         }
         let fresh =
             placement_request(context, request, class, question.patience, &question.excluded);
@@ -178,16 +176,14 @@
 
 fn taken(
     context: &ForwardContext,
-    request: &RoutedRequest,
     entry: Arc<BackendEntry>,
     placement: StreamPlacement,
     hold: Name,
     ticket: PlacementTicket,
 ) -> Placement {
     let reserved = placement.reserve_tokens;
-    let memory = context.demand.enter(&request.service, reserved);
     let hold = HoldGuard { context: context.clone(), entry: Arc::clone(&entry), hold: Some(hold) };
-    let ticket = StreamTicket { schedule: Some(ticket), _load: None, _memory: Some(memory) };
+    let ticket = StreamTicket { schedule: Some(ticket), _load: None };
     Placement { entry, reserved, prefill: placement.prefill, hold, ticket }
 }
 
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -55,21 +55,34 @@
     rank: WorkRank,
 ) -> PrefillGuard {
     let mut guard = PrefillGuard::empty(context);
+    guard.prefilled = prefill_at(context, request, placement, rank).await;
+    if guard.prefilled.is_none() && placement.prefill.is_some() {
+        placement.ticket.note(&DeskNote::ReadsItself);
+    }
+    guard
+}
+
+/// A prefill's result, of the engine that was decided on or, where that failed, of another one.
+async fn prefill_at(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+    placement: &Placement,
+    rank: WorkRank,
+) -> Option<PrefilledPrompt> {
     let mut next = placement.prefill.clone();
     let mut tried = Vec::new();
     while let Some(entry) = next.take().and_then(|id| context.view().entries.get(&id).cloned()) {
         tried.push(BackendId::clone(&entry.id));
         let Some(permit) = context.budgets.reserve(&request.service) else {
             log_budget_empty(request, &context.budgets);
-            return guard;
+            return None;
         };
         let started = Instant::now();
         let error = match ask(context, request, &entry, rank).await {
             Ok(prefilled) => {
                 permit.give_back();
                 placement.ticket.note(&DeskNote::Prefilled { took: started.elapsed() });
-                guard.prefilled = Some(prefilled);
-                return guard;
+                return Some(prefilled);
             }
             Err(error) => error,
         };
@@ -81,14 +94,14 @@
         );
         placement.ticket.note_fault(&entry.id, prefill_fault(&error));
         if !may_ask_again(context, request, &error, permit) {
-            break;
+            return None;
         }
         let class = if rank == WorkRank::Late { WorkClass::Late } else { WorkClass::InTime };
         let patience = request.remaining();
         let question = placement_request(context, request, class, patience, &tried);
         next = placement.ticket.ask_prefill(&question).await;
     }
-    guard
+    None
 }
 
 fn prefill_fault(error: &CallError) -> EngineFault {
@@ -114,9 +127,6 @@
     let ended = tokio::time::timeout(limit, call).await;
     let took = started.elapsed();
     context.metrics.note_prefill_end(took);
-    if let Ok(Ok(prefilled)) = &ended {
-        context.demand.note_prefill(&request.service, prefilled.tokens, took);
-    }
     let silent = |_elapsed| CallError::Lost { reason: format!("no prefill within {limit:?}") };
     ended.map_err(silent)?
 }
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -236,7 +236,7 @@
 
     /// A client that decides by the engines of a directory, without any scheduler.
     fn schedule(directory: &watch::Receiver<Arc<DirectoryView>>) -> ScheduleClient {
-        let desk = PoolDesk::new(AdmissionPolicy::default(), 1);
+        let desk = PoolDesk::new(AdmissionPolicy::default(), 1, DemandMeter::default());
         desk.set_pools(&config(), &directory.borrow());
         let (sender, known) = watch::channel(Some(Arc::new(config())));
         let (running, directory) = (desk.clone(), directory.clone());
@@ -262,7 +262,6 @@
             directory,
             schedule,
             book: BackendBook::default(),
-            demand: DemandMeter::default(),
             budgets: RetryBudgets::new(budget),
             metrics: ForwardMetrics::default(),
             tasks: TaskTracker::new(),
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -1,6 +1,7 @@
 //! Watches the pools and orders what the plan asks for.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,6 @@
 use crate::targets::PoolTargets;
 
 /// How stages are kept.
-#[derive(Debug)]
 pub struct KeeperSettings {
     /// This host.
     pub host: Name,
@@ -25,8 +25,17 @@
     pub targets: PoolTargets,
     /// Time that must lie between the orders of two holders.
     pub apart: Duration,
-    /// Time before this host acts, other than on any other host; see [`keep_stages`].
-    pub delay: Duration,
+    /// Time before this host acts on a change that is due; see [`keep_stages`].
+    pub delay: DelayFn,
+}
+
+/// Time that a host waits before it acts, as things are now.
+pub type DelayFn = Arc<dyn Fn() -> Duration + Send + Sync>;
+
+impl fmt::Debug for KeeperSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeeperSettings").field("host", &self.host).finish_non_exhaustive()
+    }
 }
 
 /// Time after which an engine that was ordered and shows no change is ordered again; a late
@@ -41,8 +50,8 @@
 
 /// Orders changes of stage until `cancel`.
 ///
-/// Every host runs this. Each waits its own `delay` before it acts, so mostly one tries for the
-/// lease; the lease alone decides.
+/// Every host runs this. Each waits its own `delay` before it acts, least the one that schedules the
+/// pools, so mostly one tries for the lease; the lease alone decides.
 pub async fn keep_stages(
     settings: KeeperSettings,
     store: TableStore,
@@ -92,7 +101,7 @@
             if steady < STEADY_LOOKS {
                 continue;
             }
-            tokio::time::sleep(self.settings.delay).await;
+            tokio::time::sleep((self.settings.delay)()).await;
             let due = self.changes();
             if !due.is_empty() {
                 log::info!(
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -153,7 +153,7 @@
                 host: format!("host-{host}").into(),
                 targets: PoolTargets::new(rule, DemandMeter::default()),
                 apart: Duration::from_secs(3),
-                delay: Duration::from_secs(host),
+                delay: Arc::new(move || Duration::from_secs(host)),
             };
             tokio::spawn(keep_stages(
                 settings,
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -8,7 +8,7 @@
 use dillspool_capacity::DemandMeter;
 use dillspool_forward::{BackendBook, ForwardContext, ForwardMetrics, RetryBudgets};
 use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
-use dillspool_roles::{KeeperSettings, PoolTargets, keep_stages};
+use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::{DirectoryView, RoutingConfig};
 use dillspool_scheduler::{PoolDesk, ScheduleClient, serve_schedule};
 use dillspool_schema::Name;
@@ -42,9 +42,12 @@
 const STILL_LISTED: Duration = Duration::from_millis(2_600);
 /// Time before the kill at which what still runs is broken off.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// Longest extra wait before this host tries to give orders, spread over the hosts: once the first
-/// has given them, the others find that in the row of the lease and do not wait for it.
-const LONGEST_ORDER_DELAY_MS: u64 = 5_000;
+/// Time before a host gives orders that does not schedule the pools: the one that does has ordered by
+/// then, and its orders show in the directory, unless it cannot reach the store or the engines.
+const OTHERS_ORDER_DELAY: Duration = Duration::from_secs(6);
+/// Longest extra wait of such a host, spread over the hosts: once the first has given orders, the
+/// others find that in the row of the lease and do not wait for it.
+const LONGEST_ORDER_DELAY_MS: u64 = 14_000;
 
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
@@ -93,14 +96,14 @@
         let demand = DemandMeter::default();
         let budgets = RetryBudgets::new(config.budget);
         let metrics = ForwardMetrics::default();
-        let schedule = start_schedule(&config, &stack, &beliefs, schedule_listener, &background);
+        let schedule =
+            start_schedule(&config, &stack, &beliefs, schedule_listener, &demand, &background);
         let context = ForwardContext {
             failure_domain: Name::clone(&config.failure_domain),
             calls: site.calls.clone(),
             directory: beliefs.directory.clone(),
-            schedule,
+            schedule: schedule.clone(),
             book: BackendBook::default(),
-            demand: demand.clone(),
             budgets: budgets.clone(),
             metrics: metrics.clone(),
             tasks: TaskTracker::new(),
@@ -115,7 +118,7 @@
             peers: beliefs.peers.clone(),
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
-        daemon.start_keepers(&beliefs, &site, budgets, demand);
+        daemon.start_keepers(&beliefs, &site, budgets, demand, schedule);
         daemon.start_callers(&beliefs, &site, context, callers_listener);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
@@ -161,6 +164,7 @@
         site: &SiteProtocol,
         budgets: RetryBudgets,
         demand: DemandMeter,
+        schedule: ScheduleClient,
     ) {
         tokio::spawn(keep_peer_list(
             self.config.clone(),
@@ -174,7 +178,7 @@
             host: Name::clone(&self.config.host),
             targets: PoolTargets::new(self.config.share_rule, demand),
             apart: self.config.orders_apart,
-            delay: order_delay(&self.config.host),
+            delay: order_delay(&self.config.host, beliefs.config.clone(), schedule),
         };
         tokio::spawn(keep_stages(
             settings,
@@ -281,9 +285,10 @@
     stack: &NetStack,
     beliefs: &Beliefs,
     listener: NetListener,
+    demand: &DemandMeter,
     cancel: &CancellationToken,
 ) -> ScheduleClient {
-    let desk = PoolDesk::new(config.policy.admission, hash_of(&config.host));
+    let desk = PoolDesk::new(config.policy.admission, hash_of(&config.host), demand.clone());
     let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
     tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
     tokio::spawn(serve_schedule(listener, desk.clone(), cancel.clone()));
@@ -328,9 +333,20 @@
     stack.listen(address).await.context(ListenSnafu { address })
 }
 
-/// Spreads the hosts' tries for the lease by their names.
-fn order_delay(host: &str) -> Duration {
-    Duration::from_millis(hash_of(host) % LONGEST_ORDER_DELAY_MS)
+/// The host that schedules the pools sees the requests of all and gives orders at once; others, by
+/// their names, only if nobody has for a while.
+fn order_delay(
+    host: &str,
+    config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    schedule: ScheduleClient,
+) -> DelayFn {
+    let spread = Duration::from_millis(hash_of(host) % LONGEST_ORDER_DELAY_MS);
+    Arc::new(move || {
+        let known = config.borrow();
+        let mut services = known.iter().flat_map(|known| known.services.keys());
+        let is_first = services.any(|service| schedule.schedules(service));
+        if is_first { Duration::ZERO } else { OTHERS_ORDER_DELAY + spread }
+    })
 }
 
 fn hash_of(host: &str) -> u64 {
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -99,6 +99,11 @@
         self.with_links(|links| links.get(service).cloned())
     }
 
+    /// Whether this host schedules a pool, as far as it knows.
+    pub fn schedules(&self, service: &str) -> bool {
+        self.link(service).is_some_and(|link| link.schedules())
+    }
+
     /// Opens a ticket for a request.
     pub fn open(&self, service: &Name) -> PlacementTicket {
         let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1);
@@ -209,6 +214,7 @@
     async fn run(&self) {
         loop {
             let mut next = self.best(None).await;
+            self.link.set_schedules(next.is_none() && self.is_listed());
             while let Some((address, socket)) = next.take() {
                 log::info!("event=scheduler_linked service={} peer={address}", self.service);
                 next = tokio::select! {
@@ -227,6 +233,12 @@
         }
     }
 
+    /// Whether this host is one of those that could schedule.
+    fn is_listed(&self) -> bool {
+        let peers = (self.peers)(&self.service);
+        peers.own.is_some_and(|own| peers.ranked.contains(&own))
+    }
+
     /// The best scheduler that serves, up to one that is known; `None` when that is this host.
     async fn best(&self, up_to: Option<SocketAddr>) -> Option<(SocketAddr, ScheduleSocket)> {
         let peers = (self.peers)(&self.service);
--- a/crates/dillspool_scheduler/src/desk.rs
+++ b/crates/dillspool_scheduler/src/desk.rs
@@ -9,6 +9,7 @@
     AdmissionPolicy, EngineFault, Moment, PlacementDecision, PlacementRequest, PoolPlanner,
     PoolReading, PoolTerms, StreamEnd, StreamPlacement, TicketId,
 };
+use dillspool_capacity::{DemandMeter, MemoryTicket};
 use dillspool_routing::{DirectoryView, EngineStage, RoutingConfig};
 use dillspool_schema::Name;
 use tokio::sync::{Notify, watch};
@@ -27,6 +28,8 @@
         /// Time from the call to its answer.
         took: Duration,
     },
+    /// Its decode engine reads the prompt itself, other than decided.
+    ReadsItself,
     /// Its decode engine took it.
     Started,
     /// An engine did other than expected; the request leaves it.
@@ -42,10 +45,21 @@
 
 type DecisionFn = Box<dyn FnOnce(PlacementDecision) + Send>;
 
+/// A request under way.
+struct TicketRecord {
+    /// Its pool.
+    service: Name,
+    prompt_tokens: u64,
+    /// What it holds once it has engines.
+    _memory: Option<MemoryTicket>,
+}
+
 struct DeskState {
     planners: HashMap<Name, PoolPlanner>,
-    /// Pool of each request under way.
-    services: HashMap<TicketId, Name>,
+    /// What requests ask of their engines; of all hosts that are served here.
+    demand: DemandMeter,
+    /// Requests under way.
+    tickets: HashMap<TicketId, TicketRecord>,
     waiters: HashMap<TicketId, DecisionFn>,
     origin: Instant,
     policy: AdmissionPolicy,
@@ -58,10 +72,53 @@
     }
 
     fn planner_of(&mut self, ticket: TicketId) -> Option<&mut PoolPlanner> {
-        let service = self.services.get(&ticket)?;
+        let service = &self.tickets.get(&ticket)?.service;
         self.planners.get_mut(service)
     }
 
+    fn ask(
+        &mut self,
+        ticket: TicketId,
+        service: &Name,
+        request: PlacementRequest,
+    ) -> Option<PlacementDecision> {
+        let now = self.now();
+        let prompt_tokens = request.prompt_tokens;
+        let decision = self.planners.get_mut(service)?.ask(ticket, request, now);
+        if !self.tickets.contains_key(&ticket) {
+            self.demand.note_prompt(service, prompt_tokens);
+        }
+        self.note_decision(ticket, service, prompt_tokens, &decision);
+        Some(decision)
+    }
+
+    /// Keeps the request and what it holds by a decision.
+    fn note_decision(
+        &mut self,
+        ticket: TicketId,
+        service: &Name,
+        prompt_tokens: u64,
+        decision: &PlacementDecision,
+    ) {
+        let memory = match decision {
+            PlacementDecision::Place(placement) => {
+                Some(self.demand.enter(service, placement.reserve_tokens))
+            }
+            PlacementDecision::Wait | PlacementDecision::TurnAway { .. } => None,
+        };
+        let service = Name::clone(service);
+        self.tickets.insert(ticket, TicketRecord { service, prompt_tokens, _memory: memory });
+    }
+
+    fn note_prefilled(&mut self, ticket: TicketId, took: Duration) {
+        if let Some(record) = self.tickets.get(&ticket) {
+            self.demand.note_prefill(&record.service, record.prompt_tokens, took);
+        }
+        if let Some(planner) = self.planner_of(ticket) {
+            planner.note_prefilled(ticket, took);
+        }
+    }
+
     fn set_pools(&mut self, config: &RoutingConfig, view: &DirectoryView) {
         for service in config.services.values() {
             let is_pool = view.ready(&service.name).any(|entry| entry.stage.is_some());
@@ -89,13 +146,16 @@
         let now = self.now();
         let mut decided = Vec::new();
         for planner in self.planners.values_mut().filter(|planner| planner.is_waited_for()) {
-            for (ticket, decision) in planner.poll(now) {
-                if let Some(waiter) = self.waiters.remove(&ticket) {
-                    decided.push((waiter, decision));
-                }
+            decided.extend(planner.poll(now));
+        }
+        for (ticket, decision) in &decided {
+            if let Some(record) = self.tickets.get(ticket) {
+                let (service, prompt) = (Name::clone(&record.service), record.prompt_tokens);
+                self.note_decision(*ticket, &service, prompt, decision);
             }
         }
-        decided
+        let waiter = |(ticket, decision)| Some((self.waiters.remove(&ticket)?, decision));
+        decided.into_iter().filter_map(waiter).collect()
     }
 }
 
@@ -115,10 +175,11 @@
 
 impl PoolDesk {
     /// A desk that knows no pool; `seed` differs between hosts.
-    pub fn new(policy: AdmissionPolicy, seed: u64) -> Self {
+    pub fn new(policy: AdmissionPolicy, seed: u64, demand: DemandMeter) -> Self {
         let state = DeskState {
             planners: HashMap::new(),
-            services: HashMap::new(),
+            demand,
+            tickets: HashMap::new(),
             waiters: HashMap::new(),
             origin: Instant::now(),
             policy,
@@ -198,9 +259,7 @@
         waiter: impl FnOnce(PlacementDecision) + Send + 'static,
     ) -> Option<PlacementDecision> {
         self.with(|state| {
-            let now = state.now();
-            let decision = state.planners.get_mut(service)?.ask(ticket, request, now);
-            state.services.insert(ticket, Name::clone(service));
+            let decision = state.ask(ticket, service, request)?;
             if decision == PlacementDecision::Wait {
                 state.waiters.insert(ticket, Box::new(waiter));
                 // The look at those who wait may not be due yet.
@@ -230,11 +289,12 @@
         self.with(|state| {
             let now = state.now();
             let Some(planner) = state.planners.get_mut(service) else { return };
-            planner.adopt(ticket, request, placement, now);
+            planner.adopt(ticket, request, placement.clone(), now);
             if let Some(ran) = ran {
                 planner.note_started(ticket, now.before(ran));
             }
-            state.services.insert(ticket, Name::clone(service));
+            let decision = PlacementDecision::Place(placement);
+            state.note_decision(ticket, service, request.prompt_tokens, &decision);
         });
     }
 
@@ -242,20 +302,30 @@
     pub fn note(&self, ticket: TicketId, note: DeskNote) {
         let waited = self.with(|state| {
             let now = state.now();
-            let is_over = matches!(note, DeskNote::Ended(_));
-            if let Some(planner) = state.planner_of(ticket) {
-                match note {
-                    DeskNote::Prefilled { took } => planner.note_prefilled(ticket, took),
-                    DeskNote::Started => planner.note_started(ticket, now),
-                    DeskNote::Fault { engine, fault } => {
+            match note {
+                DeskNote::Prefilled { took } => state.note_prefilled(ticket, took),
+                DeskNote::ReadsItself => {
+                    if let Some(planner) = state.planner_of(ticket) {
+                        planner.note_reads_itself(ticket, now);
+                    }
+                }
+                DeskNote::Started => {
+                    if let Some(planner) = state.planner_of(ticket) {
+                        planner.note_started(ticket, now);
+                    }
+                }
+                DeskNote::Fault { engine, fault } => {
+                    if let Some(planner) = state.planner_of(ticket) {
                         planner.note_fault(ticket, &engine, fault, now);
                     }
-                    DeskNote::Ended(end) => planner.note_ended(ticket, end, now),
                 }
-            }
-            if is_over {
-                state.services.remove(&ticket);
-                state.waiters.remove(&ticket);
+                DeskNote::Ended(end) => {
+                    if let Some(planner) = state.planner_of(ticket) {
+                        planner.note_ended(ticket, end, now);
+                    }
+                    state.tickets.remove(&ticket);
+                    state.waiters.remove(&ticket);
+                }
             }
             !state.waiters.is_empty()
         });
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -68,6 +68,8 @@
 
 #[derive(Default)]
 struct LinkState {
+    /// Whether this host is the first that serves the pool, as far as it knows.
+    schedules: bool,
     /// Takes messages while a scheduler is linked.
     sender: Option<mpsc::Sender<ScheduleMessage>>,
     pending: HashMap<u64, mpsc::Sender<ScheduleReply>>,
@@ -185,7 +187,7 @@
                 DeskNote::Ended(_) => {
                     state.held.remove(&ticket);
                 }
-                DeskNote::Prefilled { .. } | DeskNote::Fault { .. } => {}
+                DeskNote::Prefilled { .. } | DeskNote::ReadsItself | DeskNote::Fault { .. } => {}
             }
             if let Some(sender) = &state.sender {
                 let _sent = sender.try_send(wire::note_to_wire(ticket, note.clone()));
@@ -193,6 +195,16 @@
         });
     }
 
+    /// Notes whether this host schedules the pool.
+    pub(crate) fn set_schedules(&self, schedules: bool) {
+        self.with(|state| state.schedules = schedules);
+    }
+
+    /// Whether this host schedules the pool.
+    pub(crate) fn schedules(&self) -> bool {
+        self.with(|state| state.schedules)
+    }
+
     /// Whether a scheduler is linked.
     pub(crate) fn is_linked(&self) -> bool {
         self.with(|state| state.sender.is_some())
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -168,6 +168,7 @@
             message.event = ScheduleEvent::Prefilled;
             message.took_ms = Some(millis(took));
         }
+        DeskNote::ReadsItself => message.event = ScheduleEvent::ReadsItself,
         DeskNote::Started => message.event = ScheduleEvent::Started,
         DeskNote::Fault { engine, fault } => {
             message.engine = Some(engine);
@@ -195,6 +196,7 @@
     let fault = |fault| DeskNote::Fault { engine, fault };
     match message.event {
         ScheduleEvent::Prefilled => DeskNote::Prefilled { took: took.unwrap_or_default() },
+        ScheduleEvent::ReadsItself => DeskNote::ReadsItself,
         ScheduleEvent::Started => DeskNote::Started,
         ScheduleEvent::EndedWhole => DeskNote::Ended(StreamEnd { is_whole: true, event_gap: took }),
         ScheduleEvent::Ended => DeskNote::Ended(StreamEnd { is_whole: false, event_gap: None }),
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dillspool_admission::{AdmissionPolicy, PlacementDecision, PlacementRequest, WorkClass};
+use dillspool_capacity::DemandMeter;
 use dillspool_cases::run_paused;
 use dillspool_io::{LinkMode, MemoryNet};
 use dillspool_routing::{
@@ -97,7 +98,8 @@
     async fn start(net: &MemoryNet, host: u8, order: &[u8]) -> Self {
         let stack = net.stack(address(host).ip());
         let cancel = CancellationToken::new();
-        let desk = PoolDesk::new(AdmissionPolicy::default(), u64::from(host));
+        let desk =
+            PoolDesk::new(AdmissionPolicy::default(), u64::from(host), DemandMeter::default());
         let (config_sender, known) = watch::channel(Some(Arc::new(config())));
         let (view_sender, directory) = watch::channel(Arc::new(view()));
         tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
