--- a/crates/dillspool_forward/src/budget.rs
+++ b/crates/dillspool_forward/src/budget.rs
@@ -5,7 +5,6 @@
 //! allowed beyond it.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -15,8 +14,11 @@
 /// Part of the budget that is spent at most; the rest covers windows that begin elsewhere on
 /// other hosts, and refusals that cannot be foreseen.
 const SPENT_PART: f64 = 0.75;
-/// Hosts assumed before any count is known; more than either site has today.
-const ASSUMED_HOSTS: usize = 16;
+/// Hosts assumed before any count is known: the users' two-year size.
+const ASSUMED_HOSTS: usize = 400;
+/// Time for which the largest count of hosts stands: where a fleet is cut in two, each half counts
+/// itself alone, and both spend.
+const COUNT_STANDS: Duration = Duration::from_mins(1);
 /// Parts into which a window is cut for counting.
 const SLICES: u32 = 20;
 
@@ -72,24 +74,47 @@
     }
 }
 
+/// The largest number of hosts that was counted lately, and when.
+#[derive(Debug, Default)]
+struct HostCount {
+    largest: Option<(usize, Instant)>,
+}
+
+impl HostCount {
+    fn note(&mut self, hosts: usize, now: Instant) {
+        let stands = self.largest.filter(|(largest, at)| {
+            *largest > hosts && now.saturating_duration_since(*at) < COUNT_STANDS
+        });
+        if stands.is_none() {
+            self.largest = Some((hosts, now));
+        }
+    }
+}
+
 /// The budgets of all services.
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     terms: BudgetTerms,
-    hosts: Arc<AtomicUsize>,
+    hosts: Arc<Mutex<HostCount>>,
     windows: Arc<Mutex<HashMap<Name, ServiceWindow>>>,
 }
 
 impl RetryBudgets {
     /// Empty budgets.
     pub fn new(terms: BudgetTerms) -> Self {
-        let hosts = Arc::new(AtomicUsize::new(ASSUMED_HOSTS));
-        Self { terms, hosts, windows: Arc::default() }
+        Self { terms, hosts: Arc::default(), windows: Arc::default() }
     }
 
-    /// Takes the number of hosts that share the budget.
+    /// Takes the number of hosts that share the budget; a smaller one than before counts only after
+    /// a while.
     pub fn set_hosts(&self, hosts: usize) {
-        self.hosts.store(hosts.max(1), Ordering::Relaxed);
+        let mut count = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        count.note(hosts.max(1), Instant::now());
+    }
+
+    fn hosts(&self) -> usize {
+        let count = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        count.largest.map_or(ASSUMED_HOSTS, |(hosts, _at)| hosts)
     }
 
     fn with_window<T>(&self, service: &Name, run: impl FnOnce(&mut ServiceWindow) -> T) -> T {
@@ -110,7 +135,7 @@
     fn read_window(&self, window: &mut ServiceWindow) -> BudgetReading {
         window.slice(Instant::now(), &self.terms);
         let (requests, repeats) = window.sums();
-        let hosts = self.hosts.load(Ordering::Relaxed);
+        let hosts = self.hosts();
         let own_part = self.terms.ratio * f64::from(requests);
         #[expect(clippy::cast_precision_loss, reason = "hosts are counted in hundreds")]
         let shared_part = self.terms.extra / hosts as f64;
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -45,6 +45,12 @@
 /// Time before a host gives orders that does not schedule the pools: the one that does has ordered by
 /// then, and its orders show in the directory, unless it cannot reach the store or the engines.
 const OTHERS_ORDER_DELAY: Duration = Duration::from_secs(6);
+/// Time for which hosts wait for the seeds at the first start of the whole fleet.
+const SEEDS_FIRST: Duration = Duration::from_secs(3);
+/// How long a question for changes among the rows of hosts is held open.
+const HOSTS_WAIT: Duration = Duration::from_secs(8);
+/// Time between two looks at the number of hosts.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
 /// Longest extra wait of such a host, spread over the hosts: once the first has given orders, the
 /// others find that in the row of the lease and do not wait for it.
 const LONGEST_ORDER_DELAY_MS: u64 = 14_000;
@@ -170,10 +176,11 @@
             self.config.clone(),
             site.store.clone(),
             beliefs.peers.clone(),
-            budgets,
+            [beliefs.hosts.subscribe(), beliefs.backends.subscribe()],
             beliefs.role.clone(),
             self.background.clone(),
         ));
+        tokio::spawn(keep_host_count(schedule.clone(), budgets, self.background.clone()));
         let settings = KeeperSettings {
             host: Name::clone(&self.config.host),
             targets: PoolTargets::new(self.config.share_rule, demand),
@@ -229,6 +236,9 @@
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
     reach: watch::Receiver<StoreReach>,
+    /// Rows of the product's own, those of hosts among them.
+    hosts: SharedBelief,
+    backends: SharedBelief,
     peers: PeerList,
     role: watch::Sender<FollowRole>,
 }
@@ -244,9 +254,19 @@
         let operator = SharedBelief::new(Name::clone(&site.config_row.0));
         let backends = SharedBelief::new(Name::clone(&site.directory_table));
         let reach = watch::Sender::new(StoreReach::unknown());
-        let settings = FollowSettings::with_wait(config.watch_wait);
-        let role = watch::Sender::new(FollowRole::Alone);
-        for belief in [&operator, &backends] {
+        let hosts = SharedBelief::new(Name::clone(&site.own_table));
+        let settings = FollowSettings {
+            first_after: first_question_after(config),
+            ..FollowSettings::new(config.watch_wait, config.change_limit)
+        };
+        // Rows of hosts change with the fleet only, and nothing must be in force soon.
+        let settings = FollowSettings { probes: false, ..settings };
+        let probing = FollowSettings { probes: true, ..settings.clone() };
+        let slow = FollowSettings { wait: HOSTS_WAIT, source_wait: HOSTS_WAIT, ..settings.clone() };
+        let waits = !settings.first_after.is_zero();
+        let first_role = if waits { FollowRole::Relayed } else { FollowRole::Alone };
+        let role = watch::Sender::new(first_role);
+        for (belief, settings) in [(&operator, &probing), (&backends, &settings), (&hosts, &slow)] {
             tokio::spawn(follow_table(
                 site.watch.clone(),
                 belief.clone(),
@@ -256,9 +276,15 @@
                 cancel.clone(),
             ));
         }
-        let all = vec![operator.clone(), backends.clone()];
+        let all = vec![operator.clone(), backends.clone(), hosts.clone()];
         let reached = reach.subscribe();
-        tokio::spawn(serve_relay(peers_listener, all.clone(), reached.clone(), cancel.clone()));
+        tokio::spawn(serve_relay(
+            peers_listener,
+            all.clone(),
+            reached.clone(),
+            config.change_limit,
+            cancel.clone(),
+        ));
         let peers = PeerList::new(config);
         let listed = peers.clone();
         let asked = move || listed.relay_peers();
@@ -274,7 +300,31 @@
             reached.clone(),
             view_sender,
         ));
-        Self { config: config_receiver, directory, reach: reached, peers, role }
+        Self { config: config_receiver, directory, reach: reached, hosts, backends, peers, role }
+    }
+}
+
+/// When this host asks the store for the first time: at the first start of the whole fleet the seeds
+/// do so at once, and the others take the tables from them, since nobody is in a hurry yet.
+fn first_question_after(config: &RouterConfig) -> Duration {
+    let asks_at_once = !config.first_start || config.seeds.contains(&config.peers);
+    if asks_at_once { Duration::ZERO } else { SEEDS_FIRST }
+}
+
+/// Keeps the number of hosts that share the budget of repeated sends until `cancel`.
+async fn keep_host_count(
+    schedule: ScheduleClient,
+    budgets: RetryBudgets,
+    cancel: CancellationToken,
+) {
+    loop {
+        if let Some(hosts) = schedule.hosts() {
+            budgets.set_hosts(hosts);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(COUNT_EVERY) => {}
+            () = cancel.cancelled() => return,
+        }
     }
 }
 
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -24,4 +24,4 @@
 pub use policy::PolicyConfig;
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
-pub use sources::{HostRow, choose_sources};
+pub use sources::{HostRow, SourcePlan, plan_sources, should_be_listed};
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -1,93 +1,86 @@
-//! The other hosts, from the seeds of the settings and from the store.
+//! The other hosts, from the seeds of the settings and from the rows that some of them keep in the
+//! store.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use dillspool_forward::RetryBudgets;
-use dillspool_platform::{PlatformError, RowExpect, RowWrite, ScanRequest, TableStore};
+use dillspool_platform::{PlatformError, RowExpect, RowWrite, TableStore};
 use dillspool_scheduler::{SchedulePeers, SchedulerCandidate, rank_candidates};
 use dillspool_schema::Name;
-use dillspool_watch::{FollowRole, RelayPeers};
+use dillspool_watch::{FollowRole, RelayPeers, TableBelief};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::settings::RouterConfig;
-use crate::sources::{HostRow, choose_sources};
+use crate::sources::{HostRow, SourcePlan, plan_sources, should_be_listed};
 
 /// Start of the keys of hosts.
 const HOST_PREFIX: &str = "hosts/";
-/// Hosts read at most; a relay needs a few, and the count only bounds this host's part of the
-/// retry budget.
-const MOST_HOSTS: usize = 500;
-/// Time between two reads of the list: hosts change some times an hour.
-const READ_EVERY: Duration = Duration::from_mins(1);
-/// Time after the first read, when hosts that start together have written their rows.
-const SECOND_READ: Duration = Duration::from_secs(3);
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Longest time before a host with a link of [`USUAL_LINK_MBPS`] records itself, spread over the
+/// hosts: those with wider links do so before, and most others then need not.
+const LONGEST_LIST_DELAY: Duration = Duration::from_secs(5);
+/// Width of a link in Mbit/s from which on hosts record themselves earlier, in proportion.
+const USUAL_LINK_MBPS: f64 = 10.0;
+/// Time after the first start of a fleet at which its hosts have recorded themselves.
+const SETTLED_AFTER: Duration = Duration::from_secs(8);
+/// Pause after a row that could not be written.
+const RETRY_PAUSE: Duration = Duration::from_secs(2);
 
 /// Where other hosts are asked for what they have read from the store.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerList {
-    own: SocketAddr,
-    own_schedule: SocketAddr,
-    failure_domain: Name,
+    own: HostRow,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     listed: Arc<Mutex<Vec<HostRow>>>,
 }
 
 impl PeerList {
     pub(crate) fn new(config: &RouterConfig) -> Self {
-        Self {
-            own: config.peers,
-            own_schedule: config.schedule,
+        let own = HostRow {
+            peers: config.peers,
+            schedule: Some(config.schedule),
             failure_domain: Name::clone(&config.failure_domain),
-            seeds: Arc::new(Mutex::new(config.seeds.clone())),
-            listed: Arc::default(),
-        }
+            link_mbps: config.link_mbps,
+        };
+        Self { own, seeds: Arc::new(Mutex::new(config.seeds.clone())), listed: Arc::default() }
+    }
+
+    fn with_rows<T>(&self, run: impl FnOnce(&mut Vec<HostRow>) -> T) -> T {
+        run(&mut self.listed.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Sources of this host's failure domain, in the order in which this host tries them; `None`
-    /// where each host reads the store itself.
-    fn sources(&self) -> Option<Vec<SocketAddr>> {
-        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        let near = listed.iter().filter(|row| row.failure_domain == self.failure_domain);
-        choose_sources(&near.collect::<Vec<_>>(), &self.own)
+    fn plan(&self) -> SourcePlan {
+        self.with_rows(|rows| plan_sources(rows, &self.own))
     }
 
     /// Hosts that could schedule the pool of a service, the best first.
     pub(crate) fn schedule_peers(&self, service: &str) -> SchedulePeers {
-        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        let hosts: Vec<_> = listed
-            .iter()
-            .filter_map(|row| {
-                let link_mbps = row.link_mbps;
-                Some(SchedulerCandidate { address: row.schedule?, link_mbps })
-            })
-            .collect();
-        SchedulePeers { own: Some(self.own_schedule), ranked: rank_candidates(service, &hosts) }
+        let candidate = |row: &HostRow| {
+            let link_mbps = row.link_mbps;
+            Some(SchedulerCandidate { address: row.schedule?, link_mbps })
+        };
+        let hosts: Vec<_> = self.with_rows(|rows| rows.iter().filter_map(candidate).collect());
+        SchedulePeers { own: self.own.schedule, ranked: rank_candidates(service, &hosts) }
     }
 
     /// Whose questions to the store this host's beliefs come from.
-    pub(crate) fn role(&self) -> FollowRole {
-        match self.sources() {
-            None => FollowRole::Alone,
-            Some(sources) if sources.contains(&self.own) => FollowRole::Source,
-            Some(_sources) => FollowRole::Relayed,
+    fn role(&self) -> FollowRole {
+        match self.plan() {
+            SourcePlan::Alone => FollowRole::Alone,
+            SourcePlan::Root => FollowRole::Source,
+            SourcePlan::Relayed(_sources) => FollowRole::Relayed,
         }
     }
 
     /// Where this host takes the tables from.
     pub(crate) fn relay_peers(&self) -> RelayPeers {
-        let known = self.sources().unwrap_or_default();
-        let own = self.own;
-        // Sources see the store's return first.
-        let others = self.addresses().into_iter().filter(|address| !known.contains(address));
-        let near = known.iter().copied().filter(|address| *address != own);
-        let all = near.chain(others).collect();
-        let sources = if known.contains(&own) { Vec::new() } else { known.clone() };
-        RelayPeers { sources, all }
+        let sources = match self.plan() {
+            SourcePlan::Alone | SourcePlan::Root => Vec::new(),
+            SourcePlan::Relayed(sources) => sources,
+        };
+        RelayPeers { sources, all: self.addresses() }
     }
 
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -95,15 +88,15 @@
     }
 
     /// Addresses to ask: hosts of this failure domain first, since bytes between domains cost.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let listed = self.with_rows(|rows| rows.clone());
         let (near, far): (Vec<_>, Vec<_>) =
-            listed.into_iter().partition(|row| row.failure_domain == self.failure_domain);
+            listed.into_iter().partition(|row| row.failure_domain == self.own.failure_domain);
         let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let all = near.into_iter().chain(far).map(|row| row.peers).chain(seeds);
         let mut addresses = Vec::new();
         for address in all {
-            if address != self.own && !addresses.contains(&address) {
+            if address != self.own.peers && !addresses.contains(&address) {
                 addresses.push(address);
             }
         }
@@ -111,32 +104,40 @@
     }
 }
 
-/// Writes this host's row and reads the others' until `cancel`.
+/// Follows the rows of hosts, and writes this host's own if it should have one, until `cancel`.
+///
+/// `tables` are those of the hosts and of the backend servers; a store without any row of a host is
+/// known by the other one.
 pub(crate) async fn keep_peer_list(
     config: RouterConfig,
     store: TableStore,
     peers: PeerList,
-    budgets: RetryBudgets,
+    tables: [watch::Receiver<TableBelief>; 2],
     role: watch::Sender<FollowRole>,
     cancel: CancellationToken,
 ) {
     let keep = async {
-        let mut pause = SECOND_READ;
-        while let Err(error) = write_own(&config, &store).await {
-            log::debug!("event=host_row_not_written cause=\"{error}\"");
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
+        let [mut hosts, mut backends] = tables;
+        let started = Instant::now();
         loop {
-            match read_all(&store).await {
-                Ok(rows) => {
-                    budgets.set_hosts(rows.len());
-                    *peers.listed.lock().unwrap_or_else(PoisonError::into_inner) = rows;
-                    role.send_replace(peers.role());
+            take_rows(&peers, &hosts.borrow_and_update());
+            let is_known = hosts.borrow().version > 0 || backends.borrow().version > 0;
+            // At the first start of a fleet nobody is recorded yet, and every host would seem alone.
+            let is_settled = !config.first_start || started.elapsed() >= SETTLED_AFTER;
+            let now_role = peers.role();
+            if is_known && (is_settled || now_role != FollowRole::Alone) {
+                role.send_if_modified(|role| std::mem::replace(role, now_role) != now_role);
+            }
+            let should_write =
+                is_known && peers.with_rows(|rows| should_be_listed(rows, &peers.own));
+            tokio::select! {
+                changed = hosts.changed() => if changed.is_err() { return },
+                () = tokio::time::sleep_until(started + SETTLED_AFTER), if !is_settled => {}
+                is_open = has_rows(&mut backends), if !is_known => if !is_open { return },
+                () = tokio::time::sleep(list_delay(&peers.own)), if should_write => {
+                    write_own(&config, &store, &peers.own).await;
                 }
-                Err(error) => log::debug!("event=host_rows_not_read cause=\"{error}\""),
             }
-            tokio::time::sleep(pause).await;
-            pause = READ_EVERY;
         }
     };
     tokio::select! {
@@ -145,29 +146,47 @@
     }
 }
 
-async fn write_own(config: &RouterConfig, store: &TableStore) -> Result<(), PlatformError> {
-    let row = HostRow {
-        peers: config.peers,
-        schedule: Some(config.schedule),
-        failure_domain: Name::clone(&config.failure_domain),
-        link_mbps: config.link_mbps,
-    };
-    let value = serde_json::to_string(&row)
-        .map_err(|error| PlatformError::NotDone { reason: error.to_string() })?;
-    let key = format!("{HOST_PREFIX}{}", config.host).into();
-    store.commit(vec![RowWrite { key, expect: RowExpect::Any, value: Some(value) }]).await?;
-    Ok(())
+/// Waits until a table is known; false when its belief has ended.
+async fn has_rows(table: &mut watch::Receiver<TableBelief>) -> bool {
+    table.wait_for(|table| table.version > 0).await.is_ok()
 }
 
-async fn read_all(store: &TableStore) -> Result<Vec<HostRow>, PlatformError> {
-    let query = ScanRequest { prefix: HOST_PREFIX.into(), after: "".into(), limit: MOST_HOSTS };
-    let reply = (store.scan)(query).await?;
-    let rows = reply.rows.into_iter().filter_map(|row| {
-        serde_json::from_str(&row.row.value)
+/// Takes the rows of the table.
+fn take_rows(peers: &PeerList, table: &TableBelief) {
+    let hosts = table.rows.iter().filter(|(key, _row)| key.starts_with(HOST_PREFIX));
+    let rows = hosts.filter_map(|(key, row)| {
+        serde_json::from_str(row.value.as_deref()?)
             .inspect_err(|error| {
-                log::warn!("event=host_row_malformed key={} cause=\"{error}\"", row.key);
+                log::warn!("event=host_row_malformed key={key} cause=\"{error}\"");
             })
             .ok()
     });
-    Ok(rows.collect())
+    let rows: Vec<HostRow> = rows.collect();
+    peers.with_rows(|listed| *listed = rows);
+}
+
+/// Time before this host records itself, if nobody else has made that needless by then.
+fn list_delay(own: &HostRow) -> Duration {
+    let wide = (own.link_mbps / USUAL_LINK_MBPS).max(1.0);
+    let spread = rand::Rng::random_range(&mut rand::rng(), 0.0..1.0);
+    LONGEST_LIST_DELAY.mul_f64(spread / wide)
+}
+
+async fn write_own(config: &RouterConfig, store: &TableStore, own: &HostRow) {
+    if let Err(error) = try_write_own(config, store, own).await {
+        log::info!("event=host_row_not_written cause=\"{error}\"");
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn try_write_own(
+    config: &RouterConfig,
+    store: &TableStore,
+    own: &HostRow,
+) -> Result<(), PlatformError> {
+    let value = serde_json::to_string(own)
+        .map_err(|error| PlatformError::NotDone { reason: error.to_string() })?;
+    let key = format!("{HOST_PREFIX}{}", config.host).into();
+    store.commit(vec![RowWrite { key, expect: RowExpect::Any, value: Some(value) }]).await?;
+    Ok(())
 }
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -19,6 +19,8 @@
 const FIRST_SHARE: f64 = 0.2;
 /// Deadline of a store's call; an answer takes milliseconds, a slow one 60 times as long.
 const STORE_TIMEOUT_MS: u32 = 700;
+/// Time in which a change must be in force, the strictest that a site has asked for.
+const CHANGE_LIMIT_MS: u32 = 2_000;
 /// How long a watch is held open; a lost one is noticed that much later.
 const WATCH_WAIT_MS: u32 = 2_500;
 
@@ -76,6 +78,10 @@
     pub store_timeout: Duration,
     /// How long a watch is held open.
     pub watch_wait: Duration,
+    /// Time in which a change of the store's tables must be in force on all hosts.
+    pub change_limit: Duration,
+    /// Whether all hosts start for the first time.
+    pub first_start: bool,
     /// Peer addresses known from the start.
     pub seeds: Vec<SocketAddr>,
     /// Bandwidth of this host's link in Mbit/s, 0 if unknown.
@@ -124,6 +130,9 @@
         store: address("store.address", &settings.store.address)?,
         store_timeout: millis(settings.store.call_timeout_ms, STORE_TIMEOUT_MS),
         watch_wait: millis(settings.store.watch_wait_ms, WATCH_WAIT_MS),
+        change_limit: millis(settings.store.config_limit_ms, CHANGE_LIMIT_MS)
+            .min(millis(settings.store.leave_limit_ms, CHANGE_LIMIT_MS)),
+        first_start: settings.peers.first_start,
         seeds: seeds.collect::<Result<_, _>>()?,
         link_mbps: not_negative("peers.link_mbps", settings.peers.link_mbps.unwrap_or_default())?,
         budget: BudgetTerms {
--- a/crates/dillspool_router/src/site.rs
+++ b/crates/dillspool_router/src/site.rs
@@ -24,6 +24,8 @@
     pub config_row: (Name, Name),
     /// Table of the backend servers.
     pub directory_table: Name,
+    /// Table of the product's own rows.
+    pub own_table: Name,
     /// Calls to backend servers.
     pub calls: BackendCalls,
     /// Follows the store's tables.
--- a/crates/dillspool_router/src/sources.rs
+++ b/crates/dillspool_router/src/sources.rs
@@ -1,4 +1,4 @@
-//! Which hosts of a failure domain read the store for the others.
+//! Which hosts read the store for the others, and which record themselves for that.
 //!
 //! `docs/design/sources.md` has the reasons and the figures.
 
@@ -11,11 +11,13 @@
 /// Hosts of a failure domain up to which each reads the store itself: their calls cost less than
 /// a source's shorter questions would.
 const MOST_DIRECT_HOSTS: usize = 4;
-/// Sources of a larger failure domain at least; two, so that one may go.
-const FEWEST_SOURCES: usize = 2;
-/// Hosts that a source serves at most. When all of them start at once it sends each the whole
-/// tables, 0.75 MB at 3,000 backend servers.
-const HOSTS_PER_SOURCE: usize = 32;
+/// Hosts of a failure domain that relay the tables to the others; two may go.
+const DOMAIN_SOURCES: usize = 3;
+/// Hosts that read the store for the sources of all failure domains; one may go.
+const ROOTS: usize = 2;
+/// Hosts of a failure domain that record themselves: its sources, others that take their places, and
+/// enough to tell a small domain, all of whose hosts are recorded, from a large one.
+const MOST_LISTED: usize = 6;
 
 /// A host's own row in the store.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -32,25 +34,66 @@
     pub link_mbps: f64,
 }
 
-/// Sources of a failure domain in the order in which the host at `own` tries them; `None` where
-/// each host reads the store itself.
+/// Where a host's tables come from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SourcePlan {
+    /// The store; no other host relies on this one.
+    Alone,
+    /// The store; the sources of the failure domains rely on this host.
+    Root,
+    /// These hosts, in the order in which this host tries them.
+    Relayed(Vec<SocketAddr>),
+}
+
+/// Where the tables of the host with `own` row come from.
 ///
 /// Hosts with wide links come first, since a source sends whole tables to many at once. All hosts
-/// of a domain that know the same rows come to the same sources.
-pub fn choose_sources(near: &[&HostRow], own: &SocketAddr) -> Option<Vec<SocketAddr>> {
+/// that know the same rows come to the same sources.
+pub fn plan_sources(rows: &[HostRow], own: &HostRow) -> SourcePlan {
+    let near = ranked(rows.iter().filter(|row| row.failure_domain == own.failure_domain));
     if near.len() <= MOST_DIRECT_HOSTS {
-        return None;
+        return SourcePlan::Alone;
+    }
+    let roots = roots(rows);
+    if roots.contains(&own.peers) {
+        return SourcePlan::Root;
     }
-    let mut ranked = near.to_vec();
+    let sources: Vec<_> = near.iter().take(DOMAIN_SOURCES).map(|row| row.peers).collect();
+    let mut relayed = if sources.contains(&own.peers) { roots } else { sources };
+    // An equal part of the hosts begins with each.
+    let shift = rank(&own.peers) % relayed.len().max(1) as u64;
+    relayed.rotate_left(usize::try_from(shift).unwrap_or_default());
+    SourcePlan::Relayed(relayed)
+}
+
+/// Whether a host should record itself: its failure domain has too few that are as good as it.
+pub fn should_be_listed(rows: &[HostRow], own: &HostRow) -> bool {
+    let near = rows.iter().filter(|row| row.failure_domain == own.failure_domain);
+    let as_good = near.filter(|row| row.peers != own.peers && row.link_mbps >= own.link_mbps);
+    as_good.count() < MOST_LISTED && !rows.contains(own)
+}
+
+/// The first host of all large failure domains, and the first of another one.
+fn roots(rows: &[HostRow]) -> Vec<SocketAddr> {
+    let is_large = |row: &&HostRow| {
+        let near = rows.iter().filter(|other| other.failure_domain == row.failure_domain);
+        near.count() > MOST_DIRECT_HOSTS
+    };
+    let all = ranked(rows.iter().filter(is_large));
+    let Some(first) = all.first() else { return Vec::new() };
+    let elsewhere = all.iter().find(|row| row.failure_domain != first.failure_domain);
+    let second = elsewhere.or(all.get(1));
+    let chosen = [Some(first), second].into_iter().flatten().take(ROOTS);
+    chosen.map(|row| row.peers).collect()
+}
+
+/// The widest links first, then by a hash of the address.
+fn ranked<'a>(rows: impl Iterator<Item = &'a HostRow>) -> Vec<&'a HostRow> {
+    let mut ranked: Vec<_> = rows.collect();
     ranked.sort_by(|a, b| {
         b.link_mbps.total_cmp(&a.link_mbps).then(rank(&a.peers).cmp(&rank(&b.peers)))
     });
-    let count = near.len().div_ceil(HOSTS_PER_SOURCE).max(FEWEST_SOURCES);
-    let mut sources: Vec<_> = ranked.into_iter().take(count).map(|row| row.peers).collect();
-    // An equal part of the hosts begins with each source.
-    let shift = rank(own) % sources.len() as u64;
-    sources.rotate_left(usize::try_from(shift).unwrap_or_default());
-    Some(sources)
+    ranked
 }
 
 /// Spreads addresses evenly.
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -140,6 +140,7 @@
         decode_backend,
         config_row: ("op".into(), "config".into()),
         directory_table: "servers".into(),
+        own_table: "own".into(),
         calls: calls(site),
         watch: TableWatch {
             snapshot: Arc::new(move |table| {
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -30,6 +30,8 @@
         store: address("10.0.0.9:1"),
         store_timeout: Duration::from_millis(700),
         watch_wait: Duration::from_millis(2500),
+        change_limit: Duration::from_secs(2),
+        first_start: false,
         seeds: vec![],
         link_mbps: 0.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
--- a/crates/dillspool_router/tests/sources.rs
+++ b/crates/dillspool_router/tests/sources.rs
@@ -1,61 +1,136 @@
-//! Which hosts read the store for others.
+//! Which hosts read the store for others, and which record themselves for that.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use dillspool_router::{HostRow, choose_sources};
+use dillspool_router::{HostRow, SourcePlan, plan_sources, should_be_listed};
 
-/// The host with a number, and the width of its link.
-fn row(number: u16, link_mbps: f64) -> HostRow {
-    HostRow { peers: address(number), schedule: None, failure_domain: "domain".into(), link_mbps }
+/// The host with a number in a failure domain, and the width of its link.
+fn row(domain: u16, number: u16, link_mbps: f64) -> HostRow {
+    let failure_domain = format!("domain-{domain}").into();
+    HostRow { peers: address(domain, number), schedule: None, failure_domain, link_mbps }
 }
 
-fn address(number: u16) -> SocketAddr {
-    ([10, 0, 0, 1], 1000 + number).into()
+fn address(domain: u16, number: u16) -> SocketAddr {
+    ([10, 0, 0, 1], 1000 * (domain + 1) + number).into()
+}
+
+/// Hosts of failure domains, by the widths of their links.
+fn fleet(domains: &[Vec<f64>]) -> Vec<HostRow> {
+    let hosts = (0_u16..).zip(domains).flat_map(|(domain, links)| {
+        (0_u16..).zip(links).map(move |(number, link)| row(domain, number, *link))
+    });
+    hosts.collect()
+}
+
+/// Rows that are in the store once everybody has had a turn to record itself, in this order.
+fn listed(hosts: &[HostRow]) -> Vec<HostRow> {
+    let mut rows = Vec::new();
+    for host in hosts {
+        if should_be_listed(&rows, host) {
+            rows.push(host.clone());
+        }
+    }
+    rows
 }
 
 struct SourceCase {
     name: &'static str,
-    /// Widths of the links, by host.
-    links: Vec<f64>,
-    sources: usize,
-    /// Hosts that must be the sources, where the links decide.
-    chosen: Option<Vec<u16>>,
+    /// Widths of the links, by failure domain.
+    domains: Vec<Vec<f64>>,
+    /// Hosts that ask the store all the time.
+    asking: usize,
+    /// Hosts that record themselves at most.
+    listed: usize,
+    /// Hosts that must read it for others, where the links decide.
+    roots: &'static [(u16, u16)],
 }
 
 #[test]
-fn hosts_with_wide_links_are_the_sources_of_large_domains() {
-    let mut mixed = vec![10.0; 100];
-    for wide in [3, 40, 41, 77, 98] {
-        mixed[wide] = 200.0;
-    }
-    let two_wide = [vec![10.0; 20], vec![200.0; 2], vec![10.0; 6]].concat();
+fn a_few_hosts_read_the_store_for_all() {
+    let wide = |count: usize, narrow: usize| [vec![200.0; count], vec![20.0; narrow]].concat();
     let cases = [
-        SourceCase { name: "few hosts", links: vec![10.0; 4], sources: 0, chosen: None },
-        SourceCase { name: "links alike", links: vec![10.0; 5], sources: 2, chosen: None },
-        SourceCase { name: "unknown links", links: vec![0.0; 33], sources: 2, chosen: None },
-        SourceCase { name: "two wide", links: two_wide, sources: 2, chosen: Some(vec![20, 21]) },
-        SourceCase { name: "many hosts", links: vec![10.0; 100], sources: 4, chosen: None },
-        SourceCase { name: "many hosts, five wide", links: mixed, sources: 4, chosen: None },
+        SourceCase {
+            name: "three small domains",
+            domains: vec![vec![1000.0; 3], vec![1000.0; 3], vec![1000.0; 2]],
+            asking: 8,
+            listed: 8,
+            roots: &[],
+        },
+        SourceCase {
+            name: "one domain, links alike",
+            domains: vec![vec![10.0; 5]],
+            asking: 2,
+            listed: 5,
+            roots: &[],
+        },
+        SourceCase {
+            name: "one domain, unknown links",
+            domains: vec![vec![0.0; 33]],
+            asking: 2,
+            listed: 33,
+            roots: &[],
+        },
+        SourceCase {
+            name: "wide hosts first: those that come later need no row",
+            domains: vec![wide(3, 66), wide(3, 61), wide(3, 49), wide(3, 52), wide(3, 52)],
+            asking: 2,
+            listed: 30,
+            roots: &[],
+        },
+        SourceCase {
+            name: "one wide host in each of two domains",
+            domains: vec![vec![10.0; 20], [vec![10.0; 9], vec![200.0]].concat(), wide(1, 30)],
+            asking: 2,
+            listed: 60,
+            roots: &[(1, 9), (2, 0)],
+        },
+        SourceCase {
+            name: "a small domain beside a large one reads for itself",
+            domains: vec![wide(2, 40), vec![20.0; 3]],
+            asking: 5,
+            listed: 9,
+            roots: &[(0, 0)],
+        },
     ];
     for case in cases {
-        let hosts = (0_u16..).zip(&case.links);
-        let rows: Vec<HostRow> = hosts.map(|(number, link)| row(number, *link)).collect();
-        let near: Vec<&HostRow> = rows.iter().collect();
-        let views: Vec<_> = rows.iter().map(|row| choose_sources(&near, &row.peers)).collect();
-        let sets: BTreeSet<Option<BTreeSet<SocketAddr>>> =
-            views.iter().cloned().map(|view| view.map(BTreeSet::from_iter)).collect();
-        assert_eq!(sets.len(), 1, "{}: all hosts agree", case.name);
-        let set = sets.into_iter().next().flatten().unwrap_or_default();
-        assert_eq!(set.len(), case.sources, "{}", case.name);
-        if let Some(chosen) = case.chosen {
-            assert_eq!(set, chosen.into_iter().map(address).collect(), "{}", case.name);
+        let hosts = fleet(&case.domains);
+        let rows = listed(&hosts);
+        assert!(rows.len() <= case.listed, "{}: {} rows", case.name, rows.len());
+        let plan = |host: &HostRow| plan_sources(&rows, host);
+        let asking = hosts.iter().filter(|host| !matches!(plan(host), SourcePlan::Relayed(_)));
+        assert_eq!(asking.count(), case.asking, "{}", case.name);
+        for (domain, number) in case.roots {
+            let root = hosts.iter().find(|host| host.peers == address(*domain, *number));
+            assert_eq!(root.map(plan), Some(SourcePlan::Root), "{}", case.name);
+        }
+        let mut first = BTreeSet::new();
+        for host in &hosts {
+            let SourcePlan::Relayed(sources) = plan(host) else { continue };
+            first.insert(sources[0]);
+            assert!(!sources.contains(&host.peers), "{}: nobody relays from itself", case.name);
+            let relays = |source: &SocketAddr| hosts.iter().find(|other| other.peers == *source);
+            for source in sources.iter().filter_map(relays) {
+                // Two steps at most: a host, a source of its domain, a root.
+                let is_near = source.failure_domain == host.failure_domain;
+                let is_root = plan(source) == SourcePlan::Root;
+                assert!(is_root || is_near, "{}: {source:?}", case.name);
+            }
         }
-        let widest = case.links.iter().copied().fold(0.0, f64::max);
-        let narrow = rows.iter().filter(|row| row.link_mbps < widest);
-        assert!(narrow.into_iter().all(|row| !set.contains(&row.peers)), "{}", case.name);
-        // Each source is some host's first.
-        let first: BTreeSet<_> = views.iter().flatten().map(|view| view[0]).collect();
-        assert_eq!(first.len(), case.sources, "{}", case.name);
+        let relayed = hosts.iter().any(|host| matches!(plan(host), SourcePlan::Relayed(_)));
+        assert!(!relayed || first.len() >= 2, "{}: sources share the hosts", case.name);
+    }
+}
+
+#[test]
+fn a_host_is_recorded_once_and_again_at_another_address() {
+    let hosts = fleet(&[vec![20.0; 8]]);
+    let rows = listed(&hosts);
+    for host in &rows {
+        assert!(!should_be_listed(&rows, host), "its row stands already");
     }
+    let mut moved = rows[0].clone();
+    moved.link_mbps = 200.0;
+    moved.peers = address(0, 99);
+    assert!(should_be_listed(&rows, &moved));
 }
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -99,6 +99,7 @@
         decode_backend: dillspool_site::decode_backend,
         config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
         directory_table: dillspool_site::DIRECTORY_TABLE.into(),
+        own_table: dillspool_site::OWN_TABLE.into(),
         calls: dillspool_site::backend_calls(stack),
         watch: dillspool_site::table_watch(&http, config.store, config.store_timeout),
         store: dillspool_site::host_table(&http, config.store, config.store_timeout),
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -104,6 +104,16 @@
         self.link(service).is_some_and(|link| link.schedules())
     }
 
+    /// Hosts that share the pools, by the word of their schedulers or, where this host schedules, by
+    /// its own count; `None` while there is no scheduler.
+    pub fn hosts(&self) -> Option<usize> {
+        let links = self.with_links(|links| links.clone());
+        let count = |(service, link): (&Name, &PoolLink)| {
+            if link.schedules() { Some(self.desk.hosts(service)) } else { link.hosts() }
+        };
+        links.iter().filter_map(count).max()
+    }
+
     /// Opens a ticket for a request.
     pub fn open(&self, service: &Name) -> PlacementTicket {
         let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1);
--- a/crates/dillspool_scheduler/src/desk.rs
+++ b/crates/dillspool_scheduler/src/desk.rs
@@ -61,6 +61,8 @@
     /// Requests under way.
     tickets: HashMap<TicketId, TicketRecord>,
     waiters: HashMap<TicketId, DecisionFn>,
+    /// Hosts that are served, by pool.
+    served: HashMap<Name, usize>,
     origin: Instant,
     policy: AdmissionPolicy,
     seed: u64,
@@ -181,6 +183,7 @@
             demand,
             tickets: HashMap::new(),
             waiters: HashMap::new(),
+            served: HashMap::new(),
             origin: Instant::now(),
             policy,
             seed,
@@ -241,6 +244,17 @@
         self.with(|state| state.planners.contains_key(service))
     }
 
+    /// Counts a host among those that are served until the guard is dropped.
+    pub(crate) fn serve_host(&self, service: &Name) -> ServedGuard {
+        self.with(|state| *state.served.entry(Name::clone(service)).or_default() += 1);
+        ServedGuard { desk: self.clone(), service: Name::clone(service) }
+    }
+
+    /// Hosts that decide here on a pool's requests, this one included.
+    pub(crate) fn hosts(&self, service: &Name) -> usize {
+        self.with(|state| state.served.get(service).copied().unwrap_or_default() + 1)
+    }
+
     /// What is believed of a pool now.
     pub fn read(&self, service: &str) -> Option<PoolReading> {
         self.with(|state| {
@@ -334,3 +348,19 @@
         }
     }
 }
+
+/// A host that is served.
+pub(crate) struct ServedGuard {
+    desk: PoolDesk,
+    service: Name,
+}
+
+impl Drop for ServedGuard {
+    fn drop(&mut self) {
+        self.desk.with(|state| {
+            if let Some(hosts) = state.served.get_mut(&self.service) {
+                *hosts = hosts.saturating_sub(1);
+            }
+        });
+    }
+}
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -70,6 +70,8 @@
 struct LinkState {
     /// Whether this host is the first that serves the pool, as far as it knows.
     schedules: bool,
+    /// Hosts that the scheduler serves, by its last word.
+    hosts: Option<usize>,
     /// Takes messages while a scheduler is linked.
     sender: Option<mpsc::Sender<ScheduleMessage>>,
     pending: HashMap<u64, mpsc::Sender<ScheduleReply>>,
@@ -205,6 +207,11 @@
         self.with(|state| state.schedules)
     }
 
+    /// Hosts that the linked scheduler serves, by its last word.
+    pub(crate) fn hosts(&self) -> Option<usize> {
+        self.with(|state| state.hosts.filter(|_hosts| state.sender.is_some()))
+    }
+
     /// Whether a scheduler is linked.
     pub(crate) fn is_linked(&self) -> bool {
         self.with(|state| state.sender.is_some())
@@ -248,8 +255,10 @@
                 ScheduleMessage::Reader(reader) => {
                     self.reply(reader.ticket, ScheduleReply::Reader(reader.prefill));
                 }
-                ScheduleMessage::Beat(_)
-                | ScheduleMessage::Hello(_)
+                ScheduleMessage::Beat(beat) => {
+                    self.with(|state| state.hosts = Some(beat.hosts as usize));
+                }
+                ScheduleMessage::Hello(_)
                 | ScheduleMessage::Ask(_)
                 | ScheduleMessage::Held(_)
                 | ScheduleMessage::Note(_) => {}
@@ -297,7 +306,7 @@
         let message = match tokio::time::timeout(BEAT_EVERY, queue.recv()).await {
             Ok(Some(message)) => message,
             Ok(None) => return Err(ended("an answer did not come in time")),
-            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { waiting: 0 }),
+            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { hosts: 0 }),
         };
         send(&mut writer, &message).await?;
     }
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -68,13 +68,19 @@
     };
     let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
     // The host waits for a word that it is served.
-    let _queued = sender.try_send(ScheduleMessage::Beat(ScheduleBeat { waiting: 0 }));
-    let mut host =
-        ServedHost { desk, number, service: hello.service, sender, tickets: HashSet::new() };
+    let _served = desk.serve_host(&hello.service);
+    let _queued = sender.try_send(beat(&desk, &hello.service));
+    let mut host = ServedHost {
+        desk: desk.clone(),
+        number,
+        service: Name::clone(&hello.service),
+        sender,
+        tickets: HashSet::new(),
+    };
     log::info!("event=schedule_host_joined host={} service={}", hello.host, host.service);
     let ended = tokio::select! {
         ended = host.read(&mut reader) => ended,
-        ended = write_queue(writer, queue) => ended,
+        ended = write_queue(writer, queue, &desk, &hello.service) => ended,
     };
     let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
     log::info!(
@@ -116,16 +122,24 @@
     Ok(hello)
 }
 
+/// A sign of life, with the number of hosts that share a pool.
+fn beat(desk: &PoolDesk, service: &Name) -> ScheduleMessage {
+    let hosts = u32::try_from(desk.hosts(service)).unwrap_or(u32::MAX);
+    ScheduleMessage::Beat(ScheduleBeat { hosts })
+}
+
 /// Sends what is queued, and a sign of life now and then.
 async fn write_queue(
     mut writer: HostWriter,
     mut queue: mpsc::Receiver<ScheduleMessage>,
+    desk: &PoolDesk,
+    service: &Name,
 ) -> Result<(), ScheduleError> {
     loop {
         let message = match tokio::time::timeout(BEAT_EVERY, queue.recv()).await {
             Ok(Some(message)) => message,
             Ok(None) => return Ok(()),
-            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { waiting: 0 }),
+            Err(_elapsed) => beat(desk, service),
         };
         let sending = writer.send(wire::encode(&message)?);
         let sent = tokio::time::timeout(SEND_LIMIT, sending).await;
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -29,6 +29,11 @@
     pub wait: Duration,
     /// The same on a host that relays the store's tables to others, which rely on its age.
     pub source_wait: Duration,
+    /// Time for which a peer's word of the store spares this host its own questions.
+    pub fresh: Duration,
+    /// Time that a host waits for a peer's word before its first question; zero where it asks at
+    /// once.
+    pub first_after: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
     /// Time for a whole read, which may take many pages; each page has a deadline of its own.
@@ -41,15 +46,22 @@
     pub longest_pause: Duration,
     /// The same on a host with sources, which see the store's return before.
     pub relayed_pause: Duration,
+    /// Whether this table is asked for while the store is out of reach; the others wait for its answer.
+    pub probes: bool,
 }
 
 impl FollowSettings {
-    /// Settings for a wait; the rest is derived from what the platform promises.
-    pub fn with_wait(wait: Duration) -> Self {
+    /// Settings for a wait, where changes must be in force within `limit`; the rest is derived from
+    /// what the platform promises.
+    pub fn new(wait: Duration, limit: Duration) -> Self {
         Self {
             wait,
-            // With the relay's own pauses this stays below the age that spares a question.
-            source_wait: Duration::from_millis(800),
+            // Twice relayed, each time after a repeat, this stays below the age that spares a
+            // question.
+            source_wait: limit.mul_f64(0.4),
+            // The direct question that follows takes some milliseconds.
+            fresh: limit.mul_f64(0.8),
+            first_after: Duration::ZERO,
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
             // 3,000 backend servers are 1.3 MB, 1.1 s on the narrowest link (10 Mbit/s).
@@ -58,7 +70,8 @@
             spacing: Duration::from_millis(300),
             first_pause: Duration::from_millis(100),
             longest_pause: Duration::from_millis(600),
-            relayed_pause: Duration::from_secs(2),
+            relayed_pause: limit,
+            probes: true,
         }
     }
 }
@@ -79,6 +92,11 @@
     }
 }
 
+/// Probes of the store that may go unheard before a table that waits for them asks itself.
+const MISSED_PROBES: u32 = 4;
+/// Time between two looks for a peer's word before the first question.
+const LOOK_FOR_PEERS: Duration = Duration::from_millis(50);
+
 /// Keeps a belief up to date until `cancel`.
 ///
 /// While a peer's relay is fresh the store is not asked.
@@ -109,11 +127,30 @@
     let mut pause = settings.first_pause;
     // After a failure the next question is short, so that the store's return is seen at once.
     let mut wait = Duration::ZERO;
+    let started = Instant::now();
+    while reach.borrow().spared_until(settings.fresh).is_none()
+        && started.elapsed() < settings.first_after
+    {
+        tokio::time::sleep(LOOK_FOR_PEERS).await;
+    }
+    // Whether the last question had no answer.
+    let mut failed = false;
     loop {
-        while let Some(until) = spared_until(&reach) {
-            tokio::time::sleep_until(until).await;
+        // A peer's word spares the questions of a host that others do not rely on.
+        while let Some(until) = spared_until(&reach, &settings)
+            && (failed || *role.borrow() == FollowRole::Relayed)
+        {
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => {}
+                () = another_role(role.clone()) => {}
+            }
             wait = Duration::ZERO;
         }
+        if !settings.probes && *role.borrow() == FollowRole::Relayed {
+            // All tables lose their source at once; one question shows whether the store answers.
+            wait_for_probe(&reach, Instant::now(), &settings).await;
+        }
+        let was_complete = complete;
         let asked = Instant::now();
         let outcome = if complete {
             let longest = settings.longest_wait(*role.borrow());
@@ -121,6 +158,7 @@
         } else {
             read_whole(&store, &belief, &settings).await
         };
+        failed = matches!(outcome, Err(WatchError::Store { .. }));
         match outcome {
             Ok(_changed) => {
                 complete = true;
@@ -140,18 +178,76 @@
             Err(WatchError::Store { source }) => {
                 reach::note(&reach, &source.to_string(), |state| state.direct = false);
                 wait = Duration::ZERO;
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(settings.longest_pause(*role.borrow()));
+                let role = *role.borrow();
+                let longest = settings.longest_pause(role);
+                // One call may be lost; a host with sources loses nothing by a pause.
+                let has_sources = role == FollowRole::Relayed;
+                let is_first = pause == settings.first_pause && !has_sources;
+                if settings.probes && has_sources {
+                    wait_for_peers(&reach, Instant::now() + longest).await;
+                } else if settings.probes || is_first {
+                    tokio::time::sleep(pause).await;
+                } else {
+                    wait_for_store(&reach, longest * MISSED_PROBES).await;
+                }
+                pause = (pause * 2).min(longest);
             }
         }
         // A store that answers at once, whatever it is asked, must not be asked without end.
         tokio::time::sleep_until(asked + settings.spacing).await;
+        if complete && !was_complete && *role.borrow() == FollowRole::Relayed {
+            // What was just read counts for as long as a peer's word would; a peer's comes by then.
+            wait_for_peers(&reach, asked + settings.fresh).await;
+            wait = Duration::ZERO;
+        }
     }
 }
 
+/// Waits until the table that probes has an answer that is newer than a moment, or a peer has one, or
+/// that takes too long.
+async fn wait_for_probe(
+    reach: &watch::Sender<StoreReach>,
+    since: Instant,
+    settings: &FollowSettings,
+) {
+    let limit = since + settings.relayed_pause * MISSED_PROBES;
+    while Instant::now() < limit {
+        let state = *reach.borrow();
+        let is_answered = state.answered.is_some_and(|answered| answered >= since);
+        if is_answered || state.spared_until(settings.fresh).is_some_and(|until| until > since) {
+            return;
+        }
+        tokio::time::sleep(LOOK_FOR_PEERS).await;
+    }
+}
+
+/// Waits for another role; for ever once there will be none.
+async fn another_role(mut role: watch::Receiver<FollowRole>) {
+    let before = *role.borrow_and_update();
+    if role.wait_for(|role| *role != before).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Waits until the store answers again, or a peer relays it, or the time is over.
+async fn wait_for_store(reach: &watch::Sender<StoreReach>, limit: Duration) {
+    let mut state = reach.subscribe();
+    let reachable = state.wait_for(StoreReach::is_reachable);
+    // If the probe goes unheard for so long, this table asks for itself.
+    let _elapsed = tokio::time::timeout(limit, reachable).await;
+}
+
+/// Waits until a peer relays the tables, or until then.
+async fn wait_for_peers(reach: &watch::Sender<StoreReach>, until: Instant) {
+    let mut state = reach.subscribe();
+    let relayed = state.wait_for(|state| state.relayed);
+    // Without a peer the store is asked.
+    let _elapsed = tokio::time::timeout_at(until, relayed).await;
+}
+
 /// When the next question is due, while a peer's word spares it.
-fn spared_until(reach: &watch::Sender<StoreReach>) -> Option<Instant> {
-    reach.borrow().spared_until().filter(|until| *until > Instant::now())
+fn spared_until(reach: &watch::Sender<StoreReach>, settings: &FollowSettings) -> Option<Instant> {
+    reach.borrow().spared_until(settings.fresh).filter(|until| *until > Instant::now())
 }
 
 fn note_answered(reach: &watch::Sender<StoreReach>) {
--- a/crates/dillspool_watch/src/reach.rs
+++ b/crates/dillspool_watch/src/reach.rs
@@ -5,11 +5,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Time since the store's last answer, heard through a peer, for which this host does not ask the
-/// store itself. A change must be in force within two seconds on the strictest site, and the
-/// direct question that follows takes some milliseconds.
-pub(crate) const FRESH_LIMIT: Duration = Duration::from_millis(1600);
-
 /// What this host hears from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreReach {
@@ -42,14 +37,15 @@
         self.direct || self.relayed
     }
 
-    /// Until when a peer's word spares this host its own questions.
-    pub(crate) fn spared_until(&self) -> Option<Instant> {
-        self.relayed_as_of.filter(|_as_of| self.relayed).map(|as_of| as_of + FRESH_LIMIT)
+    /// Until when a peer's word spares this host its own questions, if it counts for so long.
+    pub(crate) fn spared_until(&self, fresh: Duration) -> Option<Instant> {
+        self.relayed_as_of.map(|as_of| as_of + fresh)
     }
 
-    /// Time since the store was last heard by this host itself.
+    /// Time since the store's tables were last known to be complete, by this host itself or by what
+    /// is relayed to it; what it relays in turn is as old.
     pub(crate) fn age(&self) -> Option<Duration> {
-        self.answered.map(|answered| answered.elapsed())
+        self.answered.max(self.relayed_as_of).map(|as_of| as_of.elapsed())
     }
 }
 
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -25,7 +25,7 @@
 
 /// Time to open a connection to a peer, some round trips between failure domains.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// Time without a message after which a peer is left; it repeats itself every [`REPEAT`].
+/// Time without a message after which a peer is left; it repeats itself at least every [`LONGEST_REPEAT`].
 const SILENCE_LIMIT: Duration = Duration::from_millis(1600);
 /// The same before the first message, which carries whole tables and may wait for others.
 const FIRST_LIMIT: Duration = Duration::from_secs(6);
@@ -33,8 +33,10 @@
 const MOST_WHOLE_SENDS: usize = 8;
 /// Time for one sending; whole tables of 0.75 MB take 0.6 s on the narrowest link (10 Mbit/s).
 const SEND_LIMIT: Duration = Duration::from_secs(4);
-/// Time after which a peer repeats the version that it has, as a sign of life.
-const REPEAT: Duration = Duration::from_millis(500);
+/// Longest time after which a peer repeats the version that it has, as a sign of life.
+const LONGEST_REPEAT: Duration = Duration::from_millis(500);
+/// Part of the time in which changes must be in force after which it does so at the latest.
+const REPEAT_PART: f64 = 0.125;
 /// Age of a source's own knowledge beyond which it is no source.
 const SOURCE_AGE_LIMIT: Duration = Duration::from_secs(4);
 /// Shortest time between two messages that carry changes.
@@ -76,12 +78,16 @@
 }
 
 /// Relays beliefs to every host that connects, until `cancel`.
+///
+/// Changes must be in force everywhere within `limit`.
 pub async fn serve_relay(
     mut listener: NetListener,
     beliefs: Vec<SharedBelief>,
     reach: watch::Receiver<StoreReach>,
+    limit: Duration,
     cancel: CancellationToken,
 ) {
+    let repeat = limit.mul_f64(REPEAT_PART).min(LONGEST_REPEAT);
     let whole_sends = Arc::new(Semaphore::new(MOST_WHOLE_SENDS));
     loop {
         let stream = tokio::select! {
@@ -93,7 +99,7 @@
         let whole_sends = Arc::clone(&whole_sends);
         tokio::spawn(async move {
             let ended = tokio::select! {
-                ended = relay_to(stream, beliefs, reach, whole_sends) => ended,
+                ended = relay_to(stream, beliefs, reach, repeat, whole_sends) => ended,
                 () = cancel.cancelled() => return,
             };
             if let Err(reason) = ended {
@@ -107,6 +113,7 @@
     stream: NetStream,
     beliefs: Vec<SharedBelief>,
     mut reach: watch::Receiver<StoreReach>,
+    repeat: Duration,
     whole_sends: Arc<Semaphore>,
 ) -> Result<(), String> {
     let accept = accept_async_with_config(stream, Some(config()));
@@ -119,8 +126,8 @@
     let mut whole = Some(whole_sends.acquire_owned().await.map_err(|error| error.to_string())?);
     loop {
         let state = *reach.borrow_and_update();
-        let age = state.age().filter(|age| state.direct && *age < SOURCE_AGE_LIMIT);
-        let age = age.ok_or("this host does not reach the store itself")?;
+        let age = state.age().filter(|age| *age < SOURCE_AGE_LIMIT);
+        let age = age.ok_or("this host does not hear from the store")?;
         let sending = send_changes(&mut socket, &beliefs, &mut sent, age);
         let ended = tokio::time::timeout(SEND_LIMIT, sending).await;
         ended.map_err(|_elapsed| "the peer does not read")??;
@@ -132,7 +139,7 @@
         tokio::select! {
             _changed = changed => {}
             _lost = reach.changed() => {}
-            () = tokio::time::sleep(REPEAT) => {}
+            () = tokio::time::sleep(repeat) => {}
             incoming = socket.next() => {
                 if !matches!(incoming, Some(Ok(_))) {
                     return Err("the peer left".to_owned());
@@ -200,6 +207,19 @@
     pub all: Vec<SocketAddr>,
 }
 
+impl RelayPeers {
+    /// The peers to try: sources first, others only while the store does not answer this host.
+    fn addresses(self, direct: bool) -> Vec<SocketAddr> {
+        let mut addresses = self.sources;
+        if !direct {
+            let others = self.all.into_iter().filter(|other| !addresses.contains(other));
+            let others: Vec<_> = others.collect();
+            addresses.extend(others);
+        }
+        addresses
+    }
+}
+
 /// Takes the tables from peers, always where sources are named and else while the store is out
 /// of reach, until `cancel`.
 ///
@@ -227,8 +247,7 @@
     let mut changes = reach.subscribe();
     loop {
         let direct = changes.borrow_and_update().direct;
-        let listed = peers();
-        let addresses = if direct { listed.sources } else { listed.all };
+        let addresses = peers().addresses(direct);
         if addresses.is_empty() {
             tokio::select! {
                 _changed = changes.changed() => {}
@@ -246,6 +265,7 @@
             ended = take_from(stack, address, beliefs, &reach) => ended,
             // A host that was turned away goes back to its own questions.
             _regained = regained.wait_for(|state| state.direct), if !direct => Ok(()),
+            () = left(address, peers, &reach) => Ok(()),
         };
         reach::note(&reach, "relay ended", |state| state.relayed = false);
         if let Err(error) = ended {
@@ -257,6 +277,24 @@
     }
 }
 
+/// Waits until a peer is none of those any more that this host takes the tables from.
+async fn left(
+    address: SocketAddr,
+    peers: &(impl Fn() -> RelayPeers + Send + Sync),
+    reach: &watch::Sender<StoreReach>,
+) {
+    let before = peers().sources;
+    loop {
+        tokio::time::sleep(LOOK_AGAIN).await;
+        let listed = peers().sources;
+        // While the store is out of reach, another peer may be all there is.
+        let may_leave = reach.borrow().direct || listed != before;
+        if may_leave && !listed.contains(&address) {
+            return;
+        }
+    }
+}
+
 async fn take_from(
     stack: &NetStack,
     address: SocketAddr,
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -14,6 +14,9 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
+/// Time in which a change must be in force.
+const LIMIT: Duration = Duration::from_secs(2);
+
 /// A table of the store with one row, and who may read it.
 #[derive(Clone, Default)]
 struct TestStore {
@@ -127,7 +130,7 @@
     let reach_sender = watch::Sender::new(StoreReach::unknown());
     let reach = reach_sender.subscribe();
     let relayed = reach_sender.clone();
-    let settings = FollowSettings::with_wait(Duration::from_millis(2500));
+    let settings = FollowSettings::new(Duration::from_millis(2500), LIMIT);
     tokio::spawn(follow_table(
         store.watch(reader),
         belief.clone(),
@@ -141,7 +144,7 @@
     let stack = net.stack(own.ip());
     let listener = stack.listen(own).await.expect("a free address");
     let beliefs = vec![belief.clone()];
-    tokio::spawn(serve_relay(listener, beliefs.clone(), reach.clone(), cancel.clone()));
+    tokio::spawn(serve_relay(listener, beliefs.clone(), reach.clone(), LIMIT, cancel.clone()));
     let sources = if role == FollowRole::Relayed { vec![peer] } else { Vec::new() };
     let peers = move || RelayPeers { sources: sources.clone(), all: vec![peer] };
     tokio::spawn(relay_from_peers(stack, peers, beliefs, relayed, cancel));
