A new scheduler does not take prompts that were read for waiting ones

Cause: a scheduler that takes over learns of requests under way from their hosts; prompts read long ago were told as still waiting at their prefill engine, which then looked full, and an answer that has begun never left the prefill's book. Ruled out: the old scheduler's own books (they are right; the test's first half passes without the change). Change: hosts drop the prefill engine from what they tell once the prompt was read; an answer that has begun leaves the prefill's book; a placement that is taken over has read its prompt.

--- a/crates/dillspool_admission/src/decode_book.rs
+++ b/crates/dillspool_admission/src/decode_book.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    pub(crate) fn note_read(&mut self, ticket: TicketId) {
+        if let Some(stream) = self.streams.iter_mut().find(|stream| stream.ticket == ticket) {
+            stream.read_since = None;
+        }
+    }
+
     /// Tokens that are left beside a stream if it ran here, by what is foreseen and by what the
     /// engine counts as reserved; less than zero when there is no room.
     #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -193,7 +193,12 @@
         now: Moment,
     ) {
         self.forget(ticket);
+        let decode = Name::clone(&placement.decode);
         self.place(ticket, request, placement, now);
+        if let Some(book) = self.decode.get_mut(&decode) {
+            // When its prompt was read, if here, is not known.
+            book.note_read(ticket);
+        }
     }
 
     /// Serves those that wait, and turns away those for whom it is too late.
@@ -241,6 +246,7 @@
 
     /// Notes that the decode engine took a request.
     pub fn note_started(&mut self, ticket: TicketId, now: Moment) {
+        self.leave_prefill(ticket);
         let Some(placed) = self.placed.get(&ticket) else { return };
         if let Some(book) = self.decode.get_mut(&placed.decode) {
             book.note_started(ticket, now);
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -189,7 +189,13 @@
                 DeskNote::Ended(_) => {
                     state.held.remove(&ticket);
                 }
-                DeskNote::Prefilled { .. } | DeskNote::ReadsItself | DeskNote::Fault { .. } => {}
+                // Another scheduler must not take the prompt for one that still waits.
+                DeskNote::Prefilled { .. } | DeskNote::ReadsItself => {
+                    if let Some(held) = state.held.get_mut(&ticket) {
+                        held.placement.prefill = None;
+                    }
+                }
+                DeskNote::Fault { .. } => {}
             }
             if let Some(sender) = &state.sender {
                 let _sent = sender.try_send(wire::note_to_wire(ticket, note.clone()));
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -132,6 +132,10 @@
     }
 }
 
+fn has_prefill(decision: Option<&PlacementDecision>) -> bool {
+    matches!(decision, Some(PlacementDecision::Place(placement)) if placement.prefill.is_some())
+}
+
 /// Three hosts of which the first schedules.
 async fn three_hosts(net: &MemoryNet) -> Vec<TestHost> {
     let mut hosts = Vec::new();
@@ -183,6 +187,8 @@
             let hosts = three_hosts(&net).await;
             let (held, one) = hosts[2].ask().await;
             assert!(engine(one.as_ref()).is_some(), "{}", case.name);
+            held.note(&DeskNote::Prefilled { took: Duration::from_millis(30) });
+            held.note(&DeskNote::Started);
             match case.mode {
                 None => hosts[0].cancel.cancel(),
                 Some(mode) => {
@@ -203,9 +209,10 @@
             let (_one_more, decision) = hosts[1].ask().await;
             let other = engine(decision.as_ref());
             assert!(other.is_some() && other != engine(one.as_ref()), "{}", case.name);
+            // Its prompt was read long ago, and holds no prefill engine up.
+            assert!(has_prefill(decision.as_ref()), "{}", case.name);
             let (_ticket, decision) = hosts[1].ask().await;
             assert_eq!(engine(decision.as_ref()), None, "{}: both are full", case.name);
-            held.note(&DeskNote::Started);
         });
     }
 }
