Keys have one crate and one type

Cause: callers' keys of the prepared platform need what the own path has (hash, look-up, compare); it stood in the configuration's crate, kept the hash as text and compared twice. Ruled out: a second type beside it. Conclusion: both paths can use it.

--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -36,7 +36,7 @@
 pub(crate) fn hash_key() -> Result<ExitCode, CliError> {
     let mut key = String::new();
     std::io::stdin().read_to_string(&mut key).context(ReadSnafu { what: "standard input" })?;
-    println!("{}", dillspool_config::hash_key(key.trim()));
+    println!("{}", dillspool_keys::hash_key(key.trim()));
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/dillspool_bench/src/slopes.rs
+++ b/crates/dillspool_bench/src/slopes.rs
@@ -131,7 +131,7 @@
     let mut text = "[policy]\ngoodput_weight = 60\n".to_owned();
     // Writing to a string cannot fail, here and below.
     for group in 0..groups {
-        let key = dillspool_config::hash_key(&group.to_string());
+        let key = dillspool_keys::hash_key(&group.to_string());
         let _infallible = write!(
             text,
             "[[group]]\nname = \"group-{group:05}\"\nshare = 10\npriority = 1\n\
--- a/crates/dillspool_config/src/check.rs
+++ b/crates/dillspool_config/src/check.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use dillspool_keys::HASH_LENGTH;
 use dillspool_schema::configuration::{BackendEntry, BackendRole, Configuration, GroupEntry};
 
 use crate::ConfigError;
-use crate::key::HASH_LENGTH;
 
 /// Highest priority number; few classes keep the bound against starvation small.
 const MAX_PRIORITY: u32 = 7;
--- a/crates/dillspool_config/src/lib.rs
+++ b/crates/dillspool_config/src/lib.rs
@@ -6,7 +6,6 @@
 mod check;
 mod delta;
 mod error;
-mod key;
 mod parse;
 mod settings;
 mod snapshot;
@@ -15,7 +14,6 @@
 pub use check::check_configuration;
 pub use delta::ConfigDelta;
 pub use error::ConfigError;
-pub use key::{CallerKey, hash_key};
 pub use parse::parse_configuration;
 pub use settings::{HostAddresses, load_settings, parse_settings};
 pub use snapshot::{ConfigSnapshot, ConfigVersion, digest_configuration};
--- a/crates/dillspool_config/src/settings.rs
+++ b/crates/dillspool_config/src/settings.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use dillspool_keys::HASH_LENGTH;
 use dillspool_schema::settings::HostSettings;
 use snafu::ResultExt;
 
 use crate::ConfigError;
 use crate::error::{InvalidSnafu, ReadSnafu, SyntaxSnafu};
-use crate::key::HASH_LENGTH;
 
 /// Shortest peer key that is taken, in bytes.
 const MIN_PEER_KEY_BYTES: usize = 16;
--- a/crates/dillspool_config/src/snapshot.rs
+++ b/crates/dillspool_config/src/snapshot.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use dillspool_keys::{CallerKey, KeyDigest};
 use dillspool_schema::Name;
 use dillspool_schema::configuration::{
     BackendEntry, BackendRole, Configuration, GroupEntry, PoolEntry, RouteEntry,
@@ -10,8 +11,6 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::key::CallerKey;
-
 /// Number of a configuration; grows by one with each accepted change, 0 before the first.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize, Serialize,
@@ -41,7 +40,7 @@
     pub digest: Name,
     /// The configuration itself.
     pub configuration: Configuration,
-    group_by_key: BTreeMap<Name, usize>,
+    group_by_key: BTreeMap<KeyDigest, usize>,
 }
 
 impl ConfigSnapshot {
@@ -49,9 +48,9 @@
     pub fn new(version: ConfigVersion, configuration: Configuration) -> Self {
         let mut group_by_key = BTreeMap::new();
         for (index, group) in configuration.group.iter().enumerate() {
-            for hash in &group.key_hashes {
-                group_by_key.insert(Name::clone(hash), index);
-            }
+            let hashes = group.key_hashes.iter();
+            group_by_key
+                .extend(hashes.filter_map(|hash| Some((KeyDigest::from_hex(hash)?, index))));
         }
         let digest = digest_configuration(&configuration);
         Self { version, digest, configuration, group_by_key }
@@ -59,11 +58,7 @@
 
     /// The group that a caller's key belongs to.
     pub fn group_of_key(&self, key: &CallerKey) -> Option<&GroupEntry> {
-        let (stored, index) = self.group_by_key.get_key_value(key.hash())?;
-        // The look-up is by hash, so its timing tells nothing of the key; compare whole all the same.
-        if !key.matches(stored) {
-            return None;
-        }
+        let index = self.group_by_key.get(key.digest())?;
         self.configuration.group.get(*index)
     }
 
--- a/crates/dillspool_entry/src/router.rs
+++ b/crates/dillspool_entry/src/router.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_config::{CallerKey, ConfigSnapshot};
+use dillspool_config::ConfigSnapshot;
 use dillspool_io::{HttpHandler, ResponseBody, handler, read_body, text_response};
+use dillspool_keys::CallerKey;
 use dillspool_schema::Name;
 use dillspool_schema::configuration::{GroupEntry, PoolEntry};
 use hyper::body::{Body, Incoming};
--- a/crates/dillspool_host/src/admin.rs
+++ b/crates/dillspool_host/src/admin.rs
@@ -3,10 +3,9 @@
 use std::fmt;
 use std::sync::Arc;
 
-use dillspool_config::{
-    AppliedConfig, ApplyError, AuditRow, CallerKey, ConfigVersion, parse_configuration,
-};
+use dillspool_config::{AppliedConfig, ApplyError, AuditRow, ConfigVersion, parse_configuration};
 use dillspool_io::{HttpHandler, ResponseBody, handler, read_body, text_response};
+use dillspool_keys::CallerKey;
 use dillspool_peer::HostView;
 use dillspool_platform::TableStore;
 use dillspool_schema::Name;
--- a/crates/dillspool_local/src/cluster.rs
+++ b/crates/dillspool_local/src/cluster.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_config::{AuditRow, hash_key};
+use dillspool_config::AuditRow;
 use dillspool_host::{
     ApplyRequest, ConfigReply, DeskChoice, HostDaemon, HostEnvironment, StatusReply,
 };
 use dillspool_io::{HttpClient, MemoryNet, NetStack, UnixMillis, WallClock, read_body};
+use dillspool_keys::hash_key;
 use dillspool_platform::{HostEntry, HostKind, HostState};
 use dillspool_schema::configuration::{BackendEntry, BackendRole, Configuration};
 use dillspool_schema::settings::{
--- a/crates/dillspool_local/src/processes.rs
+++ b/crates/dillspool_local/src/processes.rs
@@ -9,9 +9,9 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
-use dillspool_config::hash_key;
 use dillspool_host::{ApplyRequest, StatusReply};
 use dillspool_io::{HttpClient, NetStack, read_body};
+use dillspool_keys::hash_key;
 use dillspool_platform::{HostEntry, HostKind, HostState};
 use dillspool_schema::Name;
 use dillspool_schema::configuration::{BackendEntry, BackendRole, Configuration};
