--- a/crates/dillspool_keys/src/lib.rs
+++ b/crates/dillspool_keys/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A key is hashed as soon as it is read, and only the hash is kept, compared and looked up: no log
 //! line, error or dump can show a key, and the time of a look-up tells nothing of one. Both ways
-//! into dillspool, the OpenAI forms and the prepared platform, use these types.
+//! into dillspool, the `OpenAI` forms and the prepared platform, use these types.
 
 use std::fmt;
 
