Each table of the store has an age of its own

Cause: one age stood for three tables. An answer about any table, "history gone" among them, and a peer's word about any table made all of them count as fresh; a table that was not heard of for seconds was relayed as new and spared the hosts behind it their own questions. Ruled out: the whole read after a dropped history (it is asked at once; its answer is what is late); the choice of sources (any source that loses one table does the same). Change: an age a table, renewed only by what was learnt about that table, carried through each step of the relay; a source that does not hear of one table gives way; rows of hosts, which are asked for every 8 s, count for 16 s. The ages are metrics. Figures: table_ages.rs fails before and passes now (a table turned away, silent, its history gone, up to three relays deep).

--- a/crates/dillspool_router/src/belief_metrics.rs
+++ b/crates/dillspool_router/src/belief_metrics.rs
@@ -1,15 +1,16 @@
 //! What a host believes, as gauges that are read when they are scraped.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use dillspool_metrics::write_labels;
 use dillspool_routing::{BackendEntry, DirectoryView, EngineStage, RoutingConfig};
 use dillspool_schema::Name;
-use dillspool_watch::StoreReach;
+use dillspool_watch::{SharedBelief, StoreReach};
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Registry, Unit};
 use tokio::sync::watch;
 
 /// A service and the part that its backend servers play.
@@ -41,12 +42,26 @@
     }
 }
 
+/// A table of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct TableLabels {
+    table: Name,
+}
+
+impl EncodeLabelSet for TableLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        write_labels(encoder, &[("table", &*self.table)])
+    }
+}
+
 /// Gauges of the directory, the configuration and the store's reach.
 #[derive(Clone, Debug)]
 pub(crate) struct BeliefMetrics {
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
     reach: watch::Receiver<StoreReach>,
+    tables: Vec<SharedBelief>,
+    table_ages: Family<TableLabels, Gauge<f64, AtomicU64>>,
     backends: Family<BackendLabels, Gauge>,
     config_version: Gauge,
     store_in_reach: Gauge,
@@ -58,11 +73,14 @@
         config: watch::Receiver<Option<Arc<RoutingConfig>>>,
         directory: watch::Receiver<Arc<DirectoryView>>,
         reach: watch::Receiver<StoreReach>,
+        tables: Vec<SharedBelief>,
     ) -> Self {
         Self {
             config,
             directory,
             reach,
+            tables,
+            table_ages: Family::default(),
             backends: Family::default(),
             config_version: Gauge::default(),
             store_in_reach: Gauge::default(),
@@ -76,6 +94,13 @@
         registry.register("config_version", "Configuration version in force", version);
         let in_reach = self.store_in_reach.clone();
         registry.register("store_in_reach", "Whether the store is heard of, 0 or 1", in_reach);
+        let ages = self.table_ages.clone();
+        registry.register_with_unit(
+            "table_age",
+            "Time since a table of the store was last known to be complete",
+            Unit::Seconds,
+            ages,
+        );
     }
 
     /// Takes over what is believed now.
@@ -83,6 +108,13 @@
         let version = self.config.borrow().as_ref().map_or(0, |config| config.version);
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.store_in_reach.set(i64::from(self.reach.borrow().is_reachable()));
+        for table in &self.tables {
+            // A table that was never heard of has no age yet.
+            if let Some(age) = table.age() {
+                let labels = TableLabels { table: Name::clone(&table.table) };
+                self.table_ages.get_or_create(&labels).set(age.as_secs_f64());
+            }
+        }
         // A part that nobody plays any more must not keep its last count.
         self.backends.clear();
         for entry in self.directory.borrow().entries.values() {
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -49,6 +49,9 @@
 const SEEDS_FIRST: Duration = Duration::from_secs(3);
 /// How long a question for changes among the rows of hosts is held open.
 const HOSTS_WAIT: Duration = Duration::from_secs(8);
+/// Age up to which the rows of hosts are relayed and spare a question: two questions of a root, one
+/// of which may be lost.
+const HOSTS_FRESH: Duration = HOSTS_WAIT.saturating_mul(2);
 /// Time between two looks at the number of hosts.
 const COUNT_EVERY: Duration = Duration::from_secs(1);
 /// Longest extra wait of such a host, spread over the hosts: once the first has given orders, the
@@ -158,6 +161,7 @@
             beliefs.config.clone(),
             beliefs.directory.clone(),
             beliefs.reach.clone(),
+            vec![beliefs.operator.clone(), beliefs.backends.clone(), beliefs.hosts.clone()],
         );
         believed.register(&mut registry);
         let handler = metrics_handler(registry, move || believed.refresh());
@@ -236,6 +240,8 @@
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
     reach: watch::Receiver<StoreReach>,
+    /// The operator's rows.
+    operator: SharedBelief,
     /// Rows of the product's own, those of hosts among them.
     hosts: SharedBelief,
     backends: SharedBelief,
@@ -254,7 +260,7 @@
         let operator = SharedBelief::new(Name::clone(&site.config_row.0));
         let backends = SharedBelief::new(Name::clone(&site.directory_table));
         let reach = watch::Sender::new(StoreReach::unknown());
-        let hosts = SharedBelief::new(Name::clone(&site.own_table));
+        let hosts = SharedBelief::new(Name::clone(&site.own_table)).with_age_limit(HOSTS_FRESH);
         let settings = FollowSettings {
             first_after: first_question_after(config),
             ..FollowSettings::new(config.watch_wait, config.change_limit)
@@ -262,7 +268,12 @@
         // Rows of hosts change with the fleet only, and nothing must be in force soon.
         let settings = FollowSettings { probes: false, ..settings };
         let probing = FollowSettings { probes: true, ..settings.clone() };
-        let slow = FollowSettings { wait: HOSTS_WAIT, source_wait: HOSTS_WAIT, ..settings.clone() };
+        let slow = FollowSettings {
+            wait: HOSTS_WAIT,
+            source_wait: HOSTS_WAIT,
+            fresh: HOSTS_FRESH,
+            ..settings.clone()
+        };
         let waits = !settings.first_after.is_zero();
         let first_role = if waits { FollowRole::Relayed } else { FollowRole::Alone };
         let role = watch::Sender::new(first_role);
@@ -300,7 +311,16 @@
             reached.clone(),
             view_sender,
         ));
-        Self { config: config_receiver, directory, reach: reached, hosts, backends, peers, role }
+        Self {
+            config: config_receiver,
+            directory,
+            reach: reached,
+            operator,
+            hosts,
+            backends,
+            peers,
+            role,
+        }
     }
 }
 
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -218,4 +218,8 @@
     for line in lines {
         assert!(text.lines().any(|found| found == line), "{line} in {text}");
     }
+    for table in ["op", "servers", "own"] {
+        let start = format!("dillspool_table_age_seconds{{table=\"{table}\"}} 0.");
+        assert!(text.lines().any(|found| found.starts_with(&start)), "{start} in {text}");
+    }
 }
--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -2,11 +2,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use dillspool_platform::{ChangedRow, TableDelta};
 use dillspool_schema::Name;
 use tokio::sync::watch;
 
+use crate::age::TableAge;
+
+/// Age beyond which a table is not relayed; a source asks every second or two, and fails some
+/// times before it gives way to another one.
+const USUAL_AGE_LIMIT: Duration = Duration::from_secs(4);
+
 /// One row, or the fact that it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RowBelief {
@@ -92,12 +99,40 @@
     /// Name of the table.
     pub table: Name,
     sender: watch::Sender<TableBelief>,
+    heard: TableAge,
+    age_limit: Duration,
 }
 
 impl SharedBelief {
     /// An empty belief.
     pub fn new(table: Name) -> Self {
-        Self { table, sender: watch::Sender::new(TableBelief::default()) }
+        Self {
+            table,
+            sender: watch::Sender::new(TableBelief::default()),
+            heard: TableAge::default(),
+            age_limit: USUAL_AGE_LIMIT,
+        }
+    }
+
+    /// Sets the age beyond which the table is not relayed, for one that is asked for rarely.
+    #[must_use]
+    pub fn with_age_limit(self, age_limit: Duration) -> Self {
+        Self { age_limit, ..self }
+    }
+
+    /// Time since this host last knew the table to be complete; `None` before the first time.
+    pub fn age(&self) -> Option<Duration> {
+        self.heard.age()
+    }
+
+    /// The age, if the table may be relayed at it.
+    pub(crate) fn relay_age(&self) -> Option<Duration> {
+        self.age().filter(|age| *age < self.age_limit)
+    }
+
+    /// What was heard of the table, and when.
+    pub(crate) fn heard(&self) -> &TableAge {
+        &self.heard
     }
 
     /// Merges a delta and wakes the watchers if anything changed, also only the version from 0.
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -99,7 +99,7 @@
 
 /// Keeps a belief up to date until `cancel`.
 ///
-/// While a peer's relay is fresh the store is not asked.
+/// While a peer's word of this table is fresh the store is not asked.
 pub async fn follow_table(
     store: TableWatch,
     belief: SharedBelief,
@@ -128,7 +128,7 @@
     // After a failure the next question is short, so that the store's return is seen at once.
     let mut wait = Duration::ZERO;
     let started = Instant::now();
-    while reach.borrow().spared_until(settings.fresh).is_none()
+    while belief.heard().spared_until(settings.fresh).is_none()
         && started.elapsed() < settings.first_after
     {
         tokio::time::sleep(LOOK_FOR_PEERS).await;
@@ -137,7 +137,7 @@
     let mut failed = false;
     loop {
         // A peer's word spares the questions of a host that others do not rely on.
-        while let Some(until) = spared_until(&reach, &settings)
+        while let Some(until) = spared_until(&belief, &settings)
             && (failed || *role.borrow() == FollowRole::Relayed)
         {
             tokio::select! {
@@ -148,7 +148,7 @@
         }
         if !settings.probes && *role.borrow() == FollowRole::Relayed {
             // All tables lose their source at once; one question shows whether the store answers.
-            wait_for_probe(&reach, Instant::now(), &settings).await;
+            wait_for_probe(&reach, &belief, Instant::now(), &settings).await;
         }
         let was_complete = complete;
         let asked = Instant::now();
@@ -164,7 +164,10 @@
                 complete = true;
                 pause = settings.first_pause;
                 wait = settings.wait;
-                note_answered(&reach);
+                // A whole read takes pages; its rows are those of its start.
+                let as_of = if was_complete { Instant::now() } else { asked };
+                belief.heard().note_answered(as_of);
+                note_reached(&reach);
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(
@@ -172,7 +175,7 @@
                     belief.table,
                     belief.version()
                 );
-                note_answered(&reach);
+                note_reached(&reach);
                 complete = false;
             }
             Err(WatchError::Store { source }) => {
@@ -207,14 +210,15 @@
 /// that takes too long.
 async fn wait_for_probe(
     reach: &watch::Sender<StoreReach>,
+    belief: &SharedBelief,
     since: Instant,
     settings: &FollowSettings,
 ) {
     let limit = since + settings.relayed_pause * MISSED_PROBES;
     while Instant::now() < limit {
-        let state = *reach.borrow();
-        let is_answered = state.answered.is_some_and(|answered| answered >= since);
-        if is_answered || state.spared_until(settings.fresh).is_some_and(|until| until > since) {
+        let answered = reach.borrow().answered;
+        let is_answered = answered.is_some_and(|answered| answered >= since);
+        if is_answered || spared_until(belief, settings).is_some_and(|until| until > since) {
             return;
         }
         tokio::time::sleep(LOOK_FOR_PEERS).await;
@@ -246,11 +250,12 @@
 }
 
 /// When the next question is due, while a peer's word spares it.
-fn spared_until(reach: &watch::Sender<StoreReach>, settings: &FollowSettings) -> Option<Instant> {
-    reach.borrow().spared_until(settings.fresh).filter(|until| *until > Instant::now())
+fn spared_until(belief: &SharedBelief, settings: &FollowSettings) -> Option<Instant> {
+    belief.heard().spared_until(settings.fresh).filter(|until| *until > Instant::now())
 }
 
-fn note_answered(reach: &watch::Sender<StoreReach>) {
+/// Notes that the store can be asked, whatever it said.
+fn note_reached(reach: &watch::Sender<StoreReach>) {
     reach::note(reach, "answered", |state| {
         state.direct = true;
         state.answered = Some(Instant::now());
--- a/crates/dillspool_watch/src/lib.rs
+++ b/crates/dillspool_watch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every row carries the version that the store gave it, so beliefs from the store and from
 //! other hosts merge in any order and never go back. See `docs/design/platform_site.md`.
 
+mod age;
 mod belief;
 mod follow;
 mod reach;
--- a/crates/dillspool_watch/src/reach.rs
+++ b/crates/dillspool_watch/src/reach.rs
@@ -1,7 +1,5 @@
 //! Whether and how recently this host hears from the store, by itself or through a peer.
 
-use std::time::Duration;
-
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -14,39 +12,21 @@
     pub relayed: bool,
     /// When the store came into reach, or went out of it.
     pub since: Instant,
-    /// When the store last answered this host itself.
+    /// When the store last answered this host itself, about any table; shows that it can be asked, and
+    /// says nothing of a table ([`crate::SharedBelief::age`]).
     pub answered: Option<Instant>,
-    /// Newest moment at which a relaying peer knew the store's tables to be complete.
-    pub relayed_as_of: Option<Instant>,
 }
 
 impl StoreReach {
     /// The start: nothing was heard yet.
     pub fn unknown() -> Self {
-        Self {
-            direct: false,
-            relayed: false,
-            since: Instant::now(),
-            answered: None,
-            relayed_as_of: None,
-        }
+        Self { direct: false, relayed: false, since: Instant::now(), answered: None }
     }
 
     /// Whether what this host believes comes from a store that answers.
     pub fn is_reachable(&self) -> bool {
         self.direct || self.relayed
     }
-
-    /// Until when a peer's word spares this host its own questions, if it counts for so long.
-    pub(crate) fn spared_until(&self, fresh: Duration) -> Option<Instant> {
-        self.relayed_as_of.map(|as_of| as_of + fresh)
-    }
-
-    /// Time since the store's tables were last known to be complete, by this host itself or by what
-    /// is relayed to it; what it relays in turn is as old.
-    pub(crate) fn age(&self) -> Option<Duration> {
-        self.answered.max(self.relayed_as_of).map(|as_of| as_of.elapsed())
-    }
 }
 
 /// Changes the state, and logs when the store comes into reach or goes out of it.
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -37,8 +37,6 @@
 const LONGEST_REPEAT: Duration = Duration::from_millis(500);
 /// Part of the time in which changes must be in force after which it does so at the latest.
 const REPEAT_PART: f64 = 0.125;
-/// Age of a source's own knowledge beyond which it is no source.
-const SOURCE_AGE_LIMIT: Duration = Duration::from_secs(4);
 /// Shortest time between two messages that carry changes.
 const SPACING: Duration = Duration::from_millis(100);
 /// Pause before another peer is tried.
@@ -125,10 +123,8 @@
     let mut watchers: Vec<_> = beliefs.iter().map(SharedBelief::subscribe).collect();
     let mut whole = Some(whole_sends.acquire_owned().await.map_err(|error| error.to_string())?);
     loop {
-        let state = *reach.borrow_and_update();
-        let age = state.age().filter(|age| *age < SOURCE_AGE_LIMIT);
-        let age = age.ok_or("this host does not hear from the store")?;
-        let sending = send_changes(&mut socket, &beliefs, &mut sent, age);
+        reach.mark_unchanged();
+        let sending = send_changes(&mut socket, &beliefs, &mut sent);
         let ended = tokio::time::timeout(SEND_LIMIT, sending).await;
         ended.map_err(|_elapsed| "the peer does not read")??;
         drop(whole.take());
@@ -149,14 +145,16 @@
     }
 }
 
-/// Sends what the peer does not have of each table.
+/// Sends what the peer does not have of each table; ends the relay if one of them is too old, since
+/// another peer may know better.
 async fn send_changes(
     socket: &mut WebSocketStream<NetStream>,
     beliefs: &[SharedBelief],
     sent: &mut [u64],
-    age: Duration,
 ) -> Result<(), String> {
     for (belief, known) in beliefs.iter().zip(sent) {
+        let age = belief.relay_age();
+        let age = age.ok_or_else(|| format!("the table {} is too old here", belief.table))?;
         let message = changes_since(belief, *known, age);
         *known = message.version;
         let bytes = encode(&message).map_err(|error| error.to_string())?;
@@ -323,11 +321,8 @@
         // An age that this host's clock cannot reach back to is too old to count.
         let age = Duration::from_millis(message.age_ms);
         let as_of = Instant::now().checked_sub(age);
-        take(beliefs, message);
-        reach::note(reach, "relayed", |state| {
-            state.relayed = true;
-            state.relayed_as_of = as_of;
-        });
+        take(beliefs, message, as_of);
+        reach::note(reach, "relayed", |state| state.relayed = true);
     }
 }
 
@@ -338,7 +333,8 @@
     Ok(socket)
 }
 
-fn take(beliefs: &[SharedBelief], message: RelayMessage) {
+/// Takes the rows of one table, as the peer knew them at a moment.
+fn take(beliefs: &[SharedBelief], message: RelayMessage, as_of: Option<Instant>) {
     let Some(belief) = beliefs.iter().find(|belief| belief.table == message.table) else {
         log::warn!("event=relay_of_unknown_table table={}", message.table);
         return;
@@ -350,4 +346,5 @@
     };
     let rows = message.rows.into_iter().map(row).collect();
     belief.merge(&TableDelta { full: message.full, version: message.version, rows });
+    belief.heard().note_relayed(as_of);
 }
--- /dev/null
+++ b/crates/dillspool_watch/tests/table_ages.rs
@@ -0,0 +1,205 @@
+//! What is known of one table says nothing of another one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dillspool_io::MemoryNet;
+use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
+use dillspool_schema::Name;
+use dillspool_watch::{
+    FollowRole, FollowSettings, RelayPeers, SharedBelief, StoreReach, follow_table,
+    relay_from_peers, serve_relay,
+};
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Time in which a change must be in force.
+const LIMIT: Duration = Duration::from_secs(3);
+/// Table that the cases disturb.
+const CONFIG: &str = "op";
+/// Table that the store always answers for.
+const BACKENDS: &str = "servers";
+
+/// How the store answers one host about the configuration.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Access {
+    Served,
+    TurnedAway,
+    Silent,
+    /// Changes are gone, and whole reads get no answer.
+    HistoryGone,
+    /// Changes are gone, and whole reads are turned away.
+    HistoryGoneAndTurnedAway,
+}
+
+#[derive(Clone, Default)]
+struct TestStore {
+    versions: Arc<Mutex<BTreeMap<Name, u64>>>,
+    changed: Arc<Notify>,
+}
+
+impl TestStore {
+    fn write(&self, table: &str) {
+        *self.versions.lock().unwrap().entry(table.into()).or_default() += 1;
+        self.changed.notify_waiters();
+    }
+
+    fn version(&self, table: &str) -> u64 {
+        self.versions.lock().unwrap().get(table).copied().unwrap_or_default()
+    }
+
+    fn delta(&self, table: &str, full: bool, after: u64) -> TableDelta {
+        let version = self.version(table);
+        let row = ChangedRow { key: "row".into(), version, value: Some("text".into()) };
+        let rows = if version > after { vec![row] } else { Vec::new() };
+        TableDelta { full, version, rows }
+    }
+
+    fn watch(&self, access: &watch::Receiver<Access>) -> TableWatch {
+        let (store, other) = (self.clone(), self.clone());
+        let (for_snapshot, for_changes) = (access.clone(), access.clone());
+        TableWatch {
+            snapshot: Arc::new(move |table| {
+                let store = store.clone();
+                let access = access_to(&table, *for_snapshot.borrow());
+                Box::pin(async move {
+                    match access {
+                        Access::Served => Ok(store.delta(&table, true, 0)),
+                        Access::TurnedAway | Access::HistoryGoneAndTurnedAway => Err(turned_away()),
+                        Access::Silent | Access::HistoryGone => std::future::pending().await,
+                    }
+                })
+            }),
+            changes: Arc::new(move |table, after, wait| {
+                let store = other.clone();
+                let access = access_to(&table, *for_changes.borrow());
+                Box::pin(async move {
+                    match access {
+                        Access::Served => {}
+                        Access::TurnedAway => {
+                            return Err(WatchError::Store { source: turned_away() });
+                        }
+                        Access::Silent => std::future::pending().await,
+                        Access::HistoryGone | Access::HistoryGoneAndTurnedAway => {
+                            return Err(WatchError::HistoryGone);
+                        }
+                    }
+                    let changed = store.changed.notified();
+                    if store.version(&table) <= after {
+                        let _changed = tokio::time::timeout(wait, changed).await;
+                    }
+                    Ok(store.delta(&table, false, after))
+                })
+            }),
+        }
+    }
+}
+
+fn access_to(table: &str, access: Access) -> Access {
+    if table == CONFIG { access } else { Access::Served }
+}
+
+fn turned_away() -> PlatformError {
+    PlatformError::NotDone { reason: "turned away".to_owned() }
+}
+
+struct TestHost {
+    config: SharedBelief,
+    access: watch::Sender<Access>,
+}
+
+/// A host that takes its tables from a peer where it has one.
+async fn host(
+    net: &MemoryNet,
+    store: &TestStore,
+    own: &str,
+    source: Option<&str>,
+    role: FollowRole,
+) -> TestHost {
+    let cancel = CancellationToken::new();
+    let config = SharedBelief::new(CONFIG.into());
+    let backends = SharedBelief::new(BACKENDS.into());
+    let (access, reader) = watch::channel(Access::Served);
+    let reach = watch::Sender::new(StoreReach::unknown());
+    let settings = FollowSettings::new(Duration::from_millis(2500), LIMIT);
+    for (belief, probes) in [(&config, true), (&backends, false)] {
+        tokio::spawn(follow_table(
+            store.watch(&reader),
+            belief.clone(),
+            reach.clone(),
+            FollowSettings { probes, ..settings.clone() },
+            watch::channel(role).1,
+            cancel.clone(),
+        ));
+    }
+    let own: SocketAddr = own.parse().unwrap();
+    let stack = net.stack(own.ip());
+    let listener = stack.listen(own).await.expect("a free address");
+    let beliefs = vec![config.clone(), backends];
+    tokio::spawn(serve_relay(listener, beliefs.clone(), reach.subscribe(), LIMIT, cancel.clone()));
+    let sources: Vec<SocketAddr> = source.iter().map(|peer| peer.parse().unwrap()).collect();
+    let peers = move || RelayPeers { sources: sources.clone(), all: sources.clone() };
+    tokio::spawn(relay_from_peers(stack, peers, beliefs, reach, cancel));
+    TestHost { config, access }
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+struct AgeCase {
+    name: &'static str,
+    /// What the root of the relays meets when it asks for the configuration.
+    root: Access,
+    /// Hosts between the root and the last one.
+    between: usize,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_table_that_its_source_does_not_hear_of_is_asked_for() {
+    let case = |name, root, between| AgeCase { name, root, between };
+    let cases = [
+        case("turned away", Access::TurnedAway, 0),
+        case("silent", Access::Silent, 0),
+        case("history gone", Access::HistoryGone, 0),
+        case("history gone, turned away", Access::HistoryGoneAndTurnedAway, 0),
+        case("silent, two relays deep", Access::Silent, 1),
+        case("history gone, two relays deep", Access::HistoryGone, 1),
+        case("history gone, three relays deep", Access::HistoryGone, 2),
+    ];
+    for case in cases {
+        let (store, net) = (TestStore::default(), MemoryNet::new());
+        store.write(CONFIG);
+        store.write(BACKENDS);
+        let root = host(&net, &store, "10.0.0.1:8146", None, FollowRole::Source).await;
+        pass(100).await;
+        let mut hosts = vec![root];
+        for number in 0..=case.between {
+            let own = format!("10.0.0.{}:8146", number + 2);
+            let source = format!("10.0.0.{}:8146", number + 1);
+            let role = FollowRole::Relayed;
+            hosts.push(host(&net, &store, &own, Some(source.as_str()), role).await);
+            pass(1500).await;
+        }
+        pass(4000).await;
+        hosts[0].access.send_replace(case.root);
+        // The other table changes all the time, and says nothing of the configuration.
+        let noise = store.clone();
+        let busy = tokio::spawn(async move {
+            loop {
+                pass(200).await;
+                noise.write(BACKENDS);
+            }
+        });
+        pass(900).await;
+        store.write(CONFIG);
+        let written = store.version(CONFIG);
+        pass(LIMIT.as_millis().try_into().unwrap()).await;
+        for (place, host) in hosts.iter().enumerate().skip(1) {
+            assert_eq!(host.config.version(), written, "{}, host {place}", case.name);
+        }
+        busy.abort();
+    }
+}
