Callers' keys: each request runs for the workspace of its key

Ruled out: cutting answers under way when a key is taken away: they were asked for with a key that held, and an answer in part harms its caller. Change: the configuration's workspaces, found by a key's digest in constant time; a caller's key and any workspace that it names are taken off, the workspace of its key is named; a missing, unknown or ambiguous key gets 401, on kept connections too; routes may need none. A host whose configuration is older than a change may be says neither 401 nor 404 for what it does not know, but 503 with when to come back; it serves what it knows.

--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -21,6 +21,10 @@
     HostFull,
     /// No route takes the request.
     NoRoute,
+    /// The caller's key is missing, or no workspace has it.
+    UnknownKey,
+    /// Its route or key is not known here, and this host's configuration may be old.
+    StaleConfig,
     /// No backend server of the service takes requests.
     NoBackend,
     /// No engine had memory for the answer.
@@ -47,6 +51,8 @@
             Self::BodyLost => "body_lost",
             Self::HostFull => "host_full",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::StaleConfig => "stale_config",
             Self::NoBackend => "no_backend",
             Self::NoMemory => "no_memory",
             Self::NoPrefill => "no_prefill",
@@ -62,6 +68,7 @@
         match self {
             Self::NotReady
             | Self::HostFull
+            | Self::StaleConfig
             | Self::NoBackend
             | Self::NoMemory
             | Self::NoPrefill
@@ -71,6 +78,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLost => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
         }
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -131,7 +131,7 @@
         idle_timeout: Duration::from_secs(10),
     };
     let services = BTreeMap::from([("service".into(), service)]);
-    RoutingConfig { version: 1, routes: RouteTable::default(), services, limits }
+    RoutingConfig { version: 1, routes: RouteTable::default(), services, workspaces: None, limits }
 }
 
 /// Events of a stream.
@@ -349,6 +349,7 @@
         priority: 1,
         max_attempts,
         resumable,
+        keyless: false,
         shares: vec![ServiceShare { service: "service".into(), weight: 1 }],
     };
     let generation = (kind == RequestKind::Streaming).then(|| GenerationTerms {
@@ -370,6 +371,7 @@
         deadline: arrived + timeout,
         route: Arc::new(route),
         service: "service".into(),
+        workspace: None,
         generation,
         resume_after: None,
         config_version: 1,
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -36,6 +36,7 @@
         version: 1,
         routes: RouteTable::default(),
         services: BTreeMap::from([("pool".into(), service)]),
+        workspaces: None,
         limits: ClientLimits {
             head_bytes: 1,
             body_bytes: 1,
--- a/crates/dillspool_router/src/config_tracker.rs
+++ b/crates/dillspool_router/src/config_tracker.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dillspool_routing::RoutingConfig;
+use dillspool_routing::{RoutingConfig, WorkspaceTable};
 use dillspool_watch::TableBelief;
 use tokio::sync::watch;
 
@@ -52,10 +52,11 @@
         return;
     }
     log::info!(
-        "event=config_applied version={} row={row_version} before={} routes={}",
+        "event=config_applied version={} row={row_version} before={} routes={} workspaces={}",
         decoded.version,
         before.unwrap_or(0),
         decoded.routes.len(),
+        decoded.workspaces.as_ref().map_or(0, WorkspaceTable::len),
     );
     config.send_replace(Some(Arc::new(decoded)));
 }
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -209,7 +209,14 @@
         listener: NetListener,
     ) {
         let stopping = Arc::clone(&self.stopping);
-        let state = IngressState::new(site.clone(), context, beliefs.config.clone(), stopping);
+        let state = IngressState::new(
+            site.clone(),
+            context,
+            beliefs.config.clone(),
+            beliefs.operator.clone(),
+            self.config.change_limit,
+            stopping,
+        );
         let limits = caller_limits(beliefs.config.clone(), &self.background);
         let serve = serve_http_live(listener, limits, state.handler(), self.callers.clone());
         self.serving.spawn(serve);
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -8,8 +8,10 @@
 use bytes::Bytes;
 use dillspool_forward::{ForwardContext, Refusal, RefusalCause, answer_request};
 use dillspool_io::{HttpHandler, ResponseBody, handler, read_body};
-use dillspool_routing::{RequestTerms, RoutedRequest, RoutingConfig};
+use dillspool_keys::PresentedKey;
+use dillspool_routing::{RequestTerms, RouteEntry, RoutedRequest, RoutingConfig, WorkspaceEntry};
 use dillspool_schema::Name;
+use dillspool_watch::SharedBelief;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response, Uri};
@@ -23,6 +25,9 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// When to come back to a host that has too much in flight.
 const FULL_RETRY: Duration = Duration::from_millis(300);
+/// When to come back to a host whose configuration may be old; the caller's next connection goes to
+/// another host, as a rule to one that hears of changes.
+const STALE_RETRY: Duration = Duration::from_millis(500);
 /// Requests in flight at most. Each takes two descriptors of some 3,900, and its body counts
 /// towards the memory of the process.
 const MOST_IN_FLIGHT: usize = 1_500;
@@ -36,6 +41,10 @@
     pub context: ForwardContext,
     /// The configuration in force.
     pub config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    /// The operator's rows, whose age tells whether the configuration is the newest.
+    pub operator: SharedBelief,
+    /// Time in which a change must be in force.
+    pub change_limit: Duration,
     /// Set once the host is to stop; answers then close their connections.
     pub stopping: Arc<AtomicBool>,
     in_flight: Arc<Semaphore>,
@@ -54,11 +63,13 @@
         site: SiteProtocol,
         context: ForwardContext,
         config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+        operator: SharedBelief,
+        change_limit: Duration,
         stopping: Arc<AtomicBool>,
     ) -> Self {
         let in_flight = Arc::new(Semaphore::new(MOST_IN_FLIGHT));
         let patience = PatienceTable::default();
-        Self { site, context, config, stopping, in_flight, patience }
+        Self { site, context, config, operator, change_limit, stopping, in_flight, patience }
     }
 
     /// The handler of the callers' listener.
@@ -109,7 +120,8 @@
             .ok_or(Refusal::new(RefusalCause::Malformed))?
             .to_owned();
         let route = config.routes.find(&host, parts.uri.path()).cloned();
-        let route = route.ok_or(Refusal::new(RefusalCause::NoRoute))?;
+        let route = route.ok_or_else(|| self.unknown(RefusalCause::NoRoute))?;
+        let workspace = self.workspace_of(&config, &route, &terms.key)?;
         let service = route.service_for(&id).map(Name::clone);
         let service = service.ok_or(Refusal::new(RefusalCause::NoRoute))?;
         let caller_time = terms.time_budget.unwrap_or(route.timeout);
@@ -127,6 +139,7 @@
             deadline,
             route,
             service,
+            workspace,
             generation: terms.generation,
             resume_after: terms.resume_after,
             config_version: config.version,
@@ -135,6 +148,41 @@
     }
 }
 
+impl IngressState {
+    /// The workspace whose key a request names, where its route needs one.
+    fn workspace_of(
+        &self,
+        config: &RoutingConfig,
+        route: &RouteEntry,
+        key: &PresentedKey,
+    ) -> Result<Option<Arc<WorkspaceEntry>>, Refusal> {
+        let Some(workspaces) = config.workspaces.as_ref().filter(|_table| !route.keyless) else {
+            return Ok(None);
+        };
+        match key {
+            PresentedKey::One(key) => match workspaces.of_key(key) {
+                Some(workspace) => Ok(Some(Arc::clone(workspace))),
+                None => Err(self.unknown(RefusalCause::UnknownKey)),
+            },
+            // No configuration could know these.
+            PresentedKey::Missing | PresentedKey::Malformed => {
+                Err(Refusal::new(RefusalCause::UnknownKey))
+            }
+        }
+    }
+
+    /// The refusal of what this host does not know: final if its configuration is the newest, else
+    /// with when to come back, since it may have been added meanwhile.
+    fn unknown(&self, cause: RefusalCause) -> Refusal {
+        let is_newest = self.operator.age().is_some_and(|age| age <= self.change_limit);
+        if is_newest {
+            Refusal::new(cause)
+        } else {
+            Refusal::come_back(RefusalCause::StaleConfig, STALE_RETRY)
+        }
+    }
+}
+
 fn host_of<'a>(headers: &'a hyper::HeaderMap, uri: &'a Uri) -> Option<&'a str> {
     let header = headers.get(HOST).and_then(|value| value.to_str().ok());
     uri.authority().map(hyper::http::uri::Authority::as_str).or(header)
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -1,21 +1,57 @@
 //! A site without a wire: rows are single words, backend servers are closures.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dillspool_forward::{BackendAnswer, BackendCalls, CallError, OrderOutcome};
+use dillspool_forward::{BackendAnswer, BackendCalls, BudgetTerms, CallError, OrderOutcome};
 use dillspool_io::full_body;
+use dillspool_keys::{CallerKey, PresentedKey};
 use dillspool_platform::{
     ChangedRow, MemoryTable, PlatformError, TableDelta, TableWatch, WatchError,
 };
-use dillspool_router::SiteProtocol;
+use dillspool_roles::ShareRule;
+use dillspool_router::{PolicyConfig, RouterConfig, SiteProtocol};
 use dillspool_routing::{
     BackendEntry, BackendState, ClientLimits, RequestKind, RequestTerms, RouteEntry, RouteTable,
-    RoutingConfig, ServiceShare,
+    RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
 };
 use hyper::{HeaderMap, StatusCode};
 
+/// Where the host takes callers.
+pub const CALLERS: &str = "10.0.0.1:8144";
+/// Where it says whether it is ready.
+pub const READINESS: &str = "10.0.0.1:8140";
+
+/// The settings of a host.
+pub fn config() -> RouterConfig {
+    let address = |text: &str| text.parse().expect("an address");
+    RouterConfig {
+        host: "host-1".into(),
+        failure_domain: "domain".into(),
+        callers: address(CALLERS),
+        readiness: address(READINESS),
+        peers: address("10.0.0.1:8146"),
+        metrics: address("10.0.0.1:7660"),
+        schedule: address("10.0.0.1:7661"),
+        store: address("10.0.0.9:1"),
+        store_timeout: Duration::from_millis(700),
+        watch_wait: Duration::from_millis(2500),
+        change_limit: Duration::from_secs(2),
+        first_start: false,
+        seeds: vec![],
+        link_mbps: 0.0,
+        budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
+        grace: Duration::from_secs(8),
+        lapse_grace: Duration::from_secs(2),
+        orders_apart: Duration::from_secs(3),
+        share_rule: ShareRule::Fixed(0.2),
+        policy: PolicyConfig::default(),
+        log_level: log::LevelFilter::Info,
+    }
+}
+
 /// What the store holds and what reached the backend server.
 #[derive(Clone, Default)]
 pub struct TestSite {
@@ -25,6 +61,8 @@
     /// How long the backend server works.
     pub work: Arc<Mutex<Duration>>,
     pub table: MemoryTable,
+    /// Whether the store turns this host away.
+    pub store_away: Arc<AtomicBool>,
 }
 
 impl TestSite {
@@ -32,24 +70,46 @@
         let mut config = self.config.lock().unwrap();
         *config = (config.0 + 1, text.to_owned());
     }
+
+    fn is_away(&self) -> Result<(), PlatformError> {
+        if self.store_away.load(Ordering::Relaxed) {
+            return Err(PlatformError::NotDone { reason: "turned away".to_owned() });
+        }
+        Ok(())
+    }
 }
 
 fn take_terms(headers: &mut HeaderMap) -> RequestTerms {
     let id = headers.get("x-id").and_then(|value| value.to_str().ok()).map(Into::into);
-    RequestTerms { id, ..RequestTerms::default() }
+    let key = headers.remove("x-key").and_then(|value| CallerKey::new(value.to_str().ok()?));
+    let key = key.map_or(PresentedKey::Missing, PresentedKey::One);
+    RequestTerms { id, key, ..RequestTerms::default() }
 }
 
 fn mark_answer(headers: &mut HeaderMap, id: &str) {
     headers.insert("x-id", id.parse().expect("a header value"));
 }
 
-/// A configuration is its version and the prefix of its only route.
+/// Workspaces as NAME:KEY,KEY words; `keyless` is none of them.
+fn workspaces(words: &[&str]) -> Option<WorkspaceTable> {
+    let words: Vec<_> = words.iter().filter_map(|word| word.split_once(':')).collect();
+    let entry = |(name, keys): (&str, &str)| {
+        let entry = WorkspaceEntry { name: name.into(), priority: 0, limit: None };
+        (entry, keys.split(',').filter_map(CallerKey::new).collect())
+    };
+    (!words.is_empty()).then(|| WorkspaceTable::new(words.into_iter().map(entry)))
+}
+
+/// A configuration is its version, the prefix of its only route, and the workspaces.
 fn decode_config(text: &str) -> Result<RoutingConfig, String> {
-    let (version, prefix) = text.split_once(' ').ok_or("no version")?;
+    let words: Vec<_> = text.split(' ').collect();
+    let [version, prefix, rest @ ..] = words.as_slice() else {
+        return Err("no version".to_owned());
+    };
     let route = RouteEntry {
         name: "route".into(),
         host: "a.example".into(),
-        path_prefix: prefix.into(),
+        path_prefix: (*prefix).into(),
         kind: RequestKind::NonIdempotent,
         timeout: Duration::from_secs(5),
         objective: Duration::from_millis(300),
@@ -57,12 +117,14 @@
         priority: 1,
         max_attempts: 1,
         resumable: false,
+        keyless: rest.contains(&"keyless"),
         shares: vec![ServiceShare { service: "service".into(), weight: 1 }],
     };
     Ok(RoutingConfig {
         version: version.parse().map_err(|_malformed| "malformed version".to_owned())?,
         routes: RouteTable::new([route]),
         services: std::collections::BTreeMap::default(),
+        workspaces: workspaces(rest),
         limits: ClientLimits {
             head_bytes: 16_384,
             body_bytes: 1000,
@@ -108,7 +170,9 @@
         forward: Arc::new(move |_entry, request, _terms| {
             let site = site.clone();
             Box::pin(async move {
-                site.arrivals.lock().unwrap().push(request.uri.to_string());
+                let workspace = request.workspace.as_ref().map_or("", |it| &*it.name);
+                let arrival = format!("{}{workspace}", request.uri);
+                site.arrivals.lock().unwrap().push(arrival);
                 let work = *site.work.lock().unwrap();
                 tokio::time::sleep(work).await;
                 Ok(BackendAnswer {
@@ -144,12 +208,16 @@
         calls: calls(site),
         watch: TableWatch {
             snapshot: Arc::new(move |table| {
-                let delta = rows(&for_snapshot, &table);
-                Box::pin(async move { Ok::<_, PlatformError>(delta) })
+                let site = for_snapshot.clone();
+                Box::pin(async move {
+                    site.is_away()?;
+                    Ok::<_, PlatformError>(rows(&site, &table))
+                })
             }),
             changes: Arc::new(move |table, after, wait| {
                 let site = for_changes.clone();
                 Box::pin(async move {
+                    site.is_away().map_err(|source| WatchError::Store { source })?;
                     let mut delta = rows(&site, &table);
                     if delta.version <= after {
                         tokio::time::sleep(wait).await;
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -6,44 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::TestSite;
-use dillspool_forward::BudgetTerms;
+use common::{CALLERS, READINESS, TestSite, config};
 use dillspool_io::{HttpClient, MemoryNet, read_body};
-use dillspool_roles::ShareRule;
-use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
+use dillspool_router::RouterDaemon;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 
-const CALLERS: &str = "10.0.0.1:8144";
-const READINESS: &str = "10.0.0.1:8140";
-
-fn config() -> RouterConfig {
-    let address = |text: &str| text.parse().expect("an address");
-    RouterConfig {
-        host: "host-1".into(),
-        failure_domain: "domain".into(),
-        callers: address(CALLERS),
-        readiness: address(READINESS),
-        peers: address("10.0.0.1:8146"),
-        metrics: address("10.0.0.1:7660"),
-        schedule: address("10.0.0.1:7661"),
-        store: address("10.0.0.9:1"),
-        store_timeout: Duration::from_millis(700),
-        watch_wait: Duration::from_millis(2500),
-        change_limit: Duration::from_secs(2),
-        first_start: false,
-        seeds: vec![],
-        link_mbps: 0.0,
-        budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
-        grace: Duration::from_secs(8),
-        lapse_grace: Duration::from_secs(2),
-        orders_apart: Duration::from_secs(3),
-        share_rule: ShareRule::Fixed(0.2),
-        policy: PolicyConfig::default(),
-        log_level: log::LevelFilter::Info,
-    }
-}
-
 struct TestHost {
     site: TestSite,
     daemon: RouterDaemon,
--- /dev/null
+++ b/crates/dillspool_router/tests/keys.rs
@@ -0,0 +1,138 @@
+//! Who gets in: keys that are known, unknown, taken away, and a host that may not know.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{CALLERS, TestSite};
+use dillspool_io::{HttpClient, MemoryNet, read_body};
+use dillspool_router::RouterDaemon;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::RETRY_AFTER;
+
+struct TestHost {
+    site: TestSite,
+    _daemon: RouterDaemon,
+    /// Keeps its connections.
+    client: HttpClient,
+}
+
+impl TestHost {
+    async fn start(config: &str) -> Self {
+        let site = TestSite::default();
+        site.write_config(config);
+        let net = MemoryNet::new();
+        let stack = net.stack("10.0.0.1".parse().expect("an address"));
+        let protocol = common::site(&site);
+        let daemon =
+            RouterDaemon::start(common::config(), stack, protocol).await.expect("it starts");
+        let client = HttpClient::pooled(&net.stack("10.0.0.2".parse().expect("an address")));
+        pass(100).await;
+        Self { site, _daemon: daemon, client }
+    }
+
+    /// Status, and whether a time to come back is named.
+    async fn send(&self, path: &str, key: &str) -> (u16, bool) {
+        let address: SocketAddr = CALLERS.parse().expect("an address");
+        let builder = Request::builder().method("POST").uri(path).header("host", "a.example");
+        let builder = builder.header("x-id", "request-1");
+        let builder = if key.is_empty() { builder } else { builder.header("x-key", key) };
+        let request = builder.body(Full::new(Bytes::from("body"))).expect("a request");
+        let response = self.client.send(address, request).await.expect("an answer");
+        let (status, comes_back) =
+            (response.status().as_u16(), response.headers().contains_key(RETRY_AFTER));
+        let _body = read_body(response.into_body(), 10_000).await.expect("a whole body");
+        (status, comes_back)
+    }
+
+    fn arrivals(&self) -> Vec<String> {
+        std::mem::take(&mut self.site.arrivals.lock().unwrap())
+    }
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+struct KeyCase {
+    name: &'static str,
+    config: &'static str,
+    path: &'static str,
+    key: &'static str,
+    status: u16,
+    /// What reached the backend server: the path and the workspace that was named.
+    arrived: Option<&'static str>,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_opens_the_routes_for_its_workspace() {
+    let known = "1 /x/ county:k1,k2 clinic:k3";
+    let keyless = "1 /x/ keyless county:k1";
+    let case = |name, config, path, key, status, arrived| KeyCase {
+        name,
+        config,
+        path,
+        key,
+        status,
+        arrived,
+    };
+    let cases = [
+        case("first key", known, "/x/", "k1", 200, Some("/x/county")),
+        case("second key", known, "/x/", "k2", 200, Some("/x/county")),
+        case("another workspace", known, "/x/", "k3", 200, Some("/x/clinic")),
+        case("unknown", known, "/x/", "k4", 401, None),
+        case("a name for a key", known, "/x/", "county", 401, None),
+        case("none", known, "/x/", "", 401, None),
+        case("no route", known, "/y/", "k1", 404, None),
+        case("keyless route", keyless, "/x/", "", 200, Some("/x/")),
+        case("keyless route, a key", keyless, "/x/", "k1", 200, Some("/x/")),
+        case("keyless route, unknown key", keyless, "/x/", "k9", 200, Some("/x/")),
+        case("no workspaces", "1 /x/", "/x/", "k1", 200, Some("/x/")),
+    ];
+    for case in cases {
+        let host = TestHost::start(case.config).await;
+        assert_eq!(host.send(case.path, case.key).await, (case.status, false), "{}", case.name);
+        let arrived = case.arrived.map(str::to_owned);
+        assert_eq!(host.arrivals(), arrived.into_iter().collect::<Vec<_>>(), "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_that_is_taken_away_opens_nothing_more_on_an_open_connection() {
+    let host = TestHost::start("1 /x/ county:k1 clinic:k2").await;
+    assert_eq!(host.send("/x/", "k1").await, (200, false));
+    host.site.write_config("2 /x/ clinic:k2");
+    pass(3000).await;
+    assert_eq!(host.send("/x/", "k1").await, (401, false));
+    assert_eq!(host.send("/x/", "k2").await, (200, false));
+    host.site.write_config("3 /x/ clinic:k1,k2");
+    pass(3000).await;
+    host.arrivals();
+    assert_eq!(host.send("/x/", "k1").await, (200, false));
+    assert_eq!(host.arrivals(), ["/x/clinic"], "it belongs to another workspace now");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_host_with_an_old_configuration_does_not_say_that_a_key_or_route_is_unknown() {
+    let host = TestHost::start("1 /x/ county:k1").await;
+    assert_eq!(host.send("/x/", "k2").await, (401, false));
+    assert_eq!(host.send("/y/", "k1").await, (404, false));
+    host.site.store_away.store(true, Ordering::Relaxed);
+    host.site.write_config("2 /x/ county:k2");
+    pass(10_000).await;
+    // It may have been added meanwhile; another host knows.
+    assert_eq!(host.send("/x/", "k2").await, (503, true));
+    assert_eq!(host.send("/y/", "k1").await, (503, true));
+    // No configuration could know this one.
+    assert_eq!(host.send("/x/", "").await, (401, false));
+    // Service goes on for as long as an outage lasts.
+    assert_eq!(host.send("/x/", "k1").await, (200, false));
+    host.site.store_away.store(false, Ordering::Relaxed);
+    pass(3000).await;
+    assert_eq!(host.send("/x/", "k2").await, (200, false));
+    assert_eq!(host.send("/x/", "k1").await, (401, false));
+}
--- a/crates/dillspool_routing/src/config.rs
+++ b/crates/dillspool_routing/src/config.rs
@@ -6,6 +6,7 @@
 use dillspool_schema::Name;
 
 use crate::route::RouteTable;
+use crate::workspace::WorkspaceTable;
 
 /// What the engines of a pool have in common.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,6 +58,8 @@
     pub routes: RouteTable,
     /// The services by name.
     pub services: BTreeMap<Name, ServiceEntry>,
+    /// The workspaces; `None` where callers need no keys.
+    pub workspaces: Option<WorkspaceTable>,
     /// Limits on callers.
     pub limits: ClientLimits,
 }
--- a/crates/dillspool_routing/src/lib.rs
+++ b/crates/dillspool_routing/src/lib.rs
@@ -7,8 +7,10 @@
 mod config;
 mod request;
 mod route;
+mod workspace;
 
 pub use backend::{BackendEntry, BackendId, BackendState, DirectoryView, EngineStage};
 pub use config::{ClientLimits, EnginePool, RoutingConfig, ServiceEntry};
 pub use request::{GenerationTerms, PromptPart, RequestTerms, RoutedRequest};
 pub use route::{RequestKind, RouteEntry, RouteTable, ServiceShare};
+pub use workspace::{LimitUnit, WorkspaceEntry, WorkspaceLimit, WorkspaceTable};
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dillspool_keys::PresentedKey;
 use dillspool_schema::Name;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
 use crate::route::RouteEntry;
+use crate::workspace::WorkspaceEntry;
 
 /// Time that a first attempt may seem to have spent: the way to this host, a lost packet on it.
 const FRESH_SLACK: Duration = Duration::from_millis(100);
@@ -44,6 +46,8 @@
     pub id: Option<Name>,
     /// How long the caller waits from now on.
     pub time_budget: Option<Duration>,
+    /// The caller's key.
+    pub key: PresentedKey,
     /// Set for a model request.
     pub generation: Option<GenerationTerms>,
     /// The last event that the caller has of an answer that broke off.
@@ -73,6 +77,8 @@
     pub route: Arc<RouteEntry>,
     /// The service that takes it.
     pub service: Name,
+    /// The workspace that asks; `None` where no key was needed.
+    pub workspace: Option<Arc<WorkspaceEntry>>,
     /// Set for a model request.
     pub generation: Option<GenerationTerms>,
     /// The last event that the caller has of an answer that broke off.
--- a/crates/dillspool_routing/src/route.rs
+++ b/crates/dillspool_routing/src/route.rs
@@ -50,6 +50,8 @@
     pub max_attempts: u32,
     /// Whether a stream may go on at another engine behind its last event.
     pub resumable: bool,
+    /// Whether its callers need no key where others do.
+    pub keyless: bool,
     /// Services that take its requests.
     pub shares: Vec<ServiceShare>,
 }
--- a/crates/dillspool_routing/tests/routes.rs
+++ b/crates/dillspool_routing/tests/routes.rs
@@ -17,6 +17,7 @@
         priority: 1,
         max_attempts: 1,
         resumable: false,
+        keyless: false,
         shares: vec![ServiceShare { service: "plain".into(), weight: 1 }],
     }
 }
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -48,7 +48,7 @@
         idle_timeout: Duration::from_secs(10),
     };
     let services = BTreeMap::from([(SERVICE.into(), service)]);
-    RoutingConfig { version: 1, routes: RouteTable::default(), services, limits }
+    RoutingConfig { version: 1, routes: RouteTable::default(), services, workspaces: None, limits }
 }
 
 fn view() -> DirectoryView {
