--- a/crates/dillspool_admission/src/decode_book.rs
+++ b/crates/dillspool_admission/src/decode_book.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use dillspool_moment::Moment;
 use dillspool_schema::Name;
 
 use crate::length::LengthModel;
-use crate::moment::Moment;
 use crate::request::{AdmissionPolicy, PoolTerms, TicketId};
 use crate::shut::ShutState;
 
--- a/crates/dillspool_admission/src/lib.rs
+++ b/crates/dillspool_admission/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod decode_book;
 mod length;
-mod moment;
 mod planner;
 mod prefill_book;
 mod request;
@@ -15,7 +14,6 @@
 mod waiting;
 
 pub use length::LengthModel;
-pub use moment::Moment;
 pub use planner::{PoolPlanner, PoolReading};
 pub use request::{
     AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolTerms, StreamEnd,
--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use dillspool_moment::Moment;
 use dillspool_schema::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::decode_book::{DecodeBook, Foresight, StreamRecord, read_time};
 use crate::length::LengthModel;
-use crate::moment::Moment;
 use crate::prefill_book::{PrefillBook, ReadPace, tokens_time};
 use crate::request::{
     AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolTerms, StreamEnd,
--- a/crates/dillspool_admission/src/prefill_book.rs
+++ b/crates/dillspool_admission/src/prefill_book.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use dillspool_moment::Moment;
 use dillspool_schema::Name;
 
-use crate::moment::Moment;
 use crate::request::TicketId;
 use crate::shut::ShutState;
 
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -24,6 +24,8 @@
 pub struct PlacementRequest {
     /// What it is worth.
     pub class: WorkClass,
+    /// Rank of its workspace, before that of its route; 0 is the highest.
+    pub workspace_priority: u32,
     /// Rank of its route; 0 is the highest.
     pub priority: u32,
     /// Failure domain of the host that has the caller.
@@ -48,6 +50,25 @@
     pub refusals: usize,
 }
 
+/// The place of a request among those that wait; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RequestRank {
+    class: WorkClass,
+    workspace_priority: u32,
+    priority: u32,
+}
+
+impl PlacementRequest {
+    /// Its place among those that wait: what it is worth, then who asks, then for what.
+    pub(crate) fn rank(&self) -> RequestRank {
+        RequestRank {
+            class: self.class,
+            workspace_priority: self.workspace_priority,
+            priority: self.priority,
+        }
+    }
+}
+
 /// Where a request runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamPlacement {
--- a/crates/dillspool_admission/src/shut.rs
+++ b/crates/dillspool_admission/src/shut.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::moment::Moment;
+use dillspool_moment::Moment;
 
 /// First time for which an engine without an answer is left alone.
 const FIRST_SHUT: Duration = Duration::from_millis(500);
--- a/crates/dillspool_admission/src/waiting.rs
+++ b/crates/dillspool_admission/src/waiting.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use crate::moment::Moment;
-use crate::request::{PlacementRequest, TicketId};
+use dillspool_moment::Moment;
+
+use crate::request::{PlacementRequest, RequestRank, TicketId};
 
 /// A request that waits.
 #[derive(Clone, Debug)]
@@ -19,8 +20,8 @@
 
 impl WaitingRecord {
     /// What has waited longer goes first among equals, so that nobody is passed without end.
-    fn rank(&self) -> (crate::request::WorkClass, u32, Moment) {
-        (self.request.class, self.request.priority, self.since)
+    fn rank(&self) -> (RequestRank, Moment) {
+        (self.request.rank(), self.since)
     }
 }
 
@@ -59,9 +60,8 @@
 
     /// Memory that those will take who are served before a request of this kind.
     pub(crate) fn tokens_ahead(&self, request: &PlacementRequest) -> u64 {
-        let rank = (request.class, request.priority);
-        let before =
-            |record: &&WaitingRecord| (record.request.class, record.request.priority) <= rank;
+        let rank = request.rank();
+        let before = |record: &&WaitingRecord| record.request.rank() <= rank;
         self.records.iter().filter(before).map(|record| record.tokens).sum()
     }
 
--- a/crates/dillspool_admission/tests/model/mod.rs
+++ b/crates/dillspool_admission/tests/model/mod.rs
@@ -13,9 +13,10 @@
 use std::time::Duration;
 
 use dillspool_admission::{
-    AdmissionPolicy, EngineFault, Moment, PlacementDecision, PlacementRequest, PoolPlanner,
-    PoolTerms, StreamEnd, StreamPlacement, TicketId, WorkClass,
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolPlanner, PoolTerms,
+    StreamEnd, StreamPlacement, TicketId, WorkClass,
 };
+use dillspool_moment::Moment;
 use dillspool_schema::Name;
 
 /// Time between two looks at everything.
@@ -232,6 +233,7 @@
         let late = spent > OBJECTIVE_MS;
         PlacementRequest {
             class: if late { WorkClass::Late } else { WorkClass::InTime },
+            workspace_priority: 0,
             priority: 1,
             domain: "domain".into(),
             prompt_tokens: caller.arrival.prompt,
--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -8,6 +8,7 @@
 
 use crate::context::ForwardContext;
 use crate::generate::answer_stream;
+use crate::limits::admit;
 use crate::plain::answer_plain;
 use crate::trace::RequestTrace;
 
@@ -19,6 +20,13 @@
     let request = Arc::new(request);
     let mut trace = RequestTrace::new(&request, &context.metrics);
     context.budgets.note_request(&request.service);
+    let spent = match admit(&context, &request).await {
+        Ok(spent) => spent,
+        Err(refusal) => {
+            trace.refused(&refusal);
+            return refusal.response();
+        }
+    };
     let answered = match request.route.kind {
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
             let answer = answer_plain(&context, &request, &mut trace).await;
@@ -37,6 +45,9 @@
     match answered {
         Ok(response) => response,
         Err((refusal, mut trace)) => {
+            if let Some(spent) = spent.filter(|_spent| refusal.cause.did_not_run()) {
+                spent.give_back();
+            }
             trace.refused(&refusal);
             refusal.response()
         }
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use dillspool_routing::DirectoryView;
-use dillspool_scheduler::ScheduleClient;
+use dillspool_scheduler::{LimitClient, ScheduleClient};
 use dillspool_schema::Name;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
@@ -25,6 +25,8 @@
     pub directory: watch::Receiver<Arc<DirectoryView>>,
     /// Decides where model requests run.
     pub schedule: ScheduleClient,
+    /// Tells whether a workspace's limit has room.
+    pub limits: LimitClient,
     /// What is under way at backend servers that play no part.
     pub book: BackendBook,
     /// Budget of repeated sends.
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod context;
 mod events;
 mod generate;
+mod limits;
 mod metrics;
 mod placement;
 mod plain;
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -125,6 +125,7 @@
     let spent = request.spent_before + request.age();
     PlacementRequest {
         class,
+        workspace_priority: request.workspace.as_ref().map_or(0, |it| it.priority),
         priority: request.route.priority,
         domain: Name::clone(&context.failure_domain),
         prompt_tokens,
--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -25,6 +25,10 @@
     UnknownKey,
     /// Its route or key is not known here, and this host's configuration may be old.
     StaleConfig,
+    /// Its workspace has asked for more than its limit.
+    OverLimit,
+    /// No host that counts its workspace's limit can be asked.
+    LimitUnknown,
     /// No backend server of the service takes requests.
     NoBackend,
     /// No engine had memory for the answer.
@@ -53,6 +57,8 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::StaleConfig => "stale_config",
+            Self::OverLimit => "over_limit",
+            Self::LimitUnknown => "limit_unknown",
             Self::NoBackend => "no_backend",
             Self::NoMemory => "no_memory",
             Self::NoPrefill => "no_prefill",
@@ -63,17 +69,24 @@
         }
     }
 
-    /// Status of the answer; 503 says that the request did not run and never will.
+    /// Whether the request did not run and never will, as its status promises.
+    pub fn did_not_run(self) -> bool {
+        matches!(self.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+    }
+
+    /// Status of the answer; 429 and 503 say that the request did not run and never will.
     pub fn status(self) -> StatusCode {
         match self {
             Self::NotReady
             | Self::HostFull
             | Self::StaleConfig
+            | Self::LimitUnknown
             | Self::NoBackend
             | Self::NoMemory
             | Self::NoPrefill
             | Self::NotRun
             | Self::TooLateNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLost => StatusCode::REQUEST_TIMEOUT,
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -18,7 +18,7 @@
     GenerationTerms, RequestKind, RouteEntry, RouteTable, RoutedRequest, RoutingConfig,
     ServiceEntry, ServiceShare,
 };
-use dillspool_scheduler::{PoolDesk, ScheduleClient};
+use dillspool_scheduler::{LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient};
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -261,6 +261,7 @@
             calls: self.calls(),
             directory,
             schedule,
+            limits: LimitClient::new(LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 })),
             book: BackendBook::default(),
             budgets: RetryBudgets::new(budget),
             metrics: ForwardMetrics::default(),
--- /dev/null
+++ b/crates/dillspool_forward/tests/limits.rs
@@ -0,0 +1,120 @@
+//! What lies beyond a workspace's limit is refused before it takes a place anywhere.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{ScriptedSite, Step, entry, pool, request, view};
+use dillspool_forward::{ForwardContext, answer_request};
+use dillspool_routing::RequestKind::{Idempotent, NonIdempotent, Streaming};
+use dillspool_routing::{
+    DirectoryView, LimitUnit, RequestKind, RoutedRequest, WorkspaceEntry, WorkspaceLimit,
+};
+
+/// A request of a workspace that may ask so much a second, and as much at once.
+fn limited(kind: RequestKind, unit: LimitUnit, per_s: f64) -> RoutedRequest {
+    let limit = WorkspaceLimit { unit, per_s, burst: per_s };
+    let entry = WorkspaceEntry { name: "w".into(), priority: 0, limit: Some(limit) };
+    RoutedRequest { workspace: Some(Arc::new(entry)), ..request(kind, 1, false) }
+}
+
+/// Sends requests one after another and returns their statuses.
+async fn statuses(context: &ForwardContext, routed: &RoutedRequest, count: usize) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for _request in 0..count {
+        let answer = answer_request(context.clone(), routed.clone()).await;
+        statuses.push(answer.status().as_u16());
+    }
+    statuses
+}
+
+struct LimitCase {
+    name: &'static str,
+    kind: RequestKind,
+    unit: LimitUnit,
+    per_s: f64,
+    /// Statuses of four requests at one moment, a second after the first of all.
+    statuses: [u16; 4],
+}
+
+fn backends(kind: RequestKind) -> DirectoryView {
+    match kind {
+        Idempotent | NonIdempotent => view([entry("first", "near", None)]),
+        Streaming => pool(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_counts_requests_or_tokens() {
+    let tokens = LimitUnit::Tokens { plain: 200 };
+    let case = |name, kind, unit, per_s, statuses| LimitCase { name, kind, unit, per_s, statuses };
+    let cases = [
+        case("two requests", NonIdempotent, LimitUnit::Requests, 2.0, [200, 200, 429, 429]),
+        case("repeatable ones, too", Idempotent, LimitUnit::Requests, 2.0, [200, 200, 429, 429]),
+        case("400 tokens are two", NonIdempotent, tokens, 400.0, [200, 200, 429, 429]),
+        case("the last one on credit", NonIdempotent, tokens, 401.0, [200, 200, 200, 429]),
+        // Prompt and longest answer are 1,800 tokens.
+        case("a model request", Streaming, tokens, 1800.0, [200, 429, 429, 429]),
+        case("much", NonIdempotent, tokens, 1e9, [200; 4]),
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        let (context, _directory) = site.context(backends(case.kind));
+        let routed = limited(case.kind, case.unit, case.per_s);
+        // The count begins with the first request.
+        statuses(&context, &routed, 1).await;
+        tokio::time::sleep(Duration::from_secs(30)).await;
+        let fresh = RoutedRequest { workspace: routed.workspace, ..request(case.kind, 1, false) };
+        assert_eq!(statuses(&context, &fresh, 4).await, case.statuses, "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refusal_comes_at_once_names_its_time_and_reaches_nobody() {
+    let site = ScriptedSite::default();
+    let (context, _directory) = site.context(view([entry("first", "near", None)]));
+    let routed = limited(NonIdempotent, LimitUnit::Requests, 1.0);
+    assert_eq!(statuses(&context, &routed, 1).await, [200]);
+    let before = tokio::time::Instant::now();
+    let mut times = Vec::new();
+    for _request in 0..3 {
+        let answer = answer_request(context.clone(), routed.clone()).await;
+        assert_eq!(answer.status().as_u16(), 429);
+        let after = answer.headers()["retry-after"].to_str().expect("text").to_owned();
+        times.push(after.parse::<f64>().expect("seconds"));
+    }
+    assert_eq!(before.elapsed(), Duration::ZERO);
+    assert_eq!(site.record.lock().unwrap().arrivals.len(), 1);
+    // One after another, as the limit allows.
+    for (turn, pair) in times.windows(2).enumerate() {
+        assert!((pair[1] - pair[0] - 1.0).abs() < 0.02, "{turn}: {times:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_backend_server_did_not_run_does_not_count() {
+    struct UseCase {
+        name: &'static str,
+        step: Step,
+        status: u16,
+        /// Status of the next request.
+        next: u16,
+    }
+    let cases = [
+        UseCase { name: "answered", step: Step::Answer(200, "ok"), status: 200, next: 429 },
+        UseCase { name: "failed", step: Step::Answer(500, "no"), status: 500, next: 429 },
+        UseCase { name: "may have run", step: Step::Lost, status: 502, next: 429 },
+        UseCase { name: "did not run", step: Step::NotRun(503), status: 503, next: 200 },
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        site.script("first", [case.step.clone(), Step::Answer(200, "ok")]);
+        let (context, _directory) = site.context(view([entry("first", "near", None)]));
+        // Nothing to speak of comes back by time.
+        let routed = limited(NonIdempotent, LimitUnit::Requests, 0.001);
+        assert_eq!(statuses(&context, &routed, 1).await, [case.status], "{}", case.name);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(statuses(&context, &routed, 1).await, [case.next], "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/dillspool_limits/src/bucket.rs
@@ -0,0 +1,117 @@
+//! One limit: a balance that fills by time and is spent by requests.
+
+use std::time::Duration;
+
+use dillspool_moment::Moment;
+
+/// Longest time to come back that is named: beyond it the callers of a workspace that asks many times
+/// its limit would be told of a time at which others have come first.
+const LONGEST_LINE: Duration = Duration::from_secs(30);
+
+/// Time whose rate a balance keeps at least: a limit without a burst would else grant nothing.
+const LEAST_KEPT: Duration = Duration::from_millis(20);
+
+/// How much may be spent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitRate {
+    /// So much a second.
+    pub per_s: f64,
+    /// So much at once beyond that.
+    pub burst: f64,
+}
+
+/// Whether an amount may be spent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SpendDecision {
+    /// It is spent.
+    Allowed,
+    /// It is not; the limit has room for it, and for those that were refused before, so much later.
+    Refused {
+        /// Time until then.
+        come_back: Duration,
+    },
+}
+
+/// A balance under a limit.
+#[derive(Clone, Debug)]
+pub(crate) struct LimitBucket {
+    rate: LimitRate,
+    /// Version of the configuration that set the rate.
+    version: u64,
+    balance: f64,
+    /// Whether nothing was asked since the count began: the first request of all is not refused.
+    is_fresh: bool,
+    /// Amounts that were refused and told to come back, as far as their time has not come yet.
+    line: f64,
+    /// Until when the balance is counted.
+    at: Moment,
+}
+
+impl LimitBucket {
+    /// A balance that begins to fill at a moment.
+    pub(crate) fn new(rate: LimitRate, version: u64, at: Moment) -> Self {
+        Self { rate, version, balance: 0.0, is_fresh: true, line: 0.0, at }
+    }
+
+    /// Takes a limit, if it is no older than the one that holds: hosts that hear of changes late
+    /// would else raise it again.
+    pub(crate) fn set_rate(&mut self, rate: LimitRate, version: u64) {
+        if version >= self.version {
+            self.rate = rate;
+            self.version = version;
+        }
+    }
+
+    /// Counts up to a moment; `part` of the limit is granted here.
+    pub(crate) fn fill(&mut self, now: Moment, part: f64, headroom: f64) {
+        let passed = now.since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        let gain = passed * self.rate.per_s * part;
+        let least = self.rate.per_s * part * LEAST_KEPT.as_secs_f64();
+        let most = (self.rate.burst * part + headroom).max(least);
+        self.balance = (self.balance + gain).min(most);
+        self.line = (self.line - gain).max(0.0);
+    }
+
+    /// Spends an amount while the balance is above `least`: the amount itself, or zero where a
+    /// request may run the balance into debt.
+    pub(crate) fn spend(&mut self, amount: f64, least: f64, part: f64) -> SpendDecision {
+        let is_first = std::mem::take(&mut self.is_fresh);
+        if (self.balance > 0.0 || is_first) && self.balance >= least {
+            self.balance -= amount;
+            return SpendDecision::Allowed;
+        }
+        let missing = (least.max(1.0) - self.balance).max(0.0) + self.line;
+        let per_s = self.rate.per_s * part;
+        let seconds = if per_s > 0.0 { missing / per_s } else { f64::INFINITY };
+        let longest = LONGEST_LINE.as_secs_f64();
+        if seconds < longest {
+            self.line += amount;
+        }
+        SpendDecision::Refused { come_back: Duration::from_secs_f64(seconds.min(longest)) }
+    }
+
+    /// Gives an amount back that was not used after all.
+    pub(crate) fn give_back(&mut self, amount: f64) {
+        self.balance += amount;
+    }
+
+    /// Begins again at a moment; a debt stays.
+    pub(crate) fn begin_again(&mut self, now: Moment) {
+        self.balance = self.balance.min(0.0);
+        self.is_fresh = self.balance >= 0.0;
+        self.at = self.at.max(now);
+    }
+
+    pub(crate) fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    pub(crate) fn rate(&self) -> LimitRate {
+        self.rate
+    }
+
+    pub(crate) fn at(&self) -> Moment {
+        self.at
+    }
+}
--- /dev/null
+++ b/crates/dillspool_limits/src/holder.rs
@@ -0,0 +1,142 @@
+//! The host that counts limits for all, and a host that has lost it.
+
+use std::time::Duration;
+
+use dillspool_moment::Moment;
+use dillspool_schema::Name;
+
+use crate::bucket::{LimitRate, SpendDecision};
+use crate::fleet::FleetCount;
+use crate::ledger::{LedgerTerms, LimitLedger, LimitReading};
+
+/// What a request asks of a limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SpendRequest {
+    /// Whose limit.
+    pub workspace: Name,
+    /// The limit, as the host of the request knows it.
+    pub rate: LimitRate,
+    /// Version of the configuration that states it.
+    pub version: u64,
+    /// How much the request counts for.
+    pub amount: f64,
+}
+
+/// Counts the limits of all workspaces for the hosts that ask.
+///
+/// Any host can be one, and two may be at once: what keeps them within a limit together is that
+/// each grants the part of the hosts it serves, and begins with nothing.
+#[derive(Clone, Debug)]
+pub struct LimitHolder {
+    ledger: LimitLedger,
+    fleet: FleetCount,
+    /// Hosts that ask here; this one is among them only while it asks itself.
+    served: usize,
+}
+
+impl LimitHolder {
+    /// A holder that serves nobody yet; the site allows `slack` beyond the limits in a window.
+    pub fn new(slack: f64, now: Moment) -> Self {
+        let ledger = LimitLedger::new(LedgerTerms::holder(slack), now);
+        Self { ledger, fleet: FleetCount::default(), served: 0 }
+    }
+
+    /// Notes how many hosts share the limits by the word of another holder.
+    pub fn note_hosts(&mut self, hosts: usize, now: Moment) {
+        self.fleet.note(hosts, now);
+    }
+
+    /// A host asks here from now on, and knows of so many hosts.
+    pub fn join(&mut self, told: Option<usize>, now: Moment) {
+        if self.served == 0 {
+            // Others were asked meanwhile.
+            self.ledger.begin_again(now);
+        }
+        self.served += 1;
+        if let Some(told) = told {
+            self.fleet.note(told, now);
+        }
+        self.fleet.note(self.served, now);
+    }
+
+    /// A host asks here no more.
+    pub fn leave(&mut self, now: Moment) {
+        // The larger count stands for a while.
+        self.fleet.note(self.served, now);
+        self.served = self.served.saturating_sub(1);
+    }
+
+    /// Hosts that share the limits, as far as this one knows; what it tells those that ask here. A
+    /// holder of few would else have each of them take itself for one of few.
+    pub fn standing(&self, now: Moment) -> usize {
+        self.fleet.largest(now).unwrap_or(self.served).max(self.served)
+    }
+
+    /// Decides on a request.
+    pub fn spend(&mut self, request: &SpendRequest, now: Moment) -> SpendDecision {
+        self.fleet.note(self.served, now);
+        let part = self.fleet.holder_part(self.served, now);
+        self.ledger.spend(request, part, now)
+    }
+
+    /// Takes back what a request did not use.
+    pub fn give_back(&mut self, workspace: &str, amount: f64) {
+        self.ledger.give_back(workspace, amount);
+    }
+
+    /// How a workspace's limit stands.
+    pub fn read(&self, workspace: &str) -> Option<LimitReading> {
+        self.ledger.read(workspace)
+    }
+
+    /// Part of the limits that is granted here now.
+    pub fn part(&self, now: Moment) -> f64 {
+        self.fleet.holder_part(self.served, now)
+    }
+}
+
+/// A host's own part of the limits while it has no holder.
+#[derive(Clone, Debug)]
+pub struct OwnParts {
+    ledger: LimitLedger,
+    fleet: FleetCount,
+    /// When a holder was heard of last.
+    word: Option<Moment>,
+}
+
+impl OwnParts {
+    /// Parts of a host that has heard of no holder yet: none.
+    pub fn new(now: Moment) -> Self {
+        let ledger = LimitLedger::new(LedgerTerms::own_part(), now);
+        Self { ledger, fleet: FleetCount::default(), word: None }
+    }
+
+    /// Notes a holder's word that it counts for this host, and for how many.
+    pub fn note_word(&mut self, hosts: usize, now: Moment) {
+        if hosts > 0 {
+            self.fleet.note(hosts, now);
+        }
+        self.word = Some(now);
+        self.ledger.begin_again(now);
+    }
+
+    /// Hosts that share the limits, by the word of holders.
+    pub fn hosts(&self, now: Moment) -> Option<usize> {
+        self.fleet.largest(now)
+    }
+
+    /// Decides on a request without a holder; `None` when there is no part left to decide by.
+    pub fn spend(&mut self, request: &SpendRequest, now: Moment) -> Option<SpendDecision> {
+        let silent = now.since(self.word?);
+        if silent > FleetCount::OWN_TERM {
+            return None;
+        }
+        let part = self.fleet.own_part(now)?;
+        Some(self.ledger.spend(request, part, now))
+    }
+
+    /// Time for which a host may go on by its own part.
+    pub const fn term() -> Duration {
+        FleetCount::OWN_TERM
+    }
+}
--- /dev/null
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -0,0 +1,129 @@
+//! The limits of all workspaces as one host counts them.
+
+use std::collections::HashMap;
+
+use dillspool_moment::Moment;
+use dillspool_schema::Name;
+
+use crate::bucket::{LimitBucket, LimitRate, SpendDecision};
+use crate::holder::SpendRequest;
+
+/// Part of what a site allows beyond its limits that a balance may hold beyond the burst: requests
+/// of one moment reach the holder some milliseconds apart, and none of them shall be refused for that.
+const HEADROOM_PART: f64 = 0.125;
+/// Workspaces above which balances that are full again are forgotten; twice the two-year size.
+const MOST_BUCKETS: usize = 16_384;
+
+/// What a ledger grants beside the limits themselves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LedgerTerms {
+    /// Balance beyond the burst.
+    headroom: f64,
+    /// Whether a request may run a balance into debt.
+    lends: bool,
+}
+
+impl LedgerTerms {
+    /// Terms of a holder, where a site allows so much beyond the limits in a window.
+    ///
+    /// A request is granted while any balance is left: a limit may be as small as two requests a
+    /// second, and a request that is larger than its burst would never be granted otherwise.
+    pub fn holder(slack: f64) -> Self {
+        Self { headroom: HEADROOM_PART * slack, lends: true }
+    }
+
+    /// Terms of a host that has no holder and spends a part of its own: all such parts together
+    /// stay within the limit, so each must.
+    pub const fn own_part() -> Self {
+        Self { headroom: 0.0, lends: false }
+    }
+}
+
+/// A workspace's limit as it stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitReading {
+    /// The limit.
+    pub rate: LimitRate,
+    /// What is left; below zero while a debt is being paid.
+    pub balance: f64,
+}
+
+/// Balances by workspace.
+#[derive(Clone, Debug)]
+pub struct LimitLedger {
+    terms: LedgerTerms,
+    /// When the count began.
+    since: Moment,
+    buckets: HashMap<Name, LimitBucket>,
+}
+
+impl LimitLedger {
+    /// Begins to count. What was spent before is not known and counts as spent: every balance starts
+    /// empty, and the limit's burst comes back by time.
+    pub fn new(terms: LedgerTerms, since: Moment) -> Self {
+        Self { terms, since, buckets: HashMap::new() }
+    }
+
+    /// Begins again, where others have counted meanwhile.
+    pub fn begin_again(&mut self, now: Moment) {
+        self.since = now;
+        for bucket in self.buckets.values_mut() {
+            bucket.begin_again(now);
+        }
+    }
+
+    /// Spends what a request asks of a limit, of which `part` is granted here.
+    pub fn spend(&mut self, request: &SpendRequest, part: f64, now: Moment) -> SpendDecision {
+        self.forget_full(now, part);
+        let LedgerTerms { headroom, lends } = self.terms;
+        let since = self.since;
+        let bucket = self
+            .buckets
+            .entry(Name::clone(&request.workspace))
+            .or_insert_with(|| LimitBucket::new(request.rate, request.version, since));
+        bucket.fill(now, part, headroom);
+        bucket.set_rate(request.rate, request.version);
+        // A limit that was lowered holds at once.
+        bucket.fill(now, part, headroom);
+        bucket.spend(request.amount, if lends { 0.0 } else { request.amount }, part)
+    }
+
+    /// Gives back an amount of a request that did not run.
+    pub fn give_back(&mut self, workspace: &str, amount: f64) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.give_back(amount);
+        }
+    }
+
+    /// How a workspace's limit stands; `None` if it was not asked for.
+    pub fn read(&self, workspace: &str) -> Option<LimitReading> {
+        let bucket = self.buckets.get(workspace)?;
+        Some(LimitReading { rate: bucket.rate(), balance: bucket.balance() })
+    }
+
+    /// Workspaces that are counted.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Forgets balances that are full again, once there are very many: workspaces come and go.
+    fn forget_full(&mut self, now: Moment, part: f64) {
+        if self.buckets.len() < MOST_BUCKETS {
+            return;
+        }
+        let headroom = self.terms.headroom;
+        let is_full = |bucket: &LimitBucket| {
+            let rate = bucket.rate();
+            let gain = now.since(bucket.at()).as_secs_f64() * rate.per_s * part;
+            bucket.balance() + gain >= rate.burst * part + headroom
+        };
+        // One that comes back starts as one that was never seen.
+        self.buckets.retain(|_workspace, bucket| !is_full(bucket));
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/dillspool_limits/tests/fleet.rs
@@ -0,0 +1,261 @@
+//! A fleet of hosts stays within a limit, whoever holds it, whatever happens to them.
+//!
+//! A model of hosts that find, lose and change their holders, are cut off, restart and hear of
+//! changes late, while every one of them spends as much as it is granted. Windows are sums over all
+//! hosts. The plain way, a holder that begins with a full balance and grants all of the limit, is
+//! played by the same schedules and passes the limit.
+
+use std::time::Duration;
+
+use dillspool_cases::fixed_cases;
+use dillspool_limits::{LimitHolder, LimitRate, OwnParts, SpendDecision, SpendRequest};
+use dillspool_moment::Moment;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+
+/// Step of the model, in ms.
+const STEP_MS: u64 = 100;
+/// Steps between two words of a holder.
+const WORD_STEPS: u64 = 4;
+/// Steps after which a holder notices that a silent host has gone.
+const GONE_STEPS: u64 = 30;
+/// Window of the limit in steps; what is allowed beyond it, and how much more.
+const WINDOW_STEPS: usize = 80;
+const EXCESS: f64 = 0.1;
+const SLACK: f64 = 120_000.0;
+const LIMIT: LimitRate = LimitRate { per_s: 30_000.0, burst: 30_000.0 };
+/// The largest and the usual request.
+const LARGE: f64 = 17_000.0;
+const PLAIN: f64 = 200.0;
+const HOSTS: usize = 8;
+
+/// What happens to a host.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// It finds this one as its holder.
+    Follow(usize),
+    /// It has no link any more, and its holder sees that.
+    Lose,
+    /// It is cut off: its holder sees that later.
+    Cut,
+    /// It starts anew.
+    Restart,
+}
+
+struct Host {
+    holder: LimitHolder,
+    parts: OwnParts,
+    /// Whom it asks; itself where it holds the limits.
+    asks: Option<usize>,
+}
+
+/// Whether a holder is the real one, or the plain one.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Kept,
+    Plain,
+}
+
+struct Fleet {
+    way: Way,
+    hosts: Vec<Host>,
+    /// Holders that have yet to notice that a host has gone: at which step.
+    leaving: Vec<(u64, usize)>,
+    step: u64,
+}
+
+fn moment(step: u64) -> Moment {
+    Moment::after_origin(Duration::from_millis(step * STEP_MS))
+}
+
+impl Fleet {
+    fn new(way: Way) -> Self {
+        let hosts = (0..HOSTS).map(|_host| Self::fresh(way, 0)).collect();
+        Self { way, hosts, leaving: Vec::new(), step: 0 }
+    }
+
+    fn fresh(way: Way, step: u64) -> Host {
+        let now = moment(step);
+        let mut holder = LimitHolder::new(SLACK, now);
+        if way == Way::Kept {
+            // The rows of the hosts name the others.
+            holder.note_hosts(HOSTS, now);
+        }
+        Host { holder, parts: OwnParts::new(now), asks: None }
+    }
+
+    fn leave(&mut self, host: usize, after: u64) {
+        if let Some(asked) = self.hosts[host].asks.take() {
+            // A host that asks itself knows at once.
+            let after = if asked == host { 0 } else { after };
+            self.leaving.push((self.step + after, asked));
+        }
+    }
+
+    fn apply(&mut self, host: usize, event: Event) {
+        let now = moment(self.step);
+        match event {
+            Event::Follow(holder) => {
+                self.leave(host, 0);
+                let told = self.hosts[host].parts.hosts(now);
+                let told = told.filter(|_hosts| self.way == Way::Kept);
+                self.hosts[holder].holder.join(told, now);
+                self.hosts[host].asks = Some(holder);
+            }
+            Event::Lose => self.leave(host, 0),
+            Event::Cut => self.leave(host, GONE_STEPS),
+            Event::Restart => {
+                self.leave(host, 0);
+                self.hosts[host] = Self::fresh(self.way, self.step);
+                for other in 0..HOSTS {
+                    if self.hosts[other].asks == Some(host) {
+                        self.hosts[other].asks = None;
+                    }
+                }
+                self.leaving.retain(|(_step, asked)| *asked != host);
+            }
+        }
+    }
+
+    /// Goes on by a step and returns what was granted in it.
+    fn pass(&mut self) -> f64 {
+        self.step += 1;
+        let (step, now) = (self.step, moment(self.step));
+        let hosts = &mut self.hosts;
+        self.leaving.retain(|(at, asked)| {
+            let due = *at <= step;
+            if due {
+                hosts[*asked].holder.leave(now);
+            }
+            !due
+        });
+        (0..HOSTS).map(|host| self.spend_all(host, now)).sum()
+    }
+
+    /// A host asks for as much as it gets, large requests among plain ones.
+    fn spend_all(&mut self, host: usize, now: Moment) -> f64 {
+        if let Some(asked) = self.hosts[host].asks
+            && self.step.is_multiple_of(WORD_STEPS)
+        {
+            let hosts = self.hosts[asked].holder.standing(now);
+            self.hosts[host].parts.note_word(hosts, now);
+        }
+        let mut sum = 0.0;
+        for amount in [LARGE, PLAIN, PLAIN, LARGE, PLAIN] {
+            let request = SpendRequest { workspace: "w".into(), rate: LIMIT, version: 1, amount };
+            let decision = match self.hosts[host].asks {
+                Some(asked) => Some(self.hosts[asked].holder.spend(&request, now)),
+                None => self.hosts[host].parts.spend(&request, now),
+            };
+            if decision == Some(SpendDecision::Allowed) {
+                sum += amount;
+            }
+        }
+        sum
+    }
+}
+
+/// The most that any window may hold.
+fn allowed() -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "80 steps")]
+    let window_s = WINDOW_STEPS as f64 * 0.1;
+    (LIMIT.per_s * window_s + LIMIT.burst) * (1.0 + EXCESS) + SLACK
+}
+
+/// The largest window of a schedule: at each step, what happens then.
+fn largest_window(way: Way, schedule: &[Option<(usize, Event)>]) -> f64 {
+    let mut fleet = Fleet::new(way);
+    let mut granted = Vec::new();
+    for host in 0..HOSTS {
+        fleet.apply(host, Event::Follow(0));
+    }
+    for event in schedule {
+        if let Some((host, event)) = event {
+            fleet.apply(*host, *event);
+        }
+        granted.push(fleet.pass());
+    }
+    granted.windows(WINDOW_STEPS).map(|window| window.iter().sum()).fold(0.0, f64::max)
+}
+
+fn event() -> impl Strategy<Value = (usize, Event)> {
+    let event = prop_oneof![
+        6 => (0..3_usize).prop_map(Event::Follow),
+        1 => Just(Event::Lose),
+        1 => Just(Event::Cut),
+        1 => Just(Event::Restart),
+    ];
+    (0..HOSTS, event)
+}
+
+/// Something happens in a part of the steps.
+fn schedule() -> impl Strategy<Value = Vec<Option<(usize, Event)>>> {
+    let step = prop_oneof![2 => Just(None), 1 => event().prop_map(Some)];
+    proptest::collection::vec(step, 260)
+}
+
+/// Schedules of the property, alike in every run.
+const SCHEDULES: u32 = 200;
+
+#[test]
+fn no_window_passes_the_limit_and_the_plain_way_does() {
+    let mut runner = TestRunner::new(fixed_cases(SCHEDULES));
+    let mut plain_passed = 0;
+    for number in 0..SCHEDULES {
+        let tree = schedule().new_tree(&mut runner).expect("a schedule");
+        let schedule = tree.current();
+        let kept = largest_window(Way::Kept, &schedule);
+        assert!(kept <= allowed(), "schedule {number}: {kept} of {}", allowed());
+        plain_passed += u32::from(largest_window(Way::Plain, &schedule) > allowed());
+    }
+    println!("the plain way passes the limit in {plain_passed} of {SCHEDULES} schedules");
+    // The schedules are hard enough to tell the two apart.
+    assert!(plain_passed > SCHEDULES / 10, "the plain way passes it in {plain_passed}");
+}
+
+struct FaultCase {
+    name: &'static str,
+    events: Vec<(usize, usize, Event)>,
+    /// Whether the plain way passes the limit.
+    plain_passes: bool,
+}
+
+/// Every host but one at a step.
+fn all(step: usize, but: usize, event: Event) -> Vec<(usize, usize, Event)> {
+    (0..HOSTS).filter(|host| *host != but).map(|host| (step + host / 3, host, event)).collect()
+}
+
+#[test]
+fn faults_of_holders_and_hosts_keep_the_limit() {
+    let lost_holder = [vec![(100, 0, Event::Restart)], all(105, 0, Event::Follow(1))].concat();
+    let moved_back = [lost_holder.clone(), all(125, 0, Event::Follow(0))].concat();
+    let half = |step, event| all(step, 8, event).into_iter().filter(|it| it.1 > 3);
+    let cut_in_two: Vec<_> = [(100, 4, Event::Cut), (101, 4, Event::Follow(4))]
+        .into_iter()
+        .chain(half(102, Event::Cut).filter(|it| it.1 > 4))
+        .chain(half(105, Event::Follow(4)).filter(|it| it.1 > 4))
+        .collect();
+    let flapping = (0..12).flat_map(|turn| all(90 + turn * 10, 9, Event::Follow(turn % 3)));
+    let cases = [
+        FaultCase { name: "nothing", events: Vec::new(), plain_passes: false },
+        FaultCase { name: "its holder restarts", events: lost_holder, plain_passes: false },
+        FaultCase { name: "and takes over again", events: moved_back, plain_passes: false },
+        FaultCase { name: "all are cut off", events: all(100, 9, Event::Cut), plain_passes: false },
+        FaultCase { name: "cut in two", events: cut_in_two, plain_passes: true },
+        FaultCase { name: "holders change", events: flapping.collect(), plain_passes: false },
+    ];
+    for case in cases {
+        let mut schedule = vec![None; 400];
+        for (mut step, host, event) in case.events {
+            while schedule[step].is_some() {
+                step += 1;
+            }
+            schedule[step] = Some((host, event));
+        }
+        let kept = largest_window(Way::Kept, &schedule);
+        assert!(kept <= allowed(), "{}: {kept} of {}", case.name, allowed());
+        let plain = largest_window(Way::Plain, &schedule);
+        assert_eq!(plain > allowed(), case.plain_passes, "{}: {plain}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/dillspool_limits/tests/limits.rs
@@ -0,0 +1,187 @@
+//! One holder's account: what is granted, refused, given back, and when to come back.
+
+use std::time::Duration;
+
+use dillspool_limits::{LimitHolder, LimitRate, OwnParts, SpendDecision, SpendRequest};
+use dillspool_moment::Moment;
+
+const SLACK: f64 = 1000.0;
+
+fn at(ms: u64) -> Moment {
+    Moment::after_origin(Duration::from_millis(ms))
+}
+
+fn request(per_s: f64, burst: f64, version: u64, amount: f64) -> SpendRequest {
+    SpendRequest { workspace: "w".into(), rate: LimitRate { per_s, burst }, version, amount }
+}
+
+/// A holder that one host asks.
+fn holder(slack: f64) -> LimitHolder {
+    let mut holder = LimitHolder::new(slack, at(0));
+    holder.join(None, at(0));
+    holder
+}
+
+/// Amounts granted of many equal requests at one moment.
+fn granted(holder: &mut LimitHolder, request: &SpendRequest, tries: usize, now: Moment) -> f64 {
+    let allowed = (0..tries).filter(|_try| holder.spend(request, now) == SpendDecision::Allowed);
+    #[expect(clippy::cast_precision_loss, reason = "a few tries")]
+    let allowed = allowed.count() as f64;
+    allowed * request.amount
+}
+
+struct GrantCase {
+    name: &'static str,
+    /// Rate, burst and amount.
+    limit: (f64, f64, f64),
+    /// Time since the holder began to count, in ms.
+    after_ms: u64,
+    granted: f64,
+}
+
+#[test]
+fn a_holder_grants_the_rate_the_burst_and_some_headroom() {
+    let case = |name, limit, after_ms, granted| GrantCase { name, limit, after_ms, granted };
+    let cases = [
+        case("a new holder grants one, on credit", (100.0, 100.0, 50.0), 1, 50.0),
+        case("after a second, a second's worth", (100.0, 100.0, 50.0), 1000, 100.0),
+        // Burst and headroom, 100 and 125; the last is granted on credit.
+        case("after long, all that is kept", (100.0, 100.0, 50.0), 60_000, 250.0),
+        case("a request above all of that is granted", (100.0, 100.0, 5000.0), 60_000, 5000.0),
+    ];
+    for case in cases {
+        let (per_s, burst, amount) = case.limit;
+        let mut holder = holder(SLACK);
+        let sum = granted(&mut holder, &request(per_s, burst, 1, amount), 100, at(case.after_ms));
+        assert!((sum - case.granted).abs() < 1e-6, "{}: {sum}", case.name);
+    }
+}
+
+#[test]
+fn a_debt_is_paid_before_more_is_granted() {
+    let mut holder = holder(SLACK);
+    let large = request(100.0, 100.0, 1, 1100.0);
+    assert_eq!(holder.spend(&large, at(1000)), SpendDecision::Allowed);
+    // It left a debt of 1000.
+    let SpendDecision::Refused { come_back } = holder.spend(&large, at(1000)) else {
+        panic!("refused")
+    };
+    assert!((come_back.as_secs_f64() - 10.01).abs() < 0.01, "{come_back:?}");
+    assert!(matches!(holder.spend(&large, at(10_900)), SpendDecision::Refused { .. }));
+    assert_eq!(holder.spend(&large, at(11_100)), SpendDecision::Allowed);
+}
+
+#[test]
+fn those_who_are_refused_are_told_to_come_one_after_another() {
+    let mut holder = holder(0.0);
+    let one = request(100.0, 0.0, 1, 100.0);
+    assert_eq!(holder.spend(&one, at(1)), SpendDecision::Allowed);
+    let mut last = Duration::ZERO;
+    for turn in 0..20_u32 {
+        let SpendDecision::Refused { come_back } = holder.spend(&one, at(1)) else {
+            panic!("refused")
+        };
+        assert!(come_back > last + Duration::from_millis(900), "{turn}: {come_back:?}");
+        last = come_back;
+    }
+    // Beyond half a minute nothing is promised more precisely.
+    for _turn in 0..40 {
+        holder.spend(&one, at(1));
+    }
+    let SpendDecision::Refused { come_back } = holder.spend(&one, at(1)) else { panic!("refused") };
+    assert_eq!(come_back, Duration::from_secs(30));
+    // Their time passes; a caller that comes after it is not told to wait for them.
+    assert_eq!(holder.spend(&one, at(60_000)), SpendDecision::Allowed);
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut holder = holder(0.0);
+    let one = request(10.0, 100.0, 1, 100.0);
+    assert_eq!(holder.spend(&one, at(60_000)), SpendDecision::Allowed);
+    assert!(matches!(holder.spend(&one, at(60_000)), SpendDecision::Refused { .. }));
+    holder.give_back("w", 100.0);
+    assert_eq!(holder.spend(&one, at(60_000)), SpendDecision::Allowed);
+    // More than the burst is never kept.
+    for _turn in 0..5 {
+        holder.give_back("w", 100.0);
+    }
+    assert!((granted(&mut holder, &one, 10, at(60_001)) - 100.0).abs() < 1e-6);
+    // Nobody has asked for this one.
+    holder.give_back("unknown", 100.0);
+    assert_eq!(holder.read("unknown"), None);
+}
+
+struct ChangeCase {
+    name: &'static str,
+    before: (f64, u64),
+    then: (f64, u64),
+    /// Rate that holds in the end.
+    holds: f64,
+}
+
+#[test]
+fn the_newest_limit_holds_whoever_asks() {
+    let case = |name, before, then, holds| ChangeCase { name, before, then, holds };
+    let cases = [
+        case("lowered", (100.0, 1), (10.0, 2), 10.0),
+        case("raised", (10.0, 1), (100.0, 2), 100.0),
+        case("a host that has not heard of it", (10.0, 2), (100.0, 1), 10.0),
+        case("a word of the same version", (10.0, 2), (10.0, 2), 10.0),
+    ];
+    for case in cases {
+        let mut holder = holder(0.0);
+        let (per_s, version) = case.before;
+        holder.spend(&request(per_s, per_s, version, 1.0), at(60_000));
+        let (per_s, version) = case.then;
+        holder.spend(&request(per_s, per_s, version, 1.0), at(60_000));
+        let reading = holder.read("w").expect("counted");
+        assert!((reading.rate.per_s - case.holds).abs() < 1e-6, "{}", case.name);
+        assert!(reading.balance <= case.holds, "{}: {}", case.name, reading.balance);
+    }
+}
+
+#[test]
+fn a_holder_leaves_their_parts_to_hosts_that_it_lost() {
+    let mut holder = LimitHolder::new(0.0, at(0));
+    for _host in 0..10 {
+        holder.join(None, at(0));
+    }
+    assert!((holder.part(at(0)) - 1.0).abs() < 1e-6);
+    for _host in 0..3 {
+        holder.leave(at(10_000));
+    }
+    assert!((holder.part(at(10_000)) - 0.7).abs() < 1e-6);
+    // They may have another holder, as long as nobody takes them for gone.
+    assert!((holder.part(at(69_900)) - 0.7).abs() < 1e-6);
+    assert!((holder.part(at(70_100)) - 1.0).abs() < 1e-6);
+    holder.join(None, at(71_000));
+    assert!((holder.part(at(71_000)) - 1.0).abs() < 1e-6);
+}
+
+#[test]
+fn a_host_that_others_have_told_of_does_not_count_itself_alone() {
+    let mut alone = holder(0.0);
+    alone.note_hosts(50, at(0));
+    assert!((alone.part(at(1000)) - 0.02).abs() < 1e-6);
+    let mut told = holder(0.0);
+    told.join(Some(50), at(0));
+    assert!((told.part(at(1000)) - 0.04).abs() < 1e-6);
+}
+
+#[test]
+fn a_host_without_its_holder_spends_its_own_part_for_a_while() {
+    let plain = request(600.0, 600.0, 1, 10.0);
+    let large = request(600.0, 600.0, 1, 700.0);
+    let mut parts = OwnParts::new(at(0));
+    assert_eq!(parts.spend(&plain, at(0)), None, "it has heard of no holder");
+    parts.note_word(60, at(1000));
+    // A sixtieth of 600 a second.
+    assert!(matches!(parts.spend(&plain, at(1900)), Some(SpendDecision::Refused { .. })));
+    assert_eq!(parts.spend(&plain, at(2100)), Some(SpendDecision::Allowed));
+    assert!(matches!(parts.spend(&large, at(8900)), Some(SpendDecision::Refused { .. })));
+    assert_eq!(parts.spend(&plain, at(9100)), None, "it was silent for too long");
+    // A word again ends what was saved.
+    parts.note_word(60, at(10_000));
+    assert!(matches!(parts.spend(&plain, at(10_100)), Some(SpendDecision::Refused { .. })));
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -10,7 +10,7 @@
 use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
 use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::{DirectoryView, RoutingConfig};
-use dillspool_scheduler::{PoolDesk, ScheduleClient, serve_schedule};
+use dillspool_scheduler::{LimitClient, LimitDesk, PoolDesk, ScheduleClient, serve_schedule};
 use dillspool_schema::Name;
 use dillspool_watch::{
     FollowRole, FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers,
@@ -105,13 +105,23 @@
         let demand = DemandMeter::default();
         let budgets = RetryBudgets::new(config.budget);
         let metrics = ForwardMetrics::default();
-        let schedule =
-            start_schedule(&config, &stack, &beliefs, schedule_listener, &demand, &background);
+        let limits = LimitDesk::new(config.limits);
+        let schedule = start_schedule(
+            &config,
+            &stack,
+            &beliefs,
+            schedule_listener,
+            &demand,
+            limits.clone(),
+            &background,
+        );
+        let limits = start_limits(&config, &stack, &beliefs, limits, &background);
         let context = ForwardContext {
             failure_domain: Name::clone(&config.failure_domain),
             calls: site.calls.clone(),
             directory: beliefs.directory.clone(),
             schedule: schedule.clone(),
+            limits,
             book: BackendBook::default(),
             budgets: budgets.clone(),
             metrics: metrics.clone(),
@@ -363,12 +373,13 @@
     beliefs: &Beliefs,
     listener: NetListener,
     demand: &DemandMeter,
+    limits: LimitDesk,
     cancel: &CancellationToken,
 ) -> ScheduleClient {
     let desk = PoolDesk::new(config.policy.admission, hash_of(&config.host), demand.clone());
     let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
     tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
-    tokio::spawn(serve_schedule(listener, desk.clone(), cancel.clone()));
+    tokio::spawn(serve_schedule(listener, desk.clone(), limits, cancel.clone()));
     let client = ScheduleClient::new(desk);
     log::info!("event=policy {:?}", config.policy);
     if !config.policy.schedule {
@@ -381,6 +392,22 @@
     client
 }
 
+/// Starts this host's links to the hosts that count the limits of workspaces.
+fn start_limits(
+    config: &RouterConfig,
+    stack: &NetStack,
+    beliefs: &Beliefs,
+    desk: LimitDesk,
+    cancel: &CancellationToken,
+) -> LimitClient {
+    let client = LimitClient::new(desk);
+    let (listed, known) = (beliefs.peers.clone(), beliefs.config.clone());
+    let peers = move |share: &str| listed.schedule_peers(share);
+    let host = Name::clone(&config.host);
+    tokio::spawn(client.clone().run(stack.clone(), host, peers, known, cancel.clone()));
+    client
+}
+
 /// The limits on callers' connections, as the configuration in force says.
 fn caller_limits(
     mut config: watch::Receiver<Option<Arc<RoutingConfig>>>,
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -6,8 +6,9 @@
 
 use dillspool_forward::BudgetTerms;
 use dillspool_roles::ShareRule;
+use dillspool_scheduler::LimitTerms;
 use dillspool_schema::Name;
-use dillspool_schema::router::RouterSettings;
+use dillspool_schema::router::{LimitSettings, RouterSettings};
 use snafu::{ResultExt, Snafu};
 
 use crate::policy::{self, PolicyConfig};
@@ -24,6 +25,12 @@
 /// How long a watch is held open; a lost one is noticed that much later.
 const WATCH_WAIT_MS: u32 = 2_500;
 
+/// Shares of the workspaces: every host links to the holder of each, and a holder decides on some
+/// thousand requests a second.
+const LIMIT_SHARES: u32 = 4;
+/// Most shares; at the two-year size 16 suffice (docs/CAPACITY.md).
+const MOST_LIMIT_SHARES: u32 = 64;
+
 /// Why the settings cannot be used.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -88,6 +95,8 @@
     pub link_mbps: f64,
     /// Budget of repeated sends.
     pub budget: BudgetTerms,
+    /// How the limits of workspaces are counted.
+    pub limits: LimitTerms,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Time after an outage in which lapsed backend servers may register again.
@@ -140,6 +149,7 @@
             window: seconds("retry.window_s", retry.window_s)?,
             extra: not_negative("retry.extra", retry.extra)?,
         },
+        limits: limit_terms(settings.limits.as_ref())?,
         grace: seconds("lifecycle.grace_s", lifecycle.grace_s)?,
         lapse_grace: seconds(
             "lifecycle.lapse_grace_s",
@@ -156,6 +166,17 @@
     })
 }
 
+/// The terms of limits; without them a holder grants no more than the limits say.
+fn limit_terms(settings: Option<&LimitSettings>) -> Result<LimitTerms, SettingsError> {
+    let slack = settings.and_then(|settings| settings.slack).unwrap_or_default();
+    let shares = settings.map_or(LIMIT_SHARES, |settings| settings.shares);
+    if shares == 0 || shares > MOST_LIMIT_SHARES {
+        let remedy = "give a number of shares between 1 and 64, the same on all hosts";
+        return FieldSnafu { field: "limits.shares", value: shares.to_string(), remedy }.fail();
+    }
+    Ok(LimitTerms { slack: not_negative("limits.slack", slack)?, shares: shares as usize })
+}
+
 /// The rule for an optional part of a pool.
 fn share_rule(share: Option<f64>) -> Result<ShareRule, SettingsError> {
     match share {
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -17,6 +17,7 @@
     BackendEntry, BackendState, ClientLimits, RequestKind, RequestTerms, RouteEntry, RouteTable,
     RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
 };
+use dillspool_scheduler::LimitTerms;
 use hyper::{HeaderMap, StatusCode};
 
 /// Where the host takes callers.
@@ -43,6 +44,7 @@
         seeds: vec![],
         link_mbps: 0.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
+        limits: LimitTerms { slack: 0.0, shares: 2 },
         grace: Duration::from_secs(8),
         lapse_grace: Duration::from_secs(2),
         orders_apart: Duration::from_secs(3),
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -2,10 +2,8 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use dillspool_admission::{PlacementDecision, PlacementRequest, StreamEnd, TicketId};
 use dillspool_io::NetStack;
@@ -16,29 +14,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::desk::{DeskNote, PoolDesk};
-use crate::link::{PoolLink, ScheduleSocket, open_link};
-
-/// Pause before schedulers are looked for again.
-const LOOK_AGAIN: Duration = Duration::from_millis(200);
-/// Time between two tries to come back to a better scheduler than the one that is linked.
-const BETTER_EVERY: Duration = Duration::from_secs(2);
-
-/// The schedulers of a pool as this host sees them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct SchedulePeers {
-    /// Where this host takes questions itself.
-    pub own: Option<SocketAddr>,
-    /// Where hosts ask, the best first; this host is among them once it is known.
-    pub ranked: Vec<SocketAddr>,
-}
-
-type PeersFn = dyn Fn(&str) -> SchedulePeers + Send + Sync;
+use crate::keeper::{LinkKeeper, PeersFn, SchedulePeers};
+use crate::link::{LinkDuty, SchedulerLink};
 
 /// Asks where requests run, and tells what became of them.
 #[derive(Clone)]
 pub struct ScheduleClient {
     desk: PoolDesk,
-    links: Arc<Mutex<HashMap<Name, PoolLink>>>,
+    links: Arc<Mutex<HashMap<Name, SchedulerLink>>>,
     next_ticket: Arc<AtomicU64>,
 }
 
@@ -72,13 +55,12 @@
                 if self.link(&service.name).is_some() {
                     continue;
                 }
-                let link = PoolLink::default();
+                let link = SchedulerLink::default();
                 self.with_links(|links| links.insert(Name::clone(&service.name), link.clone()));
                 let keeper = LinkKeeper {
                     link,
                     stack: stack.clone(),
-                    host: Name::clone(&host),
-                    service: Name::clone(&service.name),
+                    duty: LinkDuty::pool(&host, &service.name),
                     peers: Arc::clone(&peers),
                 };
                 keepers.spawn(async move { keeper.run().await });
@@ -91,11 +73,11 @@
         }
     }
 
-    fn with_links<T>(&self, run: impl FnOnce(&mut HashMap<Name, PoolLink>) -> T) -> T {
+    fn with_links<T>(&self, run: impl FnOnce(&mut HashMap<Name, SchedulerLink>) -> T) -> T {
         run(&mut self.links.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn link(&self, service: &str) -> Option<PoolLink> {
+    fn link(&self, service: &str) -> Option<SchedulerLink> {
         self.with_links(|links| links.get(service).cloned())
     }
 
@@ -108,7 +90,7 @@
     /// its own count; `None` while there is no scheduler.
     pub fn hosts(&self) -> Option<usize> {
         let links = self.with_links(|links| links.clone());
-        let count = |(service, link): (&Name, &PoolLink)| {
+        let count = |(service, link): (&Name, &SchedulerLink)| {
             if link.schedules() { Some(self.desk.hosts(service)) } else { link.hosts() }
         };
         links.iter().filter_map(count).max()
@@ -131,7 +113,7 @@
 /// everywhere.
 pub struct PlacementTicket {
     desk: PoolDesk,
-    link: Option<PoolLink>,
+    link: Option<SchedulerLink>,
     service: Name,
     id: TicketId,
     is_over: bool,
@@ -210,76 +192,3 @@
         self.end(StreamEnd { is_whole: false, event_gap: None });
     }
 }
-
-/// Keeps the link to the best scheduler that answers.
-struct LinkKeeper {
-    link: PoolLink,
-    stack: NetStack,
-    host: Name,
-    service: Name,
-    peers: Arc<PeersFn>,
-}
-
-impl LinkKeeper {
-    async fn run(&self) {
-        loop {
-            let mut next = self.best(None).await;
-            self.link.set_schedules(next.is_none() && self.is_listed());
-            while let Some((address, socket)) = next.take() {
-                log::info!("event=scheduler_linked service={} peer={address}", self.service);
-                next = tokio::select! {
-                    ended = self.link.run(socket) => {
-                        let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
-                        log::info!(
-                            "event=scheduler_lost service={} peer={address} cause=\"{cause}\"",
-                            self.service,
-                        );
-                        None
-                    }
-                    better = self.better_than(address) => better,
-                };
-            }
-            tokio::time::sleep(LOOK_AGAIN).await;
-        }
-    }
-
-    /// Whether this host is one of those that could schedule.
-    fn is_listed(&self) -> bool {
-        let peers = (self.peers)(&self.service);
-        peers.own.is_some_and(|own| peers.ranked.contains(&own))
-    }
-
-    /// The best scheduler that serves, up to one that is known; `None` when that is this host.
-    async fn best(&self, up_to: Option<SocketAddr>) -> Option<(SocketAddr, ScheduleSocket)> {
-        let peers = (self.peers)(&self.service);
-        for address in peers.ranked {
-            if Some(address) == peers.own || Some(address) == up_to {
-                return None;
-            }
-            match open_link(&self.stack, address, &self.host, &self.service).await {
-                Ok(socket) => return Some((address, socket)),
-                Err(error) => {
-                    log::debug!("event=scheduler_not_linked peer={address} cause=\"{error}\"");
-                }
-            }
-        }
-        None
-    }
-
-    /// Waits for a better scheduler than the one that is linked.
-    async fn better_than(&self, address: SocketAddr) -> Option<(SocketAddr, ScheduleSocket)> {
-        loop {
-            tokio::time::sleep(BETTER_EVERY).await;
-            let peers = (self.peers)(&self.service);
-            let own_first = peers.ranked.iter().position(|it| Some(*it) == peers.own);
-            let linked = peers.ranked.iter().position(|it| *it == address);
-            if own_first < linked && own_first.is_some() {
-                // This host has learnt that it comes before the scheduler that it asks.
-                return None;
-            }
-            if let Some(better) = self.best(Some(address)).await {
-                return Some(better);
-            }
-        }
-    }
-}
--- a/crates/dillspool_scheduler/src/desk.rs
+++ b/crates/dillspool_scheduler/src/desk.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use dillspool_admission::{
-    AdmissionPolicy, EngineFault, Moment, PlacementDecision, PlacementRequest, PoolPlanner,
-    PoolReading, PoolTerms, StreamEnd, StreamPlacement, TicketId,
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolPlanner, PoolReading,
+    PoolTerms, StreamEnd, StreamPlacement, TicketId,
 };
 use dillspool_capacity::{DemandMeter, MemoryTicket};
+use dillspool_moment::Moment;
 use dillspool_routing::{DirectoryView, EngineStage, RoutingConfig};
 use dillspool_schema::Name;
 use tokio::sync::{Notify, watch};
--- /dev/null
+++ b/crates/dillspool_scheduler/src/keeper.rs
@@ -0,0 +1,99 @@
+//! Keeps a host linked to the one that decides for all.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_io::NetStack;
+
+use crate::link::{LinkDuty, ScheduleSocket, SchedulerLink, open_link};
+
+/// Pause before schedulers are looked for again.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
+/// Time between two tries to come back to a better scheduler than the one that is linked.
+const BETTER_EVERY: Duration = Duration::from_secs(2);
+
+/// The hosts that could decide for all, as this host sees them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SchedulePeers {
+    /// Where this host takes questions itself.
+    pub own: Option<SocketAddr>,
+    /// Where hosts ask, the best first; this host is among them once it is known.
+    pub ranked: Vec<SocketAddr>,
+}
+
+/// The hosts for a service, or for a share of the workspaces.
+pub(crate) type PeersFn = dyn Fn(&str) -> SchedulePeers + Send + Sync;
+
+/// Keeps the link to the best host that answers.
+pub(crate) struct LinkKeeper {
+    pub(crate) link: SchedulerLink,
+    pub(crate) stack: NetStack,
+    pub(crate) duty: LinkDuty,
+    pub(crate) peers: Arc<PeersFn>,
+}
+
+impl LinkKeeper {
+    /// Finds hosts to ask, one after another, without end.
+    pub(crate) async fn run(&self) {
+        loop {
+            let mut next = self.best(None).await;
+            self.link.set_schedules(next.is_none() && self.is_listed());
+            while let Some((address, socket)) = next.take() {
+                log::info!("event=scheduler_linked service={} peer={address}", self.duty.service);
+                next = tokio::select! {
+                    ended = self.link.run(socket) => {
+                        let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
+                        log::info!(
+                            "event=scheduler_lost service={} peer={address} cause=\"{cause}\"",
+                            self.duty.service,
+                        );
+                        None
+                    }
+                    better = self.better_than(address) => better,
+                };
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Whether this host is one of those that could schedule.
+    fn is_listed(&self) -> bool {
+        let peers = (self.peers)(&self.duty.service);
+        peers.own.is_some_and(|own| peers.ranked.contains(&own))
+    }
+
+    /// The best scheduler that serves, up to one that is known; `None` when that is this host.
+    async fn best(&self, up_to: Option<SocketAddr>) -> Option<(SocketAddr, ScheduleSocket)> {
+        let peers = (self.peers)(&self.duty.service);
+        for address in peers.ranked {
+            if Some(address) == peers.own || Some(address) == up_to {
+                return None;
+            }
+            match open_link(&self.stack, address, &self.duty).await {
+                Ok(socket) => return Some((address, socket)),
+                Err(error) => {
+                    log::debug!("event=scheduler_not_linked peer={address} cause=\"{error}\"");
+                }
+            }
+        }
+        None
+    }
+
+    /// Waits for a better scheduler than the one that is linked.
+    async fn better_than(&self, address: SocketAddr) -> Option<(SocketAddr, ScheduleSocket)> {
+        loop {
+            tokio::time::sleep(BETTER_EVERY).await;
+            let peers = (self.peers)(&self.duty.service);
+            let own_first = peers.ranked.iter().position(|it| Some(*it) == peers.own);
+            let linked = peers.ranked.iter().position(|it| *it == address);
+            if own_first < linked && own_first.is_some() {
+                // This host has learnt that it comes before the scheduler that it asks.
+                return None;
+            }
+            if let Some(better) = self.best(Some(address)).await {
+                return Some(better);
+            }
+        }
+    }
+}
--- a/crates/dillspool_scheduler/src/lib.rs
+++ b/crates/dillspool_scheduler/src/lib.rs
@@ -1,4 +1,4 @@
-//! One host schedules the requests of a pool for all hosts.
+//! One host schedules the requests of a pool for all hosts, and one counts the limits of a workspace.
 //!
 //! Every host has a [`PoolDesk`] and listens for others; which one they ask follows from the rows
 //! of the hosts. What a scheduler knows is told to it by the hosts it serves, and another one
@@ -8,12 +8,18 @@
 mod candidates;
 mod client;
 mod desk;
+mod keeper;
+mod limit_client;
+mod limit_desk;
 mod link;
 mod serve;
 mod wire;
 
 pub use candidates::{SchedulerCandidate, rank_candidates};
-pub use client::{PlacementTicket, ScheduleClient, SchedulePeers};
+pub use client::{PlacementTicket, ScheduleClient};
 pub use desk::{DeskNote, PoolDesk};
+pub use keeper::SchedulePeers;
+pub use limit_client::{LimitClient, SpentAmount};
+pub use limit_desk::{LimitDesk, LimitTerms};
 pub use serve::serve_schedule;
 pub use wire::ScheduleError;
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -1,4 +1,4 @@
-//! A host's link to the scheduler of one pool.
+//! A host's link to the one that decides for all: the scheduler of a pool, or the holder of limits.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,9 +7,11 @@
 
 use dillspool_admission::{PlacementDecision, PlacementRequest, StreamPlacement};
 use dillspool_io::{NetStack, NetStream};
+use dillspool_limits::{SpendDecision, SpendRequest};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
-    ScheduleAsk, ScheduleBeat, ScheduleHeld, ScheduleHello, ScheduleMessage,
+    ScheduleAsk, ScheduleBeat, ScheduleDuty, ScheduleGiveBack, ScheduleHeld, ScheduleHello,
+    ScheduleMessage,
 };
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
@@ -41,12 +43,45 @@
 /// A link that a scheduler has accepted.
 pub(crate) type ScheduleSocket = WebSocketStream<NetStream>;
 
+/// What a host asks another one to do for all.
+#[derive(Clone)]
+pub(crate) struct LinkDuty {
+    pub(crate) duty: ScheduleDuty,
+    /// This host.
+    pub(crate) host: Name,
+    /// Service whose engines are the pool, or share of the workspaces.
+    pub(crate) service: Name,
+    /// Hosts that share the limits, as far as this host knows; 0 if it does not.
+    pub(crate) told: Arc<dyn Fn() -> usize + Send + Sync>,
+}
+
+impl LinkDuty {
+    /// To place the requests of a pool.
+    pub(crate) fn pool(host: &Name, service: &Name) -> Self {
+        let (host, service) = (Name::clone(host), Name::clone(service));
+        Self { duty: ScheduleDuty::Pool, host, service, told: Arc::new(|| 0) }
+    }
+
+    fn hello(&self) -> ScheduleHello {
+        ScheduleHello {
+            version: PROTOCOL_VERSION,
+            host: Name::clone(&self.host),
+            duty: self.duty,
+            service: Name::clone(&self.service),
+            hosts: u32::try_from((self.told)()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 /// What a scheduler answered.
 enum ScheduleReply {
     Decided(PlacementDecision),
     Reader(Option<Name>),
+    Spent(SpendDecision),
 }
 
+type WordFn = dyn Fn(usize) + Send + Sync;
+
 /// A request of this host that has its engines.
 #[derive(Clone, Debug)]
 struct HeldRecord {
@@ -78,13 +113,26 @@
     held: HashMap<u64, HeldRecord>,
 }
 
-/// Questions and notes of this host about one pool.
-#[derive(Clone, Default)]
-pub(crate) struct PoolLink {
+/// Questions and notes of this host about one duty.
+#[derive(Clone)]
+pub(crate) struct SchedulerLink {
     state: Arc<Mutex<LinkState>>,
+    /// Called with each sign of life of the linked host.
+    on_word: Arc<WordFn>,
 }
 
-impl PoolLink {
+impl Default for SchedulerLink {
+    fn default() -> Self {
+        Self::new(|_hosts| {})
+    }
+}
+
+impl SchedulerLink {
+    /// A link that calls `on_word` with the number of hosts that each sign of life tells.
+    pub(crate) fn new(on_word: impl Fn(usize) + Send + Sync + 'static) -> Self {
+        Self { state: Arc::default(), on_word: Arc::new(on_word) }
+    }
+
     fn with<T>(&self, run: impl FnOnce(&mut LinkState) -> T) -> T {
         run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -120,10 +168,36 @@
         self.forget_question(ticket);
         match answer {
             Ok(Some(ScheduleReply::Reader(prefill))) => Some(prefill),
-            Ok(Some(ScheduleReply::Decided(_)) | None) | Err(_) => None,
+            Ok(Some(ScheduleReply::Decided(_) | ScheduleReply::Spent(_)) | None) | Err(_) => None,
         }
     }
 
+    /// Asks the holder of a limit; `None` when there is none, or no answer.
+    pub(crate) async fn spend(&self, ticket: u64, request: &SpendRequest) -> Option<SpendDecision> {
+        let mut answers = self.send(ticket, wire::spend_to_wire(ticket, request))?;
+        let answer = tokio::time::timeout(ANSWER_LIMIT, answers.recv()).await;
+        self.forget_question(ticket);
+        match answer {
+            Ok(Some(ScheduleReply::Spent(decision))) => Some(decision),
+            Ok(Some(ScheduleReply::Decided(_) | ScheduleReply::Reader(_))) => None,
+            Ok(None) | Err(_) => {
+                self.give_up(ticket);
+                None
+            }
+        }
+    }
+
+    /// Tells the holder that a request did not use what it was granted.
+    pub(crate) fn give_back(&self, workspace: &Name, amount: f64) {
+        let message = ScheduleGiveBack { workspace: Name::clone(workspace), amount };
+        self.with(|state| {
+            if let Some(sender) = &state.sender {
+                // What is not given back is refused to somebody, and runs out by time.
+                let _sent = sender.try_send(ScheduleMessage::GiveBack(message));
+            }
+        });
+    }
+
     fn send_question(
         &self,
         ticket: u64,
@@ -131,11 +205,18 @@
         reader_only: bool,
     ) -> Option<mpsc::Receiver<ScheduleReply>> {
         let request = wire::request_to_wire(request);
-        let ask = ScheduleAsk { ticket, request, reader_only };
+        self.send(ticket, ScheduleMessage::Ask(ScheduleAsk { ticket, request, reader_only }))
+    }
+
+    fn send(
+        &self,
+        ticket: u64,
+        question: ScheduleMessage,
+    ) -> Option<mpsc::Receiver<ScheduleReply>> {
         let (sender, receiver) = mpsc::channel(ANSWERS);
         self.with(|state| {
             let link = state.sender.as_ref()?;
-            link.try_send(ScheduleMessage::Ask(ask)).ok()?;
+            link.try_send(question).ok()?;
             state.pending.insert(ticket, sender);
             Some(receiver)
         })
@@ -145,15 +226,20 @@
     fn answer_of(&self, ticket: u64, reply: Option<ScheduleReply>) -> Option<PlacementDecision> {
         match reply {
             Some(ScheduleReply::Decided(decision)) => Some(decision),
-            Some(ScheduleReply::Reader(_)) => None,
+            Some(ScheduleReply::Reader(_) | ScheduleReply::Spent(_)) => None,
             None => {
-                log::info!("event=scheduler_silent ticket={ticket}");
-                self.with(|state| state.sender = None);
+                self.give_up(ticket);
                 None
             }
         }
     }
 
+    /// Leaves a scheduler that did not answer.
+    fn give_up(&self, ticket: u64) {
+        log::info!("event=scheduler_silent ticket={ticket}");
+        self.with(|state| state.sender = None);
+    }
+
     fn forget_question(&self, ticket: u64) {
         self.with(|state| state.pending.remove(&ticket));
     }
@@ -261,12 +347,21 @@
                 ScheduleMessage::Reader(reader) => {
                     self.reply(reader.ticket, ScheduleReply::Reader(reader.prefill));
                 }
+                ScheduleMessage::Spent(spent) => {
+                    let ticket = spent.ticket;
+                    let decision = wire::spent_from_wire(&spent);
+                    self.reply(ticket, ScheduleReply::Spent(decision));
+                }
                 ScheduleMessage::Beat(beat) => {
-                    self.with(|state| state.hosts = Some(beat.hosts as usize));
+                    let hosts = beat.hosts as usize;
+                    self.with(|state| state.hosts = Some(hosts));
+                    (self.on_word)(hosts);
                 }
                 ScheduleMessage::Hello(_)
                 | ScheduleMessage::Ask(_)
                 | ScheduleMessage::Held(_)
+                | ScheduleMessage::Spend(_)
+                | ScheduleMessage::GiveBack(_)
                 | ScheduleMessage::Note(_) => {}
             }
             if !self.is_linked() {
@@ -327,24 +422,18 @@
     sent.map_err(|error| ended(&error.to_string()))
 }
 
-/// Opens a link and waits for the scheduler's word that it serves the pool.
+/// Opens a link and waits for the other host's word that it does what it is asked to.
 pub(crate) async fn open_link(
     stack: &NetStack,
     address: SocketAddr,
-    host: &Name,
-    service: &Name,
+    duty: &LinkDuty,
 ) -> Result<ScheduleSocket, ScheduleError> {
     let opening = async {
         let stream = stack.connect(address).await.map_err(|error| ended(&error.to_string()))?;
         let config = Some(wire::socket_config());
         let opened = client_async_with_config(format!("ws://{address}/"), stream, config).await;
         let (mut socket, _response) = opened.map_err(|error| ended(&error.to_string()))?;
-        let hello = ScheduleHello {
-            version: PROTOCOL_VERSION,
-            host: Name::clone(host),
-            service: Name::clone(service),
-        };
-        send(&mut socket, &ScheduleMessage::Hello(hello)).await?;
+        send(&mut socket, &ScheduleMessage::Hello(duty.hello())).await?;
         let first = socket.next().await;
         read_part(Some(first)).map(|_beat| socket)
     };
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -8,7 +8,9 @@
 use dillspool_admission::{PlacementRequest, StreamEnd, TicketId};
 use dillspool_io::{NetListener, NetStream};
 use dillspool_schema::Name;
-use dillspool_schema::schedule::{ScheduleBeat, ScheduleHello, ScheduleMessage, ScheduleReader};
+use dillspool_schema::schedule::{
+    ScheduleBeat, ScheduleDuty, ScheduleHello, ScheduleMessage, ScheduleReader,
+};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
@@ -17,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::desk::{DeskNote, PoolDesk};
+use crate::limit_desk::{LimitDesk, LimitShare};
 use crate::link::BEAT_EVERY;
 use crate::wire::{self, PROTOCOL_VERSION, ScheduleError};
 
@@ -35,7 +38,12 @@
 type HostReader = SplitStream<WebSocketStream<NetStream>>;
 
 /// Answers every host that connects until `cancel`.
-pub async fn serve_schedule(mut listener: NetListener, desk: PoolDesk, cancel: CancellationToken) {
+pub async fn serve_schedule(
+    mut listener: NetListener,
+    desk: PoolDesk,
+    limits: LimitDesk,
+    cancel: CancellationToken,
+) {
     // The tickets of this host itself have the number 0.
     let links = Arc::new(AtomicU64::new(1));
     loop {
@@ -44,53 +52,137 @@
             () = cancel.cancelled() => return,
         };
         let Some(stream) = stream else { return };
-        let (desk, cancel) = (desk.clone(), cancel.clone());
+        let (desk, limits, cancel) = (desk.clone(), limits.clone(), cancel.clone());
         let number = links.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             tokio::select! {
-                () = serve_host(stream, desk, number) => {}
+                () = serve_host(stream, desk, limits, number) => {}
                 () = cancel.cancelled() => {}
             }
         });
     }
 }
 
-async fn serve_host(stream: NetStream, desk: PoolDesk, number: u64) {
+async fn serve_host(stream: NetStream, desk: PoolDesk, limits: LimitDesk, number: u64) {
     let opening = accept_async_with_config(stream, Some(wire::socket_config()));
     let Ok(Ok(socket)) = tokio::time::timeout(OPEN_LIMIT, opening).await else { return };
     let (writer, mut reader) = socket.split();
-    let hello = match read_hello(&mut reader, &desk).await {
+    let hello = match read_hello(&mut reader).await {
         Ok(hello) => hello,
         Err(error) => {
             log::info!("event=schedule_refused cause=\"{error}\"");
             return;
         }
     };
+    match hello.duty {
+        ScheduleDuty::Pool => serve_pool(writer, reader, desk, hello, number).await,
+        ScheduleDuty::Limits => serve_limits(writer, reader, limits, hello).await,
+    }
+}
+
+async fn serve_pool(
+    writer: HostWriter,
+    mut reader: HostReader,
+    desk: PoolDesk,
+    hello: ScheduleHello,
+    number: u64,
+) {
+    let service = hello.service;
+    if !desk.knows(&service) {
+        log::info!("event=schedule_refused cause=\"the pool {service} is not known here yet\"");
+        return;
+    }
     let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
     // The host waits for a word that it is served.
-    let _served = desk.serve_host(&hello.service);
-    let _queued = sender.try_send(beat(&desk, &hello.service));
+    let _served = desk.serve_host(&service);
+    let beat = || beat(desk.hosts(&service));
+    let _queued = sender.try_send(beat());
     let mut host = ServedHost {
         desk: desk.clone(),
         number,
-        service: Name::clone(&hello.service),
+        service: Name::clone(&service),
         sender,
         tickets: HashSet::new(),
     };
-    log::info!("event=schedule_host_joined host={} service={}", hello.host, host.service);
+    log::info!("event=schedule_host_joined host={} service={service}", hello.host);
     let ended = tokio::select! {
         ended = host.read(&mut reader) => ended,
-        ended = write_queue(writer, queue, &desk, &hello.service) => ended,
+        ended = write_queue(writer, queue, beat) => ended,
     };
     let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
     log::info!(
-        "event=schedule_host_left host={} service={} requests={} cause=\"{cause}\"",
+        "event=schedule_host_left host={} service={service} requests={} cause=\"{cause}\"",
         hello.host,
-        host.service,
         host.tickets.len(),
     );
 }
 
+/// Counts limits for a host until its link ends.
+async fn serve_limits(
+    writer: HostWriter,
+    mut reader: HostReader,
+    limits: LimitDesk,
+    hello: ScheduleHello,
+) {
+    let told = Some(hello.hosts as usize).filter(|hosts| *hosts > 0);
+    let Some(share) = limits.share_named(&hello.service) else {
+        log::info!("event=schedule_refused cause=\"there is no share {}\"", hello.service);
+        return;
+    };
+    let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
+    let _joined = limits.join(share, told);
+    let beat = || beat(limits.standing(share));
+    let _queued = sender.try_send(beat());
+    log::info!("event=limits_host_joined host={} share={share} told={told:?}", hello.host);
+    let ended = tokio::select! {
+        ended = read_spends(&mut reader, &sender, &limits, share) => ended,
+        ended = write_queue(writer, queue, beat) => ended,
+    };
+    let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
+    log::info!("event=limits_host_left host={} share={share} cause=\"{cause}\"", hello.host);
+}
+
+async fn read_spends(
+    reader: &mut HostReader,
+    sender: &mpsc::Sender<ScheduleMessage>,
+    limits: &LimitDesk,
+    share: LimitShare,
+) -> Result<(), ScheduleError> {
+    loop {
+        match read_message(reader).await? {
+            ScheduleMessage::Spend(spend) => {
+                let ticket = spend.ticket;
+                let decision = limits.spend(share, &wire::spend_from_wire(spend));
+                queue_message(sender, wire::spent_to_wire(ticket, decision))?;
+            }
+            ScheduleMessage::GiveBack(back) => {
+                limits.give_back(share, &back.workspace, back.amount);
+            }
+            ScheduleMessage::Beat(_beat) => {}
+            ScheduleMessage::Hello(_)
+            | ScheduleMessage::Ask(_)
+            | ScheduleMessage::Held(_)
+            | ScheduleMessage::Note(_)
+            | ScheduleMessage::Decided(_)
+            | ScheduleMessage::Reader(_)
+            | ScheduleMessage::Spent(_) => {
+                let reason = "no question about a limit".to_owned();
+                return Err(ScheduleError::Malformed { reason });
+            }
+        }
+    }
+}
+
+/// Queues a message for a host; one that does not read its messages is left.
+fn queue_message(
+    sender: &mpsc::Sender<ScheduleMessage>,
+    message: ScheduleMessage,
+) -> Result<(), ScheduleError> {
+    let full =
+        |error: mpsc::error::TrySendError<_>| ScheduleError::Ended { reason: error.to_string() };
+    sender.try_send(message).map_err(full)
+}
+
 async fn read_message(reader: &mut HostReader) -> Result<ScheduleMessage, ScheduleError> {
     let ended = |reason: &str| ScheduleError::Ended { reason: reason.to_owned() };
     loop {
@@ -104,10 +196,7 @@
     }
 }
 
-async fn read_hello(
-    reader: &mut HostReader,
-    desk: &PoolDesk,
-) -> Result<ScheduleHello, ScheduleError> {
+async fn read_hello(reader: &mut HostReader) -> Result<ScheduleHello, ScheduleError> {
     let malformed = |reason: String| ScheduleError::Malformed { reason };
     let ScheduleMessage::Hello(hello) = read_message(reader).await? else {
         return Err(malformed("the first message is no greeting".to_owned()));
@@ -115,31 +204,25 @@
     if hello.version != PROTOCOL_VERSION {
         return Err(malformed(format!("version {}", hello.version)));
     }
-    if !desk.knows(&hello.service) {
-        let reason = format!("the pool {} is not known here yet", hello.service);
-        return Err(ScheduleError::Ended { reason });
-    }
     Ok(hello)
 }
 
-/// A sign of life, with the number of hosts that share a pool.
-fn beat(desk: &PoolDesk, service: &Name) -> ScheduleMessage {
-    let hosts = u32::try_from(desk.hosts(service)).unwrap_or(u32::MAX);
-    ScheduleMessage::Beat(ScheduleBeat { hosts })
+/// A sign of life, with the number of hosts that share a duty.
+fn beat(hosts: usize) -> ScheduleMessage {
+    ScheduleMessage::Beat(ScheduleBeat { hosts: u32::try_from(hosts).unwrap_or(u32::MAX) })
 }
 
 /// Sends what is queued, and a sign of life now and then.
 async fn write_queue(
     mut writer: HostWriter,
     mut queue: mpsc::Receiver<ScheduleMessage>,
-    desk: &PoolDesk,
-    service: &Name,
+    beat: impl Fn() -> ScheduleMessage,
 ) -> Result<(), ScheduleError> {
     loop {
         let message = match tokio::time::timeout(BEAT_EVERY, queue.recv()).await {
             Ok(Some(message)) => message,
             Ok(None) => return Ok(()),
-            Err(_elapsed) => beat(desk, service),
+            Err(_elapsed) => beat(),
         };
         let sending = writer.send(wire::encode(&message)?);
         let sent = tokio::time::timeout(SEND_LIMIT, sending).await;
@@ -197,6 +280,9 @@
                 }
                 ScheduleMessage::Beat(_beat) => {}
                 ScheduleMessage::Hello(_)
+                | ScheduleMessage::Spend(_)
+                | ScheduleMessage::GiveBack(_)
+                | ScheduleMessage::Spent(_)
                 | ScheduleMessage::Decided(_)
                 | ScheduleMessage::Reader(_) => {
                     let reason = "a scheduler's message from a host".to_owned();
@@ -219,10 +305,7 @@
     }
 
     fn send(&self, message: ScheduleMessage) -> Result<(), ScheduleError> {
-        let full = |error: mpsc::error::TrySendError<_>| ScheduleError::Ended {
-            reason: error.to_string(),
-        };
-        self.sender.try_send(message).map_err(full)
+        queue_message(&self.sender, message)
     }
 }
 
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -6,10 +6,11 @@
     EngineFault, PlacementDecision, PlacementRequest, StreamEnd, StreamPlacement, TurnAwayCause,
     WorkClass,
 };
+use dillspool_limits::{LimitRate, SpendDecision, SpendRequest};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
     ScheduleCause, ScheduleClass, ScheduleDecision, ScheduleEvent, ScheduleMessage, ScheduleNote,
-    SchedulePlacement, ScheduleRequest, ScheduleTurnAway,
+    SchedulePlacement, ScheduleRequest, ScheduleSpend, ScheduleSpent, ScheduleTurnAway,
 };
 use snafu::Snafu;
 use tokio_tungstenite::tungstenite::Message;
@@ -18,7 +19,7 @@
 use crate::desk::DeskNote;
 
 /// Version of the protocol; hosts of other versions are not served and decide by themselves.
-pub(crate) const PROTOCOL_VERSION: u32 = 1;
+pub(crate) const PROTOCOL_VERSION: u32 = 2;
 /// Largest message in bytes; a question names at most some dozen engines.
 const MESSAGE_LIMIT: usize = 64 * 1024;
 
@@ -73,6 +74,7 @@
             WorkClass::InTime => ScheduleClass::InTime,
             WorkClass::Late => ScheduleClass::Late,
         },
+        workspace_priority: request.workspace_priority,
         priority: request.priority,
         domain: Name::clone(&request.domain),
         prompt: request.prompt_tokens,
@@ -94,6 +96,7 @@
             ScheduleClass::InTime => WorkClass::InTime,
             ScheduleClass::Late => WorkClass::Late,
         },
+        workspace_priority: request.workspace_priority,
         priority: request.priority,
         domain: request.domain,
         prompt_tokens: request.prompt,
@@ -207,3 +210,38 @@
         ScheduleEvent::Silent => fault(EngineFault::Silent),
     }
 }
+
+pub(crate) fn spend_to_wire(ticket: u64, request: &SpendRequest) -> ScheduleMessage {
+    ScheduleMessage::Spend(ScheduleSpend {
+        ticket,
+        workspace: Name::clone(&request.workspace),
+        per_s: request.rate.per_s,
+        burst: request.rate.burst,
+        config: request.version,
+        amount: request.amount,
+    })
+}
+
+pub(crate) fn spend_from_wire(message: ScheduleSpend) -> SpendRequest {
+    SpendRequest {
+        workspace: message.workspace,
+        rate: LimitRate { per_s: message.per_s, burst: message.burst },
+        version: message.config,
+        amount: message.amount,
+    }
+}
+
+pub(crate) fn spent_to_wire(ticket: u64, decision: SpendDecision) -> ScheduleMessage {
+    let come_back_ms = match decision {
+        SpendDecision::Allowed => None,
+        SpendDecision::Refused { come_back } => Some(millis(come_back)),
+    };
+    ScheduleMessage::Spent(ScheduleSpent { ticket, come_back_ms })
+}
+
+pub(crate) fn spent_from_wire(message: &ScheduleSpent) -> SpendDecision {
+    match message.come_back_ms {
+        None => SpendDecision::Allowed,
+        Some(ms) => SpendDecision::Refused { come_back: Duration::from_millis(ms) },
+    }
+}
--- /dev/null
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -0,0 +1,216 @@
+//! Hosts that ask the holder of a limit, lose it, and find another one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_admission::AdmissionPolicy;
+use dillspool_capacity::DemandMeter;
+use dillspool_cases::run_paused;
+use dillspool_io::{LinkMode, MemoryNet};
+use dillspool_limits::{LimitRate, SpendDecision, SpendRequest};
+use dillspool_routing::{
+    ClientLimits, LimitUnit, RouteTable, RoutingConfig, WorkspaceEntry, WorkspaceLimit,
+    WorkspaceTable,
+};
+use dillspool_scheduler::{
+    LimitClient, LimitDesk, LimitTerms, PoolDesk, SchedulePeers, serve_schedule,
+};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const RATE: LimitRate = LimitRate { per_s: 30.0, burst: 30.0 };
+/// How long a request waits for a holder.
+const PATIENCE: Duration = Duration::from_millis(450);
+
+fn address(host: u8) -> SocketAddr {
+    format!("10.0.0.{host}:7661").parse().expect("an address")
+}
+
+fn config() -> RoutingConfig {
+    let limit = WorkspaceLimit { unit: LimitUnit::Requests, per_s: 30.0, burst: 30.0 };
+    let entry = WorkspaceEntry { name: "w".into(), priority: 0, limit: Some(limit) };
+    let limits = ClientLimits {
+        head_bytes: 16_384,
+        body_bytes: 65_536,
+        head_timeout: Duration::from_secs(2),
+        idle_timeout: Duration::from_secs(10),
+    };
+    RoutingConfig {
+        version: 1,
+        routes: RouteTable::default(),
+        services: std::collections::BTreeMap::default(),
+        workspaces: Some(WorkspaceTable::new([(entry, Vec::new())])),
+        limits,
+    }
+}
+
+struct TestHost {
+    client: LimitClient,
+    cancel: CancellationToken,
+    _config: watch::Sender<Option<Arc<RoutingConfig>>>,
+}
+
+impl TestHost {
+    async fn start(net: &MemoryNet, host: u8, order: &[u8]) -> Self {
+        let stack = net.stack(address(host).ip());
+        let cancel = CancellationToken::new();
+        let desk = LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 });
+        let pools = PoolDesk::new(AdmissionPolicy::default(), 1, DemandMeter::default());
+        let listener = stack.listen(address(host)).await.expect("a free address");
+        tokio::spawn(serve_schedule(listener, pools, desk.clone(), cancel.clone()));
+        let client = LimitClient::new(desk);
+        let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
+        let own = Some(address(host));
+        let peers = move |_share: &str| SchedulePeers { own, ranked: ranked.clone() };
+        let name = format!("host-{host}").into();
+        let (config_sender, known) = watch::channel(Some(Arc::new(config())));
+        tokio::spawn(client.clone().run(stack, name, peers, known, cancel.clone()));
+        Self { client, cancel, _config: config_sender }
+    }
+
+    async fn ask(&self) -> Option<SpendDecision> {
+        self.client.spend(&request(), PATIENCE).await
+    }
+
+    /// Requests that are granted of many at once.
+    async fn granted(&self, tries: usize) -> usize {
+        let mut granted = 0;
+        for _try in 0..tries {
+            granted += usize::from(self.ask().await == Some(SpendDecision::Allowed));
+        }
+        granted
+    }
+}
+
+fn request() -> SpendRequest {
+    SpendRequest { workspace: "w".into(), rate: RATE, version: 1, amount: 1.0 }
+}
+
+async fn three_hosts(net: &MemoryNet) -> Vec<TestHost> {
+    let mut hosts = Vec::new();
+    for host in 1..=3 {
+        hosts.push(TestHost::start(net, host, &[1, 2, 3]).await);
+    }
+    pass(3_000).await;
+    hosts
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+#[test]
+fn one_count_holds_for_all_hosts() {
+    run_paused(async {
+        let hosts = three_hosts(&MemoryNet::new()).await;
+        let mut granted = 0;
+        for host in &hosts {
+            granted += host.granted(20).await;
+        }
+        // The burst, whoever asks.
+        assert_eq!(granted, 30);
+        pass(1000).await;
+        let mut granted = 0;
+        for host in &hosts {
+            granted += host.granted(20).await;
+        }
+        assert_eq!(granted, 30);
+    });
+}
+
+#[test]
+fn what_did_not_run_is_given_back_wherever_it_was_counted() {
+    run_paused(async {
+        let hosts = three_hosts(&MemoryNet::new()).await;
+        assert_eq!(hosts[2].granted(1).await, 1);
+        // From now on next to nothing comes back by time.
+        let rate = LimitRate { per_s: 0.001, burst: 30.0 };
+        let lowered = SpendRequest { rate, version: 2, ..request() };
+        let mut granted = 0;
+        for _try in 0..40 {
+            let decision = hosts[2].client.spend(&lowered, PATIENCE).await;
+            granted += usize::from(decision == Some(SpendDecision::Allowed));
+        }
+        assert_eq!(granted, 29, "what was left");
+        for host in &hosts {
+            host.client.spent(&lowered).give_back();
+            pass(2).await;
+            assert_eq!(hosts[1].granted(4).await, 1);
+        }
+    });
+}
+
+struct LossCase {
+    name: &'static str,
+    /// What becomes of the holder's links; `None` if its process ends.
+    mode: Option<LinkMode>,
+    /// Time until another host decides, at most.
+    within_ms: u64,
+}
+
+#[test]
+fn another_host_takes_over_and_counts_what_it_does_not_know_as_spent() {
+    let cases = [
+        LossCase { name: "its process ends", mode: None, within_ms: 450 },
+        LossCase { name: "it is silent", mode: Some(LinkMode::Frozen), within_ms: 900 },
+    ];
+    for case in cases {
+        run_paused(async {
+            let net = MemoryNet::new();
+            let hosts = three_hosts(&net).await;
+            assert_eq!(hosts[2].granted(30).await, 30, "{}", case.name);
+            match case.mode {
+                None => hosts[0].cancel.cancel(),
+                Some(mode) => {
+                    for other in [2, 3] {
+                        net.set_link(address(1).ip(), address(other).ip(), mode);
+                    }
+                }
+            }
+            let started = Instant::now();
+            // The second host counts for itself and the third; the first one's part is left to it.
+            let mut granted = 0;
+            while started.elapsed() < Duration::from_secs(3) {
+                granted += hosts[1].granted(3).await + hosts[2].granted(3).await;
+                if granted == 0 {
+                    let waited = started.elapsed().as_millis();
+                    assert!(waited < u128::from(case.within_ms), "{}: {waited}", case.name);
+                }
+                pass(10).await;
+            }
+            // Up to three seconds' worth, two thirds of it; the burst was spent.
+            assert!((40..=62).contains(&granted), "{}: {granted}", case.name);
+        });
+    }
+}
+
+#[test]
+fn a_host_that_reaches_nobody_spends_its_own_part_for_a_while() {
+    run_paused(async {
+        let net = MemoryNet::new();
+        let hosts = three_hosts(&net).await;
+        for other in [1, 2] {
+            net.set_link(address(3).ip(), address(other).ip(), LinkMode::Cut);
+        }
+        pass(1500).await;
+        let started = Instant::now();
+        let mut granted = 0;
+        while started.elapsed() < Duration::from_secs(20) {
+            granted += hosts[2].granted(2).await;
+            pass(10).await;
+        }
+        // It lists itself as a holder, and grants the third that it knows to be its own: 10 a second.
+        assert!((150..=210).contains(&granted), "{granted}");
+        // The others have two thirds, and nobody passes the limit.
+        pass(2000).await;
+        let before = Instant::now();
+        let mut granted = 0;
+        while before.elapsed() < Duration::from_secs(5) {
+            granted += hosts[0].granted(2).await + hosts[1].granted(2).await;
+            pass(10).await;
+        }
+        assert!((100..=125).contains(&granted), "{granted}");
+    });
+}
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -14,8 +14,8 @@
     RoutingConfig, ServiceEntry,
 };
 use dillspool_scheduler::{
-    DeskNote, PlacementTicket, PoolDesk, ScheduleClient, SchedulePeers, SchedulerCandidate,
-    rank_candidates, serve_schedule,
+    DeskNote, LimitDesk, LimitTerms, PlacementTicket, PoolDesk, ScheduleClient, SchedulePeers,
+    SchedulerCandidate, rank_candidates, serve_schedule,
 };
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -72,6 +72,7 @@
 fn request() -> PlacementRequest {
     PlacementRequest {
         class: WorkClass::InTime,
+        workspace_priority: 0,
         priority: 1,
         domain: "domain".into(),
         prompt_tokens: 1_000,
@@ -104,7 +105,8 @@
         let (view_sender, directory) = watch::channel(Arc::new(view()));
         tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
         let listener = stack.listen(address(host)).await.expect("a free address");
-        tokio::spawn(serve_schedule(listener, desk.clone(), cancel.clone()));
+        let limits = LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 });
+        tokio::spawn(serve_schedule(listener, desk.clone(), limits, cancel.clone()));
         let client = ScheduleClient::new(desk);
         let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
         let own = Some(address(host));
