Another host is linked some round trips after one was lost

Ruled out: trying others first (a link that was only reset would move for two seconds, and split the count). Change: the lost host is tried at once and for 40 ms, then the next; a host that has silently left stops counting after 1.3 s in place of 3 s; a new holder begins with a sixteenth of the slack.

--- a/crates/dillspool_limits/src/bucket.rs
+++ b/crates/dillspool_limits/src/bucket.rs
@@ -39,8 +39,6 @@
     /// Version of the configuration that set the rate.
     version: u64,
     balance: f64,
-    /// Whether nothing was asked since the count began: the first request of all is not refused.
-    is_fresh: bool,
     /// Amounts that were refused and told to come back, as far as their time has not come yet.
     line: f64,
     /// Until when the balance is counted.
@@ -49,8 +47,8 @@
 
 impl LimitBucket {
     /// A balance that begins to fill at a moment.
-    pub(crate) fn new(rate: LimitRate, version: u64, at: Moment) -> Self {
-        Self { rate, version, balance: 0.0, is_fresh: true, line: 0.0, at }
+    pub(crate) fn new(rate: LimitRate, version: u64, balance: f64, at: Moment) -> Self {
+        Self { rate, version, balance, line: 0.0, at }
     }
 
     /// Takes a limit, if it is no older than the one that holds: hosts that hear of changes late
@@ -76,8 +74,7 @@
     /// Spends an amount while the balance is above `least`: the amount itself, or zero where a
     /// request may run the balance into debt.
     pub(crate) fn spend(&mut self, amount: f64, least: f64, part: f64) -> SpendDecision {
-        let is_first = std::mem::take(&mut self.is_fresh);
-        if (self.balance > 0.0 || is_first) && self.balance >= least {
+        if self.balance > 0.0 && self.balance >= least {
             self.balance -= amount;
             return SpendDecision::Allowed;
         }
@@ -96,10 +93,9 @@
         self.balance += amount;
     }
 
-    /// Begins again at a moment; a debt stays.
-    pub(crate) fn begin_again(&mut self, now: Moment) {
-        self.balance = self.balance.min(0.0);
-        self.is_fresh = self.balance >= 0.0;
+    /// Begins again at a moment, with at most so much.
+    pub(crate) fn begin_again(&mut self, most: f64, now: Moment) {
+        self.balance = self.balance.min(most);
         self.at = self.at.max(now);
     }
 
--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -11,6 +11,11 @@
 /// Part of what a site allows beyond its limits that a balance may hold beyond the burst: requests
 /// of one moment reach the holder some milliseconds apart, and none of them shall be refused for that.
 const HEADROOM_PART: f64 = 0.125;
+/// Part of it that a holder starts with. It does not know what was spent before and counts the limit
+/// itself as spent; the burst comes back by time.
+const START_PART: f64 = 0.0625;
+/// Least balance at the start, so that the first request of all is not refused.
+const LEAST_START: f64 = 1e-9;
 /// Workspaces above which balances that are full again are forgotten; twice the two-year size.
 const MOST_BUCKETS: usize = 16_384;
 
@@ -19,6 +24,8 @@
 pub struct LedgerTerms {
     /// Balance beyond the burst.
     headroom: f64,
+    /// Balance at the start.
+    start: f64,
     /// Whether a request may run a balance into debt.
     lends: bool,
 }
@@ -29,13 +36,17 @@
     /// A request is granted while any balance is left: a limit may be as small as two requests a
     /// second, and a request that is larger than its burst would never be granted otherwise.
     pub fn holder(slack: f64) -> Self {
-        Self { headroom: HEADROOM_PART * slack, lends: true }
+        Self {
+            headroom: HEADROOM_PART * slack,
+            start: (START_PART * slack).max(LEAST_START),
+            lends: true,
+        }
     }
 
     /// Terms of a host that has no holder and spends a part of its own: all such parts together
     /// stay within the limit, so each must.
     pub const fn own_part() -> Self {
-        Self { headroom: 0.0, lends: false }
+        Self { headroom: 0.0, start: 0.0, lends: false }
     }
 }
 
@@ -58,8 +69,8 @@
 }
 
 impl LimitLedger {
-    /// Begins to count. What was spent before is not known and counts as spent: every balance starts
-    /// empty, and the limit's burst comes back by time.
+    /// Begins to count. What was spent before is not known and counts as spent: balances start
+    /// with next to nothing, and the limit's burst comes back by time.
     pub fn new(terms: LedgerTerms, since: Moment) -> Self {
         Self { terms, since, buckets: HashMap::new() }
     }
@@ -68,19 +79,19 @@
     pub fn begin_again(&mut self, now: Moment) {
         self.since = now;
         for bucket in self.buckets.values_mut() {
-            bucket.begin_again(now);
+            bucket.begin_again(self.terms.start, now);
         }
     }
 
     /// Spends what a request asks of a limit, of which `part` is granted here.
     pub fn spend(&mut self, request: &SpendRequest, part: f64, now: Moment) -> SpendDecision {
         self.forget_full(now, part);
-        let LedgerTerms { headroom, lends } = self.terms;
+        let LedgerTerms { headroom, start, lends } = self.terms;
         let since = self.since;
         let bucket = self
             .buckets
             .entry(Name::clone(&request.workspace))
-            .or_insert_with(|| LimitBucket::new(request.rate, request.version, since));
+            .or_insert_with(|| LimitBucket::new(request.rate, request.version, start, since));
         bucket.fill(now, part, headroom);
         bucket.set_rate(request.rate, request.version);
         // A limit that was lowered holds at once.
--- a/crates/dillspool_scheduler/src/keeper.rs
+++ b/crates/dillspool_scheduler/src/keeper.rs
@@ -5,9 +5,15 @@
 use std::time::Duration;
 
 use dillspool_io::NetStack;
+use tokio::time::Instant;
 
 use crate::link::{LinkDuty, ScheduleSocket, SchedulerLink, open_link};
 
+/// Time to open a link, some round trips between failure domains; a lost packet takes a second.
+const OPEN_LIMIT: Duration = Duration::from_millis(300);
+/// The same to a host whose link has just ended: one that lives takes its successor within some round
+/// trips, and one that was switched off must not hold up the search for another one.
+const REOPEN_LIMIT: Duration = Duration::from_millis(40);
 /// Pause before schedulers are looked for again.
 const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// Time between two tries to come back to a better scheduler than the one that is linked.
@@ -36,10 +42,12 @@
 impl LinkKeeper {
     /// Finds hosts to ask, one after another, without end.
     pub(crate) async fn run(&self) {
+        let mut lost = None;
         loop {
-            let mut next = self.best(None).await;
+            let mut next = self.best(None, lost.take()).await;
             self.link.set_schedules(next.is_none() && self.is_listed());
             while let Some((address, socket)) = next.take() {
+                let linked = Instant::now();
                 log::info!("event=scheduler_linked service={} peer={address}", self.duty.service);
                 next = tokio::select! {
                     ended = self.link.run(socket) => {
@@ -48,12 +56,16 @@
                             "event=scheduler_lost service={} peer={address} cause=\"{cause}\"",
                             self.duty.service,
                         );
+                        // One that ends at once would else be opened without a pause.
+                        lost = (linked.elapsed() >= LOOK_AGAIN).then_some(address);
                         None
                     }
                     better = self.better_than(address) => better,
                 };
             }
-            tokio::time::sleep(LOOK_AGAIN).await;
+            if lost.is_none() {
+                tokio::time::sleep(LOOK_AGAIN).await;
+            }
         }
     }
 
@@ -63,14 +75,20 @@
         peers.own.is_some_and(|own| peers.ranked.contains(&own))
     }
 
-    /// The best scheduler that serves, up to one that is known; `None` when that is this host.
-    async fn best(&self, up_to: Option<SocketAddr>) -> Option<(SocketAddr, ScheduleSocket)> {
+    /// The best scheduler that serves, up to one that is known; `None` when that is this host. The link
+    /// to `lost` has just ended.
+    async fn best(
+        &self,
+        up_to: Option<SocketAddr>,
+        lost: Option<SocketAddr>,
+    ) -> Option<(SocketAddr, ScheduleSocket)> {
         let peers = (self.peers)(&self.duty.service);
         for address in peers.ranked {
             if Some(address) == peers.own || Some(address) == up_to {
                 return None;
             }
-            match open_link(&self.stack, address, &self.duty).await {
+            let limit = if Some(address) == lost { REOPEN_LIMIT } else { OPEN_LIMIT };
+            match open_link(&self.stack, address, &self.duty, limit).await {
                 Ok(socket) => return Some((address, socket)),
                 Err(error) => {
                     log::debug!("event=scheduler_not_linked peer={address} cause=\"{error}\"");
@@ -91,7 +109,7 @@
                 // This host has learnt that it comes before the scheduler that it asks.
                 return None;
             }
-            if let Some(better) = self.best(Some(address)).await {
+            if let Some(better) = self.best(Some(address), None).await {
                 return Some(better);
             }
         }
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -26,8 +26,6 @@
 pub(crate) const BEAT_EVERY: Duration = Duration::from_millis(400);
 /// Silence after which a scheduler counts as gone; some beats, one of which may be lost.
 const SCHEDULER_SILENCE: Duration = Duration::from_millis(1300);
-/// Time to open a link, some round trips between failure domains; a lost packet takes a second.
-const OPEN_LIMIT: Duration = Duration::from_millis(300);
 /// Time for one message.
 const SEND_LIMIT: Duration = Duration::from_millis(500);
 /// Time for a scheduler's answer, after which this host decides by itself: a fiftieth to a tenth of
@@ -427,6 +425,7 @@
     stack: &NetStack,
     address: SocketAddr,
     duty: &LinkDuty,
+    limit: Duration,
 ) -> Result<ScheduleSocket, ScheduleError> {
     let opening = async {
         let stream = stack.connect(address).await.map_err(|error| ended(&error.to_string()))?;
@@ -437,6 +436,6 @@
         let first = socket.next().await;
         read_part(Some(first)).map(|_beat| socket)
     };
-    let opened = tokio::time::timeout(OPEN_LIMIT, opening).await;
+    let opened = tokio::time::timeout(limit, opening).await;
     opened.map_err(|_elapsed| ended("it does not answer"))?
 }
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -27,6 +27,9 @@
 const OPEN_LIMIT: Duration = Duration::from_millis(500);
 /// Silence after which a host counts as gone; it beats as often as the scheduler.
 const HOST_SILENCE: Duration = Duration::from_secs(3);
+/// The same where limits are counted: a host that has left silently may ask another holder meanwhile,
+/// and both would grant its part. It asks another one after as long.
+const LIMIT_HOST_SILENCE: Duration = Duration::from_millis(1300);
 /// Time for one message; a host that does not read it is gone.
 const SEND_LIMIT: Duration = Duration::from_secs(1);
 /// Messages that wait to be sent to one host.
@@ -149,7 +152,7 @@
     share: LimitShare,
 ) -> Result<(), ScheduleError> {
     loop {
-        match read_message(reader).await? {
+        match read_message(reader, LIMIT_HOST_SILENCE).await? {
             ScheduleMessage::Spend(spend) => {
                 let ticket = spend.ticket;
                 let decision = limits.spend(share, &wire::spend_from_wire(spend));
@@ -183,10 +186,13 @@
     sender.try_send(message).map_err(full)
 }
 
-async fn read_message(reader: &mut HostReader) -> Result<ScheduleMessage, ScheduleError> {
+async fn read_message(
+    reader: &mut HostReader,
+    silence: Duration,
+) -> Result<ScheduleMessage, ScheduleError> {
     let ended = |reason: &str| ScheduleError::Ended { reason: reason.to_owned() };
     loop {
-        match tokio::time::timeout(HOST_SILENCE, reader.next()).await {
+        match tokio::time::timeout(silence, reader.next()).await {
             Ok(Some(Ok(Message::Binary(bytes)))) => return wire::decode(&bytes),
             Ok(Some(Ok(_other))) => {}
             Ok(Some(Err(error))) => return Err(ended(&error.to_string())),
@@ -198,7 +204,7 @@
 
 async fn read_hello(reader: &mut HostReader) -> Result<ScheduleHello, ScheduleError> {
     let malformed = |reason: String| ScheduleError::Malformed { reason };
-    let ScheduleMessage::Hello(hello) = read_message(reader).await? else {
+    let ScheduleMessage::Hello(hello) = read_message(reader, HOST_SILENCE).await? else {
         return Err(malformed("the first message is no greeting".to_owned()));
     };
     if hello.version != PROTOCOL_VERSION {
@@ -249,7 +255,7 @@
 
     async fn read(&mut self, reader: &mut HostReader) -> Result<(), ScheduleError> {
         loop {
-            match read_message(reader).await? {
+            match read_message(reader, HOST_SILENCE).await? {
                 ScheduleMessage::Ask(ask) if ask.reader_only => {
                     let request = wire::request_from_wire(ask.request);
                     let prefill = self.desk.ask_prefill(self.ticket(ask.ticket), &request);
