Engines that fail what they get are left alone

Ruled out: health answers (these engines say that they are well); asking another engine after a 500 (it has run, and these answers may not run twice). Change: two failures in a row shut an engine for 0.5 to 4 s, as silence does; one that was shut gets one request at a time until it does as it should; the part of an engine's requests that fail, halved every 4 s, counts as less room there. Requests are noted as begun only when the answer is a success.

--- a/crates/dillspool_admission/src/decode_book.rs
+++ b/crates/dillspool_admission/src/decode_book.rs
@@ -129,13 +129,20 @@
     }
 
     pub(crate) fn note_started(&mut self, ticket: TicketId, now: Moment) {
-        self.shut.note_success();
+        self.shut.note_success(now);
         if let Some(stream) = self.streams.iter_mut().find(|stream| stream.ticket == ticket) {
             stream.started = Some(now);
             self.foresight = None;
         }
     }
 
+    /// Whether it gets nothing now: it is shut, or has yet to show with one request that it does as it
+    /// should.
+    pub(crate) fn is_closed(&self, now: Moment) -> bool {
+        let is_tried = || self.streams.iter().any(|stream| stream.started.is_none());
+        self.shut.is_shut(now) || (self.shut.is_on_probation() && is_tried())
+    }
+
     pub(crate) fn note_reads(&mut self, ticket: TicketId, now: Moment) {
         if let Some(stream) = self.streams.iter_mut().find(|stream| stream.ticket == ticket) {
             stream.read_since = Some(now);
--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -253,7 +253,7 @@
         }
         let reader = placed.read_by.as_ref().and_then(|engine| self.prefill.get_mut(engine));
         if let Some(reader) = reader {
-            reader.shut.note_success();
+            reader.shut.note_success(now);
         }
     }
 
@@ -273,6 +273,7 @@
                 EngineFault::ReservedRefused => shut.note_refused_reserved(now, reader.is_some()),
                 EngineFault::Unreachable => shut.note_unreachable(now),
                 EngineFault::Silent => shut.note_silence(now),
+                EngineFault::Failed => shut.note_failed(now, self.policy.failures_before_shut),
             }
         }
         if fault == EngineFault::ReservedRefused
@@ -462,11 +463,11 @@
             if request.class == WorkClass::Late { self.policy.late_margin * memory } else { 0.0 };
         let (lengths, terms, policy) = (&self.lengths, self.terms, self.policy);
         // If all are shut, the cause is not theirs, and they are asked as ever.
-        let all_shut = self.decode.values().all(|book| book.shut.is_shut(now));
+        let all_shut = self.decode.values().all(|book| book.is_closed(now));
         let mut ranked = Vec::new();
         let mut any = false;
         for (name, book) in &mut self.decode {
-            if request.excluded.contains(name) || (book.shut.is_shut(now) && !all_shut) {
+            if request.excluded.contains(name) || (book.is_closed(now) && !all_shut) {
                 continue;
             }
             any = true;
@@ -476,7 +477,12 @@
             }
             let far = if book.domain == request.domain { 0.0 } else { FAR_TOKENS };
             let spread = self.random.random_range(0.0..SPREAD) * memory;
-            ranked.push((room - far + spread, Name::clone(name), Name::clone(&book.domain)));
+            let failing = book.shut.failure_rate(now) * policy.failure_weight * memory;
+            ranked.push((
+                room - far - failing + spread,
+                Name::clone(name),
+                Name::clone(&book.domain),
+            ));
         }
         if !any {
             return Err(PlaceLack::Engine);
@@ -496,7 +502,7 @@
         let open = self
             .prefill
             .iter()
-            .filter(|(name, book)| !book.shut.is_shut(now) && !request.excluded.contains(*name));
+            .filter(|(name, book)| !book.is_closed(now) && !request.excluded.contains(*name));
         let waits = open.map(|(name, book)| {
             let wait = book.wait(now, pace_s);
             let far = if book.domain == *domain { Duration::ZERO } else { FAR_WAIT };
@@ -600,7 +606,7 @@
         if request.class == WorkClass::UnderWay {
             return Duration::ZERO;
         }
-        if self.prefill.values().any(|book| !book.shut.is_shut(now)) {
+        if self.prefill.values().any(|book| !book.is_closed(now)) {
             // Their queues shrink no faster than the time that is left.
             return if is_in_time(request) { Duration::MAX } else { Duration::ZERO };
         }
--- a/crates/dillspool_admission/src/prefill_book.rs
+++ b/crates/dillspool_admission/src/prefill_book.rs
@@ -42,6 +42,12 @@
         Self { domain, shut: ShutState::default(), prompts: VecDeque::new() }
     }
 
+    /// Whether it gets nothing now: it is shut, or has yet to show with one prompt that it does as it
+    /// should.
+    pub(crate) fn is_closed(&self, now: Moment) -> bool {
+        self.shut.is_shut(now) || (self.shut.is_on_probation() && !self.prompts.is_empty())
+    }
+
     fn queued_tokens(&self) -> u64 {
         self.prompts.iter().map(|prompt| prompt.tokens).sum()
     }
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -122,6 +122,8 @@
     Unreachable,
     /// It gave no proper answer.
     Silent,
+    /// It answered with a failure of its own.
+    Failed,
 }
 
 /// How a stream left its engine.
@@ -157,6 +159,10 @@
     pub reads_at_decode: bool,
     /// Engines that may refuse one request before it is turned away.
     pub most_refusals: usize,
+    /// Failures in a row after which an engine is left alone; 0 for never.
+    pub failures_before_shut: u32,
+    /// Room that an engine whose requests all fail counts as having less, as a part of its memory.
+    pub failure_weight: f64,
 }
 
 impl PoolTerms {
@@ -174,6 +180,8 @@
             late_wait: 1.0,
             reads_at_decode: true,
             most_refusals: 12,
+            failures_before_shut: 2,
+            failure_weight: 1.0,
         }
     }
 }
--- a/crates/dillspool_admission/src/shut.rs
+++ b/crates/dillspool_admission/src/shut.rs
@@ -21,6 +21,31 @@
 /// Doublings at most; the longest times are reached long before.
 const MOST_DOUBLINGS: u32 = 8;
 
+/// Weight of the newest request in the part of requests that fail; some four decide.
+const NEWEST_WEIGHT: f64 = 0.25;
+/// Time in which half of what is held against an engine is forgotten; troubles last some seconds.
+const FAILURES_HALVED: Duration = Duration::from_secs(4);
+
+/// The part of an engine's requests that fail, 0 to 1, the newest counting most.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailureRate {
+    rate: f64,
+    at: Moment,
+}
+
+impl FailureRate {
+    fn read(&self, now: Moment) -> f64 {
+        let halvings = now.since(self.at).as_secs_f64() / FAILURES_HALVED.as_secs_f64();
+        self.rate * 0.5_f64.powf(halvings)
+    }
+
+    fn note(&mut self, failed: bool, now: Moment) {
+        let before = self.read(now);
+        let newest = if failed { 1.0 } else { 0.0 };
+        *self = Self { rate: before + NEWEST_WEIGHT * (newest - before), at: now };
+    }
+}
+
 /// Whether an engine gets requests, and what it did to lose them.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ShutState {
@@ -28,6 +53,8 @@
     /// Faults in a row, of each kind.
     silences: u32,
     refusals: u32,
+    failures: u32,
+    rate: FailureRate,
 }
 
 impl ShutState {
@@ -35,14 +62,38 @@
         self.until.is_some_and(|until| until > now)
     }
 
+    /// Whether it was shut and has not shown since that it does as it should: then it gets one
+    /// request at a time. An engine that fails at once looks emptiest, and would draw all others.
+    pub(crate) fn is_on_probation(&self) -> bool {
+        self.until.is_some()
+    }
+
+    /// The part of its requests that fail.
+    pub(crate) fn failure_rate(&self, now: Moment) -> f64 {
+        self.rate.read(now)
+    }
+
     /// The engine answered as it should; whether its work is of use is not known yet.
     pub(crate) fn note_answered(&mut self) {
         self.silences = 0;
     }
 
     /// The engine did as it should.
-    pub(crate) fn note_success(&mut self) {
-        *self = Self::default();
+    pub(crate) fn note_success(&mut self, now: Moment) {
+        let mut rate = self.rate;
+        rate.note(false, now);
+        *self = Self { rate, ..Self::default() };
+    }
+
+    /// It failed a request; after `before` of them in a row it is left alone, or never if that is 0.
+    pub(crate) fn note_failed(&mut self, now: Moment, before: u32) {
+        self.rate.note(true, now);
+        self.failures += 1;
+        if before > 0
+            && let Some(doublings) = self.failures.checked_sub(before)
+        {
+            self.shut(now, doubled(FIRST_SHUT, doublings, LONGEST_SHUT));
+        }
     }
 
     /// No connection could be made.
@@ -53,6 +104,7 @@
 
     /// No proper answer came.
     pub(crate) fn note_silence(&mut self, now: Moment) {
+        self.rate.note(true, now);
         self.silences += 1;
         if let Some(doublings) = self.silences.checked_sub(SILENT_BEFORE_SHUT) {
             self.shut(now, doubled(FIRST_SHUT, doublings, LONGEST_SHUT));
--- a/crates/dillspool_admission/tests/model/mod.rs
+++ b/crates/dillspool_admission/tests/model/mod.rs
@@ -67,11 +67,31 @@
     pub lost: Option<(usize, u64)>,
     /// Factor by which prefill engines are slower than usual.
     pub slow_prefill: f64,
+    /// Decode engines that answer with a failure, though they say that they are well.
+    pub failing: Option<Failing>,
+}
+
+/// Decode engines that fail.
+#[derive(Clone, Copy, Debug)]
+pub struct Failing {
+    pub engines: usize,
+    /// From when and until when, in ms.
+    pub from_ms: u64,
+    pub until_ms: u64,
+    /// Every so many requests there.
+    pub every: u64,
 }
 
 impl Default for PoolModel {
     fn default() -> Self {
-        Self { decode: 52, prefill: 12, memory: 62_870, lost: None, slow_prefill: 1.0 }
+        Self {
+            decode: 52,
+            prefill: 12,
+            memory: 62_870,
+            lost: None,
+            slow_prefill: 1.0,
+            failing: None,
+        }
     }
 }
 
@@ -89,6 +109,8 @@
     pub paused: usize,
     /// Callers that left before their first event.
     pub left: usize,
+    /// Callers that got an engine's failure.
+    pub failed: usize,
     /// Longest wait of a caller that was refused in the end, in ms.
     pub longest_held: u64,
     /// Callers whose answers are in the largest tenth, and how many of them were served at all.
@@ -334,7 +356,29 @@
         }
     }
 
+    /// Whether the engine fails the request.
+    fn fails(&self, decode: &Name, number: u64) -> bool {
+        let Some(failing) = self.pool.failing else { return false };
+        let place = self.decode.keys().position(|name| name == decode);
+        let is_time = (failing.from_ms..failing.until_ms).contains(&self.now);
+        let is_one = place.is_some_and(|place| place < failing.engines);
+        is_time && is_one && number.is_multiple_of(failing.every)
+    }
+
     fn start(&mut self, number: u64) {
+        let decode = Name::clone(&self.callers[&number].placement.as_ref().unwrap().decode);
+        if self.fails(&decode, number) {
+            if let Some(engine) = self.decode.get_mut(&decode) {
+                engine.reserved.remove(&number);
+            }
+            let now = moment(self.now);
+            self.planner.note_fault(TicketId(number), &decode, EngineFault::Failed, now);
+            let end = StreamEnd { is_whole: false, event_gap: None };
+            self.planner.note_ended(TicketId(number), end, now);
+            self.callers.remove(&number);
+            self.outcome.failed += 1;
+            return;
+        }
         let caller = &self.callers[&number];
         let placement = caller.placement.as_ref().unwrap();
         let Some(engine) = self.decode.get_mut(&placement.decode) else { return };
--- a/crates/dillspool_admission/tests/overload.rs
+++ b/crates/dillspool_admission/tests/overload.rs
@@ -7,7 +7,7 @@
 mod model;
 
 use dillspool_admission::AdmissionPolicy;
-use model::{Arrival, Outcome, PoolModel, load, play};
+use model::{Arrival, Failing, Outcome, PoolModel, load, play};
 
 /// What a load must come to.
 struct Counts {
@@ -21,6 +21,8 @@
     longest_held: u64,
     /// Callers that left before their first event: placed, and then out of memory.
     left: usize,
+    /// Callers that got an engine's failure, at most.
+    failed: usize,
 }
 
 impl Counts {
@@ -31,6 +33,7 @@
             && outcome.refused_twice <= self.refused_twice
             && outcome.longest_held <= self.longest_held
             && outcome.left <= self.left
+            && outcome.failed <= self.failed
     }
 }
 
@@ -54,10 +57,13 @@
     load
 }
 
-#[test]
-fn worst_loads_are_served_as_far_as_engines_allow() {
-    let usual = AdmissionPolicy::default;
-    let cases = [
+fn usual() -> AdmissionPolicy {
+    AdmissionPolicy::default()
+}
+
+/// Bursts, lost engines and long answers.
+fn overloads() -> Vec<LoadCase> {
+    vec![
         LoadCase {
             name: "a burst upon a burst",
             pool: PoolModel::default(),
@@ -69,6 +75,7 @@
                 refused_twice: 60,
                 longest_held: 3_300,
                 left: 0,
+                failed: 0,
             },
             without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
         },
@@ -83,6 +90,7 @@
                 refused_twice: 400,
                 longest_held: 3_600,
                 left: 0,
+                failed: 0,
             },
             without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
         },
@@ -100,6 +108,7 @@
                 refused_twice: 60,
                 longest_held: 3_600,
                 left: 5,
+                failed: 0,
             },
             without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
         },
@@ -114,11 +123,58 @@
                 refused_twice: 200,
                 longest_held: 3_600,
                 left: 0,
+                failed: 0,
             },
             without: AdmissionPolicy { late_wait: 0.0, ..usual() },
         },
-    ];
-    for case in cases {
+    ]
+}
+
+/// Engines that fail requests.
+fn failures() -> Vec<LoadCase> {
+    vec![
+        LoadCase {
+            name: "engines that fail all they get and say that they are well",
+            pool: PoolModel {
+                failing: Some(Failing { engines: 6, from_ms: 12_000, until_ms: 20_000, every: 1 }),
+                ..PoolModel::default()
+            },
+            load: recorded(),
+            counts: Counts {
+                in_time: 1_400,
+                preempted: 60,
+                paused: 140,
+                refused_twice: 100,
+                longest_held: 3_600,
+                left: 0,
+                failed: 60,
+            },
+            without: AdmissionPolicy { failures_before_shut: 0, failure_weight: 0.0, ..usual() },
+        },
+        LoadCase {
+            name: "half of the engines fail some of what they get",
+            pool: PoolModel {
+                failing: Some(Failing { engines: 26, from_ms: 4_000, until_ms: 12_000, every: 3 }),
+                ..PoolModel::default()
+            },
+            load: recorded(),
+            counts: Counts {
+                in_time: 1_400,
+                preempted: 80,
+                paused: 140,
+                refused_twice: 100,
+                longest_held: 3_600,
+                left: 0,
+                failed: 95,
+            },
+            without: AdmissionPolicy { failure_weight: 0.0, ..usual() },
+        },
+    ]
+}
+
+#[test]
+fn worst_loads_are_served_as_far_as_engines_allow() {
+    for case in overloads().into_iter().chain(failures()) {
         let outcome = play(case.pool, usual(), &case.load);
         let without = play(case.pool, case.without, &case.load);
         assert!(case.counts.are_met(&outcome), "{}: {outcome:?}", case.name);
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -383,9 +383,9 @@
             self.note_refused_reserved(&entry, &ticket, answer.status);
             return Ok(None);
         }
-        ticket.note(&DeskNote::Started);
         let (status, headers) = (answer.status, answer.headers.clone());
         if answer.is_genuine_success() {
+            ticket.note(&DeskNote::Started);
             if self.is_before_first_event() {
                 self.stages.opened = self.request.age();
             }
@@ -399,7 +399,7 @@
         }
         let reading = read_response_body(answer.body, LARGEST_FAILURE);
         match tokio::time::timeout(self.request.remaining(), reading).await {
-            Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, status, headers, body))),
+            Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, &ticket, status, headers, body))),
             Ok(Err(error)) => self.note_unclear(&entry, &ticket, &error.to_string()),
             Err(_elapsed) => self.note_unclear(&entry, &ticket, "the failure did not come whole"),
         }
@@ -409,11 +409,17 @@
     fn pass_failure(
         &self,
         entry: &BackendEntry,
+        ticket: &StreamTicket,
         status: StatusCode,
         headers: HeaderMap,
         body: Bytes,
     ) -> OpenEnd {
-        self.context.book.note_failure(&entry.id);
+        if entry.stage.is_none() {
+            self.context.book.note_failure(&entry.id);
+        }
+        if status.is_server_error() {
+            ticket.note_fault(&entry.id, EngineFault::Failed);
+        }
         let mut response = Response::new(dillspool_io::full_body(body));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -181,6 +181,7 @@
                 EngineFault::ReservedRefused => ScheduleEvent::ReservedRefused,
                 EngineFault::Unreachable => ScheduleEvent::Unreachable,
                 EngineFault::Silent => ScheduleEvent::Silent,
+                EngineFault::Failed => ScheduleEvent::Failed,
             };
         }
         DeskNote::Ended(end) => {
@@ -208,6 +209,7 @@
         ScheduleEvent::ReservedRefused => fault(EngineFault::ReservedRefused),
         ScheduleEvent::Unreachable => fault(EngineFault::Unreachable),
         ScheduleEvent::Silent => fault(EngineFault::Silent),
+        ScheduleEvent::Failed => fault(EngineFault::Failed),
     }
 }
 
