The first holder of all limits begins with half of the burst

Change: a holder that nobody tells of others begins with half of the burst of its part; one that is told begins as before.

--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -32,13 +32,15 @@
     fleet: FleetCount,
     /// Hosts that ask here; this one is among them only while it asks itself.
     served: usize,
+    /// Whether any host ever asked here.
+    has_served: bool,
 }
 
 impl LimitHolder {
     /// A holder that serves nobody yet; the site allows `slack` beyond the limits in a window.
     pub fn new(slack: f64, now: Moment) -> Self {
         let ledger = LimitLedger::new(LedgerTerms::holder(slack), now);
-        Self { ledger, fleet: FleetCount::default(), served: 0 }
+        Self { ledger, fleet: FleetCount::default(), served: 0, has_served: false }
     }
 
     /// Notes how many hosts share the limits by the word of another holder.
@@ -48,10 +50,11 @@
 
     /// A host asks here from now on, and knows of so many hosts.
     pub fn join(&mut self, told: Option<usize>, now: Moment) {
-        if self.served == 0 {
-            // Others were asked meanwhile.
+        if (self.served == 0 && self.has_served) || (!self.has_served && told.is_some()) {
+            // Others were asked meanwhile, or before.
             self.ledger.begin_again(now);
         }
+        self.has_served = true;
         self.served += 1;
         if let Some(told) = told {
             self.fleet.note(told, now);
--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -14,6 +14,10 @@
 /// Part of it that a holder starts with. It does not know what was spent before and counts the limit
 /// itself as spent; the burst comes back by time.
 const START_PART: f64 = 0.0625;
+/// Part of the burst that the first holder of all starts with: all hosts have just started, and the
+/// callers of the time in which none of them answered come at once. What the hosts granted before they
+/// were lost is not known; the rest of the burst is left for it.
+const FIRST_PART: f64 = 0.5;
 /// Least balance at the start, so that the first request of all is not refused.
 const LEAST_START: f64 = 1e-9;
 /// Workspaces above which balances that are full again are forgotten; twice the two-year size.
@@ -65,19 +69,22 @@
     terms: LedgerTerms,
     /// When the count began.
     since: Moment,
+    /// Whether nobody is known to have counted before.
+    is_first: bool,
     buckets: HashMap<Name, LimitBucket>,
 }
 
 impl LimitLedger {
-    /// Begins to count. What was spent before is not known and counts as spent: balances start
-    /// with next to nothing, and the limit's burst comes back by time.
+    /// Begins to count, as the first that does.
     pub fn new(terms: LedgerTerms, since: Moment) -> Self {
-        Self { terms, since, buckets: HashMap::new() }
+        Self { terms, since, is_first: true, buckets: HashMap::new() }
     }
 
-    /// Begins again, where others have counted meanwhile.
+    /// Begins again, where others have counted before. What they granted is not known and counts as
+    /// spent: balances start with next to nothing, and the burst comes back by time.
     pub fn begin_again(&mut self, now: Moment) {
         self.since = now;
+        self.is_first = false;
         for bucket in self.buckets.values_mut() {
             bucket.begin_again(self.terms.start, now);
         }
@@ -88,10 +95,11 @@
         self.forget_full(now, part);
         let LedgerTerms { headroom, start, lends } = self.terms;
         let since = self.since;
-        let bucket = self
-            .buckets
-            .entry(Name::clone(&request.workspace))
-            .or_insert_with(|| LimitBucket::new(request.rate, request.version, start, since));
+        let first =
+            if self.is_first && lends { request.rate.burst * part * FIRST_PART } else { 0.0 };
+        let bucket = self.buckets.entry(Name::clone(&request.workspace)).or_insert_with(|| {
+            LimitBucket::new(request.rate, request.version, start + first, since)
+        });
         bucket.fill(now, part, headroom);
         bucket.set_rate(request.rate, request.version);
         // A limit that was lowered holds at once.
