A link that is left for a better host does not count as linked

Ruled out: the search for holders (no request of any other host was without one after the start). Change: the link is closed wherever its serving ends. Figures: limit_links.rs fails before (460 ms) and passes now.

--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -317,16 +317,12 @@
             }
             state.sender = Some(sender);
         });
+        let _open = OpenLink(self);
         let (writer, reader) = socket.split();
-        let ended = tokio::select! {
+        tokio::select! {
             ended = self.read(reader) => ended,
             ended = write_queue(writer, queue) => ended,
-        };
-        self.with(|state| {
-            state.sender = None;
-            state.pending.clear();
-        });
-        ended
+        }
     }
 
     async fn read(
@@ -380,6 +376,19 @@
     }
 }
 
+/// A link that is being served; also one that is left for a better one, or because this host comes first,
+/// must not count as linked any more.
+struct OpenLink<'a>(&'a SchedulerLink);
+
+impl Drop for OpenLink<'_> {
+    fn drop(&mut self) {
+        self.0.with(|state| {
+            state.sender = None;
+            state.pending.clear();
+        });
+    }
+}
+
 fn ended(reason: &str) -> ScheduleError {
     ScheduleError::Ended { reason: reason.to_owned() }
 }
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -1,7 +1,7 @@
 //! Hosts that ask the holder of a limit, lose it, and find another one.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use dillspool_admission::AdmissionPolicy;
@@ -54,6 +54,11 @@
 
 impl TestHost {
     async fn start(net: &MemoryNet, host: u8, order: &[u8]) -> Self {
+        Self::start_listing(net, host, &Arc::new(Mutex::new(order.to_vec()))).await
+    }
+
+    /// A host whose list of others changes.
+    async fn start_listing(net: &MemoryNet, host: u8, order: &Arc<Mutex<Vec<u8>>>) -> Self {
         let stack = net.stack(address(host).ip());
         let cancel = CancellationToken::new();
         let desk = LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 });
@@ -61,9 +66,11 @@
         let listener = stack.listen(address(host)).await.expect("a free address");
         tokio::spawn(serve_schedule(listener, pools, desk.clone(), cancel.clone()));
         let client = LimitClient::new(desk);
-        let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
-        let own = Some(address(host));
-        let peers = move |_share: &str| SchedulePeers { own, ranked: ranked.clone() };
+        let (own, order) = (Some(address(host)), Arc::clone(order));
+        let peers = move |_share: &str| {
+            let ranked = order.lock().unwrap().iter().map(|host| address(*host)).collect();
+            SchedulePeers { own, ranked }
+        };
         let name = format!("host-{host}").into();
         let (config_sender, known) = watch::channel(Some(Arc::new(config())));
         tokio::spawn(client.clone().run(stack, name, peers, known, cancel.clone()));
@@ -216,3 +223,21 @@
         assert!((100..=125).contains(&granted), "{granted}");
     });
 }
+
+#[test]
+fn a_host_that_learns_that_it_comes_first_counts_for_itself() {
+    run_paused(async {
+        let net = MemoryNet::new();
+        let order = Arc::new(Mutex::new(vec![2, 3]));
+        let first = TestHost::start_listing(&net, 1, &order).await;
+        let second = TestHost::start(&net, 2, &[2, 3]).await;
+        pass(3_000).await;
+        assert_eq!(first.ask().await, Some(SpendDecision::Allowed));
+        *order.lock().unwrap() = vec![1, 2, 3];
+        pass(4_000).await;
+        let asked = Instant::now();
+        assert_eq!(first.ask().await, Some(SpendDecision::Allowed));
+        assert!(asked.elapsed() < Duration::from_millis(5), "{:?}", asked.elapsed());
+        assert_eq!(second.ask().await, Some(SpendDecision::Allowed));
+    });
+}
