The last lines of the log are written before the process ends

Change: both daemons wait up to 0.25 s for the log; the router breaks off 0.6 s before the kill in place of 0.4 s.

--- a/crates/dillspool_log/src/lib.rs
+++ b/crates/dillspool_log/src/lib.rs
@@ -6,5 +6,5 @@
 mod line_queue;
 mod log_setup;
 
-pub use line_queue::{LineQueue, QUEUE_LINES, start_writer};
+pub use line_queue::{LineQueue, LogDrain, QUEUE_LINES, start_writer};
 pub use log_setup::{LineForm, LogSetup, LogSetupError, set_up_log};
--- a/crates/dillspool_log/src/log_setup.rs
+++ b/crates/dillspool_log/src/log_setup.rs
@@ -7,7 +7,7 @@
 use log::{Level, LevelFilter, Record};
 use snafu::{ResultExt, Snafu};
 
-use crate::line_queue::start_writer;
+use crate::line_queue::{LogDrain, start_writer};
 
 /// Start of the names of the project's own crates; what libraries say is logged from warnings on.
 const OWN_CRATES: &str = "dillspool";
@@ -47,13 +47,14 @@
     pub form: LineForm,
 }
 
-/// Sends the log to standard output.
+/// Sends the log to standard output; returns what lets the last lines out.
 ///
 /// # Errors
 ///
 /// [`LogSetupError`] when no thread can be started or a logger was set up before.
-pub fn set_up_log(setup: LogSetup) -> Result<(), LogSetupError> {
+pub fn set_up_log(setup: LogSetup) -> Result<LogDrain, LogSetupError> {
     let queue = start_writer(io::stdout()).context(ThreadSnafu)?;
+    let drain = queue.drain();
     let level = setup.level;
     let dispatch = fern::Dispatch::new()
         .level(level)
@@ -63,7 +64,8 @@
             out.finish(format_args!("{line}"));
         })
         .chain(Box::new(queue) as Box<dyn Write + Send>);
-    dispatch.apply().map_err(|_set| LogSetupError::Twice)
+    dispatch.apply().map_err(|_set| LogSetupError::Twice)?;
+    Ok(drain)
 }
 
 fn format_line(setup: &LogSetup, record: &Record<'_>, message: &str) -> String {
--- a/crates/dillspool_log/tests/line_queue.rs
+++ b/crates/dillspool_log/tests/line_queue.rs
@@ -65,3 +65,32 @@
         assert_eq!(lost > 0, case.loses, "{} lines", case.lines);
     }
 }
+
+/// A reader that takes what it gets.
+#[derive(Clone, Default)]
+struct PromptReader {
+    taken: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for PromptReader {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.taken.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_last_lines_are_out_before_the_process_ends() {
+    let reader = PromptReader::default();
+    let mut queue = start_writer(reader.clone()).expect("a thread");
+    for line in 0..50 {
+        queue.write_all(format!("line={line}\n").as_bytes()).expect("it takes the line");
+    }
+    queue.drain().wait(std::time::Duration::from_secs(10));
+    let text = String::from_utf8(reader.taken.lock().unwrap().clone()).expect("text");
+    assert!(text.ends_with("line=49\n"), "{text}");
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -40,8 +40,9 @@
 /// Time after the signal to stop in which new connections still come: the platform asks for
 /// readiness each second and takes a host out after two misses.
 const STILL_LISTED: Duration = Duration::from_millis(2_600);
-/// Time before the kill at which what still runs is broken off.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the kill at which what still runs is broken off; up to 0.25 s of it are for the last lines
+/// of the log.
+const KILL_MARGIN: Duration = Duration::from_millis(600);
 /// Time before a host gives orders that does not schedule the pools: the one that does has ordered by
 /// then, and its orders show in the directory, unless it cannot reach the store or the engines.
 const OTHERS_ORDER_DELAY: Duration = Duration::from_secs(6);
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -14,6 +14,9 @@
 /// matter only while the store is out of reach.
 const LOOK_AT_SETTINGS: Duration = Duration::from_secs(5);
 
+/// Time for the last lines of the log; they are gathered for a tenth of a second.
+const LAST_LINES: Duration = Duration::from_millis(250);
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
@@ -47,14 +50,16 @@
         return Ok(());
     }
     let host = std::sync::Arc::clone(&config.host);
-    set_up_log(LogSetup { host, level: config.log_level, form: LineForm::Text })
+    let drain = set_up_log(LogSetup { host, level: config.log_level, form: LineForm::Text })
         .map_err(|error| error.to_string())?;
     // A host has a part of one core: more threads cost wake-ups and bring nothing.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| format!("cannot start the runtime: {error}; check the limits"))?;
-    runtime.block_on(serve(args, config))
+    let served = runtime.block_on(serve(args, config));
+    drain.wait(LAST_LINES);
+    served
 }
 
 async fn serve(args: &RouterArgs, config: RouterConfig) -> Result<(), String> {
--- a/crates/dillspoold/src/main.rs
+++ b/crates/dillspoold/src/main.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use dillspool_config::load_settings;
@@ -15,6 +16,9 @@
 /// Threads of the runtime at most; docs/CAPACITY.md has the measurement.
 const MOST_WORKERS: usize = 2;
 
+/// Time for the last lines of the log; they are gathered for a tenth of a second.
+const LAST_LINES: Duration = Duration::from_millis(250);
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
@@ -47,7 +51,7 @@
         println!("{} is valid", args.settings.display());
         return Ok(());
     }
-    set_up_log(log_setup(&settings)?).map_err(|error| error.to_string())?;
+    let drain = set_up_log(log_setup(&settings)?).map_err(|error| error.to_string())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(worker_threads())
         .enable_all()
@@ -55,7 +59,9 @@
         .map_err(|error| {
             format!("cannot start the runtime: {error}; check the limits on threads")
         })?;
-    runtime.block_on(serve(settings))
+    let served = runtime.block_on(serve(settings));
+    drain.wait(LAST_LINES);
+    served
 }
 
 fn log_setup(settings: &HostSettings) -> Result<LogSetup, String> {
