Tables do not wait for each other, and no host asks an engine that it knows to leave

The scheduler was the host that was cut off, and hosts that knew better sent where it said. Ruled out: ages that grow too slowly in a circle (they grow by what the clock says, less than a millisecond a step). Change: a table waits a twentieth of the limit for the probe, then asks; before a reservation and a prefill a host looks at its own directory and asks for another engine. Figures: table_ages.rs (a circle, tables that change at different moments) and prefills.rs (five cases) fail before and pass now.

--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dillspool_routing::DirectoryView;
+use dillspool_routing::{BackendEntry, DirectoryView};
 use dillspool_scheduler::{LimitClient, ScheduleClient};
 use dillspool_schema::Name;
 use tokio::sync::watch;
@@ -43,6 +43,13 @@
         Arc::clone(&self.directory.borrow())
     }
 
+    /// A backend server, if it takes new requests as far as this host knows. A scheduler that is cut off
+    /// from the store may know less.
+    pub(crate) fn ready_entry(&self, id: &str) -> Option<Arc<BackendEntry>> {
+        let view = self.directory.borrow();
+        view.entries.get(id).filter(|entry| entry.is_ready()).cloned()
+    }
+
     /// Chooses from this host's place.
     pub(crate) fn chooser<'a>(&'a self, view: &'a DirectoryView) -> Chooser<'a> {
         Chooser { view, book: &self.book, failure_domain: &self.failure_domain }
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -161,10 +161,13 @@
                 return Err(Refusal::come_back(RefusalCause::NoBackend, UNKNOWN_POOL_RETRY));
             }
         };
-        if let Some(entry) = context.view().entries.get(&placement.decode).cloned()
-            && let Some(hold) = reserve(context, request, &ticket, &entry, &placement).await
-        {
-            return Ok(taken(context, entry, placement, hold, ticket));
+        match context.ready_entry(&placement.decode) {
+            Some(entry) => {
+                if let Some(hold) = reserve(context, request, &ticket, &entry, &placement).await {
+                    return Ok(taken(context, entry, placement, hold, ticket));
+                }
+            }
+            None => question.excluded.push(Name::clone(&placement.decode)),
         }
         let fresh =
             placement_request(context, request, class, question.patience, &question.excluded);
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -71,8 +71,12 @@
 ) -> Option<PrefilledPrompt> {
     let mut next = placement.prefill.clone();
     let mut tried = Vec::new();
-    while let Some(entry) = next.take().and_then(|id| context.view().entries.get(&id).cloned()) {
-        tried.push(BackendId::clone(&entry.id));
+    while let Some(id) = next.take() {
+        tried.push(BackendId::clone(&id));
+        let Some(entry) = context.ready_entry(&id) else {
+            next = ask_for_another(context, request, placement, rank, &tried).await;
+            continue;
+        };
         let Some(permit) = context.budgets.reserve(&request.service) else {
             log_budget_empty(request, &context.budgets);
             return None;
@@ -96,14 +100,24 @@
         if !may_ask_again(context, request, &error, permit) {
             return None;
         }
-        let class = if rank == WorkRank::Late { WorkClass::Late } else { WorkClass::InTime };
-        let patience = request.remaining();
-        let question = placement_request(context, request, class, patience, &tried);
-        next = placement.ticket.ask_prefill(&question).await;
+        next = ask_for_another(context, request, placement, rank, &tried).await;
     }
     None
 }
 
+/// Another prefill engine than those that were tried.
+async fn ask_for_another(
+    context: &ForwardContext,
+    request: &Arc<RoutedRequest>,
+    placement: &Placement,
+    rank: WorkRank,
+    tried: &[BackendId],
+) -> Option<BackendId> {
+    let class = if rank == WorkRank::Late { WorkClass::Late } else { WorkClass::InTime };
+    let question = placement_request(context, request, class, request.remaining(), tried);
+    placement.ticket.ask_prefill(&question).await
+}
+
 fn prefill_fault(error: &CallError) -> EngineFault {
     match error {
         CallError::NotSent { .. } => EngineFault::Unreachable,
--- a/crates/dillspool_forward/tests/prefills.rs
+++ b/crates/dillspool_forward/tests/prefills.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{ONE, ScriptedSite, Step, entry, request, view};
 use dillspool_forward::{BudgetTerms, CallError, RetryBudgets, answer_request};
-use dillspool_routing::{EngineStage, RequestKind};
+use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage, RequestKind};
 use hyper::StatusCode;
+use tokio::sync::watch;
 
 struct FailureCase {
     name: &'static str,
@@ -162,3 +164,59 @@
         assert!((1..=case.most).contains(&refused), "{}: {refused}", case.name);
     }
 }
+
+struct LeavingCase {
+    name: &'static str,
+    /// Engines that this host knows to leave, or to be gone, while its scheduler does not.
+    leaving: Vec<&'static str>,
+    gone: Vec<&'static str>,
+}
+
+/// The engines as this host knows them.
+fn as_known(view: &DirectoryView, case: &LeavingCase) -> DirectoryView {
+    let entries = view.entries.values().filter(|entry| !case.gone.contains(&&*entry.id));
+    let entries = entries.map(|entry| {
+        let leaves = case.leaving.contains(&&*entry.id);
+        let state = if leaves { BackendState::Draining } else { entry.state };
+        BackendEntry { state, ..(**entry).clone() }
+    });
+    common::view(entries)
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_the_scheduler_does_not_know_to_leave_is_not_asked() {
+    let case = |name, leaving, gone| LeavingCase { name, leaving, gone };
+    let cases = [
+        case("a prefill engine", vec!["prefill-1"], vec![]),
+        case("a decode engine", vec!["decode-1"], vec![]),
+        case("one of each", vec!["prefill-1", "decode-1"], vec![]),
+        case("both prefill engines", vec!["prefill-1", "prefill-2"], vec![]),
+        case("gone already", vec![], vec!["prefill-1", "decode-1"]),
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        for decode in ["decode-1", "decode-2"] {
+            site.script(decode, [Step::Stream(vec![ONE])]);
+        }
+        let engines = view([
+            entry("decode-1", "near", Some(EngineStage::Decode)),
+            entry("decode-2", "far", Some(EngineStage::Decode)),
+            entry("prefill-1", "near", Some(EngineStage::Prefill)),
+            entry("prefill-2", "far", Some(EngineStage::Prefill)),
+        ]);
+        let known = as_known(&engines, &case);
+        let (mut context, _directory) = site.context(engines);
+        let (_sender, directory) = watch::channel(Arc::new(known));
+        context.directory = directory;
+        let answer = answer_request(context, request(RequestKind::Streaming, 1, false)).await;
+        assert_eq!(answer.status().as_u16(), 200, "{}", case.name);
+        let record = site.record.lock().unwrap();
+        let holds = record.holds.iter().map(|(backend, _tokens)| backend.as_str());
+        let sends = record.arrivals.iter().map(|arrival| arrival.backend.as_str());
+        let prefills = record.prefills.iter().map(String::as_str);
+        for asked in holds.chain(sends).chain(prefills) {
+            let known = case.leaving.contains(&asked) || case.gone.contains(&asked);
+            assert!(!known, "{}: {asked} was asked", case.name);
+        }
+    }
+}
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -46,6 +46,8 @@
     pub longest_pause: Duration,
     /// The same on a host with sources, which see the store's return before.
     pub relayed_pause: Duration,
+    /// Longest wait for the answer of the table that probes.
+    pub probe_wait: Duration,
     /// Whether this table is asked for while the store is out of reach; the others wait for its answer.
     pub probes: bool,
 }
@@ -71,6 +73,8 @@
             first_pause: Duration::from_millis(100),
             longest_pause: Duration::from_millis(600),
             relayed_pause: limit,
+            // With what spares a question this leaves an eighth of the time for the answer.
+            probe_wait: limit.mul_f64(0.05),
             probes: true,
         }
     }
@@ -92,7 +96,7 @@
     }
 }
 
-/// Probes of the store that may go unheard before a table that waits for them asks itself.
+/// Probes of the store that may go unheard after a failure before a table that waits for them asks itself.
 const MISSED_PROBES: u32 = 4;
 /// Time between two looks for a peer's word before the first question.
 const LOOK_FOR_PEERS: Duration = Duration::from_millis(50);
@@ -147,8 +151,8 @@
             wait = Duration::ZERO;
         }
         if !settings.probes && *role.borrow() == FollowRole::Relayed {
-            // All tables lose their source at once; one question shows whether the store answers.
-            wait_for_probe(&reach, &belief, Instant::now(), &settings).await;
+            // Where all tables lose their source at once, one question shows whether the store answers.
+            wait_for_probe(&reach, &belief, &settings).await;
         }
         let was_complete = complete;
         let asked = Instant::now();
@@ -206,19 +210,18 @@
     }
 }
 
-/// Waits until the table that probes has an answer that is newer than a moment, or a peer has one, or
-/// that takes too long.
+/// Waits until the table that probes has an answer, or a peer has one, but only for a moment: tables age
+/// one by one, and the one that probes may be fresh and not ask for seconds.
 async fn wait_for_probe(
     reach: &watch::Sender<StoreReach>,
     belief: &SharedBelief,
-    since: Instant,
     settings: &FollowSettings,
 ) {
-    let limit = since + settings.relayed_pause * MISSED_PROBES;
-    while Instant::now() < limit {
+    let since = Instant::now();
+    while since.elapsed() < settings.probe_wait {
         let answered = reach.borrow().answered;
-        let is_answered = answered.is_some_and(|answered| answered >= since);
-        if is_answered || spared_until(belief, settings).is_some_and(|until| until > since) {
+        let is_answered = answered.is_some_and(|answered| answered + settings.spacing >= since);
+        if is_answered || spared_until(belief, settings).is_some() {
             return;
         }
         tokio::time::sleep(LOOK_FOR_PEERS).await;
--- a/crates/dillspool_watch/tests/table_ages.rs
+++ b/crates/dillspool_watch/tests/table_ages.rs
@@ -32,6 +32,8 @@
     HistoryGone,
     /// Changes are gone, and whole reads are turned away.
     HistoryGoneAndTurnedAway,
+    /// No question about any table gets an answer.
+    CutOff,
 }
 
 #[derive(Clone, Default)]
@@ -68,7 +70,9 @@
                     match access {
                         Access::Served => Ok(store.delta(&table, true, 0)),
                         Access::TurnedAway | Access::HistoryGoneAndTurnedAway => Err(turned_away()),
-                        Access::Silent | Access::HistoryGone => std::future::pending().await,
+                        Access::Silent | Access::HistoryGone | Access::CutOff => {
+                            std::future::pending().await
+                        }
                     }
                 })
             }),
@@ -81,7 +85,7 @@
                         Access::TurnedAway => {
                             return Err(WatchError::Store { source: turned_away() });
                         }
-                        Access::Silent => std::future::pending().await,
+                        Access::Silent | Access::CutOff => std::future::pending().await,
                         Access::HistoryGone | Access::HistoryGoneAndTurnedAway => {
                             return Err(WatchError::HistoryGone);
                         }
@@ -98,7 +102,7 @@
 }
 
 fn access_to(table: &str, access: Access) -> Access {
-    if table == CONFIG { access } else { Access::Served }
+    if table == CONFIG || access == Access::CutOff { access } else { Access::Served }
 }
 
 fn turned_away() -> PlatformError {
@@ -107,6 +111,7 @@
 
 struct TestHost {
     config: SharedBelief,
+    backends: SharedBelief,
     access: watch::Sender<Access>,
 }
 
@@ -137,12 +142,14 @@
     let own: SocketAddr = own.parse().unwrap();
     let stack = net.stack(own.ip());
     let listener = stack.listen(own).await.expect("a free address");
-    let beliefs = vec![config.clone(), backends];
+    let beliefs = vec![config.clone(), backends.clone()];
     tokio::spawn(serve_relay(listener, beliefs.clone(), reach.subscribe(), LIMIT, cancel.clone()));
-    let sources: Vec<SocketAddr> = source.iter().map(|peer| peer.parse().unwrap()).collect();
-    let peers = move || RelayPeers { sources: sources.clone(), all: sources.clone() };
+    let all: Vec<SocketAddr> = source.iter().map(|peer| peer.parse().unwrap()).collect();
+    // A source asks its peers only while the store is out of reach.
+    let sources = if role == FollowRole::Relayed { all.clone() } else { Vec::new() };
+    let peers = move || RelayPeers { sources: sources.clone(), all: all.clone() };
     tokio::spawn(relay_from_peers(stack, peers, beliefs, reach, cancel));
-    TestHost { config, access }
+    TestHost { config, backends, access }
 }
 
 async fn pass(millis: u64) {
@@ -203,3 +210,41 @@
         busy.abort();
     }
 }
+
+/// Two hosts that take the tables from each other, of which one is cut off: what goes round in a circle
+/// must not pass for news, though the tables change and age at different moments.
+#[tokio::test(start_paused = true)]
+async fn a_circle_of_relays_does_not_keep_tables_fresh() {
+    for (config_every, backends_every) in [(700, 1100), (2300, 300), (300, 2300), (5000, 1900)] {
+        let (store, net) = (TestStore::default(), MemoryNet::new());
+        store.write(CONFIG);
+        store.write(BACKENDS);
+        let (one, other) = ("10.0.0.1:8146", "10.0.0.2:8146");
+        let root = host(&net, &store, one, Some(other), FollowRole::Source).await;
+        let relayed = host(&net, &store, other, Some(one), FollowRole::Relayed).await;
+        pass(5000).await;
+        root.access.send_replace(Access::CutOff);
+        let mut history = Vec::new();
+        for step in 1..300_u64 {
+            pass(100).await;
+            let now = step * 100;
+            if now.is_multiple_of(config_every) {
+                store.write(CONFIG);
+            }
+            if now.is_multiple_of(backends_every) {
+                store.write(BACKENDS);
+            }
+            history.push((now, store.version(CONFIG), store.version(BACKENDS)));
+            // A question under way when the cut began must first count as lost.
+            let limit =
+                u64::try_from(LIMIT.as_millis()).unwrap() + if now < 8000 { 2000 } else { 0 };
+            let due = history.iter().rev().find(|(at, ..)| at + limit <= now);
+            let Some((at, config, backends)) = due else { continue };
+            for host in [&root, &relayed] {
+                let name = format!("{config_every}, {backends_every}, of {at} at {now}");
+                assert!(host.config.version() >= *config, "configuration: {name}");
+                assert!(host.backends.version() >= *backends, "backend servers: {name}");
+            }
+        }
+    }
+}
