--- a/crates/dillspool/src/args.rs
+++ b/crates/dillspool/src/args.rs
@@ -121,6 +121,11 @@
         /// Log files; standard input when there are none.
         files: Vec<PathBuf>,
     },
+    /// Count how the requests of each workspace in the logs of routing hosts fared against its limit.
+    Limits {
+        /// Log files; standard input when there are none.
+        files: Vec<PathBuf>,
+    },
     /// Hash a key read from standard input, for configuration and settings files.
     HashKey,
     /// Print the completions of a shell.
--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -64,6 +64,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints how the requests of each workspace in some logs fared against its limit.
+pub(crate) fn count_limits(files: &[PathBuf]) -> Result<ExitCode, CliError> {
+    let text = read_logs(files)?;
+    print!("{}", dillspool_explain::LimitTable::of(text.lines()));
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Reads log files one after another, or standard input when there are none.
 fn read_logs(files: &[PathBuf]) -> Result<String, CliError> {
     let mut text = String::new();
--- a/crates/dillspool/src/main.rs
+++ b/crates/dillspool/src/main.rs
@@ -36,6 +36,7 @@
         CliCommand::Check { file } => local::check(&file),
         CliCommand::Explain { id, files } => local::explain_request(&id, &files),
         CliCommand::Late { files } => local::count_ends(&files),
+        CliCommand::Limits { files } => local::count_limits(&files),
         CliCommand::HashKey => local::hash_key(),
         CliCommand::Completions { shell } => Ok(local::completions(shell)),
         CliCommand::Diff { file, server } => apply::diff(&file, &server).await,
--- a/crates/dillspool_explain/src/lib.rs
+++ b/crates/dillspool_explain/src/lib.rs
@@ -3,9 +3,11 @@
 //! `docs/OPERATIONS.md` shows how it is used.
 
 mod late;
+mod limits;
 mod line;
 mod story;
 
 pub use late::{EndTable, RequestEnd};
+pub use limits::{LimitTable, WorkspaceUse};
 pub use line::LogLine;
 pub use story::{RequestStory, explain};
