Limits leave more room for requests that come in clumps

Ruled out: credit for small requests. Tried: requests below a twentieth of the burst go on credit up to half of it. Reverted; a limit is there to keep a workspace from the others. Change: a balance keeps three eighths of the slack beyond its burst, an eighth before. Conclusion: kept.

--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -8,9 +8,10 @@
 use crate::bucket::{LimitBucket, LimitRate, SpendDecision};
 use crate::holder::SpendRequest;
 
-/// Part of what a site allows beyond its limits that a balance may hold beyond the burst: requests
-/// of one moment reach the holder some milliseconds apart, and none of them shall be refused for that.
-const HEADROOM_PART: f64 = 0.125;
+/// Part of what a site allows beyond its limits that a balance may hold beyond the burst. Requests come
+/// in clumps, and a limit may be as small as two a second: with an eighth, 1.4 in 100 requests of a
+/// recorded day of 60 hosts were refused, though no workspace asked too much for long; with this 0.9.
+const HEADROOM_PART: f64 = 0.375;
 /// Part of it that a holder starts with. It does not know what was spent before and counts the limit
 /// itself as spent; the burst comes back by time.
 const START_PART: f64 = 0.0625;
