The count of hosts stands in one place

Cause: the retry budget and the limits each kept the largest number of hosts of the last minute. Ruled out: nothing. Change: both use FleetCount.

--- a/crates/dillspool_forward/src/budget.rs
+++ b/crates/dillspool_forward/src/budget.rs
@@ -8,6 +8,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use dillspool_limits::FleetCount;
+use dillspool_moment::Moment;
 use dillspool_schema::Name;
 use tokio::time::Instant;
 
@@ -16,9 +18,6 @@
 const SPENT_PART: f64 = 0.75;
 /// Hosts assumed before any count is known: the users' two-year size.
 const ASSUMED_HOSTS: usize = 400;
-/// Time for which the largest count of hosts stands: where a fleet is cut in two, each half counts
-/// itself alone, and both spend.
-const COUNT_STANDS: Duration = Duration::from_mins(1);
 /// Parts into which a window is cut for counting.
 const SLICES: u32 = 20;
 
@@ -74,20 +73,17 @@
     }
 }
 
-/// The largest number of hosts that was counted lately, and when.
-#[derive(Debug, Default)]
+/// The hosts that share the budgets: where a fleet is cut in two, each half counts itself alone and both
+/// spend, so the largest count stands for a while.
+#[derive(Debug)]
 struct HostCount {
-    largest: Option<(usize, Instant)>,
+    fleet: FleetCount,
+    origin: Instant,
 }
 
 impl HostCount {
-    fn note(&mut self, hosts: usize, now: Instant) {
-        let stands = self.largest.filter(|(largest, at)| {
-            *largest > hosts && now.saturating_duration_since(*at) < COUNT_STANDS
-        });
-        if stands.is_none() {
-            self.largest = Some((hosts, now));
-        }
+    fn now(&self) -> Moment {
+        Moment::after_origin(self.origin.elapsed())
     }
 }
 
@@ -102,19 +98,21 @@
 impl RetryBudgets {
     /// Empty budgets.
     pub fn new(terms: BudgetTerms) -> Self {
-        Self { terms, hosts: Arc::default(), windows: Arc::default() }
+        let count = HostCount { fleet: FleetCount::default(), origin: Instant::now() };
+        Self { terms, hosts: Arc::new(Mutex::new(count)), windows: Arc::default() }
     }
 
     /// Takes the number of hosts that share the budget; a smaller one than before counts only after
     /// a while.
     pub fn set_hosts(&self, hosts: usize) {
         let mut count = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
-        count.note(hosts.max(1), Instant::now());
+        let now = count.now();
+        count.fleet.note(hosts.max(1), now);
     }
 
     fn hosts(&self) -> usize {
         let count = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
-        count.largest.map_or(ASSUMED_HOSTS, |(hosts, _at)| hosts)
+        count.fleet.largest(count.now()).unwrap_or(ASSUMED_HOSTS)
     }
 
     fn with_window<T>(&self, service: &Name, run: impl FnOnce(&mut ServiceWindow) -> T) -> T {
