--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -1,4 +1,9 @@
 //! Places the requests of one pool, lets them wait, or turns them away.
+//!
+//! [`choose`] decides where, [`wait`] how long and whether; this file keeps what the two rest on.
+
+mod choose;
+mod wait;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -8,45 +13,23 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::decode_book::{DecodeBook, Foresight, StreamRecord, read_time};
+use crate::decode_book::{DecodeBook, Foresight, StreamRecord};
 use crate::length::LengthModel;
-use crate::prefill_book::{PrefillBook, ReadPace, tokens_time};
+use crate::prefill_book::{PrefillBook, ReadPace};
 use crate::request::{
     AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolTerms, StreamEnd,
     StreamPlacement, TicketId, TurnAwayCause, WorkClass,
 };
-use crate::waiting::{WaitingLine, WaitingRecord};
+use crate::waiting::WaitingLine;
 
 /// Tokens reserved for an answer at least.
 const SMALLEST_ANSWER: u64 = 500;
-/// What another failure domain than the caller's costs, in tokens of room: its bytes are billed.
-const FAR_TOKENS: f64 = 3_000.0;
-/// What another failure domain than the decode engine's costs a prefill, as time: the move takes
-/// longer and is billed several times, while a wait within the objective costs nobody.
-const FAR_WAIT: Duration = Duration::from_millis(60);
-/// Part by which equal engines are told apart, so that schedulers of one view do not all choose one.
-const SPREAD: f64 = 0.02;
-/// Part of the pause target that a prompt read at a decode engine may use up there; the rest is for
-/// what the pace varies by.
-const PAUSE_PART: f64 = 0.8;
-/// Gap between two events that is assumed before any was seen, as a part of the pause target.
-const ASSUMED_GAP_PART: f64 = 0.25;
 /// Weight of the newest gap in the average.
 const GAP_WEIGHT: f64 = 0.05;
 /// Time beside the reading of a prompt until its first event: calls, the move, the first token.
 const OPENING: Duration = Duration::from_millis(40);
-/// Part of the objective in which a first event must be foreseen to come: queues are not exactly known,
-/// and in a burst all of them grow up to what is allowed.
-const SURE_PART: f64 = 0.8;
-/// Time over which releases of memory are foreseen, as a part of the mean life of an answer.
-const RELEASE_PART: f64 = 0.25;
 /// Wait for a prefill beyond which a late answer is not begun: its memory would be held for nothing.
 const LATE_PREFILL_WAIT: Duration = Duration::from_millis(250);
-/// When to come back, as parts of the time left; callers obey up to a third of it. A refused caller
-/// is late already, so it comes when the burst that it met is most likely over, and spread.
-const COME_BACK_PARTS: std::ops::Range<f64> = 0.23..0.33;
-/// When to come back if no engine is known; directories recover within seconds.
-const NO_ENGINE_COME_BACK: Duration = Duration::from_secs(1);
 /// When to come back after several engines refused what they were believed to have.
 const REFUSED_COME_BACK_MS: std::ops::Range<u64> = 100..400;
 
@@ -421,216 +404,6 @@
         }
         request
     }
-
-    /// The engines for a request, as it stands now.
-    fn choose(
-        &mut self,
-        request: &PlacementRequest,
-        now: Moment,
-    ) -> Result<StreamPlacement, PlaceLack> {
-        let reserve_tokens = self.reserve_tokens(request);
-        let ranked = self.decode_by_room(request, now)?;
-        let (decode, domain) = ranked.first().ok_or(PlaceLack::Memory)?.clone();
-        let wait = self.best_prefill(request, &domain, now);
-        if let Some((prefill, wait)) = &wait
-            && self.is_soon_enough(request, *wait)
-        {
-            let prefill = Some(Name::clone(prefill));
-            return Ok(StreamPlacement { decode, reserve_tokens, prefill });
-        }
-        let reader = ranked
-            .into_iter()
-            .find(|(decode, _domain)| self.may_read(decode, request, wait.is_some(), now));
-        match reader {
-            Some((decode, _domain)) => {
-                Ok(StreamPlacement { decode, reserve_tokens, prefill: None })
-            }
-            None => Err(PlaceLack::Prefill),
-        }
-    }
-
-    /// Decode engines with room, the best first.
-    #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
-    fn decode_by_room(
-        &mut self,
-        request: &PlacementRequest,
-        now: Moment,
-    ) -> Result<Vec<(Name, Name)>, PlaceLack> {
-        let stream = self.stream_of(TicketId(u64::MAX), request);
-        let stream = Foresight::of(&stream, now, &self.lengths);
-        let memory = self.terms.memory_tokens as f64;
-        let margin =
-            if request.class == WorkClass::Late { self.policy.late_margin * memory } else { 0.0 };
-        let (lengths, terms, policy) = (&self.lengths, self.terms, self.policy);
-        // If all are shut, the cause is not theirs, and they are asked as ever.
-        let all_shut = self.decode.values().all(|book| book.is_closed(now));
-        let mut ranked = Vec::new();
-        let mut any = false;
-        for (name, book) in &mut self.decode {
-            if request.excluded.contains(name) || (book.is_closed(now) && !all_shut) {
-                continue;
-            }
-            any = true;
-            let room = book.room_beside(&stream, now, lengths, &terms, &policy) - margin;
-            if room < 0.0 {
-                continue;
-            }
-            let far = if book.domain == request.domain { 0.0 } else { FAR_TOKENS };
-            let spread = self.random.random_range(0.0..SPREAD) * memory;
-            let failing = book.shut.failure_rate(now) * policy.failure_weight * memory;
-            ranked.push((
-                room - far - failing + spread,
-                Name::clone(name),
-                Name::clone(&book.domain),
-            ));
-        }
-        if !any {
-            return Err(PlaceLack::Engine);
-        }
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        Ok(ranked.into_iter().map(|(_room, name, domain)| (name, domain)).collect())
-    }
-
-    /// The prefill engine with the shortest wait for a request that decodes in a domain.
-    fn best_prefill(
-        &self,
-        request: &PlacementRequest,
-        domain: &Name,
-        now: Moment,
-    ) -> Option<(Name, Duration)> {
-        let pace_s = self.pace.token_s();
-        let open = self
-            .prefill
-            .iter()
-            .filter(|(name, book)| !book.is_closed(now) && !request.excluded.contains(*name));
-        let waits = open.map(|(name, book)| {
-            let wait = book.wait(now, pace_s);
-            let far = if book.domain == *domain { Duration::ZERO } else { FAR_WAIT };
-            (wait + far, wait, name)
-        });
-        waits.min().map(|(_cost, wait, name)| (Name::clone(name), wait))
-    }
-
-    /// Whether a prompt that waits so long for its prefill is read soon enough.
-    fn is_soon_enough(&self, request: &PlacementRequest, wait: Duration) -> bool {
-        match request.class {
-            WorkClass::InTime => {
-                let read = tokens_time(request.prompt_tokens, self.pace.token_s());
-                let first = wait + read + OPENING + self.gap(request);
-                first <= request.objective_left.mul_f64(SURE_PART)
-            }
-            WorkClass::UnderWay => wait <= request.patience,
-            WorkClass::Late => wait <= LATE_PREFILL_WAIT,
-        }
-    }
-
-    /// Whether a decode engine may read a prompt itself: none of its streams may pause for too
-    /// long. Where no engine prefills there is no other way, and prompts are read one by one.
-    fn may_read(
-        &self,
-        decode: &Name,
-        request: &PlacementRequest,
-        has_prefill: bool,
-        now: Moment,
-    ) -> bool {
-        let pace_s = self.pace.token_s();
-        let is_reading = self.decode.get(decode).is_none_or(|book| book.is_reading(now, pace_s));
-        if is_reading || !self.policy.reads_at_decode {
-            return false;
-        }
-        if !has_prefill {
-            return true;
-        }
-        let read = read_time(request.prompt_tokens, pace_s);
-        let first = read + OPENING + self.gap(request);
-        let in_time = request.class != WorkClass::InTime || first <= request.objective_left;
-        let target = request.pause_target.unwrap_or(Duration::MAX);
-        in_time && read + self.gap(request) <= target.mul_f64(PAUSE_PART)
-    }
-
-    fn gap(&self, request: &PlacementRequest) -> Duration {
-        let assumed = request.pause_target.map(|target| target.mul_f64(ASSUMED_GAP_PART));
-        self.event_gap.or(assumed).unwrap_or_default()
-    }
-
-    fn wait_or_turn_away(
-        &mut self,
-        ticket: TicketId,
-        request: PlacementRequest,
-        cause: PlaceLack,
-        now: Moment,
-    ) -> PlacementDecision {
-        let longest = self.longest_wait(&request);
-        let tokens = self.reserve_tokens(&request);
-        let foreseen = match cause {
-            PlaceLack::Engine => Duration::MAX,
-            PlaceLack::Memory => self.memory_wait(&request, tokens, now),
-            PlaceLack::Prefill => self.reading_wait(&request, now),
-        };
-        if foreseen > longest {
-            return self.turn_away(&request, cause);
-        }
-        let give_up = now + longest;
-        self.line.push(WaitingRecord { ticket, request, since: now, give_up, tokens });
-        PlacementDecision::Wait
-    }
-
-    /// Longest time for which it is of use to wait.
-    fn longest_wait(&self, request: &PlacementRequest) -> Duration {
-        let read = tokens_time(request.prompt_tokens, self.pace.token_s());
-        let rest = read + OPENING + self.gap(request);
-        let useful = match request.class {
-            WorkClass::UnderWay => request.patience,
-            WorkClass::InTime => request.objective_left.saturating_sub(rest),
-            WorkClass::Late => self.lengths.mean_life().mul_f64(self.policy.late_wait),
-        };
-        useful.min(request.patience.saturating_sub(rest))
-    }
-
-    /// Time until memory is foreseen to be given back for a request and all that go before it.
-    ///
-    /// Where nothing is known to run that could give memory back, its engines are full of what others
-    /// sent: then those who lose more by a refusal than by a wait try their luck.
-    #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
-    fn memory_wait(&self, request: &PlacementRequest, tokens: u64, now: Moment) -> Duration {
-        let released = self.released_per_s(now);
-        if request.class == WorkClass::UnderWay || (released <= 0.0 && !is_in_time(request)) {
-            return Duration::ZERO;
-        }
-        let needed = (self.line.tokens_ahead(request) + tokens) as f64;
-        Duration::try_from_secs_f64(needed / released).unwrap_or(Duration::MAX)
-    }
-
-    /// Time until a decode engine is foreseen to read a prompt, where prefill engines cannot.
-    fn reading_wait(&self, request: &PlacementRequest, now: Moment) -> Duration {
-        if request.class == WorkClass::UnderWay {
-            return Duration::ZERO;
-        }
-        if self.prefill.values().any(|book| !book.is_closed(now)) {
-            // Their queues shrink no faster than the time that is left.
-            return if is_in_time(request) { Duration::MAX } else { Duration::ZERO };
-        }
-        let readers = u32::try_from(self.decode.len()).unwrap_or(u32::MAX).max(1);
-        let before = u32::try_from(self.line.len()).unwrap_or(u32::MAX).saturating_add(1);
-        read_time(request.prompt_tokens, self.pace.token_s()) * before / readers
-    }
-
-    fn released_per_s(&self, now: Moment) -> f64 {
-        let time = self.lengths.mean_life().mul_f64(RELEASE_PART);
-        let open = self.decode.values().filter(|book| !book.shut.is_shut(now));
-        let released: f64 = open.map(|book| book.released_within(time, now, &self.lengths)).sum();
-        released / time.as_secs_f64().max(f64::EPSILON)
-    }
-
-    fn turn_away(&mut self, request: &PlacementRequest, cause: PlaceLack) -> PlacementDecision {
-        let part = self.random.random_range(COME_BACK_PARTS);
-        let (cause, come_back) = match cause {
-            PlaceLack::Engine => (TurnAwayCause::NoEngine, NO_ENGINE_COME_BACK),
-            PlaceLack::Memory => (TurnAwayCause::NoMemory, request.time_left.mul_f64(part)),
-            PlaceLack::Prefill => (TurnAwayCause::NoPrefill, request.time_left.mul_f64(part)),
-        };
-        PlacementDecision::TurnAway { cause, come_back }
-    }
 }
 
 fn is_in_time(request: &PlacementRequest) -> bool {
