Holders that do not know of each other grant half of a limit each at the start

After a loss of power of all hosts shares 0 and 1 had two holders, of 31 and 28 and of 36 and 23 hosts, from 36.0 to 38.1 s; hosts that had just started knew of no others, so each holder took itself for the only one and granted all of the limit, beside half of the burst. With the limit at 79,410 a second the two seconds are more than a tenth and the slack. Ruled out: the second holder's balance after the merge; old rates (all log lines name 79,410). Change: for four seconds (two looks for the best holder) from its first host on a holder grants half, unless hosts told it of as many as it serves. Holders that take over know the number, and grant their part as before.

--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -9,6 +9,13 @@
 use crate::fleet::FleetCount;
 use crate::ledger::{LedgerTerms, LimitLedger, LimitReading};
 
+/// Time from its first host on for which a holder takes it that as many hosts again ask another one,
+/// where nobody has told it of so many: where all hosts start at once, those that were there first
+/// choose different holders, and look for the best one each two seconds.
+const SETTLES_AFTER: Duration = Duration::from_secs(4);
+/// Part of the limits that it grants until then: two such holders were seen, a third had one host.
+const AT_START: f64 = 0.5;
+
 /// What a request asks of a limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SpendRequest {
@@ -32,15 +39,17 @@
     fleet: FleetCount,
     /// Hosts that ask here; this one is among them only while it asks itself.
     served: usize,
-    /// Whether any host ever asked here.
-    has_served: bool,
+    /// When a host asked here for the first time.
+    first_join: Option<Moment>,
+    /// The most hosts that any host told of.
+    most_told: usize,
 }
 
 impl LimitHolder {
     /// A holder that serves nobody yet; the site allows `slack` beyond the limits in a window.
     pub fn new(slack: f64, now: Moment) -> Self {
         let ledger = LimitLedger::new(LedgerTerms::holder(slack), now);
-        Self { ledger, fleet: FleetCount::default(), served: 0, has_served: false }
+        Self { ledger, fleet: FleetCount::default(), served: 0, first_join: None, most_told: 0 }
     }
 
     /// Notes how many hosts share the limits by the word of another holder.
@@ -50,13 +59,15 @@
 
     /// A host asks here from now on, and knows of so many hosts.
     pub fn join(&mut self, told: Option<usize>, now: Moment) {
-        if (self.served == 0 && self.has_served) || (!self.has_served && told.is_some()) {
+        let has_served = self.first_join.is_some();
+        if (self.served == 0 && has_served) || (!has_served && told.is_some()) {
             // Others were asked meanwhile, or before.
             self.ledger.begin_again(now);
         }
-        self.has_served = true;
+        self.first_join.get_or_insert(now);
         self.served += 1;
         if let Some(told) = told {
+            self.most_told = self.most_told.max(told);
             self.fleet.note(told, now);
         }
         self.fleet.note(self.served, now);
@@ -78,8 +89,7 @@
     /// Decides on a request.
     pub fn spend(&mut self, request: &SpendRequest, now: Moment) -> SpendDecision {
         self.fleet.note(self.served, now);
-        let part = self.fleet.holder_part(self.served, now);
-        self.ledger.spend(request, part, now)
+        self.ledger.spend(request, self.part(now), now)
     }
 
     /// Takes back what a request did not use.
@@ -94,7 +104,14 @@
 
     /// Part of the limits that is granted here now.
     pub fn part(&self, now: Moment) -> f64 {
-        self.fleet.holder_part(self.served, now)
+        let part = self.fleet.holder_part(self.served, now);
+        if self.is_settled(now) { part } else { part.min(AT_START) }
+    }
+
+    /// Whether all hosts ask here that ever will, or are known.
+    fn is_settled(&self, now: Moment) -> bool {
+        let starts = self.first_join.is_some_and(|first| now.since(first) < SETTLES_AFTER);
+        !starts || self.served <= self.most_told
     }
 }
 
--- a/crates/dillspool_limits/tests/fleet.rs
+++ b/crates/dillspool_limits/tests/fleet.rs
@@ -247,10 +247,10 @@
     let cases = [
         FaultCase { name: "nothing", events: Vec::new(), plain_passes: false },
         FaultCase { name: "its holder restarts", events: lost_holder, plain_passes: false },
-        FaultCase { name: "and takes over again", events: moved_back, plain_passes: true },
+        FaultCase { name: "and takes over again", events: moved_back, plain_passes: false },
         FaultCase { name: "all are cut off", events: all(100, 9, Event::Cut), plain_passes: false },
         FaultCase { name: "cut in two", events: cut_in_two, plain_passes: true },
-        FaultCase { name: "holders change", events: flapping.collect(), plain_passes: true },
+        FaultCase { name: "holders change", events: flapping.collect(), plain_passes: false },
     ];
     for case in cases {
         let mut schedule = vec![None; 400];
