--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -52,8 +52,9 @@
         Self { ledger, fleet: FleetCount::default(), served: 0, first_join: None, most_told: 0 }
     }
 
-    /// Notes how many hosts share the limits by the word of another holder.
+    /// Notes how many hosts share the limits at least, by the word of others.
     pub fn note_hosts(&mut self, hosts: usize, now: Moment) {
+        self.most_told = self.most_told.max(hosts);
         self.fleet.note(hosts, now);
     }
 
@@ -67,8 +68,7 @@
         self.first_join.get_or_insert(now);
         self.served += 1;
         if let Some(told) = told {
-            self.most_told = self.most_told.max(told);
-            self.fleet.note(told, now);
+            self.note_hosts(told, now);
         }
         self.fleet.note(self.served, now);
     }
--- a/crates/dillspool_scheduler/src/limit_client.rs
+++ b/crates/dillspool_scheduler/src/limit_client.rs
@@ -168,6 +168,7 @@
         let Some(peers) = peers else {
             // Hosts do not ask each other here.
             state.set_holds(true, &self.desk);
+            self.desk.note_hosts(state.share, 1);
             return true;
         };
         let holds = state.link.schedules();
