A host that asks a quiet store alone always knows whether a key or route is unknown

By its log host-1 had started 2.03 s before, was connected to the store all the time and refused with stale_config. A question for changes was held open for 2.5 s, and what is unknown is refused as unknown only up to 2 s after the last answer: without any fault a host that asks alone said 503 for a fifth of the time where nothing changed. Hosts that are relayed to hear often enough. Ruled out: load. The new test shows it on a paused clock at 2.0 s, turn 19 of 100.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -285,7 +285,10 @@
         };
         // Rows of hosts change with the fleet only, and nothing must be in force soon.
         let settings = FollowSettings { probes: false, ..settings };
-        let probing = FollowSettings { probes: true, ..settings.clone() };
+        // This host says that a key or route is unknown only while it knows the newest configuration: an
+        // answer comes before the last one is too old for that, also where nothing changes.
+        let wait = settings.wait.min(settings.fresh);
+        let probing = FollowSettings { probes: true, wait, ..settings.clone() };
         let slow = FollowSettings {
             wait: HOSTS_WAIT,
             source_wait: HOSTS_WAIT,
--- a/crates/dillspool_router/tests/keys.rs
+++ b/crates/dillspool_router/tests/keys.rs
@@ -136,3 +136,13 @@
     assert_eq!(host.send("/x/", "k2").await, (200, false));
     assert_eq!(host.send("/x/", "k1").await, (401, false));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_asks_a_quiet_store_alone_always_knows_what_is_unknown() {
+    let host = TestHost::start("1 /x/ county:k1").await;
+    for turn in 0..100 {
+        pass(100).await;
+        assert_eq!(host.send("/x/", "k2").await, (401, false), "turn {turn}");
+        assert_eq!(host.send("/y/", "k1").await, (404, false), "turn {turn}");
+    }
+}
