The control of the limits' model is plain again; what nobody calls goes

Ruled out: that the control needs the rows turned: a plain holder that takes those who ask it for all hosts passes the limit there as before. Change: both rows and the 3 s of one_count_holds_for_all_hosts are as they were; a test of the links at the start (15 of 30, then all); the unused function and the comments. The daemon does what it did. Conclusion: no expectation of the control is loosened any more.

--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -154,9 +154,4 @@
         let part = self.fleet.own_part(now)?;
         Some(self.ledger.spend(request, part, now))
     }
-
-    /// Time for which a host may go on by its own part.
-    pub const fn term() -> Duration {
-        FleetCount::OWN_TERM
-    }
 }
--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -15,9 +15,10 @@
 /// Part of it that a holder starts with. It does not know what was spent before and counts the limit
 /// itself as spent; the burst comes back by time.
 const START_PART: f64 = 0.0625;
-/// Part of the burst that the first holder of all starts with: all hosts have just started, and the
-/// callers of the time in which none of them answered come at once. What the hosts granted before they
-/// were lost is not known; the rest of the burst is left for it.
+/// Part of its own burst that the first holder of all starts with; of a limit's whole burst that is a
+/// quarter, while it grants half. All hosts have just started, and the callers of the time in which none of
+/// them answered come at once. What the hosts granted before they were lost is not known; the rest is
+/// left for it.
 const FIRST_PART: f64 = 0.5;
 /// Least balance at the start, so that the first request of all is not refused.
 const LEAST_START: f64 = 1e-9;
--- a/crates/dillspool_limits/tests/fleet.rs
+++ b/crates/dillspool_limits/tests/fleet.rs
@@ -105,6 +105,11 @@
                 let told = told.filter(|_hosts| self.way == Way::Kept);
                 self.hosts[holder].holder.join(told, now);
                 self.hosts[host].asks = Some(holder);
+                if self.way == Way::Plain {
+                    // It takes those that ask it for all hosts.
+                    let served = self.hosts.iter().filter(|it| it.asks == Some(holder)).count();
+                    self.hosts[holder].holder.note_hosts(served, now);
+                }
             }
             Event::Lose => self.leave(host, 0),
             Event::Cut => self.leave(host, GONE_STEPS),
@@ -247,10 +252,10 @@
     let cases = [
         FaultCase { name: "nothing", events: Vec::new(), plain_passes: false },
         FaultCase { name: "its holder restarts", events: lost_holder, plain_passes: false },
-        FaultCase { name: "and takes over again", events: moved_back, plain_passes: false },
+        FaultCase { name: "and takes over again", events: moved_back, plain_passes: true },
         FaultCase { name: "all are cut off", events: all(100, 9, Event::Cut), plain_passes: false },
         FaultCase { name: "cut in two", events: cut_in_two, plain_passes: true },
-        FaultCase { name: "holders change", events: flapping.collect(), plain_passes: false },
+        FaultCase { name: "holders change", events: flapping.collect(), plain_passes: true },
     ];
     for case in cases {
         let mut schedule = vec![None; 400];
--- a/crates/dillspool_scheduler/src/limit_client.rs
+++ b/crates/dillspool_scheduler/src/limit_client.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// An amount that was granted; given back unless the request used it.
+/// An amount that was granted. It counts as used unless it is given back.
 #[derive(Debug)]
 pub struct SpentAmount {
     client: LimitClient,
@@ -180,7 +180,7 @@
         holds
     }
 
-    /// What a granted request holds until it has run.
+    /// What gives the amount of a granted request back, should the request not run.
     pub fn spent(&self, request: &SpendRequest) -> SpentAmount {
         let (workspace, amount) = (Name::clone(&request.workspace), request.amount);
         SpentAmount { client: self.clone(), workspace, amount }
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -95,13 +95,19 @@
     SpendRequest { workspace: "w".into(), rate: RATE, version: 1, amount: 1.0 }
 }
 
-async fn three_hosts(net: &MemoryNet) -> Vec<TestHost> {
+async fn fresh_hosts(net: &MemoryNet) -> Vec<TestHost> {
     let mut hosts = Vec::new();
     for host in 1..=3 {
         hosts.push(TestHost::start(net, host, &[1, 2, 3]).await);
     }
-    // The start is over, in which holders grant half.
-    pass(5_000).await;
+    pass(3_000).await;
+    hosts
+}
+
+/// Hosts whose start is over, in which holders grant half.
+async fn three_hosts(net: &MemoryNet) -> Vec<TestHost> {
+    let hosts = fresh_hosts(net).await;
+    pass(2_000).await;
     hosts
 }
 
@@ -109,10 +115,21 @@
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
 
+#[test]
+fn holders_grant_half_of_a_limit_at_the_start() {
+    run_paused(async {
+        let hosts = fresh_hosts(&MemoryNet::new()).await;
+        // The holder, which would know of three hosts by their rows, has not been asked by itself.
+        assert_eq!(hosts[2].granted(40).await, 15);
+        pass(2_000).await;
+        assert_eq!(hosts[2].granted(40).await, 30);
+    });
+}
+
 #[test]
 fn one_count_holds_for_all_hosts() {
     run_paused(async {
-        let hosts = three_hosts(&MemoryNet::new()).await;
+        let hosts = fresh_hosts(&MemoryNet::new()).await;
         let mut granted = 0;
         for host in &hosts {
             granted += host.granted(20).await;
