--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dillspool_routing::{BackendEntry, DirectoryView};
+use dillspool_routing::{BackendEntry, BackendId, DirectoryView, RoutedRequest};
 use dillspool_scheduler::{LimitClient, ScheduleClient};
 use dillspool_schema::Name;
 use tokio::sync::watch;
@@ -13,6 +13,7 @@
 use crate::calls::BackendCalls;
 use crate::choose::Chooser;
 use crate::metrics::ForwardMetrics;
+use crate::trace::log_overruled;
 
 /// Shared by all requests of a host.
 #[derive(Clone, Debug)]
@@ -43,11 +44,20 @@
         Arc::clone(&self.directory.borrow())
     }
 
-    /// A backend server, if it takes new requests as far as this host knows. A scheduler that is cut off
-    /// from the store may know less.
-    pub(crate) fn ready_entry(&self, id: &str) -> Option<Arc<BackendEntry>> {
-        let view = self.directory.borrow();
-        view.entries.get(id).filter(|entry| entry.is_ready()).cloned()
+    /// The backend server that was decided on, if it takes new requests as far as this host knows. A
+    /// scheduler that is cut off from the store may know less; where it does, that is told.
+    pub(crate) fn ready_entry(
+        &self,
+        request: &RoutedRequest,
+        id: &BackendId,
+    ) -> Option<Arc<BackendEntry>> {
+        let view = self.view();
+        let ready = view.entries.get(id).filter(|entry| entry.is_ready()).cloned();
+        if ready.is_none() {
+            self.metrics.note_overruled();
+            log_overruled(request, id, &view);
+        }
+        ready
     }
 
     /// Chooses from this host's place.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -314,7 +314,7 @@
         let PreparedSend { placement, mut prefill } = prepared;
         let Placement { entry, reserved, mut hold, ticket, prefill: _ } = placement;
         let view = self.context.view();
-        if !view.is_ready(&entry.id) {
+        if self.context.ready_entry(&self.request, &entry.id).is_none() {
             // It began to leave while the prompt was prefilled.
             self.tried.push(BackendId::clone(&entry.id));
             return Ok(None);
--- a/crates/dillspool_forward/src/metrics.rs
+++ b/crates/dillspool_forward/src/metrics.rs
@@ -40,6 +40,7 @@
     prefills: Counter,
     prefill_time: Histogram,
     holds_refused: Counter,
+    overruled: Counter,
 }
 
 impl Default for ForwardMetrics {
@@ -55,6 +56,7 @@
             prefills: Counter::default(),
             prefill_time: Histogram::new(buckets()),
             holds_refused: Counter::default(),
+            overruled: Counter::default(),
         }
     }
 }
@@ -93,6 +95,11 @@
             "Reservations that an engine refused",
             self.holds_refused.clone(),
         );
+        registry.register(
+            "forward_overruled_decisions",
+            "Decisions for a backend server that this host knows to leave or to be gone",
+            self.overruled.clone(),
+        );
     }
 
     pub(crate) fn enter(&self) {
@@ -126,4 +133,8 @@
     pub(crate) fn note_hold_refused(&self) {
         self.holds_refused.inc();
     }
+
+    pub(crate) fn note_overruled(&self) {
+        self.overruled.inc();
+    }
 }
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -161,7 +161,7 @@
                 return Err(Refusal::come_back(RefusalCause::NoBackend, UNKNOWN_POOL_RETRY));
             }
         };
-        match context.ready_entry(&placement.decode) {
+        match context.ready_entry(request, &placement.decode) {
             Some(entry) => {
                 if let Some(hold) = reserve(context, request, &ticket, &entry, &placement).await {
                     return Ok(taken(context, entry, placement, hold, ticket));
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -73,7 +73,7 @@
     let mut tried = Vec::new();
     while let Some(id) = next.take() {
         tried.push(BackendId::clone(&id));
-        let Some(entry) = context.ready_entry(&id) else {
+        let Some(entry) = context.ready_entry(request, &id) else {
             next = ask_for_another(context, request, placement, rank, &tried).await;
             continue;
         };
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dillspool_admission::{PlacementRequest, TurnAwayCause};
-use dillspool_routing::{BackendId, RoutedRequest};
+use dillspool_routing::{BackendId, DirectoryView, RoutedRequest};
 use dillspool_schema::Name;
 
 use crate::budget::RetryBudgets;
@@ -144,6 +144,17 @@
     );
 }
 
+/// A decision names a backend server that takes no new requests as far as this host knows.
+pub(crate) fn log_overruled(request: &RoutedRequest, backend: &BackendId, view: &DirectoryView) {
+    let known = if view.entries.contains_key(backend) { "leaving" } else { "gone" };
+    log::info!(
+        "event=decision_overruled id={} backend={backend} known={known} directory={} after_ms={}",
+        request.id,
+        view.version,
+        request.age().as_millis(),
+    );
+}
+
 /// Another try was due and the budget did not allow it.
 pub(crate) fn log_budget_empty(request: &RoutedRequest, budgets: &RetryBudgets) {
     let reading = budgets.read(&request.service);
--- a/crates/dillspool_forward/tests/prefills.rs
+++ b/crates/dillspool_forward/tests/prefills.rs
@@ -9,6 +9,7 @@
 use dillspool_forward::{BudgetTerms, CallError, RetryBudgets, answer_request};
 use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage, RequestKind};
 use hyper::StatusCode;
+use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
 struct FailureCase {
@@ -183,6 +184,17 @@
     common::view(entries)
 }
 
+/// The value of a counter on the metrics page.
+fn counter(page: &str, name: &str) -> u64 {
+    let line = page.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix("_total "));
+    line.and_then(|value| value.parse().ok()).expect("the counter is on the page")
+}
+
+/// A host that schedules a pool was cut off from the store, and took the tables from another host that was
+/// cut off, too, so it went on placing prompts at an engine that had said it leaves. The hosts that sent
+/// them knew better and did not look: one read `backend_seen … state=Draining` at 5.412 s, the scheduler
+/// at 8.174 s, and a prompt that the scheduler had placed arrived there at 8.008 s, 2,700 ms after the
+/// engine's word.
 #[tokio::test(start_paused = true)]
 async fn what_the_scheduler_does_not_know_to_leave_is_not_asked() {
     let case = |name, leaving, gone| LeavingCase { name, leaving, gone };
@@ -208,6 +220,8 @@
         let (mut context, _directory) = site.context(engines);
         let (_sender, directory) = watch::channel(Arc::new(known));
         context.directory = directory;
+        let mut registry = Registry::default();
+        context.metrics.register(&mut registry);
         let answer = answer_request(context, request(RequestKind::Streaming, 1, false)).await;
         assert_eq!(answer.status().as_u16(), 200, "{}", case.name);
         let record = site.record.lock().unwrap();
@@ -218,5 +232,8 @@
             let known = case.leaving.contains(&asked) || case.gone.contains(&asked);
             assert!(!known, "{}: {asked} was asked", case.name);
         }
+        let mut page = String::new();
+        prometheus_client::encoding::text::encode(&mut page, &registry).unwrap();
+        assert!(counter(&page, "forward_overruled_decisions") >= 1, "{}: {page}", case.name);
     }
 }
