A row that names no backend server takes it out of use, on every way it travels

Cause: an entry may come from another writer. A row whose bytes are no text was left out of the change, so the entry before it stayed in force (a whole read took it away); a row that could not be decoded kept the entry before it in use and was told again at every change of its table; rows without the fields that every backend server gives, or with an unknown state, were taken for one. Ruled out: that a page with one such row spoils the others (each row is decoded by itself; store.rs shows it).

--- a/crates/dillspool_explain/src/story.rs
+++ b/crates/dillspool_explain/src/story.rs
@@ -13,7 +13,7 @@
     "store_lost",
     "store_regained",
     "config_applied",
-    "config_malformed",
+    "row_unreadable",
     "relay_started",
     "relay_ended",
     "stopping",
--- a/crates/dillspool_router/src/belief_metrics.rs
+++ b/crates/dillspool_router/src/belief_metrics.rs
@@ -13,6 +13,8 @@
 use prometheus_client::registry::{Registry, Unit};
 use tokio::sync::watch;
 
+use crate::unreadable_rows::TableLabels;
+
 /// A service and the part that its backend servers play.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct BackendLabels {
@@ -42,18 +44,6 @@
     }
 }
 
-/// A table of the store.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct TableLabels {
-    table: Name,
-}
-
-impl EncodeLabelSet for TableLabels {
-    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
-        write_labels(encoder, &[("table", &*self.table)])
-    }
-}
-
 /// Gauges of the directory, the configuration and the store's reach.
 #[derive(Clone, Debug)]
 pub(crate) struct BeliefMetrics {
--- a/crates/dillspool_router/src/config_tracker.rs
+++ b/crates/dillspool_router/src/config_tracker.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use crate::site::SiteProtocol;
+use crate::unreadable_rows::UnreadableRows;
 
 /// Puts each newer configuration in force, whole, until the belief ends.
 ///
@@ -14,9 +15,10 @@
 pub async fn track_config(
     site: SiteProtocol,
     mut belief: watch::Receiver<TableBelief>,
+    unreadable: UnreadableRows,
     config: watch::Sender<Option<Arc<RoutingConfig>>>,
 ) {
-    let key = &site.config_row.1;
+    let (table, key) = &site.config_row;
     let mut seen = 0;
     loop {
         let row = belief.borrow_and_update().rows.get(key).cloned();
@@ -25,7 +27,10 @@
             && let Some(text) = row.value
         {
             seen = row.version;
-            apply(&site, &text, row.version, &config);
+            match (site.decode_config)(&text) {
+                Ok(decoded) => apply(decoded, row.version, &config),
+                Err(cause) => unreadable.note(table, key, row.version, &cause),
+            }
         }
         if belief.changed().await.is_err() {
             return;
@@ -34,18 +39,10 @@
 }
 
 fn apply(
-    site: &SiteProtocol,
-    text: &str,
+    decoded: RoutingConfig,
     row_version: u64,
     config: &watch::Sender<Option<Arc<RoutingConfig>>>,
 ) {
-    let decoded = match (site.decode_config)(text) {
-        Ok(decoded) => decoded,
-        Err(cause) => {
-            log::error!("event=config_malformed row={row_version} cause=\"{cause}\"");
-            return;
-        }
-    };
     let before = config.borrow().as_ref().map(|config| config.version);
     if before.is_some_and(|before| before >= decoded.version) {
         log::info!("event=config_older version={} before={before:?}", decoded.version);
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
 use crate::status::{metrics_handler, readiness_handler};
+use crate::unreadable_rows::UnreadableRows;
 
 /// Connections of callers at most; each may need a second descriptor for its backend server.
 const MOST_CALLER_CONNECTIONS: usize = 1_800;
@@ -175,6 +176,7 @@
             vec![beliefs.operator.clone(), beliefs.backends.clone(), beliefs.hosts.clone()],
         );
         believed.register(&mut registry);
+        beliefs.unreadable.register(&mut registry);
         let handler = metrics_handler(registry, move || believed.refresh());
         tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
     }
@@ -189,9 +191,10 @@
     ) {
         tokio::spawn(keep_peer_list(
             self.config.clone(),
-            site.store.clone(),
+            (Name::clone(&site.own_table), site.store.clone()),
             beliefs.peers.clone(),
             [beliefs.hosts.subscribe(), beliefs.backends.subscribe()],
+            beliefs.unreadable.clone(),
             beliefs.role.clone(),
             self.background.clone(),
         ));
@@ -263,6 +266,7 @@
     /// Rows of the product's own, those of hosts among them.
     hosts: SharedBelief,
     backends: SharedBelief,
+    unreadable: UnreadableRows,
     peers: PeerList,
     role: watch::Sender<FollowRole>,
 }
@@ -323,11 +327,18 @@
         let relay = relay_from_peers(stack.clone(), asked, all, reach, cancel.clone());
         tokio::spawn(relay);
         let (config_sender, config_receiver) = watch::channel(None);
-        tokio::spawn(track_config(site.clone(), operator.subscribe(), config_sender));
+        let unreadable = UnreadableRows::default();
+        let operator_rows = operator.subscribe();
+        let told = unreadable.clone();
+        tokio::spawn(track_config(site.clone(), operator_rows, told, config_sender));
         let (view_sender, directory) = watch::channel(Arc::default());
         tokio::spawn(track_directory(
             site.clone(),
-            DirectorySettings { lapse_grace: config.lapse_grace },
+            DirectorySettings {
+                lapse_grace: config.lapse_grace,
+                own_addresses: config.listened_addresses().to_vec(),
+            },
+            unreadable.clone(),
             backends.subscribe(),
             reached.clone(),
             view_sender,
@@ -339,6 +350,7 @@
             operator,
             hosts,
             backends,
+            unreadable,
             peers,
             role,
         }
--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -4,6 +4,7 @@
 //! around an outage therefore counts as gone only some time after the store's return.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,24 +14,38 @@
 use tokio::time::Instant;
 
 use crate::site::SiteProtocol;
+use crate::unreadable_rows::UnreadableRows;
 
 /// How the directory is read.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct DirectorySettings {
     /// Time after the store's return in which lapsed backend servers may register again.
     pub lapse_grace: Duration,
+    /// Addresses at which this host listens. A row that claims one of them is another writer's: requests
+    /// sent there would come back as new ones.
+    pub own_addresses: Vec<SocketAddr>,
 }
 
+/// What the newest row of an id says.
 struct KnownBackend {
-    entry: Arc<BackendEntry>,
+    /// `None` when the row names no backend server.
+    entry: Option<Arc<BackendEntry>>,
     row_version: u64,
     /// Whether its row is missing, for now.
     lapsed: bool,
 }
 
+impl KnownBackend {
+    /// Whether it takes new requests, as far as its last row says.
+    fn is_ready(&self) -> bool {
+        self.entry.as_ref().is_some_and(|entry| entry.is_ready())
+    }
+}
+
 struct DirectoryTracker {
     site: SiteProtocol,
     settings: DirectorySettings,
+    unreadable: UnreadableRows,
     known: BTreeMap<BackendId, KnownBackend>,
 }
 
@@ -38,11 +53,12 @@
 pub async fn track_directory(
     site: SiteProtocol,
     settings: DirectorySettings,
+    unreadable: UnreadableRows,
     mut belief: watch::Receiver<TableBelief>,
     mut reach: watch::Receiver<StoreReach>,
     view: watch::Sender<Arc<DirectoryView>>,
 ) {
-    let mut tracker = DirectoryTracker { site, settings, known: BTreeMap::new() };
+    let mut tracker = DirectoryTracker { site, settings, unreadable, known: BTreeMap::new() };
     loop {
         let state = *reach.borrow_and_update();
         let (changed, version) = {
@@ -70,8 +86,10 @@
 
 impl DirectoryTracker {
     fn view(&self, version: u64) -> DirectoryView {
-        let entries = self.known.iter();
-        let entries = entries.map(|(id, known)| (BackendId::clone(id), Arc::clone(&known.entry)));
+        let entry = |(id, known): (&BackendId, &KnownBackend)| {
+            Some((BackendId::clone(id), Arc::clone(known.entry.as_ref()?)))
+        };
+        let entries = self.known.iter().filter_map(entry);
         DirectoryView { version, entries: entries.collect() }
     }
 
@@ -99,7 +117,7 @@
                 continue;
             }
             // One that was about to leave has left.
-            if may_lapse && known.entry.is_ready() {
+            if may_lapse && known.is_ready() {
                 if !known.lapsed {
                     log::info!("event=backend_lapsed backend={id} version={}", belief.version);
                 }
@@ -109,10 +127,20 @@
             }
         }
         for id in &gone {
-            log::info!("event=backend_gone backend={id} version={}", belief.version);
-            self.known.remove(id);
+            if self.known.remove(id).is_some_and(|known| known.entry.is_some()) {
+                log::info!("event=backend_gone backend={id} version={}", belief.version);
+                changed = true;
+            }
         }
-        changed || !gone.is_empty()
+        changed
+    }
+
+    fn read_row(&self, id: &BackendId, text: &str) -> Result<BackendEntry, String> {
+        let entry = (self.site.decode_backend)(id, text)?;
+        if self.settings.own_addresses.contains(&entry.address) {
+            return Err(format!("this host itself listens at {}", entry.address));
+        }
+        Ok(entry)
     }
 
     fn take_row(&mut self, id: &BackendId, row_version: u64, text: &str) -> bool {
@@ -123,21 +151,22 @@
             known.lapsed = false;
             return false;
         }
-        let entry = match (self.site.decode_backend)(id, text) {
-            Ok(entry) => Arc::new(entry),
+        let entry = match self.read_row(id, text) {
+            Ok(entry) => Some(Arc::new(entry)),
             Err(cause) => {
-                log::error!(
-                    "event=backend_malformed backend={id} row={row_version} cause=\"{cause}\""
-                );
-                return false;
+                self.unreadable.note(&self.site.directory_table, id, row_version, &cause);
+                None
             }
         };
-        let before = self.known.get(id).map(|known| Arc::clone(&known.entry));
-        let known = KnownBackend { entry: Arc::clone(&entry), row_version, lapsed: false };
-        self.known.insert(BackendId::clone(id), known);
-        if before.as_ref() == Some(&entry) {
+        let known = KnownBackend { entry: entry.clone(), row_version, lapsed: false };
+        let before = self.known.insert(BackendId::clone(id), known).and_then(|known| known.entry);
+        if before == entry {
             return false;
         }
+        let Some(entry) = entry else {
+            log::info!("event=backend_gone backend={id} version={row_version}");
+            return true;
+        };
         log::info!(
             "event=backend_seen backend={id} service={} address={} failure_domain={} state={:?} stage={:?} row={row_version}",
             entry.service,
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -15,6 +15,7 @@
 mod site;
 mod sources;
 mod status;
+mod unreadable_rows;
 
 pub use config_tracker::track_config;
 pub use daemon::{RouterDaemon, RouterError};
@@ -25,3 +26,4 @@
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
 pub use sources::{HostRow, SourcePlan, plan_sources, should_be_listed};
+pub use unreadable_rows::UnreadableRows;
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -15,6 +15,7 @@
 
 use crate::settings::RouterConfig;
 use crate::sources::{HostRow, SourcePlan, plan_sources, should_be_listed};
+use crate::unreadable_rows::UnreadableRows;
 
 /// Start of the keys of hosts.
 const HOST_PREFIX: &str = "hosts/";
@@ -110,9 +111,10 @@
 /// known by the other one.
 pub(crate) async fn keep_peer_list(
     config: RouterConfig,
-    store: TableStore,
+    (own_table, store): (Name, TableStore),
     peers: PeerList,
     tables: [watch::Receiver<TableBelief>; 2],
+    unreadable: UnreadableRows,
     role: watch::Sender<FollowRole>,
     cancel: CancellationToken,
 ) {
@@ -120,7 +122,7 @@
         let [mut hosts, mut backends] = tables;
         let started = Instant::now();
         loop {
-            take_rows(&peers, &hosts.borrow_and_update());
+            take_rows(&peers, &own_table, &hosts.borrow_and_update(), &unreadable);
             let is_known = hosts.borrow().version > 0 || backends.borrow().version > 0;
             // At the first start of a fleet nobody is recorded yet, and every host would seem alone.
             let is_settled = !config.first_start || started.elapsed() >= SETTLED_AFTER;
@@ -152,13 +154,11 @@
 }
 
 /// Takes the rows of the table.
-fn take_rows(peers: &PeerList, table: &TableBelief) {
+fn take_rows(peers: &PeerList, own_table: &Name, table: &TableBelief, unreadable: &UnreadableRows) {
     let hosts = table.rows.iter().filter(|(key, _row)| key.starts_with(HOST_PREFIX));
     let rows = hosts.filter_map(|(key, row)| {
         serde_json::from_str(row.value.as_deref()?)
-            .inspect_err(|error| {
-                log::warn!("event=host_row_malformed key={key} cause=\"{error}\"");
-            })
+            .inspect_err(|error| unreadable.note(own_table, key, row.version, &error.to_string()))
             .ok()
     });
     let rows: Vec<HostRow> = rows.collect();
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -111,6 +111,13 @@
     pub log_level: log::LevelFilter,
 }
 
+impl RouterConfig {
+    /// All addresses at which this host listens.
+    pub fn listened_addresses(&self) -> [SocketAddr; 5] {
+        [self.callers, self.readiness, self.peers, self.schedule, self.metrics]
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
