--- a/crates/dillspool_admission/src/decode_book.rs
+++ b/crates/dillspool_admission/src/decode_book.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dillspool_moment::Moment;
+use dillspool_routing::BackendStart;
 use dillspool_schema::Name;
 
 use crate::length::LengthModel;
@@ -104,6 +105,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct DecodeBook {
     pub(crate) domain: Name,
+    /// The start that all of this is about; `None` until one is told.
+    pub(crate) start: Option<BackendStart>,
     pub(crate) streams: Vec<StreamRecord>,
     pub(crate) shut: ShutState,
     foresight: Option<Foresight>,
@@ -112,9 +115,9 @@
 }
 
 impl DecodeBook {
-    pub(crate) fn new(domain: Name) -> Self {
+    pub(crate) fn new(domain: Name, start: Option<BackendStart>) -> Self {
         let shut = ShutState::default();
-        Self { domain, streams: Vec::new(), shut, foresight: None, unseen: None }
+        Self { domain, start, streams: Vec::new(), shut, foresight: None, unseen: None }
     }
 
     pub(crate) fn add(&mut self, stream: StreamRecord) {
--- a/crates/dillspool_admission/src/lib.rs
+++ b/crates/dillspool_admission/src/lib.rs
@@ -16,6 +16,6 @@
 pub use length::LengthModel;
 pub use planner::{PoolPlanner, PoolReading};
 pub use request::{
-    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolTerms, StreamEnd,
-    StreamPlacement, TicketId, TurnAwayCause, WorkClass,
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolTerms,
+    StreamEnd, StreamPlacement, TicketId, TurnAwayCause, WorkClass,
 };
--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dillspool_moment::Moment;
+use dillspool_routing::{BackendStart, StartedBackend};
 use dillspool_schema::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -17,8 +18,8 @@
 use crate::length::LengthModel;
 use crate::prefill_book::{PrefillBook, ReadPace};
 use crate::request::{
-    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolTerms, StreamEnd,
-    StreamPlacement, TicketId, TurnAwayCause, WorkClass,
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolTerms,
+    StreamEnd, StreamPlacement, TicketId, TurnAwayCause, WorkClass,
 };
 use crate::waiting::WaitingLine;
 
@@ -110,23 +111,46 @@
         self.terms = terms;
     }
 
-    /// Takes the engines that take requests now: name, failure domain, whether it prefills.
-    pub fn set_engines<'a>(&mut self, engines: impl Iterator<Item = (&'a Name, &'a Name, bool)>) {
+    /// Takes the engines that take requests now. One that has started again holds nothing of before, and
+    /// nothing that it did counts any more.
+    pub fn set_engines(&mut self, engines: impl Iterator<Item = PoolEngine>) {
         let (mut decode, mut prefill) = (BTreeMap::new(), BTreeMap::new());
-        for (name, domain, prefills) in engines {
+        for PoolEngine { backend: StartedBackend { id, start }, domain, prefills } in engines {
+            if BackendStart::differ(self.start_of(&id), start) {
+                self.leave_engine(&id);
+            }
             if prefills {
-                let book = self.prefill.remove(name);
-                let book = book.unwrap_or_else(|| PrefillBook::new(Name::clone(domain)));
-                prefill.insert(Name::clone(name), book);
+                let book = self.prefill.remove(&id);
+                let mut book = book.unwrap_or_else(|| PrefillBook::new(domain, start));
+                book.start = start.or(book.start);
+                prefill.insert(id, book);
             } else {
-                let book = self.decode.remove(name);
-                let book = book.unwrap_or_else(|| DecodeBook::new(Name::clone(domain)));
-                decode.insert(Name::clone(name), book);
+                let book = self.decode.remove(&id);
+                let mut book = book.unwrap_or_else(|| DecodeBook::new(domain, start));
+                book.start = start.or(book.start);
+                decode.insert(id, book);
             }
         }
         (self.decode, self.prefill) = (decode, prefill);
     }
 
+    /// The start that is known of an engine; `None` where none was told.
+    fn start_of(&self, engine: &Name) -> Option<BackendStart> {
+        let decode = self.decode.get(engine).and_then(|book| book.start);
+        decode.or_else(|| self.prefill.get(engine).and_then(|book| book.start))
+    }
+
+    /// Forgets all about an engine; requests that were there have lost it.
+    fn leave_engine(&mut self, engine: &Name) {
+        self.decode.remove(engine);
+        self.prefill.remove(engine);
+        self.placed.retain(|_ticket, placed| placed.decode != *engine);
+        for placed in self.placed.values_mut() {
+            placed.prefill.take_if(|prefill| prefill == engine);
+            placed.read_by.take_if(|reader| reader == engine);
+        }
+    }
+
     /// Decides on a request; one that was placed before leaves its old place.
     pub fn ask(
         &mut self,
@@ -241,11 +265,32 @@
     }
 
     /// Notes what an engine did other than expected; the request leaves it.
-    pub fn note_fault(&mut self, ticket: TicketId, engine: &Name, fault: EngineFault, now: Moment) {
+    pub fn note_fault(
+        &mut self,
+        ticket: TicketId,
+        backend: &StartedBackend,
+        fault: EngineFault,
+        now: Moment,
+    ) {
+        let engine = &backend.id;
+        // What another start of it did says nothing of the one that is known.
+        let judged = !BackendStart::differ(self.start_of(engine), backend.start);
         if fault == EngineFault::NoMemory {
-            self.note_no_memory(ticket, engine, now);
+            self.note_no_memory(ticket, engine, judged, now);
             return;
         }
+        if judged {
+            self.judge(ticket, engine, fault, now);
+        }
+        let Some(placed) = self.placed.get(&ticket) else { return };
+        if placed.prefill.as_ref() == Some(engine) {
+            self.leave_prefill(ticket);
+        } else if placed.decode == *engine {
+            self.forget(ticket);
+        }
+    }
+
+    fn judge(&mut self, ticket: TicketId, engine: &Name, fault: EngineFault, now: Moment) {
         let reader = self.placed.get(&ticket).and_then(|placed| placed.read_by.clone());
         let decode = self.decode.get_mut(engine).map(|book| &mut book.shut);
         let shut = decode.or(self.prefill.get_mut(engine).map(|book| &mut book.shut));
@@ -265,12 +310,6 @@
             // The result that it read may have been gone.
             reader.shut.note_refused_reserved(now, true);
         }
-        let Some(placed) = self.placed.get(&ticket) else { return };
-        if placed.prefill.as_ref() == Some(engine) {
-            self.leave_prefill(ticket);
-        } else if placed.decode == *engine {
-            self.forget(ticket);
-        }
     }
 
     /// Notes that a stream ended.
@@ -360,8 +399,11 @@
         }
     }
 
-    fn note_no_memory(&mut self, ticket: TicketId, engine: &Name, now: Moment) {
+    fn note_no_memory(&mut self, ticket: TicketId, engine: &Name, judged: bool, now: Moment) {
         let stream = self.take_off(ticket);
+        if !judged {
+            return;
+        }
         let (lengths, terms, policy) = (&self.lengths, self.terms, self.policy);
         let Some(book) = self.decode.get_mut(engine) else { return };
         let room = stream.map_or(0.0, |mut stream| {
--- a/crates/dillspool_admission/src/prefill_book.rs
+++ b/crates/dillspool_admission/src/prefill_book.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dillspool_moment::Moment;
+use dillspool_routing::BackendStart;
 use dillspool_schema::Name;
 
 use crate::request::TicketId;
@@ -33,13 +34,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PrefillBook {
     pub(crate) domain: Name,
+    /// The start that all of this is about; `None` until one is told.
+    pub(crate) start: Option<BackendStart>,
     pub(crate) shut: ShutState,
     prompts: VecDeque<PromptRecord>,
 }
 
 impl PrefillBook {
-    pub(crate) fn new(domain: Name) -> Self {
-        Self { domain, shut: ShutState::default(), prompts: VecDeque::new() }
+    pub(crate) fn new(domain: Name, start: Option<BackendStart>) -> Self {
+        Self { domain, start, shut: ShutState::default(), prompts: VecDeque::new() }
     }
 
     /// Whether it gets nothing now: it is shut, or has yet to show with one prompt that it does as it
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -2,12 +2,24 @@
 
 use std::time::Duration;
 
+use dillspool_routing::StartedBackend;
 use dillspool_schema::Name;
 
 /// Names a request with the planner; unique among those under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TicketId(pub u64);
 
+/// An engine that takes requests now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolEngine {
+    /// Which one, and of which start.
+    pub backend: StartedBackend,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Whether it prefills; else it decodes.
+    pub prefills: bool,
+}
+
 /// How much an answer is worth to its caller, most first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WorkClass {
--- a/crates/dillspool_admission/tests/model/mod.rs
+++ b/crates/dillspool_admission/tests/model/mod.rs
@@ -13,10 +13,11 @@
 use std::time::Duration;
 
 use dillspool_admission::{
-    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolPlanner, PoolTerms,
-    StreamEnd, StreamPlacement, TicketId, WorkClass,
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner,
+    PoolTerms, StreamEnd, StreamPlacement, TicketId, WorkClass,
 };
 use dillspool_moment::Moment;
+use dillspool_routing::StartedBackend;
 use dillspool_schema::Name;
 
 /// Time between two looks at everything.
@@ -184,6 +185,21 @@
     Moment::after_origin(Duration::from_millis(ms))
 }
 
+/// Engines of a pool that tell no start.
+fn pool_engines(decode: &[Name], prefill: &[Name]) -> impl Iterator<Item = PoolEngine> {
+    let engine = |name: &Name, prefills| PoolEngine {
+        backend: started(name),
+        domain: "domain".into(),
+        prefills,
+    };
+    let decode: Vec<_> = decode.iter().map(|name| engine(name, false)).collect();
+    decode.into_iter().chain(prefill.iter().map(move |name| engine(name, true)).collect::<Vec<_>>())
+}
+
+fn started(name: &Name) -> StartedBackend {
+    StartedBackend { id: Name::clone(name), start: None }
+}
+
 /// Plays a load against a pool until everybody has an answer.
 pub fn play(pool: PoolModel, policy: AdmissionPolicy, load: &[Arrival]) -> Outcome {
     let terms = PoolTerms { memory_tokens: pool.memory, slots: 24 };
@@ -191,9 +207,7 @@
     let decode: Vec<Name> = (0..pool.decode).map(|at| format!("decode-{at:02}").into()).collect();
     let prefill: Vec<Name> =
         (0..pool.prefill).map(|at| format!("prefill-{at:02}").into()).collect();
-    let domain = Name::from("domain");
-    let engines = decode.iter().map(|name| (name, &domain, false));
-    planner.set_engines(engines.chain(prefill.iter().map(|name| (name, &domain, true))));
+    planner.set_engines(pool_engines(&decode, &prefill));
     let mut sizes: Vec<u64> = load.iter().map(|arrival| arrival.made).collect();
     sizes.sort_unstable();
     let large_from = sizes[sizes.len() * 9 / 10];
@@ -320,7 +334,7 @@
         let Some(engine) = engine.filter(|_engine| free >= placement.reserve_tokens) else {
             let (ticket, decode) = (TicketId(number), &placement.decode);
             let now = moment(self.now);
-            self.planner.note_fault(ticket, decode, EngineFault::NoMemory, now);
+            self.planner.note_fault(ticket, &started(decode), EngineFault::NoMemory, now);
             self.callers.get_mut(&number).unwrap().refusals += 1;
             self.ask(number, coming);
             return;
@@ -372,7 +386,7 @@
                 engine.reserved.remove(&number);
             }
             let now = moment(self.now);
-            self.planner.note_fault(TicketId(number), &decode, EngineFault::Failed, now);
+            self.planner.note_fault(TicketId(number), &started(&decode), EngineFault::Failed, now);
             let end = StreamEnd { is_whole: false, event_gap: None };
             self.planner.note_ended(TicketId(number), end, now);
             self.callers.remove(&number);
@@ -474,12 +488,9 @@
         for name in &lost {
             self.decode.remove(name);
         }
-        let domain = Name::from("domain");
         let decode: Vec<Name> = self.decode.keys().cloned().collect();
         let prefill: Vec<Name> = self.prefill.keys().cloned().collect();
-        let engines = decode.iter().map(|name| (name, &domain, false));
-        let engines = engines.chain(prefill.iter().map(|name| (name, &domain, true)));
-        self.planner.set_engines(engines);
+        self.planner.set_engines(pool_engines(&decode, &prefill));
         let broken: Vec<u64> = self
             .callers
             .iter()
--- /dev/null
+++ b/crates/dillspool_admission/tests/restarts.rs
@@ -0,0 +1,131 @@
+//! An engine that starts again under its id holds nothing of before, and is not judged by it.
+
+use std::time::Duration;
+
+use dillspool_admission::{
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner,
+    PoolTerms, TicketId, WorkClass,
+};
+use dillspool_moment::Moment;
+use dillspool_routing::{BackendStart, StartedBackend};
+
+fn backend(id: &str, start: Option<u64>) -> StartedBackend {
+    StartedBackend { id: id.into(), start: start.map(BackendStart) }
+}
+
+fn engines(start: Option<u64>) -> [PoolEngine; 2] {
+    let engine =
+        |id, prefills| PoolEngine { backend: backend(id, start), domain: "d".into(), prefills };
+    [engine("decode", false), engine("prefill", true)]
+}
+
+fn request() -> PlacementRequest {
+    PlacementRequest {
+        class: WorkClass::InTime,
+        workspace_priority: 0,
+        priority: 0,
+        domain: "d".into(),
+        prompt_tokens: 6_000,
+        guess_tokens: 500,
+        most_tokens: 1_000,
+        objective_left: Duration::from_millis(900),
+        patience: Duration::from_secs(2),
+        time_left: Duration::from_secs(10),
+        pause_target: None,
+        excluded: Vec::new(),
+        refusals: 0,
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::after_origin(Duration::from_millis(ms))
+}
+
+struct RestartCase {
+    name: &'static str,
+    /// Starts that are told before and after.
+    starts: [Option<u64>; 2],
+    /// Whether it counts as another start.
+    restarted: bool,
+}
+
+const CASES: [RestartCase; 4] = [
+    RestartCase { name: "another start", starts: [Some(7), Some(9)], restarted: true },
+    RestartCase { name: "its clock went back", starts: [Some(9), Some(7)], restarted: true },
+    RestartCase { name: "the same start", starts: [Some(7), Some(7)], restarted: false },
+    RestartCase { name: "no start is told", starts: [None, None], restarted: false },
+];
+
+/// A planner whose one decode engine is full of streams; room is for one only.
+fn full_pool(start: Option<u64>) -> PoolPlanner {
+    let terms = PoolTerms { memory_tokens: 10_000, slots: 24 };
+    let mut planner = PoolPlanner::new(terms, AdmissionPolicy::default(), 1);
+    planner.set_engines(engines(start).into_iter());
+    let placed = planner.ask(TicketId(1), request(), at(0));
+    assert!(matches!(placed, PlacementDecision::Place(_)), "{placed:?}");
+    planner.note_prefilled(TicketId(1), Duration::from_millis(100));
+    planner.note_started(TicketId(1), at(100));
+    planner
+}
+
+#[test]
+fn memory_and_queues_of_before_are_free() {
+    for case in CASES {
+        let mut planner = full_pool(case.starts[0]);
+        planner.set_engines(engines(case.starts[1]).into_iter());
+        let decision = planner.ask(TicketId(2), request(), at(200));
+        let placed = matches!(decision, PlacementDecision::Place(_));
+        assert_eq!(placed, case.restarted, "{}: {decision:?}", case.name);
+        assert_eq!(planner.read(at(200)).streams, 1, "{}", case.name);
+        // The end of a stream that was lost frees nothing of the new start.
+        planner.forget(TicketId(1));
+        let left = usize::from(case.restarted);
+        assert_eq!(planner.read(at(200)).streams, left, "{}", case.name);
+    }
+}
+
+/// Faults of a start, told before or after the scheduler knows the next one.
+struct FaultCase {
+    name: &'static str,
+    fault: EngineFault,
+    /// Starts: of the engine that is known, and of the one that the fault is told of.
+    known: Option<u64>,
+    told: Option<u64>,
+    shut: bool,
+}
+
+#[test]
+fn a_start_is_not_blamed_for_another() {
+    let faults = [EngineFault::Unreachable, EngineFault::ReservedRefused];
+    let starts = [
+        ("the one before", Some(9), Some(7), false),
+        ("its successor, which is not known yet", Some(7), Some(9), false),
+        ("itself", Some(9), Some(9), true),
+        ("one that tells no start", Some(9), None, true),
+        ("no start is told at all", None, None, true),
+    ];
+    let cases = faults.into_iter().flat_map(|fault| {
+        starts.map(|(name, known, told, shut)| FaultCase { name, fault, known, told, shut })
+    });
+    for case in cases {
+        let mut planner = full_pool(case.known);
+        for ticket in 10..12 {
+            let (ticket, engine) = (TicketId(ticket), backend("decode", case.told));
+            planner.note_fault(ticket, &engine, case.fault, at(300));
+        }
+        let open = planner.read(at(301)).decode;
+        assert_eq!(open, usize::from(!case.shut), "{} {:?}", case.name, case.fault);
+    }
+}
+
+#[test]
+fn a_shut_engine_is_open_after_its_restart() {
+    for case in CASES {
+        let mut planner = full_pool(case.starts[0]);
+        let engine = backend("decode", case.starts[0]);
+        planner.note_fault(TicketId(1), &engine, EngineFault::Unreachable, at(300));
+        assert_eq!(planner.read(at(301)).decode, 0, "{}", case.name);
+        planner.set_engines(engines(case.starts[1]).into_iter());
+        assert_eq!(planner.read(at(302)).decode, usize::from(case.restarted), "{}", case.name);
+    }
+}
--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use dillspool_routing::BackendId;
+use dillspool_routing::StartedBackend;
 use tokio::time::Instant;
 
 /// Weight of the newest observation in an average; some ten sends decide.
@@ -17,7 +17,7 @@
 const LONGEST_ASIDE: Duration = Duration::from_secs(4);
 /// Failures in a row after which a backend server is left out.
 const FAILURES_BEFORE_ASIDE: u32 = 2;
-/// Entries kept at most; ids are new with each start of a backend server.
+/// Entries kept at most; each start of a backend server has its own.
 const MOST_ENTRIES: usize = 8192;
 
 #[derive(Clone, Debug)]
@@ -57,25 +57,25 @@
     pub(crate) is_full: bool,
 }
 
-/// The book of all backend servers, by id.
+/// The book of all backend servers, by their starts: what one did says nothing of the next.
 #[derive(Clone, Debug, Default)]
 pub struct BackendBook {
-    loads: Arc<Mutex<HashMap<BackendId, BackendLoad>>>,
+    loads: Arc<Mutex<HashMap<StartedBackend, BackendLoad>>>,
 }
 
 impl BackendBook {
-    fn with<T>(&self, id: &BackendId, run: impl FnOnce(&mut BackendLoad) -> T) -> T {
+    fn with<T>(&self, backend: &StartedBackend, run: impl FnOnce(&mut BackendLoad) -> T) -> T {
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
         if loads.len() >= MOST_ENTRIES {
-            loads.retain(|_id, load| load.outstanding > 0);
+            loads.retain(|_backend, load| load.outstanding > 0);
         }
-        run(loads.entry(BackendId::clone(id)).or_default())
+        run(loads.entry(backend.clone()).or_default())
     }
 
-    pub(crate) fn read(&self, id: &BackendId) -> LoadReading {
+    pub(crate) fn read(&self, backend: &StartedBackend) -> LoadReading {
         let now = Instant::now();
         let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        let load = loads.get(id).cloned().unwrap_or_default();
+        let load = loads.get(backend).cloned().unwrap_or_default();
         LoadReading {
             outstanding: load.outstanding,
             tokens: load.tokens,
@@ -87,18 +87,18 @@
     }
 
     /// Notes work that is sent to a backend server until the ticket is dropped.
-    pub fn enter(&self, id: &BackendId, tokens: u64) -> LoadTicket {
-        self.with(id, |load| {
+    pub fn enter(&self, backend: &StartedBackend, tokens: u64) -> LoadTicket {
+        self.with(backend, |load| {
             load.outstanding += 1;
             load.tokens += tokens;
         });
-        LoadTicket { book: self.clone(), id: BackendId::clone(id), tokens }
+        LoadTicket { book: self.clone(), backend: backend.clone(), tokens }
     }
 
     /// Notes an answer that came as it should.
-    pub(crate) fn note_success(&self, id: &BackendId, latency: Duration) {
+    pub(crate) fn note_success(&self, backend: &StartedBackend, latency: Duration) {
         let latency_ms = latency.as_secs_f64() * 1000.0;
-        self.with(id, |load| {
+        self.with(backend, |load| {
             load.latency_ms += NEWEST_WEIGHT * (latency_ms - load.latency_ms);
             load.failures -= NEWEST_WEIGHT * load.failures;
             load.failures_in_row = 0;
@@ -107,24 +107,24 @@
     }
 
     /// Notes a failure that the backend server told of.
-    pub(crate) fn note_failure(&self, id: &BackendId) {
-        self.with(id, |load| load.failures += NEWEST_WEIGHT * (1.0 - load.failures));
+    pub(crate) fn note_failure(&self, backend: &StartedBackend) {
+        self.with(backend, |load| load.failures += NEWEST_WEIGHT * (1.0 - load.failures));
     }
 
     /// Notes that no connection could be made; leaves the backend server out at once.
-    pub(crate) fn note_unreachable(&self, id: &BackendId, cause: &str) {
-        self.note_no_answer(id, 1, cause);
+    pub(crate) fn note_unreachable(&self, backend: &StartedBackend, cause: &str) {
+        self.note_no_answer(backend, 1, cause);
     }
 
     /// Notes that a backend server did not answer; leaves it out for a while when that repeats.
-    pub(crate) fn note_silence(&self, id: &BackendId, cause: &str) {
-        self.note_no_answer(id, FAILURES_BEFORE_ASIDE, cause);
+    pub(crate) fn note_silence(&self, backend: &StartedBackend, cause: &str) {
+        self.note_no_answer(backend, FAILURES_BEFORE_ASIDE, cause);
     }
 
     /// Leaves a backend server out from so many failures in a row on, for longer each time.
-    fn note_no_answer(&self, id: &BackendId, failures_before: u32, cause: &str) {
+    fn note_no_answer(&self, backend: &StartedBackend, failures_before: u32, cause: &str) {
         let now = Instant::now();
-        let aside = self.with(id, |load| {
+        let aside = self.with(backend, |load| {
             load.failures += NEWEST_WEIGHT * (1.0 - load.failures);
             load.failures_in_row += 1;
             let doublings = load.failures_in_row.checked_sub(failures_before)?.min(8);
@@ -135,15 +135,16 @@
         if let Some((failures, span)) = aside {
             let span_ms = span.as_millis();
             log::info!(
-                "event=backend_aside backend={id} failures={failures} for_ms={span_ms} cause=\"{cause}\""
+                "event=backend_aside backend={} failures={failures} for_ms={span_ms} cause=\"{cause}\"",
+                backend.id,
             );
         }
     }
 
     /// Notes that a backend server has no room for now.
-    pub(crate) fn note_full(&self, id: &BackendId, span: Duration) {
+    pub(crate) fn note_full(&self, backend: &StartedBackend, span: Duration) {
         let until = Instant::now() + span;
-        self.with(id, |load| load.full_until = Some(until));
+        self.with(backend, |load| load.full_until = Some(until));
     }
 }
 
@@ -151,7 +152,7 @@
 #[derive(Debug)]
 pub struct LoadTicket {
     book: BackendBook,
-    id: BackendId,
+    backend: StartedBackend,
     tokens: u64,
 }
 
@@ -160,14 +161,14 @@
     pub fn grow_to(&mut self, tokens: u64) {
         let growth = tokens.saturating_sub(self.tokens);
         self.tokens += growth;
-        self.book.with(&self.id, |load| load.tokens += growth);
+        self.book.with(&self.backend, |load| load.tokens += growth);
     }
 }
 
 impl Drop for LoadTicket {
     fn drop(&mut self) {
         let tokens = self.tokens;
-        self.book.with(&self.id, |load| {
+        self.book.with(&self.backend, |load| {
             load.outstanding = load.outstanding.saturating_sub(1);
             load.tokens = load.tokens.saturating_sub(tokens);
         });
--- a/crates/dillspool_forward/src/choose.rs
+++ b/crates/dillspool_forward/src/choose.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use dillspool_routing::{BackendEntry, BackendId, DirectoryView};
+use dillspool_routing::{BackendEntry, DirectoryView};
 use rand::Rng;
 
 use crate::book::BackendBook;
+use crate::tried::TriedBackends;
 
 /// Cost of another failure domain for a plain call, as a factor: its bytes are billed, about
 /// 1% of a call's worth, and it takes a millisecond more.
@@ -25,10 +26,10 @@
 
 impl Chooser<'_> {
     /// The backend server of a service with the least expected wait.
-    pub(crate) fn plain(&self, service: &str, tried: &[BackendId]) -> Option<Arc<BackendEntry>> {
-        let candidates = self.view.ready(service).filter(|entry| !tried.contains(&entry.id));
+    pub(crate) fn plain(&self, service: &str, tried: &TriedBackends) -> Option<Arc<BackendEntry>> {
+        let candidates = self.view.ready(service).filter(|entry| !tried.contains(entry));
         least(candidates, |entry| {
-            let load = self.book.read(&entry.id);
+            let load = self.book.read(&entry.started());
             let far = if self.is_near(entry) { 1.0 } else { FAR_FACTOR };
             let queue = f64::from(load.outstanding + 1) * load.latency_ms;
             (load.is_aside, queue * (1.0 + FAILURE_FACTOR * load.failures) * far)
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -1,6 +1,7 @@
 //! What all requests of a host share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use dillspool_routing::{BackendEntry, BackendId, DirectoryView, RoutedRequest};
 use dillspool_scheduler::{LimitClient, ScheduleClient};
@@ -10,11 +11,18 @@
 
 use crate::book::BackendBook;
 use crate::budget::RetryBudgets;
-use crate::calls::BackendCalls;
+use crate::calls::{BackendCalls, CallError};
 use crate::choose::Chooser;
 use crate::metrics::ForwardMetrics;
 use crate::trace::log_overruled;
 
+/// Why something under way at a backend server is lost.
+pub(crate) const STARTED_AGAIN: &str = "it started again";
+/// Time for which something under way is still waited for once its backend server is known to have started
+/// again: what the start before had sent comes within some round trips, and events a few dozen
+/// milliseconds apart come if it lives on beside its successor.
+const RESTART_GRACE: Duration = Duration::from_millis(250);
+
 /// Shared by all requests of a host.
 #[derive(Clone, Debug)]
 pub struct ForwardContext {
@@ -60,6 +68,32 @@
         ready
     }
 
+    /// Waits until the directory shows another start of a backend server, and a moment longer for what
+    /// the one before may still send; for ever where no start is told.
+    pub(crate) async fn restarted(&self, entry: &BackendEntry) {
+        let mut directory = self.directory.clone();
+        if entry.start.is_none()
+            || directory.wait_for(|view| view.has_restarted(entry)).await.is_err()
+        {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(RESTART_GRACE).await;
+    }
+
+    /// Waits for a call to a backend server, but no longer than its start lasts: one that has started again
+    /// does not answer what was asked before.
+    pub(crate) async fn while_started<T>(
+        &self,
+        entry: &BackendEntry,
+        call: impl Future<Output = Result<T, CallError>>,
+    ) -> Result<T, CallError> {
+        tokio::select! {
+            biased;
+            answer = call => answer,
+            () = self.restarted(entry) => Err(CallError::Lost { reason: STARTED_AGAIN.to_owned() }),
+        }
+    }
+
     /// Chooses from this host's place.
     pub(crate) fn chooser<'a>(&'a self, view: &'a DirectoryView) -> Chooser<'a> {
         Chooser { view, book: &self.book, failure_domain: &self.failure_domain }
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -6,20 +6,21 @@
 use bytes::Bytes;
 use dillspool_admission::{EngineFault, WorkClass};
 use dillspool_io::{ResponseBody, read_response_body};
-use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use dillspool_routing::{BackendEntry, RoutedRequest};
 use dillspool_scheduler::DeskNote;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 
 use crate::calls::{BackendAnswer, CallError, ForwardTerms, WorkRank};
-use crate::context::ForwardContext;
+use crate::context::{ForwardContext, STARTED_AGAIN};
 use crate::placement::{Placement, StreamTicket, place, placement_request};
 use crate::prefill::{PrefillGuard, prefill};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
 use crate::stages::FirstEventStages;
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
+use crate::tried::TriedBackends;
 
 /// Time without an event after which callers leave: the longest of this, and so many objectives and
 /// pause targets; as the platform's callers do.
@@ -98,7 +99,7 @@
     pub(crate) request: Arc<RoutedRequest>,
     sends: u32,
     prefills: u32,
-    tried: Vec<BackendId>,
+    tried: TriedBackends,
     may_have_run: bool,
     /// Until when an answer under way waits for other engines.
     wait_until: Option<Instant>,
@@ -115,7 +116,7 @@
             request: Arc::clone(request),
             sends: 0,
             prefills: 0,
-            tried: Vec::new(),
+            tried: TriedBackends::default(),
             may_have_run: false,
             wait_until: None,
             stages: FirstEventStages::default(),
@@ -137,11 +138,9 @@
     /// Prepares another engine while one that is silent still has the stream.
     pub(crate) async fn prepare_beside(
         &mut self,
-        silent: &BackendId,
+        silent: &BackendEntry,
     ) -> Result<PreparedSend, Refusal> {
-        if !self.tried.contains(silent) {
-            self.tried.push(BackendId::clone(silent));
-        }
+        self.tried.push(silent);
         self.wait_for_engines_until(self.request.deadline);
         self.prepare().await
     }
@@ -160,6 +159,11 @@
         }
     }
 
+    /// Waits until the engine of a stream is known to have started again, and a moment longer.
+    pub(crate) async fn restarted(&self, entry: &BackendEntry) {
+        self.context.restarted(entry).await;
+    }
+
     pub(crate) fn note_first_event(&self, after: Duration) {
         self.context.metrics.note_first_part(after);
     }
@@ -168,22 +172,22 @@
     pub(crate) fn note_success(&self, open: &mut OpenStream, event_gap: Option<Duration>) {
         open.ticket.end_whole(event_gap);
         if open.entry.stage.is_none() {
-            self.context.book.note_success(&open.entry.id, self.request.age());
+            self.context.book.note_success(&open.entry.started(), self.request.age());
         }
     }
 
     pub(crate) fn note_broken(&mut self, open: &OpenStream, cause: &str) {
         self.may_have_run = true;
         self.note_no_answer(&open.entry, &open.ticket, cause);
-        self.tried.push(BackendId::clone(&open.entry.id));
+        self.tried.push(&open.entry);
     }
 
     /// A model engine is judged where its pool is scheduled, any other backend server here.
     fn note_no_answer(&self, entry: &BackendEntry, ticket: &StreamTicket, cause: &str) {
         if entry.stage.is_none() {
-            self.context.book.note_silence(&entry.id, cause);
+            self.context.book.note_silence(&entry.started(), cause);
         }
-        ticket.note_fault(&entry.id, EngineFault::Silent);
+        ticket.note_fault(entry, EngineFault::Silent);
     }
 
     /// Opens the stream, at the prepared engine first.
@@ -270,8 +274,13 @@
             return self.place_without_parts(&view);
         }
         let (class, patience) = (self.class(), self.patience());
-        let question =
-            placement_request(&self.context, &self.request, class, patience, &self.tried);
+        let question = placement_request(
+            &self.context,
+            &self.request,
+            class,
+            patience,
+            &self.tried.ids(&view),
+        );
         let placed = place(&self.context, &self.request, question).await;
         placed.map_err(|refusal| if self.may_have_run { self.conclude() } else { refusal })
     }
@@ -316,7 +325,15 @@
         let view = self.context.view();
         if self.context.ready_entry(&self.request, &entry.id).is_none() {
             // It began to leave while the prompt was prefilled.
-            self.tried.push(BackendId::clone(&entry.id));
+            self.tried.push(&entry);
+            return Ok(None);
+        }
+        let reader = prefill.prefilled.as_ref().map(|prefilled| &prefilled.engine);
+        if let Some(lost) =
+            [Some(&entry), reader].into_iter().flatten().find(|it| view.has_restarted(it))
+        {
+            // The reservation, or the prompt that was read, is gone with the start before.
+            log_send_failed(&self.request, &lost.id, STARTED_AGAIN);
             return Ok(None);
         }
         let generation = self.request.generation.as_ref();
@@ -341,6 +358,7 @@
         let remaining = self.request.remaining();
         let call =
             (self.context.calls.forward)(Arc::clone(&entry), Arc::clone(&self.request), terms);
+        let call = self.context.while_started(&entry, call);
         let sent = match tokio::time::timeout(remaining, call).await {
             Ok(sent) => sent,
             Err(_elapsed) => Err(CallError::Lost { reason: format!("silent for {remaining:?}") }),
@@ -415,10 +433,10 @@
         body: Bytes,
     ) -> OpenEnd {
         if entry.stage.is_none() {
-            self.context.book.note_failure(&entry.id);
+            self.context.book.note_failure(&entry.started());
         }
         if status.is_server_error() {
-            ticket.note_fault(&entry.id, EngineFault::Failed);
+            ticket.note_fault(entry, EngineFault::Failed);
         }
         let mut response = Response::new(dillspool_io::full_body(body));
         *response.status_mut() = status;
@@ -443,9 +461,9 @@
     /// Nothing was sent, so another engine may be.
     fn note_not_sent(&mut self, entry: &BackendEntry, ticket: &StreamTicket, cause: &str) {
         if entry.stage.is_none() {
-            self.context.book.note_unreachable(&entry.id, cause);
+            self.context.book.note_unreachable(&entry.started(), cause);
         }
-        ticket.note_fault(&entry.id, EngineFault::Unreachable);
+        ticket.note_fault(entry, EngineFault::Unreachable);
         self.note_failed_send(entry, cause);
     }
 
@@ -456,12 +474,12 @@
         ticket: &StreamTicket,
         status: StatusCode,
     ) {
-        ticket.note_fault(&entry.id, EngineFault::ReservedRefused);
+        ticket.note_fault(entry, EngineFault::ReservedRefused);
         self.note_failed_send(entry, &format!("refused with {status}, not run"));
     }
 
     fn note_failed_send(&mut self, entry: &BackendEntry, cause: &str) {
-        self.tried.push(BackendId::clone(&entry.id));
+        self.tried.push(entry);
         log_send_failed(&self.request, &entry.id, cause);
     }
 }
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod stages;
 mod trace;
+mod tried;
 
 pub use answer::answer_request;
 pub use book::{BackendBook, LoadTicket};
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -44,6 +44,10 @@
 impl Drop for HoldGuard {
     fn drop(&mut self) {
         let Some(hold) = self.hold.take() else { return };
+        if self.context.view().has_restarted(&self.entry) {
+            // Its memory is free, and the name may be another request's by now.
+            return;
+        }
         let release = (self.context.calls.release_hold)(Arc::clone(&self.entry), hold);
         let id = BackendId::clone(&self.entry.id);
         self.context.tasks.spawn(async move {
@@ -70,7 +74,7 @@
     /// At a backend server that plays no part and reserves nothing.
     pub(crate) fn without_memory(context: &ForwardContext, entry: Arc<BackendEntry>) -> Self {
         let hold = HoldGuard::empty(context, &entry);
-        let load = context.book.enter(&entry.id, 0);
+        let load = context.book.enter(&entry.started(), 0);
         let ticket = StreamTicket { schedule: None, _load: Some(load) };
         Self { entry, reserved: 0, prefill: None, hold, ticket }
     }
@@ -92,8 +96,8 @@
     }
 
     /// Tells that an engine did other than expected.
-    pub(crate) fn note_fault(&self, engine: &Name, fault: EngineFault) {
-        self.note(&DeskNote::Fault { engine: Name::clone(engine), fault });
+    pub(crate) fn note_fault(&self, engine: &BackendEntry, fault: EngineFault) {
+        self.note(&DeskNote::Fault { engine: engine.started(), fault });
     }
 
     /// Asks for another prefill engine.
@@ -227,6 +231,6 @@
         entry.id,
         placement.reserve_tokens,
     );
-    ticket.note(&DeskNote::Fault { engine: Name::clone(&entry.id), fault });
+    ticket.note(&DeskNote::Fault { engine: entry.started(), fault });
     None
 }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dillspool_io::{ResponseBody, full_body, read_response_body};
-use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use dillspool_routing::{BackendEntry, RoutedRequest};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
@@ -15,6 +15,7 @@
 use crate::context::ForwardContext;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
+use crate::tried::TriedBackends;
 
 /// Largest answer that is passed on whole, in bytes.
 const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
@@ -58,7 +59,7 @@
 /// Sends of one request so far.
 #[derive(Default)]
 struct SendRecord {
-    tried: Vec<BackendId>,
+    tried: TriedBackends,
     sends: u32,
     unreachable: usize,
     may_have_run: bool,
@@ -72,12 +73,13 @@
         &mut self,
         book: &BackendBook,
         request: &RoutedRequest,
-        id: &BackendId,
+        entry: &BackendEntry,
         outcome: SendOutcome,
     ) {
+        let backend = &entry.started();
         let cause = match outcome {
             SendOutcome::Whole(answer) => {
-                book.note_failure(id);
+                book.note_failure(backend);
                 let cause = format!("status {}", answer.status.as_u16());
                 self.sends += 1;
                 self.may_have_run = true;
@@ -85,24 +87,24 @@
                 cause
             }
             SendOutcome::NotSent(cause) => {
-                book.note_unreachable(id, &cause);
+                book.note_unreachable(backend, &cause);
                 self.unreachable += 1;
                 cause
             }
             SendOutcome::NotRun => {
-                book.note_full(id, FULL_SPAN);
-                book.note_failure(id);
+                book.note_full(backend, FULL_SPAN);
+                book.note_failure(backend);
                 self.sends += 1;
                 "refused, not run".to_owned()
             }
             SendOutcome::Unclear(cause) => {
-                book.note_silence(id, &cause);
+                book.note_silence(backend, &cause);
                 self.sends += 1;
                 self.may_have_run = true;
                 cause
             }
         };
-        log_send_failed(request, id, &cause);
+        log_send_failed(request, &backend.id, &cause);
     }
 }
 
@@ -114,15 +116,15 @@
     let mut record = SendRecord::default();
     while let Some((entry, directory)) = next_backend(context, request, &record) {
         trace.chose(&entry.id, directory);
-        record.tried.push(BackendId::clone(&entry.id));
+        record.tried.push(&entry);
         let limit = send_limit(request, &record);
         let started = Instant::now();
         match send_whole(context, request, &entry, limit).await {
             SendOutcome::Whole(answer) if !answer.status.is_server_error() => {
-                context.book.note_success(&entry.id, started.elapsed());
+                context.book.note_success(&entry.started(), started.elapsed());
                 return Ok(answer.response());
             }
-            failed => record.note_failure(&context.book, request, &entry.id, failed),
+            failed => record.note_failure(&context.book, request, &entry, failed),
         }
     }
     conclude(request, record)
@@ -170,7 +172,7 @@
     entry: &Arc<BackendEntry>,
     limit: Duration,
 ) -> SendOutcome {
-    let _ticket = context.book.enter(&entry.id, 0);
+    let _ticket = context.book.enter(&entry.started(), 0);
     let terms = ForwardTerms { time_budget: request.remaining(), ..ForwardTerms::default() };
     let exchange = async {
         let answer = (context.calls.forward)(Arc::clone(entry), Arc::clone(request), terms).await?;
@@ -187,7 +189,7 @@
             .map_err(|error| CallError::Lost { reason: error.to_string() })?;
         Ok(WholeAnswer { status, headers, body })
     };
-    match tokio::time::timeout(limit, exchange).await {
+    match tokio::time::timeout(limit, context.while_started(entry, exchange)).await {
         Ok(Ok(answer)) => SendOutcome::Whole(answer),
         Ok(Err(CallError::NotSent { reason })) => SendOutcome::NotSent(reason),
         Ok(Err(CallError::Refused { .. })) => SendOutcome::NotRun,
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -36,6 +36,10 @@
 impl Drop for PrefillGuard {
     fn drop(&mut self) {
         let Some(prefilled) = self.prefilled.take() else { return };
+        if self.context.view().has_restarted(&prefilled.engine) {
+            // It keeps nothing of before, and the name may be another request's by now.
+            return;
+        }
         let (entry, handle) = (prefilled.engine, prefilled.handle);
         let release = (self.context.calls.release_prefill)(Arc::clone(&entry), handle);
         self.context.tasks.spawn(async move {
@@ -96,7 +100,7 @@
             entry.id,
             request.age().as_millis(),
         );
-        placement.ticket.note_fault(&entry.id, prefill_fault(&error));
+        placement.ticket.note_fault(&entry, prefill_fault(&error));
         if !may_ask_again(context, request, &error, permit) {
             return None;
         }
@@ -137,6 +141,7 @@
     let limit = request.remaining().min(PREFILL_LIMIT);
     let terms = PrefillTerms { limit, rank };
     let call = (context.calls.prefill)(Arc::clone(entry), Arc::clone(request), terms);
+    let call = context.while_started(entry, call);
     let started = Instant::now();
     let ended = tokio::time::timeout(limit, call).await;
     let took = started.elapsed();
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use dillspool_io::{BoxError, BoxFuture, ResponseBody};
-use dillspool_routing::BackendId;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::Instant;
 
+use crate::context::STARTED_AGAIN;
 use crate::generate::{Generation, OpenStream, PreparedSend};
 use crate::reader::{ReadPart, StreamReader};
 use crate::refusal::Refusal;
@@ -111,7 +111,12 @@
             let look_at = self.next_look.max(reader.last_at + STALL_LIMIT);
             let may_look = self.generation.can_reopen();
             let limit = if may_look { deadline.min(look_at) } else { deadline };
-            let part = reader.read(limit).await;
+            let entry = Arc::clone(&reader.open.entry);
+            let part = tokio::select! {
+                biased;
+                part = reader.read(limit) => part,
+                () = self.generation.restarted(&entry) => ReadPart::Broken(STARTED_AGAIN.to_owned()),
+            };
             if !matches!(part, ReadPart::Silent) || Instant::now() >= deadline {
                 return self.take(part);
             }
@@ -125,7 +130,7 @@
     async fn look_elsewhere(&mut self) -> Option<NextPart> {
         let reader = self.reader.as_mut()?;
         let deadline = self.generation.request.deadline;
-        let silent = BackendId::clone(&reader.open.entry.id);
+        let silent = Arc::clone(&reader.open.entry);
         tokio::select! {
             biased;
             part = reader.read(deadline) => Some(self.take(part)),
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -96,6 +96,7 @@
 pub fn entry(id: &str, domain: &str, stage: Option<EngineStage>) -> BackendEntry {
     BackendEntry {
         id: id.into(),
+        start: None,
         service: "service".into(),
         address: ([127, 0, 0, 1], 9).into(),
         failure_domain: domain.into(),
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -7,13 +7,13 @@
 
 use dillspool_forward::{BackendCalls, CallError, OrderOutcome, StageOrder};
 use dillspool_platform::TableStore;
-use dillspool_routing::{DirectoryView, RoutingConfig};
+use dillspool_routing::{DirectoryView, RoutingConfig, StartedBackend};
 use dillspool_schema::Name;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::lease::{LeaseRow, OrderLease, OrderTerm};
+use crate::lease::{LeaseRow, OrderLease, OrderTerm, order_name};
 use crate::plan::{StageChange, pool_engines, stage_changes};
 use crate::targets::PoolTargets;
 
@@ -83,8 +83,8 @@
     calls: BackendCalls,
     config: watch::Receiver<Option<Arc<RoutingConfig>>>,
     directory: watch::Receiver<Arc<DirectoryView>>,
-    /// When an engine was ordered, by any host.
-    ordered: HashMap<Name, Instant>,
+    /// When a start of an engine was ordered, by any host.
+    ordered: HashMap<StartedBackend, Instant>,
     /// Fence of the newest row of the lease whose targets were taken.
     seen_fence: u64,
     /// Since when pools have had too few prefill engines.
@@ -130,7 +130,7 @@
             }
         }
         due.retain(|change| {
-            self.ordered.get(&change.entry.id).is_none_or(|at| at.elapsed() > ORDER_AGAIN)
+            self.ordered.get(&change.entry.started()).is_none_or(|at| at.elapsed() > ORDER_AGAIN)
         });
         due
     }
@@ -151,9 +151,10 @@
         if wanted.is_empty() {
             return;
         }
-        let ids: Vec<Name> = wanted.iter().map(|change| Name::clone(&change.entry.id)).collect();
+        let engines = wanted.iter().map(|change| order_name(&change.entry.started()));
+        let engines: Vec<Name> = engines.collect();
         let (targets, token) = (self.settings.targets.decided(), write_token(&self.settings.host));
-        let term = match self.lease.take(&ids, &targets, token).await {
+        let term = match self.lease.take(&engines, &targets, token).await {
             Ok(Some(term)) => term,
             Ok(None) => return,
             Err(error) => {
@@ -191,10 +192,9 @@
     /// wrote it since, the targets.
     fn take_over(&mut self, row: &LeaseRow, due: &[StageChange]) {
         let now = Instant::now();
-        for id in &row.ordered {
-            if due.iter().any(|change| change.entry.id == *id) {
-                self.ordered.entry(Name::clone(id)).or_insert(now);
-            }
+        let started = due.iter().map(|change| change.entry.started());
+        for backend in started.filter(|it| row.ordered.contains(&order_name(it))) {
+            self.ordered.entry(backend).or_insert(now);
         }
         if row.fence > self.seen_fence {
             self.seen_fence = row.fence;
@@ -208,7 +208,7 @@
             log::info!("event=order_dropped backend={id} fence={} cause=\"term over\"", term.fence);
             return;
         }
-        self.ordered.insert(Name::clone(id), Instant::now());
+        self.ordered.insert(change.entry.started(), Instant::now());
         let order = StageOrder {
             stage: change.stage,
             holder: Name::clone(&self.settings.host),
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableRow, TableStore};
+use dillspool_routing::StartedBackend;
 use dillspool_schema::Name;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -29,7 +30,7 @@
     pub fence: u64,
     /// Tells this write from all others.
     pub token: u64,
-    /// Engines that were ordered to change, by id, the newest last.
+    /// Engines that were ordered to change, each by [`order_name`], the newest last.
     pub ordered: Vec<Name>,
     /// Prefill engines that each pool keeps, by service; a fleet that starts anew begins with them.
     #[serde(default)]
@@ -44,6 +45,15 @@
     }
 }
 
+/// Names a start of an engine in the row: what was ordered of one says nothing of the next.
+pub(crate) fn order_name(backend: &StartedBackend) -> Name {
+    match backend.start {
+        // No id has a space.
+        Some(start) => format!("{} {start}", backend.id).into(),
+        None => Name::clone(&backend.id),
+    }
+}
+
 /// The right to send orders for a short time.
 #[derive(Clone, Debug)]
 pub struct OrderTerm {
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -9,8 +9,8 @@
 use dillspool_platform::MemoryTable;
 use dillspool_roles::{KeeperSettings, PoolTargets, ShareRule, keep_stages};
 use dillspool_routing::{
-    BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage, RouteTable,
-    RoutingConfig, ServiceEntry,
+    BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
+    RouteTable, RoutingConfig, ServiceEntry,
 };
 use hyper::StatusCode;
 use tokio::sync::watch;
@@ -48,6 +48,11 @@
 
 /// A pool of `prefill` engines named `p0` and on, and `decode` ones named `d0` and on.
 fn view(prefill: usize, decode: usize) -> Arc<DirectoryView> {
+    view_since(None, prefill, decode)
+}
+
+/// The same, of engines that tell their start.
+fn view_since(start: Option<u64>, prefill: usize, decode: usize) -> Arc<DirectoryView> {
     let named = |count, prefix: &'static str, stage| {
         (0..count).map(move |at| (format!("{prefix}{at}"), stage))
     };
@@ -56,6 +61,7 @@
     let entries = engines.map(|(id, stage)| {
         let entry = BackendEntry {
             id: id.into(),
+            start: start.map(BackendStart),
             service: "pool".into(),
             address: ([127, 0, 0, 1], 9).into(),
             failure_domain: "domain".into(),
@@ -174,3 +180,37 @@
         cancel.cancel();
     }
 }
+
+/// An engine that was ordered and starts again before it has changed knows nothing of the order.
+#[tokio::test(start_paused = true)]
+async fn a_start_is_ordered_anew() {
+    let starts = [(Some(9), Some(7), 2), (Some(9), Some(9), 1), (None, None, 1)];
+    for (before, after, ordered) in starts {
+        let (table, orders) = (MemoryTable::new(), Arc::default());
+        let (_config, config) = watch::channel(Some(Arc::new(config())));
+        let (directory, listed) = watch::channel(view_since(before, 4, 5));
+        let cancel = CancellationToken::new();
+        for host in 0..HOSTS {
+            let settings = KeeperSettings {
+                host: format!("host-{host}").into(),
+                targets: PoolTargets::new(ShareRule::Fixed(0.33), DemandMeter::default()),
+                apart: Duration::from_secs(3),
+                delay: Arc::new(move || Duration::from_secs(host)),
+            };
+            tokio::spawn(keep_stages(
+                settings,
+                table.store(),
+                calls(&orders),
+                config.clone(),
+                listed.clone(),
+                cancel.clone(),
+            ));
+        }
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(orders.lock().unwrap().len(), 1, "{before:?}");
+        directory.send_replace(view_since(after, 4, 5));
+        tokio::time::sleep(Duration::from_secs(12)).await;
+        assert_eq!(orders.lock().unwrap().len(), ordered, "{before:?} {after:?}");
+        cancel.cancel();
+    }
+}
--- a/crates/dillspool_roles/tests/plan.rs
+++ b/crates/dillspool_roles/tests/plan.rs
@@ -8,6 +8,7 @@
 fn engine(id: String, domain: &str, part: EngineStage, state: BackendState) -> Arc<BackendEntry> {
     Arc::new(BackendEntry {
         id: id.into(),
+        start: None,
         service: "pool".into(),
         address: ([127, 0, 0, 1], 9).into(),
         failure_domain: domain.into(),
--- a/crates/dillspool_roles/tests/targets.rs
+++ b/crates/dillspool_roles/tests/targets.rs
@@ -21,6 +21,7 @@
     let entries = (0..engines).map(|at| {
         let entry = BackendEntry {
             id: format!("engine-{at}").into(),
+            start: None,
             service: "pool".into(),
             address: ([127, 0, 0, 1], 9).into(),
             failure_domain: "domain".into(),
--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_routing::{BackendEntry, BackendId, DirectoryView};
+use dillspool_routing::{BackendEntry, BackendId, BackendStart, DirectoryView};
 use dillspool_watch::{StoreReach, TableBelief};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -167,8 +167,14 @@
             log::info!("event=backend_gone backend={id} version={row_version}");
             return true;
         };
+        if let Some(before) = &before
+            && BackendStart::differ(before.start, entry.start)
+        {
+            log::info!("event=backend_restarted backend={id} row={row_version}");
+        }
+        let start = entry.start.map_or(String::new(), |start| format!(" start={start}"));
         log::info!(
-            "event=backend_seen backend={id} service={} address={} failure_domain={} state={:?} stage={:?} row={row_version}",
+            "event=backend_seen backend={id} service={} address={} failure_domain={} state={:?} stage={:?} row={row_version}{start}",
             entry.service,
             entry.address,
             entry.failure_domain,
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -14,8 +14,8 @@
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, SiteProtocol};
 use dillspool_routing::{
-    BackendEntry, BackendState, ClientLimits, RequestKind, RequestTerms, RouteEntry, RouteTable,
-    RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
+    BackendEntry, BackendStart, BackendState, ClientLimits, RequestKind, RequestTerms, RouteEntry,
+    RouteTable, RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
 };
 use dillspool_scheduler::LimitTerms;
 use hyper::{HeaderMap, StatusCode};
@@ -137,6 +137,10 @@
 }
 
 fn decode_backend(id: &str, text: &str) -> Result<BackendEntry, String> {
+    let (text, start) = match text.split_once(" since ") {
+        Some((text, start)) => (text, Some(BackendStart(start.parse().expect("a start")))),
+        None => (text, None),
+    };
     let (text, address) = match text.split_once("at ") {
         Some(("", address)) => ("ready", address.parse().expect("an address")),
         Some(_) | None => (text, ([127, 0, 0, 1], 9).into()),
@@ -148,6 +152,7 @@
     };
     Ok(BackendEntry {
         id: id.into(),
+        start,
         service: "service".into(),
         address,
         failure_domain: "domain".into(),
--- a/crates/dillspool_router/tests/directory.rs
+++ b/crates/dillspool_router/tests/directory.rs
@@ -230,3 +230,79 @@
     pass(1800).await;
     assert!(!directory.is_known());
 }
+
+/// Rows of one id, each as the next change of the table or, if it is a whole read, as all of it.
+struct StartCase {
+    name: &'static str,
+    /// Version, text, whether it is a whole read.
+    rows: Vec<(u64, Option<&'static str>, bool)>,
+    /// Start that is in use at the end, if it takes requests.
+    used: Option<u64>,
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_row_of_the_newest_version_tells_the_start() {
+    let cases = [
+        StartCase {
+            name: "it was leaving and starts again",
+            rows: vec![(1, Some("draining since 7"), false), (2, Some("ready since 9"), false)],
+            used: Some(9),
+        },
+        StartCase {
+            name: "its clock went back",
+            rows: vec![(1, Some("ready since 9"), false), (2, Some("ready since 7"), false)],
+            used: Some(7),
+        },
+        StartCase {
+            name: "the older row comes later, as by a relay",
+            rows: vec![(2, Some("ready since 9"), false), (1, Some("ready since 7"), false)],
+            used: Some(9),
+        },
+        StartCase {
+            name: "a whole read between two starts",
+            rows: vec![
+                (1, Some("draining since 7"), false),
+                (3, Some("ready since 9"), true),
+                (2, None, false),
+            ],
+            used: Some(9),
+        },
+        StartCase {
+            name: "twice within one heartbeat, the first of which was not seen",
+            rows: vec![(1, Some("ready since 7"), false), (4, Some("ready since 11"), false)],
+            used: Some(11),
+        },
+        StartCase {
+            name: "it lapses and comes back as another",
+            rows: vec![
+                (1, Some("ready since 7"), false),
+                (2, None, false),
+                (3, Some("ready since 9"), false),
+            ],
+            used: Some(9),
+        },
+        StartCase {
+            name: "the next start leaves",
+            rows: vec![(1, Some("ready since 7"), false), (2, Some("draining since 9"), false)],
+            used: None,
+        },
+    ];
+    for case in cases {
+        for reachable in [true, false] {
+            let directory = TrackedDirectory::start();
+            pass(5000).await;
+            directory.reach(reachable);
+            for (version, text, full) in &case.rows {
+                let value = text.map(Into::into);
+                let row = ChangedRow { key: "i-1".into(), version: *version, value };
+                let delta = TableDelta { full: *full, version: *version, rows: vec![row] };
+                directory.belief.merge(&delta);
+                pass(1).await;
+            }
+            let view = directory.view.borrow();
+            let entry = view.entries.get("i-1").filter(|entry| entry.is_ready());
+            let start = entry.and_then(|entry| entry.start).map(|start| start.0);
+            assert_eq!(start, case.used, "{} {reachable}", case.name);
+        }
+    }
+}
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -6,9 +6,40 @@
 
 use dillspool_schema::Name;
 
-/// Names one start of a backend server.
+/// Names a backend server; another start of it may have the same name.
 pub type BackendId = Name;
 
+/// When a backend server started, by its own clock, in milliseconds of Unix time.
+///
+/// Tells one start from another and nothing more: clocks jump, so a later start may have the smaller
+/// number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct BackendStart(pub u64);
+
+impl BackendStart {
+    /// Whether two tellings of one id are of different starts. One that tells none is taken for the same.
+    pub fn differ(one: Option<Self>, other: Option<Self>) -> bool {
+        matches!((one, other), (Some(one), Some(other)) if one != other)
+    }
+}
+
+impl std::fmt::Display for BackendStart {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// One start of a backend server: what it holds, does or did is remembered under this.
+///
+/// `docs/design/identity.md` lists all that is remembered.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StartedBackend {
+    /// The backend server.
+    pub id: BackendId,
+    /// Its start; `None` where it tells none, and then its id alone counts.
+    pub start: Option<BackendStart>,
+}
+
 /// Whether a backend server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendState {
@@ -30,8 +61,10 @@
 /// One backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendEntry {
-    /// Its id, new with each start.
+    /// Its id.
     pub id: BackendId,
+    /// Its start; `None` where its row tells none.
+    pub start: Option<BackendStart>,
     /// Service to which it belongs.
     pub service: Name,
     /// Where it listens.
@@ -49,6 +82,11 @@
     pub fn is_ready(&self) -> bool {
         self.state == BackendState::Ready
     }
+
+    /// The start that this entry is of.
+    pub fn started(&self) -> StartedBackend {
+        StartedBackend { id: BackendId::clone(&self.id), start: self.start }
+    }
 }
 
 /// All backend servers known at one moment.
@@ -79,4 +117,12 @@
     pub fn is_ready(&self, id: &str) -> bool {
         self.entries.get(id).is_some_and(|entry| entry.is_ready())
     }
+
+    /// Whether a backend server is known to have started again since an entry of it was read: what it
+    /// held then is gone.
+    pub fn has_restarted(&self, entry: &BackendEntry) -> bool {
+        self.entries
+            .get(&entry.id)
+            .is_some_and(|known| BackendStart::differ(known.start, entry.start))
+    }
 }
--- a/crates/dillspool_routing/src/lib.rs
+++ b/crates/dillspool_routing/src/lib.rs
@@ -9,7 +9,9 @@
 mod route;
 mod workspace;
 
-pub use backend::{BackendEntry, BackendId, BackendState, DirectoryView, EngineStage};
+pub use backend::{
+    BackendEntry, BackendId, BackendStart, BackendState, DirectoryView, EngineStage, StartedBackend,
+};
 pub use config::{ClientLimits, EnginePool, RoutingConfig, ServiceEntry};
 pub use request::{GenerationTerms, PromptPart, RequestTerms, RoutedRequest};
 pub use route::{RequestKind, RouteEntry, RouteTable, ServiceShare};
--- a/crates/dillspool_scheduler/src/desk.rs
+++ b/crates/dillspool_scheduler/src/desk.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use dillspool_admission::{
-    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolPlanner, PoolReading,
-    PoolTerms, StreamEnd, StreamPlacement, TicketId,
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner,
+    PoolReading, PoolTerms, StreamEnd, StreamPlacement, TicketId,
 };
 use dillspool_capacity::{DemandMeter, MemoryTicket};
 use dillspool_moment::Moment;
-use dillspool_routing::{DirectoryView, EngineStage, RoutingConfig};
+use dillspool_routing::{DirectoryView, EngineStage, RoutingConfig, StartedBackend};
 use dillspool_schema::Name;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -35,8 +35,8 @@
     Started,
     /// An engine did other than expected; the request leaves it.
     Fault {
-        /// The engine.
-        engine: Name,
+        /// The engine, and the start of it that did so.
+        engine: StartedBackend,
         /// What it did.
         fault: EngineFault,
     },
@@ -138,7 +138,8 @@
             planner.set_terms(terms);
             let engines = view.ready(&service.name).filter_map(|entry| {
                 let prefills = entry.stage? == EngineStage::Prefill;
-                Some((&entry.id, &entry.failure_domain, prefills))
+                let domain = Name::clone(&entry.failure_domain);
+                Some(PoolEngine { backend: entry.started(), domain, prefills })
             });
             planner.set_engines(engines);
         }
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -7,6 +7,7 @@
     WorkClass,
 };
 use dillspool_limits::{LimitRate, SpendDecision, SpendRequest};
+use dillspool_routing::{BackendStart, StartedBackend};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
     ScheduleCause, ScheduleClass, ScheduleDecision, ScheduleEvent, ScheduleMessage, ScheduleNote,
@@ -164,8 +165,13 @@
 }
 
 pub(crate) fn note_to_wire(ticket: u64, note: DeskNote) -> ScheduleMessage {
-    let mut message =
-        ScheduleNote { ticket, event: ScheduleEvent::Ended, engine: None, took_ms: None };
+    let mut message = ScheduleNote {
+        ticket,
+        event: ScheduleEvent::Ended,
+        engine: None,
+        engine_start: None,
+        took_ms: None,
+    };
     match note {
         DeskNote::Prefilled { took } => {
             message.event = ScheduleEvent::Prefilled;
@@ -174,7 +180,8 @@
         DeskNote::ReadsItself => message.event = ScheduleEvent::ReadsItself,
         DeskNote::Started => message.event = ScheduleEvent::Started,
         DeskNote::Fault { engine, fault } => {
-            message.engine = Some(engine);
+            message.engine = Some(engine.id);
+            message.engine_start = engine.start.map(|start| start.0);
             message.event = match fault {
                 EngineFault::NoMemory => ScheduleEvent::NoMemory,
                 EngineFault::PrefillRefused => ScheduleEvent::PrefillRefused,
@@ -196,7 +203,10 @@
 
 pub(crate) fn note_from_wire(message: ScheduleNote) -> DeskNote {
     let took = message.took_ms.map(Duration::from_millis);
-    let engine = message.engine.unwrap_or_default();
+    let engine = StartedBackend {
+        id: message.engine.unwrap_or_default(),
+        start: message.engine_start.map(BackendStart),
+    };
     let fault = |fault| DeskNote::Fault { engine, fault };
     match message.event {
         ScheduleEvent::Prefilled => DeskNote::Prefilled { took: took.unwrap_or_default() },
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -54,6 +54,7 @@
 fn view() -> DirectoryView {
     let entry = |id: &str, stage| BackendEntry {
         id: id.into(),
+        start: None,
         service: SERVICE.into(),
         address: ([10, 0, 1, 1], 9).into(),
         failure_domain: "domain".into(),
