--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -70,6 +70,8 @@
     pub arrivals: Vec<Arrival>,
     pub prefills: Vec<String>,
     pub ranks: Vec<WorkRank>,
+    /// Whoever was asked for memory.
+    pub hold_asks: Vec<String>,
     pub holds: Vec<(String, u64)>,
     pub released_holds: Vec<String>,
     pub released_prefills: Vec<String>,
@@ -82,6 +84,8 @@
     pub steps: Arc<Mutex<BTreeMap<String, VecDeque<Step>>>>,
     /// Backends that refuse reservations.
     pub full: Arc<Mutex<Vec<String>>>,
+    /// Backends whose address is another one's by now.
+    pub moved: Arc<Mutex<Vec<String>>>,
     /// Free tokens of backends that have few; all others have enough.
     pub memory: Arc<Mutex<BTreeMap<String, u64>>>,
     /// How prefills fail, by engine.
@@ -202,6 +206,10 @@
             reserve: Arc::new(move |entry, terms| {
                 let site = reserver.clone();
                 Box::pin(async move {
+                    site.record.lock().unwrap().hold_asks.push(entry.id.to_string());
+                    if site.moved.lock().unwrap().contains(&entry.id.to_string()) {
+                        return Err(CallError::Refused { status: StatusCode::MISDIRECTED_REQUEST });
+                    }
                     if site.full.lock().unwrap().contains(&entry.id.to_string()) {
                         return Err(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE });
                     }
--- a/crates/dillspool_forward/tests/refusing.rs
+++ b/crates/dillspool_forward/tests/refusing.rs
@@ -69,3 +69,20 @@
         assert_eq!([count("decode-1"), count("decode-2")], case.arrivals, "{}", case.name);
     }
 }
+
+/// Two rows claim one address: the backend server that is not there is left alone like one that cannot be
+/// reached or has no memory, and not asked again with each request.
+#[tokio::test(start_paused = true)]
+async fn an_engine_whose_address_is_anothers_is_left_alone() {
+    let site = ScriptedSite::default();
+    site.script("decode-2", [Step::Stream(vec![ONE])]);
+    site.moved.lock().unwrap().push("decode-1".to_owned());
+    let (context, _directory) = site.context(pool());
+    for _request in 0..20 {
+        ask(&context).await;
+    }
+    let record = site.record.lock().unwrap();
+    let asked = record.hold_asks.iter().filter(|asked| *asked == "decode-1").count();
+    assert_eq!(record.arrivals.len(), 20);
+    assert!((1..=4).contains(&asked), "asked {asked} times in two seconds");
+}
