The path of a model request in files by step: preparing, sending

Cause: generate.rs had 490 lines and three jobs; a newcomer looked for the send among the waits. Ruled out: - Change: generate/preparing.rs and generate/sending.rs; send() in steps. No behaviour changes.

--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -1,39 +1,29 @@
 //! Model requests: decode memory first, then the prefill, then the stream.
 
+mod preparing;
+mod sending;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use dillspool_admission::{EngineFault, WorkClass};
-use dillspool_io::{ResponseBody, read_response_body};
+use dillspool_admission::EngineFault;
+use dillspool_io::ResponseBody;
 use dillspool_routing::{BackendEntry, RoutedRequest};
-use dillspool_scheduler::DeskNote;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::calls::{BackendAnswer, CallError, ForwardTerms, WorkRank};
-use crate::context::{ForwardContext, STARTED_AGAIN};
-use crate::placement::{Placement, StreamTicket, place, placement_request};
-use crate::prefill::{PrefillGuard, prefill};
+use crate::context::ForwardContext;
+use crate::placement::{Placement, StreamTicket};
+use crate::prefill::PrefillGuard;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
 use crate::stages::FirstEventStages;
-use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
+use crate::trace::RequestTrace;
 use crate::tried::TriedBackends;
 
-/// Time without an event after which callers leave: the longest of this, and so many objectives and
-/// pause targets; as the platform's callers do.
-const LEAST_SILENCE: Duration = Duration::from_secs(2);
-const SILENCE_OBJECTIVES: u32 = 4;
-const SILENCE_PAUSES: u32 = 8;
-/// When to come back if no engine is known; directories recover within seconds.
-const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
 /// When to come back after an engine's refusal of a request that had its memory.
 const NOT_RUN_RETRY_MS: std::ops::Range<u64> = 100..400;
-/// Largest failure body that is passed on, in bytes.
-const LARGEST_FAILURE: usize = 1024 * 1024;
-
 /// Answers a streaming request.
 pub(crate) async fn answer_stream(
     context: &ForwardContext,
@@ -204,57 +194,6 @@
         }
     }
 
-    /// Finds memory and prefills.
-    async fn prepare(&mut self) -> Result<PreparedSend, Refusal> {
-        if self.request.remaining().is_zero() || self.sends >= self.request.route.max_attempts {
-            return Err(self.conclude());
-        }
-        let placement = self.place().await?;
-        let reserved = self.request.age();
-        if self.sends > 0 {
-            self.take_budget()?;
-        }
-        let prefill = self.prefill(&placement).await;
-        if self.is_before_first_event() {
-            let prefilled = self.request.age();
-            self.stages = FirstEventStages { reserved, prefilled, ..FirstEventStages::default() };
-        }
-        if self.request.remaining().is_zero() {
-            return Err(self.conclude());
-        }
-        Ok(PreparedSend { placement, prefill })
-    }
-
-    /// Prefills, if the budget allows it: only the first prefill of a request is not a repeat.
-    async fn prefill(&mut self, placement: &Placement) -> PrefillGuard {
-        if self.prefills > 0 && !self.context.budgets.take(&self.request.service) {
-            return PrefillGuard::empty(&self.context);
-        }
-        self.prefills += 1;
-        prefill(&self.context, &self.request, placement, self.rank()).await
-    }
-
-    /// An answer that is late anyway, as when many callers come back at once, yields to those that
-    /// can be in time.
-    fn rank(&self) -> WorkRank {
-        let under_way = !self.is_before_first_event();
-        if self.request.is_late() && !under_way { WorkRank::Late } else { WorkRank::Normal }
-    }
-
-    fn is_before_first_event(&self) -> bool {
-        self.last_event == self.request.resume_after
-    }
-
-    /// Takes a repeated send from the budget of all hosts.
-    fn take_budget(&self) -> Result<(), Refusal> {
-        if self.context.budgets.take(&self.request.service) {
-            self.context.metrics.note_repeated_send();
-            return Ok(());
-        }
-        log_budget_empty(&self.request, &self.context.budgets);
-        Err(self.conclude())
-    }
-
     /// The final answer when no more sends are possible.
     fn conclude(&self) -> Refusal {
         let over = self.request.remaining().is_zero();
@@ -265,223 +204,6 @@
             (false, false) => come_back(RefusalCause::NotRun, NOT_RUN_RETRY_MS),
         }
     }
-
-    /// Finds engines: one that decodes and has reserved memory, and mostly one that prefills.
-    async fn place(&self) -> Result<Placement, Refusal> {
-        let view = self.context.view();
-        let mut backends = view.ready(&self.request.service).peekable();
-        if backends.peek().is_some() && backends.all(|entry| entry.stage.is_none()) {
-            return self.place_without_parts(&view);
-        }
-        let (class, patience) = (self.class(), self.patience());
-        let question = placement_request(
-            &self.context,
-            &self.request,
-            class,
-            patience,
-            &self.tried.ids(&view),
-        );
-        let placed = place(&self.context, &self.request, question).await;
-        placed.map_err(|refusal| if self.may_have_run { self.conclude() } else { refusal })
-    }
-
-    fn class(&self) -> WorkClass {
-        if !self.is_before_first_event() {
-            WorkClass::UnderWay
-        } else if self.request.is_late() {
-            WorkClass::Late
-        } else {
-            WorkClass::InTime
-        }
-    }
-
-    /// Longest wait for engines that is of any use: callers leave after some time without an event.
-    fn patience(&self) -> Duration {
-        let route = &self.request.route;
-        let silence = (route.objective * SILENCE_OBJECTIVES).max(LEAST_SILENCE);
-        let silence = route.pause_target.map_or(silence, |it| silence.max(it * SILENCE_PAUSES));
-        let remaining = self.request.remaining().min(silence.saturating_sub(self.request.age()));
-        self.wait_until.map_or(remaining, |until| {
-            remaining.min(until.saturating_duration_since(Instant::now()))
-        })
-    }
-
-    /// A service whose backend servers play no parts takes its streams like plain requests.
-    fn place_without_parts(
-        &self,
-        view: &dillspool_routing::DirectoryView,
-    ) -> Result<Placement, Refusal> {
-        let entry = self
-            .context
-            .chooser(view)
-            .plain(&self.request.service, &self.tried)
-            .ok_or_else(|| Refusal::come_back(RefusalCause::NoBackend, NO_ENGINE_RETRY))?;
-        Ok(Placement::without_memory(&self.context, entry))
-    }
-
-    async fn send(&mut self, prepared: PreparedSend) -> Result<Option<OpenEnd>, Refusal> {
-        let PreparedSend { placement, mut prefill } = prepared;
-        let Placement { entry, reserved, mut hold, ticket, prefill: _ } = placement;
-        let view = self.context.view();
-        if self.context.ready_entry(&self.request, &entry.id).is_none() {
-            // It began to leave while the prompt was prefilled.
-            self.tried.push(&entry);
-            return Ok(None);
-        }
-        let reader = prefill.prefilled.as_ref().map(|prefilled| &prefilled.engine);
-        if let Some(lost) =
-            [Some(&entry), reader].into_iter().flatten().find(|it| view.has_restarted(it))
-        {
-            // The reservation, or the prompt that was read, is gone with the start before.
-            log_send_failed(&self.request, &lost.id, STARTED_AGAIN);
-            return Ok(None);
-        }
-        let generation = self.request.generation.as_ref();
-        let (prompt, guess) = generation.map_or((0, 0), |terms| {
-            (terms.prompt_tokens, terms.output_hint.unwrap_or(terms.output_limit))
-        });
-        let terms = ForwardTerms {
-            time_budget: self.request.remaining(),
-            hold: hold.hold.clone(),
-            prefilled: prefill.prefilled.clone(),
-            resume_after: self.last_event,
-        };
-        log::info!(
-            "event=stream_placed id={} backend={} directory={} reserved={reserved} prompt={prompt} guess={guess} prefill={} after_ms={} resume_after={}",
-            self.request.id,
-            entry.id,
-            view.version,
-            prefill.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.id),
-            self.request.age().as_millis(),
-            self.last_event.unwrap_or(0),
-        );
-        let remaining = self.request.remaining();
-        let call =
-            (self.context.calls.forward)(Arc::clone(&entry), Arc::clone(&self.request), terms);
-        let call = self.context.while_started(&entry, call);
-        let sent = match tokio::time::timeout(remaining, call).await {
-            Ok(sent) => sent,
-            Err(_elapsed) => Err(CallError::Lost { reason: format!("silent for {remaining:?}") }),
-        };
-        let read_at_decode = prefill.prefilled.is_none() && entry.stage.is_some();
-        let answer = match sent {
-            Err(CallError::NotSent { reason }) => {
-                self.note_not_sent(&entry, &ticket, &reason);
-                return Ok(None);
-            }
-            sent => {
-                self.sends += 1;
-                hold.hold = None;
-                prefill.prefilled = None;
-                sent
-            }
-        };
-        match answer {
-            Ok(answer) => {
-                let taken = SentRequest { entry, ticket, read_at_decode };
-                self.take_head(taken, answer).await
-            }
-            Err(CallError::Refused { status }) => {
-                self.note_refused_reserved(&entry, &ticket, status);
-                Ok(None)
-            }
-            Err(CallError::NotSent { reason } | CallError::Lost { reason }) => {
-                self.note_unclear(&entry, &ticket, &reason)
-            }
-        }
-    }
-
-    async fn take_head(
-        &mut self,
-        sent: SentRequest,
-        answer: BackendAnswer,
-    ) -> Result<Option<OpenEnd>, Refusal> {
-        let SentRequest { entry, ticket, read_at_decode } = sent;
-        if answer.did_not_run {
-            self.note_refused_reserved(&entry, &ticket, answer.status);
-            return Ok(None);
-        }
-        let (status, headers) = (answer.status, answer.headers.clone());
-        if answer.is_genuine_success() {
-            ticket.note(&DeskNote::Started);
-            if self.is_before_first_event() {
-                self.stages.opened = self.request.age();
-            }
-            let body = answer.body;
-            let open = OpenStream { entry, status, body, read_at_decode, ticket };
-            return Ok(Some(OpenEnd::Stream(open, headers)));
-        }
-        if !answer.is_genuine_failure() {
-            let cause = format!("status {} without proof of its origin", status.as_u16());
-            return self.note_unclear(&entry, &ticket, &cause);
-        }
-        let reading = read_response_body(answer.body, LARGEST_FAILURE);
-        match tokio::time::timeout(self.request.remaining(), reading).await {
-            Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, &ticket, status, headers, body))),
-            Ok(Err(error)) => self.note_unclear(&entry, &ticket, &error.to_string()),
-            Err(_elapsed) => self.note_unclear(&entry, &ticket, "the failure did not come whole"),
-        }
-    }
-
-    /// An engine's own failure, for the caller.
-    fn pass_failure(
-        &self,
-        entry: &BackendEntry,
-        ticket: &StreamTicket,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: Bytes,
-    ) -> OpenEnd {
-        if entry.stage.is_none() {
-            self.context.book.note_failure(&entry.started());
-        }
-        if status.is_server_error() {
-            ticket.note_fault(entry, EngineFault::Failed);
-        }
-        let mut response = Response::new(dillspool_io::full_body(body));
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
-        OpenEnd::Failure(response)
-    }
-
-    /// It may have run: only a stream that can be resumed goes on.
-    fn note_unclear(
-        &mut self,
-        entry: &BackendEntry,
-        ticket: &StreamTicket,
-        cause: &str,
-    ) -> Result<Option<OpenEnd>, Refusal> {
-        self.may_have_run = true;
-        self.note_no_answer(entry, ticket, cause);
-        self.note_failed_send(entry, cause);
-        if self.request.route.is_repeatable() { Ok(None) } else { Err(self.conclude()) }
-    }
-
-    /// Nothing was sent, so another engine may be.
-    fn note_not_sent(&mut self, entry: &BackendEntry, ticket: &StreamTicket, cause: &str) {
-        if entry.stage.is_none() {
-            self.context.book.note_unreachable(&entry.started(), cause);
-        }
-        ticket.note_fault(entry, EngineFault::Unreachable);
-        self.note_failed_send(entry, cause);
-    }
-
-    /// It did not run: an engine that reserves memory and refuses the request changes its part.
-    fn note_refused_reserved(
-        &mut self,
-        entry: &BackendEntry,
-        ticket: &StreamTicket,
-        status: StatusCode,
-    ) {
-        ticket.note_fault(entry, EngineFault::ReservedRefused);
-        self.note_failed_send(entry, &format!("refused with {status}, not run"));
-    }
-
-    fn note_failed_send(&mut self, entry: &BackendEntry, cause: &str) {
-        self.tried.push(entry);
-        log_send_failed(&self.request, &entry.id, cause);
-    }
 }
 
 fn come_back(cause: RefusalCause, range: std::ops::Range<u64>) -> Refusal {
--- /dev/null
+++ b/crates/dillspool_forward/src/generate/preparing.rs
@@ -0,0 +1,126 @@
+//! Before a send: engines with memory, the prompt read, a place in the retry budget.
+
+use std::time::Duration;
+
+use dillspool_admission::WorkClass;
+use dillspool_routing::DirectoryView;
+use tokio::time::Instant;
+
+use super::{Generation, PreparedSend};
+use crate::calls::WorkRank;
+use crate::placement::{Placement, place, placement_request};
+use crate::prefill::{PrefillGuard, prefill};
+use crate::refusal::{Refusal, RefusalCause};
+use crate::stages::FirstEventStages;
+use crate::trace::log_budget_empty;
+
+/// Time without an event after which callers leave: the longest of this, and so many objectives and
+/// pause targets; as the platform's callers do.
+const LEAST_SILENCE: Duration = Duration::from_secs(2);
+const SILENCE_OBJECTIVES: u32 = 4;
+const SILENCE_PAUSES: u32 = 8;
+/// When to come back if no engine is known; directories recover within seconds.
+const NO_ENGINE_RETRY: Duration = Duration::from_secs(1);
+
+impl Generation {
+    /// Finds memory and prefills.
+    pub(super) async fn prepare(&mut self) -> Result<PreparedSend, Refusal> {
+        if self.request.remaining().is_zero() || self.sends >= self.request.route.max_attempts {
+            return Err(self.conclude());
+        }
+        let placement = self.place().await?;
+        let reserved = self.request.age();
+        if self.sends > 0 {
+            self.take_budget()?;
+        }
+        let prefill = self.prefill(&placement).await;
+        if self.is_before_first_event() {
+            let prefilled = self.request.age();
+            self.stages = FirstEventStages { reserved, prefilled, ..FirstEventStages::default() };
+        }
+        if self.request.remaining().is_zero() {
+            return Err(self.conclude());
+        }
+        Ok(PreparedSend { placement, prefill })
+    }
+
+    /// Prefills, if the budget allows it: only the first prefill of a request is not a repeat.
+    async fn prefill(&mut self, placement: &Placement) -> PrefillGuard {
+        if self.prefills > 0 && !self.context.budgets.take(&self.request.service) {
+            return PrefillGuard::empty(&self.context);
+        }
+        self.prefills += 1;
+        prefill(&self.context, &self.request, placement, self.rank()).await
+    }
+
+    /// An answer that is late anyway, as when many callers come back at once, yields to those that
+    /// can be in time.
+    fn rank(&self) -> WorkRank {
+        let under_way = !self.is_before_first_event();
+        if self.request.is_late() && !under_way { WorkRank::Late } else { WorkRank::Normal }
+    }
+
+    pub(super) fn is_before_first_event(&self) -> bool {
+        self.last_event == self.request.resume_after
+    }
+
+    /// Takes a repeated send from the budget of all hosts.
+    fn take_budget(&self) -> Result<(), Refusal> {
+        if self.context.budgets.take(&self.request.service) {
+            self.context.metrics.note_repeated_send();
+            return Ok(());
+        }
+        log_budget_empty(&self.request, &self.context.budgets);
+        Err(self.conclude())
+    }
+
+    /// Finds engines: one that decodes and has reserved memory, and mostly one that prefills.
+    async fn place(&self) -> Result<Placement, Refusal> {
+        let view = self.context.view();
+        let mut backends = view.ready(&self.request.service).peekable();
+        if backends.peek().is_some() && backends.all(|entry| entry.stage.is_none()) {
+            return self.place_without_parts(&view);
+        }
+        let (class, patience) = (self.class(), self.patience());
+        let question = placement_request(
+            &self.context,
+            &self.request,
+            class,
+            patience,
+            &self.tried.ids(&view),
+        );
+        let placed = place(&self.context, &self.request, question).await;
+        placed.map_err(|refusal| if self.may_have_run { self.conclude() } else { refusal })
+    }
+
+    fn class(&self) -> WorkClass {
+        if !self.is_before_first_event() {
+            WorkClass::UnderWay
+        } else if self.request.is_late() {
+            WorkClass::Late
+        } else {
+            WorkClass::InTime
+        }
+    }
+
+    /// Longest wait for engines that is of any use: callers leave after some time without an event.
+    fn patience(&self) -> Duration {
+        let route = &self.request.route;
+        let silence = (route.objective * SILENCE_OBJECTIVES).max(LEAST_SILENCE);
+        let silence = route.pause_target.map_or(silence, |it| silence.max(it * SILENCE_PAUSES));
+        let remaining = self.request.remaining().min(silence.saturating_sub(self.request.age()));
+        self.wait_until.map_or(remaining, |until| {
+            remaining.min(until.saturating_duration_since(Instant::now()))
+        })
+    }
+
+    /// A service whose backend servers play no parts takes its streams like plain requests.
+    fn place_without_parts(&self, view: &DirectoryView) -> Result<Placement, Refusal> {
+        let entry = self
+            .context
+            .chooser(view)
+            .plain(&self.request.service, &self.tried)
+            .ok_or_else(|| Refusal::come_back(RefusalCause::NoBackend, NO_ENGINE_RETRY))?;
+        Ok(Placement::without_memory(&self.context, entry))
+    }
+}
--- /dev/null
+++ b/crates/dillspool_forward/src/generate/sending.rs
@@ -0,0 +1,204 @@
+//! A send to the engine that was prepared, and what its answer says.
+
+use std::iter;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dillspool_admission::EngineFault;
+use dillspool_io::read_response_body;
+use dillspool_routing::BackendEntry;
+use dillspool_scheduler::DeskNote;
+use hyper::{HeaderMap, Response, StatusCode};
+
+use super::{Generation, OpenEnd, OpenStream, PreparedSend, SentRequest};
+use crate::calls::{BackendAnswer, CallError, ForwardTerms};
+use crate::context::STARTED_AGAIN;
+use crate::placement::{Placement, StreamTicket};
+use crate::refusal::Refusal;
+use crate::trace::log_send_failed;
+
+/// Largest failure body that is passed on, in bytes.
+const LARGEST_FAILURE: usize = 1024 * 1024;
+
+impl Generation {
+    /// Sends to the prepared engine; `None` when another one should be prepared.
+    pub(super) async fn send(
+        &mut self,
+        prepared: PreparedSend,
+    ) -> Result<Option<OpenEnd>, Refusal> {
+        if !self.still_stands(&prepared) {
+            return Ok(None);
+        }
+        let PreparedSend { placement, mut prefill } = prepared;
+        let Placement { entry, reserved, mut hold, ticket, prefill: _ } = placement;
+        let terms = ForwardTerms {
+            time_budget: self.request.remaining(),
+            hold: hold.hold.clone(),
+            prefilled: prefill.prefilled.clone(),
+            resume_after: self.last_event,
+        };
+        self.log_placed(&entry, reserved, &terms);
+        let sent = self.forward(&entry, terms).await;
+        let read_at_decode = prefill.prefilled.is_none() && entry.stage.is_some();
+        if let Err(CallError::NotSent { reason }) = &sent {
+            self.note_not_sent(&entry, &ticket, reason);
+            return Ok(None);
+        }
+        self.sends += 1;
+        hold.hold = None;
+        prefill.prefilled = None;
+        match sent {
+            Ok(answer) => {
+                let taken = SentRequest { entry, ticket, read_at_decode };
+                self.take_head(taken, answer).await
+            }
+            Err(CallError::Refused { status }) => {
+                self.note_refused_reserved(&entry, &ticket, status);
+                Ok(None)
+            }
+            Err(CallError::NotSent { reason } | CallError::Lost { reason }) => {
+                self.note_unclear(&entry, &ticket, &reason)
+            }
+        }
+    }
+
+    /// Whether the engines are as they were when they were prepared, as far as this host knows.
+    fn still_stands(&mut self, prepared: &PreparedSend) -> bool {
+        let decode = &prepared.placement.entry;
+        if self.context.ready_entry(&self.request, &decode.id).is_none() {
+            // It began to leave while the prompt was prefilled.
+            self.tried.push(decode);
+            return false;
+        }
+        let view = self.context.view();
+        let reader = prepared.prefill.prefilled.as_ref().map(|prefilled| &prefilled.engine);
+        let mut engines = iter::once(decode).chain(reader);
+        let lost = engines.find(|engine| view.has_restarted(engine));
+        if let Some(lost) = lost {
+            // The reservation, or the prompt that was read, is gone with the start before.
+            log_send_failed(&self.request, &lost.id, STARTED_AGAIN);
+        }
+        lost.is_none()
+    }
+
+    fn log_placed(&self, entry: &BackendEntry, reserved: u64, terms: &ForwardTerms) {
+        let generation = self.request.generation.as_ref();
+        let (prompt, guess) = generation.map_or((0, 0), |terms| {
+            (terms.prompt_tokens, terms.output_hint.unwrap_or(terms.output_limit))
+        });
+        log::info!(
+            "event=stream_placed id={} backend={} directory={} reserved={reserved} prompt={prompt} guess={guess} prefill={} after_ms={} resume_after={}",
+            self.request.id,
+            entry.id,
+            self.context.view().version,
+            terms.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.id),
+            self.request.age().as_millis(),
+            self.last_event.unwrap_or(0),
+        );
+    }
+
+    async fn forward(
+        &self,
+        entry: &Arc<BackendEntry>,
+        terms: ForwardTerms,
+    ) -> Result<BackendAnswer, CallError> {
+        let remaining = self.request.remaining();
+        let call =
+            (self.context.calls.forward)(Arc::clone(entry), Arc::clone(&self.request), terms);
+        let call = self.context.while_started(entry, call);
+        let silent = |_elapsed| CallError::Lost { reason: format!("silent for {remaining:?}") };
+        tokio::time::timeout(remaining, call).await.map_err(silent)?
+    }
+
+    async fn take_head(
+        &mut self,
+        sent: SentRequest,
+        answer: BackendAnswer,
+    ) -> Result<Option<OpenEnd>, Refusal> {
+        let SentRequest { entry, ticket, read_at_decode } = sent;
+        if answer.did_not_run {
+            self.note_refused_reserved(&entry, &ticket, answer.status);
+            return Ok(None);
+        }
+        let (status, headers) = (answer.status, answer.headers.clone());
+        if answer.is_genuine_success() {
+            ticket.note(&DeskNote::Started);
+            if self.is_before_first_event() {
+                self.stages.opened = self.request.age();
+            }
+            let body = answer.body;
+            let open = OpenStream { entry, status, body, read_at_decode, ticket };
+            return Ok(Some(OpenEnd::Stream(open, headers)));
+        }
+        if !answer.is_genuine_failure() {
+            let cause = format!("status {} without proof of its origin", status.as_u16());
+            return self.note_unclear(&entry, &ticket, &cause);
+        }
+        let reading = read_response_body(answer.body, LARGEST_FAILURE);
+        match tokio::time::timeout(self.request.remaining(), reading).await {
+            Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, &ticket, status, headers, body))),
+            Ok(Err(error)) => self.note_unclear(&entry, &ticket, &error.to_string()),
+            Err(_elapsed) => self.note_unclear(&entry, &ticket, "the failure did not come whole"),
+        }
+    }
+
+    /// An engine's own failure, for the caller.
+    fn pass_failure(
+        &self,
+        entry: &BackendEntry,
+        ticket: &StreamTicket,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> OpenEnd {
+        if entry.stage.is_none() {
+            self.context.book.note_failure(&entry.started());
+        }
+        if status.is_server_error() {
+            ticket.note_fault(entry, EngineFault::Failed);
+        }
+        let mut response = Response::new(dillspool_io::full_body(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+        OpenEnd::Failure(response)
+    }
+
+    /// It may have run: only a stream that can be resumed goes on.
+    fn note_unclear(
+        &mut self,
+        entry: &BackendEntry,
+        ticket: &StreamTicket,
+        cause: &str,
+    ) -> Result<Option<OpenEnd>, Refusal> {
+        self.may_have_run = true;
+        self.note_no_answer(entry, ticket, cause);
+        self.note_failed_send(entry, cause);
+        if self.request.route.is_repeatable() { Ok(None) } else { Err(self.conclude()) }
+    }
+
+    /// Nothing was sent, so another engine may be.
+    fn note_not_sent(&mut self, entry: &BackendEntry, ticket: &StreamTicket, cause: &str) {
+        if entry.stage.is_none() {
+            self.context.book.note_unreachable(&entry.started(), cause);
+        }
+        ticket.note_fault(entry, EngineFault::Unreachable);
+        self.note_failed_send(entry, cause);
+    }
+
+    /// It did not run: an engine that reserves memory and refuses the request changes its part.
+    fn note_refused_reserved(
+        &mut self,
+        entry: &BackendEntry,
+        ticket: &StreamTicket,
+        status: StatusCode,
+    ) {
+        ticket.note_fault(entry, EngineFault::ReservedRefused);
+        self.note_failed_send(entry, &format!("refused with {status}, not run"));
+    }
+
+    fn note_failed_send(&mut self, entry: &BackendEntry, cause: &str) {
+        self.tried.push(entry);
+        log_send_failed(&self.request, &entry.id, cause);
+    }
+}
