What a host believes has a file of its own; the circle of holder and ledger goes

Ruled out: - Change: beliefs.rs; spend.rs with what a request asks of a limit. No behaviour changes.

--- a/crates/dillspool_forward/tests/restarts.rs
+++ b/crates/dillspool_forward/tests/restarts.rs
@@ -186,13 +186,16 @@
         let entries = started(true);
         let (context, directory) = site.context(restarted(&entries, &[]));
         let asking = answer_request(context, request(RequestKind::Streaming, 1, false));
-        let left = tokio::time::timeout(Duration::from_millis(200), async {
-            let change = async {
-                tokio::time::sleep(Duration::from_millis(100)).await;
-                directory.send_replace(Arc::new(restarted(&entries, again)));
-            };
-            tokio::join!(asking, change)
-        });
+        let left = tokio::time::timeout(
+            Duration::from_millis(200),
+            Box::pin(async {
+                let change = async {
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    directory.send_replace(Arc::new(restarted(&entries, again)));
+                };
+                tokio::join!(asking, change)
+            }),
+        );
         assert!(left.await.is_err(), "{again:?}");
         tokio::time::sleep(Duration::from_secs(1)).await;
         assert_eq!(site.record.lock().unwrap().released_holds.len(), given_back, "{again:?}");
--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use dillspool_moment::Moment;
-use dillspool_schema::Name;
 
-use crate::bucket::{LimitRate, SpendDecision};
+use crate::bucket::SpendDecision;
 use crate::fleet::FleetCount;
 use crate::ledger::{LedgerTerms, LimitLedger, LimitReading};
+use crate::spend::SpendRequest;
 
 /// Time from its first host on for which a holder takes it that as many hosts again ask another one,
 /// where nobody has told it of so many: where all hosts start at once, those that were there first
@@ -16,19 +16,6 @@
 /// Part of the limits that it grants until then: two such holders were seen, a third had one host.
 const AT_START: f64 = 0.5;
 
-/// What a request asks of a limit.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SpendRequest {
-    /// Whose limit.
-    pub workspace: Name,
-    /// The limit, as the host of the request knows it.
-    pub rate: LimitRate,
-    /// Version of the configuration that states it.
-    pub version: u64,
-    /// How much the request counts for.
-    pub amount: f64,
-}
-
 /// Counts the limits of all workspaces for the hosts that ask.
 ///
 /// Any host can be one, and two may be at once: what keeps them within a limit together is that
--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -6,7 +6,7 @@
 use dillspool_schema::Name;
 
 use crate::bucket::{LimitBucket, LimitRate, SpendDecision};
-use crate::holder::SpendRequest;
+use crate::spend::SpendRequest;
 
 /// Part of what a site allows beyond its limits that a balance may hold beyond the burst. Requests come
 /// in clumps, and a limit may be as small as two a second: with an eighth, 1.4 in 100 requests of a
--- a/crates/dillspool_limits/src/lib.rs
+++ b/crates/dillspool_limits/src/lib.rs
@@ -9,8 +9,10 @@
 mod fleet;
 mod holder;
 mod ledger;
+mod spend;
 
 pub use bucket::{LimitRate, SpendDecision};
 pub use fleet::FleetCount;
-pub use holder::{LimitHolder, OwnParts, SpendRequest};
+pub use holder::{LimitHolder, OwnParts};
 pub use ledger::{LedgerTerms, LimitLedger, LimitReading};
+pub use spend::SpendRequest;
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -9,13 +9,9 @@
 use dillspool_forward::{BackendBook, ForwardContext, ForwardMetrics, RetryBudgets};
 use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
 use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
-use dillspool_routing::{DirectoryView, RoutingConfig};
+use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{LimitClient, LimitDesk, PoolDesk, ScheduleClient, serve_schedule};
 use dillspool_schema::Name;
-use dillspool_watch::{
-    FollowRole, FollowSettings, SharedBelief, StoreReach, follow_table, relay_from_peers,
-    serve_relay,
-};
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
@@ -23,14 +19,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::belief_metrics::BeliefMetrics;
-use crate::config_tracker::track_config;
-use crate::directory_tracker::{DirectorySettings, track_directory};
+use crate::beliefs::Beliefs;
 use crate::ingress::IngressState;
 use crate::peer_list::{PeerList, keep_peer_list};
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
 use crate::status::{metrics_handler, readiness_handler};
-use crate::unreadable_rows::UnreadableRows;
 
 /// Connections of callers at most; each may need a second descriptor for its backend server.
 const MOST_CALLER_CONNECTIONS: usize = 1_800;
@@ -47,13 +41,6 @@
 /// Time before a host gives orders that does not schedule the pools: the one that does has ordered by
 /// then, and its orders show in the directory, unless it cannot reach the store or the engines.
 const OTHERS_ORDER_DELAY: Duration = Duration::from_secs(6);
-/// Time for which hosts wait for the seeds at the first start of the whole fleet.
-const SEEDS_FIRST: Duration = Duration::from_secs(3);
-/// How long a question for changes among the rows of hosts is held open.
-const HOSTS_WAIT: Duration = Duration::from_secs(8);
-/// Age up to which the rows of hosts are relayed and spare a question: two questions of a root, one
-/// of which may be lost.
-const HOSTS_FRESH: Duration = HOSTS_WAIT.saturating_mul(2);
 /// Time between two looks at the number of hosts.
 const COUNT_EVERY: Duration = Duration::from_secs(1);
 /// Longest extra wait of such a host, spread over the hosts: once the first has given orders, the
@@ -256,114 +243,6 @@
     }
 }
 
-/// What the host believes, and the tasks that keep it.
-struct Beliefs {
-    config: watch::Receiver<Option<Arc<RoutingConfig>>>,
-    directory: watch::Receiver<Arc<DirectoryView>>,
-    reach: watch::Receiver<StoreReach>,
-    /// The operator's rows.
-    operator: SharedBelief,
-    /// Rows of the product's own, those of hosts among them.
-    hosts: SharedBelief,
-    backends: SharedBelief,
-    unreadable: UnreadableRows,
-    peers: PeerList,
-    role: watch::Sender<FollowRole>,
-}
-
-impl Beliefs {
-    fn start(
-        config: &RouterConfig,
-        stack: &NetStack,
-        site: &SiteProtocol,
-        peers_listener: NetListener,
-        cancel: &CancellationToken,
-    ) -> Self {
-        let operator = SharedBelief::new(Name::clone(&site.config_row.0));
-        let backends = SharedBelief::new(Name::clone(&site.directory_table));
-        let reach = watch::Sender::new(StoreReach::unknown());
-        let hosts = SharedBelief::new(Name::clone(&site.own_table)).with_age_limit(HOSTS_FRESH);
-        let settings = FollowSettings {
-            first_after: first_question_after(config),
-            ..FollowSettings::new(config.watch_wait, config.change_limit)
-        };
-        // Rows of hosts change with the fleet only, and nothing must be in force soon.
-        let settings = FollowSettings { probes: false, ..settings };
-        // This host says that a key or route is unknown only while it knows the newest configuration: an
-        // answer comes before the last one is too old for that, also where nothing changes.
-        let wait = settings.wait.min(settings.fresh);
-        let probing = FollowSettings { probes: true, wait, ..settings.clone() };
-        let slow = FollowSettings {
-            wait: HOSTS_WAIT,
-            source_wait: HOSTS_WAIT,
-            fresh: HOSTS_FRESH,
-            ..settings.clone()
-        };
-        let waits = !settings.first_after.is_zero();
-        let first_role = if waits { FollowRole::Relayed } else { FollowRole::Alone };
-        let role = watch::Sender::new(first_role);
-        for (belief, settings) in [(&operator, &probing), (&backends, &settings), (&hosts, &slow)] {
-            tokio::spawn(follow_table(
-                site.watch.clone(),
-                belief.clone(),
-                reach.clone(),
-                settings.clone(),
-                role.subscribe(),
-                cancel.clone(),
-            ));
-        }
-        let all = vec![operator.clone(), backends.clone(), hosts.clone()];
-        let reached = reach.subscribe();
-        tokio::spawn(serve_relay(
-            peers_listener,
-            all.clone(),
-            reached.clone(),
-            config.change_limit,
-            cancel.clone(),
-        ));
-        let peers = PeerList::new(config);
-        let listed = peers.clone();
-        let asked = move || listed.relay_peers();
-        let relay = relay_from_peers(stack.clone(), asked, all, reach, cancel.clone());
-        tokio::spawn(relay);
-        let (config_sender, config_receiver) = watch::channel(None);
-        let unreadable = UnreadableRows::default();
-        let operator_rows = operator.subscribe();
-        let told = unreadable.clone();
-        tokio::spawn(track_config(site.clone(), operator_rows, told, config_sender));
-        let (view_sender, directory) = watch::channel(Arc::default());
-        tokio::spawn(track_directory(
-            site.clone(),
-            DirectorySettings {
-                lapse_grace: config.lapse_grace,
-                own_addresses: config.listened_addresses().to_vec(),
-            },
-            unreadable.clone(),
-            backends.subscribe(),
-            reached.clone(),
-            view_sender,
-        ));
-        Self {
-            config: config_receiver,
-            directory,
-            reach: reached,
-            operator,
-            hosts,
-            backends,
-            unreadable,
-            peers,
-            role,
-        }
-    }
-}
-
-/// When this host asks the store for the first time: at the first start of the whole fleet the seeds
-/// do so at once, and the others take the tables from them, since nobody is in a hurry yet.
-fn first_question_after(config: &RouterConfig) -> Duration {
-    let asks_at_once = !config.first_start || config.seeds.contains(&config.peers);
-    if asks_at_once { Duration::ZERO } else { SEEDS_FIRST }
-}
-
 /// Keeps the number of hosts that share the budget of repeated sends until `cancel`.
 async fn keep_host_count(
     schedule: ScheduleClient,
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/design/platform_site.md`.
 
 mod belief_metrics;
+mod beliefs;
 mod config_tracker;
 mod daemon;
 mod directory_tracker;
