A host that starts again knows by the rows how many share the retry budget

Cause: after all hosts were lost, callers come back at once, and each host took the fleet for one of 400 until it was linked to a scheduler (0.5 to 2.7 s): retry_budget_empty ... allowed=0.4 hosts=400. Change: rows of hosts tell the count where no failure domain has as many rows as may be recorded of it.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -43,6 +43,9 @@
 const OTHERS_ORDER_DELAY: Duration = Duration::from_secs(6);
 /// Time between two looks at the number of hosts.
 const COUNT_EVERY: Duration = Duration::from_secs(1);
+/// The same until it is known: callers of a fleet that was lost come back at once, and a host that takes
+/// the fleet for the largest of all has no budget for more than one prompt at a time.
+const FIRST_COUNT_EVERY: Duration = Duration::from_millis(50);
 /// Longest extra wait of such a host, spread over the hosts: once the first has given orders, the
 /// others find that in the row of the lease and do not wait for it.
 const LONGEST_ORDER_DELAY_MS: u64 = 14_000;
@@ -185,7 +188,12 @@
             beliefs.role.clone(),
             self.background.clone(),
         ));
-        tokio::spawn(keep_host_count(schedule.clone(), budgets, self.background.clone()));
+        tokio::spawn(keep_host_count(
+            schedule.clone(),
+            beliefs.peers.clone(),
+            budgets,
+            self.background.clone(),
+        ));
         let settings = KeeperSettings {
             host: Name::clone(&self.config.host),
             targets: PoolTargets::new(self.config.share_rule, demand),
@@ -243,18 +251,22 @@
     }
 }
 
-/// Keeps the number of hosts that share the budget of repeated sends until `cancel`.
+/// Keeps the number of hosts that share the budget of repeated sends until `cancel`: by the schedulers'
+/// word or, until a host that starts is linked, by the rows of the hosts.
 async fn keep_host_count(
     schedule: ScheduleClient,
+    peers: PeerList,
     budgets: RetryBudgets,
     cancel: CancellationToken,
 ) {
     loop {
-        if let Some(hosts) = schedule.hosts() {
+        let hosts = schedule.hosts().or_else(|| peers.count_hosts());
+        if let Some(hosts) = hosts {
             budgets.set_hosts(hosts);
         }
+        let pause = if hosts.is_some() { COUNT_EVERY } else { FIRST_COUNT_EVERY };
         tokio::select! {
-            () = tokio::time::sleep(COUNT_EVERY) => {}
+            () = tokio::time::sleep(pause) => {}
             () = cancel.cancelled() => return,
         }
     }
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -26,5 +26,5 @@
 pub use policy::PolicyConfig;
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
-pub use sources::{HostRow, SourcePlan, plan_sources, should_be_listed};
+pub use sources::{HostRow, SourcePlan, count_hosts, plan_sources, should_be_listed};
 pub use unreadable_rows::UnreadableRows;
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::settings::RouterConfig;
-use crate::sources::{HostRow, SourcePlan, plan_sources, should_be_listed};
+use crate::sources::{HostRow, SourcePlan, count_hosts, plan_sources, should_be_listed};
 use crate::unreadable_rows::UnreadableRows;
 
 /// Start of the keys of hosts.
@@ -84,6 +84,11 @@
         RelayPeers { sources, all: self.addresses() }
     }
 
+    /// Hosts of the fleet, where their rows tell.
+    pub(crate) fn count_hosts(&self) -> Option<usize> {
+        self.with_rows(|rows| count_hosts(rows))
+    }
+
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
     }
--- a/crates/dillspool_router/src/sources.rs
+++ b/crates/dillspool_router/src/sources.rs
@@ -73,6 +73,16 @@
     as_good.count() < MOST_LISTED && !rows.contains(own)
 }
 
+/// Hosts of the fleet, where the rows tell: all hosts of a failure domain with few rows have recorded
+/// themselves, those of one with more may have not.
+pub fn count_hosts(rows: &[HostRow]) -> Option<usize> {
+    let in_domain_of = |row: &HostRow| {
+        rows.iter().filter(|other| other.failure_domain == row.failure_domain).count()
+    };
+    let all_told = rows.iter().all(|row| in_domain_of(row) < MOST_LISTED);
+    (all_told && !rows.is_empty()).then_some(rows.len())
+}
+
 /// The first host of all large failure domains, and the first of another one.
 fn roots(rows: &[HostRow]) -> Vec<SocketAddr> {
     let is_large = |row: &&HostRow| {
--- a/crates/dillspool_router/tests/sources.rs
+++ b/crates/dillspool_router/tests/sources.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use dillspool_router::{HostRow, SourcePlan, plan_sources, should_be_listed};
+use dillspool_router::{HostRow, SourcePlan, count_hosts, plan_sources, should_be_listed};
 
 /// The host with a number in a failure domain, and the width of its link.
 fn row(domain: u16, number: u16, link_mbps: f64) -> HostRow {
@@ -134,3 +134,24 @@
     moved.peers = address(0, 99);
     assert!(should_be_listed(&rows, &moved));
 }
+
+/// Hosts that started again took the fleet for one of four hundred until they had a scheduler, though the rows
+/// of all hosts of small domains were there: `retry_budget_empty … allowed=0.4 hosts=400`, and the prompts
+/// of the callers that had come back were read where streams ran.
+#[test]
+fn the_rows_of_small_domains_tell_how_many_hosts_there_are() {
+    let cases = [
+        ("nobody is recorded yet", vec![], None),
+        ("one host", vec![1], Some(1)),
+        ("three small domains", vec![3, 3, 2], Some(8)),
+        ("all of five are recorded", vec![5, 1], Some(6)),
+        ("six may be some of many", vec![6], None),
+        ("one large domain beside small ones", vec![20, 3, 3], None),
+        ("large domains", vec![20, 19, 21], None),
+    ];
+    for (name, domains, expected) in cases {
+        let domains: Vec<Vec<f64>> = domains.into_iter().map(|hosts| vec![1000.0; hosts]).collect();
+        let hosts = fleet(&domains);
+        assert_eq!(count_hosts(&listed(&hosts)), expected, "{name}");
+    }
+}
