--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -20,7 +20,6 @@
 
 use crate::belief_metrics::BeliefMetrics;
 use crate::beliefs::Beliefs;
-use crate::fleet_size::keep_fleet_size;
 use crate::ingress::IngressState;
 use crate::peer_list::{PeerList, keep_peer_list};
 use crate::settings::RouterConfig;
@@ -189,14 +188,6 @@
             beliefs.role.clone(),
             self.background.clone(),
         ));
-        let listed = beliefs.peers.clone();
-        tokio::spawn(keep_fleet_size(
-            site.store.clone(),
-            beliefs.hosts.subscribe(),
-            schedule.clone(),
-            move || listed.count_listed().is_some(),
-            self.background.clone(),
-        ));
         tokio::spawn(keep_host_count(
             schedule.clone(),
             beliefs.peers.clone(),
@@ -261,7 +252,7 @@
 }
 
 /// Keeps the number of hosts that share the budget of repeated sends until `cancel`: by the schedulers'
-/// word or, until a host that starts is linked, by what the store tells.
+/// word or, until a host that starts is linked, by the rows of the hosts.
 async fn keep_host_count(
     schedule: ScheduleClient,
     peers: PeerList,
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -2,7 +2,6 @@
 //! store.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,7 +13,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::fleet_size::read_size;
 use crate::settings::RouterConfig;
 use crate::sources::{HostRow, SourcePlan, count_hosts, plan_sources, should_be_listed};
 use crate::unreadable_rows::UnreadableRows;
@@ -37,8 +35,6 @@
     own: HostRow,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     listed: Arc<Mutex<Vec<HostRow>>>,
-    /// Hosts that the row of their number names; 0 where there is none.
-    recorded: Arc<AtomicUsize>,
 }
 
 impl PeerList {
@@ -49,12 +45,7 @@
             failure_domain: Name::clone(&config.failure_domain),
             link_mbps: config.link_mbps,
         };
-        Self {
-            own,
-            seeds: Arc::new(Mutex::new(config.seeds.clone())),
-            listed: Arc::default(),
-            recorded: Arc::default(),
-        }
+        Self { own, seeds: Arc::new(Mutex::new(config.seeds.clone())), listed: Arc::default() }
     }
 
     fn with_rows<T>(&self, run: impl FnOnce(&mut Vec<HostRow>) -> T) -> T {
@@ -94,14 +85,8 @@
     }
 
     /// Hosts of the fleet, where their rows tell.
-    pub(crate) fn count_listed(&self) -> Option<usize> {
-        self.with_rows(|rows| count_hosts(rows))
-    }
-
-    /// Hosts of the fleet as the store tells: by their rows, or by the row of their number.
     pub(crate) fn count_hosts(&self) -> Option<usize> {
-        let recorded = Some(self.recorded.load(Ordering::Relaxed)).filter(|hosts| *hosts > 0);
-        self.count_listed().or(recorded)
+        self.with_rows(|rows| count_hosts(rows))
     }
 
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -182,7 +167,6 @@
             .ok()
     });
     let rows: Vec<HostRow> = rows.collect();
-    peers.recorded.store(read_size(table).unwrap_or_default(), Ordering::Relaxed);
     peers.with_rows(|listed| *listed = rows);
 }
 
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -96,13 +96,6 @@
         links.iter().filter_map(count).max()
     }
 
-    /// The most hosts that this host counts in a pool that it schedules; `None` where it schedules none.
-    pub fn counted_hosts(&self) -> Option<usize> {
-        let links = self.with_links(|links| links.clone());
-        let scheduled = links.iter().filter(|(_service, link)| link.schedules());
-        scheduled.map(|(service, _link)| self.desk.hosts(service)).max()
-    }
-
     /// Opens a ticket for a request.
     pub fn open(&self, service: &Name) -> PlacementTicket {
         let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1);
