--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -29,6 +29,9 @@
     /// Seconds during which faults strike.
     #[arg(long, default_value_t = 15)]
     seconds: u64,
+    /// Also start backend servers again under their ids, and spoil rows.
+    #[arg(long)]
+    restarts: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -62,6 +65,7 @@
         hosts: args.hosts,
         span: Duration::from_secs(args.seconds),
         call_every: Duration::from_millis(10),
+        restarts: args.restarts,
         folder: args.folder.join(seed.to_string()),
     }
 }
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -35,6 +35,9 @@
     pub span: Duration,
     /// Pause between two calls of all callers together.
     pub call_every: Duration,
+    /// Whether some of the backend servers that are replaced start again under their ids, and others' rows
+    /// are spoiled for a moment.
+    pub restarts: bool,
     /// Where settings and logs lie; kept when a promise was broken.
     pub folder: PathBuf,
 }
@@ -59,6 +62,10 @@
 const DRAIN: Duration = Duration::from_secs(2);
 /// Time after a stop in which the process may still run: its grace and a margin.
 const STOP_GRACE: Duration = Duration::from_secs(5);
+/// Time for which a spoiled row stands.
+const SPOILED_FOR: Duration = Duration::from_millis(120);
+/// Start of a backend server whose clock goes back with each start.
+const FIRST_START: u64 = 1_000_000;
 /// Kinds of calls, more of the plain ones.
 const KINDS: [CallKind; 6] = [
     CallKind::Repeatable,
@@ -269,6 +276,11 @@
                 let fault = BACKEND_FAULTS[fault.variant % BACKEND_FAULTS.len()];
                 self.backends[place].backend.set_fault(fault);
             }
+            FaultKind::Replace if self.settings.restarts => match fault.variant % 3 {
+                0 => self.replace(place).await?,
+                1 => self.start_again(place).await?,
+                _ => self.spoil_row(place).await,
+            },
             FaultKind::Replace => self.replace(place).await?,
             FaultKind::Configuration => self.write_config(),
         }
@@ -298,6 +310,33 @@
         Ok(())
     }
 
+    /// Starts a backend server again under its id and at its address; its clock may have gone back.
+    async fn start_again(&mut self, at: usize) -> std::io::Result<()> {
+        let place = &mut self.backends[at];
+        place.backend.crash();
+        place.starts += 1;
+        let starts = u64::from(place.starts);
+        let start = if at.is_multiple_of(2) { starts } else { FIRST_START - starts };
+        let backend = StandinBackend::new(&place.backend.id, place.kind, &self.runs).started(start);
+        place.address = backend.serve(&self.stack, local()).await?;
+        place.proxy = LoopbackProxy::start(place.address).await?;
+        let row = backend.row(place.service, place.proxy.address, "ready");
+        self.store.write("servers", &backend.id, Some(&row));
+        place.backend = backend;
+        Ok(())
+    }
+
+    /// Another writer puts something in the place of a row, which comes back a moment later.
+    async fn spoil_row(&mut self, at: usize) {
+        let place = &self.backends[at];
+        let row = place.backend.row(place.service, place.proxy.address, "ready");
+        let spoiled = row.replacen("ready", "asleep", 1);
+        for text in [spoiled.as_str(), "{", "", row.as_str()] {
+            self.store.write("servers", &place.backend.id, Some(text));
+            tokio::time::sleep(SPOILED_FOR).await;
+        }
+    }
+
     fn revive(&mut self, host: usize) -> std::io::Result<()> {
         self.routers[host].signal(Signal::SIGCONT);
         if self.routers[host].has_ended() {
