Notes of the planner have a file; the plain servers' book counts requests only

Ruled out: - Change: planner/notes.rs; no tokens in the book, no grow_to that nobody calls; start_keepers in the test. No behaviour changes.

--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -1,8 +1,10 @@
 //! Places the requests of one pool, lets them wait, or turns them away.
 //!
-//! [`choose`] decides where, [`wait`] how long and whether; this file keeps what the two rest on.
+//! [`choose`] decides where, [`wait`] how long and whether, by what [`notes`] takes in; this file keeps what
+//! they rest on.
 
 mod choose;
+mod notes;
 mod wait;
 
 use std::collections::{BTreeMap, HashMap};
@@ -14,19 +16,17 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::decode_book::{DecodeBook, Foresight, StreamRecord};
+use crate::decode_book::{DecodeBook, StreamRecord};
 use crate::length::LengthModel;
 use crate::prefill_book::{PrefillBook, ReadPace};
 use crate::request::{
-    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolTerms,
-    StreamEnd, StreamPlacement, TicketId, TurnAwayCause, WorkClass,
+    AdmissionPolicy, PlacementDecision, PlacementRequest, PoolEngine, PoolTerms, StreamPlacement,
+    TicketId, TurnAwayCause, WorkClass,
 };
 use crate::waiting::WaitingLine;
 
 /// Tokens reserved for an answer at least.
 const SMALLEST_ANSWER: u64 = 500;
-/// Weight of the newest gap in the average.
-const GAP_WEIGHT: f64 = 0.05;
 /// Time beside the reading of a prompt until its first event: calls, the move, the first token.
 const OPENING: Duration = Duration::from_millis(40);
 /// Wait for a prefill beyond which a late answer is not begun: its memory would be held for nothing.
@@ -230,99 +230,6 @@
         !self.line.is_empty()
     }
 
-    /// Notes that a prefill ended well.
-    pub fn note_prefilled(&mut self, ticket: TicketId, took: Duration) {
-        let Some(placed) = self.placed.get_mut(&ticket) else { return };
-        let Some(engine) = placed.prefill.take() else { return };
-        placed.read_by = Some(Name::clone(&engine));
-        let Some(book) = self.prefill.get_mut(&engine) else { return };
-        book.shut.note_answered();
-        if let Some(tokens) = book.remove(ticket) {
-            self.pace.note(tokens, took);
-        }
-    }
-
-    /// Notes that the decode engine reads the prompt itself, other than decided.
-    pub fn note_reads_itself(&mut self, ticket: TicketId, now: Moment) {
-        self.leave_prefill(ticket);
-        let Some(placed) = self.placed.get(&ticket) else { return };
-        if let Some(book) = self.decode.get_mut(&placed.decode) {
-            book.note_reads(ticket, now);
-        }
-    }
-
-    /// Notes that the decode engine took a request.
-    pub fn note_started(&mut self, ticket: TicketId, now: Moment) {
-        self.leave_prefill(ticket);
-        let Some(placed) = self.placed.get(&ticket) else { return };
-        if let Some(book) = self.decode.get_mut(&placed.decode) {
-            book.note_started(ticket, now);
-        }
-        let reader = placed.read_by.as_ref().and_then(|engine| self.prefill.get_mut(engine));
-        if let Some(reader) = reader {
-            reader.shut.note_success(now);
-        }
-    }
-
-    /// Notes what an engine did other than expected; the request leaves it.
-    pub fn note_fault(
-        &mut self,
-        ticket: TicketId,
-        backend: &StartedBackend,
-        fault: EngineFault,
-        now: Moment,
-    ) {
-        let engine = &backend.id;
-        // What another start of it did says nothing of the one that is known.
-        let judged = !BackendStart::differ(self.start_of(engine), backend.start);
-        if fault == EngineFault::NoMemory {
-            self.note_no_memory(ticket, engine, judged, now);
-            return;
-        }
-        if judged {
-            self.judge(ticket, engine, fault, now);
-        }
-        let Some(placed) = self.placed.get(&ticket) else { return };
-        if placed.prefill.as_ref() == Some(engine) {
-            self.leave_prefill(ticket);
-        } else if placed.decode == *engine {
-            self.forget(ticket);
-        }
-    }
-
-    fn judge(&mut self, ticket: TicketId, engine: &Name, fault: EngineFault, now: Moment) {
-        let reader = self.placed.get(&ticket).and_then(|placed| placed.read_by.clone());
-        let decode = self.decode.get_mut(engine).map(|book| &mut book.shut);
-        let shut = decode.or(self.prefill.get_mut(engine).map(|book| &mut book.shut));
-        if let Some(shut) = shut {
-            match fault {
-                EngineFault::NoMemory => {}
-                EngineFault::PrefillRefused => shut.note_refused_prefill(now),
-                EngineFault::ReservedRefused => shut.note_refused_reserved(now, reader.is_some()),
-                EngineFault::Unreachable => shut.note_unreachable(now),
-                EngineFault::Silent => shut.note_silence(now),
-                EngineFault::Failed => shut.note_failed(now, self.policy.failures_before_shut),
-            }
-        }
-        if fault == EngineFault::ReservedRefused
-            && let Some(reader) = reader.and_then(|reader| self.prefill.get_mut(&reader))
-        {
-            // The result that it read may have been gone.
-            reader.shut.note_refused_reserved(now, true);
-        }
-    }
-
-    /// Notes that a stream ended.
-    pub fn note_ended(&mut self, ticket: TicketId, end: StreamEnd, now: Moment) {
-        let Some(stream) = self.take_off(ticket).filter(|_stream| end.is_whole) else { return };
-        self.lengths.note(stream.guess_tokens, stream.age(now));
-        if let Some(gap) = end.event_gap {
-            let known = self.event_gap.unwrap_or(gap).as_secs_f64();
-            let mixed = known + GAP_WEIGHT * (gap.as_secs_f64() - known);
-            self.event_gap = Some(Duration::from_secs_f64(mixed));
-        }
-    }
-
     /// Takes a request off, wherever it is.
     pub fn forget(&mut self, ticket: TicketId) {
         let _stream = self.take_off(ticket);
@@ -399,21 +306,6 @@
         }
     }
 
-    fn note_no_memory(&mut self, ticket: TicketId, engine: &Name, judged: bool, now: Moment) {
-        let stream = self.take_off(ticket);
-        if !judged {
-            return;
-        }
-        let (lengths, terms, policy) = (&self.lengths, self.terms, self.policy);
-        let Some(book) = self.decode.get_mut(engine) else { return };
-        let room = stream.map_or(0.0, |mut stream| {
-            stream.started = None;
-            let stream = Foresight::of(&stream, now, lengths);
-            book.room_beside(&stream, now, lengths, &terms, &policy)
-        });
-        book.note_no_memory(room, now);
-    }
-
     /// A stream as it would be at an engine.
     fn stream_of(&self, ticket: TicketId, request: &PlacementRequest) -> StreamRecord {
         StreamRecord {
--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -23,7 +23,6 @@
 #[derive(Clone, Debug)]
 struct BackendLoad {
     outstanding: u32,
-    tokens: u64,
     latency_ms: f64,
     /// Average of failures, 0 to 1.
     failures: f64,
@@ -36,7 +35,6 @@
     fn default() -> Self {
         Self {
             outstanding: 0,
-            tokens: 0,
             latency_ms: ASSUMED_LATENCY_MS,
             failures: 0.0,
             failures_in_row: 0,
@@ -50,7 +48,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LoadReading {
     pub(crate) outstanding: u32,
-    pub(crate) tokens: u64,
     pub(crate) latency_ms: f64,
     pub(crate) failures: f64,
     pub(crate) is_aside: bool,
@@ -78,7 +75,6 @@
         let load = loads.get(backend).cloned().unwrap_or_default();
         LoadReading {
             outstanding: load.outstanding,
-            tokens: load.tokens,
             latency_ms: load.latency_ms,
             failures: load.failures,
             is_aside: load.aside_until.is_some_and(|until| until > now),
@@ -87,12 +83,9 @@
     }
 
     /// Notes work that is sent to a backend server until the ticket is dropped.
-    pub fn enter(&self, backend: &StartedBackend, tokens: u64) -> LoadTicket {
-        self.with(backend, |load| {
-            load.outstanding += 1;
-            load.tokens += tokens;
-        });
-        LoadTicket { book: self.clone(), backend: backend.clone(), tokens }
+    pub(crate) fn enter(&self, backend: &StartedBackend) -> LoadTicket {
+        self.with(backend, |load| load.outstanding += 1);
+        LoadTicket { book: self.clone(), backend: backend.clone() }
     }
 
     /// Notes an answer that came as it should.
@@ -150,27 +143,13 @@
 
 /// Work under way at a backend server; dropping it takes it off the book.
 #[derive(Debug)]
-pub struct LoadTicket {
+pub(crate) struct LoadTicket {
     book: BackendBook,
     backend: StartedBackend,
-    tokens: u64,
-}
-
-impl LoadTicket {
-    /// Notes that the work grew to more tokens than was noted.
-    pub fn grow_to(&mut self, tokens: u64) {
-        let growth = tokens.saturating_sub(self.tokens);
-        self.tokens += growth;
-        self.book.with(&self.backend, |load| load.tokens += growth);
-    }
 }
 
 impl Drop for LoadTicket {
     fn drop(&mut self) {
-        let tokens = self.tokens;
-        self.book.with(&self.backend, |load| {
-            load.outstanding = load.outstanding.saturating_sub(1);
-            load.tokens = load.tokens.saturating_sub(tokens);
-        });
+        self.book.with(&self.backend, |load| load.outstanding = load.outstanding.saturating_sub(1));
     }
 }
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -25,7 +25,7 @@
 mod tried;
 
 pub use answer::answer_request;
-pub use book::{BackendBook, LoadTicket};
+pub use book::BackendBook;
 pub use budget::{BudgetReading, BudgetTerms, RetryBudgets};
 pub use calls::{
     BackendAnswer, BackendCalls, CallError, ForwardTerms, HoldTerms, OrderOutcome, PrefillTerms,
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -74,7 +74,7 @@
     /// At a backend server that plays no part and reserves nothing.
     pub(crate) fn without_memory(context: &ForwardContext, entry: Arc<BackendEntry>) -> Self {
         let hold = HoldGuard::empty(context, &entry);
-        let load = context.book.enter(&entry.started(), 0);
+        let load = context.book.enter(&entry.started());
         let ticket = StreamTicket { schedule: None, _load: Some(load) };
         Self { entry, reserved: 0, prefill: None, hold, ticket }
     }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -172,7 +172,7 @@
     entry: &Arc<BackendEntry>,
     limit: Duration,
 ) -> SendOutcome {
-    let _ticket = context.book.enter(&entry.started(), 0);
+    let _ticket = context.book.enter(&entry.started());
     let terms = ForwardTerms { time_budget: request.remaining(), ..ForwardTerms::default() };
     let exchange = async {
         let answer = (context.calls.forward)(Arc::clone(entry), Arc::clone(request), terms).await?;
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -93,6 +93,32 @@
     }
 }
 
+/// Keepers of all hosts over one table, each with a delay of its own.
+fn start_keepers(
+    table: &MemoryTable,
+    orders: &Arc<Mutex<Vec<String>>>,
+    config: &watch::Receiver<Option<Arc<RoutingConfig>>>,
+    listed: &watch::Receiver<Arc<DirectoryView>>,
+    cancel: &CancellationToken,
+) {
+    for host in 0..HOSTS {
+        let settings = KeeperSettings {
+            host: format!("host-{host}").into(),
+            targets: PoolTargets::new(ShareRule::Fixed(0.33), DemandMeter::default()),
+            apart: Duration::from_secs(3),
+            delay: Arc::new(move || Duration::from_secs(host)),
+        };
+        tokio::spawn(keep_stages(
+            settings,
+            table.store(),
+            calls(orders),
+            config.clone(),
+            listed.clone(),
+            cancel.clone(),
+        ));
+    }
+}
+
 struct KeeperCase {
     name: &'static str,
     /// Engines that prefill and decode at first, and later.
@@ -154,23 +180,7 @@
         let (_config, config) = watch::channel(Some(Arc::new(config())));
         let (directory, listed) = watch::channel(view(case.at_first.0, case.at_first.1));
         let cancel = CancellationToken::new();
-        for host in 0..HOSTS {
-            let rule = ShareRule::Fixed(0.33);
-            let settings = KeeperSettings {
-                host: format!("host-{host}").into(),
-                targets: PoolTargets::new(rule, DemandMeter::default()),
-                apart: Duration::from_secs(3),
-                delay: Arc::new(move || Duration::from_secs(host)),
-            };
-            tokio::spawn(keep_stages(
-                settings,
-                table.store(),
-                calls(&orders),
-                config.clone(),
-                listed.clone(),
-                cancel.clone(),
-            ));
-        }
+        start_keepers(&table, &orders, &config, &listed, &cancel);
         tokio::time::sleep(Duration::from_secs(15)).await;
         let taken = || std::mem::take(&mut *orders.lock().unwrap());
         assert_eq!(taken(), case.ordered_at_first, "{}", case.name);
@@ -190,22 +200,7 @@
         let (_config, config) = watch::channel(Some(Arc::new(config())));
         let (directory, listed) = watch::channel(view_since(before, 4, 5));
         let cancel = CancellationToken::new();
-        for host in 0..HOSTS {
-            let settings = KeeperSettings {
-                host: format!("host-{host}").into(),
-                targets: PoolTargets::new(ShareRule::Fixed(0.33), DemandMeter::default()),
-                apart: Duration::from_secs(3),
-                delay: Arc::new(move || Duration::from_secs(host)),
-            };
-            tokio::spawn(keep_stages(
-                settings,
-                table.store(),
-                calls(&orders),
-                config.clone(),
-                listed.clone(),
-                cancel.clone(),
-            ));
-        }
+        start_keepers(&table, &orders, &config, &listed, &cancel);
         tokio::time::sleep(Duration::from_secs(5)).await;
         assert_eq!(orders.lock().unwrap().len(), 1, "{before:?}");
         directory.send_replace(view_since(after, 4, 5));
