--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -30,7 +30,7 @@
     pub fence: u64,
     /// Tells this write from all others.
     pub token: u64,
-    /// Engines that were ordered to change, each by [`order_name`], the newest last.
+    /// Engines that were ordered to change, each by its id and its start if it tells one, the newest last.
     pub ordered: Vec<Name>,
     /// Prefill engines that each pool keeps, by service; a fleet that starts anew begins with them.
     #[serde(default)]
