--- a/crates/dillspool_watch/tests/relay_frames.rs
+++ b/crates/dillspool_watch/tests/relay_frames.rs
@@ -25,7 +25,7 @@
     let row = |number: u64| {
         let id = number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 24;
         let text = format!(
-            r#"{{"service":"pool","address":"10.{}.{}.{}:8080","zone":"westlands","version":"v1","slots":64,"state":"ready","callSeq":4,"coldLeftMs":0,"stage":"decode","models":[{{"name":"m","version":1,"adapters":[]}}]}}"#,
+            r#"{{"service":"pool","address":"10.{}.{}.{}:8080","zone":"westlands","version":"v1","slots":64,"state":"ready","written":4,"warms_in":0,"stage":"decode","models":[{{"name":"m","version":1,"adapters":[]}}]}}"#,
             number % 3,
             number / 250 % 250,
             number % 250,
