--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -5,13 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_admission::{AdmissionPolicy, PlacementDecision, PlacementRequest, WorkClass};
+use dillspool_admission::{
+    AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, WorkClass,
+};
 use dillspool_capacity::DemandMeter;
 use dillspool_cases::run_paused;
 use dillspool_io::{LinkMode, MemoryNet};
 use dillspool_routing::{
-    BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage, RouteTable,
-    RoutingConfig, ServiceEntry,
+    BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
+    RouteTable, RoutingConfig, ServiceEntry, StartedBackend,
 };
 use dillspool_scheduler::{
     DeskNote, LimitDesk, LimitTerms, PlacementTicket, PoolDesk, ScheduleClient, SchedulePeers,
@@ -52,9 +54,14 @@
 }
 
 fn view() -> DirectoryView {
+    view_since(None)
+}
+
+/// The pool's engines, all with one start.
+fn view_since(start: Option<BackendStart>) -> DirectoryView {
     let entry = |id: &str, stage| BackendEntry {
         id: id.into(),
-        start: None,
+        start,
         service: SERVICE.into(),
         address: ([10, 0, 1, 1], 9).into(),
         failure_domain: "domain".into(),
@@ -93,7 +100,7 @@
     client: ScheduleClient,
     cancel: CancellationToken,
     _config: watch::Sender<Option<Arc<RoutingConfig>>>,
-    _view: watch::Sender<Arc<DirectoryView>>,
+    view: watch::Sender<Arc<DirectoryView>>,
 }
 
 impl TestHost {
@@ -114,7 +121,7 @@
         let peers = move |_service: &str| SchedulePeers { own, ranked: ranked.clone() };
         let name = format!("host-{host}").into();
         tokio::spawn(client.clone().run(stack, name, peers, known, cancel.clone()));
-        Self { client, cancel, _config: config_sender, _view: view_sender }
+        Self { client, cancel, _config: config_sender, view: view_sender }
     }
 
     async fn ask(&self) -> (PlacementTicket, Option<PlacementDecision>) {
@@ -170,6 +177,35 @@
     });
 }
 
+/// A fault is told with the start that it is of: the scheduler blames no other one for it.
+#[test]
+fn the_start_travels_with_a_fault() {
+    let known = Some(BackendStart(9));
+    // Engines that take one more request each at once.
+    for (told, open) in [(known, 1), (None, 1), (Some(BackendStart(7)), 2)] {
+        run_paused(async move {
+            let hosts = three_hosts(&MemoryNet::new()).await;
+            for host in &hosts {
+                host.view.send_replace(Arc::new(view_since(known)));
+            }
+            settle().await;
+            let (ticket, decision) = hosts[1].ask().await;
+            let id = engine(decision.as_ref()).expect("an engine").into();
+            let failed = StartedBackend { id, start: told };
+            ticket.note(&DeskNote::Fault { engine: failed, fault: EngineFault::Unreachable });
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let mut placed = Vec::new();
+            for host in [&hosts[2], &hosts[1]] {
+                let asking = tokio::time::timeout(Duration::from_millis(100), host.ask());
+                // A request keeps its engine until its ticket is dropped.
+                placed.extend(asking.await);
+            }
+            let taken = placed.iter().filter(|(_ticket, it)| engine(it.as_ref()).is_some());
+            assert_eq!(taken.count(), open, "{told:?}");
+        });
+    }
+}
+
 struct LossCase {
     name: &'static str,
     /// What becomes of the scheduler's links.
