Sight: a request's copies can be told in the log, and why a run broke off

Cause: the logs of the incident could not tell whether one request ended engine after engine (each copy has a new id), nor whether a stream broke because its engine ended or only its connection did. Ruled out: the body or the caller in the log; a health question (it takes a slot and is billed); waiting for the row to lapse alone (2 to 4 s). No decision changes.

--- a/crates/dillspool_forward/src/calls.rs
+++ b/crates/dillspool_forward/src/calls.rs
@@ -157,6 +157,17 @@
     }
 }
 
+/// What a look at a backend server found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendSign {
+    /// It takes connections.
+    Lives,
+    /// Its machine says that nobody takes connections there.
+    Ended,
+    /// No answer.
+    Unclear,
+}
+
 type Reply<T> = BoxFuture<Result<T, CallError>>;
 type ForwardFn = dyn Fn(Arc<BackendEntry>, Arc<RoutedRequest>, ForwardTerms) -> Reply<BackendAnswer>
     + Send
@@ -166,6 +177,7 @@
     + Sync;
 type ReserveFn = dyn Fn(Arc<BackendEntry>, HoldTerms) -> Reply<Name> + Send + Sync;
 type ReleaseFn = dyn Fn(Arc<BackendEntry>, Name) -> Reply<()> + Send + Sync;
+type LookFn = dyn Fn(Arc<BackendEntry>) -> BoxFuture<BackendSign> + Send + Sync;
 type OrderFn = dyn Fn(Arc<BackendEntry>, StageOrder) -> Reply<OrderOutcome> + Send + Sync;
 
 /// The calls to backend servers.
@@ -183,6 +195,8 @@
     pub release_hold: Arc<ReleaseFn>,
     /// Gives a prefill's result up.
     pub release_prefill: Arc<ReleaseFn>,
+    /// Opens a connection and closes it, to see whether the backend server takes any.
+    pub look: Arc<LookFn>,
     /// Gives an order.
     pub order: Arc<OrderFn>,
 }
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -10,6 +10,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::book::BackendBook;
+use crate::broken_run::BreakLooks;
 use crate::budget::RetryBudgets;
 use crate::calls::{BackendCalls, CallError};
 use crate::choose::Chooser;
@@ -40,6 +41,8 @@
     pub book: BackendBook,
     /// Budget of repeated sends.
     pub budgets: RetryBudgets,
+    /// Looks at backend servers whose runs broke off.
+    pub breaks: BreakLooks,
     /// Counters and histograms.
     pub metrics: ForwardMetrics,
     /// Work that goes on when its request is gone, such as giving memory back.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use crate::broken_run::trace_break;
 use crate::context::ForwardContext;
 use crate::placement::{Placement, StreamTicket};
 use crate::prefill::PrefillGuard;
@@ -168,6 +169,7 @@
 
     pub(crate) fn note_broken(&mut self, open: &OpenStream, cause: &str) {
         self.may_have_run = true;
+        trace_break(&self.context, &self.request, &open.entry);
         self.note_no_answer(&open.entry, &open.ticket, cause);
         self.tried.push(&open.entry);
     }
--- a/crates/dillspool_forward/src/generate/sending.rs
+++ b/crates/dillspool_forward/src/generate/sending.rs
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::{Generation, OpenEnd, OpenStream, PreparedSend, SentRequest};
+use crate::broken_run::trace_break;
 use crate::calls::{BackendAnswer, CallError, ForwardTerms};
 use crate::context::STARTED_AGAIN;
 use crate::placement::{Placement, StreamTicket};
@@ -167,11 +168,12 @@
     /// It may have run: only a stream that can be resumed goes on.
     fn note_unclear(
         &mut self,
-        entry: &BackendEntry,
+        entry: &Arc<BackendEntry>,
         ticket: &StreamTicket,
         cause: &str,
     ) -> Result<Option<OpenEnd>, Refusal> {
         self.may_have_run = true;
+        trace_break(&self.context, &self.request, entry);
         self.note_no_answer(entry, ticket, cause);
         self.note_failed_send(entry, cause);
         if self.request.route.is_repeatable() { Ok(None) } else { Err(self.conclude()) }
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod book;
+mod broken_run;
 mod budget;
 mod calls;
 mod choose;
@@ -26,10 +27,11 @@
 
 pub use answer::answer_request;
 pub use book::BackendBook;
+pub use broken_run::BreakLooks;
 pub use budget::{BudgetReading, BudgetTerms, RetryBudgets};
 pub use calls::{
-    BackendAnswer, BackendCalls, CallError, ForwardTerms, HoldTerms, OrderOutcome, PrefillTerms,
-    PrefilledPrompt, StageOrder, WorkRank,
+    BackendAnswer, BackendCalls, BackendSign, CallError, ForwardTerms, HoldTerms, OrderOutcome,
+    PrefillTerms, PrefilledPrompt, StageOrder, WorkRank,
 };
 pub use context::ForwardContext;
 pub use events::{EventSplitter, StreamEvent};
--- a/crates/dillspool_forward/src/metrics.rs
+++ b/crates/dillspool_forward/src/metrics.rs
@@ -29,6 +29,19 @@
     }
 }
 
+/// What became of the backend server of a run that broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct BreakLabels {
+    /// `ended`, `lives`, `leaving` or `unclear`.
+    found: &'static str,
+}
+
+impl EncodeLabelSet for BreakLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        write_labels(encoder, &[("found", self.found)])
+    }
+}
+
 /// Counters and histograms of the requests of one host.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
@@ -41,6 +54,7 @@
     prefill_time: Histogram,
     holds_refused: Counter,
     overruled: Counter,
+    broken_runs: Family<BreakLabels, Counter>,
 }
 
 impl Default for ForwardMetrics {
@@ -57,6 +71,7 @@
             prefill_time: Histogram::new(buckets()),
             holds_refused: Counter::default(),
             overruled: Counter::default(),
+            broken_runs: Family::default(),
         }
     }
 }
@@ -100,6 +115,11 @@
             "Decisions for a backend server that this host knows to leave or to be gone",
             self.overruled.clone(),
         );
+        registry.register(
+            "forward_broken_runs",
+            "Runs that broke off, by what became of their backend servers",
+            self.broken_runs.clone(),
+        );
     }
 
     pub(crate) fn enter(&self) {
@@ -134,6 +154,10 @@
         self.holds_refused.inc();
     }
 
+    pub(crate) fn note_broken_run(&self, found: &'static str) {
+        self.broken_runs.get_or_create(&BreakLabels { found }).inc();
+    }
+
     pub(crate) fn note_overruled(&self) {
         self.overruled.inc();
     }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::book::BackendBook;
+use crate::broken_run::trace_break;
 use crate::calls::{CallError, ForwardTerms};
 use crate::context::ForwardContext;
 use crate::refusal::{Refusal, RefusalCause};
@@ -124,7 +125,12 @@
                 context.book.note_success(&entry.started(), started.elapsed());
                 return Ok(answer.response());
             }
-            failed => record.note_failure(&context.book, request, &entry, failed),
+            failed => {
+                if matches!(failed, SendOutcome::Unclear(_)) {
+                    trace_break(context, request, &entry);
+                }
+                record.note_failure(&context.book, request, &entry, failed);
+            }
         }
     }
     conclude(request, record)
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -116,8 +116,9 @@
             format!("backend={backend} directory={directory} chosen={count} ")
         });
         log::info!(
-            "event=request_ended id={} route={} service={} workspace={} config={} outcome={outcome} cause={cause} after_ms={} {choice}{detail}",
+            "event=request_ended id={} print={} route={} service={} workspace={} config={} outcome={outcome} cause={cause} after_ms={} {choice}{detail}",
             request.id,
+            request.print,
             request.route.name,
             request.service,
             request.workspace.as_ref().map_or("", |workspace| &*workspace.name),
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -9,8 +9,9 @@
 use dillspool_admission::AdmissionPolicy;
 use dillspool_capacity::DemandMeter;
 use dillspool_forward::{
-    BackendAnswer, BackendBook, BackendCalls, BudgetTerms, CallError, ForwardContext,
-    ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets, WorkRank,
+    BackendAnswer, BackendBook, BackendCalls, BackendSign, BreakLooks, BudgetTerms, CallError,
+    ForwardContext, ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
+    WorkRank,
 };
 use dillspool_io::{BoxError, channel_body, full_body};
 use dillspool_routing::{
@@ -19,6 +20,7 @@
     ServiceEntry, ServiceShare,
 };
 use dillspool_scheduler::{LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient};
+use dillspool_suspects::{PrintKey, PrintParts, RequestPrint};
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -84,6 +86,8 @@
     pub steps: Arc<Mutex<BTreeMap<String, VecDeque<Step>>>>,
     /// Backends that refuse reservations.
     pub full: Arc<Mutex<Vec<String>>>,
+    /// Backends that have ended and refuse connections.
+    pub ended: Arc<Mutex<Vec<String>>>,
     /// Backends whose address is another one's by now.
     pub moved: Arc<Mutex<Vec<String>>>,
     /// Free tokens of backends that have few; all others have enough.
@@ -170,6 +174,7 @@
     fn calls(&self) -> BackendCalls {
         let (site, prefiller, reserver) = (self.clone(), self.clone(), self.clone());
         let (hold_dropper, prefill_dropper) = (self.clone(), self.clone());
+        let looker = self.clone();
         BackendCalls {
             forward: Arc::new(move |entry, _request, terms| {
                 let site = site.clone();
@@ -239,6 +244,11 @@
                     Ok(())
                 })
             }),
+            look: Arc::new(move |entry| {
+                let ended = looker.ended.lock().unwrap().contains(&entry.id.to_string());
+                let sign = if ended { BackendSign::Ended } else { BackendSign::Lives };
+                Box::pin(async move { sign })
+            }),
             order: Arc::new(|_entry, _order| Box::pin(async { Ok(OrderOutcome::Started) })),
         }
     }
@@ -273,6 +283,7 @@
             limits: LimitClient::new(LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 })),
             book: BackendBook::default(),
             budgets: RetryBudgets::new(budget),
+            breaks: BreakLooks::default(),
             metrics: ForwardMetrics::default(),
             tasks: TaskTracker::new(),
         };
@@ -372,6 +383,10 @@
     let arrived = Instant::now();
     RoutedRequest {
         id: "request-1".into(),
+        print: RequestPrint::of(
+            &PrintKey::default(),
+            &PrintParts { caller: "caller-1", host: "a.example", path: "/x/1", body: b"body" },
+        ),
         method: Method::POST,
         uri: Uri::from_static("/x/1"),
         headers: HeaderMap::new(),
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -18,5 +18,5 @@
 pub use clock::{UnixMillis, WallClock};
 pub use exchange::{ExchangeBody, exchange_once};
 pub use memory::{LinkMode, MemoryNet};
-pub use server::{HttpHandler, ServerLimits, handler, serve_http, serve_http_live};
+pub use server::{HttpHandler, PeerAddress, ServerLimits, handler, serve_http, serve_http_live};
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dillspool_capacity::DemandMeter;
-use dillspool_forward::{BackendCalls, CallError, OrderOutcome};
+use dillspool_forward::{BackendCalls, BackendSign, CallError, OrderOutcome};
 use dillspool_platform::MemoryTable;
 use dillspool_roles::{KeeperSettings, PoolTargets, ShareRule, keep_stages};
 use dillspool_routing::{
@@ -86,6 +86,7 @@
         reserve: Arc::new(|_entry, _terms| Box::pin(async { Err(refused()) })),
         release_hold: Arc::new(|_entry, _hold| Box::pin(async { Ok(()) })),
         release_prefill: Arc::new(|_entry, _handle| Box::pin(async { Ok(()) })),
+        look: Arc::new(|_entry| Box::pin(async { BackendSign::Lives })),
         order: Arc::new(move |entry, order| {
             orders.lock().unwrap().push(format!("{} {:?}", entry.id, order.stage));
             Box::pin(async { Ok(OrderOutcome::Started) })
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dillspool_capacity::DemandMeter;
-use dillspool_forward::{BackendBook, ForwardContext, ForwardMetrics, RetryBudgets};
+use dillspool_forward::{BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets};
 use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
 use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
@@ -116,6 +116,7 @@
             limits,
             book: BackendBook::default(),
             budgets: budgets.clone(),
+            breaks: BreakLooks::default(),
             metrics: metrics.clone(),
             tasks: TaskTracker::new(),
         };
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -7,10 +7,11 @@
 
 use bytes::Bytes;
 use dillspool_forward::{ForwardContext, Refusal, RefusalCause, answer_request};
-use dillspool_io::{HttpHandler, ResponseBody, handler, read_body};
+use dillspool_io::{HttpHandler, PeerAddress, ResponseBody, handler, read_body};
 use dillspool_keys::PresentedKey;
 use dillspool_routing::{RequestTerms, RouteEntry, RoutedRequest, RoutingConfig, WorkspaceEntry};
 use dillspool_schema::Name;
+use dillspool_suspects::{PrintKey, PrintParts, RequestPrint};
 use dillspool_watch::SharedBelief;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
@@ -49,6 +50,7 @@
     pub stopping: Arc<AtomicBool>,
     in_flight: Arc<Semaphore>,
     patience: PatienceTable,
+    print_key: PrintKey,
 }
 
 impl fmt::Debug for IngressState {
@@ -69,7 +71,18 @@
     ) -> Self {
         let in_flight = Arc::new(Semaphore::new(MOST_IN_FLIGHT));
         let patience = PatienceTable::default();
-        Self { site, context, config, operator, change_limit, stopping, in_flight, patience }
+        let print_key = PrintKey::default();
+        Self {
+            site,
+            context,
+            config,
+            operator,
+            change_limit,
+            stopping,
+            in_flight,
+            patience,
+            print_key,
+        }
     }
 
     /// The handler of the callers' listener.
@@ -135,8 +148,13 @@
         let spent_before = self.patience.note(&route.name, caller_time);
         let deadline = arrived + caller_time.min(route.timeout);
         let body = receive(body, config.limits.body_bytes, deadline).await?;
+        let caller = caller_of(workspace.as_deref(), &parts.extensions);
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let print = PrintParts { caller: &caller, host: &route.host, path, body: &body };
+        let print = RequestPrint::of(&self.print_key, &print);
         let routed = RoutedRequest {
             id,
+            print,
             method: parts.method,
             uri: origin_form(&parts.uri),
             headers: parts.headers,
@@ -190,6 +208,13 @@
     }
 }
 
+/// Who sends a request: its workspace and, where it is known, the machine that it came from.
+fn caller_of(workspace: Option<&WorkspaceEntry>, extensions: &hyper::http::Extensions) -> String {
+    let workspace = workspace.map_or("", |workspace| &*workspace.name);
+    let machine = extensions.get::<PeerAddress>().map(|peer| peer.0.to_string());
+    format!("{workspace} {}", machine.unwrap_or_default())
+}
+
 fn host_of<'a>(headers: &'a hyper::HeaderMap, uri: &'a Uri) -> Option<&'a str> {
     let header = headers.get(HOST).and_then(|value| value.to_str().ok());
     uri.authority().map(hyper::http::uri::Authority::as_str).or(header)
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dillspool_forward::{BackendAnswer, BackendCalls, BudgetTerms, CallError, OrderOutcome};
+use dillspool_forward::{
+    BackendAnswer, BackendCalls, BackendSign, BudgetTerms, CallError, OrderOutcome,
+};
 use dillspool_io::full_body;
 use dillspool_keys::{CallerKey, PresentedKey};
 use dillspool_platform::{
@@ -201,6 +203,7 @@
         reserve: Arc::new(move |_entry, _terms| Box::pin(async move { Err(refuse()) })),
         release_hold: Arc::new(|_entry, _hold| Box::pin(async { Ok(()) })),
         release_prefill: Arc::new(|_entry, _handle| Box::pin(async { Ok(()) })),
+        look: Arc::new(|_entry| Box::pin(async { BackendSign::Lives })),
         order: Arc::new(|_entry, _order| Box::pin(async { Ok(OrderOutcome::Started) })),
     }
 }
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use dillspool_keys::PresentedKey;
 use dillspool_schema::Name;
+use dillspool_suspects::RequestPrint;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
@@ -59,6 +60,8 @@
 pub struct RoutedRequest {
     /// Names this attempt of the caller.
     pub id: Name,
+    /// The same for all attempts of the caller.
+    pub print: RequestPrint,
     /// Its method.
     pub method: Method,
     /// Path and query, unchanged.
