Red: a request that crashes every backend server that runs it

Ruled out: a run of real processes for this (the soak gets such requests with the mend): paused time gives the same verdict each time. The stand-in's configuration names its services: without them no pool was known, and no stream of any soak had an engine. Conclusion: kept, red until the mend.

--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use clap::Parser;
-use dillspool_io::{HttpClient, NetStack};
+use dillspool_io::NetStack;
 use dillspool_log::{LineForm, LogSetup, set_up_log};
-use dillspool_router::{RouterConfig, RouterDaemon, SettingsWatch, SiteProtocol, load_settings};
+use dillspool_router::{RouterConfig, RouterDaemon, SettingsWatch, load_settings};
+use dillspool_routerd::prepared_platform;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Time between two looks at the settings file, which may change without a signal; its seeds
@@ -94,20 +95,3 @@
         Err(error) => log::error!("event=reload_refused cause=\"{error}\""),
     }
 }
-
-fn prepared_platform(stack: &NetStack, config: &RouterConfig) -> SiteProtocol {
-    let http = HttpClient::pooled(stack);
-    SiteProtocol {
-        take_terms: dillspool_site::take_terms,
-        mark_answer: dillspool_site::mark_answer,
-        decode_config: dillspool_site::decode_config,
-        decode_backend: dillspool_site::decode_backend,
-        config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
-        directory_table: dillspool_site::DIRECTORY_TABLE.into(),
-        own_table: dillspool_site::OWN_TABLE.into(),
-        calls: dillspool_site::backend_calls(stack),
-        watch: dillspool_site::table_watch(&http, config.store, config.store_timeout),
-        store: dillspool_site::host_table(&http, config.store, config.store_timeout),
-        label: "prepared platform".into(),
-    }
-}
--- /dev/null
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -0,0 +1,244 @@
+//! A fleet of routers in one process, over a network in memory and under paused time.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dillspool_forward::BudgetTerms;
+use dillspool_io::{MemoryNet, exchange_once, read_body};
+use dillspool_roles::ShareRule;
+use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
+use dillspool_routerd::prepared_platform;
+use dillspool_scheduler::LimitTerms;
+use dillspool_site_standin::{
+    REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore, TIME_BUDGET,
+    TOKEN_COUNTS, config_text,
+};
+use http_body_util::Full;
+use hyper::Request;
+use tokio_util::sync::CancellationToken;
+
+/// Host name of all routes.
+const ROUTE_HOST: &str = "fleet.example";
+/// Time in which a fleet has found its store, its schedulers and its peers.
+const SETTLING: Duration = Duration::from_secs(12);
+/// Time after which the row of a backend server that has ended lapses.
+const ROW_LAPSES: Duration = Duration::from_millis(3_600);
+/// Time after which a backend server that has ended is back.
+const BACK_AFTER: Duration = Duration::from_secs(2);
+/// Time that a caller waits, in milliseconds.
+const CALLER_WAIT_MS: u64 = 3_000;
+
+/// How a backend server comes back after its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ComeBack {
+    /// Under another id.
+    OtherId,
+    /// Under its id, with another start.
+    SameId,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerReply {
+    /// Status, if a head came.
+    pub status: Option<u16>,
+    /// The body, if it came whole.
+    pub body: Option<String>,
+    /// Whether it says when to come back.
+    pub invites: bool,
+}
+
+fn node(net: u8, number: usize) -> IpAddr {
+    Ipv4Addr::new(10, 0, net, u8::try_from(number + 1).expect("few nodes")).into()
+}
+
+/// Hosts, a store and backend servers.
+pub struct TestFleet {
+    pub net: MemoryNet,
+    pub store: StandinStore,
+    pub runs: RunLog,
+    /// Backend servers that have ended, by id and start.
+    pub ended: Arc<Mutex<Vec<String>>>,
+    hosts: Vec<(RouterConfig, Option<RouterDaemon>)>,
+    cancel: CancellationToken,
+}
+
+impl TestFleet {
+    /// Starts `hosts` hosts before four backend servers of each kind and waits until they have settled.
+    pub async fn start(hosts: usize, come_back: ComeBack) -> Self {
+        let mut fleet = Self {
+            net: MemoryNet::new(),
+            store: StandinStore::default(),
+            runs: RunLog::default(),
+            ended: Arc::default(),
+            hosts: Vec::new(),
+            cancel: CancellationToken::new(),
+        };
+        let store_stack = fleet.net.stack(store_address().ip());
+        let serving = fleet.store.serve(&store_stack, store_address(), fleet.cancel.clone());
+        serving.await.expect("the store listens");
+        fleet.write_config();
+        let kinds = [StandinKind::Plain, StandinKind::Decode, StandinKind::Prefill];
+        for number in 0..12 {
+            fleet.start_backend(number, kinds[number % 3], come_back).await;
+        }
+        for number in 0..hosts {
+            fleet.hosts.push((host_config(number), None));
+            fleet.start_host(number).await;
+        }
+        tokio::time::sleep(SETTLING).await;
+        fleet
+    }
+
+    fn write_config(&self) {
+        let route = |prefix, kind, service, attempts, is_resumable| StandinRoute {
+            prefix,
+            kind,
+            service,
+            attempts,
+            is_resumable,
+        };
+        let routes = [
+            route("/again/", "idempotent", "plain", 2, false),
+            route("/once/", "non_idempotent", "plain", 1, false),
+            route("/stream/", "streaming", "pool", 1, false),
+            route("/resumed/", "streaming", "pool", 3, true),
+        ];
+        self.store.write("op", "config", Some(&config_text(1, ROUTE_HOST, &routes)));
+    }
+
+    /// A place for a backend server, which comes back there whenever it has ended.
+    async fn start_backend(&self, number: usize, kind: StandinKind, come_back: ComeBack) {
+        let address = SocketAddr::new(node(2, number), 9000);
+        let stack = self.net.stack(address.ip());
+        let (store, runs) = (self.store.clone(), self.runs.clone());
+        let (ended, cancel) = (Arc::clone(&self.ended), self.cancel.clone());
+        let service = if kind == StandinKind::Plain { "plain" } else { "pool" };
+        let live = async move {
+            for start in 1_u64.. {
+                let id = match come_back {
+                    ComeBack::OtherId => format!("i-{number}-{start}"),
+                    ComeBack::SameId => format!("i-{number}"),
+                };
+                let backend = StandinBackend::new(&id, kind, &runs).started(start);
+                backend.serve(&stack, address).await.expect("a free address");
+                store.write("servers", &id, Some(&backend.row(service, address, "ready")));
+                backend.ended().await;
+                ended.lock().expect("no panic").push(format!("{id} {start}"));
+                let store = store.clone();
+                if come_back == ComeBack::OtherId {
+                    tokio::spawn(async move {
+                        tokio::time::sleep(ROW_LAPSES).await;
+                        store.write("servers", &id, None);
+                    });
+                }
+                tokio::time::sleep(BACK_AFTER).await;
+            }
+        };
+        tokio::spawn(async move {
+            tokio::select! {
+                () = live => {}
+                () = cancel.cancelled() => {}
+            }
+        });
+        tokio::task::yield_now().await;
+    }
+
+    /// Starts a host, anew if it was killed.
+    pub async fn start_host(&mut self, number: usize) {
+        let config = self.hosts[number].0.clone();
+        let stack = self.net.stack(config.callers.ip());
+        let site = prepared_platform(&stack, &config);
+        let daemon = RouterDaemon::start(config, stack, site).await.expect("free addresses");
+        self.hosts[number].1 = Some(daemon);
+    }
+
+    /// Stops a host.
+    pub async fn stop_host(&mut self, number: usize) {
+        if let Some(daemon) = self.hosts[number].1.take() {
+            daemon.stop().await;
+        }
+    }
+
+    /// Backend servers that have ended so far.
+    pub fn ends(&self) -> usize {
+        self.ended.lock().expect("no panic").len()
+    }
+
+    /// A caller sends a request to a host.
+    pub async fn send(&self, caller: usize, host: usize, path: &str, body: &str) -> CallerReply {
+        let request = self.request(host, path, body);
+        let stack = self.net.stack(node(3, caller));
+        let nothing = CallerReply { status: None, body: None, invites: false };
+        let (address, request) = request;
+        let exchange = async {
+            let connect = Duration::from_millis(500);
+            let Ok(answer) = exchange_once(&stack, address, request, connect).await else {
+                return nothing.clone();
+            };
+            let status = Some(answer.status().as_u16());
+            let invites = answer.headers().contains_key("retry-after");
+            let body = read_body(answer.into_body(), 100_000).await.ok();
+            let body = body.map(|body| String::from_utf8_lossy(&body).into_owned());
+            CallerReply { status, body, invites }
+        };
+        let limit = Duration::from_millis(CALLER_WAIT_MS);
+        tokio::time::timeout(limit, exchange).await.unwrap_or(nothing.clone())
+    }
+
+    fn request(&self, host: usize, path: &str, body: &str) -> (SocketAddr, Request<Full<Bytes>>) {
+        static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+        let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let request = Request::builder()
+            .method("POST")
+            .uri(path)
+            .header("host", ROUTE_HOST)
+            .header(REQUEST_ID, format!("attempt-{id}"))
+            .header(TIME_BUDGET, CALLER_WAIT_MS)
+            .header(TOKEN_COUNTS, "100,100")
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("a request");
+        (self.hosts[host].0.callers, request)
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+fn store_address() -> SocketAddr {
+    SocketAddr::new(node(0, 8), 1)
+}
+
+fn host_config(number: usize) -> RouterConfig {
+    let at = |port| SocketAddr::new(node(1, number), port);
+    RouterConfig {
+        host: format!("host-{number}").into(),
+        failure_domain: "domain".into(),
+        callers: at(8144),
+        readiness: at(8140),
+        peers: at(8146),
+        metrics: at(7660),
+        schedule: at(7661),
+        store: store_address(),
+        store_timeout: Duration::from_millis(700),
+        watch_wait: Duration::from_millis(2500),
+        change_limit: Duration::from_secs(2),
+        first_start: false,
+        seeds: vec![SocketAddr::new(node(1, 0), 8146)],
+        link_mbps: 100.0,
+        budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
+        limits: LimitTerms { slack: 0.0, shares: 2 },
+        grace: Duration::from_secs(4),
+        lapse_grace: Duration::from_secs(2),
+        orders_apart: Duration::from_secs(3),
+        share_rule: ShareRule::Fixed(0.5),
+        policy: PolicyConfig::default(),
+        log_level: log::LevelFilter::Info,
+    }
+}
