A request that crashes the backend servers that run it is refused after three ends

Cause: nothing was remembered of a request beyond its attempt; each copy has a new id and may come to any host. Ruled out: hosts that repeat by themselves (the route allows one engine, and no story has two); counting each end of a crash against all that ran there (model: 1,398 of 8,494 sound requests refused where six engines crash ten times in ten seconds, 85 of 9,006 as chosen); two ends in place of three. Change: SuspectBook decides by ends in a row that only this request explains; an end is found by one connection to the backend server of a run that broke off, or by its row; hosts tell each other by a row each; a refused copy gets 503 at once, before limits, reservations and prefills, without a time to come back. Model of ways in docs/design/suspects.md.

--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -1,6 +1,7 @@
 //! From a routed request to the answer, whatever its kind.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use dillspool_io::ResponseBody;
 use dillspool_routing::{RequestKind, RoutedRequest};
@@ -10,7 +11,12 @@
 use crate::generate::answer_stream;
 use crate::limits::admit;
 use crate::plain::answer_plain;
-use crate::trace::RequestTrace;
+use crate::refusal::{Refusal, RefusalCause};
+use crate::suspects::{CopyGuard, CopyRefusal};
+use crate::trace::{RequestTrace, log_suspect_refused};
+
+/// When to come back if another copy runs: about the time that an answer takes.
+const COPY_RUNS_RETRY: Duration = Duration::from_secs(1);
 
 /// Answers a request; the answer is always final.
 pub async fn answer_request(
@@ -20,6 +26,13 @@
     let request = Arc::new(request);
     let mut trace = RequestTrace::new(&request, &context.metrics);
     context.budgets.note_request(&request.service);
+    let copy = match enter(&context, &request) {
+        Ok(copy) => copy,
+        Err(refusal) => {
+            trace.refused(&refusal);
+            return refusal.response();
+        }
+    };
     let spent = match admit(&context, &request).await {
         Ok(spent) => spent,
         Err(refusal) => {
@@ -30,6 +43,7 @@
     let answered = match request.route.kind {
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
             let answer = answer_plain(&context, &request, &mut trace).await;
+            drop(copy);
             if let Ok(answer) = &answer {
                 let status = answer.status();
                 if status.is_success() {
@@ -40,7 +54,7 @@
             }
             answer.map_err(|refusal| (refusal, trace))
         }
-        RequestKind::Streaming => answer_stream(&context, &request, trace).await,
+        RequestKind::Streaming => answer_stream(&context, &request, copy, trace).await,
     };
     match answered {
         Ok(response) => response,
@@ -53,3 +67,21 @@
         }
     }
 }
+
+/// Lets a copy of a request run, unless backend servers end under it.
+///
+/// A request that crashes what runs it comes again under another id and at any host. Where each copy is
+/// taken for a new request, 14 of 14 end an engine, with all that runs there; three do where they are
+/// remembered (`deadly_requests.rs`).
+fn enter(context: &ForwardContext, request: &RoutedRequest) -> Result<CopyGuard, Refusal> {
+    context.suspects.enter(request.print).map_err(|refused| {
+        log_suspect_refused(request, refused);
+        match refused {
+            // No time to come back: whenever it comes, it is not run.
+            CopyRefusal::Deadly { .. } => Refusal::new(RefusalCause::Deadly),
+            CopyRefusal::CopyRuns { .. } => {
+                Refusal::come_back(RefusalCause::CopyRuns, COPY_RUNS_RETRY)
+            }
+        }
+    })
+}
--- a/crates/dillspool_forward/src/broken_run.rs
+++ b/crates/dillspool_forward/src/broken_run.rs
@@ -11,8 +11,10 @@
 
 use dillspool_io::BoxFuture;
 use dillspool_routing::{BackendEntry, BackendStart, DirectoryView, RoutedRequest, StartedBackend};
+use dillspool_suspects::SuspectDecision;
 use futures_util::FutureExt;
 use futures_util::future::Shared;
+use tokio::sync::oneshot;
 
 use crate::calls::BackendSign;
 use crate::context::ForwardContext;
@@ -76,16 +78,60 @@
     }
 }
 
-/// Finds out why a run broke off, beside the request, and tells it.
+/// Time for which a request that may be sent once more waits for a look at the backend server before. A
+/// machine that answers does so within a round trip; one that does not has gone, or is cut off.
+const LOOK_WAIT: Duration = Duration::from_millis(300);
+
+/// A look at the backend server of a run that broke off.
+#[derive(Debug)]
+pub(crate) struct BreakLook {
+    looked: oneshot::Receiver<()>,
+}
+
+/// Whether a request that may have run may be sent to another backend server.
+///
+/// Where one more end would have it refused, the look at the one before is waited for; without that a
+/// request that may go on elsewhere ends one backend server more.
+pub(crate) async fn may_run_again(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    look: &mut Option<BreakLook>,
+) -> bool {
+    if let Some(look) = look.take()
+        && context.suspects.should_wait(request.print)
+    {
+        // Its sender is dropped once the look is over.
+        let _looked = tokio::time::timeout(LOOK_WAIT, look.looked).await;
+    }
+    !matches!(context.suspects.decide(request.print), SuspectDecision::Refused { .. })
+}
+
+/// Finds out why a run broke off, beside the request; an end of its backend server is held against the
+/// request.
 pub(crate) fn trace_break(
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
     entry: &Arc<BackendEntry>,
-) {
+) -> BreakLook {
+    let (looking, looked) = oneshot::channel();
     let (context, request, entry) = (context.clone(), Arc::clone(request), Arc::clone(entry));
     let tasks = context.tasks.clone();
     tasks.spawn(async move {
-        let cause = find_cause(&context, &entry).await;
+        let found = look_at(&context, &entry).await;
+        if found == FirstLook::Cause(BreakCause::Ended) {
+            context.suspects.note_end(request.print, entry.started().label());
+        }
+        drop(looking);
+        let cause = match found {
+            FirstLook::Cause(cause) => cause,
+            FirstLook::Sign(sign) => {
+                let cause = watch_row(&context, &entry, sign).await;
+                if cause == BreakCause::Ended {
+                    context.suspects.note_end(request.print, entry.started().label());
+                }
+                cause
+            }
+        };
         context.metrics.note_broken_run(cause.name());
         log::info!(
             "event=break_traced id={} print={} backend={} start={} found={} after_ms={}",
@@ -97,18 +143,36 @@
             request.age().as_millis(),
         );
     });
+    BreakLook { looked }
 }
 
-async fn find_cause(context: &ForwardContext, entry: &Arc<BackendEntry>) -> BreakCause {
+/// What a first look says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FirstLook {
+    /// All there is to know.
+    Cause(BreakCause),
+    /// What its row shows later decides.
+    Sign(BackendSign),
+}
+
+async fn look_at(context: &ForwardContext, entry: &Arc<BackendEntry>) -> FirstLook {
     match row_sign(&context.view(), entry) {
         RowSign::Ready => {}
-        RowSign::Restarted => return BreakCause::Ended,
-        RowSign::Leaving | RowSign::Gone => return BreakCause::Leaving,
+        RowSign::Restarted => return FirstLook::Cause(BreakCause::Ended),
+        RowSign::Leaving | RowSign::Gone => return FirstLook::Cause(BreakCause::Leaving),
     }
-    let sign = context.breaks.look(context, entry).await;
-    if sign == BackendSign::Ended {
-        return BreakCause::Ended;
+    match context.breaks.look(context, entry).await {
+        BackendSign::Ended => FirstLook::Cause(BreakCause::Ended),
+        sign @ (BackendSign::Lives | BackendSign::Unclear) => FirstLook::Sign(sign),
     }
+}
+
+/// Watches the row of a backend server that takes connections, or does not answer.
+async fn watch_row(
+    context: &ForwardContext,
+    entry: &Arc<BackendEntry>,
+    sign: BackendSign,
+) -> BreakCause {
     let mut directory = context.directory.clone();
     let told = directory.wait_for(|view| row_sign(view, entry) != RowSign::Ready);
     let row = match tokio::time::timeout(WATCHED_FOR, told).await {
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -15,6 +15,7 @@
 use crate::calls::{BackendCalls, CallError};
 use crate::choose::Chooser;
 use crate::metrics::ForwardMetrics;
+use crate::suspects::SuspectDesk;
 use crate::trace::log_overruled;
 
 /// Why something under way at a backend server is lost.
@@ -43,6 +44,8 @@
     pub budgets: RetryBudgets,
     /// Looks at backend servers whose runs broke off.
     pub breaks: BreakLooks,
+    /// Requests under which backend servers ended.
+    pub suspects: SuspectDesk,
     /// Counters and histograms.
     pub metrics: ForwardMetrics,
     /// Work that goes on when its request is gone, such as giving memory back.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -13,13 +13,14 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::broken_run::trace_break;
+use crate::broken_run::{BreakLook, trace_break};
 use crate::context::ForwardContext;
 use crate::placement::{Placement, StreamTicket};
 use crate::prefill::PrefillGuard;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
 use crate::stages::FirstEventStages;
+use crate::suspects::CopyGuard;
 use crate::trace::RequestTrace;
 use crate::tried::TriedBackends;
 
@@ -29,9 +30,10 @@
 pub(crate) async fn answer_stream(
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
+    copy: CopyGuard,
     trace: RequestTrace,
 ) -> Result<Response<ResponseBody>, (Refusal, RequestTrace)> {
-    let mut generation = Generation::new(context, request);
+    let mut generation = Generation::new(context, request, copy);
     let mut trace = trace;
     match generation.open(None).await {
         Ok(OpenEnd::Stream(open, headers)) => {
@@ -86,12 +88,16 @@
 
 /// One model request and its sends so far.
 pub(crate) struct Generation {
+    /// Counts among the copies of the request that run here.
+    _copy: CopyGuard,
     context: ForwardContext,
     pub(crate) request: Arc<RoutedRequest>,
     sends: u32,
     prefills: u32,
     tried: TriedBackends,
     may_have_run: bool,
+    /// Finds out why the last run broke off.
+    look: Option<BreakLook>,
     /// Until when an answer under way waits for other engines.
     wait_until: Option<Instant>,
     /// How the stream came to its first event.
@@ -101,8 +107,10 @@
 }
 
 impl Generation {
-    fn new(context: &ForwardContext, request: &Arc<RoutedRequest>) -> Self {
+    fn new(context: &ForwardContext, request: &Arc<RoutedRequest>, copy: CopyGuard) -> Self {
         Self {
+            _copy: copy,
+            look: None,
             context: context.clone(),
             request: Arc::clone(request),
             sends: 0,
@@ -162,6 +170,7 @@
     /// Notes a whole answer, with the mean gap between two of its events.
     pub(crate) fn note_success(&self, open: &mut OpenStream, event_gap: Option<Duration>) {
         open.ticket.end_whole(event_gap);
+        self.context.suspects.note_whole(self.request.print);
         if open.entry.stage.is_none() {
             self.context.book.note_success(&open.entry.started(), self.request.age());
         }
@@ -169,7 +178,7 @@
 
     pub(crate) fn note_broken(&mut self, open: &OpenStream, cause: &str) {
         self.may_have_run = true;
-        trace_break(&self.context, &self.request, &open.entry);
+        self.look = Some(trace_break(&self.context, &self.request, &open.entry));
         self.note_no_answer(&open.entry, &open.ticket, cause);
         self.tried.push(&open.entry);
     }
--- a/crates/dillspool_forward/src/generate/preparing.rs
+++ b/crates/dillspool_forward/src/generate/preparing.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::{Generation, PreparedSend};
+use crate::broken_run::may_run_again;
 use crate::calls::WorkRank;
 use crate::placement::{Placement, place, placement_request};
 use crate::prefill::{PrefillGuard, prefill};
@@ -28,6 +29,9 @@
         if self.request.remaining().is_zero() || self.sends >= self.request.route.max_attempts {
             return Err(self.conclude());
         }
+        if self.may_have_run && !may_run_again(&self.context, &self.request, &mut self.look).await {
+            return Err(self.conclude());
+        }
         let placement = self.place().await?;
         let reserved = self.request.age();
         if self.sends > 0 {
--- a/crates/dillspool_forward/src/generate/sending.rs
+++ b/crates/dillspool_forward/src/generate/sending.rs
@@ -173,7 +173,7 @@
         cause: &str,
     ) -> Result<Option<OpenEnd>, Refusal> {
         self.may_have_run = true;
-        trace_break(&self.context, &self.request, entry);
+        self.look = Some(trace_break(&self.context, &self.request, entry));
         self.note_no_answer(entry, ticket, cause);
         self.note_failed_send(entry, cause);
         if self.request.route.is_repeatable() { Ok(None) } else { Err(self.conclude()) }
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -22,6 +22,7 @@
 mod refusal;
 mod relay;
 mod stages;
+mod suspects;
 mod trace;
 mod tried;
 
@@ -37,3 +38,4 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use metrics::{ForwardMetrics, OutcomeLabels};
 pub use refusal::{Refusal, RefusalCause};
+pub use suspects::{SuspectDesk, SuspectNews};
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::book::BackendBook;
-use crate::broken_run::trace_break;
+use crate::broken_run::{may_run_again, trace_break};
 use crate::calls::{CallError, ForwardTerms};
 use crate::context::ForwardContext;
 use crate::refusal::{Refusal, RefusalCause};
@@ -115,7 +115,10 @@
     trace: &mut RequestTrace,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut record = SendRecord::default();
-    while let Some((entry, directory)) = next_backend(context, request, &record) {
+    let mut look = None;
+    while may_run_again(context, request, &mut look).await
+        && let Some((entry, directory)) = next_backend(context, request, &record)
+    {
         trace.chose(&entry.id, directory);
         record.tried.push(&entry);
         let limit = send_limit(request, &record);
@@ -123,11 +126,14 @@
         match send_whole(context, request, &entry, limit).await {
             SendOutcome::Whole(answer) if !answer.status.is_server_error() => {
                 context.book.note_success(&entry.started(), started.elapsed());
+                if answer.status.is_success() {
+                    context.suspects.note_whole(request.print);
+                }
                 return Ok(answer.response());
             }
             failed => {
                 if matches!(failed, SendOutcome::Unclear(_)) {
-                    trace_break(context, request, &entry);
+                    look = Some(trace_break(context, request, &entry));
                 }
                 record.note_failure(&context.book, request, &entry, failed);
             }
--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -29,6 +29,10 @@
     OverLimit,
     /// No host that counts its workspace's limit can be asked.
     LimitUnknown,
+    /// Backend servers end under it.
+    Deadly,
+    /// Backend servers ended under it, and another copy of it runs.
+    CopyRuns,
     /// No backend server of the service takes requests.
     NoBackend,
     /// No engine had memory for the answer.
@@ -59,6 +63,8 @@
             Self::StaleConfig => "stale_config",
             Self::OverLimit => "over_limit",
             Self::LimitUnknown => "limit_unknown",
+            Self::Deadly => "deadly",
+            Self::CopyRuns => "copy_runs",
             Self::NoBackend => "no_backend",
             Self::NoMemory => "no_memory",
             Self::NoPrefill => "no_prefill",
@@ -81,6 +87,8 @@
             | Self::HostFull
             | Self::StaleConfig
             | Self::LimitUnknown
+            | Self::Deadly
+            | Self::CopyRuns
             | Self::NoBackend
             | Self::NoMemory
             | Self::NoPrefill
--- /dev/null
+++ b/crates/dillspool_forward/src/suspects.rs
@@ -0,0 +1,212 @@
+//! What this host knows of requests under which backend servers ended, and which copies run here.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dillspool_moment::Moment;
+use dillspool_suspects::{
+    EndedBackend, RequestPrint, RunEnd, SuspectBook, SuspectDecision, SuspectPolicy,
+};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// News that wait to be told to other hosts at most; the oldest go first.
+const MOST_NEWS: usize = 1024;
+
+/// Something that this host learnt itself, and that other hosts should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SuspectNews {
+    /// A backend server ended under a request.
+    Ended(RunEnd),
+    /// A copy of a request that was watched came to a good end.
+    Whole {
+        /// The request.
+        print: RequestPrint,
+        /// When.
+        at: Moment,
+    },
+}
+
+struct DeskState {
+    book: SuspectBook,
+    /// Copies under way on this host.
+    under_way: HashMap<RequestPrint, usize>,
+    news: Vec<SuspectNews>,
+}
+
+/// Decides on copies of requests, by what this host saw and what others told.
+#[derive(Clone)]
+pub struct SuspectDesk {
+    state: Arc<Mutex<DeskState>>,
+    origin: Instant,
+    changed: Arc<Notify>,
+}
+
+impl fmt::Debug for SuspectDesk {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SuspectDesk")
+    }
+}
+
+/// Why a copy is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CopyRefusal {
+    /// Backend servers end under it.
+    Deadly {
+        /// Ends in a row.
+        ends: usize,
+    },
+    /// Another copy runs here, and shall show first whether it does harm.
+    CopyRuns {
+        /// Ends in a row.
+        ends: usize,
+    },
+}
+
+impl SuspectDesk {
+    /// A desk that knows nothing yet.
+    pub fn new(policy: SuspectPolicy) -> Self {
+        let state = DeskState {
+            book: SuspectBook::new(policy),
+            under_way: HashMap::new(),
+            news: Vec::new(),
+        };
+        Self { state: Arc::new(Mutex::new(state)), origin: Instant::now(), changed: Arc::default() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The moment now, as this desk counts.
+    pub fn now(&self) -> Moment {
+        Moment::after_origin(self.origin.elapsed())
+    }
+
+    /// Waits for news.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Takes the news since the last call.
+    pub fn take_news(&self) -> Vec<SuspectNews> {
+        std::mem::take(&mut self.state().news)
+    }
+
+    /// Takes what another host, or this one before it started anew, has told.
+    pub fn learn(&self, news: &SuspectNews) {
+        let now = self.now();
+        let mut state = self.state();
+        let (print, is_new) = match news {
+            SuspectNews::Ended(end) => (end.print, state.book.note_end(end)),
+            SuspectNews::Whole { print, at } => (*print, state.book.note_whole(*print, *at)),
+        };
+        let decision = state.book.decide(print, now);
+        drop(state);
+        if is_new {
+            log_decision(print, decision, "told");
+        }
+    }
+
+    /// Forgets what stands against nobody any more.
+    pub fn forget(&self) {
+        let now = self.now();
+        self.state().book.forget(now);
+    }
+
+    /// Requests that are watched, and those that are refused.
+    pub fn counts(&self) -> (usize, usize) {
+        let now = self.now();
+        self.state().book.counts(now)
+    }
+
+    /// What is known of a request now.
+    pub fn decide(&self, print: RequestPrint) -> SuspectDecision {
+        let now = self.now();
+        self.state().book.decide(print, now)
+    }
+
+    /// Whether it should be known why a run broke off before the request is sent once more.
+    pub(crate) fn should_wait(&self, print: RequestPrint) -> bool {
+        let now = self.now();
+        self.state().book.is_near_refusal(print, now)
+    }
+
+    /// Lets a copy run, or tells why not.
+    pub(crate) fn enter(&self, print: RequestPrint) -> Result<CopyGuard, CopyRefusal> {
+        let now = self.now();
+        let mut state = self.state();
+        let under_way = state.under_way.get(&print).copied().unwrap_or_default();
+        match state.book.decide(print, now) {
+            SuspectDecision::Clear => {}
+            SuspectDecision::Watched { ends } | SuspectDecision::Trial { ends } => {
+                if under_way > 0 {
+                    return Err(CopyRefusal::CopyRuns { ends });
+                }
+            }
+            SuspectDecision::Refused { ends } => return Err(CopyRefusal::Deadly { ends }),
+        }
+        *state.under_way.entry(print).or_default() += 1;
+        Ok(CopyGuard { desk: self.clone(), print })
+    }
+
+    /// Notes that a backend server ended under a request that ran there.
+    pub(crate) fn note_end(&self, print: RequestPrint, backend: EndedBackend) {
+        let end = RunEnd { print, backend, at: self.now() };
+        let mut state = self.state();
+        if !state.book.note_end(&end) {
+            return;
+        }
+        let decision = state.book.decide(print, end.at);
+        state.tell(SuspectNews::Ended(end));
+        drop(state);
+        log_decision(print, decision, "seen");
+        self.changed.notify_one();
+    }
+
+    /// Notes that a copy came to a good end.
+    pub(crate) fn note_whole(&self, print: RequestPrint) {
+        let at = self.now();
+        let mut state = self.state();
+        if !state.book.note_whole(print, at) {
+            return;
+        }
+        state.tell(SuspectNews::Whole { print, at });
+        drop(state);
+        log_decision(print, SuspectDecision::Clear, "seen");
+        self.changed.notify_one();
+    }
+}
+
+impl DeskState {
+    fn tell(&mut self, news: SuspectNews) {
+        if self.news.len() >= MOST_NEWS {
+            self.news.remove(0);
+        }
+        self.news.push(news);
+    }
+}
+
+fn log_decision(print: RequestPrint, decision: SuspectDecision, from: &str) {
+    log::info!("event=suspect print={print} decision={decision:?} from={from}");
+}
+
+/// A copy that runs here; dropping it ends it.
+#[derive(Debug)]
+pub(crate) struct CopyGuard {
+    desk: SuspectDesk,
+    print: RequestPrint,
+}
+
+impl Drop for CopyGuard {
+    fn drop(&mut self) {
+        let mut state = self.desk.state();
+        if let Some(count) = state.under_way.get_mut(&self.print) {
+            *count -= 1;
+            if *count == 0 {
+                state.under_way.remove(&self.print);
+            }
+        }
+    }
+}
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -12,6 +12,7 @@
 use crate::metrics::{ForwardMetrics, OutcomeLabels};
 use crate::refusal::Refusal;
 use crate::stages::{FirstEventStages, LateCause, StreamFigures};
+use crate::suspects::CopyRefusal;
 
 /// Reports the end of a request; one that is dropped before reports that the caller left.
 #[derive(Debug)]
@@ -136,6 +137,17 @@
     }
 }
 
+/// A copy is not sent, for what became of backend servers under copies before it.
+pub(crate) fn log_suspect_refused(request: &RoutedRequest, refused: CopyRefusal) {
+    log::info!(
+        "event=suspect_refused id={} print={} route={} workspace={} why={refused:?}",
+        request.id,
+        request.print,
+        request.route.name,
+        request.workspace.as_ref().map_or("", |workspace| &*workspace.name),
+    );
+}
+
 /// A try that failed; the request may go on.
 pub(crate) fn log_send_failed(request: &RoutedRequest, backend: &BackendId, cause: &str) {
     log::info!(
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use dillspool_forward::{
     BackendAnswer, BackendBook, BackendCalls, BackendSign, BreakLooks, BudgetTerms, CallError,
     ForwardContext, ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
-    WorkRank,
+    SuspectDesk, WorkRank,
 };
 use dillspool_io::{BoxError, channel_body, full_body};
 use dillspool_routing::{
@@ -20,7 +20,7 @@
     ServiceEntry, ServiceShare,
 };
 use dillspool_scheduler::{LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient};
-use dillspool_suspects::{PrintKey, PrintParts, RequestPrint};
+use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectPolicy};
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -284,6 +284,7 @@
             book: BackendBook::default(),
             budgets: RetryBudgets::new(budget),
             breaks: BreakLooks::default(),
+            suspects: SuspectDesk::new(SuspectPolicy::default()),
             metrics: ForwardMetrics::default(),
             tasks: TaskTracker::new(),
         };
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::lease::{LeaseRow, OrderLease, OrderTerm, order_name};
+use crate::lease::{LeaseRow, OrderLease, OrderTerm};
 use crate::plan::{StageChange, pool_engines, stage_changes};
 use crate::targets::PoolTargets;
 
@@ -151,7 +151,7 @@
         if wanted.is_empty() {
             return;
         }
-        let engines = wanted.iter().map(|change| order_name(&change.entry.started()));
+        let engines = wanted.iter().map(|change| change.entry.started().label());
         let engines: Vec<Name> = engines.collect();
         let (targets, token) = (self.settings.targets.decided(), write_token(&self.settings.host));
         let term = match self.lease.take(&engines, &targets, token).await {
@@ -193,7 +193,7 @@
     fn take_over(&mut self, row: &LeaseRow, due: &[StageChange]) {
         let now = Instant::now();
         let started = due.iter().map(|change| change.entry.started());
-        for backend in started.filter(|it| row.ordered.contains(&order_name(it))) {
+        for backend in started.filter(|it| row.ordered.contains(&it.label())) {
             self.ordered.entry(backend).or_insert(now);
         }
         if row.fence > self.seen_fence {
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableRow, TableStore};
-use dillspool_routing::StartedBackend;
 use dillspool_schema::Name;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -45,15 +44,6 @@
     }
 }
 
-/// Names a start of an engine in the row: what was ordered of one says nothing of the next.
-pub(crate) fn order_name(backend: &StartedBackend) -> Name {
-    match backend.start {
-        // No id has a space.
-        Some(start) => format!("{} {start}", backend.id).into(),
-        None => Name::clone(&backend.id),
-    }
-}
-
 /// The right to send orders for a short time.
 #[derive(Clone, Debug)]
 pub struct OrderTerm {
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -6,12 +6,15 @@
 use std::time::Duration;
 
 use dillspool_capacity::DemandMeter;
-use dillspool_forward::{BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets};
-use dillspool_io::{NetListener, NetStack, ServerLimits, serve_http, serve_http_live};
+use dillspool_forward::{
+    BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets, SuspectDesk,
+};
+use dillspool_io::{NetListener, NetStack, ServerLimits, WallClock, serve_http, serve_http_live};
 use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{LimitClient, LimitDesk, PoolDesk, ScheduleClient, serve_schedule};
 use dillspool_schema::Name;
+use dillspool_suspects::SuspectPolicy;
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
@@ -25,6 +28,7 @@
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
 use crate::status::{metrics_handler, readiness_handler};
+use crate::suspect_rows::SuspectKeeper;
 
 /// Connections of callers at most; each may need a second descriptor for its backend server.
 const MOST_CALLER_CONNECTIONS: usize = 1_800;
@@ -97,6 +101,7 @@
         let demand = DemandMeter::default();
         let budgets = RetryBudgets::new(config.budget);
         let metrics = ForwardMetrics::default();
+        let suspects = SuspectDesk::new(SuspectPolicy::default());
         let limits = LimitDesk::new(config.limits);
         let schedule = start_schedule(
             &config,
@@ -117,6 +122,7 @@
             book: BackendBook::default(),
             budgets: budgets.clone(),
             breaks: BreakLooks::default(),
+            suspects: suspects.clone(),
             metrics: metrics.clone(),
             tasks: TaskTracker::new(),
         };
@@ -131,6 +137,7 @@
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
         daemon.start_keepers(&beliefs, &site, budgets, demand, schedule);
+        daemon.start_suspects(&beliefs, &site, suspects);
         daemon.start_callers(&beliefs, &site, context, callers_listener);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
@@ -211,6 +218,20 @@
         ));
     }
 
+    /// Starts to tell other hosts, and to hear from them, under which requests backend servers ended.
+    fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol, desk: SuspectDesk) {
+        let keeper = SuspectKeeper {
+            host: Name::clone(&self.config.host),
+            table: Name::clone(&site.own_table),
+            store: site.store.clone(),
+            rows: beliefs.hosts.subscribe(),
+            unreadable: beliefs.unreadable.clone(),
+            desk,
+            wall: WallClock::system(),
+        };
+        tokio::spawn(keeper.run(self.background.clone()));
+    }
+
     fn start_callers(
         &self,
         beliefs: &Beliefs,
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -16,6 +16,7 @@
 mod site;
 mod sources;
 mod status;
+mod suspect_rows;
 mod unreadable_rows;
 
 pub use config_tracker::track_config;
--- /dev/null
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -0,0 +1,319 @@
+//! What hosts tell each other of requests under which backend servers ended: a row of each host.
+//!
+//! A host writes its own row only, so that no two writers meet, and takes the rows of all. They reach it
+//! with the rows of hosts, by the store or by other hosts, and stay when all hosts are lost. See
+//! `docs/design/suspects.md`.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_forward::{SuspectDesk, SuspectNews};
+use dillspool_io::{UnixMillis, WallClock};
+use dillspool_moment::Moment;
+use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableStore};
+use dillspool_schema::Name;
+use dillspool_suspects::{RequestPrint, RunEnd, SuspectDecision};
+use dillspool_watch::TableBelief;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::unreadable_rows::UnreadableRows;
+
+/// Start of the keys of these rows.
+const ROW_PREFIX: &str = "suspects/";
+/// Time in which news are gathered for one write: a crash breaks off all its runs within some milliseconds.
+const GATHER: Duration = Duration::from_millis(20);
+/// Pause after a row that could not be written; doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+/// Time between two looks at what stands against nobody any more, in seconds, drawn anew each time so that
+/// hosts do not look together.
+const LOOK_EVERY_S: std::ops::Range<f64> = 60.0..180.0;
+/// Age from which on a row of a host that tells nothing of use any more is deleted.
+const ROW_LIFE: Duration = Duration::from_hours(1);
+/// Entries of a row at most, the newest; each takes some 100 bytes, and a row may have 64 KB.
+const MOST_ENTRIES: usize = 256;
+/// Bytes of a backend server's name in a row at most.
+const LONGEST_BACKEND: usize = 200;
+
+/// A backend server that ended under a request.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+struct RowEnd {
+    print: Name,
+    backend: Name,
+    at: UnixMillis,
+}
+
+/// A copy that came to a good end.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+struct RowWhole {
+    print: Name,
+    at: UnixMillis,
+}
+
+/// The row of one host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+struct SuspectRow {
+    ends: Vec<RowEnd>,
+    #[serde(default)]
+    whole: Vec<RowWhole>,
+}
+
+impl SuspectRow {
+    fn decode(text: &str) -> Result<Self, String> {
+        let row: Self = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        if row.ends.len() > MOST_ENTRIES || row.whole.len() > MOST_ENTRIES {
+            return Err(format!("more than {MOST_ENTRIES} entries"));
+        }
+        let prints = row.ends.iter().map(|end| &end.print);
+        for print in prints.chain(row.whole.iter().map(|whole| &whole.print)) {
+            print.parse::<RequestPrint>().map_err(|error| error.to_string())?;
+        }
+        if row.ends.iter().any(|end| end.backend.is_empty() || end.backend.len() > LONGEST_BACKEND)
+        {
+            return Err("a backend server's name is empty or too long".to_owned());
+        }
+        Ok(row)
+    }
+
+    fn add(&mut self, news: &SuspectNews, clock: &DeskClock) {
+        match news {
+            SuspectNews::Ended(end) => self.ends.push(RowEnd {
+                print: end.print.to_string().into(),
+                backend: Arc::clone(&end.backend),
+                at: clock.wall_of(end.at),
+            }),
+            SuspectNews::Whole { print, at } => self
+                .whole
+                .push(RowWhole { print: print.to_string().into(), at: clock.wall_of(*at) }),
+        }
+        let excess = self.ends.len().saturating_sub(MOST_ENTRIES);
+        self.ends.drain(..excess);
+        let excess = self.whole.len().saturating_sub(MOST_ENTRIES);
+        self.whole.drain(..excess);
+    }
+
+    /// Adds what another row tells and this one does not.
+    fn adopt(&mut self, other: &Self) {
+        for end in &other.ends {
+            let known = |it: &RowEnd| it.print == end.print && it.backend == end.backend;
+            if !self.ends.iter().any(known) {
+                self.ends.push(end.clone());
+            }
+        }
+        for whole in &other.whole {
+            if !self.whole.contains(whole) {
+                self.whole.push(whole.clone());
+            }
+        }
+    }
+
+    /// What it tells, in the words of a desk.
+    fn news(&self, clock: &DeskClock) -> Vec<SuspectNews> {
+        let ended = self.ends.iter().filter_map(|end| {
+            let print = end.print.parse().ok()?;
+            let backend = Arc::clone(&end.backend);
+            Some(SuspectNews::Ended(RunEnd { print, backend, at: clock.moment_of(end.at) }))
+        });
+        let whole = self.whole.iter().filter_map(|whole| {
+            let print = whole.print.parse().ok()?;
+            Some(SuspectNews::Whole { print, at: clock.moment_of(whole.at) })
+        });
+        ended.chain(whole).collect()
+    }
+
+    /// Drops what stands against nobody any more.
+    fn prune(&mut self, desk: &SuspectDesk) {
+        let stands = |print: &Name| {
+            print.parse().is_ok_and(|print| desk.decide(print) != SuspectDecision::Clear)
+        };
+        self.ends.retain(|end| stands(&end.print));
+        let told: HashSet<Name> = self.ends.iter().map(|end| Name::clone(&end.print)).collect();
+        self.whole.retain(|whole| told.contains(&whole.print));
+    }
+
+    fn newest(&self) -> UnixMillis {
+        let ends = self.ends.iter().map(|end| end.at);
+        ends.chain(self.whole.iter().map(|whole| whole.at)).max().unwrap_or_default()
+    }
+}
+
+/// Translates between a desk's moments and the time of day, which hosts share well enough: what is told
+/// stands for minutes, and clocks differ by seconds.
+struct DeskClock {
+    desk: SuspectDesk,
+    wall: WallClock,
+}
+
+impl DeskClock {
+    fn wall_of(&self, at: Moment) -> UnixMillis {
+        let age = self.desk.now().since(at);
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        UnixMillis(self.wall.now().0.saturating_sub(age))
+    }
+
+    fn moment_of(&self, at: UnixMillis) -> Moment {
+        self.desk.now().before(self.wall.now().since(at))
+    }
+}
+
+/// Writes this host's row and takes the rows of all.
+pub(crate) struct SuspectKeeper {
+    pub(crate) host: Name,
+    pub(crate) table: Name,
+    pub(crate) store: TableStore,
+    pub(crate) rows: watch::Receiver<TableBelief>,
+    pub(crate) unreadable: UnreadableRows,
+    pub(crate) desk: SuspectDesk,
+    pub(crate) wall: WallClock,
+}
+
+/// How far the rows and the desk agree.
+#[derive(Default)]
+struct KeeperState {
+    /// Version of each row that was taken.
+    taken: HashMap<Name, u64>,
+    own: SuspectRow,
+    /// The text that the store has or will have as far as this host knows.
+    written: Option<String>,
+    /// When the next write may be tried after one that failed.
+    paused: Option<(Instant, Duration)>,
+}
+
+impl SuspectKeeper {
+    /// Runs until `cancel`.
+    pub(crate) async fn run(self, cancel: CancellationToken) {
+        tokio::select! {
+            () = self.keep() => {}
+            () = cancel.cancelled() => {}
+        }
+    }
+
+    async fn keep(mut self) {
+        let clock = DeskClock { desk: self.desk.clone(), wall: self.wall.clone() };
+        let mut state = KeeperState::default();
+        let mut look_at = Instant::now() + look_pause();
+        loop {
+            let is_known = self.take_rows(&mut state, &clock);
+            for news in self.desk.take_news() {
+                state.own.add(&news, &clock);
+            }
+            let text = serde_json::to_string(&state.own).unwrap_or_default();
+            let is_due = is_known
+                && state.own != SuspectRow::default()
+                && state.written.as_ref() != Some(&text);
+            let write_at = state.paused.map_or_else(Instant::now, |(until, _pause)| until);
+            tokio::select! {
+                changed = self.rows.changed() => if changed.is_err() { return },
+                () = self.desk.changed() => tokio::time::sleep(GATHER).await,
+                () = tokio::time::sleep_until(write_at), if is_due => {
+                    self.write(&mut state, text).await;
+                }
+                () = tokio::time::sleep_until(look_at) => {
+                    self.desk.forget();
+                    state.own.prune(&self.desk);
+                    self.delete_one(&clock).await;
+                    look_at = Instant::now() + look_pause();
+                }
+            }
+        }
+    }
+
+    fn own_key(&self) -> Name {
+        format!("{ROW_PREFIX}{}", self.host).into()
+    }
+
+    /// Takes the rows that changed; false while the table is not known.
+    fn take_rows(&mut self, state: &mut KeeperState, clock: &DeskClock) -> bool {
+        let own_key = self.own_key();
+        let mut told = Vec::new();
+        let belief = self.rows.borrow_and_update();
+        for (key, row) in belief.rows.range(Name::from(ROW_PREFIX)..) {
+            if !key.starts_with(ROW_PREFIX) {
+                break;
+            }
+            if state.taken.insert(Name::clone(key), row.version) == Some(row.version) {
+                continue;
+            }
+            let Some(text) = &row.value else { continue };
+            let decoded = match SuspectRow::decode(text) {
+                Ok(decoded) => decoded,
+                Err(cause) => {
+                    self.unreadable.note(&self.table, key, row.version, &cause);
+                    continue;
+                }
+            };
+            told.extend(decoded.news(clock));
+            if *key == own_key {
+                // Of this host before it started anew, or of a write that was done late.
+                state.own.adopt(&decoded);
+                state.written = Some(text.to_string());
+            }
+        }
+        // A good end clears only what is known, and may stand in another row than the ends before it.
+        told.sort_by_key(|news| matches!(news, SuspectNews::Whole { .. }));
+        for news in told {
+            self.desk.learn(&news);
+        }
+        belief.version > 0
+    }
+
+    async fn write(&self, state: &mut KeeperState, text: String) {
+        let write =
+            RowWrite { key: self.own_key(), expect: RowExpect::Any, value: Some(text.clone()) };
+        match self.store.commit(vec![write]).await {
+            Ok(CommitReply::Committed | CommitReply::Conflict(_)) => {
+                log::info!(
+                    "event=suspects_told ends={} whole={}",
+                    state.own.ends.len(),
+                    state.own.whole.len(),
+                );
+                state.written = Some(text);
+                state.paused = None;
+            }
+            Err(error) => {
+                let pause = state
+                    .paused
+                    .map_or(FIRST_PAUSE, |(_until, pause)| (pause * 2).min(LONGEST_PAUSE));
+                state.paused = Some((Instant::now() + pause, pause));
+                log::info!("event=suspects_not_told cause=\"{error}\"");
+            }
+        }
+    }
+
+    /// Deletes one row of a host, perhaps gone, that tells nothing of use any more.
+    async fn delete_one(&self, clock: &DeskClock) {
+        let now = clock.wall.now();
+        let old = {
+            let belief = self.rows.borrow();
+            let rows = belief.rows.iter().filter(|(key, _row)| key.starts_with(ROW_PREFIX));
+            rows.filter_map(|(key, row)| Some((key, row.version, row.value.as_ref()?)))
+                .find(|(_key, _version, text)| self.is_old(text, now))
+                .map(|(key, version, _text)| (Name::clone(key), version))
+        };
+        let Some((key, version)) = old else { return };
+        let write =
+            RowWrite { key: Name::clone(&key), expect: RowExpect::Version(version), value: None };
+        match self.store.commit(vec![write]).await {
+            Ok(reply) => log::info!("event=suspects_row_deleted key={key} reply={reply:?}"),
+            Err(PlatformError::NotDone { reason } | PlatformError::Unknown { reason }) => {
+                log::info!("event=suspects_row_not_deleted key={key} cause=\"{reason}\"");
+            }
+        }
+    }
+
+    fn is_old(&self, text: &str, now: UnixMillis) -> bool {
+        SuspectRow::decode(text).is_ok_and(|mut row| {
+            let age = now.since(row.newest());
+            row.prune(&self.desk);
+            age > ROW_LIFE && row.ends.is_empty()
+        })
+    }
+}
+
+fn look_pause() -> Duration {
+    Duration::from_secs_f64(rand::Rng::random_range(&mut rand::rng(), LOOK_EVERY_S))
+}
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -40,6 +40,17 @@
     pub start: Option<BackendStart>,
 }
 
+impl StartedBackend {
+    /// Names this start, as its id does where it tells none.
+    pub fn label(&self) -> Name {
+        match self.start {
+            // No id has a space.
+            Some(start) => format!("{} {start}", self.id).into(),
+            None => Name::clone(&self.id),
+        }
+    }
+}
+
 /// Whether a backend server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendState {
--- /dev/null
+++ b/crates/dillspool_suspects/src/book.rs
@@ -0,0 +1,223 @@
+//! Which backend servers ended under which requests, and what follows for the next copy.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use dillspool_moment::Moment;
+
+use crate::policy::{EndWeight, SuspectPolicy};
+use crate::print::RequestPrint;
+
+/// Ends that are kept of a request, the newest; more decide nothing.
+const MOST_ENDS: usize = 8;
+/// Part of the requests that go when there are too many, so that room is not made for each anew.
+const DROPPED_PART: usize = 8;
+
+/// Names one start of a backend server.
+pub type EndedBackend = Arc<str>;
+
+/// A backend server ended while a request ran there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunEnd {
+    /// The request.
+    pub print: RequestPrint,
+    /// The start that ended.
+    pub backend: EndedBackend,
+    /// When that was found.
+    pub at: Moment,
+}
+
+/// What is done with a copy of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectDecision {
+    /// Nothing is known against it.
+    Clear,
+    /// Backend servers have ended under it, too few to refuse it: one copy runs at a time.
+    Watched {
+        /// Ends in a row.
+        ends: usize,
+    },
+    /// It was refused for long enough: one copy shows whether it still does harm.
+    Trial {
+        /// Ends in a row.
+        ends: usize,
+    },
+    /// It is not sent to any backend server.
+    Refused {
+        /// Ends in a row.
+        ends: usize,
+    },
+}
+
+impl SuspectDecision {
+    /// Ends in a row.
+    pub fn ends(self) -> usize {
+        match self {
+            Self::Clear => 0,
+            Self::Watched { ends } | Self::Trial { ends } | Self::Refused { ends } => ends,
+        }
+    }
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+struct SuspectRecord {
+    ends: Vec<(EndedBackend, Moment)>,
+    /// When it last came to a good end; only what ended since stands against it.
+    whole_at: Option<Moment>,
+}
+
+impl SuspectRecord {
+    /// The ends in a row.
+    fn in_row(&self) -> impl Iterator<Item = &(EndedBackend, Moment)> {
+        self.ends.iter().filter(|(_backend, at)| self.whole_at.is_none_or(|whole| *at > whole))
+    }
+
+    fn latest(&self) -> Moment {
+        self.ends.iter().map(|(_backend, at)| *at).max().unwrap_or_default()
+    }
+}
+
+/// Requests under which backend servers ended.
+///
+/// A crash breaks off all that ran there, so each end stands against many requests of which one at most is
+/// to blame: the one whose copies end others, too. `docs/design/suspects.md` has the ways that were weighed.
+#[derive(Clone, Debug)]
+pub struct SuspectBook {
+    policy: SuspectPolicy,
+    records: HashMap<RequestPrint, SuspectRecord>,
+    /// The requests that ran at each start that ended.
+    by_backend: HashMap<EndedBackend, Vec<RequestPrint>>,
+}
+
+impl SuspectBook {
+    /// An empty book.
+    pub fn new(policy: SuspectPolicy) -> Self {
+        Self { policy, records: HashMap::new(), by_backend: HashMap::new() }
+    }
+
+    /// Notes an end; whether it was not known before.
+    pub fn note_end(&mut self, end: &RunEnd) -> bool {
+        let record = self.records.entry(end.print).or_default();
+        if record.ends.iter().any(|(backend, _at)| *backend == end.backend) {
+            return false;
+        }
+        record.ends.push((Arc::clone(&end.backend), end.at));
+        let oldest = (record.ends.len() > MOST_ENDS).then(|| record.ends.remove(0).0);
+        if let Some(oldest) = oldest {
+            self.unlink(end.print, &oldest);
+        }
+        self.by_backend.entry(Arc::clone(&end.backend)).or_default().push(end.print);
+        if self.records.len() > self.policy.most_prints {
+            self.make_room(end.at);
+        }
+        true
+    }
+
+    /// Notes that a copy came to a good end; whether that cleared anything.
+    pub fn note_whole(&mut self, print: RequestPrint, at: Moment) -> bool {
+        let Some(record) = self.records.get_mut(&print) else { return false };
+        let cleared = record.in_row().any(|(_backend, ended_at)| *ended_at <= at);
+        record.whole_at = record.whole_at.max(Some(at));
+        cleared
+    }
+
+    /// What is done with a copy that comes now.
+    pub fn decide(&self, print: RequestPrint, now: Moment) -> SuspectDecision {
+        let Some(record) = self.records.get(&print) else { return SuspectDecision::Clear };
+        let ends = record.in_row().count();
+        let rested = now.since(record.latest());
+        let refused = ends >= self.policy.ends_refused_always
+            || self.weigh(print, record) >= self.policy.ends_refused;
+        match (refused, ends) {
+            (_, 0) => SuspectDecision::Clear,
+            (true, ends) if rested < self.policy.refused_for => SuspectDecision::Refused { ends },
+            (true, ends) if rested < self.policy.remembered_for => SuspectDecision::Trial { ends },
+            (false, ends) if rested < self.policy.watched_for => SuspectDecision::Watched { ends },
+            (true | false, _) => SuspectDecision::Clear,
+        }
+    }
+
+    /// Whether one more end would have it refused.
+    pub fn is_near_refusal(&self, print: RequestPrint, now: Moment) -> bool {
+        self.decide(print, now).ends() + 1 >= self.policy.ends_refused
+    }
+
+    /// The ends in a row as they count.
+    fn weigh(&self, print: RequestPrint, record: &SuspectRecord) -> usize {
+        let own = record.in_row().count();
+        match self.policy.weight {
+            EndWeight::Each => own,
+            EndWeight::Singled => {
+                let singled = record.in_row().filter(|end| self.most_beside(print, &end.0) < own);
+                singled.count()
+            }
+        }
+    }
+
+    /// The most ends in a row under another request that ran there.
+    fn most_beside(&self, print: RequestPrint, backend: &EndedBackend) -> usize {
+        let others = self.by_backend.get(backend).into_iter().flatten();
+        let records = others.filter(|other| **other != print).filter_map(|it| self.records.get(it));
+        records.map(|record| record.in_row().count()).max().unwrap_or_default()
+    }
+
+    /// Requests that are watched, and those that are refused or tried.
+    pub fn counts(&self, now: Moment) -> (usize, usize) {
+        let mut counts = (0, 0);
+        for print in self.records.keys() {
+            match self.decide(*print, now) {
+                SuspectDecision::Clear => {}
+                SuspectDecision::Watched { .. } => counts.0 += 1,
+                SuspectDecision::Trial { .. } | SuspectDecision::Refused { .. } => counts.1 += 1,
+            }
+        }
+        counts
+    }
+
+    /// Forgets what stands against nobody any more.
+    pub fn forget(&mut self, now: Moment) {
+        let prints: Vec<RequestPrint> = self.records.keys().copied().collect();
+        for print in prints {
+            // One that came to a good end stays as long: rows of other hosts may still tell of its ends.
+            let rested = self.records.get(&print).map(|record| now.since(record.latest()));
+            let is_old = rested.is_none_or(|rested| rested >= self.policy.watched_for);
+            if is_old && self.decide(print, now) == SuspectDecision::Clear {
+                self.remove(print);
+            }
+        }
+    }
+
+    fn make_room(&mut self, now: Moment) {
+        self.forget(now);
+        let excess = self.records.len().saturating_sub(self.policy.most_prints);
+        if excess == 0 {
+            return;
+        }
+        let mut order: Vec<(usize, Moment, RequestPrint)> = self
+            .records
+            .iter()
+            .map(|(print, record)| (record.in_row().count(), record.latest(), *print))
+            .collect();
+        order.sort_unstable();
+        let dropped = excess.max(self.policy.most_prints / DROPPED_PART);
+        for (_ends, _latest, print) in order.into_iter().take(dropped) {
+            self.remove(print);
+        }
+    }
+
+    fn remove(&mut self, print: RequestPrint) {
+        let Some(record) = self.records.remove(&print) else { return };
+        for (backend, _at) in &record.ends {
+            self.unlink(print, backend);
+        }
+    }
+
+    fn unlink(&mut self, print: RequestPrint, backend: &EndedBackend) {
+        let Some(prints) = self.by_backend.get_mut(backend) else { return };
+        prints.retain(|other| *other != print);
+        if prints.is_empty() {
+            self.by_backend.remove(backend);
+        }
+    }
+}
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -1,9 +1,13 @@
 //! Requests that may crash the backend servers that run them.
 //!
 //! A request that ends its backend server comes again, under another id and at any host, and ends the
-//! next one. What makes two requests the same one stands here, apart from input and output. See
-//! `docs/design/suspects.md`.
+//! next one. What makes two requests the same one, and what follows from the ends under it, stands here,
+//! apart from input and output, over moments that are passed in. See `docs/design/suspects.md`.
 
+mod book;
+mod policy;
 mod print;
 
+pub use book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision};
+pub use policy::{EndWeight, SuspectPolicy};
 pub use print::{MalformedPrint, PrintKey, PrintParts, RequestPrint};
--- /dev/null
+++ b/crates/dillspool_suspects/src/policy.rs
@@ -0,0 +1,51 @@
+//! When a request counts as the one that ends backend servers.
+
+use std::time::Duration;
+
+/// Which ends count against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndWeight {
+    /// Each backend server that ended while the request ran there.
+    Each,
+    /// Only those that no other request explains as well: one that ran there, too, and under which as many
+    /// have ended, or more. Of the sound requests that six engines broke off in ten crashes within ten
+    /// seconds, 1% are refused, where 16% are if each end counts; a deadly request ends up to five engines
+    /// then, 3.0 to 3.5 on the mean, and no longer just three (model of `tests/model.rs`).
+    Singled,
+}
+
+/// When a request is refused, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspectPolicy {
+    /// Which ends count.
+    pub weight: EndWeight,
+    /// Ends in a row, as they count, from which on a request is refused.
+    pub ends_refused: usize,
+    /// Ends in a row from which on it is refused however they count: two deadly requests that travel
+    /// together explain each other's ends.
+    pub ends_refused_always: usize,
+    /// Time for which an end stands against a request that is not refused.
+    pub watched_for: Duration,
+    /// Time after the last end for which a request is refused; then one copy is let through as a trial.
+    pub refused_for: Duration,
+    /// Time after the last end after which a refused request is forgotten.
+    pub remembered_for: Duration,
+    /// Requests that are remembered at most; those with the fewest and oldest ends go first.
+    pub most_prints: usize,
+}
+
+impl Default for SuspectPolicy {
+    fn default() -> Self {
+        Self {
+            weight: EndWeight::Singled,
+            // The platform allows three ends and three sends more.
+            ends_refused: 3,
+            ends_refused_always: 5,
+            watched_for: Duration::from_mins(15),
+            refused_for: Duration::from_hours(1),
+            remembered_for: Duration::from_hours(24),
+            // A print with its ends takes some 300 bytes: 1.2 MB.
+            most_prints: 4096,
+        }
+    }
+}
