Deadly requests while hosts start anew, the store is away, copies come at once and others run beside them

Cause: the mend's test has one host's life and a store that serves. Ruled out: - Change: four tests more over the fleet in one process; no change of code.

--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -17,7 +17,7 @@
 
 use std::time::Duration;
 
-use dillspool_site_standin::DEADLY_BODY;
+use dillspool_site_standin::{DEADLY_BODY, StoreMode};
 use fleet::{CallerReply, ComeBack, TestFleet};
 
 /// Time between two copies.
@@ -107,3 +107,101 @@
         check_others(&fleet, case.path, case.name).await;
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn all_hosts_start_anew_and_still_refuse_it() {
+    for path in ["/stream/1", "/again/1"] {
+        let mut fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        send_copies(&fleet, path, 3).await;
+        let before = fleet.ends();
+        for host in 0..3 {
+            fleet.stop_host(host).await;
+        }
+        for host in 0..3 {
+            fleet.start_host(host).await;
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let last = send_copies(&fleet, path, 3).await;
+        assert_eq!(fleet.ends(), before, "{path}");
+        assert_eq!((last.status, last.invites), REFUSED, "{path}");
+        check_others(&fleet, path, path).await;
+    }
+}
+
+struct OutageCase {
+    name: &'static str,
+    mode: StoreMode,
+    /// Backend servers that may end: each host learns by itself while the store is away.
+    most_ends: usize,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_is_away_costs_no_more_than_each_host_by_itself() {
+    let cases = [
+        OutageCase { name: "refuses", mode: StoreMode::Busy, most_ends: 3 * MOST_ENDS },
+        OutageCase { name: "is silent", mode: StoreMode::Silent, most_ends: 3 * MOST_ENDS },
+        OutageCase { name: "loses answers", mode: StoreMode::LosingAnswers, most_ends: MOST_ENDS },
+        OutageCase {
+            name: "forgets its history",
+            mode: StoreMode::Forgetful,
+            most_ends: MOST_ENDS,
+        },
+    ];
+    for case in cases {
+        let fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        fleet.store.set_mode(case.mode);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        send_copies(&fleet, "/stream/1", 3).await;
+        let during = fleet.ends();
+        assert!(during <= case.most_ends, "{}: {during} ended", case.name);
+        fleet.store.set_mode(StoreMode::Serving);
+        tokio::time::sleep(Duration::from_secs(12)).await;
+        let last = send_copies(&fleet, "/stream/1", 3).await;
+        assert_eq!(fleet.ends(), during.max(MOST_ENDS), "{}", case.name);
+        assert_eq!((last.status, last.invites), REFUSED, "{}", case.name);
+        check_others(&fleet, "/stream/1", case.name).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn copies_at_once_end_no_more_than_they_are() {
+    let fleet = TestFleet::start(3, ComeBack::OtherId).await;
+    let copies = (0..4).map(|copy| fleet.send(0, copy % 3, "/stream/1", DEADLY_BODY));
+    futures_util::future::join_all(copies).await;
+    let at_once = fleet.ends();
+    assert!(at_once <= 4, "{at_once} ended");
+    tokio::time::sleep(COPIES_APART).await;
+    let last = send_copies(&fleet, "/stream/1", 3).await;
+    assert!(fleet.ends() <= at_once.max(MOST_ENDS), "{} ended", fleet.ends());
+    assert_eq!((last.status, last.invites), REFUSED);
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_whose_answers_broke_off_beside_it_are_served() {
+    let fleet = TestFleet::start(3, ComeBack::SameId).await;
+    let mut served = 0;
+    for copy in 0..COPIES {
+        let deadly = fleet.send(0, copy % 3, "/stream/1", DEADLY_BODY);
+        // The same request of each caller comes again and again, and some of its copies break off.
+        let fleet = &fleet;
+        let others = (1..9).map(|caller| async move {
+            let mut reply = fleet.send(caller, caller % 3, "/stream/1", "sound").await;
+            for host in 0..3 {
+                if reply.body.is_some() && reply.status == Some(200) {
+                    return 1;
+                }
+                reply = fleet.send(caller, host, "/stream/1", "sound").await;
+            }
+            assert_ne!(reply.status, Some(503), "caller {caller} is refused: {reply:?}");
+            0
+        });
+        let (_deadly, others) =
+            futures_util::future::join(deadly, futures_util::future::join_all(others)).await;
+        served += others.into_iter().sum::<usize>();
+        tokio::time::sleep(COPIES_APART).await;
+    }
+    assert!(fleet.ends() <= 5, "{} ended", fleet.ends());
+    assert!(served >= COPIES * 8 - 8, "{served} served");
+    let last = fleet.send(0, 0, "/stream/1", DEADLY_BODY).await;
+    assert_eq!((last.status, last.invites), REFUSED);
+}
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -160,6 +160,8 @@
     pub async fn stop_host(&mut self, number: usize) {
         if let Some(daemon) = self.hosts[number].1.take() {
             daemon.stop().await;
+            // Its listeners are closed by tasks of their own.
+            tokio::time::sleep(Duration::from_millis(100)).await;
         }
     }
 
