An engine that a prompt ends counts against its request, too

Cause: the same cause looked for elsewhere: a prefill that broke off was sent to another prefill engine, and nobody asked whether the one before had ended. Ruled out: - Change: a prefill without a proper answer is traced like a run; before the decode engine gets the request it is looked up once more; a request that has not run and is refused in the middle says so (503 without a time to come back).

--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -9,6 +9,7 @@
 use dillspool_admission::EngineFault;
 use dillspool_io::ResponseBody;
 use dillspool_routing::{BackendEntry, RoutedRequest};
+use dillspool_suspects::SuspectDecision;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
@@ -207,6 +208,10 @@
 
     /// The final answer when no more sends are possible.
     fn conclude(&self) -> Refusal {
+        let decision = self.context.suspects.decide(self.request.print);
+        if !self.may_have_run && matches!(decision, SuspectDecision::Refused { .. }) {
+            return Refusal::new(RefusalCause::Deadly);
+        }
         let over = self.request.remaining().is_zero();
         match (self.may_have_run, over) {
             (true, true) => Refusal::new(RefusalCause::TimedOut),
--- a/crates/dillspool_forward/src/generate/preparing.rs
+++ b/crates/dillspool_forward/src/generate/preparing.rs
@@ -42,7 +42,9 @@
             let prefilled = self.request.age();
             self.stages = FirstEventStages { reserved, prefilled, ..FirstEventStages::default() };
         }
-        if self.request.remaining().is_zero() {
+        // Its prompt alone may have ended engines.
+        let is_deadly = !may_run_again(&self.context, &self.request, &mut None).await;
+        if is_deadly || self.request.remaining().is_zero() {
             return Err(self.conclude());
         }
         Ok(PreparedSend { placement, prefill })
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -8,6 +8,7 @@
 use dillspool_scheduler::DeskNote;
 use tokio::time::Instant;
 
+use crate::broken_run::{may_run_again, trace_break};
 use crate::budget::BudgetPermit;
 use crate::calls::{CallError, PrefillTerms, PrefilledPrompt, WorkRank};
 use crate::context::ForwardContext;
@@ -101,6 +102,12 @@
             request.age().as_millis(),
         );
         placement.ticket.note_fault(&entry, prefill_fault(&error));
+        if matches!(error, CallError::Lost { .. }) {
+            let mut look = Some(trace_break(context, request, &entry));
+            if !may_run_again(context, request, &mut look).await {
+                return None;
+            }
+        }
         if !may_ask_again(context, request, &error, permit) {
             return None;
         }
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -17,7 +17,7 @@
 
 use std::time::Duration;
 
-use dillspool_site_standin::{DEADLY_BODY, StoreMode};
+use dillspool_site_standin::{DEADLY_BODY, DEADLY_PROMPT, StoreMode};
 use fleet::{CallerReply, ComeBack, TestFleet};
 
 /// Time between two copies.
@@ -32,54 +32,75 @@
 struct DeadlyCase {
     name: &'static str,
     path: &'static str,
+    body: &'static str,
     hosts: usize,
     come_back: ComeBack,
 }
 
-const CASES: [DeadlyCase; 6] = [
+const CASES: [DeadlyCase; 8] = [
+    DeadlyCase {
+        name: "a stream whose prompt alone ends the engine that reads it",
+        path: "/stream/1",
+        body: DEADLY_PROMPT,
+        hosts: 3,
+        come_back: ComeBack::OtherId,
+    },
+    DeadlyCase {
+        name: "the same of a stream that goes on elsewhere",
+        path: "/resumed/1",
+        body: DEADLY_PROMPT,
+        hosts: 3,
+        come_back: ComeBack::SameId,
+    },
     DeadlyCase {
         name: "a stream, engines come back under other ids",
         path: "/stream/1",
+        body: DEADLY_BODY,
         hosts: 3,
         come_back: ComeBack::OtherId,
     },
     DeadlyCase {
         name: "a stream, engines come back under their ids",
         path: "/stream/1",
+        body: DEADLY_BODY,
         hosts: 3,
         come_back: ComeBack::SameId,
     },
     DeadlyCase {
         name: "a stream that goes on elsewhere",
         path: "/resumed/1",
+        body: DEADLY_BODY,
         hosts: 3,
         come_back: ComeBack::OtherId,
     },
     DeadlyCase {
         name: "a repeatable call of a plain service",
         path: "/again/1",
+        body: DEADLY_BODY,
         hosts: 3,
         come_back: ComeBack::OtherId,
     },
     DeadlyCase {
         name: "an unrepeatable call of a plain service",
         path: "/once/1",
+        body: DEADLY_BODY,
         hosts: 3,
         come_back: ComeBack::SameId,
     },
     DeadlyCase {
         name: "a stream, one host",
         path: "/stream/1",
+        body: DEADLY_BODY,
         hosts: 1,
         come_back: ComeBack::OtherId,
     },
 ];
 
 /// Sends copies to the hosts in turn; what the last one got.
-async fn send_copies(fleet: &TestFleet, path: &str, hosts: usize) -> CallerReply {
+async fn send_copies(fleet: &TestFleet, path: &str, body: &str, hosts: usize) -> CallerReply {
     let mut last = CallerReply { status: None, body: None, invites: false };
     for copy in 0..COPIES {
-        last = fleet.send(0, copy % hosts, path, DEADLY_BODY).await;
+        last = fleet.send(0, copy % hosts, path, body).await;
         tokio::time::sleep(COPIES_APART).await;
     }
     last
@@ -99,7 +120,7 @@
     for case in &CASES {
         let fleet = TestFleet::start(case.hosts, case.come_back).await;
         check_others(&fleet, case.path, case.name).await;
-        let last = send_copies(&fleet, case.path, case.hosts).await;
+        let last = send_copies(&fleet, case.path, case.body, case.hosts).await;
         let ends = fleet.ends();
         assert!(ends > 0, "{}: nothing ended, the test shows nothing", case.name);
         assert!(ends <= MOST_ENDS, "{}: {ends} backend servers ended", case.name);
@@ -112,7 +133,7 @@
 async fn all_hosts_start_anew_and_still_refuse_it() {
     for path in ["/stream/1", "/again/1"] {
         let mut fleet = TestFleet::start(3, ComeBack::OtherId).await;
-        send_copies(&fleet, path, 3).await;
+        send_copies(&fleet, path, DEADLY_BODY, 3).await;
         let before = fleet.ends();
         for host in 0..3 {
             fleet.stop_host(host).await;
@@ -121,7 +142,7 @@
             fleet.start_host(host).await;
         }
         tokio::time::sleep(Duration::from_secs(3)).await;
-        let last = send_copies(&fleet, path, 3).await;
+        let last = send_copies(&fleet, path, DEADLY_BODY, 3).await;
         assert_eq!(fleet.ends(), before, "{path}");
         assert_eq!((last.status, last.invites), REFUSED, "{path}");
         check_others(&fleet, path, path).await;
@@ -151,12 +172,12 @@
         let fleet = TestFleet::start(3, ComeBack::OtherId).await;
         fleet.store.set_mode(case.mode);
         tokio::time::sleep(Duration::from_secs(1)).await;
-        send_copies(&fleet, "/stream/1", 3).await;
+        send_copies(&fleet, "/stream/1", DEADLY_BODY, 3).await;
         let during = fleet.ends();
         assert!(during <= case.most_ends, "{}: {during} ended", case.name);
         fleet.store.set_mode(StoreMode::Serving);
         tokio::time::sleep(Duration::from_secs(12)).await;
-        let last = send_copies(&fleet, "/stream/1", 3).await;
+        let last = send_copies(&fleet, "/stream/1", DEADLY_BODY, 3).await;
         assert_eq!(fleet.ends(), during.max(MOST_ENDS), "{}", case.name);
         assert_eq!((last.status, last.invites), REFUSED, "{}", case.name);
         check_others(&fleet, "/stream/1", case.name).await;
@@ -171,7 +192,7 @@
     let at_once = fleet.ends();
     assert!(at_once <= 4, "{at_once} ended");
     tokio::time::sleep(COPIES_APART).await;
-    let last = send_copies(&fleet, "/stream/1", 3).await;
+    let last = send_copies(&fleet, "/stream/1", DEADLY_BODY, 3).await;
     assert!(fleet.ends() <= at_once.max(MOST_ENDS), "{} ended", fleet.ends());
     assert_eq!((last.status, last.invites), REFUSED);
 }
