--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -79,6 +79,8 @@
     pub released_prefills: Vec<String>,
 }
 
+type ArrivalHook = Box<dyn Fn() + Send>;
+
 /// A site of scripted backend servers.
 #[derive(Clone, Default)]
 pub struct ScriptedSite {
@@ -88,6 +90,10 @@
     pub full: Arc<Mutex<Vec<String>>>,
     /// Backends that have ended and refuse connections.
     pub ended: Arc<Mutex<Vec<String>>>,
+    /// Backends whose machines answer no connection.
+    pub unclear: Arc<Mutex<Vec<String>>>,
+    /// Called when a request reaches a backend server.
+    pub arrival_hook: Arc<Mutex<Option<ArrivalHook>>>,
     /// Backends whose address is another one's by now.
     pub moved: Arc<Mutex<Vec<String>>>,
     /// Free tokens of backends that have few; all others have enough.
@@ -162,6 +168,11 @@
         self.steps.lock().unwrap().insert(id.to_owned(), steps.into_iter().collect());
     }
 
+    /// Calls this whenever a request reaches a backend server.
+    pub fn on_arrival(&self, hook: impl Fn() + Send + 'static) {
+        *self.arrival_hook.lock().unwrap() = Some(Box::new(hook));
+    }
+
     fn next_step(&self, id: &str) -> Step {
         let mut steps = self.steps.lock().unwrap();
         let queue = steps.entry(id.to_owned()).or_default();
@@ -185,6 +196,9 @@
                             Arrival { backend: entry.id.to_string(), terms, at: Instant::now() };
                         site.record.lock().unwrap().arrivals.push(arrival);
                     }
+                    if let Some(hook) = &*site.arrival_hook.lock().unwrap() {
+                        hook();
+                    }
                     play(step).await
                 })
             }),
@@ -245,8 +259,14 @@
                 })
             }),
             look: Arc::new(move |entry| {
-                let ended = looker.ended.lock().unwrap().contains(&entry.id.to_string());
-                let sign = if ended { BackendSign::Ended } else { BackendSign::Lives };
+                let id = entry.id.to_string();
+                let ended = looker.ended.lock().unwrap().contains(&id);
+                let unclear = looker.unclear.lock().unwrap().contains(&id);
+                let sign = match (ended, unclear) {
+                    (true, _) => BackendSign::Ended,
+                    (false, true) => BackendSign::Unclear,
+                    (false, false) => BackendSign::Lives,
+                };
                 Box::pin(async move { sign })
             }),
             order: Arc::new(|_entry, _order| Box::pin(async { Ok(OrderOutcome::Started) })),
