--- a/crates/dillspool_forward/tests/suspects.rs
+++ b/crates/dillspool_forward/tests/suspects.rs
@@ -37,6 +37,8 @@
     decision: SuspectDecision,
 }
 
+use BackendState::{Draining, Ready};
+
 const WATCHED: SuspectDecision = SuspectDecision::Watched { ends: 1 };
 
 fn cases() -> Vec<BreakCase> {
@@ -49,7 +51,6 @@
         later,
         decision,
     };
-    use BackendState::{Draining, Ready};
     vec![
         case("it refuses connections", lost(), Some(true), Ready, Later::Same, WATCHED),
         case("its stream breaks", Step::Broken(vec![ONE]), Some(true), Ready, Later::Same, WATCHED),
@@ -125,8 +126,8 @@
 
 /// One engine, or one plain backend server.
 fn only(kind: RequestKind, start: Option<BackendStart>, state: BackendState) -> DirectoryView {
-    let stage = (kind == RequestKind::Streaming).then_some(EngineStage::Decode);
-    view([BackendEntry { start, state, ..entry("one", "near", stage) }])
+    let part = (kind == RequestKind::Streaming).then_some(EngineStage::Decode);
+    view([BackendEntry { start, state, ..entry("one", "near", part) }])
 }
 
 async fn answer(context: &ForwardContext, kind: RequestKind) -> (u16, bool, bool) {
