The soak sends requests that crash what runs them, and serves streams

Cause: engines crashed by the clock, never by what they were asked; and no stream of the soak was ever served, which no check noticed. Ruled out: a bound on all ends of a run: hosts are killed before they have told theirs, and paused ones know nothing.

--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -8,9 +8,9 @@
 //! engine, and that the next engine ends under another copy half a second later:
 //!
 //! ```text
-//! 48.10 event=stream_broke id=f31cd61deae28f3e backend=i-a6ed3810cf events=0 after_ms=65
-//! 48.10 event=stream_broke id=3a697fc616f3923a backend=i-a6ed3810cf events=31 after_ms=1258
-//! 48.10 event=stream_broke id=cdd9caeb385acfdb backend=i-a6ed3810cf events=22 after_ms=1090
+//! 48.10 event=stream_broke backend=i-a6ed3810cf events=0 after_ms=65
+//! 48.10 event=stream_broke backend=i-a6ed3810cf events=31 after_ms=1258
+//! 48.10 event=stream_broke backend=i-a6ed3810cf events=22 after_ms=1090
 //! ```
 
 mod fleet;
--- a/crates/dillspool_routerd/tests/soak.rs
+++ b/crates/dillspool_routerd/tests/soak.rs
@@ -6,16 +6,17 @@
 use dillspool_soak::{SoakSettings, run_soak};
 
 /// Seeds that run here: the first ones, and every seed that ever broke a promise, with its cause.
-const SEEDS: [(u64, bool, &str); 3] = [
-    (1, false, "a first one"),
-    (2, false, "a first one"),
-    (3, true, "a first one with restarts under an id and spoiled rows"),
+const SEEDS: [(u64, bool, bool, &str); 4] = [
+    (1, false, false, "a first one"),
+    (2, false, false, "a first one"),
+    (3, true, false, "a first one with restarts under an id and spoiled rows"),
+    (4, true, true, "a first one with requests that crash what runs them"),
 ];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_promise_is_broken() {
     let mut running = tokio::task::JoinSet::new();
-    for (seed, restarts, cause) in SEEDS {
+    for (seed, restarts, deadly, cause) in SEEDS {
         let settings = SoakSettings {
             binary: env!("CARGO_BIN_EXE_dillspool-routerd").into(),
             seed,
@@ -23,6 +24,7 @@
             span: Duration::from_secs(6),
             call_every: Duration::from_millis(10),
             restarts,
+            deadly,
             folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
         };
         running.spawn(async move { (seed, cause, run_soak(settings).await) });
--- a/crates/dillspool_soak/src/callers.rs
+++ b/crates/dillspool_soak/src/callers.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dillspool_io::{NetStack, exchange_once, read_body};
-use dillspool_site_standin::{REQUEST_ID, TIME_BUDGET, TOKEN_COUNTS};
+use dillspool_site_standin::{DEADLY_BODY, REQUEST_ID, TIME_BUDGET, TOKEN_COUNTS};
 use http_body_util::Full;
 use hyper::Request;
 
@@ -38,8 +38,31 @@
     CallRecord { id, kind, outcome }
 }
 
+/// A request that crashes what runs it; all copies of one number are the same request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DeadlyRequest {
+    pub(crate) kind: CallKind,
+    pub(crate) number: usize,
+}
+
+impl DeadlyRequest {
+    pub(crate) fn path(self) -> String {
+        format!("{}deadly-{}", prefix(self.kind), self.number)
+    }
+
+    /// Sends a copy.
+    pub(crate) async fn call(self, id: String, host: SocketAddr) -> CallRecord {
+        let outcome = send_body(&id, &self.path(), DEADLY_BODY, host).await;
+        CallRecord { id, kind: self.kind, outcome }
+    }
+}
+
 /// Sends one request to a path.
 pub(crate) async fn send(id: &str, path: &str, host: SocketAddr) -> CallOutcome {
+    send_body(id, path, "body", host).await
+}
+
+async fn send_body(id: &str, path: &str, body: &'static str, host: SocketAddr) -> CallOutcome {
     let request = Request::builder()
         .method("POST")
         .uri(path)
@@ -47,7 +70,7 @@
         .header(REQUEST_ID, id)
         .header(TIME_BUDGET, CALLER_WAIT_MS)
         .header(TOKEN_COUNTS, "100,100")
-        .body(Full::new(Bytes::from_static(b"body")));
+        .body(Full::new(Bytes::from_static(body.as_bytes())));
     let Ok(request) = request else { return CallOutcome::Nothing };
     let stack = NetStack::tcp();
     let exchange = async {
--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -5,10 +5,12 @@
 //! pause, kill and restart the processes. The promises are checked from what callers and backend
 //! servers saw; see `docs/operators/soak.md`.
 
+mod backends;
 mod callers;
 mod check;
 mod faults;
 mod proxy;
+mod rest;
 mod router;
 mod world;
 
--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -32,6 +32,9 @@
     /// Also start backend servers again under their ids, and spoil rows.
     #[arg(long)]
     restarts: bool,
+    /// Also send requests that crash what runs them, over and over.
+    #[arg(long)]
+    deadly: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -66,6 +69,7 @@
         span: Duration::from_secs(args.seconds),
         call_every: Duration::from_millis(10),
         restarts: args.restarts,
+        deadly: args.deadly,
         folder: args.folder.join(seed.to_string()),
     }
 }
@@ -81,10 +85,11 @@
         }
     };
     println!(
-        "seed {seed}: {} calls, {} served, {} faults, {} broken promises",
+        "seed {seed}: {} calls, {} served, {} faults, {} ends at most, {} broken promises",
         report.calls,
         report.served,
         report.faults,
+        report.most_ends,
         report.violations.len()
     );
     for violation in &report.violations {
--- a/crates/dillspool_soak/src/proxy.rs
+++ b/crates/dillspool_soak/src/proxy.rs
@@ -8,6 +8,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// What the proxy does with bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,7 @@
 pub(crate) struct LoopbackProxy {
     pub(crate) address: SocketAddr,
     mode: Arc<watch::Sender<ProxyMode>>,
+    accepting: AbortHandle,
 }
 
 impl LoopbackProxy {
@@ -40,7 +42,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (sender, mode) = watch::channel(ProxyMode::Open);
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             while let Ok((client, _from)) = listener.accept().await {
                 if *mode.borrow() == ProxyMode::Reset {
                     continue;
@@ -48,7 +50,13 @@
                 tokio::spawn(carry(client, server, mode.clone()));
             }
         });
-        Ok(Self { address, mode: Arc::new(sender) })
+        let accepting = accepting.abort_handle();
+        Ok(Self { address, mode: Arc::new(sender), accepting })
+    }
+
+    /// Refuses connections from now on.
+    pub(crate) fn close(&self) {
+        self.accepting.abort();
     }
 
     pub(crate) fn set_mode(&self, mode: ProxyMode) {
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -7,19 +7,21 @@
 
 use dillspool_io::NetStack;
 use dillspool_site_standin::{
-    BackendFault, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore, StoreMode,
-    config_text,
+    BackendFault, RunLog, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
 };
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::callers::{ROUTE_HOST, call, prefix, send};
+use crate::backends::{BackendPlace, PlaceTools, local};
+use crate::callers::{DeadlyRequest, ROUTE_HOST, call, prefix};
 use crate::check::{CallKind, CallOutcome, CallRecord, Violation, check_calls};
 use crate::faults::{DueFault, FaultKind, draw_faults};
 use crate::proxy::{LoopbackProxy, ProxyMode};
+use crate::rest::check_rest;
 use crate::router::{RouterPlace, RouterProcess};
 
 /// Size and length of a soak.
@@ -38,6 +40,8 @@
     /// Whether some of the backend servers that are replaced start again under their ids, and others' rows
     /// are spoiled for a moment.
     pub restarts: bool,
+    /// Whether some callers send requests that crash what runs them, over and over.
+    pub deadly: bool,
     /// Where settings and logs lie; kept when a promise was broken.
     pub folder: PathBuf,
 }
@@ -51,21 +55,19 @@
     pub served: usize,
     /// Faults that struck.
     pub faults: usize,
+    /// Backend servers that the worst of the deadly requests crashed.
+    pub most_ends: usize,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
 
 /// Time in which everything must have recovered once the faults are over: a silent question to
 /// the store ends, a lapsed row returns, and a paused host catches up.
-const RECOVERY: Duration = Duration::from_secs(8);
-/// Time in which a leaving backend server must get nothing more.
-const DRAIN: Duration = Duration::from_secs(2);
-/// Time after a stop in which the process may still run: its grace and a margin.
-const STOP_GRACE: Duration = Duration::from_secs(5);
-/// Time for which a spoiled row stands.
-const SPOILED_FOR: Duration = Duration::from_millis(120);
-/// Start of a backend server whose clock goes back with each start.
-const FIRST_START: u64 = 1_000_000;
+pub(crate) const RECOVERY: Duration = Duration::from_secs(8);
+/// Time between two looks for backend servers that a request has crashed.
+const REVIVE_EVERY: Duration = Duration::from_millis(200);
+/// Time between two copies of a deadly request.
+const COPIES_APART: Duration = Duration::from_millis(700);
 /// Kinds of calls, more of the plain ones.
 const KINDS: [CallKind; 6] = [
     CallKind::Repeatable,
@@ -76,26 +78,22 @@
     CallKind::Stream,
 ];
 
-struct BackendPlace {
-    service: &'static str,
-    kind: StandinKind,
-    proxy: LoopbackProxy,
-    /// Address behind the proxy, which a successor takes over.
-    address: SocketAddr,
-    backend: StandinBackend,
-    starts: u32,
-}
+/// The requests that crash what runs them.
+const DEADLY: [DeadlyRequest; 3] = [
+    DeadlyRequest { kind: CallKind::Stream, number: 1 },
+    DeadlyRequest { kind: CallKind::ResumableStream, number: 2 },
+    DeadlyRequest { kind: CallKind::Repeatable, number: 3 },
+];
 
-struct SoakWorld {
+/// Everything of a soak.
+pub(crate) struct SoakWorld {
     settings: SoakSettings,
-    stack: NetStack,
-    store: StandinStore,
-    runs: RunLog,
-    places: Vec<RouterPlace>,
+    tools: PlaceTools,
+    pub(crate) places: Vec<RouterPlace>,
     routers: Vec<RouterProcess>,
     store_links: Vec<LoopbackProxy>,
-    backends: Vec<BackendPlace>,
-    config_version: u64,
+    pub(crate) backends: Vec<BackendPlace>,
+    pub(crate) config_version: u64,
     cancel: CancellationToken,
 }
 
@@ -116,24 +114,35 @@
         Arc::clone(&calls),
         stop_calls.clone(),
     ));
+    let deadly = world.deadly();
+    let deadly_callers = tokio::spawn(keep_crashing(
+        deadly.clone(),
+        world.places.iter().map(|place| place.callers).collect(),
+        world.settings.seed,
+        Arc::clone(&calls),
+        stop_calls.clone(),
+    ));
     let faults = draw_faults(&mut random, world.settings.span);
     for fault in &faults {
-        tokio::time::sleep(fault.after).await;
+        world.pass(fault.after).await?;
         world.strike(*fault).await?;
     }
     world.heal();
-    tokio::time::sleep(RECOVERY).await;
+    world.pass(RECOVERY).await?;
     stop_calls.cancel();
     // The callers bound every call in time.
     let _ended = callers.await;
+    let _ended = deadly_callers.await;
     let calls = calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let mut violations = check_calls(&calls, &world.runs);
-    violations.extend(world.check_rest().await);
+    let mut violations = check_calls(&calls, world.runs());
+    violations.extend(check_rest(&mut world, &deadly).await?);
+    world.cancel.cancel();
     let served = |call: &&CallRecord| matches!(call.outcome, CallOutcome::Answer(200, _));
     Ok(SoakReport {
         calls: calls.len(),
         served: calls.iter().filter(served).count(),
         faults: faults.len(),
+        most_ends: deadly.iter().map(|it| world.runs().ends(&it.path())).max().unwrap_or_default(),
         violations,
     })
 }
@@ -164,6 +173,27 @@
     }
 }
 
+/// Sends copies of the deadly requests, one after the other.
+async fn keep_crashing(
+    deadly: Vec<DeadlyRequest>,
+    hosts: Vec<SocketAddr>,
+    seed: u64,
+    calls: Arc<Mutex<Vec<CallRecord>>>,
+    cancel: CancellationToken,
+) {
+    let mut random = SmallRng::seed_from_u64(seed.rotate_left(7));
+    let mut number = 0;
+    while !deadly.is_empty() && !cancel.is_cancelled() {
+        for request in &deadly {
+            number += 1;
+            let host = hosts[random.random_range(0..hosts.len())];
+            let record = request.call(format!("{seed:x}-deadly-{number}"), host).await;
+            calls.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+        }
+        tokio::time::sleep(COPIES_APART).await;
+    }
+}
+
 /// The addresses of a host: a loopback number of its own, so that no connection's own port and
 /// no other soak can take them while the host is down.
 fn place(seed: u64, number: usize, store: SocketAddr) -> RouterPlace {
@@ -189,9 +219,7 @@
         let store = StandinStore::default();
         let store_address = store.serve(&stack, local(), cancel.clone()).await?;
         let mut world = Self {
-            stack,
-            store,
-            runs: RunLog::default(),
+            tools: PlaceTools { stack, store, runs: RunLog::default() },
             places: Vec::new(),
             routers: Vec::new(),
             store_links: Vec::new(),
@@ -203,7 +231,8 @@
         world.write_config();
         for kind in [StandinKind::Plain, StandinKind::Decode, StandinKind::Prefill] {
             for _copy in 0..3 {
-                world.add_backend(kind).await?;
+                let number = world.backends.len();
+                world.backends.push(BackendPlace::start(&world.tools, number, kind).await?);
             }
         }
         for number in 0..world.settings.hosts {
@@ -220,17 +249,6 @@
         Ok(world)
     }
 
-    async fn add_backend(&mut self, kind: StandinKind) -> std::io::Result<()> {
-        let service = if kind == StandinKind::Plain { "plain" } else { "pool" };
-        let id = format!("i-{}-0", self.backends.len());
-        let backend = StandinBackend::new(&id, kind, &self.runs);
-        let address = backend.serve(&self.stack, local()).await?;
-        let proxy = LoopbackProxy::start(address).await?;
-        self.store.write("servers", &id, Some(&backend.row(service, proxy.address, "ready")));
-        self.backends.push(BackendPlace { service, kind, proxy, address, backend, starts: 0 });
-        Ok(())
-    }
-
     /// Writes a configuration whose last route carries its version.
     fn write_config(&mut self) {
         self.config_version += 1;
@@ -251,7 +269,7 @@
         ];
         routes.push(StandinRoute { prefix: &probe, ..routes[0].clone() });
         let text = config_text(version, ROUTE_HOST, &routes);
-        self.store.write("op", "config", Some(&text));
+        self.tools.store.write("op", "config", Some(&text));
     }
 
     async fn strike(&mut self, fault: DueFault) -> std::io::Result<()> {
@@ -265,7 +283,9 @@
             }
             FaultKind::Pause => self.routers[host].signal(Signal::SIGSTOP),
             FaultKind::Reload => self.routers[host].signal(Signal::SIGHUP),
-            FaultKind::Store => self.store.set_mode(STORE_MODES[fault.variant % STORE_MODES.len()]),
+            FaultKind::Store => {
+                self.tools.store.set_mode(STORE_MODES[fault.variant % STORE_MODES.len()]);
+            }
             FaultKind::StoreLink => {
                 self.store_links[host].set_mode(PROXY_MODES[fault.variant % PROXY_MODES.len()]);
             }
@@ -277,11 +297,11 @@
                 self.backends[place].backend.set_fault(fault);
             }
             FaultKind::Replace if self.settings.restarts => match fault.variant % 3 {
-                0 => self.replace(place).await?,
-                1 => self.start_again(place).await?,
-                _ => self.spoil_row(place).await,
+                0 => self.backends[place].replace().await?,
+                1 => self.backends[place].start_again().await?,
+                _ => self.backends[place].spoil_row().await,
             },
-            FaultKind::Replace => self.replace(place).await?,
+            FaultKind::Replace => self.backends[place].replace().await?,
             FaultKind::Configuration => self.write_config(),
         }
         tokio::time::sleep(fault.lasts / 4).await;
@@ -293,48 +313,40 @@
         Ok(())
     }
 
-    /// Starts a successor at a crashed backend server's address.
-    async fn replace(&mut self, at: usize) -> std::io::Result<()> {
-        let place = &mut self.backends[at];
-        place.backend.crash();
-        self.store.write("servers", &place.backend.id, None);
-        place.starts += 1;
-        let id = format!("i-{at}-{}", place.starts);
-        let backend = StandinBackend::new(&id, place.kind, &self.runs);
-        // What still runs on the old one keeps its own connections; the address is another.
-        place.address = backend.serve(&self.stack, local()).await?;
-        place.proxy = LoopbackProxy::start(place.address).await?;
-        let row = backend.row(place.service, place.proxy.address, "ready");
-        self.store.write("servers", &id, Some(&row));
-        place.backend = backend;
-        Ok(())
+    /// The requests that crash what runs them, if this soak has any.
+    fn deadly(&self) -> Vec<DeadlyRequest> {
+        if self.settings.deadly { DEADLY.to_vec() } else { Vec::new() }
     }
 
-    /// Starts a backend server again under its id and at its address; its clock may have gone back.
-    async fn start_again(&mut self, at: usize) -> std::io::Result<()> {
-        let place = &mut self.backends[at];
-        place.backend.crash();
-        place.starts += 1;
-        let starts = u64::from(place.starts);
-        let start = if at.is_multiple_of(2) { starts } else { FIRST_START - starts };
-        let backend = StandinBackend::new(&place.backend.id, place.kind, &self.runs).started(start);
-        place.address = backend.serve(&self.stack, local()).await?;
-        place.proxy = LoopbackProxy::start(place.address).await?;
-        let row = backend.row(place.service, place.proxy.address, "ready");
-        self.store.write("servers", &backend.id, Some(&row));
-        place.backend = backend;
-        Ok(())
+    pub(crate) fn runs(&self) -> &RunLog {
+        &self.tools.runs
     }
 
-    /// Another writer puts something in the place of a row, which comes back a moment later.
-    async fn spoil_row(&mut self, at: usize) {
-        let place = &self.backends[at];
-        let row = place.backend.row(place.service, place.proxy.address, "ready");
-        let spoiled = row.replacen("ready", "asleep", 1);
-        for text in [spoiled.as_str(), "{", "", row.as_str()] {
-            self.store.write("servers", &place.backend.id, Some(text));
-            tokio::time::sleep(SPOILED_FOR).await;
+    /// Lets time pass; backend servers that a request has crashed come back.
+    pub(crate) async fn pass(&mut self, time: Duration) -> std::io::Result<()> {
+        let until = Instant::now() + time;
+        loop {
+            for place in &mut self.backends {
+                place.revive().await?;
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            tokio::time::sleep(left.min(REVIVE_EVERY)).await;
+        }
+    }
+
+    /// Starts all hosts that have ended, as the platform does.
+    pub(crate) fn revive_hosts(&mut self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        for host in 0..self.routers.len() {
+            if let Err(error) = self.revive(host) {
+                let detail = format!("host {host} cannot be started: {error}");
+                violations.push(Violation { promise: "hosts start", detail });
+            }
         }
+        violations
     }
 
     fn revive(&mut self, host: usize) -> std::io::Result<()> {
@@ -346,7 +358,7 @@
     }
 
     fn heal_links(&self) {
-        self.store.set_mode(StoreMode::Serving);
+        self.tools.store.set_mode(StoreMode::Serving);
         for link in self.store_links.iter().chain(self.backends.iter().map(|it| &it.proxy)) {
             link.set_mode(ProxyMode::Open);
         }
@@ -362,76 +374,6 @@
             router.signal(Signal::SIGCONT);
         }
     }
-
-    /// What must hold once everything has recovered.
-    async fn check_rest(&mut self) -> Vec<Violation> {
-        let mut violations = Vec::new();
-        // A host that was told to stop is started again, as the platform does.
-        tokio::time::sleep(STOP_GRACE.saturating_sub(RECOVERY)).await;
-        for host in 0..self.routers.len() {
-            if let Err(error) = self.revive(host) {
-                let detail = format!("host {host} cannot be started: {error}");
-                violations.push(Violation { promise: "hosts start", detail });
-            }
-        }
-        tokio::time::sleep(Duration::from_secs(2)).await;
-        let places = self.places.clone();
-        for place in &places {
-            violations.extend(self.check_config(place).await);
-        }
-        violations.extend(self.check_drain(&places).await);
-        self.cancel.cancel();
-        violations
-    }
-
-    async fn check_config(&self, place: &RouterPlace) -> Vec<Violation> {
-        let version = self.config_version;
-        let mut violations = Vec::new();
-        for (offered, status) in [(version, 200), (version.saturating_sub(1), 404)] {
-            let id = format!("probe-{}-{offered}", place.name);
-            let path = format!("/version-{offered}/{id}");
-            let answer = send(&id, &path, place.callers).await;
-            let seen = match answer {
-                CallOutcome::Answer(seen, _body) => seen,
-                CallOutcome::Nothing => 0,
-            };
-            if seen != status {
-                let detail = format!(
-                    "{} answers {seen} on the route of version {offered} of {version}, not {status}",
-                    place.name
-                );
-                violations
-                    .push(Violation { promise: "the newest configuration is in force", detail });
-            }
-        }
-        violations
-    }
-
-    /// A backend server that leaves gets nothing more, a moment later.
-    async fn check_drain(&self, places: &[RouterPlace]) -> Vec<Violation> {
-        let Some(leaving) = self.backends.first() else { return Vec::new() };
-        let row = leaving.backend.row(leaving.service, leaving.proxy.address, "draining");
-        self.store.write("servers", &leaving.backend.id, Some(&row));
-        tokio::time::sleep(DRAIN).await;
-        let before = self.runs.at(&leaving.backend.id);
-        let mut served = 0;
-        for number in 0..20 {
-            let place = &places[number % places.len()];
-            let record = call(format!("rest-{number}"), CallKind::Repeatable, place.callers).await;
-            served += usize::from(matches!(record.outcome, CallOutcome::Answer(200, _)));
-        }
-        let mut violations = Vec::new();
-        let after = self.runs.at(&leaving.backend.id);
-        if after > before {
-            let detail = format!("{} runs after {DRAIN:?}", after - before);
-            violations.push(Violation { promise: "a leaving backend server gets nothing", detail });
-        }
-        if served < 20 {
-            let detail = format!("{served} of 20 calls served at rest");
-            violations.push(Violation { promise: "service recovers", detail });
-        }
-        violations
-    }
 }
 
 const STORE_MODES: [StoreMode; 4] =
@@ -440,8 +382,3 @@
     [ProxyMode::Delayed, ProxyMode::Silent, ProxyMode::OneWay, ProxyMode::Reset];
 const BACKEND_FAULTS: [BackendFault; 4] =
     [BackendFault::Full, BackendFault::BreaksOff, BackendFault::Mute, BackendFault::Failing];
-
-/// Any free port of the loopback address.
-fn local() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
