--- a/crates/dillspool_cases/src/lib.rs
+++ b/crates/dillspool_cases/src/lib.rs
@@ -1,4 +1,6 @@
-//! Property tests that give the same verdict in every run; for tests only.
+//! Cases and clocks that give the same verdict in every run; for tests only.
+
+mod jump;
 
 use std::future::Future;
 use std::time::Duration;
@@ -7,6 +9,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
+pub use jump::ClockJumps;
+
 /// Seed of all property tests.
 const SEED: u64 = 2026;
 
--- a/crates/dillspool_forward/src/budget.rs
+++ b/crates/dillspool_forward/src/budget.rs
@@ -8,10 +8,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use dillspool_io::HostClock;
 use dillspool_limits::FleetCount;
 use dillspool_moment::Moment;
 use dillspool_schema::Name;
-use tokio::time::Instant;
 
 /// Part of the budget that is spent at most; the rest covers windows that begin elsewhere on
 /// other hosts, and refusals that cannot be foreseen.
@@ -48,19 +48,20 @@
 #[derive(Debug, Default)]
 struct ServiceWindow {
     /// Start of a slice, its requests and its repeated sends.
-    slices: VecDeque<(Instant, u32, u32)>,
+    slices: VecDeque<(Moment, u32, u32)>,
     /// Calls under way that count as repeated sends if they are refused.
     reserved: u32,
     /// When such a call was refused last.
-    refused_at: Option<Instant>,
+    refused_at: Option<Moment>,
 }
 
 impl ServiceWindow {
-    fn slice(&mut self, now: Instant, terms: &BudgetTerms) -> &mut (Instant, u32, u32) {
-        while self.slices.front().is_some_and(|slice| now - slice.0 > terms.window) {
+    fn slice(&mut self, now: Moment, terms: &BudgetTerms) -> &mut (Moment, u32, u32) {
+        while self.slices.front().is_some_and(|slice| now.since(slice.0) > terms.window) {
             self.slices.pop_front();
         }
-        let fresh = self.slices.back().is_none_or(|slice| now - slice.0 > terms.window / SLICES);
+        let fresh =
+            self.slices.back().is_none_or(|slice| now.since(slice.0) > terms.window / SLICES);
         if fresh {
             self.slices.push_back((now, 0, 0));
         }
@@ -73,46 +74,33 @@
     }
 }
 
-/// The hosts that share the budgets: where a fleet is cut in two, each half counts itself alone and both
-/// spend, so the largest count stands for a while.
-#[derive(Debug)]
-struct HostCount {
-    fleet: FleetCount,
-    origin: Instant,
-}
-
-impl HostCount {
-    fn now(&self) -> Moment {
-        Moment::after_origin(self.origin.elapsed())
-    }
-}
-
 /// The budgets of all services.
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     terms: BudgetTerms,
-    hosts: Arc<Mutex<HostCount>>,
+    clock: HostClock,
+    /// The hosts that share the budgets: where a fleet is cut in two, each half counts itself alone and
+    /// both spend, so the largest count stands for a while.
+    hosts: Arc<Mutex<FleetCount>>,
     windows: Arc<Mutex<HashMap<Name, ServiceWindow>>>,
 }
 
 impl RetryBudgets {
     /// Empty budgets.
-    pub fn new(terms: BudgetTerms) -> Self {
-        let count = HostCount { fleet: FleetCount::default(), origin: Instant::now() };
-        Self { terms, hosts: Arc::new(Mutex::new(count)), windows: Arc::default() }
+    pub fn new(terms: BudgetTerms, clock: HostClock) -> Self {
+        Self { terms, clock, hosts: Arc::default(), windows: Arc::default() }
     }
 
     /// Takes the number of hosts that share the budget; a smaller one than before counts only after
     /// a while.
     pub fn set_hosts(&self, hosts: usize) {
         let mut count = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = count.now();
-        count.fleet.note(hosts.max(1), now);
+        count.note(hosts.max(1), self.clock.now());
     }
 
     fn hosts(&self) -> usize {
         let count = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
-        count.fleet.largest(count.now()).unwrap_or(ASSUMED_HOSTS)
+        count.largest(self.clock.now()).unwrap_or(ASSUMED_HOSTS)
     }
 
     fn with_window<T>(&self, service: &Name, run: impl FnOnce(&mut ServiceWindow) -> T) -> T {
@@ -122,7 +110,7 @@
 
     /// Notes a request of a caller.
     pub fn note_request(&self, service: &Name) {
-        self.with_window(service, |window| window.slice(Instant::now(), &self.terms).1 += 1);
+        self.with_window(service, |window| window.slice(self.clock.now(), &self.terms).1 += 1);
     }
 
     /// What the window holds now and what it allows this host.
@@ -131,7 +119,7 @@
     }
 
     fn read_window(&self, window: &mut ServiceWindow) -> BudgetReading {
-        window.slice(Instant::now(), &self.terms);
+        window.slice(self.clock.now(), &self.terms);
         let (requests, repeats) = window.sums();
         let hosts = self.hosts();
         let own_part = self.terms.ratio * f64::from(requests);
@@ -150,7 +138,8 @@
     pub(crate) fn reserve(&self, service: &Name) -> Option<BudgetPermit> {
         let bears = self.with_window(service, |window| {
             let reading = self.read_window(window);
-            let refused = window.refused_at.is_some_and(|at| at.elapsed() < self.terms.window);
+            let refused =
+                window.refused_at.is_some_and(|at| self.clock.since(at) < self.terms.window);
             let part = if refused { reading.allowed } else { reading.allowed / SPENT_PART };
             // A small part shall not rule such calls out: one at a time, until one is refused.
             let first = !refused && window.reserved == 0;
@@ -170,7 +159,7 @@
             if f64::from(reading.repeats + window.reserved) + 1.0 > reading.allowed {
                 return false;
             }
-            window.slice(Instant::now(), &self.terms).2 += 1;
+            window.slice(self.clock.now(), &self.terms).2 += 1;
             true
         })
     }
@@ -193,7 +182,7 @@
 
     /// The call was refused.
     pub(crate) fn note_refused(self) {
-        let now = Instant::now();
+        let now = self.budgets.clock.now();
         self.budgets.with_window(&self.service, |window| window.refused_at = Some(now));
     }
 }
@@ -203,10 +192,10 @@
         if self.is_settled {
             return;
         }
-        let terms = &self.budgets.terms;
+        let (terms, now) = (&self.budgets.terms, self.budgets.clock.now());
         self.budgets.with_window(&self.service, |window| {
             window.reserved -= 1;
-            window.slice(Instant::now(), terms).2 += 1;
+            window.slice(now, terms).2 += 1;
         });
     }
 }
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -141,7 +141,7 @@
         silent: &BackendEntry,
     ) -> Result<PreparedSend, Refusal> {
         self.tried.push(silent);
-        self.wait_for_engines_until(self.request.deadline);
+        self.wait_for_engines_until(self.request.deadline_timer());
         self.prepare().await
     }
 
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -103,8 +103,8 @@
     /// Reads on; a silent engine keeps its stream until another one is ready to take it over,
     /// since its events may still come.
     async fn read(&mut self) -> NextPart {
-        let deadline = self.generation.request.deadline;
         loop {
+            let deadline = self.generation.request.deadline_timer();
             let Some(reader) = &mut self.reader else {
                 return NextPart::Broken("no stream is open".to_owned());
             };
@@ -117,7 +117,8 @@
                 part = reader.read(limit) => part,
                 () = self.generation.restarted(&entry) => ReadPart::Broken(STARTED_AGAIN.to_owned()),
             };
-            if !matches!(part, ReadPart::Silent) || Instant::now() >= deadline {
+            let is_over = self.generation.request.remaining().is_zero();
+            if !matches!(part, ReadPart::Silent) || is_over {
                 return self.take(part);
             }
             if let Some(part) = self.look_elsewhere().await {
@@ -129,7 +130,7 @@
     /// Looks for another engine until the silent one's events come; `None` when there is none.
     async fn look_elsewhere(&mut self) -> Option<NextPart> {
         let reader = self.reader.as_mut()?;
-        let deadline = self.generation.request.deadline;
+        let deadline = self.generation.request.deadline_timer();
         let silent = Arc::clone(&reader.open.entry);
         tokio::select! {
             biased;
--- a/crates/dillspool_forward/src/suspects.rs
+++ b/crates/dillspool_forward/src/suspects.rs
@@ -4,12 +4,12 @@
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use dillspool_io::HostClock;
 use dillspool_moment::Moment;
 use dillspool_suspects::{
     EndedBackend, RequestPrint, RunEnd, SuspectBook, SuspectDecision, SuspectPolicy,
 };
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// News that wait to be told to other hosts at most; the oldest go first.
 const MOST_NEWS: usize = 1024;
@@ -39,7 +39,7 @@
 #[derive(Clone)]
 pub struct SuspectDesk {
     state: Arc<Mutex<DeskState>>,
-    origin: Instant,
+    clock: HostClock,
     changed: Arc<Notify>,
 }
 
@@ -66,13 +66,13 @@
 
 impl SuspectDesk {
     /// A desk that knows nothing yet.
-    pub fn new(policy: SuspectPolicy) -> Self {
+    pub fn new(policy: SuspectPolicy, clock: HostClock) -> Self {
         let state = DeskState {
             book: SuspectBook::new(policy),
             under_way: HashMap::new(),
             news: Vec::new(),
         };
-        Self { state: Arc::new(Mutex::new(state)), origin: Instant::now(), changed: Arc::default() }
+        Self { state: Arc::new(Mutex::new(state)), clock, changed: Arc::default() }
     }
 
     fn state(&self) -> MutexGuard<'_, DeskState> {
@@ -81,7 +81,7 @@
 
     /// The moment now, as this desk counts.
     pub fn now(&self) -> Moment {
-        Moment::after_origin(self.origin.elapsed())
+        self.clock.now()
     }
 
     /// Waits for news.
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -13,7 +13,7 @@
     ForwardContext, ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
     SuspectDesk, WorkRank,
 };
-use dillspool_io::{BoxError, channel_body, full_body};
+use dillspool_io::{BoxError, HostClock, channel_body, full_body};
 use dillspool_routing::{
     BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
     GenerationTerms, RequestKind, RouteEntry, RouteTable, RoutedRequest, RoutingConfig,
@@ -275,7 +275,12 @@
 
     /// A client that decides by the engines of a directory, without any scheduler.
     fn schedule(directory: &watch::Receiver<Arc<DirectoryView>>) -> ScheduleClient {
-        let desk = PoolDesk::new(AdmissionPolicy::default(), 1, DemandMeter::default());
+        let desk = PoolDesk::new(
+            AdmissionPolicy::default(),
+            1,
+            DemandMeter::default(),
+            HostClock::steady(),
+        );
         desk.set_pools(&config(), &directory.borrow());
         let (sender, known) = watch::channel(Some(Arc::new(config())));
         let (running, directory) = (desk.clone(), directory.clone());
@@ -300,11 +305,14 @@
             calls: self.calls(),
             directory,
             schedule,
-            limits: LimitClient::new(LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 })),
+            limits: LimitClient::new(LimitDesk::new(
+                LimitTerms { slack: 0.0, shares: 2 },
+                HostClock::steady(),
+            )),
             book: BackendBook::default(),
-            budgets: RetryBudgets::new(budget),
+            budgets: RetryBudgets::new(budget, HostClock::steady()),
             breaks: BreakLooks::default(),
-            suspects: SuspectDesk::new(SuspectPolicy::default()),
+            suspects: SuspectDesk::new(SuspectPolicy::default(), HostClock::steady()),
             metrics: ForwardMetrics::default(),
             tasks: TaskTracker::new(),
         };
@@ -401,7 +409,8 @@
         output_hint: Some(100),
         prompt_parts: Vec::new(),
     });
-    let arrived = Instant::now();
+    let clock = HostClock::steady();
+    let arrived = clock.now();
     RoutedRequest {
         id: "request-1".into(),
         print: RequestPrint::of(
@@ -412,6 +421,7 @@
         uri: Uri::from_static("/x/1"),
         headers: HeaderMap::new(),
         body: Bytes::from_static(b"body"),
+        clock,
         arrived,
         spent_before: Duration::ZERO,
         deadline: arrived + timeout,
--- a/crates/dillspool_forward/tests/plain.rs
+++ b/crates/dillspool_forward/tests/plain.rs
@@ -6,7 +6,7 @@
 
 use common::{ScriptedSite, Step, entry, request, view};
 use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
-use dillspool_io::read_response_body;
+use dillspool_io::{HostClock, read_response_body};
 use dillspool_routing::RequestKind;
 use dillspool_routing::RequestKind::{Idempotent, NonIdempotent};
 
@@ -118,7 +118,7 @@
     let backends = [entry("first", "near", None), entry("second", "far", None)];
     let (mut context, _directory) = site.context(view(backends));
     let terms = BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 8.0 };
-    context.budgets = RetryBudgets::new(terms);
+    context.budgets = RetryBudgets::new(terms, HostClock::steady());
     context.budgets.set_hosts(8);
     for _request in 0..100 {
         let _answer = answer_request(context.clone(), request(Idempotent, 2, false)).await;
--- a/crates/dillspool_forward/tests/prefills.rs
+++ b/crates/dillspool_forward/tests/prefills.rs
@@ -7,6 +7,7 @@
 
 use common::{ONE, ScriptedSite, Step, entry, request, view};
 use dillspool_forward::{BudgetTerms, CallError, RetryBudgets, answer_request};
+use dillspool_io::HostClock;
 use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage, RequestKind};
 use hyper::StatusCode;
 use prometheus_client::registry::Registry;
@@ -98,7 +99,10 @@
     ]);
     let (mut context, _directory) = site.context(engines);
     let window = Duration::from_secs(10);
-    context.budgets = RetryBudgets::new(BudgetTerms { ratio: 0.0, window, extra: case.budget });
+    context.budgets = RetryBudgets::new(
+        BudgetTerms { ratio: 0.0, window, extra: case.budget },
+        HostClock::steady(),
+    );
     context.budgets.set_hosts(1);
     for _request in 0..2 {
         let routed = request(RequestKind::Streaming, 1, false);
@@ -145,7 +149,7 @@
         let (mut context, _directory) = site.context(view(engines.chain([decode])));
         let window = Duration::from_secs(10);
         let terms = BudgetTerms { ratio: 0.0, window, extra: case.budget };
-        context.budgets = RetryBudgets::new(terms);
+        context.budgets = RetryBudgets::new(terms, HostClock::steady());
         context.budgets.set_hosts(1);
         for _second in 0..9 {
             let all = (0..case.at_once).map(|_request| {
--- a/crates/dillspool_forward/tests/streams.rs
+++ b/crates/dillspool_forward/tests/streams.rs
@@ -7,7 +7,7 @@
 
 use common::{ONE, ScriptedSite, Step, THREE, TWO, pool, request};
 use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
-use dillspool_io::{ResponseBody, read_response_body};
+use dillspool_io::{HostClock, ResponseBody, read_response_body};
 use dillspool_routing::RequestKind;
 use hyper::Response;
 
@@ -185,7 +185,7 @@
     let mut routed = request(RequestKind::Streaming, 1, false);
     // It has used up a third of its time.
     routed.spent_before = Duration::from_secs(5);
-    routed.deadline -= Duration::from_secs(5);
+    routed.deadline = routed.deadline.before(Duration::from_secs(5));
     let full = Arc::clone(&site.full);
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -202,7 +202,7 @@
     site.script("decode-2", [Step::NotRun(503)]);
     let (mut context, _directory) = site.context(pool());
     let terms = BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 8.0 };
-    context.budgets = RetryBudgets::new(terms);
+    context.budgets = RetryBudgets::new(terms, HostClock::steady());
     context.budgets.set_hosts(8);
     for _request in 0..100 {
         let routed = request(RequestKind::Streaming, 2, false);
--- /dev/null
+++ b/crates/dillspool_forward/tests/suspended.rs
@@ -0,0 +1,126 @@
+//! The host is suspended while a request is under way: its steady clock stands still meanwhile.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ONE, ScriptedSite, Step, TWO, entry, pool, request, view};
+use dillspool_cases::ClockJumps;
+use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
+use dillspool_io::read_response_body;
+use dillspool_routing::{RequestKind, RoutedRequest};
+
+/// Longer than any request of these tests has.
+const SUSPENDED: Duration = Duration::from_secs(20);
+
+/// When the host is suspended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum When {
+    /// Before the request is looked at, as where its head was read and then nothing ran.
+    Arrived,
+    /// While its prompt is read.
+    Prefilling,
+    /// While the first backend server has it.
+    Sent,
+    /// Never.
+    Never,
+}
+
+struct SuspendCase {
+    name: &'static str,
+    kind: RequestKind,
+    when: When,
+    /// What the first backend server does; the second one answers.
+    first: Step,
+    status: u16,
+    /// Sends that reach a backend server.
+    sends: usize,
+}
+
+fn cases() -> Vec<SuspendCase> {
+    use RequestKind::{Idempotent, NonIdempotent, Streaming};
+    let case = |name, kind, when, first, status, sends| SuspendCase {
+        name,
+        kind,
+        when,
+        first,
+        status,
+        sends,
+    };
+    let stream = || Step::Stream(vec![ONE, TWO]);
+    vec![
+        case("call, awake", Idempotent, When::Never, Step::Lost, 200, 2),
+        case("call, before it", Idempotent, When::Arrived, Step::Lost, 503, 0),
+        case("call, lost meanwhile", Idempotent, When::Sent, Step::Lost, 504, 1),
+        case("call, refused meanwhile", NonIdempotent, When::Sent, Step::NotRun(503), 503, 1),
+        case("call, its answer is there", Idempotent, When::Sent, Step::Answer(200, "ok"), 200, 1),
+        case("stream, awake", Streaming, When::Never, Step::Lost, 200, 2),
+        case("stream, before it", Streaming, When::Arrived, stream(), 503, 0),
+        case("stream, while it is read", Streaming, When::Prefilling, stream(), 503, 0),
+        case("stream, lost meanwhile", Streaming, When::Sent, Step::Lost, 504, 1),
+        case("stream, its answer is there", Streaming, When::Sent, stream(), 200, 1),
+    ]
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_after_a_deadline_that_passed_meanwhile() {
+    for case in cases() {
+        let (site, jumps) = (ScriptedSite::default(), ClockJumps::default());
+        let is_stream = case.kind == RequestKind::Streaming;
+        let (one, two) = if is_stream { ("decode-1", "decode-2") } else { ("one", "two") };
+        let second = if is_stream { Step::Stream(vec![ONE, TWO]) } else { Step::Answer(200, "ok") };
+        site.script(one, [case.first.clone()]);
+        site.script(two, [second]);
+        let shown = if is_stream {
+            pool()
+        } else {
+            view([entry(one, "near", None), entry(two, "far", None)])
+        };
+        let (context, _directory) = site.context(shown);
+        tokio::task::yield_now().await;
+        let clock = jumps.clock();
+        let fresh = request(case.kind, 2, true);
+        let life = fresh.deadline.since(fresh.arrived);
+        let arrived = clock.now();
+        let routed = RoutedRequest { clock, arrived, deadline: arrived + life, ..fresh };
+        *site.prefill_takes.lock().unwrap() = Duration::from_millis(50);
+        match case.when {
+            When::Never => {}
+            When::Arrived => jumps.suspend(SUSPENDED),
+            When::Prefilling => {
+                let jumps = jumps.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    jumps.suspend(SUSPENDED);
+                });
+            }
+            When::Sent => {
+                let jumps = jumps.clone();
+                site.on_arrival(move || jumps.suspend(SUSPENDED));
+            }
+        }
+        let response = answer_request(context, routed).await;
+        let status = response.status().as_u16();
+        let _body = read_response_body(response.into_body(), 10_000).await;
+        assert_eq!(status, case.status, "{}", case.name);
+        assert_eq!(site.record.lock().unwrap().arrivals.len(), case.sends, "{}", case.name);
+        if let Some(arrival) = site.record.lock().unwrap().arrivals.last() {
+            assert!(arrival.terms.time_budget <= life, "{}", case.name);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeats_are_counted_over_the_time_that_has_passed() {
+    let jumps = ClockJumps::default();
+    let terms = BudgetTerms { ratio: 0.0, window: Duration::from_secs(10), extra: 4.0 };
+    let budgets = RetryBudgets::new(terms, jumps.clock());
+    budgets.set_hosts(1);
+    let service = "service".into();
+    let taken = (0..10).filter(|_try| budgets.take(&service)).count();
+    assert_eq!(taken, 3, "three quarters of four");
+    jumps.suspend(Duration::from_secs(9));
+    assert!(!budgets.take(&service), "the window is not over");
+    jumps.suspend(Duration::from_secs(2));
+    assert!(budgets.take(&service), "the window is over");
+}
--- /dev/null
+++ b/crates/dillspool_io/src/host_clock.rs
@@ -0,0 +1,68 @@
+//! The clock by which everything ends or grows old on a host.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_moment::Moment;
+use nix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
+
+/// Counts the time of a host, that in which it was suspended included.
+///
+/// The steady clock of `std` and `tokio` stands still while a machine is suspended: a lease that is over
+/// would still seem to hold, and an old belief fresh. Timers of `tokio` only wake; what is decided after a
+/// wake asks this clock. See `docs/design/clocks.md`.
+#[derive(Clone)]
+pub struct HostClock {
+    now: Arc<dyn Fn() -> Moment + Send + Sync>,
+}
+
+impl HostClock {
+    /// The system's clock since its boot; the steady one where there is none.
+    pub fn boot() -> Self {
+        let steady = Self::steady();
+        Self::from_fn(move || match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => Moment::after_origin(Duration::from(time)),
+            Err(_no_such_clock) => steady.now(),
+        })
+    }
+
+    /// A clock that follows tokio's, which tests pause.
+    pub fn steady() -> Self {
+        let origin = Instant::now();
+        Self::from_fn(move || Moment::after_origin(origin.elapsed()))
+    }
+
+    /// A clock read from a closure.
+    pub fn from_fn(now: impl Fn() -> Moment + Send + Sync + 'static) -> Self {
+        Self { now: Arc::new(now) }
+    }
+
+    /// The moment now.
+    pub fn now(&self) -> Moment {
+        (self.now)()
+    }
+
+    /// Time since a moment; zero if it lies ahead.
+    pub fn since(&self, moment: Moment) -> Duration {
+        self.now().since(moment)
+    }
+
+    /// Time until a moment; zero if it is over.
+    pub fn until(&self, moment: Moment) -> Duration {
+        moment.since(self.now())
+    }
+
+    /// When a timer wakes for a moment, if the host is not suspended meanwhile; what is then decided asks
+    /// this clock once more.
+    pub fn wake_at(&self, moment: Moment) -> Instant {
+        Instant::now() + self.until(moment)
+    }
+}
+
+impl fmt::Debug for HostClock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "HostClock({:?})", self.now())
+    }
+}
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -3,20 +3,24 @@
 //! A [`NetStack`] opens and accepts connections: over TCP in the daemons, in memory in the tests,
 //! where time is paused and links are cut or frozen on order. See `docs/design/io.md`.
 
+mod awake;
 mod body;
 mod client;
 mod clock;
 mod exchange;
+mod host_clock;
 mod memory;
 mod server;
 mod stack;
 
+pub use awake::AwakeWatch;
 pub use body::{
     BoxError, ResponseBody, channel_body, full_body, read_body, read_response_body, text_response,
 };
 pub use client::{HttpClient, HttpError};
 pub use clock::{UnixMillis, WallClock};
 pub use exchange::{ExchangeBody, exchange_once};
+pub use host_clock::HostClock;
 pub use memory::{LinkMode, MemoryNet};
 pub use server::{HttpHandler, PeerAddress, ServerLimits, handler, serve_http, serve_http_live};
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- a/crates/dillspool_moment/src/lib.rs
+++ b/crates/dillspool_moment/src/lib.rs
@@ -19,6 +19,12 @@
         Self(self.0.saturating_sub(time))
     }
 
+    /// The moment so long before; `None` if that is before the origin.
+    #[must_use]
+    pub fn checked_before(self, time: Duration) -> Option<Self> {
+        self.0.checked_sub(time).map(Self)
+    }
+
     /// Time since an earlier moment; zero if it is not earlier.
     pub fn since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dillspool_forward::{BackendCalls, CallError, OrderOutcome, StageOrder};
+use dillspool_io::HostClock;
 use dillspool_platform::TableStore;
 use dillspool_routing::{DirectoryView, RoutingConfig, StartedBackend};
 use dillspool_schema::Name;
@@ -25,6 +26,8 @@
     pub targets: PoolTargets,
     /// Time that must lie between the orders of two holders.
     pub apart: Duration,
+    /// The clock by which terms end.
+    pub clock: HostClock,
     /// Time before this host acts on a change that is due; see [`keep_stages`].
     pub delay: DelayFn,
 }
@@ -60,7 +63,8 @@
     directory: watch::Receiver<Arc<DirectoryView>>,
     cancel: CancellationToken,
 ) {
-    let lease = OrderLease::new(store, Name::clone(&settings.host), settings.apart);
+    let lease =
+        OrderLease::new(store, Name::clone(&settings.host), settings.apart, settings.clock.clone());
     let mut keeper = StageKeeper {
         settings,
         lease,
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use dillspool_io::HostClock;
+use dillspool_moment::Moment;
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableRow, TableStore};
 use dillspool_schema::Name;
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
 
 /// Key of the lease's row.
 const LEASE_KEY: &str = "orders/lease";
@@ -49,13 +50,14 @@
 pub struct OrderTerm {
     /// Fencing token of the orders.
     pub fence: u64,
-    ends: Instant,
+    ends: Moment,
+    clock: HostClock,
 }
 
 impl OrderTerm {
     /// Whether orders may still be sent.
     pub fn is_valid(&self) -> bool {
-        Instant::now() < self.ends
+        self.clock.now() < self.ends
     }
 }
 
@@ -66,12 +68,13 @@
     host: Name,
     /// Time that must lie between the orders of two holders.
     apart: Duration,
+    clock: HostClock,
 }
 
 impl OrderLease {
     /// A lease for a host; `apart` is the platform's time between two holders.
-    pub fn new(store: TableStore, host: Name, apart: Duration) -> Self {
-        Self { store, host, apart }
+    pub fn new(store: TableStore, host: Name, apart: Duration, clock: HostClock) -> Self {
+        Self { store, host, apart, clock }
     }
 
     /// Reads the lease.
@@ -111,7 +114,7 @@
                 return Ok(None);
             }
         }
-        let started = Instant::now();
+        let started = self.clock.now();
         let (expect, before) = match before {
             Some((row, version)) => (RowExpect::Version(version), row),
             None => (RowExpect::Absent, LeaseRow::empty(0)),
@@ -128,7 +131,8 @@
         match self.store.commit(vec![write]).await? {
             CommitReply::Committed => {
                 log::info!("event=lease_taken holder={} fence={fence}", self.host);
-                Ok(Some(OrderTerm { fence, ends: started + TERM_LIFE }))
+                let (ends, clock) = (started + TERM_LIFE, self.clock.clone());
+                Ok(Some(OrderTerm { fence, ends, clock }))
             }
             CommitReply::Conflict(_keys) => {
                 log::info!("event=lease_lost holder={} fence={fence}", self.host);
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -6,6 +6,7 @@
 
 use dillspool_capacity::DemandMeter;
 use dillspool_forward::{BackendCalls, BackendSign, CallError, OrderOutcome};
+use dillspool_io::HostClock;
 use dillspool_platform::MemoryTable;
 use dillspool_roles::{KeeperSettings, PoolTargets, ShareRule, keep_stages};
 use dillspool_routing::{
@@ -107,6 +108,7 @@
             host: format!("host-{host}").into(),
             targets: PoolTargets::new(ShareRule::Fixed(0.33), DemandMeter::default()),
             apart: Duration::from_secs(3),
+            clock: HostClock::steady(),
             delay: Arc::new(move || Duration::from_secs(host)),
         };
         tokio::spawn(keep_stages(
--- a/crates/dillspool_roles/tests/lease.rs
+++ b/crates/dillspool_roles/tests/lease.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_cases::ClockJumps;
+use dillspool_io::HostClock;
 use dillspool_platform::{MemoryTable, PlatformError, StoreFault};
 use dillspool_roles::{LeaseRow, OrderLease};
 use tokio::time::Instant;
@@ -11,7 +13,7 @@
 const APART: Duration = Duration::from_secs(3);
 
 fn lease(table: &MemoryTable, host: &str) -> OrderLease {
-    OrderLease::new(table.store(), host.into(), APART)
+    OrderLease::new(table.store(), host.into(), APART, HostClock::steady())
 }
 
 #[tokio::test(start_paused = true)]
@@ -152,3 +154,14 @@
     let row: LeaseRow = serde_json::from_str(text).expect("a row");
     assert!(row.targets.is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_term_of_a_host_that_was_suspended_is_over() {
+    let (table, jumps) = (MemoryTable::new(), ClockJumps::default());
+    let lease = OrderLease::new(table.store(), "a".into(), APART, jumps.clock());
+    let term = lease.take(&[], &BTreeMap::new(), 1).await.expect("an answer").expect("a term");
+    assert!(term.is_valid());
+    // Long enough for another host to have the lease; no timer of this one has run meanwhile.
+    jumps.suspend(2 * APART);
+    assert!(!term.is_valid());
+}
--- a/crates/dillspool_router/src/beliefs.rs
+++ b/crates/dillspool_router/src/beliefs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_io::{NetListener, NetStack};
+use dillspool_io::{AwakeWatch, HostClock, NetListener, NetStack};
 use dillspool_routing::{DirectoryView, RoutingConfig};
 use dillspool_schema::Name;
 use dillspool_watch::{
@@ -48,13 +48,16 @@
         config: &RouterConfig,
         stack: &NetStack,
         site: &SiteProtocol,
+        clock: &HostClock,
         peers_listener: NetListener,
         cancel: &CancellationToken,
     ) -> Self {
-        let operator = SharedBelief::new(Name::clone(&site.config_row.0));
-        let backends = SharedBelief::new(Name::clone(&site.directory_table));
+        let awake = AwakeWatch::start(clock.clone(), cancel.clone());
+        let operator = SharedBelief::new(Name::clone(&site.config_row.0), awake.clone());
+        let backends = SharedBelief::new(Name::clone(&site.directory_table), awake.clone());
         let reach = watch::Sender::new(StoreReach::unknown());
-        let hosts = SharedBelief::new(Name::clone(&site.own_table)).with_age_limit(HOSTS_FRESH);
+        let hosts =
+            SharedBelief::new(Name::clone(&site.own_table), awake).with_age_limit(HOSTS_FRESH);
         let settings = FollowSettings {
             first_after: first_question_after(config),
             ..FollowSettings::new(config.watch_wait, config.change_limit)
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -9,7 +9,9 @@
 use dillspool_forward::{
     BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets, SuspectDesk,
 };
-use dillspool_io::{NetListener, NetStack, ServerLimits, WallClock, serve_http, serve_http_live};
+use dillspool_io::{
+    HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http, serve_http_live,
+};
 use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{LimitClient, LimitDesk, PoolDesk, ScheduleClient, serve_schedule};
@@ -90,6 +92,7 @@
         config: RouterConfig,
         stack: NetStack,
         site: SiteProtocol,
+        clock: HostClock,
     ) -> Result<Self, RouterError> {
         let (callers, background) = (CancellationToken::new(), CancellationToken::new());
         let callers_listener = listen(&stack, config.callers).await?;
@@ -97,18 +100,20 @@
         let peers_listener = listen(&stack, config.peers).await?;
         let metrics_listener = listen(&stack, config.metrics).await?;
         let schedule_listener = listen(&stack, config.schedule).await?;
-        let beliefs = Beliefs::start(&config, &stack, &site, peers_listener, &background);
+        let beliefs = Beliefs::start(&config, &stack, &site, &clock, peers_listener, &background);
         let demand = DemandMeter::default();
-        let budgets = RetryBudgets::new(config.budget);
+        let budgets = RetryBudgets::new(config.budget, clock.clone());
         let metrics = ForwardMetrics::default();
-        let suspects = SuspectDesk::new(SuspectPolicy::default());
-        let limits = LimitDesk::new(config.limits);
+        let suspects = SuspectDesk::new(SuspectPolicy::default(), clock.clone());
+        let limits = LimitDesk::new(config.limits, clock.clone());
+        let seed = hash_of(&config.host);
+        let desk = PoolDesk::new(config.policy.admission, seed, demand.clone(), clock.clone());
         let schedule = start_schedule(
             &config,
             &stack,
             &beliefs,
             schedule_listener,
-            &demand,
+            desk,
             limits.clone(),
             &background,
         );
@@ -136,9 +141,9 @@
             peers: beliefs.peers.clone(),
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
-        daemon.start_keepers(&beliefs, &site, budgets, demand, schedule);
+        daemon.start_keepers(&beliefs, &site, budgets, demand, schedule, &clock);
         daemon.start_suspects(&beliefs, &site, suspects);
-        daemon.start_callers(&beliefs, &site, context, callers_listener);
+        daemon.start_callers(&beliefs, &site, context, callers_listener, clock);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
             daemon.config.failure_domain,
@@ -186,6 +191,7 @@
         budgets: RetryBudgets,
         demand: DemandMeter,
         schedule: ScheduleClient,
+        clock: &HostClock,
     ) {
         tokio::spawn(keep_peer_list(
             self.config.clone(),
@@ -206,6 +212,7 @@
             host: Name::clone(&self.config.host),
             targets: PoolTargets::new(self.config.share_rule, demand),
             apart: self.config.orders_apart,
+            clock: clock.clone(),
             delay: order_delay(&self.config.host, beliefs.config.clone(), schedule),
         };
         tokio::spawn(keep_stages(
@@ -238,6 +245,7 @@
         site: &SiteProtocol,
         context: ForwardContext,
         listener: NetListener,
+        clock: HostClock,
     ) {
         let stopping = Arc::clone(&self.stopping);
         let state = IngressState::new(
@@ -247,6 +255,7 @@
             beliefs.operator.clone(),
             self.config.change_limit,
             stopping,
+            clock,
         );
         let limits = caller_limits(beliefs.config.clone(), &self.background);
         let serve = serve_http_live(listener, limits, state.handler(), self.callers.clone());
@@ -301,11 +310,10 @@
     stack: &NetStack,
     beliefs: &Beliefs,
     listener: NetListener,
-    demand: &DemandMeter,
+    desk: PoolDesk,
     limits: LimitDesk,
     cancel: &CancellationToken,
 ) -> ScheduleClient {
-    let desk = PoolDesk::new(config.policy.admission, hash_of(&config.host), demand.clone());
     let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
     tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
     tokio::spawn(serve_schedule(listener, desk.clone(), limits, cancel.clone()));
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use dillspool_forward::{ForwardContext, Refusal, RefusalCause, answer_request};
-use dillspool_io::{HttpHandler, PeerAddress, ResponseBody, handler, read_body};
+use dillspool_io::{HostClock, HttpHandler, PeerAddress, ResponseBody, handler, read_body};
 use dillspool_keys::PresentedKey;
+use dillspool_moment::Moment;
 use dillspool_routing::{RequestTerms, RouteEntry, RoutedRequest, RoutingConfig, WorkspaceEntry};
 use dillspool_schema::Name;
 use dillspool_suspects::{PrintKey, PrintParts, RequestPrint};
@@ -51,6 +52,7 @@
     in_flight: Arc<Semaphore>,
     patience: PatienceTable,
     print_key: PrintKey,
+    clock: HostClock,
 }
 
 impl fmt::Debug for IngressState {
@@ -68,6 +70,7 @@
         operator: SharedBelief,
         change_limit: Duration,
         stopping: Arc<AtomicBool>,
+        clock: HostClock,
     ) -> Self {
         let in_flight = Arc::new(Semaphore::new(MOST_IN_FLIGHT));
         let patience = PatienceTable::default();
@@ -82,6 +85,7 @@
             in_flight,
             patience,
             print_key,
+            clock,
         }
     }
 
@@ -94,7 +98,7 @@
     }
 
     async fn answer(&self, mut request: Request<Incoming>) -> Response<ResponseBody> {
-        let arrived = Instant::now();
+        let arrived = self.clock.now();
         let terms = (self.site.take_terms)(request.headers_mut());
         let id = terms.id.clone();
         let mut response = match self.route(request, terms, arrived).await {
@@ -125,7 +129,7 @@
         &self,
         request: Request<Incoming>,
         terms: RequestTerms,
-        arrived: Instant,
+        arrived: Moment,
     ) -> Result<(RoutedRequest, tokio::sync::OwnedSemaphorePermit), Refusal> {
         let current = self.config.borrow().clone();
         let Some(config) = current else {
@@ -147,7 +151,7 @@
         let caller_time = terms.time_budget.unwrap_or(route.timeout);
         let spent_before = self.patience.note(&route.name, caller_time);
         let deadline = arrived + caller_time.min(route.timeout);
-        let body = receive(body, config.limits.body_bytes, deadline).await?;
+        let body = receive(body, config.limits.body_bytes, self.clock.wake_at(deadline)).await?;
         let caller = caller_of(workspace.as_deref(), &parts.extensions);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let print = PrintParts { caller: &caller, host: &route.host, path, body: &body };
@@ -159,6 +163,7 @@
             uri: origin_form(&parts.uri),
             headers: parts.headers,
             body,
+            clock: self.clock.clone(),
             arrived,
             spent_before,
             deadline,
--- a/crates/dillspool_router/tests/daemon.rs
+++ b/crates/dillspool_router/tests/daemon.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use common::{CALLERS, READINESS, TestSite, config};
-use dillspool_io::{HttpClient, MemoryNet, read_body};
+use dillspool_io::{HostClock, HttpClient, MemoryNet, read_body};
 use dillspool_router::RouterDaemon;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -23,7 +23,9 @@
         let net = MemoryNet::new();
         let stack = net.stack("10.0.0.1".parse().expect("an address"));
         let protocol = common::site(&site);
-        let daemon = RouterDaemon::start(config(), stack, protocol).await.expect("it starts");
+        let daemon = RouterDaemon::start(config(), stack, protocol, HostClock::steady())
+            .await
+            .expect("it starts");
         let client = HttpClient::pooled(&net.stack("10.0.0.2".parse().expect("an address")));
         pass(100).await;
         Self { site, daemon, client }
--- a/crates/dillspool_router/tests/directory.rs
+++ b/crates/dillspool_router/tests/directory.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_io::{AwakeWatch, HostClock};
 use dillspool_platform::{ChangedRow, TableDelta};
 use dillspool_router::{DirectorySettings, UnreadableRows, track_directory};
 use dillspool_routing::DirectoryView;
 use dillspool_watch::{SharedBelief, StoreReach};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 /// An address of the host itself.
 const OWN: &str = "10.0.0.1:80";
@@ -23,7 +25,7 @@
 
 impl TrackedDirectory {
     fn start() -> Self {
-        let belief = SharedBelief::new("servers".into());
+        let belief = SharedBelief::new("servers".into(), awake());
         let reach = watch::Sender::new(StoreReach { direct: true, ..StoreReach::unknown() });
         let (sender, view) = watch::channel(Arc::default());
         let settings = DirectorySettings {
@@ -306,3 +308,8 @@
         }
     }
 }
+
+/// A watch by tokio's clock.
+fn awake() -> AwakeWatch {
+    AwakeWatch::start(HostClock::steady(), CancellationToken::new())
+}
--- a/crates/dillspool_router/tests/keys.rs
+++ b/crates/dillspool_router/tests/keys.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use common::{CALLERS, TestSite};
-use dillspool_io::{HttpClient, MemoryNet, read_body};
+use dillspool_io::{HostClock, HttpClient, MemoryNet, read_body};
 use dillspool_router::RouterDaemon;
 use http_body_util::Full;
 use hyper::Request;
@@ -28,8 +28,9 @@
         let net = MemoryNet::new();
         let stack = net.stack("10.0.0.1".parse().expect("an address"));
         let protocol = common::site(&site);
-        let daemon =
-            RouterDaemon::start(common::config(), stack, protocol).await.expect("it starts");
+        let daemon = RouterDaemon::start(common::config(), stack, protocol, HostClock::steady())
+            .await
+            .expect("it starts");
         let client = HttpClient::pooled(&net.stack("10.0.0.2".parse().expect("an address")));
         pass(100).await;
         Self { site, _daemon: daemon, client }
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::Parser;
-use dillspool_io::NetStack;
+use dillspool_io::{HostClock, NetStack};
 use dillspool_log::{LineForm, LogSetup, set_up_log};
 use dillspool_router::{RouterConfig, RouterDaemon, SettingsWatch, load_settings};
 use dillspool_routerd::prepared_platform;
@@ -69,8 +69,9 @@
     let mut reload = signal(SignalKind::hangup()).map_err(describe)?;
     let stack = NetStack::tcp();
     let site = prepared_platform(&stack, &config);
-    let daemon =
-        RouterDaemon::start(config, stack, site).await.map_err(|error| error.to_string())?;
+    let daemon = RouterDaemon::start(config, stack, site, HostClock::boot())
+        .await
+        .map_err(|error| error.to_string())?;
     let mut watch = SettingsWatch::new(&args.settings);
     loop {
         tokio::select! {
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dillspool_forward::BudgetTerms;
-use dillspool_io::{MemoryNet, exchange_once, read_body};
+use dillspool_io::{HostClock, MemoryNet, exchange_once, read_body};
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
@@ -152,7 +152,9 @@
         let config = self.hosts[number].0.clone();
         let stack = self.net.stack(config.callers.ip());
         let site = prepared_platform(&stack, &config);
-        let daemon = RouterDaemon::start(config, stack, site).await.expect("free addresses");
+        let daemon = RouterDaemon::start(config, stack, site, HostClock::steady())
+            .await
+            .expect("free addresses");
         self.hosts[number].1 = Some(daemon);
     }
 
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dillspool_io::HostClock;
 use dillspool_keys::PresentedKey;
+use dillspool_moment::Moment;
 use dillspool_schema::Name;
 use dillspool_suspects::RequestPrint;
 use hyper::{HeaderMap, Method, Uri};
@@ -70,12 +72,14 @@
     pub headers: HeaderMap,
     /// The body, unchanged.
     pub body: Bytes,
+    /// The clock by which its time runs.
+    pub clock: HostClock,
     /// When its head had been read.
-    pub arrived: Instant,
+    pub arrived: Moment,
     /// Time that the caller had spent before this attempt; a refused one comes back later.
     pub spent_before: Duration,
     /// When it must have its final answer.
-    pub deadline: Instant,
+    pub deadline: Moment,
     /// Its route.
     pub route: Arc<RouteEntry>,
     /// The service that takes it.
@@ -93,12 +97,17 @@
 impl RoutedRequest {
     /// Time left until the final answer is due.
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.clock.until(self.deadline)
+    }
+
+    /// When a timer wakes for its deadline.
+    pub fn deadline_timer(&self) -> Instant {
+        self.clock.wake_at(self.deadline)
     }
 
     /// Time since the request arrived.
     pub fn age(&self) -> Duration {
-        self.arrived.elapsed()
+        self.clock.since(self.arrived)
     }
 
     /// Whether its first event can no longer be in time: the objective counts from the caller's
--- a/crates/dillspool_scheduler/src/desk.rs
+++ b/crates/dillspool_scheduler/src/desk.rs
@@ -10,11 +10,11 @@
     PoolReading, PoolTerms, StreamEnd, StreamPlacement, TicketId,
 };
 use dillspool_capacity::{DemandMeter, MemoryTicket};
+use dillspool_io::HostClock;
 use dillspool_moment::Moment;
 use dillspool_routing::{DirectoryView, EngineStage, RoutingConfig, StartedBackend};
 use dillspool_schema::Name;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Time between two looks at those who wait, while nothing else happens: memory is foreseen to be
@@ -64,14 +64,14 @@
     waiters: HashMap<TicketId, DecisionFn>,
     /// Hosts that are served, by pool.
     served: HashMap<Name, usize>,
-    origin: Instant,
+    clock: HostClock,
     policy: AdmissionPolicy,
     seed: u64,
 }
 
 impl DeskState {
     fn now(&self) -> Moment {
-        Moment::after_origin(self.origin.elapsed())
+        self.clock.now()
     }
 
     fn planner_of(&mut self, ticket: TicketId) -> Option<&mut PoolPlanner> {
@@ -179,14 +179,14 @@
 
 impl PoolDesk {
     /// A desk that knows no pool; `seed` differs between hosts.
-    pub fn new(policy: AdmissionPolicy, seed: u64, demand: DemandMeter) -> Self {
+    pub fn new(policy: AdmissionPolicy, seed: u64, demand: DemandMeter, clock: HostClock) -> Self {
         let state = DeskState {
             planners: HashMap::new(),
             demand,
             tickets: HashMap::new(),
             waiters: HashMap::new(),
             served: HashMap::new(),
-            origin: Instant::now(),
+            clock,
             policy,
             seed,
         };
--- a/crates/dillspool_scheduler/src/limit_desk.rs
+++ b/crates/dillspool_scheduler/src/limit_desk.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use dillspool_io::HostClock;
 use dillspool_limits::{LimitHolder, LimitReading, SpendDecision, SpendRequest};
 use dillspool_moment::Moment;
 use dillspool_schema::Name;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Start of the names of shares.
@@ -42,7 +42,7 @@
 #[derive(Clone)]
 pub struct LimitDesk {
     holders: Arc<Vec<Mutex<LimitHolder>>>,
-    origin: Instant,
+    clock: HostClock,
 }
 
 impl fmt::Debug for LimitDesk {
@@ -53,16 +53,15 @@
 
 impl LimitDesk {
     /// A desk that has counted nothing yet.
-    pub fn new(terms: LimitTerms) -> Self {
-        let origin = Instant::now();
-        let holder = || Mutex::new(LimitHolder::new(terms.slack, Moment::default()));
+    pub fn new(terms: LimitTerms, clock: HostClock) -> Self {
+        let holder = || Mutex::new(LimitHolder::new(terms.slack, clock.now()));
         let holders = (0..terms.shares.max(1)).map(|_share| holder()).collect();
-        Self { holders: Arc::new(holders), origin }
+        Self { holders: Arc::new(holders), clock }
     }
 
     /// The present moment, as limits are counted by.
     pub(crate) fn now(&self) -> Moment {
-        Moment::after_origin(self.origin.elapsed())
+        self.clock.now()
     }
 
     fn with<T>(&self, share: LimitShare, run: impl FnOnce(&mut LimitHolder, Moment) -> T) -> T {
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -7,7 +7,7 @@
 use dillspool_admission::AdmissionPolicy;
 use dillspool_capacity::DemandMeter;
 use dillspool_cases::run_paused;
-use dillspool_io::{LinkMode, MemoryNet};
+use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_limits::{LimitRate, SpendDecision, SpendRequest};
 use dillspool_routing::{
     ClientLimits, LimitUnit, RouteTable, RoutingConfig, WorkspaceEntry, WorkspaceLimit,
@@ -61,8 +61,13 @@
     async fn start_listing(net: &MemoryNet, host: u8, order: &Arc<Mutex<Vec<u8>>>) -> Self {
         let stack = net.stack(address(host).ip());
         let cancel = CancellationToken::new();
-        let desk = LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 });
-        let pools = PoolDesk::new(AdmissionPolicy::default(), 1, DemandMeter::default());
+        let desk = LimitDesk::new(LimitTerms { slack: 0.0, shares: 2 }, HostClock::steady());
+        let pools = PoolDesk::new(
+            AdmissionPolicy::default(),
+            1,
+            DemandMeter::default(),
+            HostClock::steady(),
+        );
         let listener = stack.listen(address(host)).await.expect("a free address");
         tokio::spawn(serve_schedule(listener, pools, desk.clone(), cancel.clone()));
         let client = LimitClient::new(desk);
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -10,7 +10,7 @@
 };
 use dillspool_capacity::DemandMeter;
 use dillspool_cases::run_paused;
-use dillspool_io::{LinkMode, MemoryNet};
+use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{
     BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
     RouteTable, RoutingConfig, ServiceEntry, StartedBackend,
@@ -107,13 +107,17 @@
     async fn start(net: &MemoryNet, host: u8, order: &[u8]) -> Self {
         let stack = net.stack(address(host).ip());
         let cancel = CancellationToken::new();
-        let desk =
-            PoolDesk::new(AdmissionPolicy::default(), u64::from(host), DemandMeter::default());
+        let desk = PoolDesk::new(
+            AdmissionPolicy::default(),
+            u64::from(host),
+            DemandMeter::default(),
+            HostClock::steady(),
+        );
         let (config_sender, known) = watch::channel(Some(Arc::new(config())));
         let (view_sender, directory) = watch::channel(Arc::new(view()));
         tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
         let listener = stack.listen(address(host)).await.expect("a free address");
-        let limits = LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 });
+        let limits = LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady());
         tokio::spawn(serve_schedule(listener, desk.clone(), limits, cancel.clone()));
         let client = ScheduleClient::new(desk);
         let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_io::AwakeWatch;
 use dillspool_platform::{ChangedRow, TableDelta};
 use dillspool_schema::Name;
 use tokio::sync::watch;
@@ -104,12 +105,12 @@
 }
 
 impl SharedBelief {
-    /// An empty belief.
-    pub fn new(table: Name) -> Self {
+    /// An empty belief, which grows old by a clock.
+    pub fn new(table: Name, awake: AwakeWatch) -> Self {
         Self {
             table,
             sender: watch::Sender::new(TableBelief::default()),
-            heard: TableAge::default(),
+            heard: TableAge::new(awake),
             age_limit: USUAL_AGE_LIMIT,
         }
     }
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_moment::Moment;
 use dillspool_platform::{TableWatch, WatchError};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -145,7 +146,7 @@
             && (failed || *role.borrow() == FollowRole::Relayed)
         {
             tokio::select! {
-                () = tokio::time::sleep_until(until) => {}
+                () = tokio::time::sleep_until(belief.heard().clock().wake_at(until)) => {}
                 () = another_role(role.clone()) => {}
             }
             wait = Duration::ZERO;
@@ -155,7 +156,7 @@
             wait_for_probe(&reach, &belief, &settings).await;
         }
         let was_complete = complete;
-        let asked = Instant::now();
+        let (asked, asked_at) = (belief.heard().clock().now(), Instant::now());
         let outcome = if complete {
             let longest = settings.longest_wait(*role.borrow());
             ask_changes(&store, &belief, wait.min(longest), settings.slack).await
@@ -169,7 +170,7 @@
                 pause = settings.first_pause;
                 wait = settings.wait;
                 // A whole read takes pages; its rows are those of its start.
-                let as_of = if was_complete { Instant::now() } else { asked };
+                let as_of = if was_complete { belief.heard().heard_at(asked) } else { asked };
                 belief.heard().note_answered(as_of);
                 note_reached(&reach);
             }
@@ -201,10 +202,10 @@
             }
         }
         // A store that answers at once, whatever it is asked, must not be asked without end.
-        tokio::time::sleep_until(asked + settings.spacing).await;
+        tokio::time::sleep_until(asked_at + settings.spacing).await;
         if complete && !was_complete && *role.borrow() == FollowRole::Relayed {
             // What was just read counts for as long as a peer's word would; a peer's comes by then.
-            wait_for_peers(&reach, asked + settings.fresh).await;
+            wait_for_peers(&reach, asked_at + settings.fresh).await;
             wait = Duration::ZERO;
         }
     }
@@ -253,8 +254,9 @@
 }
 
 /// When the next question is due, while a peer's word spares it.
-fn spared_until(belief: &SharedBelief, settings: &FollowSettings) -> Option<Instant> {
-    belief.heard().spared_until(settings.fresh).filter(|until| *until > Instant::now())
+fn spared_until(belief: &SharedBelief, settings: &FollowSettings) -> Option<Moment> {
+    let heard = belief.heard();
+    heard.spared_until(settings.fresh).filter(|until| *until > heard.clock().now())
 }
 
 /// Notes that the store can be asked, whatever it said.
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dillspool_io::{NetListener, NetStack, NetStream};
+use dillspool_moment::Moment;
 use dillspool_platform::{ChangedRow, TableDelta};
 use dillspool_schema::relay::{RelayMessage, RelayRow};
 use futures_util::{SinkExt, StreamExt};
@@ -297,6 +298,7 @@
     let mut first = true;
     loop {
         let limit = if first { FIRST_LIMIT } else { SILENCE_LIMIT };
+        let waited_since = beliefs.first().map(|belief| belief.heard().clock().now());
         let incoming = tokio::time::timeout(limit, socket.next()).await;
         let bytes = match incoming {
             Ok(Some(Ok(Message::Binary(bytes)))) => bytes,
@@ -310,10 +312,7 @@
             log::info!("event=relay_started peer={address} version={}", message.version);
             first = false;
         }
-        // An age that this host's clock cannot reach back to is too old to count.
-        let age = Duration::from_millis(message.age_ms);
-        let as_of = Instant::now().checked_sub(age);
-        take(beliefs, message, as_of);
+        take(beliefs, message, waited_since.unwrap_or_default());
         reach::note(reach, "relayed", |state| state.relayed = true);
     }
 }
@@ -326,8 +325,8 @@
     Ok(socket)
 }
 
-/// Takes the rows of one table, as the peer knew them at a moment.
-fn take(beliefs: &[SharedBelief], message: RelayMessage, as_of: Option<Instant>) {
+/// Takes the rows of one table from a message that was waited for since a moment.
+fn take(beliefs: &[SharedBelief], message: RelayMessage, waited_since: Moment) {
     let Some(belief) = beliefs.iter().find(|belief| belief.table == message.table) else {
         log::warn!("event=relay_of_unknown_table table={}", message.table);
         return;
@@ -339,5 +338,8 @@
     };
     let rows = message.rows.into_iter().map(row).collect();
     belief.merge(&TableDelta { full: message.full, version: message.version, rows });
-    belief.heard().note_relayed(as_of);
+    // An age that this host's clock cannot reach back to is too old to count.
+    let age = Duration::from_millis(message.age_ms);
+    let heard_at = belief.heard().heard_at(waited_since);
+    belief.heard().note_relayed(heard_at.checked_before(age));
 }
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dillspool_io::{LinkMode, MemoryNet};
+use dillspool_io::{AwakeWatch, HostClock, LinkMode, MemoryNet};
 use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
 use dillspool_watch::{
     FollowRole, FollowSettings, RelayPeers, SharedBelief, StoreReach, follow_table,
@@ -125,7 +125,7 @@
     role: FollowRole,
 ) -> TestHost {
     let cancel = CancellationToken::new();
-    let belief = SharedBelief::new("op".into());
+    let belief = SharedBelief::new("op".into(), awake());
     let (access, reader) = watch::channel(Access::Served);
     let reach_sender = watch::Sender::new(StoreReach::unknown());
     let reach = reach_sender.subscribe();
@@ -328,3 +328,8 @@
     pass(12_000).await;
     assert_eq!(b.text().as_deref(), Some("two"));
 }
+
+/// A watch by tokio's clock.
+fn awake() -> AwakeWatch {
+    AwakeWatch::start(HostClock::steady(), CancellationToken::new())
+}
--- a/crates/dillspool_watch/tests/relay_frames.rs
+++ b/crates/dillspool_watch/tests/relay_frames.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_io::{MemoryNet, NetStack};
+use dillspool_io::{AwakeWatch, HostClock, MemoryNet, NetStack};
 use dillspool_platform::{ChangedRow, TableDelta};
 use dillspool_schema::relay::RelayMessage;
 use dillspool_watch::{RelayPeers, SharedBelief, StoreReach, relay_from_peers, serve_relay};
@@ -40,7 +40,7 @@
 }
 
 fn belief(rows: Vec<ChangedRow>) -> SharedBelief {
-    let belief = SharedBelief::new("servers".into());
+    let belief = SharedBelief::new("servers".into(), awake());
     let version = rows.len() as u64 + 1;
     belief.merge(&TableDelta { full: true, version, rows });
     belief
@@ -128,7 +128,7 @@
 
 /// Takes tables from a peer for some seconds; the belief at the end.
 async fn taken(net: &MemoryNet) -> TableDelta {
-    let belief = SharedBelief::new("servers".into());
+    let belief = SharedBelief::new("servers".into(), awake());
     let peers = || RelayPeers { sources: vec![source()], all: vec![source()] };
     let relay = relay_from_peers(
         net.stack("10.0.0.2".parse().unwrap()),
@@ -181,3 +181,8 @@
         assert_eq!(taken(&net).await.rows, Vec::new(), "{} bytes", bytes.len());
     }
 }
+
+/// A watch by tokio's clock.
+fn awake() -> AwakeWatch {
+    AwakeWatch::start(HostClock::steady(), CancellationToken::new())
+}
--- a/crates/dillspool_watch/tests/table_ages.rs
+++ b/crates/dillspool_watch/tests/table_ages.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dillspool_io::MemoryNet;
+use dillspool_cases::ClockJumps;
+use dillspool_io::{AwakeWatch, MemoryNet};
 use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
 use dillspool_schema::Name;
 use dillspool_watch::{
@@ -110,6 +111,8 @@
 }
 
 struct TestHost {
+    /// Suspends it.
+    jumps: ClockJumps,
     config: SharedBelief,
     backends: SharedBelief,
     access: watch::Sender<Access>,
@@ -124,8 +127,10 @@
     role: FollowRole,
 ) -> TestHost {
     let cancel = CancellationToken::new();
-    let config = SharedBelief::new(CONFIG.into());
-    let backends = SharedBelief::new(BACKENDS.into());
+    let jumps = ClockJumps::default();
+    let awake = AwakeWatch::start(jumps.clock(), cancel.clone());
+    let config = SharedBelief::new(CONFIG.into(), awake.clone());
+    let backends = SharedBelief::new(BACKENDS.into(), awake);
     let (access, reader) = watch::channel(Access::Served);
     let reach = watch::Sender::new(StoreReach::unknown());
     let settings = FollowSettings::new(Duration::from_millis(2500), LIMIT);
@@ -149,7 +154,7 @@
     let sources = if role == FollowRole::Relayed { all.clone() } else { Vec::new() };
     let peers = move || RelayPeers { sources: sources.clone(), all: all.clone() };
     tokio::spawn(relay_from_peers(stack, peers, beliefs, reach, cancel));
-    TestHost { config, backends, access }
+    TestHost { jumps, config, backends, access }
 }
 
 async fn pass(millis: u64) {
@@ -248,3 +253,40 @@
         }
     }
 }
+
+struct SuspendedCase {
+    name: &'static str,
+    /// What the source meets when it asks after it woke up.
+    root: Access,
+    suspended_ms: u64,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_source_that_was_suspended_is_not_taken_for_fresh() {
+    let case = |name, root, suspended_ms| SuspendedCase { name, root, suspended_ms };
+    let cases = [
+        case("its question is not answered", Access::Silent, 10_000),
+        case("it is turned away", Access::TurnedAway, 10_000),
+        case("for an hour", Access::Silent, 3_600_000),
+    ];
+    for case in cases {
+        let (store, net) = (TestStore::default(), MemoryNet::new());
+        store.write(CONFIG);
+        store.write(BACKENDS);
+        let root = host(&net, &store, "10.0.0.1:8146", None, FollowRole::Source).await;
+        pass(100).await;
+        let source = Some("10.0.0.1:8146");
+        let last = host(&net, &store, "10.0.0.2:8146", source, FollowRole::Relayed).await;
+        pass(3000).await;
+        assert!(last.config.age().is_some_and(|age| age < LIMIT), "{}: before", case.name);
+        root.access.send_replace(case.root);
+        root.jumps.suspend(Duration::from_millis(case.suspended_ms));
+        let suspended = Duration::from_millis(case.suspended_ms);
+        assert!(root.config.age().is_some_and(|age| age >= suspended), "{}: its own", case.name);
+        // Its peer has heard nothing newer than before the suspension, and asks the store itself in time.
+        store.write(CONFIG);
+        let newest = store.version(CONFIG);
+        pass(u64::try_from(LIMIT.as_millis()).expect("small")).await;
+        assert_eq!(last.config.version(), newest, "{}", case.name);
+    }
+}
