Red: copies of a deadly request that come by other addresses

So the caller is no address, and every domain's copies were another request. Conclusion: kept, red until the mend.

--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -206,12 +206,13 @@
         // The same request of each caller comes again and again, and some of its copies break off.
         let fleet = &fleet;
         let others = (1..9).map(|caller| async move {
-            let mut reply = fleet.send(caller, caller % 3, "/stream/1", "sound").await;
+            let body = format!("sound {caller}");
+            let mut reply = fleet.send(caller, caller % 3, "/stream/1", &body).await;
             for host in 0..3 {
                 if reply.body.is_some() && reply.status == Some(200) {
                     return 1;
                 }
-                reply = fleet.send(caller, host, "/stream/1", "sound").await;
+                reply = fleet.send(caller, host, "/stream/1", &body).await;
             }
             assert_ne!(reply.status, Some(503), "caller {caller} is refused: {reply:?}");
             0
@@ -226,3 +227,39 @@
     let last = fleet.send(0, 0, "/stream/1", DEADLY_BODY).await;
     assert_eq!((last.status, last.invites), REFUSED);
 }
+
+/// Its caller sits behind several gateways: each copy comes from another address, in another place. A request
+/// was told from others by the address that it came from, too, so each gateway's copies were another request,
+/// and sixteen and twenty-one engines ended. Lines of the hosts have the same `prompt=` and `guess=` for all of
+/// them, and each host has only those of its own place.
+#[tokio::test(start_paused = true)]
+async fn copies_that_come_by_other_addresses_are_the_same_request() {
+    for path in ["/stream/1", "/again/1"] {
+        let fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        let mut last = CallerReply { status: None, body: None, invites: false };
+        for copy in 0..COPIES {
+            last = fleet.send(copy, copy % 3, path, DEADLY_BODY).await;
+            tokio::time::sleep(COPIES_APART).await;
+        }
+        assert!(fleet.ends() <= MOST_ENDS, "{path}: {} backend servers ended", fleet.ends());
+        assert_eq!((last.status, last.invites), REFUSED, "{path}");
+    }
+}
+
+/// The same question asked by many is not held up while engines end beside it.
+#[tokio::test(start_paused = true)]
+async fn what_many_ask_alike_is_served_beside_it() {
+    let fleet = TestFleet::start(3, ComeBack::SameId).await;
+    let fleet = &fleet;
+    let mut refused = 0;
+    for copy in 0..COPIES {
+        let deadly = fleet.send(0, copy % 3, "/stream/1", DEADLY_BODY);
+        let others = (1..13).map(|caller| fleet.send(caller, caller % 3, "/stream/1", "popular"));
+        let others = futures_util::future::join_all(others);
+        let (_deadly, others) = futures_util::future::join(deadly, others).await;
+        refused += others.iter().filter(|reply| reply.status == Some(503)).count();
+        tokio::time::sleep(COPIES_APART).await;
+    }
+    assert!(fleet.ends() <= 5, "{} ended", fleet.ends());
+    assert_eq!(refused, 0);
+}
