Operators see and lift requests that crash what runs them

Cause: a refused request could be found by its id only, its copies not at all, and nobody could let one run. Ruled out: an operator's row in the store (the operator calls no host, and the product writes the table). Ingress takes what is known of the configuration as one struct.

--- a/crates/dillspool/src/args.rs
+++ b/crates/dillspool/src/args.rs
@@ -126,6 +126,11 @@
         /// Log files; standard input when there are none.
         files: Vec<PathBuf>,
     },
+    /// List the requests in the logs of routing hosts under which backend servers ended.
+    Suspects {
+        /// Log files; standard input when there are none.
+        files: Vec<PathBuf>,
+    },
     /// Hash a key read from standard input, for configuration and settings files.
     HashKey,
     /// Print the completions of a shell.
--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -71,6 +71,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints the requests in some logs under which backend servers ended.
+pub(crate) fn list_suspects(files: &[PathBuf]) -> Result<ExitCode, CliError> {
+    let text = read_logs(files)?;
+    print!("{}", dillspool_explain::SuspectTable::of(text.lines()));
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Reads log files one after another, or standard input when there are none.
 fn read_logs(files: &[PathBuf]) -> Result<String, CliError> {
     let mut text = String::new();
--- a/crates/dillspool/src/main.rs
+++ b/crates/dillspool/src/main.rs
@@ -37,6 +37,7 @@
         CliCommand::Explain { id, files } => local::explain_request(&id, &files),
         CliCommand::Late { files } => local::count_ends(&files),
         CliCommand::Limits { files } => local::count_limits(&files),
+        CliCommand::Suspects { files } => local::list_suspects(&files),
         CliCommand::HashKey => local::hash_key(),
         CliCommand::Completions { shell } => Ok(local::completions(shell)),
         CliCommand::Diff { file, server } => apply::diff(&file, &server).await,
--- a/crates/dillspool_explain/src/lib.rs
+++ b/crates/dillspool_explain/src/lib.rs
@@ -6,8 +6,10 @@
 mod limits;
 mod line;
 mod story;
+mod suspects;
 
 pub use late::{EndTable, RequestEnd};
 pub use limits::{LimitTable, WorkspaceUse};
 pub use line::LogLine;
 pub use story::{RequestStory, explain};
+pub use suspects::{SuspectTable, SuspectUse};
--- a/crates/dillspool_explain/src/story.rs
+++ b/crates/dillspool_explain/src/story.rs
@@ -20,6 +20,11 @@
     "started",
 ];
 
+/// Events of other copies of a request that bear on it.
+const COPY_EVENTS: [&str; 2] = ["break_traced", "suspect"];
+/// Such lines that are shown, the newest.
+const MOST_COPIES: usize = 24;
+
 /// What became of a request, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestStory {
@@ -27,6 +32,8 @@
     pub lines: Vec<LogLine>,
     /// Changes of belief on its hosts that bear on it.
     pub beliefs: Vec<LogLine>,
+    /// What became of backend servers under other copies of it.
+    pub copies: Vec<LogLine>,
     /// One sentence.
     pub verdict: String,
 }
@@ -42,6 +49,12 @@
         for line in &self.beliefs {
             writeln!(f, "  {}", line.text)?;
         }
+        if !self.copies.is_empty() {
+            writeln!(f, "other copies of it:")?;
+        }
+        for line in &self.copies {
+            writeln!(f, "  {}", line.text)?;
+        }
         writeln!(f, "{}", self.verdict)
     }
 }
@@ -67,8 +80,18 @@
     };
     let mut beliefs: Vec<LogLine> = all.iter().filter(bears).cloned().collect();
     beliefs.sort_by_key(|line| line.time_ms);
+    let prints = fields("print");
+    let is_copy = |line: &&LogLine| {
+        prints.contains(line.field("print"))
+            && line.field("id") != id
+            && line.time_ms <= last
+            && COPY_EVENTS.contains(&line.field("event"))
+    };
+    let mut copies: Vec<LogLine> = all.iter().filter(is_copy).cloned().collect();
+    copies.sort_by_key(|line| line.time_ms);
+    copies.drain(..copies.len().saturating_sub(MOST_COPIES));
     let verdict = verdict(id, &own);
-    Some(RequestStory { lines: own, beliefs, verdict })
+    Some(RequestStory { lines: own, beliefs, copies, verdict })
 }
 
 fn verdict(id: &str, lines: &[LogLine]) -> String {
@@ -113,6 +136,8 @@
         "no_memory" => "no decode engine had memory for its answer; it did not run",
         "not_run" => "the backend servers that were asked did not run it",
         "too_late_not_run" => "its time was over before it ran",
+        "deadly" => "backend servers end under it; it did not run, and its copies will not",
+        "copy_runs" => "backend servers ended under it, and another copy runs; it did not run",
         "timed_out" => "its time was over while it may have run",
         "unknown" => "the backend server's answer was lost; it may have run",
         _ => "see docs/OPERATIONS.md",
--- /dev/null
+++ b/crates/dillspool_explain/tests/suspects.rs
@@ -0,0 +1,35 @@
+//! The table of suspects, and the story of a copy that is refused.
+
+use dillspool_explain::{SuspectTable, explain};
+
+const LOG: &str = r"time_ms=1 host=h1 event=break_traced id=a print=aa00 backend=e1 start=5 found=ended after_ms=60
+time_ms=1 host=h1 event=request_ended id=a print=aa00 route=r service=s workspace=w config=3 outcome=broken cause= after_ms=58
+time_ms=1 host=h2 event=break_traced id=x print=bb00 backend=e1 start=5 found=ended after_ms=900
+time_ms=2 host=h2 event=break_traced id=b print=aa00 backend=e2 start=5 found=ended after_ms=60
+time_ms=2 host=h2 event=break_traced id=y print=cc00 backend=e3 start=5 found=lives after_ms=60
+time_ms=3 host=h2 event=request_ended id=z print=bb00 route=r service=s workspace=v config=3 outcome=answered cause= after_ms=58
+time_ms=4 host=h1 event=break_traced id=c print=aa00 backend=e1 start=6 found=ended after_ms=60
+time_ms=4 host=h1 event=suspect print=aa00 decision=Refused { ends: 3 } from=seen
+time_ms=5 host=h3 event=suspect_refused id=d print=aa00 route=r workspace=w why=Deadly { ends: 3 }
+time_ms=5 host=h3 event=request_ended id=d print=aa00 route=r service=s workspace=w config=3 outcome=refused cause=deadly after_ms=0 status=503
+";
+
+const TABLE: &str =
+    "ended  refused    whole  print                             last copy      route, workspace
+    3        1        0  aa00                              5              r w
+    1        0        1  bb00                              3              r v
+";
+
+#[test]
+fn each_request_is_listed_with_what_ended_under_it() {
+    assert_eq!(SuspectTable::of(LOG.lines()).to_string(), TABLE);
+}
+
+#[test]
+fn the_story_of_a_refused_copy_shows_the_ends_under_the_others() {
+    let story = explain("d", LOG.lines()).expect("its lines");
+    assert_eq!(story.copies.len(), 4, "{story}");
+    assert!(story.verdict.contains("backend servers end under it"), "{story}");
+    let other = explain("z", LOG.lines()).expect("its lines");
+    assert_eq!(other.copies.len(), 1, "{other}");
+}
--- a/crates/dillspool_forward/src/suspects.rs
+++ b/crates/dillspool_forward/src/suspects.rs
@@ -1,6 +1,6 @@
 //! What this host knows of requests under which backend servers ended, and which copies run here.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -30,6 +30,8 @@
 
 struct DeskState {
     book: SuspectBook,
+    /// Requests that an operator lets run.
+    lifted: HashSet<RequestPrint>,
     /// Copies under way on this host.
     under_way: HashMap<RequestPrint, usize>,
     news: Vec<SuspectNews>,
@@ -69,6 +71,7 @@
     pub fn new(policy: SuspectPolicy, clock: HostClock) -> Self {
         let state = DeskState {
             book: SuspectBook::new(policy),
+            lifted: HashSet::new(),
             under_way: HashMap::new(),
             news: Vec::new(),
         };
@@ -84,6 +87,11 @@
         self.clock.now()
     }
 
+    /// Takes the requests that an operator lets run whatever ended under them.
+    pub fn set_lifted(&self, prints: Vec<RequestPrint>) {
+        self.state().lifted = prints.into_iter().collect();
+    }
+
     /// Waits for news.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -124,7 +132,7 @@
     /// What is known of a request now.
     pub fn decide(&self, print: RequestPrint) -> SuspectDecision {
         let now = self.now();
-        self.state().book.decide(print, now)
+        self.state().decide(print, now)
     }
 
     /// Whether it should be known why a run broke off before the request is sent once more.
@@ -138,7 +146,7 @@
         let now = self.now();
         let mut state = self.state();
         let under_way = state.under_way.get(&print).copied().unwrap_or_default();
-        match state.book.decide(print, now) {
+        match state.decide(print, now) {
             // What many ask alike is not held up by one crash that it may only have run beside.
             SuspectDecision::Clear | SuspectDecision::Watched { ends: 1 } => {}
             SuspectDecision::Watched { ends } | SuspectDecision::Trial { ends } => {
@@ -181,6 +189,13 @@
 }
 
 impl DeskState {
+    fn decide(&self, print: RequestPrint, now: Moment) -> SuspectDecision {
+        if self.lifted.contains(&print) {
+            return SuspectDecision::Clear;
+        }
+        self.book.decide(print, now)
+    }
+
     fn tell(&mut self, news: SuspectNews) {
         if self.news.len() >= MOST_NEWS {
             self.news.remove(0);
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -25,11 +25,12 @@
 
 use crate::belief_metrics::BeliefMetrics;
 use crate::beliefs::Beliefs;
-use crate::ingress::IngressState;
+use crate::ingress::{IngressState, KnownConfig};
 use crate::peer_list::{PeerList, keep_peer_list};
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
 use crate::status::{metrics_handler, readiness_handler};
+use crate::suspect_metrics::SuspectMetrics;
 use crate::suspect_rows::SuspectKeeper;
 
 /// Connections of callers at most; each may need a second descriptor for its backend server.
@@ -80,6 +81,7 @@
     background: CancellationToken,
     serving: TaskTracker,
     peers: PeerList,
+    suspects: SuspectDesk,
 }
 
 impl RouterDaemon {
@@ -105,6 +107,7 @@
         let budgets = RetryBudgets::new(config.budget, clock.clone());
         let metrics = ForwardMetrics::default();
         let suspects = SuspectDesk::new(SuspectPolicy::default(), clock.clone());
+        suspects.set_lifted(config.lifted.clone());
         let limits = LimitDesk::new(config.limits, clock.clone());
         let seed = hash_of(&config.host);
         let desk = PoolDesk::new(config.policy.admission, seed, demand.clone(), clock.clone());
@@ -139,10 +142,11 @@
             background,
             serving: TaskTracker::new(),
             peers: beliefs.peers.clone(),
+            suspects: suspects.clone(),
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
         daemon.start_keepers(&beliefs, &site, budgets, demand, schedule, &clock);
-        daemon.start_suspects(&beliefs, &site, suspects);
+        daemon.start_suspects(&beliefs, &site);
         daemon.start_callers(&beliefs, &site, context, callers_listener, clock);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
@@ -180,7 +184,13 @@
         );
         believed.register(&mut registry);
         beliefs.unreadable.register(&mut registry);
-        let handler = metrics_handler(registry, move || believed.refresh());
+        let suspected = SuspectMetrics::new(self.suspects.clone());
+        suspected.register(&mut registry);
+        let refresh = move || {
+            believed.refresh();
+            suspected.refresh();
+        };
+        let handler = metrics_handler(registry, refresh);
         tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
     }
 
@@ -226,14 +236,14 @@
     }
 
     /// Starts to tell other hosts, and to hear from them, under which requests backend servers ended.
-    fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol, desk: SuspectDesk) {
+    fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol) {
         let keeper = SuspectKeeper {
             host: Name::clone(&self.config.host),
             table: Name::clone(&site.own_table),
             store: site.store.clone(),
             rows: beliefs.hosts.subscribe(),
             unreadable: beliefs.unreadable.clone(),
-            desk,
+            desk: self.suspects.clone(),
             wall: WallClock::system(),
         };
         tokio::spawn(keeper.run(self.background.clone()));
@@ -248,13 +258,17 @@
         clock: HostClock,
     ) {
         let stopping = Arc::clone(&self.stopping);
+        let known = KnownConfig {
+            config: beliefs.config.clone(),
+            operator: beliefs.operator.clone(),
+            change_limit: self.config.change_limit,
+        };
         let state = IngressState::new(
             site.clone(),
             context,
-            beliefs.config.clone(),
-            beliefs.operator.clone(),
-            self.config.change_limit,
+            known,
             stopping,
+            self.config.print_key.clone(),
             clock,
         );
         let limits = caller_limits(beliefs.config.clone(), &self.background);
@@ -264,8 +278,9 @@
 
     /// Takes what may change without a restart from new settings.
     pub fn reload(&self, config: RouterConfig) {
-        log::info!("event=reloaded seeds={:?}", config.seeds);
+        log::info!("event=reloaded seeds={:?} lifted={:?}", config.seeds, config.lifted);
         self.peers.set_seeds(config.seeds);
+        self.suspects.set_lifted(config.lifted);
     }
 
     /// Stops: no new callers, open answers to their end, nothing beyond the grace.
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -34,6 +34,17 @@
 /// towards the memory of the process.
 const MOST_IN_FLIGHT: usize = 1_500;
 
+/// The configuration as this host knows it.
+#[derive(Clone, Debug)]
+pub struct KnownConfig {
+    /// The configuration in force.
+    pub config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    /// The operator's rows, whose age tells whether the configuration is the newest.
+    pub operator: SharedBelief,
+    /// Time in which a change must be in force.
+    pub change_limit: Duration,
+}
+
 /// What every caller's request needs of the host.
 #[derive(Clone)]
 pub struct IngressState {
@@ -41,12 +52,8 @@
     pub site: SiteProtocol,
     /// The path to backend servers.
     pub context: ForwardContext,
-    /// The configuration in force.
-    pub config: watch::Receiver<Option<Arc<RoutingConfig>>>,
-    /// The operator's rows, whose age tells whether the configuration is the newest.
-    pub operator: SharedBelief,
-    /// Time in which a change must be in force.
-    pub change_limit: Duration,
+    /// The configuration.
+    pub known: KnownConfig,
     /// Set once the host is to stop; answers then close their connections.
     pub stopping: Arc<AtomicBool>,
     in_flight: Arc<Semaphore>,
@@ -66,27 +73,14 @@
     pub fn new(
         site: SiteProtocol,
         context: ForwardContext,
-        config: watch::Receiver<Option<Arc<RoutingConfig>>>,
-        operator: SharedBelief,
-        change_limit: Duration,
+        known: KnownConfig,
         stopping: Arc<AtomicBool>,
+        print_key: PrintKey,
         clock: HostClock,
     ) -> Self {
         let in_flight = Arc::new(Semaphore::new(MOST_IN_FLIGHT));
         let patience = PatienceTable::default();
-        let print_key = PrintKey::default();
-        Self {
-            site,
-            context,
-            config,
-            operator,
-            change_limit,
-            stopping,
-            in_flight,
-            patience,
-            print_key,
-            clock,
-        }
+        Self { site, context, known, stopping, in_flight, patience, print_key, clock }
     }
 
     /// The handler of the callers' listener.
@@ -131,7 +125,7 @@
         terms: RequestTerms,
         arrived: Moment,
     ) -> Result<(RoutedRequest, tokio::sync::OwnedSemaphorePermit), Refusal> {
-        let current = self.config.borrow().clone();
+        let current = self.known.config.borrow().clone();
         let Some(config) = current else {
             return Err(Refusal::come_back(RefusalCause::NotReady, NOT_READY_RETRY));
         };
@@ -205,7 +199,7 @@
     /// The refusal of what this host does not know: final if its configuration is the newest, else
     /// with when to come back, since it may have been added meanwhile.
     fn unknown(&self, cause: RefusalCause) -> Refusal {
-        let is_newest = self.operator.age().is_some_and(|age| age <= self.change_limit);
+        let is_newest = self.known.operator.age().is_some_and(|age| age <= self.known.change_limit);
         if is_newest {
             Refusal::new(cause)
         } else {
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -16,13 +16,14 @@
 mod site;
 mod sources;
 mod status;
+mod suspect_metrics;
 mod suspect_rows;
 mod unreadable_rows;
 
 pub use config_tracker::track_config;
 pub use daemon::{RouterDaemon, RouterError};
 pub use directory_tracker::{DirectorySettings, track_directory};
-pub use ingress::IngressState;
+pub use ingress::{IngressState, KnownConfig};
 pub use patience::PatienceTable;
 pub use policy::PolicyConfig;
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -8,7 +8,8 @@
 use dillspool_roles::ShareRule;
 use dillspool_scheduler::LimitTerms;
 use dillspool_schema::Name;
-use dillspool_schema::router::{LimitSettings, RouterSettings};
+use dillspool_schema::router::{LimitSettings, RouterSettings, SuspectSettings};
+use dillspool_suspects::{PrintKey, RequestPrint};
 use snafu::{ResultExt, Snafu};
 
 use crate::policy::{self, PolicyConfig};
@@ -97,6 +98,10 @@
     pub budget: BudgetTerms,
     /// How the limits of workspaces are counted.
     pub limits: LimitTerms,
+    /// Key of the prints that stand for requests.
+    pub print_key: PrintKey,
+    /// Prints of requests that run whatever ended under them.
+    pub lifted: Vec<RequestPrint>,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Time after an outage in which lapsed backend servers may register again.
@@ -157,6 +162,8 @@
             extra: not_negative("retry.extra", retry.extra)?,
         },
         limits: limit_terms(settings.limits.as_ref())?,
+        print_key: print_key(settings.suspects.as_ref()),
+        lifted: lifted(settings.suspects.as_ref())?,
         grace: seconds("lifecycle.grace_s", lifecycle.grace_s)?,
         lapse_grace: seconds(
             "lifecycle.lapse_grace_s",
@@ -184,6 +191,24 @@
     Ok(LimitTerms { slack: not_negative("limits.slack", slack)?, shares: shares as usize })
 }
 
+/// The key of prints; without one all fleets have the same.
+fn print_key(settings: Option<&SuspectSettings>) -> PrintKey {
+    let key = settings.map(|settings| &*settings.key).filter(|key| !key.is_empty());
+    key.map_or_else(PrintKey::default, PrintKey::new)
+}
+
+fn lifted(settings: Option<&SuspectSettings>) -> Result<Vec<RequestPrint>, SettingsError> {
+    let prints = settings.into_iter().flat_map(|settings| &settings.lifted);
+    let parse = |text: &String| {
+        text.parse().map_err(|_malformed| SettingsError::Field {
+            field: "suspects.lifted",
+            value: text.clone(),
+            remedy: "give prints as the log and `dillspool suspects` show them",
+        })
+    };
+    prints.map(parse).collect()
+}
+
 /// The rule for an optional part of a pool.
 fn share_rule(share: Option<f64>) -> Result<ShareRule, SettingsError> {
     match share {
--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -243,6 +243,9 @@
                 Ok(decoded) => decoded,
                 Err(cause) => {
                     self.unreadable.note(&self.table, key, row.version, &cause);
+                    if *key == own_key {
+                        state.written = None;
+                    }
                     continue;
                 }
             };
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -20,6 +20,7 @@
     RouteTable, RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
 };
 use dillspool_scheduler::LimitTerms;
+use dillspool_suspects::PrintKey;
 use hyper::{HeaderMap, StatusCode};
 
 /// Where the host takes callers.
@@ -47,6 +48,8 @@
         link_mbps: 0.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
         limits: LimitTerms { slack: 0.0, shares: 2 },
+        print_key: PrintKey::default(),
+        lifted: vec![],
         grace: Duration::from_secs(8),
         lapse_grace: Duration::from_secs(2),
         orders_apart: Duration::from_secs(3),
--- a/crates/dillspool_router/tests/settings.rs
+++ b/crates/dillspool_router/tests/settings.rs
@@ -70,6 +70,18 @@
             "[policy]\nmost_refusals = 0\n[orders]",
             &["policy.most_refusals", "between 1 and 64"],
         ),
+        case(
+            "a lifted print",
+            "[orders]",
+            "[suspects]\nkey = \"k\"\nlifted = [\"00112233445566778899aabbccddeeff\"]\n[orders]",
+            &[],
+        ),
+        case(
+            "no print",
+            "[orders]",
+            "[suspects]\nlifted = [\"001122\"]\n[orders]",
+            &["suspects.lifted", "dillspool suspects"],
+        ),
         case("an unknown policy", "[orders]", "[policy]\nluck = 1\n[orders]", &["luck"]),
         case("a gap", "ratio = 0.2", "ratio = ", &["settings-a gap.toml"]),
     ];
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -16,6 +16,7 @@
     REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore, TIME_BUDGET,
     TOKEN_COUNTS, config_text,
 };
+use dillspool_suspects::{PrintKey, RequestPrint};
 use http_body_util::Full;
 use hyper::Request;
 use tokio_util::sync::CancellationToken;
@@ -167,6 +168,13 @@
         }
     }
 
+    /// Gives a host settings that let requests run whatever ended under them.
+    pub fn lift(&mut self, number: usize, lifted: Vec<RequestPrint>) {
+        let (config, daemon) = &mut self.hosts[number];
+        config.lifted = lifted;
+        daemon.as_ref().expect("it runs").reload(config.clone());
+    }
+
     /// Backend servers that have ended so far.
     pub fn ends(&self) -> usize {
         self.ended.lock().expect("no panic").len()
@@ -238,6 +246,8 @@
         link_mbps: 100.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
         limits: LimitTerms { slack: 0.0, shares: 2 },
+        print_key: PrintKey::default(),
+        lifted: vec![],
         grace: Duration::from_secs(4),
         lapse_grace: Duration::from_secs(2),
         orders_apart: Duration::from_secs(3),
