Schedulers pass news of suspects on, also while the store is away

Cause: rows of the store tell all hosts under which requests backend servers ended; while it is away each host had to see three ends by itself. Ruled out: a print in each question for engines (plain calls ask nobody, and every question would be longer). Change: ScheduleMessage::Suspect on the links of pools, version 3; a host tells its scheduler at once, the scheduler all that it serves what has ended more than one; SuspectBus; serve_schedule takes its desks as one struct. The test of a store that is away now asks for three ends in place of three a host.

--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -38,4 +38,4 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use metrics::{ForwardMetrics, OutcomeLabels};
 pub use refusal::{Refusal, RefusalCause};
-pub use suspects::{SuspectDesk, SuspectNews};
+pub use suspects::SuspectDesk;
--- a/crates/dillspool_forward/src/suspects.rs
+++ b/crates/dillspool_forward/src/suspects.rs
@@ -7,27 +7,13 @@
 use dillspool_io::HostClock;
 use dillspool_moment::Moment;
 use dillspool_suspects::{
-    EndedBackend, RequestPrint, RunEnd, SuspectBook, SuspectDecision, SuspectPolicy,
+    EndedBackend, RequestPrint, RunEnd, SuspectBook, SuspectDecision, SuspectNews, SuspectPolicy,
 };
 use tokio::sync::Notify;
 
 /// News that wait to be told to other hosts at most; the oldest go first.
 const MOST_NEWS: usize = 1024;
 
-/// Something that this host learnt itself, and that other hosts should know.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SuspectNews {
-    /// A backend server ended under a request.
-    Ended(RunEnd),
-    /// A copy of a request that was watched came to a good end.
-    Whole {
-        /// The request.
-        print: RequestPrint,
-        /// When.
-        at: Moment,
-    },
-}
-
 struct DeskState {
     book: SuspectBook,
     /// Requests that an operator lets run.
@@ -102,8 +88,8 @@
         std::mem::take(&mut self.state().news)
     }
 
-    /// Takes what another host, or this one before it started anew, has told.
-    pub fn learn(&self, news: &SuspectNews) {
+    /// Takes what another host, or this one before it started anew, has told; whether it is news here.
+    pub fn learn(&self, news: &SuspectNews) -> bool {
         let now = self.now();
         let mut state = self.state();
         let (print, is_new) = match news {
@@ -115,6 +101,28 @@
         if is_new {
             log_decision(print, decision, "told");
         }
+        is_new
+    }
+
+    /// What other hosts need to know beside news that came: all ends in a row of a request under which
+    /// more than one backend server has ended. A crash stands against all that ran there, and most of
+    /// that is of no use to others.
+    pub fn worth_telling(&self, news: &SuspectNews) -> Vec<SuspectNews> {
+        match news {
+            SuspectNews::Whole { .. } => vec![news.clone()],
+            SuspectNews::Ended(end) => {
+                let ends = self.state().book.ends(end.print);
+                let known = if ends.len() > 1 { ends } else { Vec::new() };
+                known.into_iter().map(SuspectNews::Ended).collect()
+            }
+        }
+    }
+
+    /// All ends that stand, the newest `most` of them.
+    pub fn known(&self, most: usize) -> Vec<SuspectNews> {
+        let mut ends = self.state().book.all_ends();
+        ends.sort_by_key(|end| std::cmp::Reverse(end.at));
+        ends.into_iter().take(most).map(SuspectNews::Ended).collect()
     }
 
     /// Forgets what stands against nobody any more.
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -19,7 +19,9 @@
     GenerationTerms, RequestKind, RouteEntry, RouteTable, RoutedRequest, RoutingConfig,
     ServiceEntry, ServiceShare,
 };
-use dillspool_scheduler::{LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient};
+use dillspool_scheduler::{
+    LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient, SuspectBus, SuspectHandlers,
+};
 use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectPolicy};
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
@@ -288,7 +290,7 @@
             running.run(known, directory, CancellationToken::new()).await;
             drop(sender);
         });
-        ScheduleClient::new(desk)
+        ScheduleClient::new(desk, no_suspects())
     }
 
     /// A context over the site and the sender of its directory.
@@ -433,3 +435,7 @@
         config_version: 1,
     }
 }
+
+fn no_suspects() -> SuspectBus {
+    SuspectBus::new(SuspectHandlers::none(), HostClock::steady())
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -14,7 +14,10 @@
 };
 use dillspool_roles::{DelayFn, KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
-use dillspool_scheduler::{LimitClient, LimitDesk, PoolDesk, ScheduleClient, serve_schedule};
+use dillspool_scheduler::{
+    LimitClient, LimitDesk, PoolDesk, ScheduleClient, ScheduleDesks, SuspectBus, SuspectHandlers,
+    serve_schedule,
+};
 use dillspool_schema::Name;
 use dillspool_suspects::SuspectPolicy;
 use prometheus_client::registry::Registry;
@@ -111,15 +114,13 @@
         let limits = LimitDesk::new(config.limits, clock.clone());
         let seed = hash_of(&config.host);
         let desk = PoolDesk::new(config.policy.admission, seed, demand.clone(), clock.clone());
-        let schedule = start_schedule(
-            &config,
-            &stack,
-            &beliefs,
-            schedule_listener,
-            desk,
-            limits.clone(),
-            &background,
-        );
+        let desks = ScheduleDesks {
+            pools: desk,
+            limits: limits.clone(),
+            suspects: suspect_bus(&suspects, &clock),
+        };
+        let schedule =
+            start_schedule(&config, &stack, &beliefs, schedule_listener, desks, &background);
         let limits = start_limits(&config, &stack, &beliefs, limits, &background);
         let context = ForwardContext {
             failure_domain: Name::clone(&config.failure_domain),
@@ -145,8 +146,8 @@
             suspects: suspects.clone(),
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
+        daemon.start_suspects(&beliefs, &site, schedule.clone());
         daemon.start_keepers(&beliefs, &site, budgets, demand, schedule, &clock);
-        daemon.start_suspects(&beliefs, &site);
         daemon.start_callers(&beliefs, &site, context, callers_listener, clock);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
@@ -236,7 +237,7 @@
     }
 
     /// Starts to tell other hosts, and to hear from them, under which requests backend servers ended.
-    fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol) {
+    fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol, schedule: ScheduleClient) {
         let keeper = SuspectKeeper {
             host: Name::clone(&self.config.host),
             table: Name::clone(&site.own_table),
@@ -245,6 +246,7 @@
             unreadable: beliefs.unreadable.clone(),
             desk: self.suspects.clone(),
             wall: WallClock::system(),
+            tell: Arc::new(move |news| schedule.tell_suspect(news)),
         };
         tokio::spawn(keeper.run(self.background.clone()));
     }
@@ -318,6 +320,17 @@
     }
 }
 
+/// News of suspects between what this host knows and its links.
+fn suspect_bus(desk: &SuspectDesk, clock: &HostClock) -> SuspectBus {
+    let (learning, telling, knowing) = (desk.clone(), desk.clone(), desk.clone());
+    let handlers = SuspectHandlers {
+        learn: Arc::new(move |news| learning.learn(news)),
+        worth_telling: Arc::new(move |news| telling.worth_telling(news)),
+        known: Arc::new(move |most| knowing.known(most)),
+    };
+    SuspectBus::new(handlers, clock.clone())
+}
+
 /// Starts this host's own decisions, its service to others that ask it, and its link to the
 /// scheduler that it asks.
 fn start_schedule(
@@ -325,14 +338,14 @@
     stack: &NetStack,
     beliefs: &Beliefs,
     listener: NetListener,
-    desk: PoolDesk,
-    limits: LimitDesk,
+    desks: ScheduleDesks,
     cancel: &CancellationToken,
 ) -> ScheduleClient {
+    let ScheduleDesks { pools: desk, suspects, limits: _ } = desks.clone();
     let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
     tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
-    tokio::spawn(serve_schedule(listener, desk.clone(), limits, cancel.clone()));
-    let client = ScheduleClient::new(desk);
+    tokio::spawn(serve_schedule(listener, desks, cancel.clone()));
+    let client = ScheduleClient::new(desk, suspects);
     log::info!("event=policy {:?}", config.policy);
     if !config.policy.schedule {
         return client;
--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_forward::{SuspectDesk, SuspectNews};
+use dillspool_forward::SuspectDesk;
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_moment::Moment;
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableStore};
 use dillspool_schema::Name;
-use dillspool_suspects::{RequestPrint, RunEnd, SuspectDecision};
+use dillspool_suspects::{RequestPrint, RunEnd, SuspectDecision, SuspectNews};
 use dillspool_watch::TableBelief;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -169,6 +169,8 @@
     pub(crate) unreadable: UnreadableRows,
     pub(crate) desk: SuspectDesk,
     pub(crate) wall: WallClock,
+    /// Tells news on this host's links, which go on while the store is away.
+    pub(crate) tell: Arc<dyn Fn(&SuspectNews) + Send + Sync>,
 }
 
 /// How far the rows and the desk agree.
@@ -198,9 +200,7 @@
         let mut look_at = Instant::now() + look_pause();
         loop {
             let is_known = self.take_rows(&mut state, &clock);
-            for news in self.desk.take_news() {
-                state.own.add(&news, &clock);
-            }
+            self.take_news(&mut state, &clock);
             let text = serde_json::to_string(&state.own).unwrap_or_default();
             let is_due = is_known
                 && state.own != SuspectRow::default()
@@ -208,7 +208,7 @@
             let write_at = state.paused.map_or_else(Instant::now, |(until, _pause)| until);
             tokio::select! {
                 changed = self.rows.changed() => if changed.is_err() { return },
-                () = self.desk.changed() => tokio::time::sleep(GATHER).await,
+                () = self.desk.changed() => self.gather(&mut state, &clock).await,
                 () = tokio::time::sleep_until(write_at), if is_due => {
                     self.write(&mut state, text).await;
                 }
@@ -222,6 +222,19 @@
         }
     }
 
+    /// Tells news on the links at once, and waits a moment for more before they are written.
+    async fn gather(&self, state: &mut KeeperState, clock: &DeskClock) {
+        self.take_news(state, clock);
+        tokio::time::sleep(GATHER).await;
+    }
+
+    fn take_news(&self, state: &mut KeeperState, clock: &DeskClock) {
+        for news in self.desk.take_news() {
+            (self.tell)(&news);
+            state.own.add(&news, clock);
+        }
+    }
+
     fn own_key(&self) -> Name {
         format!("{ROW_PREFIX}{}", self.host).into()
     }
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -152,15 +152,15 @@
 struct OutageCase {
     name: &'static str,
     mode: StoreMode,
-    /// Backend servers that may end: each host learns by itself while the store is away.
+    /// Backend servers that may end.
     most_ends: usize,
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_store_that_is_away_costs_no_more_than_each_host_by_itself() {
+async fn a_store_that_is_away_keeps_no_host_from_knowing() {
     let cases = [
-        OutageCase { name: "refuses", mode: StoreMode::Busy, most_ends: 3 * MOST_ENDS },
-        OutageCase { name: "is silent", mode: StoreMode::Silent, most_ends: 3 * MOST_ENDS },
+        OutageCase { name: "refuses", mode: StoreMode::Busy, most_ends: MOST_ENDS },
+        OutageCase { name: "is silent", mode: StoreMode::Silent, most_ends: MOST_ENDS },
         OutageCase { name: "loses answers", mode: StoreMode::LosingAnswers, most_ends: MOST_ENDS },
         OutageCase {
             name: "forgets its history",
@@ -169,7 +169,8 @@
         },
     ];
     for case in cases {
-        let fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        // Engines under the ids that they had are in use again, though no row tells of their start.
+        let fleet = TestFleet::start(3, ComeBack::SameId).await;
         fleet.store.set_mode(case.mode);
         tokio::time::sleep(Duration::from_secs(1)).await;
         send_copies(&fleet, "/stream/1", DEADLY_BODY, 3).await;
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -9,6 +9,7 @@
 use dillspool_io::NetStack;
 use dillspool_routing::RoutingConfig;
 use dillspool_schema::Name;
+use dillspool_suspects::SuspectNews;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -16,11 +17,16 @@
 use crate::desk::{DeskNote, PoolDesk};
 use crate::keeper::{LinkKeeper, PeersFn, SchedulePeers};
 use crate::link::{LinkDuty, SchedulerLink};
+use crate::suspect_bus::SuspectBus;
+
+/// Number that no link of a served host has.
+const OWN_LINK: u64 = 0;
 
 /// Asks where requests run, and tells what became of them.
 #[derive(Clone)]
 pub struct ScheduleClient {
     desk: PoolDesk,
+    suspects: SuspectBus,
     links: Arc<Mutex<HashMap<Name, SchedulerLink>>>,
     next_ticket: Arc<AtomicU64>,
 }
@@ -33,8 +39,8 @@
 
 impl ScheduleClient {
     /// A client that decides by its own desk until [`ScheduleClient::run`] finds schedulers.
-    pub fn new(desk: PoolDesk) -> Self {
-        Self { desk, links: Arc::default(), next_ticket: Arc::default() }
+    pub fn new(desk: PoolDesk, suspects: SuspectBus) -> Self {
+        Self { desk, suspects, links: Arc::default(), next_ticket: Arc::default() }
     }
 
     /// Links this host to the scheduler of each pool until `cancel`.
@@ -55,7 +61,7 @@
                 if self.link(&service.name).is_some() {
                     continue;
                 }
-                let link = SchedulerLink::default();
+                let link = SchedulerLink::of_pool(self.suspects.clone());
                 self.with_links(|links| links.insert(Name::clone(&service.name), link.clone()));
                 let keeper = LinkKeeper {
                     link,
@@ -96,6 +102,18 @@
         links.iter().filter_map(count).max()
     }
 
+    /// Tells the schedulers, or where this host schedules the hosts that it serves, news of a suspect.
+    pub fn tell_suspect(&self, news: &SuspectNews) {
+        let links = self.with_links(|links| links.clone());
+        for link in links.into_values() {
+            if link.schedules() {
+                self.suspects.spread(OWN_LINK, news);
+            } else {
+                link.tell(self.suspects.encode(news));
+            }
+        }
+    }
+
     /// Opens a ticket for a request.
     pub fn open(&self, service: &Name) -> PlacementTicket {
         let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1);
--- a/crates/dillspool_scheduler/src/lib.rs
+++ b/crates/dillspool_scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod limit_desk;
 mod link;
 mod serve;
+mod suspect_bus;
 mod wire;
 
 pub use candidates::{SchedulerCandidate, rank_candidates};
@@ -21,5 +22,6 @@
 pub use keeper::SchedulePeers;
 pub use limit_client::{LimitClient, SpentAmount};
 pub use limit_desk::{LimitDesk, LimitTerms};
-pub use serve::serve_schedule;
+pub use serve::{ScheduleDesks, serve_schedule};
+pub use suspect_bus::{SuspectBus, SuspectHandlers};
 pub use wire::ScheduleError;
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -13,11 +13,13 @@
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
     ScheduleAsk, ScheduleDuty, ScheduleGiveBack, ScheduleHeld, ScheduleHello, ScheduleMessage,
+    ScheduleSuspect,
 };
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::desk::DeskNote;
+use crate::suspect_bus::SuspectBus;
 use crate::wire::{self, PROTOCOL_VERSION};
 
 pub(crate) use serving::{BEAT_EVERY, ScheduleSocket, open_link};
@@ -106,18 +108,29 @@
     state: Arc<Mutex<LinkState>>,
     /// Called with each sign of life of the linked host.
     on_word: Arc<WordFn>,
-}
-
-impl Default for SchedulerLink {
-    fn default() -> Self {
-        Self::new(|_hosts| {})
-    }
+    /// Takes the linked scheduler's news; a holder of limits has none.
+    suspects: Option<SuspectBus>,
 }
 
 impl SchedulerLink {
     /// A link that calls `on_word` with the number of hosts that each sign of life tells.
     pub(crate) fn new(on_word: impl Fn(usize) + Send + Sync + 'static) -> Self {
-        Self { state: Arc::default(), on_word: Arc::new(on_word) }
+        Self { state: Arc::default(), on_word: Arc::new(on_word), suspects: None }
+    }
+
+    /// A link to the scheduler of a pool.
+    pub(crate) fn of_pool(suspects: SuspectBus) -> Self {
+        Self { suspects: Some(suspects), ..Self::new(|_hosts| {}) }
+    }
+
+    /// Tells the scheduler news of a suspect.
+    pub(crate) fn tell(&self, message: ScheduleSuspect) {
+        self.with(|state| {
+            if let Some(sender) = &state.sender {
+                // Rows of the store tell it, too.
+                let _sent = sender.try_send(ScheduleMessage::Suspect(message));
+            }
+        });
     }
 
     fn with<T>(&self, run: impl FnOnce(&mut LinkState) -> T) -> T {
--- a/crates/dillspool_scheduler/src/link/serving.rs
+++ b/crates/dillspool_scheduler/src/link/serving.rs
@@ -11,6 +11,7 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use super::{LinkDuty, ScheduleReply, SchedulerLink};
+use crate::suspect_bus::SuspectBus;
 use crate::wire::{self, ScheduleError};
 
 /// Time between two signs of life.
@@ -34,6 +35,9 @@
                 // A full queue costs knowledge, not a promise.
                 let _sent = sender.try_send(held.message(*ticket));
             }
+            for message in self.suspects.iter().flat_map(SuspectBus::first_news) {
+                let _sent = sender.try_send(ScheduleMessage::Suspect(message));
+            }
             state.sender = Some(sender);
         });
         let _open = OpenLink(self);
@@ -70,6 +74,11 @@
                     self.with(|state| state.hosts = Some(hosts));
                     (self.on_word)(hosts);
                 }
+                ScheduleMessage::Suspect(message) => {
+                    if let Some(suspects) = &self.suspects {
+                        suspects.hear(message);
+                    }
+                }
                 ScheduleMessage::Hello(_)
                 | ScheduleMessage::Ask(_)
                 | ScheduleMessage::Held(_)
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -11,9 +11,10 @@
 use dillspool_schema::schedule::{
     ScheduleBeat, ScheduleDuty, ScheduleHello, ScheduleMessage, ScheduleReader,
 };
+use dillspool_suspects::SuspectNews;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
-use tokio::sync::mpsc;
+use tokio::sync::{broadcast, mpsc};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 use tokio_util::sync::CancellationToken;
@@ -21,6 +22,7 @@
 use crate::desk::{DeskNote, PoolDesk};
 use crate::limit_desk::{LimitDesk, LimitShare};
 use crate::link::BEAT_EVERY;
+use crate::suspect_bus::SuspectBus;
 use crate::wire::{self, PROTOCOL_VERSION, ScheduleError};
 
 /// Time for a host to open its link, some round trips between failure domains.
@@ -40,11 +42,21 @@
 type HostWriter = SplitSink<WebSocketStream<NetStream>, Message>;
 type HostReader = SplitStream<WebSocketStream<NetStream>>;
 
+/// What a host decides and passes on for others.
+#[derive(Clone, Debug)]
+pub struct ScheduleDesks {
+    /// Places the requests of pools.
+    pub pools: PoolDesk,
+    /// Counts the limits of workspaces.
+    pub limits: LimitDesk,
+    /// Passes news of suspects on.
+    pub suspects: SuspectBus,
+}
+
 /// Answers every host that connects until `cancel`.
 pub async fn serve_schedule(
     mut listener: NetListener,
-    desk: PoolDesk,
-    limits: LimitDesk,
+    desks: ScheduleDesks,
     cancel: CancellationToken,
 ) {
     // The tickets of this host itself have the number 0.
@@ -55,18 +67,18 @@
             () = cancel.cancelled() => return,
         };
         let Some(stream) = stream else { return };
-        let (desk, limits, cancel) = (desk.clone(), limits.clone(), cancel.clone());
+        let (desks, cancel) = (desks.clone(), cancel.clone());
         let number = links.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             tokio::select! {
-                () = serve_host(stream, desk, limits, number) => {}
+                () = serve_host(stream, desks, number) => {}
                 () = cancel.cancelled() => {}
             }
         });
     }
 }
 
-async fn serve_host(stream: NetStream, desk: PoolDesk, limits: LimitDesk, number: u64) {
+async fn serve_host(stream: NetStream, desks: ScheduleDesks, number: u64) {
     let opening = accept_async_with_config(stream, Some(wire::socket_config()));
     let Ok(Ok(socket)) = tokio::time::timeout(OPEN_LIMIT, opening).await else { return };
     let (writer, mut reader) = socket.split();
@@ -78,18 +90,19 @@
         }
     };
     match hello.duty {
-        ScheduleDuty::Pool => serve_pool(writer, reader, desk, hello, number).await,
-        ScheduleDuty::Limits => serve_limits(writer, reader, limits, hello).await,
+        ScheduleDuty::Pool => serve_pool(writer, reader, desks, hello, number).await,
+        ScheduleDuty::Limits => serve_limits(writer, reader, desks.limits, hello).await,
     }
 }
 
 async fn serve_pool(
     writer: HostWriter,
     mut reader: HostReader,
-    desk: PoolDesk,
+    desks: ScheduleDesks,
     hello: ScheduleHello,
     number: u64,
 ) {
+    let ScheduleDesks { pools: desk, suspects, limits: _ } = desks;
     let service = hello.service;
     if !desk.knows(&service) {
         log::info!("event=schedule_refused cause=\"the pool {service} is not known here yet\"");
@@ -100,17 +113,20 @@
     let _served = desk.serve_host(&service);
     let beat = || beat(desk.hosts(&service));
     let _queued = sender.try_send(beat());
+    let news = suspects.subscribe();
     let mut host = ServedHost {
         desk: desk.clone(),
+        suspects: suspects.clone(),
         number,
         service: Name::clone(&service),
-        sender,
+        sender: sender.clone(),
         tickets: HashSet::new(),
     };
     log::info!("event=schedule_host_joined host={} service={service}", hello.host);
     let ended = tokio::select! {
         ended = host.read(&mut reader) => ended,
         ended = write_queue(writer, queue, beat) => ended,
+        () = pass_news(news, &suspects, &sender, number) => Ok(()),
     };
     let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
     log::info!(
@@ -120,6 +136,28 @@
     );
 }
 
+/// Passes news of suspects on to a host, but for those that came from it.
+async fn pass_news(
+    mut news: broadcast::Receiver<(u64, SuspectNews)>,
+    suspects: &SuspectBus,
+    sender: &mpsc::Sender<ScheduleMessage>,
+    number: u64,
+) {
+    loop {
+        match news.recv().await {
+            Ok((link, news)) if link != number => {
+                // A host that does not read is left; rows of the store tell it, too.
+                let _queued = sender.try_send(ScheduleMessage::Suspect(suspects.encode(&news)));
+            }
+            Ok(_its_own) => {}
+            Err(broadcast::error::RecvError::Lagged(missed)) => {
+                log::info!("event=suspect_news_missed link={number} count={missed}");
+            }
+            Err(broadcast::error::RecvError::Closed) => std::future::pending().await,
+        }
+    }
+}
+
 /// Counts limits for a host until its link ends.
 async fn serve_limits(
     writer: HostWriter,
@@ -168,6 +206,7 @@
             | ScheduleMessage::Note(_)
             | ScheduleMessage::Decided(_)
             | ScheduleMessage::Reader(_)
+            | ScheduleMessage::Suspect(_)
             | ScheduleMessage::Spent(_) => {
                 let reason = "no question about a limit".to_owned();
                 return Err(ScheduleError::Malformed { reason });
@@ -241,6 +280,7 @@
 /// A host that is served, until its link ends.
 struct ServedHost {
     desk: PoolDesk,
+    suspects: SuspectBus,
     number: u64,
     service: Name,
     sender: mpsc::Sender<ScheduleMessage>,
@@ -284,6 +324,11 @@
                     }
                     self.desk.note(self.ticket(ticket), note);
                 }
+                ScheduleMessage::Suspect(message) => {
+                    if let Some(news) = self.suspects.hear(message) {
+                        self.suspects.spread(self.number, &news);
+                    }
+                }
                 ScheduleMessage::Beat(_beat) => {}
                 ScheduleMessage::Hello(_)
                 | ScheduleMessage::Spend(_)
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -14,7 +14,8 @@
     WorkspaceTable,
 };
 use dillspool_scheduler::{
-    LimitClient, LimitDesk, LimitTerms, PoolDesk, SchedulePeers, serve_schedule,
+    LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleDesks, SchedulePeers, SuspectBus,
+    SuspectHandlers, serve_schedule,
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -69,7 +70,11 @@
             HostClock::steady(),
         );
         let listener = stack.listen(address(host)).await.expect("a free address");
-        tokio::spawn(serve_schedule(listener, pools, desk.clone(), cancel.clone()));
+        tokio::spawn(serve_schedule(
+            listener,
+            ScheduleDesks { pools, limits: desk.clone(), suspects: no_suspects() },
+            cancel.clone(),
+        ));
         let client = LimitClient::new(desk);
         let (own, order) = (Some(address(host)), Arc::clone(order));
         let peers = move |_share: &str| {
@@ -264,3 +269,7 @@
         assert_eq!(second.ask().await, Some(SpendDecision::Allowed));
     });
 }
+
+fn no_suspects() -> SuspectBus {
+    SuspectBus::new(SuspectHandlers::none(), HostClock::steady())
+}
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -16,8 +16,9 @@
     RouteTable, RoutingConfig, ServiceEntry, StartedBackend,
 };
 use dillspool_scheduler::{
-    DeskNote, LimitDesk, LimitTerms, PlacementTicket, PoolDesk, ScheduleClient, SchedulePeers,
-    SchedulerCandidate, rank_candidates, serve_schedule,
+    DeskNote, LimitDesk, LimitTerms, PlacementTicket, PoolDesk, ScheduleClient, ScheduleDesks,
+    SchedulePeers, SchedulerCandidate, SuspectBus, SuspectHandlers, rank_candidates,
+    serve_schedule,
 };
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -118,8 +119,12 @@
         tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
         let listener = stack.listen(address(host)).await.expect("a free address");
         let limits = LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady());
-        tokio::spawn(serve_schedule(listener, desk.clone(), limits, cancel.clone()));
-        let client = ScheduleClient::new(desk);
+        tokio::spawn(serve_schedule(
+            listener,
+            ScheduleDesks { pools: desk.clone(), limits, suspects: no_suspects() },
+            cancel.clone(),
+        ));
+        let client = ScheduleClient::new(desk, no_suspects());
         let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
         let own = Some(address(host));
         let peers = move |_service: &str| SchedulePeers { own, ranked: ranked.clone() };
@@ -323,3 +328,7 @@
         assert_eq!(first, expected, "{}", case.name);
     }
 }
+
+fn no_suspects() -> SuspectBus {
+    SuspectBus::new(SuspectHandlers::none(), HostClock::steady())
+}
--- /dev/null
+++ b/crates/dillspool_scheduler/tests/suspect_news.rs
@@ -0,0 +1,171 @@
+//! News of suspects on the links of a pool: who hears them, and what is passed over.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dillspool_admission::AdmissionPolicy;
+use dillspool_capacity::DemandMeter;
+use dillspool_io::{HostClock, MemoryNet, NetStream};
+use dillspool_routing::{
+    BackendEntry, BackendState, ClientLimits, DirectoryView, EngineStage, RouteTable,
+    RoutingConfig, ServiceEntry,
+};
+use dillspool_scheduler::{
+    LimitDesk, LimitTerms, PoolDesk, ScheduleDesks, SuspectBus, SuspectHandlers, serve_schedule,
+};
+use dillspool_schema::schedule::{ScheduleDuty, ScheduleHello, ScheduleMessage, ScheduleSuspect};
+use dillspool_suspects::SuspectNews;
+use futures_util::{SinkExt, StreamExt};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, client_async};
+use tokio_util::sync::CancellationToken;
+
+const ADDRESS: &str = "10.0.0.1:7661";
+const PRINT: &str = "00112233445566778899aabbccddeeff";
+
+fn address() -> SocketAddr {
+    ADDRESS.parse().expect("an address")
+}
+
+/// A desk that knows one pool of one engine.
+fn desk() -> PoolDesk {
+    let desk =
+        PoolDesk::new(AdmissionPolicy::default(), 1, DemandMeter::default(), HostClock::steady());
+    let service = ServiceEntry {
+        name: "pool".into(),
+        health_path: "/health".into(),
+        max_connections: 10,
+        engine: None,
+    };
+    let limits = ClientLimits {
+        head_bytes: 1,
+        body_bytes: 1,
+        head_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    let config = RoutingConfig {
+        version: 1,
+        routes: RouteTable::default(),
+        services: [("pool".into(), service)].into(),
+        workspaces: None,
+        limits,
+    };
+    let engine = BackendEntry {
+        id: "e1".into(),
+        start: None,
+        service: "pool".into(),
+        address: address(),
+        failure_domain: "domain".into(),
+        state: BackendState::Ready,
+        stage: Some(EngineStage::Decode),
+    };
+    let view = DirectoryView { version: 1, entries: [("e1".into(), Arc::new(engine))].into() };
+    desk.set_pools(&config, &view);
+    desk
+}
+
+type HostSocket = WebSocketStream<NetStream>;
+
+async fn link(net: &MemoryNet, host: &str) -> HostSocket {
+    let stack = net.stack(host.parse().expect("an address"));
+    let stream = stack.connect(address()).await.expect("it listens");
+    let (mut socket, _response) =
+        client_async(format!("ws://{ADDRESS}/"), stream).await.expect("a handshake");
+    let hello = ScheduleHello {
+        version: 3,
+        host: host.into(),
+        duty: ScheduleDuty::Pool,
+        service: "pool".into(),
+        hosts: 0,
+    };
+    send(&mut socket, &ScheduleMessage::Hello(hello)).await;
+    socket
+}
+
+async fn send(socket: &mut HostSocket, message: &ScheduleMessage) {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("a message");
+    socket.send(Message::Binary(bytes.into())).await.expect("an open link");
+}
+
+/// The backend servers in the news that come within a second, and whether the link still beats.
+async fn heard(socket: &mut HostSocket) -> (Vec<String>, bool) {
+    let (mut backends, mut beats) = (Vec::new(), false);
+    let reading = async {
+        while let Some(Ok(Message::Binary(bytes))) = socket.next().await {
+            match ciborium::from_reader(&bytes[..]).expect("a message") {
+                ScheduleMessage::Suspect(news) => {
+                    backends.push(news.backend.as_deref().unwrap_or("whole").to_owned());
+                }
+                ScheduleMessage::Beat(_) => beats = true,
+                other => panic!("{other:?}"),
+            }
+        }
+        beats = false;
+    };
+    let _elapsed = tokio::time::timeout(Duration::from_secs(1), reading).await;
+    (backends, beats)
+}
+
+struct NewsCase {
+    name: &'static str,
+    print: &'static str,
+    backend: Option<String>,
+    /// Whether the scheduler takes it and the other host hears it.
+    is_taken: bool,
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_hosts_hear_what_can_be_read_and_the_link_goes_on() {
+    let case = |name, print, backend: Option<&str>, is_taken| NewsCase {
+        name,
+        print,
+        backend: backend.map(str::to_owned),
+        is_taken,
+    };
+    let long = "e".repeat(300);
+    let cases = [
+        case("an end", PRINT, Some("e1 5"), true),
+        case("a good end", PRINT, None, true),
+        case("no print", "0011", Some("e1 5"), false),
+        case("an empty print", "", Some("e1 5"), false),
+        case("a backend server without a name", PRINT, Some(""), false),
+        case("a name that is too long", PRINT, Some(&long), false),
+    ];
+    for case in cases {
+        let net = MemoryNet::new();
+        let learnt: Arc<Mutex<Vec<SuspectNews>>> = Arc::default();
+        let learning = Arc::clone(&learnt);
+        let handlers = SuspectHandlers {
+            learn: Arc::new(move |news| {
+                learning.lock().unwrap().push(news.clone());
+                true
+            }),
+            worth_telling: Arc::new(|news| vec![news.clone()]),
+            known: Arc::new(|_most| Vec::new()),
+        };
+        let listener = net.stack(address().ip()).listen(address()).await.expect("a free address");
+        let limits = LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady());
+        let bus = SuspectBus::new(handlers, HostClock::steady());
+        let cancel = CancellationToken::new();
+        tokio::spawn(serve_schedule(
+            listener,
+            ScheduleDesks { pools: desk(), limits, suspects: bus },
+            cancel.clone(),
+        ));
+        let (mut one, mut two) = (link(&net, "10.0.0.2").await, link(&net, "10.0.0.3").await);
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: before", case.name);
+        assert_eq!(heard(&mut two).await, (vec![], true), "{}: before", case.name);
+        let backend = case.backend.as_deref().map(Into::into);
+        let news = ScheduleSuspect { print: case.print.into(), backend, age_ms: 7 };
+        send(&mut one, &ScheduleMessage::Suspect(news)).await;
+        let expected = case.backend.unwrap_or_else(|| "whole".to_owned());
+        let expected = if case.is_taken { vec![expected] } else { vec![] };
+        assert_eq!(heard(&mut two).await, (expected, true), "{}", case.name);
+        // Whoever told it does not hear it again.
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: itself", case.name);
+        assert_eq!(learnt.lock().unwrap().len(), usize::from(case.is_taken), "{}", case.name);
+        cancel.cancel();
+    }
+}
--- a/crates/dillspool_suspects/src/book.rs
+++ b/crates/dillspool_suspects/src/book.rs
@@ -27,6 +27,20 @@
     pub at: Moment,
 }
 
+/// Something that one host learnt, and that others should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SuspectNews {
+    /// A backend server ended under a request.
+    Ended(RunEnd),
+    /// A copy of a request under which some had ended came to a good end.
+    Whole {
+        /// The request.
+        print: RequestPrint,
+        /// When.
+        at: Moment,
+    },
+}
+
 /// What is done with a copy of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspectDecision {
@@ -138,6 +152,18 @@
         }
     }
 
+    /// The ends in a row under a request.
+    pub fn ends(&self, print: RequestPrint) -> Vec<RunEnd> {
+        let record = self.records.get(&print);
+        let ends = record.into_iter().flat_map(SuspectRecord::in_row);
+        ends.map(|(backend, at)| RunEnd { print, backend: Arc::clone(backend), at: *at }).collect()
+    }
+
+    /// The ends in a row under all requests.
+    pub fn all_ends(&self) -> Vec<RunEnd> {
+        self.records.keys().flat_map(|print| self.ends(*print)).collect()
+    }
+
     /// Whether one more end would have it refused.
     pub fn is_near_refusal(&self, print: RequestPrint, now: Moment) -> bool {
         self.decide(print, now).ends() + 1 >= self.policy.ends_refused
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -8,6 +8,6 @@
 mod policy;
 mod print;
 
-pub use book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision};
+pub use book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision, SuspectNews};
 pub use policy::{EndWeight, SuspectPolicy};
 pub use print::{MalformedPrint, PrintKey, PrintParts, RequestPrint};
