--- /dev/null
+++ b/crates/dillspool_router/src/fleet_duties.rs
@@ -0,0 +1,126 @@
+//! What a host does for others, and asks of them: schedulers, holders of limits, orders, budgets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_forward::{RetryBudgets, SuspectDesk};
+use dillspool_io::{HostClock, NetListener, NetStack};
+use dillspool_roles::DelayFn;
+use dillspool_routing::RoutingConfig;
+use dillspool_scheduler::{
+    LimitClient, LimitDesk, ScheduleClient, ScheduleDesks, SuspectBus, SuspectHandlers,
+    serve_schedule,
+};
+use dillspool_schema::Name;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::beliefs::Beliefs;
+use crate::peer_list::PeerList;
+use crate::settings::RouterConfig;
+
+/// Time before a host gives orders that does not schedule the pools: the one that does has ordered by
+/// then, and its orders show in the directory, unless it cannot reach the store or the engines.
+const OTHERS_ORDER_DELAY: Duration = Duration::from_secs(6);
+/// Time between two looks at the number of hosts.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+/// The same until it is known: callers of a fleet that was lost come back at once, and a host that takes
+/// the fleet for the largest of all has no budget for more than one prompt at a time.
+const FIRST_COUNT_EVERY: Duration = Duration::from_millis(50);
+/// Longest extra wait of such a host, spread over the hosts: once the first has given orders, the
+/// others find that in the row of the lease and do not wait for it.
+const LONGEST_ORDER_DELAY_MS: u64 = 14_000;
+
+/// Keeps the number of hosts that share the budget of repeated sends until `cancel`: by the schedulers'
+/// word or, until a host that starts is linked, by the rows of the hosts.
+pub(crate) async fn keep_host_count(
+    schedule: ScheduleClient,
+    peers: PeerList,
+    budgets: RetryBudgets,
+    cancel: CancellationToken,
+) {
+    loop {
+        let hosts = schedule.hosts().or_else(|| peers.count_hosts());
+        if let Some(hosts) = hosts {
+            budgets.set_hosts(hosts);
+        }
+        let pause = if hosts.is_some() { COUNT_EVERY } else { FIRST_COUNT_EVERY };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = cancel.cancelled() => return,
+        }
+    }
+}
+
+/// News of suspects between what this host knows and its links.
+pub(crate) fn suspect_bus(desk: &SuspectDesk, clock: &HostClock) -> SuspectBus {
+    let (learning, telling, knowing) = (desk.clone(), desk.clone(), desk.clone());
+    let handlers = SuspectHandlers {
+        learn: Arc::new(move |news| learning.learn(news)),
+        worth_telling: Arc::new(move |news| telling.worth_telling(news)),
+        known: Arc::new(move |most| knowing.known(most)),
+    };
+    SuspectBus::new(handlers, clock.clone())
+}
+
+/// Starts this host's own decisions, its service to others that ask it, and its link to the
+/// scheduler that it asks.
+pub(crate) fn start_schedule(
+    config: &RouterConfig,
+    stack: &NetStack,
+    beliefs: &Beliefs,
+    listener: NetListener,
+    desks: ScheduleDesks,
+    cancel: &CancellationToken,
+) -> ScheduleClient {
+    let ScheduleDesks { pools: desk, suspects, limits: _ } = desks.clone();
+    let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
+    tokio::spawn(desk.clone().run(known.clone(), directory, cancel.clone()));
+    tokio::spawn(serve_schedule(listener, desks, cancel.clone()));
+    let client = ScheduleClient::new(desk, suspects);
+    log::info!("event=policy {:?}", config.policy);
+    if !config.policy.schedule {
+        return client;
+    }
+    let listed = beliefs.peers.clone();
+    let peers = move |service: &str| listed.schedule_peers(service);
+    let host = Name::clone(&config.host);
+    tokio::spawn(client.clone().run(stack.clone(), host, peers, known, cancel.clone()));
+    client
+}
+
+/// Starts this host's links to the hosts that count the limits of workspaces.
+pub(crate) fn start_limits(
+    config: &RouterConfig,
+    stack: &NetStack,
+    beliefs: &Beliefs,
+    desk: LimitDesk,
+    cancel: &CancellationToken,
+) -> LimitClient {
+    let client = LimitClient::new(desk);
+    let (listed, known) = (beliefs.peers.clone(), beliefs.config.clone());
+    let peers = move |share: &str| listed.schedule_peers(share);
+    let host = Name::clone(&config.host);
+    tokio::spawn(client.clone().run(stack.clone(), host, peers, known, cancel.clone()));
+    client
+}
+
+/// The host that schedules the pools sees the requests of all and gives orders at once; others, by
+/// their names, only if nobody has for a while.
+pub(crate) fn order_delay(
+    host: &str,
+    config: watch::Receiver<Option<Arc<RoutingConfig>>>,
+    schedule: ScheduleClient,
+) -> DelayFn {
+    let spread = Duration::from_millis(hash_of(host) % LONGEST_ORDER_DELAY_MS);
+    Arc::new(move || {
+        let known = config.borrow();
+        let mut services = known.iter().flat_map(|known| known.services.keys());
+        let is_first = services.any(|service| schedule.schedules(service));
+        if is_first { Duration::ZERO } else { OTHERS_ORDER_DELAY + spread }
+    })
+}
+
+pub(crate) fn hash_of(host: &str) -> u64 {
+    host.bytes().fold(0_u64, |hash, byte| hash.wrapping_mul(1_099_511_628_211) ^ u64::from(byte))
+}
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -8,6 +8,7 @@
 mod config_tracker;
 mod daemon;
 mod directory_tracker;
+mod fleet_duties;
 mod ingress;
 mod patience;
 mod peer_list;
