A run that is traced keeps no body

Cause: the last reading: the task that watches a backend server's row for ten seconds held the request, body and all; a thousand broken runs with bodies of 55 KB would take 55 MB of a host's 88. Ruled out: - Change: the task has the id and the print only; its line has no after_ms any more.

--- a/crates/dillspool_forward/src/broken_run.rs
+++ b/crates/dillspool_forward/src/broken_run.rs
@@ -11,6 +11,7 @@
 
 use dillspool_io::BoxFuture;
 use dillspool_routing::{BackendEntry, BackendStart, DirectoryView, RoutedRequest, StartedBackend};
+use dillspool_schema::Name;
 use dillspool_suspects::SuspectDecision;
 use futures_util::FutureExt;
 use futures_util::future::Shared;
@@ -110,16 +111,18 @@
 /// request.
 pub(crate) fn trace_break(
     context: &ForwardContext,
-    request: &Arc<RoutedRequest>,
+    request: &RoutedRequest,
     entry: &Arc<BackendEntry>,
 ) -> BreakLook {
     let (looking, looked) = oneshot::channel();
-    let (context, request, entry) = (context.clone(), Arc::clone(request), Arc::clone(entry));
+    let (context, entry) = (context.clone(), Arc::clone(entry));
+    // Not the request itself: its body would be kept for as long as the row is watched.
+    let (id, print) = (Name::clone(&request.id), request.print);
     let tasks = context.tasks.clone();
     tasks.spawn(async move {
         let found = look_at(&context, &entry).await;
         if found == FirstLook::Cause(BreakCause::Ended) {
-            context.suspects.note_end(request.print, entry.started().label());
+            context.suspects.note_end(print, entry.started().label());
         }
         drop(looking);
         let cause = match found {
@@ -127,20 +130,17 @@
             FirstLook::Sign(sign) => {
                 let cause = watch_row(&context, &entry, sign).await;
                 if cause == BreakCause::Ended {
-                    context.suspects.note_end(request.print, entry.started().label());
+                    context.suspects.note_end(print, entry.started().label());
                 }
                 cause
             }
         };
         context.metrics.note_broken_run(cause.name());
         log::info!(
-            "event=break_traced id={} print={} backend={} start={} found={} after_ms={}",
-            request.id,
-            request.print,
+            "event=break_traced id={id} print={print} backend={} start={} found={}",
             entry.id,
             entry.start.map_or(0, |start| start.0),
             cause.name(),
-            request.age().as_millis(),
         );
     });
     BreakLook { looked }
