A request that is refused as deadly is tried three times at most

Cause: an hour after its last end a copy of a refused request was let through, an hour after that one more, without end: a request that crashes each backend server that runs it would have ended one an hour for as long as it came, where the platform allows three sends after the third end. Figures: a copy an hour after the sixth end: trial before, refused now (two rows of book.rs, red before). On several hosts at once a trial may still run on each; design/suspects says so.

--- a/crates/dillspool_suspects/src/book.rs
+++ b/crates/dillspool_suspects/src/book.rs
@@ -145,7 +145,9 @@
             || self.weigh(print, record) >= self.policy.ends_refused;
         match (refused, ends) {
             (_, 0) => SuspectDecision::Clear,
-            (true, ends) if rested < self.policy.refused_for => SuspectDecision::Refused { ends },
+            (true, ends) if rested < self.policy.refusal_time(ends) => {
+                SuspectDecision::Refused { ends }
+            }
             (true, ends) if rested < self.policy.remembered_for => SuspectDecision::Trial { ends },
             (false, ends) if rested < self.policy.watched_for => SuspectDecision::Watched { ends },
             (true | false, _) => SuspectDecision::Clear,
--- a/crates/dillspool_suspects/src/policy.rs
+++ b/crates/dillspool_suspects/src/policy.rs
@@ -28,6 +28,9 @@
     pub watched_for: Duration,
     /// Time after the last end for which a request is refused; then one copy is let through as a trial.
     pub refused_for: Duration,
+    /// Ends in a row from which on no copy is tried any more before it is forgotten: each trial may end one
+    /// backend server, and the platform allows three sends after the third end.
+    pub ends_untried: usize,
     /// Time after the last end after which a refused request is forgotten.
     pub remembered_for: Duration,
     /// Requests that are remembered at most; those with the fewest and oldest ends go first.
@@ -43,9 +46,17 @@
             ends_refused_always: 5,
             watched_for: Duration::from_mins(15),
             refused_for: Duration::from_hours(1),
+            ends_untried: 6,
             remembered_for: Duration::from_hours(24),
             // 318 bytes with one end, 472 with three, measured with 4,096 prints: 1.9 MB at most.
             most_prints: 4096,
         }
     }
 }
+
+impl SuspectPolicy {
+    /// Time after the last of so many ends for which a request is refused without a trial.
+    pub(crate) fn refusal_time(&self, ends: usize) -> Duration {
+        if ends < self.ends_untried { self.refused_for } else { self.remembered_for }
+    }
+}
--- a/crates/dillspool_suspects/tests/book.rs
+++ b/crates/dillspool_suspects/tests/book.rs
@@ -35,7 +35,7 @@
     decision: SuspectDecision,
 }
 
-const CASES: [BookCase; 14] = [
+const CASES: [BookCase; 16] = [
     BookCase { name: "nothing is known", seen: &[], comes: 1, decision: SuspectDecision::Clear },
     BookCase {
         name: "another request's end",
@@ -136,6 +136,28 @@
         comes: 3604,
         decision: SuspectDecision::Refused { ends: 4 },
     },
+    BookCase {
+        name: "three trials ended one each, and no more is tried",
+        seen: &THREE_TRIALS,
+        comes: 10_803 + 60 * 60,
+        decision: SuspectDecision::Refused { ends: 6 },
+    },
+    BookCase {
+        name: "three trials ended one each, a day ago",
+        seen: &THREE_TRIALS,
+        comes: 10_803 + 24 * 60 * 60,
+        decision: SuspectDecision::Clear,
+    },
+];
+
+/// A refused request whose copies were tried an hour after its last end each time.
+const THREE_TRIALS: [Seen; 6] = [
+    End(1, "e1", &["a"]),
+    End(2, "e2", &["a"]),
+    End(3, "e3", &["a"]),
+    End(3603, "e4", &["a"]),
+    End(7203, "e5", &["a"]),
+    End(10_803, "e6", &["a"]),
 ];
 
 fn play(book: &mut SuspectBook, seen: &[Seen]) {
