What many ask alike outlives a moment at which several backend servers end

Cause: a request that many callers send alike runs at many backend servers. When several of them ended at one moment, as many ends stood against it, and all hosts refused it for an hour as deadly, to all callers. Ruled out: ends of one moment as one end for every request (copies of a deadly one that come in bursts would end a burst more each time). A deadly request ends each backend server that begins to run it and never comes to a good end.

--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -304,3 +304,26 @@
     }
     assert!(broken >= 3 * ROUNDS, "{broken} broken off, the test shows little");
 }
+
+/// A question that many ask alike runs everywhere, so that a moment at which several engines end stood against
+/// it with as many ends at once: it was refused to all, for an hour, though it had been answered a second before.
+#[tokio::test(start_paused = true)]
+async fn what_many_ask_alike_is_served_after_several_ends_at_once() {
+    let fleet = TestFleet::start(3, ComeBack::OtherId).await;
+    let fleet = &fleet;
+    let ask = || {
+        let asked = (0..12).map(|caller| fleet.send(caller, caller % 3, "/stream/1", "popular"));
+        futures_util::future::join_all(asked)
+    };
+    for reply in ask().await {
+        assert_eq!(reply.status, Some(200), "{reply:?}");
+    }
+    let causes: Vec<String> = (0..8).map(|cause| format!("{DEADLY_BODY} {cause}")).collect();
+    let causes = causes.iter().map(|body| fleet.send(20, 0, "/stream/1", body));
+    futures_util::future::join(futures_util::future::join_all(causes), ask()).await;
+    assert!(fleet.ends() >= 3, "{} ended, the test shows nothing", fleet.ends());
+    tokio::time::sleep(ROUNDS_APART).await;
+    for reply in ask().await {
+        assert_eq!(reply.status, Some(200), "{reply:?}");
+    }
+}
--- a/crates/dillspool_suspects/src/book.rs
+++ b/crates/dillspool_suspects/src/book.rs
@@ -8,6 +8,7 @@
 
 use crate::policy::{EndWeight, SuspectPolicy};
 use crate::print::RequestPrint;
+use crate::recent::RecentPrints;
 
 /// Ends that are kept of a request, the newest; more decide nothing.
 const MOST_ENDS: usize = 8;
@@ -116,6 +117,8 @@
     by_backend: HashMap<EndedBackend, EndedRuns>,
     /// The same starts in the order of their ends.
     by_moment: BTreeSet<(Moment, EndedBackend)>,
+    /// Requests that came to a good end here, with ends under them or none.
+    recent: RecentPrints,
 }
 
 impl SuspectBook {
@@ -126,6 +129,7 @@
             records: HashMap::new(),
             by_backend: HashMap::new(),
             by_moment: BTreeSet::new(),
+            recent: RecentPrints::new(policy.most_prints),
         }
     }
 
@@ -149,6 +153,7 @@
 
     /// Notes that a copy came to a good end; whether that cleared anything.
     pub fn note_whole(&mut self, print: RequestPrint, at: Moment) -> bool {
+        self.recent.note(print);
         let Some(record) = self.records.get_mut(&print) else { return false };
         let cleared = record.in_row().any(|(_backend, ended_at)| *ended_at <= at);
         record.whole_at = record.whole_at.max(Some(at));
@@ -158,7 +163,7 @@
     /// What is done with a copy that comes now.
     pub fn decide(&self, print: RequestPrint, now: Moment) -> SuspectDecision {
         let Some(record) = self.records.get(&print) else { return SuspectDecision::Clear };
-        let ends = record.in_row().count();
+        let ends = self.count(print, record.in_row());
         let rested = now.since(record.latest());
         let refused = ends >= self.policy.ends_refused_always
             || self.weigh(print, record) >= self.policy.ends_refused;
@@ -190,7 +195,7 @@
         self.decide(print, now).ends() + 1 >= self.policy.ends_refused
     }
 
-    /// The ends in a row as they count.
+    /// The ends in a row that count against it.
     fn weigh(&self, print: RequestPrint, record: &SuspectRecord) -> usize {
         let own = record.in_row().count();
         let is_singled = |runs: &EndedRuns| self.most_ends(&runs.prints, Some(print)) < own;
@@ -204,7 +209,24 @@
                 }
             }
         };
-        record.in_row().filter(|(backend, _at)| counts(backend)).count()
+        self.count(print, record.in_row().filter(|(backend, _at)| counts(backend)))
+    }
+
+    /// Counts ends. Of a request that came to a good end those of one moment are one: many ask it alike, it
+    /// runs at many backend servers, and what ends several of these at once is not the request, which ended
+    /// none before.
+    fn count<'a>(
+        &self,
+        print: RequestPrint,
+        ends: impl Iterator<Item = &'a (EndedBackend, Moment)>,
+    ) -> usize {
+        if !self.recent.contains(print) {
+            return ends.count();
+        }
+        let mut moments: Vec<Moment> = ends.map(|(_backend, at)| *at).collect();
+        moments.sort_unstable();
+        moments.dedup_by(|later, first| later.since(*first) <= SAME_MOMENT);
+        moments.len()
     }
 
     /// Whether another backend server ended at the same moment, where neither the request ran nor another
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -7,6 +7,7 @@
 mod book;
 mod policy;
 mod print;
+mod recent;
 
 pub use book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision, SuspectNews};
 pub use policy::{EndWeight, SuspectPolicy};
--- a/crates/dillspool_suspects/tests/book.rs
+++ b/crates/dillspool_suspects/tests/book.rs
@@ -35,7 +35,7 @@
     decision: SuspectDecision,
 }
 
-const CASES: [BookCase; 19] = [
+const CASES: [BookCase; 22] = [
     BookCase { name: "nothing is known", seen: &[], comes: 1, decision: SuspectDecision::Clear },
     BookCase {
         name: "another request's end",
@@ -168,6 +168,37 @@
         comes: 2,
         decision: SuspectDecision::Refused { ends: 3 },
     },
+    BookCase {
+        name: "ends of one moment, of what many ask alike and was answered before",
+        seen: &[
+            Whole(1, "a"),
+            End(5, "e1", &["a", "b"]),
+            End(5, "e2", &["a"]),
+            End(5, "e3", &["a"]),
+            End(5, "e4", &["a"]),
+            End(5, "e5", &["a"]),
+        ],
+        comes: 6,
+        decision: SuspectDecision::Watched { ends: 1 },
+    },
+    BookCase {
+        name: "ends of three moments, though it was answered before",
+        seen: &[
+            Whole(1, "a"),
+            End(5, "e1", &["a"]),
+            End(5, "e2", &["a"]),
+            End(6, "e3", &["a"]),
+            End(7, "e4", &["a"]),
+        ],
+        comes: 8,
+        decision: SuspectDecision::Refused { ends: 3 },
+    },
+    BookCase {
+        name: "ends of one moment, of copies that were never answered",
+        seen: &[Whole(1, "b"), End(5, "e1", &["a"]), End(5, "e2", &["a"]), End(5, "e3", &["a"])],
+        comes: 6,
+        decision: SuspectDecision::Refused { ends: 3 },
+    },
     BookCase {
         name: "three trials ended one each, and no more is tried",
         seen: &THREE_TRIALS,
