Red: a final answer that is late by the time of a suspension

Cause: timers of the steady clock that were set before a suspension wake as much later. clocks.md says that what is decided after a wake asks the host's clock; that a wake itself may be late was not looked at.

--- a/crates/dillspool_forward/tests/suspended.rs
+++ b/crates/dillspool_forward/tests/suspended.rs
@@ -7,8 +7,9 @@
 use common::{ONE, ScriptedSite, Step, TWO, entry, pool, request, view};
 use dillspool_cases::ClockJumps;
 use dillspool_forward::{BudgetTerms, RetryBudgets, answer_request};
-use dillspool_io::read_response_body;
+use dillspool_io::{AwakeWatch, read_response_body};
 use dillspool_routing::{RequestKind, RoutedRequest};
+use tokio_util::sync::CancellationToken;
 
 /// Longer than any request of these tests has.
 const SUSPENDED: Duration = Duration::from_secs(20);
@@ -124,3 +125,71 @@
     jumps.suspend(Duration::from_secs(2));
     assert!(budgets.take(&service), "the window is over");
 }
+
+/// How long a host is away in the middle of a request, whose time is longer.
+const SHORT_SUSPENSION: Duration = Duration::from_millis(1500);
+/// Time after the deadline by which the caller has its final answer: a host notes that it was suspended four
+/// times a second.
+const LATEST_FINAL: Duration = Duration::from_millis(400);
+
+struct FinalCase {
+    name: &'static str,
+    kind: RequestKind,
+    /// What each backend server does.
+    step: Step,
+    prefill_takes: Duration,
+}
+
+/// A timer that was set before a suspension wakes as much later, and the caller waited as much longer than it
+/// had said: a host that was away for a second and a half of a request kept it for as long after its deadline.
+#[tokio::test(start_paused = true)]
+async fn the_final_answer_comes_at_the_deadline_though_the_host_was_suspended() {
+    use RequestKind::{NonIdempotent, Streaming};
+    let at_once = Duration::ZERO;
+    let never = Duration::from_hours(1);
+    let case = |name, kind, step, prefill_takes| FinalCase { name, kind, step, prefill_takes };
+    let cases = [
+        case("a call without an answer", NonIdempotent, Step::Silent, at_once),
+        case("a failure that stalls", Streaming, Step::StalledFailure(500), at_once),
+        case("a stream without a head", Streaming, Step::Silent, at_once),
+        case("a stream that stalls", Streaming, Step::Stalled(vec![ONE]), at_once),
+        case("a prefill without an answer", Streaming, Step::Silent, never),
+    ];
+    for case in cases {
+        let (site, jumps) = (ScriptedSite::default(), ClockJumps::default());
+        let ids = ["decode-1", "decode-2", "one"];
+        ids.iter().for_each(|id| site.script(id, [case.step.clone()]));
+        let is_stream = case.kind == Streaming;
+        let shown = if is_stream { pool() } else { view([entry("one", "near", None)]) };
+        let (context, _directory) = site.context(shown);
+        tokio::task::yield_now().await;
+        *site.prefill_takes.lock().unwrap() = case.prefill_takes;
+        let clock = jumps.clock();
+        let cancel = CancellationToken::new();
+        let _awake = AwakeWatch::start(clock.clone(), cancel.clone());
+        let fresh = request(case.kind, 1, false);
+        let life = fresh.deadline.since(fresh.arrived);
+        assert!(
+            life > SHORT_SUSPENSION + Duration::from_secs(1),
+            "{}: too short a life",
+            case.name
+        );
+        let arrived = clock.now();
+        let deadline = arrived + life;
+        let routed = RoutedRequest { clock: clock.clone(), arrived, deadline, ..fresh };
+        let suspending = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            jumps.suspend(SHORT_SUSPENSION);
+        };
+        let answering = async {
+            let response = answer_request(context, routed).await;
+            let _body = read_response_body(response.into_body(), 10_000).await;
+            clock.now()
+        };
+        let ((), ended) = tokio::join!(suspending, answering);
+        let late = ended.since(deadline);
+        assert!(late <= LATEST_FINAL, "{}: {late:?} after its deadline", case.name);
+        assert!(ended + LATEST_FINAL >= deadline, "{}: given up early", case.name);
+        cancel.cancel();
+    }
+}
