A caller's final answer comes at its deadline though the host was suspended meanwhile

Ruled out: a timer that looks at the clock every 250 ms: four wakes a second for each request under way. Change: HostClock::sleep_until and timeout_at; a stall that AwakeWatch notes wakes whatever waits so, to look at the clock again. Waits that end at a request's deadline use it: body, placement, prefill, send, failure's body, stream.

--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -141,7 +141,8 @@
         silent: &BackendEntry,
     ) -> Result<PreparedSend, Refusal> {
         self.tried.push(silent);
-        self.wait_for_engines_until(self.request.deadline_timer());
+        let deadline = self.request.clock.wake_at(self.request.deadline);
+        self.wait_for_engines_until(deadline);
         self.prepare().await
     }
 
--- a/crates/dillspool_forward/src/generate/preparing.rs
+++ b/crates/dillspool_forward/src/generate/preparing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dillspool_admission::WorkClass;
+use dillspool_io::MomentPassed;
 use dillspool_routing::DirectoryView;
 use tokio::time::Instant;
 
@@ -32,7 +33,11 @@
         if self.may_have_run && !may_run_again(&self.context, &self.request, &mut self.look).await {
             return Err(self.conclude());
         }
-        let placement = self.place().await?;
+        let placing = self.request.clock.timeout_at(self.request.deadline, self.place()).await;
+        let placement = match placing {
+            Ok(placed) => placed?,
+            Err(MomentPassed) => return Err(self.conclude()),
+        };
         let reserved = self.request.age();
         if self.sends > 0 {
             self.take_budget()?;
--- a/crates/dillspool_forward/src/generate/sending.rs
+++ b/crates/dillspool_forward/src/generate/sending.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dillspool_admission::EngineFault;
-use dillspool_io::read_response_body;
+use dillspool_io::{MomentPassed, read_response_body};
 use dillspool_routing::BackendEntry;
 use dillspool_scheduler::DeskNote;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -107,8 +107,8 @@
         let call =
             (self.context.calls.forward)(Arc::clone(entry), Arc::clone(&self.request), terms);
         let call = self.context.while_started(entry, call);
-        let silent = |_elapsed| CallError::Lost { reason: format!("silent for {remaining:?}") };
-        tokio::time::timeout(remaining, call).await.map_err(silent)?
+        let silent = |MomentPassed| CallError::Lost { reason: format!("silent for {remaining:?}") };
+        self.request.clock.timeout(remaining, call).await.map_err(silent)?
     }
 
     async fn take_head(
@@ -136,10 +136,12 @@
             return self.note_unclear(&entry, &ticket, &cause);
         }
         let reading = read_response_body(answer.body, LARGEST_FAILURE);
-        match tokio::time::timeout(self.request.remaining(), reading).await {
+        match self.request.clock.timeout_at(self.request.deadline, reading).await {
             Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, &ticket, status, headers, body))),
             Ok(Err(error)) => self.note_unclear(&entry, &ticket, &error.to_string()),
-            Err(_elapsed) => self.note_unclear(&entry, &ticket, "the failure did not come whole"),
+            Err(MomentPassed) => {
+                self.note_unclear(&entry, &ticket, "the failure did not come whole")
+            }
         }
     }
 
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_io::{ResponseBody, full_body, read_response_body};
+use dillspool_io::{MomentPassed, ResponseBody, full_body, read_response_body};
 use dillspool_routing::{BackendEntry, RoutedRequest};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
@@ -201,12 +201,12 @@
             .map_err(|error| CallError::Lost { reason: error.to_string() })?;
         Ok(WholeAnswer { status, headers, body })
     };
-    match tokio::time::timeout(limit, context.while_started(entry, exchange)).await {
+    match request.clock.timeout(limit, context.while_started(entry, exchange)).await {
         Ok(Ok(answer)) => SendOutcome::Whole(answer),
         Ok(Err(CallError::NotSent { reason })) => SendOutcome::NotSent(reason),
         Ok(Err(CallError::Refused { .. })) => SendOutcome::NotRun,
         Ok(Err(CallError::Lost { reason })) => SendOutcome::Unclear(reason),
-        Err(_elapsed) => SendOutcome::Unclear(format!("no answer within {limit:?}")),
+        Err(MomentPassed) => SendOutcome::Unclear(format!("no answer within {limit:?}")),
     }
 }
 
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dillspool_admission::{EngineFault, WorkClass};
+use dillspool_io::MomentPassed;
 use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
 use dillspool_scheduler::DeskNote;
 use tokio::time::Instant;
@@ -150,10 +151,10 @@
     let call = (context.calls.prefill)(Arc::clone(entry), Arc::clone(request), terms);
     let call = context.while_started(entry, call);
     let started = Instant::now();
-    let ended = tokio::time::timeout(limit, call).await;
+    let ended = request.clock.timeout(limit, call).await;
     let took = started.elapsed();
     context.metrics.note_prefill_end(took);
-    let silent = |_elapsed| CallError::Lost { reason: format!("no prefill within {limit:?}") };
+    let silent = |MomentPassed| CallError::Lost { reason: format!("no prefill within {limit:?}") };
     ended.map_err(silent)?
 }
 
--- a/crates/dillspool_forward/src/reader.rs
+++ b/crates/dillspool_forward/src/reader.rs
@@ -36,17 +36,24 @@
         Self { open, splitter: EventSplitter::default(), last_event, last_at: Instant::now() }
     }
 
-    /// Reads until at least one event is whole, or until `limit`.
+    /// Reads until at least one event is whole, or until `limit` is over.
     ///
     /// Dropping the future loses nothing that was read.
-    pub(crate) async fn read(&mut self, limit: Instant) -> ReadPart {
+    pub(crate) async fn read(&mut self, limit: impl Future<Output = ()>) -> ReadPart {
+        tokio::select! {
+            biased;
+            part = self.read_on() => part,
+            () = limit => ReadPart::Silent,
+        }
+    }
+
+    async fn read_on(&mut self) -> ReadPart {
         loop {
-            let frame = match tokio::time::timeout_at(limit, self.open.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return ReadPart::Broken(error.to_string()),
-                Ok(None) if self.splitter.is_empty() => return ReadPart::End,
-                Ok(None) => return ReadPart::Broken("it ended within an event".to_owned()),
-                Err(_elapsed) => return ReadPart::Silent,
+            let frame = match self.open.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return ReadPart::Broken(error.to_string()),
+                None if self.splitter.is_empty() => return ReadPart::End,
+                None => return ReadPart::Broken("it ended within an event".to_owned()),
             };
             let Ok(bytes) = frame.into_data() else { continue };
             self.splitter.push(&bytes);
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -104,13 +104,18 @@
     /// since its events may still come.
     async fn read(&mut self) -> NextPart {
         loop {
-            let deadline = self.generation.request.deadline_timer();
             let Some(reader) = &mut self.reader else {
                 return NextPart::Broken("no stream is open".to_owned());
             };
             let look_at = self.next_look.max(reader.last_at + STALL_LIMIT);
             let may_look = self.generation.can_reopen();
-            let limit = if may_look { deadline.min(look_at) } else { deadline };
+            let request = Arc::clone(&self.generation.request);
+            let limit = async {
+                tokio::select! {
+                    () = request.until_deadline() => {}
+                    () = tokio::time::sleep_until(look_at), if may_look => {}
+                }
+            };
             let entry = Arc::clone(&reader.open.entry);
             let part = tokio::select! {
                 biased;
@@ -130,11 +135,11 @@
     /// Looks for another engine until the silent one's events come; `None` when there is none.
     async fn look_elsewhere(&mut self) -> Option<NextPart> {
         let reader = self.reader.as_mut()?;
-        let deadline = self.generation.request.deadline_timer();
+        let request = Arc::clone(&self.generation.request);
         let silent = Arc::clone(&reader.open.entry);
         tokio::select! {
             biased;
-            part = reader.read(deadline) => Some(self.take(part)),
+            part = reader.read(request.until_deadline()) => Some(self.take(part)),
             prepared = self.generation.prepare_beside(&silent) => match prepared {
                 Ok(prepared) => Some(NextPart::Elsewhere(Box::new(prepared))),
                 Err(refusal) => {
--- a/crates/dillspool_io/src/awake.rs
+++ b/crates/dillspool_io/src/awake.rs
@@ -21,7 +21,7 @@
     stall: Option<(Moment, Moment)>,
 }
 
-/// Notices stalls: the host was suspended, or its process stopped.
+/// Notices stalls: the host was suspended, or its process stopped. Wakes whatever waits by its clock.
 ///
 /// What came in meanwhile waits in its connections, and would be taken for news of the moment at which it
 /// is read. See `docs/design/clocks.md`.
@@ -70,6 +70,7 @@
         if gap >= STALL {
             state.stall = Some((state.noted, now));
             log::info!("event=stalled for_ms={}", gap.as_millis());
+            self.clock.note_stall();
         }
         state.noted = state.noted.max(now);
         state.stall
--- a/crates/dillspool_io/src/host_clock.rs
+++ b/crates/dillspool_io/src/host_clock.rs
@@ -6,18 +6,26 @@
 
 use dillspool_moment::Moment;
 use nix::time::{ClockId, clock_gettime};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Counts the time of a host, that in which it was suspended included.
 ///
 /// The steady clock of `std` and `tokio` stands still while a machine is suspended: a lease that is over
 /// would still seem to hold, and an old belief fresh. Timers of `tokio` only wake; what is decided after a
-/// wake asks this clock. See `docs/design/clocks.md`.
+/// wake asks this clock. A timer that was set before a suspension wakes as much later: what is due by then
+/// waits by [`HostClock::sleep_until`]. See `docs/design/clocks.md`.
 #[derive(Clone)]
 pub struct HostClock {
     now: Arc<dyn Fn() -> Moment + Send + Sync>,
+    /// Stalls that were noted by this clock or a clone of it.
+    stalls: Arc<watch::Sender<u64>>,
 }
 
+/// The moment came before what was waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MomentPassed;
+
 impl HostClock {
     /// The system's clock since its boot; the steady one where there is none.
     pub fn boot() -> Self {
@@ -36,7 +44,7 @@
 
     /// A clock read from a closure.
     pub fn from_fn(now: impl Fn() -> Moment + Send + Sync + 'static) -> Self {
-        Self { now: Arc::new(now) }
+        Self { now: Arc::new(now), stalls: Arc::default() }
     }
 
     /// The moment now.
@@ -54,6 +62,56 @@
         moment.since(self.now())
     }
 
+    /// Waits until a moment, which a suspension of the host brings nearer.
+    ///
+    /// An [`AwakeWatch`](crate::AwakeWatch) by this clock, or a clone of it, notes the suspension; without one
+    /// this wakes as much later.
+    pub async fn sleep_until(&self, moment: Moment) {
+        let mut stalls = self.stalls.subscribe();
+        while !self.until(moment).is_zero() {
+            tokio::select! {
+                () = tokio::time::sleep_until(self.wake_at(moment)) => {}
+                // The sender lives as long as this clock.
+                _noted = stalls.changed() => {}
+            }
+        }
+    }
+
+    /// Waits for a future until a moment, as [`HostClock::sleep_until`] does.
+    ///
+    /// # Errors
+    ///
+    /// [`MomentPassed`] when the moment comes first.
+    pub async fn timeout_at<T>(
+        &self,
+        moment: Moment,
+        future: impl Future<Output = T>,
+    ) -> Result<T, MomentPassed> {
+        tokio::select! {
+            biased;
+            value = future => Ok(value),
+            () = self.sleep_until(moment) => Err(MomentPassed),
+        }
+    }
+
+    /// Waits for a future for so long, as [`HostClock::sleep_until`] does.
+    ///
+    /// # Errors
+    ///
+    /// [`MomentPassed`] when the time is over first.
+    pub async fn timeout<T>(
+        &self,
+        time: Duration,
+        future: impl Future<Output = T>,
+    ) -> Result<T, MomentPassed> {
+        self.timeout_at(self.now() + time, future).await
+    }
+
+    /// Wakes what waits by this clock, to look at it once more.
+    pub(crate) fn note_stall(&self) {
+        self.stalls.send_modify(|stalls| *stalls += 1);
+    }
+
     /// When a timer wakes for a moment, if the host is not suspended meanwhile; what is then decided asks
     /// this clock once more.
     pub fn wake_at(&self, moment: Moment) -> Instant {
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -20,7 +20,7 @@
 pub use client::{HttpClient, HttpError};
 pub use clock::{UnixMillis, WallClock};
 pub use exchange::{ExchangeBody, exchange_once};
-pub use host_clock::HostClock;
+pub use host_clock::{HostClock, MomentPassed};
 pub use memory::{LinkMode, MemoryNet};
 pub use server::{HttpHandler, ServerLimits, handler, serve_http, serve_http_live};
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -18,7 +18,6 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, Uri};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::Instant;
 
 use crate::patience::PatienceTable;
 use crate::site::SiteProtocol;
@@ -145,7 +144,9 @@
         let caller_time = terms.time_budget.unwrap_or(route.timeout);
         let spent_before = self.patience.note(&route.name, caller_time);
         let deadline = arrived + caller_time.min(route.timeout);
-        let body = receive(body, config.limits.body_bytes, self.clock.wake_at(deadline)).await?;
+        let body = receive(body, config.limits.body_bytes);
+        let received = self.clock.timeout_at(deadline, body).await;
+        let body = received.unwrap_or(Err(Refusal::new(RefusalCause::BodyLost)))?;
         // Not the address: one caller comes by many, and each would have a request of its own.
         let caller = workspace.as_ref().map_or("", |workspace| &*workspace.name);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
@@ -219,16 +220,15 @@
     path.parse().unwrap_or_default()
 }
 
-async fn receive(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+async fn receive(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::new(RefusalCause::BodyTooLarge));
     }
-    match tokio::time::timeout_at(deadline, read_body(body, limit)).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    match read_body(body, limit).await {
+        Ok(bytes) => Ok(bytes),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             Err(Refusal::new(RefusalCause::BodyTooLarge))
         }
-        Ok(Err(_broken)) => Err(Refusal::new(RefusalCause::BodyLost)),
-        Err(_elapsed) => Err(Refusal::new(RefusalCause::BodyLost)),
+        Err(_broken) => Err(Refusal::new(RefusalCause::BodyLost)),
     }
 }
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -10,7 +10,6 @@
 use dillspool_schema::Name;
 use dillspool_suspects::RequestPrint;
 use hyper::{HeaderMap, Method, Uri};
-use tokio::time::Instant;
 
 use crate::route::RouteEntry;
 use crate::workspace::WorkspaceEntry;
@@ -100,9 +99,9 @@
         self.clock.until(self.deadline)
     }
 
-    /// When a timer wakes for its deadline.
-    pub fn deadline_timer(&self) -> Instant {
-        self.clock.wake_at(self.deadline)
+    /// Waits until its final answer is due.
+    pub async fn until_deadline(&self) {
+        self.clock.sleep_until(self.deadline).await;
     }
 
     /// Time since the request arrived.
