A host that wakes up asks the store anew, and a stop keeps its grace, whatever time it was suspended for

Cause: the same class as late final answers: a question to the store whose answer was lost while the host was suspended held its table up for its whole limit after the host woke up, 3.2 s, where the newest configuration must be known 3 s after a trouble; what a peer's word spares ended as much later; a stop ended as much after its grace as the host was away. Ruled out: silence on links and relays by the same clock: each would be opened anew after any stall, and their limits are 1.3 s. Change: these three wait by HostClock::sleep_until or timeout.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -74,6 +74,7 @@
     serving: TaskTracker,
     peers: PeerList,
     suspects: SuspectDesk,
+    clock: HostClock,
 }
 
 impl RouterDaemon {
@@ -133,6 +134,7 @@
             serving: TaskTracker::new(),
             peers: beliefs.peers.clone(),
             suspects: suspects.clone(),
+            clock: clock.clone(),
         };
         daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
         daemon.start_suspects(&beliefs, &site, schedule.clone());
@@ -276,13 +278,14 @@
 
     /// Stops: no new callers, open answers to their end, nothing beyond the grace.
     pub async fn stop(self) {
-        let deadline = tokio::time::Instant::now() + self.config.grace.saturating_sub(KILL_MARGIN);
+        let asked = self.clock.now();
+        let deadline = asked + self.config.grace.saturating_sub(KILL_MARGIN);
         log::info!("event=stopping grace_ms={}", self.config.grace.as_millis());
         self.stopping.store(true, Ordering::Relaxed);
-        tokio::time::sleep_until(deadline.min(tokio::time::Instant::now() + STILL_LISTED)).await;
+        self.clock.sleep_until(deadline.min(asked + STILL_LISTED)).await;
         self.callers.cancel();
         self.serving.close();
-        let finished = tokio::time::timeout_at(deadline, self.serving.wait()).await.is_ok();
+        let finished = self.clock.timeout_at(deadline, self.serving.wait()).await.is_ok();
         self.background.cancel();
         log::info!("event=stopped all_answers_finished={finished}");
     }
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_io::MomentPassed;
 use dillspool_moment::Moment;
 use dillspool_platform::{TableWatch, WatchError};
 use tokio::sync::watch;
@@ -146,7 +147,7 @@
             && (failed || *role.borrow() == FollowRole::Relayed)
         {
             tokio::select! {
-                () = tokio::time::sleep_until(belief.heard().clock().wake_at(until)) => {}
+                () = belief.heard().clock().sleep_until(until) => {}
                 () = another_role(role.clone()) => {}
             }
             wait = Duration::ZERO;
@@ -273,8 +274,8 @@
     settings: &FollowSettings,
 ) -> Result<bool, WatchError> {
     let snapshot = (store.snapshot)(Arc::clone(&belief.table));
-    let answer = tokio::time::timeout(settings.whole_limit, snapshot).await;
-    let answer = answer.map_err(|_elapsed| silent(settings.whole_limit))?;
+    let answer = belief.heard().clock().timeout(settings.whole_limit, snapshot).await;
+    let answer = answer.map_err(|MomentPassed| silent(settings.whole_limit))?;
     let delta = answer.map_err(|source| WatchError::Store { source })?;
     Ok(belief.merge(&delta))
 }
@@ -287,8 +288,8 @@
 ) -> Result<bool, WatchError> {
     let changes = (store.changes)(Arc::clone(&belief.table), belief.version(), wait);
     let limit = wait + slack;
-    let answer = tokio::time::timeout(limit, changes).await;
-    let delta = answer.map_err(|_elapsed| silent(limit))??;
+    let answer = belief.heard().clock().timeout(limit, changes).await;
+    let delta = answer.map_err(|MomentPassed| silent(limit))??;
     Ok(belief.merge(&delta))
 }
 
--- a/crates/dillspool_watch/tests/table_ages.rs
+++ b/crates/dillspool_watch/tests/table_ages.rs
@@ -290,3 +290,23 @@
         assert_eq!(last.config.version(), newest, "{}", case.name);
     }
 }
+
+/// A question whose answer was lost while the host was suspended held its table up for all the time that it had
+/// been given before: three seconds after it woke up the host still acted on what it knew before.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_wakes_up_does_not_wait_for_what_was_lost_meanwhile() {
+    let (store, net) = (TestStore::default(), MemoryNet::new());
+    store.write(CONFIG);
+    store.write(BACKENDS);
+    let host = host(&net, &store, "10.0.0.1:8146", None, FollowRole::Alone).await;
+    pass(5000).await;
+    host.access.send_replace(Access::Silent);
+    // Its next question is the one that is lost.
+    store.write(CONFIG);
+    pass(500).await;
+    host.access.send_replace(Access::Served);
+    host.jumps.suspend(Duration::from_secs(10));
+    store.write(CONFIG);
+    pass(1000).await;
+    assert_eq!(host.config.version(), store.version(CONFIG));
+}
