Hosts do not repeat each other's lines of single ends

At hundreds of hosts a crash of 20 streams is thousands of lines. Ruled out: - Change: a single end is logged by the host that saw it; what is told is logged from the second end on, or where it clears. Figures: 1,002 lines for 1,002 told ends of a thousand requests before, 2 after (log_lines.rs, red before).

--- a/crates/dillspool_forward/src/suspects.rs
+++ b/crates/dillspool_forward/src/suspects.rs
@@ -98,7 +98,8 @@
         };
         let decision = state.book.decide(print, now);
         drop(state);
-        if is_new {
+        // The host that saw it tells of a single end: hundreds of hosts would repeat each of its lines.
+        if is_new && decision.ends() != 1 {
             log_decision(print, decision, "told");
         }
         is_new
--- a/crates/dillspool_forward/tests/log_lines.rs
+++ b/crates/dillspool_forward/tests/log_lines.rs
@@ -9,6 +9,7 @@
 use dillspool_forward::answer_request;
 use dillspool_io::read_response_body;
 use dillspool_routing::{EngineStage, PromptPart, RequestKind};
+use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, RunEnd, SuspectNews};
 use log::{LevelFilter, Log, Metadata, Record};
 use proptest::prelude::*;
 
@@ -180,3 +181,34 @@
         }
     }
 }
+
+/// A crash stands against all that ran there, and each host is told of all of it: hundreds of hosts would write
+/// as many lines for each run, of which all but a few mean nothing.
+#[test]
+fn what_others_tell_is_logged_once_it_may_mean_something() {
+    let _turn = CAPTURE.turn.lock().unwrap_or_else(PoisonError::into_inner);
+    let _set_before = log::set_logger(&CAPTURE);
+    log::set_max_level(LevelFilter::Info);
+    CAPTURE.lines.lock().unwrap().clear();
+    run_paused(async {
+        let site = ScriptedSite::default();
+        let (context, _directory) = site.context(view([]));
+        let ended = |number: usize, backend: &str| {
+            let body = number.to_le_bytes();
+            let parts = PrintParts { caller: "", host: "", path: "", body: &body };
+            let print = RequestPrint::of(&PrintKey::default(), &parts);
+            let at = context.suspects.now();
+            SuspectNews::Ended(RunEnd { print, backend: backend.into(), at })
+        };
+        for number in 0..1000 {
+            assert!(context.suspects.learn(&ended(number, "one")));
+        }
+        for backend in ["two", "three"] {
+            assert!(context.suspects.learn(&ended(7, backend)));
+        }
+    });
+    let lines = CAPTURE.lines.lock().unwrap().clone();
+    let told: Vec<_> = lines.iter().filter(|line| line.contains("event=suspect ")).collect();
+    assert_eq!(told.len(), 2, "{told:?}");
+    assert!(told[1].contains("Refused { ends: 3 }"), "{told:?}");
+}
