--- a/crates/dillspool_standin/src/engine/decode.rs
+++ b/crates/dillspool_standin/src/engine/decode.rs
@@ -31,6 +31,7 @@
     pub(crate) prompt_hash: u64,
     pub(crate) length: Option<u64>,
     pub(crate) bytes: u64,
+    pub(crate) is_deadly: bool,
 }
 
 /// Names an export to take; `done` frees it at the source.
@@ -74,6 +75,7 @@
             first: request.from,
             end: end.max(request.from),
             prompt_hash: taken.prompt_hash,
+            is_deadly: taken.is_deadly,
             changed: Notify::new(),
             cancel: CancellationToken::new(),
         });
@@ -134,6 +136,10 @@
             () = tokio::time::sleep(step) => {}
             () = task.cancel.cancelled() => return,
         }
+        if task.is_deadly {
+            core.end();
+            return;
+        }
         if core.fault() == EngineFault::StallDecode {
             task.changed.notified().await;
             continue;
--- a/crates/dillspool_standin/src/engine/model.rs
+++ b/crates/dillspool_standin/src/engine/model.rs
@@ -4,6 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A prompt with this text ends each engine that decodes it.
+pub const DEADLY_TEXT: &str = "#deadly";
+/// A prompt with this text ends each engine that prefills it.
+pub const DEADLY_PROMPT: &str = "#deadly-prompt";
+
 /// Speeds and sizes of an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineModel {
--- a/crates/dillspool_standin/src/engine/prefill.rs
+++ b/crates/dillspool_standin/src/engine/prefill.rs
@@ -11,9 +11,9 @@
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::model::EngineFault;
+use super::model::{DEADLY_PROMPT, DEADLY_TEXT, EngineFault};
 use super::state::{EngineCore, ExportedCache, natural_length};
-use crate::http::{json, refuse};
+use crate::http::{broken, json, refuse};
 
 const MICROS: u64 = 1_000_000;
 
@@ -56,6 +56,10 @@
     let micros = work * MICROS / core.model.prefill_tokens_per_s;
     tokio::time::sleep(Duration::from_micros(micros)).await;
     drop(guard);
+    if request.prompt.contains(DEADLY_PROMPT) {
+        core.end();
+        return broken();
+    }
     if core.fault() == EngineFault::FailPrefill {
         return refuse(StatusCode::INTERNAL_SERVER_ERROR, "prefill failed");
     }
@@ -67,6 +71,7 @@
         length: natural_length(&request.prompt),
         bytes: kv_bytes,
         expires: Instant::now() + core.model.kv_lifetime,
+        is_deadly: request.prompt.contains(DEADLY_TEXT),
     };
     let mut state = core.lock();
     state.prefilled += 1;
--- a/crates/dillspool_standin/src/engine/server.rs
+++ b/crates/dillspool_standin/src/engine/server.rs
@@ -7,7 +7,7 @@
     CacheEvents, CancelReply, CancelRequest, LoadReport, OrderRefusal, OrderReply,
 };
 use dillspool_io::{
-    HttpClient, NetListener, NetStack, ResponseBody, ServerLimits, handler, serve_http,
+    HttpClient, HttpHandler, NetListener, NetStack, ResponseBody, ServerLimits, handler, serve_http,
 };
 use dillspool_schema::StreamId;
 use dillspool_schema::engine::{FencedOrder, StreamListing};
@@ -24,6 +24,8 @@
 
 /// How often expired exports are dropped and the load is noted.
 const HOUSEKEEPING: Duration = Duration::from_millis(50);
+/// Time for which an engine is away after its end.
+const RESTART: Duration = Duration::from_secs(2);
 /// Load reports kept.
 const KEPT_REPORTS: usize = 256;
 
@@ -51,8 +53,7 @@
             let (core, http) = (serving.clone(), http.clone());
             async move { answer(core, http, checks_fence, request).await }
         });
-        let served = cancel.clone();
-        tokio::spawn(serve_http(listener, ServerLimits::default(), handler, served));
+        tokio::spawn(live(core.clone(), stack.clone(), listener, handler, cancel.clone()));
         tokio::spawn(keep_house(core.clone(), cancel.clone()));
         Self { core, address }
     }
@@ -84,12 +85,45 @@
         self.core.lock().imported
     }
 
+    /// How often its process has ended.
+    pub fn ends(&self) -> u64 {
+        self.core.lock().ends
+    }
+
     /// Fenced orders that were carried out.
     pub fn orders_run(&self) -> u64 {
         self.core.lock().orders_run
     }
 }
 
+/// Serves, and starts again some time after each end.
+async fn live(
+    core: EngineCore,
+    stack: NetStack,
+    mut listener: NetListener,
+    handler: HttpHandler,
+    cancel: CancellationToken,
+) {
+    let address = listener.local_addr();
+    loop {
+        let life = cancel.child_token();
+        let limits = ServerLimits::default();
+        tokio::spawn(serve_http(listener, limits, handler.clone(), life.clone()));
+        tokio::select! {
+            () = core.ended.notified() => life.cancel(),
+            () = cancel.cancelled() => return,
+        }
+        tokio::time::sleep(RESTART).await;
+        listener = match stack.listen(address).await {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!("event=engine_not_back address={address} error=\"{error}\"");
+                return;
+            }
+        };
+    }
+}
+
 async fn keep_house(core: EngineCore, cancel: CancellationToken) {
     loop {
         tokio::select! {
@@ -179,8 +213,8 @@
     if request.done {
         state.exports.remove(&request.kv);
     }
-    let ExportedCache { prompt_hash, length, bytes, .. } = export;
-    json(&TakenExport { prompt_hash, length, bytes })
+    let ExportedCache { prompt_hash, length, bytes, is_deadly, .. } = export;
+    json(&TakenExport { prompt_hash, length, bytes, is_deadly })
 }
 
 fn no_order() -> OrderReply {
--- a/crates/dillspool_standin/src/engine/state.rs
+++ b/crates/dillspool_standin/src/engine/state.rs
@@ -21,6 +21,8 @@
     pub(crate) length: Option<u64>,
     pub(crate) bytes: u64,
     pub(crate) expires: Instant,
+    /// Whether decoding it ends the engine.
+    pub(crate) is_deadly: bool,
 }
 
 /// A stream that the engine decodes, with all tokens so far.
@@ -30,6 +32,7 @@
     pub(crate) first: u64,
     pub(crate) end: u64,
     pub(crate) prompt_hash: u64,
+    pub(crate) is_deadly: bool,
     pub(crate) changed: Notify,
     pub(crate) cancel: CancellationToken,
 }
@@ -55,6 +58,25 @@
     /// Imports that ended well: prefills that were of use.
     pub(crate) imported: u64,
     pub(crate) wasted_exports: u64,
+    /// How often the engine ended.
+    pub(crate) ends: u64,
+}
+
+impl EngineState {
+    /// Loses all that the engine holds.
+    fn lose_all(&mut self) {
+        for task in self.decodes.values() {
+            task.cancel.cancel();
+        }
+        for cancel in self.imports.values().chain(self.prefills.values()) {
+            cancel.cancel();
+        }
+        self.decodes.clear();
+        self.imports.clear();
+        self.prefills.clear();
+        self.exports.clear();
+        self.cache = PrefixCache::default();
+    }
 }
 
 /// An engine shared by its tasks.
@@ -62,11 +84,13 @@
 pub(crate) struct EngineCore {
     pub(crate) model: EngineModel,
     pub(crate) state: Arc<Mutex<EngineState>>,
+    /// Tells that the engine's process ends.
+    pub(crate) ended: Arc<Notify>,
 }
 
 impl EngineCore {
     pub(crate) fn new(model: EngineModel) -> Self {
-        Self { model, state: Arc::default() }
+        Self { model, state: Arc::default(), ended: Arc::default() }
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, EngineState> {
@@ -82,23 +106,22 @@
         let mut state = self.lock();
         state.fault = fault;
         if fault == EngineFault::Dead {
-            for task in state.decodes.values() {
-                task.cancel.cancel();
-            }
-            for cancel in state.imports.values().chain(state.prefills.values()) {
-                cancel.cancel();
-            }
-            state.decodes.clear();
-            state.imports.clear();
-            state.prefills.clear();
-            state.exports.clear();
-            state.cache = PrefixCache::default();
+            state.lose_all();
         }
         for task in state.decodes.values() {
             task.changed.notify_waiters();
         }
     }
 
+    /// Ends the engine's process, which starts again after a while.
+    pub(crate) fn end(&self) {
+        let mut state = self.lock();
+        state.ends += 1;
+        state.lose_all();
+        drop(state);
+        self.ended.notify_one();
+    }
+
     /// Frees whatever is held of a stream.
     pub(crate) fn cancel(&self, stream: &StreamId) -> bool {
         let mut state = self.lock();
--- a/crates/dillspool_standin/src/http.rs
+++ b/crates/dillspool_standin/src/http.rs
@@ -1,10 +1,11 @@
 //! Helpers of the stand-ins' HTTP servers.
 
-use dillspool_io::{ResponseBody, read_body, text_response};
+use dillspool_io::{ResponseBody, channel_body, read_body, text_response};
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
 
 /// Longest body that a stand-in reads, in bytes.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
@@ -18,6 +19,14 @@
     text_response(status, "text/plain", text)
 }
 
+/// An answer whose connection breaks off.
+pub(crate) fn broken() -> Response<ResponseBody> {
+    let (sender, receiver) = mpsc::channel(1);
+    // There is room for one part.
+    let _sent = sender.try_send(Err("the process ended".into()));
+    Response::new(channel_body(receiver))
+}
+
 pub(crate) async fn read_json<T: DeserializeOwned>(
     body: Incoming,
 ) -> Result<T, Response<ResponseBody>> {
