--- a/crates/dillspool_bench/src/slopes.rs
+++ b/crates/dillspool_bench/src/slopes.rs
@@ -85,6 +85,7 @@
         prefix: 0x1234_5678_9abc_def0,
         prefilled: None,
         avoid: Vec::new(),
+        print: None,
     }
 }
 
@@ -95,6 +96,8 @@
         cause: ReleaseCause::Done,
         tokens: 300,
         cached: 256,
+        print: None,
+        ended: None,
     }
 }
 
--- a/crates/dillspool_engine/src/client.rs
+++ b/crates/dillspool_engine/src/client.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_io::{HttpClient, HttpError, NetStack, read_body};
+use dillspool_io::{
+    BoxFuture, HttpClient, HttpError, NetStack, ProcessSign, look_at_process, read_body,
+};
 use dillspool_schema::StreamId;
 use dillspool_schema::engine::{
     DecodeRequest, FencedOrder, PrefillReply, PrefillRequest, StreamListing,
@@ -21,6 +23,8 @@
 
 /// Longest refusal text that is read, in bytes.
 const REFUSAL_LIMIT: usize = 64 * 1024;
+/// Time for a look at an engine's process; a machine that answers does so within a round trip.
+const LOOK_LIMIT: Duration = Duration::from_millis(300);
 /// Time for a call that an engine answers at once.
 const SHORT_CALL: Duration = Duration::from_secs(2);
 
@@ -28,12 +32,23 @@
 #[derive(Clone, Debug)]
 pub struct EngineClient {
     http: HttpClient,
+    stack: NetStack,
 }
 
 impl EngineClient {
     /// A client over a network.
     pub fn new(stack: &NetStack) -> Self {
-        Self { http: HttpClient::pooled(stack) }
+        Self { http: HttpClient::pooled(stack), stack: stack.clone() }
+    }
+
+    /// Whether nobody listens at an engine's address; one that is cut off or silent may live on.
+    ///
+    /// Boxed, since it is rare and would make each answer's future larger.
+    pub fn has_ended(&self, engine: SocketAddr) -> BoxFuture<bool> {
+        let stack = self.stack.clone();
+        Box::pin(async move {
+            look_at_process(&stack, engine, LOOK_LIMIT).await == ProcessSign::Refuses
+        })
     }
 
     /// Computes and exports the KV cache of a prompt.
--- a/crates/dillspool_entry/src/context.rs
+++ b/crates/dillspool_entry/src/context.rs
@@ -11,6 +11,7 @@
 use dillspool_ledger::CallLedger;
 use dillspool_schema::Name;
 use dillspool_schema::messages::{ReleaseMessage, ReserveAnswer, ReserveMessage};
+use dillspool_suspects::{PrintKey, SuspectDesk};
 use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -82,6 +83,11 @@
     pub next_backend: Arc<AtomicUsize>,
     /// Stream ids.
     pub ids: StreamIds,
+    /// Calls of plain services under which backend servers ended. Model requests are decided on where their
+    /// pool is scheduled.
+    pub suspects: SuspectDesk,
+    /// The fleet's key for what names a request whichever copy of it this is.
+    pub print_key: PrintKey,
     /// Budget of retries.
     pub retries: RetryBudget,
     /// Counters.
--- a/crates/dillspool_entry/src/placement.rs
+++ b/crates/dillspool_entry/src/placement.rs
@@ -3,7 +3,7 @@
 //! A guard gives back whatever it stands for when it is dropped, so that a caller who leaves at
 //! any stage leaves nothing behind. See `docs/design/orphans.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -11,29 +11,43 @@
 use backon::{ExponentialBuilder, Retryable};
 use dillspool_engine::EngineClient;
 use dillspool_schema::messages::{
-    HeldPlacement, PlacementGrant, PlacementReport, ReleaseCause, ReleaseMessage, ReserveMessage,
-    ReserveRefusal,
+    EndedRun, HeldPlacement, PlacementGrant, PlacementReport, ReleaseCause, ReleaseMessage,
+    ReserveMessage, ReserveRefusal,
 };
 use dillspool_schema::{Name, StreamId};
 use tokio::time::Instant;
 
 use crate::context::EntryContext;
+use crate::stream::AnswerTerms;
 
 /// First pause before a cancel is tried again.
 const CANCEL_FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Tries to cancel; the pool's scheduler finds what is left by then.
 const CANCEL_TRIES: usize = 8;
 
+/// Ends of engines that a new scheduler is told of at most, the newest; each takes some 100 bytes.
+const MOST_ENDS_TOLD: usize = 256;
+
 #[derive(Clone, Debug)]
 struct RegisteredPlacement {
     pool: Name,
     held: HeldPlacement,
 }
 
+/// An engine that ended under a request of this host.
+#[derive(Clone, Debug)]
+struct RegisteredEnd {
+    pool: Name,
+    print: Name,
+    engine: Name,
+    at: Instant,
+}
+
 /// The placements that this host holds, for reports to new schedulers.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementRegistry {
     placements: Arc<Mutex<BTreeMap<StreamId, RegisteredPlacement>>>,
+    ended: Arc<Mutex<VecDeque<RegisteredEnd>>>,
 }
 
 impl PlacementRegistry {
@@ -51,10 +65,31 @@
                 .filter(|it| it.pool == *pool)
                 .map(|it| it.held.clone())
                 .collect(),
+            ended: self.ended_in(pool),
         };
         pools.iter().map(report).collect()
     }
 
+    fn note_end(&self, pool: &Name, print: &Name, engine: &Name) {
+        let (pool, print, engine) = (Name::clone(pool), Name::clone(print), Name::clone(engine));
+        let mut ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        ended.push_back(RegisteredEnd { pool, print, engine, at: Instant::now() });
+        if ended.len() > MOST_ENDS_TOLD {
+            ended.pop_front();
+        }
+    }
+
+    fn ended_in(&self, pool: &Name) -> Vec<EndedRun> {
+        let ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        let ended = ended.iter().filter(|end| end.pool == *pool);
+        let run = |end: &RegisteredEnd| EndedRun {
+            print: Name::clone(&end.print),
+            engine: Name::clone(&end.engine),
+            age_ms: u64::try_from(end.at.elapsed().as_millis()).unwrap_or(u64::MAX),
+        };
+        ended.map(run).collect()
+    }
+
     /// Placements held now.
     pub fn len(&self) -> usize {
         self.lock().len()
@@ -80,6 +115,7 @@
     stream: StreamId,
     pool: Name,
     group: Name,
+    print: Name,
     scheduler: Option<Name>,
     decode: Option<EngineRef>,
     pub(crate) tokens: u64,
@@ -96,12 +132,13 @@
 
 impl Placement {
     /// A placement that is about to be asked for.
-    pub(crate) fn new(context: &EntryContext, pool: &Name, group: &Name) -> Self {
+    pub(crate) fn new(context: &EntryContext, terms: &AnswerTerms) -> Self {
         Self {
             context: context.clone(),
             stream: context.ids.next(),
-            pool: Name::clone(pool),
-            group: Name::clone(group),
+            pool: Name::clone(&terms.pool.name),
+            group: Name::clone(&terms.group.name),
+            print: terms.print.to_string().into(),
             scheduler: None,
             decode: None,
             tokens: 0,
@@ -151,10 +188,23 @@
 
     /// Gives the placement back.
     pub(crate) fn end(mut self, cause: ReleaseCause) {
-        self.give_back(cause);
+        self.give_back(cause, None);
+    }
+
+    /// Gives the placement back; tells the scheduler if an engine ended under the request.
+    pub(crate) fn end_at(mut self, cause: ReleaseCause, ended: Option<Name>) {
+        if let Some(engine) = &ended {
+            log::info!(
+                "event=engine_ended stream={} print={} engine={engine}",
+                self.stream,
+                self.print,
+            );
+            self.context.registry.note_end(&self.pool, &self.print, engine);
+        }
+        self.give_back(cause, ended);
     }
 
-    fn give_back(&mut self, cause: ReleaseCause) {
+    fn give_back(&mut self, cause: ReleaseCause, ended: Option<Name>) {
         if self.ended {
             return;
         }
@@ -166,11 +216,14 @@
             cause,
             tokens: self.tokens,
             cached: self.cached,
+            print: Some(Name::clone(&self.print)),
+            ended,
         };
         let release = Arc::clone(&self.context.desk.release);
         let scheduler = self.scheduler.take();
-        // A stream that was read to its end holds nothing.
-        let decode = self.decode.take().filter(|_| cause != ReleaseCause::Done);
+        // A stream that was read to its end holds nothing, and neither does a process that has ended.
+        let holds = cause != ReleaseCause::Done && message.ended.is_none();
+        let decode = self.decode.take().filter(|_| holds);
         let Some(decode) = decode else {
             release(scheduler, message);
             return;
@@ -190,7 +243,7 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        self.give_back(ReleaseCause::Cancelled);
+        self.give_back(ReleaseCause::Cancelled, None);
     }
 }
 
--- a/crates/dillspool_entry/src/plain.rs
+++ b/crates/dillspool_entry/src/plain.rs
@@ -10,13 +10,14 @@
 use dillspool_ledger::{BeginOutcome, CallKey, CallRequest, CallTicket, RecordedAnswer};
 use dillspool_schema::Name;
 use dillspool_schema::configuration::{BackendRole, GroupEntry, RouteEntry};
+use dillspool_suspects::{RequestPrint, SuspectDecision};
 use http_body_util::Full;
 use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
 use crate::context::EntryContext;
 use crate::placement::EngineRef;
-use crate::problem::{RequestProblem, WorkOutcome};
+use crate::problem::{RequestProblem, WorkOutcome, copy_problem};
 
 /// Header that names an unrepeatable call, as in the IETF draft.
 pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -34,6 +35,8 @@
 /// A call to a plain service.
 #[derive(Clone, Debug)]
 pub(crate) struct PlainCall {
+    /// The same for all copies of the call.
+    pub(crate) print: RequestPrint,
     pub(crate) snapshot: Arc<ConfigSnapshot>,
     pub(crate) group: GroupEntry,
     pub(crate) route: RouteEntry,
@@ -70,18 +73,26 @@
     context: EntryContext,
     call: PlainCall,
 ) -> Result<Response<ResponseBody>, RequestProblem> {
+    let copy = context.suspects.enter(call.print).map_err(copy_problem)?;
     if call.route.repeatable {
         return send_repeatable(&context, &call).await.map(PlainAnswer::response);
     }
     let key = call.headers.get(IDEMPOTENCY_KEY).and_then(|value| value.to_str().ok());
     let Some(key) = key.filter(|key| !key.is_empty()) else {
         return detached(&context, |context| async move {
-            send_once(&context, &call).await.map(PlainAnswer::response)
+            let answer = send_once(&context, &call).await.map(PlainAnswer::response);
+            drop(copy);
+            answer
         })
         .await;
     };
     let key = CallKey::new(&call.group.name, key);
-    detached(&context, |context| async move { send_with_ledger(&context, &call, key).await }).await
+    detached(&context, |context| async move {
+        let answer = send_with_ledger(&context, &call, key).await;
+        drop(copy);
+        answer
+    })
+    .await
 }
 
 /// Runs to the end even if the caller leaves, so that the answer gets recorded.
@@ -215,7 +226,10 @@
         match send(context, call, &server).await {
             Ok(answer) => return Ok(answer),
             Err(HttpError::NotSent { .. }) => {}
-            Err(error) => return Err(outcome_unknown(&error)),
+            Err(error) => {
+                note_break(context, call, &server).await;
+                return Err(outcome_unknown(&error));
+            }
         }
     }
     Err(none_reachable(call))
@@ -236,7 +250,10 @@
             Err(HttpError::NotSent { .. }) => {}
             Err(error) => {
                 last = outcome_unknown(&error);
-                if !context.retries.take() {
+                note_break(context, call, &server).await;
+                let decision = context.suspects.decide(call.print);
+                let is_deadly = matches!(decision, SuspectDecision::Refused { .. });
+                if is_deadly || !context.retries.take() {
                     break;
                 }
                 context.metrics.count_retry();
@@ -246,6 +263,14 @@
     Err(last)
 }
 
+/// Holds it against the call if the process that ran it has ended.
+async fn note_break(context: &EntryContext, call: &PlainCall, server: &EngineRef) {
+    if context.engines.has_ended(server.address).await {
+        log::info!("event=backend_ended print={} backend={}", call.print, server.name);
+        context.suspects.note_unnamed_end(call.print, &server.name, Duration::ZERO);
+    }
+}
+
 async fn send(
     context: &EntryContext,
     call: &PlainCall,
@@ -279,7 +304,11 @@
     };
     let limit = Duration::from_millis(call.route.timeout_ms.into());
     match tokio::time::timeout(limit, exchange).await {
-        Ok(answer) => answer,
+        Ok(Ok(answer)) => {
+            context.suspects.note_whole(call.print);
+            Ok(answer)
+        }
+        Ok(Err(error)) => Err(error),
         Err(_elapsed) => Err(lost(format!("no answer within {limit:?}"))),
     }
 }
--- a/crates/dillspool_entry/src/problem.rs
+++ b/crates/dillspool_entry/src/problem.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dillspool_io::{ResponseBody, text_response};
+use dillspool_suspects::CopyRefusal;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
@@ -97,3 +98,26 @@
         response
     }
 }
+
+/// When to come back while another copy shows whether it ends what runs it.
+const COPY_RETRY: Duration = Duration::from_secs(1);
+
+/// Backend servers ended under copies of the request; it names no time to come back, since it is not run then
+/// either.
+pub(crate) fn deadly_problem() -> RequestProblem {
+    let detail =
+        "backend servers ended while they ran this request; change it before you send it again";
+    RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "deadly_request", detail)
+}
+
+/// Why a copy of a suspect is not run.
+pub(crate) fn copy_problem(refused: CopyRefusal) -> RequestProblem {
+    match refused {
+        CopyRefusal::Deadly { .. } => deadly_problem(),
+        CopyRefusal::CopyRuns { .. } => {
+            let detail = "a copy of this request runs, and backend servers ended under others; come back later";
+            RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "copy_runs", detail)
+                .retry_after(COPY_RETRY)
+        }
+    }
+}
--- a/crates/dillspool_entry/src/router.rs
+++ b/crates/dillspool_entry/src/router.rs
@@ -10,6 +10,7 @@
 use dillspool_keys::CallerKey;
 use dillspool_schema::Name;
 use dillspool_schema::configuration::{GroupEntry, PoolEntry};
+use dillspool_suspects::{PrintParts, RequestPrint};
 use hyper::body::{Body, Incoming};
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, Response, StatusCode};
@@ -136,13 +137,29 @@
 ) -> Result<Response<ResponseBody>, RequestProblem> {
     let permit = enter(&context)?;
     let body = receive_body(&context, request.into_body()).await?;
+    let path = match form {
+        ApiForm::Chat => "/v1/chat/completions",
+        ApiForm::Text => "/v1/completions",
+    };
+    let print = request_print(&context, &group, path, &body);
     let request = GenerationRequest::parse(form, &body).map_err(|detail| {
         RequestProblem::not_run(StatusCode::BAD_REQUEST, "invalid_request", detail)
     })?;
     let pool = choose_pool(&snapshot, &request.model)?;
     let id = context.ids.next();
-    let terms = AnswerTerms { id, snapshot, group, pool, request, arrived };
-    answer_request(context, terms, permit).await
+    let terms = AnswerTerms { id, print, snapshot, group, pool, request, arrived };
+    // Its future is large, and would make the one of every other request as large.
+    Box::pin(answer_request(context, terms, permit)).await
+}
+
+/// Names a request, whichever copy of it this is.
+fn request_print(
+    context: &EntryContext,
+    group: &GroupEntry,
+    path: &str,
+    body: &Bytes,
+) -> RequestPrint {
+    RequestPrint::of(&context.print_key, &PrintParts { caller: &group.name, host: "", path, body })
 }
 
 fn choose_pool(snapshot: &ConfigSnapshot, model: &str) -> Result<PoolEntry, RequestProblem> {
@@ -168,7 +185,9 @@
     let (parts, body) = request.into_parts();
     let body = receive_body(&context, body).await?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let print = request_print(&context, &group, path, &body);
     let call = PlainCall {
+        print,
         snapshot,
         group,
         route,
--- a/crates/dillspool_entry/src/stream.rs
+++ b/crates/dillspool_entry/src/stream.rs
@@ -12,6 +12,7 @@
 use dillspool_schema::configuration::{GroupEntry, PoolEntry};
 use dillspool_schema::messages::ReleaseCause;
 use dillspool_schema::{Name, StreamId};
+use dillspool_suspects::RequestPrint;
 use hyper::StatusCode;
 use tokio::time::Instant;
 
@@ -32,6 +33,8 @@
 pub(crate) struct AnswerTerms {
     /// Names the request in the log and in its answer.
     pub(crate) id: StreamId,
+    /// The same for all copies of the request.
+    pub(crate) print: RequestPrint,
     pub(crate) snapshot: Arc<ConfigSnapshot>,
     pub(crate) group: GroupEntry,
     pub(crate) pool: PoolEntry,
@@ -191,13 +194,32 @@
             self.open = Some(open);
             return Ok(());
         }
-        if let Some(engine) = open.placement.decode_engine() {
+        let engine = open.placement.decode_engine().cloned();
+        if let Some(engine) = &engine {
             self.avoid.push(Name::clone(&engine.name));
         }
-        open.placement.end(ReleaseCause::DecodeFailed);
+        let ended = self.ended_under_it(engine.as_ref(), &error).await;
+        open.placement.end_at(ReleaseCause::DecodeFailed, ended);
         self.allow_retry("engine_failed", &error)
     }
 
+    /// The engine, if its process has ended while the request ran there.
+    async fn ended_under_it(
+        &self,
+        engine: Option<&EngineRef>,
+        error: &EngineError,
+    ) -> Option<Name> {
+        let engine = engine?;
+        match error {
+            EngineError::BrokenOff { .. } | EngineError::Stalled { .. } => {}
+            EngineError::Refused { .. }
+            | EngineError::OutOfReach { .. }
+            | EngineError::Wrong { .. } => return None,
+        }
+        let ended = self.context.engines.has_ended(engine.address).await;
+        ended.then(|| Name::clone(&engine.name))
+    }
+
     async fn reopen(&self, placement: &Placement) -> Option<TokenStream> {
         let engine = placement.decode_engine()?;
         let from = self.sent.len() as u64;
--- a/crates/dillspool_entry/src/stream/placing.rs
+++ b/crates/dillspool_entry/src/stream/placing.rs
@@ -13,7 +13,7 @@
 
 use super::{AnswerStream, OpenStream};
 use crate::placement::{EngineRef, ExportGuard, Placement, ReserveEnd};
-use crate::problem::RequestProblem;
+use crate::problem::{RequestProblem, WorkOutcome, deadly_problem};
 
 /// Time for a placement when tokens were already sent: a late answer beats a broken one.
 const RESUME_WAIT: Duration = Duration::from_secs(5);
@@ -72,6 +72,8 @@
 
     fn refused(&self, refusal: &ReserveRefusal) -> RequestProblem {
         let (status, code) = match refusal.cause {
+            RefuseCause::Deadly => return self.refused_as_deadly(),
+            RefuseCause::CopyRuns => (StatusCode::SERVICE_UNAVAILABLE, "copy_runs"),
             RefuseCause::TooLate => (StatusCode::TOO_MANY_REQUESTS, "too_late"),
             RefuseCause::QueueFull => (StatusCode::TOO_MANY_REQUESTS, "queue_full"),
             RefuseCause::NoEngine => (StatusCode::SERVICE_UNAVAILABLE, "no_engine"),
@@ -85,6 +87,12 @@
         self.problem(status, code, detail, Duration::from_millis(refusal.retry_ms.into()))
     }
 
+    /// It names no time to come back, since it runs whenever it comes as little as now.
+    fn refused_as_deadly(&self) -> RequestProblem {
+        let problem = deadly_problem();
+        if self.attempts == 0 { problem } else { problem.outcome(WorkOutcome::Incomplete) }
+    }
+
     fn wait(&self) -> Duration {
         if self.sent.is_empty() {
             self.terms.first_token().saturating_sub(self.terms.arrived.elapsed())
@@ -98,8 +106,7 @@
         export: &mut Option<ExportGuard>,
     ) -> Result<OpenStream, OpenFailure> {
         let asked = Instant::now();
-        let mut placement =
-            Placement::new(&self.context, &self.terms.pool.name, &self.terms.group.name);
+        let mut placement = Placement::new(&self.context, &self.terms);
         let message = self.reserve_message(&placement, export.as_ref());
         let grant = match placement.reserve(message).await {
             ReserveEnd::Granted(grant) => grant,
@@ -117,16 +124,16 @@
         if export.is_none() {
             match self.prefill(&mut placement, prefill).await {
                 Ok(done) => *export = Some(done),
-                Err(failure) => {
-                    placement.end(ReleaseCause::PrefillFailed);
+                Err((failure, ended)) => {
+                    placement.end_at(ReleaseCause::PrefillFailed, ended);
                     return Err(failure);
                 }
             }
         }
         match self.decode(&mut placement, decode, export).await {
             Ok(tokens) => Ok(OpenStream { placement, tokens }),
-            Err(failure) => {
-                placement.end(ReleaseCause::TransferFailed);
+            Err((failure, ended)) => {
+                placement.end_at(ReleaseCause::TransferFailed, ended);
                 Err(failure)
             }
         }
@@ -153,6 +160,7 @@
             prefix: prefix_hash(prompt),
             prefilled: export.map(|it| Name::clone(&it.engine.name)),
             avoid: self.avoid.clone(),
+            print: Some(self.terms.print.to_string().into()),
         }
     }
 
@@ -160,7 +168,7 @@
         &mut self,
         placement: &mut Placement,
         engine: EngineRef,
-    ) -> Result<ExportGuard, OpenFailure> {
+    ) -> Result<ExportGuard, (OpenFailure, Option<Name>)> {
         let request = PrefillRequest {
             stream: placement.stream().clone(),
             model: Name::clone(&self.terms.request.model),
@@ -182,8 +190,9 @@
             }
             Err(error) => {
                 self.avoid.push(Name::clone(&export.engine.name));
+                let ended = self.ended_under_it(Some(&export.engine), &error).await;
                 export.waste("prefill_failed");
-                Err(OpenFailure::Failed { code: "prefill_failed", error })
+                Err((OpenFailure::Failed { code: "prefill_failed", error }, ended))
             }
         }
     }
@@ -193,13 +202,13 @@
         placement: &mut Placement,
         engine: EngineRef,
         export: &mut Option<ExportGuard>,
-    ) -> Result<TokenStream, OpenFailure> {
+    ) -> Result<TokenStream, (OpenFailure, Option<Name>)> {
         let (Some(kv), Some(source)) = (
             export.as_ref().and_then(|it| it.kv.clone()),
             export.as_ref().map(|it| it.engine.address),
         ) else {
             let error = EngineError::BrokenOff { reason: "no exported KV cache".to_owned() };
-            return Err(OpenFailure::Failed { code: "prefill_failed", error });
+            return Err((OpenFailure::Failed { code: "prefill_failed", error }, None));
         };
         let request = DecodeRequest {
             stream: placement.stream().clone(),
@@ -211,8 +220,7 @@
             priority: self.terms.group.priority,
         };
         let address = engine.address;
-        let name = Name::clone(&engine.name);
-        placement.start_decode(engine);
+        placement.start_decode(engine.clone());
         // Half the KV cache's life: a stalled transfer leaves time for another engine.
         let import_limit = Duration::from_millis(self.terms.pool.kv_lifetime_ms.into()) / 2;
         let limit = self.terms.stall_limit();
@@ -224,8 +232,9 @@
                 Ok(tokens)
             }
             Err(error) => {
-                self.avoid.push(name);
-                Err(OpenFailure::Failed { code: "transfer_failed", error })
+                let ended = self.ended_under_it(Some(&engine), &error).await;
+                self.avoid.push(engine.name);
+                Err((OpenFailure::Failed { code: "transfer_failed", error }, ended))
             }
         }
     }
--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -5,6 +5,7 @@
 
 use dillspool_io::ResponseBody;
 use dillspool_routing::{RequestKind, RoutedRequest};
+use dillspool_suspects::{CopyGuard, CopyRefusal};
 use hyper::Response;
 
 use crate::context::ForwardContext;
@@ -12,7 +13,6 @@
 use crate::limits::admit;
 use crate::plain::answer_plain;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::suspects::{CopyGuard, CopyRefusal};
 use crate::trace::{RequestTrace, log_suspect_refused};
 
 /// When to come back if another copy runs: about the time that an answer takes.
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -6,6 +6,7 @@
 use dillspool_routing::{BackendEntry, BackendId, DirectoryView, RoutedRequest};
 use dillspool_scheduler::{LimitClient, ScheduleClient};
 use dillspool_schema::Name;
+use dillspool_suspects::SuspectDesk;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
@@ -15,7 +16,6 @@
 use crate::calls::{BackendCalls, CallError};
 use crate::choose::Chooser;
 use crate::metrics::ForwardMetrics;
-use crate::suspects::SuspectDesk;
 use crate::trace::log_overruled;
 
 /// Why something under way at a backend server is lost.
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -9,7 +9,7 @@
 use dillspool_admission::EngineFault;
 use dillspool_io::ResponseBody;
 use dillspool_routing::{BackendEntry, RoutedRequest};
-use dillspool_suspects::SuspectDecision;
+use dillspool_suspects::{CopyGuard, SuspectDecision};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
@@ -21,7 +21,6 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::StreamRelay;
 use crate::stages::FirstEventStages;
-use crate::suspects::CopyGuard;
 use crate::trace::RequestTrace;
 use crate::tried::TriedBackends;
 
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -22,7 +22,6 @@
 mod refusal;
 mod relay;
 mod stages;
-mod suspects;
 mod trace;
 mod tried;
 
@@ -38,4 +37,3 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use metrics::{ForwardMetrics, OutcomeLabels};
 pub use refusal::{Refusal, RefusalCause};
-pub use suspects::SuspectDesk;
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -6,13 +6,13 @@
 use dillspool_admission::{PlacementRequest, TurnAwayCause};
 use dillspool_routing::{BackendId, DirectoryView, RoutedRequest};
 use dillspool_schema::Name;
+use dillspool_suspects::CopyRefusal;
 
 use crate::budget::RetryBudgets;
 use crate::context::ForwardContext;
 use crate::metrics::{ForwardMetrics, OutcomeLabels};
 use crate::refusal::Refusal;
 use crate::stages::{FirstEventStages, LateCause, StreamFigures};
-use crate::suspects::CopyRefusal;
 
 /// Reports the end of a request; one that is dropped before reports that the caller left.
 #[derive(Debug)]
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use dillspool_forward::{
     BackendAnswer, BackendBook, BackendCalls, BackendSign, BreakLooks, BudgetTerms, CallError,
     ForwardContext, ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
-    SuspectDesk, WorkRank,
+    WorkRank,
 };
 use dillspool_io::{BoxError, HostClock, channel_body, full_body};
 use dillspool_routing::{
@@ -22,7 +22,7 @@
 use dillspool_scheduler::{
     LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient, SuspectBus, SuspectHandlers,
 };
-use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectPolicy};
+use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectDesk, SuspectPolicy};
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
--- a/crates/dillspool_host/src/daemon.rs
+++ b/crates/dillspool_host/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use dillspool_config::{ConfigError, HostAddresses};
 use dillspool_entry::callers_handler;
-use dillspool_io::{NetListener, NetStack, ServerLimits, WallClock, serve_http};
+use dillspool_io::{HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http};
 use dillspool_peer::HostView;
 use dillspool_schema::Name;
 use dillspool_schema::settings::HostSettings;
@@ -50,6 +50,8 @@
     pub stack: NetStack,
     /// The wall clock; its time at the start is the host's incarnation.
     pub clock: WallClock,
+    /// The clock by which what is remembered grows old.
+    pub host_clock: HostClock,
     /// Seed of the jitter of periodic work.
     pub seed: u64,
     /// Another way to place requests than the pool's scheduler, for comparisons.
--- a/crates/dillspool_host/src/desk.rs
+++ b/crates/dillspool_host/src/desk.rs
@@ -101,6 +101,8 @@
         cause: dillspool_schema::messages::ReleaseCause::Cancelled,
         tokens: 0,
         cached: 0,
+        print: None,
+        ended: None,
     }
 }
 
--- a/crates/dillspool_host/src/directory.rs
+++ b/crates/dillspool_host/src/directory.rs
@@ -7,6 +7,7 @@
 use dillspool_engine::EngineClient;
 use dillspool_pool::{LivenessCheck, PoolScheduler};
 use dillspool_schema::Name;
+use dillspool_suspects::SuspectDesk;
 use tokio_util::sync::CancellationToken;
 
 struct PoolEntryHandle {
@@ -19,12 +20,17 @@
 pub(crate) struct PoolDirectory {
     pools: Arc<Mutex<BTreeMap<Name, PoolEntryHandle>>>,
     engines: EngineClient,
+    suspects: SuspectDesk,
     cancel: CancellationToken,
 }
 
 impl PoolDirectory {
-    pub(crate) fn new(engines: EngineClient, cancel: CancellationToken) -> Self {
-        Self { pools: Arc::default(), engines, cancel }
+    pub(crate) fn new(
+        engines: EngineClient,
+        suspects: SuspectDesk,
+        cancel: CancellationToken,
+    ) -> Self {
+        Self { pools: Arc::default(), engines, suspects, cancel }
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, PoolEntryHandle>> {
@@ -52,6 +58,7 @@
                 snapshot,
                 self.engines.clone(),
                 liveness.clone(),
+                self.suspects.clone(),
                 cancel.clone(),
             );
             pools.insert(Name::clone(&pool.name), PoolEntryHandle { scheduler, cancel });
--- a/crates/dillspool_host/src/parts.rs
+++ b/crates/dillspool_host/src/parts.rs
@@ -18,6 +18,7 @@
 use dillspool_schema::Name;
 use dillspool_schema::messages::HeartbeatMessage;
 use dillspool_schema::settings::HostSettings;
+use dillspool_suspects::{PrintKey, SuspectDesk, SuspectPolicy};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -47,6 +48,7 @@
     pub(crate) keeper: ConfigKeeper,
     pub(crate) engines: EngineClient,
     pub(crate) directory: PoolDirectory,
+    pub(crate) suspects: SuspectDesk,
     pub(crate) registry: PlacementRegistry,
     pub(crate) links: PeerLinks,
     pub(crate) rows: AliveRows,
@@ -74,7 +76,8 @@
         let host = Name::clone(&settings.host);
         let view = HostView::new(host, Name::clone(&settings.failure_domain), incarnation);
         let engines = EngineClient::new(&environment.stack);
-        let directory = PoolDirectory::new(engines.clone(), cancel.clone());
+        let suspects = SuspectDesk::new(SuspectPolicy::default(), environment.host_clock.clone());
+        let directory = PoolDirectory::new(engines.clone(), suspects.clone(), cancel.clone());
         let registry = PlacementRegistry::default();
         let keeper = ConfigKeeper::new(store);
         let identity = PeerIdentity {
@@ -97,6 +100,7 @@
             keeper,
             engines,
             directory,
+            suspects,
             registry,
             links,
             metrics: EntryMetrics::default(),
@@ -147,6 +151,8 @@
             clock: self.environment.clock.clone(),
             next_backend: Arc::default(),
             ids: StreamIds::new(Name::clone(&self.settings.host), self.incarnation),
+            suspects: self.suspects.clone(),
+            print_key: PrintKey::new(self.settings.keys.peer_key.expose()),
             retries: RetryBudget::default(),
             metrics: self.metrics.clone(),
             in_flight: Arc::new(Semaphore::new(limits.max_in_flight as usize)),
@@ -286,7 +292,7 @@
         }),
         report: Arc::new(move |host, incarnation, report| {
             if let Some(pool) = reporting.get(&report.pool) {
-                pool.report(host, incarnation, &report.placements);
+                pool.report(host, incarnation, &report);
             }
         }),
         placements: Arc::new(move || registry.reports(&pools.names())),
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod host_clock;
 mod memory;
+mod process_look;
 mod server;
 mod stack;
 
@@ -22,5 +23,6 @@
 pub use exchange::{ExchangeBody, exchange_once};
 pub use host_clock::{HostClock, MomentPassed};
 pub use memory::{LinkMode, MemoryNet};
+pub use process_look::{ProcessSign, look_at_process};
 pub use server::{HttpHandler, ServerLimits, handler, serve_http, serve_http_live};
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- a/crates/dillspool_local/src/cluster.rs
+++ b/crates/dillspool_local/src/cluster.rs
@@ -9,7 +9,7 @@
 use dillspool_host::{
     ApplyRequest, ConfigReply, DeskChoice, HostDaemon, HostEnvironment, StatusReply,
 };
-use dillspool_io::{HttpClient, MemoryNet, NetStack, UnixMillis, WallClock, read_body};
+use dillspool_io::{HostClock, HttpClient, MemoryNet, NetStack, UnixMillis, WallClock, read_body};
 use dillspool_keys::hash_key;
 use dillspool_platform::{HostEntry, HostKind, HostState};
 use dillspool_schema::configuration::{BackendEntry, BackendRole, Configuration};
@@ -63,6 +63,13 @@
         }
     }
 
+    fn host_clock(&self) -> HostClock {
+        match self {
+            Self::Tcp => HostClock::boot(),
+            Self::Memory(_) => HostClock::steady(),
+        }
+    }
+
     fn clock(&self) -> WallClock {
         match self {
             Self::Tcp => WallClock::system(),
@@ -118,7 +125,8 @@
             entry.address = listener.local_addr().to_string().into();
             let name = Name::clone(&entry.name);
             if entry.role == BackendRole::Plain {
-                plains.insert(name, PlainStandIn::start(listener, &cancel));
+                let stack = net.stack(net.address(nodes));
+                plains.insert(name, PlainStandIn::start(&stack, listener, &cancel));
                 continue;
             }
             let stack = net.stack(net.address(nodes));
@@ -165,6 +173,7 @@
         let environment = HostEnvironment {
             stack,
             clock: self.clock.clone(),
+            host_clock: self.net.host_clock(),
             seed: self.nodes.into(),
             desk: self.desk.clone(),
         };
--- a/crates/dillspool_local/tests/deadly_requests.rs
+++ b/crates/dillspool_local/tests/deadly_requests.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use common::{TOKENS, TestSystem, assert_whole, chat};
+use dillspool_io::LinkMode;
 use dillspool_local::CallOutcome;
-use dillspool_standin::{DEADLY_PROMPT, DEADLY_TEXT, EngineStandIn};
+use dillspool_standin::{DEADLY_PROMPT, DEADLY_TEXT, EngineStandIn, PlainStandIn};
 
 /// Copies that the caller sends.
 const COPIES: usize = 12;
@@ -63,3 +64,40 @@
         check_others(&system).await;
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_new_scheduler_of_the_pool_knows_it_too() {
+    let system = TestSystem::start().await;
+    send_copies(&system, DEADLY_TEXT, 4).await;
+    let before = ends(&system);
+    let scheduler = system.scheduler().await;
+    system.set_links(scheduler, LinkMode::Cut);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let caller = system.caller("summaries");
+    for copy in 1..6 {
+        let host = system.host((scheduler + 1 + copy % 2) % 3);
+        let outcome = caller.chat(host, &chat(DEADLY_TEXT, TOKENS)).await;
+        assert_refused(&outcome, "another scheduler");
+    }
+    assert_eq!(ends(&system), before);
+}
+
+/// Plain services have no scheduler: each host learns by itself.
+#[tokio::test(start_paused = true)]
+async fn a_plain_call_that_ends_what_runs_it_is_stopped() {
+    for path in ["/config/1", "/readings"] {
+        let system = TestSystem::start().await;
+        let caller = system.caller("alerts");
+        let mut last = CallOutcome::default();
+        for _copy in 0..COPIES {
+            last = caller.plain(system.host(0), path, None, DEADLY_TEXT).await;
+            tokio::time::sleep(COPIES_APART).await;
+        }
+        let ended: u64 = system.cluster.plains.values().map(PlainStandIn::ends).sum();
+        assert!(ended > 0, "{path}: nothing ended, the test shows nothing");
+        assert!(ended <= MOST_ENDS, "{path}: {ended} backend servers ended");
+        assert_refused(&last, path);
+        let other = caller.plain(system.host(0), path, None, "another body").await;
+        assert_eq!(other.status, 201, "{path}: {other:?}");
+    }
+}
--- a/crates/dillspool_pool/benches/decision.rs
+++ b/crates/dillspool_pool/benches/decision.rs
@@ -51,11 +51,23 @@
         prefix: 0,
         prefilled: None,
         avoid: Vec::new(),
+        print: None,
     };
     state.submit(message, now);
     state.pump(now);
     let cause = ReleaseCause::Done;
-    state.release(&ReleaseMessage { stream, pool: "p".into(), cause, tokens: 1, cached: 0 }, now);
+    state.release(
+        &ReleaseMessage {
+            stream,
+            pool: "p".into(),
+            cause,
+            tokens: 1,
+            cached: 0,
+            print: None,
+            ended: None,
+        },
+        now,
+    );
 }
 
 fn decisions(criterion: &mut Criterion) {
--- a/crates/dillspool_pool/src/lib.rs
+++ b/crates/dillspool_pool/src/lib.rs
@@ -12,6 +12,7 @@
 mod queue;
 mod scheduler;
 mod state;
+mod suspects;
 mod sweep;
 
 pub use engines::{DecodeState, PrefillState};
--- a/crates/dillspool_pool/src/scheduler.rs
+++ b/crates/dillspool_pool/src/scheduler.rs
@@ -8,18 +8,23 @@
 use dillspool_config::ConfigSnapshot;
 use dillspool_engine::EngineClient;
 use dillspool_schema::configuration::PoolEntry;
-use dillspool_schema::messages::{HeldPlacement, ReleaseMessage, ReserveAnswer, ReserveMessage};
+use dillspool_schema::messages::{PlacementReport, ReleaseMessage, ReserveAnswer, ReserveMessage};
 use dillspool_schema::{Name, StreamId};
+use dillspool_suspects::SuspectDesk;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::state::{PoolState, ReserveOutcome};
+use crate::state::{PoolState, ReserveOutcome, refusal};
+use crate::suspects::CopyBook;
 use crate::sweep::sweep_engines;
 
 /// How long a scheduler stays awake after it was last asked.
 const AWAKE_TIME: Duration = Duration::from_secs(10);
 
+/// When to come back while another copy of a suspect shows whether it ends its engine.
+const COPY_RETRY: Duration = Duration::from_secs(1);
+
 /// Whether the owner of a stream is dead beyond doubt.
 ///
 /// The first argument is the host, the second its incarnation. See `docs/design/orphans.md`.
@@ -52,6 +57,7 @@
     pub(crate) state: PoolState,
     waiters: BTreeMap<StreamId, oneshot::Sender<ReserveAnswer>>,
     pub(crate) counts: SchedulerCounts,
+    copies: CopyBook,
     last_asked: Option<Instant>,
 }
 
@@ -76,12 +82,14 @@
         snapshot: &Arc<ConfigSnapshot>,
         engines: EngineClient,
         liveness: LivenessCheck,
+        suspects: SuspectDesk,
         cancel: CancellationToken,
     ) -> Self {
         let inner = SchedulerInner {
             state: PoolState::new(pool, snapshot, Instant::now()),
             waiters: BTreeMap::new(),
             counts: SchedulerCounts::default(),
+            copies: CopyBook::new(suspects),
             last_asked: None,
         };
         let scheduler = Self {
@@ -122,9 +130,14 @@
             let now = Instant::now();
             let mut inner = self.lock();
             inner.last_asked = Some(now);
+            if let Err(cause) = inner.copies.enter(&stream, message.print.as_deref()) {
+                inner.counts.refused += 1;
+                return Some(refusal(&stream, cause, COPY_RETRY));
+            }
             match inner.state.submit(message, now) {
                 ReserveOutcome::Answered(answer) => {
                     inner.counts.refused += 1;
+                    inner.copies.leave(&stream);
                     return Some(answer);
                 }
                 ReserveOutcome::Waiting => inner.waiters.insert(stream, sender),
@@ -137,13 +150,22 @@
 
     /// Gives a placement back.
     pub fn release(&self, message: &ReleaseMessage) {
+        self.lock().copies.note_released(message);
         self.update(|state, now| state.release(message, now));
         self.lock().waiters.remove(&message.stream);
     }
 
     /// Takes over all placements that an entry host, named with its incarnation, holds.
-    pub fn report(&self, host: &Name, incarnation: u64, held: &[HeldPlacement]) {
-        self.update(|state, now| state.report((host, incarnation), held, now));
+    pub fn report(&self, host: &Name, incarnation: u64, report: &PlacementReport) {
+        self.lock().copies.learn(&report.ended);
+        self.update(|state, now| state.report((host, incarnation), &report.placements, now));
+    }
+
+    /// Drops copies of requests that neither wait nor hold a placement.
+    pub(crate) fn drop_lost_copies(&self) {
+        let mut inner = self.lock();
+        let SchedulerInner { state, copies, .. } = &mut *inner;
+        copies.retain(|stream| state.is_known(stream));
     }
 
     /// Takes a new configuration over.
@@ -183,6 +205,7 @@
                 self.counts.granted += 1;
             } else {
                 self.counts.refused += 1;
+                self.copies.leave(&answer.stream);
             }
             let Some(waiter) = self.waiters.remove(&answer.stream) else {
                 continue;
@@ -199,7 +222,16 @@
     fn release_unused(&mut self, stream: StreamId, now: Instant) {
         use dillspool_schema::messages::ReleaseCause::Cancelled;
         let pool = "".into();
-        let message = ReleaseMessage { stream, pool, cause: Cancelled, tokens: 0, cached: 0 };
+        let message = ReleaseMessage {
+            stream,
+            pool,
+            cause: Cancelled,
+            tokens: 0,
+            cached: 0,
+            print: None,
+            ended: None,
+        };
+        self.copies.leave(&message.stream);
         self.state.release(&message, now);
     }
 }
--- a/crates/dillspool_pool/src/state.rs
+++ b/crates/dillspool_pool/src/state.rs
@@ -167,6 +167,11 @@
         Some(next.map_or(latest, |next| next.min(latest)))
     }
 
+    /// Whether a stream waits or is placed.
+    pub(crate) fn is_known(&self, stream: &StreamId) -> bool {
+        self.placements.contains_key(stream) || self.queue.tag_of(stream).is_some()
+    }
+
     /// Streams placed now.
     pub fn placed_streams(&self) -> impl Iterator<Item = &StreamId> {
         self.placements.keys()
--- a/crates/dillspool_pool/src/sweep.rs
+++ b/crates/dillspool_pool/src/sweep.rs
@@ -61,6 +61,7 @@
         }
         state.listed_at = Some(now);
         sweep_pool(&scheduler, &engines, &liveness, dead).await;
+        scheduler.drop_lost_copies();
     }
 }
 
@@ -187,6 +188,14 @@
     for stream in streams {
         let pool = Name::clone(scheduler.pool());
         let cause = ReleaseCause::Cancelled;
-        scheduler.release(&ReleaseMessage { stream, pool, cause, tokens: 0, cached: 0 });
+        scheduler.release(&ReleaseMessage {
+            stream,
+            pool,
+            cause,
+            tokens: 0,
+            cached: 0,
+            print: None,
+            ended: None,
+        });
     }
 }
--- a/crates/dillspool_pool/tests/scheduling.rs
+++ b/crates/dillspool_pool/tests/scheduling.rs
@@ -93,6 +93,7 @@
             prefix: 0,
             prefilled: None,
             avoid: Vec::new(),
+            print: None,
         }
     }
 
@@ -111,6 +112,8 @@
             cause: ReleaseCause::Done,
             tokens: 100,
             cached: 0,
+            print: None,
+            ended: None,
         };
         self.state.release(&message, self.now);
         self.state.pump(self.now)
@@ -264,7 +267,15 @@
         let failed = &*grant.decode == "d1";
         on_first += u32::from(failed);
         let cause = if failed { ReleaseCause::DecodeFailed } else { ReleaseCause::Done };
-        let message = ReleaseMessage { stream, pool: "main".into(), cause, tokens: 0, cached: 0 };
+        let message = ReleaseMessage {
+            stream,
+            pool: "main".into(),
+            cause,
+            tokens: 0,
+            cached: 0,
+            print: None,
+            ended: None,
+        };
         pool.state.release(&message, pool.now);
         pool.now += Duration::from_millis(20);
     }
@@ -293,6 +304,8 @@
         cause: ReleaseCause::Done,
         tokens: 1,
         cached: 600,
+        print: None,
+        ended: None,
     };
     pool.now += Duration::from_millis(200);
     pool.state.release(&message, pool.now);
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use dillspool_capacity::DemandMeter;
-use dillspool_forward::{
-    BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets, SuspectDesk,
-};
+use dillspool_forward::{BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets};
 use dillspool_io::{
     HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http, serve_http_live,
 };
@@ -16,7 +14,7 @@
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{LimitDesk, PoolDesk, ScheduleClient, ScheduleDesks};
 use dillspool_schema::Name;
-use dillspool_suspects::SuspectPolicy;
+use dillspool_suspects::{SuspectDesk, SuspectPolicy};
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
--- a/crates/dillspool_router/src/fleet_duties.rs
+++ b/crates/dillspool_router/src/fleet_duties.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_forward::{RetryBudgets, SuspectDesk};
+use dillspool_forward::RetryBudgets;
 use dillspool_io::{HostClock, NetListener, NetStack};
 use dillspool_roles::DelayFn;
 use dillspool_routing::RoutingConfig;
@@ -12,6 +12,7 @@
     serve_schedule,
 };
 use dillspool_schema::Name;
+use dillspool_suspects::SuspectDesk;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/dillspool_router/src/suspect_metrics.rs
+++ b/crates/dillspool_router/src/suspect_metrics.rs
@@ -1,7 +1,7 @@
 //! Requests under which backend servers ended, as gauges that are read when they are scraped.
 
-use dillspool_forward::SuspectDesk;
 use dillspool_metrics::write_labels;
+use dillspool_suspects::SuspectDesk;
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -8,12 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_forward::SuspectDesk;
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_moment::Moment;
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableStore};
 use dillspool_schema::Name;
-use dillspool_suspects::{RequestPrint, RunEnd, SuspectDecision, SuspectNews};
+use dillspool_suspects::{RequestPrint, RunEnd, SuspectDecision, SuspectDesk, SuspectNews};
 use dillspool_watch::TableBelief;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
--- a/crates/dillspool_standin/src/engine/model.rs
+++ b/crates/dillspool_standin/src/engine/model.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A prompt with this text ends each engine that decodes it.
+/// A prompt with this text ends each engine that decodes it, a call with it each plain service.
 pub const DEADLY_TEXT: &str = "#deadly";
 /// A prompt with this text ends each engine that prefills it.
 pub const DEADLY_PROMPT: &str = "#deadly-prompt";
--- a/crates/dillspool_standin/src/engine/prefill.rs
+++ b/crates/dillspool_standin/src/engine/prefill.rs
@@ -13,7 +13,7 @@
 
 use super::model::{DEADLY_PROMPT, DEADLY_TEXT, EngineFault};
 use super::state::{EngineCore, ExportedCache, natural_length};
-use crate::http::{broken, json, refuse};
+use crate::http::{CLOSING, broken, json, refuse};
 
 const MICROS: u64 = 1_000_000;
 
@@ -57,7 +57,11 @@
     tokio::time::sleep(Duration::from_micros(micros)).await;
     drop(guard);
     if request.prompt.contains(DEADLY_PROMPT) {
+        // Its own answer breaks off in place of being cancelled.
+        core.lock().prefills.remove(&request.stream);
         core.end();
+        // Nobody listens any more when its connections break.
+        tokio::time::sleep(CLOSING).await;
         return broken();
     }
     if core.fault() == EngineFault::FailPrefill {
--- a/crates/dillspool_standin/src/engine/server.rs
+++ b/crates/dillspool_standin/src/engine/server.rs
@@ -1,14 +1,13 @@
 //! The engine's HTTP interface.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_engine::{
     CacheEvents, CancelReply, CancelRequest, LoadReport, OrderRefusal, OrderReply,
 };
-use dillspool_io::{
-    HttpClient, HttpHandler, NetListener, NetStack, ResponseBody, ServerLimits, handler, serve_http,
-};
+use dillspool_io::{HttpClient, NetListener, NetStack, ResponseBody, handler};
 use dillspool_schema::StreamId;
 use dillspool_schema::engine::{FencedOrder, StreamListing};
 use hyper::body::Incoming;
@@ -20,12 +19,10 @@
 use super::model::{EngineFault, EngineModel};
 use super::prefill::prefill;
 use super::state::{EngineCore, ExportedCache};
-use crate::http::{json, read_json, refuse};
+use crate::http::{json, read_json, refuse, serve_lives};
 
 /// How often expired exports are dropped and the load is noted.
 const HOUSEKEEPING: Duration = Duration::from_millis(50);
-/// Time for which an engine is away after its end.
-const RESTART: Duration = Duration::from_secs(2);
 /// Load reports kept.
 const KEPT_REPORTS: usize = 256;
 
@@ -53,7 +50,8 @@
             let (core, http) = (serving.clone(), http.clone());
             async move { answer(core, http, checks_fence, request).await }
         });
-        tokio::spawn(live(core.clone(), stack.clone(), listener, handler, cancel.clone()));
+        let ended = Arc::clone(&core.ended);
+        tokio::spawn(serve_lives(stack.clone(), listener, handler, ended, cancel.clone()));
         tokio::spawn(keep_house(core.clone(), cancel.clone()));
         Self { core, address }
     }
@@ -96,34 +94,6 @@
     }
 }
 
-/// Serves, and starts again some time after each end.
-async fn live(
-    core: EngineCore,
-    stack: NetStack,
-    mut listener: NetListener,
-    handler: HttpHandler,
-    cancel: CancellationToken,
-) {
-    let address = listener.local_addr();
-    loop {
-        let life = cancel.child_token();
-        let limits = ServerLimits::default();
-        tokio::spawn(serve_http(listener, limits, handler.clone(), life.clone()));
-        tokio::select! {
-            () = core.ended.notified() => life.cancel(),
-            () = cancel.cancelled() => return,
-        }
-        tokio::time::sleep(RESTART).await;
-        listener = match stack.listen(address).await {
-            Ok(listener) => listener,
-            Err(error) => {
-                log::error!("event=engine_not_back address={address} error=\"{error}\"");
-                return;
-            }
-        };
-    }
-}
-
 async fn keep_house(core: EngineCore, cancel: CancellationToken) {
     loop {
         tokio::select! {
--- a/crates/dillspool_standin/src/http.rs
+++ b/crates/dillspool_standin/src/http.rs
@@ -1,12 +1,23 @@
 //! Helpers of the stand-ins' HTTP servers.
 
-use dillspool_io::{ResponseBody, channel_body, read_body, text_response};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_io::{
+    HttpHandler, NetListener, NetStack, ResponseBody, ServerLimits, channel_body, read_body,
+    serve_http, text_response,
+};
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
+use tokio_util::sync::CancellationToken;
 
+/// Time in which a process that ends closes what it has open.
+pub(crate) const CLOSING: Duration = Duration::from_millis(1);
+/// Time for which a process is away after its end.
+const RESTART: Duration = Duration::from_secs(2);
 /// Longest body that a stand-in reads, in bytes.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -36,3 +47,31 @@
     serde_json::from_slice(&bytes)
         .map_err(|_ignored| refuse(StatusCode::BAD_REQUEST, "the body is not what was expected"))
 }
+
+/// Serves, and starts again some time after each end.
+pub(crate) async fn serve_lives(
+    stack: NetStack,
+    mut listener: NetListener,
+    handler: HttpHandler,
+    ended: Arc<Notify>,
+    cancel: CancellationToken,
+) {
+    let address = listener.local_addr();
+    loop {
+        let life = cancel.child_token();
+        let limits = ServerLimits::default();
+        tokio::spawn(serve_http(listener, limits, handler.clone(), life.clone()));
+        tokio::select! {
+            () = ended.notified() => life.cancel(),
+            () = cancel.cancelled() => return,
+        }
+        tokio::time::sleep(RESTART).await;
+        listener = match stack.listen(address).await {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!("event=process_not_back address={address} error=\"{error}\"");
+                return;
+            }
+        };
+    }
+}
--- a/crates/dillspool_standin/src/main.rs
+++ b/crates/dillspool_standin/src/main.rs
@@ -104,7 +104,7 @@
             EngineStandIn::start(args.model(), stack, listener, args.checks_fence, cancel);
         }
         StandInCommand::Plain => {
-            PlainStandIn::start(listener, cancel);
+            PlainStandIn::start(stack, listener, cancel);
         }
     }
 }
--- a/crates/dillspool_forward/src/suspects.rs
+++ b/crates/dillspool_suspects/src/desk.rs
@@ -3,14 +3,17 @@
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use dillspool_io::HostClock;
 use dillspool_moment::Moment;
-use dillspool_suspects::{
-    EndedBackend, RequestPrint, RunEnd, SuspectBook, SuspectDecision, SuspectNews, SuspectPolicy,
-};
 use tokio::sync::Notify;
 
+use crate::book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision, SuspectNews};
+use crate::policy::SuspectPolicy;
+use crate::print::RequestPrint;
+use crate::starts::StartNames;
+
 /// News that wait to be told to other hosts at most; the oldest go first.
 const MOST_NEWS: usize = 1024;
 
@@ -21,6 +24,7 @@
     /// Copies under way on this host.
     under_way: HashMap<RequestPrint, usize>,
     news: Vec<SuspectNews>,
+    starts: StartNames,
 }
 
 /// Decides on copies of requests, by what this host saw and what others told.
@@ -39,7 +43,7 @@
 
 /// Why a copy is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CopyRefusal {
+pub enum CopyRefusal {
     /// Backend servers end under it.
     Deadly {
         /// Ends in a row.
@@ -60,6 +64,7 @@
             lifted: HashSet::new(),
             under_way: HashMap::new(),
             news: Vec::new(),
+            starts: StartNames::default(),
         };
         Self { state: Arc::new(Mutex::new(state)), clock, changed: Arc::default() }
     }
@@ -145,13 +150,17 @@
     }
 
     /// Whether it should be known why a run broke off before the request is sent once more.
-    pub(crate) fn should_wait(&self, print: RequestPrint) -> bool {
+    pub fn should_wait(&self, print: RequestPrint) -> bool {
         let now = self.now();
         self.state().book.is_near_refusal(print, now)
     }
 
     /// Lets a copy run, or tells why not.
-    pub(crate) fn enter(&self, print: RequestPrint) -> Result<CopyGuard, CopyRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// [`CopyRefusal`] when backend servers end under it, or another copy shall show first whether they do.
+    pub fn enter(&self, print: RequestPrint) -> Result<CopyGuard, CopyRefusal> {
         let now = self.now();
         let mut state = self.state();
         let under_way = state.under_way.get(&print).copied().unwrap_or_default();
@@ -170,8 +179,12 @@
     }
 
     /// Notes that a backend server ended under a request that ran there.
-    pub(crate) fn note_end(&self, print: RequestPrint, backend: EndedBackend) {
-        let end = RunEnd { print, backend, at: self.now() };
+    pub fn note_end(&self, print: RequestPrint, backend: EndedBackend) {
+        self.note_end_at(RunEnd { print, backend, at: self.now() });
+    }
+
+    fn note_end_at(&self, end: RunEnd) {
+        let print = end.print;
         let mut state = self.state();
         if !state.book.note_end(&end) {
             return;
@@ -183,8 +196,15 @@
         self.changed.notify_one();
     }
 
+    /// Notes that a backend server ended under a request some time ago, where nothing tells its start.
+    pub fn note_unnamed_end(&self, print: RequestPrint, backend: &str, age: Duration) {
+        let at = self.now().before(age);
+        let start = self.state().starts.name(backend, at);
+        self.note_end_at(RunEnd { print, backend: start, at });
+    }
+
     /// Notes that a copy came to a good end.
-    pub(crate) fn note_whole(&self, print: RequestPrint) {
+    pub fn note_whole(&self, print: RequestPrint) {
         let at = self.now();
         let mut state = self.state();
         if !state.book.note_whole(print, at) {
@@ -219,7 +239,7 @@
 
 /// A copy that runs here; dropping it ends it.
 #[derive(Debug)]
-pub(crate) struct CopyGuard {
+pub struct CopyGuard {
     desk: SuspectDesk,
     print: RequestPrint,
 }
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -2,13 +2,17 @@
 //!
 //! A request that ends its backend server comes again, under another id and at any host, and ends the
 //! next one. What makes two requests the same one, and what follows from the ends under it, stands here,
-//! apart from input and output, over moments that are passed in. See `docs/design/suspects.md`.
+//! apart from input and output; [`SuspectBook`] decides over moments that are passed in, and [`SuspectDesk`] keeps
+//! one for a host. See `docs/design/suspects.md`.
 
 mod book;
+mod desk;
 mod policy;
 mod print;
 mod recent;
+mod starts;
 
 pub use book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision, SuspectNews};
+pub use desk::{CopyGuard, CopyRefusal, SuspectDesk};
 pub use policy::{EndWeight, SuspectPolicy};
 pub use print::{MalformedPrint, PrintKey, PrintParts, RequestPrint};
--- a/crates/dillspoold/src/main.rs
+++ b/crates/dillspoold/src/main.rs
@@ -8,7 +8,7 @@
 use clap::Parser;
 use dillspool_config::load_settings;
 use dillspool_host::{HostDaemon, HostEnvironment};
-use dillspool_io::{NetStack, WallClock};
+use dillspool_io::{HostClock, NetStack, WallClock};
 use dillspool_log::{LineForm, LogSetup, set_up_log};
 use dillspool_schema::settings::{HostSettings, LogFormat};
 use tokio::signal::unix::{SignalKind, signal};
@@ -88,7 +88,9 @@
     let clock = WallClock::system();
     // Hosts that start together differ by their names and start times.
     let seed = clock.now().0 ^ u64::from(std::process::id());
-    let environment = HostEnvironment { stack: NetStack::tcp(), clock, seed, desk: None };
+    let host_clock = HostClock::boot();
+    let environment =
+        HostEnvironment { stack: NetStack::tcp(), clock, host_clock, seed, desk: None };
     let daemon =
         HostDaemon::start(settings, environment).await.map_err(|error| error.to_string())?;
     print_addresses(&daemon)
