--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -4,22 +4,23 @@
 //! with the rows of hosts, by the store or by other hosts, and stay when all hosts are lost. See
 //! `docs/design/suspects.md`.
 
-use std::collections::{HashMap, HashSet};
+mod row;
+
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_io::{UnixMillis, WallClock};
-use dillspool_moment::Moment;
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableStore};
 use dillspool_schema::Name;
-use dillspool_suspects::{RequestPrint, RunEnd, SuspectDecision, SuspectDesk, SuspectNews};
+use dillspool_suspects::{SuspectDesk, SuspectNews};
 use dillspool_watch::TableBelief;
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::unreadable_rows::UnreadableRows;
+use row::{DeskClock, SuspectRow};
 
 /// Start of the keys of these rows.
 const ROW_PREFIX: &str = "suspects/";
@@ -33,131 +34,6 @@
 const LOOK_EVERY_S: std::ops::Range<f64> = 60.0..180.0;
 /// Age from which on a row of a host that tells nothing of use any more is deleted.
 const ROW_LIFE: Duration = Duration::from_hours(1);
-/// Entries of a row at most, the newest; each takes some 100 bytes, and a row may have 64 KB.
-const MOST_ENTRIES: usize = 256;
-/// Bytes of a backend server's name in a row at most.
-const LONGEST_BACKEND: usize = 200;
-
-/// A backend server that ended under a request.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-struct RowEnd {
-    print: Name,
-    backend: Name,
-    at: UnixMillis,
-}
-
-/// A copy that came to a good end.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
-struct RowWhole {
-    print: Name,
-    at: UnixMillis,
-}
-
-/// The row of one host.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
-struct SuspectRow {
-    ends: Vec<RowEnd>,
-    #[serde(default)]
-    whole: Vec<RowWhole>,
-}
-
-impl SuspectRow {
-    fn decode(text: &str) -> Result<Self, String> {
-        let row: Self = serde_json::from_str(text).map_err(|error| error.to_string())?;
-        if row.ends.len() > MOST_ENTRIES || row.whole.len() > MOST_ENTRIES {
-            return Err(format!("more than {MOST_ENTRIES} entries"));
-        }
-        let prints = row.ends.iter().map(|end| &end.print);
-        for print in prints.chain(row.whole.iter().map(|whole| &whole.print)) {
-            print.parse::<RequestPrint>().map_err(|error| error.to_string())?;
-        }
-        if row.ends.iter().any(|end| end.backend.is_empty() || end.backend.len() > LONGEST_BACKEND)
-        {
-            return Err("a backend server's name is empty or too long".to_owned());
-        }
-        Ok(row)
-    }
-
-    fn add(&mut self, news: &SuspectNews, clock: &DeskClock) {
-        match news {
-            SuspectNews::Ended(end) => self.ends.push(RowEnd {
-                print: end.print.to_string().into(),
-                backend: Arc::clone(&end.backend),
-                at: clock.wall_of(end.at),
-            }),
-            SuspectNews::Whole { print, at } => self
-                .whole
-                .push(RowWhole { print: print.to_string().into(), at: clock.wall_of(*at) }),
-        }
-        let excess = self.ends.len().saturating_sub(MOST_ENTRIES);
-        self.ends.drain(..excess);
-        let excess = self.whole.len().saturating_sub(MOST_ENTRIES);
-        self.whole.drain(..excess);
-    }
-
-    /// Adds what another row tells and this one does not.
-    fn adopt(&mut self, other: &Self) {
-        for end in &other.ends {
-            let known = |it: &RowEnd| it.print == end.print && it.backend == end.backend;
-            if !self.ends.iter().any(known) {
-                self.ends.push(end.clone());
-            }
-        }
-        for whole in &other.whole {
-            if !self.whole.contains(whole) {
-                self.whole.push(whole.clone());
-            }
-        }
-    }
-
-    /// What it tells, in the words of a desk.
-    fn news(&self, clock: &DeskClock) -> Vec<SuspectNews> {
-        let ended = self.ends.iter().filter_map(|end| {
-            let print = end.print.parse().ok()?;
-            let backend = Arc::clone(&end.backend);
-            Some(SuspectNews::Ended(RunEnd { print, backend, at: clock.moment_of(end.at) }))
-        });
-        let whole = self.whole.iter().filter_map(|whole| {
-            let print = whole.print.parse().ok()?;
-            Some(SuspectNews::Whole { print, at: clock.moment_of(whole.at) })
-        });
-        ended.chain(whole).collect()
-    }
-
-    /// Drops what stands against nobody any more.
-    fn prune(&mut self, desk: &SuspectDesk) {
-        let stands = |print: &Name| {
-            print.parse().is_ok_and(|print| desk.decide(print) != SuspectDecision::Clear)
-        };
-        self.ends.retain(|end| stands(&end.print));
-        let told: HashSet<Name> = self.ends.iter().map(|end| Name::clone(&end.print)).collect();
-        self.whole.retain(|whole| told.contains(&whole.print));
-    }
-
-    fn newest(&self) -> UnixMillis {
-        let ends = self.ends.iter().map(|end| end.at);
-        ends.chain(self.whole.iter().map(|whole| whole.at)).max().unwrap_or_default()
-    }
-}
-
-/// Translates between a desk's moments and the time of day, which hosts share well enough: what is told
-/// stands for minutes, and clocks differ by seconds.
-struct DeskClock {
-    desk: SuspectDesk,
-    wall: WallClock,
-}
-
-impl DeskClock {
-    fn wall_of(&self, at: Moment) -> UnixMillis {
-        let age = self.desk.now().since(at);
-        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-        UnixMillis(self.wall.now().0.saturating_sub(age))
-    }
-
-    fn moment_of(&self, at: UnixMillis) -> Moment {
-        self.desk.now().before(self.wall.now().since(at))
-    }
-}
 
 /// Writes this host's row and takes the rows of all.
 pub(crate) struct SuspectKeeper {
