A host that stood still asks the store anew at once

Change: a question that is open when a stall is noted is given up, and one whose answer was waited for through a stall is followed by one that does not wait.

--- a/crates/dillspool_io/src/host_clock.rs
+++ b/crates/dillspool_io/src/host_clock.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Waits until the next stall is noted.
+    pub async fn stalled(&self) {
+        // The sender lives as long as this clock.
+        let _noted = self.stalls.subscribe().changed().await;
+    }
+
     /// Waits for a future until a moment, as [`HostClock::sleep_until`] does.
     ///
     /// # Errors
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -166,13 +166,16 @@
         };
         failed = matches!(outcome, Err(WatchError::Store { .. }));
         match outcome {
-            Ok(_changed) => {
+            Ok(QuestionEnd::GivenUp) => wait = Duration::ZERO,
+            Ok(QuestionEnd::Answered) => {
                 complete = true;
                 pause = settings.first_pause;
-                wait = settings.wait;
                 // A whole read takes pages; its rows are those of its start.
                 let as_of = if was_complete { belief.heard().heard_at(asked) } else { asked };
                 belief.heard().note_answered(as_of);
+                // What was waited for through a stall is old, and must not count until a long question ends.
+                let is_old = was_complete && belief.heard().clock().since(as_of) > settings.spacing;
+                wait = if is_old { Duration::ZERO } else { settings.wait };
                 note_reached(&reach);
             }
             Err(WatchError::HistoryGone) => {
@@ -268,16 +271,26 @@
     });
 }
 
+/// How a question to the store ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QuestionEnd {
+    /// The belief is as new as the answer.
+    Answered,
+    /// The host stood still meanwhile, and nothing was learnt.
+    GivenUp,
+}
+
 async fn read_whole(
     store: &TableWatch,
     belief: &SharedBelief,
     settings: &FollowSettings,
-) -> Result<bool, WatchError> {
+) -> Result<QuestionEnd, WatchError> {
     let snapshot = (store.snapshot)(Arc::clone(&belief.table));
     let answer = belief.heard().clock().timeout(settings.whole_limit, snapshot).await;
     let answer = answer.map_err(|MomentPassed| silent(settings.whole_limit))?;
     let delta = answer.map_err(|source| WatchError::Store { source })?;
-    Ok(belief.merge(&delta))
+    belief.merge(&delta);
+    Ok(QuestionEnd::Answered)
 }
 
 async fn ask_changes(
@@ -285,12 +298,19 @@
     belief: &SharedBelief,
     wait: Duration,
     slack: Duration,
-) -> Result<bool, WatchError> {
+) -> Result<QuestionEnd, WatchError> {
     let changes = (store.changes)(Arc::clone(&belief.table), belief.version(), wait);
     let limit = wait + slack;
-    let answer = belief.heard().clock().timeout(limit, changes).await;
+    let clock = belief.heard().clock();
+    let answer = tokio::select! {
+        biased;
+        answer = clock.timeout(limit, changes) => answer,
+        // Its answer would tell of the time before.
+        () = clock.stalled() => return Ok(QuestionEnd::GivenUp),
+    };
     let delta = answer.map_err(|MomentPassed| silent(limit))??;
-    Ok(belief.merge(&delta))
+    belief.merge(&delta);
+    Ok(QuestionEnd::Answered)
 }
 
 fn silent(limit: Duration) -> WatchError {
--- a/crates/dillspool_watch/tests/table_ages.rs
+++ b/crates/dillspool_watch/tests/table_ages.rs
@@ -310,3 +310,31 @@
     pass(1000).await;
     assert_eq!(host.config.version(), store.version(CONFIG));
 }
+
+/// An answer that was waited for while the host stood still tells of the moment before, so the host went on with
+/// what it knew then until its next question was answered, and refused what it could not know to be new.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_wakes_up_asks_at_once_what_has_changed() {
+    for after_question in [100, 700, 1500, 2300] {
+        let (store, net) = (TestStore::default(), MemoryNet::new());
+        store.write(CONFIG);
+        store.write(BACKENDS);
+        let host = host(&net, &store, "10.0.0.1:8146", None, FollowRole::Alone).await;
+        pass(5000).await;
+        // Its next question begins now.
+        store.write(CONFIG);
+        store.write(BACKENDS);
+        pass(400 + after_question).await;
+        host.jumps.suspend(Duration::from_secs(1));
+        pass(800).await;
+        for (table, belief) in
+            [("configuration", &host.config), ("backend servers", &host.backends)]
+        {
+            let age = belief.age().expect("it is known");
+            assert!(
+                age < Duration::from_millis(900),
+                "{after_question} ms: {table} is {age:?} old"
+            );
+        }
+    }
+}
