Red: an answer under way whose request is refused keeps its caller for 30 s

Cause: found reading the change once more: an answer that has begun waits for another engine for up to 30 s, whatever the refusal says.

--- a/crates/dillspool_local/tests/deadly_requests.rs
+++ b/crates/dillspool_local/tests/deadly_requests.rs
@@ -11,7 +11,7 @@
 use common::{TOKENS, TestSystem, assert_whole, chat};
 use dillspool_io::LinkMode;
 use dillspool_local::CallOutcome;
-use dillspool_standin::{DEADLY_PROMPT, DEADLY_TEXT, EngineStandIn, PlainStandIn};
+use dillspool_standin::{DEADLY_LATE, DEADLY_PROMPT, DEADLY_TEXT, EngineStandIn, PlainStandIn};
 
 /// Copies that the caller sends.
 const COPIES: usize = 12;
@@ -53,7 +53,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_request_that_ends_what_runs_it_is_stopped() {
-    for text in [DEADLY_TEXT, DEADLY_PROMPT] {
+    for text in [DEADLY_TEXT, DEADLY_LATE, DEADLY_PROMPT] {
         let system = TestSystem::start().await;
         check_others(&system).await;
         let last = send_copies(&system, text, COPIES).await;
@@ -101,3 +101,15 @@
         assert_eq!(other.status, 201, "{path}: {other:?}");
     }
 }
+
+/// An answer that has begun waits for another engine for up to thirty seconds; one that is known not to be run any
+/// more was kept waiting as long.
+#[tokio::test(start_paused = true)]
+async fn an_answer_under_way_ends_once_its_request_is_refused() {
+    let system = TestSystem::start().await;
+    let outcome = system.caller("summaries").chat(system.host(0), &chat(DEADLY_LATE, TOKENS)).await;
+    assert_eq!(ends(&system), MOST_ENDS, "{outcome:?}");
+    assert!(!outcome.ended, "{outcome:?}");
+    assert_eq!(outcome.code.as_deref(), Some("deadly_request"), "{outcome:?}");
+    assert!(outcome.total < Duration::from_secs(5), "{outcome:?}");
+}
--- a/crates/dillspool_standin/src/engine/decode.rs
+++ b/crates/dillspool_standin/src/engine/decode.rs
@@ -31,7 +31,7 @@
     pub(crate) prompt_hash: u64,
     pub(crate) length: Option<u64>,
     pub(crate) bytes: u64,
-    pub(crate) is_deadly: bool,
+    pub(crate) deadly_after: Option<u64>,
 }
 
 /// Names an export to take; `done` frees it at the source.
@@ -75,7 +75,7 @@
             first: request.from,
             end: end.max(request.from),
             prompt_hash: taken.prompt_hash,
-            is_deadly: taken.is_deadly,
+            deadly_after: taken.deadly_after,
             changed: Notify::new(),
             cancel: CancellationToken::new(),
         });
@@ -136,7 +136,7 @@
             () = tokio::time::sleep(step) => {}
             () = task.cancel.cancelled() => return,
         }
-        if task.is_deadly {
+        if task.deadly_after.is_some_and(|tokens| index >= task.first + tokens) {
             core.end();
             return;
         }
--- a/crates/dillspool_standin/src/engine/mod.rs
+++ b/crates/dillspool_standin/src/engine/mod.rs
@@ -7,6 +7,6 @@
 mod server;
 mod state;
 
-pub use model::{DEADLY_PROMPT, DEADLY_TEXT, EngineFault, EngineModel};
+pub use model::{DEADLY_LATE, DEADLY_PROMPT, DEADLY_TEXT, EngineFault, EngineModel};
 pub use server::EngineStandIn;
 pub use state::token_text;
--- a/crates/dillspool_standin/src/engine/model.rs
+++ b/crates/dillspool_standin/src/engine/model.rs
@@ -6,6 +6,8 @@
 
 /// A prompt with this text ends each engine that decodes it, a call with it each plain service.
 pub const DEADLY_TEXT: &str = "#deadly";
+/// A prompt with this text ends each engine that decodes it, after some tokens.
+pub const DEADLY_LATE: &str = "#deadly-late";
 /// A prompt with this text ends each engine that prefills it.
 pub const DEADLY_PROMPT: &str = "#deadly-prompt";
 
--- a/crates/dillspool_standin/src/engine/prefill.rs
+++ b/crates/dillspool_standin/src/engine/prefill.rs
@@ -11,11 +11,13 @@
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::model::{DEADLY_PROMPT, DEADLY_TEXT, EngineFault};
+use super::model::{DEADLY_LATE, DEADLY_PROMPT, DEADLY_TEXT, EngineFault};
 use super::state::{EngineCore, ExportedCache, natural_length};
 use crate::http::{CLOSING, broken, json, refuse};
 
 const MICROS: u64 = 1_000_000;
+/// Tokens of an answer that ends its engine late.
+const LATE_TOKENS: u64 = 5;
 
 /// Runs a prefill as a task of the engine: it goes on when its caller's connection is gone.
 pub(crate) async fn prefill(core: EngineCore, request: PrefillRequest) -> Response<ResponseBody> {
@@ -75,7 +77,7 @@
         length: natural_length(&request.prompt),
         bytes: kv_bytes,
         expires: Instant::now() + core.model.kv_lifetime,
-        is_deadly: request.prompt.contains(DEADLY_TEXT),
+        deadly_after: deadly_after(&request.prompt),
     };
     let mut state = core.lock();
     state.prefilled += 1;
@@ -83,6 +85,14 @@
     json(&PrefillReply { kv, prompt_tokens, cached_tokens, kv_bytes })
 }
 
+/// Tokens after which an answer ends its engine.
+fn deadly_after(prompt: &str) -> Option<u64> {
+    if prompt.contains(DEADLY_LATE) {
+        return Some(LATE_TOKENS);
+    }
+    prompt.contains(DEADLY_TEXT).then_some(0)
+}
+
 async fn enter_queue(core: &EngineCore, priority: u32) {
     let turn = {
         let mut state = core.lock();
--- a/crates/dillspool_standin/src/engine/server.rs
+++ b/crates/dillspool_standin/src/engine/server.rs
@@ -183,8 +183,8 @@
     if request.done {
         state.exports.remove(&request.kv);
     }
-    let ExportedCache { prompt_hash, length, bytes, is_deadly, .. } = export;
-    json(&TakenExport { prompt_hash, length, bytes, is_deadly })
+    let ExportedCache { prompt_hash, length, bytes, deadly_after, .. } = export;
+    json(&TakenExport { prompt_hash, length, bytes, deadly_after })
 }
 
 fn no_order() -> OrderReply {
--- a/crates/dillspool_standin/src/engine/state.rs
+++ b/crates/dillspool_standin/src/engine/state.rs
@@ -21,8 +21,8 @@
     pub(crate) length: Option<u64>,
     pub(crate) bytes: u64,
     pub(crate) expires: Instant,
-    /// Whether decoding it ends the engine.
-    pub(crate) is_deadly: bool,
+    /// Tokens after which decoding it ends the engine.
+    pub(crate) deadly_after: Option<u64>,
 }
 
 /// A stream that the engine decodes, with all tokens so far.
@@ -32,7 +32,7 @@
     pub(crate) first: u64,
     pub(crate) end: u64,
     pub(crate) prompt_hash: u64,
-    pub(crate) is_deadly: bool,
+    pub(crate) deadly_after: Option<u64>,
     pub(crate) changed: Notify,
     pub(crate) cancel: CancellationToken,
 }
--- a/crates/dillspool_standin/src/lib.rs
+++ b/crates/dillspool_standin/src/lib.rs
@@ -8,6 +8,8 @@
 mod plain;
 mod platform;
 
-pub use engine::{DEADLY_PROMPT, DEADLY_TEXT, EngineFault, EngineModel, EngineStandIn, token_text};
+pub use engine::{
+    DEADLY_LATE, DEADLY_PROMPT, DEADLY_TEXT, EngineFault, EngineModel, EngineStandIn, token_text,
+};
 pub use plain::{PlainFault, PlainStandIn};
 pub use platform::PlatformStandIn;
