An answer under way ends once its request is known not to be run any more

Beside it, found in the same reading: when another copy may come back was told by three constants of one second, the refusal of a copy named a target that it had not missed, and a placement's print was written out twice. Ruled out: a shorter wait for all refusals (an answer that has begun is worth waiting for an engine). Change: a refusal as deadly is final whatever was sent; COPY_RETRY stands in dillspool_suspects for both paths; one text for each of the two refusals.

--- a/crates/dillspool_entry/src/placement.rs
+++ b/crates/dillspool_entry/src/placement.rs
@@ -151,6 +151,11 @@
         &self.stream
     }
 
+    /// Names the request, whichever copy of it this is.
+    pub(crate) fn print(&self) -> &Name {
+        &self.print
+    }
+
     /// Asks the pool's scheduler and notes what it granted.
     pub(crate) async fn reserve(&mut self, message: ReserveMessage) -> ReserveEnd {
         let output = message.output;
--- a/crates/dillspool_entry/src/problem.rs
+++ b/crates/dillspool_entry/src/problem.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dillspool_io::{ResponseBody, text_response};
-use dillspool_suspects::CopyRefusal;
+use dillspool_suspects::{COPY_RETRY, CopyRefusal};
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
@@ -99,9 +99,6 @@
     }
 }
 
-/// When to come back while another copy shows whether it ends what runs it.
-const COPY_RETRY: Duration = Duration::from_secs(1);
-
 /// Backend servers ended under copies of the request; it names no time to come back, since it is not run then
 /// either.
 pub(crate) fn deadly_problem() -> RequestProblem {
@@ -114,10 +111,14 @@
 pub(crate) fn copy_problem(refused: CopyRefusal) -> RequestProblem {
     match refused {
         CopyRefusal::Deadly { .. } => deadly_problem(),
-        CopyRefusal::CopyRuns { .. } => {
-            let detail = "a copy of this request runs, and backend servers ended under others; come back later";
-            RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "copy_runs", detail)
-                .retry_after(COPY_RETRY)
-        }
+        CopyRefusal::CopyRuns { .. } => copy_runs_problem(),
     }
 }
+
+/// Another copy shows first whether it ends what runs it.
+pub(crate) fn copy_runs_problem() -> RequestProblem {
+    let detail =
+        "a copy of this request runs, and backend servers ended under others; come back later";
+    RequestProblem::not_run(StatusCode::SERVICE_UNAVAILABLE, "copy_runs", detail)
+        .retry_after(COPY_RETRY)
+}
--- a/crates/dillspool_entry/src/stream.rs
+++ b/crates/dillspool_entry/src/stream.rs
@@ -250,7 +250,11 @@
         detail: String,
         retry: Duration,
     ) -> RequestProblem {
-        let problem = RequestProblem::not_run(status, code, detail).retry_after(retry);
+        self.after_attempts(RequestProblem::not_run(status, code, detail).retry_after(retry))
+    }
+
+    /// Tells what is true of the work so far.
+    fn after_attempts(&self, problem: RequestProblem) -> RequestProblem {
         if self.attempts == 0 { problem } else { problem.outcome(WorkOutcome::Incomplete) }
     }
 }
--- a/crates/dillspool_entry/src/stream/placing.rs
+++ b/crates/dillspool_entry/src/stream/placing.rs
@@ -13,7 +13,7 @@
 
 use super::{AnswerStream, OpenStream};
 use crate::placement::{EngineRef, ExportGuard, Placement, ReserveEnd};
-use crate::problem::{RequestProblem, WorkOutcome, deadly_problem};
+use crate::problem::{RequestProblem, copy_runs_problem, deadly_problem};
 
 /// Time for a placement when tokens were already sent: a late answer beats a broken one.
 const RESUME_WAIT: Duration = Duration::from_secs(5);
@@ -43,6 +43,10 @@
                     self.open = Some(open);
                     return Ok(());
                 }
+                // It will not run, however long its answer waits.
+                Err(OpenFailure::Refused(refusal)) if refusal.cause == RefuseCause::Deadly => {
+                    return Err(self.refused(&refusal));
+                }
                 Err(OpenFailure::Refused(refusal)) => {
                     let retry = Duration::from_millis(refusal.retry_ms.into());
                     if self.sent.is_empty() || started.elapsed() + retry > RESUME_LIMIT {
@@ -72,8 +76,8 @@
 
     fn refused(&self, refusal: &ReserveRefusal) -> RequestProblem {
         let (status, code) = match refusal.cause {
-            RefuseCause::Deadly => return self.refused_as_deadly(),
-            RefuseCause::CopyRuns => (StatusCode::SERVICE_UNAVAILABLE, "copy_runs"),
+            RefuseCause::Deadly => return self.after_attempts(deadly_problem()),
+            RefuseCause::CopyRuns => return self.after_attempts(copy_runs_problem()),
             RefuseCause::TooLate => (StatusCode::TOO_MANY_REQUESTS, "too_late"),
             RefuseCause::QueueFull => (StatusCode::TOO_MANY_REQUESTS, "queue_full"),
             RefuseCause::NoEngine => (StatusCode::SERVICE_UNAVAILABLE, "no_engine"),
@@ -87,12 +91,6 @@
         self.problem(status, code, detail, Duration::from_millis(refusal.retry_ms.into()))
     }
 
-    /// It names no time to come back, since it runs whenever it comes as little as now.
-    fn refused_as_deadly(&self) -> RequestProblem {
-        let problem = deadly_problem();
-        if self.attempts == 0 { problem } else { problem.outcome(WorkOutcome::Incomplete) }
-    }
-
     fn wait(&self) -> Duration {
         if self.sent.is_empty() {
             self.terms.first_token().saturating_sub(self.terms.arrived.elapsed())
@@ -160,7 +158,7 @@
             prefix: prefix_hash(prompt),
             prefilled: export.map(|it| Name::clone(&it.engine.name)),
             avoid: self.avoid.clone(),
-            print: Some(self.terms.print.to_string().into()),
+            print: Some(Name::clone(placement.print())),
         }
     }
 
--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -1,11 +1,10 @@
 //! From a routed request to the answer, whatever its kind.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use dillspool_io::ResponseBody;
 use dillspool_routing::{RequestKind, RoutedRequest};
-use dillspool_suspects::{CopyGuard, CopyRefusal};
+use dillspool_suspects::{COPY_RETRY, CopyGuard, CopyRefusal};
 use hyper::Response;
 
 use crate::context::ForwardContext;
@@ -15,9 +14,6 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::trace::{RequestTrace, log_suspect_refused};
 
-/// When to come back if another copy runs: about the time that an answer takes.
-const COPY_RUNS_RETRY: Duration = Duration::from_secs(1);
-
 /// Answers a request; the answer is always final.
 pub async fn answer_request(
     context: ForwardContext,
@@ -79,9 +75,7 @@
         match refused {
             // No time to come back: whenever it comes, it is not run.
             CopyRefusal::Deadly { .. } => Refusal::new(RefusalCause::Deadly),
-            CopyRefusal::CopyRuns { .. } => {
-                Refusal::come_back(RefusalCause::CopyRuns, COPY_RUNS_RETRY)
-            }
+            CopyRefusal::CopyRuns { .. } => Refusal::come_back(RefusalCause::CopyRuns, COPY_RETRY),
         }
     })
 }
--- a/crates/dillspool_pool/src/scheduler.rs
+++ b/crates/dillspool_pool/src/scheduler.rs
@@ -10,7 +10,7 @@
 use dillspool_schema::configuration::PoolEntry;
 use dillspool_schema::messages::{PlacementReport, ReleaseMessage, ReserveAnswer, ReserveMessage};
 use dillspool_schema::{Name, StreamId};
-use dillspool_suspects::SuspectDesk;
+use dillspool_suspects::{COPY_RETRY, SuspectDesk};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -22,9 +22,6 @@
 /// How long a scheduler stays awake after it was last asked.
 const AWAKE_TIME: Duration = Duration::from_secs(10);
 
-/// When to come back while another copy of a suspect shows whether it ends its engine.
-const COPY_RETRY: Duration = Duration::from_secs(1);
-
 /// Whether the owner of a stream is dead beyond doubt.
 ///
 /// The first argument is the host, the second its incarnation. See `docs/design/orphans.md`.
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use book::{EndedBackend, RunEnd, SuspectBook, SuspectDecision, SuspectNews};
 pub use desk::{CopyGuard, CopyRefusal, SuspectDesk};
-pub use policy::{EndWeight, SuspectPolicy};
+pub use policy::{COPY_RETRY, EndWeight, SuspectPolicy};
 pub use print::{MalformedPrint, PrintKey, PrintParts, RequestPrint};
--- a/crates/dillspool_suspects/src/policy.rs
+++ b/crates/dillspool_suspects/src/policy.rs
@@ -19,6 +19,9 @@
     Unexplained,
 }
 
+/// When a copy may come back while another one shows whether it does harm: about the time that an answer takes.
+pub const COPY_RETRY: Duration = Duration::from_secs(1);
+
 /// When a request is refused, and for how long.
 #[derive(Clone, Copy, Debug)]
 pub struct SuspectPolicy {
