Sight: what backend servers say of how much they take

Callers saw nothing, and neither did we: no line and no figure told that a backend server had named a limit, so that hosts which do not read it could not be told from hosts which do not believe it.

Now the word is read at the edge (platform/), from answers that name the request they answer and are not another backend server's. A line tells each new or changed limit, its end and what is no number; two figures count the limited backend servers and what is sent to them. Sends to each are counted over a second. Nothing is decided by it.

An answer without a limit ends one only if it was asked for after the limit was last named, since answers of before may come behind those that name it.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -33,6 +33,7 @@
 use crate::status::{metrics_handler, readiness_handler};
 use crate::suspect_metrics::SuspectMetrics;
 use crate::suspect_rows::SuspectKeeper;
+use crate::throttle_metrics::ThrottleMetrics;
 
 /// Connections of callers at most; each may need a second descriptor for its backend server.
 const MOST_CALLER_CONNECTIONS: usize = 1_800;
@@ -134,7 +135,7 @@
             suspects: suspects.clone(),
             clock: clock.clone(),
         };
-        daemon.start_status(&beliefs, &metrics, readiness_listener, metrics_listener);
+        daemon.start_status(&beliefs, &site, &metrics, readiness_listener, metrics_listener);
         daemon.start_suspects(&beliefs, &site, schedule.clone());
         daemon.start_keepers(&beliefs, &site, budgets, demand, schedule, &clock);
         daemon.start_callers(&beliefs, &site, context, callers_listener, clock);
@@ -150,6 +151,7 @@
     fn start_status(
         &self,
         beliefs: &Beliefs,
+        site: &SiteProtocol,
         metrics: &ForwardMetrics,
         readiness: NetListener,
         figures: NetListener,
@@ -176,9 +178,12 @@
         beliefs.unreadable.register(&mut registry);
         let suspected = SuspectMetrics::new(self.suspects.clone());
         suspected.register(&mut registry);
+        let throttled = ThrottleMetrics::new(site.throttle.clone());
+        throttled.register(&mut registry);
         let refresh = move || {
             believed.refresh();
             suspected.refresh();
+            throttled.refresh();
         };
         let handler = metrics_handler(registry, refresh);
         tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
--- a/crates/dillspool_router/src/site.rs
+++ b/crates/dillspool_router/src/site.rs
@@ -7,6 +7,7 @@
 use dillspool_platform::{TableStore, TableWatch};
 use dillspool_routing::{BackendEntry, RequestTerms, RoutingConfig};
 use dillspool_schema::Name;
+use dillspool_throttle::ThrottleDesk;
 use hyper::HeaderMap;
 
 /// Everything that differs between sites.
@@ -28,6 +29,8 @@
     pub own_table: Name,
     /// Calls to backend servers.
     pub calls: BackendCalls,
+    /// Remembers what the answers to them say of how much the backend servers take.
+    pub throttle: ThrottleDesk,
     /// Follows the store's tables.
     pub watch: TableWatch,
     /// The product's own rows in the store.
--- /dev/null
+++ b/crates/dillspool_router/src/throttle_metrics.rs
@@ -0,0 +1,38 @@
+//! Backend servers that name how much they take, as figures that are read when they are scraped.
+
+use std::sync::atomic::AtomicU64;
+
+use dillspool_throttle::ThrottleDesk;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Figures of a host's throttle desk.
+#[derive(Clone, Debug)]
+pub(crate) struct ThrottleMetrics {
+    desk: ThrottleDesk,
+    limited: Gauge,
+    sends: Counter<u64, AtomicU64>,
+}
+
+impl ThrottleMetrics {
+    /// Figures of a desk.
+    pub(crate) fn new(desk: ThrottleDesk) -> Self {
+        Self { desk, limited: Gauge::default(), sends: Counter::default() }
+    }
+
+    /// Registers all figures.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let help = "Backend servers that name how many requests a second they take";
+        registry.register("limited_backends", help, self.limited.clone());
+        let help = "Sends to backend servers that had named how many requests a second they take";
+        registry.register("limited_sends", help, self.sends.clone());
+    }
+
+    /// Takes over what is known now.
+    pub(crate) fn refresh(&self) {
+        let (limited, sends) = self.desk.counts();
+        self.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
+        self.sends.inner().store(sends, std::sync::atomic::Ordering::Relaxed);
+    }
+}
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use dillspool_forward::{
     BackendAnswer, BackendCalls, BackendSign, BudgetTerms, CallError, OrderOutcome,
 };
-use dillspool_io::full_body;
+use dillspool_io::{HostClock, full_body};
 use dillspool_keys::{CallerKey, PresentedKey};
 use dillspool_platform::{
     ChangedRow, MemoryTable, PlatformError, TableDelta, TableWatch, WatchError,
@@ -21,6 +21,7 @@
 };
 use dillspool_scheduler::LimitTerms;
 use dillspool_suspects::PrintKey;
+use dillspool_throttle::ThrottleDesk;
 use hyper::{HeaderMap, StatusCode};
 
 /// Where the host takes callers.
@@ -223,6 +224,7 @@
         directory_table: "servers".into(),
         own_table: "own".into(),
         calls: calls(site),
+        throttle: ThrottleDesk::new(HostClock::steady()),
         watch: TableWatch {
             snapshot: Arc::new(move |table| {
                 let site = for_snapshot.clone();
--- a/crates/dillspool_routerd/src/lib.rs
+++ b/crates/dillspool_routerd/src/lib.rs
@@ -1,11 +1,17 @@
 //! What the daemon of a routing host on a prepared platform plugs into the router.
 
-use dillspool_io::{HttpClient, NetStack};
+use dillspool_io::{HostClock, HttpClient, NetStack};
 use dillspool_router::{RouterConfig, SiteProtocol};
+use dillspool_throttle::ThrottleDesk;
 
 /// The prepared platform's protocol over a network.
-pub fn prepared_platform(stack: &NetStack, config: &RouterConfig) -> SiteProtocol {
+pub fn prepared_platform(
+    stack: &NetStack,
+    config: &RouterConfig,
+    clock: &HostClock,
+) -> SiteProtocol {
     let http = HttpClient::pooled(stack);
+    let throttle = ThrottleDesk::new(clock.clone());
     SiteProtocol {
         take_terms: dillspool_site::take_terms,
         mark_answer: dillspool_site::mark_answer,
@@ -14,7 +20,8 @@
         config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
         directory_table: dillspool_site::DIRECTORY_TABLE.into(),
         own_table: dillspool_site::OWN_TABLE.into(),
-        calls: dillspool_site::backend_calls(stack),
+        calls: dillspool_site::backend_calls(stack, &throttle),
+        throttle,
         watch: dillspool_site::table_watch(&http, config.store, config.store_timeout),
         store: dillspool_site::host_table(&http, config.store, config.store_timeout),
         label: "prepared platform".into(),
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -68,10 +68,10 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(describe)?;
     let mut reload = signal(SignalKind::hangup()).map_err(describe)?;
     let stack = NetStack::tcp();
-    let site = prepared_platform(&stack, &config);
-    let daemon = RouterDaemon::start(config, stack, site, HostClock::boot())
-        .await
-        .map_err(|error| error.to_string())?;
+    let clock = HostClock::boot();
+    let site = prepared_platform(&stack, &config, &clock);
+    let daemon =
+        RouterDaemon::start(config, stack, site, clock).await.map_err(|error| error.to_string())?;
     let mut watch = SettingsWatch::new(&args.settings);
     loop {
         tokio::select! {
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -152,10 +152,9 @@
     pub async fn start_host(&mut self, number: usize) {
         let config = self.hosts[number].0.clone();
         let stack = self.net.stack(config.callers.ip());
-        let site = prepared_platform(&stack, &config);
-        let daemon = RouterDaemon::start(config, stack, site, HostClock::steady())
-            .await
-            .expect("free addresses");
+        let clock = HostClock::steady();
+        let site = prepared_platform(&stack, &config, &clock);
+        let daemon = RouterDaemon::start(config, stack, site, clock).await.expect("free addresses");
         self.hosts[number].1 = Some(daemon);
     }
 
