Red: limits that backend servers name are passed by all hosts

Callers saw nothing; the backend servers that had asked for less were sent as much as before, for as long as they asked. The test starts routers, a store and twelve backend servers in one process; some of these name a limit as the load grows, and count all that they get.

--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of routers in one process, over a network in memory and under paused time.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -21,6 +22,10 @@
 use hyper::Request;
 use tokio_util::sync::CancellationToken;
 
+/// Backend servers of a fleet.
+const BACKENDS: usize = 12;
+/// What they are, in turn.
+const KINDS: [StandinKind; 3] = [StandinKind::Plain, StandinKind::Decode, StandinKind::Prefill];
 /// Host name of all routes.
 const ROUTE_HOST: &str = "fleet.example";
 /// Time in which a fleet has found its store, its schedulers and its peers.
@@ -63,6 +68,8 @@
     pub runs: RunLog,
     /// Backend servers that have ended, by id and start.
     pub ended: Arc<Mutex<Vec<String>>>,
+    /// The backend servers as they run now, by their numbers.
+    backends: Arc<Mutex<BTreeMap<usize, StandinBackend>>>,
     hosts: Vec<(RouterConfig, Option<RouterDaemon>)>,
     cancel: CancellationToken,
 }
@@ -75,6 +82,7 @@
             store: StandinStore::default(),
             runs: RunLog::default(),
             ended: Arc::default(),
+            backends: Arc::default(),
             hosts: Vec::new(),
             cancel: CancellationToken::new(),
         };
@@ -82,9 +90,8 @@
         let serving = fleet.store.serve(&store_stack, store_address(), fleet.cancel.clone());
         serving.await.expect("the store listens");
         fleet.write_config();
-        let kinds = [StandinKind::Plain, StandinKind::Decode, StandinKind::Prefill];
-        for number in 0..12 {
-            fleet.start_backend(number, kinds[number % 3], come_back).await;
+        for number in 0..BACKENDS {
+            fleet.start_backend(number, KINDS[number % KINDS.len()], come_back).await;
         }
         for number in 0..hosts {
             fleet.hosts.push((host_config(number), None));
@@ -117,6 +124,7 @@
         let stack = self.net.stack(address.ip());
         let (store, runs) = (self.store.clone(), self.runs.clone());
         let (ended, cancel) = (Arc::clone(&self.ended), self.cancel.clone());
+        let backends = Arc::clone(&self.backends);
         let service = if kind == StandinKind::Plain { "plain" } else { "pool" };
         let live = async move {
             for start in 1_u64.. {
@@ -126,6 +134,7 @@
                 };
                 let backend = StandinBackend::new(&id, kind, &runs).started(start);
                 backend.serve(&stack, address).await.expect("a free address");
+                backends.lock().expect("no panic").insert(number, backend.clone());
                 store.write("servers", &id, Some(&backend.row(service, address, "ready")));
                 backend.ended().await;
                 ended.lock().expect("no panic").push(format!("{id} {start}"));
@@ -174,6 +183,14 @@
         daemon.as_ref().expect("it runs").reload(config.clone());
     }
 
+    /// The backend servers of a kind, as they run now.
+    pub fn backends(&self, kind: StandinKind) -> Vec<StandinBackend> {
+        let backends = self.backends.lock().expect("no panic");
+        let of_kind =
+            backends.iter().filter(|(number, _backend)| KINDS[*number % KINDS.len()] == kind);
+        of_kind.map(|(_number, backend)| backend.clone()).collect()
+    }
+
     /// Backend servers that have ended so far.
     pub fn ends(&self) -> usize {
         self.ended.lock().expect("no panic").len()
--- /dev/null
+++ b/crates/dillspool_routerd/tests/named_limits.rs
@@ -0,0 +1,188 @@
+//! A backend server may name in its answers how many requests a second it takes from all hosts together.
+//!
+//! Two of three servers of a service did, and went on to get two and three times that from eight hosts, to the
+//! end of the day, though the third one had room for all.
+
+mod fleet;
+
+use std::time::Duration;
+
+use dillspool_site_standin::{StandinBackend, StandinKind};
+use fleet::{ComeBack, TestFleet};
+use tokio::time::Instant;
+
+/// Time over which a backend server counts what it gets.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after a limit was first named from which on it holds, for what was sent before as well.
+const HOLDS_AFTER: Duration = Duration::from_secs(3);
+/// What may be passed: half as much again,
+const MOST_RATIO: f64 = 1.5;
+/// and some requests.
+const MOST_BEYOND: f64 = 5.0;
+/// Time of a case.
+const SPAN: Duration = Duration::from_secs(14);
+/// Time before the limits are named.
+const UNLIMITED: Duration = Duration::from_secs(3);
+/// Time before a limit is named in which its backend server is in use.
+const RECENT: Duration = Duration::from_secs(1);
+
+struct NamingCase {
+    name: &'static str,
+    path: &'static str,
+    hosts: usize,
+    /// Time between two requests before limits are named; what is sent within a second by then could not
+    /// be taken back.
+    apart_before: Duration,
+    /// The same from then on.
+    apart: Duration,
+    /// Who names a limit, and how many of the four.
+    kind: StandinKind,
+    count: usize,
+    limit: &'static str,
+    /// Requests that are served at least, in a hundred.
+    served: usize,
+}
+
+const CASES: [NamingCase; 6] = [
+    NamingCase {
+        name: "one plain server of four",
+        path: "/again/1",
+        hosts: 3,
+        apart_before: Duration::from_millis(50),
+        apart: Duration::from_millis(16),
+        kind: StandinKind::Plain,
+        count: 1,
+        limit: "5.7",
+        served: 99,
+    },
+    NamingCase {
+        name: "three plain servers of four",
+        path: "/once/1",
+        hosts: 8,
+        apart_before: Duration::from_millis(50),
+        apart: Duration::from_millis(16),
+        kind: StandinKind::Plain,
+        count: 3,
+        limit: "4.3",
+        served: 99,
+    },
+    NamingCase {
+        name: "all plain servers",
+        path: "/once/1",
+        hosts: 3,
+        apart_before: Duration::from_millis(50),
+        apart: Duration::from_millis(16),
+        kind: StandinKind::Plain,
+        count: 4,
+        limit: "5",
+        served: 20,
+    },
+    NamingCase {
+        name: "less than one a second, many hosts",
+        path: "/again/1",
+        hosts: 12,
+        apart_before: Duration::from_millis(200),
+        apart: Duration::from_millis(16),
+        kind: StandinKind::Plain,
+        count: 1,
+        limit: "0.5",
+        served: 99,
+    },
+    NamingCase {
+        name: "an engine that decodes",
+        path: "/stream/1",
+        hosts: 3,
+        apart_before: Duration::from_millis(100),
+        apart: Duration::from_millis(40),
+        kind: StandinKind::Decode,
+        count: 1,
+        limit: "4",
+        served: 99,
+    },
+    NamingCase {
+        name: "engines that prefill",
+        path: "/stream/1",
+        hosts: 3,
+        apart_before: Duration::from_millis(100),
+        apart: Duration::from_millis(40),
+        kind: StandinKind::Prefill,
+        count: 4,
+        limit: "2",
+        served: 95,
+    },
+];
+
+/// The most that a backend server gets in a window that ends once its limit holds.
+fn most_in_window(backend: &StandinBackend, named: Instant) -> usize {
+    let arrivals = backend.arrivals();
+    let ends = arrivals.iter().filter(|at| **at >= named + HOLDS_AFTER);
+    let within = |end: &Instant| {
+        arrivals.iter().filter(|at| **at <= *end && end.duration_since(**at) < WINDOW).count()
+    };
+    ends.map(within).max().unwrap_or_default()
+}
+
+fn allowed(limit: &str) -> f64 {
+    let limit: f64 = limit.parse().expect("a number");
+    MOST_RATIO * limit * WINDOW.as_secs_f64() + MOST_BEYOND
+}
+
+/// When the requests of a case come.
+fn send_moments(case: &NamingCase) -> Vec<Duration> {
+    let mut moments = vec![Duration::ZERO];
+    while let Some(last) = moments.last().copied().filter(|last| *last < SPAN) {
+        let apart = if last < UNLIMITED { case.apart_before } else { case.apart };
+        moments.push(last + apart);
+    }
+    moments
+}
+
+/// Plays a case; what went other than it should.
+async fn play(case: &NamingCase) -> Vec<String> {
+    let fleet = TestFleet::start(case.hosts, ComeBack::OtherId).await;
+    let fleet = &fleet;
+    let limited = &fleet.backends(case.kind)[..case.count];
+    let named = Instant::now() + UNLIMITED;
+    let moments = send_moments(case);
+    let total = moments.len();
+    let callers = moments.into_iter().enumerate().map(|(number, moment)| async move {
+        tokio::time::sleep(moment).await;
+        let reply = fleet.send(number % 8, number % case.hosts, case.path, "sound").await;
+        usize::from(reply.status == Some(200) && reply.body.is_some())
+    });
+    let name_limits = async {
+        tokio::time::sleep_until(named).await;
+        for backend in limited {
+            backend.name_limits(&[case.limit]);
+        }
+    };
+    let callers = futures_util::future::join_all(callers);
+    let (served, ()) = futures_util::future::join(callers, name_limits).await;
+    let mut faults = Vec::new();
+    for backend in limited {
+        let most = most_in_window(backend, named);
+        let allowed = allowed(case.limit);
+        if f64::from(u32::try_from(most).expect("few")) > allowed {
+            faults.push(format!("{} got {most} in {WINDOW:?}, allowed {allowed}", backend.id));
+        }
+        let arrivals = backend.arrivals();
+        let was_used = arrivals.iter().any(|at| *at < named && *at + RECENT >= named);
+        if was_used && arrivals.iter().all(|at| *at < named + HOLDS_AFTER) {
+            faults.push(format!("{} gets nothing any more", backend.id));
+        }
+    }
+    let served: usize = served.into_iter().sum();
+    if served * 100 < total * case.served {
+        faults.push(format!("{served} of {total} served"));
+    }
+    faults
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_backend_server_names_is_kept_by_all_hosts_together() {
+    let mut faults = Vec::new();
+    for case in &CASES {
+        faults.extend(play(case).await.into_iter().map(|fault| format!("{}: {fault}", case.name)));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
