Tests of limits that backend servers name, under trouble

What is beyond goes to others or is refused within 10 ms with a time at which it is served (throttle.rs, seven cases); what was not sent is given back; a refusal of a limited server is no failure. News reach the other hosts, once, and those that come later; what is no rate is passed over (fleet_news.rs, the renamed suspect_news.rs, its first test unchanged but for the types).

--- /dev/null
+++ b/crates/dillspool_forward/tests/throttle.rs
@@ -0,0 +1,224 @@
+//! Sends to backend servers that name how many requests a second they take.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{ONE, ScriptedSite, Step, entry, pool, request, view};
+use dillspool_forward::{ForwardContext, answer_request};
+use dillspool_routing::{BackendEntry, DirectoryView, EngineStage, RequestKind, StartedBackend};
+use dillspool_throttle::{RateNotice, RequestRate};
+use tokio::time::Instant;
+
+/// A rate that leaves room for one request in ten seconds.
+const NEXT_TO_NOTHING: f64 = 0.1;
+
+/// The backend servers have named a limit in an answer.
+fn name_limits(context: &ForwardContext, ids: &[&str], per_s: f64) {
+    for id in ids {
+        let backend = StartedBackend { id: (*id).into(), start: None };
+        let rate = RequestRate::new(per_s).expect("a rate");
+        context.throttle.note_send(backend).hear(RateNotice::Limited(rate));
+    }
+}
+
+struct ThrottleCase {
+    name: &'static str,
+    view: fn() -> DirectoryView,
+    kind: RequestKind,
+    limited: &'static [&'static str],
+    /// Statuses of six requests, one after another, and how many say when to come back.
+    statuses: [u16; 6],
+    refused: usize,
+    /// What reached the limited backend servers at most: requests, and prompts to read.
+    most: usize,
+}
+
+fn plain() -> DirectoryView {
+    view([entry("first", "near", None), entry("second", "far", None)])
+}
+
+fn readers() -> DirectoryView {
+    view([
+        entry("decode-1", "near", Some(EngineStage::Decode)),
+        entry("prefill-1", "near", Some(EngineStage::Prefill)),
+        entry("prefill-2", "near", Some(EngineStage::Prefill)),
+    ])
+}
+
+fn cases() -> [ThrottleCase; 7] {
+    use RequestKind::{Idempotent, NonIdempotent, Streaming};
+    [
+        ThrottleCase {
+            name: "one of two plain servers",
+            view: plain,
+            kind: NonIdempotent,
+            limited: &["first"],
+            statuses: [200; 6],
+            refused: 0,
+            most: 1,
+        },
+        ThrottleCase {
+            name: "all plain servers, unrepeatable calls",
+            view: plain,
+            kind: NonIdempotent,
+            limited: &["first", "second"],
+            statuses: [200, 200, 503, 503, 503, 503],
+            refused: 4,
+            most: 2,
+        },
+        ThrottleCase {
+            name: "all plain servers, repeatable calls",
+            view: plain,
+            kind: Idempotent,
+            limited: &["first", "second"],
+            statuses: [200, 200, 503, 503, 503, 503],
+            refused: 4,
+            most: 2,
+        },
+        ThrottleCase {
+            name: "streams of a plain service",
+            view: plain,
+            kind: Streaming,
+            limited: &["first", "second"],
+            statuses: [200, 200, 503, 503, 503, 503],
+            refused: 4,
+            most: 2,
+        },
+        ThrottleCase {
+            name: "an engine that decodes",
+            view: pool,
+            kind: Streaming,
+            limited: &["decode-1"],
+            statuses: [200; 6],
+            refused: 0,
+            most: 1,
+        },
+        ThrottleCase {
+            name: "all engines that decode",
+            view: pool,
+            kind: Streaming,
+            limited: &["decode-1", "decode-2"],
+            statuses: [200, 200, 503, 503, 503, 503],
+            refused: 4,
+            most: 2,
+        },
+        ThrottleCase {
+            name: "one engine that prefills",
+            view: readers,
+            kind: Streaming,
+            limited: &["prefill-1"],
+            statuses: [200; 6],
+            refused: 0,
+            most: 1,
+        },
+    ]
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_beyond_goes_to_others_or_is_refused_at_once() {
+    for case in cases() {
+        let site = ScriptedSite::default();
+        if case.kind == RequestKind::Streaming {
+            for id in ["first", "second", "decode-1", "decode-2"] {
+                site.script(id, [Step::Stream(vec![ONE])]);
+            }
+        }
+        let (context, _directory) = site.context((case.view)());
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        name_limits(&context, case.limited, NEXT_TO_NOTHING);
+        let mut refused = 0;
+        for status in case.statuses {
+            let asked = Instant::now();
+            let answer = answer_request(context.clone(), request(case.kind, 2, false)).await;
+            assert_eq!(answer.status().as_u16(), status, "{}", case.name);
+            let retry_after = answer.headers().get("retry-after");
+            let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+            if let Some(seconds) = retry_after {
+                let seconds: f64 = seconds;
+                assert!((1.0..=22.0).contains(&seconds), "{}: {seconds} s", case.name);
+                assert!(asked.elapsed() < Duration::from_millis(10), "{}", case.name);
+                refused += 1;
+            }
+            let _body = dillspool_io::read_response_body(answer.into_body(), 10_000).await;
+        }
+        assert_eq!(refused, case.refused, "{}", case.name);
+        let record = site.record.lock().unwrap();
+        let arrivals = record.arrivals.iter().map(|arrival| &arrival.backend);
+        let reached = arrivals.chain(&record.prefills);
+        let limited = reached.filter(|id| case.limited.contains(&id.as_str())).count();
+        assert!(limited <= case.most, "{}: {limited} reached", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_callers_that_come_when_they_are_told_are_served() {
+    let site = ScriptedSite::default();
+    let (context, _directory) = site.context(view([entry("first", "near", None)]));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    name_limits(&context, &["first"], 1.0);
+    let mut served = 0;
+    for _turn in 0..5 {
+        let routed = request(RequestKind::NonIdempotent, 1, false);
+        let answer = answer_request(context.clone(), routed).await;
+        match answer.headers().get("retry-after").and_then(|value| value.to_str().ok()) {
+            Some(seconds) => {
+                let seconds = seconds.parse().expect("seconds");
+                tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+                let routed = request(RequestKind::NonIdempotent, 1, false);
+                let again = answer_request(context.clone(), routed).await;
+                assert_eq!(again.status().as_u16(), 200);
+                served += 1;
+            }
+            None => assert_eq!(answer.status().as_u16(), 200),
+        }
+    }
+    assert!(served > 0, "nobody was refused, the test shows nothing");
+}
+
+/// A limit that leaves room for few requests is not spent by what was never sent.
+#[tokio::test(start_paused = true)]
+async fn what_was_not_sent_is_given_back() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Unreachable, Step::Answer(200, "ok")]);
+    let (context, _directory) = site.context(view([entry("first", "near", None)]));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    name_limits(&context, &["first"], NEXT_TO_NOTHING);
+    let first = answer_request(context.clone(), request(RequestKind::NonIdempotent, 1, false));
+    assert_eq!(first.await.status().as_u16(), 503);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let second = answer_request(context, request(RequestKind::NonIdempotent, 1, false)).await;
+    assert_eq!(second.status().as_u16(), 200);
+}
+
+/// One that names a limit and refuses what is beyond it is not taken for a broken one afterwards.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_of_a_limited_backend_server_is_no_failure() {
+    for is_limited in [true, false] {
+        let site = ScriptedSite::default();
+        // As long as is assumed of a backend server that has not answered yet.
+        let answer = Step::Paced(vec![(60, "ok")]);
+        let first = vec![Step::NotRun(503); 20].into_iter().chain([answer.clone()]);
+        site.script("first", first);
+        site.script("second", [answer]);
+        let entries: [BackendEntry; 2] =
+            [entry("first", "near", None), entry("second", "near", None)];
+        let (context, _directory) = site.context(view(entries));
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        if is_limited {
+            name_limits(&context, &["first"], 1_000.0);
+        }
+        for _request in 0..40 {
+            let routed = request(RequestKind::NonIdempotent, 2, false);
+            let answer = answer_request(context.clone(), routed).await;
+            assert_eq!(answer.status().as_u16(), 200);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let arrivals = Arc::clone(&site.record);
+        let arrivals = arrivals.lock().unwrap();
+        let first = arrivals.arrivals.iter().filter(|arrival| arrival.backend == "first").count();
+        // Left alone after some failures, asked as often as the other otherwise.
+        assert_eq!(first >= 15, is_limited, "{is_limited}: asked {first} times");
+    }
+}
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use dillspool_forward::BudgetTerms;
-use dillspool_io::{HostClock, MemoryNet, exchange_once, read_body};
+use dillspool_io::{HostClock, LinkMode, MemoryNet, exchange_once, read_body};
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
@@ -183,6 +183,15 @@
         daemon.as_ref().expect("it runs").reload(config.clone());
     }
 
+    /// Sets the links between two groups of hosts.
+    pub fn set_links(&self, one: &[usize], other: &[usize], mode: LinkMode) {
+        for a in one {
+            for b in other.iter().filter(|b| *b != a) {
+                self.net.set_link(node(1, *a), node(1, *b), mode);
+            }
+        }
+    }
+
     /// The backend servers of a kind, as they run now.
     pub fn backends(&self, kind: StandinKind) -> Vec<StandinBackend> {
         let backends = self.backends.lock().expect("no panic");
--- a/crates/dillspool_routerd/tests/named_limits.rs
+++ b/crates/dillspool_routerd/tests/named_limits.rs
@@ -16,7 +16,8 @@
 
 use std::time::Duration;
 
-use dillspool_site_standin::{StandinBackend, StandinKind};
+use dillspool_io::LinkMode;
+use dillspool_site_standin::{StandinBackend, StandinKind, StoreMode};
 use fleet::{ComeBack, TestFleet};
 use tokio::time::Instant;
 
@@ -157,8 +158,8 @@
     moments
 }
 
-/// Plays a case; what went other than it should.
-async fn play(case: &NamingCase) -> Vec<String> {
+/// Plays a case, with what happens beside it; what went other than it should.
+async fn play(case: &NamingCase, beside: impl AsyncFn(&TestFleet)) -> Vec<String> {
     let fleet = TestFleet::start(case.hosts, ComeBack::OtherId).await;
     let fleet = &fleet;
     let limited = &fleet.backends(case.kind)[..case.count];
@@ -177,7 +178,7 @@
         }
     };
     let callers = futures_util::future::join_all(callers);
-    let (served, ()) = futures_util::future::join(callers, name_limits).await;
+    let (served, (), ()) = futures_util::future::join3(callers, name_limits, beside(fleet)).await;
     let mut faults = Vec::new();
     for backend in limited {
         let most = most_in_window(backend, named);
@@ -204,7 +205,101 @@
 async fn what_a_backend_server_names_is_kept_by_all_hosts_together() {
     let mut faults = Vec::new();
     for case in &CASES {
-        faults.extend(play(case).await.into_iter().map(|fault| format!("{}: {fault}", case.name)));
+        let found = play(case, async |_fleet| {}).await;
+        faults.extend(found.into_iter().map(|fault| format!("{}: {fault}", case.name)));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Something that happens while limits hold.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// The store is in a mode for three seconds.
+    Store(StoreMode),
+    /// Each host in turn hears nothing from the others for two seconds.
+    EachCutOff,
+    /// Half of the hosts hear nothing from the others for four seconds.
+    Halved,
+    /// No host hears anything from another one for four seconds.
+    AllCutOff,
+    /// Links between hosts break, again and again.
+    Flapping,
+}
+
+const TROUBLES: [Trouble; 8] = [
+    Trouble::Store(StoreMode::Busy),
+    Trouble::Store(StoreMode::Silent),
+    Trouble::Store(StoreMode::LosingAnswers),
+    Trouble::Store(StoreMode::Forgetful),
+    Trouble::EachCutOff,
+    Trouble::Halved,
+    Trouble::AllCutOff,
+    Trouble::Flapping,
+];
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+impl Trouble {
+    async fn happen(self, fleet: &TestFleet, hosts: usize) {
+        let all: Vec<usize> = (0..hosts).collect();
+        pass(4_000).await;
+        match self {
+            Self::Store(mode) => {
+                fleet.store.set_mode(mode);
+                pass(3_000).await;
+                fleet.store.set_mode(StoreMode::Serving);
+            }
+            Self::EachCutOff => {
+                for host in 0..hosts {
+                    fleet.set_links(&[host], &all, LinkMode::Frozen);
+                    pass(2_000).await;
+                    fleet.set_links(&[host], &all, LinkMode::Open);
+                }
+            }
+            Self::Halved => {
+                let (one, other) = all.split_at(hosts / 2);
+                fleet.set_links(one, other, LinkMode::Frozen);
+                pass(4_000).await;
+                fleet.set_links(one, other, LinkMode::Open);
+            }
+            Self::AllCutOff => {
+                fleet.set_links(&all, &all, LinkMode::Frozen);
+                pass(4_000).await;
+                fleet.set_links(&all, &all, LinkMode::Open);
+            }
+            Self::Flapping => {
+                for round in 0..12 {
+                    let mode = if round % 2 == 0 { LinkMode::Cut } else { LinkMode::Open };
+                    fleet.set_links(&all, &all, mode);
+                    pass(500).await;
+                }
+            }
+        }
+    }
+}
+
+/// All servers of a service name a limit, and callers ask for several times that.
+const TROUBLED: NamingCase = NamingCase {
+    name: "all plain servers",
+    path: "/once/1",
+    hosts: 4,
+    apart_before: Duration::from_millis(50),
+    apart: Duration::from_millis(16),
+    kind: StandinKind::Plain,
+    count: 4,
+    limit: "5",
+    served: 20,
+    is_needed: false,
+};
+
+#[tokio::test(start_paused = true)]
+async fn what_a_backend_server_names_is_kept_whatever_happens_to_hosts() {
+    let mut faults = Vec::new();
+    for trouble in TROUBLES {
+        let found = play(&TROUBLED, async |fleet| trouble.happen(fleet, TROUBLED.hosts).await);
+        faults.extend(found.await.into_iter().map(|fault| format!("{trouble:?}: {fault}")));
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
--- a/crates/dillspool_scheduler/tests/suspect_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -1,4 +1,5 @@
-//! News of suspects on the links of a pool: who hears them, and what is passed over.
+//! News on the links of a pool, of suspects and of limits that backend servers name: who hears them, and what
+//! is passed over.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -13,10 +14,13 @@
 };
 use dillspool_scheduler::{
     BusHandlers, FleetBus, LimitDesk, LimitTerms, PoolDesk, ScheduleDesks, SuspectHandlers,
-    serve_schedule,
+    ThrottleHandlers, serve_schedule,
+};
+use dillspool_schema::schedule::{
+    ScheduleBeat, ScheduleDuty, ScheduleHello, ScheduleMessage, ScheduleSuspect, ScheduleThrottle,
 };
-use dillspool_schema::schedule::{ScheduleDuty, ScheduleHello, ScheduleMessage, ScheduleSuspect};
 use dillspool_suspects::SuspectNews;
+use dillspool_throttle::{ThrottleDesk, ThrottleNews};
 use futures_util::{SinkExt, StreamExt};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async};
@@ -99,6 +103,10 @@
                 ScheduleMessage::Suspect(news) => {
                     backends.push(news.backend.as_deref().unwrap_or("whole").to_owned());
                 }
+                ScheduleMessage::Throttle(news) => {
+                    let rate = news.per_s.map_or("none".to_owned(), |per_s| per_s.to_string());
+                    backends.push(format!("{} takes {rate}", &*news.backend));
+                }
                 ScheduleMessage::Beat(_) => beats = true,
                 other => panic!("{other:?}"),
             }
@@ -172,3 +180,78 @@
         cancel.cancel();
     }
 }
+
+struct ThrottleCase {
+    name: &'static str,
+    backend: String,
+    per_s: Option<f64>,
+    /// Whether the scheduler takes it and the other host hears it.
+    is_taken: bool,
+}
+
+/// Desks of a host that knows what this desk does.
+fn desks_knowing(throttle: &ThrottleDesk) -> ScheduleDesks {
+    let (learning, knowing) = (throttle.clone(), throttle.clone());
+    let throttle = ThrottleHandlers {
+        learn: Arc::new(move |news: &ThrottleNews| learning.learn(news)),
+        known: Arc::new(move |most| knowing.known(most)),
+    };
+    let handlers = BusHandlers { throttle, ..BusHandlers::none() };
+    ScheduleDesks {
+        pools: desk(),
+        limits: LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady()),
+        backend_limits: LimitDesk::of_backend_servers(1, HostClock::steady()),
+        bus: FleetBus::new(handlers, HostClock::steady()),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_hosts_hear_what_a_backend_server_takes() {
+    let case = |name, backend: &str, per_s, is_taken| ThrottleCase {
+        name,
+        backend: backend.to_owned(),
+        per_s,
+        is_taken,
+    };
+    let cases = [
+        case("a limit", "e1", Some(5.7), true),
+        case("none is taken at all", "e1", Some(0.0), true),
+        case("the end of one that is not known", "e1", None, false),
+        case("no rate", "e1", Some(f64::NAN), false),
+        case("below zero", "e1", Some(-1.0), false),
+        case("more than anything takes", "e1", Some(1e300), false),
+        case("a backend server without a name", "", Some(5.0), false),
+        case("a name that is too long", &"e".repeat(300), Some(5.0), false),
+    ];
+    for case in cases {
+        let net = MemoryNet::new();
+        let throttle = ThrottleDesk::new(HostClock::steady());
+        let listener = net.stack(address().ip()).listen(address()).await.expect("a free address");
+        let cancel = CancellationToken::new();
+        tokio::spawn(serve_schedule(listener, desks_knowing(&throttle), cancel.clone()));
+        let (mut one, mut two) = (link(&net, "10.0.0.2").await, link(&net, "10.0.0.3").await);
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: before", case.name);
+        assert_eq!(heard(&mut two).await, (vec![], true), "{}: before", case.name);
+        let news = ScheduleThrottle {
+            backend: case.backend.as_str().into(),
+            start: None,
+            per_s: case.per_s,
+            age_ms: 7,
+        };
+        let told = format!("{} takes {}", case.backend, case.per_s.unwrap_or_default());
+        let expected = if case.is_taken { vec![told] } else { vec![] };
+        send(&mut one, &ScheduleMessage::Throttle(news.clone())).await;
+        send(&mut two, &ScheduleMessage::Beat(ScheduleBeat { hosts: 0 })).await;
+        assert_eq!(heard(&mut two).await, (expected.clone(), true), "{}", case.name);
+        // Whoever told it does not hear it again, nobody hears the same twice.
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: itself", case.name);
+        let later = ScheduleThrottle { age_ms: 2_500, ..news };
+        send(&mut two, &ScheduleMessage::Throttle(later)).await;
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: again", case.name);
+        // A host that comes later is told what holds.
+        let mut three = link(&net, "10.0.0.4").await;
+        assert_eq!(heard(&mut three).await, (expected, true), "{}: later", case.name);
+        assert_eq!(throttle.counts().0, usize::from(case.is_taken), "{}", case.name);
+        cancel.cancel();
+    }
+}
