A host that has lost whoever counts sends its part to limited servers for 50 s

What callers would see: a host cut off from the others for more than eight seconds could ask nothing of backend servers that name limits, and refused its callers where all of a service did. Cause: the term of a host's own part is that of workspaces, eight seconds, the longest window of a site. The count of hosts stands for a minute, and a holder grants only the part of those that ask it meanwhile, so the parts add up to one for as long.

Change: 50 s for what backend servers name.

--- a/crates/dillspool_limits/src/fleet.rs
+++ b/crates/dillspool_limits/src/fleet.rs
@@ -8,6 +8,9 @@
 /// Time for which a host that has lost its holder spends a part of its own: the longest time over
 /// which a site sums its limits. A host that is cut off for longer sends its callers to others.
 const OWN_TERM: Duration = Duration::from_secs(8);
+/// The same of limits that backend servers name: with none of its own such a host could ask nothing of them.
+/// Shorter than the count of hosts stands, so that no holder grants its part meanwhile.
+pub(crate) const BACKEND_OWN_TERM: Duration = Duration::from_secs(50);
 /// Time for which the largest count of hosts stands. Hosts that are missing may be cut off and spend
 /// their parts, or ask another holder, until then; a host that starts anew is back within seconds.
 const COUNT_STANDS: Duration = Duration::from_mins(1);
--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -5,7 +5,7 @@
 use dillspool_moment::Moment;
 
 use crate::bucket::SpendDecision;
-use crate::fleet::FleetCount;
+use crate::fleet::{BACKEND_OWN_TERM, FleetCount};
 use crate::ledger::{LedgerTerms, LimitLedger, LimitReading};
 use crate::spend::SpendRequest;
 
@@ -118,22 +118,25 @@
     fleet: FleetCount,
     /// When a holder was heard of last.
     word: Option<Moment>,
+    /// Time after that for which the parts are spent.
+    term: Duration,
 }
 
 impl OwnParts {
     /// Parts of a host that has heard of no holder yet: none.
     pub fn new(now: Moment) -> Self {
-        Self::of_terms(LedgerTerms::own_part(), now)
+        Self::of_terms(LedgerTerms::own_part(), FleetCount::OWN_TERM, now)
     }
 
     /// The same of limits that backend servers name; `phase` is from 0 to 1, another one on each host.
     pub fn of_backend_servers(phase: f64, now: Moment) -> Self {
-        Self::of_terms(LedgerTerms::own_part_of_backend_servers(phase), now)
+        let terms = LedgerTerms::own_part_of_backend_servers(phase);
+        Self::of_terms(terms, BACKEND_OWN_TERM, now)
     }
 
-    fn of_terms(terms: LedgerTerms, now: Moment) -> Self {
+    fn of_terms(terms: LedgerTerms, term: Duration, now: Moment) -> Self {
         let ledger = LimitLedger::new(terms, now);
-        Self { ledger, fleet: FleetCount::default(), word: None }
+        Self { ledger, fleet: FleetCount::default(), word: None, term }
     }
 
     /// Notes a holder's word that it counts for this host, and for how many.
@@ -153,7 +156,7 @@
     /// Decides on a request without a holder; `None` when there is no part left to decide by.
     pub fn spend(&mut self, request: &SpendRequest, now: Moment) -> Option<SpendDecision> {
         let silent = now.since(self.word?);
-        if silent > FleetCount::OWN_TERM {
+        if silent > self.term {
             return None;
         }
         let part = self.fleet.own_part(now)?;
--- a/crates/dillspool_limits/tests/limits.rs
+++ b/crates/dillspool_limits/tests/limits.rs
@@ -255,3 +255,22 @@
     assert_eq!(granted.len(), 21, "in 40 s: {granted:?}");
     assert!(granted.windows(2).all(|pair| pair[1] - pair[0] >= 1_000), "{granted:?}");
 }
+
+#[test]
+fn a_host_without_its_holder_sends_its_part_to_backend_servers() {
+    for phase in [0.0, 0.5, 0.99] {
+        let mut parts = OwnParts::of_backend_servers(phase, at(0));
+        let one = request(4.0, 4.0, 1, 1.0);
+        assert_eq!(parts.spend(&one, at(1_000)), None, "nobody has told it of others");
+        parts.note_word(8, at(2_000));
+        let granted = |parts: &mut OwnParts, from: u64, to: u64| {
+            let steps = (from..to).step_by(100);
+            steps.filter(|ms| parts.spend(&one, at(*ms)) == Some(SpendDecision::Allowed)).count()
+        };
+        // An eighth of four a second, for 48 s.
+        let sent = granted(&mut parts, 2_100, 50_100);
+        assert!((23..=25).contains(&sent), "phase {phase}: {sent}");
+        // Another holder may grant its part by then.
+        assert_eq!(granted(&mut parts, 53_000, 60_000), 0, "phase {phase}");
+    }
+}
