The soak has backend servers name how much they take

Real processes: once the other faults are over, four backend servers (two of three plain ones, one that decodes, one that prefills) name 0.5 to 9 requests a second, while hosts are killed, stopped, paused, reloaded and cut off from the store, seven times in some fifteen seconds. Each server counts what it gets; the bound is the users', of the whole fleet and without an excuse for the hosts that were struck.

--- a/crates/dillspool_soak/src/backends.rs
+++ b/crates/dillspool_soak/src/backends.rs
@@ -29,7 +29,7 @@
     tools: PlaceTools,
     number: usize,
     pub(crate) service: &'static str,
-    kind: StandinKind,
+    pub(crate) kind: StandinKind,
     pub(crate) proxy: LoopbackProxy,
     pub(crate) backend: StandinBackend,
     starts: u32,
--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod check;
 mod faults;
+mod limits;
 mod proxy;
 mod rest;
 mod router;
--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -35,6 +35,9 @@
     /// Also send requests that crash what runs them, over and over.
     #[arg(long)]
     deadly: bool,
+    /// Also have backend servers name how much they take.
+    #[arg(long)]
+    limits: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -70,6 +73,7 @@
         call_every: Duration::from_millis(10),
         restarts: args.restarts,
         deadly: args.deadly,
+        limits: args.limits,
         folder: args.folder.join(seed.to_string()),
     }
 }
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -20,6 +20,7 @@
 use crate::callers::{DeadlyRequest, ROUTE_HOST, call, prefix};
 use crate::check::{CallKind, CallOutcome, CallRecord, Violation, check_calls};
 use crate::faults::{DueFault, FaultKind, draw_faults};
+use crate::limits::play_limits;
 use crate::proxy::{LoopbackProxy, ProxyMode};
 use crate::rest::check_rest;
 use crate::router::{RouterPlace, RouterProcess};
@@ -42,6 +43,8 @@
     pub restarts: bool,
     /// Whether some callers send requests that crash what runs them, over and over.
     pub deadly: bool,
+    /// Whether some backend servers name how much they take once the faults are over, while others strike.
+    pub limits: bool,
     /// Where settings and logs lie; kept when a promise was broken.
     pub folder: PathBuf,
 }
@@ -129,12 +132,17 @@
     }
     world.heal();
     world.pass(RECOVERY).await?;
+    let mut violations = Vec::new();
+    if world.settings.limits {
+        violations.extend(play_limits(&mut world, &mut random).await?);
+        world.pass(RECOVERY).await?;
+    }
     stop_calls.cancel();
     // The callers bound every call in time.
     let _ended = callers.await;
     let _ended = deadly_callers.await;
     let calls = calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let mut violations = check_calls(&calls, world.runs());
+    violations.extend(check_calls(&calls, world.runs()));
     violations.extend(check_rest(&mut world, &deadly).await?);
     world.cancel.cancel();
     let served = |call: &&CallRecord| matches!(call.outcome, CallOutcome::Answer(200, _));
@@ -272,7 +280,8 @@
         self.tools.store.write("op", "config", Some(&text));
     }
 
-    async fn strike(&mut self, fault: DueFault) -> std::io::Result<()> {
+    /// Lets a fault strike.
+    pub(crate) async fn strike(&mut self, fault: DueFault) -> std::io::Result<()> {
         let host = fault.target % self.routers.len();
         let place = fault.target % self.backends.len();
         match fault.kind {
@@ -368,7 +377,7 @@
     }
 
     /// Ends all faults.
-    fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         self.heal_links();
         for router in &self.routers {
             router.signal(Signal::SIGCONT);
