--- a/crates/dillspool_limits/tests/fleet.rs
+++ b/crates/dillspool_limits/tests/fleet.rs
@@ -38,6 +38,8 @@
     amounts: &'static [f64],
     /// Limits a second; the plain way is played with the last one.
     rates: &'static [f64],
+    /// What may be spent at once at least.
+    least_burst: f64,
     /// Window in steps, and in seconds.
     window_steps: usize,
     window_s: f64,
@@ -54,6 +56,7 @@
     parts: |_host, now| OwnParts::new(now),
     amounts: &[LARGE, PLAIN, PLAIN, LARGE, PLAIN],
     rates: &[30_000.0, 300_000.0],
+    least_burst: 0.0,
     window_steps: 80,
     window_s: 8.0,
     ratio: 1.1,
@@ -71,6 +74,7 @@
     parts: |host, now| OwnParts::of_backend_servers(PHASES[host], now),
     amounts: &[1.0; 12],
     rates: &[0.1, 0.5, 5.7, 200.0, 40.0],
+    least_burst: 1.0,
     window_steps: 40,
     window_s: 4.0,
     // Half as much again of the limit alone; the burst is a second's worth.
@@ -134,7 +138,7 @@
 impl Fleet {
     fn new(kind: &'static LimitKind, way: Way, per_s: f64) -> Self {
         let hosts = (0..HOSTS).map(|host| Self::fresh(kind, way, host, 0)).collect();
-        let limit = LimitRate { per_s, burst: per_s };
+        let limit = LimitRate { per_s, burst: per_s.max(kind.least_burst) };
         Self { kind, way, limit, hosts, leaving: Vec::new(), step: 0 }
     }
 
--- a/crates/dillspool_throttle/src/book.rs
+++ b/crates/dillspool_throttle/src/book.rs
@@ -15,6 +15,9 @@
 /// Time whose worth of requests may be sent at once. With a second's, a backend server gets in any four
 /// seconds what it takes in five at most.
 const BURST_SPAN: Duration = Duration::from_secs(1);
+/// Requests that may be sent at once however little that is: of limits below one a second a part would lapse
+/// between two hosts' questions.
+const LEAST_BURST: f64 = 1.0;
 /// Least rate that is kept to, in requests a second: only an answer tells that a backend server which takes
 /// nothing takes requests again.
 const LEAST_RATE: f64 = 0.1;
@@ -309,9 +312,10 @@
     now: Moment,
 ) -> SpendRequest {
     let per_s = limit.kept_rate(now);
+    let burst = (per_s * BURST_SPAN.as_secs_f64()).max(LEAST_BURST);
     SpendRequest {
         subject: backend.label(),
-        rate: LimitRate { per_s, burst: per_s * BURST_SPAN.as_secs_f64() },
+        rate: LimitRate { per_s, burst },
         version: RateVersion::Heard(limit.said()),
         amount,
         before,
