Beyond a backend server's limit: the urgent first, one request waits for an opening, claims end when they are met

What callers saw: where all servers of a service are spent, a request was refused though one of them opens within its objective, and an upload of a reading waited behind pulls of configurations that came a moment before it. And whoever was refused was told to come back one request later than there was room: the holder counted a claim that had been met still as one, until its time had passed, while the debt for it was counted as well.

Change: questions to a holder carry the rank of workspace and route; what more urgent requests were told to come back for is left to them, and a tenth is kept for the others. One request of a host waits for an opening within half of what is left of its objective; the others are refused at once. A claim is taken off when its request comes back, where requests are lent what they take; this holds for limits of workspaces, too.

--- a/crates/dillspool_forward/src/generate/preparing.rs
+++ b/crates/dillspool_forward/src/generate/preparing.rs
@@ -14,7 +14,7 @@
 use crate::prefill::{PrefillGuard, prefill};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::stages::FirstEventStages;
-use crate::throttle::{choose_permitted, closed_backends, refuse_closed};
+use crate::throttle::{choose_permitted, closed_backends, refuse_closed, wait_for_opening};
 use crate::trace::log_budget_empty;
 
 /// Time without an event after which callers leave: the longest of this, and so many objectives and
@@ -94,10 +94,17 @@
             return self.place_without_parts(&view).await;
         }
         let (class, patience) = (self.class(), self.patience());
-        let mut excluded = self.tried.ids(&view);
-        excluded.extend(closed_backends(&self.context, &self.request));
-        let question = placement_request(&self.context, &self.request, class, patience, &excluded);
-        let placed = place(&self.context, &self.request, question).await;
+        let placed = loop {
+            let mut excluded = self.tried.ids(&view);
+            excluded.extend(closed_backends(&self.context, &self.request));
+            let question =
+                placement_request(&self.context, &self.request, class, patience, &excluded);
+            let placed = place(&self.context, &self.request, question).await;
+            let is_limited = placed.as_ref().is_err_and(Refusal::is_limited);
+            if !is_limited || !Box::pin(wait_for_opening(&self.context, &self.request)).await {
+                break placed;
+            }
+        };
         placed.map_err(|refusal| if self.may_have_run { self.conclude() } else { refusal })
     }
 
--- a/crates/dillspool_forward/src/limits.rs
+++ b/crates/dillspool_forward/src/limits.rs
@@ -35,6 +35,8 @@
         rate: LimitRate { per_s: limit.per_s, burst: limit.burst },
         version: RateVersion::Config(request.config_version),
         amount: limit.amount(request.generation.as_ref()),
+        // One workspace's requests take turns as they come.
+        rank: 0,
         before: 0.0,
     };
     let patience = request.route.objective.mul_f64(HOLDER_WAIT_PART).min(request.remaining());
--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -130,6 +130,11 @@
         Self { cause, retry_after: Some(after) }
     }
 
+    /// Whether its backend servers have room again in a while.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.cause == RefusalCause::BackendsLimited
+    }
+
     /// The answer to the caller.
     pub fn response(&self) -> Response<ResponseBody> {
         let mut response =
--- a/crates/dillspool_forward/src/throttle.rs
+++ b/crates/dillspool_forward/src/throttle.rs
@@ -22,6 +22,9 @@
 pub(crate) const MOST_CLOSED: usize = 4;
 /// Least time for which a backend server is closed, a few round trips.
 const LEAST_PAUSE: Duration = Duration::from_millis(5);
+/// Part of what is left of the objective for which a request waits for a backend server to open; the rest is for
+/// the answer.
+const WAIT_PART: f64 = 0.5;
 /// Time after which a backend server is asked for again where nobody could say whether it takes more.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(200);
 /// Part of the objective over which callers are spread who come back for one backend server.
@@ -65,10 +68,11 @@
     let spend = match context.throttle.verdict(&backend, amount) {
         SendVerdict::Free => return Ok(SendPermit { spent: None }),
         SendVerdict::Closed { until } => return Err(BackendClosed { until }),
-        SendVerdict::Ask(spend) => spend,
+        SendVerdict::Ask(spend) => SpendRequest { rank: rank_of(request), ..spend },
     };
     // Another backend server may have room, so nobody is waited for.
-    let decision = context.backend_limits.spend(&spend, Duration::ZERO).await;
+    // On the heap, since few requests come here.
+    let decision = Box::pin(context.backend_limits.spend(&spend, Duration::ZERO)).await;
     let pause = match decision {
         Some(SpendDecision::Allowed) => {
             return Ok(SendPermit { spent: Some(context.backend_limits.spent(&spend)) });
@@ -83,6 +87,13 @@
     Err(BackendClosed { until })
 }
 
+/// How urgent a request is: the rank of its workspace, then that of its route.
+fn rank_of(request: &RoutedRequest) -> u32 {
+    let workspace = request.workspace.as_ref().map_or(0, |workspace| workspace.priority);
+    let place = |priority: u32| priority.min(u32::from(u16::MAX));
+    (place(workspace) << u16::BITS) | place(request.route.priority)
+}
+
 /// The best backend server that takes one request more, of those that `choose` finds in turn: one that is
 /// closed is no candidate any more.
 pub(crate) async fn choose_permitted(
@@ -90,13 +101,38 @@
     request: &RoutedRequest,
     choose: impl Fn() -> Option<Arc<BackendEntry>>,
 ) -> Option<(Arc<BackendEntry>, SendPermit)> {
-    for _ask in 0..MOST_CLOSED {
-        let entry = choose()?;
-        if let Ok(permit) = permit_send(context, request, &entry, ONE_SEND).await {
-            return Some((entry, permit));
+    loop {
+        for _ask in 0..MOST_CLOSED {
+            let Some(entry) = choose() else { break };
+            if let Ok(permit) = permit_send(context, request, &entry, ONE_SEND).await {
+                return Some((entry, permit));
+            }
+        }
+        if !Box::pin(wait_for_opening(context, request)).await {
+            return None;
         }
     }
-    None
+}
+
+/// Waits for the first backend server of a request's service to open, if that is soon enough for an answer in
+/// time and no other request of this host waits for it; whether it has waited.
+pub(crate) async fn wait_for_opening(context: &ForwardContext, request: &RoutedRequest) -> bool {
+    let now = context.throttle.now();
+    let spent = request.spent_before + request.age();
+    let patience = request.route.objective.saturating_sub(spent).mul_f64(WAIT_PART);
+    let latest = now + patience.min(request.remaining());
+    let view = context.view();
+    let ready = view.ready(&request.service).map(|entry| entry.started());
+    let mut closed: Vec<_> = ready
+        .filter_map(|backend| Some((context.throttle.closed_until(&backend)?, backend)))
+        .collect();
+    closed.sort_by_key(|(until, _backend)| *until);
+    let until = closed
+        .into_iter()
+        .find_map(|(_until, backend)| context.throttle.await_opening(&backend, latest));
+    let Some(until) = until else { return false };
+    context.throttle.sleep_until(until).await;
+    true
 }
 
 /// Tells whoever counts that something was sent all the same.
--- a/crates/dillspool_limits/src/bucket.rs
+++ b/crates/dillspool_limits/src/bucket.rs
@@ -4,12 +4,16 @@
 
 use dillspool_moment::Moment;
 
+use crate::claims::ClaimLine;
 use crate::spend::RateVersion;
 
 /// Longest time to come back that is named: beyond it the callers of a workspace that asks many times
 /// its limit would be told of a time at which others have come first.
 const LONGEST_LINE: Duration = Duration::from_secs(30);
 
+/// Part of a limit that requests get before which more urgent ones go, and how much of it is kept for them.
+const SPARED_PART: f64 = 0.1;
+const MOST_SPARED: f64 = 2.0;
 /// Least time to come back.
 const LEAST_WAIT: Duration = Duration::from_millis(1);
 /// Time whose rate a balance keeps at least: a limit without a burst would else grant nothing.
@@ -54,8 +58,9 @@
     balance: f64,
     /// What was spent before the limit was known, as far as its time has not come yet.
     before: f64,
-    /// Amounts that were refused and told to come back, as far as their time has not come yet.
-    line: f64,
+    line: ClaimLine,
+    /// What is kept for requests that more urgent ones go before, so that those do not take all.
+    spared: f64,
     /// Until when the balance is counted.
     at: Moment,
 }
@@ -63,7 +68,7 @@
 impl LimitBucket {
     /// A balance that begins to fill at a moment.
     pub(crate) fn new(rate: LimitRate, version: RateVersion, balance: f64, at: Moment) -> Self {
-        Self { rate, version, balance, before: 0.0, line: 0.0, at }
+        Self { rate, version, balance, before: 0.0, line: ClaimLine::default(), spared: 0.0, at }
     }
 
     /// Takes a limit, if it is no older than the one that holds: hosts that hear of changes late
@@ -83,7 +88,8 @@
         let least = self.rate.per_s * part * LEAST_KEPT.as_secs_f64();
         let most = (self.rate.burst * part + headroom).max(least);
         self.balance = (self.balance + gain).min(most);
-        self.line = (self.line - gain).max(0.0);
+        self.line.pass(gain);
+        self.spared = (self.spared + gain * SPARED_PART).min(MOST_SPARED);
         self.before = (self.before - gain).max(0.0);
     }
 
@@ -97,20 +103,31 @@
         self.balance -= charge(self.before) - charged;
     }
 
-    /// Spends an amount while the balance is above `least`: the amount itself, or zero where a
-    /// request may run the balance into debt.
-    pub(crate) fn spend(&mut self, amount: f64, least: f64, part: f64) -> SpendDecision {
-        if self.balance > 0.0 && self.balance >= least {
+    /// Spends an amount of a rank while the balance is above `least`: the amount itself, or zero where a
+    /// request may run the balance into debt. What more urgent requests were told to come back for is left
+    /// to them.
+    pub(crate) fn spend(&mut self, amount: f64, rank: u32, least: f64, part: f64) -> SpendDecision {
+        let claimed = self.line.before(rank);
+        let is_free = self.balance > claimed && self.balance >= least;
+        let is_spared = !is_free && claimed > 0.0 && self.spared >= amount;
+        if is_free || is_spared {
+            if is_spared {
+                self.spared -= amount;
+            }
+            if least <= 0.0 {
+                // It is lent what it takes, and the debt says how long others wait for that.
+                self.line.come_back(rank, amount);
+            }
             self.balance -= amount;
             return SpendDecision::Allowed;
         }
         let per_s = self.rate.per_s * part;
         let least = least.max(per_s * LEAST_WAIT.as_secs_f64());
-        let missing = (least - self.balance).max(0.0) + self.line;
+        let missing = (least - self.balance).max(0.0) + self.line.up_to(rank);
         let seconds = if per_s > 0.0 { missing / per_s } else { f64::INFINITY };
         let longest = LONGEST_LINE.as_secs_f64();
         if seconds < longest {
-            self.line += amount;
+            self.line.add(rank, amount);
         }
         SpendDecision::Refused { come_back: Duration::from_secs_f64(seconds.min(longest)) }
     }
--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -138,7 +138,8 @@
         if request.amount <= 0.0 {
             return SpendDecision::Allowed;
         }
-        bucket.spend(request.amount, if lends { 0.0 } else { request.amount }, part)
+        let least = if lends { 0.0 } else { request.amount };
+        bucket.spend(request.amount, request.rank, least, part)
     }
 
     /// Gives back an amount of a request that did not run.
--- a/crates/dillspool_limits/src/lib.rs
+++ b/crates/dillspool_limits/src/lib.rs
@@ -6,6 +6,7 @@
 //! that is passed in: no input or output, no task, no log. See `docs/design/limits.md`.
 
 mod bucket;
+mod claims;
 mod fleet;
 mod holder;
 mod ledger;
--- a/crates/dillspool_limits/src/spend.rs
+++ b/crates/dillspool_limits/src/spend.rs
@@ -25,6 +25,8 @@
     pub version: RateVersion,
     /// How much the request counts for.
     pub amount: f64,
+    /// How urgent it is; 0 goes first.
+    pub rank: u32,
     /// What the host spent before it knew of the limit, told once.
     pub before: f64,
 }
--- a/crates/dillspool_limits/tests/cold_start.rs
+++ b/crates/dillspool_limits/tests/cold_start.rs
@@ -64,6 +64,7 @@
                     rate: limit,
                     version: RateVersion::Config(1),
                     amount,
+                    rank: 0,
                     before: 0.0,
                 };
                 if is_asked && holder.spend(&request, at(step)) == SpendDecision::Allowed {
--- a/crates/dillspool_limits/tests/fleet.rs
+++ b/crates/dillspool_limits/tests/fleet.rs
@@ -220,6 +220,7 @@
                 rate: self.limit,
                 version: RateVersion::Config(1),
                 amount,
+                rank: 0,
                 before: 0.0,
             };
             let decision = match self.hosts[host].asks {
--- a/crates/dillspool_limits/tests/limits.rs
+++ b/crates/dillspool_limits/tests/limits.rs
@@ -19,6 +19,7 @@
         rate: LimitRate { per_s, burst },
         version: RateVersion::Config(version),
         amount,
+        rank: 0,
         before: 0.0,
     }
 }
@@ -274,3 +275,51 @@
         assert_eq!(granted(&mut parts, 53_000, 60_000), 0, "phase {phase}");
     }
 }
+
+struct RankCase {
+    name: &'static str,
+    /// Requests a second that are asked for, the urgent and the others.
+    asked: [u64; 2],
+    /// What each gets a second, about.
+    granted: [f64; 2],
+}
+
+/// A request that was refused comes back when it was told to, and until then others come.
+#[test]
+fn the_urgent_go_first_and_do_not_take_all() {
+    let cases = [
+        RankCase { name: "room for all", asked: [4, 4], granted: [4.0, 4.0] },
+        RankCase { name: "few that are urgent", asked: [2, 40], granted: [2.0, 8.0] },
+        RankCase { name: "as many", asked: [8, 8], granted: [8.0, 2.0] },
+        RankCase { name: "too many that are urgent", asked: [40, 40], granted: [9.0, 1.0] },
+    ];
+    for case in cases {
+        let mut holder = LimitHolder::of_backend_servers(at(0));
+        holder.join(Some(1), at(0));
+        let mut granted = [0.0; 2];
+        let mut waiting: Vec<(u64, u32)> = Vec::new();
+        for ms in 10_000..70_000_u64 {
+            let fresh = (0..2_u32).filter(|rank| {
+                let apart = 1_000 / case.asked[*rank as usize];
+                (ms + u64::from(*rank) * 7).is_multiple_of(apart)
+            });
+            let (due, later) = waiting.into_iter().partition(|(due, _rank)| *due <= ms);
+            waiting = later;
+            let due: Vec<(u64, u32)> = due;
+            for rank in due.into_iter().map(|(_due, rank)| rank).chain(fresh) {
+                let one = SpendRequest { rank, ..request(10.0, 10.0, 1, 1.0) };
+                match holder.spend(&one, at(ms)) {
+                    SpendDecision::Allowed => granted[rank as usize] += 1.0 / 60.0,
+                    // Whoever would wait for longer than a second goes elsewhere.
+                    SpendDecision::Refused { come_back } if come_back.as_millis() < 1_000 => {
+                        waiting.push((ms + u64::try_from(come_back.as_millis()).unwrap(), rank));
+                    }
+                    SpendDecision::Refused { .. } => {}
+                }
+            }
+        }
+        for (got, expected) in granted.into_iter().zip(case.granted) {
+            assert!((got - expected).abs() <= 0.6, "{}: {granted:?}", case.name);
+        }
+    }
+}
--- a/crates/dillspool_limits/tests/ways.rs
+++ b/crates/dillspool_limits/tests/ways.rs
@@ -71,6 +71,7 @@
         rate: LimitRate { per_s, burst: per_s.max(1.0) },
         version: RateVersion::Config(1),
         amount: 1.0,
+        rank: 0,
         before: 0.0,
     }
 }
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -238,6 +238,7 @@
         config,
         age_ms,
         amount: request.amount,
+        rank: request.rank,
         before: request.before,
     })
 }
@@ -253,6 +254,7 @@
         rate: LimitRate { per_s: message.per_s, burst: message.burst },
         version,
         amount: message.amount,
+        rank: message.rank,
         before: message.before,
     }
 }
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -112,6 +112,7 @@
         rate: RATE,
         version: RateVersion::Config(1),
         amount: 1.0,
+        rank: 0,
         before: 0.0,
     }
 }
--- a/crates/dillspool_throttle/src/book.rs
+++ b/crates/dillspool_throttle/src/book.rs
@@ -43,13 +43,15 @@
     over: Option<Moment>,
     /// Until when no send is asked for: what it takes is spent.
     closed_until: Option<Moment>,
+    /// Whether a request waits for that moment.
+    is_awaited: bool,
     /// This host's sends in the second before it knew of the limit, until they are told.
     before: u32,
 }
 
 impl NamedLimit {
     fn new(rate: RequestRate, heard: Moment, before: u32) -> Self {
-        Self { rate, told: rate, heard, over: None, closed_until: None, before }
+        Self { rate, told: rate, heard, over: None, closed_until: None, is_awaited: false, before }
     }
 
     /// When it was last said to hold, or to be over.
@@ -246,9 +248,24 @@
     pub fn close(&mut self, backend: &StartedBackend, until: Moment) {
         if let Some(limit) = self.limits.get_mut(backend) {
             limit.closed_until = limit.closed_until.max(Some(until));
+            limit.is_awaited = false;
         }
     }
 
+    /// Has one request wait for a closed backend server; until when, or `None` where it is open, opens later
+    /// than `latest`, or is waited for.
+    pub fn await_opening(
+        &mut self,
+        backend: &StartedBackend,
+        latest: Moment,
+        now: Moment,
+    ) -> Option<Moment> {
+        let until = self.closed_until(backend, now).filter(|until| *until <= latest)?;
+        let limit = self.limits.get_mut(backend).filter(|limit| !limit.is_awaited)?;
+        limit.is_awaited = true;
+        Some(until)
+    }
+
     /// Until when a backend server is closed, if it is now.
     pub fn closed_until(&self, backend: &StartedBackend, now: Moment) -> Option<Moment> {
         let limit = self.limits.get(backend).filter(|limit| !limit.is_forgotten(now))?;
@@ -318,6 +335,7 @@
         rate: LimitRate { per_s, burst },
         version: RateVersion::Heard(limit.said()),
         amount,
+        rank: 0,
         before,
     }
 }
--- a/crates/dillspool_throttle/src/desk.rs
+++ b/crates/dillspool_throttle/src/desk.rs
@@ -57,6 +57,11 @@
         self.clock.now()
     }
 
+    /// Waits until a moment of this desk.
+    pub async fn sleep_until(&self, moment: Moment) {
+        self.clock.sleep_until(moment).await;
+    }
+
     /// Counts something that is sent to a backend server; the mark takes what its answer says.
     pub fn note_send(&self, backend: StartedBackend) -> SendMark {
         let now = self.now();
@@ -100,6 +105,13 @@
         state.book.closed_until(backend, now)
     }
 
+    /// Has one request wait for a closed backend server; until when, or `None` where it is open, opens later
+    /// than `latest`, or is waited for.
+    pub fn await_opening(&self, backend: &StartedBackend, latest: Moment) -> Option<Moment> {
+        let now = self.now();
+        self.state().book.await_opening(backend, latest, now)
+    }
+
     /// How a backend server stands.
     pub fn read(&self, backend: &StartedBackend) -> ThrottleReading {
         let now = self.now();
