dillspool limits lists what backend servers say they take

The table of workspaces is followed by one of backend servers that have named a limit: the newest word and whether it holds, who heard it and who was told, how often hosts left the server alone by the word of whoever counts, and how often nobody could be asked. Read from the logs of all hosts; a test with ten lines.

--- a/crates/dillspool/src/args.rs
+++ b/crates/dillspool/src/args.rs
@@ -121,7 +121,8 @@
         /// Log files; standard input when there are none.
         files: Vec<PathBuf>,
     },
-    /// Count how the requests of each workspace in the logs of routing hosts fared against its limit.
+    /// Count how the requests of each workspace in the logs of routing hosts fared against its limit, and list
+    /// what backend servers say they take.
     Limits {
         /// Log files; standard input when there are none.
         files: Vec<PathBuf>,
--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -64,10 +64,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Prints how the requests of each workspace in some logs fared against its limit.
+/// Prints how the requests of each workspace in some logs fared against its limit, and what backend servers
+/// say they take.
 pub(crate) fn count_limits(files: &[PathBuf]) -> Result<ExitCode, CliError> {
     let text = read_logs(files)?;
     print!("{}", dillspool_explain::LimitTable::of(text.lines()));
+    let backends = dillspool_explain::BackendLimitTable::of(text.lines());
+    if !backends.backends.is_empty() {
+        print!("\n{backends}");
+    }
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/dillspool_explain/src/lib.rs
+++ b/crates/dillspool_explain/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! `docs/OPERATIONS.md` shows how it is used.
 
+mod backend_limits;
 mod late;
 mod limits;
 mod line;
 mod story;
 mod suspects;
 
+pub use backend_limits::{BackendLimitTable, BackendLimitUse};
 pub use late::{EndTable, RequestEnd};
 pub use limits::{LimitTable, WorkspaceUse};
 pub use line::LogLine;
--- a/crates/dillspool_explain/tests/limits.rs
+++ b/crates/dillspool_explain/tests/limits.rs
@@ -1,6 +1,6 @@
 //! The table of limits counts each request once, under its workspace.
 
-use dillspool_explain::LimitTable;
+use dillspool_explain::{BackendLimitTable, LimitTable};
 
 const LOG: &str = r"time_ms=1 host=h1 event=over_limit id=a workspace=w amount=14000 per_s=29000 burst=29000 config=3 come_back_ms=90
 time_ms=1 host=h1 event=request_ended id=a route=r service=s workspace=w config=3 outcome=refused cause=over_limit after_ms=1 status=429
@@ -24,3 +24,26 @@
 fn each_request_is_counted_under_its_workspace_and_the_newest_limit_is_shown() {
     assert_eq!(LimitTable::of(LOG.lines()).to_string(), TABLE);
 }
+
+const BACKEND_LOG: &str = r#"time_ms=1000 host=h1 event=backend_limit backend="i-1 7" per_s=5.7 before=none from=answer age_ms=60 sent_1s=3
+time_ms=1003 host=h2 event=backend_limit backend="i-1 7" per_s=5.7 before=none from=told age_ms=3 sent_1s=2
+time_ms=1004 host=h3 event=backend_limit backend="i-1 7" per_s=5.7 before=none from=told age_ms=4 sent_1s=0
+time_ms=1010 host=h2 event=backend_closed id=a backend="i-1 7" per_s=5.70 amount=1 by=nobody for_ms=200
+time_ms=1310 host=h2 event=backend_closed id=b backend="i-1 7" per_s=5.70 amount=1 by=holder for_ms=175
+time_ms=2000 host=h2 event=backend_limit backend="i-1 7" per_s=9 before=5.7 from=answer age_ms=60 sent_1s=1
+time_ms=2500 host=h1 event=backend_limit backend="i-1 7" per_s=5.7 before=9 from=told age_ms=700 sent_1s=1
+time_ms=1500 host=h1 event=backend_limit backend=i-2 per_s=4.3 before=none from=answer age_ms=60 sent_1s=3
+time_ms=4000 host=h3 event=backend_limit_over backend=i-2 before=4.3 from=answer age_ms=60 sent_1s=3
+time_ms=4001 host=h3 event=request_ended id=h route=r service=s workspace= config=4 outcome=answered cause= after_ms=60 status=200
+"#;
+
+const BACKEND_TABLE: &str =
+    "limit a second  now   heard   told  closed  unknown  said at ms     backend server
+             9  on        2      3       1        1           2000  i-1 7
+           4.3  over      2      0       0        0           4000  i-2
+";
+
+#[test]
+fn backend_servers_are_listed_with_their_newest_word() {
+    assert_eq!(BackendLimitTable::of(BACKEND_LOG.lines()).to_string(), BACKEND_TABLE);
+}
