--- a/crates/dillspool_admission/src/length.rs
+++ b/crates/dillspool_admission/src/length.rs
@@ -11,8 +11,7 @@
 const KEPT_ANSWERS: usize = 256;
 /// Answers from which on the assumptions below count no more.
 const FEWEST_ANSWERS: usize = 8;
-/// Seconds a token that are assumed before answers were seen. Engines that are in use make a token
-/// in 0.6 to 6 ms.
+/// Seconds a token that are assumed before answers were seen.
 const ASSUMED_PACE_S: f64 = 0.001;
 /// Mean life that is assumed before answers were seen.
 const ASSUMED_LIFE: Duration = Duration::from_secs(2);
--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -66,9 +66,8 @@
 
 /// Lets a copy of a request run, unless backend servers end under it.
 ///
-/// A request that crashes what runs it comes again under another id and at any host. Where each copy is
-/// taken for a new request, 14 of 14 end an engine, with all that runs there; three do where they are
-/// remembered (`deadly_requests.rs`).
+/// A request that crashes what runs it comes again under another id and at any host: where each copy is
+/// taken for a new request, every one of them ends an engine, with all that runs there.
 fn enter(context: &ForwardContext, request: &RoutedRequest) -> Result<CopyGuard, Refusal> {
     context.suspects.enter(request.print).map_err(|refused| {
         log_suspect_refused(request, refused);
--- a/crates/dillspool_forward/src/choose.rs
+++ b/crates/dillspool_forward/src/choose.rs
@@ -9,8 +9,7 @@
 use crate::book::BackendBook;
 use crate::tried::TriedBackends;
 
-/// Cost of another failure domain for a plain call, as a factor: its bytes are billed, about
-/// 1% of a call's worth, and it takes a millisecond more.
+/// Cost of another failure domain for a plain call, as a factor: its bytes are billed, and it takes longer.
 const FAR_FACTOR: f64 = 1.3;
 /// How much one failure in one call raises the cost of a backend server.
 const FAILURE_FACTOR: f64 = 6.0;
--- a/crates/dillspool_forward/src/reader.rs
+++ b/crates/dillspool_forward/src/reader.rs
@@ -31,8 +31,7 @@
     /// When the last whole event came, or the stream was opened.
     pub(crate) last_at: Instant,
     /// Ends with the cause for which the stream is over, whatever still comes. One for all events, since each
-    /// would set up its timer and its watches anew: a quiet day with 10 streams a second on seven hosts takes
-    /// 2.51 s of processor time in place of 2.60 (eight pairs of plays, -0.10 +- 0.03 s).
+    /// would set up its timer and its watches anew.
     over: BoxFuture<&'static str>,
 }
 
--- a/crates/dillspool_limits/src/holder.rs
+++ b/crates/dillspool_limits/src/holder.rs
@@ -13,7 +13,7 @@
 /// where nobody has told it of so many: where all hosts start at once, those that were there first
 /// choose different holders, and look for the best one each two seconds.
 const SETTLES_AFTER: Duration = Duration::from_secs(4);
-/// Part of the limits that it grants until then: two such holders were seen, a third had one host.
+/// Part of the limits that it grants until then: two such holders stay within the limit together.
 const AT_START: f64 = 0.5;
 
 /// Counts limits for the hosts that ask.
--- a/crates/dillspool_limits/src/ledger.rs
+++ b/crates/dillspool_limits/src/ledger.rs
@@ -9,9 +9,8 @@
 use crate::bucket::{BeforeTerms, LimitBucket, LimitRate, SpendDecision};
 use crate::spend::SpendRequest;
 
-/// Part of what a site allows beyond its limits that a balance may hold beyond the burst. Requests come
-/// in clumps, and a limit may be as small as two a second: with an eighth, 1.4 in 100 requests of a
-/// recorded day of 60 hosts were refused, though no workspace asked too much for long; with this 0.9.
+/// Part of what a site allows beyond its limits that a balance may hold beyond the burst: requests come in
+/// clumps, and a limit may be as small as two a second, so that a workspace within its limit would be refused.
 const HEADROOM_PART: f64 = 0.375;
 /// Part of it that a holder starts with. It does not know what was spent before and counts the limit
 /// itself as spent; the burst comes back by time.
@@ -23,7 +22,7 @@
 const FIRST_PART: f64 = 0.5;
 /// Least balance at the start, so that the first request of all is not refused.
 const LEAST_START: f64 = 1e-9;
-/// Subjects above which balances that are full again are forgotten; twice the workspaces of the two-year size.
+/// Subjects above which balances that are full again are forgotten.
 const MOST_BUCKETS: usize = 16_384;
 
 /// What a backend server got before its limit was known. It counts over four seconds; with two of them free, it gets
--- a/crates/dillspool_suspects/src/policy.rs
+++ b/crates/dillspool_suspects/src/policy.rs
@@ -8,14 +8,11 @@
     /// Each backend server that ended while the request ran there.
     Each,
     /// Only those that no other request explains as well: one that ran there, too, and under which as many
-    /// have ended, or more. Of the sound requests that six engines broke off in ten crashes within ten
-    /// seconds, 1% are refused, where 16% are if each end counts; a deadly request ends up to five engines
-    /// then, 3.0 to 3.5 on the mean, and no longer just three (model of `tests/model.rs`).
+    /// have ended, or more. Sound requests that run beside a deadly one are not refused with it.
     Singled,
     /// Of those only the ones at whose moment no other backend server ended that neither this request nor
-    /// another one of as many ends explains: what ends several at once does not run at one of them. Where
-    /// 270 of 2,700 crash together five times, no sound request is refused, where 216 of 81,000 are without
-    /// this; three deadly requests that come together end 3.4 each in place of 3.2 (the same model).
+    /// another one of as many ends explains: what ends several at once does not run at one of them, and
+    /// what ran there is not refused for it.
     Unexplained,
 }
 
@@ -56,7 +53,7 @@
             refused_for: Duration::from_hours(1),
             ends_untried: 6,
             remembered_for: Duration::from_hours(24),
-            // 318 bytes with one end, 472 with three, measured with 4,096 prints: 1.9 MB at most.
+            // Some 2 MB.
             most_prints: 4096,
         }
     }
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -68,7 +68,7 @@
             first_after: Duration::ZERO,
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
-            // 3,000 backend servers are 1.3 MB, 1.1 s on the narrowest link (10 Mbit/s).
+            // A whole table over the narrowest link, several times.
             whole_limit: Duration::from_secs(8),
             // A quarter of the shortest time in which a change must be in force.
             spacing: Duration::from_millis(300),
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -36,7 +36,7 @@
 const FIRST_LIMIT: Duration = Duration::from_secs(6);
 /// Peers to which whole tables are sent at once; each takes memory for the time of its sending.
 const MOST_WHOLE_SENDS: usize = 8;
-/// Time for one sending; whole tables of 0.75 MB take 0.6 s on the narrowest link (10 Mbit/s).
+/// Time for one sending, several times that of a whole table over the narrowest link.
 const SEND_LIMIT: Duration = Duration::from_secs(4);
 /// Longest time after which a peer repeats the version that it has, as a sign of life.
 const LONGEST_REPEAT: Duration = Duration::from_millis(500);
--- a/crates/dillspool_watch/src/relay_frame.rs
+++ b/crates/dillspool_watch/src/relay_frame.rs
@@ -1,7 +1,6 @@
 //! Messages of a relay as bytes: as they are, or packed.
 //!
-//! Rows of one table are much alike: a whole directory of 3,000 backend servers has 793 KB, packed 104 KB
-//! (2.1 ms to pack and 1.8 ms to unpack on a whole core, rows as on the platform's wire).
+//! Rows of one table are much alike, and a host with a narrow link would send whole tables for seconds.
 
 use std::io::{Read, Write};
 
@@ -11,7 +10,7 @@
 use flate2::write::DeflateEncoder;
 use snafu::Snafu;
 
-/// Largest message in bytes, also once it is unpacked; a configuration at the two-year size is about 1.4 MB.
+/// Largest message in bytes, also once it is unpacked; several times a whole configuration.
 pub(crate) const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
 /// Path that a host asks for if it takes packed messages; hosts of earlier versions ask for another.
 pub(crate) const PACKED_PATH: &str = "/packed";
