A closed backend server is told once a second; placing has one step a function

Cause: a line for each time that a host leaves a limited server alone: up to 200 a second for one server that takes many requests, as a holder's pauses are a few milliseconds long. Now once a second for each server with the number since; `dillspool limits` adds them up. place() did four things in one loop; what becomes of a decision is a function of its own.

--- a/crates/dillspool_explain/src/backend_limits.rs
+++ b/crates/dillspool_explain/src/backend_limits.rs
@@ -69,7 +69,7 @@
 
     fn note_closed(&mut self, line: &LogLine) {
         let count = if line.field("by") == "holder" { &mut self.closed } else { &mut self.unknown };
-        *count += 1;
+        *count += line.field("times").parse().unwrap_or(1);
     }
 }
 
--- a/crates/dillspool_explain/tests/limits.rs
+++ b/crates/dillspool_explain/tests/limits.rs
@@ -28,8 +28,8 @@
 const BACKEND_LOG: &str = r#"time_ms=1000 host=h1 event=backend_limit backend="i-1 7" per_s=5.7 before=none from=answer age_ms=60 sent_1s=3
 time_ms=1003 host=h2 event=backend_limit backend="i-1 7" per_s=5.7 before=none from=told age_ms=3 sent_1s=2
 time_ms=1004 host=h3 event=backend_limit backend="i-1 7" per_s=5.7 before=none from=told age_ms=4 sent_1s=0
-time_ms=1010 host=h2 event=backend_closed id=a backend="i-1 7" per_s=5.70 amount=1 by=nobody for_ms=200
-time_ms=1310 host=h2 event=backend_closed id=b backend="i-1 7" per_s=5.70 amount=1 by=holder for_ms=175
+time_ms=1010 host=h2 event=backend_closed id=a backend="i-1 7" per_s=5.70 amount=1 by=nobody for_ms=200 times=1
+time_ms=1310 host=h2 event=backend_closed id=b backend="i-1 7" per_s=5.70 amount=1 by=holder for_ms=175 times=4
 time_ms=2000 host=h2 event=backend_limit backend="i-1 7" per_s=9 before=5.7 from=answer age_ms=60 sent_1s=1
 time_ms=2500 host=h1 event=backend_limit backend="i-1 7" per_s=5.7 before=9 from=told age_ms=700 sent_1s=1
 time_ms=1500 host=h1 event=backend_limit backend=i-2 per_s=4.3 before=none from=answer age_ms=60 sent_1s=3
@@ -39,7 +39,7 @@
 
 const BACKEND_TABLE: &str =
     "limit a second  now   heard   told  closed  unknown  said at ms     backend server
-             9  on        2      3       1        1           2000  i-1 7
+             9  on        2      3       4        1           2000  i-1 7
            4.3  over      2      0       0        0           4000  i-2
 ";
 
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -145,6 +145,18 @@
     }
 }
 
+/// What became of a decision for an engine.
+enum PlaceTry {
+    /// It has reserved memory.
+    Taken(Arc<BackendEntry>, Name),
+    /// It has none, or does not answer.
+    Refused,
+    /// What it takes is spent, so it was not asked.
+    Closed,
+    /// It takes no new requests as far as this host knows.
+    Gone,
+}
+
 /// Finds engines for a request: asks where it runs and reserves memory there, once more where an
 /// engine has none after all.
 pub(crate) async fn place(
@@ -168,26 +180,22 @@
             }
         };
         let mut refusals = question.refusals + 1;
-        match context.ready_entry(request, &placement.decode) {
-            Some(entry) => match permit_send(context, request, &entry, RESERVED_SEND).await {
-                Ok(permit) => match reserve(context, request, &ticket, &entry, &placement).await {
-                    Ok(hold) => return Ok(taken(context, entry, placement, hold, ticket)),
-                    Err(CallError::NotSent { .. }) => permit.give_back(),
-                    Err(CallError::Refused { .. } | CallError::Lost { .. }) => {}
-                },
-                Err(_closed) => {
-                    // It was not asked, so it has refused nothing.
-                    refusals = question.refusals;
-                    question.excluded.push(Name::clone(&placement.decode));
-                    closed += 1;
-                    if closed >= MOST_CLOSED
-                        && let Some(refusal) = refuse_closed(context, request)
-                    {
-                        return Err(refusal);
-                    }
-                }
-            },
-            None => question.excluded.push(Name::clone(&placement.decode)),
+        match try_place(context, request, &ticket, &placement).await {
+            PlaceTry::Taken(entry, hold) => {
+                return Ok(taken(context, entry, placement, hold, ticket));
+            }
+            PlaceTry::Refused => {}
+            PlaceTry::Closed => {
+                refusals = question.refusals;
+                question.excluded.push(Name::clone(&placement.decode));
+                closed += 1;
+            }
+            PlaceTry::Gone => question.excluded.push(Name::clone(&placement.decode)),
+        }
+        if closed >= MOST_CLOSED
+            && let Some(refusal) = refuse_closed(context, request)
+        {
+            return Err(refusal);
         }
         let fresh =
             placement_request(context, request, class, question.patience, &question.excluded);
@@ -198,6 +206,29 @@
     }
 }
 
+/// Asks the engine that was decided on.
+async fn try_place(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    ticket: &PlacementTicket,
+    placement: &StreamPlacement,
+) -> PlaceTry {
+    let Some(entry) = context.ready_entry(request, &placement.decode) else {
+        return PlaceTry::Gone;
+    };
+    let Some(permit) = permit_send(context, request, &entry, RESERVED_SEND).await else {
+        return PlaceTry::Closed;
+    };
+    match reserve(context, request, ticket, &entry, placement).await {
+        Ok(hold) => PlaceTry::Taken(entry, hold),
+        Err(CallError::NotSent { .. }) => {
+            permit.give_back();
+            PlaceTry::Refused
+        }
+        Err(CallError::Refused { .. } | CallError::Lost { .. }) => PlaceTry::Refused,
+    }
+}
+
 fn taken(
     context: &ForwardContext,
     entry: Arc<BackendEntry>,
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -85,7 +85,7 @@
             next = ask_for_another(context, request, placement, rank, &tried).await;
             continue;
         };
-        let Ok(send) = permit_send(context, request, &entry, ONE_SEND).await else {
+        let Some(send) = permit_send(context, request, &entry, ONE_SEND).await else {
             if tried.len() >= MOST_CLOSED {
                 return None;
             }
--- a/crates/dillspool_forward/src/throttle.rs
+++ b/crates/dillspool_forward/src/throttle.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use dillspool_limits::{SpendDecision, SpendRequest};
-use dillspool_moment::Moment;
 use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
 use dillspool_scheduler::SpentAmount;
 use dillspool_throttle::SendVerdict;
@@ -51,40 +50,33 @@
     }
 }
 
-/// What a backend server takes is spent until then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct BackendClosed {
-    pub(crate) until: Moment,
-}
-
-/// Asks for leave to send what counts for `amount` requests.
+/// Asks for leave to send what counts for `amount` requests; `None` where what the backend server takes is spent.
 pub(crate) async fn permit_send(
     context: &ForwardContext,
     request: &RoutedRequest,
     entry: &BackendEntry,
     amount: f64,
-) -> Result<SendPermit, BackendClosed> {
+) -> Option<SendPermit> {
     let backend = entry.started();
     let spend = match context.throttle.verdict(&backend, amount) {
-        SendVerdict::Free => return Ok(SendPermit { spent: None }),
-        SendVerdict::Closed { until } => return Err(BackendClosed { until }),
+        SendVerdict::Free => return Some(SendPermit { spent: None }),
+        SendVerdict::Closed { until: _ } => return None,
         SendVerdict::Ask(spend) => SpendRequest { rank: rank_of(request), ..spend },
     };
-    // Another backend server may have room, so nobody is waited for.
-    // On the heap, since few requests come here.
+    // Another backend server may have room, so nobody is waited for. On the heap, since few requests come here.
     let decision = Box::pin(context.backend_limits.spend(&spend, Duration::ZERO)).await;
     let pause = match decision {
         Some(SpendDecision::Allowed) => {
-            return Ok(SendPermit { spent: Some(context.backend_limits.spent(&spend)) });
+            return Some(SendPermit { spent: Some(context.backend_limits.spent(&spend)) });
         }
         Some(SpendDecision::Refused { come_back }) => come_back.max(LEAST_PAUSE),
         None => UNKNOWN_PAUSE,
     };
-    let until = context.throttle.now() + pause;
-    context.throttle.close(&backend, until);
     context.metrics.note_throttled();
-    log_closed(request, &spend, decision, pause);
-    Err(BackendClosed { until })
+    if let Some(times) = context.throttle.close(&backend, pause) {
+        log_closed(request, &spend, decision, pause, times);
+    }
+    None
 }
 
 /// How urgent a request is: the rank of its workspace, then that of its route.
@@ -104,7 +96,7 @@
     loop {
         for _ask in 0..MOST_CLOSED {
             let Some(entry) = choose() else { break };
-            if let Ok(permit) = permit_send(context, request, &entry, ONE_SEND).await {
+            if let Some(permit) = permit_send(context, request, &entry, ONE_SEND).await {
                 return Some((entry, permit));
             }
         }
@@ -170,10 +162,11 @@
     spend: &SpendRequest,
     decision: Option<SpendDecision>,
     pause: Duration,
+    times: u32,
 ) {
     let by = if decision.is_some() { "holder" } else { "nobody" };
     log::info!(
-        "event=backend_closed id={} backend=\"{}\" per_s={:.2} amount={} by={by} for_ms={}",
+        "event=backend_closed id={} backend=\"{}\" per_s={:.2} amount={} by={by} for_ms={} times={times}",
         request.id,
         spend.subject,
         spend.rate.per_s,
--- a/crates/dillspool_throttle/src/book.rs
+++ b/crates/dillspool_throttle/src/book.rs
@@ -21,6 +21,8 @@
 /// Least rate that is kept to, in requests a second: only an answer tells that a backend server which takes
 /// nothing takes requests again.
 const LEAST_RATE: f64 = 0.1;
+/// Time between two tellings that a backend server is closed.
+const TOLD_EVERY: Duration = Duration::from_secs(1);
 /// Part by which a rate may differ from the one that was told last without being told.
 const TOLD_PART: f64 = 0.1;
 /// Time for which the limit of a backend server that is gone is kept: its entry may lapse while the store is
@@ -45,13 +47,26 @@
     closed_until: Option<Moment>,
     /// Whether a request waits for that moment.
     is_awaited: bool,
+    /// When it was told last that it is closed, and how often it was since.
+    told_closed: Option<Moment>,
+    closings: u32,
     /// This host's sends in the second before it knew of the limit, until they are told.
     before: u32,
 }
 
 impl NamedLimit {
     fn new(rate: RequestRate, heard: Moment, before: u32) -> Self {
-        Self { rate, told: rate, heard, over: None, closed_until: None, is_awaited: false, before }
+        Self {
+            rate,
+            told: rate,
+            heard,
+            over: None,
+            closed_until: None,
+            is_awaited: false,
+            told_closed: None,
+            closings: 0,
+            before,
+        }
     }
 
     /// When it was last said to hold, or to be over.
@@ -244,12 +259,17 @@
         Some(spend_request(backend, limit, 0.0, amount, now))
     }
 
-    /// Asks for no more sends until then.
-    pub fn close(&mut self, backend: &StartedBackend, until: Moment) {
-        if let Some(limit) = self.limits.get_mut(backend) {
-            limit.closed_until = limit.closed_until.max(Some(until));
-            limit.is_awaited = false;
+    /// Asks for no more sends until then; how often that was so since it was told last, if it is to be told.
+    pub fn close(&mut self, backend: &StartedBackend, until: Moment, now: Moment) -> Option<u32> {
+        let limit = self.limits.get_mut(backend)?;
+        limit.closed_until = limit.closed_until.max(Some(until));
+        limit.is_awaited = false;
+        limit.closings += 1;
+        if limit.told_closed.is_some_and(|told| now.since(told) < TOLD_EVERY) {
+            return None;
         }
+        limit.told_closed = Some(now);
+        Some(std::mem::take(&mut limit.closings))
     }
 
     /// Has one request wait for a closed backend server; until when, or `None` where it is open, opens later
--- a/crates/dillspool_throttle/src/desk.rs
+++ b/crates/dillspool_throttle/src/desk.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use dillspool_io::HostClock;
 use dillspool_limits::SpendRequest;
@@ -90,9 +91,11 @@
         self.state().book.charge(backend, amount, now)
     }
 
-    /// Asks for no more sends to a backend server until then.
-    pub fn close(&self, backend: &StartedBackend, until: Moment) {
-        self.state().book.close(backend, until);
+    /// Asks for no more sends to a backend server for a while; how often that was so since it was told last, if
+    /// it is to be told.
+    pub fn close(&self, backend: &StartedBackend, pause: Duration) -> Option<u32> {
+        let now = self.now();
+        self.state().book.close(backend, now + pause, now)
     }
 
     /// Until when a backend server is closed, if it is now.
--- a/crates/dillspool_throttle/tests/book.rs
+++ b/crates/dillspool_throttle/tests/book.rs
@@ -195,15 +195,15 @@
 #[test]
 fn a_closed_backend_server_is_not_asked_for_until_then() {
     let mut book = ThrottleBook::default();
-    book.close(&backend(1), at(500));
+    book.close(&backend(1), at(500), at(20));
     assert_eq!(book.verdict(&backend(1), 1.0, at(100)), SendVerdict::Free, "it names no limit");
     book.hear(&backend(1), at(0), limited(5.0), at(10));
-    book.close(&backend(1), at(500));
-    book.close(&backend(1), at(300));
+    book.close(&backend(1), at(500), at(20));
+    book.close(&backend(1), at(300), at(20));
     assert_eq!(book.verdict(&backend(1), 1.0, at(499)), SendVerdict::Closed { until: at(500) });
     assert_eq!(kept(&mut book, &backend(1), at(500)), Some(5.0));
     // A changed limit is asked for at once.
-    book.close(&backend(1), at(900));
+    book.close(&backend(1), at(900), at(550));
     book.hear(&backend(1), at(550), limited(50.0), at(600));
     assert_eq!(kept(&mut book, &backend(1), at(601)), Some(50.0));
 }
@@ -231,3 +231,13 @@
     book.forget_gone(&DirectoryView::default(), at(61_000));
     assert_eq!(book.limited(), 0);
 }
+
+#[test]
+fn closings_are_told_once_a_second_with_their_number() {
+    let mut book = ThrottleBook::default();
+    assert_eq!(book.close(&backend(1), at(20), at(10)), None, "it names no limit");
+    book.hear(&backend(1), at(0), limited(5.0), at(10));
+    let closings = (0..250).map(|step| book.close(&backend(1), at(10 + step * 10), at(step * 10)));
+    let told: Vec<_> = closings.flatten().collect();
+    assert_eq!(told, [1, 100, 100]);
+}
