A burst of one kind: what binds, and ways that bring nothing

Cause looked for: late refusals and refusals while engines have slots, in the seconds of a burst of one kind. What binds is decode memory, 0.81 to 0.88 of it used on the mean and 0.97 on the fullest engine; slots and prefill engines do not.

--- a/crates/dillspool_admission/tests/overload.rs
+++ b/crates/dillspool_admission/tests/overload.rs
@@ -79,6 +79,21 @@
             },
             without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
         },
+        LoadCase {
+            name: "a burst of one kind upon a small pool",
+            pool: PoolModel { decode: 6, prefill: 3, memory: 89_659, ..PoolModel::default() },
+            load: load(include_str!("loads/one_kind_burst.csv")),
+            counts: Counts {
+                in_time: 440,
+                preempted: 15,
+                paused: 40,
+                refused_twice: 40,
+                longest_held: 3_400,
+                left: 0,
+                failed: 0,
+            },
+            without: AdmissionPolicy { memory_deviations: 0.0, ..usual() },
+        },
         LoadCase {
             name: "a third of the decode engines is lost in it",
             pool: PoolModel { lost: Some((17, 14_000)), ..PoolModel::default() },
