Asking whoever counts a limit ends with the caller's time

A holder that is silent is waited for 80 ms, for up to four servers one after another; a route whose time limit is shorter would have kept its caller beyond it. The question ends at the request's deadline now.

--- a/crates/dillspool_forward/src/throttle.rs
+++ b/crates/dillspool_forward/src/throttle.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use dillspool_limits::{SpendDecision, SpendRequest};
-use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use dillspool_routing::{BackendEntry, BackendId, RoutedRequest, StartedBackend};
 use dillspool_scheduler::SpentAmount;
 use dillspool_throttle::SendVerdict;
 use rand::Rng;
@@ -58,13 +58,26 @@
     amount: f64,
 ) -> Option<SendPermit> {
     let backend = entry.started();
-    let spend = match context.throttle.verdict(&backend, amount) {
-        SendVerdict::Free => return Some(SendPermit { spent: None }),
-        SendVerdict::Closed { until: _ } => return None,
-        SendVerdict::Ask(spend) => SpendRequest { rank: rank_of(request), ..spend },
-    };
-    // Another backend server may have room, so nobody is waited for. On the heap, since few requests come here.
-    let decision = Box::pin(context.backend_limits.spend(&spend, Duration::ZERO)).await;
+    match context.throttle.verdict(&backend, amount) {
+        SendVerdict::Free => Some(SendPermit { spent: None }),
+        SendVerdict::Closed { until: _ } => None,
+        // On the heap, since few requests come here.
+        SendVerdict::Ask(spend) => Box::pin(ask_holder(context, request, &backend, spend)).await,
+    }
+}
+
+/// Asks whoever counts a backend server's limit.
+async fn ask_holder(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    backend: &StartedBackend,
+    spend: SpendRequest,
+) -> Option<SendPermit> {
+    let spend = SpendRequest { rank: rank_of(request), ..spend };
+    // Another backend server may have room, so no holder is waited for, and a silent one does not keep the
+    // caller beyond its time.
+    let asking = context.backend_limits.spend(&spend, Duration::ZERO);
+    let decision = request.clock.timeout_at(request.deadline, asking).await.ok().flatten();
     let pause = match decision {
         Some(SpendDecision::Allowed) => {
             return Some(SendPermit { spent: Some(context.backend_limits.spent(&spend)) });
@@ -73,7 +86,7 @@
         None => UNKNOWN_PAUSE,
     };
     context.metrics.note_throttled();
-    if let Some(times) = context.throttle.close(&backend, pause) {
+    if let Some(times) = context.throttle.close(backend, pause) {
         log_closed(request, &spend, decision, pause, times);
     }
     None
