A question that nobody waits for any more is forgotten, and what it is granted goes back

Cause: a question to a scheduler or to the holder of a limit left its entry in the link's table where whoever asked was dropped meanwhile: its caller hung up, or its time was over.

Ruled out: answers remove their entries by themselves (a decision may be told twice, so only the asker knows).

Change: an open question removes its entry when it is dropped; an amount that is granted later, or that waits unread, goes back. dillspool_limit_questions shows how many wait.

Test: limit_links.rs, what_is_granted_to_a_caller_that_has_left_goes_back: five entries were left before, none now, and the whole allowance is granted to others.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -149,7 +149,11 @@
             suspects: suspects.clone(),
             clock: clock.clone(),
         };
-        daemon.start_status(&beliefs, &site, &metrics, readiness_listener, metrics_listener);
+        let throttled = ThrottleMetrics::new(
+            site.throttle.clone(),
+            [context.limits.clone(), backend_limits.clone()],
+        );
+        daemon.start_status(&beliefs, throttled, &metrics, readiness_listener, metrics_listener);
         daemon.start_suspects(&beliefs, &site, schedule.clone());
         let keeper = ThrottleKeeper {
             throttle: site.throttle.clone(),
@@ -172,7 +176,7 @@
     fn start_status(
         &self,
         beliefs: &Beliefs,
-        site: &SiteProtocol,
+        throttled: ThrottleMetrics,
         metrics: &ForwardMetrics,
         readiness: NetListener,
         figures: NetListener,
@@ -199,7 +203,6 @@
         beliefs.unreadable.register(&mut registry);
         let suspected = SuspectMetrics::new(self.suspects.clone());
         suspected.register(&mut registry);
-        let throttled = ThrottleMetrics::new(site.throttle.clone());
         throttled.register(&mut registry);
         let refresh = move || {
             believed.refresh();
--- a/crates/dillspool_scheduler/src/limit_client.rs
+++ b/crates/dillspool_scheduler/src/limit_client.rs
@@ -236,6 +236,11 @@
         SpentAmount { client: self.clone(), subject, amount }
     }
 
+    /// Questions to holders that wait for an answer.
+    pub fn open_questions(&self) -> usize {
+        self.shares.iter().map(|state| state.link.open_questions()).sum()
+    }
+
     fn give_back(&self, subject: &Name, amount: f64) {
         let state = self.state_of(subject);
         if state.link.is_linked() {
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -69,6 +69,44 @@
     Spent(SpendDecision),
 }
 
+/// A question that waits for its answers; it is forgotten once nobody waits any more.
+struct OpenQuestion<'a> {
+    link: &'a SchedulerLink,
+    ticket: u64,
+    answers: mpsc::Receiver<ScheduleReply>,
+    /// What goes back if it is granted once nobody waits any more.
+    unwanted: Option<ScheduleGiveBack>,
+}
+
+impl OpenQuestion<'_> {
+    /// The next answer; `None` where none comes within `limit`.
+    async fn answer(&mut self, limit: Duration) -> Option<ScheduleReply> {
+        tokio::time::timeout(limit, self.answers.recv()).await.ok().flatten()
+    }
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        let unwanted = self.unwanted.take();
+        let answered = self.link.with(|state| {
+            let is_linked = state.pending.remove(&self.ticket).is_some();
+            let answered = self.answers.try_recv().ok();
+            if answered.is_none()
+                && is_linked
+                && let Some(unwanted) = &unwanted
+            {
+                state.unwanted.insert(self.ticket, unwanted.clone());
+            }
+            answered
+        });
+        if let (Some(ScheduleReply::Spent(SpendDecision::Allowed)), Some(unwanted)) =
+            (answered, unwanted)
+        {
+            self.link.send_back(unwanted);
+        }
+    }
+}
+
 type WordFn = dyn Fn(usize) + Send + Sync;
 
 /// A request of this host that has its engines.
@@ -99,6 +137,8 @@
     /// Takes messages while a scheduler is linked.
     sender: Option<mpsc::Sender<ScheduleMessage>>,
     pending: HashMap<u64, mpsc::Sender<ScheduleReply>>,
+    /// What goes back if it is granted: whoever asked has left meanwhile.
+    unwanted: HashMap<u64, ScheduleGiveBack>,
     held: HashMap<u64, HeldRecord>,
 }
 
@@ -143,18 +183,13 @@
         ticket: u64,
         request: &PlacementRequest,
     ) -> Option<PlacementDecision> {
-        let mut answers = self.send_question(ticket, request, false)?;
-        let first = tokio::time::timeout(ANSWER_LIMIT, answers.recv()).await;
-        let first = self.answer_of(ticket, first.ok().flatten());
+        let mut question = self.send_question(ticket, request, false)?;
+        let first = self.answer_of(ticket, question.answer(ANSWER_LIMIT).await);
         if !matches!(first, Some(PlacementDecision::Wait)) {
-            self.forget_question(ticket);
             return first;
         }
         let limit = request.patience + WAIT_SLACK;
-        let later = tokio::time::timeout(limit, answers.recv()).await;
-        let later = self.answer_of(ticket, later.ok().flatten());
-        self.forget_question(ticket);
-        later
+        self.answer_of(ticket, question.answer(limit).await)
     }
 
     /// Asks for another prefill engine; `None` when there is no scheduler or no answer.
@@ -163,29 +198,30 @@
         ticket: u64,
         request: &PlacementRequest,
     ) -> Option<Option<Name>> {
-        let mut answers = self.send_question(ticket, request, true)?;
-        let answer = tokio::time::timeout(ANSWER_LIMIT, answers.recv()).await;
-        self.forget_question(ticket);
-        match answer {
-            Ok(Some(ScheduleReply::Reader(prefill))) => Some(prefill),
-            Ok(Some(ScheduleReply::Decided(_) | ScheduleReply::Spent(_)) | None) | Err(_) => None,
+        let mut question = self.send_question(ticket, request, true)?;
+        match question.answer(ANSWER_LIMIT).await {
+            Some(ScheduleReply::Reader(prefill)) => Some(prefill),
+            Some(ScheduleReply::Decided(_) | ScheduleReply::Spent(_)) | None => None,
         }
     }
 
-    /// Asks the holder of a limit now; `None` when there is none, or no answer.
+    /// Asks the holder of a limit now; `None` when there is none, or no answer. What is granted to a caller that
+    /// has left meanwhile goes back.
     pub(crate) async fn spend(
         &self,
         ticket: u64,
         request: &SpendRequest,
         now: Moment,
     ) -> Option<SpendDecision> {
-        let mut answers = self.send(ticket, wire::spend_to_wire(ticket, request, now))?;
-        let answer = tokio::time::timeout(ANSWER_LIMIT, answers.recv()).await;
-        self.forget_question(ticket);
+        let mut question = self.send(ticket, wire::spend_to_wire(ticket, request, now))?;
+        let (subject, amount) = (Name::clone(&request.subject), request.amount);
+        question.unwanted = Some(ScheduleGiveBack { subject, amount });
+        let answer = question.answer(ANSWER_LIMIT).await;
+        question.unwanted = None;
         match answer {
-            Ok(Some(ScheduleReply::Spent(decision))) => Some(decision),
-            Ok(Some(ScheduleReply::Decided(_) | ScheduleReply::Reader(_))) => None,
-            Ok(None) | Err(_) => {
+            Some(ScheduleReply::Spent(decision)) => Some(decision),
+            Some(ScheduleReply::Decided(_) | ScheduleReply::Reader(_)) => None,
+            None => {
                 self.give_up(ticket);
                 None
             }
@@ -194,7 +230,10 @@
 
     /// Tells the holder that a request did not use what it was granted.
     pub(crate) fn give_back(&self, subject: &Name, amount: f64) {
-        let message = ScheduleGiveBack { subject: Name::clone(subject), amount };
+        self.send_back(ScheduleGiveBack { subject: Name::clone(subject), amount });
+    }
+
+    fn send_back(&self, message: ScheduleGiveBack) {
         self.with(|state| {
             if let Some(sender) = &state.sender {
                 // What is not given back is refused to somebody, and runs out by time.
@@ -203,27 +242,28 @@
         });
     }
 
+    /// Questions that wait for an answer, and amounts that wait for one to go back.
+    pub(crate) fn open_questions(&self) -> usize {
+        self.with(|state| state.pending.len() + state.unwanted.len())
+    }
+
     fn send_question(
         &self,
         ticket: u64,
         request: &PlacementRequest,
         reader_only: bool,
-    ) -> Option<mpsc::Receiver<ScheduleReply>> {
+    ) -> Option<OpenQuestion<'_>> {
         let request = wire::request_to_wire(request);
         self.send(ticket, ScheduleMessage::Ask(ScheduleAsk { ticket, request, reader_only }))
     }
 
-    fn send(
-        &self,
-        ticket: u64,
-        question: ScheduleMessage,
-    ) -> Option<mpsc::Receiver<ScheduleReply>> {
-        let (sender, receiver) = mpsc::channel(ANSWERS);
+    fn send(&self, ticket: u64, question: ScheduleMessage) -> Option<OpenQuestion<'_>> {
+        let (sender, answers) = mpsc::channel(ANSWERS);
         self.with(|state| {
             let link = state.sender.as_ref()?;
             link.try_send(question).ok()?;
             state.pending.insert(ticket, sender);
-            Some(receiver)
+            Some(OpenQuestion { link: self, ticket, answers, unwanted: None })
         })
     }
 
@@ -245,10 +285,6 @@
         self.with(|state| state.sender = None);
     }
 
-    fn forget_question(&self, ticket: u64) {
-        self.with(|state| state.pending.remove(&ticket));
-    }
-
     /// Keeps a request that has its engines, and tells the scheduler if it does not know of it.
     pub(crate) fn hold(
         &self,
--- a/crates/dillspool_scheduler/src/link/serving.rs
+++ b/crates/dillspool_scheduler/src/link/serving.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dillspool_io::{NetStack, NetStream};
+use dillspool_limits::SpendDecision;
 use dillspool_schema::schedule::{ScheduleBeat, ScheduleMessage};
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
@@ -98,13 +99,23 @@
     }
 
     fn reply(&self, ticket: u64, reply: ScheduleReply) {
-        let pending = self.with(|state| state.pending.get(&ticket).cloned());
-        match pending {
+        let unwanted = self.with(|state| match state.pending.get(&ticket) {
             Some(sender) => {
                 let _taken = sender.try_send(reply);
+                None
+            }
+            None => Some((reply, state.unwanted.remove(&ticket))),
+        });
+        match unwanted {
+            None => {}
+            Some((ScheduleReply::Spent(SpendDecision::Allowed), Some(amount))) => {
+                self.send_back(amount);
             }
             // This host has decided meanwhile; its own note tells the scheduler.
-            None => log::debug!("event=schedule_answer_late ticket={ticket}"),
+            Some((
+                ScheduleReply::Spent(_) | ScheduleReply::Decided(_) | ScheduleReply::Reader(_),
+                _unwanted,
+            )) => log::debug!("event=schedule_answer_late ticket={ticket}"),
         }
     }
 }
@@ -118,6 +129,7 @@
         self.0.with(|state| {
             state.sender = None;
             state.pending.clear();
+            state.unwanted.clear();
         });
     }
 }
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -191,6 +191,26 @@
     });
 }
 
+#[test]
+fn what_is_granted_to_a_caller_that_has_left_goes_back() {
+    run_paused(async {
+        let hosts = three_hosts(&MemoryNet::new()).await;
+        let half = SpendRequest { amount: 0.5, ..request() };
+        assert_eq!(hosts[2].client.spend(&half, PATIENCE).await, Some(SpendDecision::Allowed));
+        // From now on next to nothing comes back by time.
+        let rate = LimitRate { per_s: 0.001, burst: 30.0 };
+        let lowered = SpendRequest { rate, version: RateVersion::Config(2), ..request() };
+        for _left in 0..5 {
+            let asking = hosts[2].client.spend(&lowered, PATIENCE);
+            assert!(tokio::time::timeout(Duration::ZERO, asking).await.is_err(), "an answer");
+        }
+        pass(5).await;
+        assert_eq!(hosts[2].client.open_questions(), 0, "questions that nobody waits for");
+        // What was left, half of the last one on credit.
+        assert_eq!(hosts[1].granted(40).await, 30);
+    });
+}
+
 struct LossCase {
     name: &'static str,
     /// What becomes of the holder's links; `None` if its process ends.
