A silent holder is waited for no longer than the caller's time; a count that chance decided is counted ten times

The test of the mend, which had none: four backend servers that name a limit, a holder that hears nothing, and routes with time limits of 20, 60 and 3,000 ms.

Two servers that cost the same are chosen by chance, so 40 requests give 20 +- 3.

--- a/crates/dillspool_forward/tests/throttle.rs
+++ b/crates/dillspool_forward/tests/throttle.rs
@@ -2,14 +2,23 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use common::{ONE, ScriptedSite, Step, entry, pool, request, view};
+use dillspool_admission::AdmissionPolicy;
+use dillspool_capacity::DemandMeter;
 use dillspool_forward::{ForwardContext, answer_request};
+use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{BackendEntry, DirectoryView, EngineStage, RequestKind, StartedBackend};
+use dillspool_scheduler::{
+    BusHandlers, FleetBus, LimitClient, LimitDesk, PoolDesk, ScheduleDesks, SchedulePeers,
+    serve_schedule,
+};
 use dillspool_throttle::{RateNotice, RequestRate};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// A rate that leaves room for one request in ten seconds, and for two at once.
 const NEXT_TO_NOTHING: f64 = 0.1;
@@ -177,6 +186,57 @@
     assert!(served > 0, "nobody was refused, the test shows nothing");
 }
 
+fn peer(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7661))
+}
+
+/// Links host 1 to host 2, which counts what backend servers say they take.
+async fn link_to_holder(net: &MemoryNet, limits: &LimitClient, cancel: &CancellationToken) {
+    let clock = HostClock::steady();
+    let desks = ScheduleDesks {
+        pools: PoolDesk::new(
+            AdmissionPolicy::default(),
+            1,
+            DemandMeter::default(),
+            HostClock::steady(),
+        ),
+        limits: LimitDesk::of_backend_servers(2, HostClock::steady()),
+        backend_limits: LimitDesk::of_backend_servers(2, HostClock::steady()),
+        bus: FleetBus::new(BusHandlers::none(), clock),
+    };
+    let listener = net.stack(peer(2).ip()).listen(peer(2)).await.expect("a free address");
+    tokio::spawn(serve_schedule(listener, desks, cancel.clone()));
+    let peers = |_share: &str| SchedulePeers { own: Some(peer(1)), ranked: vec![peer(2), peer(1)] };
+    let (limits, stack) = (limits.clone(), net.stack(peer(1).ip()));
+    tokio::spawn(limits.run_wanted(stack, "host-1".into(), peers, || Some(2), cancel.clone()));
+}
+
+/// A holder that is silent is waited for; not beyond the caller's time.
+#[tokio::test(start_paused = true)]
+async fn a_silent_holder_keeps_no_caller_beyond_its_time() {
+    let names = ["first", "second", "third", "fourth"];
+    for limit_ms in [20, 60, 3_000] {
+        let site = ScriptedSite::default();
+        let (context, _directory) = site.context(view(names.map(|id| entry(id, "near", None))));
+        let (net, cancel) = (MemoryNet::new(), CancellationToken::new());
+        link_to_holder(&net, &context.backend_limits, &cancel).await;
+        name_limits(&context, &names, 1.0);
+        for id in names {
+            context.backend_limits.want(id);
+        }
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        net.set_link(peer(1).ip(), peer(2).ip(), LinkMode::Frozen);
+        let mut routed = request(RequestKind::NonIdempotent, 1, false);
+        routed.deadline = routed.arrived + Duration::from_millis(limit_ms);
+        let asked = Instant::now();
+        let answer = answer_request(context, routed).await;
+        let waited = asked.elapsed();
+        let most = Duration::from_millis(limit_ms.min(400) + 1);
+        assert!(waited <= most, "{limit_ms} ms: {} after {waited:?}", answer.status());
+        cancel.cancel();
+    }
+}
+
 /// A limit that leaves room for few requests is not spent by what was never sent.
 #[tokio::test(start_paused = true)]
 async fn what_was_not_sent_is_given_back() {
@@ -209,7 +269,7 @@
         if is_limited {
             name_limits(&context, &["first"], 1_000.0);
         }
-        for _request in 0..40 {
+        for _request in 0..400 {
             let routed = request(RequestKind::NonIdempotent, 2, false);
             let answer = answer_request(context.clone(), routed).await;
             assert_eq!(answer.status().as_u16(), 200);
@@ -218,8 +278,9 @@
         let arrivals = Arc::clone(&site.record);
         let arrivals = arrivals.lock().unwrap();
         let first = arrivals.arrivals.iter().filter(|arrival| arrival.backend == "first").count();
-        // Left alone after some failures, asked as often as the other otherwise.
-        assert_eq!(first >= 15, is_limited, "{is_limited}: asked {first} times");
+        // Left alone after some failures, asked about as often as the other otherwise.
+        let asked = if is_limited { 150..=250 } else { 0..=40 };
+        assert!(asked.contains(&first), "{is_limited}: asked {first} times");
     }
 }
 
