A host hears news on one of its links, whatever the number of pools

Cause: a host links to each pool's scheduler, and one host may schedule many pools. News went out on each link, and a scheduler that had news of its own sent them out once for each pool that it schedules: with 21 pools at one host 21 messages to each of 390 hosts a word, 441 where the word was its own. docs/CAPACITY.md said one. Found while reading the diff; suspects' news were spread alike before.

Ruled out: telling only the scheduler of the backend server's own pool (plain services have none); the first link of a host (one that started anew would hear nothing until its old link has ended).

Change: the newest link of a host takes its news, the next one once that has ended; a host's word goes back on none of its links; own news are spread once.

Test: fleet_news.rs, a_host_hears_news_on_one_of_its_links: two messages before, one now, also after the link that told it has ended. Not measured at the two-year size.

--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -18,9 +18,6 @@
 use crate::keeper::{LinkKeeper, PeersFn, SchedulePeers};
 use crate::link::{LinkDuty, SchedulerLink};
 
-/// Number that no link of a served host has.
-const OWN_LINK: u64 = 0;
-
 /// Asks where requests run, and tells what became of them.
 #[derive(Clone)]
 pub struct ScheduleClient {
@@ -104,12 +101,13 @@
     /// Tells the schedulers, or where this host schedules the hosts that it serves, some news.
     pub fn tell(&self, news: &FleetNews) {
         let links = self.with_links(|links| links.clone());
-        for link in links.into_values() {
-            if link.schedules() {
-                self.bus.spread(OWN_LINK, news);
-            } else {
-                link.tell(self.bus.encode(news));
-            }
+        let (own, others): (Vec<_>, Vec<_>) =
+            links.into_values().partition(SchedulerLink::schedules);
+        if !own.is_empty() {
+            self.bus.spread(None, news);
+        }
+        for link in others {
+            link.tell(self.bus.encode(news));
         }
     }
 
--- a/crates/dillspool_scheduler/src/fleet_bus.rs
+++ b/crates/dillspool_scheduler/src/fleet_bus.rs
@@ -5,8 +5,9 @@
 //! three ends by itself. See `docs/design/suspects.md`. What backend servers take changes within seconds and is
 //! told here alone; see `docs/design/limits.md`.
 
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use dillspool_io::HostClock;
@@ -102,10 +103,15 @@
 pub struct FleetBus {
     handlers: Arc<BusHandlers>,
     clock: HostClock,
-    /// News for the hosts that are served here, with the link that they came from.
-    served: broadcast::Sender<(u64, FleetNews)>,
+    /// News for the hosts that are served here, with the one that they came from.
+    served: broadcast::Sender<SourcedNews>,
+    /// Links by the hosts that are served here.
+    links: Arc<Mutex<HashMap<Name, BTreeSet<u64>>>>,
 }
 
+/// News, and the host that told them, if it was another one.
+type SourcedNews = (Option<Name>, FleetNews);
+
 impl fmt::Debug for FleetBus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("FleetBus")
@@ -116,12 +122,20 @@
     /// A bus over what a host knows.
     pub fn new(handlers: BusHandlers, clock: HostClock) -> Self {
         let (served, _receiver) = broadcast::channel(QUEUED_NEWS);
-        Self { handlers: Arc::new(handlers), clock, served }
+        Self { handlers: Arc::new(handlers), clock, served, links: Arc::default() }
+    }
+
+    /// Takes a link of a host that is served here.
+    pub(crate) fn serve_link(&self, host: &Name, number: u64) -> ServedLink {
+        self.with_links(|links| {
+            links.entry(Name::clone(host)).or_default().insert(number);
+        });
+        let (bus, news) = (self.clone(), self.served.subscribe());
+        ServedLink { bus, news, host: Name::clone(host), number }
     }
 
-    /// News for the hosts that are served here.
-    pub(crate) fn subscribe(&self) -> broadcast::Receiver<(u64, FleetNews)> {
-        self.served.subscribe()
+    fn with_links<T>(&self, run: impl FnOnce(&mut HashMap<Name, BTreeSet<u64>>) -> T) -> T {
+        run(&mut self.links.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// What a host that links to a scheduler tells it first.
@@ -161,8 +175,8 @@
         (self.handlers.throttle.learn)(&news).then_some(FleetNews::Throttle(news))
     }
 
-    /// Passes news on to all hosts that are served here, but for those on the link that they came from.
-    pub(crate) fn spread(&self, link: u64, news: &FleetNews) {
+    /// Passes news on to all hosts that are served here, but for the one that they came from.
+    pub(crate) fn spread(&self, source: Option<&Name>, news: &FleetNews) {
         let told = match news {
             FleetNews::Suspect(news) => {
                 let told = (self.handlers.suspects.worth_telling)(news);
@@ -172,7 +186,7 @@
         };
         for news in told {
             // Nobody may be served here.
-            let _served = self.served.send((link, news));
+            let _served = self.served.send((source.cloned(), news));
         }
     }
 
@@ -223,6 +237,50 @@
     }
 }
 
+/// A link of a host that is served here, until it is dropped. Of the links of a host, one for each pool, the newest
+/// takes its news: each would else cost it as many messages as there are pools.
+pub(crate) struct ServedLink {
+    bus: FleetBus,
+    news: broadcast::Receiver<SourcedNews>,
+    host: Name,
+    number: u64,
+}
+
+impl ServedLink {
+    /// The next news for the host, as its link carries them.
+    pub(crate) async fn next(&mut self) -> ScheduleMessage {
+        loop {
+            match self.news.recv().await {
+                Ok((source, news)) if self.is_newest() && source.as_ref() != Some(&self.host) => {
+                    return self.bus.encode(&news);
+                }
+                Ok(_not_here) => {}
+                Err(broadcast::error::RecvError::Lagged(missed)) => {
+                    log::info!("event=news_missed host={} count={missed}", self.host);
+                }
+                Err(broadcast::error::RecvError::Closed) => std::future::pending().await,
+            }
+        }
+    }
+
+    fn is_newest(&self) -> bool {
+        let newest = |links: &BTreeSet<u64>| links.last() == Some(&self.number);
+        self.bus.with_links(|links| links.get(&self.host).is_some_and(newest))
+    }
+}
+
+impl Drop for ServedLink {
+    fn drop(&mut self) {
+        self.bus.with_links(|links| {
+            let Some(numbers) = links.get_mut(&self.host) else { return };
+            numbers.remove(&self.number);
+            if numbers.is_empty() {
+                links.remove(&self.host);
+            }
+        });
+    }
+}
+
 /// Why news are passed over that name no backend server.
 const UNNAMED: &str = "a backend server's name is empty or too long";
 
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -13,13 +13,13 @@
 };
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
-use tokio::sync::{broadcast, mpsc};
+use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 use tokio_util::sync::CancellationToken;
 
 use crate::desk::{DeskNote, PoolDesk};
-use crate::fleet_bus::{FleetBus, FleetNews};
+use crate::fleet_bus::{FleetBus, ServedLink};
 use crate::limit_desk::{LimitDesk, LimitShare};
 use crate::link::BEAT_EVERY;
 use crate::wire::{self, PROTOCOL_VERSION, ScheduleError};
@@ -122,13 +122,14 @@
     let _served = desk.serve_host(&service);
     let beat = || beat(desk.hosts(&service));
     let _queued = sender.try_send(beat());
-    let news = bus.subscribe();
+    let link = bus.serve_link(&hello.host, number);
     for limit in bus.first_limits() {
         let _queued = sender.try_send(limit);
     }
     let mut host = ServedHost {
         desk: desk.clone(),
         bus: bus.clone(),
+        name: Name::clone(&hello.host),
         number,
         service: Name::clone(&service),
         sender: sender.clone(),
@@ -138,7 +139,7 @@
     let ended = tokio::select! {
         ended = host.read(&mut reader) => ended,
         ended = write_queue(writer, queue, beat) => ended,
-        () = pass_news(news, &bus, &sender, number) => Ok(()),
+        () = pass_news(link, &sender) => Ok(()),
     };
     let cause = ended.err().map(|error| error.to_string()).unwrap_or_default();
     log::info!(
@@ -148,25 +149,11 @@
     );
 }
 
-/// Passes news on to a host, but for those that came from it.
-async fn pass_news(
-    mut news: broadcast::Receiver<(u64, FleetNews)>,
-    bus: &FleetBus,
-    sender: &mpsc::Sender<ScheduleMessage>,
-    number: u64,
-) {
+/// Passes news on to a host until its link is dropped.
+async fn pass_news(mut link: ServedLink, sender: &mpsc::Sender<ScheduleMessage>) {
     loop {
-        match news.recv().await {
-            Ok((link, news)) if link != number => {
-                // A host that does not read is left; rows of the store, or answers, tell it the same.
-                let _queued = sender.try_send(bus.encode(&news));
-            }
-            Ok(_its_own) => {}
-            Err(broadcast::error::RecvError::Lagged(missed)) => {
-                log::info!("event=news_missed link={number} count={missed}");
-            }
-            Err(broadcast::error::RecvError::Closed) => std::future::pending().await,
-        }
+        // A host that does not read is left; rows of the store, or answers, tell it the same.
+        let _queued = sender.try_send(link.next().await);
     }
 }
 
@@ -294,6 +281,7 @@
 struct ServedHost {
     desk: PoolDesk,
     bus: FleetBus,
+    name: Name,
     number: u64,
     service: Name,
     sender: mpsc::Sender<ScheduleMessage>,
@@ -339,12 +327,12 @@
                 }
                 ScheduleMessage::Suspect(message) => {
                     if let Some(news) = self.bus.hear_suspect(message) {
-                        self.bus.spread(self.number, &news);
+                        self.bus.spread(Some(&self.name), &news);
                     }
                 }
                 ScheduleMessage::Throttle(message) => {
                     if let Some(news) = self.bus.hear_throttle(&message) {
-                        self.bus.spread(self.number, &news);
+                        self.bus.spread(Some(&self.name), &news);
                     }
                 }
                 ScheduleMessage::Beat(_beat) => {}
--- a/crates/dillspool_scheduler/tests/fleet_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -96,6 +96,10 @@
 
 /// The backend servers in the news that come within a second, and whether the link still beats.
 async fn heard(socket: &mut HostSocket) -> (Vec<String>, bool) {
+    heard_within(socket, Duration::from_secs(1)).await
+}
+
+async fn heard_within(socket: &mut HostSocket, time: Duration) -> (Vec<String>, bool) {
     let (mut backends, mut beats) = (Vec::new(), false);
     let reading = async {
         while let Some(Ok(Message::Binary(bytes))) = socket.next().await {
@@ -113,7 +117,7 @@
         }
         beats = false;
     };
-    let _elapsed = tokio::time::timeout(Duration::from_secs(1), reading).await;
+    let _elapsed = tokio::time::timeout(time, reading).await;
     (backends, beats)
 }
 
@@ -255,3 +259,40 @@
         cancel.cancel();
     }
 }
+
+/// A host links to a scheduler once for each pool, and hears each piece of news once.
+#[tokio::test(start_paused = true)]
+async fn a_host_hears_news_on_one_of_its_links() {
+    let net = MemoryNet::new();
+    let throttle = ThrottleDesk::new(HostClock::steady());
+    let listener = net.stack(address().ip()).listen(address()).await.expect("a free address");
+    let cancel = CancellationToken::new();
+    tokio::spawn(serve_schedule(listener, desks_knowing(&throttle), cancel.clone()));
+    let mut teller = [link(&net, "10.0.0.2").await, link(&net, "10.0.0.2").await];
+    let mut listening = vec![link(&net, "10.0.0.3").await, link(&net, "10.0.0.3").await];
+    let moment = Duration::from_millis(50);
+    while !listening.is_empty() {
+        for socket in teller.iter_mut().chain(&mut listening) {
+            let _before = heard_within(socket, moment).await;
+        }
+        let backend = format!("e{}", listening.len());
+        let news = ScheduleThrottle {
+            backend: backend.as_str().into(),
+            start: None,
+            per_s: Some(5.0),
+            age_ms: 7,
+        };
+        send(&mut teller[0], &ScheduleMessage::Throttle(news)).await;
+        let mut told = Vec::new();
+        for socket in &mut listening {
+            told.extend(heard_within(socket, moment).await.0);
+        }
+        assert_eq!(told, [format!("{backend} takes 5")]);
+        for socket in &mut teller {
+            assert_eq!(heard_within(socket, moment).await.0, [""; 0], "whoever told it");
+        }
+        // The link that has told it ends, another one goes on.
+        listening.pop();
+    }
+    cancel.cancel();
+}
