A host that starts in an outage is told which requests end backend servers

Cause: who saw the ends writes a row. With the store away nothing is written; the links tell the others, who do not write what they were told. The hosts that saw it were killed, and those that came in their place found no row, though all others knew. A scheduler told a host that links to it nothing of suspects.

Ruled out: the rows came late (none was ever written); the print differed (one print in all lines).

The other way was there: a host tells a scheduler what it knows when it links.

Why it holds: a host takes requests only once it has its configuration, and its links come up with that; whichever of the two hosts has started anew, the other one tells it.

A fleet of the tests has two seeds.

--- a/crates/dillspool_router/src/fleet_duties.rs
+++ b/crates/dillspool_router/src/fleet_duties.rs
@@ -60,11 +60,13 @@
     throttle: &ThrottleDesk,
     clock: &HostClock,
 ) -> FleetBus {
-    let (learning, telling, knowing) = (suspects.clone(), suspects.clone(), suspects.clone());
+    let (learning, telling) = (suspects.clone(), suspects.clone());
+    let (knowing, repeating) = (suspects.clone(), suspects.clone());
     let suspects = SuspectHandlers {
         learn: Arc::new(move |news| learning.learn(news)),
         worth_telling: Arc::new(move |news| telling.worth_telling(news)),
         known: Arc::new(move |most| knowing.known(most)),
+        repeated: Arc::new(move |most| repeating.repeated(most)),
     };
     let (learning, knowing) = (throttle.clone(), throttle.clone());
     let throttle = ThrottleHandlers {
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -185,6 +185,68 @@
     }
 }
 
+struct LostCase {
+    name: &'static str,
+    /// Hosts that are lost while the store is away; the first two have seen the ends.
+    lost: &'static [usize],
+    /// Whether the store is back before they start anew.
+    is_store_back: bool,
+    /// Hosts that start anew once the store is back.
+    lost_later: &'static [usize],
+}
+
+/// Hosts that saw what a request ends died before the store could be told; those that came in their place knew
+/// nothing, though all others refused it:
+///
+/// ```text
+///  8.05 event=suspect print=7148 decision=Refused { ends: 5 } from=told   (at 53 of 63 hosts; 19 are killed at 9.0)
+/// 22.03 event=suspect print=7148 decision=Watched { ends: 1 } from=seen   (a host that started at 9.5)
+/// 22.03 event=suspect print=7148 decision=Refused { ends: 6 } from=told   (all others)
+/// ```
+#[tokio::test(start_paused = true)]
+async fn hosts_that_start_anew_in_an_outage_refuse_it_too() {
+    let case =
+        |name, lost, is_store_back, lost_later| LostCase { name, lost, is_store_back, lost_later };
+    let cases = [
+        case("those that saw it", &[0, 1], false, &[]),
+        case("those that saw it, the store is back", &[0, 1], true, &[]),
+        case("all but one", &[0, 1, 2], false, &[]),
+        case("all but the first", &[1, 2, 3], true, &[]),
+    ];
+    for case in cases {
+        let mut fleet = TestFleet::start(4, ComeBack::SameId).await;
+        fleet.store.set_mode(StoreMode::Silent);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        send_copies(&fleet, "/stream/1", DEADLY_BODY, 2).await;
+        let before = fleet.ends();
+        assert!(before <= MOST_ENDS, "{}: {before} backend servers ended", case.name);
+        for host in case.lost {
+            fleet.stop_host(*host).await;
+        }
+        if case.is_store_back {
+            fleet.store.set_mode(StoreMode::Serving);
+            tokio::time::sleep(Duration::from_secs(12)).await;
+        }
+        for host in case.lost {
+            fleet.start_host(*host).await;
+        }
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        fleet.store.set_mode(StoreMode::Serving);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        for host in case.lost_later {
+            fleet.stop_host(*host).await;
+        }
+        for host in case.lost_later {
+            fleet.start_host(*host).await;
+        }
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let last = send_copies(&fleet, "/stream/1", DEADLY_BODY, 4).await;
+        assert_eq!(fleet.ends(), before, "{}", case.name);
+        assert_eq!((last.status, last.invites), REFUSED, "{}", case.name);
+        check_others(&fleet, "/stream/1", case.name).await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn copies_at_once_end_no_more_than_they_are() {
     let fleet = TestFleet::start(3, ComeBack::OtherId).await;
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -94,7 +94,7 @@
             fleet.start_backend(number, KINDS[number % KINDS.len()], come_back).await;
         }
         for number in 0..hosts {
-            fleet.hosts.push((host_config(number), None));
+            fleet.hosts.push((host_config(number, hosts), None));
             fleet.start_host(number).await;
         }
         tokio::time::sleep(SETTLING).await;
@@ -252,7 +252,7 @@
     SocketAddr::new(node(0, 8), 1)
 }
 
-fn host_config(number: usize) -> RouterConfig {
+fn host_config(number: usize, hosts: usize) -> RouterConfig {
     let at = |port| SocketAddr::new(node(1, number), port);
     RouterConfig {
         host: format!("host-{number}").into(),
@@ -267,7 +267,7 @@
         watch_wait: Duration::from_millis(2500),
         change_limit: Duration::from_secs(2),
         first_start: false,
-        seeds: vec![SocketAddr::new(node(1, 0), 8146)],
+        seeds: [0, hosts - 1].map(|seed| SocketAddr::new(node(1, seed), 8146)).to_vec(),
         link_mbps: 100.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
         limits: LimitTerms { slack: 0.0, shares: 2 },
--- a/crates/dillspool_scheduler/src/fleet_bus.rs
+++ b/crates/dillspool_scheduler/src/fleet_bus.rs
@@ -41,6 +41,8 @@
     pub worth_telling: Arc<TellingFn>,
     /// The newest of what is known, so many.
     pub known: Arc<KnownFn<SuspectNews>>,
+    /// The same of requests under which more than one backend server has ended.
+    pub repeated: Arc<KnownFn<SuspectNews>>,
 }
 
 impl fmt::Debug for SuspectHandlers {
@@ -80,6 +82,7 @@
             learn: Arc::new(|_news| false),
             worth_telling: Arc::new(|_news| Vec::new()),
             known: Arc::new(|_most| Vec::new()),
+            repeated: Arc::new(|_most| Vec::new()),
         };
         let throttle = ThrottleHandlers {
             learn: Arc::new(|_news| false),
@@ -140,15 +143,20 @@
 
     /// What a host that links to a scheduler tells it first.
     pub(crate) fn first_news(&self) -> Vec<ScheduleMessage> {
-        let suspects = (self.handlers.suspects.known)(FIRST_NEWS).into_iter();
-        let suspects = suspects.map(FleetNews::Suspect).map(|news| self.encode(&news));
-        suspects.chain(self.first_limits()).collect()
+        self.first_of((self.handlers.suspects.known)(FIRST_NEWS))
     }
 
-    /// What a scheduler tells a host that links to it first.
-    pub(crate) fn first_limits(&self) -> Vec<ScheduleMessage> {
-        let limits = (self.handlers.throttle.known)(FIRST_NEWS).into_iter();
-        limits.map(FleetNews::Throttle).map(|news| self.encode(&news)).collect()
+    /// What a scheduler tells a host that links to it first: one that started anew while the store is away learns
+    /// of suspects here alone.
+    pub(crate) fn first_told(&self) -> Vec<ScheduleMessage> {
+        self.first_of((self.handlers.suspects.repeated)(FIRST_NEWS))
+    }
+
+    fn first_of(&self, suspects: Vec<SuspectNews>) -> Vec<ScheduleMessage> {
+        let limits = (self.handlers.throttle.known)(FIRST_NEWS);
+        let suspects = suspects.into_iter().map(FleetNews::Suspect);
+        let news = suspects.chain(limits.into_iter().map(FleetNews::Throttle));
+        news.map(|news| self.encode(&news)).collect()
     }
 
     /// Takes a message; what cannot be read is told and passed over.
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -123,8 +123,8 @@
     let beat = || beat(desk.hosts(&service));
     let _queued = sender.try_send(beat());
     let link = bus.serve_link(&hello.host, number);
-    for limit in bus.first_limits() {
-        let _queued = sender.try_send(limit);
+    for news in bus.first_told() {
+        let _queued = sender.try_send(news);
     }
     let mut host = ServedHost {
         desk: desk.clone(),
--- a/crates/dillspool_scheduler/tests/fleet_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -157,6 +157,7 @@
             }),
             worth_telling: Arc::new(|news| vec![news.clone()]),
             known: Arc::new(|_most| Vec::new()),
+            repeated: Arc::new(|_most| Vec::new()),
         };
         let listener = net.stack(address().ip()).listen(address()).await.expect("a free address");
         let limits = LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady());
--- a/crates/dillspool_suspects/src/desk.rs
+++ b/crates/dillspool_suspects/src/desk.rs
@@ -126,9 +126,18 @@
 
     /// All ends that stand, the newest `most` of them.
     pub fn known(&self, most: usize) -> Vec<SuspectNews> {
+        newest(self.state().book.all_ends(), most)
+    }
+
+    /// The same of requests under which more than one backend server has ended.
+    pub fn repeated(&self, most: usize) -> Vec<SuspectNews> {
         let mut ends = self.state().book.all_ends();
-        ends.sort_by_key(|end| std::cmp::Reverse(end.at));
-        ends.into_iter().take(most).map(SuspectNews::Ended).collect()
+        let mut counts: HashMap<RequestPrint, usize> = HashMap::new();
+        for end in &ends {
+            *counts.entry(end.print).or_default() += 1;
+        }
+        ends.retain(|end| counts.get(&end.print).is_some_and(|count| *count > 1));
+        newest(ends, most)
     }
 
     /// Forgets what stands against nobody any more.
@@ -233,6 +242,12 @@
     }
 }
 
+/// The newest `most` of some ends.
+fn newest(mut ends: Vec<RunEnd>, most: usize) -> Vec<SuspectNews> {
+    ends.sort_by_key(|end| std::cmp::Reverse(end.at));
+    ends.into_iter().take(most).map(SuspectNews::Ended).collect()
+}
+
 fn log_decision(print: RequestPrint, decision: SuspectDecision, from: &str) {
     log::info!("event=suspect print={print} decision={decision:?} from={from}");
 }
