Ends that no row tells are written by a host that schedules a pool

Ends that were seen while the store was away by hosts that are gone stood in no row, however long the store was back: only the memory of those that had been told kept the request out.

Ruled out as ways: each host writes what it was told (hundreds of rows of the same); the host that is told first (it does not know that it is the first).

Change: a host that schedules a pool looks 2 to 5 s after it was told whether some row tells the same, and else takes it into its own row. suspects_adopted says so; a desk's waiters wake for what others told of a request with more than one end.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -256,6 +256,7 @@
 
     /// Starts to tell other hosts, and to hear from them, under which requests backend servers ended.
     fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol, schedule: ScheduleClient) {
+        let telling = schedule.clone();
         let keeper = SuspectKeeper {
             host: Name::clone(&self.config.host),
             table: Name::clone(&site.own_table),
@@ -264,7 +265,8 @@
             unreadable: beliefs.unreadable.clone(),
             desk: self.suspects.clone(),
             wall: WallClock::system(),
-            tell: Arc::new(move |news| schedule.tell(&FleetNews::Suspect(news.clone()))),
+            tell: Arc::new(move |news| telling.tell(&FleetNews::Suspect(news.clone()))),
+            schedules: Arc::new(move || schedule.schedules_any()),
         };
         tokio::spawn(keeper.run(self.background.clone()));
     }
--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -1,19 +1,19 @@
 //! What hosts tell each other of requests under which backend servers ended: a row of each host.
 //!
 //! A host writes its own row only, so that no two writers meet, and takes the rows of all. They reach it
-//! with the rows of hosts, by the store or by other hosts, and stay when all hosts are lost. See
-//! `docs/design/suspects.md`.
+//! with the rows of hosts, by the store or by other hosts, and stay when all hosts are lost. What no row tells,
+//! since whoever saw it is gone, a host that schedules a pool writes into its own. See `docs/design/suspects.md`.
 
 mod row;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableStore};
 use dillspool_schema::Name;
-use dillspool_suspects::{SuspectDesk, SuspectNews};
+use dillspool_suspects::{RequestPrint, SuspectDesk, SuspectNews};
 use dillspool_watch::TableBelief;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -29,6 +29,11 @@
 /// Pause after a row that could not be written; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+/// Time for which the row of whoever saw an end is waited for, in seconds, drawn anew each time so that one host
+/// writes what others need not write then.
+const ROW_WAIT_S: std::ops::Range<f64> = 2.0..5.0;
+/// Ends that are written for others at most.
+const MOST_ADOPTED: usize = 64;
 /// Time between two looks at what stands against nobody any more, in seconds, drawn anew each time so that
 /// hosts do not look together.
 const LOOK_EVERY_S: std::ops::Range<f64> = 60.0..180.0;
@@ -46,6 +51,8 @@
     pub(crate) wall: WallClock,
     /// Tells news on this host's links, which go on while the store is away.
     pub(crate) tell: Arc<dyn Fn(&SuspectNews) + Send + Sync>,
+    /// Whether this host schedules a pool, and so hears of all ends there.
+    pub(crate) schedules: Arc<dyn Fn() -> bool + Send + Sync>,
 }
 
 /// How far the rows and the desk agree.
@@ -54,6 +61,10 @@
     /// Version of each row that was taken.
     taken: HashMap<Name, u64>,
     own: SuspectRow,
+    /// Ends that some row told.
+    in_rows: HashSet<(RequestPrint, Name)>,
+    /// When ends are written that no row has told by then.
+    adopt_at: Option<Instant>,
     /// The text that the store has or will have as far as this host knows.
     written: Option<String>,
     /// When the next write may be tried after one that failed.
@@ -76,6 +87,8 @@
         loop {
             let is_known = self.take_rows(&mut state, &clock);
             self.take_news(&mut state, &clock);
+            self.plan_adoption(&mut state);
+            let adopt_at = state.adopt_at.unwrap_or_else(Instant::now);
             let text = serde_json::to_string(&state.own).unwrap_or_default();
             let is_due = is_known
                 && state.own != SuspectRow::default()
@@ -87,9 +100,13 @@
                 () = tokio::time::sleep_until(write_at), if is_due => {
                     self.write(&mut state, text).await;
                 }
+                () = tokio::time::sleep_until(adopt_at), if state.adopt_at.is_some() => {
+                    self.adopt(&mut state, &clock);
+                }
                 () = tokio::time::sleep_until(look_at) => {
                     self.desk.forget();
                     state.own.prune(&self.desk);
+                    state.in_rows.retain(|(print, _end)| self.desk.decide(*print).ends() > 0);
                     self.delete_one(&clock).await;
                     look_at = Instant::now() + look_pause();
                 }
@@ -110,6 +127,38 @@
         }
     }
 
+    /// Ends that more than one row should tell of, and none does.
+    fn missing(&self, state: &KeeperState) -> Vec<SuspectNews> {
+        let mut repeated = self.desk.repeated(MOST_ADOPTED);
+        repeated.retain(|news| match news {
+            SuspectNews::Ended(end) => {
+                !state.in_rows.contains(&(end.print, Name::clone(&end.backend)))
+                    && !state.own.tells(end)
+            }
+            SuspectNews::Whole { .. } => false,
+        });
+        repeated
+    }
+
+    fn plan_adoption(&self, state: &mut KeeperState) {
+        if !(self.schedules)() || self.missing(state).is_empty() {
+            state.adopt_at = None;
+        } else if state.adopt_at.is_none() {
+            let wait = rand::Rng::random_range(&mut rand::rng(), ROW_WAIT_S);
+            state.adopt_at = Some(Instant::now() + Duration::from_secs_f64(wait));
+        }
+    }
+
+    /// Takes what no row tells into this host's own.
+    fn adopt(&self, state: &mut KeeperState, clock: &DeskClock) {
+        state.adopt_at = None;
+        let missing = self.missing(state);
+        log::info!("event=suspects_adopted ends={}", missing.len());
+        for news in missing {
+            state.own.add(&news, clock);
+        }
+    }
+
     fn own_key(&self) -> Name {
         format!("{ROW_PREFIX}{}", self.host).into()
     }
@@ -148,6 +197,9 @@
         told.sort_by_key(|news| matches!(news, SuspectNews::Whole { .. }));
         for news in told {
             self.desk.learn(&news);
+            if let SuspectNews::Ended(end) = news {
+                state.in_rows.insert((end.print, end.backend));
+            }
         }
         belief.version > 0
     }
--- a/crates/dillspool_router/src/suspect_rows/row.rs
+++ b/crates/dillspool_router/src/suspect_rows/row.rs
@@ -71,6 +71,12 @@
         self.whole.drain(..excess);
     }
 
+    /// Whether it tells of an end.
+    pub(super) fn tells(&self, end: &RunEnd) -> bool {
+        let print = end.print.to_string();
+        self.ends.iter().any(|told| *told.print == *print && told.backend == end.backend)
+    }
+
     /// Adds what another row tells and this one does not.
     pub(super) fn adopt(&mut self, other: &Self) {
         for end in &other.ends {
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -212,6 +212,7 @@
         case("those that saw it, the store is back", &[0, 1], true, &[]),
         case("all but one", &[0, 1, 2], false, &[]),
         case("all but the first", &[1, 2, 3], true, &[]),
+        case("those that saw it, then all", &[0, 1], true, &[0, 1, 2, 3]),
     ];
     for case in cases {
         let mut fleet = TestFleet::start(4, ComeBack::SameId).await;
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -88,6 +88,11 @@
         self.link(service).is_some_and(|link| link.schedules())
     }
 
+    /// Whether this host schedules any pool, as far as it knows.
+    pub fn schedules_any(&self) -> bool {
+        self.with_links(|links| links.values().any(SchedulerLink::schedules))
+    }
+
     /// Hosts that share the pools, by the word of their schedulers or, where this host schedules, by
     /// its own count; `None` while there is no scheduler.
     pub fn hosts(&self) -> Option<usize> {
--- a/crates/dillspool_suspects/src/desk.rs
+++ b/crates/dillspool_suspects/src/desk.rs
@@ -83,7 +83,7 @@
         self.state().lifted = prints.into_iter().collect();
     }
 
-    /// Waits for news.
+    /// Waits for news, or for what others told of a request under which more than one backend server ended.
     pub async fn changed(&self) {
         self.changed.notified().await;
     }
@@ -106,6 +106,7 @@
         // The host that saw it tells of a single end: hundreds of hosts would repeat each of its lines.
         if is_new && decision.ends() != 1 {
             log_decision(print, decision, "told");
+            self.changed.notify_one();
         }
         is_new
     }
