Failure domains that the operator drains get nothing new

Cause: the row with which a failure domain is emptied was read by nobody.

Ruled out: taking its servers for leaving ones (their rows would count as those of servers that are about to go: lapses in an outage would take them out of use, and a crash there would pass for a planned end); asking in each chooser (five places).

Change: the directory's view names the drained domains, from the table in which the configuration stands; whoever chooses asks the view. Relays, outages, restarts and versions are those of the configuration.

Not built: a command for dillspoold, room made ready elsewhere, cold servers, regions that bind.

--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -71,7 +71,7 @@
         };
         (Arc::clone(&entry.id), Arc::new(entry))
     });
-    Arc::new(DirectoryView { version: 1, entries: entries.collect() })
+    Arc::new(DirectoryView { version: 1, entries: entries.collect(), ..DirectoryView::default() })
 }
 
 fn refused() -> CallError {
--- a/crates/dillspool_router/src/belief_metrics.rs
+++ b/crates/dillspool_router/src/belief_metrics.rs
@@ -26,13 +26,13 @@
 }
 
 impl BackendLabels {
-    fn of(entry: &BackendEntry) -> Self {
+    fn of(entry: &BackendEntry, view: &DirectoryView) -> Self {
         let part = match entry.stage {
             Some(EngineStage::Prefill) => "prefill",
             Some(EngineStage::Decode) => "decode",
             None => "plain",
         };
-        let state = if entry.is_ready() { "ready" } else { "draining" };
+        let state = if view.takes_new(entry) { "ready" } else { "draining" };
         Self { service: Name::clone(&entry.service), part, state }
     }
 }
@@ -107,8 +107,9 @@
         }
         // A part that nobody plays any more must not keep its last count.
         self.backends.clear();
-        for entry in self.directory.borrow().entries.values() {
-            self.backends.get_or_create(&BackendLabels::of(entry)).inc();
+        let view = Arc::clone(&self.directory.borrow());
+        for entry in view.entries.values() {
+            self.backends.get_or_create(&BackendLabels::of(entry, &view)).inc();
         }
     }
 }
--- a/crates/dillspool_router/src/beliefs.rs
+++ b/crates/dillspool_router/src/beliefs.rs
@@ -115,6 +115,7 @@
             },
             unreadable.clone(),
             backends.subscribe(),
+            operator.subscribe(),
             reached.clone(),
             view_sender,
         ));
--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -3,12 +3,13 @@
 //! Rows of living backend servers may lapse while the store is away. A row that goes missing
 //! around an outage therefore counts as gone only some time after the store's return.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_routing::{BackendEntry, BackendId, BackendStart, DirectoryView};
+use dillspool_schema::Name;
 use dillspool_watch::{StoreReach, TableBelief};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -47,6 +48,8 @@
     settings: DirectorySettings,
     unreadable: UnreadableRows,
     known: BTreeMap<BackendId, KnownBackend>,
+    /// Failure domains that the operator has drained.
+    drained: BTreeSet<Name>,
 }
 
 /// Publishes the backend servers in use until the belief ends.
@@ -55,22 +58,31 @@
     settings: DirectorySettings,
     unreadable: UnreadableRows,
     mut belief: watch::Receiver<TableBelief>,
+    mut operator: watch::Receiver<TableBelief>,
     mut reach: watch::Receiver<StoreReach>,
     view: watch::Sender<Arc<DirectoryView>>,
 ) {
-    let mut tracker = DirectoryTracker { site, settings, unreadable, known: BTreeMap::new() };
+    let mut tracker = DirectoryTracker {
+        site,
+        settings,
+        unreadable,
+        known: BTreeMap::new(),
+        drained: BTreeSet::new(),
+    };
     loop {
         let state = *reach.borrow_and_update();
+        let drains_changed = tracker.take_drains(&operator.borrow_and_update());
         let (changed, version) = {
             let rows = belief.borrow_and_update();
             (tracker.update(&rows, state), rows.version)
         };
-        if changed {
+        if changed || drains_changed {
             view.send_replace(Arc::new(tracker.view(version)));
         }
         let lapse_end = tracker.lapse_end(state);
         tokio::select! {
             changed = belief.changed() => if changed.is_err() { return },
+            changed = operator.changed() => if changed.is_err() { return },
             changed = reach.changed() => if changed.is_err() { return },
             () = sleep_until(lapse_end) => {}
         }
@@ -90,7 +102,30 @@
             Some((BackendId::clone(id), Arc::clone(known.entry.as_ref()?)))
         };
         let entries = self.known.iter().filter_map(entry);
-        DirectoryView { version, entries: entries.collect() }
+        let drained = self.drained.clone();
+        DirectoryView { version, entries: entries.collect(), drained }
+    }
+
+    /// Takes the failure domains that the operator's rows name as drained; whether they are others than before.
+    fn take_drains(&mut self, operator: &TableBelief) -> bool {
+        let existing = operator.rows.iter().filter(|(_key, row)| row.value.is_some());
+        let named = existing.filter_map(|(key, _row)| (self.site.drained_domain)(key));
+        let drained: BTreeSet<Name> = named.map(Name::from).collect();
+        for domain in drained.difference(&self.drained) {
+            log::info!(
+                "event=failure_domain_drained failure_domain={domain} version={}",
+                operator.version
+            );
+        }
+        for domain in self.drained.difference(&drained) {
+            log::info!(
+                "event=failure_domain_restored failure_domain={domain} version={}",
+                operator.version
+            );
+        }
+        let changed = drained != self.drained;
+        self.drained = drained;
+        changed
     }
 
     /// Whether a row that is missing now may belong to a living backend server.
--- a/crates/dillspool_router/src/site.rs
+++ b/crates/dillspool_router/src/site.rs
@@ -21,6 +21,8 @@
     pub decode_config: fn(&str) -> Result<RoutingConfig, String>,
     /// Decodes the row of a backend server with an id.
     pub decode_backend: fn(&str, &str) -> Result<BackendEntry, String>,
+    /// The failure domain that an operator's row of this key says is drained.
+    pub drained_domain: fn(&str) -> Option<&str>,
     /// Table and key of the configuration.
     pub config_row: (Name, Name),
     /// Table of the backend servers.
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -220,6 +220,7 @@
         mark_answer,
         decode_config,
         decode_backend,
+        drained_domain: |key| key.strip_prefix("drained/"),
         config_row: ("op".into(), "config".into()),
         directory_table: "servers".into(),
         own_table: "own".into(),
--- a/crates/dillspool_router/tests/directory.rs
+++ b/crates/dillspool_router/tests/directory.rs
@@ -18,6 +18,7 @@
 
 struct TrackedDirectory {
     belief: SharedBelief,
+    operator: SharedBelief,
     unreadable: UnreadableRows,
     reach: watch::Sender<StoreReach>,
     view: watch::Receiver<Arc<DirectoryView>>,
@@ -26,6 +27,7 @@
 impl TrackedDirectory {
     fn start() -> Self {
         let belief = SharedBelief::new("servers".into(), awake());
+        let operator = SharedBelief::new("op".into(), awake());
         let reach = watch::Sender::new(StoreReach { direct: true, ..StoreReach::unknown() });
         let (sender, view) = watch::channel(Arc::default());
         let settings = DirectorySettings {
@@ -35,9 +37,10 @@
         let site = common::site(&common::TestSite::default());
         let unreadable = UnreadableRows::default();
         let (rows, told) = (belief.subscribe(), unreadable.clone());
-        let follow = track_directory(site, settings, told, rows, reach.subscribe(), sender);
+        let asked = operator.subscribe();
+        let follow = track_directory(site, settings, told, rows, asked, reach.subscribe(), sender);
         tokio::spawn(follow);
-        Self { belief, unreadable, reach, view }
+        Self { belief, operator, unreadable, reach, view }
     }
 
     fn write(&self, version: u64, text: Option<&str>) {
@@ -45,6 +48,12 @@
         self.belief.merge(&TableDelta { full: false, version, rows: vec![row] });
     }
 
+    fn write_operator(&self, version: u64, key: &str, exists: bool) {
+        let value = exists.then(|| "{}".into());
+        let row = ChangedRow { key: key.into(), version, value };
+        self.operator.merge(&TableDelta { full: false, version, rows: vec![row] });
+    }
+
     fn reach(&self, reachable: bool) {
         self.reach.send_replace(StoreReach { direct: reachable, ..StoreReach::unknown() });
     }
@@ -79,6 +88,71 @@
     assert!(!directory.is_known());
 }
 
+/// What an operator asked of failure domains.
+struct DrainedCase {
+    name: &'static str,
+    /// Rows of the operator in their order: version, key, and whether the row exists from then on.
+    asked: Vec<(u64, &'static str, bool)>,
+    /// Whether the backend server takes new requests after each row.
+    takes_new: Vec<bool>,
+}
+
+/// An operator emptied a failure domain, and hosts went on to send requests there: 3,605 in the eight seconds after
+/// the store had taken the operator's row, since nothing read it.
+#[tokio::test(start_paused = true)]
+async fn a_drained_failure_domain_gets_nothing_new_until_it_is_taken_back() {
+    let cases = [
+        DrainedCase {
+            name: "drained and taken back",
+            asked: vec![(2, "drained/domain", true), (3, "drained/domain", false)],
+            takes_new: vec![false, true],
+        },
+        DrainedCase {
+            name: "another one",
+            asked: vec![(2, "drained/elsewhere", true), (3, "drained/domain-2", true)],
+            takes_new: vec![true, true],
+        },
+        DrainedCase {
+            name: "an older word of a peer changes nothing",
+            asked: vec![(3, "drained/domain", true), (2, "drained/domain", false)],
+            takes_new: vec![false, false],
+        },
+        DrainedCase {
+            name: "other rows of the operator",
+            asked: vec![(2, "config", true), (3, "drained/", true)],
+            takes_new: vec![true, true],
+        },
+    ];
+    for case in cases {
+        let directory = TrackedDirectory::start();
+        directory.write(1, Some("ready"));
+        pass(5000).await;
+        assert!(directory.is_ready(), "{}", case.name);
+        for ((version, key, exists), takes_new) in case.asked.into_iter().zip(case.takes_new) {
+            directory.write_operator(version, key, exists);
+            pass(1).await;
+            assert_eq!(directory.is_ready(), takes_new, "{}: {key}", case.name);
+            assert!(directory.is_known(), "{}: what runs there goes on", case.name);
+        }
+    }
+}
+
+/// A host that starts while a failure domain is drained never sees its backend servers as ready.
+#[tokio::test(start_paused = true)]
+async fn a_drain_that_is_known_before_the_backend_server_holds_for_it() {
+    let directory = TrackedDirectory::start();
+    directory.write_operator(1, "drained/domain", true);
+    pass(1).await;
+    directory.write(2, Some("ready"));
+    pass(1).await;
+    assert!(directory.is_known() && !directory.is_ready());
+    // Its row lapses in an outage as that of any ready one does.
+    directory.reach(false);
+    directory.write(3, None);
+    pass(1).await;
+    assert!(directory.is_known() && !directory.is_ready());
+}
+
 /// What another writer put in place of a row.
 struct ForeignCase {
     name: &'static str,
--- a/crates/dillspool_routerd/src/lib.rs
+++ b/crates/dillspool_routerd/src/lib.rs
@@ -17,6 +17,7 @@
         mark_answer: dillspool_site::mark_answer,
         decode_config: dillspool_site::decode_config,
         decode_backend: dillspool_site::decode_backend,
+        drained_domain: dillspool_site::drained_domain,
         config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
         directory_table: dillspool_site::DIRECTORY_TABLE.into(),
         own_table: dillspool_site::OWN_TABLE.into(),
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers as the platform's directory shows them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -89,7 +89,7 @@
 }
 
 impl BackendEntry {
-    /// Whether new requests may go to it.
+    /// Whether it takes new requests, as its own row says.
     pub fn is_ready(&self) -> bool {
         self.state == BackendState::Ready
     }
@@ -107,12 +107,21 @@
     pub version: u64,
     /// By id.
     pub entries: BTreeMap<BackendId, Arc<BackendEntry>>,
+    /// Failure domains whose backend servers get nothing new, by the operator's word.
+    pub drained: BTreeSet<Name>,
 }
 
 impl DirectoryView {
+    /// Whether new requests may go to a backend server: it is ready, and its failure domain is not drained.
+    pub fn takes_new(&self, entry: &BackendEntry) -> bool {
+        entry.is_ready() && !self.drained.contains(&entry.failure_domain)
+    }
+
     /// The backend servers of a service that take new requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<BackendEntry>> {
-        self.entries.values().filter(move |entry| &*entry.service == service && entry.is_ready())
+        self.entries
+            .values()
+            .filter(move |entry| &*entry.service == service && self.takes_new(entry))
     }
 
     /// The engines of a service that play one part and take new requests.
@@ -126,7 +135,7 @@
 
     /// Whether an id still takes new requests.
     pub fn is_ready(&self, id: &str) -> bool {
-        self.entries.get(id).is_some_and(|entry| entry.is_ready())
+        self.entries.get(id).is_some_and(|entry| self.takes_new(entry))
     }
 
     /// Whether a backend server is known to have started again since an entry of it was read: what it
--- a/crates/dillspool_scheduler/tests/fleet_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -65,7 +65,11 @@
         state: BackendState::Ready,
         stage: Some(EngineStage::Decode),
     };
-    let view = DirectoryView { version: 1, entries: [("e1".into(), Arc::new(engine))].into() };
+    let view = DirectoryView {
+        version: 1,
+        entries: [("e1".into(), Arc::new(engine))].into(),
+        ..DirectoryView::default()
+    };
     desk.set_pools(&config, &view);
     desk
 }
