At the first start of a fleet all hosts take the tables from the seeds, and record themselves once

Causes, each traced by the store calls of all hosts: two sources of a domain took each other for theirs, because they knew other rows of hosts, and learnt nothing for four seconds; a host to which no news came wrote its own row again each 50 ms; the moment at which a host with a narrow link records itself began anew with each change of the table, so that it never came while orders were given, and a domain of sixty hosts passed for one of four; a host whose sources had changed went on counting from the tries before, and began with a host that is none.

Change: until the rows are settled the seeds are the sources of all; a row is written once, and again after 4 s; its moment stays; only the first six hosts of a domain are relied on, whoever else has a row; new sources are tried from the first.

--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -146,10 +146,10 @@
     fn update(&mut self, belief: &TableBelief, state: StoreReach) -> bool {
         let mut changed = self.part != belief.part;
         if changed {
-            let held = belief.rows.len();
+            let part = belief.part.as_deref().map(ToString::to_string).unwrap_or_default();
             log::info!(
-                "event=directory_part part={:?} rows={held} version={}",
-                belief.part,
+                "event=directory_part part=\"{part}\" rows={} version={}",
+                belief.rows.len(),
                 belief.version
             );
             self.part.clone_from(&belief.part);
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -2,6 +2,7 @@
 //! store.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -15,7 +16,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::settings::RouterConfig;
-use crate::sources::{HostRow, SourcePlan, count_hosts, plan_sources, should_be_listed};
+use crate::sources::{
+    HostRow, MOST_DIRECT_HOSTS, SourcePlan, count_hosts, plan_sources, relied_on, rotate_by_rank,
+    should_be_listed,
+};
 use crate::unreadable_rows::UnreadableRows;
 
 /// Start of the keys of hosts.
@@ -23,12 +27,15 @@
 /// Longest time before a host with a link of [`USUAL_LINK_MBPS`] records itself, spread over the
 /// hosts: those with wider links do so before, and most others then need not.
 const LONGEST_LIST_DELAY: Duration = Duration::from_secs(5);
+/// Part of that time in which no host of that width does, so that it hears of wider ones first.
+const LIST_DELAY_PARTS: std::ops::Range<f64> = 0.5..1.0;
 /// Width of a link in Mbit/s from which on hosts record themselves earlier, in proportion.
 const USUAL_LINK_MBPS: f64 = 10.0;
 /// Time after the first start of a fleet at which its hosts have recorded themselves.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
-/// Pause after a row that could not be written.
-const RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// Pause after a row was written, or could not be: longer than what was written takes to come back, so that
+/// a host to which no news comes does not write it again and again.
+const WRITTEN_PAUSE: Duration = Duration::from_secs(4);
 
 /// Where other hosts are asked for what they have read from the store.
 #[derive(Clone, Debug)]
@@ -36,6 +43,8 @@
     own: HostRow,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     listed: Arc<Mutex<Vec<HostRow>>>,
+    /// Whether the rows of hosts are known to all alike; before, who is a source differs from host to host.
+    settled: Arc<AtomicBool>,
 }
 
 impl PeerList {
@@ -46,7 +55,20 @@
             failure_domain: Name::clone(&config.failure_domain),
             link_mbps: config.link_mbps,
         };
-        Self { own, seeds: Arc::new(Mutex::new(config.seeds.clone())), listed: Arc::default() }
+        Self {
+            own,
+            seeds: Arc::new(Mutex::new(config.seeds.clone())),
+            listed: Arc::default(),
+            settled: Arc::new(AtomicBool::new(!config.first_start)),
+        }
+    }
+
+    fn set_settled(&self, is_settled: bool) {
+        self.settled.store(is_settled, Ordering::Relaxed);
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn with_rows<T>(&self, run: impl FnOnce(&mut Vec<HostRow>) -> T) -> T {
@@ -57,13 +79,14 @@
         self.with_rows(|rows| plan_sources(rows, &self.own))
     }
 
-    /// Hosts that could schedule the pool of a service, the best first.
+    /// Hosts that could schedule the pool of a service, the best first; each of them holds the whole directory.
     pub(crate) fn schedule_peers(&self, service: &str) -> SchedulePeers {
         let candidate = |row: &HostRow| {
             let link_mbps = row.link_mbps;
             Some(SchedulerCandidate { address: row.schedule?, link_mbps })
         };
-        let hosts: Vec<_> = self.with_rows(|rows| rows.iter().filter_map(candidate).collect());
+        let hosts: Vec<_> =
+            self.with_rows(|rows| relied_on(rows).into_iter().filter_map(candidate).collect());
         SchedulePeers { own: self.own.schedule, ranked: rank_candidates(service, &hosts) }
     }
 
@@ -76,21 +99,39 @@
         }
     }
 
-    /// Where this host takes the tables from.
+    /// Where this host takes the tables from. At the first start of a fleet that is the seeds, which ask the store,
+    /// until the rows of hosts are settled: hosts that take others for sources of theirs, and these the
+    /// other way round, would relay to each other and learn nothing.
     pub(crate) fn relay_peers(&self) -> RelayPeers {
+        let is_settled = self.settled.load(Ordering::Relaxed);
         let sources = match self.plan() {
-            SourcePlan::Alone | SourcePlan::Root => Vec::new(),
-            SourcePlan::Relayed(sources) => sources,
+            SourcePlan::Relayed(sources) if is_settled => sources,
+            SourcePlan::Alone | SourcePlan::Relayed(_) if !is_settled => self.seeds_first(),
+            SourcePlan::Alone | SourcePlan::Relayed(_) | SourcePlan::Root => Vec::new(),
         };
         RelayPeers { sources, all: self.addresses(), part: self.part() }
     }
 
-    /// What tells this host's part of a large table from those of others. Hosts that others rely on hold whole
-    /// tables: those that are recorded, and all of a small failure domain, which read the store themselves.
+    /// What tells this host's part of a large table from those of others; none on a host that others may rely
+    /// on.
     fn part(&self) -> Option<u64> {
-        let is_alone = self.plan() == SourcePlan::Alone && self.with_rows(|rows| !rows.is_empty());
-        let is_recorded = self.with_rows(|rows| rows.iter().any(|row| row.peers == self.own.peers));
-        (!is_alone && !is_recorded).then(|| seed_of(&self.own.peers.to_string()))
+        let is_relied_on = self.with_rows(|rows| {
+            let near = |row: &&HostRow| row.failure_domain == self.own.failure_domain;
+            let is_alone =
+                !rows.is_empty() && rows.iter().filter(near).count() <= MOST_DIRECT_HOSTS;
+            is_alone || relied_on(rows).iter().any(|row| row.peers == self.own.peers)
+        });
+        (!is_relied_on).then(|| seed_of(&self.own.peers.to_string()))
+    }
+
+    /// The seeds, of which an equal part of the hosts begins with each; none on a seed, which asks the store.
+    fn seeds_first(&self) -> Vec<SocketAddr> {
+        let mut seeds = self.seeds();
+        if seeds.contains(&self.own.peers) {
+            return Vec::new();
+        }
+        rotate_by_rank(&mut seeds, &self.own.peers);
+        seeds
     }
 
     /// Hosts of the fleet, where their rows tell.
@@ -107,8 +148,7 @@
         let listed = self.with_rows(|rows| rows.clone());
         let (near, far): (Vec<_>, Vec<_>) =
             listed.into_iter().partition(|row| row.failure_domain == self.own.failure_domain);
-        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let all = near.into_iter().chain(far).map(|row| row.peers).chain(seeds);
+        let all = near.into_iter().chain(far).map(|row| row.peers).chain(self.seeds());
         let mut addresses = Vec::new();
         for address in all {
             if address != self.own.peers && !addresses.contains(&address) {
@@ -135,23 +175,34 @@
     let keep = async {
         let [mut hosts, mut backends] = tables;
         let started = Instant::now();
+        let mut may_write_at = started;
+        let mut due: Option<Instant> = None;
         loop {
             take_rows(&peers, &own_table, &hosts.borrow_and_update(), &unreadable);
             let is_known = hosts.borrow().version > 0 || backends.borrow().version > 0;
             // At the first start of a fleet nobody is recorded yet, and every host would seem alone.
             let is_settled = !config.first_start || started.elapsed() >= SETTLED_AFTER;
+            peers.set_settled(is_settled);
             let now_role = peers.role();
             if is_known && (is_settled || now_role != FollowRole::Alone) {
                 role.send_if_modified(|role| std::mem::replace(role, now_role) != now_role);
             }
             let should_write =
                 is_known && peers.with_rows(|rows| should_be_listed(rows, &peers.own));
+            // Other rows of the table change all the time, which must not put it off.
+            let write_at = match due.filter(|_due| should_write) {
+                Some(due) => due,
+                None => (Instant::now() + list_delay(&peers.own)).max(may_write_at),
+            };
+            due = should_write.then_some(write_at);
             tokio::select! {
                 changed = hosts.changed() => if changed.is_err() { return },
                 () = tokio::time::sleep_until(started + SETTLED_AFTER), if !is_settled => {}
                 is_open = has_rows(&mut backends), if !is_known => if !is_open { return },
-                () = tokio::time::sleep(list_delay(&peers.own)), if should_write => {
+                () = tokio::time::sleep_until(write_at), if should_write => {
                     write_own(&config, &store, &peers.own).await;
+                    may_write_at = Instant::now() + WRITTEN_PAUSE;
+                    due = None;
                 }
             }
         }
@@ -182,14 +233,13 @@
 /// Time before this host records itself, if nobody else has made that needless by then.
 fn list_delay(own: &HostRow) -> Duration {
     let wide = (own.link_mbps / USUAL_LINK_MBPS).max(1.0);
-    let spread = rand::Rng::random_range(&mut rand::rng(), 0.0..1.0);
+    let spread = rand::Rng::random_range(&mut rand::rng(), LIST_DELAY_PARTS);
     LONGEST_LIST_DELAY.mul_f64(spread / wide)
 }
 
 async fn write_own(config: &RouterConfig, store: &TableStore, own: &HostRow) {
     if let Err(error) = try_write_own(config, store, own).await {
         log::info!("event=host_row_not_written cause=\"{error}\"");
-        tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
--- a/crates/dillspool_router/src/sources.rs
+++ b/crates/dillspool_router/src/sources.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/design/sources.md` has the reasons and the figures.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use dillspool_schema::Name;
@@ -10,7 +11,7 @@
 
 /// Hosts of a failure domain up to which each reads the store itself: their calls cost less than
 /// a source's shorter questions would.
-const MOST_DIRECT_HOSTS: usize = 4;
+pub(crate) const MOST_DIRECT_HOSTS: usize = 4;
 /// Hosts of a failure domain that relay the tables to the others; two may go.
 const DOMAIN_SOURCES: usize = 3;
 /// Hosts that read the store for the sources of all failure domains; one may go.
@@ -60,12 +61,28 @@
     }
     let sources: Vec<_> = near.iter().take(DOMAIN_SOURCES).map(|row| row.peers).collect();
     let mut relayed = if sources.contains(&own.peers) { roots } else { sources };
-    // An equal part of the hosts begins with each.
-    let shift = rank(&own.peers) % relayed.len().max(1) as u64;
-    relayed.rotate_left(usize::try_from(shift).unwrap_or_default());
+    rotate_by_rank(&mut relayed, &own.peers);
     SourcePlan::Relayed(relayed)
 }
 
+/// Lets an equal part of the hosts begin with each of these.
+pub(crate) fn rotate_by_rank(peers: &mut [SocketAddr], own: &SocketAddr) {
+    let shift = rank(own) % peers.len().max(1) as u64;
+    peers.rotate_left(usize::try_from(shift).unwrap_or_default());
+}
+
+/// The hosts on which others may come to rely for whole tables, as sources, roots or schedulers: the first of each
+/// failure domain, or all of a small one, which read the store themselves. Hosts that recorded themselves
+/// before they heard of better ones are none of these.
+pub fn relied_on(rows: &[HostRow]) -> Vec<&HostRow> {
+    let domains: BTreeSet<&Name> = rows.iter().map(|row| &row.failure_domain).collect();
+    let first = |domain: &Name| {
+        let near = ranked(rows.iter().filter(|row| row.failure_domain == *domain));
+        near.into_iter().take(MOST_LISTED)
+    };
+    domains.into_iter().flat_map(first).collect()
+}
+
 /// Whether a host should record itself: its failure domain has too few that are as good as it.
 pub fn should_be_listed(rows: &[HostRow], own: &HostRow) -> bool {
     let near = rows.iter().filter(|row| row.failure_domain == own.failure_domain);
--- a/crates/dillspool_watch/src/relay.rs
+++ b/crates/dillspool_watch/src/relay.rs
@@ -352,11 +352,17 @@
     reach: watch::Sender<StoreReach>,
 ) {
     let mut next = 0_usize;
+    let mut sources = Vec::new();
     let mut changes = reach.subscribe();
     loop {
         let direct = changes.borrow_and_update().direct;
         let listed = peers();
-        let part = listed.part;
+        let (part, has_sources) = (listed.part, !listed.sources.is_empty());
+        if listed.sources != sources {
+            // The tries of others say nothing of these, and would have this host begin behind them.
+            sources.clone_from(&listed.sources);
+            next = 0;
+        }
         let addresses = listed.addresses(direct);
         if addresses.is_empty() {
             tokio::select! {
@@ -365,7 +371,7 @@
             }
             continue;
         }
-        if !direct {
+        if !direct && !has_sources {
             tokio::time::sleep(ASK_AFTER).await;
         }
         let address = addresses[next % addresses.len()];
