A pool is turned by as many engines as its load calls for, and by sixteen without any

Cause: the split follows from what one request asks, and orders from the split, so they grow with the engines and not with the load.

Change: the part that would gain engines must use a tenth of those that it has; without that 16 engines are turned at most from how they were found. Pools of some dozen engines are turned as before.

--- a/crates/dillspool_capacity/src/decay.rs
+++ b/crates/dillspool_capacity/src/decay.rs
@@ -13,6 +13,12 @@
     (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
 }
 
+/// Time for which such a sum stands that has been kept for so long: what it would be where one was added each
+/// second.
+pub(crate) fn span(kept: Duration) -> f64 {
+    HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2 * (1.0 - decay(kept))
+}
+
 /// A sum with a half-life.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DecayedSum {
--- a/crates/dillspool_capacity/src/lib.rs
+++ b/crates/dillspool_capacity/src/lib.rs
@@ -10,5 +10,5 @@
 mod target;
 
 pub use meter::{DemandMeter, MemoryTicket};
-pub use need::{DemandReading, EngineMemory, prefill_need};
+pub use need::{DemandReading, EngineMemory, PartLoads, part_loads, prefill_need};
 pub use target::{SplitTarget, TargetChange};
--- a/crates/dillspool_capacity/src/meter.rs
+++ b/crates/dillspool_capacity/src/meter.rs
@@ -7,7 +7,7 @@
 use dillspool_schema::Name;
 use tokio::time::Instant;
 
-use crate::decay::DecayedSum;
+use crate::decay::{DecayedSum, span};
 use crate::need::DemandReading;
 
 /// Prefills whose pace is kept.
@@ -18,8 +18,12 @@
 /// Services kept at most; the names come from the configuration.
 const MOST_SERVICES: usize = 256;
 
+/// Shortest time over which requests are counted: a rate of the first few would be any.
+const SHORTEST_SPAN_S: f64 = 1.0;
+
 #[derive(Debug)]
 struct ServiceMeter {
+    since: Instant,
     prompts: DecayedSum,
     prompt_tokens: DecayedSum,
     /// Token-seconds and seconds for which answers have held decode memory.
@@ -39,6 +43,7 @@
     fn new(now: Instant) -> Self {
         let sum = DecayedSum::new(now);
         Self {
+            since: now,
             prompts: sum,
             prompt_tokens: sum,
             held_token_s: sum,
@@ -88,8 +93,10 @@
         if prompts <= 0.0 || ended <= 0.0 {
             return None;
         }
+        let span_s = span(now.saturating_duration_since(self.since)).max(SHORTEST_SPAN_S);
         Some(DemandReading {
             prompts,
+            prompts_per_s: prompts / span_s,
             ended,
             read_s: self.prompt_tokens.read(now) / prompts * pace,
             // What is held over what ends: answers that still run are in the first only, as in
--- a/crates/dillspool_capacity/src/need.rs
+++ b/crates/dillspool_capacity/src/need.rs
@@ -12,6 +12,8 @@
 pub struct DemandReading {
     /// Prompts observed, by their age.
     pub prompts: f64,
+    /// Prompts a second.
+    pub prompts_per_s: f64,
     /// Answers observed to their end, by their age.
     pub ended: f64,
     /// Seconds for which one prefill engine reads a prompt.
@@ -39,10 +41,40 @@
 /// can work it out from what it sees itself.
 #[expect(clippy::cast_precision_loss, reason = "engines and tokens are far below 2^52")]
 pub fn prefill_need(engines: usize, reading: &DemandReading, memory: EngineMemory) -> f64 {
-    let by_tokens = reading.held_token_s / memory.tokens.max(1) as f64;
-    let by_slots = reading.held_s / f64::from(memory.slots.max(1));
-    let decode_s = by_tokens.max(by_slots);
+    let decode_s = decode_s(reading, memory);
     let prefill_s = reading.read_s / PREFILL_LOAD;
     let both = prefill_s + decode_s;
     if both > 0.0 { engines as f64 * prefill_s / both } else { 0.0 }
 }
+
+/// Seconds for which a request fills a decode engine.
+#[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+fn decode_s(reading: &DemandReading, memory: EngineMemory) -> f64 {
+    let by_tokens = reading.held_token_s / memory.tokens.max(1) as f64;
+    let by_slots = reading.held_s / f64::from(memory.slots.max(1));
+    by_tokens.max(by_slots)
+}
+
+/// How much of its engines each part of a pool uses, 0 to 1 and beyond.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PartLoads {
+    /// Those that prefill.
+    pub prefill: f64,
+    /// Those that decode.
+    pub decode: f64,
+}
+
+/// The loads of a pool in which so many engines prefill and so many decode.
+#[expect(clippy::cast_precision_loss, reason = "engines are far below 2^52")]
+pub fn part_loads(
+    reading: &DemandReading,
+    memory: EngineMemory,
+    prefill: usize,
+    decode: usize,
+) -> PartLoads {
+    let load = |busy_s: f64, engines: usize| reading.prompts_per_s * busy_s / engines.max(1) as f64;
+    PartLoads {
+        prefill: load(reading.read_s, prefill),
+        decode: load(decode_s(reading, memory), decode),
+    }
+}
--- a/crates/dillspool_capacity/tests/split.rs
+++ b/crates/dillspool_capacity/tests/split.rs
@@ -11,7 +11,7 @@
 
 fn reading(prompt_ms: f64, held_token_s: f64, held_s: f64) -> DemandReading {
     let read_s = prompt_ms / 1000.0;
-    DemandReading { prompts: 50.0, ended: 50.0, read_s, held_token_s, held_s }
+    DemandReading { prompts: 50.0, prompts_per_s: 1.0, ended: 50.0, read_s, held_token_s, held_s }
 }
 
 struct NeedCase {
--- a/crates/dillspool_roles/src/targets.rs
+++ b/crates/dillspool_roles/src/targets.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use dillspool_capacity::{DemandMeter, EngineMemory, SplitTarget, prefill_need};
+use dillspool_capacity::{
+    DemandMeter, DemandReading, EngineMemory, PartLoads, SplitTarget, part_loads, prefill_need,
+};
 use dillspool_routing::{DirectoryView, EnginePool};
 use dillspool_schema::Name;
 use tokio::time::Instant;
@@ -13,6 +15,13 @@
 /// fewest from which lengths that vary by half of their mean give a mean within a fifth.
 const FEWEST_OBSERVED: f64 = 8.0;
 
+/// Engines that are turned from the part in which they were found before the load calls for more. An order costs
+/// an engine its work for seconds, so what a large pool does not need it does not turn.
+const MOST_UNCALLED_TURNS: usize = 16;
+/// Load of the part that would gain engines from which on it calls for them: in a burst of ten times as many
+/// requests it would be full.
+const CALLING_LOAD: f64 = 0.1;
+
 /// What decides the number of prefill engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ShareRule {
@@ -33,6 +42,8 @@
     learnt: HashMap<Name, LearntTarget>,
     /// Most engines that each pool was seen to have: those that have crashed mostly return.
     most_seen: HashMap<Name, usize>,
+    /// Most engines of each pool that were seen to prefill: as many as were found so, unless some were turned.
+    found: HashMap<Name, usize>,
 }
 
 /// The target of one pool.
@@ -58,10 +69,26 @@
     }
 }
 
+/// A pool as it is now.
+struct ObservedPool<'a> {
+    service: &'a Name,
+    engines: usize,
+    memory: EngineMemory,
+    /// `None` while too little was seen.
+    reading: Option<DemandReading>,
+    view: &'a DirectoryView,
+}
+
 impl PoolTargets {
     /// Targets without any knowledge.
     pub fn new(rule: ShareRule, demand: DemandMeter) -> Self {
-        Self { rule, demand, learnt: HashMap::new(), most_seen: HashMap::new() }
+        Self {
+            rule,
+            demand,
+            learnt: HashMap::new(),
+            most_seen: HashMap::new(),
+            found: HashMap::new(),
+        }
     }
 
     /// Prefill engines that a pool keeps now, by what was observed until now.
@@ -73,21 +100,43 @@
         now: Instant,
     ) -> usize {
         let (prefill, decode) = pool_engines(view, service);
-        let engines = prefill.len() + decode.len();
+        let (prefill, decode) = (prefill.len(), decode.len());
         let share = match self.rule {
-            ShareRule::Fixed(share) => return engines_for_share(engines, share),
+            ShareRule::Fixed(share) => return engines_for_share(prefill + decode, share),
             ShareRule::Observed { at_first } => at_first,
         };
+        let found = self.found.entry(Name::clone(service)).or_default();
+        *found = prefill.max(*found);
+        let found = *found;
+        let reading = self.demand.read(service);
+        let known = reading.filter(|it| it.prompts.min(it.ended) >= FEWEST_OBSERVED);
+        let memory = EngineMemory { tokens: pool.memory_tokens, slots: pool.slots };
+        let engines = prefill + decode;
+        let observed = ObservedPool { service, engines, memory, reading: known, view };
+        let target = self.target(&observed, share, now);
+        let loads = known.map(|reading| part_loads(&reading, memory, prefill, decode));
+        let calls = |load: fn(PartLoads) -> f64| loads.is_some_and(|it| load(it) >= CALLING_LOAD);
+        let least = found.saturating_sub(MOST_UNCALLED_TURNS);
+        let most = found + MOST_UNCALLED_TURNS;
+        if target < least && !calls(|loads| loads.decode) {
+            least
+        } else if target > most && !calls(|loads| loads.prefill) {
+            most
+        } else {
+            target
+        }
+    }
+
+    /// Prefill engines that fit what a pool's requests ask, whatever their number.
+    fn target(&mut self, pool: &ObservedPool<'_>, share: f64, now: Instant) -> usize {
+        let ObservedPool { service, engines, memory, reading, view } = *pool;
         let most = self.most_seen.entry(Name::clone(service)).or_default();
         *most = engines.max(*most);
         let at_first = engines_at_first(*most, share);
-        let reading = self.demand.read(service);
-        let known = reading.filter(|it| it.prompts.min(it.ended) >= FEWEST_OBSERVED);
-        let Some(reading) = known else {
+        let Some(reading) = reading else {
             let decided = self.learnt.get(service).filter(|learnt| learnt.is_decided);
             return decided.map_or(at_first, |learnt| learnt.target.engines);
         };
-        let memory = EngineMemory { tokens: pool.memory_tokens, slots: pool.slots };
         let need = prefill_need(engines, &reading, memory);
         let fresh = || LearntTarget::at_first(at_first);
         let learnt = self.learnt.entry(Name::clone(service)).or_insert_with(fresh);
--- a/crates/dillspool_roles/tests/targets.rs
+++ b/crates/dillspool_roles/tests/targets.rs
@@ -18,6 +18,10 @@
 };
 
 fn view(engines: usize) -> DirectoryView {
+    view_of(3, engines)
+}
+
+fn view_of(prefill: usize, engines: usize) -> DirectoryView {
     let entries = (0..engines).map(|at| {
         let entry = BackendEntry {
             id: format!("engine-{at}").into(),
@@ -26,7 +30,7 @@
             address: ([127, 0, 0, 1], 9).into(),
             failure_domain: "domain".into(),
             state: BackendState::Ready,
-            stage: Some(if at < 3 { EngineStage::Prefill } else { EngineStage::Decode }),
+            stage: Some(if at < prefill { EngineStage::Prefill } else { EngineStage::Decode }),
         };
         (Arc::clone(&entry.id), Arc::new(entry))
     });
@@ -159,3 +163,91 @@
     let mut look = |engines| targets.update(&"pool".into(), &POOL, &view(engines), Instant::now());
     assert_eq!([look(9), look(7), look(9)], [3, 3, 3]);
 }
+
+struct TurnCase {
+    name: &'static str,
+    /// Engines, and those found to prefill.
+    engines: usize,
+    found: usize,
+    /// Requests a second, once some are observed.
+    per_s: Option<u64>,
+    /// Engines that are turned at most.
+    turned: std::ops::RangeInclusive<usize>,
+}
+
+/// A pool of thousands of engines was turned by hundreds before its first request, and by hundreds more after the
+/// eighth, though one engine in a hundred was in use: 1,505 orders in a day, the dearest of all that the router
+/// spent. The split depends on what a request asks and not on how many come; whether it is worth orders
+/// depends on that alone.
+#[tokio::test(start_paused = true)]
+async fn a_pool_without_load_is_turned_by_a_few_engines_however_large_it_is() {
+    let cases = [
+        TurnCase { name: "small, unobserved", engines: 36, found: 13, per_s: None, turned: 5..=5 },
+        TurnCase {
+            name: "large, unobserved",
+            engines: 865,
+            found: 303,
+            per_s: None,
+            turned: 16..=16,
+        },
+        TurnCase {
+            name: "ten times as large, unobserved",
+            engines: 8_650,
+            found: 3_028,
+            per_s: None,
+            turned: 16..=16,
+        },
+        TurnCase {
+            name: "large, hardly used",
+            engines: 8_650,
+            found: 3_028,
+            per_s: Some(40),
+            turned: 16..=16,
+        },
+        TurnCase {
+            name: "large, none found to prefill",
+            engines: 865,
+            found: 0,
+            per_s: None,
+            turned: 16..=16,
+        },
+        TurnCase {
+            name: "large, in use",
+            engines: 865,
+            found: 303,
+            per_s: Some(1_000),
+            turned: 100..=303,
+        },
+    ];
+    for case in cases {
+        let demand = DemandMeter::default();
+        if let Some(per_s) = case.per_s {
+            play_at(&demand, per_s).await;
+        }
+        let mut targets = PoolTargets::new(ShareRule::Observed { at_first: 0.2 }, demand);
+        let view = view_of(case.found, case.engines);
+        let mut keep = 0;
+        for look in 0..=4 {
+            let now = Instant::now() + Duration::from_secs(look);
+            keep = targets.update(&"pool".into(), &POOL, &view, now);
+        }
+        let turned = case.found.abs_diff(keep);
+        assert!(case.turned.contains(&turned), "{}: {turned}", case.name);
+    }
+}
+
+/// Ten seconds of requests, each of which is read for 60 ms and holds 4,000 tokens for three seconds.
+async fn play_at(demand: &DemandMeter, per_s: u64) {
+    let mut tickets = std::collections::VecDeque::new();
+    for _second in 0..10 {
+        for _request in 0..per_s {
+            demand.note_prompt(&"pool".into(), 3_000);
+            demand.note_prefill(&"pool".into(), 3_000, Duration::from_millis(60));
+            tickets.push_back(demand.enter(&"pool".into(), 4_000));
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        while tickets.len() > usize::try_from(3 * per_s).unwrap() {
+            tickets.pop_front();
+        }
+    }
+}
