At the first start hosts take the tables from the first three of their own failure domain

Cause: four in five hosts stand in another domain than the seed that they take the tables from.

Ruled out: seeds of the own domain only (settings do not tell where a seed stands, and two domains have none).

Change: the first three hosts of a domain by link and hash take the tables from the seeds, all others from these three. Everybody takes from hosts that come before it in one order, so that no rows that a host knows or lacks make a circle.

Test: whatever_rows_hosts_know_at_first_nobody_takes_from_those_that_take_from_it.

--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -18,7 +18,7 @@
 use crate::settings::RouterConfig;
 use crate::sources::{
     HostRow, MOST_DIRECT_HOSTS, SourcePlan, count_hosts, plan_sources, relied_on, rotate_by_rank,
-    should_be_listed,
+    should_be_listed, sources_at_first,
 };
 use crate::unreadable_rows::UnreadableRows;
 
@@ -99,14 +99,14 @@
         }
     }
 
-    /// Where this host takes the tables from. At the first start of a fleet that is the seeds, which ask the store,
-    /// until the rows of hosts are settled: hosts that take others for sources of theirs, and these the
-    /// other way round, would relay to each other and learn nothing.
+    /// Where this host takes the tables from. At the first start of a fleet roots and sources do so from the seeds, which
+    /// ask the store, until the rows of hosts are settled: hosts that take others for roots, and these the other way
+    /// round, would relay to each other and learn nothing.
     pub(crate) fn relay_peers(&self) -> RelayPeers {
         let is_settled = self.settled.load(Ordering::Relaxed);
         let sources = match self.plan() {
             SourcePlan::Relayed(sources) if is_settled => sources,
-            SourcePlan::Alone | SourcePlan::Relayed(_) if !is_settled => self.seeds_first(),
+            SourcePlan::Alone | SourcePlan::Relayed(_) if !is_settled => self.sources_at_first(),
             SourcePlan::Alone | SourcePlan::Relayed(_) | SourcePlan::Root => Vec::new(),
         };
         RelayPeers { sources, all: self.addresses(), part: self.part() }
@@ -124,12 +124,17 @@
         (!is_relied_on).then(|| seed_of(&self.own.peers.to_string()))
     }
 
-    /// The seeds, of which an equal part of the hosts begins with each; none on a seed, which asks the store.
-    fn seeds_first(&self) -> Vec<SocketAddr> {
+    /// The first hosts of the failure domain, where bytes cost nothing, or the seeds, of which an equal part of the
+    /// hosts begins with each; none on a seed, which asks the store.
+    fn sources_at_first(&self) -> Vec<SocketAddr> {
         let mut seeds = self.seeds();
         if seeds.contains(&self.own.peers) {
             return Vec::new();
         }
+        let near = self.with_rows(|rows| sources_at_first(rows, &self.own));
+        if !near.is_empty() {
+            return near;
+        }
         rotate_by_rank(&mut seeds, &self.own.peers);
         seeds
     }
--- a/crates/dillspool_router/tests/sources.rs
+++ b/crates/dillspool_router/tests/sources.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use dillspool_router::{HostRow, SourcePlan, count_hosts, plan_sources, should_be_listed};
+use dillspool_router::{
+    HostRow, SourcePlan, count_hosts, plan_sources, relied_on, should_be_listed, sources_at_first,
+};
 
 /// The host with a number in a failure domain, and the width of its link.
 fn row(domain: u16, number: u16, link_mbps: f64) -> HostRow {
@@ -155,3 +157,57 @@
         assert_eq!(count_hosts(&listed(&hosts)), expected, "{name}");
     }
 }
+
+/// Two sources of a failure domain took each other for roots at the first start of a fleet, as each knew some other rows
+/// of hosts, and neither learnt anything for four seconds; then all sixty hosts of the domain read the store.
+#[test]
+fn whatever_rows_hosts_know_at_first_nobody_takes_from_those_that_take_from_it() {
+    let hosts = fleet(&[[vec![1000.0; 3], vec![20.0; 30]].concat(), vec![20.0; 12]]);
+    let mut state = 0x5EED_u64;
+    for _round in 0..200 {
+        // Each host knows rows of its own choice.
+        let known: Vec<Vec<HostRow>> = hosts
+            .iter()
+            .map(|_host| {
+                let is_known = |_row: &&HostRow| {
+                    state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                    state >> 62 != 0
+                };
+                hosts.iter().filter(is_known).cloned().collect()
+            })
+            .collect();
+        let takes_from: Vec<BTreeSet<usize>> = (hosts.iter().zip(&known))
+            .map(|(host, rows)| {
+                let sources = sources_at_first(rows, host);
+                let number = |source| hosts.iter().position(|host| host.peers == source);
+                sources.into_iter().filter_map(number).collect()
+            })
+            .collect();
+        for start in 0..hosts.len() {
+            let (mut seen, mut open) = (BTreeSet::new(), takes_from[start].clone());
+            while let Some(next) = open.pop_first() {
+                assert_ne!(next, start, "a circle");
+                if seen.insert(next) {
+                    open.extend(&takes_from[next]);
+                }
+            }
+        }
+        let seeds_first = takes_from.iter().filter(|sources| sources.is_empty()).count();
+        assert!(seeds_first < hosts.len() / 2, "most take from their own domain");
+    }
+}
+
+#[test]
+fn six_hosts_of_a_domain_are_relied_on_whoever_else_is_recorded() {
+    let rows = fleet(&[[vec![20.0; 30], vec![1000.0; 3]].concat(), vec![20.0; 4]]);
+    let relied: Vec<_> = relied_on(&rows).iter().map(|row| row.peers).collect();
+    assert_eq!(relied.len(), 10);
+    for number in 30..33 {
+        assert!(relied.contains(&address(0, number)), "wide links come first");
+    }
+    for host in &rows {
+        if let SourcePlan::Relayed(sources) = plan_sources(&rows, host) {
+            assert!(sources.iter().all(|source| relied.contains(source)), "{host:?}");
+        }
+    }
+}
