After an outage of the store hosts wait for their sources before they read the directory whole

Cause: when the store comes back, all hosts notice at once, by the table that probes. A host that was told the directory by its source reads it whole the first time that it asks itself, so all read hosts x backend servers at that moment; since hosts take the tables from sources when they start, too, that is every host.

Ruled out: asking for changes alone (what came from peers may lack rows); no question at all (a host whose sources are gone would never know).

The configuration is asked for as before, and shows that the store is back.

--- a/crates/dillspool_routerd/tests/fleet_costs.rs
+++ b/crates/dillspool_routerd/tests/fleet_costs.rs
@@ -15,7 +15,9 @@
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
 use dillspool_scheduler::LimitTerms;
-use dillspool_site_standin::{BackendRow, StandinKind, StandinRoute, StandinStore, config_text};
+use dillspool_site_standin::{
+    BackendRow, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
+};
 use dillspool_suspects::PrintKey;
 use futures_util::future::join_all;
 use http_body_util::Full;
@@ -34,6 +36,10 @@
 const SETTLING: Duration = Duration::from_secs(24);
 /// Time over which a fleet at rest is watched.
 const REST: Duration = Duration::from_secs(30);
+/// Time for which the store is away, longer than what sources told counts.
+const OUTAGE: Duration = Duration::from_secs(9);
+/// Time after which hosts have heard of its return from their sources, or asked themselves.
+const SETTLED_AGAIN: Duration = Duration::from_secs(10);
 /// Longest time until a host that started again with all others knows its backend servers.
 const KNOWN_AFTER: Duration = Duration::from_secs(2);
 
@@ -55,6 +61,8 @@
     rows_at_start: usize,
     /// Calls to the store while nothing happens.
     calls_at_rest: usize,
+    /// Rows that the store sends when it comes back.
+    rows_after_outage: usize,
     /// Calls to the store, and rows that it sends, when all hosts start again.
     calls_at_restart: usize,
     rows_at_restart: usize,
@@ -143,6 +151,12 @@
         let rows_at_start = self.store.take_counts().rows;
         tokio::time::sleep(REST).await;
         let calls_at_rest = self.store.take_counts().calls;
+        self.store.set_mode(StoreMode::Busy);
+        tokio::time::sleep(OUTAGE).await;
+        let _away = self.store.take_counts();
+        self.store.set_mode(StoreMode::Serving);
+        tokio::time::sleep(SETTLED_AGAIN).await;
+        let rows_after_outage = self.store.take_counts().rows;
         self.restart().await;
         tokio::time::sleep(KNOWN_AFTER).await;
         let mut held = self.held().await;
@@ -155,6 +169,7 @@
             most_held: held.last().copied().unwrap_or_default(),
             rows_at_start,
             calls_at_rest,
+            rows_after_outage,
             calls_at_restart: restart.calls,
             rows_at_restart: restart.rows,
         }
@@ -233,11 +248,12 @@
         let costs = CountedFleet::start(hosts).await.costs().await;
         let backends = hosts * BACKENDS_A_HOST;
         println!(
-            "hosts={hosts} held={} most_held={} rows_at_start={} calls_at_rest={} calls_at_restart={} rows_at_restart={}",
+            "hosts={hosts} held={} most_held={} rows_at_start={} calls_at_rest={} rows_after_outage={} calls_at_restart={} rows_at_restart={}",
             costs.held,
             costs.most_held,
             costs.rows_at_start,
             costs.calls_at_rest,
+            costs.rows_after_outage,
             costs.calls_at_restart,
             costs.rows_at_restart,
         );
@@ -247,6 +263,7 @@
         assert!(costs.rows_at_start <= rows, "{hosts} hosts: {} rows", costs.rows_at_start);
         assert!(costs.calls_at_rest <= CALLS_AT_REST, "{hosts} hosts: {}", costs.calls_at_rest);
         let rows = WHOLE_READERS * backends + hosts * ROWS_A_HOST;
+        assert!(costs.rows_after_outage <= rows, "{hosts} hosts: {}", costs.rows_after_outage);
         assert!(costs.rows_at_restart <= rows, "{hosts} hosts: {} rows", costs.rows_at_restart);
         let calls = WHOLE_READERS * backends.div_ceil(500) + hosts * CALLS_A_HOST;
         assert!(costs.calls_at_restart <= calls, "{hosts} hosts: {} calls", costs.calls_at_restart);
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -36,6 +36,9 @@
     /// Time that a host that relies on peers waits for their word before its first question; zero where it
     /// asks at once.
     pub first_after: Duration,
+    /// Time that a host that relies on peers waits for their word before it reads the whole table, if it was told
+    /// the table before: when the store comes back, all hosts notice at the same moment.
+    pub whole_after: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
     /// Time for a whole read, which may take many pages; each page has a deadline of its own.
@@ -66,6 +69,7 @@
             // The direct question that follows takes some milliseconds.
             fresh: limit.mul_f64(0.8),
             first_after: Duration::ZERO,
+            whole_after: Duration::ZERO,
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
             // A whole table over the narrowest link, several times.
@@ -164,6 +168,12 @@
             // Where all tables lose their source at once, one question shows whether the store answers.
             wait_for_probe(&reach, &belief, &settings).await;
         }
+        if !complete && belief.version() > 0 && *role.borrow() == FollowRole::Relayed {
+            wait_for_word(&belief, &settings, settings.whole_after).await;
+            if spared_until(&belief, &settings).is_some() {
+                continue;
+            }
+        }
         let was_complete = complete;
         let (asked, asked_at) = (belief.heard().clock().now(), Instant::now());
         let outcome = if complete {
@@ -241,6 +251,14 @@
     }
 }
 
+/// Waits until a peer has said how the table stands, but no longer than a time.
+async fn wait_for_word(belief: &SharedBelief, settings: &FollowSettings, limit: Duration) {
+    let since = Instant::now();
+    while spared_until(belief, settings).is_none() && since.elapsed() < limit {
+        tokio::time::sleep(LOOK_FOR_PEERS).await;
+    }
+}
+
 /// Waits for another role; for ever once there will be none.
 async fn another_role(mut role: watch::Receiver<FollowRole>) {
     let before = *role.borrow_and_update();
