--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -27,7 +27,7 @@
 /// Longest time before a host with a link of [`USUAL_LINK_MBPS`] records itself, spread over the
 /// hosts: those with wider links do so before, and most others then need not.
 const LONGEST_LIST_DELAY: Duration = Duration::from_secs(5);
-/// Part of that time in which no host of that width does, so that it hears of wider ones first.
+/// Parts of that time between which a host does so: none in the first half, so that it hears of wider ones first.
 const LIST_DELAY_PARTS: std::ops::Range<f64> = 0.5..1.0;
 /// Width of a link in Mbit/s from which on hosts record themselves earlier, in proportion.
 const USUAL_LINK_MBPS: f64 = 10.0;
