Sight: what answers say of their backend servers' leaving and of the rest they ask for

Change: platform/ reads all that an answer says of its server in one place (notice.rs); the desks remember it (a new crate, dillspool_leaving; rests beside the named limits) and log backend_leaves, backend_rests and backend_rest_unreadable; two gauges. Nothing is decided by it yet. Tests: tables of what is read, of starts, of bounds; the stand-in says both words.

--- a/crates/dillspool_forward/tests/throttle.rs
+++ b/crates/dillspool_forward/tests/throttle.rs
@@ -16,7 +16,7 @@
     BusHandlers, FleetBus, LimitClient, LimitDesk, PoolDesk, ScheduleDesks, SchedulePeers,
     serve_schedule,
 };
-use dillspool_throttle::{RateNotice, RequestRate};
+use dillspool_throttle::{RateNotice, RequestRate, RestNotice};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -28,7 +28,7 @@
     for id in ids {
         let backend = StartedBackend { id: (*id).into(), start: None };
         let rate = RequestRate::new(per_s).expect("a rate");
-        context.throttle.note_send(backend).hear(RateNotice::Limited(rate));
+        context.throttle.note_send(backend).hear(RateNotice::Limited(rate), RestNotice::None);
     }
 }
 
--- /dev/null
+++ b/crates/dillspool_leaving/tests/book.rs
@@ -0,0 +1,64 @@
+//! Which starts of backend servers have said that they leave.
+
+use dillspool_leaving::LeavingBook;
+use dillspool_routing::{BackendStart, StartedBackend};
+
+fn started(id: &str, start: Option<u64>) -> StartedBackend {
+    StartedBackend { id: id.into(), start: start.map(BackendStart) }
+}
+
+struct StartCase {
+    name: &'static str,
+    /// The start that said so.
+    said: Option<u64>,
+    /// The start that is asked about.
+    asked: Option<u64>,
+    leaves: bool,
+}
+
+const CASES: [StartCase; 5] = [
+    StartCase { name: "the same start", said: Some(7), asked: Some(7), leaves: true },
+    StartCase { name: "a later start", said: Some(7), asked: Some(8), leaves: false },
+    StartCase { name: "a start by a clock set back", said: Some(7), asked: Some(6), leaves: false },
+    StartCase { name: "no start is told", said: None, asked: None, leaves: true },
+    StartCase {
+        name: "a start that was not told before",
+        said: None,
+        asked: Some(7),
+        leaves: true,
+    },
+];
+
+#[test]
+fn a_start_that_leaves_is_told_from_the_next_one() {
+    for case in &CASES {
+        let mut book = LeavingBook::default();
+        assert!(book.note(&started("i-1", case.said)), "{}: news", case.name);
+        assert!(!book.note(&started("i-1", case.said)), "{}: again", case.name);
+        assert_eq!(book.leaves(&started("i-1", case.asked)), case.leaves, "{}", case.name);
+        assert!(!book.leaves(&started("i-2", case.said)), "{}: another", case.name);
+    }
+}
+
+#[test]
+fn several_starts_of_one_backend_server_may_leave() {
+    let mut book = LeavingBook::default();
+    for start in 1..=3 {
+        assert!(book.note(&started("i-1", Some(start))));
+    }
+    assert!((1..=3).all(|start| book.leaves(&started("i-1", Some(start)))));
+    assert!(!book.leaves(&started("i-1", Some(4))));
+    let newest: Vec<_> = book.newest(2).map(|it| it.start).collect();
+    assert_eq!(newest, [Some(BackendStart(3)), Some(BackendStart(2))]);
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_the_oldest_goes_first() {
+    let mut book = LeavingBook::default();
+    for number in 0..10_000 {
+        book.note(&started(&format!("i-{number}"), Some(1)));
+    }
+    assert_eq!(book.count(), 8_192);
+    assert!(!book.leaves(&started("i-0", Some(1))));
+    assert!(book.leaves(&started("i-9999", Some(1))));
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -159,6 +159,7 @@
         };
         let throttled = ThrottleMetrics::new(
             site.throttle.clone(),
+            site.leaving.clone(),
             [context.limits.clone(), backend_limits.clone()],
         );
         daemon.start_status(&beliefs, throttled, &metrics, readiness_listener, metrics_listener);
--- a/crates/dillspool_router/src/site.rs
+++ b/crates/dillspool_router/src/site.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use dillspool_forward::BackendCalls;
+use dillspool_leaving::LeavingDesk;
 use dillspool_platform::{TableStore, TableWatch};
 use dillspool_routing::{BackendEntry, RequestTerms, RoutingConfig};
 use dillspool_schema::Name;
@@ -33,6 +34,8 @@
     pub calls: BackendCalls,
     /// Remembers what the answers to them say of how much the backend servers take.
     pub throttle: ThrottleDesk,
+    /// Remembers which backend servers say in them that they leave.
+    pub leaving: LeavingDesk,
     /// Follows the store's tables.
     pub watch: TableWatch,
     /// The product's own rows in the store.
--- a/crates/dillspool_router/src/throttle_metrics.rs
+++ b/crates/dillspool_router/src/throttle_metrics.rs
@@ -1,35 +1,55 @@
-//! Backend servers that name how much they take, and the questions about limits, as figures that are read when
-//! they are scraped.
+//! What backend servers say of themselves in their answers, and the questions about limits, as figures that are read
+//! when they are scraped.
 
 use std::sync::atomic::AtomicU64;
 
+use dillspool_leaving::LeavingDesk;
 use dillspool_scheduler::LimitClient;
 use dillspool_throttle::ThrottleDesk;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-/// Figures of a host's throttle desk, and of its questions.
+/// Figures of a host's desks of what backend servers say, and of its questions.
 #[derive(Clone, Debug)]
 pub(crate) struct ThrottleMetrics {
     desk: ThrottleDesk,
+    leaving_desk: LeavingDesk,
     clients: [LimitClient; 2],
     limited: Gauge,
+    resting: Gauge,
+    leaving: Gauge,
     questions: Gauge,
     sends: Counter<u64, AtomicU64>,
 }
 
 impl ThrottleMetrics {
-    /// Figures of a desk, and of those who ask for the limits of workspaces and of backend servers.
-    pub(crate) fn new(desk: ThrottleDesk, clients: [LimitClient; 2]) -> Self {
-        let (limited, questions) = (Gauge::default(), Gauge::default());
-        Self { desk, clients, limited, questions, sends: Counter::default() }
+    /// Figures of the desks, and of those who ask for the limits of workspaces and of backend servers.
+    pub(crate) fn new(
+        desk: ThrottleDesk,
+        leaving_desk: LeavingDesk,
+        clients: [LimitClient; 2],
+    ) -> Self {
+        Self {
+            desk,
+            leaving_desk,
+            clients,
+            limited: Gauge::default(),
+            resting: Gauge::default(),
+            leaving: Gauge::default(),
+            questions: Gauge::default(),
+            sends: Counter::default(),
+        }
     }
 
     /// Registers all figures.
     pub(crate) fn register(&self, registry: &mut Registry) {
         let help = "Backend servers that name how many requests a second they take";
         registry.register("limited_backends", help, self.limited.clone());
+        let help = "Backend servers that want nothing from this host for now";
+        registry.register("resting_backends", help, self.resting.clone());
+        let help = "Starts of backend servers that have said in an answer that they leave";
+        registry.register("leaving_backends", help, self.leaving.clone());
         let help = "Questions to the holders of limits that wait for an answer";
         registry.register("limit_questions", help, self.questions.clone());
         let help = "Sends to backend servers that had named how many requests a second they take";
@@ -39,9 +59,12 @@
     /// Takes over what is known now.
     pub(crate) fn refresh(&self) {
         let (limited, sends) = self.desk.counts();
-        self.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
         let questions: usize = self.clients.iter().map(LimitClient::open_questions).sum();
-        self.questions.set(i64::try_from(questions).unwrap_or(i64::MAX));
+        let set = |gauge: &Gauge, count| gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        set(&self.limited, limited);
+        set(&self.resting, self.desk.resting());
+        set(&self.leaving, self.leaving_desk.count());
+        set(&self.questions, questions);
         self.sends.inner().store(sends, std::sync::atomic::Ordering::Relaxed);
     }
 }
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -10,6 +10,7 @@
 };
 use dillspool_io::{HostClock, full_body};
 use dillspool_keys::{CallerKey, PresentedKey};
+use dillspool_leaving::LeavingDesk;
 use dillspool_platform::{
     ChangedRow, MemoryTable, PlatformError, TableDelta, TableWatch, WatchError,
 };
@@ -226,6 +227,7 @@
         own_table: "own".into(),
         calls: calls(site),
         throttle: ThrottleDesk::new(HostClock::steady()),
+        leaving: LeavingDesk::new(HostClock::steady()),
         watch: TableWatch {
             snapshot: Arc::new(move |table| {
                 let site = for_snapshot.clone();
--- a/crates/dillspool_routerd/src/lib.rs
+++ b/crates/dillspool_routerd/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the daemon of a routing host on a prepared platform plugs into the router.
 
 use dillspool_io::{HostClock, HttpClient, NetStack};
+use dillspool_leaving::LeavingDesk;
 use dillspool_router::{RouterConfig, SiteProtocol};
 use dillspool_throttle::ThrottleDesk;
 
@@ -12,6 +13,7 @@
 ) -> SiteProtocol {
     let http = HttpClient::pooled(stack);
     let throttle = ThrottleDesk::new(clock.clone());
+    let leaving = LeavingDesk::new(clock.clone());
     SiteProtocol {
         take_terms: dillspool_site::take_terms,
         mark_answer: dillspool_site::mark_answer,
@@ -21,8 +23,9 @@
         config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
         directory_table: dillspool_site::DIRECTORY_TABLE.into(),
         own_table: dillspool_site::OWN_TABLE.into(),
-        calls: dillspool_site::backend_calls(stack, &throttle),
+        calls: dillspool_site::backend_calls(stack, &throttle, &leaving),
         throttle,
+        leaving,
         watch: dillspool_site::table_watch(&http, config.store, config.store_timeout),
         store: dillspool_site::host_table(&http, config.store, config.store_timeout),
         label: "prepared platform".into(),
--- a/crates/dillspool_throttle/src/book.rs
+++ b/crates/dillspool_throttle/src/book.rs
@@ -21,7 +21,7 @@
 /// Least rate that is kept to, in requests a second: only an answer tells that a backend server which takes
 /// nothing takes requests again.
 const LEAST_RATE: f64 = 0.1;
-/// Time between two tellings that a backend server is closed.
+/// Time between two tellings that a backend server is closed, or wants nothing.
 const TOLD_EVERY: Duration = Duration::from_secs(1);
 /// Part by which a rate may differ from the one that was told last without being told.
 const TOLD_PART: f64 = 0.1;
@@ -99,6 +99,14 @@
     }
 }
 
+/// A time in which a backend server wants nothing from this host.
+#[derive(Clone, Copy, Debug)]
+struct AskedRest {
+    until: Moment,
+    /// When it was told last.
+    told: Moment,
+}
+
 /// What an answer, or another host's word, changed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum NoticeChange {
@@ -162,6 +170,8 @@
 pub struct ThrottleBook {
     sent: HashMap<StartedBackend, RecentCount>,
     limits: HashMap<StartedBackend, NamedLimit>,
+    /// Until when backend servers want nothing from this host.
+    rests: HashMap<StartedBackend, AskedRest>,
 }
 
 impl ThrottleBook {
@@ -195,6 +205,37 @@
         }
     }
 
+    /// Takes the word of a backend server that it wants nothing from this host until then; whether that is to be
+    /// told.
+    pub fn rest(&mut self, backend: &StartedBackend, until: Moment, now: Moment) -> bool {
+        if self.rests.len() >= MOST_COUNTS {
+            self.rests.retain(|_backend, rest| rest.until > now);
+        }
+        match self.rests.get_mut(backend).filter(|rest| rest.until > now) {
+            Some(rest) => {
+                rest.until = rest.until.max(until);
+                if now.since(rest.told) < TOLD_EVERY {
+                    return false;
+                }
+                rest.told = now;
+            }
+            None => {
+                self.rests.insert(backend.clone(), AskedRest { until, told: now });
+            }
+        }
+        true
+    }
+
+    /// Until when a backend server wants nothing from this host, if it does now.
+    pub fn rests_until(&self, backend: &StartedBackend, now: Moment) -> Option<Moment> {
+        self.rests.get(backend).map(|rest| rest.until).filter(|until| *until > now)
+    }
+
+    /// Backend servers that want nothing from this host now.
+    pub fn resting(&self, now: Moment) -> usize {
+        self.rests.values().filter(|rest| rest.until > now).count()
+    }
+
     /// Takes another host's word; the newest holds.
     pub fn learn(&mut self, news: &ThrottleNews, now: Moment) -> NoticeChange {
         if self.limits.get(&news.backend).is_some_and(|limit| limit.said() >= news.at) {
@@ -326,6 +367,7 @@
             let may_return = now.since(limit.said()) < MAY_RETURN;
             (is_there || may_return) && !limit.is_forgotten(now)
         });
+        self.rests.retain(|_backend, rest| rest.until > now);
     }
 
     /// How a backend server stands.
--- a/crates/dillspool_throttle/src/desk.rs
+++ b/crates/dillspool_throttle/src/desk.rs
@@ -12,19 +12,26 @@
 use tokio::sync::Notify;
 
 use crate::book::{NoticeChange, SendVerdict, ThrottleBook, ThrottleNews, ThrottleReading};
-use crate::notice::{RateNotice, RequestRate};
+use crate::notice::{RateNotice, RequestRate, RestNotice};
 
 /// News that wait to be told to other hosts at most; the oldest go first.
 const MOST_NEWS: usize = 1_024;
 /// Backend servers of which it is remembered that they named what is no rate.
 const MOST_UNREADABLE: usize = 1_024;
 
+/// A word that cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum UnreadableWord {
+    Rate,
+    Rest,
+}
+
 #[derive(Default)]
 struct DeskState {
     book: ThrottleBook,
     news: VecDeque<ThrottleNews>,
-    /// Backend servers that have named what is no rate; that is told once.
-    unreadable: HashSet<StartedBackend>,
+    /// Backend servers that have named what cannot be read; that is told once.
+    unreadable: HashSet<(StartedBackend, UnreadableWord)>,
     /// Sends to backend servers that had named a limit.
     limited_sends: u64,
 }
@@ -127,6 +134,18 @@
         (state.book.limited(), state.limited_sends)
     }
 
+    /// Until when a backend server wants nothing from this host, if it does now.
+    pub fn rests_until(&self, backend: &StartedBackend) -> Option<Moment> {
+        let now = self.now();
+        self.state().book.rests_until(backend, now)
+    }
+
+    /// Backend servers that want nothing from this host now.
+    pub fn resting(&self) -> usize {
+        let now = self.now();
+        self.state().book.resting(now)
+    }
+
     /// Waits for news to tell, or for what is to be told to those who count.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -182,13 +201,42 @@
         };
         match told {
             Some(rate) => state.tell(ThrottleNews { backend: backend.clone(), rate, at: now }),
-            None if !state.note_unreadable(backend) => return,
+            None if !state.note_unreadable(backend, UnreadableWord::Rate) => return,
             None => {}
         }
         drop(state);
         log_change(backend, change, "answer", asked, sent, now);
         self.changed.notify_one();
     }
+
+    fn hear_rest(&self, backend: &StartedBackend, asked: Moment, notice: RestNotice) {
+        let span = match notice {
+            RestNotice::None => return,
+            RestNotice::For(span) => span,
+            RestNotice::Unreadable(text) => {
+                if self.state().note_unreadable(backend, UnreadableWord::Rest) {
+                    let backend = backend.label();
+                    log::info!(
+                        "event=backend_rest_unreadable backend=\"{backend}\" value={text:?}"
+                    );
+                }
+                return;
+            }
+        };
+        let now = self.now();
+        let mut state = self.state();
+        let is_told = state.book.rest(backend, now + span, now);
+        let sent = state.book.read(backend, now).sent;
+        drop(state);
+        if is_told {
+            log::info!(
+                "event=backend_rests backend=\"{}\" for_ms={} age_ms={} sent_1s={sent}",
+                backend.label(),
+                span.as_millis(),
+                now.since(asked).as_millis(),
+            );
+        }
+    }
 }
 
 impl DeskState {
@@ -200,11 +248,11 @@
     }
 
     /// Whether it is the first time.
-    fn note_unreadable(&mut self, backend: &StartedBackend) -> bool {
+    fn note_unreadable(&mut self, backend: &StartedBackend, word: UnreadableWord) -> bool {
         if self.unreadable.len() >= MOST_UNREADABLE {
             self.unreadable.clear();
         }
-        self.unreadable.insert(backend.clone())
+        self.unreadable.insert((backend.clone(), word))
     }
 }
 
@@ -247,7 +295,8 @@
 
 impl SendMark {
     /// Takes what an answer that is proven to be the backend server's own says.
-    pub fn hear(&self, notice: RateNotice) {
-        self.desk.hear(&self.backend, self.sent, notice);
+    pub fn hear(&self, rate: RateNotice, rest: RestNotice) {
+        self.desk.hear(&self.backend, self.sent, rate);
+        self.desk.hear_rest(&self.backend, self.sent, rest);
     }
 }
--- a/crates/dillspool_throttle/src/lib.rs
+++ b/crates/dillspool_throttle/src/lib.rs
@@ -1,8 +1,10 @@
-//! Backend servers that name how many requests a second they take from all hosts together.
+//! Backend servers that say how much they take: so many requests a second from all hosts together, or nothing
+//! from this host for a while.
 //!
-//! What an answer says is read at the edge into a [`RateNotice`]. [`ThrottleBook`] remembers it over moments
-//! that are passed in, without input or output, and says whether something may be sent, may not, or whom to
-//! ask; [`ThrottleDesk`] keeps one for a host and logs what changes. See `docs/design/limits.md`.
+//! What an answer says is read at the edge into a [`RateNotice`] and a [`RestNotice`]. [`ThrottleBook`] remembers
+//! it over moments that are passed in, without input or output, and says whether something may be sent, may not,
+//! or whom to ask; [`ThrottleDesk`] keeps one for a host and logs what changes. See `docs/design/limits.md` and
+//! `docs/design/notices.md`.
 
 mod book;
 mod desk;
@@ -11,4 +13,4 @@
 
 pub use book::{NoticeChange, SendVerdict, ThrottleBook, ThrottleNews, ThrottleReading};
 pub use desk::{SendMark, ThrottleDesk};
-pub use notice::{RateNotice, RequestRate};
+pub use notice::{RateNotice, RequestRate, RestNotice};
--- a/crates/dillspool_throttle/src/notice.rs
+++ b/crates/dillspool_throttle/src/notice.rs
@@ -1,6 +1,7 @@
 //! What one answer says.
 
 use std::fmt;
+use std::time::Duration;
 
 /// Largest rate that is believed; more is as good as none.
 const LARGEST_RATE: f64 = 1e6;
@@ -37,3 +38,14 @@
     /// It names something that is no rate.
     Unreadable(String),
 }
+
+/// What one answer of a backend server says of when it takes something from this host again.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RestNotice {
+    /// Nothing.
+    None,
+    /// It takes nothing from this host for so long.
+    For(Duration),
+    /// It names something that is no time.
+    Unreadable(String),
+}
