--- a/crates/dillspool_throttle/src/book.rs
+++ b/crates/dillspool_throttle/src/book.rs
@@ -213,21 +213,18 @@
         if self.rests.len() >= MOST_COUNTS {
             self.rests.retain(|_backend, rest| rest.until > now);
         }
-        match self.rests.get_mut(backend).filter(|rest| rest.until > now) {
-            Some(rest) => {
-                rest.is_awaited &= rest.until >= until;
-                rest.until = rest.until.max(until);
-                if now.since(rest.told) < TOLD_EVERY {
-                    return false;
-                }
-                rest.told = now;
-            }
-            None => {
-                let rest = AskedRest { until, told: now, is_awaited: false };
-                self.rests.insert(backend.clone(), rest);
-            }
+        let Some(rest) = self.rests.get_mut(backend).filter(|rest| rest.until > now) else {
+            let rest = AskedRest { until, told: now, is_awaited: false };
+            self.rests.insert(backend.clone(), rest);
+            return true;
+        };
+        rest.is_awaited &= rest.until >= until;
+        rest.until = rest.until.max(until);
+        let is_due = now.since(rest.told) >= TOLD_EVERY;
+        if is_due {
+            rest.told = now;
         }
-        true
+        is_due
     }
 
     /// Until when a backend server wants nothing from this host, if it does now.
