Hosts tell each other that a backend server leaves

Cause: a host learnt it by its own answers alone; of a large fleet each host would have sent to a server that leaves once more, and a scheduler that sends to none of a pool's engines went on to choose one whose work ends. The handlers of news of limits and of leaving are one type; the keeper that tells them tells both. Version 6 of the protocol between hosts: hosts of another version decide by themselves meanwhile.

--- a/crates/dillspool_leaving/src/book.rs
+++ b/crates/dillspool_leaving/src/book.rs
@@ -2,22 +2,33 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use dillspool_moment::Moment;
 use dillspool_routing::{BackendId, BackendStart, StartedBackend};
 
 /// Starts that are remembered at most; the oldest are forgotten first.
 const MOST_STARTS: usize = 8_192;
 
+/// A backend server has said that it leaves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeavingNews {
+    /// Which start of it.
+    pub backend: StartedBackend,
+    /// When it said so.
+    pub at: Moment,
+}
+
 /// The starts that have said so. A start never takes it back; the next start of a backend server is another one.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingBook {
     starts: HashMap<BackendId, Vec<Option<BackendStart>>>,
     /// In the order in which they were noted.
-    order: VecDeque<StartedBackend>,
+    order: VecDeque<LeavingNews>,
 }
 
 impl LeavingBook {
     /// Notes that a start leaves; whether that is new.
-    pub fn note(&mut self, backend: &StartedBackend) -> bool {
+    pub fn note(&mut self, news: &LeavingNews) -> bool {
+        let backend = &news.backend;
         if self.leaves(backend) {
             return false;
         }
@@ -25,7 +36,7 @@
             self.forget_oldest();
         }
         self.starts.entry(BackendId::clone(&backend.id)).or_default().push(backend.start);
-        self.order.push_back(backend.clone());
+        self.order.push_back(news.clone());
         true
     }
 
@@ -38,7 +49,7 @@
     }
 
     /// The newest `most`, the newest first.
-    pub fn newest(&self, most: usize) -> impl Iterator<Item = &StartedBackend> {
+    pub fn newest(&self, most: usize) -> impl Iterator<Item = &LeavingNews> {
         self.order.iter().rev().take(most)
     }
 
@@ -48,7 +59,7 @@
     }
 
     fn forget_oldest(&mut self) {
-        let Some(oldest) = self.order.pop_front() else { return };
+        let Some(LeavingNews { backend: oldest, at: _ }) = self.order.pop_front() else { return };
         if let Some(starts) = self.starts.get_mut(&oldest.id) {
             starts.retain(|start| *start != oldest.start);
             if starts.is_empty() {
--- a/crates/dillspool_leaving/src/lib.rs
+++ b/crates/dillspool_leaving/src/lib.rs
@@ -7,5 +7,5 @@
 mod book;
 mod desk;
 
-pub use book::LeavingBook;
-pub use desk::{LeavingDesk, LeavingNews};
+pub use book::{LeavingBook, LeavingNews};
+pub use desk::LeavingDesk;
--- a/crates/dillspool_leaving/tests/book.rs
+++ b/crates/dillspool_leaving/tests/book.rs
@@ -1,12 +1,20 @@
 //! Which starts of backend servers have said that they leave.
 
-use dillspool_leaving::LeavingBook;
+use std::time::Duration;
+
+use dillspool_leaving::{LeavingBook, LeavingNews};
+use dillspool_moment::Moment;
 use dillspool_routing::{BackendStart, StartedBackend};
 
 fn started(id: &str, start: Option<u64>) -> StartedBackend {
     StartedBackend { id: id.into(), start: start.map(BackendStart) }
 }
 
+fn news(id: &str, start: Option<u64>) -> LeavingNews {
+    let at = Moment::after_origin(Duration::from_secs(1));
+    LeavingNews { backend: started(id, start), at }
+}
+
 struct StartCase {
     name: &'static str,
     /// The start that said so.
@@ -33,8 +41,8 @@
 fn a_start_that_leaves_is_told_from_the_next_one() {
     for case in &CASES {
         let mut book = LeavingBook::default();
-        assert!(book.note(&started("i-1", case.said)), "{}: news", case.name);
-        assert!(!book.note(&started("i-1", case.said)), "{}: again", case.name);
+        assert!(book.note(&news("i-1", case.said)), "{}: news", case.name);
+        assert!(!book.note(&news("i-1", case.said)), "{}: again", case.name);
         assert_eq!(book.leaves(&started("i-1", case.asked)), case.leaves, "{}", case.name);
         assert!(!book.leaves(&started("i-2", case.said)), "{}: another", case.name);
     }
@@ -44,11 +52,11 @@
 fn several_starts_of_one_backend_server_may_leave() {
     let mut book = LeavingBook::default();
     for start in 1..=3 {
-        assert!(book.note(&started("i-1", Some(start))));
+        assert!(book.note(&news("i-1", Some(start))));
     }
     assert!((1..=3).all(|start| book.leaves(&started("i-1", Some(start)))));
     assert!(!book.leaves(&started("i-1", Some(4))));
-    let newest: Vec<_> = book.newest(2).map(|it| it.start).collect();
+    let newest: Vec<_> = book.newest(2).map(|it| it.backend.start).collect();
     assert_eq!(newest, [Some(BackendStart(3)), Some(BackendStart(2))]);
 }
 
@@ -56,7 +64,7 @@
 fn what_is_remembered_is_bounded_and_the_oldest_goes_first() {
     let mut book = LeavingBook::default();
     for number in 0..10_000 {
-        book.note(&started(&format!("i-{number}"), Some(1)));
+        book.note(&news(&format!("i-{number}"), Some(1)));
     }
     assert_eq!(book.count(), 8_192);
     assert!(!book.leaves(&started("i-0", Some(1))));
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -28,13 +28,13 @@
     start_limits, start_schedule,
 };
 use crate::ingress::{IngressState, KnownConfig};
+use crate::notice_keeper::NoticeKeeper;
 use crate::peer_list::{PeerList, keep_peer_list};
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
 use crate::status::{metrics_handler, readiness_handler};
 use crate::suspect_metrics::SuspectMetrics;
 use crate::suspect_rows::SuspectKeeper;
-use crate::throttle_keeper::ThrottleKeeper;
 use crate::throttle_metrics::ThrottleMetrics;
 
 /// Connections of callers at most; each may need a second descriptor for its backend server.
@@ -118,7 +118,7 @@
             pools: desk,
             limits: limits.clone(),
             backend_limits: backend_limits.clone(),
-            bus: fleet_bus(&suspects, &site.throttle, &clock),
+            bus: fleet_bus(&suspects, &site, &clock),
         };
         let schedule =
             start_schedule(&config, &stack, &beliefs, schedule_listener, desks, &background);
@@ -164,8 +164,9 @@
         );
         daemon.start_status(&beliefs, throttled, &metrics, readiness_listener, metrics_listener);
         daemon.start_suspects(&beliefs, &site, schedule.clone());
-        let keeper = ThrottleKeeper {
+        let keeper = NoticeKeeper {
             throttle: site.throttle.clone(),
+            leaving: site.leaving.clone(),
             limits: backend_limits,
             schedule: schedule.clone(),
             directory: beliefs.directory.clone(),
--- a/crates/dillspool_router/src/fleet_duties.rs
+++ b/crates/dillspool_router/src/fleet_duties.rs
@@ -9,18 +9,18 @@
 use dillspool_roles::DelayFn;
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitClient, LimitDesk, ScheduleClient, ScheduleDesks, SuspectHandlers,
-    ThrottleHandlers, serve_schedule,
+    BusHandlers, FleetBus, LimitClient, LimitDesk, NoticeHandlers, ScheduleClient, ScheduleDesks,
+    SuspectHandlers, serve_schedule,
 };
 use dillspool_schema::Name;
 use dillspool_suspects::SuspectDesk;
-use dillspool_throttle::ThrottleDesk;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::beliefs::Beliefs;
 use crate::peer_list::PeerList;
 use crate::settings::RouterConfig;
+use crate::site::SiteProtocol;
 
 /// Time before a host gives orders that does not schedule the pools: the one that does has ordered by
 /// then, and its orders show in the directory, unless it cannot reach the store or the engines.
@@ -76,7 +76,7 @@
 /// News between what this host knows and its links.
 pub(crate) fn fleet_bus(
     suspects: &SuspectDesk,
-    throttle: &ThrottleDesk,
+    site: &SiteProtocol,
     clock: &HostClock,
 ) -> FleetBus {
     let (learning, telling) = (suspects.clone(), suspects.clone());
@@ -87,12 +87,17 @@
         known: Arc::new(move |most| knowing.known(most)),
         repeated: Arc::new(move |most| repeating.repeated(most)),
     };
-    let (learning, knowing) = (throttle.clone(), throttle.clone());
-    let throttle = ThrottleHandlers {
+    let (learning, knowing) = (site.throttle.clone(), site.throttle.clone());
+    let throttle = NoticeHandlers {
         learn: Arc::new(move |news| learning.learn(news)),
         known: Arc::new(move |most| knowing.known(most)),
     };
-    FleetBus::new(BusHandlers { suspects, throttle }, clock.clone())
+    let (learning, knowing) = (site.leaving.clone(), site.leaving.clone());
+    let leaving = NoticeHandlers {
+        learn: Arc::new(move |news| learning.learn(news)),
+        known: Arc::new(move |most| knowing.known(most)),
+    };
+    FleetBus::new(BusHandlers { suspects, throttle, leaving }, clock.clone())
 }
 
 /// Starts this host's own decisions, its service to others that ask it, and its link to the
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -10,6 +10,7 @@
 mod directory_tracker;
 mod fleet_duties;
 mod ingress;
+mod notice_keeper;
 mod patience;
 mod peer_list;
 mod policy;
@@ -19,7 +20,6 @@
 mod status;
 mod suspect_metrics;
 mod suspect_rows;
-mod throttle_keeper;
 mod throttle_metrics;
 mod unreadable_rows;
 
--- a/crates/dillspool_router/src/throttle_keeper.rs
+++ b/crates/dillspool_router/src/notice_keeper.rs
@@ -1,8 +1,10 @@
-//! Tells other hosts what backend servers say they take, and those that count it what was sent before.
+//! Tells other hosts what backend servers say in their answers, and those that count what they take what was sent
+//! before.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_leaving::LeavingDesk;
 use dillspool_limits::SpendRequest;
 use dillspool_routing::DirectoryView;
 use dillspool_scheduler::{FleetNews, LimitClient, ScheduleClient};
@@ -15,19 +17,21 @@
 const TELLING_LIMIT: Duration = Duration::from_secs(1);
 
 /// What the task works with.
-pub(crate) struct ThrottleKeeper {
+pub(crate) struct NoticeKeeper {
     pub(crate) throttle: ThrottleDesk,
+    pub(crate) leaving: LeavingDesk,
     pub(crate) limits: LimitClient,
     pub(crate) schedule: ScheduleClient,
     pub(crate) directory: watch::Receiver<Arc<DirectoryView>>,
 }
 
-impl ThrottleKeeper {
+impl NoticeKeeper {
     /// Tells news until `cancel`.
     pub(crate) async fn run(mut self, cancel: CancellationToken) {
         loop {
             tokio::select! {
-                () = self.throttle.changed() => self.tell(),
+                () = self.throttle.changed() => self.tell_limits(),
+                () = self.leaving.changed() => self.tell_leaving(),
                 changed = self.directory.changed() => {
                     if changed.is_err() {
                         return;
@@ -39,7 +43,13 @@
         }
     }
 
-    fn tell(&self) {
+    fn tell_leaving(&self) {
+        for news in self.leaving.take_news() {
+            self.schedule.tell(&FleetNews::Leaving(news));
+        }
+    }
+
+    fn tell_limits(&self) {
         for news in self.throttle.take_news() {
             self.schedule.tell(&FleetNews::Throttle(news));
         }
--- a/crates/dillspool_routerd/tests/leaving_servers.rs
+++ b/crates/dillspool_routerd/tests/leaving_servers.rs
@@ -224,3 +224,37 @@
         assert!(send().await.is_served(), "{kind:?}");
     }
 }
+
+/// Hosts of a large fleet send to one backend server once in a while; each would else send to one that leaves until
+/// an answer tells it.
+#[tokio::test(start_paused = true)]
+async fn hosts_that_were_not_answered_still_sent_to_a_backend_server_that_leaves() {
+    const HOSTS: usize = 12;
+    let mut late = Vec::new();
+    for (kind, path) in [(StandinKind::Plain, "/again/1"), (StandinKind::Decode, "/stream/1")] {
+        let fleet = TestFleet::start(HOSTS, ComeBack::OtherId).await;
+        let fleet = &fleet;
+        let moments = (0..160_u32).map(|number| Duration::from_millis(50) * number);
+        let callers = moments.enumerate().map(|(number, moment)| async move {
+            tokio::time::sleep(moment).await;
+            fleet.send(number % 8, number % HOSTS, path, "sound").await
+        });
+        let leave = async {
+            tokio::time::sleep(STORE_AT).await;
+            fleet.store.set_mode(StoreMode::Silent);
+            tokio::time::sleep(LEAVING_AT.saturating_sub(STORE_AT)).await;
+            let leaving = fleet.busiest(kind, 1).remove(0);
+            leaving.say_leaving(&["1"]);
+            (leaving, Instant::now())
+        };
+        let callers = futures_util::future::join_all(callers);
+        let (replies, (leaving, since)) = futures_util::future::join(callers, leave).await;
+        assert!(replies.iter().all(fleet::CallerReply::is_served), "{kind:?}");
+        let arrivals = leaving.arrivals().into_iter().filter(|at| *at >= since);
+        let arrivals: Vec<_> = arrivals.collect();
+        let first = *arrivals.first().expect("it is the busiest");
+        let known = first + Duration::from_secs(1);
+        late.push(arrivals.iter().filter(|at| **at > known).count());
+    }
+    assert_eq!(late, [0, 0], "plain, decode");
+}
--- a/crates/dillspool_scheduler/src/fleet_bus.rs
+++ b/crates/dillspool_scheduler/src/fleet_bus.rs
@@ -1,9 +1,10 @@
 //! News on the links of a pool, from each host to the scheduler and from it to all: of requests under which
-//! backend servers ended, and of what backend servers say they take.
+//! backend servers ended, and of what backend servers say in their answers, how much they take and that they leave.
 //!
-//! Rows of the store tell of suspects as well, but not while it is away: then each host would have to see
-//! three ends by itself. See `docs/design/suspects.md`. What backend servers take changes within seconds and is
-//! told here alone; see `docs/design/limits.md`.
+//! Rows of the store tell of suspects and of servers that leave as well, but not while it is away: then each host
+//! would have to see three ends, or get an answer, by itself. See `docs/design/suspects.md` and
+//! `docs/design/notices.md`. What backend servers take changes within seconds and is told here alone; see
+//! `docs/design/limits.md`.
 
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
@@ -11,9 +12,13 @@
 use std::time::Duration;
 
 use dillspool_io::HostClock;
+use dillspool_leaving::LeavingNews;
+use dillspool_moment::Moment;
 use dillspool_routing::{BackendStart, StartedBackend};
 use dillspool_schema::Name;
-use dillspool_schema::schedule::{ScheduleMessage, ScheduleSuspect, ScheduleThrottle};
+use dillspool_schema::schedule::{
+    ScheduleLeaving, ScheduleMessage, ScheduleSuspect, ScheduleThrottle,
+};
 use dillspool_suspects::{RunEnd, SuspectNews};
 use dillspool_throttle::{RequestRate, ThrottleNews};
 use tokio::sync::broadcast;
@@ -51,18 +56,25 @@
     }
 }
 
-/// What a host does with news of limits that backend servers name, as closures over what it knows.
+/// What a host does with news of what backend servers say, as closures over what it knows.
 #[derive(Clone)]
-pub struct ThrottleHandlers {
+pub struct NoticeHandlers<T> {
     /// Takes news; whether they were not known.
-    pub learn: Arc<LearnFn<ThrottleNews>>,
+    pub learn: Arc<LearnFn<T>>,
     /// The newest of what is known, so many.
-    pub known: Arc<KnownFn<ThrottleNews>>,
+    pub known: Arc<KnownFn<T>>,
 }
 
-impl fmt::Debug for ThrottleHandlers {
+impl<T> NoticeHandlers<T> {
+    /// Of a host that knows nothing and takes nothing.
+    pub fn none() -> Self {
+        Self { learn: Arc::new(|_news| false), known: Arc::new(|_most| Vec::new()) }
+    }
+}
+
+impl<T> fmt::Debug for NoticeHandlers<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("ThrottleHandlers")
+        f.write_str("NoticeHandlers")
     }
 }
 
@@ -72,7 +84,9 @@
     /// Of suspects.
     pub suspects: SuspectHandlers,
     /// Of limits that backend servers name.
-    pub throttle: ThrottleHandlers,
+    pub throttle: NoticeHandlers<ThrottleNews>,
+    /// Of backend servers that leave.
+    pub leaving: NoticeHandlers<LeavingNews>,
 }
 
 impl BusHandlers {
@@ -84,11 +98,7 @@
             known: Arc::new(|_most| Vec::new()),
             repeated: Arc::new(|_most| Vec::new()),
         };
-        let throttle = ThrottleHandlers {
-            learn: Arc::new(|_news| false),
-            known: Arc::new(|_most| Vec::new()),
-        };
-        Self { suspects, throttle }
+        Self { suspects, throttle: NoticeHandlers::none(), leaving: NoticeHandlers::none() }
     }
 }
 
@@ -99,6 +109,8 @@
     Suspect(SuspectNews),
     /// A backend server says how much it takes.
     Throttle(ThrottleNews),
+    /// A backend server says that it leaves.
+    Leaving(LeavingNews),
 }
 
 /// Carries news between this host and those that it is linked with.
@@ -154,8 +166,10 @@
 
     fn first_of(&self, suspects: Vec<SuspectNews>) -> Vec<ScheduleMessage> {
         let limits = (self.handlers.throttle.known)(FIRST_NEWS);
+        let leaving = (self.handlers.leaving.known)(FIRST_NEWS);
         let suspects = suspects.into_iter().map(FleetNews::Suspect);
-        let news = suspects.chain(limits.into_iter().map(FleetNews::Throttle));
+        let limits = limits.into_iter().map(FleetNews::Throttle);
+        let news = suspects.chain(limits).chain(leaving.into_iter().map(FleetNews::Leaving));
         news.map(|news| self.encode(&news)).collect()
     }
 
@@ -183,6 +197,18 @@
         (self.handlers.throttle.learn)(&news).then_some(FleetNews::Throttle(news))
     }
 
+    /// Takes a message; what cannot be read is told and passed over.
+    pub(crate) fn hear_leaving(&self, message: &ScheduleLeaving) -> Option<FleetNews> {
+        let news = match self.decode_leaving(message) {
+            Ok(news) => news,
+            Err(cause) => {
+                log::info!("event=backend_leaving_untold cause=\"{cause}\"");
+                return None;
+            }
+        };
+        (self.handlers.leaving.learn)(&news).then_some(FleetNews::Leaving(news))
+    }
+
     /// Passes news on to all hosts that are served here, but for the one that they came from.
     pub(crate) fn spread(&self, source: Option<&Name>, news: &FleetNews) {
         let told = match news {
@@ -190,7 +216,7 @@
                 let told = (self.handlers.suspects.worth_telling)(news);
                 told.into_iter().map(FleetNews::Suspect).collect()
             }
-            FleetNews::Throttle(_) => vec![news.clone()],
+            FleetNews::Throttle(_) | FleetNews::Leaving(_) => vec![news.clone()],
         };
         for news in told {
             // Nobody may be served here.
@@ -215,12 +241,17 @@
                 per_s: news.rate.map(RequestRate::per_s),
                 age_ms: age_ms(news.at),
             }),
+            FleetNews::Leaving(news) => ScheduleMessage::Leaving(ScheduleLeaving {
+                backend: Name::clone(&news.backend.id),
+                start: news.backend.start.map(|start| start.0),
+                age_ms: age_ms(news.at),
+            }),
         }
     }
 
     fn decode_suspect(&self, message: ScheduleSuspect) -> Result<SuspectNews, String> {
         let print = message.print.parse().map_err(|error| format!("{error}"))?;
-        let at = self.clock.now().before(Duration::from_millis(message.age_ms));
+        let at = self.said_at(message.age_ms);
         match message.backend {
             None => Ok(SuspectNews::Whole { print, at }),
             Some(backend) if is_backend_name(&backend) => {
@@ -231,18 +262,29 @@
     }
 
     fn decode_throttle(&self, message: &ScheduleThrottle) -> Result<ThrottleNews, String> {
-        if !is_backend_name(&message.backend) {
-            return Err(UNNAMED.to_owned());
-        }
         let rate = match message.per_s {
             None => None,
             Some(per_s) => Some(RequestRate::new(per_s).ok_or(format!("{per_s} is no rate"))?),
         };
-        let id = Name::clone(&message.backend);
-        let backend = StartedBackend { id, start: message.start.map(BackendStart) };
-        let at = self.clock.now().before(Duration::from_millis(message.age_ms));
-        Ok(ThrottleNews { backend, rate, at })
+        let backend = decode_started(&message.backend, message.start)?;
+        Ok(ThrottleNews { backend, rate, at: self.said_at(message.age_ms) })
+    }
+
+    fn decode_leaving(&self, message: &ScheduleLeaving) -> Result<LeavingNews, String> {
+        let backend = decode_started(&message.backend, message.start)?;
+        Ok(LeavingNews { backend, at: self.said_at(message.age_ms) })
+    }
+
+    fn said_at(&self, age_ms: u64) -> Moment {
+        self.clock.now().before(Duration::from_millis(age_ms))
+    }
+}
+
+fn decode_started(backend: &Name, start: Option<u64>) -> Result<StartedBackend, String> {
+    if !is_backend_name(backend) {
+        return Err(UNNAMED.to_owned());
     }
+    Ok(StartedBackend { id: Name::clone(backend), start: start.map(BackendStart) })
 }
 
 /// A link of a host that is served here, until it is dropped. Of the links of a host, one for each pool, the newest
--- a/crates/dillspool_scheduler/src/lib.rs
+++ b/crates/dillspool_scheduler/src/lib.rs
@@ -19,7 +19,7 @@
 pub use candidates::{SchedulerCandidate, rank_candidates};
 pub use client::{PlacementTicket, ScheduleClient};
 pub use desk::{DeskNote, PoolDesk};
-pub use fleet_bus::{BusHandlers, FleetBus, FleetNews, SuspectHandlers, ThrottleHandlers};
+pub use fleet_bus::{BusHandlers, FleetBus, FleetNews, NoticeHandlers, SuspectHandlers};
 pub use keeper::SchedulePeers;
 pub use limit_client::{LimitClient, SpentAmount};
 pub use limit_desk::{LimitDesk, LimitTerms};
--- a/crates/dillspool_scheduler/src/link/serving.rs
+++ b/crates/dillspool_scheduler/src/link/serving.rs
@@ -85,6 +85,11 @@
                         bus.hear_throttle(&message);
                     }
                 }
+                ScheduleMessage::Leaving(message) => {
+                    if let Some(bus) = &self.bus {
+                        bus.hear_leaving(&message);
+                    }
+                }
                 ScheduleMessage::Hello(_)
                 | ScheduleMessage::Ask(_)
                 | ScheduleMessage::Held(_)
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -207,6 +207,7 @@
             | ScheduleMessage::Reader(_)
             | ScheduleMessage::Suspect(_)
             | ScheduleMessage::Throttle(_)
+            | ScheduleMessage::Leaving(_)
             | ScheduleMessage::Spent(_) => {
                 let reason = "no question about a limit".to_owned();
                 return Err(ScheduleError::Malformed { reason });
@@ -335,6 +336,11 @@
                         self.bus.spread(Some(&self.name), &news);
                     }
                 }
+                ScheduleMessage::Leaving(message) => {
+                    if let Some(news) = self.bus.hear_leaving(&message) {
+                        self.bus.spread(Some(&self.name), &news);
+                    }
+                }
                 ScheduleMessage::Beat(_beat) => {}
                 ScheduleMessage::Hello(_)
                 | ScheduleMessage::Spend(_)
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -23,7 +23,7 @@
 use crate::desk::DeskNote;
 
 /// Version of the protocol; hosts of other versions are not served and decide by themselves.
-pub(crate) const PROTOCOL_VERSION: u32 = 5;
+pub(crate) const PROTOCOL_VERSION: u32 = 6;
 /// Largest message in bytes; a question names at most some dozen engines.
 const MESSAGE_LIMIT: usize = 64 * 1024;
 
--- a/crates/dillspool_scheduler/tests/fleet_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -8,16 +8,18 @@
 use dillspool_admission::AdmissionPolicy;
 use dillspool_capacity::DemandMeter;
 use dillspool_io::{HostClock, MemoryNet, NetStream};
+use dillspool_leaving::{LeavingDesk, LeavingNews};
 use dillspool_routing::{
-    BackendEntry, BackendState, ClientLimits, DirectoryView, EngineStage, RouteTable,
-    RoutingConfig, ServiceEntry,
+    BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, EngineStage, RouteTable,
+    RoutingConfig, ServiceEntry, StartedBackend,
 };
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitDesk, LimitTerms, PoolDesk, ScheduleDesks, SuspectHandlers,
-    ThrottleHandlers, serve_schedule,
+    BusHandlers, FleetBus, LimitDesk, LimitTerms, NoticeHandlers, PoolDesk, ScheduleDesks,
+    SuspectHandlers, serve_schedule,
 };
 use dillspool_schema::schedule::{
-    ScheduleBeat, ScheduleDuty, ScheduleHello, ScheduleMessage, ScheduleSuspect, ScheduleThrottle,
+    ScheduleBeat, ScheduleDuty, ScheduleHello, ScheduleLeaving, ScheduleMessage, ScheduleSuspect,
+    ScheduleThrottle,
 };
 use dillspool_suspects::SuspectNews;
 use dillspool_throttle::{ThrottleDesk, ThrottleNews};
@@ -82,7 +84,7 @@
     let (mut socket, _response) =
         client_async(format!("ws://{ADDRESS}/"), stream).await.expect("a handshake");
     let hello = ScheduleHello {
-        version: 5,
+        version: 6,
         host: host.into(),
         duty: ScheduleDuty::Pool,
         service: "pool".into(),
@@ -115,6 +117,9 @@
                     let rate = news.per_s.map_or("none".to_owned(), |per_s| per_s.to_string());
                     backends.push(format!("{} takes {rate}", &*news.backend));
                 }
+                ScheduleMessage::Leaving(news) => {
+                    backends.push(format!("{} leaves", &*news.backend))
+                }
                 ScheduleMessage::Beat(_) => beats = true,
                 other => panic!("{other:?}"),
             }
@@ -201,11 +206,14 @@
 /// Desks of a host that knows what this desk does.
 fn desks_knowing(throttle: &ThrottleDesk) -> ScheduleDesks {
     let (learning, knowing) = (throttle.clone(), throttle.clone());
-    let throttle = ThrottleHandlers {
+    let throttle = NoticeHandlers {
         learn: Arc::new(move |news: &ThrottleNews| learning.learn(news)),
         known: Arc::new(move |most| knowing.known(most)),
     };
-    let handlers = BusHandlers { throttle, ..BusHandlers::none() };
+    desks_of(BusHandlers { throttle, ..BusHandlers::none() })
+}
+
+fn desks_of(handlers: BusHandlers) -> ScheduleDesks {
     ScheduleDesks {
         pools: desk(),
         limits: LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady()),
@@ -265,6 +273,54 @@
     }
 }
 
+struct LeavingCase {
+    name: &'static str,
+    backend: String,
+    /// Whether the scheduler takes it and the other hosts hear it.
+    is_taken: bool,
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_hosts_hear_that_a_backend_server_leaves() {
+    let case =
+        |name, backend: &str, is_taken| LeavingCase { name, backend: backend.to_owned(), is_taken };
+    let cases = [
+        case("it leaves", "e1", true),
+        case("a backend server without a name", "", false),
+        case("a name that is too long", &"e".repeat(300), false),
+    ];
+    for case in cases {
+        let net = MemoryNet::new();
+        let desk = LeavingDesk::new(HostClock::steady());
+        let listener = net.stack(address().ip()).listen(address()).await.expect("a free address");
+        let cancel = CancellationToken::new();
+        let (learning, knowing) = (desk.clone(), desk.clone());
+        let leaving = NoticeHandlers {
+            learn: Arc::new(move |news: &LeavingNews| learning.learn(news)),
+            known: Arc::new(move |most| knowing.known(most)),
+        };
+        let handlers = BusHandlers { leaving, ..BusHandlers::none() };
+        let desks = desks_of(handlers);
+        tokio::spawn(serve_schedule(listener, desks, cancel.clone()));
+        let (mut one, mut two) = (link(&net, "10.0.0.2").await, link(&net, "10.0.0.3").await);
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: before", case.name);
+        assert_eq!(heard(&mut two).await, (vec![], true), "{}: before", case.name);
+        let backend = case.backend.as_str().into();
+        let news = ScheduleLeaving { backend, start: Some(7), age_ms: 7 };
+        let told = if case.is_taken { vec!["e1 leaves".to_owned()] } else { vec![] };
+        send(&mut one, &ScheduleMessage::Leaving(news.clone())).await;
+        assert_eq!(heard(&mut two).await, (told.clone(), true), "{}", case.name);
+        send(&mut two, &ScheduleMessage::Leaving(news)).await;
+        assert_eq!(heard(&mut one).await, (vec![], true), "{}: again", case.name);
+        let mut three = link(&net, "10.0.0.4").await;
+        assert_eq!(heard(&mut three).await, (told, true), "{}: later", case.name);
+        let start = |start| StartedBackend { id: "e1".into(), start: Some(BackendStart(start)) };
+        let leaves = |at| desk.subscribe().borrow().leaves(&start(at));
+        assert_eq!([leaves(7), leaves(8)], [case.is_taken, false], "{}", case.name);
+        cancel.cancel();
+    }
+}
+
 /// A host links to a scheduler once for each pool, and hears each piece of news once.
 #[tokio::test(start_paused = true)]
 async fn a_host_hears_news_on_one_of_its_links() {
