--- a/crates/dillspool_scheduler/tests/fleet_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -118,7 +118,7 @@
                     backends.push(format!("{} takes {rate}", &*news.backend));
                 }
                 ScheduleMessage::Leaving(news) => {
-                    backends.push(format!("{} leaves", &*news.backend))
+                    backends.push(format!("{} leaves", &*news.backend));
                 }
                 ScheduleMessage::Beat(_) => beats = true,
                 other => panic!("{other:?}"),
