--- a/crates/dillspool_routerd/tests/soak.rs
+++ b/crates/dillspool_routerd/tests/soak.rs
@@ -3,30 +3,41 @@
 use std::path::Path;
 use std::time::Duration;
 
-use dillspool_soak::{SoakSettings, run_soak};
+use dillspool_soak::SoakTrouble::{Deadly, Limits, Notices, Restarts};
+use dillspool_soak::{SoakSettings, SoakTrouble, run_soak};
 
 /// Seeds that run here: the first ones, and every seed that ever broke a promise, with its cause.
-const SEEDS: [(u64, bool, bool, bool, &str); 5] = [
-    (1, false, false, false, "a first one"),
-    (2, false, false, false, "a first one"),
-    (3, true, false, false, "a first one with restarts under an id and spoiled rows"),
-    (4, true, true, false, "a first one with requests that crash what runs them"),
-    (5, false, false, true, "a first one with backend servers that name how much they take"),
+const SEEDS: [SoakCase; 6] = [
+    SoakCase { seed: 1, troubles: &[], cause: "a first one" },
+    SoakCase { seed: 2, troubles: &[], cause: "a first one" },
+    SoakCase { seed: 3, troubles: &[Restarts], cause: "starts under one id, spoiled rows" },
+    SoakCase {
+        seed: 4,
+        troubles: &[Restarts, Deadly],
+        cause: "requests that crash what runs them",
+    },
+    SoakCase { seed: 5, troubles: &[Limits], cause: "servers that name how much they take" },
+    SoakCase { seed: 6, troubles: &[Notices], cause: "servers that leave, or ask for rest" },
 ];
 
+/// A seed, what it plays, and why it is here.
+struct SoakCase {
+    seed: u64,
+    troubles: &'static [SoakTrouble],
+    cause: &'static str,
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_promise_is_broken() {
     let mut running = tokio::task::JoinSet::new();
-    for (seed, restarts, deadly, limits, cause) in SEEDS {
+    for SoakCase { seed, troubles, cause } in SEEDS {
         let settings = SoakSettings {
             binary: env!("CARGO_BIN_EXE_dillspool-routerd").into(),
             seed,
             hosts: 3,
             span: Duration::from_secs(6),
             call_every: Duration::from_millis(10),
-            restarts,
-            deadly,
-            limits,
+            troubles: troubles.to_vec(),
             folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
         };
         running.spawn(async move { (seed, cause, run_soak(settings).await) });
--- a/crates/dillspool_soak/src/callers.rs
+++ b/crates/dillspool_soak/src/callers.rs
@@ -31,6 +31,16 @@
     }
 }
 
+/// The id of an attempt that is sent to a host.
+pub(crate) fn attempt_id(seed: u64, number: u64, host: usize) -> String {
+    format!("{seed:x}-{number}-host-{host}")
+}
+
+/// The host that an attempt was sent to, if its id tells.
+pub(crate) fn host_of(id: &str) -> Option<usize> {
+    id.rsplit_once("-host-")?.1.parse().ok()
+}
+
 /// Sends one request and waits for its end.
 pub(crate) async fn call(id: String, kind: CallKind, host: SocketAddr) -> CallRecord {
     let path = format!("{}{id}", prefix(kind));
--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod check;
 mod faults;
 mod limits;
+mod notices;
 mod proxy;
 mod rest;
 mod router;
@@ -17,4 +18,4 @@
 
 pub use check::{CallKind, CallOutcome, CallRecord, Violation, check_calls};
 pub use faults::FaultKind;
-pub use world::{SoakReport, SoakSettings, run_soak};
+pub use world::{SoakReport, SoakSettings, SoakTrouble, run_soak};
--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use clap::Parser;
-use dillspool_soak::{SoakSettings, run_soak};
+use dillspool_soak::{SoakSettings, SoakTrouble, run_soak};
 
 /// Injects faults into real router processes and checks the promises.
 #[derive(Debug, Parser)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a flag of the command line")]
 #[command(name = "dillspool-soak", version)]
 struct SoakArgs {
     /// The router's program; by default the one beside this one.
@@ -38,6 +39,9 @@
     /// Also have backend servers name how much they take.
     #[arg(long)]
     limits: bool,
+    /// Also have backend servers say that they leave, and ask for rest.
+    #[arg(long)]
+    notices: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -71,13 +75,21 @@
         hosts: args.hosts,
         span: Duration::from_secs(args.seconds),
         call_every: Duration::from_millis(10),
-        restarts: args.restarts,
-        deadly: args.deadly,
-        limits: args.limits,
+        troubles: troubles(args),
         folder: args.folder.join(seed.to_string()),
     }
 }
 
+fn troubles(args: &SoakArgs) -> Vec<SoakTrouble> {
+    let flags = [
+        (args.restarts, SoakTrouble::Restarts),
+        (args.deadly, SoakTrouble::Deadly),
+        (args.limits, SoakTrouble::Limits),
+        (args.notices, SoakTrouble::Notices),
+    ];
+    flags.into_iter().filter_map(|(is_set, trouble)| is_set.then_some(trouble)).collect()
+}
+
 /// Runs one seed; whether it failed.
 async fn soak(settings: SoakSettings) -> bool {
     let (seed, folder) = (settings.seed, settings.folder.clone());
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -17,14 +17,29 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::backends::{BackendPlace, PlaceTools, local};
-use crate::callers::{DeadlyRequest, ROUTE_HOST, call, prefix};
+use crate::callers::{DeadlyRequest, ROUTE_HOST, attempt_id, call, prefix};
 use crate::check::{CallKind, CallOutcome, CallRecord, Violation, check_calls};
 use crate::faults::{DueFault, FaultKind, draw_faults};
 use crate::limits::play_limits;
+use crate::notices::play_notices;
 use crate::proxy::{LoopbackProxy, ProxyMode};
 use crate::rest::check_rest;
 use crate::router::{RouterPlace, RouterProcess};
 
+/// What may strike beside the faults of every soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakTrouble {
+    /// Some of the backend servers that are replaced start again under their ids, and others' rows are spoiled
+    /// for a moment.
+    Restarts,
+    /// Some callers send requests that crash what runs them, over and over.
+    Deadly,
+    /// Once the faults are over some backend servers name how much they take, while others strike.
+    Limits,
+    /// After that some say that they leave, and others ask for rest.
+    Notices,
+}
+
 /// Size and length of a soak.
 #[derive(Clone, Debug)]
 pub struct SoakSettings {
@@ -38,13 +53,8 @@
     pub span: Duration,
     /// Pause between two calls of all callers together.
     pub call_every: Duration,
-    /// Whether some of the backend servers that are replaced start again under their ids, and others' rows
-    /// are spoiled for a moment.
-    pub restarts: bool,
-    /// Whether some callers send requests that crash what runs them, over and over.
-    pub deadly: bool,
-    /// Whether some backend servers name how much they take once the faults are over, while others strike.
-    pub limits: bool,
+    /// What strikes beside the faults.
+    pub troubles: Vec<SoakTrouble>,
     /// Where settings and logs lie; kept when a promise was broken.
     pub folder: PathBuf,
 }
@@ -133,10 +143,14 @@
     world.heal();
     world.pass(RECOVERY).await?;
     let mut violations = Vec::new();
-    if world.settings.limits {
+    if world.plays(SoakTrouble::Limits) {
         violations.extend(play_limits(&mut world, &mut random).await?);
         world.pass(RECOVERY).await?;
     }
+    if world.plays(SoakTrouble::Notices) {
+        violations.extend(play_notices(&mut world, &mut random).await?);
+        world.pass(RECOVERY).await?;
+    }
     stop_calls.cancel();
     // The callers bound every call in time.
     let _ended = callers.await;
@@ -166,8 +180,8 @@
     let mut open = JoinSet::new();
     for number in 0_u64.. {
         let kind = KINDS[random.random_range(0..KINDS.len())];
-        let host = hosts[random.random_range(0..hosts.len())];
-        open.spawn(call(format!("{seed:x}-{number}"), kind, host));
+        let host = random.random_range(0..hosts.len());
+        open.spawn(call(attempt_id(seed, number, host), kind, hosts[host]));
         while let Some(Ok(record)) = open.try_join_next() {
             calls.lock().unwrap_or_else(PoisonError::into_inner).push(record);
         }
@@ -305,7 +319,7 @@
                 let fault = BACKEND_FAULTS[fault.variant % BACKEND_FAULTS.len()];
                 self.backends[place].backend.set_fault(fault);
             }
-            FaultKind::Replace if self.settings.restarts => match fault.variant % 3 {
+            FaultKind::Replace if self.plays(SoakTrouble::Restarts) => match fault.variant % 3 {
                 0 => self.backends[place].replace().await?,
                 1 => self.backends[place].start_again().await?,
                 _ => self.backends[place].spoil_row().await,
@@ -322,9 +336,13 @@
         Ok(())
     }
 
+    fn plays(&self, trouble: SoakTrouble) -> bool {
+        self.settings.troubles.contains(&trouble)
+    }
+
     /// The requests that crash what runs them, if this soak has any.
     fn deadly(&self) -> Vec<DeadlyRequest> {
-        if self.settings.deadly { DEADLY.to_vec() } else { Vec::new() }
+        if self.plays(SoakTrouble::Deadly) { DEADLY.to_vec() } else { Vec::new() }
     }
 
     pub(crate) fn runs(&self) -> &RunLog {
