--- a/crates/dillspool_forward/src/book.rs
+++ b/crates/dillspool_forward/src/book.rs
@@ -28,7 +28,6 @@
     failures: f64,
     failures_in_row: u32,
     aside_until: Option<Instant>,
-    full_until: Option<Instant>,
 }
 
 impl Default for BackendLoad {
@@ -39,7 +38,6 @@
             failures: 0.0,
             failures_in_row: 0,
             aside_until: None,
-            full_until: None,
         }
     }
 }
@@ -51,7 +49,6 @@
     pub(crate) latency_ms: f64,
     pub(crate) failures: f64,
     pub(crate) is_aside: bool,
-    pub(crate) is_full: bool,
 }
 
 /// The book of all backend servers, by their starts: what one did says nothing of the next.
@@ -78,7 +75,6 @@
             latency_ms: load.latency_ms,
             failures: load.failures,
             is_aside: load.aside_until.is_some_and(|until| until > now),
-            is_full: load.full_until.is_some_and(|until| until > now),
         }
     }
 
@@ -133,12 +129,6 @@
             );
         }
     }
-
-    /// Notes that a backend server has no room for now.
-    pub(crate) fn note_full(&self, backend: &StartedBackend, span: Duration) {
-        let until = Instant::now() + span;
-        self.with(backend, |load| load.full_until = Some(until));
-    }
 }
 
 /// Work under way at a backend server; dropping it takes it off the book.
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -22,8 +22,6 @@
 const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
 /// Backend servers that may turn out unreachable for one request.
 const MOST_UNREACHABLE: usize = 3;
-/// Time for which a backend server that refused counts as full: about one call's work.
-const FULL_SPAN: Duration = Duration::from_millis(60);
 /// When to come back, as parts of the objective: soon enough to be served within it, spread so
 /// that refused callers do not return together.
 const COME_BACK_PARTS: std::ops::Range<f64> = 0.3..0.9;
@@ -93,7 +91,6 @@
                 cause
             }
             SendOutcome::NotRun => {
-                book.note_full(backend, FULL_SPAN);
                 // One that names how much it takes may refuse what is beyond, and is not broken.
                 if context.throttle.read(backend).rate.is_none() {
                     book.note_failure(backend);
