At the first start of a fleet only its seeds read the store before the rows of hosts are settled

Ruled out: hosts that heard of no seed in time (they read at other moments). Change: until the rows are settled a host's plan follows from the seeds alone; who comes first matters from then on. One function says so for role and sources. New line table_read for each whole read (table, cause, role, rows).

--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -32,6 +32,6 @@
 pub use settings::{RouterConfig, SettingsError, SettingsWatch, load_settings};
 pub use site::SiteProtocol;
 pub use sources::{
-    HostRow, SourcePlan, count_hosts, plan_sources, relied_on, should_be_listed, sources_at_first,
+    HostRow, SourcePlan, count_hosts, plan_at_first, plan_sources, relied_on, should_be_listed,
 };
 pub use unreadable_rows::UnreadableRows;
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -17,8 +17,8 @@
 
 use crate::settings::RouterConfig;
 use crate::sources::{
-    HostRow, MOST_DIRECT_HOSTS, SourcePlan, count_hosts, plan_sources, relied_on, rotate_by_rank,
-    should_be_listed, sources_at_first,
+    HostRow, MOST_DIRECT_HOSTS, SourcePlan, count_hosts, plan_at_first, plan_sources, relied_on,
+    should_be_listed,
 };
 use crate::unreadable_rows::UnreadableRows;
 
@@ -76,7 +76,11 @@
     }
 
     fn plan(&self) -> SourcePlan {
-        self.with_rows(|rows| plan_sources(rows, &self.own))
+        if self.settled.load(Ordering::Relaxed) {
+            return self.with_rows(|rows| plan_sources(rows, &self.own));
+        }
+        let seeds = self.seeds();
+        self.with_rows(|rows| plan_at_first(rows, &self.own, &seeds))
     }
 
     /// Hosts that could schedule the pool of a service, the best first; each of them holds the whole directory.
@@ -92,9 +96,6 @@
 
     /// Whose questions to the store this host's beliefs come from.
     fn role(&self) -> FollowRole {
-        if self.is_first_source() {
-            return FollowRole::Source;
-        }
         match self.plan() {
             SourcePlan::Alone => FollowRole::Alone,
             SourcePlan::Root => FollowRole::Source,
@@ -102,20 +103,13 @@
         }
     }
 
-    /// Whether all others rely on this host, as on each seed until the rows of hosts are settled.
-    fn is_first_source(&self) -> bool {
-        !self.settled.load(Ordering::Relaxed) && self.seeds().contains(&self.own.peers)
-    }
-
     /// Where this host takes the tables from. At the first start of a fleet roots and sources do so from the seeds, which
     /// ask the store, until the rows of hosts are settled: hosts that take others for roots, and these the other way
     /// round, would relay to each other and learn nothing.
     pub(crate) fn relay_peers(&self) -> RelayPeers {
-        let is_settled = self.settled.load(Ordering::Relaxed);
         let sources = match self.plan() {
-            SourcePlan::Relayed(sources) if is_settled => sources,
-            SourcePlan::Alone | SourcePlan::Relayed(_) if !is_settled => self.sources_at_first(),
-            SourcePlan::Alone | SourcePlan::Relayed(_) | SourcePlan::Root => Vec::new(),
+            SourcePlan::Relayed(sources) => sources,
+            SourcePlan::Alone | SourcePlan::Root => Vec::new(),
         };
         RelayPeers { sources, all: self.addresses(), part: self.part() }
     }
@@ -132,21 +126,6 @@
         (!is_relied_on).then(|| seed_of(&self.own.peers.to_string()))
     }
 
-    /// The first hosts of the failure domain, where bytes cost nothing, or the seeds, of which an equal part of the
-    /// hosts begins with each; none on a seed, which asks the store.
-    fn sources_at_first(&self) -> Vec<SocketAddr> {
-        if self.is_first_source() {
-            return Vec::new();
-        }
-        let near = self.with_rows(|rows| sources_at_first(rows, &self.own));
-        if !near.is_empty() {
-            return near;
-        }
-        let mut seeds = self.seeds();
-        rotate_by_rank(&mut seeds, &self.own.peers);
-        seeds
-    }
-
     /// Hosts of the fleet, where their rows tell.
     pub(crate) fn count_hosts(&self) -> Option<usize> {
         self.with_rows(|rows| count_hosts(rows))
--- a/crates/dillspool_router/src/sources.rs
+++ b/crates/dillspool_router/src/sources.rs
@@ -65,26 +65,27 @@
     SourcePlan::Relayed(relayed)
 }
 
-/// Where the host with `own` row takes the tables from while hosts still differ in the rows that they know: from the
-/// first of its failure domain, where it is none of them, and else from the seeds, which read the store.
+/// Where the tables of the host with `own` row come from while hosts still differ in the rows that they know: those
+/// of a seed from the store, those of another one from the first hosts of its failure domain, where it is none of
+/// them, and else from the seeds.
 ///
 /// Everybody takes from hosts that come before it in one order, so nobody takes from those that take from it,
-/// whatever rows each of them knows.
-pub fn sources_at_first(rows: &[HostRow], own: &HostRow) -> Vec<SocketAddr> {
+/// whatever rows each of them knows; and nobody reads the store because it comes first among the few that it knows.
+pub fn plan_at_first(rows: &[HostRow], own: &HostRow, seeds: &[SocketAddr]) -> SourcePlan {
+    if seeds.contains(&own.peers) {
+        return SourcePlan::Root;
+    }
     let others = rows.iter().filter(|row| row.peers != own.peers);
     let near = others.filter(|row| row.failure_domain == own.failure_domain);
     let near = ranked(near.chain([own]));
-    let is_first = near.iter().take(DOMAIN_SOURCES).any(|row| row.peers == own.peers);
-    if is_first {
-        return Vec::new();
-    }
-    let mut sources: Vec<_> = near.iter().take(DOMAIN_SOURCES).map(|row| row.peers).collect();
+    let first: Vec<_> = near.iter().take(DOMAIN_SOURCES).map(|row| row.peers).collect();
+    let mut sources = if first.contains(&own.peers) { seeds.to_vec() } else { first };
     rotate_by_rank(&mut sources, &own.peers);
-    sources
+    SourcePlan::Relayed(sources)
 }
 
 /// Lets an equal part of the hosts begin with each of these.
-pub(crate) fn rotate_by_rank(peers: &mut [SocketAddr], own: &SocketAddr) {
+fn rotate_by_rank(peers: &mut [SocketAddr], own: &SocketAddr) {
     let shift = rank(own) % peers.len().max(1) as u64;
     peers.rotate_left(usize::try_from(shift).unwrap_or_default());
 }
--- a/crates/dillspool_router/tests/sources.rs
+++ b/crates/dillspool_router/tests/sources.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use dillspool_router::{
-    HostRow, SourcePlan, count_hosts, plan_sources, relied_on, should_be_listed, sources_at_first,
+    HostRow, SourcePlan, count_hosts, plan_at_first, plan_sources, relied_on, should_be_listed,
 };
 
 /// The host with a number in a failure domain, and the width of its link.
@@ -163,6 +163,7 @@
 #[test]
 fn whatever_rows_hosts_know_at_first_nobody_takes_from_those_that_take_from_it() {
     let hosts = fleet(&[[vec![1000.0; 3], vec![20.0; 30]].concat(), vec![20.0; 12]]);
+    let seeds = [address(0, 0), address(0, 20), address(1, 5)];
     let mut state = 0x5EED_u64;
     for _round in 0..200 {
         // Each host knows rows of its own choice.
@@ -178,9 +179,13 @@
             .collect();
         let takes_from: Vec<BTreeSet<usize>> = (hosts.iter().zip(&known))
             .map(|(host, rows)| {
-                let sources = sources_at_first(rows, host);
                 let number = |source| hosts.iter().position(|host| host.peers == source);
-                sources.into_iter().filter_map(number).collect()
+                match plan_at_first(rows, host, &seeds) {
+                    SourcePlan::Relayed(sources) => {
+                        sources.into_iter().filter_map(number).collect()
+                    }
+                    SourcePlan::Root | SourcePlan::Alone => BTreeSet::new(),
+                }
             })
             .collect();
         for start in 0..hosts.len() {
@@ -192,11 +197,28 @@
                 }
             }
         }
-        let seeds_first = takes_from.iter().filter(|sources| sources.is_empty()).count();
+        let from_seeds =
+            seeds.iter().filter_map(|seed| hosts.iter().position(|it| it.peers == *seed));
+        let from_seeds: BTreeSet<usize> = from_seeds.collect();
+        let seeds_first = takes_from.iter().filter(|sources| **sources == from_seeds).count();
         assert!(seeds_first < hosts.len() / 2, "most take from their own domain");
     }
 }
 
+/// Each host that came first among the rows that it knew took itself for a root and read the tables whole.
+#[test]
+fn hosts_that_came_first_among_the_rows_they_knew_read_the_store_at_the_first_start() {
+    let hosts = fleet(&[[vec![1000.0; 3], vec![20.0; 3]].concat(), vec![1000.0; 6]]);
+    let seeds = [address(0, 5), address(1, 2)];
+    for known in 0..=hosts.len() {
+        for host in &hosts {
+            let plan = plan_at_first(&hosts[hosts.len() - known..], host, &seeds);
+            let reads = !matches!(plan, SourcePlan::Relayed(_));
+            assert_eq!(reads, seeds.contains(&host.peers), "{host:?} knows {known}");
+        }
+    }
+}
+
 #[test]
 fn six_hosts_of_a_domain_are_relied_on_whoever_else_is_recorded() {
     let rows = fleet(&[[vec![20.0; 30], vec![1000.0; 3]].concat(), vec![20.0; 4]]);
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -134,6 +134,7 @@
 ) {
     // A belief that came from another host may lack rows, so the first read is always whole.
     let mut complete = false;
+    let mut read_cause = ReadCause::First;
     let mut pause = settings.first_pause;
     // After a failure the next question is short, so that the store's return is seen at once.
     let mut wait = Duration::ZERO;
@@ -180,7 +181,9 @@
             let longest = settings.longest_wait(*role.borrow());
             ask_changes(&store, &belief, wait.min(longest), settings.slack).await
         } else {
-            read_whole(&store, &belief, &settings).await
+            let read = read_whole(&store, &belief, &settings).await;
+            log_read(&belief, read_cause, *role.borrow(), asked_at, read.is_ok());
+            read
         };
         failed = matches!(outcome, Err(WatchError::Store { .. }));
         match outcome {
@@ -204,6 +207,7 @@
                 );
                 note_reached(&reach);
                 complete = false;
+                read_cause = ReadCause::HistoryGone;
             }
             Err(WatchError::Store { source }) => {
                 reach::note(&reach, &source.to_string(), |state| state.direct = false);
@@ -297,6 +301,42 @@
     });
 }
 
+/// Why a table is read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadCause {
+    /// It was not read since this host started.
+    First,
+    /// The store has forgotten what changed since.
+    HistoryGone,
+}
+
+impl ReadCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::HistoryGone => "history_gone",
+        }
+    }
+}
+
+/// Tells a whole read, which costs the store all rows of a table.
+fn log_read(
+    belief: &SharedBelief,
+    cause: ReadCause,
+    role: FollowRole,
+    asked_at: Instant,
+    is_answered: bool,
+) {
+    log::info!(
+        "event=table_read table={} cause={} role={role:?} answered={is_answered} rows={} version={} after_ms={}",
+        belief.table,
+        cause.name(),
+        belief.subscribe().borrow().rows.len(),
+        belief.version(),
+        asked_at.elapsed().as_millis(),
+    );
+}
+
 /// How a question to the store ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum QuestionEnd {
