--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -76,8 +76,10 @@
     held.take(3).map(|it| format!("not refused at once with a time to come back: {it:?}")).collect()
 }
 
-fn node(net: u8, number: usize) -> IpAddr {
-    Ipv4Addr::new(10, 0, net, u8::try_from(number + 1).expect("few nodes")).into()
+/// The address of a node by its number in a net: 0 the store, 1 hosts, 2 backend servers, 3 callers.
+pub fn node(net: u8, number: usize) -> IpAddr {
+    let [_, _, high, low] = u32::try_from(number + 1).expect("few nodes").to_be_bytes();
+    Ipv4Addr::new(10, net, high, low).into()
 }
 
 /// Hosts, a store and backend servers.
@@ -275,11 +277,12 @@
     }
 }
 
-fn store_address() -> SocketAddr {
-    SocketAddr::new(node(0, 8), 1)
+pub fn store_address() -> SocketAddr {
+    SocketAddr::new(node(0, 0), 1)
 }
 
-fn host_config(number: usize, hosts: usize) -> RouterConfig {
+/// Settings of a host of so many; the first and the last are seeds.
+pub fn host_config(number: usize, hosts: usize) -> RouterConfig {
     let at = |port| SocketAddr::new(node(1, number), port);
     RouterConfig {
         host: format!("host-{number}").into(),
--- a/crates/dillspool_routerd/tests/fleet_costs.rs
+++ b/crates/dillspool_routerd/tests/fleet_costs.rs
@@ -5,20 +5,21 @@
 //! hosts here 409,001 rows left the store when all started again. What a host holds and reads must not grow with
 //! the fleet.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+mod fleet;
+
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dillspool_forward::BudgetTerms;
 use dillspool_io::{HostClock, MemoryNet, exchange_once, read_body};
 use dillspool_roles::ShareRule;
-use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
+use dillspool_router::{RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
-use dillspool_scheduler::LimitTerms;
 use dillspool_site_standin::{
     BackendRow, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
 };
-use dillspool_suspects::PrintKey;
+use fleet::{node, store_address};
 use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::Request;
@@ -43,15 +44,6 @@
 /// Longest time until a host that started again with all others knows its backend servers.
 const KNOWN_AFTER: Duration = Duration::from_secs(2);
 
-fn node(net: u8, number: usize) -> IpAddr {
-    let [_, _, high, low] = u32::try_from(number + 1).expect("few nodes").to_be_bytes();
-    Ipv4Addr::new(10, net, high, low).into()
-}
-
-fn store_address() -> SocketAddr {
-    SocketAddr::new(node(0, 0), 1)
-}
-
 /// The costs of a fleet of one size.
 struct FleetCosts {
     /// Backend servers that the middle host holds, and the host that holds most.
@@ -188,33 +180,16 @@
 }
 
 fn host_config(number: usize, hosts: usize) -> RouterConfig {
-    let at = |port| SocketAddr::new(node(1, number), port);
     let seeds = [0, hosts / 2, hosts - 1];
     RouterConfig {
-        host: format!("host-{number}").into(),
         failure_domain: format!("domain-{}", number % DOMAINS).into(),
-        callers: at(8144),
-        readiness: at(8140),
-        peers: at(8146),
-        metrics: at(7660),
-        schedule: at(7661),
-        store: store_address(),
-        store_timeout: Duration::from_millis(700),
-        watch_wait: Duration::from_millis(2500),
         change_limit: Duration::from_secs(4),
         first_start: true,
         seeds: seeds.map(|seed| SocketAddr::new(node(1, seed), 8146)).to_vec(),
         link_mbps: if number / DOMAINS < WIDE_HOSTS { 1000.0 } else { 20.0 },
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 1040.0 },
-        limits: LimitTerms { slack: 0.0, shares: 2 },
-        print_key: PrintKey::default(),
-        lifted: vec![],
-        grace: Duration::from_secs(4),
-        lapse_grace: Duration::from_secs(2),
-        orders_apart: Duration::from_secs(3),
         share_rule: ShareRule::Fixed(0.33),
-        policy: PolicyConfig::default(),
-        log_level: log::LevelFilter::Info,
+        ..fleet::host_config(number, hosts)
     }
 }
 
@@ -269,3 +244,28 @@
         assert!(costs.calls_at_restart <= calls, "{hosts} hosts: {} calls", costs.calls_at_restart);
     }
 }
+
+/// Time between two changes of other rows in the table of hosts.
+const OTHERS_CHANGE: Duration = Duration::from_millis(100);
+
+/// Each change of another row put off the moment at which a host records itself, or had it record itself again.
+#[tokio::test(start_paused = true)]
+async fn other_rows_kept_hosts_from_recording_themselves_once() {
+    const HOSTS: usize = 30;
+    let mut fleet = CountedFleet::start(0).await;
+    let _before = fleet.store.take_counts();
+    let store = fleet.store.clone();
+    let others = tokio::spawn(async move {
+        for number in 0_u64.. {
+            store.write(dillspool_site::OWN_TABLE, "suspects/other", Some(&number.to_string()));
+            tokio::time::sleep(OTHERS_CHANGE).await;
+        }
+    });
+    fleet.configs = (0..HOSTS).map(|number| host_config(number, HOSTS)).collect();
+    fleet.start_hosts(true).await;
+    tokio::time::sleep(SETTLING).await;
+    others.abort();
+    // Six hosts of each of five failure domains: all of them, and nothing else is written without engines.
+    assert_eq!(fleet.store.take_counts().writes, HOSTS);
+    fleet.cancel.cancel();
+}
