A belief remembers 2,000 deleted rows, not each that there ever was

Cause: a deleted row stayed on each host for as long as it ran, since it tells others of the deletion and keeps older words from bringing the row back. Ways: as it was; a bound by number, behind which whoever is older gets the whole table. Change: the second. What is not known here and older than the newest forgotten deletion was deleted, unless a newer whole read shows it.

--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -17,6 +17,9 @@
 /// times before it gives way to another one.
 const USUAL_AGE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Deleted rows that are remembered at most; where there are more, the newest half stays.
+const MOST_DELETED: usize = 2_000;
+
 /// One row, or the fact that it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RowBelief {
@@ -58,8 +61,8 @@
     }
 }
 
-/// The rows of one table, deleted ones included.
-#[derive(Clone, Debug, Default)]
+/// The rows of one table, and those that were deleted lately.
+#[derive(Clone, Debug)]
 pub struct TableBelief {
     /// Version of the store up to which this is complete; 0 before the first rows.
     pub version: u64,
@@ -69,31 +72,83 @@
     whole_at: u64,
     /// Which rows this has; `None` for all.
     pub part: Option<Arc<TablePart>>,
+    /// Version of the newest deletion that is not remembered any more; 0 while all are.
+    forgotten_at: u64,
+    /// Deleted rows among [`Self::rows`], and how many there may be.
+    deleted: usize,
+    most_deleted: usize,
+}
+
+impl Default for TableBelief {
+    fn default() -> Self {
+        Self::remembering(MOST_DELETED)
+    }
 }
 
 impl TableBelief {
+    /// An empty belief that remembers so many deleted rows.
+    pub fn remembering(most_deleted: usize) -> Self {
+        Self {
+            version: 0,
+            rows: BTreeMap::new(),
+            whole_at: 0,
+            part: None,
+            forgotten_at: 0,
+            deleted: 0,
+            most_deleted,
+        }
+    }
+
     /// Takes what is newer; returns whether a row changed.
     pub fn merge(&mut self, delta: &TableDelta) -> bool {
         let mut changed = false;
+        // A row that is not known here was deleted since, as far as that may have been forgotten; a whole read
+        // that is newer shows what exists.
+        let shows = delta.full && delta.version >= self.forgotten_at;
+        let forgotten = if shows { 0 } else { self.forgotten_at };
         for row in &delta.rows {
-            changed |= self.merge_row(row);
+            changed |= self.merge_row(row, forgotten);
         }
         if delta.full {
             changed |= self.delete_missing(delta);
             self.whole_at = self.whole_at.max(delta.version);
         }
         self.version = self.version.max(delta.version);
+        self.forget_deleted();
         changed
     }
 
-    fn merge_row(&mut self, row: &ChangedRow) -> bool {
+    /// Forgets the older of the deleted rows where there are too many. Only what tells others of a deletion
+    /// goes: who has not heard of it yet gets the whole table.
+    fn forget_deleted(&mut self) {
+        if self.deleted <= self.most_deleted {
+            return;
+        }
+        let deleted = self.rows.values().filter(|row| row.value.is_none());
+        let mut versions: Vec<u64> = deleted.map(|row| row.version).collect();
+        versions.sort_unstable();
+        let kept = self.most_deleted / 2;
+        let forgotten = versions.len().checked_sub(kept + 1).and_then(|last| versions.get(last));
+        let Some(newest) = forgotten.copied() else { return };
+        self.rows.retain(|_key, row| row.value.is_some() || row.version > newest);
+        self.forgotten_at = self.forgotten_at.max(newest);
+        self.count_deleted();
+    }
+
+    fn count_deleted(&mut self) {
+        self.deleted = self.rows.values().filter(|row| row.value.is_none()).count();
+    }
+
+    fn merge_row(&mut self, row: &ChangedRow, forgotten: u64) -> bool {
         let known = self.rows.get(&row.key);
         // A change up to the newest whole read would have been in it.
-        let oldest = known.map_or(0, |known| known.version).max(self.whole_at);
+        let oldest = known.map_or(forgotten, |known| known.version).max(self.whole_at);
         if row.version <= oldest {
             return false;
         }
         let same = known.is_some_and(|known| known.value == row.value);
+        self.deleted -= usize::from(known.is_some_and(|known| known.value.is_none()));
+        self.deleted += usize::from(row.value.is_none());
         let belief = RowBelief::new(row.version, row.value.clone());
         self.rows.insert(Name::clone(&row.key), belief);
         !same
@@ -108,6 +163,7 @@
                 continue;
             }
             *belief = RowBelief::new(delta.version, None);
+            self.deleted += 1;
             changed = true;
         }
         changed
@@ -116,8 +172,9 @@
     /// Becomes another part of the table, from rows that are all of it. What is known to be newer stays, so a
     /// sender that knows less takes nothing back.
     fn become_part(&mut self, delta: &TableDelta, part: Option<Arc<TablePart>>) -> bool {
-        let before = std::mem::take(self);
+        let before = std::mem::replace(self, Self::remembering(self.most_deleted));
         self.part = part;
+        self.forgotten_at = before.forgotten_at.min(delta.version);
         self.merge(delta);
         let named: BTreeSet<&Name> = delta.rows.iter().map(|row| &row.key).collect();
         for (key, known) in before.rows {
@@ -128,6 +185,8 @@
                 self.rows.insert(key, known);
             }
         }
+        self.forgotten_at = self.forgotten_at.max(before.forgotten_at);
+        self.count_deleted();
         true
     }
 
@@ -137,9 +196,15 @@
         self.part = Some(Arc::clone(part));
     }
 
-    /// The rows that are newer than a version, deleted ones included; all of them behind 0.
+    /// The rows that are newer than a version, deleted ones included; all of them behind 0, or where a deletion
+    /// since then is forgotten.
     pub fn changes_since(&self, version: u64) -> TableDelta {
-        self.changes_of(version, |_key, _row| true)
+        self.changes_of(self.told_from(version), |_key, _row| true)
+    }
+
+    /// The version behind which changes bring who has one up to date; 0 where only all rows do.
+    fn told_from(&self, version: u64) -> u64 {
+        if version < self.forgotten_at { 0 } else { version }
     }
 
     fn changes_of(&self, version: u64, wanted: impl Fn(&str, &RowBelief) -> bool) -> TableDelta {
@@ -299,7 +364,9 @@
     /// The rows that are newer than a version and that a host needs to keep up a part, which it has from 0 on.
     pub(crate) fn part_changes_since(&self, version: u64, part: &TablePart) -> TableDelta {
         let Some(classify) = &self.classify else { return self.changes_since(version) };
-        self.sender.borrow().changes_of(version, |key, row| {
+        let belief = self.sender.borrow();
+        let version = belief.told_from(version);
+        belief.changes_of(version, |key, row| {
             // The host may hold a row that is of another class now, or was deleted.
             let may_be_known = version > 0 && (row.value.is_none() || part.may_hold(key));
             may_be_known || is_held(part, key, row, classify)
