--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -20,6 +20,7 @@
 use dillspool_suspects::{PrintKey, RequestPrint};
 use http_body_util::Full;
 use hyper::Request;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Backend servers of a fleet.
@@ -253,6 +254,25 @@
         tokio::time::timeout(limit, exchange).await.unwrap_or(nothing.clone())
     }
 
+    /// Callers send requests to `hosts` hosts in turn, one each `apart`, for a time; their replies, with the time that
+    /// each took.
+    pub async fn send_for(
+        &self,
+        span: Duration,
+        apart: Duration,
+        hosts: usize,
+        path: &str,
+    ) -> Vec<(CallerReply, Duration)> {
+        let total = usize::try_from(span.as_millis() / apart.as_millis()).expect("few");
+        let callers = (0..total).map(|number| async move {
+            tokio::time::sleep(apart * u32::try_from(number).expect("few")).await;
+            let asked = Instant::now();
+            let reply = self.send(number % 8, number % hosts, path, "sound").await;
+            (reply, asked.elapsed())
+        });
+        futures_util::future::join_all(callers).await
+    }
+
     fn request(&self, host: usize, path: &str, body: &str) -> (SocketAddr, Request<Full<Bytes>>) {
         static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
         let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
--- a/crates/dillspool_routerd/tests/leaving_servers.rs
+++ b/crates/dillspool_routerd/tests/leaving_servers.rs
@@ -152,13 +152,6 @@
     let fleet = TestFleet::start(case.hosts, ComeBack::OtherId).await;
     let fleet = &fleet;
     let started = Instant::now();
-    let total = usize::try_from(SPAN.as_millis() / APART.as_millis()).expect("few");
-    let callers = (0..total).map(|number| async move {
-        tokio::time::sleep(APART * u32::try_from(number).expect("few")).await;
-        let asked = Instant::now();
-        let reply = fleet.send(number % 8, number % case.hosts, case.path, "sound").await;
-        (reply, asked.elapsed())
-    });
     let change = async {
         tokio::time::sleep_until(started + STORE_AT).await;
         fleet.store.set_mode(case.store);
@@ -169,15 +162,15 @@
         }
         leaving
     };
-    let callers = futures_util::future::join_all(callers);
+    let callers = fleet.send_for(SPAN, APART, case.hosts, case.path);
     let (replies, leaving) = futures_util::future::join(callers, change).await;
     let mut faults = Vec::new();
     for backend in &leaving {
         faults.extend(find_late(backend, case.hosts, started + LEAVING_AT));
     }
     let served = replies.iter().filter(|(reply, _took)| reply.is_served()).count();
-    if served * 100 < total * case.served {
-        faults.push(format!("{served} of {total} served"));
+    if served * 100 < replies.len() * case.served {
+        faults.push(format!("{served} of {} served", replies.len()));
     }
     faults.extend(held_up(&replies, AT_ONCE));
     faults
--- a/crates/dillspool_routerd/tests/resting_servers.rs
+++ b/crates/dillspool_routerd/tests/resting_servers.rs
@@ -132,13 +132,6 @@
     let fleet = TestFleet::start(case.hosts, ComeBack::OtherId).await;
     let fleet = &fleet;
     let started = Instant::now();
-    let total = usize::try_from(SPAN.as_millis() / APART.as_millis()).expect("few");
-    let callers = (0..total).map(|number| async move {
-        tokio::time::sleep(APART * u32::try_from(number).expect("few")).await;
-        let asked = Instant::now();
-        let reply = fleet.send(number % 8, number % case.hosts, case.path, "sound").await;
-        (reply, asked.elapsed())
-    });
     let change = async {
         tokio::time::sleep_until(started + FULL_AT).await;
         let full = fleet.busiest(case.kind, case.count);
@@ -151,7 +144,7 @@
         }
         full
     };
-    let callers = futures_util::future::join_all(callers);
+    let callers = fleet.send_for(SPAN, APART, case.hosts, case.path);
     let (replies, full) = futures_util::future::join(callers, change).await;
     let mut faults = Vec::new();
     let rested = started + FREE_AT + REST_SPAN;
@@ -164,8 +157,8 @@
         faults.push("nothing after the rest".to_owned());
     }
     let served = replies.iter().filter(|(reply, _took)| reply.is_served()).count();
-    if served * 100 < total * case.served {
-        faults.push(format!("{served} of {total} served"));
+    if served * 100 < replies.len() * case.served {
+        faults.push(format!("{served} of {} served", replies.len()));
     }
     faults.extend(held_up(&replies, AT_ONCE));
     faults
--- a/crates/dillspool_soak/src/faults.rs
+++ b/crates/dillspool_soak/src/faults.rs
@@ -58,6 +58,19 @@
     pub(crate) variant: usize,
 }
 
+impl DueFault {
+    /// Draws a fault of some kinds that strikes at once.
+    pub(crate) fn draw(random: &mut SmallRng, kinds: &[FaultKind]) -> Self {
+        Self {
+            kind: kinds[random.random_range(0..kinds.len())],
+            after: Duration::ZERO,
+            lasts: Duration::from_millis(random.random_range(200..2_500)),
+            target: random.random_range(0..1_000),
+            variant: random.random_range(0..1_000),
+        }
+    }
+}
+
 /// Draws faults that come in series and overlap.
 pub(crate) fn draw_faults(random: &mut SmallRng, span: Duration) -> Vec<DueFault> {
     let mut faults = Vec::new();
@@ -70,12 +83,6 @@
         if at > span {
             return faults;
         }
-        faults.push(DueFault {
-            kind: ALL[random.random_range(0..ALL.len())],
-            after,
-            lasts: Duration::from_millis(random.random_range(200..2500)),
-            target: random.random_range(0..1000),
-            variant: random.random_range(0..1000),
-        });
+        faults.push(DueFault { after, ..DueFault::draw(random, &ALL) });
     }
 }
--- a/crates/dillspool_soak/src/limits.rs
+++ b/crates/dillspool_soak/src/limits.rs
@@ -87,13 +87,7 @@
     }
     for _fault in 0..FAULTS {
         world.pass(FAULTS_APART).await?;
-        let fault = DueFault {
-            kind: KINDS[random.random_range(0..KINDS.len())],
-            after: Duration::ZERO,
-            lasts: Duration::from_millis(random.random_range(200..2_500)),
-            target: random.random_range(0..1_000),
-            variant: random.random_range(0..1_000),
-        };
+        let fault = DueFault::draw(random, &KINDS);
         world.strike(fault).await?;
     }
     world.heal();
--- a/crates/dillspool_soak/src/notices.rs
+++ b/crates/dillspool_soak/src/notices.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use dillspool_site_standin::{Arrival, StandinBackend, StandinKind};
-use rand::Rng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
@@ -97,13 +96,7 @@
             backend.ask_rests(texts);
         }
         world.pass(FAULTS_APART).await?;
-        let fault = DueFault {
-            kind: KINDS[random.random_range(0..KINDS.len())],
-            after: Duration::ZERO,
-            lasts: Duration::from_millis(random.random_range(200..2_500)),
-            target: random.random_range(0..1_000),
-            variant: random.random_range(0..1_000),
-        };
+        let fault = DueFault::draw(random, &KINDS);
         world.strike(fault).await?;
     }
     world.heal();
