--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -182,8 +182,8 @@
             ask_changes(&store, &belief, wait.min(longest), settings.slack).await
         } else {
             let read = read_whole(&store, &belief, &settings).await;
-            log_read(&belief, read_cause, *role.borrow(), asked_at, read.is_ok());
-            read
+            log_read(&belief, read_cause, *role.borrow(), asked_at, read.as_ref().ok());
+            read.map(|_version| QuestionEnd::Answered)
         };
         failed = matches!(outcome, Err(WatchError::Store { .. }));
         match outcome {
@@ -319,16 +319,17 @@
     }
 }
 
-/// Tells a whole read, which costs the store all rows of a table.
+/// Tells a whole read, which costs the store all rows of a table, and the version of its answer.
 fn log_read(
     belief: &SharedBelief,
     cause: ReadCause,
     role: FollowRole,
     asked_at: Instant,
-    is_answered: bool,
+    answer: Option<&u64>,
 ) {
+    let answer = answer.map_or_else(|| "none".to_owned(), u64::to_string);
     log::info!(
-        "event=table_read table={} cause={} role={role:?} answered={is_answered} rows={} version={} after_ms={}",
+        "event=table_read table={} cause={} role={role:?} answer={answer} rows={} version={} after_ms={}",
         belief.table,
         cause.name(),
         belief.subscribe().borrow().rows.len(),
@@ -346,17 +347,18 @@
     GivenUp,
 }
 
+/// Reads a table whole; the version of the answer.
 async fn read_whole(
     store: &TableWatch,
     belief: &SharedBelief,
     settings: &FollowSettings,
-) -> Result<QuestionEnd, WatchError> {
+) -> Result<u64, WatchError> {
     let snapshot = (store.snapshot)(Arc::clone(&belief.table));
     let answer = belief.heard().clock().timeout(settings.whole_limit, snapshot).await;
     let answer = answer.map_err(|MomentPassed| silent(settings.whole_limit))?;
     let delta = answer.map_err(|source| WatchError::Store { source })?;
     belief.merge(&delta);
-    Ok(QuestionEnd::Answered)
+    Ok(delta.version)
 }
 
 async fn ask_changes(
