--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -109,7 +109,7 @@
         let store_stack = fleet.net.stack(store_address().ip());
         let serving = fleet.store.serve(&store_stack, store_address(), fleet.cancel.clone());
         serving.await.expect("the store listens");
-        fleet.write_config();
+        fleet.write_config(1, &[]);
         for number in 0..BACKENDS {
             fleet.start_backend(number, KINDS[number % KINDS.len()], come_back).await;
         }
@@ -121,7 +121,8 @@
         fleet
     }
 
-    fn write_config(&self) {
+    /// The operator writes a version of the configuration, without the routes of these prefixes.
+    pub fn write_config(&self, version: u64, dropped: &[&str]) {
         let route = |prefix, kind, service, attempts, is_resumable| StandinRoute {
             prefix,
             kind,
@@ -129,23 +130,35 @@
             attempts,
             is_resumable,
         };
-        let routes = [
+        let mut routes = vec![
             route("/again/", "idempotent", "plain", 2, false),
             route("/once/", "non_idempotent", "plain", 1, false),
             route("/stream/", "streaming", "pool", 1, false),
             route("/resumed/", "streaming", "pool", 3, true),
         ];
-        self.store.write("op", "config", Some(&config_text(1, ROUTE_HOST, &routes)));
+        routes.retain(|route| !dropped.contains(&route.prefix));
+        self.store.write("op", "config", Some(&config_text(version, ROUTE_HOST, &routes)));
+    }
+
+    /// A backend server writes its state into its row.
+    pub fn write_state(&self, backend: &StandinBackend, state: &str) {
+        let backends = self.backends.lock().expect("no panic");
+        let place = backends.iter().find(|(_number, other)| other.id == backend.id);
+        let (number, _backend) = place.expect("a backend server of this fleet");
+        let address = backend_address(*number);
+        let service = service_of(KINDS[*number % KINDS.len()]);
+        let row = backend.row(service, address, state);
+        self.store.write("servers", &backend.id, Some(&row));
     }
 
     /// A place for a backend server, which comes back there whenever it has ended.
     async fn start_backend(&self, number: usize, kind: StandinKind, come_back: ComeBack) {
-        let address = SocketAddr::new(node(2, number), 9000);
+        let address = backend_address(number);
         let stack = self.net.stack(address.ip());
         let (store, runs) = (self.store.clone(), self.runs.clone());
         let (ended, cancel) = (Arc::clone(&self.ended), self.cancel.clone());
         let backends = Arc::clone(&self.backends);
-        let service = if kind == StandinKind::Plain { "plain" } else { "pool" };
+        let service = service_of(kind);
         let live = async move {
             for start in 1_u64.. {
                 let id = match come_back {
@@ -295,6 +308,17 @@
     }
 }
 
+fn backend_address(number: usize) -> SocketAddr {
+    SocketAddr::new(node(2, number), 9000)
+}
+
+fn service_of(kind: StandinKind) -> &'static str {
+    match kind {
+        StandinKind::Plain => "plain",
+        StandinKind::Prefill | StandinKind::Decode => "pool",
+    }
+}
+
 fn store_address() -> SocketAddr {
     SocketAddr::new(node(0, 8), 1)
 }
