What a restored store says is newer than what it said before

What callers saw: after the store had come back from a copy, dropped routes were served (CONFIG) and backend servers that leave got requests (DRAIN), for three to seven seconds and more.

Cause: rows, whole reads and relayed tables were ordered by the store's numbers alone. A restored store gives its numbers out again, so all that it said counted as old until they had passed the old ones; a question behind a number that it does not have got 410, again and again; where it had passed that number before a host asked, what lay below was never seen. Class: a number that the store gave is taken for an order beyond the store's life. Ruled out: a host that kept to a peer's word (role=Alone, answered), an answer that showed the old rows (the red test's store shows the new ones).

Change: a version is an era and a number (dillspool_version::StoreVersion), in that order, everywhere: rows, beliefs, relays, conditions, logs. An answer of another era than the version asked behind is no answer, and the table is read whole; the first table that shows a new era has the others leave their held questions. A commit whose conditions were read in another era counts as unknown, since they may hold by chance. Between hosts a version stays one number, the era above 40 bits.

--- a/crates/dillspool_config/src/store.rs
+++ b/crates/dillspool_config/src/store.rs
@@ -9,7 +9,7 @@
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_platform::{
     CommitReply, ObjectStore, PlatformError, PutRequest, RowExpect, RowWrite, ScanRequest,
-    TableStore,
+    StoreVersion, TableStore,
 };
 use dillspool_schema::Name;
 use dillspool_schema::configuration::Configuration;
@@ -114,7 +114,7 @@
 
 struct HeadRow {
     head: ConfigHead,
-    row_version: u64,
+    row_version: StoreVersion,
 }
 
 impl ConfigStore {
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use dillspool_io::{MomentPassed, ResponseBody, full_body, read_response_body};
 use dillspool_routing::{BackendEntry, RoutedRequest};
+use dillspool_version::StoreVersion;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
@@ -151,7 +152,7 @@
     context: &ForwardContext,
     request: &RoutedRequest,
     record: &SendRecord,
-) -> Option<(Arc<BackendEntry>, u64, SendPermit)> {
+) -> Option<(Arc<BackendEntry>, StoreVersion, SendPermit)> {
     if record.sends >= request.route.max_attempts
         || record.unreachable > MOST_UNREACHABLE
         || (record.may_have_run && !request.route.is_repeatable())
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -7,6 +7,7 @@
 use dillspool_routing::{BackendId, DirectoryView, RoutedRequest};
 use dillspool_schema::Name;
 use dillspool_suspects::CopyRefusal;
+use dillspool_version::StoreVersion;
 
 use crate::budget::RetryBudgets;
 use crate::context::ForwardContext;
@@ -29,7 +30,7 @@
 struct BackendChoice {
     backend: BackendId,
     /// Version of the directory from which it was chosen.
-    directory: u64,
+    directory: StoreVersion,
     /// How many were chosen for the request so far.
     count: u32,
 }
@@ -41,7 +42,7 @@
     }
 
     /// A backend server was chosen.
-    pub(crate) fn chose(&mut self, backend: &BackendId, directory: u64) {
+    pub(crate) fn chose(&mut self, backend: &BackendId, directory: StoreVersion) {
         let count = self.choice.as_ref().map_or(0, |choice| choice.count) + 1;
         let backend = BackendId::clone(backend);
         self.choice = Some(BackendChoice { backend, directory, count });
--- a/crates/dillspool_host/src/alive_rows.rs
+++ b/crates/dillspool_host/src/alive_rows.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use dillspool_peer::{HostView, OwnerJudgement, PeerLinks};
-use dillspool_platform::{RowExpect, RowWrite, TableStore};
+use dillspool_platform::{RowExpect, RowWrite, StoreVersion, TableStore};
 use dillspool_schema::Name;
 use tokio::time::Instant;
 
@@ -20,7 +20,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct SeenRow {
-    version: u64,
+    version: StoreVersion,
     changed: Instant,
 }
 
--- a/crates/dillspool_platform/src/memory.rs
+++ b/crates/dillspool_platform/src/memory.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use dillspool_schema::Name;
+use dillspool_version::{StoreEra, StoreVersion};
 
 use crate::PlatformError;
 use crate::hosts::{HostEntry, HostList, HostListQuery, HostListReply};
@@ -43,10 +44,19 @@
     pub rows: u64,
 }
 
+/// The rows of a table as they were at a moment.
+#[derive(Clone, Debug)]
+pub struct TableCopy {
+    rows: BTreeMap<Name, TableRow>,
+    newest_number: u64,
+}
+
 #[derive(Debug, Default)]
 struct TableState {
     rows: BTreeMap<Name, TableRow>,
-    next_version: u64,
+    /// How often it came back from a copy.
+    era: u64,
+    newest_number: u64,
     outage: Option<StoreFault>,
     next_commits: VecDeque<StoreFault>,
     usage: StoreUsage,
@@ -93,6 +103,25 @@
         state.next_commits.clear();
     }
 
+    /// Its rows as they are now.
+    pub fn copy(&self) -> TableCopy {
+        let state = locked(&self.state);
+        TableCopy { rows: state.rows.clone(), newest_number: state.newest_number }
+    }
+
+    /// Becomes what it was: what was written since the copy is gone, and its versions are given out again.
+    pub fn restore(&self, copy: &TableCopy) {
+        let mut state = locked(&self.state);
+        state.era += 1;
+        state.rows.clone_from(&copy.rows);
+        state.newest_number = copy.newest_number;
+        // A row that stayed has its number, in the era that there is now.
+        let era = StoreEra::new(state.era);
+        for row in state.rows.values_mut() {
+            row.version = StoreVersion::new(era, row.version.number());
+        }
+    }
+
     /// What was asked so far.
     pub fn usage(&self) -> StoreUsage {
         locked(&self.state).usage
@@ -104,7 +133,7 @@
         state.usage.reads += 1;
         state.check_outage()?;
         let rows = request.keys.iter().map(|key| state.rows.get(key).cloned()).collect();
-        Ok(ReadReply { rows })
+        Ok(ReadReply { rows, version: state.version() })
     }
 
     /// Reads a range of rows.
@@ -130,7 +159,7 @@
         state.usage.writes += 1;
         let fault = state.outage.or_else(|| state.next_commits.pop_front());
         match fault.unwrap_or(StoreFault::None) {
-            StoreFault::None => Ok(state.apply(request.writes)),
+            StoreFault::None => state.commit(request),
             StoreFault::Refuse => Err(refused()),
             StoreFault::LoseCall => Err(lost()),
             StoreFault::LoseAnswer => {
@@ -193,8 +222,30 @@
         match write.expect {
             RowExpect::Any => true,
             RowExpect::Absent => found.is_none(),
-            RowExpect::Version(version) => found == Some(version),
+            // As on the wire, where a condition has no era.
+            RowExpect::Version(version) => {
+                found.map(StoreVersion::number) == Some(version.number())
+            }
+        }
+    }
+
+    fn version(&self) -> StoreVersion {
+        StoreVersion::new(StoreEra::new(self.era), self.newest_number)
+    }
+
+    /// Applies a commit, and answers as a service does that knows in which era its conditions were read.
+    fn commit(&mut self, request: CommitRequest) -> Result<CommitReply, PlatformError> {
+        let expected = request.writes.iter().find_map(|write| match write.expect {
+            RowExpect::Version(version) => Some(version),
+            RowExpect::Any | RowExpect::Absent => None,
+        });
+        let read_in = expected.or(request.read_at).map(StoreVersion::era);
+        let reply = self.apply(request.writes);
+        let is_restored = read_in.is_some_and(|era| era != StoreEra::new(self.era));
+        if is_restored && reply == CommitReply::Committed {
+            return Err(lost());
         }
+        Ok(reply)
     }
 
     fn apply(&mut self, writes: Vec<RowWrite>) -> CommitReply {
@@ -208,8 +259,8 @@
         }
         for write in writes {
             self.usage.rows += 1;
-            self.next_version += 1;
-            let version = self.next_version;
+            self.newest_number += 1;
+            let version = self.version();
             match write.value {
                 Some(value) => self.rows.insert(write.key, TableRow { value, version }),
                 None => self.rows.remove(&write.key),
--- a/crates/dillspool_platform/src/table.rs
+++ b/crates/dillspool_platform/src/table.rs
@@ -7,6 +7,7 @@
 
 use dillspool_io::{BoxFuture, HttpClient};
 use dillspool_schema::Name;
+use dillspool_version::StoreVersion;
 use hyper::Method;
 use serde::{Deserialize, Serialize};
 
@@ -18,7 +19,7 @@
     /// Text of the row.
     pub value: String,
     /// Grows with each write of the row; the service sets it.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// What a row must be for a commit to take effect.
@@ -30,7 +31,7 @@
     /// Not there.
     Absent,
     /// There, with this version.
-    Version(u64),
+    Version(StoreVersion),
 }
 
 /// One row of a commit.
@@ -49,6 +50,10 @@
 pub struct CommitRequest {
     /// The rows.
     pub writes: Vec<RowWrite>,
+    /// Version of the store at the read on which the conditions rest. A store that was restored since may hold
+    /// them by chance, so its commit then counts as unknown.
+    #[serde(default)]
+    pub read_at: Option<StoreVersion>,
 }
 
 /// What became of a commit.
@@ -73,6 +78,9 @@
 pub struct ReadReply {
     /// A row for each key, `None` where there is none.
     pub rows: Vec<Option<TableRow>>,
+    /// Newest version of the store.
+    #[serde(default)]
+    pub version: StoreVersion,
 }
 
 /// A range of keys to read.
@@ -147,7 +155,7 @@
     ///
     /// [`PlatformError::Unknown`] when the commit may have taken effect.
     pub async fn commit(&self, writes: Vec<RowWrite>) -> Result<CommitReply, PlatformError> {
-        (self.commit)(CommitRequest { writes }).await
+        (self.commit)(CommitRequest { writes, read_at: None }).await
     }
 }
 
--- a/crates/dillspool_platform/src/watch.rs
+++ b/crates/dillspool_platform/src/watch.rs
@@ -6,6 +6,7 @@
 
 use dillspool_io::BoxFuture;
 use dillspool_schema::Name;
+use dillspool_version::{StoreEra, StoreVersion};
 use snafu::Snafu;
 
 use crate::PlatformError;
@@ -16,7 +17,7 @@
     /// Key of the row.
     pub key: Name,
     /// Version that its change gave it.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Its text, `None` when it was deleted.
     pub value: Option<Arc<str>>,
 }
@@ -27,7 +28,7 @@
     /// Whether rows that are missing here do not exist.
     pub full: bool,
     /// Version of the store up to which this is complete.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The rows.
     pub rows: Vec<ChangedRow>,
 }
@@ -38,6 +39,12 @@
     /// The store keeps no changes as old as asked for.
     #[snafu(display("the store's history is gone; read the whole table"))]
     HistoryGone,
+    /// The store came back from a copy after the version that was asked for.
+    #[snafu(display("the store is restored in era {era}; read the whole table"))]
+    Restored {
+        /// Its era now.
+        era: StoreEra,
+    },
     /// The store did not answer as it should.
     #[snafu(display("{source}"))]
     Store {
@@ -48,7 +55,7 @@
 
 type SnapshotFn = dyn Fn(Name) -> BoxFuture<Result<TableDelta, PlatformError>> + Send + Sync;
 type ChangesFn =
-    dyn Fn(Name, u64, Duration) -> BoxFuture<Result<TableDelta, WatchError>> + Send + Sync;
+    dyn Fn(Name, StoreVersion, Duration) -> BoxFuture<Result<TableDelta, WatchError>> + Send + Sync;
 
 /// Reads tables whole and follows their changes.
 #[derive(Clone)]
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -5,7 +5,9 @@
 
 use dillspool_io::HostClock;
 use dillspool_moment::Moment;
-use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableRow, TableStore};
+use dillspool_platform::{
+    CommitReply, PlatformError, RowExpect, RowWrite, StoreVersion, TableRow, TableStore,
+};
 use dillspool_schema::Name;
 use serde::{Deserialize, Serialize};
 
@@ -82,7 +84,7 @@
     /// # Errors
     ///
     /// [`PlatformError`] when the store does not answer.
-    pub async fn read(&self) -> Result<Option<(LeaseRow, u64)>, PlatformError> {
+    pub async fn read(&self) -> Result<Option<(LeaseRow, StoreVersion)>, PlatformError> {
         let row = self.store.read_one(LEASE_KEY.into()).await?;
         Ok(row.map(|row| parse(&row)))
     }
@@ -142,14 +144,14 @@
     }
 }
 
-fn parse(row: &TableRow) -> (LeaseRow, u64) {
+fn parse(row: &TableRow) -> (LeaseRow, StoreVersion) {
     match serde_json::from_str(&row.value) {
         Ok(lease) => (lease, row.version),
         Err(error) => {
             // Written over by the next term; the fence starts from its version, which is higher
             // than any fence before it.
             log::warn!("event=lease_malformed version={} cause=\"{error}\"", row.version);
-            (LeaseRow::empty(row.version), row.version)
+            (LeaseRow::empty(row.version.into()), row.version)
         }
     }
 }
--- a/crates/dillspool_router/src/config_tracker.rs
+++ b/crates/dillspool_router/src/config_tracker.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use dillspool_platform::StoreVersion;
 use dillspool_routing::{RoutingConfig, WorkspaceTable};
 use dillspool_watch::TableBelief;
 use tokio::sync::watch;
@@ -19,7 +20,7 @@
     config: watch::Sender<Option<Arc<RoutingConfig>>>,
 ) {
     let (table, key) = &site.config_row;
-    let mut seen = 0;
+    let mut seen = StoreVersion::default();
     loop {
         let row = belief.borrow_and_update().rows.get(key).cloned();
         if let Some(row) = row
@@ -40,7 +41,7 @@
 
 fn apply(
     decoded: RoutingConfig,
-    row_version: u64,
+    row_version: StoreVersion,
     config: &watch::Sender<Option<Arc<RoutingConfig>>>,
 ) {
     let before = config.borrow().as_ref().map(|config| config.version);
--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -12,6 +12,7 @@
 
 use dillspool_leaving::LeavingBook;
 use dillspool_part::TablePart;
+use dillspool_platform::StoreVersion;
 use dillspool_routing::{BackendEntry, BackendId, BackendStart, BackendState, DirectoryView};
 use dillspool_schema::Name;
 use dillspool_watch::{StoreReach, TableBelief};
@@ -35,7 +36,7 @@
 struct KnownBackend {
     /// `None` when the row names no backend server.
     entry: Option<Arc<BackendEntry>>,
-    row_version: u64,
+    row_version: StoreVersion,
     /// Whether its row is missing, for now.
     lapsed: bool,
 }
@@ -136,7 +137,7 @@
 }
 
 impl DirectoryTracker {
-    fn view(&self, version: u64, leaving: &LeavingBook) -> DirectoryView {
+    fn view(&self, version: StoreVersion, leaving: &LeavingBook) -> DirectoryView {
         let entry = |(id, known): (&BackendId, &KnownBackend)| {
             Some((BackendId::clone(id), known.used_entry(leaving)?))
         };
@@ -226,7 +227,7 @@
         Ok(entry)
     }
 
-    fn take_row(&mut self, id: &BackendId, row_version: u64, text: &str) -> bool {
+    fn take_row(&mut self, id: &BackendId, row_version: StoreVersion, text: &str) -> bool {
         let known = self.known.get_mut(id);
         if let Some(known) = known
             && known.row_version == row_version
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -171,7 +171,8 @@
         let mut due: Option<Instant> = None;
         loop {
             take_rows(&peers, &own_table, &hosts.borrow_and_update(), &unreadable);
-            let is_known = hosts.borrow().version > 0 || backends.borrow().version > 0;
+            let is_known =
+                hosts.borrow().version.is_known() || backends.borrow().version.is_known();
             // At the first start of a fleet nobody is recorded yet, and every host would seem alone.
             let is_settled = !config.first_start || started.elapsed() >= SETTLED_AFTER;
             peers.set_settled(is_settled);
@@ -207,7 +208,7 @@
 
 /// Waits until a table is known; false when its belief has ended.
 async fn has_rows(table: &mut watch::Receiver<TableBelief>) -> bool {
-    table.wait_for(|table| table.version > 0).await.is_ok()
+    table.wait_for(|table| table.version.is_known()).await.is_ok()
 }
 
 /// Takes the rows of the table.
--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use dillspool_io::{UnixMillis, WallClock};
-use dillspool_platform::{CommitReply, PlatformError, RowExpect, RowWrite, TableStore};
+use dillspool_platform::{
+    CommitReply, PlatformError, RowExpect, RowWrite, StoreVersion, TableStore,
+};
 use dillspool_schema::Name;
 use dillspool_suspects::{RequestPrint, SuspectDesk, SuspectNews};
 use dillspool_watch::TableBelief;
@@ -59,7 +61,7 @@
 #[derive(Default)]
 struct KeeperState {
     /// Version of each row that was taken.
-    taken: HashMap<Name, u64>,
+    taken: HashMap<Name, StoreVersion>,
     own: SuspectRow,
     /// Ends that some row told.
     in_rows: HashSet<(RequestPrint, Name)>,
@@ -201,7 +203,7 @@
                 state.in_rows.insert((end.print, end.backend));
             }
         }
-        belief.version > 0
+        belief.version.is_known()
     }
 
     async fn write(&self, state: &mut KeeperState, text: String) {
--- a/crates/dillspool_router/src/unreadable_rows.rs
+++ b/crates/dillspool_router/src/unreadable_rows.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use dillspool_metrics::write_labels;
+use dillspool_platform::StoreVersion;
 use dillspool_schema::Name;
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -33,7 +34,7 @@
 pub struct UnreadableRows {
     counts: Family<TableLabels, Counter>,
     /// Version of each row that was told, by table and key.
-    told: Arc<Mutex<HashMap<(Name, Name), u64>>>,
+    told: Arc<Mutex<HashMap<(Name, Name), StoreVersion>>>,
 }
 
 impl UnreadableRows {
@@ -52,7 +53,7 @@
     }
 
     /// Tells of a row, once for each of its versions.
-    pub(crate) fn note(&self, table: &Name, key: &Name, version: u64, cause: &str) {
+    pub(crate) fn note(&self, table: &Name, key: &Name, version: StoreVersion, cause: &str) {
         {
             let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
             if told.len() >= MOST_TOLD {
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -6,6 +6,7 @@
 
 use dillspool_part::TablePart;
 use dillspool_schema::Name;
+use dillspool_version::StoreVersion;
 
 /// Names a backend server; another start of it may have the same name.
 pub type BackendId = Name;
@@ -105,7 +106,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DirectoryView {
     /// Version of the store's directory that it was made from.
-    pub version: u64,
+    pub version: StoreVersion,
     /// By id.
     pub entries: BTreeMap<BackendId, Arc<BackendEntry>>,
     /// Failure domains whose backend servers get nothing new, by the operator's word.
--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -7,7 +7,7 @@
 
 use dillspool_io::AwakeWatch;
 use dillspool_part::{RowCounts, TablePart};
-use dillspool_platform::{ChangedRow, TableDelta};
+use dillspool_platform::{ChangedRow, StoreVersion, TableDelta};
 use dillspool_schema::Name;
 use tokio::sync::watch;
 
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RowBelief {
     /// Version that its last change gave it.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Its text, `None` once it was deleted.
     pub value: Option<Arc<str>>,
     /// Its class, once somebody asked; `None` where its text tells none.
@@ -32,7 +32,7 @@
 }
 
 impl RowBelief {
-    fn new(version: u64, value: Option<Arc<str>>) -> Self {
+    fn new(version: StoreVersion, value: Option<Arc<str>>) -> Self {
         Self { version, value, class: OnceLock::new() }
     }
 
@@ -64,16 +64,17 @@
 /// The rows of one table, and those that were deleted lately.
 #[derive(Clone, Debug)]
 pub struct TableBelief {
-    /// Version of the store up to which this is complete; 0 before the first rows.
-    pub version: u64,
+    /// Version of the store up to which this is complete; the default one before the first rows.
+    pub version: StoreVersion,
     /// Rows by key.
     pub rows: BTreeMap<Name, RowBelief>,
     /// Version of the newest whole read; rows that it did not show did not exist then.
-    whole_at: u64,
+    whole_at: StoreVersion,
     /// Which rows this has; `None` for all.
     pub part: Option<Arc<TablePart>>,
-    /// Version of the newest deletion that is not remembered any more; 0 while all are.
-    forgotten_at: u64,
+    /// Version of the newest deletion that is not remembered any more; the default one while all
+    /// are.
+    forgotten_at: StoreVersion,
     /// Deleted rows among [`Self::rows`], and how many there may be.
     deleted: usize,
     most_deleted: usize,
@@ -89,11 +90,11 @@
     /// An empty belief that remembers so many deleted rows.
     pub fn remembering(most_deleted: usize) -> Self {
         Self {
-            version: 0,
+            version: StoreVersion::default(),
             rows: BTreeMap::new(),
-            whole_at: 0,
+            whole_at: StoreVersion::default(),
             part: None,
-            forgotten_at: 0,
+            forgotten_at: StoreVersion::default(),
             deleted: 0,
             most_deleted,
         }
@@ -105,7 +106,7 @@
         // A row that is not known here was deleted since, as far as that may have been forgotten; a whole read
         // that is newer shows what exists.
         let shows = delta.full && delta.version >= self.forgotten_at;
-        let forgotten = if shows { 0 } else { self.forgotten_at };
+        let forgotten = if shows { StoreVersion::default() } else { self.forgotten_at };
         for row in &delta.rows {
             changed |= self.merge_row(row, forgotten);
         }
@@ -125,7 +126,7 @@
             return;
         }
         let deleted = self.rows.values().filter(|row| row.value.is_none());
-        let mut versions: Vec<u64> = deleted.map(|row| row.version).collect();
+        let mut versions: Vec<StoreVersion> = deleted.map(|row| row.version).collect();
         versions.sort_unstable();
         let kept = self.most_deleted / 2;
         let forgotten = versions.len().checked_sub(kept + 1).and_then(|last| versions.get(last));
@@ -139,7 +140,7 @@
         self.deleted = self.rows.values().filter(|row| row.value.is_none()).count();
     }
 
-    fn merge_row(&mut self, row: &ChangedRow, forgotten: u64) -> bool {
+    fn merge_row(&mut self, row: &ChangedRow, forgotten: StoreVersion) -> bool {
         let known = self.rows.get(&row.key);
         // A change up to the newest whole read would have been in it.
         let oldest = known.map_or(forgotten, |known| known.version).max(self.whole_at);
@@ -196,18 +197,23 @@
         self.part = Some(Arc::clone(part));
     }
 
-    /// The rows that are newer than a version, deleted ones included; all of them behind 0, or where a deletion
-    /// since then is forgotten.
-    pub fn changes_since(&self, version: u64) -> TableDelta {
+    /// The rows that are newer than a version, deleted ones included; all of them behind the default version, or where
+    /// a deletion since then is forgotten.
+    pub fn changes_since(&self, version: StoreVersion) -> TableDelta {
         self.changes_of(self.told_from(version), |_key, _row| true)
     }
 
-    /// The version behind which changes bring who has one up to date; 0 where only all rows do.
-    fn told_from(&self, version: u64) -> u64 {
-        if version < self.forgotten_at { 0 } else { version }
+    /// The version behind which changes bring who has one up to date; the default one where only
+    /// all rows do.
+    fn told_from(&self, version: StoreVersion) -> StoreVersion {
+        if version < self.forgotten_at { StoreVersion::default() } else { version }
     }
 
-    fn changes_of(&self, version: u64, wanted: impl Fn(&str, &RowBelief) -> bool) -> TableDelta {
+    fn changes_of(
+        &self,
+        version: StoreVersion,
+        wanted: impl Fn(&str, &RowBelief) -> bool,
+    ) -> TableDelta {
         let newer = self.rows.iter().filter(|(_key, belief)| belief.version > version);
         let newer = newer.filter(|(key, belief)| wanted(key, belief));
         let row = |(key, belief): (&Name, &RowBelief)| ChangedRow {
@@ -215,7 +221,11 @@
             version: belief.version,
             value: belief.value.clone(),
         };
-        TableDelta { full: version == 0, version: self.version, rows: newer.map(row).collect() }
+        TableDelta {
+            full: !version.is_known(),
+            version: self.version,
+            rows: newer.map(row).collect(),
+        }
     }
 
     /// The text of a row that exists.
@@ -275,7 +285,7 @@
         &self.heard
     }
 
-    /// Merges what the store says and wakes the watchers if anything changed, also only the version from 0.
+    /// Merges what the store says and wakes the watchers if anything changed, also only the first version.
     ///
     /// A whole read makes a part the whole table again; of changes, a part takes those of its own rows.
     pub fn merge(&self, delta: &TableDelta) -> bool {
@@ -323,7 +333,7 @@
         self.sender.send_if_modified(|belief| {
             let before = belief.version;
             changed = change(belief);
-            changed || (before == 0 && belief.version > 0)
+            changed || (!before.is_known() && belief.version.is_known())
         });
         changed
     }
@@ -352,23 +362,24 @@
     }
 
     /// Version up to which the belief is complete.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         self.sender.borrow().version
     }
 
-    /// The rows that are newer than a version, the whole belief behind 0.
-    pub fn changes_since(&self, version: u64) -> TableDelta {
+    /// The rows that are newer than a version, the whole belief behind the default one.
+    pub fn changes_since(&self, version: StoreVersion) -> TableDelta {
         self.sender.borrow().changes_since(version)
     }
 
-    /// The rows that are newer than a version and that a host needs to keep up a part, which it has from 0 on.
-    pub(crate) fn part_changes_since(&self, version: u64, part: &TablePart) -> TableDelta {
+    /// The rows that are newer than a version and that a host needs to keep up a part, which it has from the
+    /// default one on.
+    pub(crate) fn part_changes_since(&self, version: StoreVersion, part: &TablePart) -> TableDelta {
         let Some(classify) = &self.classify else { return self.changes_since(version) };
         let belief = self.sender.borrow();
         let version = belief.told_from(version);
         belief.changes_of(version, |key, row| {
             // The host may hold a row that is of another class now, or was deleted.
-            let may_be_known = version > 0 && (row.value.is_none() || part.may_hold(key));
+            let may_be_known = version.is_known() && (row.value.is_none() || part.may_hold(key));
             may_be_known || is_held(part, key, row, classify)
         })
     }
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -5,7 +5,7 @@
 
 use dillspool_io::MomentPassed;
 use dillspool_moment::Moment;
-use dillspool_platform::{TableWatch, WatchError};
+use dillspool_platform::{StoreEra, StoreVersion, TableWatch, WatchError};
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -164,12 +164,12 @@
             }
             wait = Duration::ZERO;
         }
-        let is_first = asks_first && belief.version() == 0 && !failed;
+        let is_first = asks_first && !belief.version().is_known() && !failed;
         if !settings.probes && !is_first && *role.borrow() == FollowRole::Relayed {
             // Where all tables lose their source at once, one question shows whether the store answers.
             wait_for_probe(&reach, &belief, &settings).await;
         }
-        if !complete && belief.version() > 0 && *role.borrow() == FollowRole::Relayed {
+        if !complete && belief.version().is_known() && *role.borrow() == FollowRole::Relayed {
             wait_for_word(&belief, &settings, settings.whole_after).await;
             if spared_until(&belief, &settings).is_some() {
                 continue;
@@ -179,7 +179,7 @@
         let (asked, asked_at) = (belief.heard().clock().now(), Instant::now());
         let outcome = if complete {
             let longest = settings.longest_wait(*role.borrow());
-            ask_changes(&store, &belief, wait.min(longest), settings.slack).await
+            ask_changes(&store, &belief, &reach, wait.min(longest), settings.slack).await
         } else {
             let read = read_whole(&store, &belief, &settings).await;
             log_read(&belief, read_cause, *role.borrow(), asked_at, read.as_ref().ok());
@@ -197,17 +197,15 @@
                 // What was waited for through a stall is old, and must not count until a long question ends.
                 let is_old = was_complete && belief.heard().clock().since(as_of) > settings.spacing;
                 wait = if is_old { Duration::ZERO } else { settings.wait };
-                note_reached(&reach);
+                note_reached(&reach, belief.version().era());
             }
             Err(WatchError::HistoryGone) => {
-                log::info!(
-                    "event=history_gone table={} version={}",
-                    belief.table,
-                    belief.version()
-                );
-                note_reached(&reach);
                 complete = false;
-                read_cause = ReadCause::HistoryGone;
+                read_cause = note_history_gone(&reach, &belief);
+            }
+            Err(WatchError::Restored { era }) => {
+                complete = false;
+                read_cause = note_restored(&reach, &belief, era);
             }
             Err(WatchError::Store { source }) => {
                 reach::note(&reach, &source.to_string(), |state| state.direct = false);
@@ -293,14 +291,46 @@
     heard.spared_until(settings.fresh).filter(|until| *until > heard.clock().now())
 }
 
-/// Notes that the store can be asked, whatever it said.
-fn note_reached(reach: &watch::Sender<StoreReach>) {
+/// Notes that the store can be asked, whatever it said, and in which era it is.
+fn note_reached(reach: &watch::Sender<StoreReach>, era: StoreEra) {
     reach::note(reach, "answered", |state| {
         state.direct = true;
         state.answered = Some(Instant::now());
+        state.era = state.era.max(era);
     });
 }
 
+/// Notes that the store has forgotten the changes since what is believed.
+fn note_history_gone(reach: &watch::Sender<StoreReach>, belief: &SharedBelief) -> ReadCause {
+    let (table, version) = (&belief.table, belief.version());
+    log::info!("event=history_gone table={table} version={version}");
+    note_reached(reach, version.era());
+    ReadCause::HistoryGone
+}
+
+/// Notes that the store has come back from a copy since what is believed.
+fn note_restored(
+    reach: &watch::Sender<StoreReach>,
+    belief: &SharedBelief,
+    era: StoreEra,
+) -> ReadCause {
+    let (table, version) = (&belief.table, belief.version());
+    log::info!("event=store_restored table={table} version={version} era={era}");
+    note_reached(reach, era);
+    ReadCause::Restored
+}
+
+/// Waits until another table shows that the store has come back from a copy since a version; its era.
+async fn restored_since(reach: &watch::Sender<StoreReach>, version: StoreVersion) -> StoreEra {
+    let mut state = reach.subscribe();
+    let restored = state.wait_for(|state| state.era > version.era()).await;
+    let era = restored.map(|state| state.era);
+    match era {
+        Ok(era) => era,
+        Err(_closed) => std::future::pending().await,
+    }
+}
+
 /// Why a table is read whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadCause {
@@ -308,6 +338,8 @@
     First,
     /// The store has forgotten what changed since.
     HistoryGone,
+    /// The store has come back from a copy.
+    Restored,
 }
 
 impl ReadCause {
@@ -315,6 +347,7 @@
         match self {
             Self::First => "first",
             Self::HistoryGone => "history_gone",
+            Self::Restored => "restored",
         }
     }
 }
@@ -325,9 +358,9 @@
     cause: ReadCause,
     role: FollowRole,
     asked_at: Instant,
-    answer: Option<&u64>,
+    answer: Option<&StoreVersion>,
 ) {
-    let answer = answer.map_or_else(|| "none".to_owned(), u64::to_string);
+    let answer = answer.map_or_else(|| "none".to_owned(), StoreVersion::to_string);
     log::info!(
         "event=table_read table={} cause={} role={role:?} answer={answer} rows={} version={} after_ms={}",
         belief.table,
@@ -352,7 +385,7 @@
     store: &TableWatch,
     belief: &SharedBelief,
     settings: &FollowSettings,
-) -> Result<u64, WatchError> {
+) -> Result<StoreVersion, WatchError> {
     let snapshot = (store.snapshot)(Arc::clone(&belief.table));
     let answer = belief.heard().clock().timeout(settings.whole_limit, snapshot).await;
     let answer = answer.map_err(|MomentPassed| silent(settings.whole_limit))?;
@@ -364,10 +397,12 @@
 async fn ask_changes(
     store: &TableWatch,
     belief: &SharedBelief,
+    reach: &watch::Sender<StoreReach>,
     wait: Duration,
     slack: Duration,
 ) -> Result<QuestionEnd, WatchError> {
-    let changes = (store.changes)(Arc::clone(&belief.table), belief.version(), wait);
+    let version = belief.version();
+    let changes = (store.changes)(Arc::clone(&belief.table), version, wait);
     let limit = wait + slack;
     let clock = belief.heard().clock();
     let answer = tokio::select! {
@@ -375,6 +410,8 @@
         answer = clock.timeout(limit, changes) => answer,
         // Its answer would tell of the time before.
         () = clock.stalled() => return Ok(QuestionEnd::GivenUp),
+        // A restored store may hold the question until its end, and wait for a version of before.
+        era = restored_since(reach, version) => return Err(WatchError::Restored { era }),
     };
     let delta = answer.map_err(|MomentPassed| silent(limit))??;
     belief.merge(&delta);
--- a/crates/dillspool_watch/src/reach.rs
+++ b/crates/dillspool_watch/src/reach.rs
@@ -1,5 +1,6 @@
 //! Whether and how recently this host hears from the store, by itself or through a peer.
 
+use dillspool_platform::StoreEra;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -15,12 +16,20 @@
     /// When the store last answered this host itself, about any table; shows that it can be asked, and
     /// says nothing of a table ([`crate::SharedBelief::age`]).
     pub answered: Option<Instant>,
+    /// Newest era that one of the store's tables was seen in.
+    pub era: StoreEra,
 }
 
 impl StoreReach {
     /// The start: nothing was heard yet.
     pub fn unknown() -> Self {
-        Self { direct: false, relayed: false, since: Instant::now(), answered: None }
+        Self {
+            direct: false,
+            relayed: false,
+            since: Instant::now(),
+            answered: None,
+            era: StoreEra::default(),
+        }
     }
 
     /// Whether what this host believes comes from a store that answers.
@@ -45,6 +54,6 @@
             state.since = Instant::now();
         }
         // Moments alone wake nobody.
-        state.direct != before.direct || state.relayed != before.relayed
+        state.direct != before.direct || state.relayed != before.relayed || state.era != before.era
     });
 }
--- a/crates/dillspool_watch/src/relay/serving.rs
+++ b/crates/dillspool_watch/src/relay/serving.rs
@@ -6,7 +6,7 @@
 
 use dillspool_io::{NetListener, NetStream};
 use dillspool_part::TablePart;
-use dillspool_platform::ChangedRow;
+use dillspool_platform::{ChangedRow, StoreVersion};
 use dillspool_schema::Name;
 use dillspool_schema::relay::{RelayClass, RelayMessage, RelayPart, RelayRow};
 use futures_util::{SinkExt, StreamExt};
@@ -92,7 +92,7 @@
         let counts = table.belief.count_rows((self.hosts)());
         if counts.is_some_and(|counts| TablePart::is_outgrown(table.part.as_deref(), &counts)) {
             table.part = self.part_for(&table.belief, seed);
-            table.version = 0;
+            table.version = StoreVersion::default();
         }
     }
 
@@ -136,8 +136,8 @@
 /// What a peer has of one table.
 struct SentTable {
     belief: SharedBelief,
-    /// Version up to which the peer has it; 0 before the first rows.
-    version: u64,
+    /// Version up to which the peer has it; the default one before the first rows.
+    version: StoreVersion,
     /// The rows that it holds; `None` for all.
     part: Option<Arc<TablePart>>,
     /// When it was last looked whether that part fits the table, and rows sent since.
@@ -155,13 +155,13 @@
         };
         let row = |row: ChangedRow| RelayRow {
             key: row.key,
-            version: row.version,
+            version: row.version.into(),
             value: row.value.as_deref().map(str::to_owned),
         };
         RelayMessage {
             table: Arc::clone(&self.belief.table),
             full: delta.full,
-            version: delta.version,
+            version: delta.version.into(),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             part: self.part.as_deref().filter(|_part| delta.full).map(part_to_wire),
             rows: delta.rows.into_iter().map(row).collect(),
@@ -181,7 +181,7 @@
     let mut whole = Some(whole_sends.acquire_owned().await.map_err(|error| error.to_string())?);
     let table = |belief: &SharedBelief| SentTable {
         belief: belief.clone(),
-        version: 0,
+        version: StoreVersion::default(),
         part: wish.part.and_then(|seed| service.part_for(belief, seed)),
         looked: Instant::now(),
         rows: 0,
@@ -244,7 +244,7 @@
         let age = table.belief.relay_age();
         let age = age.ok_or_else(|| format!("the table {name} is too old here"))?;
         let message = table.changes(age);
-        table.version = message.version;
+        table.version = message.version.into();
         table.rows += message.rows.len();
         let bytes = relay_frame::encode(&message, packs).map_err(|error| error.to_string())?;
         socket.send(Message::Binary(bytes.into())).await.map_err(|error| error.to_string())?;
--- a/crates/dillspool_watch/src/relay/taking.rs
+++ b/crates/dillspool_watch/src/relay/taking.rs
@@ -8,7 +8,7 @@
 use dillspool_io::{NetStack, NetStream};
 use dillspool_moment::Moment;
 use dillspool_part::TablePart;
-use dillspool_platform::{ChangedRow, TableDelta};
+use dillspool_platform::{ChangedRow, StoreVersion, TableDelta};
 use dillspool_schema::Name;
 use dillspool_schema::relay::{RelayMessage, RelayPart, RelayRow};
 use futures_util::StreamExt;
@@ -190,12 +190,17 @@
             parts.insert(Name::clone(&message.table), part);
         }
         if first {
-            log::info!("event=relay_started peer={address} version={}", message.version);
+            let version = StoreVersion::from(message.version);
+            log::info!("event=relay_started peer={address} version={version}");
             first = false;
         }
         let part = parts.get(&message.table).and_then(Option::as_ref);
+        let era = StoreVersion::from(message.version).era();
         take(beliefs, message, part, waited_since.unwrap_or_default());
-        reach::note(reach, "relayed", |state| state.relayed = true);
+        reach::note(reach, "relayed", |state| {
+            state.relayed = true;
+            state.era = state.era.max(era);
+        });
     }
 }
 
@@ -224,11 +229,12 @@
     };
     let row = |row: RelayRow| ChangedRow {
         key: row.key,
-        version: row.version,
+        version: row.version.into(),
         value: row.value.map(Arc::from),
     };
     let rows = message.rows.into_iter().map(row).collect();
-    belief.merge_relayed(&TableDelta { full: message.full, version: message.version, rows }, part);
+    let delta = TableDelta { full: message.full, version: message.version.into(), rows };
+    belief.merge_relayed(&delta, part);
     // An age that this host's clock cannot reach back to is too old to count.
     let age = Duration::from_millis(message.age_ms);
     let heard_at = belief.heard().heard_at(waited_since);
