Terms of orders are fenced and kept apart across restorations of the store

What would be seen: after the store has come back from a copy, two hosts give orders in one fence, or one right after the other (ONE).

Cause: a term's fence was the one of the row and one more, and a host that found no row, or itself in it, began at once. A copy shows an older row or none, so a fence was given out again, and who had the newest term was forgotten while it went on. A condition of before could hold by chance, too, and write over another's term.

Change: a fence is above the store's newest version, which has its era; the row tells the version that its writer had read, and in another era than that, or without a row, a host waits as it does for another holder. Only at the very first start of a fleet the first one begins at once, as before. The commit names the version of the read.

--- a/crates/dillspool_roles/src/keeper.rs
+++ b/crates/dillspool_roles/src/keeper.rs
@@ -26,6 +26,8 @@
     pub targets: PoolTargets,
     /// Time that must lie between the orders of two holders.
     pub apart: Duration,
+    /// Whether the fleet starts for the first time.
+    pub is_first_start: bool,
     /// The clock by which terms end.
     pub clock: HostClock,
     /// Time before this host acts on a change that is due; see [`keep_stages`].
@@ -69,7 +71,8 @@
     cancel: CancellationToken,
 ) {
     let lease =
-        OrderLease::new(store, Name::clone(&settings.host), settings.apart, settings.clock.clone());
+        OrderLease::new(store, Name::clone(&settings.host), settings.apart, settings.clock.clone())
+            .at_first_start(settings.is_first_start);
     let mut keeper = StageKeeper {
         settings,
         lease,
--- a/crates/dillspool_roles/src/lease.rs
+++ b/crates/dillspool_roles/src/lease.rs
@@ -1,12 +1,17 @@
 //! The lease under which one host gives orders.
+//!
+//! The store may come back from a copy that shows an older row, or none; `docs/design/store_eras.md` has what
+//! follows.
 
 use std::collections::BTreeMap;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use dillspool_io::HostClock;
 use dillspool_moment::Moment;
 use dillspool_platform::{
-    CommitReply, PlatformError, RowExpect, RowWrite, StoreVersion, TableRow, TableStore,
+    CommitReply, CommitRequest, PlatformError, ReadRequest, RowExpect, RowWrite, StoreEra,
+    StoreVersion, TableRow, TableStore,
 };
 use dillspool_schema::Name;
 use serde::{Deserialize, Serialize};
@@ -37,13 +42,36 @@
     /// Prefill engines that each pool keeps, by service; a fleet that starts anew begins with them.
     #[serde(default)]
     pub targets: BTreeMap<Name, usize>,
+    /// Version of the store that its writer had read.
+    #[serde(default)]
+    pub read_at: StoreVersion,
 }
 
 impl LeaseRow {
     /// A row of nobody whose next term has the fence after this one.
     fn empty(fence: u64) -> Self {
         let holder = Name::from("");
-        Self { holder, fence, token: 0, ordered: Vec::new(), targets: BTreeMap::new() }
+        let (ordered, targets) = (Vec::new(), BTreeMap::new());
+        Self { holder, fence, token: 0, ordered, targets, read_at: StoreVersion::default() }
+    }
+}
+
+/// The lease as the store shows it.
+#[derive(Debug)]
+struct LeaseState {
+    /// The row and its version.
+    row: Option<(LeaseRow, StoreVersion)>,
+    /// Newest version of the store.
+    version: StoreVersion,
+}
+
+impl LeaseState {
+    fn row_version(&self) -> Option<StoreVersion> {
+        self.row.as_ref().map(|(_row, version)| *version)
+    }
+
+    fn holder(&self) -> Option<&Name> {
+        self.row.as_ref().map(|(row, _version)| &row.holder)
     }
 }
 
@@ -71,12 +99,22 @@
     /// Time that must lie between the orders of two holders.
     apart: Duration,
     clock: HostClock,
+    /// Whether the fleet starts for the first time, so that nobody had the lease before.
+    is_first_start: bool,
+    /// First era of the store that this host saw.
+    first_era: Arc<OnceLock<StoreEra>>,
 }
 
 impl OrderLease {
     /// A lease for a host; `apart` is the platform's time between two holders.
     pub fn new(store: TableStore, host: Name, apart: Duration, clock: HostClock) -> Self {
-        Self { store, host, apart, clock }
+        Self { store, host, apart, clock, is_first_start: false, first_era: Arc::default() }
+    }
+
+    /// Lets a host of a fleet that starts for the first time begin at once.
+    #[must_use]
+    pub fn at_first_start(self, is_first_start: bool) -> Self {
+        Self { is_first_start, ..self }
     }
 
     /// Reads the lease.
@@ -85,14 +123,30 @@
     ///
     /// [`PlatformError`] when the store does not answer.
     pub async fn read(&self) -> Result<Option<(LeaseRow, StoreVersion)>, PlatformError> {
-        let row = self.store.read_one(LEASE_KEY.into()).await?;
-        Ok(row.map(|row| parse(&row)))
+        Ok(self.read_state().await?.row)
+    }
+
+    async fn read_state(&self) -> Result<LeaseState, PlatformError> {
+        let reply = (self.store.read)(ReadRequest { keys: vec![LEASE_KEY.into()] }).await?;
+        self.first_era.get_or_init(|| reply.version.era());
+        let row = reply.rows.into_iter().next().flatten();
+        Ok(LeaseState { row: row.as_ref().map(parse), version: reply.version })
+    }
+
+    /// Whether another host may have a term that goes on. After a restoration the row tells nothing of who had the
+    /// newest one.
+    fn may_be_held(&self, state: &LeaseState) -> bool {
+        let era = state.version.era();
+        match &state.row {
+            Some((row, _version)) => row.holder != self.host || row.read_at.era() != era,
+            None => !self.is_first_start || self.first_era.get() != Some(&era),
+        }
     }
 
     /// Takes a term to order changes of `engines` towards `targets`; `None` when another host has
     /// the lease.
     ///
-    /// A host that is not the holder waits until the row has rested for long enough.
+    /// A host that is not the holder, or cannot know it, waits until the row has rested for long enough.
     ///
     /// # Errors
     ///
@@ -104,35 +158,39 @@
         targets: &BTreeMap<Name, usize>,
         token: u64,
     ) -> Result<Option<OrderTerm>, PlatformError> {
-        let before = self.read().await?;
-        if let Some((row, version)) = &before
-            && row.holder != self.host
-        {
-            let rested = *version;
+        let mut state = self.read_state().await?;
+        if self.may_be_held(&state) {
             tokio::time::sleep(self.apart * TAKE_OVER_FACTOR).await;
-            let now = self.read().await?.map(|(_row, version)| version);
-            if now != Some(rested) {
-                log::info!("event=lease_held holder={} by={}", self.host, row.holder);
+            let now = self.read_state().await?;
+            let is_restored = now.version.era() != state.version.era();
+            if is_restored || now.row_version() != state.row_version() {
+                let by = now.holder().map_or("nobody", |holder| &**holder);
+                log::info!("event=lease_held holder={} by={by} store={}", self.host, now.version);
                 return Ok(None);
             }
+            state = now;
         }
         let started = self.clock.now();
-        let (expect, before) = match before {
+        let read_at = state.version;
+        let (expect, before) = match state.row {
             Some((row, version)) => (RowExpect::Version(version), row),
             None => (RowExpect::Absent, LeaseRow::empty(0)),
         };
-        let (fence, mut ordered) = (before.fence + 1, before.ordered);
+        // Above all fences of earlier eras, and of rows that were written over by a condition that held by chance.
+        let fence = before.fence.max(read_at.into()) + 1;
+        let mut ordered = before.ordered;
         let mut kept = before.targets;
         kept.extend(targets.iter().map(|(service, engines)| (Name::clone(service), *engines)));
         ordered.extend(engines.iter().cloned());
         ordered.drain(..ordered.len().saturating_sub(MOST_ORDERED));
-        let row =
-            LeaseRow { holder: Name::clone(&self.host), fence, token, ordered, targets: kept };
+        let holder = Name::clone(&self.host);
+        let row = LeaseRow { holder, fence, token, ordered, targets: kept, read_at };
         let Ok(text) = serde_json::to_string(&row) else { return Ok(None) };
         let write = RowWrite { key: LEASE_KEY.into(), expect, value: Some(text) };
-        match self.store.commit(vec![write]).await? {
+        let request = CommitRequest { writes: vec![write], read_at: Some(read_at) };
+        match (self.store.commit)(request).await? {
             CommitReply::Committed => {
-                log::info!("event=lease_taken holder={} fence={fence}", self.host);
+                log::info!("event=lease_taken holder={} fence={fence} store={read_at}", self.host);
                 let (ends, clock) = (started + TERM_LIFE, self.clock.clone());
                 Ok(Some(OrderTerm { fence, ends, clock }))
             }
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -131,6 +131,7 @@
             host: format!("host-{host}").into(),
             targets: PoolTargets::new(ShareRule::Fixed(0.33), DemandMeter::default()),
             apart: Duration::from_secs(3),
+            is_first_start: true,
             clock: HostClock::steady(),
             delay: Arc::new(move || Duration::from_secs(host)),
             rests: Arc::clone(rests),
--- a/crates/dillspool_roles/tests/lease.rs
+++ b/crates/dillspool_roles/tests/lease.rs
@@ -13,7 +13,7 @@
 const APART: Duration = Duration::from_secs(3);
 
 fn lease(table: &MemoryTable, host: &str) -> OrderLease {
-    OrderLease::new(table.store(), host.into(), APART, HostClock::steady())
+    OrderLease::new(table.store(), host.into(), APART, HostClock::steady()).at_first_start(true)
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -253,6 +253,7 @@
             host: Name::clone(&self.config.host),
             targets: PoolTargets::new(self.config.share_rule, demand),
             apart: self.config.orders_apart,
+            is_first_start: self.config.first_start,
             clock: clock.clone(),
             delay: order_delay(&self.config.host, beliefs.config.clone(), schedule),
             rests: Arc::new(move |engine| throttle.rests_until(engine).is_some()),
