A copy of the store brings no backend server back that has left, and takes none away

What would be seen: after the store has come back from a copy, requests reach a backend server that had said that it leaves, or whose row was gone (DRAIN), and one that was recorded since the copy gets none.

Cause: the rows of a new era were taken as written then. What backend servers wrote since the copy is written again, but the first whole read comes before. The grace in which missing rows are waited for began with an outage only, which nobody may have noticed.

A missing row counts as gone two seconds after the era was first seen. A belief of a restored store wakes its watchers also for a row that is written again as it was.

TrackedDirectory moved to tests/common, unchanged.

--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -3,7 +3,8 @@
 //! Rows of living backend servers may lapse while the store is away. A row that goes missing
 //! around an outage therefore counts as gone only some time after the store's return. Rows do not change
 //! meanwhile, so a backend server that says in an answer that it leaves is believed whatever its row says;
-//! `docs/design/notices.md` has the reasons.
+//! `docs/design/notices.md` has the reasons. A store that comes back from a copy shows rows of before, which bring
+//! no backend server back that has left; `docs/design/store_eras.md` has those.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -13,12 +14,15 @@
 use dillspool_leaving::LeavingBook;
 use dillspool_part::TablePart;
 use dillspool_platform::StoreVersion;
-use dillspool_routing::{BackendEntry, BackendId, BackendStart, BackendState, DirectoryView};
+use dillspool_routing::{
+    BackendEntry, BackendId, BackendStart, BackendState, DirectoryView, StartedBackend,
+};
 use dillspool_schema::Name;
 use dillspool_watch::{StoreReach, TableBelief};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::departed::{DepartedBook, HeldBack};
 use crate::site::SiteProtocol;
 use crate::unreadable_rows::UnreadableRows;
 
@@ -39,6 +43,8 @@
     row_version: StoreVersion,
     /// Whether its row is missing, for now.
     lapsed: bool,
+    /// Set while its row, of the copy from which the store came back, is not believed to be ready.
+    held_back: Option<HeldBack>,
 }
 
 impl KnownBackend {
@@ -46,7 +52,15 @@
     fn is_ready(&self, leaving: &LeavingBook) -> bool {
         let is_ready =
             |entry: &Arc<BackendEntry>| entry.is_ready() && !leaving.leaves(&entry.started());
-        self.entry.as_ref().is_some_and(is_ready)
+        self.held_back.is_none() && self.entry.as_ref().is_some_and(is_ready)
+    }
+
+    /// Whether its row said, or is held to say, that a start leaves.
+    fn leaves(&self, backend: &StartedBackend) -> bool {
+        self.entry.as_ref().is_some_and(|entry| {
+            let is_same = !BackendStart::differ(entry.start, backend.start);
+            is_same && (!entry.is_ready() || self.held_back.is_some())
+        })
     }
 
     /// What is in use of it: its row, unless it has said itself that it leaves.
@@ -77,6 +91,9 @@
     settings: DirectorySettings,
     unreadable: UnreadableRows,
     known: BTreeMap<BackendId, KnownBackend>,
+    departed: DepartedBook,
+    /// Version of the table that was taken last.
+    version: StoreVersion,
     /// Failure domains that the operator has drained.
     drained: BTreeSet<Name>,
     /// The part of the table that this host holds.
@@ -97,6 +114,8 @@
         settings,
         unreadable,
         known: BTreeMap::new(),
+        departed: DepartedBook::default(),
+        version: StoreVersion::default(),
         drained: BTreeSet::new(),
         part: None,
     };
@@ -113,7 +132,7 @@
             }
             leaves_more = false;
         }
-        let lapse_end = tracker.lapse_end(state);
+        let next_end = tracker.next_end(state);
         tokio::select! {
             changed = backends.changed() => if changed.is_err() { return },
             changed = operator.changed() => if changed.is_err() { return },
@@ -124,7 +143,7 @@
                 }
                 leaves_more = true;
             }
-            () = sleep_until(lapse_end) => {}
+            () = sleep_until(next_end) => {}
         }
     }
 }
@@ -170,16 +189,47 @@
 
     /// Whether a row that is missing now may belong to a living backend server.
     fn may_lapse(&self, state: StoreReach) -> bool {
-        !state.is_reachable() || state.since.elapsed() < self.settings.lapse_grace
+        !state.is_reachable() || Instant::now() < self.lapse_end(state)
+    }
+
+    /// When entries that are missing count as gone, while the store is reachable. Those that were recorded after
+    /// the copy from which the store came back are missing, too.
+    fn lapse_end(&self, state: StoreReach) -> Instant {
+        let returned_at = self.departed.restored_at().map_or(state.since, |at| at.max(state.since));
+        returned_at + self.settings.lapse_grace
     }
 
-    /// When lapsed entries count as gone, while the store is reachable and there are any.
-    fn lapse_end(&self, state: StoreReach) -> Option<Instant> {
-        let any = self.known.values().any(|known| known.lapsed);
-        (any && state.is_reachable()).then(|| state.since + self.settings.lapse_grace)
+    /// When entries change by time alone: lapsed ones are gone, or ones that were held back are not any more.
+    fn next_end(&self, state: StoreReach) -> Option<Instant> {
+        let any_lapsed = self.known.values().any(|known| known.lapsed);
+        let lapse_end = (any_lapsed && state.is_reachable()).then(|| self.lapse_end(state));
+        let held_until = |known: &KnownBackend| match known.held_back {
+            Some(HeldBack::Gone { until }) => Some(until),
+            Some(HeldBack::Leaves) | None => None,
+        };
+        self.known.values().filter_map(held_until).chain(lapse_end).min()
+    }
+
+    /// Lets rows count that have outlived those that nobody writes; whether there are any.
+    fn release_held(&mut self) -> bool {
+        let now = Instant::now();
+        let mut any = false;
+        for (id, known) in &mut self.known {
+            if matches!(known.held_back, Some(HeldBack::Gone { until }) if until <= now) {
+                log::info!("event=backend_believed backend={id} row={}", known.row_version);
+                known.held_back = None;
+                any = true;
+            }
+        }
+        any
     }
 
     fn update(&mut self, belief: &TableBelief, leaving: &LeavingBook, state: StoreReach) -> bool {
+        if self.departed.note_version(belief.version, self.version) {
+            let (before, version) = (self.version, belief.version);
+            log::info!("event=directory_restored version={version} before={before}");
+        }
+        self.version = belief.version;
         let mut changed = self.part != belief.part;
         if changed {
             let part = belief.part.as_deref().map(ToString::to_string).unwrap_or_default();
@@ -194,6 +244,7 @@
             let Some(text) = &row.value else { continue };
             changed |= self.take_row(id, row.version, text);
         }
+        changed |= self.release_held();
         let may_lapse = self.may_lapse(state);
         let mut gone = Vec::new();
         for (id, known) in &mut self.known {
@@ -211,9 +262,12 @@
             }
         }
         for id in &gone {
-            if self.known.remove(id).is_some_and(|known| known.entry.is_some()) {
-                log::info!("event=backend_gone backend={id} version={}", belief.version);
-                changed = true;
+            let Some(entry) = self.known.remove(id).and_then(|known| known.entry) else { continue };
+            log::info!("event=backend_gone backend={id} version={}", belief.version);
+            changed = true;
+            // A row that is none of this host's part any more was not deleted.
+            if belief.rows.contains_key(id) {
+                self.departed.note_gone(entry.started(), belief.version);
             }
         }
         changed
@@ -227,6 +281,19 @@
         Ok(entry)
     }
 
+    /// Why an entry that says ready is not believed: its row may be of the copy from which the store came back.
+    fn held_back(&self, entry: &BackendEntry, row_version: StoreVersion) -> Option<HeldBack> {
+        if !entry.is_ready() || !self.departed.may_be_copied(row_version) {
+            return None;
+        }
+        let backend = entry.started();
+        match self.known.get(&backend.id) {
+            Some(known) if known.row_version.era() == row_version.era() => known.held_back,
+            Some(known) => known.leaves(&backend).then_some(HeldBack::Leaves),
+            None => self.departed.find_gone(&backend, row_version),
+        }
+    }
+
     fn take_row(&mut self, id: &BackendId, row_version: StoreVersion, text: &str) -> bool {
         let known = self.known.get_mut(id);
         if let Some(known) = known
@@ -242,9 +309,15 @@
                 None
             }
         };
-        let known = KnownBackend { entry: entry.clone(), row_version, lapsed: false };
-        let before = self.known.insert(BackendId::clone(id), known).and_then(|known| known.entry);
-        if before == entry {
+        let held_back = entry.as_deref().and_then(|entry| self.held_back(entry, row_version));
+        let known = KnownBackend { entry: entry.clone(), row_version, lapsed: false, held_back };
+        let before = self.known.insert(BackendId::clone(id), known);
+        let was_held = before.as_ref().and_then(|known| known.held_back);
+        if let Some(cause) = held_back {
+            log::info!("event=backend_held_back backend={id} row={row_version} cause={cause:?}");
+        }
+        let before = before.and_then(|known| known.entry);
+        if before == entry && was_held.is_some() == held_back.is_some() {
             return false;
         }
         let Some(entry) = entry else {
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -7,6 +7,7 @@
 mod beliefs;
 mod config_tracker;
 mod daemon;
+mod departed;
 mod directory_tracker;
 mod fleet_duties;
 mod ingress;
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A site without a wire: rows are single words, backend servers are closures.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod tracked;
+
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- /dev/null
+++ b/crates/dillspool_router/tests/common/tracked.rs
@@ -0,0 +1,107 @@
+//! A directory that a test writes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_io::{AwakeWatch, HostClock};
+use dillspool_leaving::LeavingDesk;
+use dillspool_platform::{ChangedRow, StoreEra, StoreVersion, TableDelta};
+use dillspool_router::{DirectorySettings, DirectorySources, UnreadableRows, track_directory};
+use dillspool_routing::{BackendStart, DirectoryView, StartedBackend};
+use dillspool_watch::{SharedBelief, StoreReach};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// An address of the host itself.
+pub const OWN: &str = "10.0.0.1:80";
+
+pub struct TrackedDirectory {
+    pub belief: SharedBelief,
+    pub operator: SharedBelief,
+    pub unreadable: UnreadableRows,
+    pub reach: watch::Sender<StoreReach>,
+    pub leaving: LeavingDesk,
+    pub view: watch::Receiver<Arc<DirectoryView>>,
+}
+
+impl TrackedDirectory {
+    pub fn start() -> Self {
+        let belief = SharedBelief::new("servers".into(), awake());
+        let operator = SharedBelief::new("op".into(), awake());
+        let reach = watch::Sender::new(StoreReach { direct: true, ..StoreReach::unknown() });
+        let (sender, view) = watch::channel(Arc::default());
+        let settings = DirectorySettings {
+            lapse_grace: Duration::from_secs(2),
+            own_addresses: vec![OWN.parse().unwrap()],
+        };
+        let site = super::site(&super::TestSite::default());
+        let unreadable = UnreadableRows::default();
+        let leaving = LeavingDesk::new(HostClock::steady());
+        let sources = DirectorySources {
+            backends: belief.subscribe(),
+            operator: operator.subscribe(),
+            reach: reach.subscribe(),
+            leaving: leaving.subscribe(),
+        };
+        tokio::spawn(track_directory(site, settings, unreadable.clone(), sources, sender));
+        Self { belief, operator, unreadable, reach, leaving, view }
+    }
+
+    /// A start of the backend server says in an answer that it leaves.
+    pub fn say_leaving(&self, start: Option<u64>) {
+        self.leaving.hear(&StartedBackend { id: "i-1".into(), start: start.map(BackendStart) });
+    }
+
+    pub fn write(&self, version: u64, text: Option<&str>) {
+        let row =
+            ChangedRow { key: "i-1".into(), version: version.into(), value: text.map(Into::into) };
+        self.belief.merge(&TableDelta { full: false, version: version.into(), rows: vec![row] });
+    }
+
+    /// The store comes back from a copy with this row of the backend server, at a version of its second era.
+    pub fn restore(&self, number: u64, text: Option<&str>) {
+        self.merge_restored(true, number, text);
+    }
+
+    /// The row is written in the second era.
+    pub fn write_restored(&self, number: u64, text: Option<&str>) {
+        self.merge_restored(false, number, text);
+    }
+
+    fn merge_restored(&self, full: bool, number: u64, text: Option<&str>) {
+        let version = StoreVersion::new(StoreEra::new(2), number);
+        let value = text.map(Into::into);
+        let row = ChangedRow { key: "i-1".into(), version, value };
+        // A whole read does not show deleted rows.
+        let rows = (text.is_some() || !full).then_some(row).into_iter().collect();
+        self.belief.merge(&TableDelta { full, version, rows });
+    }
+
+    pub fn write_operator(&self, version: u64, key: &str, exists: bool) {
+        let value = exists.then(|| "{}".into());
+        let row = ChangedRow { key: key.into(), version: version.into(), value };
+        self.operator.merge(&TableDelta { full: false, version: version.into(), rows: vec![row] });
+    }
+
+    pub fn reach(&self, reachable: bool) {
+        self.reach.send_replace(StoreReach { direct: reachable, ..StoreReach::unknown() });
+    }
+
+    pub fn is_known(&self) -> bool {
+        self.view.borrow().entries.contains_key("i-1")
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.view.borrow().is_ready("i-1")
+    }
+}
+
+/// A watch by tokio's clock.
+fn awake() -> AwakeWatch {
+    AwakeWatch::start(HostClock::steady(), CancellationToken::new())
+}
+
+/// Lets time pass.
+pub async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
--- a/crates/dillspool_router/tests/directory.rs
+++ b/crates/dillspool_router/tests/directory.rs
@@ -2,86 +2,8 @@
 
 mod common;
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use dillspool_io::{AwakeWatch, HostClock};
-use dillspool_leaving::LeavingDesk;
+use common::tracked::{TrackedDirectory, pass};
 use dillspool_platform::{ChangedRow, TableDelta};
-use dillspool_router::{DirectorySettings, DirectorySources, UnreadableRows, track_directory};
-use dillspool_routing::{BackendStart, DirectoryView, StartedBackend};
-use dillspool_watch::{SharedBelief, StoreReach};
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
-
-/// An address of the host itself.
-const OWN: &str = "10.0.0.1:80";
-
-struct TrackedDirectory {
-    belief: SharedBelief,
-    operator: SharedBelief,
-    unreadable: UnreadableRows,
-    reach: watch::Sender<StoreReach>,
-    leaving: LeavingDesk,
-    view: watch::Receiver<Arc<DirectoryView>>,
-}
-
-impl TrackedDirectory {
-    fn start() -> Self {
-        let belief = SharedBelief::new("servers".into(), awake());
-        let operator = SharedBelief::new("op".into(), awake());
-        let reach = watch::Sender::new(StoreReach { direct: true, ..StoreReach::unknown() });
-        let (sender, view) = watch::channel(Arc::default());
-        let settings = DirectorySettings {
-            lapse_grace: Duration::from_secs(2),
-            own_addresses: vec![OWN.parse().unwrap()],
-        };
-        let site = common::site(&common::TestSite::default());
-        let unreadable = UnreadableRows::default();
-        let leaving = LeavingDesk::new(HostClock::steady());
-        let sources = DirectorySources {
-            backends: belief.subscribe(),
-            operator: operator.subscribe(),
-            reach: reach.subscribe(),
-            leaving: leaving.subscribe(),
-        };
-        tokio::spawn(track_directory(site, settings, unreadable.clone(), sources, sender));
-        Self { belief, operator, unreadable, reach, leaving, view }
-    }
-
-    /// A start of the backend server says in an answer that it leaves.
-    fn say_leaving(&self, start: Option<u64>) {
-        self.leaving.hear(&StartedBackend { id: "i-1".into(), start: start.map(BackendStart) });
-    }
-
-    fn write(&self, version: u64, text: Option<&str>) {
-        let row =
-            ChangedRow { key: "i-1".into(), version: version.into(), value: text.map(Into::into) };
-        self.belief.merge(&TableDelta { full: false, version: version.into(), rows: vec![row] });
-    }
-
-    fn write_operator(&self, version: u64, key: &str, exists: bool) {
-        let value = exists.then(|| "{}".into());
-        let row = ChangedRow { key: key.into(), version: version.into(), value };
-        self.operator.merge(&TableDelta { full: false, version: version.into(), rows: vec![row] });
-    }
-
-    fn reach(&self, reachable: bool) {
-        self.reach.send_replace(StoreReach { direct: reachable, ..StoreReach::unknown() });
-    }
-
-    fn is_known(&self) -> bool {
-        self.view.borrow().entries.contains_key("i-1")
-    }
-
-    fn is_ready(&self) -> bool {
-        self.view.borrow().is_ready("i-1")
-    }
-}
-
-async fn pass(millis: u64) {
-    tokio::time::sleep(Duration::from_millis(millis)).await;
-}
 
 #[tokio::test(start_paused = true)]
 async fn draining_and_gone_count_at_once_while_the_store_is_there() {
@@ -473,8 +395,3 @@
         }
     }
 }
-
-/// A watch by tokio's clock.
-fn awake() -> AwakeWatch {
-    AwakeWatch::start(HostClock::steady(), CancellationToken::new())
-}
--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -72,6 +72,9 @@
     whole_at: StoreVersion,
     /// Which rows this has; `None` for all.
     pub part: Option<Arc<TablePart>>,
+    /// Whether the store has come back from a copy since this was first known. A row that is written again as the copy
+    /// shows it is news then.
+    is_restored: bool,
     /// Version of the newest deletion that is not remembered any more; the default one while all
     /// are.
     forgotten_at: StoreVersion,
@@ -93,6 +96,7 @@
             version: StoreVersion::default(),
             rows: BTreeMap::new(),
             whole_at: StoreVersion::default(),
+            is_restored: false,
             part: None,
             forgotten_at: StoreVersion::default(),
             deleted: 0,
@@ -103,6 +107,7 @@
     /// Takes what is newer; returns whether a row changed.
     pub fn merge(&mut self, delta: &TableDelta) -> bool {
         let mut changed = false;
+        self.is_restored |= self.version.is_known() && delta.version.era() > self.version.era();
         // A row that is not known here was deleted since, as far as that may have been forgotten; a whole read
         // that is newer shows what exists.
         let shows = delta.full && delta.version >= self.forgotten_at;
@@ -152,7 +157,7 @@
         self.deleted += usize::from(row.value.is_none());
         let belief = RowBelief::new(row.version, row.value.clone());
         self.rows.insert(Name::clone(&row.key), belief);
-        !same
+        !same || self.is_restored
     }
 
     /// Rows that a whole read does not show were deleted, unless they are newer than the read.
@@ -175,6 +180,7 @@
     fn become_part(&mut self, delta: &TableDelta, part: Option<Arc<TablePart>>) -> bool {
         let before = std::mem::replace(self, Self::remembering(self.most_deleted));
         self.part = part;
+        self.is_restored = before.is_restored || delta.version.era() > before.version.era();
         self.forgotten_at = before.forgotten_at.min(delta.version);
         self.merge(delta);
         let named: BTreeSet<&Name> = delta.rows.iter().map(|row| &row.key).collect();
