A failure domain that the operator drained stays so in a copy of the store

What would be seen: after the store has come back from a copy, requests go into a failure domain that was drained since that copy, until the operator has drained it again (EVAC).

Cause: the operator's rows of a new era were taken as all that there are, at once.

Change: what was drained before stays so for the two seconds in which the operator writes again what was lost, or until it is taken back in the new era. A drain that the copy still shows counts as well: it costs places, not a rule. The tracking of drained domains has a file of its own.

Red with the mend taken out: the three cases that are drained since the copy. After: none of six.

--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -6,7 +6,7 @@
 //! `docs/design/notices.md` has the reasons. A store that comes back from a copy shows rows of before, which bring
 //! no backend server back that has left; `docs/design/store_eras.md` has those.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,12 +17,12 @@
 use dillspool_routing::{
     BackendEntry, BackendId, BackendStart, BackendState, DirectoryView, StartedBackend,
 };
-use dillspool_schema::Name;
 use dillspool_watch::{StoreReach, TableBelief};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::departed::{DepartedBook, HeldBack};
+use crate::drained_domains::DrainedDomains;
 use crate::site::SiteProtocol;
 use crate::unreadable_rows::UnreadableRows;
 
@@ -94,8 +94,7 @@
     departed: DepartedBook,
     /// Version of the table that was taken last.
     version: StoreVersion,
-    /// Failure domains that the operator has drained.
-    drained: BTreeSet<Name>,
+    drained: DrainedDomains,
     /// The part of the table that this host holds.
     part: Option<Arc<TablePart>>,
 }
@@ -109,6 +108,7 @@
     view: watch::Sender<Arc<DirectoryView>>,
 ) {
     let DirectorySources { mut backends, mut operator, mut reach, mut leaving } = sources;
+    let drained = DrainedDomains::new(site.drained_domain, settings.lapse_grace);
     let mut tracker = DirectoryTracker {
         site,
         settings,
@@ -116,14 +116,14 @@
         known: BTreeMap::new(),
         departed: DepartedBook::default(),
         version: StoreVersion::default(),
-        drained: BTreeSet::new(),
+        drained,
         part: None,
     };
     // Whether a backend server has said that it leaves since the last view.
     let mut leaves_more = false;
     loop {
         let state = *reach.borrow_and_update();
-        let drains_changed = tracker.take_drains(&operator.borrow_and_update());
+        let drains_changed = tracker.drained.take_rows(&operator.borrow_and_update());
         {
             let (rows, leaving) = (backends.borrow_and_update(), leaving.borrow_and_update());
             let changed = tracker.update(&rows, &leaving, state);
@@ -161,32 +161,10 @@
             Some((BackendId::clone(id), known.used_entry(leaving)?))
         };
         let entries = self.known.iter().filter_map(entry);
-        let (drained, part) = (self.drained.clone(), self.part.clone());
+        let (drained, part) = (self.drained.names().clone(), self.part.clone());
         DirectoryView { version, entries: entries.collect(), drained, part }
     }
 
-    /// Takes the failure domains that the operator's rows name as drained; whether they are others than before.
-    fn take_drains(&mut self, operator: &TableBelief) -> bool {
-        let existing = operator.rows.iter().filter(|(_key, row)| row.value.is_some());
-        let named = existing.filter_map(|(key, _row)| (self.site.drained_domain)(key));
-        let drained: BTreeSet<Name> = named.map(Name::from).collect();
-        for domain in drained.difference(&self.drained) {
-            log::info!(
-                "event=failure_domain_drained failure_domain={domain} version={}",
-                operator.version
-            );
-        }
-        for domain in self.drained.difference(&drained) {
-            log::info!(
-                "event=failure_domain_restored failure_domain={domain} version={}",
-                operator.version
-            );
-        }
-        let changed = drained != self.drained;
-        self.drained = drained;
-        changed
-    }
-
     /// Whether a row that is missing now may belong to a living backend server.
     fn may_lapse(&self, state: StoreReach) -> bool {
         !state.is_reachable() || Instant::now() < self.lapse_end(state)
@@ -207,7 +185,8 @@
             Some(HeldBack::Gone { until }) => Some(until),
             Some(HeldBack::Leaves) | None => None,
         };
-        self.known.values().filter_map(held_until).chain(lapse_end).min()
+        let ends = lapse_end.into_iter().chain(self.drained.next_end());
+        self.known.values().filter_map(held_until).chain(ends).min()
     }
 
     /// Lets rows count that have outlived those that nobody writes; whether there are any.
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -9,6 +9,7 @@
 mod daemon;
 mod departed;
 mod directory_tracker;
+mod drained_domains;
 mod fleet_duties;
 mod ingress;
 mod notice_keeper;
--- a/crates/dillspool_router/tests/common/tracked.rs
+++ b/crates/dillspool_router/tests/common/tracked.rs
@@ -77,6 +77,14 @@
         self.belief.merge(&TableDelta { full, version, rows });
     }
 
+    /// The operator's rows are read whole in an era, these drain failure domains.
+    pub fn read_operator(&self, era: u64, number: u64, keys: &[&str]) {
+        let version = StoreVersion::new(StoreEra::new(era), number);
+        let row = |key: &&str| ChangedRow { key: (*key).into(), version, value: Some("{}".into()) };
+        let rows = keys.iter().map(row).collect();
+        self.operator.merge(&TableDelta { full: true, version, rows });
+    }
+
     pub fn write_operator(&self, version: u64, key: &str, exists: bool) {
         let value = exists.then(|| "{}".into());
         let row = ChangedRow { key: key.into(), version: version.into(), value };
--- a/crates/dillspool_router/tests/restored_directory.rs
+++ b/crates/dillspool_router/tests/restored_directory.rs
@@ -146,3 +146,95 @@
     }
     assert_eq!(faults, [""; 0]);
 }
+
+struct DrainedCase {
+    name: &'static str,
+    /// Whether the failure domain is drained before the restoration, and in the copy.
+    before: bool,
+    copy: bool,
+    /// Whether it is drained later, with the moment in milliseconds since the restoration.
+    then: &'static [(u64, bool)],
+    /// Whether the backend server takes new requests at each moment.
+    takes_new: &'static [(u64, bool)],
+}
+
+const DRAINED: [DrainedCase; 6] = [
+    DrainedCase {
+        name: "drained since the copy",
+        before: true,
+        copy: false,
+        then: &[(1_000, true)],
+        takes_new: &[(1, false), (900, false), (1_100, false), (4_000, false)],
+    },
+    DrainedCase {
+        name: "drained since the copy, and taken back",
+        before: true,
+        copy: false,
+        then: &[(1_000, true), (1_200, false)],
+        takes_new: &[(1, false), (1_100, false), (1_300, true)],
+    },
+    DrainedCase {
+        name: "drained since the copy, and not again",
+        before: true,
+        copy: false,
+        then: &[],
+        takes_new: &[(1, false), (1_900, false), (2_100, true)],
+    },
+    DrainedCase {
+        name: "taken back since the copy",
+        before: false,
+        copy: true,
+        then: &[(1_000, false)],
+        takes_new: &[(1, false), (1_100, true)],
+    },
+    DrainedCase {
+        name: "drained all the time",
+        before: true,
+        copy: true,
+        then: &[],
+        takes_new: &[(1, false), (4_000, false)],
+    },
+    DrainedCase {
+        name: "drained first after the restoration",
+        before: false,
+        copy: false,
+        then: &[(1_000, true)],
+        takes_new: &[(1, true), (1_100, false)],
+    },
+];
+
+/// A failure domain that was drained since the copy got requests, until the operator drained it again.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_the_store_took_back_a_drained_failure_domain() {
+    let mut faults = Vec::new();
+    for case in &DRAINED {
+        let directory = TrackedDirectory::start();
+        pass(60_000).await;
+        directory.write(100, READY);
+        let rows = |drained| if drained { &["drained/domain"][..] } else { &[] };
+        directory.read_operator(1, 100, rows(case.before));
+        pass(1).await;
+        directory.read_operator(2, 50, rows(case.copy));
+        let takes_new = || {
+            let view = directory.view.borrow();
+            view.entries.values().any(|entry| view.takes_new(entry))
+        };
+        let mut changes = case.then.iter().zip(51..).peekable();
+        let mut now = 0;
+        for (at, expected) in case.takes_new {
+            while let Some(((changed_at, drained), number)) =
+                changes.next_if(|change| change.0.0 < *at)
+            {
+                pass(changed_at - now).await;
+                now = *changed_at;
+                directory.read_operator(2, number, rows(*drained));
+            }
+            pass(at - now).await;
+            now = *at;
+            if takes_new() != *expected {
+                faults.push(format!("{}: after {at} ms it is {expected}", case.name));
+            }
+        }
+    }
+    assert_eq!(faults, [""; 0]);
+}
