Hosts write their rows of suspects again that a restored store has lost

Cause: a host kept what it had written as written, and what other rows had told as told, so neither it nor the host that schedules wrote what the copy lacks.

Change: with another era both are open again, rows are taken anew, and what they do not tell is written as usual.

Red before: both cases of suspects_were_lost_with_the_rows_that_a_restored_store_lost (the request ran on a host that had started anew). After: refused by all, tests of deadly requests pass.

--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -12,7 +12,7 @@
 
 use dillspool_io::{UnixMillis, WallClock};
 use dillspool_platform::{
-    CommitReply, PlatformError, RowExpect, RowWrite, StoreVersion, TableStore,
+    CommitReply, PlatformError, RowExpect, RowWrite, StoreEra, StoreVersion, TableStore,
 };
 use dillspool_schema::Name;
 use dillspool_suspects::{RequestPrint, SuspectDesk, SuspectNews};
@@ -60,6 +60,8 @@
 /// How far the rows and the desk agree.
 #[derive(Default)]
 struct KeeperState {
+    /// Era of the store in which rows were taken last.
+    era: StoreEra,
     /// Version of each row that was taken.
     taken: HashMap<Name, StoreVersion>,
     own: SuspectRow,
@@ -170,6 +172,14 @@
         let own_key = self.own_key();
         let mut told = Vec::new();
         let belief = self.rows.borrow_and_update();
+        let era = belief.version.era();
+        if era > state.era {
+            // Rows that were written since the copy from which the store came back are gone.
+            state.era = era;
+            state.taken.clear();
+            state.in_rows.clear();
+            state.written = None;
+        }
         for (key, row) in belief.rows.range(Name::from(ROW_PREFIX)..) {
             if !key.starts_with(ROW_PREFIX) {
                 break;
--- a/crates/dillspool_routerd/tests/suspect_rows.rs
+++ b/crates/dillspool_routerd/tests/suspect_rows.rs
@@ -92,3 +92,46 @@
     fleet.lift(0, Vec::new());
     assert_eq!(fleet.send(1, 0, PATH, SOUND).await.status, Some(200));
 }
+
+struct RestoredCase {
+    name: &'static str,
+    /// Hosts that are lost before the restoration, for good.
+    lost: &'static [usize],
+}
+
+/// Rows of suspects that a restored store had lost were not written again, and hosts that started anew let the
+/// request run.
+#[tokio::test(start_paused = true)]
+async fn suspects_were_lost_with_the_rows_that_a_restored_store_lost() {
+    let cases = [
+        RestoredCase { name: "who wrote them goes on", lost: &[] },
+        RestoredCase { name: "some that wrote them are lost", lost: &[0, 1] },
+    ];
+    for RestoredCase { name, lost } in cases {
+        let mut fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        let copy = fleet.store.copy();
+        for copy in 0..10 {
+            fleet.send(0, copy % 3, PATH, DEADLY_BODY).await;
+            tokio::time::sleep(Duration::from_millis(700)).await;
+        }
+        assert!(fleet.ends() <= 3, "{name}: {} ended", fleet.ends());
+        for host in lost {
+            fleet.stop_host(*host).await;
+        }
+        fleet.store.restore(&copy);
+        tokio::time::sleep(Duration::from_secs(15)).await;
+        for host in 0..3 {
+            fleet.stop_host(host).await;
+        }
+        for host in 0..3 {
+            fleet.start_host(host).await;
+        }
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        let before = fleet.ends();
+        for host in 0..3 {
+            let status = fleet.send(0, host, PATH, DEADLY_BODY).await.status;
+            assert_eq!(status, Some(503), "{name}: host {host}");
+        }
+        assert_eq!(fleet.ends(), before, "{name}");
+    }
+}
