Hosts whose rows a restored store has lost are still relied on, and write them again

What would be seen: after the store has come back from a copy in which rows of hosts are missing, every host takes itself for alone and asks the store, four times as many calls in 24 hosts; in a large fleet the whole directory goes to each, which may take longer than a change may.

Cause: the rows of hosts were taken as all that there are, at once, though hosts write theirs again.

Change: rows of before count for the ten seconds in which hosts write them again; one whose own row is missing does so whoever else is there. The rows have a file of their own.

--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -11,6 +11,7 @@
 mod directory_tracker;
 mod drained_domains;
 mod fleet_duties;
+mod host_rows;
 mod ingress;
 mod notice_keeper;
 mod patience;
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -15,15 +15,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::host_rows::{HOST_PREFIX, HostRows};
 use crate::settings::RouterConfig;
 use crate::sources::{
     HostRow, MOST_DIRECT_HOSTS, SourcePlan, count_hosts, plan_at_first, plan_sources, relied_on,
-    should_be_listed,
 };
 use crate::unreadable_rows::UnreadableRows;
 
-/// Start of the keys of hosts.
-const HOST_PREFIX: &str = "hosts/";
 /// Longest time before a host with a link of [`USUAL_LINK_MBPS`] records itself, spread over the
 /// hosts: those with wider links do so before, and most others then need not.
 const LONGEST_LIST_DELAY: Duration = Duration::from_secs(5);
@@ -169,8 +167,10 @@
         let started = Instant::now();
         let mut may_write_at = started;
         let mut due: Option<Instant> = None;
+        let mut rows = HostRows::default();
         loop {
-            take_rows(&peers, &own_table, &hosts.borrow_and_update(), &unreadable);
+            rows.take(&own_table, &hosts.borrow_and_update(), &unreadable);
+            peers.with_rows(|listed| *listed = rows.listed());
             let is_known =
                 hosts.borrow().version.is_known() || backends.borrow().version.is_known();
             // At the first start of a fleet nobody is recorded yet, and every host would seem alone.
@@ -180,8 +180,7 @@
             if is_known && (is_settled || now_role != FollowRole::Alone) {
                 role.send_if_modified(|role| std::mem::replace(role, now_role) != now_role);
             }
-            let should_write =
-                is_known && peers.with_rows(|rows| should_be_listed(rows, &peers.own));
+            let should_write = is_known && rows.lacks(&peers.own);
             // Other rows of the table change all the time, which must not put it off.
             let write_at = match due.filter(|_due| should_write) {
                 Some(due) => due,
@@ -191,6 +190,7 @@
             tokio::select! {
                 changed = hosts.changed() => if changed.is_err() { return },
                 () = tokio::time::sleep_until(started + SETTLED_AFTER), if !is_settled => {}
+                () = sleep_until(rows.next_end()) => {}
                 is_open = has_rows(&mut backends), if !is_known => if !is_open { return },
                 () = tokio::time::sleep_until(write_at), if should_write => {
                     write_own(&config, &store, &peers.own).await;
@@ -206,23 +206,18 @@
     }
 }
 
+async fn sleep_until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => tokio::time::sleep_until(moment).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until a table is known; false when its belief has ended.
 async fn has_rows(table: &mut watch::Receiver<TableBelief>) -> bool {
     table.wait_for(|table| table.version.is_known()).await.is_ok()
 }
 
-/// Takes the rows of the table.
-fn take_rows(peers: &PeerList, own_table: &Name, table: &TableBelief, unreadable: &UnreadableRows) {
-    let hosts = table.rows.iter().filter(|(key, _row)| key.starts_with(HOST_PREFIX));
-    let rows = hosts.filter_map(|(key, row)| {
-        serde_json::from_str(row.value.as_deref()?)
-            .inspect_err(|error| unreadable.note(own_table, key, row.version, &error.to_string()))
-            .ok()
-    });
-    let rows: Vec<HostRow> = rows.collect();
-    peers.with_rows(|listed| *listed = rows);
-}
-
 /// Time before this host records itself, if nobody else has made that needless by then.
 fn list_delay(own: &HostRow) -> Duration {
     let wide = (own.link_mbps / USUAL_LINK_MBPS).max(1.0);
--- a/crates/dillspool_routerd/tests/restored_store.rs
+++ b/crates/dillspool_routerd/tests/restored_store.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use dillspool_site::OWN_TABLE;
 use dillspool_site_standin::{StandinKind, StoreMode};
 use fleet::{ComeBack, TestFleet};
 use tokio::time::Instant;
@@ -152,3 +153,24 @@
     }
     assert_eq!(faults, [""; 0]);
 }
+
+/// Hosts that others rely on, whose rows a restored store had lost, were forgotten, and all hosts asked the store
+/// themselves until the rows were there again.
+#[tokio::test(start_paused = true)]
+async fn hosts_forgot_each_other_with_the_rows_that_a_restored_store_lost() {
+    let fleet = TestFleet::start(24, ComeBack::OtherId).await;
+    let recorded = fleet.store.keys(OWN_TABLE);
+    let watch = async |span: Duration| {
+        fleet.store.take_counts();
+        tokio::time::sleep(span).await;
+        fleet.store.take_counts()
+    };
+    let usual = watch(Duration::from_secs(10)).await;
+    let copy = fleet.store.copy().without(OWN_TABLE, "hosts/");
+    fleet.store.restore(&copy);
+    let restored = watch(Duration::from_secs(10)).await;
+    let calls = restored.calls;
+    assert!(calls <= 2 * usual.calls + recorded.len(), "{calls} calls, {} before", usual.calls);
+    let again = fleet.store.keys(OWN_TABLE);
+    assert!(recorded.iter().all(|key| again.contains(key)), "{again:?}, before {recorded:?}");
+}
