--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -42,6 +42,9 @@
     /// Also have backend servers say that they leave, and ask for rest.
     #[arg(long)]
     notices: bool,
+    /// The store comes back from copies that are some seconds old.
+    #[arg(long)]
+    restored: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -86,6 +89,7 @@
         (args.deadly, SoakTrouble::Deadly),
         (args.limits, SoakTrouble::Limits),
         (args.notices, SoakTrouble::Notices),
+        (args.restored, SoakTrouble::Restored),
     ];
     flags.into_iter().filter_map(|(is_set, trouble)| is_set.then_some(trouble)).collect()
 }
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -1,5 +1,6 @@
 //! Puts hosts, store, backend servers and callers together, lets faults strike, and checks.
 
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -7,7 +8,8 @@
 
 use dillspool_io::NetStack;
 use dillspool_site_standin::{
-    BackendFault, RunLog, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
+    BackendFault, RunLog, StandinKind, StandinRoute, StandinStore, StoreCopy, StoreMode,
+    config_text,
 };
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
@@ -38,6 +40,8 @@
     Limits,
     /// After that some say that they leave, and others ask for rest.
     Notices,
+    /// The store comes back from copies, some seconds old.
+    Restored,
 }
 
 /// Size and length of a soak.
@@ -77,6 +81,8 @@
 /// Time in which everything must have recovered once the faults are over: a silent question to
 /// the store ends, a lapsed row returns, and a paused host catches up.
 pub(crate) const RECOVERY: Duration = Duration::from_secs(8);
+/// Age of the oldest copy from which the store comes back.
+const OLDEST_COPY: Duration = Duration::from_secs(5);
 /// Time between two looks for backend servers that a request has crashed.
 const REVIVE_EVERY: Duration = Duration::from_millis(200);
 /// Time between two copies of a deadly request.
@@ -107,6 +113,8 @@
     store_links: Vec<LoopbackProxy>,
     pub(crate) backends: Vec<BackendPlace>,
     pub(crate) config_version: u64,
+    /// The store as it was at the newest faults, the oldest first.
+    copies: VecDeque<(Instant, StoreCopy)>,
     cancel: CancellationToken,
 }
 
@@ -247,6 +255,7 @@
             store_links: Vec::new(),
             backends: Vec::new(),
             config_version: 0,
+            copies: VecDeque::new(),
             cancel,
             settings,
         };
@@ -298,6 +307,7 @@
     pub(crate) async fn strike(&mut self, fault: DueFault) -> std::io::Result<()> {
         let host = fault.target % self.routers.len();
         let place = fault.target % self.backends.len();
+        self.keep_copy();
         match fault.kind {
             FaultKind::Kill => self.routers[host].restart()?,
             FaultKind::Stop => {
@@ -306,6 +316,9 @@
             }
             FaultKind::Pause => self.routers[host].signal(Signal::SIGSTOP),
             FaultKind::Reload => self.routers[host].signal(Signal::SIGHUP),
+            FaultKind::Store if self.plays(SoakTrouble::Restored) => {
+                self.restore_store(fault).await;
+            }
             FaultKind::Store => {
                 self.tools.store.set_mode(STORE_MODES[fault.variant % STORE_MODES.len()]);
             }
@@ -325,6 +338,10 @@
                 _ => self.backends[place].spoil_row().await,
             },
             FaultKind::Replace => self.backends[place].replace().await?,
+            FaultKind::Configuration if self.plays(SoakTrouble::Restored) => {
+                self.restore_store(fault).await;
+                self.write_config();
+            }
             FaultKind::Configuration => self.write_config(),
         }
         tokio::time::sleep(fault.lasts / 4).await;
@@ -336,6 +353,32 @@
         Ok(())
     }
 
+    /// Keeps the store as it is, and forgets what it was long ago.
+    fn keep_copy(&mut self) {
+        let now = Instant::now();
+        self.copies.retain(|(at, _copy)| now.saturating_duration_since(*at) <= OLDEST_COPY);
+        self.copies.push_back((now, self.tools.store.copy()));
+    }
+
+    /// The store is away for a moment, comes back from a copy, and gets again what others than the hosts wrote: at
+    /// once, or some time later.
+    async fn restore_store(&mut self, fault: DueFault) {
+        let store = self.tools.store.clone();
+        if !fault.variant.is_multiple_of(3) {
+            store.set_mode(STORE_MODES[fault.variant % 2]);
+            tokio::time::sleep(fault.lasts / 4).await;
+        }
+        let number = fault.target % self.copies.len();
+        let before = store.restore(&self.copies[number].1);
+        store.set_mode(StoreMode::Serving);
+        // What is kept of the era that has ended is no copy of this one.
+        self.copies.truncate(number + 1);
+        if fault.variant.is_multiple_of(2) {
+            tokio::time::sleep(fault.lasts / 4).await;
+        }
+        store.write_again(&before, WRITTEN_AGAIN);
+    }
+
     fn plays(&self, trouble: SoakTrouble) -> bool {
         self.settings.troubles.contains(&trouble)
     }
@@ -403,6 +446,8 @@
     }
 }
 
+/// Tables of the operator and of the backend servers.
+const WRITTEN_AGAIN: &[&str] = &["op", "servers"];
 const STORE_MODES: [StoreMode; 4] =
     [StoreMode::Busy, StoreMode::Silent, StoreMode::LosingAnswers, StoreMode::Forgetful];
 const PROXY_MODES: [ProxyMode; 4] =
