A configuration that a restored table has lost is written again

What would be seen: after the table has come back from a copy, a change got the version of the one that was lost, and hosts that acted on that one took it for theirs and kept the old one; hosts that started later did not have the lost one.

Cause: hosts told configurations apart by their version alone, and the table's record was the only copy of it.

Change: a host that acts on a newer version than the record names writes it again, on the condition of the record that it read, with a line of the audit trail; an apply does so first, and so gets a version of its own. Of two configurations of one version the one of the record counts.

Red before: both tests of configuration.rs (the change was never in force where it came at once; the record stayed at version 1). After: pass, with all tests of local, config and host. Left: a change that is applied at a host which does not know the lost one, before any other host has written that again, is written over by it.

--- a/crates/dillspool_config/src/store.rs
+++ b/crates/dillspool_config/src/store.rs
@@ -244,6 +244,38 @@
         Ok(AppliedConfig { version: to, changes })
     }
 
+    /// Writes a configuration again that hosts act on and the store has lost, since it came back from a copy; false
+    /// where it has not.
+    ///
+    /// # Errors
+    ///
+    /// [`ApplyError`] when the store does not answer, or an operator's change came first.
+    pub async fn write_again(&self, current: &ConfigSnapshot) -> Result<bool, ApplyError> {
+        let before = self.head_row().await?;
+        let from = before.as_ref().map_or(ConfigVersion(0), |row| row.head.version);
+        if from >= current.version {
+            return Ok(false);
+        }
+        let ConfigSnapshot { version: to, digest, .. } = current;
+        self.put_objects(from, digest, &current.configuration, None).await?;
+        let row_version = before.as_ref().map(|row| row.row_version).unwrap_or_default();
+        // All hosts that write this row again write the same.
+        let token: Name = format!("again.{to}.{digest}.{row_version}").into();
+        let operator = Name::from("dillspool");
+        let head = ConfigHead {
+            version: *to,
+            digest: Name::clone(digest),
+            base: ConfigVersion(0),
+            token: Name::clone(&token),
+            operator: Name::clone(&operator),
+        };
+        let changes = vec!["= written again, the store had lost it".to_owned()];
+        let audit = AuditRow { operator, at: self.clock.now(), from, to: *to, token, changes };
+        let expect = before.map_or(RowExpect::Absent, |row| RowExpect::Version(row.row_version));
+        self.commit_head(&head, &audit, expect).await?;
+        Ok(true)
+    }
+
     async fn put_objects(
         &self,
         base: ConfigVersion,
--- a/crates/dillspool_host/src/admin.rs
+++ b/crates/dillspool_host/src/admin.rs
@@ -241,6 +241,8 @@
         Err(error) => return refuse("invalid_configuration", error.to_string()),
     };
     let token = (context.attempt_token)();
+    // What a restored store has lost is written again first, so that the change gets a version of its own.
+    context.keeper.poll().await;
     let store = context.keeper.store();
     match store.apply(request.expected, &configuration, operator, token).await {
         Ok(AppliedConfig { version, changes }) => {
--- a/crates/dillspool_host/src/config_keeper.rs
+++ b/crates/dillspool_host/src/config_keeper.rs
@@ -61,7 +61,11 @@
     fn adopt(&self, snapshot: ConfigSnapshot) -> bool {
         let snapshot = Arc::new(snapshot);
         let adopted = self.current.send_if_modified(|current| {
-            let newer = current.as_ref().is_none_or(|it| it.version < snapshot.version);
+            // A restored store may give one version to two changes; the one that it has counts.
+            let newer = current.as_ref().is_none_or(|it| {
+                it.version < snapshot.version
+                    || (it.version == snapshot.version && it.digest != snapshot.digest)
+            });
             if newer {
                 self.note_change(current.as_deref(), &snapshot);
                 *current = Some(Arc::clone(&snapshot));
@@ -83,20 +87,29 @@
         *self.last_change.lock().unwrap_or_else(PoisonError::into_inner) = change;
     }
 
-    /// Reads the commit record and takes a newer configuration over.
+    /// Reads the commit record and takes a newer configuration over. A record that is older than what is in force is
+    /// that of a store which came back from a copy; what it has lost is written again.
     pub(crate) async fn poll(&self) {
         let head = match self.store.head().await {
-            Ok(Some(head)) => head,
-            Ok(None) => return,
+            Ok(head) => head,
             Err(error) => {
                 log::debug!("event=config_not_read error=\"{error}\"");
                 return;
             }
         };
         let current = self.current();
-        if current.as_ref().is_some_and(|it| it.version >= head.version) {
-            return;
+        if let Some(current) = &current {
+            match &head {
+                Some(head) if head.version > current.version => {}
+                Some(head) if head.version == current.version => {
+                    if head.digest == current.digest {
+                        return;
+                    }
+                }
+                Some(_) | None => return self.write_again(current).await,
+            }
         }
+        let Some(head) = head else { return };
         match self.store.fetch(&head, current.as_deref()).await {
             Ok(snapshot) => {
                 self.adopt(snapshot);
@@ -105,6 +118,17 @@
         }
     }
 
+    async fn write_again(&self, current: &ConfigSnapshot) {
+        let version = current.version;
+        match self.store.write_again(current).await {
+            Ok(true) => log::warn!("event=config_written_again version={version}"),
+            Ok(false) => {}
+            Err(error) => {
+                log::warn!("event=config_not_written_again version={version} error=\"{error}\"");
+            }
+        }
+    }
+
     /// What a peer at an older version needs, `None` if it needs nothing.
     pub(crate) fn transfer(&self, query: &ConfigQuery) -> Option<ConfigTransfer> {
         let current = self.current()?;
@@ -133,10 +157,10 @@
             return;
         };
         let snapshot = ConfigSnapshot::new(ConfigVersion(transfer.version), configuration);
-        if snapshot.digest == transfer.digest {
-            self.adopt(snapshot);
-        } else {
+        if snapshot.digest != transfer.digest {
             log::warn!("event=config_digest_differs version={}", transfer.version);
+        } else if snapshot.version > self.version() {
+            self.adopt(snapshot);
         }
     }
 
--- a/crates/dillspool_local/tests/configuration.rs
+++ b/crates/dillspool_local/tests/configuration.rs
@@ -7,7 +7,7 @@
 use common::{TestSystem, assert_whole, chat};
 use dillspool_config::{ConfigDelta, ConfigVersion, digest_configuration};
 use dillspool_io::LinkMode;
-use dillspool_platform::{PutRequest, RowExpect, RowWrite, StoreFault};
+use dillspool_platform::{PutRequest, ReadRequest, RowExpect, RowWrite, StoreFault};
 use dillspool_schema::Name;
 use dillspool_schema::configuration::{Configuration, GroupEntry};
 
@@ -251,3 +251,68 @@
     tokio::time::sleep(FORCE_LIMIT).await;
     assert!(system.cluster.status(0).await.unconfirmed(ConfigVersion(2)).is_empty());
 }
+
+/// How the table comes back from a copy after a change.
+struct RestoredRow {
+    name: &'static str,
+    /// Changes that are lost.
+    lost: &'static [u32],
+    /// Time until an operator makes another one.
+    pause: Duration,
+}
+
+/// A restored table gave the version of a lost change to another one, which hosts took for theirs.
+#[tokio::test(start_paused = true)]
+async fn a_change_after_a_restoration_was_taken_for_the_lost_one() {
+    let cases = [
+        RestoredRow { name: "at once", lost: &[55], pause: Duration::ZERO },
+        RestoredRow { name: "at once, two lost", lost: &[55, 56], pause: Duration::ZERO },
+        RestoredRow { name: "later", lost: &[55], pause: FORCE_LIMIT },
+        RestoredRow { name: "later, two lost", lost: &[55, 56], pause: FORCE_LIMIT },
+    ];
+    for RestoredRow { name, lost, pause } in cases {
+        let system = TestSystem::start().await;
+        let table = &system.cluster.platform.table;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let copy = table.copy();
+        for share in lost {
+            let (status, _body) = system.cluster.apply(0, &with_share(&system, *share)).await;
+            assert_eq!(status, 200, "{name}");
+        }
+        tokio::time::sleep(FORCE_LIMIT).await;
+        table.restore(&copy);
+        tokio::time::sleep(pause).await;
+        let next = with_share(&system, 77);
+        let (status, body) = system.cluster.apply(1, &next).await;
+        assert_eq!(status, 200, "{name}: {}", String::from_utf8_lossy(&body));
+        tokio::time::sleep(FORCE_LIMIT).await;
+        for host in 0..system.cluster.hosts.len() {
+            let in_force = system.cluster.config_in_force(host).await;
+            assert_eq!(in_force, next, "{name}: host {host} at {:?}", versions(&system).await);
+        }
+    }
+}
+
+/// A change that the table had lost stayed in force on the hosts that knew it, and on no others.
+#[tokio::test(start_paused = true)]
+async fn a_change_that_a_restored_table_had_lost_was_not_there_for_new_hosts() {
+    for shares in [&[55][..], &[55, 56]] {
+        let system = TestSystem::start().await;
+        let table = &system.cluster.platform.table;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let copy = table.copy();
+        for share in shares {
+            let (status, _body) = system.cluster.apply(0, &with_share(&system, *share)).await;
+            assert_eq!(status, 200);
+        }
+        tokio::time::sleep(FORCE_LIMIT).await;
+        let in_force = system.cluster.config_in_force(0).await;
+        table.restore(&copy);
+        tokio::time::sleep(FORCE_LIMIT).await;
+        let keys = vec!["config/head".into()];
+        let head = table.read(&ReadRequest { keys }).expect("an answer").rows.remove(0);
+        let head = head.expect("a row").value;
+        assert!(head.contains(&*digest_configuration(&in_force)), "{head}");
+        assert_eq!(versions(&system).await, vec![1 + shares.len() as u64; 3]);
+    }
+}
