A call whose row a restored table has lost does not run again at its host

What callers would see: an unrepeatable call that is sent again with its key runs twice, once the table has come back from a copy without its row (TWICE).

Cause: the row was the only memory of the call; a host remembers the keys that it sent, and looked only when the table did not answer.

Change: a host that sent a call of this key is not let send it again, whatever the table says; the caller gets that its outcome is unknown, and the intent that was written keeps other hosts off.

Red before: both restored cases at the same host. After: pass, with all tests of ledger and local.

--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -136,6 +136,11 @@
         let key = request.key.clone();
         let outcome = self.enter(request).await;
         match outcome {
+            // The table has lost the row of the first sending; the intent that stands now keeps other hosts off.
+            BeginOutcome::Run(ticket) if self.sent_here.contains(&key) => {
+                log::warn!("event=call_row_lost token={}", ticket.token);
+                return BeginOutcome::Unknown { in_progress: false };
+            }
             BeginOutcome::Run(_) => self.sent_here.add(key),
             BeginOutcome::NotRun if self.sent_here.contains(&key) => {
                 return BeginOutcome::Unknown { in_progress: true };
