Rows that a copy shows as they were are no news

What would be seen: after the store has come back from a copy a source sends the whole table to all hosts that it relays to at one moment, beside the bound of eight whole sends; in a large fleet that is its memory and its link.

Cause: each row of a whole read had a version of the new era, and so was newer than what the peers had.

Change: a row with the text and the number that it had keeps its version; only what differs is news. The table's own version still is of the new era.

Red before: 1,000 rows told where 2 differ (rows_that_a_copy_shows_as_they_were_were_sent_to_all_hosts_again).

--- a/crates/dillspool_watch/src/belief.rs
+++ b/crates/dillspool_watch/src/belief.rs
@@ -153,6 +153,11 @@
             return false;
         }
         let same = known.is_some_and(|known| known.value == row.value);
+        let is_copied = known.is_some_and(|known| known.version.number() == row.version.number());
+        if same && is_copied {
+            // A copy shows it as it was: no news for hosts that this one tells.
+            return false;
+        }
         self.deleted -= usize::from(known.is_some_and(|known| known.value.is_none()));
         self.deleted += usize::from(row.value.is_none());
         let belief = RowBelief::new(row.version, row.value.clone());
--- a/crates/dillspool_watch/tests/restored.rs
+++ b/crates/dillspool_watch/tests/restored.rs
@@ -75,3 +75,38 @@
         }
     }
 }
+
+/// All rows of a restored store were news for the hosts that are relayed to, and a source sent each of them the
+/// whole table at the same moment.
+#[test]
+fn rows_that_a_copy_shows_as_they_were_were_sent_to_all_hosts_again() {
+    const ROWS: u64 = 1_000;
+    let rows = |era| {
+        let kept = (1..=ROWS).filter(|at| at % 100 > 0);
+        kept.map(move |at| row(&format!("i-{at}"), version(era, at), "ready")).collect::<Vec<_>>()
+    };
+    let mut before = rows(1);
+    before.push(row("i-100", version(1, ROWS + 7), "recorded since the copy"));
+    let mut source = TableBelief::default();
+    source.merge(&whole(version(1, ROWS + 7), before));
+    let mut peer = TableBelief::default();
+    peer.merge(&source.changes_since(peer.version));
+    let mut after = rows(2);
+    after.push(row("i-200", version(2, ROWS + 1), "written again"));
+    source.merge(&whole(version(2, ROWS + 1), after));
+    let told = source.changes_since(peer.version);
+    let mut keys: Vec<_> = told.rows.iter().map(|row| &*row.key).collect();
+    keys.sort_unstable();
+    assert_eq!(keys, ["i-100", "i-200"]);
+    peer.merge(&told);
+    // A row that was not news is written again, and deleted.
+    for (number, value) in [(ROWS + 2, Some("draining")), (ROWS + 3, None)] {
+        let changed = version(2, number);
+        let row = ChangedRow { key: "i-1".into(), version: changed, value: value.map(Into::into) };
+        source.merge(&TableDelta { full: false, version: changed, rows: vec![row] });
+        peer.merge(&source.changes_since(peer.version));
+        assert_eq!(peer.value("i-1").map(|text| &**text), value);
+    }
+    assert_eq!(peer.rows.len(), source.rows.len());
+    assert_eq!(peer.value("i-100"), None);
+}
