The soak changes things after the store has come back from a copy

Once the faults are over the store comes back from a copy three times more, and three seconds after its return a change of the configuration and a backend server that leaves must be in force in two.

--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod proxy;
 mod rest;
+mod restored;
 mod router;
 mod world;
 
--- a/crates/dillspool_soak/src/rest.rs
+++ b/crates/dillspool_soak/src/rest.rs
@@ -41,7 +41,7 @@
     for kind in [CallKind::ResumableStream, CallKind::Stream, CallKind::Unrepeatable] {
         violations.extend(check_served(kind, &places).await);
     }
-    violations.extend(check_drain(world, &places).await);
+    violations.extend(check_drain(world, &places, 0).await);
     Ok(violations)
 }
 
@@ -81,7 +81,7 @@
     Ok(violations)
 }
 
-async fn check_config(world: &SoakWorld, place: &RouterPlace) -> Vec<Violation> {
+pub(crate) async fn check_config(world: &SoakWorld, place: &RouterPlace) -> Vec<Violation> {
     let version = world.config_version;
     let mut violations = Vec::new();
     for (offered, status) in [(version, 200), (version.saturating_sub(1), 404)] {
@@ -122,8 +122,12 @@
 }
 
 /// A backend server that leaves gets nothing more, a moment later.
-async fn check_drain(world: &SoakWorld, places: &[RouterPlace]) -> Vec<Violation> {
-    let Some(leaving) = world.backends.first() else { return Vec::new() };
+pub(crate) async fn check_drain(
+    world: &SoakWorld,
+    places: &[RouterPlace],
+    leaving: usize,
+) -> Vec<Violation> {
+    let Some(leaving) = world.backends.get(leaving) else { return Vec::new() };
     leaving.drain();
     tokio::time::sleep(DRAIN).await;
     let before = world.runs().at(&leaving.backend.id);
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -26,6 +26,7 @@
 use crate::notices::play_notices;
 use crate::proxy::{LoopbackProxy, ProxyMode};
 use crate::rest::check_rest;
+use crate::restored::play_restored;
 use crate::router::{RouterPlace, RouterProcess};
 
 /// What may strike beside the faults of every soak.
@@ -40,7 +41,7 @@
     Limits,
     /// After that some say that they leave, and others ask for rest.
     Notices,
-    /// The store comes back from copies, some seconds old.
+    /// The store comes back from copies, some seconds old, among the faults and after them.
     Restored,
 }
 
@@ -165,6 +166,12 @@
     let _ended = deadly_callers.await;
     let calls = calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
     violations.extend(check_calls(&calls, world.runs()));
+    if world.plays(SoakTrouble::Restored) {
+        // A host that was told to stop is started again, as the platform does.
+        violations.extend(world.revive_hosts());
+        world.pass(RECOVERY).await?;
+        violations.extend(play_restored(&mut world, &mut random).await?);
+    }
     violations.extend(check_rest(&mut world, &deadly).await?);
     world.cancel.cancel();
     let served = |call: &&CallRecord| matches!(call.outcome, CallOutcome::Answer(200, _));
@@ -280,8 +287,12 @@
         Ok(world)
     }
 
+    pub(crate) fn store(&self) -> &StandinStore {
+        &self.tools.store
+    }
+
     /// Writes a configuration whose last route carries its version.
-    fn write_config(&mut self) {
+    pub(crate) fn write_config(&mut self) {
         self.config_version += 1;
         let version = self.config_version;
         let probe = format!("/version-{version}/");
@@ -447,7 +458,7 @@
 }
 
 /// Tables of the operator and of the backend servers.
-const WRITTEN_AGAIN: &[&str] = &["op", "servers"];
+pub(crate) const WRITTEN_AGAIN: &[&str] = &["op", "servers"];
 const STORE_MODES: [StoreMode; 4] =
     [StoreMode::Busy, StoreMode::Silent, StoreMode::LosingAnswers, StoreMode::Forgetful];
 const PROXY_MODES: [ProxyMode; 4] =
