--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -148,7 +148,8 @@
     }
 }
 
-async fn sleep_until(moment: Option<Instant>) {
+/// Waits until a moment; for ever where there is none.
+pub(crate) async fn sleep_until(moment: Option<Instant>) {
     match moment {
         Some(moment) => tokio::time::sleep_until(moment).await,
         None => std::future::pending().await,
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::directory_tracker::sleep_until;
 use crate::host_rows::{HOST_PREFIX, HostRows};
 use crate::settings::RouterConfig;
 use crate::sources::{
@@ -206,13 +207,6 @@
     }
 }
 
-async fn sleep_until(moment: Option<Instant>) {
-    match moment {
-        Some(moment) => tokio::time::sleep_until(moment).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Waits until a table is known; false when its belief has ended.
 async fn has_rows(table: &mut watch::Receiver<TableBelief>) -> bool {
     table.wait_for(|table| table.version.is_known()).await.is_ok()
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -1,6 +1,5 @@
 //! Puts hosts, store, backend servers and callers together, lets faults strike, and checks.
 
-use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -8,8 +7,7 @@
 
 use dillspool_io::NetStack;
 use dillspool_site_standin::{
-    BackendFault, RunLog, StandinKind, StandinRoute, StandinStore, StoreCopy, StoreMode,
-    config_text,
+    BackendFault, RunLog, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
 };
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
@@ -26,7 +24,7 @@
 use crate::notices::play_notices;
 use crate::proxy::{LoopbackProxy, ProxyMode};
 use crate::rest::check_rest;
-use crate::restored::play_restored;
+use crate::restored::{StoreCopies, play_restored};
 use crate::router::{RouterPlace, RouterProcess};
 
 /// What may strike beside the faults of every soak.
@@ -82,8 +80,6 @@
 /// Time in which everything must have recovered once the faults are over: a silent question to
 /// the store ends, a lapsed row returns, and a paused host catches up.
 pub(crate) const RECOVERY: Duration = Duration::from_secs(8);
-/// Age of the oldest copy from which the store comes back.
-const OLDEST_COPY: Duration = Duration::from_secs(5);
 /// Time between two looks for backend servers that a request has crashed.
 const REVIVE_EVERY: Duration = Duration::from_millis(200);
 /// Time between two copies of a deadly request.
@@ -114,8 +110,7 @@
     store_links: Vec<LoopbackProxy>,
     pub(crate) backends: Vec<BackendPlace>,
     pub(crate) config_version: u64,
-    /// The store as it was at the newest faults, the oldest first.
-    copies: VecDeque<(Instant, StoreCopy)>,
+    copies: StoreCopies,
     cancel: CancellationToken,
 }
 
@@ -262,7 +257,7 @@
             store_links: Vec::new(),
             backends: Vec::new(),
             config_version: 0,
-            copies: VecDeque::new(),
+            copies: StoreCopies::default(),
             cancel,
             settings,
         };
@@ -318,7 +313,7 @@
     pub(crate) async fn strike(&mut self, fault: DueFault) -> std::io::Result<()> {
         let host = fault.target % self.routers.len();
         let place = fault.target % self.backends.len();
-        self.keep_copy();
+        self.copies.keep(&self.tools.store);
         match fault.kind {
             FaultKind::Kill => self.routers[host].restart()?,
             FaultKind::Stop => {
@@ -328,7 +323,7 @@
             FaultKind::Pause => self.routers[host].signal(Signal::SIGSTOP),
             FaultKind::Reload => self.routers[host].signal(Signal::SIGHUP),
             FaultKind::Store if self.plays(SoakTrouble::Restored) => {
-                self.restore_store(fault).await;
+                self.copies.restore(&self.tools.store, fault).await;
             }
             FaultKind::Store => {
                 self.tools.store.set_mode(STORE_MODES[fault.variant % STORE_MODES.len()]);
@@ -350,7 +345,7 @@
             },
             FaultKind::Replace => self.backends[place].replace().await?,
             FaultKind::Configuration if self.plays(SoakTrouble::Restored) => {
-                self.restore_store(fault).await;
+                self.copies.restore(&self.tools.store, fault).await;
                 self.write_config();
             }
             FaultKind::Configuration => self.write_config(),
@@ -364,32 +359,6 @@
         Ok(())
     }
 
-    /// Keeps the store as it is, and forgets what it was long ago.
-    fn keep_copy(&mut self) {
-        let now = Instant::now();
-        self.copies.retain(|(at, _copy)| now.saturating_duration_since(*at) <= OLDEST_COPY);
-        self.copies.push_back((now, self.tools.store.copy()));
-    }
-
-    /// The store is away for a moment, comes back from a copy, and gets again what others than the hosts wrote: at
-    /// once, or some time later.
-    async fn restore_store(&mut self, fault: DueFault) {
-        let store = self.tools.store.clone();
-        if !fault.variant.is_multiple_of(3) {
-            store.set_mode(STORE_MODES[fault.variant % 2]);
-            tokio::time::sleep(fault.lasts / 4).await;
-        }
-        let number = fault.target % self.copies.len();
-        let before = store.restore(&self.copies[number].1);
-        store.set_mode(StoreMode::Serving);
-        // What is kept of the era that has ended is no copy of this one.
-        self.copies.truncate(number + 1);
-        if fault.variant.is_multiple_of(2) {
-            tokio::time::sleep(fault.lasts / 4).await;
-        }
-        store.write_again(&before, WRITTEN_AGAIN);
-    }
-
     fn plays(&self, trouble: SoakTrouble) -> bool {
         self.settings.troubles.contains(&trouble)
     }
@@ -457,8 +426,6 @@
     }
 }
 
-/// Tables of the operator and of the backend servers.
-pub(crate) const WRITTEN_AGAIN: &[&str] = &["op", "servers"];
 const STORE_MODES: [StoreMode; 4] =
     [StoreMode::Busy, StoreMode::Silent, StoreMode::LosingAnswers, StoreMode::Forgetful];
 const PROXY_MODES: [ProxyMode; 4] =
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -12,6 +12,7 @@
 
 use crate::belief::SharedBelief;
 use crate::reach::{self, StoreReach};
+use crate::whole_read::{ReadCause, log_read, note_history_gone, note_restored, read_whole};
 
 /// Whose questions to the store a host's beliefs come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -292,7 +293,7 @@
 }
 
 /// Notes that the store can be asked, whatever it said, and in which era it is.
-fn note_reached(reach: &watch::Sender<StoreReach>, era: StoreEra) {
+pub(crate) fn note_reached(reach: &watch::Sender<StoreReach>, era: StoreEra) {
     reach::note(reach, "answered", |state| {
         state.direct = true;
         state.answered = Some(Instant::now());
@@ -300,26 +301,6 @@
     });
 }
 
-/// Notes that the store has forgotten the changes since what is believed.
-fn note_history_gone(reach: &watch::Sender<StoreReach>, belief: &SharedBelief) -> ReadCause {
-    let (table, version) = (&belief.table, belief.version());
-    log::info!("event=history_gone table={table} version={version}");
-    note_reached(reach, version.era());
-    ReadCause::HistoryGone
-}
-
-/// Notes that the store has come back from a copy since what is believed.
-fn note_restored(
-    reach: &watch::Sender<StoreReach>,
-    belief: &SharedBelief,
-    era: StoreEra,
-) -> ReadCause {
-    let (table, version) = (&belief.table, belief.version());
-    log::info!("event=store_restored table={table} version={version} era={era}");
-    note_reached(reach, era);
-    ReadCause::Restored
-}
-
 /// Waits until another table shows that the store has come back from a copy since a version; its era.
 async fn restored_since(reach: &watch::Sender<StoreReach>, version: StoreVersion) -> StoreEra {
     let mut state = reach.subscribe();
@@ -331,46 +312,6 @@
     }
 }
 
-/// Why a table is read whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadCause {
-    /// It was not read since this host started.
-    First,
-    /// The store has forgotten what changed since.
-    HistoryGone,
-    /// The store has come back from a copy.
-    Restored,
-}
-
-impl ReadCause {
-    fn name(self) -> &'static str {
-        match self {
-            Self::First => "first",
-            Self::HistoryGone => "history_gone",
-            Self::Restored => "restored",
-        }
-    }
-}
-
-/// Tells a whole read, which costs the store all rows of a table, and the version of its answer.
-fn log_read(
-    belief: &SharedBelief,
-    cause: ReadCause,
-    role: FollowRole,
-    asked_at: Instant,
-    answer: Option<&StoreVersion>,
-) {
-    let answer = answer.map_or_else(|| "none".to_owned(), StoreVersion::to_string);
-    log::info!(
-        "event=table_read table={} cause={} role={role:?} answer={answer} rows={} version={} after_ms={}",
-        belief.table,
-        cause.name(),
-        belief.subscribe().borrow().rows.len(),
-        belief.version(),
-        asked_at.elapsed().as_millis(),
-    );
-}
-
 /// How a question to the store ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum QuestionEnd {
@@ -380,20 +321,6 @@
     GivenUp,
 }
 
-/// Reads a table whole; the version of the answer.
-async fn read_whole(
-    store: &TableWatch,
-    belief: &SharedBelief,
-    settings: &FollowSettings,
-) -> Result<StoreVersion, WatchError> {
-    let snapshot = (store.snapshot)(Arc::clone(&belief.table));
-    let answer = belief.heard().clock().timeout(settings.whole_limit, snapshot).await;
-    let answer = answer.map_err(|MomentPassed| silent(settings.whole_limit))?;
-    let delta = answer.map_err(|source| WatchError::Store { source })?;
-    belief.merge(&delta);
-    Ok(delta.version)
-}
-
 async fn ask_changes(
     store: &TableWatch,
     belief: &SharedBelief,
@@ -418,7 +345,7 @@
     Ok(QuestionEnd::Answered)
 }
 
-fn silent(limit: Duration) -> WatchError {
+pub(crate) fn silent(limit: Duration) -> WatchError {
     let reason = format!("silent for {limit:?}");
     WatchError::Store { source: dillspool_platform::PlatformError::Unknown { reason } }
 }
--- a/crates/dillspool_watch/src/lib.rs
+++ b/crates/dillspool_watch/src/lib.rs
@@ -9,6 +9,7 @@
 mod reach;
 mod relay;
 mod relay_frame;
+mod whole_read;
 
 pub use belief::{RowBelief, RowClassifier, SharedBelief, TableBelief};
 pub use follow::{FollowRole, FollowSettings, follow_table};
