--- a/crates/dillspool_router/src/belief_metrics.rs
+++ b/crates/dillspool_router/src/belief_metrics.rs
@@ -55,6 +55,7 @@
     backends: Family<BackendLabels, Gauge>,
     config_version: Gauge,
     store_in_reach: Gauge,
+    store_era: Gauge,
 }
 
 impl BeliefMetrics {
@@ -74,6 +75,7 @@
             backends: Family::default(),
             config_version: Gauge::default(),
             store_in_reach: Gauge::default(),
+            store_era: Gauge::default(),
         }
     }
 
@@ -84,6 +86,8 @@
         registry.register("config_version", "Configuration version in force", version);
         let in_reach = self.store_in_reach.clone();
         registry.register("store_in_reach", "Whether the store is heard of, 0 or 1", in_reach);
+        let era = self.store_era.clone();
+        registry.register("store_era", "How often the store came back from a copy", era);
         let ages = self.table_ages.clone();
         registry.register_with_unit(
             "table_age",
@@ -98,6 +102,8 @@
         let version = self.config.borrow().as_ref().map_or(0, |config| config.version);
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.store_in_reach.set(i64::from(self.reach.borrow().is_reachable()));
+        let era = self.reach.borrow().era.number();
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
         for table in &self.tables {
             // A table that was never heard of has no age yet.
             if let Some(age) = table.age() {
--- a/crates/dillspool_version/src/store_version.rs
+++ b/crates/dillspool_version/src/store_version.rs
@@ -24,6 +24,11 @@
     pub fn new(number: u64) -> Self {
         Self(number.min(LAST_ERA))
     }
+
+    /// Its number.
+    pub fn number(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for StoreEra {
