A peer's word of an earlier era makes no table fresh

What would be seen: a host that knows that the store has come back from a copy, and takes the tables from a peer that does not (cut off, or of a release before that reads no era), passes the peer's rows by and counts its word as news all the same; it asks nobody meanwhile.

Change: the word of a peer of an earlier era is not noted.

Red before: a_peer_of_an_earlier_era_made_a_table_count_as_fresh (age 700 ms, none expected). After: passes, with all tests of dillspool_watch.

--- a/crates/dillspool_watch/src/relay/taking.rs
+++ b/crates/dillspool_watch/src/relay/taking.rs
@@ -234,7 +234,12 @@
     };
     let rows = message.rows.into_iter().map(row).collect();
     let delta = TableDelta { full: message.full, version: message.version.into(), rows };
+    // A peer that does not know yet of a restoration tells nothing of the table as it is now.
+    let is_of_before = delta.version.era() < belief.version().era();
     belief.merge_relayed(&delta, part);
+    if is_of_before {
+        return;
+    }
     // An age that this host's clock cannot reach back to is too old to count.
     let age = Duration::from_millis(message.age_ms);
     let heard_at = belief.heard().heard_at(waited_since);
--- a/crates/dillspool_watch/tests/relay.rs
+++ b/crates/dillspool_watch/tests/relay.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use dillspool_io::{AwakeWatch, HostClock, LinkMode, MemoryNet};
-use dillspool_platform::{ChangedRow, PlatformError, TableDelta, TableWatch, WatchError};
+use dillspool_platform::{
+    ChangedRow, PlatformError, StoreEra, StoreVersion, TableDelta, TableWatch, WatchError,
+};
 use dillspool_watch::{
     FollowRole, FollowSettings, RelayPeers, RelayService, SharedBelief, StoreReach, follow_table,
     relay_from_peers, serve_relay,
@@ -337,3 +339,27 @@
 fn awake() -> AwakeWatch {
     AwakeWatch::start(HostClock::steady(), CancellationToken::new())
 }
+
+/// The word of a peer that does not know yet that the store has come back from a copy kept a host from asking, though
+/// the peer's rows were older than its own.
+#[tokio::test(start_paused = true)]
+async fn a_peer_of_an_earlier_era_made_a_table_count_as_fresh() {
+    let (net, store) = (MemoryNet::new(), TestStore::default());
+    store.write("of before");
+    let peer = host(&net, &store, "10.0.0.1:8146", "10.0.0.9:8146").await;
+    pass(10_000).await;
+    assert!(peer.belief.age().is_some());
+    let belief = SharedBelief::new("op".into(), awake());
+    let version = StoreVersion::new(StoreEra::new(1), 1);
+    let row = ChangedRow { key: "config".into(), version, value: Some("restored".into()) };
+    belief.merge(&TableDelta { full: true, version, rows: vec![row] });
+    let source = "10.0.0.1:8146".parse().unwrap();
+    let peers = move || RelayPeers { sources: vec![source], all: Vec::new(), part: None };
+    let (stack, reach) = (net.stack("10.0.0.2".parse().unwrap()), StoreReach::unknown());
+    let (beliefs, reach) = (vec![belief.clone()], watch::Sender::new(reach));
+    tokio::spawn(relay_from_peers(stack, peers, beliefs, reach.clone(), CancellationToken::new()));
+    pass(1_000).await;
+    assert!(reach.borrow().relayed, "the peer relays");
+    assert_eq!(belief.age(), None);
+    assert_eq!(belief.version(), version);
+}
