The split of a pool is right from the start of a load

Cause: the mean life of an answer was the time that all have held memory over the number that ended. Ruled out: the lead of other hosts (one host decided, split_changed), the pace of prefill (106 ms, as measured later). Change: the estimate of Kaplan and Meier, which the planner had for its own streams, is a crate of its own and serves both. Test: a_load_that_has_just_begun_looks_as_it_does_later was red with 4.5 engines four seconds after the start of a load that needs 9.

--- a/crates/dillspool_admission/src/length.rs
+++ b/crates/dillspool_admission/src/length.rs
@@ -7,6 +7,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use dillspool_survival::{LifeSample, SurvivalCurve};
+
 /// Answers kept; some seconds' worth of a large pool, a minute's of a small one.
 const KEPT_ANSWERS: usize = 256;
 /// Answers from which on the assumptions below count no more.
@@ -51,9 +53,8 @@
     power: f64,
     token_s: f64,
     mean_life: Duration,
-    /// Steps of the survival curve: life over the life that goes with the guess, and the part of
-    /// answers that live longer.
-    curve: Vec<(f64, f64)>,
+    /// Of lives over the life that goes with the guess.
+    curve: SurvivalCurve,
 }
 
 impl Default for LengthModel {
@@ -98,12 +99,14 @@
         self.fit();
         let ended = self.ended.iter().map(|answer| {
             let usual = self.base + self.power * answer.guess;
-            ((answer.life - usual).exp(), true)
+            LifeSample { length: (answer.life - usual).exp(), has_ended: true }
+        });
+        let running = running.iter().map(|(guess, age)| LifeSample {
+            length: self.part_of_life(*guess, *age),
+            has_ended: false,
         });
-        let running = running.iter().map(|(guess, age)| (self.part_of_life(*guess, *age), false));
-        let mut seen: Vec<(f64, bool)> = ended.chain(running).collect();
-        seen.sort_by(|a, b| a.0.total_cmp(&b.0));
-        self.curve = survival_curve(&seen);
+        // Streams under way count, or short answers, which end first, would stand for all.
+        self.curve = SurvivalCurve::estimate(ended.chain(running).collect());
     }
 
     /// The line through the logarithms of guesses and lives that is closest to them.
@@ -138,17 +141,11 @@
         age.as_secs_f64() / self.usual_life(guess_tokens).as_secs_f64().max(f64::EPSILON)
     }
 
-    /// Part of the answers that live longer than so many lives that go with their guess.
-    fn survival(&self, lives: f64) -> f64 {
-        let after = self.curve.partition_point(|(step, _part)| *step <= lives);
-        after.checked_sub(1).map_or(1.0, |step| self.curve[step].1)
-    }
-
     /// Chance that a stream of this age goes on for a time.
     pub fn lives_on(&self, guess_tokens: u64, age: Duration, time: Duration) -> f64 {
-        let now = self.survival(self.part_of_life(guess_tokens, age));
+        let now = self.curve.longer_than(self.part_of_life(guess_tokens, age));
         if now > 0.0 {
-            return self.survival(self.part_of_life(guess_tokens, age + time)) / now;
+            return self.curve.longer_than(self.part_of_life(guess_tokens, age + time)) / now;
         }
         let tail = (TAIL_PART * age.as_secs_f64()).max(f64::EPSILON);
         (-time.as_secs_f64() / tail).exp()
@@ -171,27 +168,11 @@
     (tokens.max(1) as f64).ln()
 }
 
-/// The estimate of Kaplan and Meier from sorted lives and whether they have ended: streams under
-/// way count for as long as they were seen, or short answers, which end first, would stand for all.
-#[expect(clippy::cast_precision_loss, reason = "some hundred answers")]
-fn survival_curve(seen: &[(f64, bool)]) -> Vec<(f64, f64)> {
-    let (mut left, mut survival) = (seen.len(), 1.0);
-    let mut curve = Vec::new();
-    for (life, has_ended) in seen {
-        if *has_ended {
-            survival *= 1.0 - 1.0 / left as f64;
-            curve.push((*life, survival));
-        }
-        left -= 1;
-    }
-    curve
-}
-
 /// The curve before any answers are known.
-fn assumed_curve() -> Vec<(f64, f64)> {
+fn assumed_curve() -> SurvivalCurve {
     let part = |point| f64::from(point) / f64::from(ASSUMED_POINTS);
     let step = |part: f64| ((ASSUMED_SPREAD * normal_quantile(part)).exp(), 1.0 - part);
-    (1..ASSUMED_POINTS).map(part).map(step).collect()
+    SurvivalCurve::of_steps((1..ASSUMED_POINTS).map(part).map(step).collect())
 }
 
 /// Quantile of the normal distribution, by the logistic curve that is closest to it.
--- a/crates/dillspool_capacity/src/meter.rs
+++ b/crates/dillspool_capacity/src/meter.rs
@@ -1,10 +1,11 @@
 //! Observes the model requests that pass through one host.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use dillspool_schema::Name;
+use dillspool_survival::{LifeSample, SurvivalCurve};
 use tokio::time::Instant;
 
 use crate::decay::{DecayedSum, span};
@@ -15,6 +16,10 @@
 /// Part of them that was faster than the pace that counts. Some find their prompt in the engine's
 /// cache in part, and many wait in its queue; below full load a third or more do neither.
 const FASTER_PART: f64 = 0.25;
+/// Lives of answers that are kept, some seconds' worth of a large pool and a minute's of a small one.
+const KEPT_LIVES: usize = 512;
+/// Time for which the life of an answer that has ended is kept, as long as newer ones are known.
+const LIVES_KEPT_FOR: Duration = Duration::from_secs(90);
 /// Services kept at most; the names come from the configuration.
 const MOST_SERVICES: usize = 256;
 
@@ -31,8 +36,12 @@
     held_s: DecayedSum,
     /// Answers that gave their memory back.
     ended: DecayedSum,
-    /// Answers that hold memory, their tokens, and until when they are in the sums above.
-    holding: u32,
+    /// When the newest of them did so, and for how long they had held it.
+    lives: VecDeque<(Instant, Duration)>,
+    /// Answers that hold memory, since when, by their numbers.
+    holding: BTreeMap<u64, Instant>,
+    next_number: u64,
+    /// Their tokens, and until when they are in the sums above.
     holding_tokens: u64,
     summed_at: Instant,
     /// Seconds a token of the newest prefills.
@@ -49,7 +58,9 @@
             held_token_s: sum,
             held_s: sum,
             ended: sum,
-            holding: 0,
+            lives: VecDeque::new(),
+            holding: BTreeMap::new(),
+            next_number: 0,
             holding_tokens: 0,
             summed_at: now,
             paces: VecDeque::new(),
@@ -58,14 +69,52 @@
 
     /// Adds what the answers under way have held since the last time, so that long ones count
     /// before they end.
-    #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
+    #[expect(clippy::cast_precision_loss, reason = "tokens and answers are far below 2^52")]
     fn sum_up(&mut self, now: Instant) {
         let span_s = now.saturating_duration_since(self.summed_at).as_secs_f64();
         self.held_token_s.add(now, span_s * self.holding_tokens as f64);
-        self.held_s.add(now, span_s * f64::from(self.holding));
+        self.held_s.add(now, span_s * self.holding.len() as f64);
         self.summed_at = now;
     }
 
+    fn enter(&mut self, tokens: u64, now: Instant) -> u64 {
+        self.sum_up(now);
+        self.next_number += 1;
+        self.holding.insert(self.next_number, now);
+        self.holding_tokens += tokens;
+        self.next_number
+    }
+
+    fn leave(&mut self, number: u64, tokens: u64, now: Instant) {
+        self.sum_up(now);
+        self.holding_tokens = self.holding_tokens.saturating_sub(tokens);
+        self.ended.add(now, 1.0);
+        let Some(since) = self.holding.remove(&number) else { return };
+        if self.lives.len() >= KEPT_LIVES {
+            self.lives.pop_front();
+        }
+        self.lives.push_back((now, now.saturating_duration_since(since)));
+        let is_old =
+            |(at, _life): &(Instant, Duration)| now.saturating_duration_since(*at) > LIVES_KEPT_FOR;
+        while self.lives.front().is_some_and(is_old) {
+            self.lives.pop_front();
+        }
+    }
+
+    /// Mean time for which an answer holds memory.
+    ///
+    /// The time that all have held it over the number that ended is twice too long at the start of a load,
+    /// when few have lived long enough to end, and would leave the pool with too few prefill engines.
+    fn mean_life_s(&self, now: Instant) -> f64 {
+        let ended = self.lives.iter().map(|(_at, life)| (*life, true));
+        let running =
+            self.holding.values().map(|since| (now.saturating_duration_since(*since), false));
+        let samples = ended
+            .chain(running)
+            .map(|(life, has_ended)| LifeSample { length: life.as_secs_f64(), has_ended });
+        SurvivalCurve::estimate(samples.collect()).mean()
+    }
+
     fn note_pace(&mut self, seconds_a_token: f64) {
         if self.paces.len() >= KEPT_PACES {
             self.paces.pop_front();
@@ -94,15 +143,15 @@
             return None;
         }
         let span_s = span(now.saturating_duration_since(self.since)).max(SHORTEST_SPAN_S);
+        let held_s = self.mean_life_s(now);
+        let mean_tokens = self.held_token_s.read(now) / self.held_s.read(now).max(f64::EPSILON);
         Some(DemandReading {
             prompts,
             prompts_per_s: prompts / span_s,
             ended,
             read_s: self.prompt_tokens.read(now) / prompts * pace,
-            // What is held over what ends: answers that still run are in the first only, as in
-            // the estimate of a mean life from censored observations.
-            held_token_s: self.held_token_s.read(now) / ended,
-            held_s: self.held_s.read(now) / ended,
+            held_token_s: mean_tokens * held_s,
+            held_s,
         })
     }
 }
@@ -118,7 +167,7 @@
         let now = Instant::now();
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         if services.len() >= MOST_SERVICES {
-            services.retain(|_service, meter| meter.holding > 0);
+            services.retain(|_service, meter| !meter.holding.is_empty());
         }
         let meter = services.entry(Name::clone(service)).or_insert_with(|| ServiceMeter::new(now));
         run(meter, now)
@@ -143,12 +192,8 @@
     /// Notes an answer that holds so many tokens of decode memory until the ticket is dropped.
     #[must_use]
     pub fn enter(&self, service: &Name, tokens: u64) -> MemoryTicket {
-        self.with(service, |meter, now| {
-            meter.sum_up(now);
-            meter.holding += 1;
-            meter.holding_tokens += tokens;
-        });
-        MemoryTicket { meter: self.clone(), service: Name::clone(service), tokens }
+        let number = self.with(service, |meter, now| meter.enter(tokens, now));
+        MemoryTicket { meter: self.clone(), service: Name::clone(service), number, tokens }
     }
 
     /// What a service's requests ask; `None` before anything is known.
@@ -162,16 +207,12 @@
 pub struct MemoryTicket {
     meter: DemandMeter,
     service: Name,
+    number: u64,
     tokens: u64,
 }
 
 impl Drop for MemoryTicket {
     fn drop(&mut self) {
-        self.meter.with(&self.service, |meter, now| {
-            meter.sum_up(now);
-            meter.holding = meter.holding.saturating_sub(1);
-            meter.holding_tokens = meter.holding_tokens.saturating_sub(self.tokens);
-            meter.ended.add(now, 1.0);
-        });
+        self.meter.with(&self.service, |meter, now| meter.leave(self.number, self.tokens, now));
     }
 }
--- a/crates/dillspool_capacity/tests/meter.rs
+++ b/crates/dillspool_capacity/tests/meter.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use dillspool_capacity::DemandMeter;
+use dillspool_capacity::{DemandMeter, EngineMemory, prefill_need};
+use tokio::task::JoinSet;
 
 fn seconds(count: f64) -> Duration {
     Duration::from_secs_f64(count)
@@ -52,6 +53,49 @@
     assert!(long > 2.0 * short, "{short} {long}");
 }
 
+struct StartCase {
+    name: &'static str,
+    /// Seconds since the first request.
+    at_s: f64,
+    /// Bounds of the prefill engines that 35 engines are found to need; 9.0 from a full window.
+    need: std::ops::RangeInclusive<f64>,
+}
+
+/// A load that has just begun: few answers have lived long enough to end, and those that run must not make
+/// answers look twice as long, since the pool would then turn prefill engines away that the first burst needs.
+#[tokio::test(start_paused = true)]
+async fn a_load_that_has_just_begun_looks_as_it_does_later() {
+    const MEMORY: EngineMemory = EngineMemory { tokens: 68_023, slots: 12 };
+    let cases = [
+        StartCase { name: "four seconds in", at_s: 4.0, need: 7.5..=11.0 },
+        StartCase { name: "six seconds in", at_s: 6.0, need: 7.5..=10.5 },
+        StartCase { name: "half a minute in", at_s: 30.0, need: 8.0..=10.0 },
+    ];
+    for case in cases {
+        let meter = DemandMeter::default();
+        let mut answers = JoinSet::new();
+        let began = tokio::time::Instant::now();
+        // Lives from 1.7 to 5.3 s, 3.5 s in the mean.
+        for number in 0_u32.. {
+            if began.elapsed() >= seconds(case.at_s) {
+                break;
+            }
+            meter.note_prompt(&"pool".into(), 5_200);
+            meter.note_prefill(&"pool".into(), 5_200, seconds(0.106));
+            let ticket = meter.enter(&"pool".into(), 6_700);
+            let life = seconds(1.7 + 0.4 * f64::from(number * 7 % 10));
+            answers.spawn(async move {
+                tokio::time::sleep(life).await;
+                drop(ticket);
+            });
+            tokio::time::sleep(seconds(1.0 / 32.0)).await;
+        }
+        let reading = meter.read(&"pool".into()).expect("a reading");
+        let need = prefill_need(35, &reading, MEMORY);
+        assert!(case.need.contains(&need), "{}: {need} {reading:?}", case.name);
+    }
+}
+
 struct PaceCase {
     name: &'static str,
     /// How long prefills of 1,000 tokens take, in ms.
