A request that waits is judged by the time that it has left

Cause: a request in the waiting line was placed by the objective, patience and time that it had when it began to wait. Change: the line tells a request as it stands now. Test: a_request_that_has_waited_is_placed_by_the_time_that_is_left was red (case: room late).

--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -214,9 +214,10 @@
         self.refresh(now);
         for ticket in self.line.tickets() {
             let Some(record) = self.line.get(ticket).cloned() else { continue };
-            let decision = match self.choose(&record.request, now) {
-                Ok(placement) => self.place(ticket, &record.request, placement, now),
-                Err(cause) if now >= record.give_up => self.turn_away(&record.request, cause),
+            let request = record.request_at(now);
+            let decision = match self.choose(&request, now) {
+                Ok(placement) => self.place(ticket, &request, placement, now),
+                Err(cause) if now >= record.give_up => self.turn_away(&request, cause),
                 Err(_cause) => continue,
             };
             self.line.remove(ticket);
--- a/crates/dillspool_admission/src/waiting.rs
+++ b/crates/dillspool_admission/src/waiting.rs
@@ -19,6 +19,16 @@
 }
 
 impl WaitingRecord {
+    /// The request as it stands at a moment: the times that it has left are shorter by its wait.
+    pub(crate) fn request_at(&self, now: Moment) -> PlacementRequest {
+        let waited = now.since(self.since);
+        let mut request = self.request.clone();
+        request.objective_left = request.objective_left.saturating_sub(waited);
+        request.patience = request.patience.saturating_sub(waited);
+        request.time_left = request.time_left.saturating_sub(waited);
+        request
+    }
+
     /// What has waited longer goes first among equals, so that nobody is passed without end.
     fn rank(&self) -> (RequestRank, Moment) {
         (self.request.rank(), self.since)
--- /dev/null
+++ b/crates/dillspool_admission/tests/waiting.rs
@@ -0,0 +1,85 @@
+//! What a request that has waited still has time for.
+
+use std::time::Duration;
+
+use dillspool_admission::{
+    AdmissionPolicy, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner, PoolTerms,
+    StreamEnd, TicketId, WorkClass,
+};
+use dillspool_moment::Moment;
+use dillspool_routing::StartedBackend;
+
+fn engine(id: &str, prefills: bool) -> PoolEngine {
+    let backend = StartedBackend { id: id.into(), start: None };
+    PoolEngine { backend, domain: "d".into(), prefills }
+}
+
+fn request(class: WorkClass, prompt_tokens: u64) -> PlacementRequest {
+    PlacementRequest {
+        class,
+        workspace_priority: 0,
+        priority: 0,
+        domain: "d".into(),
+        prompt_tokens,
+        guess_tokens: 500,
+        most_tokens: 1_000,
+        objective_left: Duration::from_millis(900),
+        patience: Duration::from_secs(3),
+        time_left: Duration::from_secs(10),
+        pause_target: Some(Duration::from_millis(300)),
+        excluded: Vec::new(),
+        refusals: 0,
+        part: None,
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::after_origin(Duration::from_millis(ms))
+}
+
+struct WaitCase {
+    name: &'static str,
+    /// When a decode engine has room for the request that waits since the beginning, in ms.
+    room_ms: u64,
+    /// Tokens that the only prefill engine has to read first; it reads 40 in a ms.
+    queued_tokens: u64,
+    /// Whether it is placed behind them.
+    is_placed: bool,
+}
+
+/// A surge fills the engines, and those who wait for memory find a queue of prompts before them afterwards. A
+/// request that is placed there for the time that it had when it began to wait takes memory for an answer that
+/// is late, from one that could be in time.
+#[test]
+fn a_request_that_has_waited_is_placed_by_the_time_that_is_left() {
+    let cases = [
+        WaitCase { name: "room at once", room_ms: 50, queued_tokens: 12_000, is_placed: true },
+        WaitCase { name: "no queue", room_ms: 500, queued_tokens: 400, is_placed: true },
+        WaitCase { name: "room late", room_ms: 500, queued_tokens: 12_000, is_placed: false },
+    ];
+    for WaitCase { name, room_ms, queued_tokens, is_placed } in cases {
+        let terms = PoolTerms { memory_tokens: 100_000, slots: 1 };
+        let policy = AdmissionPolicy { reads_at_decode: false, ..AdmissionPolicy::default() };
+        let mut planner = PoolPlanner::new(terms, policy, 1);
+        let decode = ["one", "other"].map(|id| engine(id, false));
+        planner.set_engines(decode.into_iter().chain([engine("prefill", true)]));
+        let fresh = request(WorkClass::InTime, 5_000);
+        for ticket in [1, 2] {
+            let placed = planner.ask(TicketId(ticket), fresh.clone(), at(0));
+            assert!(matches!(placed, PlacementDecision::Place(_)), "{name}: {placed:?}");
+            planner.note_prefilled(TicketId(ticket), Duration::from_millis(125));
+            planner.note_started(TicketId(ticket), at(0));
+        }
+        let waits = planner.ask(TicketId(3), fresh, at(0));
+        assert_eq!(waits, PlacementDecision::Wait, "{name}");
+        let end = StreamEnd { is_whole: false, event_gap: None };
+        planner.note_ended(TicketId(1), end, at(room_ms));
+        let queued = request(WorkClass::UnderWay, queued_tokens);
+        let placed = planner.ask(TicketId(4), queued, at(room_ms));
+        assert!(matches!(placed, PlacementDecision::Place(_)), "{name}: {placed:?}");
+        planner.note_ended(TicketId(2), end, at(room_ms));
+        let decided = planner.poll(at(room_ms));
+        let placed = decided.iter().any(|(_ticket, it)| matches!(it, PlacementDecision::Place(_)));
+        assert_eq!(placed, is_placed, "{name}: {decided:?}");
+    }
+}
