The ledger writes its rows again after the table was restored

Cause: a table that comes back from a copy lacks the rows of unrepeatable calls written since, and a resend through another host found no row and ran the call again.

Change: a ledger notes the era of the table with each read and checks it once a second. For restore_settle after it has seen a new era, a host begins no call whose row is absent or not_run. Intents carry the era in which the row was read; one that was written across a restore does not run, and its place is reserved for the host whose row was lost before it is freed.

--- a/crates/dillspool_ledger/src/batch.rs
+++ b/crates/dillspool_ledger/src/batch.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use dillspool_platform::{CommitReply, PlatformError, RowWrite, TableStore};
+use dillspool_platform::{CommitReply, CommitRequest, PlatformError, RowWrite, TableStore};
 use dillspool_schema::Name;
+use dillspool_version::StoreVersion;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
@@ -28,6 +29,7 @@
 
 struct PendingWrite {
     write: RowWrite,
+    read_at: StoreVersion,
     answer: oneshot::Sender<WriteOutcome>,
 }
 
@@ -45,10 +47,11 @@
         Self { queue }
     }
 
-    /// Writes a row with the next batch.
-    pub async fn write(&self, write: RowWrite) -> WriteOutcome {
+    /// Writes a row with the next batch. If the table was restored since `read_at`, the outcome is not
+    /// [`WriteOutcome::Written`].
+    pub async fn write(&self, write: RowWrite, read_at: StoreVersion) -> WriteOutcome {
         let (answer, outcome) = oneshot::channel();
-        if self.queue.try_send(PendingWrite { write, answer }).is_err() {
+        if self.queue.try_send(PendingWrite { write, read_at, answer }).is_err() {
             return WriteOutcome::NotDone;
         }
         // A writer that stopped with the row in its queue never committed it; one that stopped
@@ -84,12 +87,16 @@
     }
 }
 
-/// Takes rows of different keys; a second write of a key waits for the next batch.
+/// Takes rows of different keys and one era; a second write of a key waits for the next batch, and so do writes
+/// that rest on another era, since a commit has one version at which its conditions were read.
 fn take_batch(waiting: &mut VecDeque<PendingWrite>) -> Vec<PendingWrite> {
     let mut keys = BTreeSet::new();
+    let era = waiting.front().map(|first| first.read_at.era());
     let (mut batch, mut later) = (Vec::new(), VecDeque::new());
     for write in waiting.drain(..) {
-        if batch.len() < BATCH_LIMIT && keys.insert(Name::clone(&write.write.key)) {
+        let is_of_era = Some(write.read_at.era()) == era;
+        let has_room = batch.len() < BATCH_LIMIT && is_of_era;
+        if has_room && keys.insert(Name::clone(&write.write.key)) {
             batch.push(write);
         } else {
             later.push_back(write);
@@ -102,7 +109,8 @@
 /// Commits a batch; returns the rows to try again because another row's condition failed.
 async fn commit_batch(table: &TableStore, batch: Vec<PendingWrite>) -> Vec<PendingWrite> {
     let writes = batch.iter().map(|pending| pending.write.clone()).collect();
-    let reply = table.commit(writes).await;
+    let read_at = batch.iter().map(|pending| pending.read_at).min();
+    let reply = (table.commit)(CommitRequest { writes, read_at }).await;
     let mut retry = Vec::new();
     for pending in batch {
         let outcome = match &reply {
--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -1,19 +1,21 @@
 //! Beginning and finishing an unrepeatable call.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use dillspool_io::WallClock;
 use dillspool_platform::{PlatformError, RowExpect, RowWrite, TableRow, TableStore};
 use dillspool_schema::Name;
+use dillspool_version::{StoreEra, StoreVersion};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::{BatchWriter, WriteOutcome};
-use crate::call::CallRequest;
+use crate::call::{CallKey, CallRequest, ROW_PREFIX};
+use crate::memory::{RowMemory, RowState};
 use crate::recent::RecentKeys;
 use crate::record::{CallRecord, CallState, RecordedAnswer};
 
@@ -31,11 +33,21 @@
     pub commit_spacing: Duration,
     /// Time in which the intent must stand, else the call is refused as not run.
     pub begin_limit: Duration,
+    /// Time between two checks whether the table was restored.
+    pub restore_check: Duration,
+    /// Time after a restore in which other hosts write their rows again, and no call begins whose row is absent. It
+    /// is longer than a check and [`Self::begin_limit`], within which a call is sent that began before the restore.
+    pub restore_settle: Duration,
 }
 
 impl Default for LedgerSettings {
     fn default() -> Self {
-        Self { commit_spacing: Duration::from_millis(20), begin_limit: Duration::from_secs(2) }
+        Self {
+            commit_spacing: Duration::from_millis(20),
+            begin_limit: Duration::from_secs(2),
+            restore_check: Duration::from_secs(1),
+            restore_settle: Duration::from_millis(2500),
+        }
     }
 }
 
@@ -64,6 +76,8 @@
     token: Name,
     begun: Instant,
     record: CallRecord,
+    /// The era in which the intent was written.
+    era: StoreEra,
 }
 
 impl CallTicket {
@@ -76,17 +90,18 @@
 /// The ledger as an entry host uses it.
 #[derive(Clone)]
 pub struct CallLedger {
-    table: TableStore,
-    writer: BatchWriter,
+    pub(crate) table: TableStore,
+    pub(crate) writer: BatchWriter,
     clock: WallClock,
-    settings: LedgerSettings,
+    pub(crate) settings: LedgerSettings,
     owner: Name,
     sequence: Arc<AtomicU64>,
+    memory: Arc<Mutex<RowMemory>>,
     /// Keys whose call this process was allowed to send.
     sent_here: RecentKeys,
-    /// Attempts given up while it was unclear whether their intent was written.
-    given_up: Arc<Mutex<BTreeSet<Name>>>,
-    cancel: CancellationToken,
+    /// Attempts given up while it was unclear whether their intent was written, with the era that they began in.
+    given_up: Arc<Mutex<BTreeMap<Name, StoreEra>>>,
+    pub(crate) cancel: CancellationToken,
 }
 
 impl fmt::Debug for CallLedger {
@@ -105,6 +120,26 @@
     End(BeginOutcome),
 }
 
+/// How far the closing of an attempt has come.
+enum OwnState {
+    /// Its intent stands, or may yet come.
+    Open,
+    /// Its row is kept for another attempt.
+    Reserved,
+    /// The row is free, or is not its own.
+    Closed,
+}
+
+fn own_state(row: Option<&TableRow>, token: &Name) -> OwnState {
+    let Some(row) = row else { return OwnState::Open };
+    match CallRecord::parse(&row.value) {
+        Some(record) if record.token != *token => OwnState::Closed,
+        Some(record) if record.state == CallState::Intent => OwnState::Open,
+        Some(record) if record.reserved => OwnState::Reserved,
+        _any => OwnState::Closed,
+    }
+}
+
 impl CallLedger {
     /// A ledger of the process `owner`, which names host and incarnation.
     pub fn new(
@@ -115,17 +150,40 @@
         cancel: CancellationToken,
     ) -> Self {
         let writer = BatchWriter::start(table.clone(), settings.commit_spacing, cancel.clone());
-        Self {
+        let ledger = Self {
             table,
             writer,
             clock,
             settings,
             owner,
             sequence: Arc::default(),
+            memory: Arc::default(),
             sent_here: RecentKeys::default(),
             given_up: Arc::default(),
             cancel,
+        };
+        tokio::spawn(ledger.clone().watch_restores());
+        ledger
+    }
+
+    pub(crate) fn memory(&self) -> MutexGuard<'_, RowMemory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How long this host begins no call whose row is absent, since the table was restored.
+    pub fn settle_left(&self) -> Option<Duration> {
+        self.memory().settle_left(Instant::now())
+    }
+
+    /// The era of the table; `None` while the table has never answered.
+    async fn table_era(&self) -> Option<StoreEra> {
+        self.memory().use_at(Instant::now());
+        let known = self.memory().known();
+        if let Some(known) = known {
+            return Some(known.era());
         }
+        let read = self.read_rows(vec![ROW_PREFIX.into()]).await;
+        read.ok().map(|(_rows, version)| version.era())
     }
 
     /// Puts the intent of a call into the table, or tells why the call must not be sent.
@@ -135,9 +193,10 @@
     pub async fn begin(&self, request: CallRequest) -> BeginOutcome {
         let key = request.key.clone();
         let outcome = self.enter(request).await;
+        let was_sent = |token| self.sent_here.contains(&key) || !self.memory().holds(&key, token);
         match outcome {
             // The table has lost the row of the first sending; the intent that stands now keeps other hosts off.
-            BeginOutcome::Run(ticket) if self.sent_here.contains(&key) => {
+            BeginOutcome::Run(ticket) if was_sent(&ticket.token) => {
                 log::warn!("event=call_row_lost token={}", ticket.token);
                 return BeginOutcome::Unknown { in_progress: false };
             }
@@ -155,6 +214,7 @@
 
     async fn enter(&self, request: CallRequest) -> BeginOutcome {
         let begun = Instant::now();
+        let Some(era) = self.table_era().await else { return BeginOutcome::NotRun };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let token: Name = format!("{}.{sequence}", self.owner).into();
         let record = CallRecord {
@@ -163,16 +223,35 @@
             fingerprint: Name::clone(&request.fingerprint),
             at: self.clock.now(),
             answer: None,
+            reserved: false,
         };
         let mut expect = RowExpect::Absent;
         let mut unclear = false;
         loop {
-            match self.write_intent(&request, &record, expect, &mut unclear).await {
+            let judgement = if self.settle_left().is_some() {
+                // Nothing is written, so a read without an answer leaves nothing unclear.
+                let mut is_unread = unclear;
+                self.judge_again(&request, &token, expect, &mut is_unread).await
+            } else {
+                self.write_intent(&request, &record, expect, era, &mut unclear).await
+            };
+            match judgement {
                 RowJudgement::Own if begun.elapsed() < self.settings.begin_limit => {
-                    return BeginOutcome::Run(CallTicket { request, token, begun, record });
+                    if self.memory().hold_intent(&request.key, &record, era, Instant::now()) {
+                        return BeginOutcome::Run(CallTicket {
+                            request,
+                            token,
+                            begun,
+                            record,
+                            era,
+                        });
+                    }
+                    // Written across a restore, perhaps in the place of a row that was lost.
+                    self.close_later(request.key, &record, era);
+                    return BeginOutcome::NotRun;
                 }
                 RowJudgement::Own => {
-                    self.close_later(request, token);
+                    self.close_later(request.key, &record, era);
                     return BeginOutcome::NotRun;
                 }
                 RowJudgement::End(outcome) => {
@@ -180,8 +259,8 @@
                 }
                 RowJudgement::Free(next) => expect = next,
             }
-            if begun.elapsed() >= self.settings.begin_limit {
-                self.give_up(request, token, unclear);
+            if begun.elapsed() >= self.settings.begin_limit || self.settle_left().is_some() {
+                self.give_up(request.key, &record, era, unclear);
                 return BeginOutcome::NotRun;
             }
             if unclear {
@@ -196,10 +275,11 @@
         request: &CallRequest,
         record: &CallRecord,
         expect: RowExpect,
+        era: StoreEra,
         unclear: &mut bool,
     ) -> RowJudgement {
         let write = RowWrite { key: Name::clone(request.key.row()), expect, value: record.text() };
-        match self.writer.write(write).await {
+        match self.writer.write(write, StoreVersion::new(era, 0)).await {
             WriteOutcome::Written => return RowJudgement::Own,
             WriteOutcome::NotDone if !*unclear => {
                 return RowJudgement::End(BeginOutcome::NotRun);
@@ -218,10 +298,10 @@
         expect: RowExpect,
         unclear: &mut bool,
     ) -> RowJudgement {
-        match self.table.read_one(Name::clone(request.key.row())).await {
-            Ok(Some(row)) => self.judge(request, token, &row),
+        match self.read_row(&request.key).await {
+            Ok((Some(row), _era)) => self.judge(request, token, &row),
             // Not there: whoever conflicted has gone, or the unclear write has not come yet.
-            Ok(None) => RowJudgement::Free(RowExpect::Absent),
+            Ok((None, _era)) => RowJudgement::Free(RowExpect::Absent),
             Err(_any) => {
                 *unclear = true;
                 RowJudgement::Free(expect)
@@ -229,6 +309,14 @@
         }
     }
 
+    async fn read_row(
+        &self,
+        key: &CallKey,
+    ) -> Result<(Option<TableRow>, StoreVersion), PlatformError> {
+        let (rows, version) = self.read_rows(vec![Name::clone(key.row())]).await?;
+        Ok((rows.into_iter().next().flatten(), version))
+    }
+
     fn judge(&self, request: &CallRequest, token: &Name, row: &TableRow) -> RowJudgement {
         let Some(record) = CallRecord::parse(&row.value) else {
             return RowJudgement::End(BeginOutcome::Unknown { in_progress: false });
@@ -240,6 +328,7 @@
             return RowJudgement::End(BeginOutcome::Mismatch);
         }
         match record.state {
+            CallState::NotRun if record.reserved => RowJudgement::End(BeginOutcome::NotRun),
             CallState::NotRun => RowJudgement::Free(RowExpect::Version(row.version)),
             CallState::Answered => {
                 let unknown = BeginOutcome::Unknown { in_progress: false };
@@ -256,73 +345,78 @@
 
     /// Records the answer of a call that ran; tries until it stands or the table stays away.
     pub async fn finish(&self, ticket: CallTicket, answer: RecordedAnswer) {
-        let record =
-            CallRecord { state: CallState::Answered, answer: Some(answer), ..ticket.record };
+        let CallTicket { request, token, record, era, .. } = ticket;
+        let record = CallRecord { state: CallState::Answered, answer: Some(answer), ..record };
+        let stood_in = self.memory().hold_answer(&request.key, &record, era, Instant::now());
         for _ in 0..FINISH_TRIES {
-            // An intent is never superseded, so the row is this ticket's own.
-            let write = RowWrite {
-                key: Name::clone(ticket.request.key.row()),
-                expect: RowExpect::Any,
-                value: record.text(),
-            };
-            match self.writer.write(write).await {
-                WriteOutcome::Written => return,
-                WriteOutcome::Conflict | WriteOutcome::NotDone | WriteOutcome::Unknown => {}
+            let state = self.memory().state(&request.key, &token);
+            match state {
+                // The table was restored and the row, as it is kept, was found or written again.
+                RowState::Stands(era) if era != stood_in => return,
+                RowState::Stands(_) => {
+                    // An intent is never superseded, so the row is this ticket's own.
+                    let write = RowWrite {
+                        key: Name::clone(request.key.row()),
+                        expect: RowExpect::Any,
+                        value: record.text(),
+                    };
+                    match self.writer.write(write, StoreVersion::new(stood_in, 0)).await {
+                        WriteOutcome::Written => return,
+                        WriteOutcome::Conflict | WriteOutcome::NotDone | WriteOutcome::Unknown => {}
+                    }
+                }
+                RowState::Unchecked => {}
+                RowState::Gone => break,
             }
             tokio::select! {
                 () = tokio::time::sleep(CLOSE_PAUSE) => {}
                 () = self.cancel.cancelled() => return,
             }
         }
-        log::warn!("event=answer_not_recorded token={}", ticket.token);
+        log::warn!("event=answer_not_recorded token={token}");
     }
 
     /// Frees the key of a call that was not sent and never will be.
     pub fn abandon(&self, ticket: CallTicket) {
         self.sent_here.remove(&ticket.request.key);
-        self.close_later(ticket.request, ticket.token);
+        self.memory().forget(&ticket.request.key, &ticket.token);
+        self.close_later(ticket.request.key, &ticket.record, ticket.era);
     }
 
+    /// Whether an attempt was given up, and no restore since may have lost another attempt's row in its place.
     fn has_given_up(&self, token: &Name) -> bool {
         let given_up = self.given_up.lock().unwrap_or_else(PoisonError::into_inner);
-        given_up.contains(token)
+        let era = given_up.get(token).copied();
+        drop(given_up);
+        era.is_some() && era == self.memory().known().map(StoreVersion::era)
     }
 
-    fn give_up(&self, request: CallRequest, token: Name, unclear: bool) {
+    fn give_up(&self, key: CallKey, record: &CallRecord, era: StoreEra, unclear: bool) {
         if unclear {
-            self.close_later(request, token);
+            self.close_later(key, record, era);
         }
     }
 
-    /// Marks an attempt as never sent, now for this process and soon in the table.
-    fn close_later(&self, request: CallRequest, token: Name) {
+    /// Marks an attempt that began in `era` as never sent, now for this process and soon in the table.
+    pub(crate) fn close_later(&self, key: CallKey, intent: &CallRecord, era: StoreEra) {
+        let token = Name::clone(&intent.token);
         let given_up = || self.given_up.lock().unwrap_or_else(PoisonError::into_inner);
-        given_up().insert(Name::clone(&token));
+        given_up().insert(Name::clone(&token), era);
         let ledger = self.clone();
+        let record = CallRecord { state: CallState::NotRun, answer: None, ..intent.clone() };
         tokio::spawn(async move {
-            ledger.close(&request, &token).await;
+            ledger.close(&key, record, era).await;
             ledger.given_up.lock().unwrap_or_else(PoisonError::into_inner).remove(&token);
         });
     }
 
     /// Writes `not_run` over the attempt's own intent, or in its place before it can come late.
-    async fn close(&self, request: &CallRequest, token: &Name) {
-        let key = request.key.row();
-        loop {
-            let closed = match self.table.read_one(Name::clone(key)).await {
-                Ok(None) => self.write_not_run(request, token, RowExpect::Absent).await,
-                Ok(Some(row)) => match CallRecord::parse(&row.value) {
-                    Some(record) if record.token == *token && record.state == CallState::Intent => {
-                        let expect = RowExpect::Version(row.version);
-                        self.write_not_run(request, token, expect).await
-                    }
-                    _another => true,
-                },
-                Err(PlatformError::NotDone { .. } | PlatformError::Unknown { .. }) => false,
-            };
-            if closed {
-                return;
-            }
+    ///
+    /// After a restore the intent may stand for a lost row of another attempt. The place is then reserved for
+    /// `restore_settle`, so that the host of that attempt finds it before any other call can begin.
+    async fn close(&self, key: &CallKey, record: CallRecord, era: StoreEra) {
+        let mut reserved: Option<(StoreEra, Instant)> = None;
+        while !self.close_once(key, &record, era, &mut reserved).await {
             tokio::select! {
                 () = tokio::time::sleep(CLOSE_PAUSE) => {}
                 () = self.cancel.cancelled() => return,
@@ -330,16 +424,45 @@
         }
     }
 
-    async fn write_not_run(&self, request: &CallRequest, token: &Name, expect: RowExpect) -> bool {
-        let record = CallRecord {
-            state: CallState::NotRun,
-            token: Name::clone(token),
-            fingerprint: Name::clone(&request.fingerprint),
-            at: self.clock.now(),
-            answer: None,
-        };
-        let key = Name::clone(request.key.row());
-        let write = RowWrite { key, expect, value: record.text() };
-        self.writer.write(write).await == WriteOutcome::Written
+    /// Takes the next step of a closing; true after the last one.
+    async fn close_once(
+        &self,
+        key: &CallKey,
+        record: &CallRecord,
+        era: StoreEra,
+        reserved: &mut Option<(StoreEra, Instant)>,
+    ) -> bool {
+        let Ok((row, read_at)) = self.read_row(key).await else { return false };
+        let expect = row.as_ref().map(|row| RowExpect::Version(row.version));
+        let expect = expect.unwrap_or(RowExpect::Absent);
+        match own_state(row.as_ref(), &record.token) {
+            OwnState::Open => {
+                let is_restored = read_at.era() != era;
+                *reserved = is_restored.then(|| (read_at.era(), Instant::now()));
+                let is_written = self.write_not_run(key, record, is_restored, expect, read_at);
+                is_written.await && !is_restored
+            }
+            OwnState::Reserved => {
+                let now = Instant::now();
+                let since = reserved.filter(|(reserved_in, _since)| *reserved_in == read_at.era());
+                let (_era, since) = *reserved.insert(since.unwrap_or((read_at.era(), now)));
+                now - since >= self.settings.restore_settle
+                    && self.write_not_run(key, record, false, expect, read_at).await
+            }
+            OwnState::Closed => true,
+        }
+    }
+
+    async fn write_not_run(
+        &self,
+        key: &CallKey,
+        record: &CallRecord,
+        reserved: bool,
+        expect: RowExpect,
+        read_at: StoreVersion,
+    ) -> bool {
+        let record = CallRecord { at: self.clock.now(), reserved, ..record.clone() };
+        let write = RowWrite { key: Name::clone(key.row()), expect, value: record.text() };
+        self.writer.write(write, read_at).await == WriteOutcome::Written
     }
 }
--- a/crates/dillspool_ledger/src/lib.rs
+++ b/crates/dillspool_ledger/src/lib.rs
@@ -7,8 +7,10 @@
 mod batch;
 mod call;
 mod ledger;
+mod memory;
 mod recent;
 mod record;
+mod restore;
 mod sweep;
 
 pub use batch::{BatchWriter, WriteOutcome};
--- a/crates/dillspool_ledger/src/record.rs
+++ b/crates/dillspool_ledger/src/record.rs
@@ -54,6 +54,10 @@
     pub at: UnixMillis,
     /// The answer, once there is one.
     pub answer: Option<RecordedAnswer>,
+    /// Set beside [`CallState::NotRun`] while the row of another attempt, which a restored table lost, may belong
+    /// in its place: that attempt's host may take it, and no call begins.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reserved: bool,
 }
 
 impl CallRecord {
