The daemon names when the ledger is settled; the table is checked while rows are held

Cause: a call that is refused after a restore of the table was told to come back in 5 s, as in an outage. And a host that had tried calls in an outage read the table each second afterwards, though it held no row: the_end_of_an_outage_brings_no_herd failed with 58 reads where 56 are allowed.

Change: 503 store_restored with the time left until the ledger is settled. Checks are made while rows are held, calls are being entered, or the era is not known yet.

Measured: tests of dillspool_ledger, _entry, _local, _host, _platform and dillspoold pass. The new test of the whole path failed once as first written (it restored the table while the answer was being recorded) and now waits for that.

--- a/crates/dillspool_entry/src/plain.rs
+++ b/crates/dillspool_entry/src/plain.rs
@@ -128,10 +128,16 @@
             Err(RequestProblem::not_run(status, "key_reused", detail))
         }
         BeginOutcome::NotRun => {
-            let detail = "the call cannot be entered in the ledger now; send it again later";
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            let problem = RequestProblem::not_run(status, "store_down", detail);
-            Err(problem.retry_after(STORE_RETRY))
+            let Some(settle_left) = context.ledger.settle_left() else {
+                let detail = "the call cannot be entered in the ledger now; send it again later";
+                let problem = RequestProblem::not_run(status, "store_down", detail);
+                return Err(problem.retry_after(STORE_RETRY));
+            };
+            let detail =
+                "the platform's table was restored; send the call again when the ledger is settled";
+            let problem = RequestProblem::not_run(status, "store_restored", detail);
+            Err(problem.retry_after(settle_left))
         }
     }
 }
--- a/crates/dillspool_ledger/src/memory.rs
+++ b/crates/dillspool_ledger/src/memory.rs
@@ -98,14 +98,16 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Notes that calls are being entered, so that the table is checked for restores.
+    /// Notes that a call is being entered.
     pub(crate) fn use_at(&mut self, now: Instant) {
         self.used_at = Some(now);
     }
 
-    /// Whether a restore could lose a row of this host.
-    pub(crate) fn needs_checks(&self, now: Instant) -> bool {
-        self.known.is_none() || self.used_at.is_some_and(|used| now - used < ROW_LIFE)
+    /// Whether a restore could lose a row of this host, or one that it enters, which takes `begin_limit` at most.
+    pub(crate) fn needs_checks(&mut self, begin_limit: Duration, now: Instant) -> bool {
+        self.shrink(now);
+        let is_entering = self.used_at.is_some_and(|used| now - used < begin_limit);
+        self.known.is_none() || is_entering || !self.rows.is_empty()
     }
 
     /// Keeps the intent of a call that may be sent; false if the table was restored since `era`.
@@ -211,8 +213,7 @@
 
     /// Rows to be checked since the table was restored: the newest first, since a copy lacks these, and those last
     /// in whose stead another attempt was found.
-    pub(crate) fn unchecked(&mut self, limit: usize, now: Instant) -> Vec<(CallKey, CallRecord)> {
-        self.shrink(now);
+    pub(crate) fn unchecked(&self, limit: usize) -> Vec<(CallKey, CallRecord)> {
         let places = self.unchecked.iter().rev().chain(self.taken.iter().rev());
         let keys = places.filter_map(|place| self.order.get(place));
         keys.filter_map(|key| Some((key.clone(), self.rows.get(key)?.record.clone())))
--- a/crates/dillspool_ledger/src/restore.rs
+++ b/crates/dillspool_ledger/src/restore.rs
@@ -64,7 +64,7 @@
         let interval = self.settings.restore_check;
         loop {
             let started = Instant::now();
-            let is_needed = self.memory().needs_checks(started);
+            let is_needed = self.memory().needs_checks(self.settings.begin_limit, started);
             let outcome = if is_needed { self.check_page().await } else { CheckOutcome::Done };
             let pause = match outcome {
                 CheckOutcome::Done => interval,
@@ -93,7 +93,7 @@
 
     /// Checks rows against the table, and writes those again that it lacks.
     async fn check_page(&self) -> CheckOutcome {
-        let unchecked = self.memory().unchecked(PAGE_ROWS, Instant::now());
+        let unchecked = self.memory().unchecked(PAGE_ROWS);
         // Without rows to check, any key tells the version of the table.
         let keys = if unchecked.is_empty() {
             vec![ROW_PREFIX.into()]
--- a/crates/dillspool_local/tests/unrepeatable_calls.rs
+++ b/crates/dillspool_local/tests/unrepeatable_calls.rs
@@ -192,6 +192,29 @@
     assert_eq!(system.runs(BODY), 1);
 }
 
+/// The table came back from a copy that lacked the call's row, and the call ran again through another host.
+#[tokio::test(start_paused = true)]
+async fn a_call_whose_row_a_restored_table_lost_ran_again_through_another_host() {
+    let system = TestSystem::start().await;
+    let table = &system.cluster.platform.table;
+    let caller = system.caller("alerts");
+    let copy = table.copy();
+    let sent = caller.plain(system.host(0), "/readings", KEY, BODY).await;
+    assert_outcome(&sent, 201, None, "first sending");
+    // The answer is recorded, too.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    table.restore(&copy);
+    let resent = caller.plain(system.host(1), "/readings", KEY, BODY).await;
+    assert_outcome(&resent, 503, Some("not_run"), "resend across the restore");
+    let retry_ms = resent.retry_after_ms.expect("a time to come back");
+    assert!((1..=2500).contains(&retry_ms), "{retry_ms}");
+    // As long as the place is reserved that the resend took across the restore.
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let resent = caller.plain(system.host(1), "/readings", KEY, BODY).await;
+    assert_outcome(&resent, 201, None, "resend after the restore");
+    assert_eq!(system.runs(BODY), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn without_a_key_a_call_is_sent_once() {
     let system = TestSystem::start().await;
