Test: an intent across a restore hides a lost row until it is taken back

Cause: two changes of the mechanism turned no test red: a place that is not reserved, and an attempt of the own process that counts as free though the table was restored since.

Change: one test with a host whose commits that free a key are lost for four seconds.

--- a/crates/dillspool_ledger/tests/restored_failures.rs
+++ b/crates/dillspool_ledger/tests/restored_failures.rs
@@ -1,6 +1,6 @@
 //! Failures around a restore of the table: no call runs twice, and a free key can be used again.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use dillspool_io::{UnixMillis, WallClock};
@@ -9,7 +9,8 @@
     LedgerSettings, RecordedAnswer,
 };
 use dillspool_platform::{
-    CommitRequest, MemoryTable, ReadRequest, RowExpect, RowWrite, ScanRequest, StoreFault,
+    CommitRequest, MemoryTable, PlatformError, ReadRequest, RowExpect, RowWrite, ScanRequest,
+    StoreFault, TableStore,
 };
 use dillspool_schema::Name;
 use log::{LevelFilter, Log, Metadata, Record};
@@ -48,8 +49,12 @@
 }
 
 fn ledger(table: &MemoryTable, owner: &str, cancel: &CancellationToken) -> CallLedger {
+    ledger_at(table.store(), owner, cancel)
+}
+
+fn ledger_at(store: TableStore, owner: &str, cancel: &CancellationToken) -> CallLedger {
     CallLedger::new(
-        table.store(),
+        store,
         WallClock::tokio(UnixMillis(1_700_000_000_000)),
         LedgerSettings::default(),
         owner.into(),
@@ -223,8 +228,8 @@
     table.commit(CommitRequest { writes, read_at: None }).expect("the table answers");
 }
 
-fn row(table: &MemoryTable) -> Option<CallRecord> {
-    let request = ReadRequest { keys: vec![Name::clone(request("r-1").key.row())] };
+fn row(table: &MemoryTable, key: &str) -> Option<CallRecord> {
+    let request = ReadRequest { keys: vec![Name::clone(request(key).key.row())] };
     let reply = table.read(&request).expect("the table answers");
     CallRecord::parse(&reply.rows[0].as_ref()?.value)
 }
@@ -271,9 +276,51 @@
         });
         assert_eq!(lost_lines(), usize::from(taken.is_some()), "{name}");
         if taken.is_some() {
-            assert_eq!(row(&table), taken, "{name}");
+            assert_eq!(row(&table, "r-1"), taken, "{name}");
+        }
+    }
+}
+
+/// A host whose commits that free a key are lost for four seconds.
+fn slow_closer(table: &MemoryTable) -> CallLedger {
+    let store = table.store();
+    let mut slow = store.clone();
+    let from = tokio::time::Instant::now();
+    slow.commit = Arc::new(move |request| {
+        let frees = |write: &RowWrite| {
+            let record = write.value.as_deref().and_then(CallRecord::parse);
+            record.is_some_and(|record| record.state == CallState::NotRun)
+        };
+        if from.elapsed() < Duration::from_secs(4) && request.writes.iter().any(frees) {
+            let reason = "the answer was lost".to_owned();
+            return Box::pin(async { Err(PlatformError::Unknown { reason }) });
+        }
+        (store.commit)(request)
+    });
+    ledger_at(slow, "slow", &CancellationToken::new())
+}
+
+/// An intent that was written across the restore hid that the row was lost, and was taken back when all hosts began
+/// calls again.
+#[tokio::test(start_paused = true)]
+async fn a_place_that_was_taken_across_a_restore_went_to_another_call() {
+    let table = MemoryTable::new();
+    let alive = CancellationToken::new();
+    let (owner, third) = (ledger(&table, "owner", &alive), ledger(&table, "third", &alive));
+    let slow = slow_closer(&table);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let copy = table.copy();
+    let _ticket = must_run(&owner, "s-1").await;
+    table.restore(&copy);
+    assert_eq!(got(&slow.begin(request("s-1")).await), Got::NotRun);
+    assert_eq!(got(&third.begin(request("s-2")).await), Got::NotRun);
+    for _ in 0..600 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        for host in [&slow, &third] {
+            assert_ne!(got(&host.begin(request("s-1")).await), Got::Run);
         }
     }
+    assert_eq!(row(&table, "s-1").expect("there is a row").token, "owner.0".into());
 }
 
 /// More rows and larger answers than a host keeps: answers are dropped before rows, the oldest first.
