A free key is no longer stuck by an intent that comes late

Cause: an attempt that was given up looked once at its row, found the not_run of another attempt there and counted itself as closed; its own intent, on the condition of that very version, came after that.

Change: the closing writes its own not_run over that of another attempt, so that the late intent's condition fails, and looks again where the row is an intent that this process has given up. The input stays as a test.

Measured: the test fails before the change and passes after it; cargo test -p dillspool_ledger passes, 18 tests.

--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dillspool_io::WallClock;
+use dillspool_io::{UnixMillis, WallClock};
 use dillspool_platform::{PlatformError, RowExpect, RowWrite, TableRow, TableStore};
 use dillspool_schema::Name;
 use dillspool_version::{StoreEra, StoreVersion};
@@ -123,6 +123,16 @@
     End(BeginOutcome),
 }
 
+/// What an attempt that was given up does next.
+enum ClosingStep {
+    /// It writes `not_run` on this condition.
+    Write { expect: RowExpect, reserved_until: Option<UnixMillis> },
+    /// It looks again later.
+    Wait,
+    /// Its intent does not stand and cannot come.
+    Closed,
+}
+
 impl CallLedger {
     /// A ledger of the process `owner`, which names host and incarnation.
     pub fn new(
@@ -404,22 +414,20 @@
     async fn close(&self, key: &CallKey, record: CallRecord, era: StoreEra) {
         loop {
             let closed = match self.read_row(key).await {
-                Ok((row, read_at)) => {
-                    let reserve = read_at.era() != era;
-                    let expect = match row {
-                        None => Some(RowExpect::Absent),
-                        Some(row) => CallRecord::parse(&row.value)
-                            .filter(|own| own.token == record.token)
-                            .filter(|own| own.state == CallState::Intent)
-                            .map(|_own| RowExpect::Version(row.version)),
-                    };
-                    match expect {
-                        Some(expect) => {
-                            self.write_not_run(key, &record, reserve, expect, read_at).await
-                        }
-                        None => true,
+                Ok((row, read_at)) => match self.judge_closing(row.as_ref(), &record.token) {
+                    ClosingStep::Write { expect, reserved_until } => {
+                        let now = self.clock.now();
+                        let is_restored = read_at.era() != era;
+                        let reserved_until =
+                            if is_restored { Some(now + RESERVE_TIME) } else { reserved_until };
+                        let record = CallRecord { at: now, reserved_until, ..record.clone() };
+                        let key = Name::clone(key.row());
+                        let write = RowWrite { key, expect, value: record.text() };
+                        self.writer.write(write, read_at).await == WriteOutcome::Written
                     }
-                }
+                    ClosingStep::Wait => false,
+                    ClosingStep::Closed => true,
+                },
                 Err(PlatformError::NotDone { .. } | PlatformError::Unknown { .. }) => false,
             };
             if closed {
@@ -432,18 +440,25 @@
         }
     }
 
-    async fn write_not_run(
-        &self,
-        key: &CallKey,
-        record: &CallRecord,
-        reserve: bool,
-        expect: RowExpect,
-        read_at: StoreVersion,
-    ) -> bool {
-        let now = self.clock.now();
-        let reserved_until = reserve.then(|| now + RESERVE_TIME);
-        let record = CallRecord { at: now, reserved_until, ..record.clone() };
-        let write = RowWrite { key: Name::clone(key.row()), expect, value: record.text() };
-        self.writer.write(write, read_at).await == WriteOutcome::Written
+    /// What closes an attempt whose intent may stand, or may yet come in place of a row that is free.
+    fn judge_closing(&self, row: Option<&TableRow>, token: &Name) -> ClosingStep {
+        let Some(row) = row else {
+            return ClosingStep::Write { expect: RowExpect::Absent, reserved_until: None };
+        };
+        let Some(record) = CallRecord::parse(&row.value) else { return ClosingStep::Closed };
+        let is_own = record.token == *token;
+        let expect = RowExpect::Version(row.version);
+        match record.state {
+            CallState::Intent if is_own => ClosingStep::Write { expect, reserved_until: None },
+            // The own intent may come over it until the row has another version.
+            CallState::NotRun if !is_own => {
+                ClosingStep::Write { expect, reserved_until: record.reserved_until }
+            }
+            // Free for attempts of this process, as this one was; it is closed by its own attempt.
+            CallState::Intent if self.has_given_up(&record.token) => ClosingStep::Wait,
+            CallState::Intent | CallState::NotRun | CallState::Answered | CallState::Expired => {
+                ClosingStep::Closed
+            }
+        }
     }
 }
--- a/crates/dillspool_ledger/tests/ledger_interleavings.rs
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -238,3 +238,18 @@
         run_paused(play(interleaving));
     }
 }
+
+/// An intent came late over the `not_run` of another attempt, after its own attempt had looked at that row and counted
+/// itself as closed. The key answered unknown for a day, though nothing ran.
+#[test]
+fn a_free_key_was_stuck_by_an_intent_that_came_late() {
+    let attempt = |at_ms| Attempt { host: 0, at_ms, after: AfterBegin::Finish };
+    let late = StoreFault::Late(Duration::from_millis(1));
+    let faults = [StoreFault::None, StoreFault::LoseCall, StoreFault::None, StoreFault::None, late];
+    run_paused(play(Interleaving {
+        attempts: vec![attempt(3760), attempt(577)],
+        faults: faults.into(),
+        outage: Some(Outage { from_ms: 478, for_ms: 4883, fault: late }),
+        restores: Vec::new(),
+    }));
+}
