--- /dev/null
+++ b/crates/dillspool_calls/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which backend server a call of a plain service goes to, how long it waits for that, and when it is rejected.
+//!
+//! These are decisions over outcomes that are reported and a clock that is passed in: no input or output, no
+//! task, no log. The host that decides the calls of a service for all hosts uses one [`CallQueue`] with all of
+//! the servers' limits; a host that has lost it uses one of its own with a small share of them.
+//! `docs/design/calls.md` has the load patterns, the failures and the approaches that were compared.
+
+mod policy;
+mod queue;
+mod reading;
+mod request;
+
+pub use policy::CallPolicy;
+pub use queue::CallQueue;
+pub use reading::{CallReading, ServerReading};
+pub use request::{CallDecision, CallEnd, CallId, CallRequest, CallServer, RejectCause};
