One host decides on the calls of a plain service with few slots

Cause: where a plain service has fewer slots than there are hosts, each host sees a small part of its calls and none of the others'.

Change: BackendEntry has the slots of the directory's rows. With [calls] slots_per_host above 0, a service whose ready servers report fewer slots than that times the hosts is decided on by one host: CallDesk holds a CallQueue for each such service, CallClient asks over a link of the new duty calls and falls back to its own desk, and plain.rs asks before each send.

--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dillspool_routing::{BackendEntry, BackendId, DirectoryView, RoutedRequest};
-use dillspool_scheduler::{LimitClient, ScheduleClient};
+use dillspool_scheduler::{CallClient, LimitClient, ScheduleClient};
 use dillspool_schema::Name;
 use dillspool_suspects::SuspectDesk;
 use dillspool_throttle::ThrottleDesk;
@@ -37,6 +37,8 @@
     pub directory: watch::Receiver<Arc<DirectoryView>>,
     /// Decides where model requests run.
     pub schedule: ScheduleClient,
+    /// Decides where calls of plain services go whose slots are few.
+    pub call_client: CallClient,
     /// Tells whether a workspace's limit has room.
     pub limits: LimitClient,
     /// What backend servers say they take.
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -11,6 +11,7 @@
 mod calls;
 mod choose;
 mod context;
+mod decided;
 mod events;
 mod generate;
 mod limits;
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dillspool_calls::{CallEnd, RejectCause};
 use dillspool_io::{MomentPassed, ResponseBody, full_body, read_response_body};
 use dillspool_routing::{BackendEntry, RoutedRequest};
+use dillspool_scheduler::CallTicket;
 use dillspool_version::StoreVersion;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
@@ -14,6 +16,7 @@
 use crate::broken_run::{may_run_again, trace_break};
 use crate::calls::{CallError, ForwardTerms};
 use crate::context::ForwardContext;
+use crate::decided::{SendChoice, choose_decided};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::throttle::{SendPermit, all_closed, choose_permitted, refuse_closed};
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
@@ -39,6 +42,19 @@
     Unclear(String),
 }
 
+impl SendOutcome {
+    /// What the host that decides on the calls of the service is told of it.
+    fn call_end(&self) -> CallEnd {
+        match self {
+            Self::Whole(answer) if !answer.status.is_server_error() => CallEnd::Answered,
+            Self::Whole(_failure) => CallEnd::Failed,
+            Self::NotSent(_) => CallEnd::NotSent,
+            Self::NotRun => CallEnd::NotRun,
+            Self::Unclear(_) => CallEnd::Lost,
+        }
+    }
+}
+
 /// An answer that was read to its end.
 struct WholeAnswer {
     status: StatusCode,
@@ -64,6 +80,8 @@
     unreachable: usize,
     may_have_run: bool,
     failure: Option<WholeAnswer>,
+    /// The decision not to send it any more, and when its caller may come back.
+    rejected: Option<(RejectCause, Duration)>,
 }
 
 impl SendRecord {
@@ -117,14 +135,19 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut record = SendRecord::default();
     let mut look = None;
+    // Dropped after a send that is given up, so its place is free once the connection is closed.
+    let mut ticket = context.call_client.open(&request.service);
     while may_run_again(context, request, &mut look).await
-        && let Some((entry, directory, permit)) = next_backend(context, request, &record).await
+        && let Some((entry, directory, permit)) =
+            next_backend(context, request, &mut record, &mut ticket).await
     {
         trace.chose(&entry.id, directory);
         record.tried.push(&entry);
         let limit = send_limit(request, &record);
         let started = Instant::now();
-        match send_whole(context, request, &entry, limit).await {
+        let outcome = send_whole(context, request, &entry, limit).await;
+        ticket.end(outcome.call_end(), started.elapsed());
+        match outcome {
             SendOutcome::Whole(answer) if !answer.status.is_server_error() => {
                 context.book.note_success(&entry.started(), started.elapsed());
                 if answer.status.is_success() {
@@ -151,7 +174,8 @@
 async fn next_backend(
     context: &ForwardContext,
     request: &RoutedRequest,
-    record: &SendRecord,
+    record: &mut SendRecord,
+    ticket: &mut CallTicket,
 ) -> Option<(Arc<BackendEntry>, StoreVersion, SendPermit)> {
     if record.sends >= request.route.max_attempts
         || record.unreachable > MOST_UNREACHABLE
@@ -160,13 +184,29 @@
     {
         return None;
     }
+    let decided = if ticket.is_scheduled() {
+        // On the heap, since the calls of most services do not come here.
+        Box::pin(choose_decided(context, request, &record.tried, ticket)).await
+    } else {
+        SendChoice::Own
+    };
     let view = context.view();
-    let choose = || context.chooser(&view).plain(&request.service, &record.tried);
-    let (entry, permit) = choose_permitted(context, request, choose).await?;
+    let (entry, permit) = match decided {
+        SendChoice::Send(entry, permit) => (entry, permit),
+        SendChoice::Reject { cause, retry_after } => {
+            record.rejected = Some((cause, retry_after));
+            return None;
+        }
+        SendChoice::Own => {
+            let choose = || context.chooser(&view).plain(&request.service, &record.tried);
+            choose_permitted(context, request, choose).await?
+        }
+    };
     if record.sends > 0 {
         if !context.budgets.take(&request.service) {
             log_budget_empty(request, &context.budgets);
             permit.give_back();
+            ticket.end(CallEnd::Abandoned, Duration::ZERO);
             return None;
         }
         context.metrics.note_repeated_send();
@@ -235,11 +275,21 @@
     {
         return Err(refusal);
     }
+    if let Some((RejectCause::NoRoom, retry_after)) = record.rejected
+        && !request.remaining().is_zero()
+    {
+        return Err(Refusal::come_back(RefusalCause::NoRoom, retry_after));
+    }
     let cause = match (record.tried.is_empty(), request.remaining().is_zero()) {
         (_, true) => RefusalCause::TooLateNotRun,
         (true, false) => RefusalCause::NoBackend,
         (false, false) => RefusalCause::NotRun,
     };
+    if let Some((RejectCause::NoServer, retry_after)) = record.rejected
+        && cause == RefusalCause::NoBackend
+    {
+        return Err(Refusal::come_back(cause, retry_after));
+    }
     let part = rand::rng().random_range(COME_BACK_PARTS);
     Err(Refusal::come_back(cause, request.route.objective.mul_f64(part)))
 }
--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -37,6 +37,8 @@
     BackendsLimited,
     /// No backend server of the service takes requests.
     NoBackend,
+    /// The backend servers of the service cannot answer it in its time.
+    NoRoom,
     /// No engine had memory for the answer.
     NoMemory,
     /// No engine would read the prompt in time.
@@ -69,6 +71,7 @@
             Self::CopyRuns => "copy_runs",
             Self::BackendsLimited => "backends_limited",
             Self::NoBackend => "no_backend",
+            Self::NoRoom => "no_room",
             Self::NoMemory => "no_memory",
             Self::NoPrefill => "no_prefill",
             Self::NotRun => "not_run",
@@ -94,6 +97,7 @@
             | Self::CopyRuns
             | Self::BackendsLimited
             | Self::NoBackend
+            | Self::NoRoom
             | Self::NoMemory
             | Self::NoPrefill
             | Self::NotRun
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dillspool_admission::{PlacementRequest, TurnAwayCause};
+use dillspool_calls::{CallDecision, CallRequest, RejectCause};
 use dillspool_routing::{BackendId, DirectoryView, RoutedRequest};
 use dillspool_schema::Name;
 use dillspool_suspects::CopyRefusal;
@@ -203,3 +204,51 @@
         come_back.as_millis(),
     );
 }
+
+/// A call that has waited for the host that decides on the calls of its service.
+pub(crate) fn log_call_queued(request: &RoutedRequest, waited: Duration, decision: &CallDecision) {
+    let decided = match decision {
+        CallDecision::Send { .. } => "sent",
+        CallDecision::Reject { .. } => "rejected",
+        CallDecision::Wait => "waits",
+    };
+    log::info!(
+        "event=call_queued id={} service={} waited_ms={} decided={decided}",
+        request.id,
+        request.service,
+        waited.as_millis(),
+    );
+}
+
+/// A call is not sent any more, by the word of whoever decides on the calls of its service.
+pub(crate) fn log_call_rejected(
+    request: &RoutedRequest,
+    question: &CallRequest,
+    cause: RejectCause,
+    retry_after: Duration,
+) {
+    let cause = match cause {
+        RejectCause::NoServer => "no_server",
+        RejectCause::NoRoom => "no_room",
+    };
+    log::info!(
+        "event=call_rejected id={} service={} cause={cause} objective_left_ms={} time_left_ms={} excluded={} after_ms={} retry_after_ms={}",
+        request.id,
+        request.service,
+        question.objective_left.as_millis(),
+        question.time_left.as_millis(),
+        question.excluded.len(),
+        request.age().as_millis(),
+        retry_after.as_millis(),
+    );
+}
+
+/// This host does not follow a decision on a call.
+pub(crate) fn log_call_overruled(request: &RoutedRequest, backend: &str, why: &str) {
+    log::info!(
+        "event=call_overruled id={} service={} backend={backend} why={why} after_ms={}",
+        request.id,
+        request.service,
+        request.age().as_millis(),
+    );
+}
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -20,7 +20,8 @@
     ServiceEntry, ServiceShare,
 };
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient,
+    BusHandlers, CallClient, CallDesk, CallTerms, FleetBus, LimitClient, LimitDesk, LimitTerms,
+    PoolDesk, ScheduleClient,
 };
 use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectDesk, SuspectPolicy};
 use dillspool_throttle::ThrottleDesk;
@@ -119,6 +120,7 @@
         failure_domain: domain.into(),
         state: BackendState::Ready,
         stage,
+        slots: None,
     }
 }
 
@@ -308,6 +310,11 @@
             calls: self.calls(),
             directory,
             schedule,
+            call_client: CallClient::new(CallDesk::new(
+                CallTerms::default(),
+                1,
+                HostClock::steady(),
+            )),
             limits: LimitClient::new(LimitDesk::new(
                 LimitTerms { slack: 0.0, shares: 2 },
                 HostClock::steady(),
--- a/crates/dillspool_forward/tests/throttle.rs
+++ b/crates/dillspool_forward/tests/throttle.rs
@@ -13,8 +13,8 @@
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{BackendEntry, DirectoryView, EngineStage, RequestKind, StartedBackend};
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitClient, LimitDesk, PoolDesk, ScheduleDesks, SchedulePeers,
-    serve_schedule,
+    BusHandlers, CallDesk, CallTerms, FleetBus, LimitClient, LimitDesk, PoolDesk, ScheduleDesks,
+    SchedulePeers, serve_schedule,
 };
 use dillspool_throttle::{RateNotice, RequestRate, RestNotice};
 use tokio::time::Instant;
@@ -200,6 +200,7 @@
             DemandMeter::default(),
             HostClock::steady(),
         ),
+        calls: CallDesk::new(CallTerms::default(), 1, HostClock::steady()),
         limits: LimitDesk::of_backend_servers(2, HostClock::steady()),
         backend_limits: LimitDesk::of_backend_servers(2, HostClock::steady()),
         bus: FleetBus::new(BusHandlers::none(), clock),
--- a/crates/dillspool_roles/tests/keeper.rs
+++ b/crates/dillspool_roles/tests/keeper.rs
@@ -68,6 +68,7 @@
             failure_domain: "domain".into(),
             state: BackendState::Ready,
             stage: Some(stage),
+            slots: None,
         };
         (Arc::clone(&entry.id), Arc::new(entry))
     });
--- a/crates/dillspool_roles/tests/plan.rs
+++ b/crates/dillspool_roles/tests/plan.rs
@@ -14,6 +14,7 @@
         failure_domain: domain.into(),
         state,
         stage: Some(part),
+        slots: None,
     })
 }
 
--- a/crates/dillspool_roles/tests/targets.rs
+++ b/crates/dillspool_roles/tests/targets.rs
@@ -31,6 +31,7 @@
             failure_domain: "domain".into(),
             state: BackendState::Ready,
             stage: Some(if at < prefill { EngineStage::Prefill } else { EngineStage::Decode }),
+            slots: None,
         };
         (Arc::clone(&entry.id), Arc::new(entry))
     });
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -12,7 +12,9 @@
 };
 use dillspool_roles::{KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
-use dillspool_scheduler::{FleetNews, LimitDesk, PoolDesk, ScheduleClient, ScheduleDesks};
+use dillspool_scheduler::{
+    CallDesk, FleetNews, LimitDesk, PoolDesk, ScheduleClient, ScheduleDesks,
+};
 use dillspool_schema::Name;
 use dillspool_suspects::{SuspectDesk, SuspectPolicy};
 use prometheus_client::registry::Registry;
@@ -23,8 +25,9 @@
 
 use crate::belief_metrics::BeliefMetrics;
 use crate::beliefs::Beliefs;
+use crate::call_metrics::CallMetrics;
 use crate::fleet_duties::{
-    HostCount, fleet_bus, hash_of, keep_host_count, order_delay, start_backend_limits,
+    HostCount, fleet_bus, hash_of, keep_host_count, order_delay, start_backend_limits, start_calls,
     start_limits, start_schedule,
 };
 use crate::ingress::{IngressState, KnownConfig};
@@ -114,8 +117,10 @@
         let backend_limits = LimitDesk::of_backend_servers(config.limits.shares, clock.clone());
         let seed = hash_of(&config.host);
         let desk = PoolDesk::new(config.policy.admission, seed, demand.clone(), clock.clone());
+        let calls = CallDesk::new(config.calls, seed, clock.clone());
         let desks = ScheduleDesks {
             pools: desk,
+            calls: calls.clone(),
             limits: limits.clone(),
             backend_limits: backend_limits.clone(),
             bus: fleet_bus(&suspects, &site, &clock),
@@ -131,11 +136,15 @@
             schedule.clone(),
             &background,
         );
+        let call_metrics = CallMetrics::new(calls.clone());
+        let call_client =
+            start_calls(&config, &stack, &beliefs, calls, host_count.clone(), &background);
         let context = ForwardContext {
             failure_domain: Name::clone(&config.failure_domain),
             calls: site.calls.clone(),
             directory: beliefs.directory.clone(),
             schedule: schedule.clone(),
+            call_client,
             limits,
             throttle: site.throttle.clone(),
             backend_limits: backend_limits.clone(),
@@ -162,7 +171,8 @@
             site.leaving.clone(),
             [context.limits.clone(), backend_limits.clone()],
         );
-        daemon.start_status(&beliefs, throttled, &metrics, readiness_listener, metrics_listener);
+        let figures = (throttled, call_metrics);
+        daemon.start_status(&beliefs, figures, &metrics, readiness_listener, metrics_listener);
         daemon.start_suspects(&beliefs, &site, schedule.clone());
         let keeper = NoticeKeeper {
             throttle: site.throttle.clone(),
@@ -186,7 +196,7 @@
     fn start_status(
         &self,
         beliefs: &Beliefs,
-        throttled: ThrottleMetrics,
+        (throttled, calls): (ThrottleMetrics, CallMetrics),
         metrics: &ForwardMetrics,
         readiness: NetListener,
         figures: NetListener,
@@ -214,10 +224,12 @@
         let suspected = SuspectMetrics::new(self.suspects.clone());
         suspected.register(&mut registry);
         throttled.register(&mut registry);
+        calls.register(&mut registry);
         let refresh = move || {
             believed.refresh();
             suspected.refresh();
             throttled.refresh();
+            calls.refresh();
         };
         let handler = metrics_handler(registry, refresh);
         tokio::spawn(serve_http(figures, limits, handler, self.background.clone()));
--- a/crates/dillspool_router/src/fleet_duties.rs
+++ b/crates/dillspool_router/src/fleet_duties.rs
@@ -9,8 +9,8 @@
 use dillspool_roles::DelayFn;
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitClient, LimitDesk, NoticeHandlers, ScheduleClient, ScheduleDesks,
-    SuspectHandlers, serve_schedule,
+    BusHandlers, CallClient, CallDesk, FleetBus, LimitClient, LimitDesk, NoticeHandlers,
+    ScheduleClient, ScheduleDesks, SuspectHandlers, serve_schedule,
 };
 use dillspool_schema::Name;
 use dillspool_suspects::SuspectDesk;
@@ -161,6 +161,31 @@
     client
 }
 
+/// Starts this host's decisions on the calls of plain services with few slots, and its links to the hosts that
+/// decide on them for all.
+pub(crate) fn start_calls(
+    config: &RouterConfig,
+    stack: &NetStack,
+    beliefs: &Beliefs,
+    desk: CallDesk,
+    hosts: HostCount,
+    cancel: &CancellationToken,
+) -> CallClient {
+    log::info!("event=policy calls={:?}", config.calls);
+    let client = CallClient::new(desk.clone());
+    if config.calls.slots_per_host <= 0.0 || !config.policy.schedule {
+        return client;
+    }
+    let (known, directory) = (beliefs.config.clone(), beliefs.directory.clone());
+    let counted = hosts.clone();
+    tokio::spawn(desk.run(known, directory, move || counted.get(), cancel.clone()));
+    let listed = beliefs.peers.clone();
+    let peers = move |service: &str| listed.schedule_peers(service);
+    let (host, count) = (Name::clone(&config.host), move || hosts.get());
+    tokio::spawn(client.clone().run(stack.clone(), host, peers, count, cancel.clone()));
+    client
+}
+
 /// The host that schedules the pools sees the requests of all and gives orders at once; others, by
 /// their names, only if nobody has for a while.
 pub(crate) fn order_delay(
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod belief_metrics;
 mod beliefs;
+mod call_metrics;
 mod config_tracker;
 mod daemon;
 mod departed;
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -6,9 +6,9 @@
 
 use dillspool_forward::BudgetTerms;
 use dillspool_roles::ShareRule;
-use dillspool_scheduler::LimitTerms;
+use dillspool_scheduler::{CallTerms, LimitTerms};
 use dillspool_schema::Name;
-use dillspool_schema::router::{LimitSettings, RouterSettings, SuspectSettings};
+use dillspool_schema::router::{CallSettings, LimitSettings, RouterSettings, SuspectSettings};
 use dillspool_suspects::{PrintKey, RequestPrint};
 use snafu::{ResultExt, Snafu};
 
@@ -112,6 +112,8 @@
     pub share_rule: ShareRule,
     /// How requests for engines are decided on.
     pub policy: PolicyConfig,
+    /// Which services' calls one host decides on.
+    pub calls: CallTerms,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -172,6 +174,7 @@
         orders_apart: seconds("orders.lease_ms", orders.lease_ms / 1000.0)?,
         share_rule: share_rule(orders.prefill_share)?,
         policy: policy::check(settings.policy.as_ref())?,
+        calls: call_terms(settings.calls.as_ref())?,
         log_level: level.parse().map_err(|_unknown| SettingsError::Field {
             field: "log.level",
             value: level.to_owned(),
@@ -191,6 +194,13 @@
     Ok(LimitTerms { slack: not_negative("limits.slack", slack)?, shares: shares as usize })
 }
 
+/// The terms of calls; without them each host decides on its own.
+fn call_terms(settings: Option<&CallSettings>) -> Result<CallTerms, SettingsError> {
+    let slots = settings.and_then(|settings| settings.slots_per_host).unwrap_or_default();
+    let slots_per_host = not_negative("calls.slots_per_host", slots)?;
+    Ok(CallTerms { slots_per_host, ..CallTerms::default() })
+}
+
 /// The key of prints; without one all fleets have the same.
 fn print_key(settings: Option<&SuspectSettings>) -> PrintKey {
     let key = settings.map(|settings| &*settings.key).filter(|key| !key.is_empty());
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -22,7 +22,7 @@
     BackendEntry, BackendStart, BackendState, ClientLimits, RequestKind, RequestTerms, RouteEntry,
     RouteTable, RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
 };
-use dillspool_scheduler::LimitTerms;
+use dillspool_scheduler::{CallTerms, LimitTerms};
 use dillspool_suspects::PrintKey;
 use dillspool_throttle::ThrottleDesk;
 use hyper::{HeaderMap, StatusCode};
@@ -59,6 +59,7 @@
         orders_apart: Duration::from_secs(3),
         share_rule: ShareRule::Fixed(0.2),
         policy: PolicyConfig::default(),
+        calls: CallTerms::default(),
         log_level: log::LevelFilter::Info,
     }
 }
@@ -167,6 +168,7 @@
         failure_domain: "domain".into(),
         state,
         stage: None,
+        slots: None,
     })
 }
 
--- a/crates/dillspool_router/tests/settings.rs
+++ b/crates/dillspool_router/tests/settings.rs
@@ -82,6 +82,13 @@
             "[suspects]\nlifted = [\"001122\"]\n[orders]",
             &["suspects.lifted", "dillspool suspects"],
         ),
+        case("calls by one host", "[orders]", "[calls]\nslots_per_host = 1.0\n[orders]", &[]),
+        case(
+            "calls by less than none",
+            "[orders]",
+            "[calls]\nslots_per_host = -1\n[orders]",
+            &["calls.slots_per_host", "not negative"],
+        ),
         case("an unknown policy", "[orders]", "[policy]\nluck = 1\n[orders]", &["luck"]),
         case("a gap", "ratio = 0.2", "ratio = ", &["settings-a gap.toml"]),
     ];
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
-use dillspool_scheduler::LimitTerms;
+use dillspool_scheduler::{CallTerms, LimitTerms};
 use dillspool_site_standin::{
     REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore, TIME_BUDGET,
     TOKEN_COUNTS, config_text,
@@ -356,6 +356,7 @@
         orders_apart: Duration::from_secs(3),
         share_rule: ShareRule::Fixed(0.5),
         policy: PolicyConfig::default(),
+        calls: CallTerms::default(),
         log_level: log::LevelFilter::Info,
     }
 }
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -88,6 +88,8 @@
     pub state: BackendState,
     /// Set for a model engine.
     pub stage: Option<EngineStage>,
+    /// Requests that it runs at the same time; `None` where its row tells none.
+    pub slots: Option<u32>,
 }
 
 impl BackendEntry {
--- /dev/null
+++ b/crates/dillspool_scheduler/src/call_wire.rs
@@ -0,0 +1,144 @@
+//! Messages about the calls of plain services, and their types on both sides.
+//!
+//! Times travel as what is left or has passed, never as moments: clocks of hosts differ.
+
+use std::time::Duration;
+
+use dillspool_calls::{CallDecision, CallEnd, CallRequest, RejectCause};
+use dillspool_routing::{BackendStart, StartedBackend};
+use dillspool_schema::Name;
+use dillspool_schema::schedule::{
+    ScheduleCallAsk, ScheduleCallDecision, ScheduleCallEnd, ScheduleCallHeld, ScheduleCallOutcome,
+    ScheduleCallReject, ScheduleCallRequest, ScheduleMessage,
+};
+
+use crate::wire::millis;
+
+/// A request some time after it was made.
+pub(crate) fn later(request: &CallRequest, passed: Duration) -> CallRequest {
+    CallRequest {
+        objective_left: request.objective_left.saturating_sub(passed),
+        time_left: request.time_left.saturating_sub(passed),
+        ..request.clone()
+    }
+}
+
+fn request_to_wire(request: &CallRequest) -> ScheduleCallRequest {
+    ScheduleCallRequest {
+        workspace_priority: request.workspace_priority,
+        priority: request.priority,
+        failure_domain: Name::clone(&request.failure_domain),
+        objective_left_ms: millis(request.objective_left),
+        time_left_ms: millis(request.time_left),
+        repeatable: request.is_repeatable,
+        excluded: request.excluded.clone(),
+    }
+}
+
+pub(crate) fn request_from_wire(request: ScheduleCallRequest) -> CallRequest {
+    CallRequest {
+        workspace_priority: request.workspace_priority,
+        priority: request.priority,
+        failure_domain: request.failure_domain,
+        objective_left: Duration::from_millis(request.objective_left_ms),
+        time_left: Duration::from_millis(request.time_left_ms),
+        is_repeatable: request.repeatable,
+        excluded: request.excluded,
+    }
+}
+
+pub(crate) fn ask_to_wire(ticket: u64, request: &CallRequest) -> ScheduleMessage {
+    ScheduleMessage::CallAsk(ScheduleCallAsk { ticket, request: request_to_wire(request) })
+}
+
+/// A decision on the wire; one that the call waits is followed by another.
+pub(crate) fn decision_to_wire(ticket: u64, decision: CallDecision) -> ScheduleMessage {
+    let mut message = ScheduleCallDecision {
+        ticket,
+        backend: None,
+        start: None,
+        waits: false,
+        rejected: None,
+        retry_after_ms: None,
+    };
+    match decision {
+        CallDecision::Send { backend } => {
+            message.start = backend.start.map(|start| start.0);
+            message.backend = Some(backend.id);
+        }
+        CallDecision::Wait => message.waits = true,
+        CallDecision::Reject { cause, retry_after } => {
+            message.rejected = Some(match cause {
+                RejectCause::NoServer => ScheduleCallReject::NoServer,
+                RejectCause::NoRoom => ScheduleCallReject::NoRoom,
+            });
+            message.retry_after_ms = Some(millis(retry_after));
+        }
+    }
+    ScheduleMessage::CallDecided(message)
+}
+
+/// The decision in a message; `None` for one that decides nothing.
+pub(crate) fn decision_from_wire(message: ScheduleCallDecision) -> Option<CallDecision> {
+    if let Some(id) = message.backend {
+        return Some(CallDecision::Send { backend: started(id, message.start) });
+    }
+    if let Some(rejected) = message.rejected {
+        let cause = match rejected {
+            ScheduleCallReject::NoServer => RejectCause::NoServer,
+            ScheduleCallReject::NoRoom => RejectCause::NoRoom,
+        };
+        let retry_after = Duration::from_millis(message.retry_after_ms.unwrap_or_default());
+        return Some(CallDecision::Reject { cause, retry_after });
+    }
+    message.waits.then_some(CallDecision::Wait)
+}
+
+pub(crate) fn held_to_wire(
+    ticket: u64,
+    request: &CallRequest,
+    backend: &StartedBackend,
+    ran: Duration,
+) -> ScheduleMessage {
+    ScheduleMessage::CallHeld(ScheduleCallHeld {
+        ticket,
+        request: request_to_wire(&later(request, ran)),
+        backend: Name::clone(&backend.id),
+        start: backend.start.map(|start| start.0),
+        ran_ms: millis(ran),
+    })
+}
+
+/// Request, backend server and time in flight of a call that runs already.
+pub(crate) fn held_from_wire(held: ScheduleCallHeld) -> (CallRequest, StartedBackend, Duration) {
+    let backend = started(held.backend, held.start);
+    (request_from_wire(held.request), backend, Duration::from_millis(held.ran_ms))
+}
+
+pub(crate) fn end_to_wire(ticket: u64, end: CallEnd, took: Duration) -> ScheduleMessage {
+    let end = match end {
+        CallEnd::Answered => ScheduleCallOutcome::Answered,
+        CallEnd::Failed => ScheduleCallOutcome::Failed,
+        CallEnd::NotRun => ScheduleCallOutcome::NotRun,
+        CallEnd::NotSent => ScheduleCallOutcome::NotSent,
+        CallEnd::Lost => ScheduleCallOutcome::Lost,
+        CallEnd::Abandoned => ScheduleCallOutcome::Abandoned,
+    };
+    ScheduleMessage::CallEnded(ScheduleCallEnd { ticket, end, took_ms: millis(took) })
+}
+
+pub(crate) fn end_from_wire(message: &ScheduleCallEnd) -> (CallEnd, Duration) {
+    let end = match message.end {
+        ScheduleCallOutcome::Answered => CallEnd::Answered,
+        ScheduleCallOutcome::Failed => CallEnd::Failed,
+        ScheduleCallOutcome::NotRun => CallEnd::NotRun,
+        ScheduleCallOutcome::NotSent => CallEnd::NotSent,
+        ScheduleCallOutcome::Lost => CallEnd::Lost,
+        ScheduleCallOutcome::Abandoned => CallEnd::Abandoned,
+    };
+    (end, Duration::from_millis(message.took_ms))
+}
+
+fn started(id: Name, start: Option<u64>) -> StartedBackend {
+    StartedBackend { id, start: start.map(BackendStart) }
+}
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -1,7 +1,9 @@
-//! A host's link to the one that decides for all: the scheduler of a pool, or the holder of limits.
+//! A host's link to the one that decides for all: the scheduler of a pool, the holder of limits, or the one that
+//! decides on a service's calls.
 //!
-//! Questions and notes stand here; [`serving`] carries them.
+//! Questions and notes stand here and, of calls, in [`calls`]; [`serving`] carries them.
 
+mod calls;
 mod serving;
 
 use std::collections::HashMap;
@@ -9,6 +11,7 @@
 use std::time::Duration;
 
 use dillspool_admission::{PlacementDecision, PlacementRequest, StreamPlacement};
+use dillspool_calls::CallDecision;
 use dillspool_limits::{SpendDecision, SpendRequest};
 use dillspool_moment::Moment;
 use dillspool_schema::Name;
@@ -18,10 +21,12 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use self::calls::HeldCall;
 use crate::desk::DeskNote;
 use crate::fleet_bus::FleetBus;
 use crate::wire::{self, PROTOCOL_VERSION};
 
+pub(crate) use calls::{CallReply, FRESH_FOR};
 pub(crate) use serving::{BEAT_EVERY, ScheduleSocket, open_link};
 
 /// Time for a scheduler's answer, after which this host decides by itself: a fiftieth to a tenth of
@@ -38,7 +43,7 @@
     pub(crate) duty: ScheduleDuty,
     /// This host.
     pub(crate) host: Name,
-    /// Service whose engines are the pool, or share of the limits.
+    /// Service whose engines are the pool or whose calls are decided on, or share of the limits.
     pub(crate) service: Name,
     /// Hosts that share the limits, as far as this host knows; 0 if it does not.
     pub(crate) told: Arc<dyn Fn() -> usize + Send + Sync>,
@@ -47,8 +52,17 @@
 impl LinkDuty {
     /// To place the requests of a pool.
     pub(crate) fn pool(host: &Name, service: &Name) -> Self {
+        Self::of_service(ScheduleDuty::Pool, host, service)
+    }
+
+    /// To decide on the calls of a plain service.
+    pub(crate) fn calls(host: &Name, service: &Name) -> Self {
+        Self::of_service(ScheduleDuty::Calls, host, service)
+    }
+
+    fn of_service(duty: ScheduleDuty, host: &Name, service: &Name) -> Self {
         let (host, service) = (Name::clone(host), Name::clone(service));
-        Self { duty: ScheduleDuty::Pool, host, service, told: Arc::new(|| 0) }
+        Self { duty, host, service, told: Arc::new(|| 0) }
     }
 
     fn hello(&self) -> ScheduleHello {
@@ -67,6 +81,7 @@
     Decided(PlacementDecision),
     Reader(Option<Name>),
     Spent(SpendDecision),
+    Call(CallDecision),
 }
 
 /// A question that waits for its answers; it is forgotten once nobody waits any more.
@@ -140,6 +155,7 @@
     /// What goes back if it is granted: whoever asked has left meanwhile.
     unwanted: HashMap<u64, ScheduleGiveBack>,
     held: HashMap<u64, HeldRecord>,
+    held_calls: HashMap<u64, HeldCall>,
 }
 
 /// Questions and notes of this host about one duty.
@@ -201,7 +217,8 @@
         let mut question = self.send_question(ticket, request, true)?;
         match question.answer(ANSWER_LIMIT).await {
             Some(ScheduleReply::Reader(prefill)) => Some(prefill),
-            Some(ScheduleReply::Decided(_) | ScheduleReply::Spent(_)) | None => None,
+            Some(ScheduleReply::Decided(_) | ScheduleReply::Spent(_) | ScheduleReply::Call(_))
+            | None => None,
         }
     }
 
@@ -220,7 +237,9 @@
         question.unwanted = None;
         match answer {
             Some(ScheduleReply::Spent(decision)) => Some(decision),
-            Some(ScheduleReply::Decided(_) | ScheduleReply::Reader(_)) => None,
+            Some(ScheduleReply::Decided(_) | ScheduleReply::Reader(_) | ScheduleReply::Call(_)) => {
+                None
+            }
             None => {
                 self.give_up(ticket);
                 None
@@ -271,7 +290,9 @@
     fn answer_of(&self, ticket: u64, reply: Option<ScheduleReply>) -> Option<PlacementDecision> {
         match reply {
             Some(ScheduleReply::Decided(decision)) => Some(decision),
-            Some(ScheduleReply::Reader(_) | ScheduleReply::Spent(_)) => None,
+            Some(ScheduleReply::Reader(_) | ScheduleReply::Spent(_) | ScheduleReply::Call(_)) => {
+                None
+            }
             None => {
                 self.give_up(ticket);
                 None
--- a/crates/dillspool_scheduler/src/link/serving.rs
+++ b/crates/dillspool_scheduler/src/link/serving.rs
@@ -12,6 +12,7 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use super::{LinkDuty, ScheduleReply, SchedulerLink};
+use crate::call_wire;
 use crate::fleet_bus::FleetBus;
 use crate::wire::{self, ScheduleError};
 
@@ -36,6 +37,9 @@
                 // A full queue costs knowledge, not a promise.
                 let _sent = sender.try_send(held.message(*ticket));
             }
+            for (ticket, held) in &state.held_calls {
+                let _sent = sender.try_send(held.message(*ticket));
+            }
             for news in self.bus.iter().flat_map(FleetBus::first_news) {
                 let _sent = sender.try_send(news);
             }
@@ -70,6 +74,12 @@
                     let decision = wire::spent_from_wire(&spent);
                     self.reply(ticket, ScheduleReply::Spent(decision));
                 }
+                ScheduleMessage::CallDecided(decided) => {
+                    let ticket = decided.ticket;
+                    if let Some(decision) = call_wire::decision_from_wire(decided) {
+                        self.reply(ticket, ScheduleReply::Call(decision));
+                    }
+                }
                 ScheduleMessage::Beat(beat) => {
                     let hosts = beat.hosts as usize;
                     self.with(|state| state.hosts = Some(hosts));
@@ -95,6 +105,9 @@
                 | ScheduleMessage::Held(_)
                 | ScheduleMessage::Spend(_)
                 | ScheduleMessage::GiveBack(_)
+                | ScheduleMessage::CallAsk(_)
+                | ScheduleMessage::CallHeld(_)
+                | ScheduleMessage::CallEnded(_)
                 | ScheduleMessage::Note(_) => {}
             }
             if !self.is_linked() {
@@ -116,9 +129,12 @@
             Some((ScheduleReply::Spent(SpendDecision::Allowed), Some(amount))) => {
                 self.send_back(amount);
             }
-            // This host has decided meanwhile; its own note tells the scheduler.
+            // This host has decided meanwhile, or whoever asked has left; its own note tells the other one.
             Some((
-                ScheduleReply::Spent(_) | ScheduleReply::Decided(_) | ScheduleReply::Reader(_),
+                ScheduleReply::Spent(_)
+                | ScheduleReply::Decided(_)
+                | ScheduleReply::Reader(_)
+                | ScheduleReply::Call(_),
                 _unwanted,
             )) => log::debug!("event=schedule_answer_late ticket={ticket}"),
         }
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -18,6 +18,8 @@
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 use tokio_util::sync::CancellationToken;
 
+use crate::call_desk::CallDesk;
+use crate::call_serve::serve_calls;
 use crate::desk::{DeskNote, PoolDesk};
 use crate::fleet_bus::{FleetBus, ServedLink};
 use crate::limit_desk::{LimitDesk, LimitShare};
@@ -28,18 +30,18 @@
 const OPEN_LIMIT: Duration = Duration::from_millis(500);
 /// Silence after which a host counts as gone; it beats as often as the scheduler.
 const HOST_SILENCE: Duration = Duration::from_secs(3);
-/// The same where limits are counted: a host that has left silently may ask another holder meanwhile,
-/// and both would grant its part. It asks another one after as long.
-const LIMIT_HOST_SILENCE: Duration = Duration::from_millis(1300);
+/// The same where limits are counted or calls decided: a host that has left silently may ask another one
+/// meanwhile, and both would grant its part. It asks another one after as long.
+pub(crate) const LIMIT_HOST_SILENCE: Duration = Duration::from_millis(1300);
 /// Time for one message; a host that does not read it is gone.
 const SEND_LIMIT: Duration = Duration::from_secs(1);
 /// Messages that wait to be sent to one host.
-const QUEUED_MESSAGES: usize = 256;
+pub(crate) const QUEUED_MESSAGES: usize = 256;
 /// Bits of a ticket that are the host's own; the rest number its link.
 const TICKET_BITS: u32 = 32;
 
-type HostWriter = SplitSink<WebSocketStream<NetStream>, Message>;
-type HostReader = SplitStream<WebSocketStream<NetStream>>;
+pub(crate) type HostWriter = SplitSink<WebSocketStream<NetStream>, Message>;
+pub(crate) type HostReader = SplitStream<WebSocketStream<NetStream>>;
 
 /// What a host decides and passes on for others.
 #[derive(Clone, Debug)]
@@ -50,6 +52,8 @@
     pub limits: LimitDesk,
     /// Counts what backend servers say they take.
     pub backend_limits: LimitDesk,
+    /// Decides on the calls of plain services.
+    pub calls: CallDesk,
     /// Passes news on.
     pub bus: FleetBus,
 }
@@ -101,6 +105,7 @@
     match hello.duty {
         ScheduleDuty::Pool => serve_pool(writer, reader, desks, hello, number).await,
         ScheduleDuty::Limits => serve_limits(writer, reader, &desks, hello).await,
+        ScheduleDuty::Calls => serve_calls(writer, reader, desks.calls, hello, number).await,
     }
 }
 
@@ -111,7 +116,7 @@
     hello: ScheduleHello,
     number: u64,
 ) {
-    let ScheduleDesks { pools: desk, bus, limits: _, backend_limits: _ } = desks;
+    let ScheduleDesks { pools: desk, bus, limits: _, backend_limits: _, calls: _ } = desks;
     let service = hello.service;
     if !desk.knows(&service) {
         log::info!("event=schedule_refused cause=\"the pool {service} is not known here yet\"");
@@ -208,6 +213,10 @@
             | ScheduleMessage::Suspect(_)
             | ScheduleMessage::Throttle(_)
             | ScheduleMessage::Leaving(_)
+            | ScheduleMessage::CallAsk(_)
+            | ScheduleMessage::CallDecided(_)
+            | ScheduleMessage::CallHeld(_)
+            | ScheduleMessage::CallEnded(_)
             | ScheduleMessage::Spent(_) => {
                 let reason = "no question about a limit".to_owned();
                 return Err(ScheduleError::Malformed { reason });
@@ -217,7 +226,7 @@
 }
 
 /// Queues a message for a host; one that does not read its messages is left.
-fn queue_message(
+pub(crate) fn queue_message(
     sender: &mpsc::Sender<ScheduleMessage>,
     message: ScheduleMessage,
 ) -> Result<(), ScheduleError> {
@@ -226,7 +235,7 @@
     sender.try_send(message).map_err(full)
 }
 
-async fn read_message(
+pub(crate) async fn read_message(
     reader: &mut HostReader,
     silence: Duration,
 ) -> Result<ScheduleMessage, ScheduleError> {
@@ -254,12 +263,12 @@
 }
 
 /// A sign of life, with the number of hosts that share a duty.
-fn beat(hosts: usize) -> ScheduleMessage {
+pub(crate) fn beat(hosts: usize) -> ScheduleMessage {
     ScheduleMessage::Beat(ScheduleBeat { hosts: u32::try_from(hosts).unwrap_or(u32::MAX) })
 }
 
 /// Sends what is queued, and a sign of life now and then.
-async fn write_queue(
+pub(crate) async fn write_queue(
     mut writer: HostWriter,
     mut queue: mpsc::Receiver<ScheduleMessage>,
     beat: impl Fn() -> ScheduleMessage,
@@ -347,6 +356,10 @@
                 | ScheduleMessage::GiveBack(_)
                 | ScheduleMessage::Spent(_)
                 | ScheduleMessage::Decided(_)
+                | ScheduleMessage::CallAsk(_)
+                | ScheduleMessage::CallDecided(_)
+                | ScheduleMessage::CallHeld(_)
+                | ScheduleMessage::CallEnded(_)
                 | ScheduleMessage::Reader(_) => {
                     let reason = "a scheduler's message from a host".to_owned();
                     return Err(ScheduleError::Malformed { reason });
--- a/crates/dillspool_scheduler/tests/fleet_news.rs
+++ b/crates/dillspool_scheduler/tests/fleet_news.rs
@@ -14,8 +14,8 @@
     RoutingConfig, ServiceEntry, StartedBackend,
 };
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitDesk, LimitTerms, NoticeHandlers, PoolDesk, ScheduleDesks,
-    SuspectHandlers, serve_schedule,
+    BusHandlers, CallDesk, CallTerms, FleetBus, LimitDesk, LimitTerms, NoticeHandlers, PoolDesk,
+    ScheduleDesks, SuspectHandlers, serve_schedule,
 };
 use dillspool_schema::schedule::{
     ScheduleBeat, ScheduleDuty, ScheduleHello, ScheduleLeaving, ScheduleMessage, ScheduleSuspect,
@@ -66,6 +66,7 @@
         failure_domain: "domain".into(),
         state: BackendState::Ready,
         stage: Some(EngineStage::Decode),
+        slots: None,
     };
     let view = DirectoryView {
         version: 1.into(),
@@ -176,7 +177,7 @@
         let cancel = CancellationToken::new();
         tokio::spawn(serve_schedule(
             listener,
-            ScheduleDesks { pools: desk(), limits, backend_limits, bus },
+            ScheduleDesks { pools: desk(), limits, backend_limits, calls: no_calls(), bus },
             cancel.clone(),
         ));
         let (mut one, mut two) = (link(&net, "10.0.0.2").await, link(&net, "10.0.0.3").await);
@@ -218,6 +219,7 @@
         pools: desk(),
         limits: LimitDesk::new(LimitTerms { slack: 0.0, shares: 1 }, HostClock::steady()),
         backend_limits: LimitDesk::of_backend_servers(1, HostClock::steady()),
+        calls: no_calls(),
         bus: FleetBus::new(handlers, HostClock::steady()),
     }
 }
@@ -357,3 +359,7 @@
     }
     cancel.cancel();
 }
+
+fn no_calls() -> CallDesk {
+    CallDesk::new(CallTerms::default(), 1, HostClock::steady())
+}
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -14,8 +14,8 @@
     WorkspaceTable,
 };
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleDesks,
-    SchedulePeers, serve_schedule,
+    BusHandlers, CallDesk, CallTerms, FleetBus, LimitClient, LimitDesk, LimitTerms, PoolDesk,
+    ScheduleDesks, SchedulePeers, serve_schedule,
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -76,6 +76,7 @@
                 pools,
                 limits: desk.clone(),
                 backend_limits: no_limits(),
+                calls: no_calls(),
                 bus: no_news(),
             },
             cancel.clone(),
@@ -309,3 +310,7 @@
 fn no_news() -> FleetBus {
     FleetBus::new(BusHandlers::none(), HostClock::steady())
 }
+
+fn no_calls() -> CallDesk {
+    CallDesk::new(CallTerms::default(), 1, HostClock::steady())
+}
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -16,8 +16,8 @@
     RouteTable, RoutingConfig, ServiceEntry, StartedBackend,
 };
 use dillspool_scheduler::{
-    BusHandlers, DeskNote, FleetBus, LimitDesk, LimitTerms, PlacementTicket, PoolDesk,
-    ScheduleClient, ScheduleDesks, SchedulePeers, SchedulerCandidate, rank_candidates,
+    BusHandlers, CallDesk, CallTerms, DeskNote, FleetBus, LimitDesk, LimitTerms, PlacementTicket,
+    PoolDesk, ScheduleClient, ScheduleDesks, SchedulePeers, SchedulerCandidate, rank_candidates,
     serve_schedule,
 };
 use tokio::sync::watch;
@@ -68,6 +68,7 @@
         failure_domain: "domain".into(),
         state: BackendState::Ready,
         stage: Some(stage),
+        slots: None,
     };
     let entries = [
         entry("decode-1", EngineStage::Decode),
@@ -126,6 +127,7 @@
                 pools: desk.clone(),
                 limits,
                 backend_limits: no_limits(),
+                calls: no_calls(),
                 bus: no_news(),
             },
             cancel.clone(),
@@ -342,3 +344,7 @@
 fn no_news() -> FleetBus {
     FleetBus::new(BusHandlers::none(), HostClock::steady())
 }
+
+fn no_calls() -> CallDesk {
+    CallDesk::new(CallTerms::default(), 1, HostClock::steady())
+}
