Decisions of the call queue under load, with a property test

Cause: the first version kept only slot limits and the order; it predicted no wait and knew no failing servers. Change: waits are predicted from the completion rate, calls that cannot be answered in time are rejected at once, late calls get the slots that calls on time leave by Little's law, failing servers rest and are then tried one call at a time, limits are cut by rejections and learned where no slots are reported. Waits are predicted for groups of calls, so no step is linear in the calls. Measured: tests/decisions.rs, 400 schedules: no call decided twice, none beyond a limit, all decided by time_left.

--- /dev/null
+++ b/crates/dillspool_calls/src/forecast.rs
@@ -0,0 +1,96 @@
+//! How long calls are predicted to wait, and what calls on time leave to late ones.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_moment::Moment;
+
+use crate::meter::LatencyMean;
+use crate::policy::CallPolicy;
+use crate::servers::ServerSurvey;
+
+/// Wait that no call has time for.
+const ENDLESS_S: f64 = 86_400.0;
+
+/// What is predicted at one moment.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitForecast {
+    policy: Arc<CallPolicy>,
+    now: Moment,
+    latency: LatencyMean,
+    survey: ServerSurvey,
+    /// Calls on time that wait.
+    on_time: usize,
+    /// Late calls that may be in flight at once.
+    late_places: f64,
+    /// Calls a second that late calls may have.
+    spare: f64,
+}
+
+impl WaitForecast {
+    /// A forecast where calls on time arrive at `arrivals` a second and `on_time` of them wait.
+    pub(crate) fn new(
+        policy: Arc<CallPolicy>,
+        survey: ServerSurvey,
+        latency: LatencyMean,
+        arrivals: f64,
+        on_time: usize,
+        now: Moment,
+    ) -> Self {
+        let ServerSurvey { rate, slots, .. } = survey;
+        let mut forecast =
+            Self { policy, now, latency, survey, on_time, late_places: 0.0, spare: 0.0 };
+        if rate <= 0.0 {
+            return forecast;
+        }
+        // By Little's law, the slots that the calls on time of the next moments occupy.
+        let slots = slots.max(1.0);
+        let policy = &forecast.policy;
+        let needed = arrivals * slots / rate;
+        let free = slots - needed - policy.late_reserve * needed.sqrt();
+        let sole = if needed <= policy.sole_late_below * slots { 1.0 } else { 0.0 };
+        let places = free.max(sole);
+        let spare = (rate - arrivals).min(places * rate / slots);
+        let has_spare = places >= 1.0 && spare >= policy.least_spare_part * rate;
+        forecast.late_places = places;
+        forecast.spare = if has_spare { spare } else { 0.0 };
+        forecast
+    }
+
+    /// Late calls that may be in flight at once.
+    pub(crate) fn late_places(&self) -> f64 {
+        self.late_places
+    }
+
+    /// Calls a second that late calls may have, at least a small part of all.
+    pub(crate) fn least_spare(&self) -> f64 {
+        self.spare.max(self.policy.least_spare_part * self.survey.rate)
+    }
+
+    /// Time until all calls on time that wait have a place.
+    pub(crate) fn backlog(&self) -> Duration {
+        wait(self.on_time, self.survey.rate)
+    }
+
+    /// Time that a call needs once it is sent; `margin` in mean deviations.
+    fn run(&self, margin: f64) -> Duration {
+        let LatencyMean { mean, deviation } = self.latency;
+        Duration::from_secs_f64(mean * self.survey.crowding + margin * deviation)
+    }
+
+    /// Predicted end of a call on time that waits behind `ahead` others.
+    pub(crate) fn on_time_end(&self, ahead: usize, margin: f64) -> Moment {
+        self.now + wait(ahead + 1, self.survey.rate) + self.run(margin)
+    }
+
+    /// Predicted end of a late call that waits behind `ahead` others and all calls on time.
+    pub(crate) fn late_end(&self, ahead: usize, margin: f64) -> Moment {
+        self.now + self.backlog() + wait(ahead + 1, self.spare) + self.run(margin)
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "calls that wait are counted in thousands")]
+fn wait(calls: usize, rate: f64) -> Duration {
+    let wait = if calls == 0 { 0.0 } else { calls as f64 / rate };
+    Duration::from_secs_f64(wait.min(ENDLESS_S))
+}
--- a/crates/dillspool_calls/src/lib.rs
+++ b/crates/dillspool_calls/src/lib.rs
@@ -5,10 +5,18 @@
 //! the servers' limits; a host that has lost it uses one of its own with a small share of them.
 //! `docs/design/calls.md` has the load patterns, the failures and the approaches that were compared.
 
+mod block;
+mod forecast;
+mod limit;
+mod line;
+mod meter;
 mod policy;
 mod queue;
 mod reading;
 mod request;
+mod retry;
+mod server;
+mod servers;
 
 pub use policy::CallPolicy;
 pub use queue::CallQueue;
--- a/crates/dillspool_calls/src/policy.rs
+++ b/crates/dillspool_calls/src/policy.rs
@@ -3,15 +3,79 @@
 use std::time::Duration;
 
 /// Limits of a call queue.
+///
+/// `docs/design/calls.md` has what each was chosen by.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallPolicy {
-    /// Calls in flight beyond a server's slots, as a part of the slots: a freed slot has work while the next
-    /// decision is in transit.
+    /// Calls in flight beyond a server's slots, as a part of the slots, and at least one call: a surge, in
+    /// which a freed slot needs work while the next decision is in transit.
     pub extra_part: f64,
-    /// Mean latency assumed of a server before any call of the service was answered.
+    /// Latency assumed of a server before any call of the service was answered: a start under load.
     pub assumed_latency: Duration,
-    /// Part of the time left after which a rejected caller returns at the latest.
+    /// Time constant of a server's own latency: servers that run slower for a few hundred milliseconds.
+    pub latency_memory: Duration,
+    /// Answers at which a server's own latency counts as much as that of all: servers that are seldom used,
+    /// whose latency would else be one random call's.
+    pub latency_prior: f64,
+    /// Time constant of a server's completion rate while it has no free slot: servers that stop answering.
+    pub rate_memory: Duration,
+    /// Busy time at which the measured rate counts as much as slots divided by mean latency: the first moments
+    /// of a surge, when few calls were completed.
+    pub rate_prior: Duration,
+    /// Time constant of the rate at which calls arrive that can be on time: bursts.
+    pub arrival_memory: Duration,
+    /// Mean deviations of the latency beyond its mean that a call on time must have left after its predicted
+    /// wait, when it is asked: a long surge, which would else fill the queue with calls that all just miss.
+    pub margin_at_ask: f64,
+    /// The same for a call that waits already: lower, so that a small change of the rate rejects none.
+    pub margin_waiting: f64,
+    /// Standard deviations of the number of calls on time by which late calls leave more slots free than the
+    /// mean needs: arrivals in clumps.
+    pub late_reserve: f64,
+    /// Part of the slots that calls on time need up to which one late call is let in, whatever the reserve:
+    /// services with few slots and little load.
+    pub sole_late_below: f64,
+    /// Part of the completion rate that must be left by calls on time before late calls wait for it: a surge
+    /// that leaves none.
+    pub least_spare_part: f64,
+    /// Time between two predictions of the same wait: servers that leave or slow down while calls wait.
+    pub recheck: Duration,
+    /// Cost of another failure domain, as a factor: its bytes are billed, and it takes longer.
+    pub far_factor: f64,
+    /// How much the part of calls that fail raises a server's cost: servers that fail partially.
+    pub failure_factor: f64,
+    /// Cost of a server that is tried again for a call that must not be repeated, as a factor: servers that
+    /// reset connections.
+    pub risk_factor: f64,
+    /// Part by which costs are spread at random: equal servers.
+    pub spread: f64,
+    /// Calls without a proper answer in a row before a server rests: servers that are gone or hang.
+    pub lost_before_rest: u32,
+    /// Rejected calls in a row before a server rests: servers that reject at once and so look empty.
+    pub refused_before_rest: u32,
+    /// Part of calls that fail beyond the part at the other servers from which a server rests: servers that
+    /// fail each call at once and so look empty.
+    pub failing_excess: f64,
+    /// First time for which a server rests: short faults.
+    pub first_rest: Duration,
+    /// Longest such time: faults that last.
+    pub longest_rest: Duration,
+    /// Factor of a server's limit after a rejection or a reset: other senders that use the same server.
+    pub limit_cut: f64,
+    /// Part of a server's limit that is left after all cuts: clumps of rejections.
+    pub least_limit_part: f64,
+    /// Time in which a limit recovers from its lowest: rejections that were the end of a burst.
+    pub limit_recovers: Duration,
+    /// Limit of a server that reports no slots, before anything is learned, in calls.
+    pub first_learned_limit: u32,
+    /// Latency over the server's own lowest up to which a learned limit grows: unused capacity.
+    pub grows_below: f64,
+    /// Latency over the server's own lowest from which a learned limit shrinks: calls that queue in the server.
+    pub shrinks_above: f64,
+    /// Part of the time left after which a rejected caller returns at the latest: callers that retry once.
     pub longest_retry_part: f64,
+    /// Longest time after which a caller returns that found no server: servers that join.
+    pub no_server_retry: Duration,
 }
 
 impl Default for CallPolicy {
@@ -19,7 +83,34 @@
         Self {
             extra_part: 0.25,
             assumed_latency: Duration::from_millis(30),
+            latency_memory: Duration::from_millis(400),
+            latency_prior: 5.0,
+            rate_memory: Duration::from_millis(250),
+            rate_prior: Duration::from_millis(100),
+            arrival_memory: Duration::from_millis(300),
+            margin_at_ask: 2.0,
+            margin_waiting: 1.0,
+            late_reserve: 1.0,
+            sole_late_below: 0.7,
+            least_spare_part: 0.05,
+            recheck: Duration::from_millis(5),
+            far_factor: 1.3,
+            failure_factor: 6.0,
+            risk_factor: 4.0,
+            spread: 0.1,
+            lost_before_rest: 2,
+            refused_before_rest: 3,
+            failing_excess: 0.5,
+            first_rest: Duration::from_millis(500),
+            longest_rest: Duration::from_secs(4),
+            limit_cut: 0.8,
+            least_limit_part: 0.5,
+            limit_recovers: Duration::from_secs(1),
+            first_learned_limit: 8,
+            grows_below: 1.3,
+            shrinks_above: 1.6,
             longest_retry_part: 1.0 / 3.0,
+            no_server_retry: Duration::from_secs(1),
         }
     }
 }
--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -1,225 +1,355 @@
 //! The queue of the calls of one service.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use dillspool_moment::Moment;
-use dillspool_routing::{BackendStart, StartedBackend};
-use dillspool_schema::Name;
+use dillspool_routing::StartedBackend;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
+use crate::forecast::WaitForecast;
+use crate::line::{LineKey, LineRank, WaitLine};
+use crate::meter::DecayedSum;
 use crate::policy::CallPolicy;
-use crate::reading::{CallReading, ServerReading};
+use crate::reading::CallReading;
 use crate::request::{CallDecision, CallEnd, CallId, CallRequest, CallServer, RejectCause};
+use crate::retry::RetryPlan;
+use crate::servers::{FlyingCall, ServerSet};
 
-/// Place of a waiting call; the least goes first.
-type LineKey = (u32, u32, Moment, u64);
+/// Waiting calls that one poll passes over because they must not go to the servers that have places. Such calls
+/// are few, and looking through all of them would cost too much.
+const MOST_PASSED_OVER: usize = 32;
 
 #[derive(Clone, Debug)]
-struct ServerState {
-    server: CallServer,
-    /// Tells this state from a former one of the same id.
-    epoch: u64,
-    in_flight: u32,
+struct WaitingCall {
+    key: LineKey,
+    request: CallRequest,
+    arrived: Moment,
+    give_up: Moment,
 }
 
 #[derive(Clone, Debug)]
 enum CallState {
-    Waiting { key: LineKey, request: CallRequest, give_up: Moment },
-    InFlight { server: Name, epoch: u64 },
+    Waiting(Box<WaitingCall>),
+    Flying { call: FlyingCall, is_late: bool },
 }
 
 /// Decides where the calls of one plain service go, after which wait, and which are rejected.
 ///
 /// After each change ([`ask`](Self::ask), [`end`](Self::end), [`adopt`](Self::adopt),
-/// [`forget`](Self::forget), [`set_servers`](Self::set_servers)) and at [`next_due`](Self::next_due), call
-/// [`poll`](Self::poll) for what was decided for calls that wait.
+/// [`forget`](Self::forget), [`set_servers`](Self::set_servers), [`set_share`](Self::set_share)) and at
+/// [`next_due`](Self::next_due), call [`poll`](Self::poll) for what was decided for calls that wait.
 #[derive(Clone, Debug)]
 pub struct CallQueue {
-    policy: CallPolicy,
+    policy: Arc<CallPolicy>,
     random: SmallRng,
-    share: f64,
-    servers: BTreeMap<Name, ServerState>,
+    servers: ServerSet,
     calls: HashMap<CallId, CallState>,
-    line: BTreeMap<LineKey, CallId>,
+    line: WaitLine,
+    /// When the callers of waiting calls give up.
+    ends: BTreeSet<(Moment, CallId)>,
+    late_in_flight: usize,
+    /// Calls that arrived and could be on time.
+    arrivals: DecayedSum,
+    retries: RetryPlan,
     rejected: BTreeMap<RejectCause, u64>,
-    made: u64,
+    /// When the waits were predicted last.
+    checked: Moment,
+    /// Since when places may be free that waiting calls have not been offered.
+    offered: Option<Moment>,
 }
 
 impl CallQueue {
     /// A queue without servers. The seed sets the random spread of its choices.
     pub fn new(policy: CallPolicy, seed: u64) -> Self {
+        let policy = Arc::new(policy);
         Self {
-            policy,
             random: SmallRng::seed_from_u64(seed),
-            share: 1.0,
-            servers: BTreeMap::new(),
+            servers: ServerSet::new(Arc::clone(&policy)),
+            policy,
             calls: HashMap::new(),
-            line: BTreeMap::new(),
+            line: WaitLine::default(),
+            ends: BTreeSet::new(),
+            late_in_flight: 0,
+            arrivals: DecayedSum::default(),
+            retries: RetryPlan::default(),
             rejected: BTreeMap::new(),
-            made: 0,
+            checked: Moment::default(),
+            offered: None,
         }
     }
 
     /// Sets the backend servers that take calls. One that has started again begins without history, and the
-    /// calls in flight at its former start are forgotten.
-    pub fn set_servers(&mut self, servers: impl Iterator<Item = CallServer>, _now: Moment) {
-        let mut former = std::mem::take(&mut self.servers);
-        for server in servers {
-            let known = former.remove(&server.backend.id).filter(|state| {
-                !BackendStart::differ(state.server.backend.start, server.backend.start)
-            });
-            self.made += 1;
-            let made = self.made;
-            let state = match known {
-                Some(state) => ServerState { server, ..state },
-                None => ServerState { server, epoch: made, in_flight: 0 },
-            };
-            self.servers.insert(Name::clone(&state.server.backend.id), state);
-        }
+    /// calls in flight at its former start are forgotten. Those at a server that left count until they end.
+    pub fn set_servers(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) {
+        self.servers.set(servers, now);
+        // A server that left takes its capacity with it.
+        self.checked = Moment::default();
+        self.note_change(now);
     }
 
     /// Sets the part of the servers' limits that this queue may use; 1 for all.
     pub fn set_share(&mut self, share: f64) {
-        self.share = share.clamp(0.0, 1.0);
+        self.servers.set_share(share);
     }
 
-    /// Decides on a call, or lets it wait.
+    /// Decides on a call, or lets it wait. An id that is asked again stands for a new call.
     pub fn ask(&mut self, id: CallId, request: CallRequest, now: Moment) -> CallDecision {
         self.forget(id, now);
-        let excluded = |name: &Name| request.excluded.contains(name);
-        if self.servers.keys().all(excluded) {
-            return self.reject(RejectCause::NoServer, request.time_left);
+        if !self.servers.has_any(&request.excluded) {
+            return self.reject(RejectCause::NoServer, request.time_left, now);
+        }
+        let run = Duration::from_secs_f64(self.servers.latency().mean);
+        let opens = now + self.servers.opens_in(&request.excluded, now) + run;
+        let (objective, give_up) = (now + request.objective_left, now + request.time_left);
+        if opens > give_up || request.time_left.is_zero() {
+            return self.reject(RejectCause::NoRoom, request.time_left, now);
         }
-        if request.time_left.is_zero() {
-            return self.reject(RejectCause::NoRoom, request.time_left);
+        let is_late = opens > objective;
+        if !is_late {
+            self.arrivals.add(1.0, self.policy.arrival_memory, now);
         }
-        if let Some(backend) = self.send(id, &request) {
+        let may_send = if is_late {
+            self.line.len() == 0 && self.has_late_place(now)
+        } else {
+            self.line.on_time() == 0
+        };
+        if may_send && let Some(backend) = self.send(id, &request, is_late, now) {
             return CallDecision::Send { backend };
         }
-        self.made += 1;
-        let end = now + request.objective_left;
-        let key = (request.workspace_priority, request.priority, end, self.made);
-        self.line.insert(key, id);
-        let give_up = now + request.time_left;
-        self.calls.insert(id, CallState::Waiting { key, request, give_up });
+        let margin = self.policy.margin_at_ask;
+        let forecast = self.forecast(now);
+        let priorities = (request.workspace_priority, request.priority);
+        let due = objective.min(give_up);
+        let rank = LineRank::new(false, priorities, due);
+        let is_late = is_late || forecast.on_time_end(self.line.ahead(&rank), margin) > due;
+        let (rank, moment, due) = if is_late {
+            (LineRank::new(true, priorities, now), now, give_up)
+        } else {
+            (rank, due, due)
+        };
+        if is_late && forecast.late_end(self.line.ahead(&rank), margin) > give_up {
+            return self.reject(RejectCause::NoRoom, request.time_left, now);
+        }
+        let key = self.line.enter(rank, moment, id, due);
+        self.ends.insert((give_up, id));
+        let call = WaitingCall { key, request, arrived: now, give_up };
+        self.calls.insert(id, CallState::Waiting(Box::new(call)));
+        self.note_change(now);
         CallDecision::Wait
     }
 
-    /// Notes a call that another host decided and that has been in flight for `ran`.
+    /// Notes a call that another host decided and that has been in flight for `ran`. It counts against the
+    /// server's limit, and may exceed it.
     pub fn adopt(
         &mut self,
         id: CallId,
-        _request: CallRequest,
+        request: CallRequest,
         backend: StartedBackend,
-        _ran: Duration,
+        ran: Duration,
         now: Moment,
     ) {
         self.forget(id, now);
-        if let Some(state) = self.servers.get_mut(&backend.id)
-            && !BackendStart::differ(state.server.backend.start, backend.start)
+        if let Some(call) =
+            self.servers.adopt(backend, request.failure_domain, now.before(ran), now)
         {
-            state.in_flight += 1;
-            let call = CallState::InFlight { server: backend.id, epoch: state.epoch };
-            self.calls.insert(id, call);
+            self.calls.insert(id, CallState::Flying { call, is_late: false });
         }
     }
 
     /// Notes how a call ended, `took` after it was sent.
-    pub fn end(&mut self, id: CallId, _end: CallEnd, _took: Duration, now: Moment) {
-        self.forget(id, now);
+    pub fn end(&mut self, id: CallId, end: CallEnd, took: Duration, now: Moment) {
+        self.remove(id, Some((end, took)), now);
     }
 
     /// Forgets a call: its host is gone, or its caller has left.
-    pub fn forget(&mut self, id: CallId, _now: Moment) {
+    pub fn forget(&mut self, id: CallId, now: Moment) {
+        self.remove(id, None, now);
+    }
+
+    fn remove(&mut self, id: CallId, end: Option<(CallEnd, Duration)>, now: Moment) {
         match self.calls.remove(&id) {
-            Some(CallState::Waiting { key, .. }) => drop(self.line.remove(&key)),
-            Some(CallState::InFlight { server, epoch }) => {
-                if let Some(state) = self.servers.get_mut(&server)
-                    && state.epoch == epoch
-                {
-                    state.in_flight -= 1;
-                }
+            Some(CallState::Waiting(call)) => self.leave_line(id, &call),
+            Some(CallState::Flying { call, is_late }) => {
+                self.late_in_flight -= usize::from(is_late);
+                self.servers.end(&call, end, now);
+                self.note_change(now);
             }
             None => {}
         }
     }
 
+    fn leave_line(&mut self, id: CallId, call: &WaitingCall) {
+        self.line.leave(&call.key);
+        self.ends.remove(&(call.give_up, id));
+    }
+
     /// Decides on calls that wait. Never returns [`CallDecision::Wait`].
     pub fn poll(&mut self, now: Moment) -> Vec<(CallId, CallDecision)> {
         let mut decided = Vec::new();
-        for (key, id) in std::mem::take(&mut self.line) {
-            let Some(CallState::Waiting { request, give_up, .. }) = self.calls.get(&id).cloned()
-            else {
-                continue;
-            };
-            let left = give_up.since(now);
-            if left.is_zero() {
-                self.calls.remove(&id);
-                decided.push((id, self.reject(RejectCause::NoRoom, left)));
-            } else if let Some(backend) = self.send(id, &request) {
-                decided.push((id, CallDecision::Send { backend }));
-            } else {
-                self.line.insert(key, id);
-            }
+        if self.line.len() == 0 {
+            self.offered = None;
+            return decided;
         }
+        while let Some((give_up, id)) = self.ends.first().copied()
+            && give_up <= now
+        {
+            self.reject_waiting(id, now, &mut decided);
+        }
+        if now.since(self.checked) >= self.policy.recheck {
+            self.checked = now;
+            self.check_waits(now, &mut decided);
+        }
+        self.offer_places(false, now, &mut decided);
+        if self.line.on_time() == 0 {
+            self.offer_places(true, now, &mut decided);
+        }
+        self.offered = None;
         decided
     }
 
     /// When [`poll`](Self::poll) may decide something by time alone.
     pub fn next_due(&self) -> Option<Moment> {
-        let waiting = self.line.values().filter_map(|id| match self.calls.get(id) {
-            Some(CallState::Waiting { give_up, .. }) => Some(*give_up),
-            _ => None,
-        });
-        waiting.min()
+        let (give_up, _id) = self.ends.first()?;
+        let check = self.checked + self.policy.recheck;
+        Some(self.offered.unwrap_or(check.min(*give_up)))
     }
 
     /// How the queue stands.
-    pub fn read(&self, _now: Moment) -> CallReading {
-        let servers = self.servers.values().map(|state| ServerReading {
-            backend: state.server.backend.clone(),
-            limit: self.limit(&state.server),
-            in_flight: state.in_flight,
-            mean_latency: self.policy.assumed_latency,
-            is_blocked: false,
-        });
+    pub fn read(&self, now: Moment) -> CallReading {
         CallReading {
-            servers: servers.collect(),
+            servers: self.servers.read(now),
             waiting: self.line.len(),
             rejected: self.rejected.clone(),
         }
     }
 
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "limits are small")]
-    fn limit(&self, server: &CallServer) -> u32 {
-        let slots = f64::from(server.slots.unwrap_or(8));
-        let limit = slots + (slots * self.policy.extra_part).max(1.0);
-        ((limit.min(f64::from(server.most_connections)) * self.share) as u32).max(1)
+    /// Notes that places may have become free.
+    fn note_change(&mut self, now: Moment) {
+        self.offered.get_or_insert(now);
+    }
+
+    fn forecast(&self, now: Moment) -> WaitForecast {
+        let memory = self.policy.arrival_memory;
+        let arrivals = self.arrivals.read(memory, now) / memory.as_secs_f64();
+        let (survey, latency) = (self.servers.survey(now), self.servers.latency());
+        WaitForecast::new(
+            Arc::clone(&self.policy),
+            survey,
+            latency,
+            arrivals,
+            self.line.on_time(),
+            now,
+        )
     }
 
-    /// Sends a call to the server with the most room, if there is one.
-    fn send(&mut self, id: CallId, request: &CallRequest) -> Option<StartedBackend> {
-        let free = self.servers.values().filter(|state| {
-            state.in_flight < self.limit(&state.server)
-                && !request.excluded.contains(&state.server.backend.id)
+    /// Whether one more late call may be in flight beside the calls on time that are about to arrive.
+    #[expect(clippy::cast_precision_loss, reason = "calls in flight are counted in thousands")]
+    fn has_late_place(&self, now: Moment) -> bool {
+        (self.late_in_flight + 1) as f64 <= self.forecast(now).late_places()
+    }
+
+    /// Rejects waiting calls that are predicted to miss their time; those that miss only their objective are late
+    /// from now on.
+    fn check_waits(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
+        let (forecast, margin) = (self.forecast(now), self.policy.margin_waiting);
+        let failing = self.line.failing(|is_late, ahead| {
+            if is_late {
+                forecast.late_end(ahead, margin)
+            } else {
+                forecast.on_time_end(ahead, margin)
+            }
         });
-        let load = |state: &&ServerState| {
-            f64::from(state.in_flight + 1) / f64::from(self.limit(&state.server))
-        };
-        let chosen = free.min_by(|one, other| load(one).total_cmp(&load(other)))?;
-        let backend = chosen.server.backend.clone();
-        let state = self.servers.get_mut(&backend.id)?;
-        state.in_flight += 1;
-        let call = CallState::InFlight { server: Name::clone(&backend.id), epoch: state.epoch };
-        self.calls.insert(id, call);
+        for id in failing {
+            self.demote(id, &forecast, now, decided);
+        }
+    }
+
+    /// Makes a waiting call late, or rejects it.
+    fn demote(
+        &mut self,
+        id: CallId,
+        forecast: &WaitForecast,
+        now: Moment,
+        decided: &mut Vec<(CallId, CallDecision)>,
+    ) {
+        let Some(CallState::Waiting(call)) = self.calls.get_mut(&id) else { return };
+        let priorities = (call.request.workspace_priority, call.request.priority);
+        let rank = LineRank::new(true, priorities, call.arrived);
+        let end = forecast.late_end(self.line.ahead(&rank), self.policy.margin_waiting);
+        if call.key.rank.is_late || end > call.give_up {
+            self.reject_waiting(id, now, decided);
+            return;
+        }
+        self.line.leave(&call.key);
+        call.key = self.line.enter(rank, call.arrived, id, call.give_up);
+    }
+
+    /// Sends waiting calls, on time or late, while there are places for them.
+    fn offer_places(
+        &mut self,
+        is_late: bool,
+        now: Moment,
+        decided: &mut Vec<(CallId, CallDecision)>,
+    ) {
+        let (mut after, mut passed_over) = (None, 0);
+        while passed_over < MOST_PASSED_OVER
+            && (!is_late || self.has_late_place(now))
+            && let Some((key, id)) = self.line.next(is_late, after.as_ref())
+            && self.servers.has_place(now)
+        {
+            after = Some(key);
+            let Some(CallState::Waiting(call)) = self.calls.remove(&id) else { continue };
+            if let Some(backend) = self.send(id, &call.request, is_late, now) {
+                self.leave_line(id, &call);
+                decided.push((id, CallDecision::Send { backend }));
+            } else {
+                self.calls.insert(id, CallState::Waiting(call));
+                passed_over += 1;
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        id: CallId,
+        request: &CallRequest,
+        is_late: bool,
+        now: Moment,
+    ) -> Option<StartedBackend> {
+        let (backend, call) = self.servers.send(request, &mut self.random, now)?;
+        self.late_in_flight += usize::from(is_late);
+        self.calls.insert(id, CallState::Flying { call, is_late });
         Some(backend)
     }
 
-    fn reject(&mut self, cause: RejectCause, time_left: Duration) -> CallDecision {
+    fn reject_waiting(
+        &mut self,
+        id: CallId,
+        now: Moment,
+        decided: &mut Vec<(CallId, CallDecision)>,
+    ) {
+        if let Some(CallState::Waiting(call)) = self.calls.remove(&id) {
+            self.leave_line(id, &call);
+            let left = call.give_up.since(now);
+            decided.push((id, self.reject(RejectCause::NoRoom, left, now)));
+        }
+    }
+
+    fn reject(&mut self, cause: RejectCause, time_left: Duration, now: Moment) -> CallDecision {
         *self.rejected.entry(cause).or_default() += 1;
-        let part = self.policy.longest_retry_part * self.random.random_range(0.3..1.0);
-        CallDecision::Reject { cause, retry_after: time_left.mul_f64(part) }
+        let longest = time_left.mul_f64(self.policy.longest_retry_part);
+        let (longest, wait, rate) = match cause {
+            RejectCause::NoServer => (longest.min(self.policy.no_server_retry), longest, 0.0),
+            RejectCause::NoRoom => {
+                let forecast = self.forecast(now);
+                let run = Duration::from_secs_f64(self.servers.latency().mean);
+                (longest, forecast.backlog() + run, forecast.least_spare())
+            }
+        };
+        let retry_after = self.retries.next(wait, rate, longest, &mut self.random, now);
+        CallDecision::Reject { cause, retry_after }
     }
 }
--- /dev/null
+++ b/crates/dillspool_calls/tests/decisions.rs
@@ -0,0 +1,252 @@
+//! Properties of the queue under any order of calls, ends, servers and time.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use dillspool_calls::{
+    CallDecision, CallEnd, CallId, CallPolicy, CallQueue, CallRequest, CallServer,
+};
+use dillspool_cases::fixed_cases;
+use dillspool_moment::Moment;
+use dillspool_routing::{BackendStart, StartedBackend};
+use proptest::prelude::*;
+
+/// A step of a schedule. Servers are numbered from 0 to 3.
+#[derive(Clone, Debug)]
+enum Step {
+    Ask {
+        priority: u32,
+        objective_ms: u64,
+        time_ms: u64,
+        excluded: Option<u64>,
+        repeatable: bool,
+    },
+    Adopt {
+        server: u64,
+        ran_ms: u64,
+    },
+    End {
+        which: usize,
+        end: CallEnd,
+        took_ms: u64,
+    },
+    Forget {
+        which: usize,
+    },
+    /// Servers with their starts and slots; those of start 0 are absent.
+    Servers {
+        starts: [u64; 4],
+        slots: [Option<u32>; 4],
+    },
+    Share {
+        percent: u32,
+    },
+    Pass {
+        us: u64,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let end = prop_oneof![
+        6 => Just(CallEnd::Answered), 1 => Just(CallEnd::Failed), 1 => Just(CallEnd::NotRun),
+        1 => Just(CallEnd::NotSent), 1 => Just(CallEnd::Lost), 1 => Just(CallEnd::Abandoned),
+    ];
+    let slots = || proptest::option::weighted(0.8, 1_u32..8);
+    let ask = (0..3_u32, 0..300_u64, 0..1500_u64, proptest::option::of(0..4_u64), any::<bool>())
+        .prop_map(|(priority, objective_ms, time_ms, excluded, repeatable)| Step::Ask {
+            priority,
+            objective_ms,
+            time_ms,
+            excluded,
+            repeatable,
+        });
+    let step = prop_oneof![
+        12 => ask,
+        1 => (0..4_u64, 0..100_u64).prop_map(|(server, ran_ms)| Step::Adopt { server, ran_ms }),
+        9 => (any::<usize>(), end, 0..200_u64)
+            .prop_map(|(which, end, took_ms)| Step::End { which, end, took_ms }),
+        1 => any::<usize>().prop_map(|which| Step::Forget { which }),
+        1 => ([0..3_u64, 0..3, 0..3, 0..3], [slots(), slots(), slots(), slots()])
+            .prop_map(|(starts, slots)| Step::Servers { starts, slots }),
+        1 => (0..150_u32).prop_map(|percent| Step::Share { percent }),
+        6 => (0..60_000_u64).prop_map(|us| Step::Pass { us }),
+    ];
+    proptest::collection::vec(step, 1..250)
+}
+
+fn backend(server: u64, start: u64) -> StartedBackend {
+    let start = Some(BackendStart(start));
+    StartedBackend { id: format!("server-{server}").into(), start }
+}
+
+/// What the test knows of a call.
+struct KnownCall {
+    give_up: Moment,
+    excluded: Option<u64>,
+    /// Where it is in flight; `None` while it waits.
+    at: Option<StartedBackend>,
+}
+
+struct Checker {
+    queue: CallQueue,
+    now: Moment,
+    calls: BTreeMap<u64, KnownCall>,
+    /// Present servers, with the most calls that each may ever have.
+    servers: HashMap<StartedBackend, u32>,
+    asked: u64,
+}
+
+impl Checker {
+    fn in_flight(&self, at: &StartedBackend) -> u32 {
+        let count = self.calls.values().filter(|call| call.at.as_ref() == Some(at)).count();
+        u32::try_from(count).unwrap()
+    }
+
+    fn note(&mut self, id: u64, decision: CallDecision) {
+        let call = self.calls.get_mut(&id).expect("decided after it was over");
+        assert!(call.at.is_none(), "decided twice");
+        match decision {
+            CallDecision::Wait => {}
+            CallDecision::Reject { retry_after, .. } => {
+                assert!(retry_after <= call.give_up.since(self.now) / 3 + Duration::from_nanos(9));
+                self.calls.remove(&id);
+            }
+            CallDecision::Send { backend } => {
+                let excluded = call.excluded.map(|server| format!("server-{server}"));
+                assert_ne!(Some(&*backend.id), excluded.as_deref(), "sent where it must not go");
+                call.at = Some(backend.clone());
+                let count = self.in_flight(&backend);
+                let most = self.servers.get(&backend).expect("sent to a server that is absent");
+                assert!(count <= *most, "{count} in flight of {most}");
+                let reading = self.queue.read(self.now);
+                let limit = reading.servers.iter().find(|it| it.backend == backend).unwrap().limit;
+                assert!(count <= limit, "{count} in flight, limit {limit}");
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        for (id, decision) in self.queue.poll(self.now) {
+            assert_ne!(decision, CallDecision::Wait);
+            self.note(id.0, decision);
+        }
+        let waiting = self.calls.values().filter(|call| call.at.is_none());
+        assert_eq!(waiting.clone().count(), self.queue.read(self.now).waiting);
+        assert!(waiting.clone().all(|call| call.give_up > self.now), "held beyond its time");
+        for server in self.queue.read(self.now).servers {
+            assert_eq!(server.in_flight, self.in_flight(&server.backend));
+        }
+    }
+
+    /// Passes time as a caller does that polls when something is due.
+    fn pass(&mut self, until: Moment) {
+        while let Some(due) = self.queue.next_due().filter(|due| *due <= until) {
+            self.now = due.max(self.now);
+            self.poll();
+            assert!(self.queue.next_due().is_none_or(|due| due > self.now), "due without an end");
+        }
+        self.now = until;
+    }
+
+    fn request(step: (u32, u64, u64, Option<u64>, bool)) -> CallRequest {
+        let (priority, objective_ms, time_ms, excluded, is_repeatable) = step;
+        CallRequest {
+            workspace_priority: priority / 2,
+            priority: priority % 2,
+            failure_domain: "here".into(),
+            objective_left: Duration::from_millis(objective_ms),
+            time_left: Duration::from_millis(time_ms),
+            is_repeatable,
+            excluded: excluded.map(|server| backend(server, 0).id).into_iter().collect(),
+        }
+    }
+
+    fn enter(&mut self, time_ms: u64, excluded: Option<u64>, at: Option<StartedBackend>) -> u64 {
+        self.asked += 1;
+        let give_up = self.now + Duration::from_millis(time_ms);
+        self.calls.insert(self.asked, KnownCall { give_up, excluded, at });
+        self.asked
+    }
+
+    fn remove(&mut self, which: usize) -> Option<CallId> {
+        let id = *self.calls.keys().nth(which.checked_rem(self.calls.len())?)?;
+        self.calls.remove(&id);
+        Some(CallId(id))
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Ask { priority, objective_ms, time_ms, excluded, repeatable } => {
+                let id = self.enter(time_ms, excluded, None);
+                let terms = (priority, objective_ms, time_ms, excluded, repeatable);
+                let decision = self.queue.ask(CallId(id), Self::request(terms), self.now);
+                self.note(id, decision);
+            }
+            Step::Adopt { server, ran_ms } => {
+                let Some(at) = self.servers.keys().find(|it| it.id == backend(server, 0).id) else {
+                    return;
+                };
+                let at = at.clone();
+                let id = self.enter(0, None, Some(at.clone()));
+                let (request, ran) =
+                    (Self::request((0, 0, 0, None, false)), Duration::from_millis(ran_ms));
+                self.queue.adopt(CallId(id), request, at, ran, self.now);
+            }
+            Step::End { which, end, took_ms } => {
+                if let Some(id) = self.remove(which) {
+                    self.queue.end(id, end, Duration::from_millis(took_ms), self.now);
+                }
+            }
+            Step::Forget { which } => {
+                if let Some(id) = self.remove(which) {
+                    self.queue.forget(id, self.now);
+                }
+            }
+            Step::Servers { starts, slots } => self.set_servers(starts, slots),
+            Step::Share { percent } => self.queue.set_share(f64::from(percent) / 100.0),
+            Step::Pass { us } => self.pass(self.now + Duration::from_micros(us)),
+        }
+        self.poll();
+    }
+
+    fn set_servers(&mut self, starts: [u64; 4], slots: [Option<u32>; 4]) {
+        let present = (0..4).zip(starts).zip(slots).filter(|((_server, start), _slots)| *start > 0);
+        let servers = present.map(|((server, start), slots)| CallServer {
+            backend: backend(server, start),
+            failure_domain: if server < 2 { "here".into() } else { "there".into() },
+            slots,
+            most_connections: 9,
+        });
+        let servers: Vec<CallServer> = servers.collect();
+        let most = |slots: Option<u32>| slots.map_or(9, |it| (it + (it / 4).max(1)).min(9));
+        self.servers = servers.iter().map(|it| (it.backend.clone(), most(it.slots))).collect();
+        // Calls at a former start are forgotten, also if that start is named again.
+        for at in self.calls.values_mut().filter_map(|call| call.at.as_mut()) {
+            if servers.iter().any(|it| it.backend.id == at.id && it.backend.start != at.start) {
+                at.start = None;
+            }
+        }
+        self.queue.set_servers(servers.into_iter(), self.now);
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(400))]
+
+    /// Guards against a call that is decided twice or after its end, a limit that is exceeded, a call that is
+    /// held until its caller has given up, and a queue that is due at once without an end.
+    #[test]
+    fn each_call_is_decided_once_and_in_time(steps in steps()) {
+        let queue = CallQueue::new(CallPolicy::default(), 7);
+        let now = Moment::after_origin(Duration::from_secs(5));
+        let (calls, servers) = (BTreeMap::new(), HashMap::new());
+        let mut checker = Checker { queue, now, calls, servers, asked: 0 };
+        checker.set_servers([1; 4], [Some(2), Some(6), None, Some(1)]);
+        for step in steps {
+            checker.step(step);
+        }
+        let end = checker.now + Duration::from_secs(2);
+        checker.pass(end);
+        prop_assert!(checker.calls.values().all(|call| call.at.is_some()), "never decided");
+    }
+}
