Failure table of the links on which one host decides on calls

Cause: each row of the failure table of docs/HARD-LOAD.md, part C, needs a test.

Change: call_links.rs plays each failure with three hosts over the network in memory: a silent, lost or new deciding host, two of them, a killed, frozen or stopped host, callers that leave, servers that restart or drain.

--- /dev/null
+++ b/crates/dillspool_scheduler/tests/call_links.rs
@@ -0,0 +1,513 @@
+//! Hosts that ask the one that decides on the calls of a service, and what each failure of the table in
+//! `docs/HARD-LOAD.md` does to them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_admission::AdmissionPolicy;
+use dillspool_calls::{CallDecision, CallEnd, CallRequest, RejectCause};
+use dillspool_capacity::DemandMeter;
+use dillspool_cases::{ClockJumps, run_paused};
+use dillspool_io::{HostClock, LinkMode, MemoryNet};
+use dillspool_routing::{
+    BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, RouteTable,
+    RoutingConfig, ServiceEntry,
+};
+use dillspool_scheduler::{
+    BusHandlers, CallClient, CallDesk, CallTerms, CallTicket, FleetBus, LimitDesk, PoolDesk,
+    ScheduleDesks, SchedulePeers, serve_schedule,
+};
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, join_all};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const SERVICE: &str = "service";
+/// Time within which a host decides by itself when the deciding one is silent.
+const DECIDED_WITHIN: Duration = Duration::from_millis(45);
+/// Time within which a host that lost its link has another one.
+const LINKED_WITHIN: Duration = Duration::from_millis(1_900);
+/// Silence after which a host counts as gone, and some round trips.
+const GONE_WITHIN: Duration = Duration::from_millis(1_500);
+
+fn address(host: u8) -> SocketAddr {
+    format!("10.0.0.{host}:7661").parse().expect("an address")
+}
+
+fn config() -> RoutingConfig {
+    let service = ServiceEntry {
+        name: SERVICE.into(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine: None,
+    };
+    let limits = ClientLimits {
+        head_bytes: 16_384,
+        body_bytes: 65_536,
+        head_timeout: Duration::from_secs(2),
+        idle_timeout: Duration::from_secs(10),
+    };
+    let services = BTreeMap::from([(SERVICE.into(), service)]);
+    RoutingConfig { version: 1, routes: RouteTable::default(), services, workspaces: None, limits }
+}
+
+fn entry(id: &str) -> BackendEntry {
+    BackendEntry {
+        id: id.into(),
+        start: Some(BackendStart(1)),
+        service: SERVICE.into(),
+        address: ([10, 0, 1, 1], 9).into(),
+        failure_domain: id.into(),
+        state: BackendState::Ready,
+        stage: None,
+        slots: Some(6),
+    }
+}
+
+fn view(entries: impl IntoIterator<Item = BackendEntry>) -> DirectoryView {
+    let entries = entries.into_iter().map(|entry| (Arc::clone(&entry.id), Arc::new(entry)));
+    DirectoryView { version: 1.into(), entries: entries.collect(), ..DirectoryView::default() }
+}
+
+fn request() -> CallRequest {
+    CallRequest {
+        workspace_priority: 0,
+        priority: 1,
+        failure_domain: "domain".into(),
+        objective_left: Duration::from_secs(5),
+        time_left: Duration::from_secs(5),
+        is_repeatable: false,
+        excluded: Vec::new(),
+    }
+}
+
+/// A host with its own desk, which serves others and asks the first in the order that answers.
+struct TestHost {
+    desk: CallDesk,
+    client: CallClient,
+    cancel: CancellationToken,
+    jumps: ClockJumps,
+    view: watch::Sender<Arc<DirectoryView>>,
+    _config: watch::Sender<Option<Arc<RoutingConfig>>>,
+}
+
+impl TestHost {
+    async fn start(net: &MemoryNet, host: u8, order: &[u8], slots_per_host: f64) -> Self {
+        let stack = net.stack(address(host).ip());
+        let cancel = CancellationToken::new();
+        let jumps = ClockJumps::default();
+        let terms = CallTerms { slots_per_host, ..CallTerms::default() };
+        let desk = CallDesk::new(terms, u64::from(host), jumps.clock());
+        let (config_sender, known) = watch::channel(Some(Arc::new(config())));
+        let (view_sender, directory) = watch::channel(Arc::new(view([entry("a"), entry("b")])));
+        tokio::spawn(desk.clone().run(known, directory, || Some(3), cancel.clone()));
+        let listener = stack.listen(address(host)).await.expect("a free address");
+        tokio::spawn(serve_schedule(listener, desks(&desk), cancel.clone()));
+        let client = CallClient::new(desk.clone());
+        let ranked: Vec<_> = order.iter().map(|host| address(*host)).collect();
+        let own = Some(address(host));
+        let peers = move |_service: &str| SchedulePeers { own, ranked: ranked.clone() };
+        let name = format!("host-{host}").into();
+        tokio::spawn(client.clone().run(stack, name, peers, || Some(3), cancel.clone()));
+        Self { desk, client, cancel, jumps, view: view_sender, _config: config_sender }
+    }
+
+    async fn ask(&self) -> (CallTicket, Option<CallDecision>) {
+        let mut ticket = self.client.open(&SERVICE.into());
+        let decision = ticket.ask(&request()).await;
+        (ticket, decision)
+    }
+
+    /// Asks so many calls at once; the tickets of those that are sent within a time, and no others.
+    async fn take(&self, calls: usize, within: Duration) -> Vec<CallTicket> {
+        let ask = async || match tokio::time::timeout(within, self.ask()).await {
+            Ok((ticket, Some(CallDecision::Send { .. }))) => Some(ticket),
+            Ok(_) | Err(_) => None,
+        };
+        join_all((0..calls).map(|_call| ask())).await.into_iter().flatten().collect()
+    }
+
+    /// Calls in flight by this host's decisions, and as many as may be.
+    fn in_flight(&self) -> (u32, u32) {
+        let readings = self.desk.read();
+        let servers = readings.iter().flat_map(|(_service, reading)| &reading.servers);
+        servers.fold((0, 0), |sums, server| (sums.0 + server.in_flight, sums.1 + server.limit))
+    }
+
+    fn waiting(&self) -> usize {
+        self.desk.read().iter().map(|(_service, reading)| reading.waiting).sum()
+    }
+}
+
+fn desks(calls: &CallDesk) -> ScheduleDesks {
+    let pools =
+        PoolDesk::new(AdmissionPolicy::default(), 1, DemandMeter::default(), HostClock::steady());
+    ScheduleDesks {
+        pools,
+        limits: LimitDesk::of_backend_servers(1, HostClock::steady()),
+        backend_limits: LimitDesk::of_backend_servers(1, HostClock::steady()),
+        calls: calls.clone(),
+        bus: FleetBus::new(BusHandlers::none(), HostClock::steady()),
+    }
+}
+
+/// Three hosts, of which the first decides.
+struct TestFleet {
+    net: MemoryNet,
+    hosts: Vec<TestHost>,
+}
+
+impl TestFleet {
+    async fn start() -> Self {
+        let net = MemoryNet::new();
+        let mut hosts = Vec::new();
+        for host in 1..=3 {
+            hosts.push(TestHost::start(&net, host, &[1, 2, 3], 10.0).await);
+        }
+        pass(1_000).await;
+        Self { net, hosts }
+    }
+
+    fn set_links(&self, one: u8, others: &[u8], mode: LinkMode) {
+        for other in others {
+            self.net.set_link(address(one).ip(), address(*other).ip(), mode);
+        }
+    }
+
+    /// All places of the deciding host.
+    fn limit(&self) -> usize {
+        self.hosts[0].in_flight().1 as usize
+    }
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// What goes other than it should.
+type Faults = Vec<String>;
+
+fn fault_if(is_fault: bool, text: impl FnOnce() -> String) -> Faults {
+    if is_fault { vec![text()] } else { Vec::new() }
+}
+
+struct FailureCase {
+    name: &'static str,
+    play: fn(TestFleet) -> BoxFuture<'static, Faults>,
+}
+
+const FAILURES: [FailureCase; 11] = [
+    FailureCase {
+        name: "the deciding host is silent",
+        play: |fleet| decider_away(fleet, LinkMode::Frozen).boxed(),
+    },
+    FailureCase {
+        name: "the link to the deciding host is lost",
+        play: |fleet| decider_away(fleet, LinkMode::Cut).boxed(),
+    },
+    FailureCase { name: "the deciding host is new", play: |fleet| new_decider(fleet).boxed() },
+    FailureCase { name: "two deciding hosts at once", play: |fleet| two_deciders(fleet).boxed() },
+    FailureCase {
+        name: "a host is killed with calls in flight",
+        play: |fleet| host_gone(fleet, true, Duration::from_millis(5)).boxed(),
+    },
+    FailureCase {
+        name: "a host is frozen with calls in flight",
+        play: |fleet| host_gone(fleet, false, GONE_WITHIN).boxed(),
+    },
+    FailureCase {
+        name: "a host freezes and resumes while a call waits",
+        play: |fleet| freeze_in_queue(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a host freezes and resumes with a decision",
+        play: |fleet| freeze_with_decision(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a caller leaves while it waits, or before its decision",
+        play: |fleet| callers_leave(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a server is restarted under its id",
+        play: |fleet| server_restarts(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a server is draining, or in a drained failure domain",
+        play: |fleet| servers_drain(fleet).boxed(),
+    },
+];
+
+#[test]
+fn each_failure_has_its_behaviour() {
+    let mut faults = Vec::new();
+    for case in &FAILURES {
+        let found = run_paused(async { (case.play)(TestFleet::start().await).await });
+        faults.extend(found.into_iter().map(|fault| format!("{}: {fault}", case.name)));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// This host decides at once, with its part of the limits, until another link is established.
+async fn decider_away(fleet: TestFleet, mode: LinkMode) -> Faults {
+    let limit = fleet.limit();
+    fleet.set_links(1, &[2, 3], mode);
+    let asked = Instant::now();
+    let own = fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await;
+    let took = asked.elapsed();
+    // Two thirds of the limit of each of both servers.
+    let share = limit.div_ceil(3) * 2;
+    let mut faults = fault_if(own.is_empty() || own.len() > share, || {
+        format!("{} of {limit} places taken alone after {took:?}", own.len())
+    });
+    drop(own);
+    tokio::time::sleep(LINKED_WITHIN).await;
+    let linked = fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await;
+    let (in_flight, _limit) = fleet.hosts[1].in_flight();
+    faults.extend(fault_if(linked.len() != limit || in_flight as usize != limit, || {
+        format!("{} of {limit} sent by another link, {in_flight} known there", linked.len())
+    }));
+    faults
+}
+
+/// Hosts report the calls that they have in flight, also those that they decided alone.
+async fn new_decider(fleet: TestFleet) -> Faults {
+    let before = fleet.hosts[2].take(3, DECIDED_WITHIN).await;
+    fleet.hosts[0].cancel.cancel();
+    let alone = fleet.hosts[2].take(2, DECIDED_WITHIN).await;
+    tokio::time::sleep(LINKED_WITHIN).await;
+    let (in_flight, limit) = fleet.hosts[1].in_flight();
+    let mut faults = fault_if(before.len() + alone.len() != 5 || in_flight != 5, || {
+        format!("{} and {} held, {in_flight} reported", before.len(), alone.len())
+    });
+    let more = fleet.hosts[2].take(3 * limit as usize, DECIDED_WITHIN).await;
+    faults.extend(fault_if(more.len() + 5 != limit as usize, || {
+        format!("{} sent beside 5 with a limit of {limit}", more.len())
+    }));
+    drop((before, alone, more));
+    pass(20).await;
+    let (in_flight, _limit) = fleet.hosts[1].in_flight();
+    faults.extend(fault_if(in_flight != 0, || format!("{in_flight} left after their end")));
+    faults
+}
+
+/// Each deciding host uses up to the whole limit of a server.
+async fn two_deciders(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    fleet.set_links(1, &[3], LinkMode::Cut);
+    tokio::time::sleep(LINKED_WITHIN).await;
+    let (one, other) = (
+        fleet.hosts[1].take(3 * limit, DECIDED_WITHIN).await,
+        fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await,
+    );
+    let sent = (one.len(), other.len());
+    fault_if(sent != (limit, limit), || format!("{sent:?} sent, {limit} by each expected"))
+}
+
+/// The calls of a host that is gone are forgotten, at once or after its silence.
+async fn host_gone(fleet: TestFleet, is_killed: bool, within: Duration) -> Faults {
+    let limit = fleet.limit();
+    let held = fleet.hosts[2].take(limit, DECIDED_WITHIN).await;
+    if is_killed {
+        fleet.hosts[2].cancel.cancel();
+    } else {
+        fleet.set_links(3, &[1, 2], LinkMode::Frozen);
+    }
+    let decided = tokio::time::timeout(within, fleet.hosts[1].ask()).await;
+    let is_sent = matches!(decided, Ok((_, Some(CallDecision::Send { .. }))));
+    fault_if(held.len() != limit || !is_sent, || {
+        format!("{} of {limit} places held, sent in their stead: {is_sent}", held.len())
+    })
+}
+
+/// The clock of a host that was stopped for a while has gone on; a decision that came meanwhile is old.
+async fn freeze_in_queue(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    let mut held = fleet.hosts[1].take(limit, DECIDED_WITHIN).await;
+    let waits = fleet.hosts[2].ask();
+    let stop = async {
+        pass(50).await;
+        fleet.hosts[2].jumps.suspend(Duration::from_millis(200));
+        // A place is free, and the waiting call gets it while its host is stopped.
+        held.pop();
+    };
+    let ((ticket, decision), ()) = futures_util::future::join(waits, stop).await;
+    let is_sent = matches!(decision, Some(CallDecision::Send { .. }));
+    pass(20).await;
+    let (in_flight, _limit) = fleet.hosts[0].in_flight();
+    let mut faults = fault_if(!is_sent || in_flight as usize != limit, || {
+        format!("sent {is_sent}, {in_flight} of {limit} in flight: the old decision keeps a place")
+    });
+    // The old decision came to a call that had waited; the new one found the place free.
+    faults.extend(fault_if(ticket.queued_for().is_some(), || "no new question".to_owned()));
+    faults
+}
+
+/// A decision that this host has had for a while before it can follow it is old.
+async fn freeze_with_decision(fleet: TestFleet) -> Faults {
+    let (ticket, _decision) = fleet.hosts[2].ask().await;
+    let mut faults = fault_if(!ticket.is_fresh(), || "old at once".to_owned());
+    fleet.hosts[2].jumps.suspend(Duration::from_millis(81));
+    faults.extend(fault_if(ticket.is_fresh(), || "still fresh".to_owned()));
+    faults
+}
+
+/// A caller that leaves leaves the queue at once, and a decision that crosses its leaving holds no place.
+async fn callers_leave(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    let held = fleet.hosts[1].take(limit, DECIDED_WITHIN).await;
+    let waited = fleet.hosts[2].take(4, Duration::from_millis(20)).await;
+    pass(5).await;
+    let mut faults = fault_if(!waited.is_empty() || fleet.hosts[0].waiting() != 0, || {
+        format!("{} wait after their callers left", fleet.hosts[0].waiting())
+    });
+    drop(held);
+    pass(5).await;
+    // Its question is on the way when it leaves.
+    let asking = fleet.hosts[2].ask();
+    let left = asking.now_or_never().is_none();
+    pass(50).await;
+    let (in_flight, _limit) = fleet.hosts[0].in_flight();
+    faults.extend(fault_if(!left || in_flight != 0, || {
+        format!("left {left}, {in_flight} in flight for nobody")
+    }));
+    faults
+}
+
+/// Calls in flight at the former start are forgotten.
+async fn server_restarts(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    let held = fleet.hosts[2].take(limit, DECIDED_WITHIN).await;
+    let again = ["a", "b"].map(|id| BackendEntry { start: Some(BackendStart(2)), ..entry(id) });
+    fleet.hosts[0].view.send_replace(Arc::new(view(again)));
+    pass(10).await;
+    let more = fleet.hosts[1].take(limit, DECIDED_WITHIN).await;
+    let mut faults = fault_if(held.len() != limit || more.len() != limit, || {
+        format!("{} before, {} after, {limit} each expected", held.len(), more.len())
+    });
+    drop(held);
+    pass(20).await;
+    let (in_flight, _limit) = fleet.hosts[0].in_flight();
+    faults.extend(fault_if(in_flight as usize != limit, || {
+        format!("{in_flight} in flight: ends of the former start count for the new one")
+    }));
+    faults
+}
+
+/// A server that takes nothing new gets nothing; without any other one calls are rejected at once.
+async fn servers_drain(fleet: TestFleet) -> Faults {
+    let draining = BackendEntry { state: BackendState::Draining, ..entry("a") };
+    let mut changed = view([draining, entry("b")]);
+    fleet.hosts[0].view.send_replace(Arc::new(changed.clone()));
+    pass(10).await;
+    let mut faults = Vec::new();
+    for _call in 0..4 {
+        let (_ticket, decision) = fleet.hosts[2].ask().await;
+        let to_b = matches!(&decision, Some(CallDecision::Send { backend }) if &*backend.id == "b");
+        faults.extend(fault_if(!to_b, || format!("{decision:?} beside a draining server")));
+    }
+    changed.drained.insert("b".into());
+    fleet.hosts[0].view.send_replace(Arc::new(changed));
+    pass(10).await;
+    let (_ticket, decision) = fleet.hosts[2].ask().await;
+    let is_rejected =
+        matches!(decision, Some(CallDecision::Reject { cause: RejectCause::NoServer, .. }));
+    faults.extend(fault_if(!is_rejected, || format!("{decision:?} without a server")));
+    faults
+}
+
+/// A call that waits is rejected once no place can become free in its time, not at its deadline.
+#[test]
+fn a_call_without_hope_is_rejected_before_its_deadline() {
+    run_paused(async {
+        let fleet = TestFleet::start().await;
+        let _held = fleet.hosts[1].take(fleet.limit(), DECIDED_WITHIN).await;
+        let mut ticket = fleet.hosts[2].client.open(&SERVICE.into());
+        let short = Duration::from_millis(300);
+        let asked = Instant::now();
+        let hurried = CallRequest { objective_left: short / 2, time_left: short, ..request() };
+        let decision = ticket.ask(&hurried).await;
+        assert!(matches!(decision, Some(CallDecision::Reject { .. })), "{decision:?}");
+        assert!(asked.elapsed() <= short, "{:?}", asked.elapsed());
+    });
+}
+
+/// Calls that end are told to the deciding host with their outcome, wherever they were asked.
+#[test]
+fn places_are_free_after_each_kind_of_end() {
+    let ends = [
+        CallEnd::Answered,
+        CallEnd::Failed,
+        CallEnd::NotRun,
+        CallEnd::NotSent,
+        CallEnd::Lost,
+        CallEnd::Abandoned,
+    ];
+    run_paused(async {
+        let fleet = TestFleet::start().await;
+        for end in ends {
+            for host in &fleet.hosts {
+                let (mut ticket, decision) = host.ask().await;
+                assert!(matches!(decision, Some(CallDecision::Send { .. })), "{end:?}");
+                assert_eq!(fleet.hosts[0].in_flight().0, 1, "{end:?}");
+                ticket.end(end, Duration::from_millis(30));
+                pass(5).await;
+                assert_eq!(fleet.hosts[0].in_flight().0, 0, "{end:?}");
+            }
+            // Failures leave a server out for a while.
+            pass(10_000).await;
+        }
+    });
+}
+
+struct SwitchCase {
+    /// Slots of both servers, one after another.
+    slots: &'static [u32],
+    /// Whether one host decides after each.
+    decided: &'static [bool],
+}
+
+/// A server that leaves and comes back does not switch a service back and forth.
+#[test]
+fn one_host_decides_where_slots_are_few() {
+    // Three hosts of ten slots each: below 30 one decides, from 36 on each by itself.
+    let cases = [
+        SwitchCase { slots: &[15], decided: &[false] },
+        SwitchCase { slots: &[14], decided: &[true] },
+        SwitchCase { slots: &[14, 17, 18], decided: &[true, true, false] },
+        SwitchCase { slots: &[18, 17, 15, 14], decided: &[false, false, false, true] },
+    ];
+    for case in &cases {
+        run_paused(async {
+            let host = TestHost::start(&MemoryNet::new(), 1, &[1], 10.0).await;
+            for (slots, decided) in case.slots.iter().zip(case.decided) {
+                let some = |id| BackendEntry { slots: Some(*slots), ..entry(id) };
+                host.view.send_replace(Arc::new(view([some("a"), some("b")])));
+                pass(10).await;
+                assert_eq!(host.desk.is_scheduled(SERVICE), *decided, "{:?}: {slots}", case.slots);
+            }
+            // Nothing is known of the service while it has no server.
+            let before = host.desk.is_scheduled(SERVICE);
+            host.view.send_replace(Arc::new(view([])));
+            pass(10).await;
+            assert_eq!(host.desk.is_scheduled(SERVICE), before, "{:?}", case.slots);
+        });
+    }
+}
+
+/// Where the setting is 0 a ticket decides nothing, and no host asks another one.
+#[test]
+fn nothing_is_decided_where_the_setting_is_zero() {
+    run_paused(async {
+        let net = MemoryNet::new();
+        let deciding = TestHost::start(&net, 1, &[1, 2], 0.0).await;
+        let host = TestHost::start(&net, 2, &[1, 2], 0.0).await;
+        pass(2_000).await;
+        let (ticket, decision) = host.ask().await;
+        assert!(!ticket.is_scheduled());
+        assert_eq!(decision, None);
+        assert!(deciding.desk.read().is_empty(), "no queue is made");
+    });
+}
