Tests of the path of calls on which one host decides

Cause: a place that is not freed on one of the ways out of a call is lost to all hosts, and a decision must not go before what this host knows of a server.

Change: decided.rs plays each way out with the setting off, with slots enough and with one host deciding, callers that leave, calls without room, the retry budget, and a table of what this host knows beside the decision.

--- /dev/null
+++ b/crates/dillspool_forward/tests/decided.rs
@@ -0,0 +1,334 @@
+//! Calls of a plain service on which one host decides: every way out frees their places, and what this host knows
+//! goes before the decision.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{ScriptedSite, Step, entry, request, view};
+use dillspool_forward::{BudgetTerms, ForwardContext, RetryBudgets, answer_request};
+use dillspool_io::HostClock;
+use dillspool_routing::RequestKind::{Idempotent, NonIdempotent};
+use dillspool_routing::{
+    BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, RequestKind, RouteTable,
+    RoutingConfig, ServiceEntry, StartedBackend,
+};
+use dillspool_scheduler::{CallClient, CallDesk, CallTerms};
+use dillspool_throttle::{RateNotice, RestNotice};
+use hyper::header::RETRY_AFTER;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+fn config() -> RoutingConfig {
+    let service = ServiceEntry {
+        name: "service".into(),
+        health_path: "/health".into(),
+        max_connections: 100,
+        engine: None,
+    };
+    let limits = ClientLimits {
+        head_bytes: 16_384,
+        body_bytes: 65_536,
+        head_timeout: Duration::from_secs(2),
+        idle_timeout: Duration::from_secs(10),
+    };
+    let services = BTreeMap::from([("service".into(), service)]);
+    RoutingConfig { version: 1, routes: RouteTable::default(), services, workspaces: None, limits }
+}
+
+/// A server with two slots, which takes three calls at a time.
+fn small(id: &str, domain: &str) -> BackendEntry {
+    BackendEntry { slots: Some(2), start: Some(BackendStart(1)), ..entry(id, domain, None) }
+}
+
+/// A host that decides by its own desk, and what the desk knows.
+struct DecidingHost {
+    context: ForwardContext,
+    desk: CallDesk,
+    desk_view: watch::Sender<Arc<DirectoryView>>,
+    directory: watch::Sender<Arc<DirectoryView>>,
+    _config: watch::Sender<Option<Arc<RoutingConfig>>>,
+}
+
+impl DecidingHost {
+    async fn start(site: &ScriptedSite, known: DirectoryView, slots_per_host: f64) -> Self {
+        let (mut context, directory) = site.context(known.clone());
+        let terms = CallTerms { slots_per_host, ..CallTerms::default() };
+        let desk = CallDesk::new(terms, 1, HostClock::steady());
+        let (config_sender, config) = watch::channel(Some(Arc::new(config())));
+        let (desk_view, views) = watch::channel(Arc::new(known));
+        tokio::spawn(desk.clone().run(config, views, || Some(3), CancellationToken::new()));
+        context.call_client = CallClient::new(desk.clone());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        Self { context, desk, desk_view, directory, _config: config_sender }
+    }
+
+    /// Calls that wait or are in flight.
+    fn held(&self) -> usize {
+        let readings = self.desk.read();
+        let count = readings.iter().map(|(_service, reading)| {
+            let in_flight: u32 = reading.servers.iter().map(|server| server.in_flight).sum();
+            reading.waiting + in_flight as usize
+        });
+        count.sum()
+    }
+}
+
+struct PathCase {
+    name: &'static str,
+    kind: RequestKind,
+    max_attempts: u32,
+    /// What the near backend server does; the far one always answers.
+    first: Step,
+    status: u16,
+    /// Requests that reached a backend server.
+    arrivals: usize,
+    retry_after: bool,
+}
+
+/// The same answers as those of each host by itself: what may be sent again is not the deciding host's to say.
+#[tokio::test(start_paused = true)]
+async fn each_way_out_frees_the_place() {
+    let case = |name, kind, max_attempts, first, status, arrivals, retry_after| PathCase {
+        name,
+        kind,
+        max_attempts,
+        first,
+        status,
+        arrivals,
+        retry_after,
+    };
+    let cases = [
+        case("answered", NonIdempotent, 1, Step::Answer(200, "ok"), 200, 1, false),
+        case("own failure, unrepeatable", NonIdempotent, 2, Step::Answer(500, "no"), 500, 1, false),
+        case("own failure, repeatable", Idempotent, 2, Step::Answer(500, "no"), 200, 2, false),
+        case("own failure, one attempt", Idempotent, 1, Step::Answer(500, "no"), 500, 1, false),
+        case("a caller's failure", Idempotent, 2, Step::Answer(404, "no"), 404, 1, false),
+        case("not run, one attempt", NonIdempotent, 1, Step::NotRun(503), 503, 1, true),
+        case("not run, two attempts", NonIdempotent, 2, Step::NotRun(503), 200, 2, false),
+        case("unreachable", NonIdempotent, 1, Step::Unreachable, 200, 1, false),
+        case("lost, unrepeatable", NonIdempotent, 2, Step::Lost, 502, 1, false),
+        case("lost, repeatable", Idempotent, 2, Step::Lost, 200, 2, false),
+        case("silent, unrepeatable", NonIdempotent, 2, Step::Silent, 504, 1, false),
+        case("silent, repeatable", Idempotent, 2, Step::Silent, 200, 2, false),
+        case("cut short, unrepeatable", NonIdempotent, 2, Step::Broken(vec!["o"]), 502, 1, false),
+        case("cut short, repeatable", Idempotent, 2, Step::Broken(vec!["o"]), 200, 2, false),
+    ];
+    // Off; on, where the service has slots enough for three hosts; and on, where it has not.
+    for (slots_per_host, is_decided) in [(0.0, false), (1.0, false), (10.0, true)] {
+        for case in &cases {
+            let name = format!("{} at {slots_per_host} slots a host", case.name);
+            let site = ScriptedSite::default();
+            site.script("first", [case.first.clone()]);
+            let known = view([small("first", "near"), small("second", "far")]);
+            let host = DecidingHost::start(&site, known, slots_per_host).await;
+            assert_eq!(host.desk.is_scheduled("service"), is_decided, "{name}");
+            let routed = request(case.kind, case.max_attempts, false);
+            let answer = answer_request(host.context.clone(), routed).await;
+            assert_eq!(answer.status().as_u16(), case.status, "{name}");
+            assert_eq!(answer.headers().contains_key(RETRY_AFTER), case.retry_after, "{name}");
+            let record = site.record.lock().unwrap();
+            assert_eq!(record.arrivals.len(), case.arrivals, "{name}");
+            assert_eq!(host.held(), 0, "{name}: a place stays taken");
+            assert_eq!(host.desk.read().is_empty(), !is_decided, "{name}: a queue without a use");
+        }
+    }
+}
+
+/// A caller that leaves while its call runs frees the place, and one that leaves while it waits leaves the queue.
+#[tokio::test(start_paused = true)]
+async fn callers_that_leave_hold_nothing() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Silent]);
+    let host = DecidingHost::start(&site, view([small("first", "near")]), 10.0).await;
+    let mut callers: Vec<_> = (0..8)
+        .map(|_caller| {
+            let answer = answer_request(host.context.clone(), request(NonIdempotent, 1, false));
+            tokio::spawn(answer)
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    let sent = site.record.lock().unwrap().arrivals.len();
+    assert_eq!((sent, host.held()), (3, 8));
+    while let Some(caller) = callers.pop() {
+        caller.abort();
+        let _aborted = caller.await;
+        assert_eq!(host.held(), callers.len());
+    }
+    // The last waiting calls left first, so nothing was sent in their stead.
+    assert_eq!(site.record.lock().unwrap().arrivals.len(), 3);
+}
+
+/// Calls without hope of a place are refused before their time is over, and say when to come back.
+#[tokio::test(start_paused = true)]
+async fn calls_without_room_are_refused_and_not_sent() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Silent]);
+    let host = DecidingHost::start(&site, view([small("first", "near")]), 10.0).await;
+    let began = Instant::now();
+    let callers = (0..20).map(|_caller| async {
+        let answer = answer_request(host.context.clone(), request(NonIdempotent, 1, false)).await;
+        let invites = answer.headers().contains_key(RETRY_AFTER);
+        (answer.status().as_u16(), invites, began.elapsed())
+    });
+    let answers = futures_util::future::join_all(callers).await;
+    let sent = site.record.lock().unwrap().arrivals.len();
+    let refused: Vec<_> = answers.iter().filter(|(status, _, _)| *status == 503).collect();
+    assert_eq!((sent, refused.len()), (3, 17), "{answers:?}");
+    // Three seconds are the callers' own time.
+    let held_up = |(_, invites, took): &&&(u16, bool, Duration)| {
+        !invites || *took >= Duration::from_millis(2_900)
+    };
+    assert_eq!(refused.iter().filter(held_up).count(), 0, "{answers:?}");
+    assert_eq!(host.held(), 0);
+}
+
+/// What differs between this host and the one that decides.
+struct KnowledgeCase {
+    name: &'static str,
+    /// What the deciding host knows beside both servers being ready.
+    decider: fn(&mut DirectoryView),
+    /// The same of this host.
+    own: fn(&mut DirectoryView),
+    /// Servers that want nothing from this host.
+    resting: &'static [&'static str],
+    status: u16,
+    /// Where the call arrives.
+    arrives_at: &'static [&'static str],
+}
+
+fn change(known: &mut DirectoryView, id: &str, change: impl Fn(&mut BackendEntry)) {
+    let mut changed = BackendEntry::clone(&known.entries[id]);
+    change(&mut changed);
+    known.entries.insert(id.into(), Arc::new(changed));
+}
+
+const KNOWLEDGE: [KnowledgeCase; 9] = [
+    KnowledgeCase {
+        name: "this host knows that a server leaves",
+        decider: |_known| {},
+        own: |known| change(known, "first", |entry| entry.state = BackendState::Draining),
+        resting: &[],
+        status: 200,
+        arrives_at: &["second"],
+    },
+    KnowledgeCase {
+        name: "this host knows that a server is gone",
+        decider: |_known| {},
+        own: |known| drop(known.entries.remove("first")),
+        resting: &[],
+        status: 200,
+        arrives_at: &["second"],
+    },
+    KnowledgeCase {
+        name: "this host knows another start of a server",
+        decider: |_known| {},
+        own: |known| change(known, "first", |entry| entry.start = Some(BackendStart(2))),
+        resting: &[],
+        status: 200,
+        arrives_at: &["second"],
+    },
+    KnowledgeCase {
+        name: "this host knows that a failure domain is drained",
+        decider: |_known| {},
+        own: |known| known.drained.extend(["near".into()]),
+        resting: &[],
+        status: 200,
+        arrives_at: &["second"],
+    },
+    KnowledgeCase {
+        name: "this host knows that all servers are gone",
+        decider: |_known| {},
+        own: |known| known.entries.clear(),
+        resting: &[],
+        status: 503,
+        arrives_at: &[],
+    },
+    KnowledgeCase {
+        name: "a server wants nothing from this host",
+        decider: |_known| {},
+        own: |_known| {},
+        resting: &["first"],
+        status: 200,
+        arrives_at: &["second"],
+    },
+    KnowledgeCase {
+        name: "no server wants anything from this host",
+        decider: |_known| {},
+        own: |_known| {},
+        resting: &["first", "second"],
+        status: 503,
+        arrives_at: &[],
+    },
+    KnowledgeCase {
+        name: "the deciding host has lost its directory",
+        decider: |known| known.entries.clear(),
+        own: |known| drop(known.entries.remove("second")),
+        resting: &[],
+        status: 200,
+        arrives_at: &["first"],
+    },
+    KnowledgeCase {
+        name: "there is no server",
+        decider: |known| known.entries.clear(),
+        own: |known| known.entries.clear(),
+        resting: &[],
+        status: 503,
+        arrives_at: &[],
+    },
+];
+
+#[tokio::test(start_paused = true)]
+async fn what_this_host_knows_goes_before_a_decision() {
+    for case in &KNOWLEDGE {
+        let site = ScriptedSite::default();
+        let known = view([small("first", "near"), small("second", "far")]);
+        let host = DecidingHost::start(&site, known.clone(), 10.0).await;
+        let (mut decider, mut own) = (known.clone(), known);
+        (case.decider)(&mut decider);
+        (case.own)(&mut own);
+        host.desk_view.send_replace(Arc::new(decider));
+        host.directory.send_replace(Arc::new(own));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        for id in case.resting {
+            let backend = StartedBackend { id: (*id).into(), start: Some(BackendStart(1)) };
+            let sent = host.context.throttle.note_send(backend);
+            sent.hear(RateNotice::Unlimited, RestNotice::For(Duration::from_secs(3)));
+        }
+        assert!(host.desk.is_scheduled("service"), "{}", case.name);
+        let asked = Instant::now();
+        let answer = answer_request(host.context.clone(), request(NonIdempotent, 1, false)).await;
+        assert_eq!(answer.status().as_u16(), case.status, "{}", case.name);
+        assert!(asked.elapsed() < Duration::from_millis(50), "{}: held up", case.name);
+        if case.status == 503 {
+            assert!(answer.headers().contains_key(RETRY_AFTER), "{}", case.name);
+        }
+        let record = site.record.lock().unwrap();
+        let arrived: Vec<_> = record.arrivals.iter().map(|it| it.backend.as_str()).collect();
+        assert_eq!(arrived, case.arrives_at, "{}", case.name);
+        assert_eq!(host.held(), 0, "{}", case.name);
+    }
+}
+
+/// Every send beyond the first is taken from the retry budget.
+#[tokio::test(start_paused = true)]
+async fn repeated_sends_end_with_the_budget() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Answer(500, "no")]);
+    site.script("second", [Step::Answer(500, "no")]);
+    let known = view([small("first", "near"), small("second", "far")]);
+    let mut host = DecidingHost::start(&site, known, 10.0).await;
+    let terms = BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 8.0 };
+    host.context.budgets = RetryBudgets::new(terms, HostClock::steady());
+    host.context.budgets.set_hosts(8);
+    for _request in 0..100 {
+        let routed = request(Idempotent, 2, false);
+        let _answer = answer_request(host.context.clone(), routed).await;
+    }
+    let extras = site.record.lock().unwrap().arrivals.len() - 100;
+    assert!((10..=21).contains(&extras), "{extras}");
+    assert_eq!(host.held(), 0);
+}
