--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -12,10 +12,10 @@
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
-use dillspool_scheduler::{CallTerms, LimitTerms};
+use dillspool_scheduler::{CallTerms, LimitTerms, SchedulerCandidate, rank_candidates};
 use dillspool_site_standin::{
-    REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore, TIME_BUDGET,
-    TOKEN_COUNTS, config_text,
+    PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore,
+    TIME_BUDGET, TOKEN_COUNTS, config_text,
 };
 use dillspool_suspects::{PrintKey, RequestPrint};
 use http_body_util::Full;
@@ -47,6 +47,15 @@
     SameId,
 }
 
+/// What differs from one fleet to another.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FleetTerms {
+    /// Which services' calls one host decides on.
+    pub calls: CallTerms,
+    /// What plain backend servers take at a time; all requests where there is none.
+    pub plain: Option<PlainCapacity>,
+}
+
 /// What a caller got.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerReply {
@@ -97,6 +106,11 @@
 impl TestFleet {
     /// Starts `hosts` hosts before four backend servers of each kind and waits until they have settled.
     pub async fn start(hosts: usize, come_back: ComeBack) -> Self {
+        Self::start_with(hosts, come_back, FleetTerms::default()).await
+    }
+
+    /// The same on other terms.
+    pub async fn start_with(hosts: usize, come_back: ComeBack, terms: FleetTerms) -> Self {
         let mut fleet = Self {
             net: MemoryNet::new(),
             store: StandinStore::default(),
@@ -111,10 +125,11 @@
         serving.await.expect("the store listens");
         fleet.write_config(1, &[]);
         for number in 0..BACKENDS {
-            fleet.start_backend(number, KINDS[number % KINDS.len()], come_back).await;
+            fleet.start_backend(number, KINDS[number % KINDS.len()], come_back, terms.plain).await;
         }
         for number in 0..hosts {
-            fleet.hosts.push((host_config(number, hosts), None));
+            let config = RouterConfig { calls: terms.calls, ..host_config(number, hosts) };
+            fleet.hosts.push((config, None));
             fleet.start_host(number).await;
         }
         tokio::time::sleep(SETTLING).await;
@@ -152,7 +167,14 @@
     }
 
     /// A place for a backend server, which comes back there whenever it has ended.
-    async fn start_backend(&self, number: usize, kind: StandinKind, come_back: ComeBack) {
+    async fn start_backend(
+        &self,
+        number: usize,
+        kind: StandinKind,
+        come_back: ComeBack,
+        plain: Option<PlainCapacity>,
+    ) {
+        let capacity = plain.filter(|_capacity| kind == StandinKind::Plain);
         let address = backend_address(number);
         let stack = self.net.stack(address.ip());
         let (store, runs) = (self.store.clone(), self.runs.clone());
@@ -166,6 +188,7 @@
                     ComeBack::SameId => format!("i-{number}"),
                 };
                 let backend = StandinBackend::new(&id, kind, &runs).started(start);
+                let backend = backend.with_capacity(capacity);
                 backend.serve(&stack, address).await.expect("a free address");
                 backends.lock().expect("no panic").insert(number, backend.clone());
                 store.write("servers", &id, Some(&backend.row(service, address, "ready")));
@@ -225,6 +248,18 @@
         }
     }
 
+    /// The host that decides for all about a service, where all run.
+    pub fn decider(&self, service: &str) -> usize {
+        let candidate = |(config, _daemon): &(RouterConfig, Option<RouterDaemon>)| {
+            SchedulerCandidate { address: config.schedule, link_mbps: config.link_mbps }
+        };
+        let candidates: Vec<_> = self.hosts.iter().map(candidate).collect();
+        let first = rank_candidates(service, &candidates)[0];
+        let is_first =
+            |(config, _daemon): &(RouterConfig, Option<RouterDaemon>)| config.schedule == first;
+        self.hosts.iter().position(is_first).expect("one of the hosts")
+    }
+
     /// The backend servers of a kind, as they run now.
     pub fn backends(&self, kind: StandinKind) -> Vec<StandinBackend> {
         let backends = self.backends.lock().expect("no panic");
--- a/crates/dillspool_routerd/tests/fleet_costs.rs
+++ b/crates/dillspool_routerd/tests/fleet_costs.rs
@@ -17,7 +17,7 @@
 use dillspool_router::{RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
 use dillspool_site_standin::{
-    BackendRow, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
+    BackendRow, MOST_SLOTS, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
 };
 use futures_util::future::join_all;
 use http_body_util::Full;
@@ -184,7 +184,8 @@
     };
     let address = SocketAddr::new(node(2, number), 9000);
     let failure_domain = &format!("domain-{}", number % DOMAINS);
-    BackendRow { service, address, failure_domain, kind, state: "ready" }.text(1)
+    let slots = MOST_SLOTS;
+    BackendRow { service, address, failure_domain, kind, state: "ready", slots }.text(1)
 }
 
 fn host_config(number: usize, hosts: usize) -> RouterConfig {
