dillspool calls, and what operators read of calls on which one host decides

Cause: an operator needs to see from logs and metrics on which services one host decides, and why calls are rejected or decisions not followed.

--- a/crates/dillspool/src/args.rs
+++ b/crates/dillspool/src/args.rs
@@ -116,6 +116,12 @@
         /// Log files; standard input when there are none.
         files: Vec<PathBuf>,
     },
+    /// Count the calls in the logs of routing hosts on which one host decides: waits, rejections, decisions that
+    /// were not followed.
+    Calls {
+        /// Log files; standard input when there are none.
+        files: Vec<PathBuf>,
+    },
     /// Count how the requests in the logs of routing hosts ended, and why streams were late.
     Late {
         /// Log files; standard input when there are none.
--- a/crates/dillspool/src/local.rs
+++ b/crates/dillspool/src/local.rs
@@ -57,6 +57,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints what became of the calls in some logs on which one host decides.
+pub(crate) fn count_calls(files: &[PathBuf]) -> Result<ExitCode, CliError> {
+    let text = read_logs(files)?;
+    print!("{}", dillspool_explain::CallTable::of(text.lines()));
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Prints how the requests in some logs ended.
 pub(crate) fn count_ends(files: &[PathBuf]) -> Result<ExitCode, CliError> {
     let text = read_logs(files)?;
--- a/crates/dillspool/src/main.rs
+++ b/crates/dillspool/src/main.rs
@@ -35,6 +35,7 @@
     match args.command {
         CliCommand::Check { file } => local::check(&file),
         CliCommand::Explain { id, files } => local::explain_request(&id, &files),
+        CliCommand::Calls { files } => local::count_calls(&files),
         CliCommand::Late { files } => local::count_ends(&files),
         CliCommand::Limits { files } => local::count_limits(&files),
         CliCommand::Suspects { files } => local::list_suspects(&files),
--- a/crates/dillspool_explain/src/lib.rs
+++ b/crates/dillspool_explain/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/OPERATIONS.md` shows how it is used.
 
 mod backend_limits;
+mod calls;
 mod late;
 mod limits;
 mod line;
@@ -10,6 +11,7 @@
 mod suspects;
 
 pub use backend_limits::{BackendLimitTable, BackendLimitUse};
+pub use calls::{CallTable, CallUse};
 pub use late::{EndTable, RequestEnd};
 pub use limits::{LimitTable, WorkspaceUse};
 pub use line::LogLine;
