Replays of loads for the call queue, and the approaches side by side

Cause: the decisions under load were chosen without a load. Change: a replay of hosts and plain servers without a network; tests of servers that leave, slow spells, a surge and a server that joins, each with the present approach beside it, and a table of four approaches. By these replays: the extra places are rounded up, a call on time needs more room after its predicted wait the longer a surge lasts, a slow server gets calls that have time, rejected callers return sooner.

--- a/crates/dillspool_calls/src/forecast.rs
+++ b/crates/dillspool_calls/src/forecast.rs
@@ -21,6 +21,8 @@
     survey: ServerSurvey,
     /// Calls on time that wait.
     on_time: usize,
+    /// Part of the completion rate by which arrivals exceed it, or did a short time ago.
+    pub(crate) excess: f64,
     /// Late calls that may be in flight at once.
     late_places: f64,
     /// Calls a second that late calls may have.
@@ -28,18 +30,28 @@
 }
 
 impl WaitForecast {
-    /// A forecast where calls on time arrive at `arrivals` a second and `on_time` of them wait.
+    /// A forecast where calls on time arrive at `arrivals` a second and `on_time` of them wait; `excess` is what is
+    /// left of an earlier excess.
     pub(crate) fn new(
         policy: Arc<CallPolicy>,
         survey: ServerSurvey,
         latency: LatencyMean,
         arrivals: f64,
         on_time: usize,
+        excess: f64,
         now: Moment,
     ) -> Self {
         let ServerSurvey { rate, slots, .. } = survey;
-        let mut forecast =
-            Self { policy, now, latency, survey, on_time, late_places: 0.0, spare: 0.0 };
+        let mut forecast = Self {
+            policy,
+            now,
+            latency,
+            survey,
+            on_time,
+            excess: 0.0,
+            late_places: 0.0,
+            spare: 0.0,
+        };
         if rate <= 0.0 {
             return forecast;
         }
@@ -52,6 +64,7 @@
         let places = free.max(sole);
         let spare = (rate - arrivals).min(places * rate / slots);
         let has_spare = places >= 1.0 && spare >= policy.least_spare_part * rate;
+        forecast.excess = (arrivals / rate - 1.0).min(forecast.policy.surge_part).max(excess);
         forecast.late_places = places;
         forecast.spare = if has_spare { spare } else { 0.0 };
         forecast
@@ -67,6 +80,12 @@
         self.spare.max(self.policy.least_spare_part * self.survey.rate)
     }
 
+    /// Mean deviations that a call on time must have left when it is asked.
+    pub(crate) fn margin_at_ask(&self) -> f64 {
+        let CallPolicy { margin_calm, margin_surge, surge_part, .. } = *self.policy;
+        margin_calm + (margin_surge - margin_calm) * (self.excess / surge_part).min(1.0)
+    }
+
     /// Time until all calls on time that wait have a place.
     pub(crate) fn backlog(&self) -> Duration {
         wait(self.on_time, self.survey.rate)
--- a/crates/dillspool_calls/src/limit.rs
+++ b/crates/dillspool_calls/src/limit.rs
@@ -50,7 +50,8 @@
     /// Calls that may be in flight, without shares and connections.
     pub(crate) fn read(&self, reported: Option<u32>, policy: &CallPolicy, now: Moment) -> f64 {
         let slots = self.slots(reported);
-        let extra = if reported.is_some() { (slots * policy.extra_part).max(1.0) } else { 0.0 };
+        let extra =
+            if reported.is_some() { (slots * policy.extra_part).ceil().max(1.0) } else { 0.0 };
         (slots + extra) * self.part(policy, now)
     }
 
--- a/crates/dillspool_calls/src/meter.rs
+++ b/crates/dillspool_calls/src/meter.rs
@@ -18,7 +18,11 @@
     }
 
     pub(crate) fn add(&mut self, amount: f64, memory: Duration, now: Moment) {
-        *self = Self { value: self.read(memory, now) + amount, at: now };
+        self.set(self.read(memory, now) + amount, now);
+    }
+
+    pub(crate) fn set(&mut self, value: f64, now: Moment) {
+        *self = Self { value, at: now };
     }
 }
 
@@ -62,22 +66,26 @@
     }
 }
 
+/// Answers that the latency of one server is made of at most, the newest.
+const SERVER_ANSWERS: f64 = 8.0;
+
 /// Latency of one server, which fades into that of all where it is seldom seen.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ServerLatency {
+    mean: f64,
     answers: DecayedSum,
-    total: DecayedSum,
 }
 
 impl ServerLatency {
     pub(crate) fn note(&mut self, latency: f64, memory: Duration, now: Moment) {
-        self.answers.add(1.0, memory, now);
-        self.total.add(latency, memory, now);
+        let before = self.answers.read(memory, now).min(SERVER_ANSWERS - 1.0);
+        self.mean += (latency - self.mean) / (before + 1.0);
+        self.answers.set(before + 1.0, now);
     }
 
     /// The mean, where `pooled` counts as much as `prior` answers.
     pub(crate) fn mean(&self, pooled: f64, prior: f64, memory: Duration, now: Moment) -> f64 {
-        let (answers, total) = (self.answers.read(memory, now), self.total.read(memory, now));
-        (total + prior * pooled) / (answers + prior)
+        let answers = self.answers.read(memory, now);
+        (answers * self.mean + prior * pooled) / (answers + prior)
     }
 }
--- a/crates/dillspool_calls/src/policy.rs
+++ b/crates/dillspool_calls/src/policy.rs
@@ -12,7 +12,7 @@
     pub extra_part: f64,
     /// Latency assumed of a server before any call of the service was answered: a start under load.
     pub assumed_latency: Duration,
-    /// Time constant of a server's own latency: servers that run slower for a few hundred milliseconds.
+    /// Time constant after which a server's own latency is forgotten: servers that get few calls.
     pub latency_memory: Duration,
     /// Answers at which a server's own latency counts as much as that of all: servers that are seldom used,
     /// whose latency would else be one random call's.
@@ -25,9 +25,18 @@
     /// Time constant of the rate at which calls arrive that can be on time: bursts.
     pub arrival_memory: Duration,
     /// Mean deviations of the latency beyond its mean that a call on time must have left after its predicted
-    /// wait, when it is asked: a long surge, which would else fill the queue with calls that all just miss.
-    pub margin_at_ask: f64,
-    /// The same for a call that waits already: lower, so that a small change of the rate rejects none.
+    /// wait when it is asked, where calls arrive no faster than they are completed: slow spells, whose backlog
+    /// is soon gone.
+    pub margin_calm: f64,
+    /// The same where calls arrive faster by `surge_part` or more, and in proportion between: a long surge, which
+    /// would else fill the queue with calls that all just miss.
+    pub margin_surge: f64,
+    /// Part of the completion rate by which arrivals exceed it in a full surge.
+    pub surge_part: f64,
+    /// Time constant in which a surge is forgotten that is over: callers that return after it.
+    pub surge_memory: Duration,
+    /// Mean deviations that a call must have left while it waits: fewer, so that a small change of the rate
+    /// rejects none that wait.
     pub margin_waiting: f64,
     /// Standard deviations of the number of calls on time by which late calls leave more slots free than the
     /// mean needs: arrivals in clumps.
@@ -83,13 +92,16 @@
         Self {
             extra_part: 0.25,
             assumed_latency: Duration::from_millis(30),
-            latency_memory: Duration::from_millis(400),
-            latency_prior: 5.0,
+            latency_memory: Duration::from_secs(1),
+            latency_prior: 2.0,
             rate_memory: Duration::from_millis(250),
             rate_prior: Duration::from_millis(100),
             arrival_memory: Duration::from_millis(300),
-            margin_at_ask: 2.0,
-            margin_waiting: 1.0,
+            margin_calm: 0.5,
+            margin_surge: 6.0,
+            surge_part: 0.5,
+            surge_memory: Duration::from_secs(1),
+            margin_waiting: 0.0,
             late_reserve: 1.0,
             sole_late_below: 0.7,
             least_spare_part: 0.05,
--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -27,6 +27,8 @@
     key: LineKey,
     request: CallRequest,
     arrived: Moment,
+    /// When it must have ended, on time or late.
+    due: Moment,
     give_up: Moment,
 }
 
@@ -53,6 +55,8 @@
     late_in_flight: usize,
     /// Calls that arrived and could be on time.
     arrivals: DecayedSum,
+    /// Part of the completion rate by which arrivals exceeded it lately.
+    excess: DecayedSum,
     retries: RetryPlan,
     rejected: BTreeMap<RejectCause, u64>,
     /// When the waits were predicted last.
@@ -74,6 +78,7 @@
             ends: BTreeSet::new(),
             late_in_flight: 0,
             arrivals: DecayedSum::default(),
+            excess: DecayedSum::default(),
             retries: RetryPlan::default(),
             rejected: BTreeMap::new(),
             checked: Moment::default(),
@@ -116,11 +121,13 @@
         } else {
             self.line.on_time() == 0
         };
-        if may_send && let Some(backend) = self.send(id, &request, is_late, now) {
+        let limit = if is_late { give_up } else { objective.min(give_up) }.since(now);
+        if may_send && let Some(backend) = self.send(id, &request, limit, is_late, now) {
             return CallDecision::Send { backend };
         }
-        let margin = self.policy.margin_at_ask;
         let forecast = self.forecast(now);
+        self.excess.set(forecast.excess, now);
+        let margin = forecast.margin_at_ask();
         let priorities = (request.workspace_priority, request.priority);
         let due = objective.min(give_up);
         let rank = LineRank::new(false, priorities, due);
@@ -135,7 +142,7 @@
         }
         let key = self.line.enter(rank, moment, id, due);
         self.ends.insert((give_up, id));
-        let call = WaitingCall { key, request, arrived: now, give_up };
+        let call = WaitingCall { key, request, arrived: now, due, give_up };
         self.calls.insert(id, CallState::Waiting(Box::new(call)));
         self.note_change(now);
         CallDecision::Wait
@@ -235,14 +242,9 @@
         let memory = self.policy.arrival_memory;
         let arrivals = self.arrivals.read(memory, now) / memory.as_secs_f64();
         let (survey, latency) = (self.servers.survey(now), self.servers.latency());
-        WaitForecast::new(
-            Arc::clone(&self.policy),
-            survey,
-            latency,
-            arrivals,
-            self.line.on_time(),
-            now,
-        )
+        let excess = self.excess.read(self.policy.surge_memory, now);
+        let (policy, on_time) = (Arc::clone(&self.policy), self.line.on_time());
+        WaitForecast::new(policy, survey, latency, arrivals, on_time, excess, now)
     }
 
     /// Whether one more late call may be in flight beside the calls on time that are about to arrive.
@@ -284,6 +286,7 @@
             return;
         }
         self.line.leave(&call.key);
+        call.due = call.give_up;
         call.key = self.line.enter(rank, call.arrived, id, call.give_up);
     }
 
@@ -302,7 +305,8 @@
         {
             after = Some(key);
             let Some(CallState::Waiting(call)) = self.calls.remove(&id) else { continue };
-            if let Some(backend) = self.send(id, &call.request, is_late, now) {
+            let limit = call.due.since(now);
+            if let Some(backend) = self.send(id, &call.request, limit, is_late, now) {
                 self.leave_line(id, &call);
                 decided.push((id, CallDecision::Send { backend }));
             } else {
@@ -316,10 +320,11 @@
         &mut self,
         id: CallId,
         request: &CallRequest,
+        limit: Duration,
         is_late: bool,
         now: Moment,
     ) -> Option<StartedBackend> {
-        let (backend, call) = self.servers.send(request, &mut self.random, now)?;
+        let (backend, call) = self.servers.send(request, limit, &mut self.random, now)?;
         self.late_in_flight += usize::from(is_late);
         self.calls.insert(id, CallState::Flying { call, is_late });
         Some(backend)
--- a/crates/dillspool_calls/src/retry.rs
+++ b/crates/dillspool_calls/src/retry.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 
 /// Parts of its longest time after which a caller returns for which no capacity is predicted.
-const LONGEST_PARTS: std::ops::Range<f64> = 0.5..1.0;
+const LONGEST_PARTS: std::ops::Range<f64> = 0.1..0.6;
 /// Factors by which a predicted time is spread.
 const SPREAD: std::ops::Range<f64> = 1.0..1.3;
 
--- a/crates/dillspool_calls/src/server.rs
+++ b/crates/dillspool_calls/src/server.rs
@@ -117,6 +117,11 @@
         self.latency.mean(terms.pooled, policy.latency_prior, policy.latency_memory, terms.now)
     }
 
+    /// Time in which it is predicted to answer one more call, in seconds.
+    pub(crate) fn next_run(&self, terms: &ServerTerms) -> f64 {
+        self.mean(terms) * (f64::from(self.in_flight + 1) / self.slots(terms)).max(1.0)
+    }
+
     /// Calls a second that it completes when all its slots are in use.
     pub(crate) fn rate(&self, terms: &ServerTerms) -> f64 {
         let (memory, prior) = (terms.policy.rate_memory, terms.policy.rate_prior.as_secs_f64());
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -132,16 +132,20 @@
         ServerSurvey { rate, slots, crowding }
     }
 
-    /// Sends a call to the server with the earliest predicted end, if one has a place.
+    /// Sends a call to the server with the earliest predicted end, if one has a place and is predicted to answer
+    /// within `limit`. A slow server so gets calls that have time, and not those that wait longest.
     pub(crate) fn send(
         &mut self,
         request: &CallRequest,
+        limit: Duration,
         random: &mut SmallRng,
         now: Moment,
     ) -> Option<(StartedBackend, FlyingCall)> {
         let terms = self.terms(now);
         let open = self.present().filter(|state| {
-            state.has_place(&terms) && !request.excluded.contains(&state.server.backend.id)
+            state.has_place(&terms)
+                && !request.excluded.contains(&state.server.backend.id)
+                && state.next_run(&terms) <= limit.as_secs_f64()
         });
         let costs = open.map(|state| (self.cost(state, request, &terms, random), state));
         let (_cost, chosen) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
--- /dev/null
+++ b/crates/dillspool_calls/tests/model/server.rs
@@ -0,0 +1,103 @@
+//! A plain server with slots and a queue behind them.
+
+use std::collections::VecDeque;
+
+use dillspool_schema::Name;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// Calls that wait in a server at most.
+const LONGEST_QUEUE: usize = 24;
+/// Exponential parts of a call's run; the more, the less runs differ.
+const RUN_PARTS: u32 = 3;
+
+#[derive(Clone, Debug)]
+pub struct ModelServer {
+    pub slots: u32,
+    pub mean_ms: f64,
+    pub joins_us: u64,
+    pub leaves_us: u64,
+    /// It runs 2.5 times slower for `spell_us` from `first_us` on, and again each `each_us`.
+    pub slow: Option<SlowSpell>,
+    running: u32,
+    queue: VecDeque<usize>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct SlowSpell {
+    pub first_us: u64,
+    pub each_us: u64,
+    pub spell_us: u64,
+}
+
+const SLOWER: f64 = 2.5;
+
+pub(super) enum ServerWord {
+    Runs,
+    Queues,
+    Rejects,
+    IsGone,
+}
+
+impl ModelServer {
+    /// The plain server of the first deployment.
+    pub fn new() -> Self {
+        Self {
+            slots: 6,
+            mean_ms: 30.0,
+            joins_us: 0,
+            leaves_us: u64::MAX,
+            slow: None,
+            running: 0,
+            queue: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn is_present(&self, now: u64) -> bool {
+        (self.joins_us..self.leaves_us).contains(&now)
+    }
+
+    pub(super) fn load(&self) -> usize {
+        usize::try_from(self.running).unwrap() + self.queue.len()
+    }
+
+    pub(super) fn accept(&mut self, call: usize, now: u64) -> ServerWord {
+        if !self.is_present(now) {
+            return ServerWord::IsGone;
+        }
+        if self.running < self.slots {
+            self.running += 1;
+            return ServerWord::Runs;
+        }
+        if self.queue.len() == LONGEST_QUEUE {
+            return ServerWord::Rejects;
+        }
+        self.queue.push_back(call);
+        ServerWord::Queues
+    }
+
+    /// Ends a run; the call that is run next.
+    pub(super) fn finish(&mut self) -> Option<usize> {
+        let next = self.queue.pop_front();
+        self.running -= u32::from(next.is_none());
+        next
+    }
+
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "short times")]
+    pub(super) fn run_us(&self, now: u64, random: &mut SmallRng) -> u64 {
+        let draws = (0..RUN_PARTS).map(|_part| -(1.0 - random.random::<f64>()).ln());
+        let run = draws.sum::<f64>() / f64::from(RUN_PARTS) * self.mean_ms * 1000.0;
+        let is_slow = self.slow.is_some_and(|SlowSpell { first_us, each_us, spell_us }| {
+            now >= first_us && (now - first_us) % each_us < spell_us
+        });
+        (if is_slow { run * SLOWER } else { run }) as u64
+    }
+}
+
+pub(super) fn server_name(server: usize) -> Name {
+    format!("server-{server:03}").into()
+}
+
+pub(super) fn server_number(name: &Name) -> usize {
+    name[7..].parse().expect("names are made of numbers")
+}
