The deciding host learns how calls end, in tests

Cause: a trial that left out the report of outcomes, the cause no_room or the share of a host that serves others passed all tests.

Change: tests for these three; plain.rs leaves the end of a decision that the retry budget forbids to the ticket.

--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -206,7 +206,6 @@
         if !context.budgets.take(&request.service) {
             log_budget_empty(request, &context.budgets);
             permit.give_back();
-            ticket.end(CallEnd::Abandoned, Duration::ZERO);
             return None;
         }
         context.metrics.note_repeated_send();
--- a/crates/dillspool_forward/tests/decided.rs
+++ b/crates/dillspool_forward/tests/decided.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::atomic::{AtomicBool, AtomicU32};
@@ -11,7 +11,7 @@
 
 use common::{ScriptedSite, Step, entry, request, view};
 use dillspool_forward::{BudgetTerms, ForwardContext, RetryBudgets, answer_request};
-use dillspool_io::HostClock;
+use dillspool_io::{HostClock, read_response_body};
 use dillspool_routing::RequestKind::{Idempotent, NonIdempotent};
 use dillspool_routing::{
     BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, RequestKind, RouteTable,
@@ -150,6 +150,31 @@
     }
 }
 
+/// The deciding host learns how calls ended: one connection that cannot be made blocks a server, as do two calls
+/// without an answer.
+#[tokio::test(start_paused = true)]
+async fn the_deciding_host_learns_how_calls_end() {
+    let cases = [
+        (Step::Answer(200, "ok"), 2, false),
+        (Step::Answer(500, "no"), 2, false),
+        (Step::NotRun(503), 2, false),
+        (Step::Unreachable, 1, true),
+        (Step::Lost, 1, false),
+        (Step::Lost, 2, true),
+    ];
+    for (step, calls, expected) in cases {
+        let site = ScriptedSite::default();
+        site.script("first", [step.clone()]);
+        let host = DecidingHost::start(&site, view([small("first", "near")]), 10.0).await;
+        for _call in 0..calls {
+            let routed = request(NonIdempotent, 1, false);
+            let _answer = answer_request(host.context.clone(), routed).await;
+        }
+        let (_service, reading) = host.desk.read().pop().expect("a queue");
+        assert_eq!(reading.servers[0].is_blocked, expected, "{step:?} {calls} times");
+    }
+}
+
 /// A caller that leaves while its call runs frees the place, and one that leaves while it waits leaves the queue.
 #[tokio::test(start_paused = true)]
 async fn callers_that_leave_hold_nothing() {
@@ -184,17 +209,21 @@
     let callers = (0..20).map(|_caller| async {
         let answer = answer_request(host.context.clone(), request(NonIdempotent, 1, false)).await;
         let invites = answer.headers().contains_key(RETRY_AFTER);
-        (answer.status().as_u16(), invites, began.elapsed())
+        let (status, took) = (answer.status().as_u16(), began.elapsed());
+        let body = read_response_body(answer.into_body(), 100).await.expect("a whole body");
+        (status, String::from_utf8_lossy(&body).into_owned(), invites, took)
     });
     let answers = futures_util::future::join_all(callers).await;
     let sent = site.record.lock().unwrap().arrivals.len();
-    let refused: Vec<_> = answers.iter().filter(|(status, _, _)| *status == 503).collect();
+    let refused: Vec<_> = answers.iter().filter(|(status, ..)| *status == 503).collect();
     assert_eq!((sent, refused.len()), (3, 17), "{answers:?}");
+    let causes: BTreeSet<_> = refused.iter().map(|(_, cause, _, _)| cause.as_str()).collect();
+    assert_eq!(causes, BTreeSet::from(["no_room"]));
     // Three seconds are the callers' own time.
-    let held_up = |(_, invites, took): &&&(u16, bool, Duration)| {
-        !invites || *took >= Duration::from_millis(2_900)
-    };
-    assert_eq!(refused.iter().filter(held_up).count(), 0, "{answers:?}");
+    let held_up = refused
+        .iter()
+        .filter(|(_, _, invites, took)| !invites || *took >= Duration::from_millis(2_900));
+    assert_eq!(held_up.count(), 0, "{answers:?}");
     assert_eq!(host.held(), 0);
 }
 
--- a/crates/dillspool_scheduler/tests/call_links.rs
+++ b/crates/dillspool_scheduler/tests/call_links.rs
@@ -256,6 +256,8 @@
     fleet.set_links(1, &[2, 3], mode);
     let asked = Instant::now();
     let own = fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await;
+    // The host that decides next was alone, too.
+    drop(fleet.hosts[1].take(1, DECIDED_WITHIN).await);
     let took = asked.elapsed();
     // Two thirds of the limit of each of both servers.
     let share = limit.div_ceil(3) * 2;
