--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -321,6 +321,18 @@
         futures_util::future::join_all(callers).await
     }
 
+    /// The lines of a host's page of metrics that begin with a text.
+    pub async fn metrics(&self, host: usize, start: &str) -> Vec<String> {
+        let stack = self.net.stack(node(3, 0));
+        let request = Request::builder().uri("/metrics").header("host", "metrics");
+        let request = request.body(Full::new(Bytes::new())).expect("a request");
+        let address = self.hosts[host].0.metrics;
+        let answer = exchange_once(&stack, address, request, Duration::from_secs(1)).await;
+        let body = read_body(answer.expect("a page").into_body(), 1 << 20).await.expect("whole");
+        let page = String::from_utf8_lossy(&body).into_owned();
+        page.lines().filter(|line| line.starts_with(start)).map(str::to_owned).collect()
+    }
+
     fn request(&self, host: usize, path: &str, body: &str) -> (SocketAddr, Request<Full<Bytes>>) {
         static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
         let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
--- a/crates/dillspool_routerd/tests/scarce_servers.rs
+++ b/crates/dillspool_routerd/tests/scarce_servers.rs
@@ -74,6 +74,8 @@
     ran_alone: usize,
     /// Calls that ran more than once.
     ran_twice: usize,
+    /// What the deciding host tells of the calls, by its page of metrics.
+    figures: Vec<String>,
 }
 
 async fn pass(time: Duration) {
@@ -119,7 +121,8 @@
     }
     let ran_alone = fleet.runs.at(&plain[2].id) - ran_before;
     let ran_twice = fleet.runs.ids().iter().filter(|id| fleet.runs.of(id).len() > 1).count();
-    LeavingRun { replies, ends, ran_alone, ran_twice }
+    let figures = fleet.metrics(fleet.decider("plain"), "dillspool_calls_").await;
+    LeavingRun { replies, ends, ran_alone, ran_twice, figures }
 }
 
 /// Calls whose callers cannot know whether they ran.
@@ -130,6 +133,25 @@
         .sum()
 }
 
+/// Figures that an operator needs and the deciding host does not tell, or not as they are at the end.
+fn missing_figures(figures: &[String]) -> Vec<String> {
+    let rejected = "dillspool_calls_rejected_total{service=\"plain\",cause=\"no_room\"} ";
+    let names = [
+        "dillspool_calls_waiting{service=\"plain\"} 0",
+        "dillspool_calls_in_flight{service=\"plain\"} 0",
+        "dillspool_calls_limit{service=\"plain\"} ",
+        rejected,
+    ];
+    let is_told = |name: &&str| figures.iter().any(|line| line.starts_with(name));
+    let count = figures.iter().find_map(|line| line.strip_prefix(rejected)?.parse::<usize>().ok());
+    let mut missing: Vec<_> =
+        names.into_iter().filter(|name| !is_told(name)).map(str::to_owned).collect();
+    if count.unwrap_or_default() < 1_000 {
+        missing.push(format!("{rejected}is {count:?}"));
+    }
+    missing
+}
+
 #[tokio::test(start_paused = true)]
 async fn no_call_ends_with_an_unknown_outcome_for_want_of_room() {
     let mut faults = Vec::new();
@@ -155,6 +177,9 @@
         if held * 100 > refused.len() * case.held_up {
             faults.push(format!("{:?}: {held} of {} refused late", case.trouble, refused.len()));
         }
+        if case.trouble == Trouble::None {
+            faults.extend(missing_figures(&run.figures));
+        }
         if run.ran_twice > 0 {
             faults.push(format!("{:?}: {} ran twice", case.trouble, run.ran_twice));
         }
