Call queue: limits hold over changes of holders, cheaper looks at servers, priorities in predictions

Calls of a low priority were let in by a rate that calls of a higher priority use. Change: a forgotten call keeps its place until it has usually ended (mean and four deviations); the look at all servers is reused for 5 ms; the predicted wait leaves out the rate at which calls of higher priorities arrive.

--- a/crates/dillspool_calls/src/block.rs
+++ b/crates/dillspool_calls/src/block.rs
@@ -10,6 +10,8 @@
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Time in which half of what is held against a server is forgotten; faults last some seconds.
 const FAILURES_HALVED: Duration = Duration::from_secs(2);
+/// Part of calls that fail below which it counts as none.
+const LEAST_FAILURES: f64 = 0.001;
 /// Doublings at most; the longest rest is reached long before.
 const MOST_DOUBLINGS: u32 = 8;
 
@@ -54,8 +56,11 @@
 
     /// The part of its calls that fail, the newest counting most.
     pub(crate) fn failures(&self, now: Moment) -> f64 {
+        if self.failures < LEAST_FAILURES {
+            return 0.0;
+        }
         let halvings = now.since(self.failures_at).as_secs_f64() / FAILURES_HALVED.as_secs_f64();
-        if halvings == 0.0 { self.failures } else { self.failures * 0.5_f64.powf(halvings) }
+        self.failures * 0.5_f64.powf(halvings)
     }
 
     fn note_rate(&mut self, failed: f64, now: Moment) {
--- a/crates/dillspool_calls/src/forecast.rs
+++ b/crates/dillspool_calls/src/forecast.rs
@@ -75,6 +75,11 @@
         self.late_places
     }
 
+    /// Whether late calls may wait for what calls on time leave.
+    pub(crate) fn has_spare(&self) -> bool {
+        self.spare > 0.0
+    }
+
     /// Calls a second that late calls may have, at least a small part of all.
     pub(crate) fn least_spare(&self) -> f64 {
         self.spare.max(self.policy.least_spare_part * self.survey.rate)
@@ -97,9 +102,12 @@
         Duration::from_secs_f64(mean * self.survey.crowding + margin * deviation)
     }
 
-    /// Predicted end of a call on time that waits behind `ahead` others.
-    pub(crate) fn on_time_end(&self, ahead: usize, margin: f64) -> Moment {
-        self.now + wait(ahead + 1, self.survey.rate) + self.run(margin)
+    /// Predicted end of a call on time that waits behind `ahead` others, while `above` calls a second arrive that
+    /// go before it.
+    pub(crate) fn on_time_end(&self, ahead: usize, above: f64, margin: f64) -> Moment {
+        let ServerSurvey { rate, .. } = self.survey;
+        let left = (rate - above).max(self.policy.least_spare_part * rate);
+        self.now + wait(ahead + 1, left) + self.run(margin)
     }
 
     /// Predicted end of a late call that waits behind `ahead` others and all calls on time.
--- a/crates/dillspool_calls/src/line.rs
+++ b/crates/dillspool_calls/src/line.rs
@@ -38,6 +38,11 @@
         let span = moment.since(Moment::default()).as_micros() / span.as_micros();
         Self { is_late, workspace_priority: priorities.0, priority: priorities.1, span }
     }
+
+    /// The priorities of the workspace and the route.
+    pub(crate) fn priorities(&self) -> (u32, u32) {
+        (self.workspace_priority, self.priority)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -130,20 +135,23 @@
         None
     }
 
-    /// The calls that are predicted to end too late. `predicted` has the end of a call, on time or late, from
-    /// the number of calls of its kind ahead of it. Only groups of which the last call may fail are looked into.
-    pub(crate) fn failing(&mut self, predicted: impl Fn(bool, usize) -> Moment) -> Vec<CallId> {
+    /// The calls that are predicted to end too late. `predicted` has the end of a call from its rank and
+    /// the number of calls of its kind, on time or late, ahead of it. Only groups of which the last call may fail are looked into.
+    pub(crate) fn failing(
+        &mut self,
+        predicted: impl Fn(&LineRank, usize) -> Moment,
+    ) -> Vec<CallId> {
         let (mut failing, mut ahead) = (Vec::new(), [0, 0]);
         for (rank, group) in &mut self.groups {
             let ahead = &mut ahead[usize::from(rank.is_late)];
             let last = *ahead + group.calls.len() - 1;
-            if predicted(rank.is_late, last) <= group.earliest {
+            if predicted(rank, last) <= group.earliest {
                 *ahead += group.calls.len();
                 continue;
             }
             let mut earliest = None;
             for call in group.calls.values() {
-                if predicted(rank.is_late, *ahead) > call.due {
+                if predicted(rank, *ahead) > call.due {
                     failing.push(call.id);
                 } else {
                     *ahead += 1;
--- a/crates/dillspool_calls/src/policy.rs
+++ b/crates/dillspool_calls/src/policy.rs
@@ -49,6 +49,9 @@
     pub least_spare_part: f64,
     /// Time between two predictions of the same wait: servers that leave or slow down while calls wait.
     pub recheck: Duration,
+    /// Mean deviations beyond the mean latency for which a forgotten call keeps its place: hosts that leave one
+    /// after another for another decider while their calls run on.
+    pub forgotten_margin: f64,
     /// Cost of another failure domain, as a factor: its bytes are billed, and it takes longer.
     pub far_factor: f64,
     /// How much the part of calls that fail raises a server's cost: servers that fail partially.
@@ -106,6 +109,7 @@
             sole_late_below: 0.7,
             least_spare_part: 0.05,
             recheck: Duration::from_millis(5),
+            forgotten_margin: 4.0,
             far_factor: 1.3,
             failure_factor: 6.0,
             risk_factor: 4.0,
@@ -118,7 +122,7 @@
             limit_cut: 0.8,
             least_limit_part: 0.5,
             limit_recovers: Duration::from_secs(1),
-            first_learned_limit: 8,
+            first_learned_limit: 4,
             grows_below: 1.3,
             shrinks_above: 1.6,
             longest_retry_part: 1.0 / 3.0,
--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -1,6 +1,7 @@
 //! The queue of the calls of one service.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::RangeBounds;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -53,8 +54,8 @@
     /// When the callers of waiting calls give up.
     ends: BTreeSet<(Moment, CallId)>,
     late_in_flight: usize,
-    /// Calls that arrived and could be on time.
-    arrivals: DecayedSum,
+    /// Calls that arrived and could be on time, by the priorities of workspace and route.
+    arrivals: BTreeMap<(u32, u32), DecayedSum>,
     /// Part of the completion rate by which arrivals exceeded it lately.
     excess: DecayedSum,
     retries: RetryPlan,
@@ -77,7 +78,7 @@
             line: WaitLine::default(),
             ends: BTreeSet::new(),
             late_in_flight: 0,
-            arrivals: DecayedSum::default(),
+            arrivals: BTreeMap::new(),
             excess: DecayedSum::default(),
             retries: RetryPlan::default(),
             rejected: BTreeMap::new(),
@@ -103,9 +104,11 @@
     /// Decides on a call, or lets it wait. An id that is asked again stands for a new call.
     pub fn ask(&mut self, id: CallId, request: CallRequest, now: Moment) -> CallDecision {
         self.forget(id, now);
+        self.servers.free_held(now);
         if !self.servers.has_any(&request.excluded) {
             return self.reject(RejectCause::NoServer, request.time_left, now);
         }
+        let priorities = (request.workspace_priority, request.priority);
         let run = Duration::from_secs_f64(self.servers.latency().mean);
         let opens = now + self.servers.opens_in(&request.excluded, now) + run;
         let (objective, give_up) = (now + request.objective_left, now + request.time_left);
@@ -114,7 +117,8 @@
         }
         let is_late = opens > objective;
         if !is_late {
-            self.arrivals.add(1.0, self.policy.arrival_memory, now);
+            let arrivals = self.arrivals.entry(priorities).or_default();
+            arrivals.add(1.0, self.policy.arrival_memory, now);
         }
         let may_send = if is_late {
             self.line.len() == 0 && self.has_late_place(now)
@@ -128,16 +132,18 @@
         let forecast = self.forecast(now);
         self.excess.set(forecast.excess, now);
         let margin = forecast.margin_at_ask();
-        let priorities = (request.workspace_priority, request.priority);
         let due = objective.min(give_up);
         let rank = LineRank::new(false, priorities, due);
-        let is_late = is_late || forecast.on_time_end(self.line.ahead(&rank), margin) > due;
+        let above = self.arrivals_of(..priorities, now);
+        let is_late = is_late || forecast.on_time_end(self.line.ahead(&rank), above, margin) > due;
         let (rank, moment, due) = if is_late {
             (LineRank::new(true, priorities, now), now, give_up)
         } else {
             (rank, due, due)
         };
-        if is_late && forecast.late_end(self.line.ahead(&rank), margin) > give_up {
+        let is_hopeless =
+            || !forecast.has_spare() || forecast.late_end(self.line.ahead(&rank), margin) > give_up;
+        if is_late && is_hopeless() {
             return self.reject(RejectCause::NoRoom, request.time_left, now);
         }
         let key = self.line.enter(rank, moment, id, due);
@@ -159,6 +165,7 @@
         now: Moment,
     ) {
         self.forget(id, now);
+        self.servers.take_back(id, now);
         if let Some(call) =
             self.servers.adopt(backend, request.failure_domain, now.before(ran), now)
         {
@@ -171,7 +178,8 @@
         self.remove(id, Some((end, took)), now);
     }
 
-    /// Forgets a call: its host is gone, or its caller has left.
+    /// Forgets a call: its host is gone, or its caller has left. Where it may still run, its place is free only
+    /// once it has usually ended.
     pub fn forget(&mut self, id: CallId, now: Moment) {
         self.remove(id, None, now);
     }
@@ -181,7 +189,10 @@
             Some(CallState::Waiting(call)) => self.leave_line(id, &call),
             Some(CallState::Flying { call, is_late }) => {
                 self.late_in_flight -= usize::from(is_late);
-                self.servers.end(&call, end, now);
+                match end {
+                    Some(_end) => self.servers.end(&call, end, now),
+                    None => self.servers.hold(id, call, now),
+                }
                 self.note_change(now);
             }
             None => {}
@@ -196,6 +207,7 @@
     /// Decides on calls that wait. Never returns [`CallDecision::Wait`].
     pub fn poll(&mut self, now: Moment) -> Vec<(CallId, CallDecision)> {
         let mut decided = Vec::new();
+        self.servers.free_held(now);
         if self.line.len() == 0 {
             self.offered = None;
             return decided;
@@ -238,9 +250,15 @@
         self.offered.get_or_insert(now);
     }
 
-    fn forecast(&self, now: Moment) -> WaitForecast {
+    /// Calls a second of some priorities that arrive and can be on time.
+    fn arrivals_of(&self, priorities: impl RangeBounds<(u32, u32)>, now: Moment) -> f64 {
         let memory = self.policy.arrival_memory;
-        let arrivals = self.arrivals.read(memory, now) / memory.as_secs_f64();
+        let arrivals = self.arrivals.range(priorities).map(|(_it, sum)| sum.read(memory, now));
+        arrivals.sum::<f64>() / memory.as_secs_f64()
+    }
+
+    fn forecast(&mut self, now: Moment) -> WaitForecast {
+        let arrivals = self.arrivals_of(.., now);
         let (survey, latency) = (self.servers.survey(now), self.servers.latency());
         let excess = self.excess.read(self.policy.surge_memory, now);
         let (policy, on_time) = (Arc::clone(&self.policy), self.line.on_time());
@@ -249,7 +267,7 @@
 
     /// Whether one more late call may be in flight beside the calls on time that are about to arrive.
     #[expect(clippy::cast_precision_loss, reason = "calls in flight are counted in thousands")]
-    fn has_late_place(&self, now: Moment) -> bool {
+    fn has_late_place(&mut self, now: Moment) -> bool {
         (self.late_in_flight + 1) as f64 <= self.forecast(now).late_places()
     }
 
@@ -257,12 +275,14 @@
     /// from now on.
     fn check_waits(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
         let (forecast, margin) = (self.forecast(now), self.policy.margin_waiting);
-        let failing = self.line.failing(|is_late, ahead| {
-            if is_late {
-                forecast.late_end(ahead, margin)
-            } else {
-                forecast.on_time_end(ahead, margin)
+        let above: BTreeMap<(u32, u32), f64> =
+            self.arrivals.keys().map(|it| (*it, self.arrivals_of(..*it, now))).collect();
+        let failing = self.line.failing(|rank, ahead| {
+            if rank.is_late {
+                return forecast.late_end(ahead, margin);
             }
+            let above = above.get(&rank.priorities()).copied().unwrap_or_default();
+            forecast.on_time_end(ahead, above, margin)
         });
         for id in failing {
             self.demote(id, &forecast, now, decided);
@@ -280,8 +300,11 @@
         let Some(CallState::Waiting(call)) = self.calls.get_mut(&id) else { return };
         let priorities = (call.request.workspace_priority, call.request.priority);
         let rank = LineRank::new(true, priorities, call.arrived);
-        let end = forecast.late_end(self.line.ahead(&rank), self.policy.margin_waiting);
-        if call.key.rank.is_late || end > call.give_up {
+        let margin = self.policy.margin_waiting;
+        if call.key.rank.is_late
+            || !forecast.has_spare()
+            || forecast.late_end(self.line.ahead(&rank), margin) > call.give_up
+        {
             self.reject_waiting(id, now, decided);
             return;
         }
--- a/crates/dillspool_calls/src/server.rs
+++ b/crates/dillspool_calls/src/server.rs
@@ -49,6 +49,8 @@
     pub(crate) block: BlockState,
     limit: PlaceLimit,
     latency: ServerLatency,
+    /// Mean time in which it runs a call, in seconds, as it was computed last.
+    mean: f64,
     /// Calls that were completed while no slot was free, and that time in seconds.
     completed: DecayedSum,
     busy: DecayedSum,
@@ -56,7 +58,13 @@
 }
 
 impl ServerState {
-    pub(crate) fn new(server: CallServer, epoch: u64, policy: &CallPolicy, now: Moment) -> Self {
+    pub(crate) fn new(
+        server: CallServer,
+        epoch: u64,
+        mean: f64,
+        policy: &CallPolicy,
+        now: Moment,
+    ) -> Self {
         Self {
             limit: PlaceLimit::new(server.slots, policy, now),
             server,
@@ -66,6 +74,7 @@
             has_probe: false,
             block: BlockState::default(),
             latency: ServerLatency::default(),
+            mean,
             completed: DecayedSum::default(),
             busy: DecayedSum::default(),
             busy_since: None,
@@ -112,20 +121,25 @@
     }
 
     /// Mean time in which it runs a call, in seconds.
-    pub(crate) fn mean(&self, terms: &ServerTerms) -> f64 {
-        let policy = &terms.policy;
-        self.latency.mean(terms.pooled, policy.latency_prior, policy.latency_memory, terms.now)
+    pub(crate) fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// Computes the mean latency anew, which fades with time.
+    pub(crate) fn refresh(&mut self, terms: &ServerTerms) {
+        let ServerTerms { policy, pooled, now, .. } = terms;
+        self.mean = self.latency.mean(*pooled, policy.latency_prior, policy.latency_memory, *now);
     }
 
     /// Time in which it is predicted to answer one more call, in seconds.
     pub(crate) fn next_run(&self, terms: &ServerTerms) -> f64 {
-        self.mean(terms) * (f64::from(self.in_flight + 1) / self.slots(terms)).max(1.0)
+        self.mean * (f64::from(self.in_flight + 1) / self.slots(terms)).max(1.0)
     }
 
     /// Calls a second that it completes when all its slots are in use.
     pub(crate) fn rate(&self, terms: &ServerTerms) -> f64 {
         let (memory, prior) = (terms.policy.rate_memory, terms.policy.rate_prior.as_secs_f64());
-        let mean = self.mean(terms);
+        let mean = self.mean;
         match self.gate(terms) {
             ServerGate::Resting => 0.0,
             ServerGate::Probing => 1.0 / mean,
@@ -187,8 +201,8 @@
                 self.latency.note(ran, policy.latency_memory, now);
                 self.block.note_answered(sent.at, now);
                 let most = f64::from(self.server.most_connections);
-                let mean = self.mean(terms);
-                self.limit.note_answered(mean, sent.was_full, most, policy, now);
+                self.refresh(terms);
+                self.limit.note_answered(self.mean, sent.was_full, most, policy, now);
                 return Some(ran);
             }
             CallEnd::Failed => {
@@ -196,12 +210,12 @@
                 self.block.note_failed(sent.at, excess, policy, now);
             }
             CallEnd::NotRun => {
-                self.limit.note_refused(self.mean(terms), policy, now);
+                self.limit.note_refused(self.mean, policy, now);
                 self.block.note_refused(sent.at, policy, now);
             }
             CallEnd::NotSent => self.block.note_unreachable(sent.at, policy, now),
             CallEnd::Lost => {
-                self.limit.note_refused(self.mean(terms), policy, now);
+                self.limit.note_refused(self.mean, policy, now);
                 self.block.note_lost(sent.at, policy, now);
             }
             CallEnd::Abandoned => {}
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -1,6 +1,6 @@
 //! The backend servers of a service, and the choice among them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 use crate::meter::{LatencyMean, PooledLatency};
 use crate::policy::CallPolicy;
 use crate::reading::ServerReading;
-use crate::request::{CallEnd, CallRequest, CallServer};
+use crate::request::{CallEnd, CallId, CallRequest, CallServer};
 use crate::server::{SentCall, ServerState, ServerTerms};
 
 /// What the servers can do together.
@@ -44,16 +44,31 @@
     states: BTreeMap<Name, ServerState>,
     pooled: PooledLatency,
     epochs: u64,
+    /// The last survey and when it was made; none after a change that it may not show.
+    surveyed: Option<(ServerSurvey, Moment)>,
+    /// Forgotten calls, by when they have usually ended.
+    held: BTreeMap<(Moment, CallId), FlyingCall>,
+    held_until: HashMap<CallId, Moment>,
 }
 
 impl ServerSet {
     pub(crate) fn new(policy: Arc<CallPolicy>) -> Self {
         let pooled = PooledLatency::new(policy.assumed_latency);
-        Self { policy, share: 1.0, states: BTreeMap::new(), pooled, epochs: 0 }
+        Self {
+            policy,
+            share: 1.0,
+            states: BTreeMap::new(),
+            pooled,
+            epochs: 0,
+            surveyed: None,
+            held: BTreeMap::new(),
+            held_until: HashMap::new(),
+        }
     }
 
     pub(crate) fn set_share(&mut self, share: f64) {
         self.share = share.clamp(0.0, 1.0);
+        self.surveyed = None;
     }
 
     pub(crate) fn set(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) {
@@ -64,19 +79,20 @@
             self.enter_server(server, now);
         }
         self.states.retain(|_id, state| state.is_present || state.in_flight > 0);
+        self.surveyed = None;
     }
 
     /// The state of a server; one that has started again gets a new state.
     fn enter_server(&mut self, server: CallServer, now: Moment) -> &mut ServerState {
         let id = Name::clone(&server.backend.id);
         self.epochs += 1;
-        let (epochs, policy) = (self.epochs, &self.policy);
+        let (epochs, policy, mean) = (self.epochs, &self.policy, self.pooled.read().mean);
         let state = self
             .states
             .entry(id)
-            .or_insert_with(|| ServerState::new(server.clone(), epochs, policy, now));
+            .or_insert_with(|| ServerState::new(server.clone(), epochs, mean, policy, now));
         if BackendStart::differ(state.server.backend.start, server.backend.start) {
-            *state = ServerState::new(server, epochs, policy, now);
+            *state = ServerState::new(server, epochs, mean, policy, now);
         } else {
             state.update(server, policy, now);
         }
@@ -106,11 +122,11 @@
 
     /// Time until a server that a call may go to takes calls; zero if one does, or if all servers rest.
     pub(crate) fn opens_in(&self, excluded: &[Name], now: Moment) -> Duration {
-        if self.terms(now).all_rest {
+        let open = || self.present().filter(|state| !excluded.contains(&state.server.backend.id));
+        if open().any(|state| state.block.opens_in(now).is_zero()) || self.terms(now).all_rest {
             return Duration::ZERO;
         }
-        let open = self.present().filter(|state| !excluded.contains(&state.server.backend.id));
-        open.map(|state| state.block.opens_in(now)).min().unwrap_or_default()
+        open().map(|state| state.block.opens_in(now)).min().unwrap_or_default()
     }
 
     pub(crate) fn has_place(&self, now: Moment) -> bool {
@@ -118,10 +134,18 @@
         self.present().any(|state| state.has_place(&terms))
     }
 
-    pub(crate) fn survey(&self, now: Moment) -> ServerSurvey {
+    /// What the servers can do together, as it was a few milliseconds ago at the earliest: a look at all servers
+    /// for each call would cost too much.
+    pub(crate) fn survey(&mut self, now: Moment) -> ServerSurvey {
+        if let Some((survey, at)) = self.surveyed
+            && now.since(at) < self.policy.recheck
+        {
+            return survey;
+        }
         let terms = self.terms(now);
         let (mut rate, mut slots, mut limits) = (0.0, 0.0, 0.0);
-        for state in self.present() {
+        for state in self.states.values_mut().filter(|state| state.is_present) {
+            state.refresh(&terms);
             rate += state.rate(&terms);
             if state.gate(&terms) == ServerGate::Open {
                 slots += state.slots(&terms);
@@ -129,7 +153,9 @@
             }
         }
         let crowding = if slots > 0.0 { limits / slots } else { 1.0 };
-        ServerSurvey { rate, slots, crowding }
+        let survey = ServerSurvey { rate, slots, crowding };
+        self.surveyed = Some((survey, now));
+        survey
     }
 
     /// Sends a call to the server with the earliest predicted end, if one has a place and is predicted to answer
@@ -171,7 +197,7 @@
         let is_risk = state.gate(terms) == ServerGate::Probing && !request.is_repeatable;
         let risk = if is_risk { policy.risk_factor } else { 1.0 };
         let spread = 1.0 + random.random_range(0.0..1.0) * policy.spread;
-        load * state.mean(terms) * far * failures * risk * spread
+        load * state.mean() * far * failures * risk * spread
     }
 
     /// Counts a call that another host sent.
@@ -219,6 +245,40 @@
         }
     }
 
+    /// Forgets a call that may still run: its host is gone, or is served by another queue now. Its place is free
+    /// once it has usually ended, so that hosts that leave one after another do not add up to several limits.
+    pub(crate) fn hold(&mut self, id: CallId, call: FlyingCall, now: Moment) {
+        let LatencyMean { mean, deviation } = self.pooled.read();
+        let run = mean * call.sent.crowding + self.policy.forgotten_margin * deviation;
+        let until = call.sent.at + Duration::from_secs_f64(run);
+        if until <= now {
+            self.end(&call, None, now);
+            return;
+        }
+        self.held.insert((until, id), call);
+        self.held_until.insert(id, until);
+    }
+
+    /// Takes a call back that was forgotten, if it is reported again.
+    pub(crate) fn take_back(&mut self, id: CallId, now: Moment) {
+        if let Some(until) = self.held_until.remove(&id)
+            && let Some(call) = self.held.remove(&(until, id))
+        {
+            self.end(&call, None, now);
+        }
+    }
+
+    /// Frees the places of forgotten calls that have usually ended.
+    pub(crate) fn free_held(&mut self, now: Moment) {
+        while let Some(entry) = self.held.first_entry().filter(|entry| entry.key().0 <= now) {
+            let ((until, id), call) = entry.remove_entry();
+            if self.held_until.get(&id) == Some(&until) {
+                self.held_until.remove(&id);
+            }
+            self.end(&call, None, now);
+        }
+    }
+
     /// The part of calls that fail at the other servers; 1 if there are none to compare with.
     fn failures_elsewhere(&self, id: &Name, now: Moment) -> f64 {
         let others = self.present().filter(|state| state.server.backend.id != *id);
@@ -234,7 +294,7 @@
             backend: state.server.backend.clone(),
             limit: state.limit(&terms),
             in_flight: state.in_flight,
-            mean_latency: Duration::from_secs_f64(state.mean(&terms)),
+            mean_latency: Duration::from_secs_f64(state.mean()),
             is_blocked: state.block.gate(now) != ServerGate::Open,
         };
         self.present().map(reading).collect()
