Call queue: calls beyond the slots follow from their latency, and the margin of a wait from the wait

Change: calls beyond the slots are at least those that end in 5 ms (CallPolicy::transit) and two standard deviations, at most the slots; in a surge a call must have left its objective after three times its predicted wait.

--- a/crates/dillspool_calls/src/forecast.rs
+++ b/crates/dillspool_calls/src/forecast.rs
@@ -12,6 +12,15 @@
 /// Wait that no call has time for.
 const ENDLESS_S: f64 = 86_400.0;
 
+/// What must be left beyond a prediction.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WaitMargin {
+    /// Mean deviations of the latency.
+    deviations: f64,
+    /// Part of the wait.
+    wait: f64,
+}
+
 /// What is predicted at one moment.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitForecast {
@@ -85,10 +94,17 @@
         self.spare.max(self.policy.least_spare_part * self.survey.rate)
     }
 
-    /// Mean deviations that a call on time must have left when it is asked.
-    pub(crate) fn margin_at_ask(&self) -> f64 {
-        let CallPolicy { margin_calm, margin_surge, surge_part, .. } = *self.policy;
-        margin_calm + (margin_surge - margin_calm) * (self.excess / surge_part).min(1.0)
+    /// What a call on time must have left when it is asked.
+    pub(crate) fn margin_at_ask(&self) -> WaitMargin {
+        let CallPolicy { margin_calm, margin_surge, wait_margin, surge_part, .. } = *self.policy;
+        let surge = (self.excess / surge_part).clamp(0.0, 1.0);
+        let deviations = margin_calm + (margin_surge - margin_calm) * surge;
+        WaitMargin { deviations, wait: wait_margin * surge }
+    }
+
+    /// What a call must have left while it waits.
+    pub(crate) fn margin_waiting(&self) -> WaitMargin {
+        WaitMargin { deviations: self.policy.margin_waiting, wait: 0.0 }
     }
 
     /// Time until all calls on time that wait have a place.
@@ -96,22 +112,22 @@
         wait(self.on_time, self.survey.rate)
     }
 
-    /// Time that a call needs once it is sent; `margin` in mean deviations.
-    fn run(&self, margin: f64) -> Duration {
+    /// Time that a call needs once it is sent.
+    fn run(&self, margin: WaitMargin) -> Duration {
         let LatencyMean { mean, deviation } = self.latency;
-        Duration::from_secs_f64(mean * self.survey.crowding + margin * deviation)
+        Duration::from_secs_f64(mean * self.survey.crowding + margin.deviations * deviation)
     }
 
     /// Predicted end of a call on time that waits behind `ahead` others, while `above` calls a second arrive that
     /// go before it.
-    pub(crate) fn on_time_end(&self, ahead: usize, above: f64, margin: f64) -> Moment {
+    pub(crate) fn on_time_end(&self, ahead: usize, above: f64, margin: WaitMargin) -> Moment {
         let ServerSurvey { rate, .. } = self.survey;
         let left = (rate - above).max(self.policy.least_spare_part * rate);
-        self.now + wait(ahead + 1, left) + self.run(margin)
+        self.now + wait(ahead + 1, left).mul_f64(1.0 + margin.wait) + self.run(margin)
     }
 
     /// Predicted end of a late call that waits behind `ahead` others and all calls on time.
-    pub(crate) fn late_end(&self, ahead: usize, margin: f64) -> Moment {
+    pub(crate) fn late_end(&self, ahead: usize, margin: WaitMargin) -> Moment {
         self.now + self.backlog() + wait(ahead + 1, self.spare) + self.run(margin)
     }
 }
--- a/crates/dillspool_calls/src/policy.rs
+++ b/crates/dillspool_calls/src/policy.rs
@@ -10,6 +10,12 @@
     /// Calls in flight beyond a server's slots, as a part of the slots, and at least one call: a surge, in
     /// which a freed slot needs work while the next decision is in transit.
     pub extra_part: f64,
+    /// Time from the end of a call until the next one reaches the server that it has freed. Calls that are
+    /// shorter need more of them beyond the slots.
+    pub transit: Duration,
+    /// Standard deviations of the number of calls that end in that time for which there are calls beyond the
+    /// slots: ends in clumps.
+    pub transit_reserve: f64,
     /// Latency assumed of a server before any call of the service was answered: a start under load.
     pub assumed_latency: Duration,
     /// Time constant after which a server's own latency is forgotten: servers that get few calls.
@@ -31,6 +37,9 @@
     /// The same where calls arrive faster by `surge_part` or more, and in proportion between: a long surge, which
     /// would else fill the queue with calls that all just miss.
     pub margin_surge: f64,
+    /// Part of the predicted wait that a call must have left beyond it in a full surge: what is predicted of a
+    /// long wait is less exact.
+    pub wait_margin: f64,
     /// Part of the completion rate by which arrivals exceed it in a full surge.
     pub surge_part: f64,
     /// Time constant in which a surge is forgotten that is over: callers that return after it.
@@ -94,6 +103,8 @@
     fn default() -> Self {
         Self {
             extra_part: 0.25,
+            transit: Duration::from_millis(5),
+            transit_reserve: 2.0,
             assumed_latency: Duration::from_millis(30),
             latency_memory: Duration::from_secs(1),
             latency_prior: 2.0,
@@ -101,7 +112,8 @@
             rate_prior: Duration::from_millis(100),
             arrival_memory: Duration::from_millis(300),
             margin_calm: 0.5,
-            margin_surge: 6.0,
+            margin_surge: 2.0,
+            wait_margin: 2.0,
             surge_part: 0.5,
             surge_memory: Duration::from_secs(1),
             margin_waiting: 0.0,
--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -274,7 +274,8 @@
     /// Rejects waiting calls that are predicted to miss their time; those that miss only their objective are late
     /// from now on.
     fn check_waits(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
-        let (forecast, margin) = (self.forecast(now), self.policy.margin_waiting);
+        let forecast = self.forecast(now);
+        let margin = forecast.margin_waiting();
         let above: BTreeMap<(u32, u32), f64> =
             self.arrivals.keys().map(|it| (*it, self.arrivals_of(..*it, now))).collect();
         let failing = self.line.failing(|rank, ahead| {
@@ -300,7 +301,7 @@
         let Some(CallState::Waiting(call)) = self.calls.get_mut(&id) else { return };
         let priorities = (call.request.workspace_priority, call.request.priority);
         let rank = LineRank::new(true, priorities, call.arrived);
-        let margin = self.policy.margin_waiting;
+        let margin = forecast.margin_waiting();
         if call.key.rank.is_late
             || !forecast.has_spare()
             || forecast.late_end(self.line.ahead(&rank), margin) > call.give_up
--- a/crates/dillspool_calls/src/server.rs
+++ b/crates/dillspool_calls/src/server.rs
@@ -93,7 +93,7 @@
     /// Calls that may be in flight.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "limits are small")]
     pub(crate) fn limit(&self, terms: &ServerTerms) -> u32 {
-        let limit = self.limit.read(self.server.slots, &terms.policy, terms.now);
+        let limit = self.limit.read(self.server.slots, terms.pooled, &terms.policy, terms.now);
         let limit = limit.min(f64::from(self.server.most_connections)) * terms.share;
         (limit as u32).max(1)
     }
