--- a/crates/dillspool_calls/tests/decisions.rs
+++ b/crates/dillspool_calls/tests/decisions.rs
@@ -134,7 +134,8 @@
         assert_eq!(waiting.clone().count(), self.queue.read(self.now).waiting);
         assert!(waiting.clone().all(|call| call.give_up > self.now), "held beyond its time");
         for server in self.queue.read(self.now).servers {
-            assert_eq!(server.in_flight, self.in_flight(&server.backend));
+            // Forgotten calls keep their places for a while.
+            assert!(server.in_flight >= self.in_flight(&server.backend));
         }
     }
 
@@ -218,7 +219,7 @@
             most_connections: 9,
         });
         let servers: Vec<CallServer> = servers.collect();
-        let most = |slots: Option<u32>| slots.map_or(9, |it| (it + it.div_ceil(4)).min(9));
+        let most = |slots: Option<u32>| slots.map_or(9, |it| (2 * it).clamp(2, 9));
         self.servers = servers.iter().map(|it| (it.backend.clone(), most(it.slots))).collect();
         // Calls at a former start are forgotten, also if that start is named again.
         for at in self.calls.values_mut().filter_map(|call| call.at.as_mut()) {
@@ -245,8 +246,12 @@
         for step in steps {
             checker.step(step);
         }
-        let end = checker.now + Duration::from_secs(2);
+        let end = checker.now + Duration::from_secs(10);
         checker.pass(end);
+        checker.poll();
+        for server in checker.queue.read(end).servers {
+            prop_assert_eq!(server.in_flight, checker.in_flight(&server.backend));
+        }
         prop_assert!(checker.calls.values().all(|call| call.at.is_some()), "never decided");
     }
 }
