Call queue: late calls get what calls on time leave, and services that fail everywhere keep their capacity

Change: late calls get the slots that calls on time leave in the mean; one that is asked must have its predicted wait left once more, and one that waits is rejected by what was left over the last second. A row of losses counts if its chance at the other servers' part of failures is below 0.0001, and a reset cuts a limit if the server fails twice as often as the others.

--- a/crates/dillspool_calls/src/block.rs
+++ b/crates/dillspool_calls/src/block.rs
@@ -92,11 +92,19 @@
         }
     }
 
-    /// No proper answer came.
-    pub(crate) fn note_lost(&mut self, sent: Moment, policy: &CallPolicy, now: Moment) {
+    /// No proper answer came; `elsewhere` is the part of calls that fail at the other servers.
+    pub(crate) fn note_lost(
+        &mut self,
+        sent: Moment,
+        elsewhere: f64,
+        policy: &CallPolicy,
+        now: Moment,
+    ) {
         self.note_rate(1.0, now);
         self.lost_in_row += 1;
-        if self.until.is_some() || self.lost_in_row >= policy.lost_before_rest {
+        let is_row = self.lost_in_row >= policy.lost_before_rest
+            && elsewhere.powf(f64::from(self.lost_in_row)) <= policy.row_chance;
+        if self.until.is_some() || is_row {
             self.rest(sent, policy, now);
         }
     }
--- a/crates/dillspool_calls/src/forecast.rs
+++ b/crates/dillspool_calls/src/forecast.rs
@@ -9,6 +9,8 @@
 use crate::policy::CallPolicy;
 use crate::servers::ServerSurvey;
 
+/// Slots that calls on time must leave before a late call gets one: most of one.
+pub(crate) const LEAST_LATE_PLACES: f64 = 0.5;
 /// Wait that no call has time for.
 const ENDLESS_S: f64 = 86_400.0;
 
@@ -21,6 +23,19 @@
     wait: f64,
 }
 
+/// What the queue knows of the load beside the servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RecentLoad {
+    /// Calls a second that arrive and can be on time.
+    pub(crate) arrivals: f64,
+    /// Calls on time that wait.
+    pub(crate) on_time: usize,
+    /// What is left of an earlier excess of arrivals.
+    pub(crate) excess: f64,
+    /// Calls a second that late calls had lately.
+    pub(crate) spare: f64,
+}
+
 /// What is predicted at one moment.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitForecast {
@@ -28,51 +43,36 @@
     now: Moment,
     latency: LatencyMean,
     survey: ServerSurvey,
-    /// Calls on time that wait.
-    on_time: usize,
+    load: RecentLoad,
     /// Part of the completion rate by which arrivals exceed it, or did a short time ago.
     pub(crate) excess: f64,
     /// Late calls that may be in flight at once.
     late_places: f64,
     /// Calls a second that late calls may have.
-    spare: f64,
+    pub(crate) spare: f64,
 }
 
 impl WaitForecast {
-    /// A forecast where calls on time arrive at `arrivals` a second and `on_time` of them wait; `excess` is what is
-    /// left of an earlier excess.
     pub(crate) fn new(
         policy: Arc<CallPolicy>,
         survey: ServerSurvey,
         latency: LatencyMean,
-        arrivals: f64,
-        on_time: usize,
-        excess: f64,
+        load: RecentLoad,
         now: Moment,
     ) -> Self {
+        let RecentLoad { arrivals, excess, .. } = load;
         let ServerSurvey { rate, slots, .. } = survey;
-        let mut forecast = Self {
-            policy,
-            now,
-            latency,
-            survey,
-            on_time,
-            excess: 0.0,
-            late_places: 0.0,
-            spare: 0.0,
-        };
+        let mut forecast =
+            Self { policy, now, latency, survey, load, excess, late_places: 0.0, spare: 0.0 };
         if rate <= 0.0 {
             return forecast;
         }
         // By Little's law, the slots that the calls on time of the next moments occupy.
         let slots = slots.max(1.0);
         let policy = &forecast.policy;
-        let needed = arrivals * slots / rate;
-        let free = slots - needed - policy.late_reserve * needed.sqrt();
-        let sole = if needed <= policy.sole_late_below * slots { 1.0 } else { 0.0 };
-        let places = free.max(sole);
-        let spare = (rate - arrivals).min(places * rate / slots);
-        let has_spare = places >= 1.0 && spare >= policy.least_spare_part * rate;
+        let places = slots - arrivals * slots / rate;
+        let spare = rate - arrivals;
+        let has_spare = places >= LEAST_LATE_PLACES && spare >= policy.least_spare_part * rate;
         forecast.excess = (arrivals / rate - 1.0).min(forecast.policy.surge_part).max(excess);
         forecast.late_places = places;
         forecast.spare = if has_spare { spare } else { 0.0 };
@@ -109,7 +109,7 @@
 
     /// Time until all calls on time that wait have a place.
     pub(crate) fn backlog(&self) -> Duration {
-        wait(self.on_time, self.survey.rate)
+        wait(self.load.on_time, self.survey.rate)
     }
 
     /// Time that a call needs once it is sent.
@@ -126,9 +126,19 @@
         self.now + wait(ahead + 1, left).mul_f64(1.0 + margin.wait) + self.run(margin)
     }
 
-    /// Predicted end of a late call that waits behind `ahead` others and all calls on time.
-    pub(crate) fn late_end(&self, ahead: usize, margin: WaitMargin) -> Moment {
-        self.now + self.backlog() + wait(ahead + 1, self.spare) + self.run(margin)
+    /// Predicted end of a late call that is asked and waits behind `ahead` others and all calls on time, by what is
+    /// left to late calls now and was lately.
+    pub(crate) fn late_end_at_ask(&self, ahead: usize) -> Moment {
+        let spare = self.spare.min(self.load.spare);
+        let wait = wait(ahead + 1, spare).mul_f64(1.0 + self.policy.late_margin);
+        self.now + self.backlog() + wait + self.run(self.margin_at_ask())
+    }
+
+    /// Predicted end of a late call that waits already, by what is left to late calls now or was lately: it is not
+    /// rejected for one moment in which nothing is left.
+    pub(crate) fn late_end(&self, ahead: usize) -> Moment {
+        let spare = self.spare.max(self.load.spare);
+        self.now + self.backlog() + wait(ahead + 1, spare) + self.run(self.margin_waiting())
     }
 }
 
--- a/crates/dillspool_calls/src/meter.rs
+++ b/crates/dillspool_calls/src/meter.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// A mean over time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DecayedMean {
+    value: f64,
+    at: Moment,
+}
+
+impl DecayedMean {
+    pub(crate) fn read(&self) -> f64 {
+        self.value
+    }
+
+    /// Notes the value that holds since the last one was noted.
+    pub(crate) fn note(&mut self, value: f64, memory: Duration, now: Moment) {
+        let kept = (-now.since(self.at).as_secs_f64() / memory.as_secs_f64()).exp();
+        self.value = value + (self.value - value) * kept;
+        self.at = now;
+    }
+}
+
 /// Mean and mean deviation of a latency, in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LatencyMean {
--- a/crates/dillspool_calls/src/policy.rs
+++ b/crates/dillspool_calls/src/policy.rs
@@ -47,12 +47,11 @@
     /// Mean deviations that a call must have left while it waits: fewer, so that a small change of the rate
     /// rejects none that wait.
     pub margin_waiting: f64,
-    /// Standard deviations of the number of calls on time by which late calls leave more slots free than the
-    /// mean needs: arrivals in clumps.
-    pub late_reserve: f64,
-    /// Part of the slots that calls on time need up to which one late call is let in, whatever the reserve:
-    /// services with few slots and little load.
-    pub sole_late_below: f64,
+    /// Part of its predicted wait that a late call must have left beyond it when it is asked: an oscillating load, in
+    /// which what is left to late calls changes while they wait.
+    pub late_margin: f64,
+    /// Time constant of what calls on time leave: moments in which they leave nothing.
+    pub spare_memory: Duration,
     /// Part of the completion rate that must be left by calls on time before late calls wait for it: a surge
     /// that leaves none.
     pub least_spare_part: f64,
@@ -72,6 +71,9 @@
     pub spread: f64,
     /// Calls without a proper answer in a row before a server rests: servers that are gone or hang.
     pub lost_before_rest: u32,
+    /// Chance below which a longer row must be at the other servers' part of calls that fail: services of which
+    /// all servers fail partially, where rests would only take capacity.
+    pub row_chance: f64,
     /// Rejected calls in a row before a server rests: servers that reject at once and so look empty.
     pub refused_before_rest: u32,
     /// Part of calls that fail beyond the part at the other servers from which a server rests: servers that
@@ -83,6 +85,9 @@
     pub longest_rest: Duration,
     /// Factor of a server's limit after a rejection or a reset: other senders that use the same server.
     pub limit_cut: f64,
+    /// Factor by which the part of its calls that fail must exceed that of the other servers for a reset to cut a
+    /// server's limit: services of which all servers fail partially.
+    pub cut_factor: f64,
     /// Part of a server's limit that is left after all cuts: clumps of rejections.
     pub least_limit_part: f64,
     /// Time in which a limit recovers from its lowest: rejections that were the end of a burst.
@@ -117,8 +122,8 @@
             surge_part: 0.5,
             surge_memory: Duration::from_secs(1),
             margin_waiting: 0.0,
-            late_reserve: 1.0,
-            sole_late_below: 0.7,
+            late_margin: 1.0,
+            spare_memory: Duration::from_secs(1),
             least_spare_part: 0.05,
             recheck: Duration::from_millis(5),
             forgotten_margin: 4.0,
@@ -127,11 +132,13 @@
             risk_factor: 4.0,
             spread: 0.1,
             lost_before_rest: 2,
+            row_chance: 0.0001,
             refused_before_rest: 3,
             failing_excess: 0.5,
             first_rest: Duration::from_millis(500),
             longest_rest: Duration::from_secs(4),
             limit_cut: 0.8,
+            cut_factor: 2.0,
             least_limit_part: 0.5,
             limit_recovers: Duration::from_secs(1),
             first_learned_limit: 4,
--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -10,9 +10,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::forecast::WaitForecast;
+use crate::forecast::{LEAST_LATE_PLACES, RecentLoad, WaitForecast};
 use crate::line::{LineKey, LineRank, WaitLine};
-use crate::meter::DecayedSum;
+use crate::meter::{DecayedMean, DecayedSum};
 use crate::policy::CallPolicy;
 use crate::reading::CallReading;
 use crate::request::{CallDecision, CallEnd, CallId, CallRequest, CallServer, RejectCause};
@@ -56,6 +56,8 @@
     late_in_flight: usize,
     /// Calls that arrived and could be on time, by the priorities of workspace and route.
     arrivals: BTreeMap<(u32, u32), DecayedSum>,
+    /// Calls a second that late calls had lately.
+    spare: DecayedMean,
     /// Part of the completion rate by which arrivals exceeded it lately.
     excess: DecayedSum,
     retries: RetryPlan,
@@ -79,6 +81,7 @@
             ends: BTreeSet::new(),
             late_in_flight: 0,
             arrivals: BTreeMap::new(),
+            spare: DecayedMean::default(),
             excess: DecayedSum::default(),
             retries: RetryPlan::default(),
             rejected: BTreeMap::new(),
@@ -130,7 +133,7 @@
             return CallDecision::Send { backend };
         }
         let forecast = self.forecast(now);
-        self.excess.set(forecast.excess, now);
+        self.note_load(&forecast, now);
         let margin = forecast.margin_at_ask();
         let due = objective.min(give_up);
         let rank = LineRank::new(false, priorities, due);
@@ -142,7 +145,7 @@
             (rank, due, due)
         };
         let is_hopeless =
-            || !forecast.has_spare() || forecast.late_end(self.line.ahead(&rank), margin) > give_up;
+            || !forecast.has_spare() || forecast.late_end_at_ask(self.line.ahead(&rank)) > give_up;
         if is_late && is_hopeless() {
             return self.reject(RejectCause::NoRoom, request.time_left, now);
         }
@@ -258,29 +261,39 @@
     }
 
     fn forecast(&mut self, now: Moment) -> WaitForecast {
-        let arrivals = self.arrivals_of(.., now);
+        let load = RecentLoad {
+            arrivals: self.arrivals_of(.., now),
+            on_time: self.line.on_time(),
+            excess: self.excess.read(self.policy.surge_memory, now),
+            spare: self.spare.read(),
+        };
         let (survey, latency) = (self.servers.survey(now), self.servers.latency());
-        let excess = self.excess.read(self.policy.surge_memory, now);
-        let (policy, on_time) = (Arc::clone(&self.policy), self.line.on_time());
-        WaitForecast::new(policy, survey, latency, arrivals, on_time, excess, now)
+        WaitForecast::new(Arc::clone(&self.policy), survey, latency, load, now)
+    }
+
+    /// Notes how the load stands for later forecasts.
+    fn note_load(&mut self, forecast: &WaitForecast, now: Moment) {
+        self.excess.set(forecast.excess, now);
+        self.spare.note(forecast.spare, self.policy.spare_memory, now);
     }
 
     /// Whether one more late call may be in flight beside the calls on time that are about to arrive.
     #[expect(clippy::cast_precision_loss, reason = "calls in flight are counted in thousands")]
     fn has_late_place(&mut self, now: Moment) -> bool {
-        (self.late_in_flight + 1) as f64 <= self.forecast(now).late_places()
+        self.late_in_flight as f64 + LEAST_LATE_PLACES <= self.forecast(now).late_places()
     }
 
     /// Rejects waiting calls that are predicted to miss their time; those that miss only their objective are late
     /// from now on.
     fn check_waits(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
         let forecast = self.forecast(now);
+        self.note_load(&forecast, now);
         let margin = forecast.margin_waiting();
         let above: BTreeMap<(u32, u32), f64> =
             self.arrivals.keys().map(|it| (*it, self.arrivals_of(..*it, now))).collect();
         let failing = self.line.failing(|rank, ahead| {
             if rank.is_late {
-                return forecast.late_end(ahead, margin);
+                return forecast.late_end(ahead);
             }
             let above = above.get(&rank.priorities()).copied().unwrap_or_default();
             forecast.on_time_end(ahead, above, margin)
@@ -301,10 +314,9 @@
         let Some(CallState::Waiting(call)) = self.calls.get_mut(&id) else { return };
         let priorities = (call.request.workspace_priority, call.request.priority);
         let rank = LineRank::new(true, priorities, call.arrived);
-        let margin = forecast.margin_waiting();
         if call.key.rank.is_late
             || !forecast.has_spare()
-            || forecast.late_end(self.line.ahead(&rank), margin) > call.give_up
+            || forecast.late_end_at_ask(self.line.ahead(&rank)) > call.give_up
         {
             self.reject_waiting(id, now, decided);
             return;
--- a/crates/dillspool_calls/src/server.rs
+++ b/crates/dillspool_calls/src/server.rs
@@ -182,13 +182,13 @@
     }
 
     /// Notes how a call ended that is still counted as in flight; `elsewhere` is the part of calls that fail at
-    /// the other servers. Returns the time that it ran where that is known, in seconds.
+    /// the other servers, if there are any. Returns the time that it ran where that is known, in seconds.
     pub(crate) fn note_end(
         &mut self,
         sent: &SentCall,
         end: CallEnd,
         took: Duration,
-        elsewhere: f64,
+        elsewhere: Option<f64>,
         terms: &ServerTerms,
     ) -> Option<f64> {
         let (policy, now) = (&terms.policy, terms.now);
@@ -206,7 +206,7 @@
                 return Some(ran);
             }
             CallEnd::Failed => {
-                let excess = self.block.failures(now) - elsewhere;
+                let excess = self.block.failures(now) - elsewhere.unwrap_or(1.0);
                 self.block.note_failed(sent.at, excess, policy, now);
             }
             CallEnd::NotRun => {
@@ -215,8 +215,12 @@
             }
             CallEnd::NotSent => self.block.note_unreachable(sent.at, policy, now),
             CallEnd::Lost => {
-                self.limit.note_refused(self.mean, policy, now);
-                self.block.note_lost(sent.at, policy, now);
+                let elsewhere = elsewhere.unwrap_or(0.0);
+                self.block.note_lost(sent.at, elsewhere, policy, now);
+                // Where all servers lose calls alike, lower limits would only take capacity.
+                if self.block.failures(now) > policy.cut_factor * elsewhere {
+                    self.limit.note_refused(self.mean, policy, now);
+                }
             }
             CallEnd::Abandoned => {}
         }
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -226,8 +226,10 @@
     /// Notes how a call ended, or that it is forgotten.
     pub(crate) fn end(&mut self, call: &FlyingCall, end: Option<(CallEnd, Duration)>, now: Moment) {
         let elsewhere = match end {
-            Some((CallEnd::Failed, _took)) => self.failures_elsewhere(&call.server, now),
-            _ => 0.0,
+            Some((CallEnd::Failed | CallEnd::Lost, _took)) => {
+                self.failures_elsewhere(&call.server, now)
+            }
+            _ => None,
         };
         let terms = self.terms(now);
         let Some(state) = self.states.get_mut(&call.server) else { return };
@@ -279,13 +281,13 @@
         }
     }
 
-    /// The part of calls that fail at the other servers; 1 if there are none to compare with.
-    fn failures_elsewhere(&self, id: &Name, now: Moment) -> f64 {
+    /// The part of calls that fail at the other servers, if there are any.
+    fn failures_elsewhere(&self, id: &Name, now: Moment) -> Option<f64> {
         let others = self.present().filter(|state| state.server.backend.id != *id);
         let (count, total) = others.fold((0.0, 0.0), |(count, total), state| {
             (count + 1.0, total + state.block.failures(now))
         });
-        if count > 0.0 { total / count } else { 1.0 }
+        (count > 0.0).then(|| total / count)
     }
 
     pub(crate) fn read(&self, now: Moment) -> Vec<ServerReading> {
