--- a/crates/dillspool_calls/src/limit.rs
+++ b/crates/dillspool_calls/src/limit.rs
@@ -47,17 +47,28 @@
         reported.map(f64::from).or(self.learned.map(|it| it.limit)).unwrap_or(1.0).max(1.0)
     }
 
-    /// Calls that may be in flight, without shares and connections; `latency` is that of all servers in seconds.
+    /// Calls beyond the slots, so that a freed slot has work while the next decision is in transit; `latency` is
+    /// that of all servers in seconds.
+    pub(crate) fn extra(&self, reported: Option<u32>, latency: f64, policy: &CallPolicy) -> f64 {
+        if reported.is_none() {
+            return 0.0;
+        }
+        let slots = self.slots(reported);
+        let transit = policy.transit.as_secs_f64();
+        let ending = slots * transit / latency.max(transit);
+        let needed = ending + policy.transit_reserve * ending.sqrt();
+        needed.max(slots * policy.extra_part).ceil().clamp(1.0, slots)
+    }
+
+    /// Calls that may be in flight, without shares and connections.
     pub(crate) fn read(
         &self,
         reported: Option<u32>,
-        latency: f64,
+        extra: f64,
         policy: &CallPolicy,
         now: Moment,
     ) -> f64 {
-        let slots = self.slots(reported);
-        let extra = if reported.is_some() { extra(slots, latency, policy) } else { 0.0 };
-        (slots + extra) * self.part(policy, now)
+        (self.slots(reported) + extra) * self.part(policy, now)
     }
 
     fn part(&self, policy: &CallPolicy, now: Moment) -> f64 {
@@ -104,10 +115,3 @@
         }
     }
 }
-
-/// Calls beyond the slots, so that a freed slot has work while the next decision is in transit.
-fn extra(slots: f64, latency: f64, policy: &CallPolicy) -> f64 {
-    let ending = slots * policy.transit.as_secs_f64() / latency.max(policy.transit.as_secs_f64());
-    let transit = ending + policy.transit_reserve * ending.sqrt();
-    transit.max(slots * policy.extra_part).ceil().clamp(1.0, slots.max(1.0))
-}
--- a/crates/dillspool_calls/src/server.rs
+++ b/crates/dillspool_calls/src/server.rs
@@ -51,6 +51,8 @@
     latency: ServerLatency,
     /// Mean time in which it runs a call, in seconds, as it was computed last.
     mean: f64,
+    /// Calls that may be in flight beyond its slots, likewise.
+    extra: f64,
     /// Calls that were completed while no slot was free, and that time in seconds.
     completed: DecayedSum,
     busy: DecayedSum,
@@ -65,8 +67,10 @@
         policy: &CallPolicy,
         now: Moment,
     ) -> Self {
+        let limit = PlaceLimit::new(server.slots, policy, now);
         Self {
-            limit: PlaceLimit::new(server.slots, policy, now),
+            extra: limit.extra(server.slots, mean, policy),
+            limit,
             server,
             epoch,
             is_present: true,
@@ -82,10 +86,17 @@
     }
 
     /// Takes over what the directory tells of it now.
-    pub(crate) fn update(&mut self, server: CallServer, policy: &CallPolicy, now: Moment) {
+    pub(crate) fn update(
+        &mut self,
+        server: CallServer,
+        pooled: f64,
+        policy: &CallPolicy,
+        now: Moment,
+    ) {
         if server.slots.is_none() != self.server.slots.is_none() {
             self.limit = PlaceLimit::new(server.slots, policy, now);
         }
+        self.extra = self.limit.extra(server.slots, pooled, policy);
         self.server = server;
         self.is_present = true;
     }
@@ -93,9 +104,9 @@
     /// Calls that may be in flight.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "limits are small")]
     pub(crate) fn limit(&self, terms: &ServerTerms) -> u32 {
-        let limit = self.limit.read(self.server.slots, terms.pooled, &terms.policy, terms.now);
+        let limit = self.limit.read(self.server.slots, self.extra, &terms.policy, terms.now);
         let limit = limit.min(f64::from(self.server.most_connections)) * terms.share;
-        (limit as u32).max(1)
+        (limit as u32).max(1).min(self.server.most_connections)
     }
 
     /// Calls that it runs at once of those that may be in flight.
@@ -125,10 +136,11 @@
         self.mean
     }
 
-    /// Computes the mean latency anew, which fades with time.
+    /// Computes anew what changes with time and the other servers.
     pub(crate) fn refresh(&mut self, terms: &ServerTerms) {
         let ServerTerms { policy, pooled, now, .. } = terms;
         self.mean = self.latency.mean(*pooled, policy.latency_prior, policy.latency_memory, *now);
+        self.extra = self.limit.extra(self.server.slots, *pooled, policy);
     }
 
     /// Time in which it is predicted to answer one more call, in seconds.
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -94,7 +94,7 @@
         if BackendStart::differ(state.server.backend.start, server.backend.start) {
             *state = ServerState::new(server, epochs, mean, policy, now);
         } else {
-            state.update(server, policy, now);
+            state.update(server, mean, policy, now);
         }
         state
     }
