Call queue: waiting calls whose servers have left are rejected at once, with the right cause

Cause: a call that waits and may go to no server that is left was rejected only when its prediction failed, as no_room. Change: after a server has left or started again, the next poll rejects such calls as no_server. Other updates of the servers don't look at the calls.

--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -64,6 +64,8 @@
     rejected: BTreeMap<RejectCause, u64>,
     /// When the waits were predicted last.
     checked: Moment,
+    /// Whether a server has left since the last poll.
+    has_lost_server: bool,
     /// Since when places may be free that waiting calls have not been offered.
     offered: Option<Moment>,
 }
@@ -86,6 +88,7 @@
             retries: RetryPlan::default(),
             rejected: BTreeMap::new(),
             checked: Moment::default(),
+            has_lost_server: false,
             offered: None,
         }
     }
@@ -93,9 +96,11 @@
     /// Sets the backend servers that take calls. One that has started again begins without history, and the
     /// calls in flight at its former start are forgotten. Those at a server that left count until they end.
     pub fn set_servers(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) {
-        self.servers.set(servers, now);
-        // A server that left takes its capacity with it.
-        self.checked = Moment::default();
+        if self.servers.set(servers, now) {
+            // A server that left takes its capacity with it, and some calls may go to no other.
+            self.checked = Moment::default();
+            self.has_lost_server = true;
+        }
         self.note_change(now);
     }
 
@@ -220,6 +225,9 @@
         {
             self.reject_waiting(id, now, &mut decided);
         }
+        if std::mem::take(&mut self.has_lost_server) {
+            self.reject_without_server(now, &mut decided);
+        }
         if now.since(self.checked) >= self.policy.recheck {
             self.checked = now;
             self.check_waits(now, &mut decided);
@@ -374,8 +382,22 @@
     ) {
         if let Some(CallState::Waiting(call)) = self.calls.remove(&id) {
             self.leave_line(id, &call);
-            let left = call.give_up.since(now);
-            decided.push((id, self.reject(RejectCause::NoRoom, left, now)));
+            let has_server = self.servers.has_any(&call.request.excluded);
+            let cause = if has_server { RejectCause::NoRoom } else { RejectCause::NoServer };
+            decided.push((id, self.reject(cause, call.give_up.since(now), now)));
+        }
+    }
+
+    /// Rejects waiting calls that may go to none of the servers; the servers change seldom.
+    fn reject_without_server(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
+        let lost = self.calls.iter().filter_map(|(id, call)| match call {
+            CallState::Waiting(call) if !self.servers.has_any(&call.request.excluded) => Some(*id),
+            _ => None,
+        });
+        let mut lost: Vec<CallId> = lost.collect();
+        lost.sort_unstable();
+        for id in lost {
+            self.reject_waiting(id, now, decided);
         }
     }
 
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -71,7 +71,10 @@
         self.surveyed = None;
     }
 
-    pub(crate) fn set(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) {
+    /// Sets the servers that take calls; whether one has left or started again.
+    pub(crate) fn set(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) -> bool {
+        let before: Vec<(Name, u64)> =
+            self.present().map(|it| (Name::clone(&it.server.backend.id), it.epoch)).collect();
         for state in self.states.values_mut() {
             state.is_present = false;
         }
@@ -80,6 +83,10 @@
         }
         self.states.retain(|_id, state| state.is_present || state.in_flight > 0);
         self.surveyed = None;
+        let is_there = |(id, epoch): &(Name, u64)| {
+            self.states.get(id).is_some_and(|it| it.is_present && it.epoch == *epoch)
+        };
+        !before.iter().all(is_there)
     }
 
     /// The state of a server; one that has started again gets a new state.
--- a/crates/dillspool_calls/tests/rules.rs
+++ b/crates/dillspool_calls/tests/rules.rs
@@ -212,6 +212,27 @@
     assert!(matches!(decision, CallDecision::Reject { cause: RejectCause::NoServer, .. }));
 }
 
+/// Guards against calls that wait for servers that have left, and a wrong cause.
+#[test]
+fn calls_whose_servers_leave_are_rejected_at_once() {
+    let mut bench = Bench::new(&[server("one", Some(6)), server("two", Some(6))]);
+    bench.fill();
+    let (other, _decision) = bench.ask(request(0, 150));
+    let (lost, decision) =
+        bench.ask(CallRequest { excluded: vec!["two".into()], ..request(0, 150) });
+    assert_eq!(decision, CallDecision::Wait);
+    for (left, ids) in [(vec![server("two", Some(6))], vec![lost]), (Vec::new(), vec![other])] {
+        bench.queue.set_servers(left.into_iter(), bench.now);
+        assert_eq!(bench.queue.next_due(), Some(bench.now));
+        let rejected = bench.queue.poll(bench.now).into_iter().map(|(id, decision)| {
+            let cause = RejectCause::NoServer;
+            assert!(matches!(decision, CallDecision::Reject { cause: it, .. } if it == cause));
+            id
+        });
+        assert_eq!(rejected.collect::<Vec<_>>(), ids);
+    }
+}
+
 /// Guards against a learned limit that stays too high where calls queue in the server, or too low where none do.
 #[test]
 fn limits_are_learned_where_no_slots_are_reported() {
