--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -10,9 +10,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::forecast::WaitForecast;
+use crate::forecast::{LEAST_LATE_PLACES, RecentLoad, WaitForecast};
 use crate::line::{LineKey, LineRank, WaitLine};
-use crate::meter::DecayedSum;
+use crate::meter::{DecayedMean, DecayedSum};
 use crate::policy::CallPolicy;
 use crate::reading::CallReading;
 use crate::request::{CallDecision, CallEnd, CallId, CallRequest, CallServer, RejectCause};
@@ -56,12 +56,16 @@
     late_in_flight: usize,
     /// Calls that arrived and could be on time, by the priorities of workspace and route.
     arrivals: BTreeMap<(u32, u32), DecayedSum>,
+    /// Calls a second that late calls had lately.
+    spare: DecayedMean,
     /// Part of the completion rate by which arrivals exceeded it lately.
     excess: DecayedSum,
     retries: RetryPlan,
     rejected: BTreeMap<RejectCause, u64>,
     /// When the waits were predicted last.
     checked: Moment,
+    /// Whether a server has left since the last poll.
+    has_lost_server: bool,
     /// Since when places may be free that waiting calls have not been offered.
     offered: Option<Moment>,
 }
@@ -79,10 +83,12 @@
             ends: BTreeSet::new(),
             late_in_flight: 0,
             arrivals: BTreeMap::new(),
+            spare: DecayedMean::default(),
             excess: DecayedSum::default(),
             retries: RetryPlan::default(),
             rejected: BTreeMap::new(),
             checked: Moment::default(),
+            has_lost_server: false,
             offered: None,
         }
     }
@@ -90,9 +96,11 @@
     /// Sets the backend servers that take calls. One that has started again begins without history, and the
     /// calls in flight at its former start are forgotten. Those at a server that left count until they end.
     pub fn set_servers(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) {
-        self.servers.set(servers, now);
-        // A server that left takes its capacity with it.
-        self.checked = Moment::default();
+        if self.servers.set(servers, now) {
+            // A server that left takes its capacity with it, and some calls may go to no other.
+            self.checked = Moment::default();
+            self.has_lost_server = true;
+        }
         self.note_change(now);
     }
 
@@ -130,7 +138,7 @@
             return CallDecision::Send { backend };
         }
         let forecast = self.forecast(now);
-        self.excess.set(forecast.excess, now);
+        self.note_load(&forecast, now);
         let margin = forecast.margin_at_ask();
         let due = objective.min(give_up);
         let rank = LineRank::new(false, priorities, due);
@@ -142,7 +150,7 @@
             (rank, due, due)
         };
         let is_hopeless =
-            || !forecast.has_spare() || forecast.late_end(self.line.ahead(&rank), margin) > give_up;
+            || !forecast.has_spare() || forecast.late_end_at_ask(self.line.ahead(&rank)) > give_up;
         if is_late && is_hopeless() {
             return self.reject(RejectCause::NoRoom, request.time_left, now);
         }
@@ -217,6 +225,9 @@
         {
             self.reject_waiting(id, now, &mut decided);
         }
+        if std::mem::take(&mut self.has_lost_server) {
+            self.reject_without_server(now, &mut decided);
+        }
         if now.since(self.checked) >= self.policy.recheck {
             self.checked = now;
             self.check_waits(now, &mut decided);
@@ -258,29 +269,39 @@
     }
 
     fn forecast(&mut self, now: Moment) -> WaitForecast {
-        let arrivals = self.arrivals_of(.., now);
+        let load = RecentLoad {
+            arrivals: self.arrivals_of(.., now),
+            on_time: self.line.on_time(),
+            excess: self.excess.read(self.policy.surge_memory, now),
+            spare: self.spare.read(),
+        };
         let (survey, latency) = (self.servers.survey(now), self.servers.latency());
-        let excess = self.excess.read(self.policy.surge_memory, now);
-        let (policy, on_time) = (Arc::clone(&self.policy), self.line.on_time());
-        WaitForecast::new(policy, survey, latency, arrivals, on_time, excess, now)
+        WaitForecast::new(Arc::clone(&self.policy), survey, latency, load, now)
+    }
+
+    /// Notes how the load stands for later forecasts.
+    fn note_load(&mut self, forecast: &WaitForecast, now: Moment) {
+        self.excess.set(forecast.excess, now);
+        self.spare.note(forecast.spare, self.policy.spare_memory, now);
     }
 
     /// Whether one more late call may be in flight beside the calls on time that are about to arrive.
     #[expect(clippy::cast_precision_loss, reason = "calls in flight are counted in thousands")]
     fn has_late_place(&mut self, now: Moment) -> bool {
-        (self.late_in_flight + 1) as f64 <= self.forecast(now).late_places()
+        self.late_in_flight as f64 + LEAST_LATE_PLACES <= self.forecast(now).late_places()
     }
 
     /// Rejects waiting calls that are predicted to miss their time; those that miss only their objective are late
     /// from now on.
     fn check_waits(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
         let forecast = self.forecast(now);
+        self.note_load(&forecast, now);
         let margin = forecast.margin_waiting();
         let above: BTreeMap<(u32, u32), f64> =
             self.arrivals.keys().map(|it| (*it, self.arrivals_of(..*it, now))).collect();
         let failing = self.line.failing(|rank, ahead| {
             if rank.is_late {
-                return forecast.late_end(ahead, margin);
+                return forecast.late_end(ahead);
             }
             let above = above.get(&rank.priorities()).copied().unwrap_or_default();
             forecast.on_time_end(ahead, above, margin)
@@ -301,10 +322,9 @@
         let Some(CallState::Waiting(call)) = self.calls.get_mut(&id) else { return };
         let priorities = (call.request.workspace_priority, call.request.priority);
         let rank = LineRank::new(true, priorities, call.arrived);
-        let margin = forecast.margin_waiting();
         if call.key.rank.is_late
             || !forecast.has_spare()
-            || forecast.late_end(self.line.ahead(&rank), margin) > call.give_up
+            || forecast.late_end_at_ask(self.line.ahead(&rank)) > call.give_up
         {
             self.reject_waiting(id, now, decided);
             return;
@@ -362,8 +382,22 @@
     ) {
         if let Some(CallState::Waiting(call)) = self.calls.remove(&id) {
             self.leave_line(id, &call);
-            let left = call.give_up.since(now);
-            decided.push((id, self.reject(RejectCause::NoRoom, left, now)));
+            let has_server = self.servers.has_any(&call.request.excluded);
+            let cause = if has_server { RejectCause::NoRoom } else { RejectCause::NoServer };
+            decided.push((id, self.reject(cause, call.give_up.since(now), now)));
+        }
+    }
+
+    /// Rejects waiting calls that may go to none of the servers; the servers change seldom.
+    fn reject_without_server(&mut self, now: Moment, decided: &mut Vec<(CallId, CallDecision)>) {
+        let lost = self.calls.iter().filter_map(|(id, call)| match call {
+            CallState::Waiting(call) if !self.servers.has_any(&call.request.excluded) => Some(*id),
+            _ => None,
+        });
+        let mut lost: Vec<CallId> = lost.collect();
+        lost.sort_unstable();
+        for id in lost {
+            self.reject_waiting(id, now, decided);
         }
     }
 
--- a/crates/dillspool_calls/src/server.rs
+++ b/crates/dillspool_calls/src/server.rs
@@ -51,6 +51,8 @@
     latency: ServerLatency,
     /// Mean time in which it runs a call, in seconds, as it was computed last.
     mean: f64,
+    /// Calls that may be in flight beyond its slots, likewise.
+    extra: f64,
     /// Calls that were completed while no slot was free, and that time in seconds.
     completed: DecayedSum,
     busy: DecayedSum,
@@ -65,8 +67,10 @@
         policy: &CallPolicy,
         now: Moment,
     ) -> Self {
+        let limit = PlaceLimit::new(server.slots, policy, now);
         Self {
-            limit: PlaceLimit::new(server.slots, policy, now),
+            extra: limit.extra(server.slots, mean, policy),
+            limit,
             server,
             epoch,
             is_present: true,
@@ -82,10 +86,17 @@
     }
 
     /// Takes over what the directory tells of it now.
-    pub(crate) fn update(&mut self, server: CallServer, policy: &CallPolicy, now: Moment) {
+    pub(crate) fn update(
+        &mut self,
+        server: CallServer,
+        pooled: f64,
+        policy: &CallPolicy,
+        now: Moment,
+    ) {
         if server.slots.is_none() != self.server.slots.is_none() {
             self.limit = PlaceLimit::new(server.slots, policy, now);
         }
+        self.extra = self.limit.extra(server.slots, pooled, policy);
         self.server = server;
         self.is_present = true;
     }
@@ -93,9 +104,9 @@
     /// Calls that may be in flight.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "limits are small")]
     pub(crate) fn limit(&self, terms: &ServerTerms) -> u32 {
-        let limit = self.limit.read(self.server.slots, terms.pooled, &terms.policy, terms.now);
+        let limit = self.limit.read(self.server.slots, self.extra, &terms.policy, terms.now);
         let limit = limit.min(f64::from(self.server.most_connections)) * terms.share;
-        (limit as u32).max(1)
+        (limit as u32).max(1).min(self.server.most_connections)
     }
 
     /// Calls that it runs at once of those that may be in flight.
@@ -125,10 +136,11 @@
         self.mean
     }
 
-    /// Computes the mean latency anew, which fades with time.
+    /// Computes anew what changes with time and the other servers.
     pub(crate) fn refresh(&mut self, terms: &ServerTerms) {
         let ServerTerms { policy, pooled, now, .. } = terms;
         self.mean = self.latency.mean(*pooled, policy.latency_prior, policy.latency_memory, *now);
+        self.extra = self.limit.extra(self.server.slots, *pooled, policy);
     }
 
     /// Time in which it is predicted to answer one more call, in seconds.
@@ -182,13 +194,13 @@
     }
 
     /// Notes how a call ended that is still counted as in flight; `elsewhere` is the part of calls that fail at
-    /// the other servers. Returns the time that it ran where that is known, in seconds.
+    /// the other servers, if there are any. Returns the time that it ran where that is known, in seconds.
     pub(crate) fn note_end(
         &mut self,
         sent: &SentCall,
         end: CallEnd,
         took: Duration,
-        elsewhere: f64,
+        elsewhere: Option<f64>,
         terms: &ServerTerms,
     ) -> Option<f64> {
         let (policy, now) = (&terms.policy, terms.now);
@@ -206,7 +218,7 @@
                 return Some(ran);
             }
             CallEnd::Failed => {
-                let excess = self.block.failures(now) - elsewhere;
+                let excess = self.block.failures(now) - elsewhere.unwrap_or(1.0);
                 self.block.note_failed(sent.at, excess, policy, now);
             }
             CallEnd::NotRun => {
@@ -215,8 +227,12 @@
             }
             CallEnd::NotSent => self.block.note_unreachable(sent.at, policy, now),
             CallEnd::Lost => {
-                self.limit.note_refused(self.mean, policy, now);
-                self.block.note_lost(sent.at, policy, now);
+                let elsewhere = elsewhere.unwrap_or(0.0);
+                self.block.note_lost(sent.at, elsewhere, policy, now);
+                // Where all servers lose calls alike, lower limits would only take capacity.
+                if self.block.failures(now) > policy.cut_factor * elsewhere {
+                    self.limit.note_refused(self.mean, policy, now);
+                }
             }
             CallEnd::Abandoned => {}
         }
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -71,7 +71,10 @@
         self.surveyed = None;
     }
 
-    pub(crate) fn set(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) {
+    /// Sets the servers that take calls; whether one has left or started again.
+    pub(crate) fn set(&mut self, servers: impl Iterator<Item = CallServer>, now: Moment) -> bool {
+        let before: Vec<(Name, u64)> =
+            self.present().map(|it| (Name::clone(&it.server.backend.id), it.epoch)).collect();
         for state in self.states.values_mut() {
             state.is_present = false;
         }
@@ -80,6 +83,10 @@
         }
         self.states.retain(|_id, state| state.is_present || state.in_flight > 0);
         self.surveyed = None;
+        let is_there = |(id, epoch): &(Name, u64)| {
+            self.states.get(id).is_some_and(|it| it.is_present && it.epoch == *epoch)
+        };
+        !before.iter().all(is_there)
     }
 
     /// The state of a server; one that has started again gets a new state.
@@ -94,7 +101,7 @@
         if BackendStart::differ(state.server.backend.start, server.backend.start) {
             *state = ServerState::new(server, epochs, mean, policy, now);
         } else {
-            state.update(server, policy, now);
+            state.update(server, mean, policy, now);
         }
         state
     }
@@ -226,8 +233,10 @@
     /// Notes how a call ended, or that it is forgotten.
     pub(crate) fn end(&mut self, call: &FlyingCall, end: Option<(CallEnd, Duration)>, now: Moment) {
         let elsewhere = match end {
-            Some((CallEnd::Failed, _took)) => self.failures_elsewhere(&call.server, now),
-            _ => 0.0,
+            Some((CallEnd::Failed | CallEnd::Lost, _took)) => {
+                self.failures_elsewhere(&call.server, now)
+            }
+            _ => None,
         };
         let terms = self.terms(now);
         let Some(state) = self.states.get_mut(&call.server) else { return };
@@ -279,13 +288,13 @@
         }
     }
 
-    /// The part of calls that fail at the other servers; 1 if there are none to compare with.
-    fn failures_elsewhere(&self, id: &Name, now: Moment) -> f64 {
+    /// The part of calls that fail at the other servers, if there are any.
+    fn failures_elsewhere(&self, id: &Name, now: Moment) -> Option<f64> {
         let others = self.present().filter(|state| state.server.backend.id != *id);
         let (count, total) = others.fold((0.0, 0.0), |(count, total), state| {
             (count + 1.0, total + state.block.failures(now))
         });
-        if count > 0.0 { total / count } else { 1.0 }
+        (count > 0.0).then(|| total / count)
     }
 
     pub(crate) fn read(&self, now: Moment) -> Vec<ServerReading> {
