--- a/crates/dillspool_explain/src/story.rs
+++ b/crates/dillspool_explain/src/story.rs
@@ -133,6 +133,7 @@
         "host_full" => "the host had too much in flight",
         "no_route" => "no route of the configuration in force takes it",
         "no_backend" => "no backend server of its service took requests",
+        "no_room" => "the backend servers could not answer it in its time; it did not run",
         "no_memory" => "no decode engine had memory for its answer; it did not run",
         "not_run" => "the backend servers that were asked did not run it",
         "too_late_not_run" => "its time was over before it ran",
