--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -303,6 +303,7 @@
     ) -> (ForwardContext, watch::Sender<Arc<DirectoryView>>) {
         let (sender, directory) = watch::channel(Arc::new(view));
         let schedule = Self::schedule(&directory);
+        let calls = CallDesk::new(CallTerms::default(), 1, HostClock::steady());
         let budget =
             BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 1_000_000.0 };
         let context = ForwardContext {
@@ -310,11 +311,7 @@
             calls: self.calls(),
             directory,
             schedule,
-            call_client: CallClient::new(CallDesk::new(
-                CallTerms::default(),
-                1,
-                HostClock::steady(),
-            )),
+            call_client: CallClient::new(calls),
             limits: LimitClient::new(LimitDesk::new(
                 LimitTerms { slack: 0.0, shares: 2 },
                 HostClock::steady(),
