--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -20,7 +20,8 @@
     ServiceEntry, ServiceShare,
 };
 use dillspool_scheduler::{
-    BusHandlers, FleetBus, LimitClient, LimitDesk, LimitTerms, PoolDesk, ScheduleClient,
+    BusHandlers, CallClient, CallDesk, CallTerms, FleetBus, LimitClient, LimitDesk, LimitTerms,
+    PoolDesk, ScheduleClient,
 };
 use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectDesk, SuspectPolicy};
 use dillspool_throttle::ThrottleDesk;
@@ -119,6 +120,7 @@
         failure_domain: domain.into(),
         state: BackendState::Ready,
         stage,
+        slots: None,
     }
 }
 
@@ -301,6 +303,7 @@
     ) -> (ForwardContext, watch::Sender<Arc<DirectoryView>>) {
         let (sender, directory) = watch::channel(Arc::new(view));
         let schedule = Self::schedule(&directory);
+        let calls = CallDesk::new(CallTerms::default(), 1, HostClock::steady());
         let budget =
             BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 1_000_000.0 };
         let context = ForwardContext {
@@ -308,6 +311,7 @@
             calls: self.calls(),
             directory,
             schedule,
+            call_client: CallClient::new(calls),
             limits: LimitClient::new(LimitDesk::new(
                 LimitTerms { slack: 0.0, shares: 2 },
                 HostClock::steady(),
--- /dev/null
+++ b/crates/dillspool_scheduler/tests/call_links.rs
@@ -0,0 +1,370 @@
+//! Hosts that ask the one that decides on the calls of a service, and what each failure of the table in
+//! `docs/HARD-LOAD.md` does to them.
+
+mod call_fleet;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillspool_calls::{CallDecision, CallEnd, CallRequest, RejectCause};
+use dillspool_cases::run_paused;
+use dillspool_io::{LinkMode, MemoryNet};
+use dillspool_routing::{BackendEntry, BackendStart, BackendState};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use tokio::time::Instant;
+
+use call_fleet::*;
+
+/// Time within which a host that lost its link has another one.
+const LINKED_WITHIN: Duration = Duration::from_millis(1_900);
+/// Time within which a call has usually ended whose host is gone: its server may run it on, so the queue keeps its
+/// place for that long.
+const ENDED_WITHIN: Duration = Duration::from_millis(120);
+/// Silence after which a host counts as gone, and some round trips.
+const GONE_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// What goes other than it should.
+type Faults = Vec<String>;
+
+fn fault_if(is_fault: bool, text: impl FnOnce() -> String) -> Faults {
+    if is_fault { vec![text()] } else { Vec::new() }
+}
+
+struct FailureCase {
+    name: &'static str,
+    play: fn(TestFleet) -> BoxFuture<'static, Faults>,
+}
+
+const FAILURES: [FailureCase; 11] = [
+    FailureCase {
+        name: "the deciding host is silent",
+        play: |fleet| decider_away(fleet, LinkMode::Frozen).boxed(),
+    },
+    FailureCase {
+        name: "the link to the deciding host is lost",
+        play: |fleet| decider_away(fleet, LinkMode::Cut).boxed(),
+    },
+    FailureCase { name: "the deciding host is new", play: |fleet| new_decider(fleet).boxed() },
+    FailureCase { name: "two deciding hosts at once", play: |fleet| two_deciders(fleet).boxed() },
+    FailureCase {
+        name: "a host is killed with calls in flight",
+        play: |fleet| host_gone(fleet, true, ENDED_WITHIN).boxed(),
+    },
+    FailureCase {
+        name: "a host is frozen with calls in flight",
+        play: |fleet| host_gone(fleet, false, GONE_WITHIN).boxed(),
+    },
+    FailureCase {
+        name: "a host freezes and resumes while a call waits",
+        play: |fleet| freeze_in_queue(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a host freezes and resumes with a decision",
+        play: |fleet| freeze_with_decision(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a caller leaves while it waits, or before its decision",
+        play: |fleet| callers_leave(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a server is restarted under its id",
+        play: |fleet| server_restarts(fleet).boxed(),
+    },
+    FailureCase {
+        name: "a server is draining, or in a drained failure domain",
+        play: |fleet| servers_drain(fleet).boxed(),
+    },
+];
+
+#[test]
+fn each_failure_has_its_behaviour() {
+    let mut faults = Vec::new();
+    for case in &FAILURES {
+        let found = run_paused(async { (case.play)(TestFleet::start().await).await });
+        faults.extend(found.into_iter().map(|fault| format!("{}: {fault}", case.name)));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// This host decides at once, with its part of the limits, until another link is established.
+async fn decider_away(fleet: TestFleet, mode: LinkMode) -> Faults {
+    let limit = fleet.limit();
+    fleet.set_links(1, &[2, 3], mode);
+    let asked = Instant::now();
+    let own = fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await;
+    // The host that decides next was alone, too.
+    drop(fleet.hosts[1].take(1, DECIDED_WITHIN).await);
+    let took = asked.elapsed();
+    // Two thirds of the limit of each of both servers.
+    let share = limit.div_ceil(3) * 2;
+    let mut faults = fault_if(own.is_empty() || own.len() > share, || {
+        format!("{} of {limit} places taken alone after {took:?}", own.len())
+    });
+    drop(own);
+    tokio::time::sleep(LINKED_WITHIN).await;
+    let linked = fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await;
+    let (in_flight, _limit) = fleet.hosts[1].in_flight();
+    faults.extend(fault_if(linked.len() != limit || in_flight as usize != limit, || {
+        format!("{} of {limit} sent by another link, {in_flight} known there", linked.len())
+    }));
+    faults
+}
+
+/// Hosts report the calls that they have in flight, also those that they decided alone.
+async fn new_decider(fleet: TestFleet) -> Faults {
+    let before = fleet.hosts[2].take(3, DECIDED_WITHIN).await;
+    fleet.hosts[0].cancel.cancel();
+    let alone = fleet.hosts[2].take(3 * fleet.limit(), DECIDED_WITHIN).await;
+    // Those that another host decided count against this host's own part.
+    let (held, part) = fleet.hosts[2].in_flight();
+    let mut faults = fault_if(before.len() + alone.len() != held as usize || held != part, || {
+        format!("{} and {} held, {held} of {part} counted", before.len(), alone.len())
+    });
+    tokio::time::sleep(LINKED_WITHIN).await;
+    let (in_flight, limit) = fleet.hosts[1].in_flight();
+    faults.extend(fault_if(in_flight != held, || format!("{held} held, {in_flight} reported")));
+    let more = fleet.hosts[2].take(3 * limit as usize, DECIDED_WITHIN).await;
+    faults.extend(fault_if(more.len() + held as usize != limit as usize, || {
+        format!("{} sent beside {held} with a limit of {limit}", more.len())
+    }));
+    drop((before, alone, more));
+    pass(20).await;
+    let (in_flight, _limit) = fleet.hosts[1].in_flight();
+    faults.extend(fault_if(in_flight != 0, || format!("{in_flight} left after their end")));
+    faults
+}
+
+/// Each deciding host uses up to the whole limit of a server.
+async fn two_deciders(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    fleet.set_links(1, &[3], LinkMode::Cut);
+    tokio::time::sleep(LINKED_WITHIN).await;
+    let (one, other) = (
+        fleet.hosts[1].take(3 * limit, DECIDED_WITHIN).await,
+        fleet.hosts[2].take(3 * limit, DECIDED_WITHIN).await,
+    );
+    let sent = (one.len(), other.len());
+    fault_if(sent != (limit, limit), || format!("{sent:?} sent, {limit} by each expected"))
+}
+
+/// The calls of a host that is gone are forgotten, at once or after its silence.
+async fn host_gone(fleet: TestFleet, is_killed: bool, within: Duration) -> Faults {
+    let limit = fleet.limit();
+    let held = fleet.hosts[2].take(limit, DECIDED_WITHIN).await;
+    if is_killed {
+        fleet.hosts[2].cancel.cancel();
+    } else {
+        fleet.set_links(3, &[1, 2], LinkMode::Frozen);
+    }
+    let decided = tokio::time::timeout(within, fleet.hosts[1].ask()).await;
+    let is_sent = matches!(decided, Ok((_, Some(CallDecision::Send { .. }))));
+    fault_if(held.len() != limit || !is_sent, || {
+        format!("{} of {limit} places held, sent in their stead: {is_sent}", held.len())
+    })
+}
+
+/// The clock of a host that was stopped for a while has gone on; a decision that came meanwhile is old.
+async fn freeze_in_queue(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    let mut held = fleet.hosts[1].take(limit, DECIDED_WITHIN).await;
+    let waits = fleet.hosts[2].ask();
+    let stop = async {
+        pass(50).await;
+        fleet.hosts[2].jumps.suspend(Duration::from_millis(200));
+        // A place is free, and the waiting call gets it while its host is stopped.
+        held.pop();
+    };
+    let ((ticket, decision), ()) = futures_util::future::join(waits, stop).await;
+    let is_sent = matches!(decision, Some(CallDecision::Send { .. }));
+    pass(20).await;
+    let (in_flight, _limit) = fleet.hosts[0].in_flight();
+    let mut faults = fault_if(!is_sent || in_flight as usize != limit, || {
+        format!("sent {is_sent}, {in_flight} of {limit} in flight: the old decision keeps a place")
+    });
+    // The old decision came to a call that had waited; the new one found the place free.
+    faults.extend(fault_if(ticket.queued_for().is_some(), || "no new question".to_owned()));
+    faults
+}
+
+/// A decision that this host has had for a while before it can follow it is old.
+async fn freeze_with_decision(fleet: TestFleet) -> Faults {
+    let (ticket, _decision) = fleet.hosts[2].ask().await;
+    let mut faults = fault_if(!ticket.is_fresh(), || "old at once".to_owned());
+    fleet.hosts[2].jumps.suspend(Duration::from_millis(81));
+    faults.extend(fault_if(ticket.is_fresh(), || "still fresh".to_owned()));
+    faults
+}
+
+/// A caller that leaves leaves the queue at once, and a decision that crosses its leaving holds no place.
+async fn callers_leave(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    let held = fleet.hosts[1].take(limit, DECIDED_WITHIN).await;
+    let waited = fleet.hosts[2].take(4, Duration::from_millis(20)).await;
+    pass(5).await;
+    let mut faults = fault_if(!waited.is_empty() || fleet.hosts[0].waiting() != 0, || {
+        format!("{} wait after their callers left", fleet.hosts[0].waiting())
+    });
+    drop(held);
+    pass(5).await;
+    // Its question is on the way when it leaves.
+    let asking = fleet.hosts[2].ask();
+    let left = asking.now_or_never().is_none();
+    pass(50).await;
+    let (in_flight, _limit) = fleet.hosts[0].in_flight();
+    faults.extend(fault_if(!left || in_flight != 0, || {
+        format!("left {left}, {in_flight} in flight for nobody")
+    }));
+    faults
+}
+
+/// Calls in flight at the former start are forgotten.
+async fn server_restarts(fleet: TestFleet) -> Faults {
+    let limit = fleet.limit();
+    let held = fleet.hosts[2].take(limit, DECIDED_WITHIN).await;
+    let again = ["a", "b"].map(|id| BackendEntry { start: Some(BackendStart(2)), ..entry(id) });
+    fleet.hosts[0].view.send_replace(Arc::new(view(again)));
+    pass(10).await;
+    let more = fleet.hosts[1].take(limit, DECIDED_WITHIN).await;
+    let mut faults = fault_if(held.len() != limit || more.len() != limit, || {
+        format!("{} before, {} after, {limit} each expected", held.len(), more.len())
+    });
+    drop(held);
+    pass(20).await;
+    let (in_flight, _limit) = fleet.hosts[0].in_flight();
+    faults.extend(fault_if(in_flight as usize != limit, || {
+        format!("{in_flight} in flight: ends of the former start count for the new one")
+    }));
+    faults
+}
+
+/// A server that takes nothing new gets nothing; without any other one calls are rejected at once.
+async fn servers_drain(fleet: TestFleet) -> Faults {
+    let draining = BackendEntry { state: BackendState::Draining, ..entry("a") };
+    let mut changed = view([draining, entry("b")]);
+    fleet.hosts[0].view.send_replace(Arc::new(changed.clone()));
+    pass(10).await;
+    let mut faults = Vec::new();
+    for _call in 0..4 {
+        let (_ticket, decision) = fleet.hosts[2].ask().await;
+        let to_b = matches!(&decision, Some(CallDecision::Send { backend }) if &*backend.id == "b");
+        faults.extend(fault_if(!to_b, || format!("{decision:?} beside a draining server")));
+    }
+    changed.drained.insert("b".into());
+    fleet.hosts[0].view.send_replace(Arc::new(changed));
+    pass(10).await;
+    let (_ticket, decision) = fleet.hosts[2].ask().await;
+    let is_rejected =
+        matches!(decision, Some(CallDecision::Reject { cause: RejectCause::NoServer, .. }));
+    faults.extend(fault_if(!is_rejected, || format!("{decision:?} without a server")));
+    faults
+}
+
+/// A call that waits is rejected once no place can become free in its time, not at its deadline.
+#[test]
+fn a_call_without_hope_is_rejected_before_its_deadline() {
+    run_paused(async {
+        let fleet = TestFleet::start().await;
+        let _held = fleet.hosts[1].take(fleet.limit(), DECIDED_WITHIN).await;
+        let mut ticket = fleet.hosts[2].client.open(&SERVICE.into());
+        let short = Duration::from_millis(300);
+        let asked = Instant::now();
+        let hurried = CallRequest { objective_left: short / 2, time_left: short, ..request() };
+        let decision = ticket.ask(&hurried).await;
+        assert!(matches!(decision, Some(CallDecision::Reject { .. })), "{decision:?}");
+        assert!(asked.elapsed() <= short, "{:?}", asked.elapsed());
+    });
+}
+
+/// Calls that end are told to the deciding host with their outcome, wherever they were asked.
+#[test]
+fn places_are_free_after_each_kind_of_end() {
+    let ends = [
+        CallEnd::Answered,
+        CallEnd::Failed,
+        CallEnd::NotRun,
+        CallEnd::NotSent,
+        CallEnd::Lost,
+        CallEnd::Abandoned,
+    ];
+    run_paused(async {
+        let fleet = TestFleet::start().await;
+        for end in ends {
+            for host in &fleet.hosts {
+                let (mut ticket, decision) = host.ask().await;
+                assert!(matches!(decision, Some(CallDecision::Send { .. })), "{end:?}");
+                assert_eq!(fleet.hosts[0].in_flight().0, 1, "{end:?}");
+                ticket.end(end, Duration::from_millis(30));
+                pass(5).await;
+                assert_eq!(fleet.hosts[0].in_flight().0, 0, "{end:?}");
+            }
+            // Failures leave a server out for a while.
+            pass(10_000).await;
+        }
+    });
+}
+
+struct SwitchCase {
+    /// Slots of both servers, one after another.
+    slots: &'static [u32],
+    /// Whether one host decides after each.
+    decided: &'static [bool],
+}
+
+/// A server that leaves and comes back does not switch a service back and forth.
+#[test]
+fn one_host_decides_where_slots_are_few() {
+    // Three hosts of ten slots each: below 30 one decides, from 36 on each by itself.
+    let cases = [
+        SwitchCase { slots: &[15], decided: &[false] },
+        SwitchCase { slots: &[14], decided: &[true] },
+        SwitchCase { slots: &[14, 17, 18], decided: &[true, true, false] },
+        SwitchCase { slots: &[18, 17, 15, 14], decided: &[false, false, false, true] },
+    ];
+    for case in &cases {
+        run_paused(async {
+            let host = TestHost::start(&MemoryNet::new(), 1, &[1], 10.0).await;
+            for (slots, decided) in case.slots.iter().zip(case.decided) {
+                let some = |id| BackendEntry { slots: Some(*slots), ..entry(id) };
+                host.view.send_replace(Arc::new(view([some("a"), some("b")])));
+                pass(10).await;
+                assert_eq!(host.desk.is_scheduled(SERVICE), *decided, "{:?}: {slots}", case.slots);
+            }
+            // Nothing is known of the service while it has no server.
+            let before = host.desk.is_scheduled(SERVICE);
+            host.view.send_replace(Arc::new(view([])));
+            pass(10).await;
+            assert_eq!(host.desk.is_scheduled(SERVICE), before, "{:?}", case.slots);
+        });
+    }
+}
+
+/// A host that does not decide on calls refuses the link, and the next one is asked.
+#[test]
+fn a_host_that_knows_no_calls_is_passed_over() {
+    run_paused(async {
+        let net = MemoryNet::new();
+        let _without = TestHost::start(&net, 1, &[1, 2, 3], 0.0).await;
+        let deciding = TestHost::start(&net, 2, &[1, 2, 3], 10.0).await;
+        let host = TestHost::start(&net, 3, &[1, 2, 3], 10.0).await;
+        pass(1_000).await;
+        let (_ticket, decision) = host.ask().await;
+        assert!(matches!(decision, Some(CallDecision::Send { .. })), "{decision:?}");
+        assert_eq!((host.in_flight().0, deciding.in_flight().0), (0, 1));
+    });
+}
+
+/// Where the setting is 0 a ticket decides nothing, and no host asks another one.
+#[test]
+fn nothing_is_decided_where_the_setting_is_zero() {
+    run_paused(async {
+        let net = MemoryNet::new();
+        let deciding = TestHost::start(&net, 1, &[1, 2], 0.0).await;
+        let host = TestHost::start(&net, 2, &[1, 2], 0.0).await;
+        pass(2_000).await;
+        let (ticket, decision) = host.ask().await;
+        assert!(!ticket.is_scheduled());
+        assert_eq!(decision, None);
+        assert!(deciding.desk.read().is_empty(), "no queue is made");
+    });
+}
