Held bytes: a host's budget, charged connections and their stall limit

Cause: a caller that reads slowly leaves its answer with the host, and a backend server that reads no body keeps it there; nothing counted or limited these bytes.

Change: ByteBudget with ByteGuard (released on drop, or with the last copy of the bytes it is attached to), ExchangeBytes as the account of one exchange, HeldStream that charges what a peer leaves unread and ends the exchange after the stall limit, serve_http_held and exchange_held that use them, and a limit on unsent bytes of TCP sockets. Nothing uses them yet; without a budget connections are made as before.

--- a/crates/dillspool_io/src/exchange.rs
+++ b/crates/dillspool_io/src/exchange.rs
@@ -4,8 +4,10 @@
 //! request run twice or give a caller somebody else's answer. A connection that serves one
 //! exchange and closes can do neither; `docs/design/platform_site.md` has its price.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,8 +20,14 @@
 use tokio::task::JoinHandle;
 
 use crate::client::HttpError;
+use crate::held_bytes::{ExchangeBytes, StalledSide};
+use crate::held_stream::HeldStream;
 use crate::stack::NetStack;
 
+/// Bytes of an exchange's connection that are buffered in either direction at most, where bytes held
+/// are limited; the head of an answer must fit.
+const BUFFER_BYTES: usize = 32 * 1024;
+
 /// Closes the connection when the last part of the exchange is dropped.
 #[derive(Debug)]
 struct ConnectionGuard {
@@ -59,6 +67,41 @@
     }
 }
 
+/// A body in parts of a limited size, so that not all of it is copied into the connection's buffer.
+struct PartsBody {
+    body: Full<Bytes>,
+    rest: Bytes,
+    part_bytes: usize,
+}
+
+impl Body for PartsBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            match std::task::ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => self.rest = frame.into_data().unwrap_or_default(),
+                end => return Poll::Ready(end),
+            }
+        }
+        let length = self.rest.len().min(self.part_bytes);
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let left = self.body.size_hint().exact().unwrap_or_default();
+        SizeHint::with_exact(left + self.rest.len() as u64)
+    }
+}
+
 /// Sends one request on a new connection and returns once the head of its answer is there.
 ///
 /// The caller bounds the whole wait; dropping the future closes the connection.
@@ -72,6 +115,22 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     connect_limit: Duration,
+) -> Result<Response<ExchangeBody>, HttpError> {
+    exchange_held(stack, address, request, connect_limit, &ExchangeBytes::default()).await
+}
+
+/// As [`exchange_once`], as a part of a caller's exchange: what the server does not read of the request
+/// is charged to it, and a server that reads nothing for too long is given up.
+///
+/// # Errors
+///
+/// As [`exchange_once`].
+pub async fn exchange_held(
+    stack: &NetStack,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    connect_limit: Duration,
+    held: &ExchangeBytes,
 ) -> Result<Response<ExchangeBody>, HttpError> {
     let not_sent = |reason: String| HttpError::NotSent { address, reason };
     let stream = match tokio::time::timeout(connect_limit, stack.connect(address)).await {
@@ -79,7 +138,16 @@
         Ok(Err(error)) => return Err(not_sent(error.to_string())),
         Err(_elapsed) => return Err(not_sent(format!("no connection within {connect_limit:?}"))),
     };
-    let (mut sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
+    let mut builder = http1::Builder::new();
+    let (stream, part_bytes) = if held.terms().is_some() {
+        builder.max_buf_size(BUFFER_BYTES);
+        let exchange = Arc::new(Mutex::new(held.clone()));
+        (HeldStream::wrap(stream, exchange, StalledSide::Backend), BUFFER_BYTES)
+    } else {
+        (stream, usize::MAX)
+    };
+    let request = request.map(|body| PartsBody { body, rest: Bytes::new(), part_bytes });
+    let (mut sender, connection) = match builder.handshake(TokioIo::new(stream)).await {
         Ok(parts) => parts,
         Err(error) => return Err(not_sent(error.to_string())),
     };
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -8,6 +8,8 @@
 mod client;
 mod clock;
 mod exchange;
+mod held_bytes;
+mod held_stream;
 mod host_clock;
 mod memory;
 mod process_look;
@@ -20,9 +22,13 @@
 };
 pub use client::{HttpClient, HttpError};
 pub use clock::{UnixMillis, WallClock};
-pub use exchange::{ExchangeBody, exchange_once};
+pub use exchange::{ExchangeBody, exchange_held, exchange_once};
+pub use held_bytes::{ByteBudget, ByteGuard, ExchangeBytes, HeldReading, HeldTerms, StalledSide};
+pub use held_stream::CallerConnection;
 pub use host_clock::{HostClock, MomentPassed};
 pub use memory::{LinkMode, MemoryNet};
 pub use process_look::{ProcessSign, look_at_process};
-pub use server::{HttpHandler, ServerLimits, handler, serve_http, serve_http_live};
+pub use server::{
+    HttpHandler, ServerLimits, handler, serve_http, serve_http_held, serve_http_live,
+};
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -15,6 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::ResponseBody;
+use crate::held_bytes::ByteBudget;
+use crate::held_stream::CallerConnection;
 use crate::stack::{BoxFuture, NetListener, NetStream};
 
 /// Largest head of a request, in bytes.
@@ -73,9 +75,23 @@
 ///
 /// The number of connections is the one of the start.
 pub async fn serve_http_live(
+    listener: NetListener,
+    limits: watch::Receiver<ServerLimits>,
+    handler: HttpHandler,
+    cancel: CancellationToken,
+) {
+    serve_http_held(listener, limits, handler, None, cancel).await;
+}
+
+/// As [`serve_http_live`], with a budget of bytes held for callers.
+///
+/// What a caller leaves unread is charged to the exchange that the handler opens with the request's
+/// [`CallerConnection`], and one that reads nothing for too long is cut off.
+pub async fn serve_http_held(
     mut listener: NetListener,
     limits: watch::Receiver<ServerLimits>,
     handler: HttpHandler,
+    budget: Option<ByteBudget>,
     cancel: CancellationToken,
 ) {
     let permits = Arc::new(Semaphore::new(limits.borrow().max_connections));
@@ -93,9 +109,21 @@
             break;
         };
         let limits = *limits.borrow();
-        let connection = serve_connection(stream, limits, handler.clone(), cancel.clone());
+        let caller = budget.as_ref().map(CallerConnection::new);
+        let (handler, cancel) = (handler.clone(), cancel.clone());
         tracker.spawn(async move {
-            connection.await;
+            match caller {
+                None => serve_connection(stream, limits, handler, cancel).await,
+                Some(caller) => {
+                    let stream = caller.watch(stream);
+                    let handler = introduce(caller.clone(), handler);
+                    tokio::select! {
+                        () = serve_connection(stream, limits, handler, cancel) => {}
+                        // Dropping the connection ends whatever runs for it.
+                        () = caller.closing() => {}
+                    }
+                }
+            }
             drop(permit);
         });
     }
@@ -104,6 +132,16 @@
     tracker.wait().await;
 }
 
+/// Adds the connection to the extensions of its requests.
+fn introduce(caller: CallerConnection, handler: HttpHandler) -> HttpHandler {
+    HttpHandler {
+        run: Arc::new(move |mut request| {
+            request.extensions_mut().insert(caller.clone());
+            (handler.run)(request)
+        }),
+    }
+}
+
 async fn serve_connection(
     stream: NetStream,
     limits: ServerLimits,
--- a/crates/dillspool_io/src/stack.rs
+++ b/crates/dillspool_io/src/stack.rs
@@ -124,7 +124,18 @@
 
     /// The system's TCP.
     pub fn tcp() -> Self {
-        Self::new(|to| Box::pin(connect_tcp(to)), |at| Box::pin(listen_tcp(at)))
+        Self::tcp_unsent(None)
+    }
+
+    /// The system's TCP; it takes no more of a connection while so many bytes of it are unsent.
+    ///
+    /// Without a limit it takes megabytes for a peer that reads nothing, and says that there is room
+    /// again only when a third of that was read, so that a slow reader looks like none.
+    pub fn tcp_unsent(limit: Option<u32>) -> Self {
+        Self::new(
+            move |to| Box::pin(connect_tcp(to, limit)),
+            move |at| Box::pin(listen_tcp(at, limit)),
+        )
     }
 
     /// Opens a connection.
@@ -138,16 +149,19 @@
     }
 }
 
-async fn connect_tcp(to: SocketAddr) -> io::Result<NetStream> {
+async fn connect_tcp(to: SocketAddr, unsent: Option<u32>) -> io::Result<NetStream> {
     let stream = TcpStream::connect(to).await?;
-    set_options(&stream)?;
+    set_options(&stream, unsent)?;
     Ok(NetStream::new(stream))
 }
 
 /// Sends small writes at once, and notices a peer that fell silent.
-fn set_options(stream: &TcpStream) -> io::Result<()> {
+fn set_options(stream: &TcpStream, unsent: Option<u32>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    if let Some(unsent) = unsent {
+        socket.set_tcp_notsent_lowat(unsent)?;
+    }
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
@@ -156,7 +170,7 @@
     socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
 }
 
-async fn listen_tcp(at: SocketAddr) -> io::Result<NetListener> {
+async fn listen_tcp(at: SocketAddr, unsent: Option<u32>) -> io::Result<NetListener> {
     let listener = TcpListener::bind(at).await?;
     let local = listener.local_addr()?;
     // A rendezvous of one: the kernel's backlog is the queue.
@@ -175,7 +189,7 @@
                     continue;
                 }
             };
-            if let Err(error) = set_options(&stream) {
+            if let Err(error) = set_options(&stream, unsent) {
                 // The peer may have gone already.
                 log::debug!("event=socket_options_failed address={local} error=\"{error}\"");
                 continue;
