--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -10,7 +10,7 @@
 use crate::context::ForwardContext;
 use crate::generate::answer_stream;
 use crate::limits::admit;
-use crate::plain::answer_plain;
+use crate::plain::{PlainEnd, answer_plain};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::trace::{RequestTrace, log_suspect_refused};
 
@@ -38,17 +38,20 @@
     };
     let answered = match request.route.kind {
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
-            let answer = answer_plain(&context, &request, &mut trace).await;
-            drop(copy);
-            if let Ok(answer) = &answer {
-                let status = answer.status();
-                if status.is_success() {
-                    trace.answered(status.as_u16());
-                } else {
-                    trace.failed(status.as_u16());
+            match answer_plain(&context, &request, &mut trace).await {
+                Ok(PlainEnd::Whole(answer)) => {
+                    drop(copy);
+                    let status = answer.status();
+                    if status.is_success() {
+                        trace.answered(status.as_u16());
+                    } else {
+                        trace.failed(status.as_u16());
+                    }
+                    Ok(answer)
                 }
+                Ok(PlainEnd::Long(answer)) => Ok(answer.pass_on(&context, &request, trace, copy)),
+                Err(refusal) => Err((refusal, trace)),
             }
-            answer.map_err(|refusal| (refusal, trace))
         }
         RequestKind::Streaming => answer_stream(&context, &request, copy, trace).await,
     };
--- a/crates/dillspool_forward/src/events.rs
+++ b/crates/dillspool_forward/src/events.rs
@@ -43,6 +43,11 @@
         self.buffer.is_empty()
     }
 
+    /// Bytes of the event that is not whole yet.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether an event is longer than any real one.
     pub fn is_overlong(&self) -> bool {
         self.buffer.len() > LONGEST_EVENT
--- a/crates/dillspool_forward/src/generate/sending.rs
+++ b/crates/dillspool_forward/src/generate/sending.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dillspool_admission::EngineFault;
-use dillspool_io::{MomentPassed, read_response_body};
+use dillspool_io::MomentPassed;
 use dillspool_routing::BackendEntry;
 use dillspool_scheduler::DeskNote;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -14,6 +14,7 @@
 use crate::broken_run::trace_break;
 use crate::calls::{BackendAnswer, CallError, ForwardTerms};
 use crate::context::STARTED_AGAIN;
+use crate::long_answer::read_held;
 use crate::placement::{Placement, StreamTicket};
 use crate::refusal::Refusal;
 use crate::trace::log_send_failed;
@@ -136,7 +137,7 @@
             let cause = format!("status {} without proof of its origin", status.as_u16());
             return self.note_unclear(&entry, &ticket, &cause);
         }
-        let reading = read_response_body(answer.body, LARGEST_FAILURE);
+        let reading = read_held(&self.request.held, answer.body, LARGEST_FAILURE);
         match self.request.clock.timeout_at(self.request.deadline, reading).await {
             Ok(Ok(body)) => Ok(Some(self.pass_failure(&entry, &ticket, status, headers, body))),
             Ok(Err(error)) => self.note_unclear(&entry, &ticket, &error.to_string()),
--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod events;
 mod generate;
 mod limits;
+mod long_answer;
 mod metrics;
 mod placement;
 mod plain;
--- /dev/null
+++ b/crates/dillspool_forward/src/long_answer.rs
@@ -0,0 +1,281 @@
+//! Answers of plain services: short ones are read whole, longer ones are passed on as they arrive.
+//!
+//! What a caller does not read is not read from its backend server either, apart from the first part;
+//! `docs/design/held_bytes.md` has the reasons.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use dillspool_io::{
+    BoxError, ByteGuard, ExchangeBytes, ResponseBody, StalledSide, channel_body, read_response_body,
+};
+use dillspool_moment::Moment;
+use dillspool_routing::{BackendEntry, RoutedRequest};
+use dillspool_suspects::CopyGuard;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::{HeaderMap, Response, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::book::LoadTicket;
+use crate::broken_run::trace_break;
+use crate::context::{ForwardContext, STARTED_AGAIN};
+use crate::trace::RequestTrace;
+
+/// Largest answer that is read whole where bytes held are not limited, in bytes.
+const LARGEST_WHOLE: usize = 16 * 1024 * 1024;
+/// Pause before a broken answer's connection is closed, so that parts handed over are written.
+const BREAK_PAUSE: Duration = Duration::from_millis(20);
+
+/// The body of an answer as far as it was read before any of it is passed on.
+pub(crate) enum AnswerStart {
+    /// All of it.
+    Whole(Bytes),
+    /// The first parts, and what is still to be read.
+    Longer(VecDeque<Bytes>, ResponseBody),
+}
+
+/// Reads a body to its end, or until it is longer than what is read whole.
+pub(crate) async fn read_start(
+    request: &RoutedRequest,
+    body: ResponseBody,
+) -> Result<AnswerStart, BoxError> {
+    let Some(terms) = request.held.terms() else {
+        return read_response_body(body, LARGEST_WHOLE).await.map(AnswerStart::Whole);
+    };
+    if !request.takes_chunks && body.size_hint().exact().is_none() {
+        // Nothing would show the caller that the answer ended early.
+        return read_held(&request.held, body, LARGEST_WHOLE).await.map(AnswerStart::Whole);
+    }
+    let mut body = body;
+    let mut parts = HeldParts::default();
+    while parts.length <= terms.answer_bytes {
+        match next_part(&request.held, &mut body).await? {
+            Some((bytes, guard)) => parts.push(bytes, guard),
+            None => return Ok(AnswerStart::Whole(parts.join())),
+        }
+    }
+    if body.is_end_stream() {
+        return Ok(AnswerStart::Whole(parts.join()));
+    }
+    Ok(AnswerStart::Longer(parts.separate(), body))
+}
+
+/// Reads the whole body of a response of at most `limit` bytes, charged as it comes.
+pub(crate) async fn read_held(
+    held: &ExchangeBytes,
+    mut body: ResponseBody,
+    limit: usize,
+) -> Result<Bytes, BoxError> {
+    if held.terms().is_none() {
+        return read_response_body(body, limit).await;
+    }
+    let mut parts = HeldParts::default();
+    while let Some((bytes, guard)) = next_part(held, &mut body).await? {
+        parts.push(bytes, guard);
+        if parts.length > limit {
+            return Err(format!("the body is over {limit} bytes").into());
+        }
+    }
+    Ok(parts.join())
+}
+
+/// The next part of a body, once it fits into the budget.
+async fn next_part(
+    held: &ExchangeBytes,
+    body: &mut ResponseBody,
+) -> Result<Option<(Bytes, ByteGuard)>, BoxError> {
+    while let Some(frame) = body.frame().await {
+        // Trailers carry nothing that is passed on.
+        if let Ok(bytes) = frame?.into_data() {
+            let guard = held.hold(bytes.len() as u64).await;
+            return Ok(Some((bytes, guard)));
+        }
+    }
+    Ok(None)
+}
+
+#[derive(Default)]
+struct HeldParts {
+    parts: VecDeque<(Bytes, ByteGuard)>,
+    length: usize,
+}
+
+impl HeldParts {
+    fn push(&mut self, bytes: Bytes, guard: ByteGuard) {
+        self.length += bytes.len();
+        self.parts.push_back((bytes, guard));
+    }
+
+    fn separate(self) -> VecDeque<Bytes> {
+        self.parts.into_iter().map(|(bytes, guard)| guard.attach(bytes)).collect()
+    }
+
+    fn join(mut self) -> Bytes {
+        let Some((first, mut guard)) = self.parts.pop_front() else { return Bytes::new() };
+        if self.parts.is_empty() {
+            return guard.attach(first);
+        }
+        let mut whole = BytesMut::with_capacity(self.length);
+        whole.extend_from_slice(&first);
+        for (bytes, other) in self.parts {
+            whole.extend_from_slice(&bytes);
+            guard.merge(other);
+        }
+        guard.attach(whole.freeze())
+    }
+}
+
+/// An answer of which a part is still to be read.
+pub(crate) struct LongAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) parts: VecDeque<Bytes>,
+    pub(crate) body: ResponseBody,
+    pub(crate) entry: Arc<BackendEntry>,
+    /// Kept until the last byte was read.
+    pub(crate) _ticket: LoadTicket,
+    /// When the request was sent.
+    pub(crate) sent_at: Moment,
+}
+
+impl LongAnswer {
+    /// The answer to the caller; from now on the request is never sent again.
+    pub(crate) fn pass_on(
+        self,
+        context: &ForwardContext,
+        request: &Arc<RoutedRequest>,
+        trace: RequestTrace,
+        copy: CopyGuard,
+    ) -> Response<ResponseBody> {
+        // One part is on its way to the caller's connection while the next one is awaited.
+        let (sender, receiver) = mpsc::channel(1);
+        let mut response = Response::new(channel_body(receiver));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers.clone();
+        // An answer that ends early is seen by its length, or else by its missing last chunk.
+        response.headers_mut().remove(CONTENT_LENGTH);
+        let read: u64 = self.parts.iter().map(|part| part.len() as u64).sum();
+        if let Some(left) = self.body.size_hint().exact() {
+            response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(read + left));
+        }
+        let passing = PassedAnswer {
+            answer: self,
+            context: context.clone(),
+            request: Arc::clone(request),
+            trace,
+            _copy: copy,
+            waited: Duration::ZERO,
+        };
+        tokio::spawn(passing.run(sender));
+        response
+    }
+}
+
+/// How passing an answer on ended.
+enum PassEnd {
+    Whole,
+    CallerGone,
+    Broken(String),
+}
+
+type PartSender = mpsc::Sender<Result<Bytes, BoxError>>;
+
+/// An answer on its way; dropping it closes the backend server's connection.
+struct PassedAnswer {
+    answer: LongAnswer,
+    context: ForwardContext,
+    request: Arc<RoutedRequest>,
+    trace: RequestTrace,
+    /// Counts among the copies of the request that run here.
+    _copy: CopyGuard,
+    /// Time for which the caller's connection took nothing.
+    waited: Duration,
+}
+
+impl PassedAnswer {
+    async fn run(mut self, sender: PartSender) {
+        match self.pass(&sender).await {
+            PassEnd::Whole => self.end_whole(),
+            // The trace reports it when it is dropped.
+            PassEnd::CallerGone => {}
+            PassEnd::Broken(cause) => {
+                self.end_broken(&cause);
+                // The backend server's connection is closed first.
+                drop(self);
+                tokio::time::sleep(BREAK_PAUSE).await;
+                // A caller that has gone needs no end.
+                let _caller_gone = sender.send(Err(cause.into())).await;
+            }
+        }
+    }
+
+    async fn pass(&mut self, sender: &PartSender) -> PassEnd {
+        let (context, request) = (self.context.clone(), Arc::clone(&self.request));
+        let entry = Arc::clone(&self.answer.entry);
+        let stall = request.held.terms().map_or(Duration::MAX, |terms| terms.stall);
+        let mut over = std::pin::pin!(async {
+            tokio::select! {
+                () = request.until_deadline() => "the time limit",
+                () = context.restarted(&entry) => STARTED_AGAIN,
+            }
+        });
+        loop {
+            let since = request.clock.now();
+            let permit = tokio::select! {
+                biased;
+                cause = &mut over => return PassEnd::Broken(cause.to_owned()),
+                permit = sender.reserve() => permit,
+            };
+            self.waited += request.clock.since(since);
+            let Ok(permit) = permit else { return PassEnd::CallerGone };
+            if let Some(part) = self.answer.parts.pop_front() {
+                permit.send(Ok(part));
+                continue;
+            }
+            let part = tokio::select! {
+                biased;
+                cause = &mut over => return PassEnd::Broken(cause.to_owned()),
+                () = sender.closed() => return PassEnd::CallerGone,
+                part = next_part(&request.held, &mut self.answer.body) => part,
+                () = tokio::time::sleep(stall) => {
+                    request.held.note_stalled(StalledSide::Backend);
+                    return PassEnd::Broken(format!("nothing more came for {stall:?}"));
+                }
+            };
+            match part {
+                Ok(Some((bytes, guard))) => permit.send(Ok(guard.attach(bytes))),
+                Ok(None) => return PassEnd::Whole,
+                Err(error) => return PassEnd::Broken(error.to_string()),
+            }
+            if self.answer.body.is_end_stream() {
+                return PassEnd::Whole;
+            }
+        }
+    }
+
+    fn end_whole(&mut self) {
+        let status = self.answer.status;
+        if !status.is_server_error() {
+            let took = self.request.clock.since(self.answer.sent_at).saturating_sub(self.waited);
+            self.context.book.note_success(&self.answer.entry.started(), took);
+        }
+        if status.is_success() {
+            self.context.suspects.note_whole(self.request.print);
+            self.trace.answered(status.as_u16());
+        } else {
+            self.trace.failed(status.as_u16());
+        }
+    }
+
+    fn end_broken(&mut self, cause: &str) {
+        let entry = &self.answer.entry;
+        // Found out beside the request, which is not sent again whatever is found.
+        let _look = trace_break(&self.context, &self.request, entry);
+        self.context.book.note_silence(&entry.started(), cause);
+        self.trace.broken_off(cause);
+    }
+}
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -1,10 +1,10 @@
-//! Requests whose answer is passed on whole.
+//! Requests whose answer is one body, passed on whole or not at all.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_io::{MomentPassed, ResponseBody, full_body, read_response_body};
+use dillspool_io::{MomentPassed, ResponseBody, full_body};
 use dillspool_routing::{BackendEntry, RoutedRequest};
 use dillspool_version::StoreVersion;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -14,13 +14,12 @@
 use crate::broken_run::{may_run_again, trace_break};
 use crate::calls::{CallError, ForwardTerms};
 use crate::context::ForwardContext;
+use crate::long_answer::{AnswerStart, LongAnswer, read_start};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::throttle::{SendPermit, all_closed, choose_permitted, refuse_closed};
 use crate::trace::{RequestTrace, log_budget_empty, log_send_failed};
 use crate::tried::TriedBackends;
 
-/// Largest answer that is passed on whole, in bytes.
-const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
 /// Backend servers that may turn out unreachable for one request.
 const MOST_UNREACHABLE: usize = 3;
 /// When to come back, as parts of the objective: soon enough to be served within it, spread so
@@ -31,6 +30,8 @@
 enum SendOutcome {
     /// The backend server's own answer, whole.
     Whole(WholeAnswer),
+    /// The same, of which only the start was read.
+    Long(LongAnswer),
     /// Nothing was sent.
     NotSent(String),
     /// The backend server did not run it.
@@ -39,6 +40,14 @@
     Unclear(String),
 }
 
+/// The final answer of a backend server.
+pub(crate) enum PlainEnd {
+    /// It was read to its end.
+    Whole(Response<ResponseBody>),
+    /// It is to be passed on as it arrives.
+    Long(LongAnswer),
+}
+
 /// An answer that was read to its end.
 struct WholeAnswer {
     status: StatusCode,
@@ -63,7 +72,7 @@
     sends: u32,
     unreachable: usize,
     may_have_run: bool,
-    failure: Option<WholeAnswer>,
+    failure: Option<PlainEnd>,
 }
 
 impl SendRecord {
@@ -79,12 +88,11 @@
         let (book, backend) = (&context.book, &entry.started());
         let cause = match outcome {
             SendOutcome::Whole(answer) => {
-                book.note_failure(backend);
-                let cause = format!("status {}", answer.status.as_u16());
-                self.sends += 1;
-                self.may_have_run = true;
-                self.failure = Some(answer);
-                cause
+                let status = answer.status;
+                self.note_failed(context, entry, status, PlainEnd::Whole(answer.response()))
+            }
+            SendOutcome::Long(answer) => {
+                self.note_failed(context, entry, answer.status, PlainEnd::Long(answer))
             }
             SendOutcome::NotSent(cause) => {
                 book.note_unreachable(backend, &cause);
@@ -108,13 +116,28 @@
         };
         log_send_failed(request, &backend.id, &cause);
     }
+
+    /// Notes a failure that the backend server told of, which is the answer if no other send follows.
+    fn note_failed(
+        &mut self,
+        context: &ForwardContext,
+        entry: &BackendEntry,
+        status: StatusCode,
+        failure: PlainEnd,
+    ) -> String {
+        context.book.note_failure(&entry.started());
+        self.sends += 1;
+        self.may_have_run = true;
+        self.failure = Some(failure);
+        format!("status {}", status.as_u16())
+    }
 }
 
 pub(crate) async fn answer_plain(
     context: &ForwardContext,
     request: &Arc<RoutedRequest>,
     trace: &mut RequestTrace,
-) -> Result<Response<ResponseBody>, Refusal> {
+) -> Result<PlainEnd, Refusal> {
     let mut record = SendRecord::default();
     let mut look = None;
     while may_run_again(context, request, &mut look).await
@@ -130,7 +153,10 @@
                 if answer.status.is_success() {
                     context.suspects.note_whole(request.print);
                 }
-                return Ok(answer.response());
+                return Ok(PlainEnd::Whole(answer.response()));
+            }
+            SendOutcome::Long(answer) if !answer.status.is_server_error() => {
+                return Ok(PlainEnd::Long(answer));
             }
             failed => {
                 if matches!(failed, SendOutcome::Unclear(_)) {
@@ -190,7 +216,8 @@
     entry: &Arc<BackendEntry>,
     limit: Duration,
 ) -> SendOutcome {
-    let _ticket = context.book.enter(&entry.started());
+    let ticket = context.book.enter(&entry.started());
+    let sent_at = request.clock.now();
     let terms = ForwardTerms { time_budget: request.remaining(), ..ForwardTerms::default() };
     let exchange = async {
         let answer = (context.calls.forward)(Arc::clone(entry), Arc::clone(request), terms).await?;
@@ -202,13 +229,21 @@
             return Err(CallError::Lost { reason });
         }
         let (status, headers) = (answer.status, answer.headers);
-        let body = read_response_body(answer.body, LARGEST_ANSWER)
+        let start = read_start(request, answer.body)
             .await
             .map_err(|error| CallError::Lost { reason: error.to_string() })?;
-        Ok(WholeAnswer { status, headers, body })
+        Ok((status, headers, start))
     };
     match request.clock.timeout(limit, context.while_started(entry, exchange)).await {
-        Ok(Ok(answer)) => SendOutcome::Whole(answer),
+        Ok(Ok((status, headers, AnswerStart::Whole(body)))) => {
+            SendOutcome::Whole(WholeAnswer { status, headers, body })
+        }
+        Ok(Ok((status, headers, AnswerStart::Longer(parts, body)))) => {
+            let entry = Arc::clone(entry);
+            let answer =
+                LongAnswer { status, headers, parts, body, entry, _ticket: ticket, sent_at };
+            SendOutcome::Long(answer)
+        }
         Ok(Err(CallError::NotSent { reason })) => SendOutcome::NotSent(reason),
         Ok(Err(CallError::Refused { .. })) => SendOutcome::NotRun,
         Ok(Err(CallError::Lost { reason })) => SendOutcome::Unclear(reason),
@@ -220,9 +255,9 @@
     context: &ForwardContext,
     request: &RoutedRequest,
     record: SendRecord,
-) -> Result<Response<ResponseBody>, Refusal> {
+) -> Result<PlainEnd, Refusal> {
     if let Some(failure) = record.failure {
-        return Ok(failure.response());
+        return Ok(failure);
     }
     if record.may_have_run {
         let over = request.remaining().is_zero();
--- a/crates/dillspool_forward/src/reader.rs
+++ b/crates/dillspool_forward/src/reader.rs
@@ -3,7 +3,7 @@
 use std::pin::pin;
 
 use bytes::{Bytes, BytesMut};
-use dillspool_io::{BoxError, BoxFuture};
+use dillspool_io::{BoxError, BoxFuture, ByteGuard, ExchangeBytes};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::time::Instant;
@@ -33,6 +33,9 @@
     /// Ends with the cause for which the stream is over, whatever still comes. One for all events, since each
     /// would set up its timer and its watches anew.
     over: BoxFuture<&'static str>,
+    held: ExchangeBytes,
+    /// Charges the part of an event that has come.
+    partial: ByteGuard,
 }
 
 impl StreamReader {
@@ -41,9 +44,19 @@
         open: OpenStream,
         last_event: Option<u64>,
         over: BoxFuture<&'static str>,
+        held: ExchangeBytes,
     ) -> Self {
         let (splitter, last_at) = (EventSplitter::default(), Instant::now());
-        Self { open, splitter, last_event, last_at, over }
+        let partial = held.guard();
+        Self { open, splitter, last_event, last_at, over, held, partial }
+    }
+
+    /// The caller takes events again. Where it may pause the stream, the silence that its pause caused is
+    /// not the engine's.
+    pub(crate) fn resume(&mut self) {
+        if self.held.terms().is_some() {
+            self.last_at = Instant::now();
+        }
     }
 
     /// Reads until at least one event is whole; `None` if nothing came until `look_at`, and the stream is as
@@ -65,9 +78,15 @@
                 cause = &mut self.over => return Some(ReadPart::Broken(cause.to_owned())),
                 () = &mut look => return None,
             };
-            if let Some(part) = self.take_frame(frame) {
+            let part = self.take_frame(frame);
+            let partial = self.splitter.len() as u64;
+            if part.is_some() || !self.partial.try_set(partial) {
+                self.partial.set(partial);
+            }
+            if let Some(part) = part {
                 return Some(part);
             }
+            self.held.wait_for_room().await;
         }
     }
 
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -56,9 +56,10 @@
         let last_event = generation.last_event;
         let read_at_decode = open.read_at_decode;
         let over = generation.stream_over(&open.entry);
+        let held = generation.request.held.clone();
         Self {
             generation,
-            reader: Some(StreamReader::new(open, last_event, over)),
+            reader: Some(StreamReader::new(open, last_event, over, held)),
             trace,
             status,
             figures: StreamFigures { read_at_decode, ..StreamFigures::default() },
@@ -74,9 +75,16 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, BoxError> {
+        if let Some(reader) = &mut self.reader {
+            reader.resume();
+        }
         loop {
             match self.read().await {
-                NextPart::Events(bytes) => return Ok(Some(bytes)),
+                NextPart::Events(bytes) => {
+                    // From here on the caller's connection charges what its caller leaves unread.
+                    drop(self.generation.request.held.hold(bytes.len() as u64).await);
+                    return Ok(Some(bytes));
+                }
                 NextPart::End => {
                     self.end_well();
                     return Ok(None);
@@ -192,7 +200,8 @@
             Ok(open) => {
                 self.figures.reopened += 1;
                 let over = self.generation.stream_over(&open.entry);
-                self.reader = Some(StreamReader::new(open, self.generation.last_event, over));
+                let (last_event, held) = (self.generation.last_event, request.held.clone());
+                self.reader = Some(StreamReader::new(open, last_event, over, held));
                 Ok(())
             }
             Err(refusal) => {
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -106,6 +106,11 @@
         self.end("broken", "", &format!("{words} detail=\"{detail}\""));
     }
 
+    /// An answer that was passed on in part broke off; the caller sees its connection break.
+    pub(crate) fn broken_off(&mut self, detail: &str) {
+        self.end("broken", "", &format!("detail=\"{detail}\""));
+    }
+
     fn end(&mut self, outcome: &'static str, cause: &'static str, detail: &str) {
         if self.ended {
             return;
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Backend servers as closures that play a script and record what reached them.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod bodies;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,7 +15,7 @@
     ForwardContext, ForwardMetrics, ForwardTerms, OrderOutcome, PrefilledPrompt, RetryBudgets,
     WorkRank,
 };
-use dillspool_io::{BoxError, HostClock, channel_body, full_body};
+use dillspool_io::{ExchangeBytes, HostClock, full_body};
 use dillspool_routing::{
     BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
     GenerationTerms, RequestKind, RouteEntry, RouteTable, RoutedRequest, RoutingConfig,
@@ -25,11 +27,13 @@
 use dillspool_suspects::{PrintKey, PrintParts, RequestPrint, SuspectDesk, SuspectPolicy};
 use dillspool_throttle::ThrottleDesk;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use bodies::{paced_body, parts_body};
+
 /// What a backend server does with the next request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -325,15 +329,23 @@
     }
 }
 
-async fn play(step: Step) -> Result<BackendAnswer, CallError> {
-    let whole = |status: u16, text: &'static str| BackendAnswer {
+/// The backend server's own answer without a body.
+pub fn genuine(status: u16) -> BackendAnswer {
+    BackendAnswer {
         status: StatusCode::from_u16(status).expect("a status"),
         headers: HeaderMap::new(),
         names_request: true,
         is_sealed: true,
         is_encoded: false,
         did_not_run: false,
-        body: full_body(text),
+        body: full_body(""),
+    }
+}
+
+async fn play(step: Step) -> Result<BackendAnswer, CallError> {
+    let whole = |status: u16, text: &'static str| {
+        let body = full_body(text);
+        BackendAnswer { body, ..genuine(status) }
     };
     match step {
         Step::Answer(status, text) => Ok(whole(status, text)),
@@ -364,32 +376,6 @@
     }
 }
 
-fn paced_body(parts: Vec<(u64, &'static str)>, end_after: Duration) -> dillspool_io::ResponseBody {
-    let (sender, receiver) = mpsc::channel(64);
-    tokio::spawn(async move {
-        for (pause_ms, part) in parts {
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            if sender.send(Ok(Bytes::from(part))).await.is_err() {
-                return;
-            }
-        }
-        tokio::time::sleep(end_after).await;
-    });
-    channel_body(receiver)
-}
-
-fn parts_body(parts: Vec<&'static str>, clean: bool) -> dillspool_io::ResponseBody {
-    let (sender, receiver) = mpsc::channel(64);
-    for part in parts {
-        sender.try_send(Ok(Bytes::from(part))).expect("room for the parts");
-    }
-    if !clean {
-        let error: BoxError = "reset".into();
-        sender.try_send(Err(error)).expect("room for the error");
-    }
-    channel_body(receiver)
-}
-
 /// A request of a kind, with the route's terms.
 pub fn request(kind: RequestKind, max_attempts: u32, resumable: bool) -> RoutedRequest {
     let timeout = Duration::from_secs(if kind == RequestKind::Streaming { 14 } else { 3 });
@@ -436,6 +422,8 @@
         generation,
         resume_after: None,
         config_version: 1,
+        held: ExchangeBytes::default(),
+        takes_chunks: true,
     }
 }
 
--- /dev/null
+++ b/crates/dillspool_forward/tests/long_answers.rs
@@ -0,0 +1,257 @@
+//! Long answers of plain services, where bytes held are limited: passed on as they arrive, never twice.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{ScriptedSite, Step, entry, request, view};
+use dillspool_forward::{BackendAnswer, ForwardContext, answer_request};
+use dillspool_io::{ByteBudget, HeldTerms, read_response_body};
+use dillspool_routing::RequestKind::{self, Idempotent, NonIdempotent};
+use dillspool_routing::{BackendEntry, BackendStart, RoutedRequest};
+use http_body_util::BodyExt;
+use tokio_util::sync::CancellationToken;
+
+/// Longer than what is read whole, so that each one is passed on when it comes.
+const LONG: &str = "a part that is longer than what is read whole";
+const TERMS: HeldTerms =
+    HeldTerms { limit: 10_000, answer_bytes: 20, stall: Duration::from_secs(8) };
+
+fn budget() -> ByteBudget {
+    ByteBudget::new(TERMS)
+}
+
+fn held_request(budget: &ByteBudget, kind: RequestKind, attempts: u32) -> RoutedRequest {
+    let held = budget.enter("request-1", CancellationToken::new());
+    RoutedRequest { held, ..request(kind, attempts, false) }
+}
+
+struct LongCase {
+    name: &'static str,
+    kind: RequestKind,
+    first: Step,
+    status: u16,
+    /// What its caller gets of the body, and whether it ends as if whole.
+    body: &'static str,
+    is_whole: bool,
+    /// Requests that reached a backend server.
+    arrivals: usize,
+    outcome: &'static str,
+}
+
+/// Something passed on must never be followed by another run, nor end as if whole.
+#[tokio::test(start_paused = true)]
+async fn an_answer_is_whole_or_broken_off_and_never_sent_again_once_passed_on() {
+    let case = |name, kind, first, status, body, is_whole, arrivals, outcome| LongCase {
+        name,
+        kind,
+        first,
+        status,
+        body,
+        is_whole,
+        arrivals,
+        outcome,
+    };
+    let cases = [
+        case("short", Idempotent, Step::Answer(200, "ok"), 200, "ok", true, 1, "answered"),
+        case("long", Idempotent, Step::Stream(vec![LONG, "b"]), 200, "", true, 1, "answered"),
+        case("cut before", Idempotent, Step::Broken(vec!["o"]), 200, "ok", true, 2, "answered"),
+        case("cut before, once", NonIdempotent, Step::Broken(vec!["o"]), 502, "", true, 1, ""),
+        case("cut after", Idempotent, Step::Broken(vec![LONG]), 200, LONG, false, 1, "broken"),
+        case("cut, once", NonIdempotent, Step::Broken(vec![LONG]), 200, LONG, false, 1, "broken"),
+        case("silent after", Idempotent, Step::Stalled(vec![LONG]), 200, LONG, false, 1, "broken"),
+        case("no proof", NonIdempotent, Step::Unsealed(200), 502, "", true, 1, ""),
+        case("a failure", Idempotent, Step::Answer(500, LONG), 200, "ok", true, 2, "answered"),
+        case("a failure, once", NonIdempotent, Step::Answer(500, LONG), 500, LONG, true, 1, ""),
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        site.script("first", [case.first.clone()]);
+        let backends = [entry("first", "near", None), entry("second", "far", None)];
+        let (context, _directory) = site.context(view(backends));
+        let budget = budget();
+        let answer = answer_request(context.clone(), held_request(&budget, case.kind, 2)).await;
+        assert_eq!(answer.status().as_u16(), case.status, "{}", case.name);
+        let (body, is_whole) = read_parts(answer.into_body()).await;
+        let expected = if case.name == "long" { format!("{LONG}b") } else { case.body.to_owned() };
+        if case.status < 502 {
+            assert_eq!(body, expected, "{}", case.name);
+        }
+        assert_eq!(is_whole, case.is_whole, "{}", case.name);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(site.record.lock().unwrap().arrivals.len(), case.arrivals, "{}", case.name);
+        assert_eq!(budget.read().held, 0, "{}", case.name);
+        if !case.outcome.is_empty() {
+            assert_eq!(outcomes(&context, case.outcome), 1, "{}", case.name);
+        }
+    }
+}
+
+async fn read_parts(mut body: dillspool_io::ResponseBody) -> (String, bool) {
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return (text, false) };
+        text.push_str(std::str::from_utf8(frame.data_ref().expect("data")).expect("text"));
+    }
+    (text, true)
+}
+
+/// Requests that ended so, from the metrics.
+fn outcomes(context: &ForwardContext, outcome: &str) -> u64 {
+    let mut registry = prometheus_client::registry::Registry::default();
+    context.metrics.register(&mut registry);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).expect("it is encoded");
+    let found = text.lines().find(|line| line.contains(&format!("outcome=\"{outcome}\"")));
+    found.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+struct EndCase {
+    name: &'static str,
+    /// Time after which the caller reads the second part, in ms; 0 if it leaves.
+    reads_after_ms: u64,
+    restarts: bool,
+    /// Whether the answer ends whole.
+    is_whole: bool,
+}
+
+/// The load at a backend server, its time limit and its restart count until its last byte was read.
+#[tokio::test(start_paused = true)]
+async fn passing_on_ends_with_the_time_limit_a_restart_or_its_caller() {
+    let case = |name, reads_after_ms, restarts, is_whole| EndCase {
+        name,
+        reads_after_ms,
+        restarts,
+        is_whole,
+    };
+    let cases = [
+        case("read at once", 1, false, true),
+        case("read within the time limit", 2900, false, true),
+        case("read after the time limit", 3100, false, false),
+        case("started again", 1000, true, false),
+        case("left", 0, false, false),
+    ];
+    for case in cases {
+        let site = ScriptedSite::default();
+        site.script("first", [Step::Stream(vec![LONG; 8])]);
+        let mut backend = entry("first", "near", None);
+        backend.start = Some(BackendStart(1));
+        let (context, directory) = site.context(view([backend.clone()]));
+        let budget = budget();
+        let answer = answer_request(context.clone(), held_request(&budget, NonIdempotent, 1)).await;
+        let mut body = answer.into_body();
+        let first = body.frame().await.expect("a part").expect("no break");
+        assert_eq!(first.into_data().expect("data"), Bytes::from(LONG), "{}", case.name);
+        if case.restarts {
+            let again = BackendEntry { start: Some(BackendStart(2)), ..backend };
+            directory.send_replace(Arc::new(view([again])));
+        }
+        if case.reads_after_ms == 0 {
+            drop(body);
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            assert_eq!(outcomes(&context, "caller_gone"), 1, "{}", case.name);
+            assert_eq!(budget.read().held, 0, "{}: freed at once", case.name);
+            continue;
+        }
+        tokio::time::sleep(Duration::from_millis(case.reads_after_ms)).await;
+        let (_text, is_whole) = read_parts(body).await;
+        assert_eq!(is_whole, case.is_whole, "{}", case.name);
+        assert_eq!(budget.read().held, 0, "{}", case.name);
+    }
+}
+
+/// Without backpressure a long answer lies in memory until its caller has read it.
+#[tokio::test(start_paused = true)]
+async fn what_its_caller_does_not_read_is_not_read_from_the_backend_server() {
+    for (is_bounded, most_taken) in [(true, 4), (false, 60)] {
+        let site = ScriptedSite::default();
+        let (mut context, _directory) = site.context(view([entry("first", "near", None)]));
+        let taken = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&taken);
+        context.calls.forward = Arc::new(move |_entry, _request, _terms| {
+            let body = counted_body(Arc::clone(&counted));
+            Box::pin(async move { Ok(BackendAnswer { body, ..common::genuine(200) }) })
+        });
+        let budget = budget();
+        let routed = held_request(&budget, NonIdempotent, 1);
+        let unbounded = request(NonIdempotent, 1, false);
+        let answer = answer_request(context, if is_bounded { routed } else { unbounded }).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let before = taken.load(Ordering::Relaxed);
+        assert!(before <= most_taken, "{before} parts taken");
+        let held = budget.read().most_held;
+        assert!(held <= 2 * LONG.len() as u64, "{held}");
+        let (text, is_whole) = read_parts(answer.into_body()).await;
+        assert!(is_whole && text.len() == 60 * LONG.len());
+    }
+}
+
+/// Sixty parts, each counted when it is asked for.
+fn counted_body(taken: Arc<AtomicUsize>) -> dillspool_io::ResponseBody {
+    let (sender, receiver) = tokio::sync::mpsc::channel(1);
+    tokio::spawn(async move {
+        for _part in 0..60 {
+            let Ok(permit) = sender.reserve().await else { return };
+            taken.fetch_add(1, Ordering::Relaxed);
+            permit.send(Ok(Bytes::from(LONG)));
+        }
+    });
+    dillspool_io::channel_body(receiver)
+}
+
+/// A backend server whose answers are passed on slowly is still busy; others must get the next requests.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_passed_on_counts_as_load() {
+    let site = ScriptedSite::default();
+    for id in ["first", "second"] {
+        site.script(id, [Step::Stream(vec![LONG; 60])]);
+    }
+    let backends = [entry("first", "near", None), entry("second", "near", None)];
+    let (context, _directory) = site.context(view(backends));
+    let budget = budget();
+    let mut unread = Vec::new();
+    for _request in 0..16 {
+        let routed = held_request(&budget, NonIdempotent, 1);
+        unread.push(answer_request(context.clone(), routed).await);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let record = site.record.lock().unwrap();
+    assert_eq!(record.arrivals.iter().filter(|it| it.backend == "first").count(), 8);
+}
+
+/// Where bytes are not limited, answers are read whole as before: a break is noticed before any part
+/// is passed on.
+#[tokio::test(start_paused = true)]
+async fn without_a_budget_long_answers_are_read_whole() {
+    let long = "0123456789".repeat(20_000).leak();
+    for (first, status, arrivals) in [
+        (Step::Answer(200, long), 200, 1),
+        (Step::Broken(vec![long]), 200, 2),
+        (Step::Stalled(vec![long]), 200, 2),
+    ] {
+        let site = ScriptedSite::default();
+        site.script("first", [first.clone()]);
+        let backends = [entry("first", "near", None), entry("second", "far", None)];
+        let (context, _directory) = site.context(view(backends));
+        let answer = answer_request(context, request(Idempotent, 2, false)).await;
+        assert_eq!(answer.status().as_u16(), status);
+        let body = read_response_body(answer.into_body(), 1_000_000).await.expect("whole");
+        assert_eq!(body.len(), if arrivals == 1 { long.len() } else { 2 });
+        assert_eq!(site.record.lock().unwrap().arrivals.len(), arrivals);
+    }
+}
+
+/// An HTTP/1.0 caller would take an answer of unknown length that ends early for whole.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_sees_no_early_end_gets_the_answer_whole_or_not_at_all() {
+    let site = ScriptedSite::default();
+    site.script("first", [Step::Broken(vec![LONG])]);
+    let (context, _directory) = site.context(view([entry("first", "near", None)]));
+    let budget = budget();
+    let routed = RoutedRequest { takes_chunks: false, ..held_request(&budget, NonIdempotent, 1) };
+    let answer = answer_request(context, routed).await;
+    assert_eq!(answer.status().as_u16(), 502);
+}
--- a/crates/dillspool_io/src/exchange.rs
+++ b/crates/dillspool_io/src/exchange.rs
@@ -25,8 +25,9 @@
 use crate::stack::NetStack;
 
 /// Bytes of an exchange's connection that are buffered in either direction at most, where bytes held
-/// are limited; the head of an answer must fit.
-const BUFFER_BYTES: usize = 32 * 1024;
+/// are limited; the head of an answer must fit. It is also the largest part in which an answer is
+/// passed on, and a caller that stops reading leaves up to four parts.
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Closes the connection when the last part of the exchange is dropped.
 #[derive(Debug)]
--- a/crates/dillspool_io/src/held_bytes.rs
+++ b/crates/dillspool_io/src/held_bytes.rs
@@ -15,10 +15,10 @@
 
 /// Time for which an exchange in progress waits for room before the largest one is ended.
 const ROOM_WAIT: Duration = Duration::from_secs(1);
-/// Part of the limit above which the host takes no new connections,
-const READY_BELOW: f64 = 0.9;
-/// and part below which it takes them again. The gap keeps the answer from alternating.
-const READY_AGAIN_BELOW: f64 = 0.7;
+/// Percent of the limit above which the host takes no new connections,
+const READY_UP_TO: u64 = 90;
+/// and percent up to which it takes them again. The gap keeps the answer from alternating.
+const READY_AGAIN_UP_TO: u64 = 70;
 
 /// Limits on held bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,6 +160,10 @@
         ExchangeBytes { state: Some(Arc::new(ExchangeState { budget: self.clone(), key })) }
     }
 
+    fn has_room(&self) -> bool {
+        self.ledger().held <= self.shared.terms.limit
+    }
+
     fn ledger(&self) -> MutexGuard<'_, HeldLedger> {
         self.shared.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -177,8 +181,8 @@
         if let Some(account) = ledger.accounts.get_mut(&key) {
             account.held = account.held.saturating_sub(before) + after;
         }
-        let share = held as f64 / limit.max(1) as f64;
-        ledger.is_over = share > if ledger.is_over { READY_AGAIN_BELOW } else { READY_BELOW };
+        let percent = if ledger.is_over { READY_AGAIN_UP_TO } else { READY_UP_TO };
+        ledger.is_over = held.saturating_mul(100) > limit.saturating_mul(percent);
         let is_awaited = after < before && ledger.waiting > 0;
         drop(ledger);
         if is_awaited {
@@ -264,7 +268,15 @@
     /// Holds bytes if they fit now.
     pub fn try_hold(&self, bytes: u64) -> Option<ByteGuard> {
         let mut guard = self.guard();
-        guard.try_set(bytes).then_some(guard)
+        let state = self.state.as_ref();
+        // Nothing fits beside what is held beyond the limit, not even nothing.
+        let has_room = state.is_none_or(|state| state.budget.has_room());
+        (has_room && guard.try_set(bytes)).then_some(guard)
+    }
+
+    /// Waits while more is held than the limit, by the rule of [`ExchangeBytes::hold`].
+    pub async fn wait_for_room(&self) {
+        drop(self.hold(0).await);
     }
 
     /// Holds bytes once they fit; if they do not within a second, the exchange that holds the most is
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -8,7 +8,8 @@
 use dillspool_capacity::DemandMeter;
 use dillspool_forward::{BackendBook, BreakLooks, ForwardContext, ForwardMetrics, RetryBudgets};
 use dillspool_io::{
-    HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http, serve_http_live,
+    ByteBudget, HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http,
+    serve_http_held,
 };
 use dillspool_roles::{KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
@@ -27,6 +28,7 @@
     HostCount, fleet_bus, hash_of, keep_host_count, order_delay, start_backend_limits,
     start_limits, start_schedule,
 };
+use crate::held_metrics::HeldMetrics;
 use crate::ingress::{IngressState, KnownConfig};
 use crate::notice_keeper::NoticeKeeper;
 use crate::peer_list::{PeerList, keep_peer_list};
@@ -75,6 +77,8 @@
     serving: TaskTracker,
     peers: PeerList,
     suspects: SuspectDesk,
+    /// Bytes held for slow peers, where they are limited.
+    held: Option<ByteBudget>,
     clock: HostClock,
 }
 
@@ -148,6 +152,7 @@
         };
         let stopping = Arc::new(AtomicBool::new(false));
         let daemon = Self {
+            held: config.held.map(ByteBudget::new),
             config,
             stopping,
             callers,
@@ -195,9 +200,11 @@
             ServerLimits { max_connections: MOST_STATUS_CONNECTIONS, ..ServerLimits::default() };
         let (config, directory) = (beliefs.config.clone(), beliefs.directory.clone());
         let stopping = Arc::clone(&self.stopping);
+        let held = self.held.clone();
         let is_ready = move || {
             let known = config.borrow().is_some() && !directory.borrow().entries.is_empty();
-            known && !stopping.load(Ordering::Relaxed)
+            let has_room = held.as_ref().is_none_or(ByteBudget::is_ready);
+            known && has_room && !stopping.load(Ordering::Relaxed)
         };
         let handler = readiness_handler(is_ready);
         tokio::spawn(serve_http(readiness, limits, handler, self.background.clone()));
@@ -214,7 +221,10 @@
         let suspected = SuspectMetrics::new(self.suspects.clone());
         suspected.register(&mut registry);
         throttled.register(&mut registry);
+        let held = HeldMetrics::new(self.held.clone());
+        held.register(&mut registry);
         let refresh = move || {
+            held.refresh();
             believed.refresh();
             suspected.refresh();
             throttled.refresh();
@@ -308,7 +318,8 @@
             clock,
         );
         let limits = caller_limits(beliefs.config.clone(), &self.background);
-        let serve = serve_http_live(listener, limits, state.handler(), self.callers.clone());
+        let (held, cancel) = (self.held.clone(), self.callers.clone());
+        let serve = serve_http_held(listener, limits, state.handler(), held, cancel);
         self.serving.spawn(serve);
     }
 
--- /dev/null
+++ b/crates/dillspool_router/src/held_metrics.rs
@@ -0,0 +1,66 @@
+//! Held bytes and stalled exchanges, as figures that are read when they are scraped.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dillspool_io::{ByteBudget, StalledSide};
+use dillspool_metrics::write_labels;
+use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Why an exchange was ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct StalledLabels {
+    /// `caller`, `backend` or `budget`.
+    side: &'static str,
+}
+
+impl EncodeLabelSet for StalledLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        write_labels(encoder, &[("side", self.side)])
+    }
+}
+
+/// Figures of a host's budget; without one there are none.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldMetrics {
+    budget: Option<ByteBudget>,
+    held: Gauge<u64, AtomicU64>,
+    limit: Gauge<u64, AtomicU64>,
+    stalled: Family<StalledLabels, Counter>,
+}
+
+impl HeldMetrics {
+    /// Figures of a budget.
+    pub(crate) fn new(budget: Option<ByteBudget>) -> Self {
+        let (held, limit, stalled) = (Gauge::default(), Gauge::default(), Family::default());
+        Self { budget, held, limit, stalled }
+    }
+
+    /// Registers all figures, if there is a budget.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        if self.budget.is_none() {
+            return;
+        }
+        let help = "Bytes of requests and answers held now";
+        registry.register_with_unit("held", help, Unit::Bytes, self.held.clone());
+        let help = "Bytes of requests and answers that may be held";
+        registry.register_with_unit("held_limit", help, Unit::Bytes, self.limit.clone());
+        let help = "Exchanges ended because a peer neither read nor sent, or for want of room";
+        registry.register("exchanges_stalled", help, self.stalled.clone());
+    }
+
+    /// Takes over what is known now.
+    pub(crate) fn refresh(&self) {
+        let Some(budget) = &self.budget else { return };
+        let reading = budget.read();
+        self.held.set(reading.held);
+        self.limit.set(reading.limit);
+        for (side, count) in StalledSide::ALL.into_iter().zip(reading.stalled) {
+            let counter = self.stalled.get_or_create(&StalledLabels { side: side.name() });
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -5,27 +5,27 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use dillspool_forward::{ForwardContext, Refusal, RefusalCause, answer_request};
-use dillspool_io::{HostClock, HttpHandler, ResponseBody, handler, read_body};
+use dillspool_io::{HostClock, HttpHandler, ResponseBody, handler};
 use dillspool_keys::PresentedKey;
 use dillspool_moment::Moment;
 use dillspool_routing::{RequestTerms, RouteEntry, RoutedRequest, RoutingConfig, WorkspaceEntry};
 use dillspool_schema::Name;
 use dillspool_suspects::{PrintKey, PrintParts, RequestPrint};
 use dillspool_watch::SharedBelief;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, Uri};
+use hyper::{Request, Response, Uri, Version};
 use tokio::sync::{Semaphore, watch};
 
 use crate::patience::PatienceTable;
+use crate::receiving::{enter, receive};
 use crate::site::SiteProtocol;
 
 /// When to come back to a host that is not ready; another host takes the connection then.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// When to come back to a host that has too much in flight.
-const FULL_RETRY: Duration = Duration::from_millis(300);
+pub(crate) const FULL_RETRY: Duration = Duration::from_millis(300);
 /// When to come back to a host whose configuration may be old; the caller's next connection goes to
 /// another host, as a rule to one that hears of changes.
 const STALE_RETRY: Duration = Duration::from_millis(500);
@@ -132,6 +132,7 @@
             return Err(Refusal::come_back(RefusalCause::HostFull, FULL_RETRY));
         };
         let id = terms.id.ok_or(Refusal::new(RefusalCause::Malformed))?;
+        let held = enter(&request, &id)?;
         let (parts, body) = request.into_parts();
         let host = host_of(&parts.headers, &parts.uri)
             .ok_or(Refusal::new(RefusalCause::Malformed))?
@@ -144,7 +145,7 @@
         let caller_time = terms.time_budget.unwrap_or(route.timeout);
         let spent_before = self.patience.note(&route.name, caller_time);
         let deadline = arrived + caller_time.min(route.timeout);
-        let body = receive(body, config.limits.body_bytes);
+        let body = receive(body, config.limits.body_bytes, &held);
         let received = self.clock.timeout_at(deadline, body).await;
         let body = received.unwrap_or(Err(Refusal::new(RefusalCause::BodyLost)))?;
         // Not the address: one caller comes by many, and each would have a request of its own.
@@ -169,6 +170,8 @@
             generation: terms.generation,
             resume_after: terms.resume_after,
             config_version: config.version,
+            held,
+            takes_chunks: parts.version > Version::HTTP_10,
         };
         Ok((routed, permit))
     }
@@ -219,16 +222,3 @@
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_default()
 }
-
-async fn receive(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::new(RefusalCause::BodyTooLarge));
-    }
-    match read_body(body, limit).await {
-        Ok(bytes) => Ok(bytes),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(RefusalCause::BodyTooLarge))
-        }
-        Err(_broken) => Err(Refusal::new(RefusalCause::BodyLost)),
-    }
-}
--- /dev/null
+++ b/crates/dillspool_router/src/receiving.rs
@@ -0,0 +1,84 @@
+//! Receives the bodies of callers' requests.
+
+use bytes::{Bytes, BytesMut};
+use dillspool_forward::{Refusal, RefusalCause};
+use dillspool_io::{CallerConnection, ExchangeBytes, StalledSide, read_body};
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::body::{Body, Incoming};
+
+use crate::ingress::FULL_RETRY;
+
+/// Opens the account of a request's exchange, if bytes are limited and the request fits beside what is
+/// held.
+pub(crate) fn enter(request: &Request<Incoming>, id: &str) -> Result<ExchangeBytes, Refusal> {
+    let Some(caller) = request.extensions().get::<CallerConnection>() else {
+        return Ok(ExchangeBytes::default());
+    };
+    if !caller.budget().takes_new(request.body().size_hint().lower()) {
+        return Err(host_full());
+    }
+    Ok(caller.begin(id))
+}
+
+/// Receives a whole body of at most `limit` bytes.
+pub(crate) async fn receive(
+    body: Incoming,
+    limit: usize,
+    held: &ExchangeBytes,
+) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::new(RefusalCause::BodyTooLarge));
+    }
+    if held.terms().is_some() {
+        return receive_held(body, limit, held).await;
+    }
+    match read_body(body, limit).await {
+        Ok(bytes) => Ok(bytes),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(RefusalCause::BodyTooLarge))
+        }
+        Err(_broken) => Err(Refusal::new(RefusalCause::BodyLost)),
+    }
+}
+
+/// As [`receive`], charged as it comes; a caller that sends nothing for too long is given up.
+async fn receive_held(
+    mut body: Incoming,
+    limit: usize,
+    held: &ExchangeBytes,
+) -> Result<Bytes, Refusal> {
+    let lost = |_broken| Refusal::new(RefusalCause::BodyLost);
+    let (mut whole, mut guard) = (BytesMut::new(), held.guard());
+    while let Some(frame) = next_frame(&mut body, held).await? {
+        let frame = frame.map_err(lost)?;
+        let Ok(part) = frame.into_data() else { continue };
+        let length = whole.len() + part.len();
+        if length > limit {
+            return Err(Refusal::new(RefusalCause::BodyTooLarge));
+        }
+        // Nothing has run yet, so the caller can go to another host at once.
+        if !guard.try_set(length as u64) {
+            return Err(host_full());
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(guard.attach(whole.freeze()))
+}
+
+type BodyFrame = Result<hyper::body::Frame<Bytes>, hyper::Error>;
+
+async fn next_frame(
+    body: &mut Incoming,
+    held: &ExchangeBytes,
+) -> Result<Option<BodyFrame>, Refusal> {
+    let Some(terms) = held.terms() else { return Ok(body.frame().await) };
+    tokio::time::timeout(terms.stall, body.frame()).await.map_err(|_elapsed| {
+        held.note_stalled(StalledSide::Caller);
+        Refusal::new(RefusalCause::BodyLost)
+    })
+}
+
+fn host_full() -> Refusal {
+    Refusal::come_back(RefusalCause::HostFull, FULL_RETRY)
+}
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dillspool_forward::BudgetTerms;
+use dillspool_io::HeldTerms;
 use dillspool_roles::ShareRule;
 use dillspool_scheduler::LimitTerms;
 use dillspool_schema::Name;
@@ -12,6 +13,7 @@
 use dillspool_suspects::{PrintKey, RequestPrint};
 use snafu::{ResultExt, Snafu};
 
+use crate::memory_terms;
 use crate::policy::{self, PolicyConfig};
 
 /// Time after an outage in which lapsed backend servers may register again; the users' letter
@@ -98,6 +100,8 @@
     pub budget: BudgetTerms,
     /// How the limits of workspaces are counted.
     pub limits: LimitTerms,
+    /// Limits on bytes held for slow peers; `None` where they are not limited.
+    pub held: Option<HeldTerms>,
     /// Key of the prints that stand for requests.
     pub print_key: PrintKey,
     /// Prints of requests that run whatever ended under them.
@@ -162,6 +166,7 @@
             extra: not_negative("retry.extra", retry.extra)?,
         },
         limits: limit_terms(settings.limits.as_ref())?,
+        held: memory_terms::check(settings.memory.as_ref())?,
         print_key: print_key(settings.suspects.as_ref()),
         lifted: lifted(settings.suspects.as_ref())?,
         grace: seconds("lifecycle.grace_s", lifecycle.grace_s)?,
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -52,6 +52,7 @@
         link_mbps: 0.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
         limits: LimitTerms { slack: 0.0, shares: 2 },
+        held: None,
         print_key: PrintKey::default(),
         lifted: vec![],
         grace: Duration::from_secs(8),
@@ -112,7 +113,7 @@
 }
 
 /// A configuration is its version, the prefix of its only route, and the workspaces.
-fn decode_config(text: &str) -> Result<RoutingConfig, String> {
+pub fn decode_config(text: &str) -> Result<RoutingConfig, String> {
     let words: Vec<_> = text.split(' ').collect();
     let [version, prefix, rest @ ..] = words.as_slice() else {
         return Err("no version".to_owned());
--- a/crates/dillspool_router/tests/settings.rs
+++ b/crates/dillspool_router/tests/settings.rs
@@ -70,6 +70,26 @@
             "[policy]\nmost_refusals = 0\n[orders]",
             &["policy.most_refusals", "between 1 and 64"],
         ),
+        case("memory", "[orders]", "[memory]\nlimit_mb = 88\nstall_s = 2.5\n[orders]", &[]),
+        case("memory not limited", "[orders]", "[memory]\nheld_part = 0.5\n[orders]", &[]),
+        case(
+            "memory of none",
+            "[orders]",
+            "[memory]\nlimit_mb = 0\n[orders]",
+            &["memory.limit_mb", "at least 24"],
+        ),
+        case(
+            "all of the memory and more",
+            "[orders]",
+            "[memory]\nlimit_mb = 88\nheld_part = 1.5\n[orders]",
+            &["memory.held_part", "between 0.01 and 1"],
+        ),
+        case(
+            "answers of which none fits",
+            "[orders]",
+            "[memory]\nlimit_mb = 88\nanswer_kb = 20000\n[orders]",
+            &["memory.answer_kb", "at least four"],
+        ),
         case(
             "a lifted print",
             "[orders]",
--- a/crates/dillspool_routerd/src/main.rs
+++ b/crates/dillspool_routerd/src/main.rs
@@ -18,6 +18,10 @@
 /// Time for the last lines of the log; they are gathered for a tenth of a second.
 const LAST_LINES: Duration = Duration::from_millis(250);
 
+/// Bytes that the system takes of a connection before they are sent, where held bytes are limited: two of
+/// the parts in which answers are passed on.
+const UNSENT_BYTES: u32 = 64 * 1024;
+
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
@@ -67,7 +71,7 @@
     let describe = |error: std::io::Error| format!("cannot wait for signals: {error}");
     let mut terminate = signal(SignalKind::terminate()).map_err(describe)?;
     let mut reload = signal(SignalKind::hangup()).map_err(describe)?;
-    let stack = NetStack::tcp();
+    let stack = NetStack::tcp_unsent(config.held.map(|_terms| UNSENT_BYTES));
     let clock = HostClock::boot();
     let site = prepared_platform(&stack, &config, &clock);
     let daemon =
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -349,6 +349,7 @@
         link_mbps: 100.0,
         budget: BudgetTerms { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
         limits: LimitTerms { slack: 0.0, shares: 2 },
+        held: None,
         print_key: PrintKey::default(),
         lifted: vec![],
         grace: Duration::from_secs(4),
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_io::HostClock;
+use dillspool_io::{ExchangeBytes, HostClock};
 use dillspool_keys::PresentedKey;
 use dillspool_moment::Moment;
 use dillspool_schema::Name;
@@ -91,6 +91,10 @@
     pub resume_after: Option<u64>,
     /// Version of the configuration that chose the route.
     pub config_version: u64,
+    /// The bytes that the host holds for it.
+    pub held: ExchangeBytes,
+    /// Whether its caller sees that an answer of unknown length ends early; HTTP/1.0 has no way.
+    pub takes_chunks: bool,
 }
 
 impl RoutedRequest {
