Soak with peers that read and send slowly

Cause: no soak had callers that read a byte a second, stop, half-close or send slowly, nor a backend server that reads no bodies.

Checked: hosts live on, their resident memory stays below 88 MB, and nothing is held 3 s after.

--- a/crates/dillspool_routerd/tests/soak.rs
+++ b/crates/dillspool_routerd/tests/soak.rs
@@ -3,11 +3,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use dillspool_soak::SoakTrouble::{Deadly, Limits, Notices, Restarts, Restored};
+use dillspool_soak::SoakTrouble::{Deadly, Limits, Notices, Restarts, Restored, SlowPeers};
 use dillspool_soak::{SoakSettings, SoakTrouble, run_soak};
 
 /// Seeds that run here: the first ones, and every seed that ever broke a promise, with its cause.
-const SEEDS: [SoakCase; 7] = [
+const SEEDS: [SoakCase; 8] = [
     SoakCase { seed: 1, troubles: &[], cause: "a first one" },
     SoakCase { seed: 2, troubles: &[], cause: "a first one" },
     SoakCase { seed: 3, troubles: &[Restarts], cause: "starts under one id, spoiled rows" },
@@ -19,6 +19,7 @@
     SoakCase { seed: 5, troubles: &[Limits], cause: "servers that name how much they take" },
     SoakCase { seed: 6, troubles: &[Notices], cause: "servers that leave, or ask for rest" },
     SoakCase { seed: 7, troubles: &[Restored], cause: "a store that comes back from copies" },
+    SoakCase { seed: 8, troubles: &[SlowPeers], cause: "peers that read and send slowly" },
 ];
 
 /// A seed, what it plays, and why it is here.
--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod rest;
 mod restored;
 mod router;
+mod slow_peers;
 mod world;
 
 pub use check::{CallKind, CallOutcome, CallRecord, Violation, check_calls};
--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -45,6 +45,9 @@
     /// The store comes back from copies that are some seconds old.
     #[arg(long)]
     restored: bool,
+    /// Also have callers and backend servers read and send slowly, or not at all.
+    #[arg(long)]
+    slow_readers: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -90,6 +93,7 @@
         (args.limits, SoakTrouble::Limits),
         (args.notices, SoakTrouble::Notices),
         (args.restored, SoakTrouble::Restored),
+        (args.slow_readers, SoakTrouble::SlowPeers),
     ];
     flags.into_iter().filter_map(|(is_set, trouble)| is_set.then_some(trouble)).collect()
 }
--- a/crates/dillspool_soak/src/router.rs
+++ b/crates/dillspool_soak/src/router.rs
@@ -8,6 +8,9 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
+/// Size of a page of memory.
+const PAGE_BYTES: u64 = 4096;
+
 /// Addresses of a router; they stay when it is started again.
 #[derive(Clone, Debug)]
 pub(crate) struct RouterPlace {
@@ -18,6 +21,8 @@
     pub(crate) schedule: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) store: SocketAddr,
+    /// Memory of the process in MB, if that is limited.
+    pub(crate) limit_mb: Option<u32>,
 }
 
 /// A router's process, ended with its owner.
@@ -64,6 +69,13 @@
         matches!(self.child.try_wait(), Ok(Some(_status)))
     }
 
+    /// Its resident memory in bytes; `None` once it has ended.
+    pub(crate) fn resident_bytes(&self) -> Option<u64> {
+        let statm = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id())).ok()?;
+        let pages: u64 = statm.split(' ').nth(1)?.parse().ok()?;
+        Some(pages * PAGE_BYTES)
+    }
+
     fn end(&mut self) {
         // One that has ended needs no end.
         let _already_ended = self.child.kill();
@@ -90,6 +102,7 @@
 }
 
 fn settings_text(place: &RouterPlace, seeds: &[SocketAddr]) -> String {
+    let memory = place.limit_mb.map(|limit| format!("[memory]\nlimit_mb = {limit}\n"));
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
         r#"host = "{}"
@@ -108,7 +121,7 @@
 ratio = 0.2
 window_s = 10
 extra = 1000
-[lifecycle]
+{}[lifecycle]
 grace_s = 4
 [orders]
 lease_ms = 3000
@@ -121,5 +134,6 @@
         place.schedule,
         place.store,
         seeds.join(", "),
+        memory.unwrap_or_default(),
     )
 }
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -26,6 +26,7 @@
 use crate::rest::check_rest;
 use crate::restored::{StoreCopies, play_restored};
 use crate::router::{RouterPlace, RouterProcess};
+use crate::slow_peers::{MEMORY_MB, play_slow_peers};
 
 /// What may strike beside the faults of every soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +42,8 @@
     Notices,
     /// The store comes back from copies, some seconds old, among the faults and after them.
     Restored,
+    /// Once the faults are over callers and backend servers read and send slowly, or not at all.
+    SlowPeers,
 }
 
 /// Size and length of a soak.
@@ -106,7 +109,7 @@
     settings: SoakSettings,
     tools: PlaceTools,
     pub(crate) places: Vec<RouterPlace>,
-    routers: Vec<RouterProcess>,
+    pub(crate) routers: Vec<RouterProcess>,
     store_links: Vec<LoopbackProxy>,
     pub(crate) backends: Vec<BackendPlace>,
     pub(crate) config_version: u64,
@@ -155,6 +158,9 @@
         violations.extend(play_notices(&mut world, &mut random).await?);
         world.pass(RECOVERY).await?;
     }
+    if world.plays(SoakTrouble::SlowPeers) {
+        violations.extend(play_slow_peers(&mut world, &mut random, &calls).await?);
+    }
     stop_calls.cancel();
     // The callers bound every call in time.
     let _ended = callers.await;
@@ -228,7 +234,7 @@
 
 /// The addresses of a host: a loopback number of its own, so that no connection's own port and
 /// no other soak can take them while the host is down.
-fn place(seed: u64, number: usize, store: SocketAddr) -> RouterPlace {
+fn place(seed: u64, number: usize, store: SocketAddr, limit_mb: Option<u32>) -> RouterPlace {
     let part = |value: u64| u8::try_from(value % 250 + 1).unwrap_or(1);
     let process = u64::from(std::process::id());
     let ip = Ipv4Addr::new(127, part(seed), part(process), part(number as u64));
@@ -241,6 +247,7 @@
         metrics: at(7660),
         schedule: at(7661),
         store,
+        limit_mb,
     }
 }
 
@@ -270,7 +277,8 @@
         }
         for number in 0..world.settings.hosts {
             let link = LoopbackProxy::start(store_address).await?;
-            world.places.push(place(world.settings.seed, number, link.address));
+            let limit_mb = world.plays(SoakTrouble::SlowPeers).then_some(MEMORY_MB);
+            world.places.push(place(world.settings.seed, number, link.address, limit_mb));
             world.store_links.push(link);
         }
         let seeds: Vec<SocketAddr> = world.places.iter().map(|place| place.peers).collect();
