Tests of streams that their callers pause

Cause: a stream whose caller read nothing for a while looked as if its engine were silent once the caller read again.

Change: tests for that and for the charge of a part of an event.

--- /dev/null
+++ b/crates/dillspool_forward/tests/paused_streams.rs
@@ -0,0 +1,57 @@
+//! A stream that its caller pauses by reading nothing, where bytes held are limited.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ScriptedSite, Step, entry, request, view};
+use dillspool_forward::answer_request;
+use dillspool_io::{ByteBudget, HeldTerms};
+use dillspool_routing::{RequestKind, RoutedRequest};
+use http_body_util::BodyExt;
+use tokio_util::sync::CancellationToken;
+
+const TERMS: HeldTerms =
+    HeldTerms { limit: 10_000, answer_bytes: 20, stall: Duration::from_secs(8) };
+
+/// The silence that a caller's pause causes was taken for the engine's: the stream went on elsewhere once
+/// its caller read again, which cost another prefill and a repeated send.
+#[tokio::test(start_paused = true)]
+async fn a_pause_of_the_caller_is_no_silence_of_the_engine() {
+    let site = ScriptedSite::default();
+    let events = vec![(0, "id: 1\ndata: a\n\n"), (5_200, "id: 2\ndata: b\n\n")];
+    site.script("first", [Step::Paced(events)]);
+    let backends = [entry("first", "near", None), entry("second", "far", None)];
+    let (context, _directory) = site.context(view(backends));
+    let budget = ByteBudget::new(TERMS);
+    let held = budget.enter("request-1", CancellationToken::new());
+    let routed = RoutedRequest { held, ..request(RequestKind::Streaming, 2, true) };
+    let mut body = answer_request(context, routed).await.into_body();
+    body.frame().await.expect("the first event").expect("no break");
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    body.frame().await.expect("the second event").expect("no break");
+    assert!(body.frame().await.is_none(), "it ends");
+    assert_eq!(site.record.lock().unwrap().arrivals.len(), 1);
+    drop(body);
+    assert_eq!(budget.read().held, 0);
+}
+
+/// A part of an event that has come is in memory until the rest has.
+#[tokio::test(start_paused = true)]
+async fn a_part_of_an_event_is_charged() {
+    let site = ScriptedSite::default();
+    let events = vec![(0, "id: 1\ndata: a\n\nid: 2"), (500, "\ndata: b\n\n"), (500, "id: 3")];
+    site.script("first", [Step::Paced(events)]);
+    let (context, _directory) = site.context(view([entry("first", "near", None)]));
+    let budget = ByteBudget::new(TERMS);
+    let held = budget.enter("request-1", CancellationToken::new());
+    let routed = RoutedRequest { held, ..request(RequestKind::Streaming, 1, false) };
+    let mut body = answer_request(context, routed).await.into_body();
+    for charged in [5, 0] {
+        body.frame().await.expect("an event").expect("no break");
+        assert_eq!(budget.read().held, charged);
+    }
+    assert!(body.frame().await.expect("an end").is_err(), "it ended within an event");
+    drop(body);
+    assert_eq!(budget.read().held, 0);
+}
