Soak with slow peers: usual calls beside them are timed

Cause: the soak told nothing of what slow peers cost usual callers, and its callers that send long bodies read 4 MB answers as fast as they could, which measured the load and not slow peers.

Change: fifty usual callers are timed before and beside slow peers, printed and not checked; long bodies get short answers; a backend server reads no bodies for the last six seconds only.

--- a/crates/dillspool_soak/src/slow_peers.rs
+++ b/crates/dillspool_soak/src/slow_peers.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::callers::{ROUTE_HOST, prefix};
+use crate::callers::{ROUTE_HOST, call, prefix};
 use crate::check::{CallKind, CallOutcome, CallRecord, Violation};
 use crate::world::SoakWorld;
 
@@ -27,7 +27,16 @@
 /// Callers that read or send slowly at once.
 const SLOW_CALLERS: usize = 240;
 /// Time for which they come back over and over; longer than a peer may neither read nor send.
-const SLOW_FOR: Duration = Duration::from_secs(12);
+const SLOW_FOR: Duration = Duration::from_secs(14);
+/// Time of that in which a plain backend server reads no bodies.
+const UNREADING_FOR: Duration = Duration::from_secs(6);
+/// Usual callers that call at once beside them, and how often.
+const USUAL_CALLERS: usize = 50;
+const USUAL_ROUNDS: usize = 15;
+/// Time after which slow callers have connected.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+/// Time for the same without slow peers.
+const QUIET_FOR: Duration = Duration::from_secs(4);
 /// Time after which nothing of theirs may be held any more.
 const FREED_AFTER: Duration = Duration::from_secs(3);
 /// Bytes that may be held then: those of usual calls.
@@ -41,7 +50,7 @@
 /// Longest body of a request.
 const LONG_BODY: usize = 900_000;
 /// Pause of a slow caller before it comes back.
-const COME_BACK: Duration = Duration::from_millis(100);
+const COME_BACK: Duration = Duration::from_secs(1);
 
 /// How a caller is slow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,7 +113,8 @@
             SlowManner::SendsSlowly | SlowManner::SendsMuch => LONG_BODY,
             _ => 4,
         };
-        let path = format!("{}{LONG_PATH}{id}", prefix(self.kind));
+        let word = if self.manner == SlowManner::SendsMuch { "" } else { LONG_PATH };
+        let path = format!("{}{word}{id}", prefix(self.kind));
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: {ROUTE_HOST}\r\n{REQUEST_ID}: {id}\r\n{TIME_BUDGET}: {SLOW_WAIT_MS}\r\n{TOKEN_COUNTS}: 100,100\r\ncontent-length: {length}\r\n\r\n"
         );
@@ -150,10 +160,9 @@
 ) -> std::io::Result<Vec<Violation>> {
     let mut violations = world.revive_hosts();
     world.pass(FREED_AFTER).await?;
-    let unreading = world.backends.iter().find(|place| place.kind == StandinKind::Plain);
-    if let Some(place) = unreading {
-        place.backend.set_fault(BackendFault::Unreading);
-    }
+    let hosts: Vec<SocketAddr> = world.places.iter().map(|place| place.callers).collect();
+    let quiet = tokio::spawn(usual_p99("quiet", hosts.clone(), Arc::clone(calls)));
+    world.pass(QUIET_FOR).await?;
     let (cancel, mut callers) = (CancellationToken::new(), JoinSet::new());
     for number in 0..SLOW_CALLERS {
         let caller = SlowCaller {
@@ -167,8 +176,22 @@
     }
     let until = Instant::now() + SLOW_FOR;
     let mut most = vec![0; world.routers.len()];
+    let busy = tokio::spawn({
+        let calls = Arc::clone(calls);
+        async move {
+            // Not while all of them connect at once.
+            tokio::time::sleep(SETTLED_AFTER).await;
+            usual_p99("busy", hosts, calls).await
+        }
+    });
     while Instant::now() < until {
         world.pass(LOOK_EVERY).await?;
+        if until - Instant::now() < UNREADING_FOR
+            && let Some(place) =
+                world.backends.iter().find(|place| place.kind == StandinKind::Plain)
+        {
+            place.backend.set_fault(BackendFault::Unreading);
+        }
         for (most, router) in most.iter_mut().zip(&world.routers) {
             *most = router.resident_bytes().unwrap_or_default().max(*most);
         }
@@ -176,6 +199,9 @@
     cancel.cancel();
     while callers.join_next().await.is_some() {}
     world.heal();
+    // Not checked: it depends on what else the machine does.
+    let (quiet, busy) = (quiet.await.unwrap_or_default(), busy.await.unwrap_or_default());
+    println!("p99 of usual calls: {quiet:?} before slow peers, {busy:?} beside them");
     for (number, most) in most.into_iter().enumerate() {
         println!("host {number}: {most} bytes resident at most beside slow peers");
         if most > u64::from(MEMORY_MB) * 1_000_000 {
@@ -198,6 +224,32 @@
     Ok(violations)
 }
 
+/// The 99th percentile of the time of usual calls.
+async fn usual_p99(
+    name: &str,
+    hosts: Vec<SocketAddr>,
+    calls: Arc<Mutex<Vec<CallRecord>>>,
+) -> Duration {
+    let mut times = Vec::new();
+    for round in 0..USUAL_ROUNDS {
+        let mut open = JoinSet::new();
+        for caller in 0..USUAL_CALLERS {
+            let (id, host) = (format!("{name}-{round}-{caller}"), hosts[caller % hosts.len()]);
+            open.spawn(async move {
+                let started = Instant::now();
+                (call(id, CallKind::Unrepeatable, host).await, started.elapsed())
+            });
+        }
+        while let Some(Ok((record, took))) = open.join_next().await {
+            calls.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+            times.push(took);
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    times.sort();
+    times.get(times.len() * 99 / 100).copied().unwrap_or_default()
+}
+
 /// Bytes that a host holds, as its metrics tell.
 async fn held_bytes(metrics: SocketAddr) -> Option<f64> {
     let request = Request::get("/metrics").header("host", ROUTE_HOST).body(Full::default()).ok()?;
