--- a/crates/dillspool_forward/src/lib.rs
+++ b/crates/dillspool_forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod generate;
 mod limits;
+mod long_answer;
 mod metrics;
 mod placement;
 mod plain;
