Soak ends callers by the stall limit; what the system ends first

Cause: in the soak no exchange was ever ended by the stall limit: on TCP the system itself ends a connection whose peer takes nothing for 4 s (TCP_USER_TIMEOUT), before the limit of 8 s.

--- a/crates/dillspool_soak/src/router.rs
+++ b/crates/dillspool_soak/src/router.rs
@@ -102,7 +102,8 @@
 }
 
 fn settings_text(place: &RouterPlace, seeds: &[SocketAddr]) -> String {
-    let memory = place.limit_mb.map(|limit| format!("[memory]\nlimit_mb = {limit}\n"));
+    // Shorter than the system's own limit on bytes that a peer does not take (4 s).
+    let memory = place.limit_mb.map(|limit| format!("[memory]\nlimit_mb = {limit}\nstall_s = 2\n"));
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
         r#"host = "{}"
--- a/crates/dillspool_soak/src/slow_peers.rs
+++ b/crates/dillspool_soak/src/slow_peers.rs
@@ -215,7 +215,12 @@
     }
     world.pass(FREED_AFTER).await?;
     for place in &world.places {
-        let held = held_bytes(place.metrics).await;
+        let page = metrics_page(place.metrics).await.unwrap_or_default();
+        let ended = ["caller", "backend", "budget"].map(|side| {
+            figure(&page, &format!("dillspool_exchanges_stalled_total{{side=\"{side}\"}}"))
+        });
+        println!("{}: {ended:?} exchanges ended, by caller, backend and budget", place.name);
+        let held = figure(&page, "dillspool_held_bytes");
         if held.is_none_or(|held| held > MOST_HELD_AFTER) {
             let detail = format!("{} holds {held:?} bytes after slow peers", place.name);
             violations.push(Violation { promise: "what slow peers held is freed", detail });
@@ -250,13 +255,16 @@
     times.get(times.len() * 99 / 100).copied().unwrap_or_default()
 }
 
-/// Bytes that a host holds, as its metrics tell.
-async fn held_bytes(metrics: SocketAddr) -> Option<f64> {
+/// The metrics of a host.
+async fn metrics_page(metrics: SocketAddr) -> Option<String> {
     let request = Request::get("/metrics").header("host", ROUTE_HOST).body(Full::default()).ok()?;
     let limit = Duration::from_secs(1);
     let answer = exchange_once(&NetStack::tcp(), metrics, request, limit).await.ok()?;
     let page = read_body(answer.into_body(), 1 << 20).await.ok()?;
-    let page = String::from_utf8_lossy(&page).into_owned();
-    let line = page.lines().find(|line| line.starts_with("dillspool_held_bytes"))?;
+    Some(String::from_utf8_lossy(&page).into_owned())
+}
+
+fn figure(page: &str, name: &str) -> Option<f64> {
+    let line = page.lines().find(|line| line.starts_with(name))?;
     line.rsplit(' ').next()?.parse().ok()
 }
