--- a/crates/dillspool_forward/src/answer.rs
+++ b/crates/dillspool_forward/src/answer.rs
@@ -53,7 +53,8 @@
                 Err(refusal) => Err((refusal, trace)),
             }
         }
-        RequestKind::Streaming => answer_stream(&context, &request, copy, trace).await,
+        // On the heap, so that plain requests do not take the room of a stream.
+        RequestKind::Streaming => Box::pin(answer_stream(&context, &request, copy, trace)).await,
     };
     match answered {
         Ok(response) => response,
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -34,7 +34,7 @@
     /// The backend server's own answer, whole.
     Whole(WholeAnswer),
     /// The same, of which only the start was read.
-    Long(LongAnswer),
+    Long(Box<LongAnswer>),
     /// Nothing was sent.
     NotSent(String),
     /// The backend server did not run it.
@@ -47,13 +47,9 @@
     /// What the host that decides on the calls of the service is told of it.
     fn call_end(&self) -> CallEnd {
         match self {
-            Self::Whole(WholeAnswer { status, .. }) | Self::Long(LongAnswer { status, .. }) => {
-                if status.is_server_error() {
-                    CallEnd::Failed
-                } else {
-                    CallEnd::Answered
-                }
-            }
+            Self::Whole(answer) if !answer.status.is_server_error() => CallEnd::Answered,
+            Self::Long(answer) if !answer.status.is_server_error() => CallEnd::Answered,
+            Self::Whole(_) | Self::Long(_) => CallEnd::Failed,
             Self::NotSent(_) => CallEnd::NotSent,
             Self::NotRun => CallEnd::NotRun,
             Self::Unclear(_) => CallEnd::Lost,
@@ -66,7 +62,7 @@
     /// It was read to its end.
     Whole(Response<ResponseBody>),
     /// It is to be passed on as it arrives.
-    Long(LongAnswer),
+    Long(Box<LongAnswer>),
 }
 
 /// An answer that was read to its end.
@@ -175,8 +171,9 @@
         let started = Instant::now();
         let outcome = send_whole(context, request, &entry, limit).await;
         let outcome = match outcome {
-            SendOutcome::Long(answer) if !answer.status.is_server_error() => {
-                return Ok(PlainEnd::Long(LongAnswer { call: Some(ticket), ..answer }));
+            SendOutcome::Long(mut answer) if !answer.status.is_server_error() => {
+                answer.call = Some(ticket);
+                return Ok(PlainEnd::Long(answer));
             }
             outcome => outcome,
         };
@@ -297,7 +294,7 @@
                 sent_at,
                 call: None,
             };
-            SendOutcome::Long(answer)
+            SendOutcome::Long(Box::new(answer))
         }
         Ok(Err(CallError::NotSent { reason })) => SendOutcome::NotSent(reason),
         Ok(Err(CallError::Refused { .. })) => SendOutcome::NotRun,
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -14,7 +14,7 @@
 use dillspool_roles::{KeeperSettings, PoolTargets, keep_stages};
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
-    CallDesk, FleetNews, LimitDesk, PoolDesk, ScheduleClient, ScheduleDesks,
+    CallDesk, FleetNews, LimitClient, LimitDesk, PoolDesk, ScheduleClient, ScheduleDesks,
 };
 use dillspool_schema::Name;
 use dillspool_suspects::{SuspectDesk, SuspectPolicy};
@@ -179,14 +179,7 @@
         let figures = (throttled, call_metrics);
         daemon.start_status(&beliefs, figures, &metrics, readiness_listener, metrics_listener);
         daemon.start_suspects(&beliefs, &site, schedule.clone());
-        let keeper = NoticeKeeper {
-            throttle: site.throttle.clone(),
-            leaving: site.leaving.clone(),
-            limits: backend_limits,
-            schedule: schedule.clone(),
-            directory: beliefs.directory.clone(),
-        };
-        tokio::spawn(keeper.run(daemon.background.clone()));
+        daemon.start_notices(&beliefs, &site, backend_limits, schedule.clone());
         daemon.start_keepers(&beliefs, &site, (budgets, host_count), demand, schedule, &clock);
         daemon.start_callers(&beliefs, &site, context, callers_listener, clock);
         log::info!(
@@ -290,6 +283,24 @@
         ));
     }
 
+    /// Starts to tell other hosts what backend servers say of themselves.
+    fn start_notices(
+        &self,
+        beliefs: &Beliefs,
+        site: &SiteProtocol,
+        limits: LimitClient,
+        schedule: ScheduleClient,
+    ) {
+        let keeper = NoticeKeeper {
+            throttle: site.throttle.clone(),
+            leaving: site.leaving.clone(),
+            limits,
+            schedule,
+            directory: beliefs.directory.clone(),
+        };
+        tokio::spawn(keeper.run(self.background.clone()));
+    }
+
     /// Starts to tell other hosts, and to hear from them, under which requests backend servers ended.
     fn start_suspects(&self, beliefs: &Beliefs, site: &SiteProtocol, schedule: ScheduleClient) {
         let telling = schedule.clone();
