Streams that are not likely to be whole at their deadlines are not begun

Change: AdmissionPolicy::completion_chance, settable as policy.completion_chance. A late answer whose chance of being whole at its deadline is lower is rejected at once and does not wait; half of the chance suffices for others. 0, the default, keeps the present behaviour. The time left of a waiting request is now reduced by its wait, which its Retry-After is derived from.

--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -4,6 +4,7 @@
 //! they rest on.
 
 mod choose;
+mod completion;
 mod notes;
 mod wait;
 
@@ -64,13 +65,15 @@
 }
 
 /// Why a request cannot be placed now.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlaceLack {
     Engine,
     /// No engine has room; it may come to have some.
     Memory,
     /// Its prompt cannot be read in time.
     Prefill,
+    /// Its answer would most likely not be whole at its deadline.
+    Time,
 }
 
 /// The decisions of one pool.
@@ -213,10 +216,14 @@
         let mut decided = Vec::new();
         self.refresh(now);
         for ticket in self.line.tickets() {
-            let Some(record) = self.line.get(ticket).cloned() else { continue };
+            let Some(mut record) = self.line.get(ticket).cloned() else { continue };
+            record.request.time_left =
+                record.request.time_left.saturating_sub(now.since(record.since));
             let decision = match self.choose(&record.request, now) {
                 Ok(placement) => self.place(ticket, &record.request, placement, now),
-                Err(cause) if now >= record.give_up => self.turn_away(&record.request, cause),
+                Err(cause) if now >= record.give_up || cause == PlaceLack::Time => {
+                    self.turn_away(&record.request, cause)
+                }
                 Err(_cause) => continue,
             };
             self.line.remove(ticket);
--- a/crates/dillspool_admission/src/planner/choose.rs
+++ b/crates/dillspool_admission/src/planner/choose.rs
@@ -43,6 +43,10 @@
         let ranked = self.decode_by_room(request, now)?;
         let (decode, domain) = ranked.first().ok_or(PlaceLack::Memory)?.clone();
         let wait = self.best_prefill(request, &domain, now);
+        let queued = wait.as_ref().map_or(Duration::ZERO, |(_prefill, wait)| *wait);
+        if !self.is_completed_in_time(request, queued) {
+            return Err(PlaceLack::Time);
+        }
         if let Some((prefill, wait)) = &wait
             && self.is_soon_enough(request, *wait)
         {
--- a/crates/dillspool_admission/src/planner/wait.rs
+++ b/crates/dillspool_admission/src/planner/wait.rs
@@ -34,11 +34,11 @@
         let longest = self.longest_wait(&request);
         let tokens = self.reserve_tokens(&request);
         let foreseen = match cause {
-            PlaceLack::Engine => Duration::MAX,
             PlaceLack::Memory => self.memory_wait(&request, tokens, now),
             PlaceLack::Prefill => self.reading_wait(&request, now),
+            PlaceLack::Engine | PlaceLack::Time => Duration::MAX,
         };
-        if foreseen > longest {
+        if foreseen > longest || !self.is_completed_in_time(&request, foreseen) {
             return self.turn_away(&request, cause);
         }
         let give_up = now + longest;
@@ -106,7 +106,9 @@
         let part = self.random.random_range(COME_BACK_PARTS);
         let (cause, come_back) = match cause {
             PlaceLack::Engine => (TurnAwayCause::NoEngine, NO_ENGINE_COME_BACK),
-            PlaceLack::Memory => (TurnAwayCause::NoMemory, request.time_left.mul_f64(part)),
+            PlaceLack::Memory | PlaceLack::Time => {
+                (TurnAwayCause::NoMemory, request.time_left.mul_f64(part))
+            }
             PlaceLack::Prefill => (TurnAwayCause::NoPrefill, request.time_left.mul_f64(part)),
         };
         PlacementDecision::TurnAway { cause, come_back }
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -175,6 +175,9 @@
     pub late_margin: f64,
     /// Longest wait of a late answer for memory, as a part of the mean life of an answer.
     pub late_wait: f64,
+    /// Chance that a late answer is whole at its deadline below which it is not begun; half of it
+    /// for others, 0 to begin all.
+    pub completion_chance: f64,
     /// Whether prompts may be read at decode engines.
     pub reads_at_decode: bool,
     /// Engines that may refuse one request before it is turned away.
@@ -198,6 +201,7 @@
             memory_deviations: 1.8,
             late_margin: 0.05,
             late_wait: 1.0,
+            completion_chance: 0.0,
             reads_at_decode: true,
             most_refusals: 12,
             failures_before_shut: 2,
--- /dev/null
+++ b/crates/dillspool_admission/tests/deadlines.rs
@@ -0,0 +1,105 @@
+//! A stream that cannot be whole at its caller's deadline is not begun, and holds no memory for nothing.
+
+use std::time::Duration;
+
+use dillspool_admission::{
+    AdmissionPolicy, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner, PoolTerms,
+    TicketId, WorkClass,
+};
+use dillspool_moment::Moment;
+use dillspool_routing::StartedBackend;
+
+struct DeadlineCase {
+    name: &'static str,
+    class: WorkClass,
+    /// Time that the caller has left; an answer of its guess mostly takes 2,000 ms.
+    left_ms: u64,
+    chance: f64,
+    begins: bool,
+}
+
+const CASES: [DeadlineCase; 8] = [
+    DeadlineCase { name: "off", class: WorkClass::Late, left_ms: 500, chance: 0.0, begins: true },
+    DeadlineCase { name: "late", class: WorkClass::Late, left_ms: 500, chance: 0.7, begins: false },
+    DeadlineCase {
+        name: "new",
+        class: WorkClass::InTime,
+        left_ms: 950,
+        chance: 0.7,
+        begins: false,
+    },
+    DeadlineCase {
+        name: "resumed",
+        class: WorkClass::UnderWay,
+        left_ms: 500,
+        chance: 0.7,
+        begins: false,
+    },
+    DeadlineCase {
+        name: "an even chance, late",
+        class: WorkClass::Late,
+        left_ms: 2_400,
+        chance: 0.7,
+        begins: false,
+    },
+    DeadlineCase {
+        name: "an even chance, new",
+        class: WorkClass::InTime,
+        left_ms: 2_400,
+        chance: 0.7,
+        begins: true,
+    },
+    DeadlineCase {
+        name: "enough for most",
+        class: WorkClass::Late,
+        left_ms: 6_000,
+        chance: 0.7,
+        begins: true,
+    },
+    DeadlineCase {
+        name: "enough for the longest",
+        class: WorkClass::Late,
+        left_ms: 5_300,
+        chance: 1.0,
+        begins: true,
+    },
+];
+
+fn engine(id: &str, prefills: bool) -> PoolEngine {
+    let backend = StartedBackend { id: id.into(), start: None };
+    PoolEngine { backend, domain: "d".into(), prefills }
+}
+
+fn decide(case: &DeadlineCase) -> PlacementDecision {
+    let policy = AdmissionPolicy { completion_chance: case.chance, ..AdmissionPolicy::default() };
+    let terms = PoolTerms { memory_tokens: 60_000, slots: 12 };
+    let mut planner = PoolPlanner::new(terms, policy, 1);
+    planner.set_engines([engine("decode", false), engine("prefill", true)].into_iter());
+    let request = PlacementRequest {
+        class: case.class,
+        workspace_priority: 0,
+        priority: 0,
+        domain: "d".into(),
+        prompt_tokens: 5_000,
+        guess_tokens: 2_000,
+        most_tokens: 5_000,
+        objective_left: Duration::from_millis(900),
+        patience: Duration::from_millis(case.left_ms),
+        time_left: Duration::from_millis(case.left_ms),
+        pause_target: None,
+        excluded: Vec::new(),
+        refusals: 0,
+        part: None,
+    };
+    planner.ask(TicketId(1), request, Moment::after_origin(Duration::from_secs(1)))
+}
+
+#[test]
+fn a_stream_is_begun_only_if_it_can_be_whole() {
+    for case in CASES {
+        let decision = decide(&case);
+        let begins = matches!(decision, PlacementDecision::Place(_));
+        assert_eq!(begins, case.begins, "{}: {decision:?}", case.name);
+        assert_ne!(decision, PlacementDecision::Wait, "{}", case.name);
+    }
+}
--- a/crates/dillspool_admission/tests/model/world.rs
+++ b/crates/dillspool_admission/tests/model/world.rs
@@ -12,61 +12,29 @@
 
 use dillspool_admission::{
     AdmissionPolicy, EngineFault, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner,
-    PoolTerms, StreamEnd, StreamPlacement, TicketId, WorkClass,
+    PoolTerms, StreamEnd, StreamPlacement, TicketId, TurnAwayCause, WorkClass,
 };
 use dillspool_moment::Moment;
 use dillspool_routing::StartedBackend;
 use dillspool_schema::Name;
 
+use super::engines::{Decode, Run, is_slow};
 use super::{Arrival, Outcome, PoolModel};
 
 /// Time between two looks at everything.
-const TICK_MS: u64 = 2;
+pub(super) const TICK_MS: u64 = 2;
 /// Time between two looks at those who wait.
 const LOOK_MS: u64 = 10;
-/// Time in which an engine makes a token.
-const TOKEN_MS: f64 = 0.75;
-/// Tokens of an event.
-const EVENT_TOKENS: f64 = 64.0;
+/// Time for which a refusal for want of memory says that memory binds.
+const BINDS_MS: u64 = 200;
 /// Prompt tokens that a prefill engine reads in a millisecond.
-const READ_TOKENS_A_MS: f64 = 55.6;
+pub(super) const READ_TOKENS_A_MS: f64 = 55.6;
 /// Calls, the move and the first token.
-const OPENING_MS: u64 = 8;
-const OBJECTIVE_MS: u64 = 900;
-const PAUSE_MS: u64 = 300;
+pub(super) const OPENING_MS: u64 = 8;
+pub(super) const PAUSE_MS: u64 = 300;
 const DEADLINE_MS: u64 = 14_000;
-/// Longest that a caller waits for its first event.
-const SILENCE_MS: u64 = 3_600;
-
-#[derive(Clone, Debug)]
-struct Run {
-    ticket: u64,
-    reserve: u64,
-    tokens: f64,
-    left: f64,
-    /// Tokens of the event under way.
-    part: f64,
-    last_event: u64,
-    first_event: Option<u64>,
-    paused: bool,
-    waits: bool,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Decode {
-    runs: Vec<Run>,
-    /// Reservations of requests whose prompts are being read elsewhere.
-    reserved: BTreeMap<u64, u64>,
-    /// Until when a prompt is read here.
-    reads_until: u64,
-}
-
-impl Decode {
-    fn taken(&self) -> u64 {
-        let held = |run: &Run| if run.waits { 0 } else { run.reserve.max(run.tokens as u64) };
-        self.reserved.values().sum::<u64>() + self.runs.iter().map(held).sum::<u64>()
-    }
-}
+/// Objectives for which a caller waits for its first event.
+const SILENCE_OBJECTIVES: u64 = 4;
 
 /// A prompt at a prefill engine.
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +65,8 @@
     outcome: Outcome,
     /// Tokens of an answer from which on it is in the largest tenth.
     large_from: u64,
+    /// When a caller was last refused for want of memory.
+    refused_ms: Option<u64>,
     now: u64,
 }
 
@@ -121,8 +91,8 @@
 
 /// Plays a load against a pool until everybody has an answer.
 pub fn play(pool: PoolModel, policy: AdmissionPolicy, load: &[Arrival]) -> Outcome {
-    let terms = PoolTerms { memory_tokens: pool.memory, slots: 24 };
-    let mut planner = PoolPlanner::new(terms, policy, 1);
+    let terms = PoolTerms { memory_tokens: pool.memory, slots: pool.slots };
+    let mut planner = PoolPlanner::new(terms, policy, pool.seed);
     let decode: Vec<Name> = (0..pool.decode).map(|at| format!("decode-{at:02}").into()).collect();
     let prefill: Vec<Name> =
         (0..pool.prefill).map(|at| format!("prefill-{at:02}").into()).collect();
@@ -134,6 +104,7 @@
         pool,
         planner,
         decode: decode.into_iter().map(|name| (name, Decode::default())).collect(),
+        refused_ms: None,
         prefill: prefill.into_iter().map(|name| (name, VecDeque::new())).collect(),
         callers: BTreeMap::new(),
         outcome: Outcome::default(),
@@ -167,10 +138,16 @@
                 if caller.arrival.made >= self.large_from && !caller.returned {
                     self.outcome.largest.0 += 1;
                 }
+                self.outcome.returned.0 += usize::from(caller.returned);
+                if !caller.returned {
+                    self.outcome.by_priority[caller.arrival.priority as usize].0 += 1;
+                    self.outcome.by_workspace[caller.arrival.workspace].0 += 1;
+                }
                 self.callers.insert(number, caller);
                 self.ask(number, &mut coming);
             }
             self.lose_engines(&mut coming);
+            self.expire();
             if self.now.is_multiple_of(LOOK_MS) {
                 for (ticket, decision) in self.planner.poll(moment(self.now)) {
                     self.take(ticket.0, decision, &mut coming);
@@ -185,18 +162,22 @@
 
     fn request(&self, caller: &Caller) -> PlacementRequest {
         let spent = self.now - caller.first_ms;
-        let late = spent > OBJECTIVE_MS;
+        let arrival = &caller.arrival;
+        let late = spent > arrival.objective_ms;
+        let silence_ms = arrival.objective_ms * SILENCE_OBJECTIVES;
+        let time_left = Duration::from_millis(DEADLINE_MS.saturating_sub(spent));
+        let waited = (self.now - caller.at_ms).min(silence_ms);
         PlacementRequest {
             class: if late { WorkClass::Late } else { WorkClass::InTime },
             workspace_priority: 0,
-            priority: 1,
+            priority: arrival.priority,
             domain: "domain".into(),
-            prompt_tokens: caller.arrival.prompt,
-            guess_tokens: caller.arrival.guess.min(10_880),
+            prompt_tokens: arrival.prompt,
+            guess_tokens: arrival.guess.min(10_880),
             most_tokens: 10_880,
-            objective_left: Duration::from_millis(OBJECTIVE_MS.saturating_sub(spent)),
-            patience: Duration::from_millis(SILENCE_MS - (self.now - caller.at_ms).min(SILENCE_MS)),
-            time_left: Duration::from_millis(DEADLINE_MS.saturating_sub(spent)),
+            objective_left: Duration::from_millis(arrival.objective_ms.saturating_sub(spent)),
+            patience: Duration::from_millis(silence_ms - waited).min(time_left),
+            time_left,
             pause_target: Some(Duration::from_millis(PAUSE_MS)),
             excluded: Vec::new(),
             refusals: caller.refusals,
@@ -220,7 +201,10 @@
     ) {
         match decision {
             PlacementDecision::Place(placement) => self.reserve(number, placement, coming),
-            PlacementDecision::TurnAway { come_back, .. } => {
+            PlacementDecision::TurnAway { cause, come_back } => {
+                if cause == TurnAwayCause::NoMemory {
+                    self.refused_ms = Some(self.now);
+                }
                 self.refuse(number, come_back, coming);
             }
             PlacementDecision::Wait => {}
@@ -236,7 +220,9 @@
             return;
         }
         self.outcome.refused_once += 1;
-        let at_ms = self.now + u64::try_from(after.as_millis()).unwrap();
+        // Callers obey up to a third of the time that they have left.
+        let third = DEADLINE_MS.saturating_sub(self.now - caller.first_ms) / 3;
+        let at_ms = self.now + u64::try_from(after.as_millis()).unwrap().min(third);
         let caller = Caller { at_ms, returned: true, refusals: 0, ..caller };
         let place = coming.partition_point(|(_number, other)| other.at_ms <= at_ms);
         coming.insert(place, (number, caller));
@@ -277,6 +263,11 @@
 
     fn prefill_step(&mut self) {
         let now = self.now;
+        let is_short = self.refused_ms.is_some_and(|at| now - at < BINDS_MS);
+        if is_short || self.planner.is_waited_for() {
+            let idle = self.prefill.values().filter(|queue| queue.is_empty()).count() as u64;
+            self.outcome.idle_prefill_ms += idle * TICK_MS;
+        }
         let mut done = Vec::new();
         for queue in self.prefill.values_mut() {
             while queue.front().is_some_and(|prompt| prompt.ready_ms <= now) {
@@ -323,6 +314,7 @@
             tokens: caller.arrival.prompt as f64,
             left: caller.arrival.made as f64,
             part: 0.0,
+            events: 0,
             last_event: self.now,
             first_event: None,
             paused: false,
@@ -332,46 +324,11 @@
     }
 
     fn decode_step(&mut self) {
-        let (now, memory) = (self.now, self.pool.memory);
         let mut ended = Vec::new();
-        for engine in self.decode.values_mut() {
-            self.outcome.fullest = self.outcome.fullest.max(engine.taken() * 100 / memory);
-            while engine.taken() > memory {
-                // The newest that has outgrown its reservation gives way.
-                let outgrown = |run: &&mut Run| !run.waits && run.tokens as u64 > run.reserve;
-                let Some(run) = engine.runs.iter_mut().rev().find(outgrown) else { break };
-                run.waits = true;
-                self.outcome.preempted += 1;
-            }
-            let taken = engine.taken();
-            if let Some(run) = engine.runs.iter_mut().find(|run| run.waits)
-                && taken + run.tokens as u64 + 500 <= memory
-            {
-                run.waits = false;
-                let read_ms = (2.0 * run.tokens / READ_TOKENS_A_MS) as u64;
-                engine.reads_until = engine.reads_until.max(now) + read_ms;
-            }
-            // Prompts are read in pieces between tokens, which come far more slowly meanwhile.
-            let pace = if engine.reads_until > now { 0.05 } else { 1.0 };
-            let step = pace * TICK_MS as f64 / TOKEN_MS;
-            for run in engine.runs.iter_mut().filter(|run| !run.waits) {
-                let made = step.min(run.left);
-                run.tokens += made;
-                run.left -= made;
-                run.part += made;
-                let is_first = run.first_event.is_none() && run.part > 0.0;
-                if run.part >= EVENT_TOKENS || run.left <= 0.0 || is_first {
-                    run.part = if is_first { run.part } else { 0.0 };
-                    if run.first_event.is_some() && now - run.last_event > PAUSE_MS {
-                        run.paused = true;
-                    }
-                    run.first_event.get_or_insert(now + OPENING_MS);
-                    run.last_event = now;
-                }
-            }
-            let (over, runs) = engine.runs.drain(..).partition(|run: &Run| run.left <= 0.0);
-            engine.runs = runs;
-            ended.extend::<Vec<Run>>(over);
+        for (place, engine) in self.decode.values_mut().enumerate() {
+            let is_slow = self.pool.slow.filter(|slow| is_slow(slow, place, self.now));
+            let pace = is_slow.map_or(1.0, |slow| 1.0 / slow.factor);
+            ended.extend(engine.step(&self.pool, pace, self.now, &mut self.outcome));
         }
         for run in ended {
             self.end(&run);
@@ -381,9 +338,11 @@
     fn end(&mut self, run: &Run) {
         let caller = self.callers.remove(&run.ticket).unwrap();
         let first = run.first_event.unwrap();
-        let end = StreamEnd { is_whole: true, event_gap: Some(Duration::from_millis(48)) };
+        let gap_ms = run.last_event.saturating_sub(first) / run.events.max(1);
+        let event_gap = Some(Duration::from_millis(gap_ms));
+        let end = StreamEnd { is_whole: true, event_gap };
         self.planner.note_ended(TicketId(run.ticket), end, moment(self.now));
-        if first - caller.at_ms > SILENCE_MS {
+        if first - caller.at_ms > caller.arrival.objective_ms * SILENCE_OBJECTIVES {
             self.outcome.left += 1;
             return;
         }
@@ -391,26 +350,57 @@
         if caller.arrival.made >= self.large_from {
             self.outcome.largest.1 += 1;
         }
-        if first - caller.first_ms <= OBJECTIVE_MS && !run.paused {
+        self.outcome.returned.1 += usize::from(caller.returned);
+        if first - caller.first_ms <= caller.arrival.objective_ms && !run.paused {
             self.outcome.in_time += 1;
+            self.outcome.by_priority[caller.arrival.priority as usize].1 += 1;
+            self.outcome.by_workspace[caller.arrival.workspace].1 += 1;
         } else {
             self.outcome.late += 1;
         }
     }
 
+    /// Callers leave at their deadline, and their streams end.
+    fn expire(&mut self) {
+        let now = self.now;
+        let is_due = |caller: &&Caller| now >= caller.first_ms + DEADLINE_MS;
+        let due = self.callers.iter().filter(|(_number, caller)| is_due(caller));
+        let due: Vec<u64> = due.map(|(number, _caller)| *number).collect();
+        for number in due {
+            let caller = self.callers.remove(&number).unwrap();
+            for engine in self.decode.values_mut() {
+                engine.reserved.remove(&number);
+                engine.runs.retain(|run| run.ticket != number);
+            }
+            self.prefill.values_mut().for_each(|queue| queue.retain(|it| it.number != number));
+            let end = StreamEnd { is_whole: false, event_gap: None };
+            self.planner.note_ended(TicketId(number), end, moment(now));
+            match caller.placement {
+                Some(_placement) => self.outcome.expired += 1,
+                None => self.outcome.refused_twice += 1,
+            }
+        }
+    }
+
     /// Engines crash with what runs on them; their callers come back at once.
     fn lose_engines(&mut self, coming: &mut VecDeque<(u64, Caller)>) {
         let Some((count, at_ms)) = self.pool.lost else { return };
-        if self.now < at_ms || self.decode.len() <= self.pool.decode - count {
+        if self.now >= self.pool.back_ms && self.decode.len() < self.pool.decode {
+            let names = (0..self.pool.decode).map(|at| format!("decode-{at:02}").into());
+            for name in names {
+                self.decode.entry(name).or_default();
+            }
+            self.tell_engines();
+        }
+        let is_past = self.now < at_ms || self.now >= self.pool.back_ms;
+        if is_past || self.decode.len() <= self.pool.decode - count {
             return;
         }
         let lost: Vec<Name> = self.decode.keys().take(count).cloned().collect();
         for name in &lost {
             self.decode.remove(name);
         }
-        let decode: Vec<Name> = self.decode.keys().cloned().collect();
-        let prefill: Vec<Name> = self.prefill.keys().cloned().collect();
-        self.planner.set_engines(pool_engines(&decode, &prefill));
+        self.tell_engines();
         let broken: Vec<u64> = self
             .callers
             .iter()
@@ -435,4 +425,10 @@
             coming.insert(place, (number, caller));
         }
     }
+
+    fn tell_engines(&mut self) {
+        let decode: Vec<Name> = self.decode.keys().cloned().collect();
+        let prefill: Vec<Name> = self.prefill.keys().cloned().collect();
+        self.planner.set_engines(pool_engines(&decode, &prefill));
+    }
 }
--- a/crates/dillspool_admission/tests/overload.rs
+++ b/crates/dillspool_admission/tests/overload.rs
@@ -5,6 +5,7 @@
 //! which the same load must miss the case's counts, so that a case that cannot fail is noticed.
 
 mod model;
+mod surges;
 
 use dillspool_admission::AdmissionPolicy;
 use model::{Arrival, Failing, Outcome, PoolModel, load, play};
--- a/crates/dillspool_router/src/policy.rs
+++ b/crates/dillspool_router/src/policy.rs
@@ -61,6 +61,12 @@
         LARGEST_FACTOR,
         "give mean lives of an answer between 0 and 4",
     )?;
+    policy.completion_chance = within(
+        "policy.completion_chance",
+        settings.completion_chance.unwrap_or(policy.completion_chance),
+        1.0,
+        "give a chance between 0 and 1",
+    )?;
     if let Some(refusals) = settings.most_refusals {
         policy.most_refusals = refusal_count(refusals)?;
     }
--- a/crates/dillspool_router/tests/settings.rs
+++ b/crates/dillspool_router/tests/settings.rs
@@ -64,6 +64,12 @@
             "[policy]\nreserved_part = 4.5\n[orders]",
             &["policy.reserved_part", "between 0 and 4"],
         ),
+        case(
+            "a chance above one",
+            "[orders]",
+            "[policy]\ncompletion_chance = 1.5\n[orders]",
+            &["policy.completion_chance", "between 0 and 1"],
+        ),
         case(
             "a policy of none",
             "[orders]",
