The earliest Retry-After of a rejected stream can be set

Change: AdmissionPolicy::come_back_from, settable as policy.come_back_from, the earliest Retry-After as a part of the time left. 0.23, the default, is the present behaviour; the latest stays 0.33, below the third that callers obey. Claims by fingerprint, an order by deadlines and a Retry-After from predicted capacity add nothing to this and are left out.

--- a/crates/dillspool_admission/src/planner/wait.rs
+++ b/crates/dillspool_admission/src/planner/wait.rs
@@ -17,9 +17,10 @@
 
 /// Time over which releases of memory are foreseen, as a part of the mean life of an answer.
 const RELEASE_PART: f64 = 0.25;
-/// When to come back, as parts of the time left; callers obey up to a third of it. A refused caller
-/// is late already, so it comes when the burst that it met is most likely over, and spread.
-const COME_BACK_PARTS: std::ops::Range<f64> = 0.23..0.33;
+/// When to come back at the latest, as a part of the time left; callers obey up to a third of it. A
+/// refused caller is late already, so it comes when the burst that it met is most likely over, and
+/// spread.
+const LATEST_COME_BACK: f64 = 0.33;
 /// When to come back if no engine is known; directories recover within seconds.
 const NO_ENGINE_COME_BACK: Duration = Duration::from_secs(1);
 
@@ -103,7 +104,8 @@
         request: &PlacementRequest,
         cause: PlaceLack,
     ) -> PlacementDecision {
-        let part = self.random.random_range(COME_BACK_PARTS);
+        let earliest = self.policy.come_back_from.min(LATEST_COME_BACK);
+        let part = self.random.random_range(earliest..=LATEST_COME_BACK);
         let (cause, come_back) = match cause {
             PlaceLack::Engine => (TurnAwayCause::NoEngine, NO_ENGINE_COME_BACK),
             PlaceLack::Memory | PlaceLack::Time => {
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -175,6 +175,8 @@
     pub late_margin: f64,
     /// Longest wait of a late answer for memory, as a part of the mean life of an answer.
     pub late_wait: f64,
+    /// When a refused caller should come back at the earliest, as a part of the time that it has left.
+    pub come_back_from: f64,
     /// Chance that a late answer is whole at its deadline below which it is not begun; half of it
     /// for others, 0 to begin all.
     pub completion_chance: f64,
@@ -201,6 +203,7 @@
             memory_deviations: 1.8,
             late_margin: 0.05,
             late_wait: 1.0,
+            come_back_from: 0.23,
             completion_chance: 0.0,
             reads_at_decode: true,
             most_refusals: 12,
--- a/crates/dillspool_admission/tests/surges/mod.rs
+++ b/crates/dillspool_admission/tests/surges/mod.rs
@@ -5,7 +5,7 @@
 
 use dillspool_admission::AdmissionPolicy;
 
-use super::model::{Arrival, DayTerms, Outcome, PoolModel, day, play};
+use super::model::{Arrival, DayTerms, Outcome, PoolModel, day, load, play};
 
 /// Days of a case.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
@@ -98,3 +98,14 @@
         assert!(!case.bounds.are_met(&without), "{}: also without: {without:?}", case.name);
     }
 }
+
+/// Callers that come back into the surge that they met are refused for good.
+#[test]
+fn callers_that_come_back_late_find_memory() {
+    let recorded = load(include_str!("../loads/double_burst.csv"));
+    let late = AdmissionPolicy { come_back_from: 0.3, ..usual() };
+    let refused = |policy| play(PoolModel::default(), policy, &recorded).refused_twice;
+    let (with, without) = (refused(late), refused(usual()));
+    assert!(with <= 20, "{with} refused twice");
+    assert!(without > 20, "also without: {without}");
+}
--- a/crates/dillspool_router/src/policy.rs
+++ b/crates/dillspool_router/src/policy.rs
@@ -8,6 +8,8 @@
 /// Largest part of a guess that may be reserved, and most deviations and lives: beyond that
 /// engines would stand empty.
 const LARGEST_FACTOR: f64 = 4.0;
+/// Latest part of its time left at which a refused caller is told to come back; callers obey a third.
+const LATEST_COME_BACK: f64 = 0.33;
 /// Most engines that one request may be refused by; each refusal is a call.
 const MOST_REFUSALS: u32 = 64;
 
@@ -61,6 +63,12 @@
         LARGEST_FACTOR,
         "give mean lives of an answer between 0 and 4",
     )?;
+    policy.come_back_from = within(
+        "policy.come_back_from",
+        settings.come_back_from.unwrap_or(policy.come_back_from),
+        LATEST_COME_BACK,
+        "give a part of the time left between 0 and 0.33",
+    )?;
     policy.completion_chance = within(
         "policy.completion_chance",
         settings.completion_chance.unwrap_or(policy.completion_chance),
--- a/crates/dillspool_router/tests/settings.rs
+++ b/crates/dillspool_router/tests/settings.rs
@@ -64,6 +64,12 @@
             "[policy]\nreserved_part = 4.5\n[orders]",
             &["policy.reserved_part", "between 0 and 4"],
         ),
+        case(
+            "a return after more than callers obey",
+            "[orders]",
+            "[policy]\ncome_back_from = 0.4\n[orders]",
+            &["policy.come_back_from", "between 0 and 0.33"],
+        ),
         case(
             "a chance above one",
             "[orders]",
