Decode engines that are slow for seconds get fewer streams

Cause: some engines take 2.5 times as long as others for many seconds; their streams hold memory for longer than is foreseen, and run into deadlines. Change: the pace of each decode engine is learnt from the event gaps of the answers that ended there. AdmissionPolicy::slow_weight, settable as policy.slow_weight, turns it on: streams of a slow engine are foreseen to live longer, deadlines are judged by it, and it counts as having less room. 0, the default, is the present behaviour.

--- a/crates/dillspool_admission/src/decode_book.rs
+++ b/crates/dillspool_admission/src/decode_book.rs
@@ -20,6 +20,12 @@
 const UNSEEN_SURE: Duration = Duration::from_millis(100);
 /// Time after which a refusal says nothing any more of what its engine holds.
 const UNSEEN_LIFE: Duration = Duration::from_secs(1);
+/// Weight of the newest answer in an engine's pace.
+const PACE_WEIGHT: f64 = 0.4;
+/// Mean lives of an answer after which an engine's pace counts for a third of what it did.
+const PACE_LIVES: f64 = 3.0;
+/// Paces of an engine against the usual one that are believed.
+const PACE_RANGE: std::ops::RangeInclusive<f64> = 0.8..=4.0;
 /// Factor by which an engine that decodes reads prompts more slowly than one that only prefills,
 /// since it reads them between the tokens of its streams; as the platform's engines do.
 pub(crate) const DECODE_READ_FACTOR: f64 = 2.0;
@@ -71,10 +77,15 @@
         Self { as_of, mean: [0.0; AHEAD], variance: [0.0; AHEAD], held: 0.0 }
     }
 
-    /// Of one stream alone.
-    pub(crate) fn of(stream: &StreamRecord, now: Moment, lengths: &LengthModel) -> Self {
+    /// Of one stream alone, at an engine that takes so many times as long as usual.
+    pub(crate) fn of(
+        stream: &StreamRecord,
+        now: Moment,
+        lengths: &LengthModel,
+        slowness: f64,
+    ) -> Self {
         let mut foresight = Self::empty(now);
-        foresight.add(stream, now, lengths);
+        foresight.add(stream, now, lengths, slowness);
         foresight
     }
 
@@ -88,11 +99,12 @@
             .fold(self.held + other.held, f64::max)
     }
 
-    fn add(&mut self, stream: &StreamRecord, now: Moment, lengths: &LengthModel) {
-        let (age, pace_s) = (stream.age(now), lengths.token_s());
+    fn add(&mut self, stream: &StreamRecord, now: Moment, lengths: &LengthModel, slowness: f64) {
+        let (age, pace_s) = (stream.age(now), lengths.token_s() * slowness);
         for (step, part) in AHEAD_PARTS.iter().enumerate() {
             let ahead = lengths.mean_life().mul_f64(*part);
-            let chance = lengths.lives_on(stream.guess_tokens, age, ahead);
+            let (usual_age, usual_ahead) = (age.div_f64(slowness), ahead.div_f64(slowness));
+            let chance = lengths.lives_on(stream.guess_tokens, usual_age, usual_ahead);
             let tokens = stream.held_after(age + ahead, pace_s);
             self.mean[step] += chance * tokens;
             self.variance[step] += chance * (1.0 - chance) * tokens * tokens;
@@ -110,6 +122,8 @@
     pub(crate) streams: Vec<StreamRecord>,
     pub(crate) shut: ShutState,
     foresight: Option<Foresight>,
+    /// Time that it takes for a token against the usual one, and as of when.
+    pace: Option<(f64, Moment)>,
     /// Memory that something else must hold, since the engine refused a reservation, and when.
     unseen: Option<(f64, Moment)>,
 }
@@ -117,7 +131,7 @@
 impl DecodeBook {
     pub(crate) fn new(domain: Name, start: Option<BackendStart>) -> Self {
         let shut = ShutState::default();
-        Self { domain, start, streams: Vec::new(), shut, foresight: None, unseen: None }
+        Self { domain, start, streams: Vec::new(), shut, foresight: None, pace: None, unseen: None }
     }
 
     pub(crate) fn add(&mut self, stream: StreamRecord) {
@@ -131,6 +145,20 @@
         Some(self.streams.swap_remove(at))
     }
 
+    /// Notes the time between the events of an answer that ended here, against the usual one.
+    pub(crate) fn note_pace(&mut self, ratio: f64, now: Moment, lengths: &LengthModel) {
+        let known = self.slowness(now, lengths);
+        self.pace = Some((known + PACE_WEIGHT * (ratio - known), now));
+    }
+
+    /// Factor by which it takes longer than usual, as far as answers that ended here tell.
+    pub(crate) fn slowness(&self, now: Moment, lengths: &LengthModel) -> f64 {
+        let Some((pace, at)) = self.pace else { return 1.0 };
+        let lives = now.since(at).as_secs_f64() / lengths.mean_life().as_secs_f64();
+        let slowness = 1.0 + (pace - 1.0) * (-lives / PACE_LIVES).exp();
+        slowness.clamp(*PACE_RANGE.start(), *PACE_RANGE.end())
+    }
+
     pub(crate) fn note_started(&mut self, ticket: TicketId, now: Moment) {
         self.shut.note_success(now);
         if let Some(stream) = self.streams.iter_mut().find(|stream| stream.ticket == ticket) {
@@ -183,8 +211,9 @@
             return known;
         }
         let mut foresight = Foresight::empty(now);
+        let slowness = self.slowness(now, lengths);
         for stream in &self.streams {
-            foresight.add(stream, now, lengths);
+            foresight.add(stream, now, lengths, slowness);
         }
         self.foresight = Some(foresight);
         foresight
@@ -197,10 +226,12 @@
         now: Moment,
         lengths: &LengthModel,
     ) -> f64 {
+        let slowness = self.slowness(now, lengths);
         let released = |stream: &StreamRecord| {
             let age = stream.age(now);
-            let ends = 1.0 - lengths.lives_on(stream.guess_tokens, age, time);
-            ends * stream.held_after(age, lengths.token_s())
+            let (usual_age, usual_time) = (age.div_f64(slowness), time.div_f64(slowness));
+            let ends = 1.0 - lengths.lives_on(stream.guess_tokens, usual_age, usual_time);
+            ends * stream.held_after(age, lengths.token_s() * slowness)
         };
         self.streams.iter().map(released).sum()
     }
--- a/crates/dillspool_admission/src/planner/choose.rs
+++ b/crates/dillspool_admission/src/planner/choose.rs
@@ -23,6 +23,9 @@
 const FAR_WAIT: Duration = Duration::from_millis(60);
 /// Part by which equal engines are told apart, so that schedulers of one view do not all choose one.
 const SPREAD: f64 = 0.02;
+/// Part by which an engine's pace may differ from the usual one so that a stream is foreseen only once
+/// for all such engines.
+const USUAL_PACE: f64 = 0.1;
 /// Part of the pause target that a prompt read at a decode engine may use up there; the rest is for
 /// what the pace varies by.
 const PAUSE_PART: f64 = 0.8;
@@ -40,13 +43,16 @@
         now: Moment,
     ) -> Result<StreamPlacement, PlaceLack> {
         let reserve_tokens = self.reserve_tokens(request);
-        let ranked = self.decode_by_room(request, now)?;
-        let (decode, domain) = ranked.first().ok_or(PlaceLack::Memory)?.clone();
+        let mut ranked = self.decode_by_room(request, now)?;
+        let (_decode, domain) = ranked.first().ok_or(PlaceLack::Memory)?.clone();
         let wait = self.best_prefill(request, &domain, now);
         let queued = wait.as_ref().map_or(Duration::ZERO, |(_prefill, wait)| *wait);
-        if !self.is_completed_in_time(request, queued) {
-            return Err(PlaceLack::Time);
-        }
+        ranked.retain(|(decode, _domain)| {
+            let book = self.decode.get(decode);
+            let slowness = book.map_or(1.0, |book| book.slowness(now, &self.lengths));
+            self.is_completed_in_time(request, queued, slowness)
+        });
+        let (decode, _domain) = ranked.first().ok_or(PlaceLack::Time)?.clone();
         if let Some((prefill, wait)) = &wait
             && self.is_soon_enough(request, *wait)
         {
@@ -72,7 +78,7 @@
         now: Moment,
     ) -> Result<Vec<(Name, Name)>, PlaceLack> {
         let stream = self.stream_of(TicketId(u64::MAX), request);
-        let stream = Foresight::of(&stream, now, &self.lengths);
+        let usual = Foresight::of(&stream, now, &self.lengths, 1.0);
         let memory = self.terms.memory_tokens as f64;
         let margin =
             if request.class == WorkClass::Late { self.policy.late_margin * memory } else { 0.0 };
@@ -86,15 +92,20 @@
                 continue;
             }
             any = true;
-            let room = book.room_beside(&stream, now, lengths, &terms, &policy) - margin;
+            let slowness = book.slowness(now, lengths);
+            let is_usual = (slowness - 1.0).abs() < USUAL_PACE;
+            let foresight =
+                if is_usual { usual } else { Foresight::of(&stream, now, lengths, slowness) };
+            let room = book.room_beside(&foresight, now, lengths, &terms, &policy) - margin;
             if room < 0.0 {
                 continue;
             }
             let far = if book.domain == request.domain { 0.0 } else { FAR_TOKENS };
             let spread = self.random.random_range(0.0..SPREAD) * memory;
             let failing = book.shut.failure_rate(now) * policy.failure_weight * memory;
+            let slow = (slowness - 1.0) * policy.slow_weight * memory;
             ranked.push((
-                room - far - failing + spread,
+                room - far - failing - slow + spread,
                 Name::clone(name),
                 Name::clone(&book.domain),
             ));
--- a/crates/dillspool_admission/src/planner/completion.rs
+++ b/crates/dillspool_admission/src/planner/completion.rs
@@ -15,18 +15,24 @@
 const IN_TIME_PART: f64 = 0.5;
 
 impl PoolPlanner {
-    /// Whether a request that is begun after a wait is likely enough to be answered as a whole.
-    pub(super) fn is_completed_in_time(&self, request: &PlacementRequest, wait: Duration) -> bool {
+    /// Whether a request that is begun after a wait, at an engine that takes so many times as long as
+    /// usual, is likely enough to be answered as a whole.
+    pub(super) fn is_completed_in_time(
+        &self,
+        request: &PlacementRequest,
+        wait: Duration,
+        slowness: f64,
+    ) -> bool {
         let part = if request.class == WorkClass::Late { 1.0 } else { IN_TIME_PART };
         let least = self.policy.completion_chance * part;
-        least <= 0.0 || self.completion_chance(request, wait) >= least
+        least <= 0.0 || self.completion_chance(request, wait, slowness) >= least
     }
 
     /// The chance that an answer that is begun after a wait is whole at its deadline.
     #[expect(clippy::cast_precision_loss, reason = "tokens are far below 2^52")]
-    fn completion_chance(&self, request: &PlacementRequest, wait: Duration) -> f64 {
+    fn completion_chance(&self, request: &PlacementRequest, wait: Duration, slowness: f64) -> f64 {
         let read = tokens_time(request.prompt_tokens, self.pace.token_s());
-        let life = request.time_left.saturating_sub(wait + read + OPENING);
+        let life = request.time_left.saturating_sub(wait + read + OPENING).div_f64(slowness);
         if request.most_tokens as f64 * self.lengths.token_s() <= life.as_secs_f64() {
             return 1.0;
         }
--- a/crates/dillspool_admission/src/planner/notes.rs
+++ b/crates/dillspool_admission/src/planner/notes.rs
@@ -98,10 +98,15 @@
 
     /// Notes that a stream ended.
     pub fn note_ended(&mut self, ticket: TicketId, end: StreamEnd, now: Moment) {
+        let engine = self.placed.get(&ticket).map(|placed| Name::clone(&placed.decode));
         let Some(stream) = self.take_off(ticket).filter(|_stream| end.is_whole) else { return };
         self.lengths.note(stream.guess_tokens, stream.age(now));
         if let Some(gap) = end.event_gap {
             let known = self.event_gap.unwrap_or(gap).as_secs_f64();
+            let book = engine.and_then(|engine| self.decode.get_mut(&engine));
+            if let Some(book) = book.filter(|_book| self.policy.slow_weight > 0.0 && known > 0.0) {
+                book.note_pace(gap.as_secs_f64() / known, now, &self.lengths);
+            }
             let mixed = known + GAP_WEIGHT * (gap.as_secs_f64() - known);
             self.event_gap = Some(Duration::from_secs_f64(mixed));
         }
@@ -116,7 +121,8 @@
         let Some(book) = self.decode.get_mut(engine) else { return };
         let room = stream.map_or(0.0, |mut stream| {
             stream.started = None;
-            let stream = Foresight::of(&stream, now, lengths);
+            let slowness = book.slowness(now, lengths);
+            let stream = Foresight::of(&stream, now, lengths, slowness);
             book.room_beside(&stream, now, lengths, &terms, &policy)
         });
         book.note_no_memory(room, now);
--- a/crates/dillspool_admission/src/planner/wait.rs
+++ b/crates/dillspool_admission/src/planner/wait.rs
@@ -39,7 +39,7 @@
             PlaceLack::Prefill => self.reading_wait(&request, now),
             PlaceLack::Engine | PlaceLack::Time => Duration::MAX,
         };
-        if foreseen > longest || !self.is_completed_in_time(&request, foreseen) {
+        if foreseen > longest || !self.is_completed_in_time(&request, foreseen, 1.0) {
             return self.turn_away(&request, cause);
         }
         let give_up = now + longest;
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -186,6 +186,9 @@
     pub most_refusals: usize,
     /// Failures in a row after which an engine is left alone; 0 for never.
     pub failures_before_shut: u32,
+    /// Room that an engine counts as having less that takes twice as long as usual, as a part of its
+    /// memory; 0 where the engines' paces are not told apart.
+    pub slow_weight: f64,
     /// Room that an engine whose requests all fail counts as having less, as a part of its memory.
     pub failure_weight: f64,
 }
@@ -208,6 +211,7 @@
             reads_at_decode: true,
             most_refusals: 12,
             failures_before_shut: 2,
+            slow_weight: 0.0,
             failure_weight: 1.0,
         }
     }
--- /dev/null
+++ b/crates/dillspool_admission/tests/paces.rs
@@ -0,0 +1,87 @@
+//! An engine that takes longer than others for its tokens gets less, and is believed again in time.
+
+use std::time::Duration;
+
+use dillspool_admission::{
+    AdmissionPolicy, PlacementDecision, PlacementRequest, PoolEngine, PoolPlanner, PoolTerms,
+    StreamEnd, StreamPlacement, TicketId, WorkClass,
+};
+use dillspool_moment::Moment;
+use dillspool_routing::StartedBackend;
+
+struct PaceCase {
+    name: &'static str,
+    slow_weight: f64,
+    /// Time since the last answers ended.
+    later_s: u64,
+    /// Whether the slow engine, which holds nothing, is chosen before one with a stream.
+    is_chosen: bool,
+}
+
+const CASES: [PaceCase; 3] = [
+    PaceCase { name: "not told apart", slow_weight: 0.0, later_s: 0, is_chosen: true },
+    PaceCase { name: "slow", slow_weight: 0.3, later_s: 0, is_chosen: false },
+    PaceCase { name: "slow long ago", slow_weight: 0.3, later_s: 60, is_chosen: true },
+];
+
+fn at(ms: u64) -> Moment {
+    Moment::after_origin(Duration::from_millis(ms))
+}
+
+fn engine(id: &str, prefills: bool) -> PoolEngine {
+    let backend = StartedBackend { id: id.into(), start: None };
+    PoolEngine { backend, domain: "d".into(), prefills }
+}
+
+fn request() -> PlacementRequest {
+    PlacementRequest {
+        class: WorkClass::InTime,
+        workspace_priority: 0,
+        priority: 0,
+        domain: "d".into(),
+        prompt_tokens: 2_000,
+        guess_tokens: 1_000,
+        most_tokens: 2_000,
+        objective_left: Duration::from_millis(900),
+        patience: Duration::from_secs(2),
+        time_left: Duration::from_secs(10),
+        pause_target: None,
+        excluded: Vec::new(),
+        refusals: 0,
+        part: None,
+    }
+}
+
+/// An answer at an engine with a gap between its events, over when it returns.
+fn answer(planner: &mut PoolPlanner, ticket: u64, engine: &str, gap_ms: u64) {
+    let placement = StreamPlacement { decode: engine.into(), reserve_tokens: 2_500, prefill: None };
+    planner.adopt(TicketId(ticket), &request(), placement, at(0));
+    planner.note_started(TicketId(ticket), at(0));
+    let event_gap = Some(Duration::from_millis(gap_ms));
+    planner.note_ended(TicketId(ticket), StreamEnd { is_whole: true, event_gap }, at(1_000));
+}
+
+#[test]
+fn slow_engines_get_less() {
+    for case in CASES {
+        let policy =
+            AdmissionPolicy { slow_weight: case.slow_weight, ..AdmissionPolicy::default() };
+        let terms = PoolTerms { memory_tokens: 60_000, slots: 12 };
+        let mut planner = PoolPlanner::new(terms, policy, 1);
+        let engines = [engine("slow", false), engine("usual", false), engine("reader", true)];
+        planner.set_engines(engines.into_iter());
+        for round in 0..6 {
+            answer(&mut planner, 2 * round, "usual", 50);
+            answer(&mut planner, 2 * round + 1, "slow", 125);
+        }
+        let placement =
+            StreamPlacement { decode: "usual".into(), reserve_tokens: 2_500, prefill: None };
+        let now = at(1_000 + case.later_s * 1_000);
+        planner.adopt(TicketId(100), &request(), placement, now);
+        let decision = planner.ask(TicketId(101), request(), now);
+        let PlacementDecision::Place(placement) = decision else {
+            panic!("{}: {decision:?}", case.name)
+        };
+        assert_eq!(&*placement.decode == "slow", case.is_chosen, "{}", case.name);
+    }
+}
--- a/crates/dillspool_router/src/policy.rs
+++ b/crates/dillspool_router/src/policy.rs
@@ -5,7 +5,7 @@
 
 use crate::settings::SettingsError;
 
-/// Largest part of a guess that may be reserved, and most deviations and lives: beyond that
+/// Largest part of a guess that may be reserved, and most deviations, lives and weights: beyond that
 /// engines would stand empty.
 const LARGEST_FACTOR: f64 = 4.0;
 /// Latest part of its time left at which a refused caller is told to come back; callers obey a third.
@@ -63,6 +63,12 @@
         LARGEST_FACTOR,
         "give mean lives of an answer between 0 and 4",
     )?;
+    policy.slow_weight = within(
+        "policy.slow_weight",
+        settings.slow_weight.unwrap_or(policy.slow_weight),
+        LARGEST_FACTOR,
+        "give a part of an engine's memory between 0 and 4",
+    )?;
     policy.come_back_from = within(
         "policy.come_back_from",
         settings.come_back_from.unwrap_or(policy.come_back_from),
