Streams that take little memory for a short time may go first

Cause: in a surge that fills the pool, a few long answers take the memory of many short ones that are worth as much. Change: AdmissionPolicy::by_cost, settable as policy.by_cost, orders the requests of one rank that wait for memory by tokens x seconds, and counts only those before a request as ahead of it. Off, the default, keeps the order of arrival.

--- a/crates/dillspool_admission/src/planner/wait.rs
+++ b/crates/dillspool_admission/src/planner/wait.rs
@@ -34,8 +34,9 @@
     ) -> PlacementDecision {
         let longest = self.longest_wait(&request);
         let tokens = self.reserve_tokens(&request);
+        let cost = self.cost(&request);
         let foreseen = match cause {
-            PlaceLack::Memory => self.memory_wait(&request, tokens, now),
+            PlaceLack::Memory => self.memory_wait(&request, tokens, cost, now),
             PlaceLack::Prefill => self.reading_wait(&request, now),
             PlaceLack::Engine | PlaceLack::Time => Duration::MAX,
         };
@@ -43,7 +44,7 @@
             return self.turn_away(&request, cause);
         }
         let give_up = now + longest;
-        self.line.push(WaitingRecord { ticket, request, since: now, give_up, tokens });
+        self.line.push(WaitingRecord { ticket, request, since: now, give_up, tokens, cost });
         PlacementDecision::Wait
     }
 
@@ -59,6 +60,25 @@
         useful.min(request.patience.saturating_sub(rest))
     }
 
+    /// Memory that a request takes times the time for which it mostly holds it, in tokens x ms; 0 where
+    /// that does not count, as for an answer under way, which is lost if it waits.
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "tokens are far below 2^52 and not negative"
+    )]
+    fn cost(&self, request: &PlacementRequest) -> u64 {
+        if !self.policy.by_cost || request.class == WorkClass::UnderWay {
+            return 0;
+        }
+        let life = self.lengths.usual_life(request.guess_tokens);
+        let made = self.lengths.usual_tokens(request.guess_tokens);
+        // On the mean of its life an answer holds half of what it makes.
+        let held = request.prompt_tokens as f64 + made / 2.0;
+        (held * life.as_secs_f64() * 1_000.0) as u64
+    }
+
     /// Time until memory is foreseen to be given back for a request and all that go before it.
     ///
     /// Where nothing is known to run that could give memory back, its engines are full of what others
@@ -68,13 +88,14 @@
         &self,
         request: &PlacementRequest,
         tokens: u64,
+        cost: u64,
         now: Moment,
     ) -> Duration {
         let released = self.released_per_s(now);
         if request.class == WorkClass::UnderWay || (released <= 0.0 && !is_in_time(request)) {
             return Duration::ZERO;
         }
-        let needed = (self.line.tokens_ahead(request) + tokens) as f64;
+        let needed = (self.line.tokens_ahead((request.rank(), cost, now)) + tokens) as f64;
         Duration::try_from_secs_f64(needed / released).unwrap_or(Duration::MAX)
     }
 
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -175,6 +175,9 @@
     pub late_margin: f64,
     /// Longest wait of a late answer for memory, as a part of the mean life of an answer.
     pub late_wait: f64,
+    /// Whether, among equals in rank, requests that take little memory for a short time go first, in
+    /// place of those that came first.
+    pub by_cost: bool,
     /// When a refused caller should come back at the earliest, as a part of the time that it has left.
     pub come_back_from: f64,
     /// Chance that a late answer is whole at its deadline below which it is not begun; half of it
@@ -206,6 +209,7 @@
             memory_deviations: 1.8,
             late_margin: 0.05,
             late_wait: 1.0,
+            by_cost: false,
             come_back_from: 0.23,
             completion_chance: 0.0,
             reads_at_decode: true,
--- a/crates/dillspool_admission/src/waiting.rs
+++ b/crates/dillspool_admission/src/waiting.rs
@@ -6,6 +6,11 @@
 
 use crate::request::{PlacementRequest, RequestRank, TicketId};
 
+/// The place of a request in the line; the least goes first.
+///
+/// What costs less memory goes first among equals, and what has waited longer among those.
+pub(crate) type LinePlace = (RequestRank, u64, Moment);
+
 /// A request that waits.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingRecord {
@@ -16,12 +21,13 @@
     pub(crate) give_up: Moment,
     /// Memory that it will reserve.
     pub(crate) tokens: u64,
+    /// Memory times the time for which it is mostly held, in tokens x ms; 0 where that does not count.
+    pub(crate) cost: u64,
 }
 
 impl WaitingRecord {
-    /// What has waited longer goes first among equals, so that nobody is passed without end.
-    fn rank(&self) -> (RequestRank, Moment) {
-        (self.request.rank(), self.since)
+    fn place(&self) -> LinePlace {
+        (self.request.rank(), self.cost, self.since)
     }
 }
 
@@ -33,7 +39,7 @@
 
 impl WaitingLine {
     pub(crate) fn push(&mut self, record: WaitingRecord) {
-        let at = self.records.partition_point(|other| other.rank() <= record.rank());
+        let at = self.records.partition_point(|other| other.place() <= record.place());
         self.records.insert(at, record);
     }
 
@@ -58,10 +64,9 @@
         self.records.iter().find(|record| record.ticket == ticket)
     }
 
-    /// Memory that those will take who are served before a request of this kind.
-    pub(crate) fn tokens_ahead(&self, request: &PlacementRequest) -> u64 {
-        let rank = request.rank();
-        let before = |record: &&WaitingRecord| record.request.rank() <= rank;
+    /// Memory that those will take who are served before a request of this place.
+    pub(crate) fn tokens_ahead(&self, place: LinePlace) -> u64 {
+        let before = |record: &&WaitingRecord| record.place() <= place;
         self.records.iter().filter(before).map(|record| record.tokens).sum()
     }
 
--- a/crates/dillspool_admission/tests/surges/mod.rs
+++ b/crates/dillspool_admission/tests/surges/mod.rs
@@ -109,3 +109,25 @@
     assert!(with <= 20, "{with} refused twice");
     assert!(without > 20, "also without: {without}");
 }
+
+/// In the order of arrival, a few long answers take the memory of many short ones.
+#[test]
+fn streams_that_take_little_memory_go_first() {
+    let by_cost = AdmissionPolicy { by_cost: true, ..usual() };
+    let recorded = load(include_str!("../loads/double_burst.csv"));
+    let with = play(PoolModel::default(), by_cost, &recorded);
+    let without = play(PoolModel::default(), usual(), &recorded);
+    assert!(with.in_time >= 1_815, "{with:?}");
+    assert!(without.in_time < 1_815, "also without: {without:?}");
+    let (large, served) = with.largest;
+    assert!(served * 2 >= large, "{served} of {large} large answers");
+}
+
+/// The order by memory stays within the ranks of the routes.
+#[test]
+fn urgent_routes_are_served_first() {
+    let by_cost = AdmissionPolicy { by_cost: true, ..usual() };
+    let outcome = play(PoolModel::of_23_hosts(), by_cost, &day(&DayTerms::of_23_hosts(1)));
+    let [urgent, other] = outcome.by_priority.map(|(came, served)| served * 1_000 / came);
+    assert!(other <= urgent + 50, "{urgent} of 1,000 urgent ones and {other} of others");
+}
--- a/crates/dillspool_router/src/policy.rs
+++ b/crates/dillspool_router/src/policy.rs
@@ -63,6 +63,7 @@
         LARGEST_FACTOR,
         "give mean lives of an answer between 0 and 4",
     )?;
+    policy.by_cost = settings.by_cost.unwrap_or(policy.by_cost);
     policy.slow_weight = within(
         "policy.slow_weight",
         settings.slow_weight.unwrap_or(policy.slow_weight),
