--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -4,6 +4,7 @@
 //! they rest on.
 
 mod choose;
+mod completion;
 mod notes;
 mod wait;
 
@@ -64,13 +65,15 @@
 }
 
 /// Why a request cannot be placed now.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlaceLack {
     Engine,
     /// No engine has room; it may come to have some.
     Memory,
     /// Its prompt cannot be read in time.
     Prefill,
+    /// Its answer would most likely not be whole at its deadline.
+    Time,
 }
 
 /// The decisions of one pool.
@@ -217,7 +220,9 @@
             let request = record.request_at(now);
             let decision = match self.choose(&request, now) {
                 Ok(placement) => self.place(ticket, &request, placement, now),
-                Err(cause) if now >= record.give_up => self.turn_away(&request, cause),
+                Err(cause) if now >= record.give_up || cause == PlaceLack::Time => {
+                    self.turn_away(&record.request, cause)
+                }
                 Err(_cause) => continue,
             };
             self.line.remove(ticket);
--- a/crates/dillspool_admission/src/planner/wait.rs
+++ b/crates/dillspool_admission/src/planner/wait.rs
@@ -17,9 +17,10 @@
 
 /// Time over which releases of memory are foreseen, as a part of the mean life of an answer.
 const RELEASE_PART: f64 = 0.25;
-/// When to come back, as parts of the time left; callers obey up to a third of it. A refused caller
-/// is late already, so it comes when the burst that it met is most likely over, and spread.
-const COME_BACK_PARTS: std::ops::Range<f64> = 0.23..0.33;
+/// When to come back at the latest, as a part of the time left; callers obey up to a third of it. A
+/// refused caller is late already, so it comes when the burst that it met is most likely over, and
+/// spread.
+const LATEST_COME_BACK: f64 = 0.33;
 /// When to come back if no engine is known; directories recover within seconds.
 const NO_ENGINE_COME_BACK: Duration = Duration::from_secs(1);
 
@@ -33,16 +34,17 @@
     ) -> PlacementDecision {
         let longest = self.longest_wait(&request);
         let tokens = self.reserve_tokens(&request);
+        let cost = self.cost(&request);
         let foreseen = match cause {
-            PlaceLack::Engine => Duration::MAX,
-            PlaceLack::Memory => self.memory_wait(&request, tokens, now),
+            PlaceLack::Memory => self.memory_wait(&request, tokens, cost, now),
             PlaceLack::Prefill => self.reading_wait(&request, now),
+            PlaceLack::Engine | PlaceLack::Time => Duration::MAX,
         };
-        if foreseen > longest {
+        if foreseen > longest || !self.is_completed_in_time(&request, foreseen, 1.0) {
             return self.turn_away(&request, cause);
         }
         let give_up = now + longest;
-        self.line.push(WaitingRecord { ticket, request, since: now, give_up, tokens });
+        self.line.push(WaitingRecord { ticket, request, since: now, give_up, tokens, cost });
         PlacementDecision::Wait
     }
 
@@ -58,6 +60,25 @@
         useful.min(request.patience.saturating_sub(rest))
     }
 
+    /// Memory that a request takes times the time for which it mostly holds it, in tokens x ms; 0 where
+    /// that does not count, as for an answer under way, which is lost if it waits.
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "tokens are far below 2^52 and not negative"
+    )]
+    fn cost(&self, request: &PlacementRequest) -> u64 {
+        if !self.policy.by_cost || request.class == WorkClass::UnderWay {
+            return 0;
+        }
+        let life = self.lengths.usual_life(request.guess_tokens);
+        let made = self.lengths.usual_tokens(request.guess_tokens);
+        // On the mean of its life an answer holds half of what it makes.
+        let held = request.prompt_tokens as f64 + made / 2.0;
+        (held * life.as_secs_f64() * 1_000.0) as u64
+    }
+
     /// Time until memory is foreseen to be given back for a request and all that go before it.
     ///
     /// Where nothing is known to run that could give memory back, its engines are full of what others
@@ -67,13 +88,14 @@
         &self,
         request: &PlacementRequest,
         tokens: u64,
+        cost: u64,
         now: Moment,
     ) -> Duration {
         let released = self.released_per_s(now);
         if request.class == WorkClass::UnderWay || (released <= 0.0 && !is_in_time(request)) {
             return Duration::ZERO;
         }
-        let needed = (self.line.tokens_ahead(request) + tokens) as f64;
+        let needed = (self.line.tokens_ahead((request.rank(), cost, now)) + tokens) as f64;
         Duration::try_from_secs_f64(needed / released).unwrap_or(Duration::MAX)
     }
 
@@ -103,10 +125,13 @@
         request: &PlacementRequest,
         cause: PlaceLack,
     ) -> PlacementDecision {
-        let part = self.random.random_range(COME_BACK_PARTS);
+        let earliest = self.policy.come_back_from.min(LATEST_COME_BACK);
+        let part = self.random.random_range(earliest..=LATEST_COME_BACK);
         let (cause, come_back) = match cause {
             PlaceLack::Engine => (TurnAwayCause::NoEngine, NO_ENGINE_COME_BACK),
-            PlaceLack::Memory => (TurnAwayCause::NoMemory, request.time_left.mul_f64(part)),
+            PlaceLack::Memory | PlaceLack::Time => {
+                (TurnAwayCause::NoMemory, request.time_left.mul_f64(part))
+            }
             PlaceLack::Prefill => (TurnAwayCause::NoPrefill, request.time_left.mul_f64(part)),
         };
         PlacementDecision::TurnAway { cause, come_back }
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -175,12 +175,23 @@
     pub late_margin: f64,
     /// Longest wait of a late answer for memory, as a part of the mean life of an answer.
     pub late_wait: f64,
+    /// Whether, among equals in rank, requests that take little memory for a short time go first, in
+    /// place of those that came first.
+    pub by_cost: bool,
+    /// When a refused caller should come back at the earliest, as a part of the time that it has left.
+    pub come_back_from: f64,
+    /// Chance that a late answer is whole at its deadline below which it is not begun; half of it
+    /// for others, 0 to begin all.
+    pub completion_chance: f64,
     /// Whether prompts may be read at decode engines.
     pub reads_at_decode: bool,
     /// Engines that may refuse one request before it is turned away.
     pub most_refusals: usize,
     /// Failures in a row after which an engine is left alone; 0 for never.
     pub failures_before_shut: u32,
+    /// Room that an engine counts as having less that takes twice as long as usual, as a part of its
+    /// memory; 0 where the engines' paces are not told apart.
+    pub slow_weight: f64,
     /// Room that an engine whose requests all fail counts as having less, as a part of its memory.
     pub failure_weight: f64,
 }
@@ -198,9 +209,13 @@
             memory_deviations: 1.8,
             late_margin: 0.05,
             late_wait: 1.0,
+            by_cost: false,
+            come_back_from: 0.23,
+            completion_chance: 0.0,
             reads_at_decode: true,
             most_refusals: 12,
             failures_before_shut: 2,
+            slow_weight: 0.0,
             failure_weight: 1.0,
         }
     }
