--- /dev/null
+++ b/crates/dillspool_ledger/src/closing.rs
@@ -0,0 +1,114 @@
+//! Attempts that were given up: their intents are closed as not run.
+
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use dillspool_io::UnixMillis;
+use dillspool_platform::{PlatformError, RowExpect, RowWrite, TableRow};
+use dillspool_schema::Name;
+use dillspool_version::{StoreEra, StoreVersion};
+
+use crate::batch::WriteOutcome;
+use crate::call::CallKey;
+use crate::ledger::CallLedger;
+use crate::record::{CallRecord, CallState};
+
+/// Pause between two tries to close an attempt that was given up.
+const CLOSE_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which the place of an attempt is reserved that was written across a restore and given up. It covers
+/// `restore_settle` and the difference of two hosts' clocks.
+const RESERVE_TIME: Duration = Duration::from_secs(10);
+
+/// What an attempt that was given up does next.
+enum ClosingStep {
+    /// It writes `not_run` on this condition.
+    Write { expect: RowExpect, reserved_until: Option<UnixMillis> },
+    /// It looks again later.
+    Wait,
+    /// Its intent does not stand and cannot come.
+    Closed,
+}
+
+impl CallLedger {
+    /// Whether an attempt was given up, and no restore since may have lost another attempt's row in its place.
+    pub(crate) fn has_given_up(&self, token: &Name) -> bool {
+        let given_up = self.given_up.lock().unwrap_or_else(PoisonError::into_inner);
+        let era = given_up.get(token).copied();
+        drop(given_up);
+        era.is_some() && era == self.memory().known().map(StoreVersion::era)
+    }
+
+    pub(crate) fn give_up(&self, key: CallKey, record: &CallRecord, era: StoreEra, unclear: bool) {
+        if unclear {
+            self.close_later(key, record, era);
+        }
+    }
+
+    /// Marks an attempt that began in `era` as never sent, now for this process and soon in the table.
+    pub(crate) fn close_later(&self, key: CallKey, intent: &CallRecord, era: StoreEra) {
+        let token = Name::clone(&intent.token);
+        let given_up = || self.given_up.lock().unwrap_or_else(PoisonError::into_inner);
+        given_up().insert(Name::clone(&token), era);
+        let ledger = self.clone();
+        let record = CallRecord { state: CallState::NotRun, answer: None, ..intent.clone() };
+        tokio::spawn(async move {
+            ledger.close(&key, record, era).await;
+            ledger.given_up.lock().unwrap_or_else(PoisonError::into_inner).remove(&token);
+        });
+    }
+
+    /// Writes `not_run` over the attempt's own intent, or in its place before it can come late.
+    ///
+    /// After a restore the intent may stand for a lost row of another attempt. The place is then reserved, so that
+    /// the host of that attempt finds it before any other call can begin.
+    async fn close(&self, key: &CallKey, record: CallRecord, era: StoreEra) {
+        loop {
+            let closed = match self.read_row(key).await {
+                Ok((row, read_at)) => match self.judge_closing(row.as_ref(), &record.token) {
+                    ClosingStep::Write { expect, reserved_until } => {
+                        let now = self.clock.now();
+                        let is_restored = read_at.era() != era;
+                        let reserved_until =
+                            if is_restored { Some(now + RESERVE_TIME) } else { reserved_until };
+                        let record = CallRecord { at: now, reserved_until, ..record.clone() };
+                        let key = Name::clone(key.row());
+                        let write = RowWrite { key, expect, value: record.text() };
+                        self.writer.write(write, read_at).await == WriteOutcome::Written
+                    }
+                    ClosingStep::Wait => false,
+                    ClosingStep::Closed => true,
+                },
+                Err(PlatformError::NotDone { .. } | PlatformError::Unknown { .. }) => false,
+            };
+            if closed {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(CLOSE_PAUSE) => {}
+                () = self.cancel.cancelled() => return,
+            }
+        }
+    }
+
+    /// What closes an attempt whose intent may stand, or may yet come in place of a row that is free.
+    fn judge_closing(&self, row: Option<&TableRow>, token: &Name) -> ClosingStep {
+        let Some(row) = row else {
+            return ClosingStep::Write { expect: RowExpect::Absent, reserved_until: None };
+        };
+        let Some(record) = CallRecord::parse(&row.value) else { return ClosingStep::Closed };
+        let is_own = record.token == *token;
+        let expect = RowExpect::Version(row.version);
+        match record.state {
+            CallState::Intent if is_own => ClosingStep::Write { expect, reserved_until: None },
+            // The own intent may come over it until the row has another version.
+            CallState::NotRun if !is_own => {
+                ClosingStep::Write { expect, reserved_until: record.reserved_until }
+            }
+            // Free for attempts of this process, as this one was; it is closed by its own attempt.
+            CallState::Intent if self.has_given_up(&record.token) => ClosingStep::Wait,
+            CallState::Intent | CallState::NotRun | CallState::Answered | CallState::Expired => {
+                ClosingStep::Closed
+            }
+        }
+    }
+}
--- a/crates/dillspool_ledger/src/lib.rs
+++ b/crates/dillspool_ledger/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod call;
+mod closing;
 mod ledger;
 mod memory;
 mod recent;
