--- a/crates/dillspool_calls/src/queue.rs
+++ b/crates/dillspool_calls/src/queue.rs
@@ -17,7 +17,7 @@
 use crate::reading::CallReading;
 use crate::request::{CallDecision, CallEnd, CallId, CallRequest, CallServer, RejectCause};
 use crate::retry::RetryPlan;
-use crate::servers::{FlyingCall, ServerSet};
+use crate::servers::{InFlightCall, ServerSet};
 
 /// Waiting calls that one poll passes over because they must not go to the servers that have places. Such calls
 /// are few, and looking through all of them would cost too much.
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug)]
 enum CallState {
     Waiting(Box<WaitingCall>),
-    Flying { call: FlyingCall, is_late: bool },
+    InFlight { call: InFlightCall, is_late: bool },
 }
 
 /// Decides where the calls of one plain service go, after which wait, and which are rejected.
@@ -177,7 +177,7 @@
         if let Some(call) =
             self.servers.adopt(backend, request.failure_domain, now.before(ran), now)
         {
-            self.calls.insert(id, CallState::Flying { call, is_late: false });
+            self.calls.insert(id, CallState::InFlight { call, is_late: false });
         }
     }
 
@@ -195,7 +195,7 @@
     fn remove(&mut self, id: CallId, end: Option<(CallEnd, Duration)>, now: Moment) {
         match self.calls.remove(&id) {
             Some(CallState::Waiting(call)) => self.leave_line(id, &call),
-            Some(CallState::Flying { call, is_late }) => {
+            Some(CallState::InFlight { call, is_late }) => {
                 self.late_in_flight -= usize::from(is_late);
                 match end {
                     Some(_end) => self.servers.end(&call, end, now),
@@ -370,7 +370,7 @@
     ) -> Option<StartedBackend> {
         let (backend, call) = self.servers.send(request, limit, &mut self.random, now)?;
         self.late_in_flight += usize::from(is_late);
-        self.calls.insert(id, CallState::Flying { call, is_late });
+        self.calls.insert(id, CallState::InFlight { call, is_late });
         Some(backend)
     }
 
--- a/crates/dillspool_calls/src/servers.rs
+++ b/crates/dillspool_calls/src/servers.rs
@@ -30,7 +30,7 @@
 
 /// A call in flight at one start of a server.
 #[derive(Clone, Debug)]
-pub(crate) struct FlyingCall {
+pub(crate) struct InFlightCall {
     server: Name,
     epoch: u64,
     sent: SentCall,
@@ -47,7 +47,7 @@
     /// The last survey and when it was made; none after a change that it may not show.
     surveyed: Option<(ServerSurvey, Moment)>,
     /// Forgotten calls, by when they have usually ended.
-    held: BTreeMap<(Moment, CallId), FlyingCall>,
+    held: BTreeMap<(Moment, CallId), InFlightCall>,
     held_until: HashMap<CallId, Moment>,
 }
 
@@ -173,7 +173,7 @@
         limit: Duration,
         random: &mut SmallRng,
         now: Moment,
-    ) -> Option<(StartedBackend, FlyingCall)> {
+    ) -> Option<(StartedBackend, InFlightCall)> {
         let terms = self.terms(now);
         let open = self.present().filter(|state| {
             state.has_place(&terms)
@@ -185,7 +185,7 @@
         let id = Name::clone(&chosen.server.backend.id);
         let state = self.states.get_mut(&id)?;
         let sent = state.enter(state.gate(&terms) == ServerGate::Probing, &terms);
-        let call = FlyingCall { server: id, epoch: state.epoch, sent };
+        let call = InFlightCall { server: id, epoch: state.epoch, sent };
         Some((state.server.backend.clone(), call))
     }
 
@@ -214,7 +214,7 @@
         failure_domain: Name,
         sent_at: Moment,
         now: Moment,
-    ) -> Option<FlyingCall> {
+    ) -> Option<InFlightCall> {
         let id = Name::clone(&backend.id);
         if !self.states.contains_key(&id) {
             // The directory may name it later; until then it is kept for this call.
@@ -227,11 +227,16 @@
         let terms = self.terms(now);
         let state = self.states.get_mut(&id)?;
         let sent = SentCall { at: sent_at, ..state.enter(false, &terms) };
-        Some(FlyingCall { server: id, epoch: state.epoch, sent })
+        Some(InFlightCall { server: id, epoch: state.epoch, sent })
     }
 
     /// Notes how a call ended, or that it is forgotten.
-    pub(crate) fn end(&mut self, call: &FlyingCall, end: Option<(CallEnd, Duration)>, now: Moment) {
+    pub(crate) fn end(
+        &mut self,
+        call: &InFlightCall,
+        end: Option<(CallEnd, Duration)>,
+        now: Moment,
+    ) {
         let elsewhere = match end {
             Some((CallEnd::Failed | CallEnd::Lost, _took)) => {
                 self.failures_elsewhere(&call.server, now)
@@ -256,7 +261,7 @@
 
     /// Forgets a call that may still run: its host is gone, or is served by another queue now. Its place is free
     /// once it has usually ended, so that hosts that leave one after another do not add up to several limits.
-    pub(crate) fn hold(&mut self, id: CallId, call: FlyingCall, now: Moment) {
+    pub(crate) fn hold(&mut self, id: CallId, call: InFlightCall, now: Moment) {
         let LatencyMean { mean, deviation } = self.pooled.read();
         let run = mean * call.sent.crowding + self.policy.forgotten_margin * deviation;
         let until = call.sent.at + Duration::from_secs_f64(run);
--- a/crates/dillspool_calls/tests/rules.rs
+++ b/crates/dillspool_calls/tests/rules.rs
@@ -156,7 +156,7 @@
     // Calls on time a second, of 400 that two servers run, and late calls that are answered a second.
     for (per_s, late) in [(0, 350..=400), (200, 170..=230), (333, 40..=90)] {
         let mut bench = Bench::new(&[server("one", Some(6)), server("two", Some(6))]);
-        let mut flying = std::collections::VecDeque::<(CallId, u64)>::new();
+        let mut in_flight = std::collections::VecDeque::<(CallId, u64)>::new();
         let mut on_time_ids = std::collections::HashSet::new();
         let (mut on_time, mut answered, mut credit) = (0, 0, 0);
         for step in 0..4000_u64 {
@@ -165,7 +165,7 @@
             // Two servers of 6 slots end 2 calls in 5 ms at most.
             credit = (credit + 2).min(10);
             while credit >= 5
-                && let Some((id, sent)) = flying.pop_front_if(|it| step >= it.1 + 30)
+                && let Some((id, sent)) = in_flight.pop_front_if(|it| step >= it.1 + 30)
             {
                 credit -= 5;
                 bench.queue.end(id, CallEnd::Answered, ms(step - sent), bench.now);
@@ -184,7 +184,7 @@
             decided.push((id, decision));
             decided.extend(bench.queue.poll(bench.now));
             let sent = decided.into_iter().filter(|it| matches!(it.1, CallDecision::Send { .. }));
-            flying.extend(sent.map(|(id, _decision)| (id, step)));
+            in_flight.extend(sent.map(|(id, _decision)| (id, step)));
         }
         println!("{per_s} a second: {} late", answered / 4);
         assert!(late.contains(&(answered / 4)), "{per_s} a second: {} late", answered / 4);
