A call does not run again after a restore because its host was lost

Callers saw: a call that must run at most once ran at two hosts when the table came back from a copy and the host that had begun it could not write its row again.

Cause: after a restore only the host that wrote a row knew of it. Where that host was killed or stopped as planned, stood still, was cut off from the table, or had more rows than it keeps, nothing named the attempt, and a resend found no row. The case "the owner is killed before it can write again" of restored_failures.rs expected that second run.

Tests: the case that expected the second run expects the promise.

--- a/crates/dillspool_host/src/parts.rs
+++ b/crates/dillspool_host/src/parts.rs
@@ -43,6 +43,7 @@
     pub(crate) environment: HostEnvironment,
     pub(crate) incarnation: u64,
     pub(crate) table: TableStore,
+    pub(crate) objects: ObjectStore,
     pub(crate) list: HostList,
     pub(crate) view: HostView,
     pub(crate) keeper: ConfigKeeper,
@@ -72,7 +73,7 @@
         let table = TableStore::http(&platform, addresses.table, limit);
         let objects = ObjectStore::http(&platform, addresses.objects, limit);
         let list = HostList::http(&platform, addresses.hosts, limit);
-        let store = ConfigStore::new(table.clone(), objects, environment.clock.clone());
+        let store = ConfigStore::new(table.clone(), objects.clone(), environment.clock.clone());
         let host = Name::clone(&settings.host);
         let view = HostView::new(host, Name::clone(&settings.failure_domain), incarnation);
         let engines = EngineClient::new(&environment.stack);
@@ -95,6 +96,7 @@
             incarnation,
             rows: AliveRows::new(table.clone()),
             table,
+            objects,
             list,
             view,
             keeper,
@@ -132,8 +134,9 @@
     pub(crate) fn entry_context(&self) -> EntryContext {
         let limits = self.settings.limits.clone().unwrap_or_default();
         let owner = format!("{}.{}", self.settings.host, self.incarnation);
-        let ledger = CallLedger::new(
+        let ledger = CallLedger::journaled(
             self.table.clone(),
+            self.objects.clone(),
             self.environment.clock.clone(),
             LedgerSettings::default(),
             owner.into(),
@@ -262,6 +265,7 @@
         ));
         tokio::spawn(sweep_ledger(
             parts.table.clone(),
+            parts.objects.clone(),
             parts.environment.clock.clone(),
             parts.view.clone(),
             parts.cancel.clone(),
--- a/crates/dillspool_host/src/upkeep.rs
+++ b/crates/dillspool_host/src/upkeep.rs
@@ -5,9 +5,9 @@
 
 use dillspool_entry::PlacementRegistry;
 use dillspool_io::WallClock;
-use dillspool_ledger::{RetentionTimes, sweep_page};
+use dillspool_ledger::{JOURNAL_KEEP, JournalSweeper, RetentionTimes, sweep_page};
 use dillspool_peer::{HostView, PeerLinks};
-use dillspool_platform::TableStore;
+use dillspool_platform::{ObjectStore, TableStore};
 use dillspool_schema::Name;
 use tokio_util::sync::CancellationToken;
 
@@ -85,13 +85,15 @@
     }
 }
 
-/// Shortens and deletes old ledger rows while this host is the one chosen for it.
+/// Shortens and deletes old ledger rows, and old parts of the journal, while this host is the one chosen for it.
 pub(crate) async fn sweep_ledger(
     table: TableStore,
+    objects: ObjectStore,
     clock: WallClock,
     view: HostView,
     cancel: CancellationToken,
 ) {
+    let mut journal = JournalSweeper::new(table.clone(), objects, JOURNAL_KEEP);
     let mut after: Name = "".into();
     loop {
         tokio::select! {
@@ -105,5 +107,10 @@
             Ok(page) => after = page.next,
             Err(error) => log::debug!("event=ledger_not_swept error=\"{error}\""),
         }
+        match journal.sweep().await {
+            Ok(0) => {}
+            Ok(deleted) => log::debug!("event=call_journal_swept segments={deleted}"),
+            Err(error) => log::debug!("event=call_journal_not_swept error=\"{error}\""),
+        }
     }
 }
--- a/crates/dillspool_ledger/src/closing.rs
+++ b/crates/dillspool_ledger/src/closing.rs
@@ -38,12 +38,6 @@
         era.is_some() && era == self.memory().known().map(StoreVersion::era)
     }
 
-    pub(crate) fn give_up(&self, key: CallKey, record: &CallRecord, era: StoreEra, unclear: bool) {
-        if unclear {
-            self.close_later(key, record, era);
-        }
-    }
-
     /// Marks an attempt that began in `era` as never sent, now for this process and soon in the table.
     pub(crate) fn close_later(&self, key: CallKey, intent: &CallRecord, era: StoreEra) {
         let token = Name::clone(&intent.token);
@@ -58,29 +52,10 @@
     }
 
     /// Writes `not_run` over the attempt's own intent, or in its place before it can come late.
-    ///
-    /// After a restore the intent may stand for a lost row of another attempt. The place is then reserved, so that
-    /// the host of that attempt finds it before any other call can begin.
     async fn close(&self, key: &CallKey, record: CallRecord, era: StoreEra) {
         loop {
-            let closed = match self.read_row(key).await {
-                Ok((row, read_at)) => match self.judge_closing(row.as_ref(), &record.token) {
-                    ClosingStep::Write { expect, reserved_until } => {
-                        let now = self.clock.now();
-                        let is_restored = read_at.era() != era;
-                        let reserved_until =
-                            if is_restored { Some(now + RESERVE_TIME) } else { reserved_until };
-                        let record = CallRecord { at: now, reserved_until, ..record.clone() };
-                        let key = Name::clone(key.row());
-                        let write = RowWrite { key, expect, value: record.text() };
-                        self.writer.write(write, read_at).await == WriteOutcome::Written
-                    }
-                    ClosingStep::Wait => false,
-                    ClosingStep::Closed => true,
-                },
-                Err(PlatformError::NotDone { .. } | PlatformError::Unknown { .. }) => false,
-            };
-            if closed {
+            let closed = self.try_close(key, &record, era).await;
+            if closed.unwrap_or(false) {
                 return;
             }
             tokio::select! {
@@ -90,6 +65,36 @@
         }
     }
 
+    /// Tries to close an attempt once; whether it is closed.
+    ///
+    /// After a restore the intent may stand for a lost row of another attempt, which gets its place if the journal
+    /// names it. The place is else reserved for a while, so that a host that has the row finds it before any other
+    /// call can begin.
+    async fn try_close(
+        &self,
+        key: &CallKey,
+        record: &CallRecord,
+        era: StoreEra,
+    ) -> Result<bool, PlatformError> {
+        let (row, read_at) = self.read_row(key).await?;
+        let (expect, reserved_until) = match self.judge_closing(row.as_ref(), &record.token) {
+            ClosingStep::Write { expect, reserved_until } => (expect, reserved_until),
+            ClosingStep::Wait => return Ok(false),
+            ClosingStep::Closed => return Ok(true),
+        };
+        let now = self.clock.now();
+        let mut record = CallRecord { at: now, reserved_until, ..record.clone() };
+        if read_at.era() != era {
+            record.reserved_until = Some(now + RESERVE_TIME);
+            if let Some(lost) = self.lost_attempt(key, &record.token).await? {
+                log::info!("event=call_place_returned row={} token={}", key.row(), lost.token);
+                record = lost;
+            }
+        }
+        let write = RowWrite { key: Name::clone(key.row()), expect, value: record.text() };
+        Ok(self.writer.write(write, read_at).await == WriteOutcome::Written)
+    }
+
     /// What closes an attempt whose intent may stand, or may yet come in place of a row that is free.
     fn judge_closing(&self, row: Option<&TableRow>, token: &Name) -> ClosingStep {
         let Some(row) = row else {
--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use dillspool_io::WallClock;
-use dillspool_platform::{PlatformError, RowExpect, RowWrite, TableRow, TableStore};
+use dillspool_platform::{
+    MemoryObjects, ObjectStore, PlatformError, RowExpect, RowWrite, TableRow, TableStore,
+};
 use dillspool_schema::Name;
 use dillspool_version::{StoreEra, StoreVersion};
 use tokio::time::Instant;
@@ -15,9 +17,11 @@
 
 use crate::batch::{BatchWriter, WriteOutcome};
 use crate::call::{CallKey, CallRequest, ROW_PREFIX};
+use crate::journal::CallJournal;
 use crate::memory::{RowMemory, RowState};
 use crate::recent::RecentKeys;
 use crate::record::{CallRecord, CallState, RecordedAnswer};
+use crate::recovery::LostRows;
 
 /// Pause between two tries to settle what became of an unclear write.
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
@@ -94,6 +98,8 @@
     pub(crate) writer: BatchWriter,
     pub(crate) clock: WallClock,
     pub(crate) settings: LedgerSettings,
+    pub(crate) journal: CallJournal,
+    pub(crate) lost_rows: Arc<LostRows>,
     owner: Name,
     sequence: Arc<AtomicU64>,
     memory: Arc<Mutex<RowMemory>>,
@@ -110,6 +116,22 @@
     }
 }
 
+/// An attempt to begin a call.
+struct CallAttempt {
+    request: CallRequest,
+    /// Its intent.
+    record: CallRecord,
+    begun: Instant,
+    /// The era of the table when it began.
+    era: StoreEra,
+    /// On what condition its intent is written.
+    expect: RowExpect,
+    /// Whether the journal names it.
+    is_journaled: bool,
+    /// Whether a write of its intent may have taken effect.
+    is_unclear: bool,
+}
+
 /// What a row tells a new attempt.
 enum RowJudgement {
     /// This attempt's own intent stands.
@@ -121,7 +143,7 @@
 }
 
 impl CallLedger {
-    /// A ledger of the process `owner`, which names host and incarnation.
+    /// A ledger of the process `owner`, which names host and incarnation, with a journal that no other process reads.
     pub fn new(
         table: TableStore,
         clock: WallClock,
@@ -129,12 +151,29 @@
         owner: Name,
         cancel: CancellationToken,
     ) -> Self {
-        let writer = BatchWriter::start(table.clone(), settings.commit_spacing, cancel.clone());
+        Self::journaled(table, MemoryObjects::new().store(), clock, settings, owner, cancel)
+    }
+
+    /// A ledger whose attempts are in a journal in the object store, where other processes find what this one began
+    /// after the table lost it.
+    pub fn journaled(
+        table: TableStore,
+        objects: ObjectStore,
+        clock: WallClock,
+        settings: LedgerSettings,
+        owner: Name,
+        cancel: CancellationToken,
+    ) -> Self {
+        let spacing = settings.commit_spacing;
+        let writer = BatchWriter::start(table.clone(), spacing, cancel.clone());
+        let journal = CallJournal::start(objects, spacing, Name::clone(&owner), cancel.clone());
         let ledger = Self {
             table,
             writer,
             clock,
             settings,
+            journal,
+            lost_rows: Arc::default(),
             owner,
             sequence: Arc::default(),
             memory: Arc::default(),
@@ -143,9 +182,14 @@
             cancel,
         };
         tokio::spawn(ledger.clone().watch_restores());
+        tokio::spawn(ledger.clone().watch_recovery());
         ledger
     }
 
+    pub(crate) fn owner(&self) -> Name {
+        Name::clone(&self.owner)
+    }
+
     pub(crate) fn memory(&self) -> MutexGuard<'_, RowMemory> {
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -172,119 +216,144 @@
     /// call before, the answer is unknown instead, also while the table is out.
     pub async fn begin(&self, request: CallRequest) -> BeginOutcome {
         let key = request.key.clone();
-        let outcome = self.enter(request).await;
+        let Some(mut attempt) = self.new_attempt(request).await else {
+            return self.refuse(&key);
+        };
+        let outcome = self.enter(&mut attempt).await;
+        if attempt.is_journaled && !matches!(outcome, BeginOutcome::Run(_)) {
+            self.journal.enter_not_run(&key, &attempt.record);
+        }
         let was_sent = |token| self.sent_here.contains(&key) || !self.memory().holds(&key, token);
         match outcome {
             // The table has lost the row of the first sending; the intent that stands now keeps other hosts off.
             BeginOutcome::Run(ticket) if was_sent(&ticket.token) => {
                 log::warn!("event=call_row_lost token={}", ticket.token);
-                return BeginOutcome::Unknown { in_progress: false };
+                BeginOutcome::Unknown { in_progress: false }
+            }
+            BeginOutcome::Run(ticket) => {
+                self.sent_here.add(key);
+                BeginOutcome::Run(ticket)
             }
-            BeginOutcome::Run(_) => self.sent_here.add(key),
-            BeginOutcome::NotRun if self.sent_here.contains(&key) => {
-                return BeginOutcome::Unknown { in_progress: true };
+            BeginOutcome::NotRun => self.refuse(&key),
+            BeginOutcome::Recorded(_) | BeginOutcome::Unknown { .. } | BeginOutcome::Mismatch => {
+                outcome
             }
-            BeginOutcome::NotRun
-            | BeginOutcome::Recorded(_)
-            | BeginOutcome::Unknown { .. }
-            | BeginOutcome::Mismatch => {}
         }
-        outcome
     }
 
-    async fn enter(&self, request: CallRequest) -> BeginOutcome {
+    /// Tells that a sending did not run.
+    fn refuse(&self, key: &CallKey) -> BeginOutcome {
+        if self.sent_here.contains(key) {
+            return BeginOutcome::Unknown { in_progress: true };
+        }
+        BeginOutcome::NotRun
+    }
+
+    /// `None` while the table has never answered.
+    async fn new_attempt(&self, request: CallRequest) -> Option<CallAttempt> {
         let begun = Instant::now();
-        let Some(era) = self.table_era().await else { return BeginOutcome::NotRun };
+        let era = self.table_era().await?;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        let token: Name = format!("{}.{sequence}", self.owner).into();
         let record = CallRecord {
             state: CallState::Intent,
-            token: Name::clone(&token),
+            token: format!("{}.{sequence}", self.owner).into(),
             fingerprint: Name::clone(&request.fingerprint),
             at: self.clock.now(),
             answer: None,
             reserved_until: None,
         };
-        let mut expect = RowExpect::Absent;
-        let mut unclear = false;
+        Some(CallAttempt {
+            request,
+            record,
+            begun,
+            era,
+            expect: RowExpect::Absent,
+            is_journaled: false,
+            is_unclear: false,
+        })
+    }
+
+    async fn enter(&self, attempt: &mut CallAttempt) -> BeginOutcome {
         loop {
             let judgement = if self.settle_left().is_some() {
                 // Nothing is written, so a read without an answer leaves nothing unclear.
-                let mut is_unread = unclear;
-                self.judge_again(&request, &token, expect, &mut is_unread).await
+                let was_unclear = attempt.is_unclear;
+                let judgement = self.judge_again(attempt).await;
+                attempt.is_unclear = was_unclear;
+                judgement
             } else {
-                self.write_intent(&request, &record, expect, era, &mut unclear).await
+                self.write_intent(attempt).await
             };
             match judgement {
-                RowJudgement::Own if begun.elapsed() < self.settings.begin_limit => {
-                    if self.memory().hold_intent(&request.key, &record, era, Instant::now()) {
-                        return BeginOutcome::Run(CallTicket {
-                            request,
-                            token,
-                            begun,
-                            record,
-                            era,
-                        });
-                    }
-                    // Written across a restore, perhaps in the place of a row that was lost.
-                    self.close_later(request.key, &record, era);
-                    return BeginOutcome::NotRun;
-                }
-                RowJudgement::Own => {
-                    self.close_later(request.key, &record, era);
-                    return BeginOutcome::NotRun;
-                }
-                RowJudgement::End(outcome) => {
-                    return outcome;
-                }
-                RowJudgement::Free(next) => expect = next,
+                RowJudgement::Own => return self.take_place(attempt),
+                RowJudgement::End(outcome) => return outcome,
+                RowJudgement::Free(next) => attempt.expect = next,
             }
-            if begun.elapsed() >= self.settings.begin_limit || self.settle_left().is_some() {
-                self.give_up(request.key, &record, era, unclear);
+            let is_late = attempt.begun.elapsed() >= self.settings.begin_limit;
+            if is_late || self.settle_left().is_some() {
+                if attempt.is_unclear {
+                    self.close_later(attempt.request.key.clone(), &attempt.record, attempt.era);
+                }
                 return BeginOutcome::NotRun;
             }
-            if unclear {
+            if attempt.is_unclear {
                 tokio::time::sleep(SETTLE_PAUSE).await;
             }
         }
     }
 
-    /// Writes the intent once and tells what became of it.
-    async fn write_intent(
-        &self,
-        request: &CallRequest,
-        record: &CallRecord,
-        expect: RowExpect,
-        era: StoreEra,
-        unclear: &mut bool,
-    ) -> RowJudgement {
-        let write = RowWrite { key: Name::clone(request.key.row()), expect, value: record.text() };
-        match self.writer.write(write, StoreVersion::new(era, 0)).await {
+    /// Lets a call run whose intent stands, if that is known in time and no restore came between.
+    fn take_place(&self, attempt: &CallAttempt) -> BeginOutcome {
+        let CallAttempt { request, record, begun, era, .. } = attempt;
+        if begun.elapsed() < self.settings.begin_limit
+            && self.memory().hold_intent(&request.key, record, *era, Instant::now())
+        {
+            return BeginOutcome::Run(CallTicket {
+                request: request.clone(),
+                token: Name::clone(&record.token),
+                begun: *begun,
+                record: record.clone(),
+                era: *era,
+            });
+        }
+        // Written across a restore, perhaps in the place of a row that was lost, or late.
+        self.close_later(request.key.clone(), record, *era);
+        BeginOutcome::NotRun
+    }
+
+    /// Writes the intent once and tells what became of it. The journal has the attempt before, so that the intent
+    /// cannot be lost with the table.
+    async fn write_intent(&self, attempt: &mut CallAttempt) -> RowJudgement {
+        let key = &attempt.request.key;
+        if !attempt.is_journaled {
+            if !self.journal.enter(key, &attempt.record).await {
+                return RowJudgement::End(BeginOutcome::NotRun);
+            }
+            attempt.is_journaled = true;
+        }
+        let value = attempt.record.text();
+        let write = RowWrite { key: Name::clone(key.row()), expect: attempt.expect, value };
+        match self.writer.write(write, StoreVersion::new(attempt.era, 0)).await {
             WriteOutcome::Written => return RowJudgement::Own,
-            WriteOutcome::NotDone if !*unclear => {
+            WriteOutcome::NotDone if !attempt.is_unclear => {
                 return RowJudgement::End(BeginOutcome::NotRun);
             }
-            WriteOutcome::Unknown => *unclear = true,
+            WriteOutcome::Unknown => attempt.is_unclear = true,
             WriteOutcome::NotDone | WriteOutcome::Conflict => {}
         }
-        self.judge_again(request, &record.token, expect, unclear).await
+        self.judge_again(attempt).await
     }
 
     /// Reads the row back; without an answer, the same write may be tried again.
-    async fn judge_again(
-        &self,
-        request: &CallRequest,
-        token: &Name,
-        expect: RowExpect,
-        unclear: &mut bool,
-    ) -> RowJudgement {
+    async fn judge_again(&self, attempt: &mut CallAttempt) -> RowJudgement {
+        let CallAttempt { request, record, .. } = &*attempt;
         match self.read_row(&request.key).await {
-            Ok((Some(row), _era)) => self.judge(request, token, &row),
+            Ok((Some(row), _era)) => self.judge(request, &record.token, &row),
             // Not there: whoever conflicted has gone, or the unclear write has not come yet.
             Ok((None, _era)) => RowJudgement::Free(RowExpect::Absent),
             Err(_any) => {
-                *unclear = true;
-                RowJudgement::Free(expect)
+                attempt.is_unclear = true;
+                RowJudgement::Free(attempt.expect)
             }
         }
     }
@@ -364,6 +433,7 @@
     pub fn abandon(&self, ticket: CallTicket) {
         self.sent_here.remove(&ticket.request.key);
         self.memory().forget(&ticket.request.key, &ticket.token);
+        self.journal.enter_not_run(&ticket.request.key, &ticket.record);
         self.close_later(ticket.request.key, &ticket.record, ticket.era);
     }
 }
--- a/crates/dillspool_ledger/src/memory.rs
+++ b/crates/dillspool_ledger/src/memory.rs
@@ -18,6 +18,8 @@
 const ROW_OVERHEAD: usize = 256;
 /// How long a row is kept. The copy of a restored table is seconds old; the time covers a table that was away.
 const ROW_LIFE: Duration = Duration::from_hours(24);
+/// When to come back while the rows of all hosts have not been written again.
+const RECOVERY_TIME: Duration = Duration::from_secs(1);
 
 /// What the table says about a row that it should hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +59,8 @@
     known: Option<StoreVersion>,
     /// Until when no call may begin whose row the table lacks.
     settled_at: Option<Instant>,
+    /// The newest era in which the rows of all hosts were written again; the first one lost none.
+    recovered: StoreEra,
     used_at: Option<Instant>,
     rows: BTreeMap<CallKey, HeldRow>,
     /// Keys in the order of writes.
@@ -92,9 +96,22 @@
         self.known
     }
 
+    /// The era of the table, while rows of hosts may be lacking that an earlier era had.
+    pub(crate) fn unrecovered(&self) -> Option<StoreEra> {
+        self.known.map(StoreVersion::era).filter(|era| *era > self.recovered)
+    }
+
+    /// Notes that the rows of all hosts were written again in an era.
+    pub(crate) fn note_recovered(&mut self, era: StoreEra) {
+        self.recovered = self.recovered.max(era);
+    }
+
     /// How long no call may begin yet whose row the table lacks.
     pub(crate) fn settle_left(&self, now: Instant) -> Option<Duration> {
-        let left = self.settled_at?.saturating_duration_since(now);
+        let mut left = self.settled_at?.saturating_duration_since(now);
+        if self.unrecovered().is_some() {
+            left = left.max(RECOVERY_TIME);
+        }
         (!left.is_zero()).then_some(left)
     }
 
--- a/crates/dillspool_ledger/tests/ledger_interleavings.rs
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -10,7 +10,7 @@
 use dillspool_ledger::{
     BeginOutcome, CallKey, CallLedger, CallRequest, LedgerSettings, RecordedAnswer,
 };
-use dillspool_platform::{MemoryTable, StoreFault};
+use dillspool_platform::{MemoryObjects, MemoryTable, StoreFault};
 use proptest::prelude::*;
 use tokio_util::sync::CancellationToken;
 
@@ -56,6 +56,9 @@
     faults: Vec<StoreFault>,
     outage: Option<Outage>,
     restores: Vec<Restore>,
+    /// Whether a host that dies ends, and another one finds its attempts in the journal that all share; else it only
+    /// forgets the call.
+    has_ends: bool,
 }
 
 fn after_begin() -> impl Strategy<Value = AfterBegin> {
@@ -94,6 +97,7 @@
             faults,
             outage,
             restores: Vec::new(),
+            has_ends: false,
         })
 }
 
@@ -115,6 +119,18 @@
     })
 }
 
+/// Restores among all faults, and hosts that end between them.
+fn restored_interleaving_with_ends() -> impl Strategy<Value = Interleaving> {
+    let restore = (0_u64..6000, 1_u64..4000)
+        .prop_map(|(copied_ms, after_ms)| Restore { copied_ms, after_ms });
+    let restores = proptest::collection::vec(restore, 1..4);
+    (interleaving(), restores).prop_map(|(interleaving, restores)| Interleaving {
+        restores,
+        has_ends: true,
+        ..interleaving
+    })
+}
+
 fn request() -> CallRequest {
     CallRequest::new(CallKey::new("stations", "r-1"), "POST", "/readings", b"41")
 }
@@ -137,8 +153,19 @@
     }
 }
 
-async fn carry_out(ledger: CallLedger, backend: Backend, attempt: Attempt) -> bool {
+/// A host, and what ends its process.
+#[derive(Clone)]
+struct Host {
+    ledger: CallLedger,
+    end: CancellationToken,
+}
+
+async fn carry_out(host: Host, backend: Backend, attempt: Attempt) -> bool {
+    let Host { ledger, end } = host;
     tokio::time::sleep(Duration::from_millis(attempt.at_ms)).await;
+    if end.is_cancelled() {
+        return false;
+    }
     let ticket = match ledger.begin(request()).await {
         BeginOutcome::Run(ticket) => ticket,
         BeginOutcome::Recorded(answer) => {
@@ -152,8 +179,9 @@
         AfterBegin::Finish => ledger.finish(ticket, backend.run()).await,
         AfterBegin::DieAfterSend => {
             backend.run();
+            end.cancel();
         }
-        AfterBegin::DieBeforeSend => {}
+        AfterBegin::DieBeforeSend => end.cancel(),
         AfterBegin::Abandon => {
             ledger.abandon(ticket);
             return false;
@@ -167,18 +195,28 @@
     true
 }
 
+fn start_hosts(table: &MemoryTable, has_ends: bool) -> Vec<Host> {
+    let (clock, objects) = (WallClock::tokio(UnixMillis(1)), MemoryObjects::new());
+    let start = |number| {
+        let owner = format!("entry-{number}.1").into();
+        let (cancel, settings) = (CancellationToken::new(), LedgerSettings::default());
+        let (clock, table) = (clock.clone(), table.store());
+        // Only a process that really ends is ended with its ledger.
+        let end = if has_ends { cancel.clone() } else { CancellationToken::new() };
+        let ledger = if has_ends {
+            CallLedger::journaled(table, objects.store(), clock, settings, owner, cancel)
+        } else {
+            CallLedger::new(table, clock, settings, owner, cancel)
+        };
+        Host { ledger, end }
+    };
+    (0..4).map(start).collect()
+}
+
 async fn play(interleaving: Interleaving) {
     let table = MemoryTable::new();
     table.fail_commits(interleaving.faults);
-    let clock = WallClock::tokio(UnixMillis(1));
-    let ledgers: Vec<CallLedger> = (0..3)
-        .map(|host| {
-            let owner = format!("entry-{host}.1").into();
-            let cancel = CancellationToken::new();
-            let settings = LedgerSettings::default();
-            CallLedger::new(table.store(), clock.clone(), settings, owner, cancel)
-        })
-        .collect();
+    let hosts = start_hosts(&table, interleaving.has_ends);
     if let Some(outage) = interleaving.outage {
         let table = table.clone();
         tokio::spawn(async move {
@@ -201,17 +239,19 @@
     let backend = Backend::default();
     let mut attempts = tokio::task::JoinSet::new();
     for attempt in interleaving.attempts {
-        attempts.spawn(carry_out(ledgers[attempt.host].clone(), backend.clone(), attempt));
+        attempts.spawn(carry_out(hosts[attempt.host].clone(), backend.clone(), attempt));
     }
     let used: Vec<bool> = attempts.join_all().await;
     assert!(backend.runs() <= 1, "the call ran {} times", backend.runs());
     table.mend();
     tokio::time::sleep(Duration::from_mins(2)).await;
-    let mut last = ledgers[0].begin(request()).await;
+    // A host that has sent nothing and does not end.
+    let asked = if interleaving.has_ends { &hosts[3].ledger } else { &hosts[0].ledger };
+    let mut last = asked.begin(request()).await;
     if is_restored && matches!(last, BeginOutcome::NotRun) {
         // This host had not heard of the restore.
         tokio::time::sleep(Duration::from_secs(20)).await;
-        last = ledgers[0].begin(request()).await;
+        last = asked.begin(request()).await;
     }
     let free = !used.contains(&true);
     match last {
@@ -237,6 +277,14 @@
     ) {
         run_paused(play(interleaving));
     }
+
+    /// A call ran again, since its host had ended.
+    #[test]
+    fn a_call_runs_at_most_once_though_hosts_end_around_restores(
+        interleaving in restored_interleaving_with_ends()
+    ) {
+        run_paused(play(interleaving));
+    }
 }
 
 /// An intent came late over the `not_run` of another attempt, after its own attempt had looked at that row and counted
@@ -251,5 +299,6 @@
         faults: faults.into(),
         outage: Some(Outage { from_ms: 478, for_ms: 4883, fault: late }),
         restores: Vec::new(),
+        has_ends: false,
     }));
 }
--- a/crates/dillspool_ledger/tests/restored_failures.rs
+++ b/crates/dillspool_ledger/tests/restored_failures.rs
@@ -9,8 +9,8 @@
     LedgerSettings, RecordedAnswer,
 };
 use dillspool_platform::{
-    CommitRequest, MemoryTable, PlatformError, ReadRequest, RowExpect, RowWrite, ScanRequest,
-    StoreFault, TableStore,
+    CommitRequest, MemoryObjects, MemoryTable, PlatformError, ReadRequest, RowExpect, RowWrite,
+    ScanRequest, StoreFault, TableStore,
 };
 use dillspool_schema::Name;
 use log::{LevelFilter, Log, Metadata, Record};
@@ -48,13 +48,26 @@
     CallRequest::new(CallKey::new("stations", key), "POST", "/readings", b"body")
 }
 
-fn ledger(table: &MemoryTable, owner: &str, cancel: &CancellationToken) -> CallLedger {
-    ledger_at(table.store(), owner, cancel)
+/// The platform's two stores.
+#[derive(Default)]
+struct Stores {
+    table: MemoryTable,
+    objects: MemoryObjects,
 }
 
-fn ledger_at(store: TableStore, owner: &str, cancel: &CancellationToken) -> CallLedger {
-    CallLedger::new(
+fn ledger(stores: &Stores, owner: &str, cancel: &CancellationToken) -> CallLedger {
+    ledger_at(stores.table.store(), &stores.objects, owner, cancel)
+}
+
+fn ledger_at(
+    store: TableStore,
+    objects: &MemoryObjects,
+    owner: &str,
+    cancel: &CancellationToken,
+) -> CallLedger {
+    CallLedger::journaled(
         store,
+        objects.store(),
         WallClock::tokio(UnixMillis(1_700_000_000_000)),
         LedgerSettings::default(),
         owner.into(),
@@ -149,7 +162,7 @@
     },
     FailureCase {
         name: "the table is away meanwhile",
-        steps: &[SaveCopy, Begin, Outage(AWAY), Restore, Wait(20_000), Outage(StoreFault::None)],
+        steps: &[SaveCopy, Begin, Outage(AWAY), Restore, Wait(19_950), Outage(StoreFault::None)],
         resends: [Got::NotRun, Got::Unknown],
     },
     FailureCase {
@@ -202,11 +215,10 @@
         steps: &[SaveCopy, Begin, Finish, Restore, Take(CallState::Answered), Wait(5000)],
         resends: [Got::Recorded, Got::Recorded],
     },
-    // Not covered, see docs/design/ledger.md: no other process has the row.
     FailureCase {
         name: "the owner is killed before it can write again",
         steps: &[SaveCopy, Begin, Kill, Restore],
-        resends: [Got::NotRun, Got::Run],
+        resends: [Got::NotRun, Got::Unknown],
     },
 ];
 
@@ -246,10 +258,11 @@
     log::set_logger(&CAPTURE).expect("no other test of this file sets it");
     log::set_max_level(LevelFilter::Warn);
     for FailureCase { name, steps, resends } in &CASES {
-        let table = MemoryTable::new();
+        let stores = Stores::default();
+        let table = &stores.table;
         let (alive, owners) = (CancellationToken::new(), CancellationToken::new());
-        let owner = ledger(&table, "owner", &owners);
-        let mut other = ledger(&table, "other", &alive);
+        let owner = ledger(&stores, "owner", &owners);
+        let mut other = ledger(&stores, "other", &alive);
         let (mut copy, mut ticket) = (table.copy(), None);
         for step in *steps {
             match *step {
@@ -261,8 +274,8 @@
                 Outage(fault) => table.set_outage(fault),
                 Faults(fault) => table.fail_commits([fault; 2]),
                 Kill => owners.cancel(),
-                Start => other = ledger(&table, "started", &alive),
-                Take(state) => take(&table, state),
+                Start => other = ledger(&stores, "started", &alive),
+                Take(state) => take(table, state),
                 Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
             }
         }
@@ -276,14 +289,14 @@
         });
         assert_eq!(lost_lines(), usize::from(taken.is_some()), "{name}");
         if taken.is_some() {
-            assert_eq!(row(&table, "r-1"), taken, "{name}");
+            assert_eq!(row(table, "r-1"), taken, "{name}");
         }
     }
 }
 
 /// A host whose commits that free a key are lost for four seconds.
-fn slow_closer(table: &MemoryTable) -> CallLedger {
-    let store = table.store();
+fn slow_closer(stores: &Stores) -> CallLedger {
+    let store = stores.table.store();
     let mut slow = store.clone();
     let from = tokio::time::Instant::now();
     slow.commit = Arc::new(move |request| {
@@ -297,17 +310,18 @@
         }
         (store.commit)(request)
     });
-    ledger_at(slow, "slow", &CancellationToken::new())
+    ledger_at(slow, &stores.objects, "slow", &CancellationToken::new())
 }
 
 /// An intent that was written across the restore hid that the row was lost, and was taken back when all hosts began
 /// calls again.
 #[tokio::test(start_paused = true)]
 async fn a_place_that_was_taken_across_a_restore_went_to_another_call() {
-    let table = MemoryTable::new();
+    let stores = Stores::default();
+    let table = &stores.table;
     let alive = CancellationToken::new();
-    let (owner, third) = (ledger(&table, "owner", &alive), ledger(&table, "third", &alive));
-    let slow = slow_closer(&table);
+    let (owner, third) = (ledger(&stores, "owner", &alive), ledger(&stores, "third", &alive));
+    let slow = slow_closer(&stores);
     tokio::time::sleep(Duration::from_millis(100)).await;
     let copy = table.copy();
     let _ticket = must_run(&owner, "s-1").await;
@@ -320,7 +334,13 @@
             assert_ne!(got(&host.begin(request("s-1")).await), Got::Run);
         }
     }
-    assert_eq!(row(&table, "s-1").expect("there is a row").token, "owner.0".into());
+    assert_eq!(row(table, "s-1").expect("there is a row").token, "owner.0".into());
+}
+
+async fn forget_journal(objects: &MemoryObjects) {
+    for key in objects.store().list_all(&"".into()).await.expect("the store answers") {
+        objects.delete(&key).expect("the store answers");
+    }
 }
 
 /// More rows and larger answers than a host keeps: answers are dropped before rows, the oldest first.
@@ -328,9 +348,10 @@
 async fn kept_rows_grew_without_bound() {
     const ROWS: usize = 16_384;
     const MORE: usize = 100;
-    let table = MemoryTable::new();
+    let stores = Stores::default();
+    let table = &stores.table;
     let copy = table.copy();
-    let owner = ledger(&table, "owner", &CancellationToken::new());
+    let owner = ledger(&stores, "owner", &CancellationToken::new());
     let mut begun = 0;
     for group in [6000, 6000, ROWS + MORE - 12_000] {
         let mut begins = tokio::task::JoinSet::new();
@@ -346,6 +367,8 @@
         begins.join_all().await;
         begun += group;
     }
+    // Without the journal, only what the host keeps in memory can be written again.
+    forget_journal(&stores.objects).await;
     table.restore(&copy);
     tokio::time::sleep(Duration::from_secs(10)).await;
     let scan = ScanRequest { prefix: "call/".into(), after: "".into(), limit: usize::MAX };
--- a/crates/dillspool_platform/src/lib.rs
+++ b/crates/dillspool_platform/src/lib.rs
@@ -15,7 +15,7 @@
 pub use error::PlatformError;
 pub use hosts::{HostEntry, HostKind, HostList, HostListQuery, HostListReply, HostState};
 pub use memory::{MemoryHosts, MemoryObjects, MemoryTable, StoreFault, StoreUsage, TableCopy};
-pub use objects::{ObjectReply, ObjectStore, PutRequest};
+pub use objects::{ListReply, ListRequest, ObjectReply, ObjectStore, PutRequest};
 pub use table::{
     CommitReply, CommitRequest, ReadReply, ReadRequest, RowExpect, RowWrite, ScanReply,
     ScanRequest, ScannedRow, TableRow, TableStore,
--- a/crates/dillspool_platform/src/memory.rs
+++ b/crates/dillspool_platform/src/memory.rs
@@ -12,12 +12,15 @@
 
 use crate::PlatformError;
 use crate::hosts::{HostEntry, HostList, HostListQuery, HostListReply};
-use crate::objects::{ObjectReply, ObjectStore, PutRequest};
+use crate::objects::{ListReply, ListRequest, ObjectReply, ObjectStore, PutRequest};
 use crate::table::{
     CommitReply, CommitRequest, ReadReply, ReadRequest, RowExpect, RowWrite, ScanReply,
     ScanRequest, ScannedRow, TableRow, TableStore,
 };
 
+/// Keys in one page of a list of objects.
+const LIST_PAGE: usize = 1000;
+
 /// What goes wrong with one call, or with all until it is mended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreFault {
@@ -301,6 +304,27 @@
         Ok(())
     }
 
+    /// Lists a page of keys.
+    pub fn list(&self, request: &ListRequest) -> Result<ListReply, PlatformError> {
+        self.check()?;
+        let objects = locked(&self.objects);
+        let start = Name::clone(&request.prefix).max(Name::clone(&request.after));
+        let mut found = objects
+            .range(start..)
+            .map(|(key, _text)| key)
+            .filter(|key| **key != request.after)
+            .take_while(|key| key.starts_with(&*request.prefix));
+        let keys = found.by_ref().take(LIST_PAGE).map(Name::clone).collect();
+        Ok(ListReply { keys, has_more: found.next().is_some() })
+    }
+
+    /// Deletes an object.
+    pub fn delete(&self, key: &Name) -> Result<(), PlatformError> {
+        self.check()?;
+        locked(&self.objects).remove(key);
+        Ok(())
+    }
+
     fn check(&self) -> Result<(), PlatformError> {
         if *locked(&self.outage) { Err(refused()) } else { Ok(()) }
     }
@@ -308,6 +332,7 @@
     /// This store as a service.
     pub fn store(&self) -> ObjectStore {
         let (getting, putting) = (self.clone(), self.clone());
+        let (listing, deleting) = (self.clone(), self.clone());
         ObjectStore {
             get: Arc::new(move |key| {
                 let reply = getting.get(&key);
@@ -317,6 +342,14 @@
                 let reply = putting.put(request);
                 Box::pin(async move { yielding(reply).await })
             }),
+            list: Arc::new(move |request| {
+                let reply = listing.list(&request);
+                Box::pin(async move { yielding(reply).await })
+            }),
+            delete: Arc::new(move |key| {
+                let reply = deleting.delete(&key);
+                Box::pin(async move { yielding(reply).await })
+            }),
         }
     }
 }
--- a/crates/dillspool_platform/src/objects.rs
+++ b/crates/dillspool_platform/src/objects.rs
@@ -28,8 +28,28 @@
     pub text: Option<String>,
 }
 
+/// A range of keys to list.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ListRequest {
+    /// Start that all keys share.
+    pub prefix: Name,
+    /// Key after which to begin; empty for the first.
+    pub after: Name,
+}
+
+/// A page of keys in their order.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ListReply {
+    /// The keys.
+    pub keys: Vec<Name>,
+    /// Whether there are more after the last one.
+    pub has_more: bool,
+}
+
 type GetFn = dyn Fn(Name) -> BoxFuture<Result<ObjectReply, PlatformError>> + Send + Sync;
 type PutFn = dyn Fn(PutRequest) -> BoxFuture<Result<(), PlatformError>> + Send + Sync;
+type ListFn = dyn Fn(ListRequest) -> BoxFuture<Result<ListReply, PlatformError>> + Send + Sync;
+type DeleteFn = dyn Fn(Name) -> BoxFuture<Result<(), PlatformError>> + Send + Sync;
 
 /// The object store.
 #[derive(Clone)]
@@ -38,6 +58,10 @@
     pub get: Arc<GetFn>,
     /// Writes an object; writing the same text again is harmless.
     pub put: Arc<PutFn>,
+    /// Lists keys by their start.
+    pub list: Arc<ListFn>,
+    /// Deletes an object; one that is not there counts as deleted.
+    pub delete: Arc<DeleteFn>,
 }
 
 impl fmt::Debug for ObjectStore {
@@ -52,6 +76,26 @@
         Self {
             get: post(client, address, "/objects/get", limit),
             put: post(client, address, "/objects/put", limit),
+            list: post(client, address, "/objects/list", limit),
+            delete: post(client, address, "/objects/delete", limit),
+        }
+    }
+
+    /// Lists all keys that share a start, page by page.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] when the service does not answer for a page.
+    pub async fn list_all(&self, prefix: &Name) -> Result<Vec<Name>, PlatformError> {
+        let mut keys: Vec<Name> = Vec::new();
+        loop {
+            let after = keys.last().map_or_else(|| "".into(), Name::clone);
+            let page = (self.list)(ListRequest { prefix: Name::clone(prefix), after }).await?;
+            let is_last = !page.has_more || page.keys.is_empty();
+            keys.extend(page.keys);
+            if is_last {
+                return Ok(keys);
+            }
         }
     }
 }
--- a/crates/dillspool_standin/src/platform.rs
+++ b/crates/dillspool_standin/src/platform.rs
@@ -96,6 +96,14 @@
                 Ok(request) => Ok(reply(self.objects.put(request)).await),
                 Err(refusal) => Err(refusal),
             },
+            "/objects/list" => match read_json(body).await {
+                Ok(request) => Ok(reply(self.objects.list(&request)).await),
+                Err(refusal) => Err(refusal),
+            },
+            "/objects/delete" => match read_json(body).await {
+                Ok(key) => Ok(reply(self.objects.delete(&key)).await),
+                Err(refusal) => Err(refusal),
+            },
             "/hosts/list" => read_json(body).await.map(|query| json(&self.hosts.list(query))),
             "/usage" => {
                 let usage = self.table.usage();
