A commit of before a restore does not free the key of a call that ran

Callers saw: a key could be used again after its call had run, where a commit that was sent before a restore took effect after it.

Cause: a commit that frees the key of an abandoned attempt asks for the version of that attempt's intent. A restored table gives its versions out again, so the row of another attempt that ran had that very version when the commit came.

No version is part of it.

--- a/crates/dillspool_ledger/src/batch.rs
+++ b/crates/dillspool_ledger/src/batch.rs
@@ -9,6 +9,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::guard::hold_to_era;
+
 /// Rows in one commit at most.
 const BATCH_LIMIT: usize = 128;
 /// Rows waiting for a commit at most; more are refused at once.
@@ -19,7 +21,7 @@
 pub enum WriteOutcome {
     /// It was written.
     Written,
-    /// Its condition did not hold, and it was not written.
+    /// Its condition did not hold, or the table was restored since; it was not written.
     Conflict,
     /// It was not written and will not be.
     NotDone,
@@ -108,14 +110,19 @@
 
 /// Commits a batch; returns the rows to try again because another row's condition failed.
 async fn commit_batch(table: &TableStore, batch: Vec<PendingWrite>) -> Vec<PendingWrite> {
-    let writes = batch.iter().map(|pending| pending.write.clone()).collect();
+    let mut writes: Vec<RowWrite> = batch.iter().map(|pending| pending.write.clone()).collect();
     let read_at = batch.iter().map(|pending| pending.read_at).min();
+    let guard = hold_to_era(read_at.map(StoreVersion::era).unwrap_or_default());
+    let guard_key = Name::clone(&guard.key);
+    writes.push(guard);
     let reply = (table.commit)(CommitRequest { writes, read_at }).await;
     let mut retry = Vec::new();
     for pending in batch {
         let outcome = match &reply {
             Ok(CommitReply::Committed) => WriteOutcome::Written,
-            Ok(CommitReply::Conflict(keys)) if keys.contains(&pending.write.key) => {
+            Ok(CommitReply::Conflict(keys))
+                if keys.contains(&pending.write.key) || keys.contains(&guard_key) =>
+            {
                 WriteOutcome::Conflict
             }
             Ok(CommitReply::Conflict(_)) => {
--- a/crates/dillspool_ledger/src/lib.rs
+++ b/crates/dillspool_ledger/src/lib.rs
@@ -8,6 +8,7 @@
 mod batch;
 mod call;
 mod closing;
+mod guard;
 mod journal;
 mod journal_sweep;
 mod ledger;
--- a/crates/dillspool_ledger/src/recovery.rs
+++ b/crates/dillspool_ledger/src/recovery.rs
@@ -16,6 +16,7 @@
 
 use crate::batch::WriteOutcome;
 use crate::call::CallKey;
+use crate::guard::end_earlier_eras;
 use crate::journal::JournalEntry;
 use crate::ledger::CallLedger;
 use crate::record::{CallRecord, CallState};
@@ -98,6 +99,7 @@
             RecoveryStep::Wait => {}
             RecoveryStep::Claim(expect) => {
                 if self.write_recovery(expect, read_at, false).await
+                    && self.end_earlier_eras(read_at).await
                     && self.recover_rows().await?
                     && self.write_recovery(RowExpect::Any, read_at, true).await
                 {
@@ -126,6 +128,17 @@
         self.writer.write(write, read_at).await == WriteOutcome::Written
     }
 
+    /// Keeps commits of earlier eras from replacing what is written from now on.
+    async fn end_earlier_eras(&self, read_at: StoreVersion) -> bool {
+        let mut tasks = JoinSet::new();
+        for guard in end_earlier_eras(read_at.era()) {
+            let ledger = self.clone();
+            tasks.spawn(async move { ledger.writer.write(guard, read_at).await });
+        }
+        let outcomes = tasks.join_all().await;
+        outcomes.into_iter().all(|outcome| outcome == WriteOutcome::Written)
+    }
+
     /// Writes the intents again that the table lacks; false if some of them could not be written.
     async fn recover_rows(&self) -> Result<bool, PlatformError> {
         let mut are_written = true;
--- a/crates/dillspool_ledger/src/sweep.rs
+++ b/crates/dillspool_ledger/src/sweep.rs
@@ -9,6 +9,7 @@
 use dillspool_schema::Name;
 
 use crate::call::ROW_PREFIX;
+use crate::guard::hold_to_era;
 use crate::record::{CallRecord, CallState};
 
 /// Rows read in one page.
@@ -64,9 +65,13 @@
         .filter_map(|scanned| shorten(scanned, |record| now.since(record.at), times))
         .collect();
     let changed = writes.len();
+    let Some(era) = reply.rows.first().map(|first| first.row.version.era()) else {
+        return Ok(SweepPage { next, changed });
+    };
     if changed == 0 {
         return Ok(SweepPage { next, changed });
     }
+    let writes = writes.into_iter().chain([hold_to_era(era)]).collect();
     let changed = match table.commit(writes).await? {
         CommitReply::Committed => changed,
         // Someone else changed a row of the page; the next sweep comes by again.
--- a/crates/dillspool_ledger/tests/ledger_interleavings.rs
+++ b/crates/dillspool_ledger/tests/ledger_interleavings.rs
@@ -278,7 +278,7 @@
         run_paused(play(interleaving));
     }
 
-    /// A call ran again, since its host had ended.
+    /// A call ran again: its host had ended, or a condition sent before a restore held by chance after it.
     #[test]
     fn a_call_runs_at_most_once_though_hosts_end_around_restores(
         interleaving in restored_interleaving_with_ends()
@@ -302,3 +302,18 @@
         has_ends: false,
     }));
 }
+
+/// A commit that freed the key of an abandoned attempt came after a restore, when the row of a call that ran had been
+/// given the version that it asked for. The key was free again.
+#[test]
+fn a_commit_of_before_a_restore_freed_the_key_of_a_call_that_ran() {
+    let attempt = |at_ms, after| Attempt { host: 2, at_ms, after };
+    let late = StoreFault::Late(Duration::from_millis(2710));
+    run_paused(play(Interleaving {
+        attempts: vec![attempt(1371, AfterBegin::Abandon), attempt(1472, AfterBegin::Finish)],
+        faults: vec![StoreFault::LoseCall, StoreFault::LoseAnswer, late],
+        outage: None,
+        restores: vec![Restore { copied_ms: 458, after_ms: 1074 }],
+        has_ends: true,
+    }));
+}
