Hosts do not read the directory whole as the store comes back

Cause: a host whose sources have fallen silent waits 1.5 s for their word before it reads the table whole. That time ran from the moment at which the last word had become too old, also while the store was away. All hosts hear the same words, so it ended on all of them at once; where it ended in the half second after the store's return, before roots and sources could have told of it, all of these hosts read.

Ruled out: sources that lost their root at the return (they were linked 0.1 s before), roots that were refused (none).

Change: FollowSettings::changes_for. table_read tells unheard_ms, the age of the last word of a peer. Hosts of test fleets can be restarted beside other things, for what follows.

--- a/crates/dillspool_router/src/beliefs.rs
+++ b/crates/dillspool_router/src/beliefs.rs
@@ -24,9 +24,12 @@
 /// Time for which hosts wait for the seeds at the first start of the whole fleet.
 const SEEDS_FIRST: Duration = Duration::from_secs(3);
 /// Time for which a host that starts again waits for the sources of its failure domain, once the rows of hosts
-/// tell it that it has some, and as long after an outage of the store: roots and sources that started or heard of
-/// it at the same moment know the tables by then.
+/// tell it that it has some, and where the store has forgotten what changed: roots and sources that started or
+/// heard of it at the same moment know the tables by then.
 const SOURCES_FIRST: Duration = Duration::from_millis(1500);
+/// Time for which a host that knows the directory asks for its changes only when the store comes back: two silent
+/// questions of a root, and the two steps by which its word gets here.
+const CHANGES_FIRST: Duration = Duration::from_secs(4);
 /// How long a question for changes among the rows of hosts is held open.
 const HOSTS_WAIT: Duration = Duration::from_secs(8);
 /// Age up to which the rows of hosts are relayed and spare a question: two questions of a root, one
@@ -88,7 +91,11 @@
         let first_role = if waits { FollowRole::Relayed } else { FollowRole::Source };
         let role = watch::Sender::new(first_role);
         // The largest of the tables; the configuration tells meanwhile that the store is back.
-        let large = FollowSettings { whole_after: SOURCES_FIRST, ..settings.clone() };
+        let large = FollowSettings {
+            whole_after: SOURCES_FIRST,
+            changes_for: CHANGES_FIRST,
+            ..settings.clone()
+        };
         for (belief, settings) in [(&operator, &probing), (&backends, &large), (&hosts, &slow)] {
             tokio::spawn(follow_table(
                 site.watch.clone(),
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -132,7 +132,7 @@
 #[tokio::test(start_paused = true)]
 async fn all_hosts_start_anew_and_still_refuse_it() {
     for path in ["/stream/1", "/again/1"] {
-        let mut fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        let fleet = TestFleet::start(3, ComeBack::OtherId).await;
         send_copies(&fleet, path, DEADLY_BODY, 3).await;
         let before = fleet.ends();
         for host in 0..3 {
@@ -215,7 +215,7 @@
         case("those that saw it, then all", &[0, 1], true, &[0, 1, 2, 3]),
     ];
     for case in cases {
-        let mut fleet = TestFleet::start(4, ComeBack::SameId).await;
+        let fleet = TestFleet::start(4, ComeBack::SameId).await;
         fleet.store.set_mode(StoreMode::Silent);
         tokio::time::sleep(Duration::from_secs(1)).await;
         send_copies(&fleet, "/stream/1", DEADLY_BODY, 2).await;
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A fleet of routers in one process, over a network in memory and under paused time.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod counted;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -99,10 +101,13 @@
     pub ended: Arc<Mutex<Vec<String>>>,
     /// The backend servers as they run now, by their numbers.
     backends: Arc<Mutex<BTreeMap<usize, StandinBackend>>>,
-    hosts: Vec<(RouterConfig, Option<RouterDaemon>)>,
+    hosts: Vec<(RouterConfig, RunningHost)>,
     cancel: CancellationToken,
 }
 
+/// A host's daemon, while it runs.
+type RunningHost = tokio::sync::Mutex<Option<RouterDaemon>>;
+
 impl TestFleet {
     /// Starts `hosts` hosts before four backend servers of each kind and waits until they have settled.
     pub async fn start(hosts: usize, come_back: ComeBack) -> Self {
@@ -129,7 +134,7 @@
         }
         for number in 0..hosts {
             let config = RouterConfig { calls: terms.calls, ..host_config(number, hosts) };
-            fleet.hosts.push((config, None));
+            fleet.hosts.push((config, RunningHost::default()));
             fleet.start_host(number).await;
         }
         tokio::time::sleep(SETTLING).await;
@@ -214,29 +219,35 @@
     }
 
     /// Starts a host, anew if it was killed.
-    pub async fn start_host(&mut self, number: usize) {
-        let config = self.hosts[number].0.clone();
+    pub async fn start_host(&self, number: usize) {
+        *self.hosts[number].1.lock().await = Some(self.daemon(number).await);
+    }
+
+    async fn daemon(&self, number: usize) -> RouterDaemon {
+        let config = &self.hosts[number].0;
         let stack = self.net.stack(config.callers.ip());
         let clock = HostClock::steady();
-        let site = prepared_platform(&stack, &config, &clock);
-        let daemon = RouterDaemon::start(config, stack, site, clock).await.expect("free addresses");
-        self.hosts[number].1 = Some(daemon);
+        let site = prepared_platform(&stack, config, &clock);
+        RouterDaemon::start(config.clone(), stack, site, clock).await.expect("free addresses")
     }
 
     /// Stops a host.
-    pub async fn stop_host(&mut self, number: usize) {
-        if let Some(daemon) = self.hosts[number].1.take() {
-            daemon.stop().await;
-            // Its listeners are closed by tasks of their own.
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
+    pub async fn stop_host(&self, number: usize) {
+        stop(&mut *self.hosts[number].1.lock().await).await;
+    }
+
+    /// Stops a host and starts it again; a second order meanwhile waits for the first.
+    pub async fn restart_host(&self, number: usize) {
+        let mut running = self.hosts[number].1.lock().await;
+        stop(&mut running).await;
+        *running = Some(self.daemon(number).await);
     }
 
     /// Gives a host settings that let requests run whatever ended under them.
     pub fn lift(&mut self, number: usize, lifted: Vec<RequestPrint>) {
-        let (config, daemon) = &mut self.hosts[number];
+        let (config, running) = &mut self.hosts[number];
         config.lifted = lifted;
-        daemon.as_ref().expect("it runs").reload(config.clone());
+        running.get_mut().as_ref().expect("it runs").reload(config.clone());
     }
 
     /// Sets the links between two groups of hosts.
@@ -250,13 +261,13 @@
 
     /// The host that decides for all about a service, where all run.
     pub fn decider(&self, service: &str) -> usize {
-        let candidate = |(config, _daemon): &(RouterConfig, Option<RouterDaemon>)| {
-            SchedulerCandidate { address: config.schedule, link_mbps: config.link_mbps }
+        let candidate = |(config, _daemon): &(RouterConfig, RunningHost)| SchedulerCandidate {
+            address: config.schedule,
+            link_mbps: config.link_mbps,
         };
         let candidates: Vec<_> = self.hosts.iter().map(candidate).collect();
         let first = rank_candidates(service, &candidates)[0];
-        let is_first =
-            |(config, _daemon): &(RouterConfig, Option<RouterDaemon>)| config.schedule == first;
+        let is_first = |(config, _daemon): &(RouterConfig, RunningHost)| config.schedule == first;
         self.hosts.iter().position(is_first).expect("one of the hosts")
     }
 
@@ -349,6 +360,14 @@
     }
 }
 
+async fn stop(running: &mut Option<RouterDaemon>) {
+    if let Some(daemon) = running.take() {
+        daemon.stop().await;
+        // Its listeners are closed by tasks of their own.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 impl Drop for TestFleet {
     fn drop(&mut self) {
         self.cancel.cancel();
--- a/crates/dillspool_routerd/tests/suspect_rows.rs
+++ b/crates/dillspool_routerd/tests/suspect_rows.rs
@@ -108,7 +108,7 @@
         RestoredCase { name: "some that wrote them are lost", lost: &[0, 1] },
     ];
     for RestoredCase { name, lost } in cases {
-        let mut fleet = TestFleet::start(3, ComeBack::OtherId).await;
+        let fleet = TestFleet::start(3, ComeBack::OtherId).await;
         let copy = fleet.store.copy();
         for copy in 0..10 {
             fleet.send(0, copy % 3, PATH, DEADLY_BODY).await;
--- a/crates/dillspool_watch/src/age.rs
+++ b/crates/dillspool_watch/src/age.rs
@@ -60,6 +60,11 @@
         self.with(|moments| moments.relayed.map(|as_of| as_of + fresh))
     }
 
+    /// Time since the moment that the last word of a peer told of; `None` without any.
+    pub(crate) fn unheard(&self) -> Option<Duration> {
+        self.with(|moments| moments.relayed).map(|as_of| self.clock().since(as_of))
+    }
+
     /// Time since the table was last known to be complete, by this host's own question or by a peer's
     /// word; what this host relays is as old.
     pub(crate) fn age(&self) -> Option<Duration> {
--- a/crates/dillspool_watch/src/follow.rs
+++ b/crates/dillspool_watch/src/follow.rs
@@ -38,8 +38,11 @@
     /// asks at once.
     pub first_after: Duration,
     /// Time that a host that relies on peers waits for their word before it reads the whole table, if it was told
-    /// the table before: when the store comes back, all hosts notice at the same moment.
+    /// the table before and the store has forgotten what changed since; zero where it reads at once.
     pub whole_after: Duration,
+    /// Time for which such a host asks only for changes of what it was told, from the store's first answer on: when
+    /// the store comes back, all hosts notice at the same moment.
+    pub changes_for: Duration,
     /// Time beyond it after which the answer counts as lost.
     pub slack: Duration,
     /// Time for a whole read, which may take many pages; each page has a deadline of its own.
@@ -71,6 +74,7 @@
             fresh: limit.mul_f64(0.8),
             first_after: Duration::ZERO,
             whole_after: Duration::ZERO,
+            changes_for: Duration::ZERO,
             // An answer takes a few milliseconds; a slow store takes up to 60 times as long.
             slack: Duration::from_millis(700),
             // A whole table over the narrowest link, several times.
@@ -154,6 +158,8 @@
     let asks_first = settings.first_after.is_zero();
     // Whether the last question had no answer.
     let mut failed = false;
+    // Since when the store has answered about this table while no peer's word of it was fresh.
+    let mut seen_since: Option<Instant> = None;
     loop {
         // A peer's word spares the questions of a host that others do not rely on.
         while let Some(until) = spared_until(&belief, &settings)
@@ -163,32 +169,47 @@
                 () = belief.heard().clock().sleep_until(until) => {}
                 () = another_role(role.clone()) => {}
             }
-            wait = Duration::ZERO;
+            (wait, seen_since) = (Duration::ZERO, None);
         }
         let is_first = asks_first && !belief.version().is_known() && !failed;
         if !settings.probes && !is_first && *role.borrow() == FollowRole::Relayed {
             // Where all tables lose their source at once, one question shows whether the store answers.
             wait_for_probe(&reach, &belief, &settings).await;
         }
-        if !complete && belief.version().is_known() && *role.borrow() == FollowRole::Relayed {
+        let relies_on_peers = !complete
+            && belief.version().is_known()
+            && !settings.whole_after.is_zero()
+            && *role.borrow() == FollowRole::Relayed;
+        if relies_on_peers && read_cause != ReadCause::First {
             wait_for_word(&belief, &settings, settings.whole_after).await;
             if spared_until(&belief, &settings).is_some() {
                 continue;
             }
         }
+        // Peers may hear later than this host that the store is back. The time for their word runs from an answer of
+        // the store on: one that ran during an outage would end as the store comes back, on all hosts at once.
+        let asks_changes = relies_on_peers
+            && read_cause == ReadCause::First
+            && seen_since.is_none_or(|since| since.elapsed() < settings.changes_for);
         let was_complete = complete;
         let (asked, asked_at) = (belief.heard().clock().now(), Instant::now());
-        let outcome = if complete {
+        let outcome = if complete || asks_changes {
             let longest = settings.longest_wait(*role.borrow());
             ask_changes(&store, &belief, &reach, wait.min(longest), settings.slack).await
         } else {
             let read = read_whole(&store, &belief, &settings).await;
             log_read(&belief, read_cause, *role.borrow(), asked_at, read.as_ref().ok());
+            seen_since = None;
             read.map(|_version| QuestionEnd::Answered)
         };
         failed = matches!(outcome, Err(WatchError::Store { .. }));
         match outcome {
             Ok(QuestionEnd::GivenUp) => wait = Duration::ZERO,
+            Ok(QuestionEnd::Answered) if asks_changes => {
+                seen_since.get_or_insert(asked_at);
+                (wait, pause) = (settings.source_wait, settings.first_pause);
+                note_reached(&reach, belief.version().era());
+            }
             Ok(QuestionEnd::Answered) => {
                 complete = true;
                 pause = settings.first_pause;
@@ -209,6 +230,7 @@
                 read_cause = note_restored(&reach, &belief, era);
             }
             Err(WatchError::Store { source }) => {
+                seen_since = None;
                 reach::note(&reach, &source.to_string(), |state| state.direct = false);
                 wait = Duration::ZERO;
                 let role = *role.borrow();
--- a/crates/dillspool_watch/src/whole_read.rs
+++ b/crates/dillspool_watch/src/whole_read.rs
@@ -32,7 +32,8 @@
     }
 }
 
-/// Tells a whole read, which costs the store all rows of a table, and the version of its answer.
+/// Tells a whole read, which costs the store all rows of a table, the version of its answer, and how long no peer has
+/// told of the table (`none` where none ever did).
 pub(crate) fn log_read(
     belief: &SharedBelief,
     cause: ReadCause,
@@ -41,8 +42,11 @@
     answer: Option<&StoreVersion>,
 ) {
     let answer = answer.map_or_else(|| "none".to_owned(), StoreVersion::to_string);
+    let unheard = belief.heard().unheard();
+    let unheard_ms =
+        unheard.map_or_else(|| "none".to_owned(), |passed| passed.as_millis().to_string());
     log::info!(
-        "event=table_read table={} cause={} role={role:?} answer={answer} rows={} version={} after_ms={}",
+        "event=table_read table={} cause={} role={role:?} answer={answer} rows={} version={} after_ms={} unheard_ms={unheard_ms}",
         belief.table,
         cause.name(),
         belief.subscribe().borrow().rows.len(),
