A recovery of calls needs no common clock and leaves no key blocked

New calls would have waited for a host's clock to pass the one of a claimant that had ended.

And a claim was judged by the time of day that its host had written.

Change: an attempt that ends in another era than it began in is closed in the table as well.

--- a/crates/dillspool_ledger/src/ledger.rs
+++ b/crates/dillspool_ledger/src/ledger.rs
@@ -221,7 +221,7 @@
         };
         let outcome = self.enter(&mut attempt).await;
         if attempt.is_journaled && !matches!(outcome, BeginOutcome::Run(_)) {
-            self.journal.enter_not_run(&key, &attempt.record);
+            self.end_attempt(&attempt);
         }
         let was_sent = |token| self.sent_here.contains(&key) || !self.memory().holds(&key, token);
         match outcome {
@@ -241,6 +241,17 @@
         }
     }
 
+    /// Notes that a journaled attempt never sent its call and never will.
+    fn end_attempt(&self, attempt: &CallAttempt) {
+        let CallAttempt { request, record, era, .. } = attempt;
+        self.journal.enter_not_run(&request.key, record);
+        let known = self.memory().known().map(StoreVersion::era);
+        if known != Some(*era) {
+            // Whoever recovers the rows may have read the journal before, and written the intent.
+            self.close_later(request.key.clone(), record, *era);
+        }
+    }
+
     /// Tells that a sending did not run.
     fn refuse(&self, key: &CallKey) -> BeginOutcome {
         if self.sent_here.contains(key) {
--- a/crates/dillspool_ledger/src/recovery.rs
+++ b/crates/dillspool_ledger/src/recovery.rs
@@ -7,12 +7,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dillspool_io::UnixMillis;
 use dillspool_platform::{PlatformError, ReadRequest, RowExpect, RowWrite, TableRow};
 use dillspool_schema::Name;
 use dillspool_version::{StoreEra, StoreVersion};
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::batch::WriteOutcome;
 use crate::call::CallKey;
@@ -37,8 +37,6 @@
     era: u64,
     /// The process that recovers.
     owner: Name,
-    /// When it began.
-    at: UnixMillis,
     is_done: bool,
 }
 
@@ -47,19 +45,19 @@
 enum RecoveryStep {
     /// It is done.
     Done,
-    /// Another process is at it.
-    Wait,
-    /// This process claims it, on this condition.
-    Claim(RowExpect),
+    /// Another process is at it, by the row of this version.
+    Claimed(StoreVersion),
+    /// It is free, on this condition.
+    Free(RowExpect),
 }
 
-fn judge_recovery(row: Option<&TableRow>, era: StoreEra, now: UnixMillis) -> RecoveryStep {
-    let Some(row) = row else { return RecoveryStep::Claim(RowExpect::Absent) };
+fn judge_recovery(row: Option<&TableRow>, era: StoreEra) -> RecoveryStep {
+    let Some(row) = row else { return RecoveryStep::Free(RowExpect::Absent) };
     let record: Option<RecoveryRecord> = serde_json::from_str(&row.value).ok();
     match record.filter(|record| record.era == era.number()) {
         Some(RecoveryRecord { is_done: true, .. }) => RecoveryStep::Done,
-        Some(record) if now.since(record.at) < CLAIM_TIME => RecoveryStep::Wait,
-        Some(_) | None => RecoveryStep::Claim(RowExpect::Version(row.version)),
+        Some(_) => RecoveryStep::Claimed(row.version),
+        None => RecoveryStep::Free(RowExpect::Version(row.version)),
     }
 }
 
@@ -74,10 +72,11 @@
 impl CallLedger {
     /// Has the rows of all hosts written again after each restore of the table, until the ledger is cancelled.
     pub(crate) async fn watch_recovery(self) {
+        let mut claim = None;
         loop {
             let unrecovered = self.memory().unrecovered();
             if let Some(era) = unrecovered
-                && let Err(error) = self.advance_recovery(era).await
+                && let Err(error) = self.advance_recovery(era, &mut claim).await
             {
                 log::warn!("event=call_recovery_failed era={era} error=\"{error}\"");
             }
@@ -88,25 +87,42 @@
         }
     }
 
-    async fn advance_recovery(&self, era: StoreEra) -> Result<(), PlatformError> {
+    /// Looks how far the recovery of an era is, and does it if nobody else does. `claim` is that of another process,
+    /// and since when this one has seen it: clocks of two hosts need not agree.
+    async fn advance_recovery(
+        &self,
+        era: StoreEra,
+        claim: &mut Option<(StoreVersion, Instant)>,
+    ) -> Result<(), PlatformError> {
         let (rows, read_at) = self.read_rows(vec![RECOVERY_KEY.into()]).await?;
         if read_at.era() != era {
             return Ok(());
         }
         let row = rows.into_iter().next().flatten();
-        match judge_recovery(row.as_ref(), era, self.clock.now()) {
-            RecoveryStep::Done => self.memory().note_recovered(era),
-            RecoveryStep::Wait => {}
-            RecoveryStep::Claim(expect) => {
-                if self.write_recovery(expect, read_at, false).await
-                    && self.end_earlier_eras(read_at).await
-                    && self.recover_rows().await?
-                    && self.write_recovery(RowExpect::Any, read_at, true).await
-                {
-                    log::info!("event=calls_recovered era={era}");
-                    self.memory().note_recovered(era);
+        let expect = match judge_recovery(row.as_ref(), era) {
+            RecoveryStep::Done => {
+                self.memory().note_recovered(era);
+                return Ok(());
+            }
+            RecoveryStep::Free(expect) => expect,
+            RecoveryStep::Claimed(version) => {
+                let (known, since) = *claim.get_or_insert((version, Instant::now()));
+                if known != version {
+                    *claim = None;
+                }
+                if known != version || since.elapsed() < CLAIM_TIME {
+                    return Ok(());
                 }
+                RowExpect::Version(version)
             }
+        };
+        if self.write_recovery(expect, read_at, false).await
+            && self.end_earlier_eras(read_at).await
+            && self.recover_rows().await?
+            && self.write_recovery(RowExpect::Any, read_at, true).await
+        {
+            log::info!("event=calls_recovered era={era}");
+            self.memory().note_recovered(era);
         }
         Ok(())
     }
@@ -117,12 +133,7 @@
         read_at: StoreVersion,
         is_done: bool,
     ) -> bool {
-        let record = RecoveryRecord {
-            era: read_at.era().number(),
-            owner: self.owner(),
-            at: self.clock.now(),
-            is_done,
-        };
+        let record = RecoveryRecord { era: read_at.era().number(), owner: self.owner(), is_done };
         let value = serde_json::to_string(&record).ok();
         let write = RowWrite { key: RECOVERY_KEY.into(), expect, value };
         self.writer.write(write, read_at).await == WriteOutcome::Written
--- a/crates/dillspool_ledger/tests/lost_owners.rs
+++ b/crates/dillspool_ledger/tests/lost_owners.rs
@@ -369,3 +369,40 @@
     let left = objects.store().list_all(&"call_journal/".into()).await.expect("it answers");
     assert!(left.is_empty(), "{left:?}");
 }
+
+/// A table whose first commit through this host is refused, after a time.
+fn slow_refusal(table: &MemoryTable, delay: Duration) -> TableStore {
+    let store = table.store();
+    let mut slow = store.clone();
+    let is_due = AtomicBool::new(true);
+    slow.commit = Arc::new(move |request| {
+        if !is_due.swap(false, Ordering::Relaxed) {
+            return (store.commit)(request);
+        }
+        Box::pin(async move {
+            tokio::time::sleep(delay).await;
+            Err(PlatformError::NotDone { reason: "the service is down".to_owned() })
+        })
+    });
+    slow
+}
+
+/// The recovery wrote the intent of an attempt that was under way and never sent its call; the key stayed blocked.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_that_a_recovery_took_for_open_frees_its_key() {
+    let (table, objects) = (MemoryTable::new(), MemoryObjects::new());
+    let alive = CancellationToken::new();
+    let other = ledger(table.store(), &objects, "other.1", &alive);
+    let slow = ledger(slow_refusal(&table, Duration::from_secs(6)), &objects, "slow.1", &alive);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let copy = table.copy();
+    let begin = tokio::spawn(async move { got(&slow.begin(request("r-1")).await) });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    table.restore(&copy);
+    assert_eq!(got(&other.begin(request("r-2")).await), Got::NotRun);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(got(&other.begin(request("r-1")).await), Got::Unknown);
+    assert_eq!(begin.await.expect("it ends"), Got::NotRun);
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    assert_eq!(got(&other.begin(request("r-1")).await), Got::Run);
+}
--- a/crates/dillspool_local/src/processes.rs
+++ b/crates/dillspool_local/src/processes.rs
@@ -133,7 +133,8 @@
     pub hosts: Vec<OwnProcess>,
     /// The configuration with the addresses that the stand-ins got.
     pub configuration: Configuration,
-    _settings: SettingsFolder,
+    binaries: BinaryPaths,
+    settings: SettingsFolder,
 }
 
 impl ProcessSystem {
@@ -167,22 +168,37 @@
             backends,
             hosts: Vec::new(),
             configuration,
-            _settings: SettingsFolder(folder.clone()),
+            binaries: binaries.clone(),
+            settings: SettingsFolder(folder.clone()),
         };
         for number in 1..=hosts {
-            let name = format!("entry-{number}");
-            let file = folder.join(format!("{name}.toml"));
-            std::fs::write(&file, settings_text(&name, platform_address))
+            let name = host_name(number);
+            std::fs::write(system.settings_file(&name), settings_text(&name, platform_address))
                 .unwrap_or_else(|error| panic!("no settings: {error}"));
-            let file = file.display().to_string();
-            let host = OwnProcess::start(&binaries.daemon, &["--settings", &file], 3);
-            system.list_host(&name, host.addresses[2]).await;
+            let host = system.start_host(&name).await;
             system.hosts.push(host);
         }
         system.apply().await;
         system
     }
 
+    fn settings_file(&self, name: &str) -> PathBuf {
+        self.settings.0.join(format!("{name}.toml"))
+    }
+
+    async fn start_host(&self, name: &str) -> OwnProcess {
+        let file = self.settings_file(name).display().to_string();
+        let host = OwnProcess::start(&self.binaries.daemon, &["--settings", &file], 3);
+        self.list_host(name, host.addresses[2]).await;
+        host
+    }
+
+    /// Starts a host in the place of one, which is killed if it still runs.
+    pub async fn replace_host(&mut self, index: usize) {
+        let started = self.start_host(&host_name(index + 1)).await;
+        self.hosts[index] = started;
+    }
+
     async fn list_host(&self, name: &str, peers: SocketAddr) {
         let entry = HostEntry {
             name: name.into(),
@@ -226,6 +242,10 @@
     }
 }
 
+fn host_name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
 fn start_standin(binaries: &BinaryPaths, args: &[&str]) -> OwnProcess {
     let mut all = vec!["--live-s", STANDIN_LIFE_S];
     all.extend(args);
--- a/crates/dillspool_standin/src/platform.rs
+++ b/crates/dillspool_standin/src/platform.rs
@@ -1,11 +1,12 @@
 //! The platform's table, object store and host list behind one address.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use dillspool_io::{NetListener, ResponseBody, ServerLimits, handler, serve_http};
 use dillspool_platform::{
-    HostEntry, MemoryHosts, MemoryObjects, MemoryTable, PlatformError, StoreFault,
+    HostEntry, MemoryHosts, MemoryObjects, MemoryTable, PlatformError, StoreFault, TableCopy,
 };
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -29,6 +30,10 @@
     SetHost(HostEntry),
     /// Removes a host list entry.
     RemoveHost(String),
+    /// Keeps a copy of the table.
+    SaveCopy,
+    /// Brings the table back from the copy that was kept last, an empty one at first.
+    Restore,
 }
 
 /// A running platform.
@@ -40,14 +45,17 @@
     pub objects: MemoryObjects,
     /// The host list.
     pub hosts: MemoryHosts,
+    copy: Arc<Mutex<TableCopy>>,
     address: SocketAddr,
 }
 
 impl PlatformStandIn {
     /// Serves on a listener until `cancel`.
     pub fn start(listener: NetListener, cancel: &CancellationToken) -> Self {
+        let table = MemoryTable::new();
         let platform = Self {
-            table: MemoryTable::new(),
+            copy: Arc::new(Mutex::new(table.copy())),
+            table,
             objects: MemoryObjects::new(),
             hosts: MemoryHosts::new(),
             address: listener.local_addr(),
@@ -115,6 +123,10 @@
         answered.unwrap_or_else(|refusal| refusal)
     }
 
+    fn copy(&self) -> MutexGuard<'_, TableCopy> {
+        self.copy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn obey(&self, order: PlatformOrder) -> Response<ResponseBody> {
         match order {
             PlatformOrder::Down(down) => self.set_down(down),
@@ -123,6 +135,8 @@
             }
             PlatformOrder::SetHost(entry) => self.hosts.set(entry),
             PlatformOrder::RemoveHost(name) => self.hosts.remove(&name),
+            PlatformOrder::SaveCopy => *self.copy() = self.table.copy(),
+            PlatformOrder::Restore => self.table.restore(&self.copy()),
         }
         json(&())
     }
