--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -14,7 +14,7 @@
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::MissedTickBehavior;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config};
 use tokio_util::sync::CancellationToken;
@@ -274,7 +274,8 @@
     mut queue: mpsc::Receiver<ScheduleMessage>,
     beat: impl Fn() -> ScheduleMessage,
 ) -> Result<(), ScheduleError> {
-    let mut beats = tokio::time::interval_at(Instant::now() + BEAT_EVERY, BEAT_EVERY);
+    let mut beats = tokio::time::interval(BEAT_EVERY);
+    beats.reset();
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let message = tokio::select! {
