--- a/crates/dillspool_cases/src/lib.rs
+++ b/crates/dillspool_cases/src/lib.rs
@@ -3,6 +3,7 @@
 mod jump;
 
 use std::future::Future;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use dillspool_platform::StoreFault;
@@ -19,6 +20,19 @@
     Config { cases, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() }
 }
 
+/// Seeds to play: `usual`, or those that a variable of the environment names as `FIRST-LAST`, for long runs by hand.
+///
+/// # Panics
+///
+/// Panics when the variable is no such range.
+pub fn seeds(variable: &str, usual: RangeInclusive<u64>) -> RangeInclusive<u64> {
+    let Ok(text) = std::env::var(variable) else { return usual };
+    let range = text
+        .split_once('-')
+        .and_then(|(first, last)| Some(first.parse().ok()?..=last.parse().ok()?));
+    range.unwrap_or_else(|| panic!("{variable} is `{text}`; write FIRST-LAST, such as 100-149"))
+}
+
 /// What may become of a commit; one that comes late does so within `latest_ms` milliseconds.
 pub fn commit_fault(latest_ms: u64) -> impl Strategy<Value = StoreFault> {
     prop_oneof![
--- a/crates/dillspool_routerd/tests/limit_series.rs
+++ b/crates/dillspool_routerd/tests/limit_series.rs
@@ -8,6 +8,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use dillspool_cases::seeds;
 use dillspool_io::LinkMode;
 use dillspool_site_standin::{StandinBackend, StandinKind, StoreMode};
 use fleet::{ComeBack, TestFleet};
@@ -183,17 +184,11 @@
     faults
 }
 
-fn seeds() -> RangeInclusive<u64> {
-    let Ok(range) = std::env::var("LIMIT_SEEDS") else { return CI_SEEDS };
-    let (first, last) = range.split_once('-').expect("LIMIT_SEEDS is FIRST-LAST");
-    first.parse().expect("a seed")..=last.parse().expect("a seed")
-}
-
 /// A backend server was sent more than the limit it names, when hosts lost each other or started again.
 #[tokio::test(start_paused = true)]
 async fn a_backend_server_got_more_than_it_names_in_a_series_of_troubles() {
     let mut faults = Vec::new();
-    for seed in seeds() {
+    for seed in seeds("LIMIT_SEEDS", CI_SEEDS) {
         faults.extend(play(seed).await);
     }
     assert!(faults.is_empty(), "{faults:#?}");
--- a/crates/dillspool_routerd/tests/outage_reads.rs
+++ b/crates/dillspool_routerd/tests/outage_reads.rs
@@ -9,6 +9,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use dillspool_cases::seeds;
 use dillspool_site_standin::StoreMode;
 use fleet::counted::{BACKENDS_A_HOST, CountedFleet};
 use log::{LevelFilter, Log, Metadata, Record};
@@ -46,12 +47,6 @@
     fn flush(&self) {}
 }
 
-fn seeds() -> RangeInclusive<u64> {
-    let Ok(range) = std::env::var("OUTAGE_SEEDS") else { return CI_SEEDS };
-    let (first, last) = range.split_once('-').expect("OUTAGE_SEEDS is FIRST-LAST");
-    first.parse().expect("a seed")..=last.parse().expect("a seed")
-}
-
 /// Plays an outage; rows that the store sends after it.
 async fn play(fleet: &CountedFleet, seed: u64) -> usize {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -75,7 +70,7 @@
     let fleet = CountedFleet::start(HOSTS).await;
     let most = WHOLE_READERS * HOSTS * BACKENDS_A_HOST + HOSTS * ROWS_A_HOST;
     let mut faults = Vec::new();
-    for seed in seeds() {
+    for seed in seeds("OUTAGE_SEEDS", CI_SEEDS) {
         let rows = play(&fleet, seed).await;
         println!("seed {seed}: {rows} rows of {most}");
         if rows > most {
--- a/crates/dillspoold/tests/restored_calls.rs
+++ b/crates/dillspoold/tests/restored_calls.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use dillspool_cases::seeds;
 use dillspool_config::parse_configuration;
 use dillspool_io::NetStack;
 use dillspool_local::{BinaryPaths, CallerClient, ProcessSystem, Signal, caller_key, get};
@@ -17,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 
-const CI_SEEDS: RangeInclusive<u64> = 1..=1;
+const CI_SEEDS: RangeInclusive<u64> = 2..=2;
 const HOSTS: usize = 3;
 /// Rounds of a seed: a copy, calls, trouble, a restore, resends.
 const ROUNDS: usize = 4;
@@ -34,12 +35,6 @@
     parse_configuration("hewa-safi.toml", text).expect("it is valid")
 }
 
-fn seeds() -> RangeInclusive<u64> {
-    let Ok(range) = std::env::var("RESTORED_SEEDS") else { return CI_SEEDS };
-    let (first, last) = range.split_once('-').expect("RESTORED_SEEDS is FIRST-LAST");
-    first.parse().expect("a seed")..=last.parse().expect("a seed")
-}
-
 /// What happens to a host in a round.
 #[derive(Clone, Copy, Debug)]
 enum Strike {
@@ -163,7 +158,7 @@
 #[tokio::test]
 async fn a_call_ran_twice_when_its_host_was_lost_around_a_restore() {
     let mut faults = Vec::new();
-    for seed in seeds() {
+    for seed in seeds("RESTORED_SEEDS", CI_SEEDS) {
         let (twice, ran) = play(seed).await;
         println!("seed {seed}: {ran} of {} calls ran, {} twice", ROUNDS * CALLS, twice.len());
         assert!(ran > 0, "no call of seed {seed} ran");
