Reproduce: callers of hosts without links to the backend servers are refused

What callers saw: at a host that had lost its links to all backend servers no request was served, while all were at the other hosts.

The test plays six hosts in two failure domains, twelve backend servers and all kinds of requests. One host, most of a failure domain and all of it lose their links, which are reset, hang, or refuse new connections while old ones live on. The bound is the users' two thirds.

--- a/crates/dillspool_io/src/memory.rs
+++ b/crates/dillspool_io/src/memory.rs
@@ -31,6 +31,8 @@
     Frozen,
     /// Open connections are reset and new ones are refused.
     Cut,
+    /// Open connections stay usable and new ones are refused.
+    Closed,
 }
 
 /// An unordered pair of nodes.
@@ -115,7 +117,9 @@
             let mode = lock(&self.state).modes.get(&nodes).copied().unwrap_or(LinkMode::Open);
             match mode {
                 LinkMode::Open => break,
-                LinkMode::Cut => return Err(io::ErrorKind::ConnectionRefused.into()),
+                LinkMode::Cut | LinkMode::Closed => {
+                    return Err(io::ErrorKind::ConnectionRefused.into());
+                }
                 // A frozen node completes no handshake; the wait stands for a SYN retransmission.
                 LinkMode::Frozen => tokio::time::sleep(CONNECT_RETRY_INTERVAL).await,
             }
@@ -181,7 +185,7 @@
         let mut state = lock(&self.link);
         state.wakers[self.side * 2 + writer] = Some(cx.waker().clone());
         match state.mode {
-            LinkMode::Open => Poll::Ready(Ok(())),
+            LinkMode::Open | LinkMode::Closed => Poll::Ready(Ok(())),
             LinkMode::Frozen => Poll::Pending,
             LinkMode::Cut => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
         }
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -96,7 +96,7 @@
 
 /// Sends copies to the hosts in turn and returns the reply to the last one.
 async fn send_copies(fleet: &TestFleet, path: &str, body: &str, hosts: usize) -> CallerReply {
-    let mut last = CallerReply { status: None, body: None, has_retry_after: false };
+    let mut last = CallerReply::none();
     for copy in 0..COPIES {
         last = fleet.send(0, copy % hosts, path, body).await;
         tokio::time::sleep(COPY_INTERVAL).await;
@@ -315,7 +315,7 @@
 async fn copies_from_other_addresses_are_the_same_request() {
     for path in ["/stream/1", "/again/1"] {
         let fleet = TestFleet::start(3, RestartIdentity::NewId).await;
-        let mut last = CallerReply { status: None, body: None, has_retry_after: false };
+        let mut last = CallerReply::none();
         for copy in 0..COPIES {
             last = fleet.send(copy, copy % 3, path, DEADLY_BODY).await;
             tokio::time::sleep(COPY_INTERVAL).await;
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -56,6 +56,8 @@
 pub struct FleetOptions {
     /// Settings for calls that one host schedules.
     pub calls: CallSchedulerSettings,
+    /// Number of failure domains, to which hosts are assigned in turn; 0 for a single one.
+    pub failure_domains: usize,
     /// Capacity of plain backend servers; `None` for unlimited.
     pub plain_capacity: Option<PlainCapacity>,
 }
@@ -63,6 +65,8 @@
 /// Reply that a caller received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerReply {
+    /// ID of the attempt.
+    pub id: String,
     /// Status, if a response head arrived.
     pub status: Option<u16>,
     /// The body, if it arrived completely.
@@ -72,6 +76,11 @@
 }
 
 impl CallerReply {
+    /// Stands for the reply before anything was sent.
+    pub fn none() -> Self {
+        Self { id: String::new(), status: None, body: None, has_retry_after: false }
+    }
+
     /// Whether the caller got a complete successful response.
     pub fn is_served(&self) -> bool {
         self.status == Some(200) && self.body.is_some()
@@ -148,7 +157,10 @@
                 .await;
         }
         for number in 0..hosts {
-            let config = RouterConfig { calls: options.calls, ..host_config(number, hosts) };
+            let mut config = RouterConfig { calls: options.calls, ..host_config(number, hosts) };
+            if let Some(domain) = number.checked_rem(options.failure_domains) {
+                config.failure_domain = format!("domain-{domain}").into();
+            }
             fleet.hosts.push((config, RunningHost::default()));
             fleet.start_host(number).await;
         }
@@ -274,6 +286,13 @@
         }
     }
 
+    /// Sets the mode of the links between a host and all backend servers.
+    pub fn set_backend_links(&self, host: usize, mode: LinkMode) {
+        for number in 0..BACKENDS {
+            self.net.set_link(node(1, host), backend_address(number).ip(), mode);
+        }
+    }
+
     /// Returns the scheduler host of a service, provided that all hosts run.
     pub fn scheduler_host(&self, service: &str) -> usize {
         let candidate = |(config, _daemon): &(RouterConfig, RunningHost)| SchedulerCandidate {
@@ -309,10 +328,9 @@
 
     /// Sends a request from a caller to a host.
     pub async fn send(&self, caller: usize, host: usize, path: &str, body: &str) -> CallerReply {
-        let request = self.request(host, path, body);
+        let (id, address, request) = self.request(host, path, body);
         let stack = self.net.stack(node(3, caller));
-        let no_reply = CallerReply { status: None, body: None, has_retry_after: false };
-        let (address, request) = request;
+        let no_reply = CallerReply { id: id.clone(), ..CallerReply::none() };
         let exchange = async {
             let connect = Duration::from_millis(500);
             let Ok(answer) = exchange_once(&stack, address, request, connect).await else {
@@ -322,7 +340,7 @@
             let has_retry_after = answer.headers().contains_key("retry-after");
             let body = read_body(answer.into_body(), 100_000).await.ok();
             let body = body.map(|body| String::from_utf8_lossy(&body).into_owned());
-            CallerReply { status, body, has_retry_after }
+            CallerReply { id, status, body, has_retry_after }
         };
         let limit = Duration::from_millis(CALLER_WAIT_MS);
         tokio::time::timeout(limit, exchange).await.unwrap_or(no_reply.clone())
@@ -360,19 +378,25 @@
         page.lines().filter(|line| line.starts_with(start)).map(str::to_owned).collect()
     }
 
-    fn request(&self, host: usize, path: &str, body: &str) -> (SocketAddr, Request<Full<Bytes>>) {
+    fn request(
+        &self,
+        host: usize,
+        path: &str,
+        body: &str,
+    ) -> (String, SocketAddr, Request<Full<Bytes>>) {
         static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
-        let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let id = format!("attempt-{host}-{number}");
         let request = Request::builder()
             .method("POST")
             .uri(path)
             .header("host", ROUTE_HOST)
-            .header(REQUEST_ID, format!("attempt-{host}-{id}"))
+            .header(REQUEST_ID, &id)
             .header(TIME_BUDGET, CALLER_WAIT_MS)
             .header(TOKEN_COUNTS, "100,100")
             .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
             .expect("a request");
-        (self.hosts[host].0.callers, request)
+        (id, self.hosts[host].0.callers, request)
     }
 }
 
--- /dev/null
+++ b/crates/dillspool_routerd/tests/partitioned_hosts.rs
@@ -0,0 +1,125 @@
+//! Hosts lose their links to all backend servers, while callers, the store and the other hosts still reach them.
+//!
+//! Guards against requests that are refused at such a host although other hosts could have had them run.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dillspool_io::LinkMode;
+use fleet::{CallerReply, FleetOptions, RestartIdentity, TestFleet};
+
+const HOSTS: usize = 6;
+/// Hosts 0, 2 and 4 are in one failure domain, the others in the other one.
+const FAILURE_DOMAINS: usize = 2;
+/// Interval between the requests of all callers together; hosts get them in turn.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Paths of all kinds of requests: repeatable and unrepeatable calls, streams and resumable streams.
+const PATHS: [&str; 4] = ["/again/1", "/once/1", "/stream/1", "/resumed/1"];
+/// Time after a partition within which a host must serve its callers again.
+const RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Time for which callers of all hosts are compared.
+const MEASURED_TIME: Duration = Duration::from_secs(4);
+/// Time before the partition, and after its end until all hosts must serve as before.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Smallest ratio of the share of requests served at partitioned hosts to that at the others.
+const MIN_SERVED_RATIO: f64 = 2.0 / 3.0;
+
+struct PartitionCase {
+    /// What happens to the links between these hosts and the backend servers.
+    mode: LinkMode,
+    hosts: &'static [usize],
+}
+
+const CASES: [PartitionCase; 9] = [
+    PartitionCase { mode: LinkMode::Cut, hosts: &[1] },
+    PartitionCase { mode: LinkMode::Cut, hosts: &[0, 2] },
+    PartitionCase { mode: LinkMode::Cut, hosts: &[0, 2, 4] },
+    PartitionCase { mode: LinkMode::Frozen, hosts: &[1] },
+    PartitionCase { mode: LinkMode::Frozen, hosts: &[0, 2] },
+    PartitionCase { mode: LinkMode::Frozen, hosts: &[0, 2, 4] },
+    PartitionCase { mode: LinkMode::Closed, hosts: &[1] },
+    PartitionCase { mode: LinkMode::Closed, hosts: &[0, 2] },
+    PartitionCase { mode: LinkMode::Closed, hosts: &[0, 2, 4] },
+];
+
+/// Replies to requests by host and path.
+type Replies = Vec<(usize, &'static str, CallerReply)>;
+
+/// Sends requests to all hosts in turn and with all paths in turn, for a time.
+async fn send_for(fleet: &TestFleet, span: Duration) -> Replies {
+    let total = usize::try_from(span.as_millis() / REQUEST_INTERVAL.as_millis()).expect("few");
+    let callers = (0..total).map(|number| async move {
+        tokio::time::sleep(REQUEST_INTERVAL * u32::try_from(number).expect("few")).await;
+        let (host, path) = (number % HOSTS, PATHS[number / HOSTS % PATHS.len()]);
+        (host, path, fleet.send(number % 8, host, path, "sound").await)
+    });
+    futures_util::future::join_all(callers).await
+}
+
+fn served_share(replies: &Replies, is_counted: impl Fn(usize, &str) -> bool) -> f64 {
+    let counted = replies.iter().filter(|(host, path, _reply)| is_counted(*host, path));
+    let (served, all) = counted.fold((0_u32, 0_u32), |(served, all), (_host, _path, reply)| {
+        (served + u32::from(reply.is_served()), all + 1)
+    });
+    f64::from(served) / f64::from(all.max(1))
+}
+
+/// Unrepeatable requests that ran more than once, and requests that ran although their reply says that they did not.
+fn find_false_runs(fleet: &TestFleet, replies: &Replies) -> Vec<String> {
+    let runs: BTreeMap<_, _> =
+        fleet.runs.ids().into_iter().map(|id| (id.clone(), fleet.runs.of(&id).len())).collect();
+    let ran = |reply: &CallerReply| runs.get(&reply.id).copied().unwrap_or_default();
+    let is_false = |path: &str, reply: &CallerReply| {
+        let is_unrepeatable = path == "/once/1" || path == "/stream/1";
+        (is_unrepeatable && ran(reply) > 1) || (reply.status == Some(503) && ran(reply) > 0)
+    };
+    let found = replies.iter().filter(|(_host, path, reply)| is_false(path, reply));
+    found.map(|(host, path, reply)| format!("{path} at {host} ran falsely: {reply:?}")).collect()
+}
+
+/// Plays a case and returns what is wrong.
+async fn run_case(case: &PartitionCase) -> Vec<String> {
+    let options = FleetOptions { failure_domains: FAILURE_DOMAINS, ..FleetOptions::default() };
+    let fleet = TestFleet::start_with(HOSTS, RestartIdentity::NewId, &options).await;
+    let mut all = send_for(&fleet, SETTLE_TIME).await;
+    for host in case.hosts {
+        fleet.set_backend_links(*host, case.mode);
+    }
+    all.extend(send_for(&fleet, RECOVERY_TIME).await);
+    let measured = send_for(&fleet, MEASURED_TIME).await;
+    for host in case.hosts {
+        fleet.set_backend_links(*host, LinkMode::Open);
+    }
+    all.extend(send_for(&fleet, SETTLE_TIME).await);
+    let healed = send_for(&fleet, SETTLE_TIME).await;
+    let mut wrong = Vec::new();
+    for path in PATHS {
+        let partitioned =
+            served_share(&measured, |host, of| of == path && case.hosts.contains(&host));
+        let others = served_share(&measured, |host, of| of == path && !case.hosts.contains(&host));
+        if partitioned < MIN_SERVED_RATIO * others || others < MIN_SERVED_RATIO {
+            wrong.push(format!(
+                "{path}: {partitioned:.2} served at partitioned hosts, {others:.2} at others"
+            ));
+        }
+    }
+    if served_share(&healed, |_host, _path| true) < 1.0 {
+        wrong.push("requests failed after the links were restored".to_owned());
+    }
+    all.extend(measured);
+    wrong.extend(find_false_runs(&fleet, &all));
+    wrong
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_of_partitioned_hosts_are_served_like_others() {
+    let mut wrong = Vec::new();
+    for case in CASES {
+        for line in run_case(&case).await {
+            wrong.push(format!("{:?} at hosts {:?}: {line}", case.mode, case.hosts));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
--- a/crates/dillspool_routerd/tests/scarce_servers.rs
+++ b/crates/dillspool_routerd/tests/scarce_servers.rs
@@ -84,7 +84,7 @@
 
 async fn run_case(slots_per_host: f64, fault: InjectedFault) -> LeavingRun {
     let calls = CallSchedulerSettings { slots_per_host, ..CallSchedulerSettings::default() };
-    let options = FleetOptions { calls, plain_capacity: Some(CAPACITY) };
+    let options = FleetOptions { calls, plain_capacity: Some(CAPACITY), ..FleetOptions::default() };
     let fleet = TestFleet::start_with(HOSTS, RestartIdentity::NewId, &options).await;
     let fleet = &fleet;
     let plain = fleet.backends(StandinKind::Plain);
