Sight: say when a host has lost its links to all backend servers of a service

The lines of the incident do not tell a host that lost its links from servers that turned it away: each failed connection names one server, and nothing relates them. Now a failed connection has up to four backend servers of the service probed, of as many failure domains as possible; if none accepts a connection and none did meanwhile, backend_links_lost is logged, and while it holds two servers are probed every 250 ms until one answers (backend_links_restored). The gauge links_lost_services counts them. Requests are handled as before: the connections only go through the new crate, dillspool_dialer.

Without a failed connection no probe is sent.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dillspool_capacity::DemandMeter;
+use dillspool_dialer::{DialerFleet, dial_backends};
 use dillspool_forward::{
     BackendProbes, BackendTracker, ForwardContext, ForwardMetrics, RetryBudgets,
 };
@@ -34,6 +35,7 @@
 };
 use crate::held_metrics::HeldMetrics;
 use crate::ingress::{IngressState, KnownConfig};
+use crate::link_metrics::LinkMetrics;
 use crate::notice_publisher::NoticePublisher;
 use crate::peer_list::{PeerList, maintain_peer_list};
 use crate::settings::RouterConfig;
@@ -181,8 +183,11 @@
             site.leaving.clone(),
             [context.limits.clone(), backend_limits.clone()],
         );
-        let own_metrics = (throttle_metrics, call_metrics);
+        let link_metrics = LinkMetrics::new(site.dialer.clone());
+        let own_metrics = (throttle_metrics, call_metrics, link_metrics);
         daemon.start_status(&replicas, own_metrics, &metrics, readiness_listener, metrics_listener);
+        let fleet = DialerFleet { directory: replicas.directory.clone() };
+        tokio::spawn(dial_backends(site.dialer.clone(), fleet, daemon.background.clone()));
         daemon.start_suspect_replicator(&replicas, &site, schedule.clone());
         daemon.start_notice_publisher(&replicas, &site, backend_limits, schedule.clone());
         daemon.start_maintenance(&replicas, &site, (budgets, host_count), demand, schedule, &clock);
@@ -199,7 +204,7 @@
     fn start_status(
         &self,
         replicas: &StoreReplicas,
-        (throttle_metrics, call_metrics): (ThrottleMetrics, CallMetrics),
+        (throttle_metrics, call_metrics, link_metrics): (ThrottleMetrics, CallMetrics, LinkMetrics),
         metrics: &ForwardMetrics,
         readiness_listener: NetListener,
         metrics_listener: NetListener,
@@ -230,6 +235,7 @@
         suspect_metrics.register(&mut registry);
         throttle_metrics.register(&mut registry);
         call_metrics.register(&mut registry);
+        link_metrics.register(&mut registry);
         let held_metrics = HeldMetrics::new(self.byte_budget.clone());
         held_metrics.register(&mut registry);
         let refresh = move || {
@@ -238,6 +244,7 @@
             suspect_metrics.refresh();
             throttle_metrics.refresh();
             call_metrics.refresh();
+            link_metrics.refresh();
         };
         let handler = metrics_handler(registry, refresh);
         tokio::spawn(serve_http(metrics_listener, limits, handler, self.background.clone()));
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -13,6 +13,7 @@
 mod held_metrics;
 mod host_rows;
 mod ingress;
+mod link_metrics;
 mod memory_limits;
 mod notice_publisher;
 mod peer_list;
--- a/crates/dillspool_router/src/site.rs
+++ b/crates/dillspool_router/src/site.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use dillspool_dialer::BackendDialer;
 use dillspool_forward::BackendCalls;
 use dillspool_leaving::LeavingTracker;
 use dillspool_platform::{TableStore, TableWatch};
@@ -32,6 +33,8 @@
     pub own_table: Name,
     /// Calls to backend servers.
     pub calls: BackendCalls,
+    /// Opens the connections of these calls.
+    pub dialer: BackendDialer,
     /// Tracks the rate limits and backoff periods that backend servers announce in responses.
     pub throttle: ThrottleTracker,
     /// Tracks the backend servers that announce in a response that they are leaving.
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -3,14 +3,16 @@
 
 pub mod tracked;
 
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use dillspool_dialer::BackendDialer;
 use dillspool_forward::{
     BackendCalls, BackendResponse, BudgetSettings, CallError, OrderOutcome, ProbeResult,
 };
-use dillspool_io::{HostClock, full_body};
+use dillspool_io::{HostClock, MemoryNet, full_body};
 use dillspool_keys::{CallerKey, PresentedKey};
 use dillspool_leaving::LeavingTracker;
 use dillspool_platform::{
@@ -232,6 +234,10 @@
         directory_table: "servers".into(),
         own_table: "own".into(),
         calls: calls(site),
+        dialer: BackendDialer::new(
+            &MemoryNet::new().stack(IpAddr::from([10, 0, 0, 1])),
+            &HostClock::steady(),
+        ),
         throttle: ThrottleTracker::new(HostClock::steady()),
         leaving: LeavingTracker::new(HostClock::steady()),
         watch: TableWatch {
--- a/crates/dillspool_routerd/src/lib.rs
+++ b/crates/dillspool_routerd/src/lib.rs
@@ -1,5 +1,6 @@
 //! Connects the router to the protocol of a prepared platform.
 
+use dillspool_dialer::BackendDialer;
 use dillspool_io::{HostClock, HttpClient, NetStack};
 use dillspool_leaving::LeavingTracker;
 use dillspool_router::{RouterConfig, SiteProtocol};
@@ -14,6 +15,7 @@
     let http = HttpClient::pooled(stack);
     let throttle = ThrottleTracker::new(clock.clone());
     let leaving = LeavingTracker::new(clock.clone());
+    let dialer = BackendDialer::new(stack, clock);
     SiteProtocol {
         extract_metadata: dillspool_site::extract_metadata,
         set_request_id: dillspool_site::set_request_id,
@@ -23,7 +25,8 @@
         config_row: (dillspool_site::CONFIG_TABLE.into(), dillspool_site::CONFIG_KEY.into()),
         directory_table: dillspool_site::DIRECTORY_TABLE.into(),
         own_table: dillspool_site::OWN_TABLE.into(),
-        calls: dillspool_site::backend_calls(stack, &throttle, &leaving),
+        calls: dillspool_site::backend_calls(&dialer, &throttle, &leaving),
+        dialer,
         throttle,
         leaving,
         watch: dillspool_site::table_watch(&http, config.store, config.store_timeout),
