A request waits for the probes of its earlier failures before it is sent again

Cause: after a failed attempt a request waits for the probe of that backend server only if one more crash would get it refused. Probes of earlier failures may still run then, and their crashes are not counted: a prompt that crashes its engine is sent to a fourth one.

Change: all probes but the newest are awaited, as before for 300 ms at most together. Mostly they have ended by then.

--- a/crates/dillspool_forward/src/backend_probe.rs
+++ b/crates/dillspool_forward/src/backend_probe.rs
@@ -91,21 +91,54 @@
     finished: oneshot::Receiver<()>,
 }
 
-/// Whether a request that may have run may be sent to another backend server.
-///
-/// If one more crash would get the request refused, this waits for the probe of the previous backend server.
-/// Otherwise the retry could crash another backend server before the last crash is counted.
-pub(crate) async fn may_retry(
-    context: &ForwardContext,
-    request: &RoutedRequest,
-    probe: &mut Option<ProbeHandle>,
-) -> bool {
-    if let Some(probe) = probe.take()
-        && context.suspects.needs_failure_cause(request.fingerprint)
-    {
-        // The probe drops its sender when it is done.
-        let _finished = tokio::time::timeout(PROBE_WAIT, probe.finished).await;
+/// Probes of the backend servers at which attempts of one request failed, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptProbes {
+    running: Vec<ProbeHandle>,
+}
+
+impl AttemptProbes {
+    /// Starts the probe of the backend server of a failed attempt.
+    pub(crate) fn start(
+        &mut self,
+        context: &ForwardContext,
+        request: &RoutedRequest,
+        entry: &Arc<BackendEntry>,
+    ) {
+        self.running.push(spawn_failure_probe(context, request, entry));
     }
+
+    /// Whether a request that may have run may be sent to another backend server.
+    ///
+    /// This waits for all probes but the newest, and for that one as well if one more crash would get the request
+    /// refused. Otherwise the retry could crash another backend server before the earlier crashes are counted.
+    pub(crate) async fn may_retry(
+        &mut self,
+        context: &ForwardContext,
+        request: &RoutedRequest,
+    ) -> bool {
+        let waiting = async {
+            let newest = self.running.pop();
+            for earlier in self.running.drain(..) {
+                // The probe drops its sender when it is done.
+                let _finished = earlier.finished.await;
+            }
+            match newest {
+                Some(newest) if context.suspects.needs_failure_cause(request.fingerprint) => {
+                    let _finished = newest.finished.await;
+                }
+                Some(newest) => self.running.push(newest),
+                None => {}
+            }
+        };
+        // A probe that takes longer is of no use to this attempt.
+        let _elapsed = tokio::time::timeout(PROBE_WAIT, waiting).await;
+        is_retryable(context, request)
+    }
+}
+
+/// Whether a request is not refused for the backend servers that crashed on it.
+pub(crate) fn is_retryable(context: &ForwardContext, request: &RoutedRequest) -> bool {
     !matches!(context.suspects.decide(request.fingerprint), SuspectDecision::Refused { .. })
 }
 
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::backend_probe::{ProbeHandle, spawn_failure_probe};
+use crate::backend_probe::AttemptProbes;
 use crate::context::{ForwardContext, RESTARTED_CAUSE};
 use crate::placement::{Placement, StreamTicket};
 use crate::prefill::PrefillGuard;
@@ -97,8 +97,8 @@
     prefills: u32,
     tried: TriedBackends,
     may_have_run: bool,
-    /// Determines why the last attempt failed.
-    probe: Option<ProbeHandle>,
+    /// Determine why attempts failed.
+    probes: AttemptProbes,
     /// Until when a stream in progress waits for another engine.
     engine_wait_deadline: Option<Instant>,
     /// Timing of the stages before the first event.
@@ -111,7 +111,7 @@
     fn new(context: &ForwardContext, request: &Arc<RoutedRequest>, copy: CopyGuard) -> Self {
         Self {
             _copy: copy,
-            probe: None,
+            probes: AttemptProbes::default(),
             context: context.clone(),
             request: Arc::clone(request),
             attempts: 0,
@@ -188,7 +188,7 @@
 
     pub(crate) fn record_broken_stream(&mut self, open: &OpenStream, cause: &str) {
         self.may_have_run = true;
-        self.probe = Some(spawn_failure_probe(&self.context, &self.request, &open.entry));
+        self.probes.start(&self.context, &self.request, &open.entry);
         self.record_no_response(&open.entry, &open.ticket, cause);
         self.tried.push(&open.entry);
     }
--- a/crates/dillspool_forward/src/generate/prepare.rs
+++ b/crates/dillspool_forward/src/generate/prepare.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{ModelRequest, PreparedAttempt};
-use crate::backend_probe::may_retry;
+use crate::backend_probe::is_retryable;
 use crate::calls::WorkPriority;
 use crate::placement::{Placement, place, placement_request};
 use crate::prefill::{PrefillGuard, prefill};
@@ -33,7 +33,7 @@
         if self.request.remaining().is_zero() || self.attempts >= self.request.route.max_attempts {
             return Err(self.final_refusal());
         }
-        if self.may_have_run && !may_retry(&self.context, &self.request, &mut self.probe).await {
+        if self.may_have_run && !self.probes.may_retry(&self.context, &self.request).await {
             return Err(self.final_refusal());
         }
         let placing = self.request.clock.timeout_at(self.request.deadline, self.place()).await;
@@ -51,8 +51,7 @@
             self.stages = FirstEventStages { reserved, prefilled, ..FirstEventStages::default() };
         }
         // The prefill alone may have crashed engines.
-        let is_deadly = !may_retry(&self.context, &self.request, &mut None).await;
-        if is_deadly || self.request.remaining().is_zero() {
+        if !is_retryable(&self.context, &self.request) || self.request.remaining().is_zero() {
             return Err(self.final_refusal());
         }
         Ok(PreparedAttempt { placement, prefill })
--- a/crates/dillspool_forward/src/generate/send.rs
+++ b/crates/dillspool_forward/src/generate/send.rs
@@ -11,7 +11,6 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::{ModelRequest, OpenOutcome, OpenStream, PreparedAttempt, SentAttempt};
-use crate::backend_probe::spawn_failure_probe;
 use crate::calls::{BackendResponse, CallError, ForwardParams};
 use crate::context::RESTARTED_CAUSE;
 use crate::placement::{Placement, StreamTicket};
@@ -185,7 +184,7 @@
         cause: &str,
     ) -> Result<Option<OpenOutcome>, Refusal> {
         self.may_have_run = true;
-        self.probe = Some(spawn_failure_probe(&self.context, &self.request, entry));
+        self.probes.start(&self.context, &self.request, entry);
         self.record_no_response(entry, ticket, cause);
         self.record_failed_send(entry, cause);
         if self.request.route.is_idempotent() { Ok(None) } else { Err(self.final_refusal()) }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::backend_probe::{may_retry, spawn_failure_probe};
+use crate::backend_probe::AttemptProbes;
 use crate::calls::{CallError, ForwardParams};
 use crate::context::ForwardContext;
 use crate::refusal::{Refusal, RefusalCause};
@@ -167,10 +167,10 @@
     trace: &mut RequestTrace,
 ) -> Result<PlainResponse, Refusal> {
     let mut record = AttemptRecord::default();
-    let mut probe = None;
+    let mut probes = AttemptProbes::default();
     // Dropped after an abandoned attempt, so its slot is freed once the connection is closed.
     let mut ticket = context.call_client.open_ticket(&request.service);
-    while may_retry(context, request, &mut probe).await
+    while probes.may_retry(context, request).await
         && let Some((entry, directory, permit)) =
             next_backend(context, request, &mut record, &mut ticket).await
     {
@@ -197,7 +197,7 @@
             }
             failed => {
                 if matches!(failed, AttemptOutcome::Unknown(_)) {
-                    probe = Some(spawn_failure_probe(context, request, &entry));
+                    probes.start(context, request, &entry);
                 }
                 if matches!(failed, AttemptOutcome::NotSent(_)) {
                     permit.refund();
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -9,7 +9,7 @@
 use dillspool_scheduler::PlacementEvent;
 use tokio::time::Instant;
 
-use crate::backend_probe::{may_retry, spawn_failure_probe};
+use crate::backend_probe::AttemptProbes;
 use crate::calls::{CallError, PrefillParams, PrefilledPrompt, WorkPriority};
 use crate::context::ForwardContext;
 use crate::placement::{Placement, placement_request};
@@ -79,7 +79,7 @@
     priority: WorkPriority,
 ) -> Option<PrefilledPrompt> {
     let mut next = placement.prefill.clone();
-    let mut tried = Vec::new();
+    let (mut tried, mut probes) = (Vec::new(), AttemptProbes::default());
     while let Some(id) = next.take() {
         tried.push(BackendId::clone(&id));
         let Some(entry) = context.ready_entry(request, &id) else {
@@ -118,8 +118,8 @@
             send_permit.refund();
         }
         if matches!(error, CallError::Lost { .. }) {
-            let mut probe = Some(spawn_failure_probe(context, request, &entry));
-            if !may_retry(context, request, &mut probe).await {
+            probes.start(context, request, &entry);
+            if !probes.may_retry(context, request).await {
                 return None;
             }
         }
