Hosts without links to backend servers reach them through other hosts

Cause: a host knows one way to a backend server, its own connection, and holds each failure against the server. Class: the state of a link is taken for the state of the peer behind it.

Change: a direct connection that fails, or is not there after 100 ms, is tried through another host as well; the first one wins. That other host connects directly, and only to backend servers that it knows to accept requests, so a request travels over one other host at most. What one host finds tells a lost link from a dead server: where the other one connects, the server is reached that way for a second; where it fails too, nobody else is asked for a second. If probes of several servers all fail, all connections of that service travel that way until a probe succeeds. Reservations, prefills, streams, plain calls and releases use it alike, since only the connection changes: what may be sent again is decided as before, and nothing is sent before the tunnel stands, so a request runs at most once. Orders stay on direct connections: engines take them from one host.

A tunnel is a WebSocket on the listener for schedule links. Its end tells a closed connection from a reset one; a response without a length would look complete otherwise. Hosts of earlier builds close such a link, and the next host is asked.

--- a/crates/dillspool_dev/src/generate.rs
+++ b/crates/dillspool_dev/src/generate.rs
@@ -6,8 +6,8 @@
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
 
 /// Schema files, by name without ending.
-const SCHEMAS: [&str; 7] =
-    ["configuration", "engine", "messages", "relay", "router", "schedule", "settings"];
+const SCHEMAS: [&str; 8] =
+    ["configuration", "engine", "messages", "relay", "router", "schedule", "settings", "tunnel"];
 
 /// Why the types could not be generated, or differ from the committed ones.
 #[derive(Debug, Snafu)]
--- a/crates/dillspool_dialer/src/dialer.rs
+++ b/crates/dillspool_dialer/src/dialer.rs
@@ -1,8 +1,11 @@
-//! Opens connections to backend servers and verifies the links after a failure.
+//! Opens connections to backend servers.
 
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -10,38 +13,71 @@
 use dillspool_routing::{BackendEntry, DirectoryView};
 use dillspool_schema::Name;
 use futures_util::FutureExt;
-use futures_util::future::{Shared, join_all, select_ok};
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
+use futures_util::future::{Either, Shared, select, select_ok};
+use tokio::sync::{Semaphore, watch};
 
-use crate::link_health::{LinkChange, LinkHealth, ProbeTally};
+use crate::link_health::{BackendPath, LinkChange, LinkHealth, ProbeTally};
 use crate::probe_targets::choose_probe_targets;
+use crate::tunnel::{OpenTunnelFn, TunnelError, TunnelPeer, TunnelPermit};
+use crate::tunnel_peers::TunnelPeers;
 
 /// Timeout for opening a connection: a round trip takes 1 to 3 ms, a retransmission after a lost packet one second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a direct connection after which another host is asked for one.
+const HEDGE_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Number of backend servers that a verification probes.
 const VERIFICATION_PROBES: usize = 4;
-/// Number of backend servers probed at once while this host is partitioned.
-const RECOVERY_PROBES: usize = 2;
-/// Interval of these probes.
-const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of tunnels that this host serves; each takes two file descriptors.
+const MAX_TUNNELS: usize = 512;
 
 type SharedVerification = Shared<BoxFuture<bool>>;
 
-/// What a dialer knows of the fleet; it verifies no links before this is set.
-#[derive(Clone, Debug)]
+/// What a dialer knows of the fleet.
+#[derive(Clone)]
 pub struct DialerFleet {
     /// The current directory of backend servers.
     pub directory: watch::Receiver<Arc<DirectoryView>>,
+    /// Returns the other hosts that are known.
+    pub peers: Arc<dyn Fn() -> Vec<TunnelPeer> + Send + Sync>,
+    /// Opens a tunnel through one of them.
+    pub open_tunnel: OpenTunnelFn,
+}
+
+impl fmt::Debug for DialerFleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("DialerFleet")
+    }
+}
+
+/// Numbers of tunnels since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TunnelCounts {
+    /// Tunnels that other hosts opened for this one.
+    pub opened: u64,
+    /// Connections for which no host opened a tunnel.
+    pub failed: u64,
+    /// Tunnels that this host opened for others.
+    pub served: u64,
+}
+
+#[derive(Debug, Default)]
+struct TunnelCounters {
+    opened: AtomicU64,
+    failed: AtomicU64,
+    served: AtomicU64,
 }
 
 struct DialerState {
     stack: NetStack,
     clock: HostClock,
+    /// Not set on a host without a fleet, which then verifies no links and opens no tunnels.
     fleet: OnceLock<DialerFleet>,
     health: Mutex<LinkHealth>,
+    peers: Mutex<TunnelPeers>,
+    counters: TunnelCounters,
+    served: Arc<Semaphore>,
     /// Wakes the task that probes while this host is partitioned.
     lost: watch::Sender<bool>,
     verifications: Mutex<HashMap<Name, SharedVerification>>,
@@ -64,19 +100,32 @@
 }
 
 impl BackendDialer {
-    /// Creates a dialer that finds no partitions before [`dial_backends`] runs.
+    /// Creates a dialer that only connects directly until [`dial_backends`](crate::dial_backends) runs.
     pub fn new(stack: &NetStack, clock: &HostClock) -> Self {
         let state = DialerState {
             stack: stack.clone(),
             clock: clock.clone(),
             fleet: OnceLock::new(),
             health: Mutex::default(),
+            peers: Mutex::default(),
+            counters: TunnelCounters::default(),
+            served: Arc::new(Semaphore::new(MAX_TUNNELS)),
             lost: watch::Sender::new(false),
             verifications: Mutex::default(),
         };
         Self { state: Arc::new(state) }
     }
 
+    /// Sets what the dialer knows of the fleet; returns false if it was set before.
+    pub(crate) fn set_fleet(&self, fleet: DialerFleet) -> bool {
+        self.state.fleet.set(fleet).is_ok()
+    }
+
+    /// Becomes true when links are lost; set to false by the task that probes.
+    pub(crate) fn lost_links(&self) -> &watch::Sender<bool> {
+        &self.state.lost
+    }
+
     /// Whether this host is partitioned from the backend servers of a service.
     pub fn is_partitioned(&self, service: &str) -> bool {
         lock(&self.state.health).is_partitioned(service)
@@ -87,6 +136,22 @@
         lock(&self.state.health).partitioned_services()
     }
 
+    /// Numbers of tunnels since the start.
+    pub fn tunnel_counts(&self) -> TunnelCounts {
+        let counters = &self.state.counters;
+        TunnelCounts {
+            opened: counters.opened.load(Ordering::Relaxed),
+            failed: counters.failed.load(Ordering::Relaxed),
+            served: counters.served.load(Ordering::Relaxed),
+        }
+    }
+
+    /// The stack for direct connections. A backend server takes orders only from the host that issues them, so they
+    /// must not travel through another one.
+    pub fn direct_stack(&self) -> &NetStack {
+        &self.state.stack
+    }
+
     /// A stack whose connections go to a backend server, whatever address is asked for.
     pub fn stack_for(&self, entry: &Arc<BackendEntry>) -> NetStack {
         let (dialer, entry) = (self.clone(), Arc::clone(entry));
@@ -103,21 +168,79 @@
         )
     }
 
-    /// Opens a connection to a backend server.
+    /// Opens a connection to a backend server, directly or through another host.
     ///
     /// # Errors
     ///
-    /// The error of the connection attempt, or `TimedOut` after [`CONNECT_TIMEOUT`].
-    pub async fn connect(&self, entry: &BackendEntry) -> io::Result<NetStream> {
-        let connected = self.connect_within(entry, CONNECT_TIMEOUT).await;
-        if connected.is_err() {
-            // Polled by the probes, not by this connection attempt.
-            drop(self.start_verification(&entry.service));
+    /// `ConnectionRefused` and `TimedOut` if neither this host nor another one could connect, `NotConnected` if this
+    /// host has lost its links and no other one can help. Nothing was sent in any case.
+    pub async fn connect(&self, entry: &Arc<BackendEntry>) -> io::Result<NetStream> {
+        let path = {
+            let health = lock(&self.state.health);
+            health.path(&entry.service, &entry.instance(), self.state.clock.now())
+        };
+        match path {
+            BackendPath::Direct => self.connect_hedged(entry).await,
+            BackendPath::DirectOnly => {
+                let connected = self.connect_directly(entry, CONNECT_TIMEOUT).await;
+                if connected.is_err() {
+                    drop(self.start_verification(&entry.service));
+                }
+                connected
+            }
+            BackendPath::Detour => match self.connect_through_peer(entry).await {
+                Err(TunnelError::PeerUnavailable(_reason)) => {
+                    self.connect_directly(entry, CONNECT_TIMEOUT).await
+                }
+                tunnelled => tunnelled.map_err(TunnelError::into_io),
+            },
+            BackendPath::DetourOnly => {
+                self.connect_through_peer(entry).await.map_err(TunnelError::into_io)
+            }
+        }
+    }
+
+    /// Connects directly and, when that fails or takes long, through another host as well; the first connection wins.
+    async fn connect_hedged(&self, entry: &Arc<BackendEntry>) -> io::Result<NetStream> {
+        let mut direct = pin!(self.connect_directly(entry, CONNECT_TIMEOUT));
+        let finished = tokio::select! {
+            biased;
+            connected = &mut direct => Some(connected),
+            () = tokio::time::sleep(HEDGE_DELAY) => None,
+        };
+        if matches!(finished, Some(Ok(_))) || self.state.fleet.get().is_none() {
+            return match finished {
+                Some(connected) => connected,
+                None => direct.await,
+            };
+        }
+        drop(self.start_verification(&entry.service));
+        let direct = pin!(async {
+            match finished {
+                Some(connected) => connected,
+                None => direct.await,
+            }
+        });
+        let tunnel = pin!(self.connect_through_peer(entry));
+        let (direct_error, tunnelled) = match select(direct, tunnel).await {
+            Either::Left((Ok(stream), _tunnel)) => return Ok(stream),
+            Either::Left((Err(error), tunnel)) => (error, tunnel.await),
+            Either::Right((Ok(stream), _direct)) => return Ok(stream),
+            Either::Right((Err(failure), direct)) => match direct.await {
+                Ok(stream) => return Ok(stream),
+                Err(error) => (error, Err(failure)),
+            },
+        };
+        match tunnelled {
+            Ok(stream) => Ok(stream),
+            Err(TunnelError::PeerUnavailable(_)) if !self.is_partitioned(&entry.service) => {
+                Err(direct_error)
+            }
+            Err(failure) => Err(failure.into_io()),
         }
-        connected
     }
 
-    async fn connect_within(
+    pub(crate) async fn connect_directly(
         &self,
         entry: &BackendEntry,
         timeout: Duration,
@@ -130,12 +253,108 @@
                 return Err(io::Error::new(io::ErrorKind::TimedOut, message));
             }
         };
+        let now = self.state.clock.now();
         let change =
-            lock(&self.state.health).record_connected(&entry.service, self.state.clock.now());
+            lock(&self.state.health).record_connected(&entry.service, &entry.instance(), now);
         self.report(&entry.service, change);
         Ok(stream)
     }
 
+    /// Asks other hosts in turn for a tunnel, until one connects to the backend server or finds that it cannot.
+    async fn connect_through_peer(
+        &self,
+        entry: &Arc<BackendEntry>,
+    ) -> Result<NetStream, TunnelError> {
+        let counters = &self.state.counters;
+        let Some(fleet) = self.state.fleet.get() else {
+            return Err(TunnelError::PeerUnavailable("this host knows no other".to_owned()));
+        };
+        let peers = lock(&self.state.peers).choose(
+            (fleet.peers)(),
+            self.state.clock.now(),
+            &mut rand::rng(),
+        );
+        let mut failure = TunnelError::PeerUnavailable("this host knows no other".to_owned());
+        for peer in peers {
+            match (fleet.open_tunnel)(peer, Arc::clone(entry)).await {
+                Ok(stream) => {
+                    counters.opened.fetch_add(1, Ordering::Relaxed);
+                    let now = self.state.clock.now();
+                    lock(&self.state.health).record_detour(entry.instance(), now);
+                    log::debug!("event=tunnel_opened backend={} peer={peer}", entry.id);
+                    return Ok(stream);
+                }
+                Err(TunnelError::PeerUnavailable(reason)) => {
+                    log::info!(
+                        "event=tunnel_refused backend={} peer={peer} cause=\"{reason}\"",
+                        entry.id
+                    );
+                    self.record_unavailable(peer);
+                    failure = TunnelError::PeerUnavailable(reason);
+                }
+                Err(found @ (TunnelError::BackendRefused | TunnelError::BackendSilent)) => {
+                    let now = self.state.clock.now();
+                    lock(&self.state.health).record_outage(entry.instance(), now);
+                    failure = found;
+                    break;
+                }
+            }
+        }
+        counters.failed.fetch_add(1, Ordering::Relaxed);
+        Err(failure)
+    }
+
+    fn record_unavailable(&self, peer: SocketAddr) {
+        lock(&self.state.peers).record_unavailable(peer, self.state.clock.now());
+    }
+
+    /// Connects to a backend server for another host, only directly.
+    ///
+    /// # Errors
+    ///
+    /// [`TunnelError::PeerUnavailable`] unless this host knows the backend server as one that accepts requests, is not
+    /// partitioned from it and serves few enough tunnels; otherwise the result of the connection attempt.
+    pub async fn connect_for_peer(
+        &self,
+        backend: &str,
+    ) -> Result<(NetStream, TunnelPermit), TunnelError> {
+        let unavailable = |reason: &str| TunnelError::PeerUnavailable(reason.to_owned());
+        let fleet = self.state.fleet.get().ok_or(unavailable("it is starting"))?;
+        let entry = {
+            let view = fleet.directory.borrow();
+            view.entries.get(backend).filter(|entry| view.accepts_requests(entry)).cloned()
+        };
+        let entry = entry.ok_or(unavailable("the backend server accepts no requests"))?;
+        if self.is_partitioned(&entry.service) {
+            return Err(unavailable("it is partitioned, too"));
+        }
+        let permit = Arc::clone(&self.state.served).try_acquire_owned();
+        let permit = permit.map_err(|_full| unavailable("it serves too many tunnels"))?;
+        match self.connect_directly(&entry, CONNECT_TIMEOUT).await {
+            Ok(stream) => {
+                self.state.counters.served.fetch_add(1, Ordering::Relaxed);
+                Ok((stream, TunnelPermit { _permit: permit }))
+            }
+            Err(error) if self.confirm_partitioned(&entry.service).await => {
+                Err(TunnelError::PeerUnavailable(format!("it is partitioned, too: {error}")))
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(TunnelError::BackendRefused)
+            }
+            Err(_error) => Err(TunnelError::BackendSilent),
+        }
+    }
+
+    /// Whether a lost connection to a backend server is the fault of this host's link to it, by a verification if none
+    /// is recent.
+    pub async fn is_link_lost(&self, entry: &BackendEntry) -> bool {
+        let is_lost = {
+            let health = lock(&self.state.health);
+            health.is_link_lost(&entry.service, &entry.instance(), self.state.clock.now())
+        };
+        is_lost || self.confirm_partitioned(&entry.service).await
+    }
+
     /// Whether this host is partitioned from the backend servers of a service, by a verification if none is recent.
     pub async fn confirm_partitioned(&self, service: &Name) -> bool {
         if self.is_partitioned(service) {
@@ -149,7 +368,7 @@
 
     /// Starts a verification, or joins the one in progress; `None` if a recent one found the links sound.
     fn start_verification(&self, service: &Name) -> Option<SharedVerification> {
-        let fleet = self.state.fleet.get()?.clone();
+        self.state.fleet.get()?;
         let mut verifications = lock(&self.state.verifications);
         if let Some(running) = verifications.get(service) {
             return Some(running.clone());
@@ -159,12 +378,9 @@
         }
         let (dialer, of) = (self.clone(), Name::clone(service));
         let verifying = tokio::spawn(async move {
-            let tally = dialer.probe(&fleet, &of, VERIFICATION_PROBES).await;
-            let change = lock(&dialer.state.health).record_verification(
-                &of,
-                tally,
-                dialer.state.clock.now(),
-            );
+            let tally = dialer.probe(&of, VERIFICATION_PROBES).await;
+            let now = dialer.state.clock.now();
+            let change = lock(&dialer.state.health).record_verification(&of, tally, now);
             dialer.report(&of, change);
             lock(&dialer.state.verifications).remove(&of);
             dialer.is_partitioned(&of)
@@ -177,14 +393,16 @@
     }
 
     /// Probes backend servers of a service until one accepts a connection.
-    async fn probe(&self, fleet: &DialerFleet, service: &Name, count: usize) -> ProbeTally {
+    pub(crate) async fn probe(&self, service: &Name, count: usize) -> ProbeTally {
         let started = self.state.clock.now();
-        let view = Arc::clone(&fleet.directory.borrow());
-        let targets = choose_probe_targets(&view, service, count, &mut rand::rng());
+        let targets = self.state.fleet.get().map_or_else(Vec::new, |fleet| {
+            let view = Arc::clone(&fleet.directory.borrow());
+            choose_probe_targets(&view, service, count, &mut rand::rng())
+        });
         let probed = targets.len();
         let attempts = targets.into_iter().map(|entry| {
             let dialer = self.clone();
-            Box::pin(async move { dialer.connect_within(&entry, PROBE_TIMEOUT).await })
+            Box::pin(async move { dialer.connect_directly(&entry, PROBE_TIMEOUT).await })
         });
         let is_any_reachable = probed > 0 && select_ok(attempts).await.is_ok();
         ProbeTally { started, probed, is_any_reachable }
@@ -204,32 +422,3 @@
         }
     }
 }
-
-/// Sets what a dialer knows of the fleet, and probes backend servers while this host is partitioned from them, until
-/// `cancel`.
-pub async fn dial_backends(dialer: BackendDialer, fleet: DialerFleet, cancel: CancellationToken) {
-    if dialer.state.fleet.set(fleet.clone()).is_err() {
-        log::error!("event=dialer_started_twice");
-        return;
-    }
-    let mut lost = dialer.state.lost.subscribe();
-    let probing = async {
-        loop {
-            if lost.wait_for(|lost| *lost).await.is_err() {
-                return;
-            }
-            tokio::time::sleep(RECOVERY_INTERVAL).await;
-            dialer.state.lost.send_replace(false);
-            let services = dialer.partitioned_services();
-            if !services.is_empty() {
-                dialer.state.lost.send_replace(true);
-            }
-            let probes = services.iter().map(|it| dialer.probe(&fleet, it, RECOVERY_PROBES));
-            join_all(probes).await;
-        }
-    };
-    tokio::select! {
-        () = probing => {}
-        () = cancel.cancelled() => {}
-    }
-}
--- a/crates/dillspool_dialer/src/link_health.rs
+++ b/crates/dillspool_dialer/src/link_health.rs
@@ -1,13 +1,33 @@
-//! Decides whether this host is partitioned from the backend servers of a service.
+//! Decides whether failed connections are the fault of this host's links, and which way a connection takes.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use dillspool_moment::Moment;
+use dillspool_routing::BackendInstance;
 use dillspool_schema::Name;
 
 /// Minimum time between two verifications of a service whose backend servers were found reachable.
 const VERIFICATION_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a backend server is reached through other hosts before its direct link is tried again.
+const DETOUR_TIME: Duration = Duration::from_secs(1);
+/// Time for which no other host is asked to connect to a backend server to which another one could not connect.
+const OUTAGE_TIME: Duration = Duration::from_secs(1);
+/// Number of backend servers with a link state from which expired ones are dropped.
+const MAX_BACKENDS: usize = 1024;
+
+/// Which way a connection to a backend server takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendPath {
+    /// Directly and, if that fails, through another host.
+    Direct,
+    /// Directly only: other hosts cannot connect to it either.
+    DirectOnly,
+    /// Through another host and, if none can help, directly.
+    Detour,
+    /// Through another host only: this host is partitioned from all backend servers of the service.
+    DetourOnly,
+}
 
 /// Result of probing several backend servers of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,13 +60,24 @@
     last_connected: Option<Moment>,
 }
 
-/// The links of this host to the backend servers, by service.
+/// State of the link to one backend server whose direct connections fail.
+#[derive(Clone, Copy, Debug)]
+enum BackendLink {
+    /// Another host could connect to it.
+    DetourUntil(Moment),
+    /// Another host could not connect to it either.
+    OutageUntil(Moment),
+}
+
+/// The links of this host to the backend servers.
 ///
-/// A single failed connection never counts as a partition: the links are lost when probes of several backend
-/// servers all fail and no connection succeeded meanwhile. One success restores them.
+/// A failed connection is held against the link, not the backend server, once another host has connected to that
+/// server. The links to a whole service are lost when probes of several of its backend servers all fail and no
+/// connection succeeded meanwhile; one success restores them.
 #[derive(Clone, Debug, Default)]
 pub struct LinkHealth {
     services: HashMap<Name, ServiceLinks>,
+    backends: HashMap<BackendInstance, BackendLink>,
 }
 
 impl LinkHealth {
@@ -61,6 +92,28 @@
         lost.map(|(service, _links)| Name::clone(service)).collect()
     }
 
+    /// Which way a connection to a backend server takes.
+    pub fn path(&self, service: &str, backend: &BackendInstance, now: Moment) -> BackendPath {
+        if self.is_partitioned(service) {
+            return BackendPath::DetourOnly;
+        }
+        match self.backends.get(backend) {
+            Some(BackendLink::DetourUntil(until)) if *until > now => BackendPath::Detour,
+            Some(BackendLink::OutageUntil(until)) if *until > now => BackendPath::DirectOnly,
+            Some(BackendLink::DetourUntil(_) | BackendLink::OutageUntil(_)) | None => {
+                BackendPath::Direct
+            }
+        }
+    }
+
+    /// Whether failures at a backend server say nothing about it, since this host's link to it is lost.
+    pub fn is_link_lost(&self, service: &str, backend: &BackendInstance, now: Moment) -> bool {
+        match self.path(service, backend, now) {
+            BackendPath::Detour | BackendPath::DetourOnly => true,
+            BackendPath::Direct | BackendPath::DirectOnly => false,
+        }
+    }
+
     /// Whether a failed connection calls for a verification.
     pub fn needs_verification(&self, service: &str, now: Moment) -> bool {
         let links = self.services.get(service).copied().unwrap_or_default();
@@ -68,12 +121,25 @@
             && links.last_verified.is_none_or(|at| now.since(at) >= VERIFICATION_INTERVAL)
     }
 
-    /// Records a successful connection.
-    pub fn record_connected(&mut self, service: &Name, now: Moment) -> Option<LinkChange> {
-        let links = self.entry(service);
-        links.last_connected = Some(now);
-        let lost_at = links.lost.take()?;
-        Some(LinkChange::Restored { after: now.since(lost_at) })
+    /// Records a successful direct connection.
+    pub fn record_connected(
+        &mut self,
+        service: &Name,
+        backend: &BackendInstance,
+        now: Moment,
+    ) -> Option<LinkChange> {
+        self.backends.remove(backend);
+        self.record_reachable(service, now)
+    }
+
+    /// Records that another host connected to a backend server to which this host could not.
+    pub fn record_detour(&mut self, backend: BackendInstance, now: Moment) {
+        self.set_backend_link(backend, BackendLink::DetourUntil(now + DETOUR_TIME), now);
+    }
+
+    /// Records that another host could not connect to a backend server either.
+    pub fn record_outage(&mut self, backend: BackendInstance, now: Moment) {
+        self.set_backend_link(backend, BackendLink::OutageUntil(now + OUTAGE_TIME), now);
     }
 
     /// Records the result of a verification.
@@ -85,7 +151,7 @@
     ) -> Option<LinkChange> {
         if tally.is_any_reachable {
             self.entry(service).last_verified = Some(now);
-            return self.record_connected(service, now);
+            return self.record_reachable(service, now);
         }
         let links = self.entry(service);
         let has_connected = links.last_connected.is_some_and(|at| at >= tally.started);
@@ -96,7 +162,26 @@
         Some(LinkChange::Lost)
     }
 
+    fn record_reachable(&mut self, service: &Name, now: Moment) -> Option<LinkChange> {
+        let links = self.entry(service);
+        links.last_connected = Some(now);
+        let lost = links.lost.take()?;
+        Some(LinkChange::Restored { after: now.since(lost) })
+    }
+
+    fn set_backend_link(&mut self, backend: BackendInstance, link: BackendLink, now: Moment) {
+        if self.backends.len() >= MAX_BACKENDS {
+            self.backends.retain(|_backend, link| match link {
+                BackendLink::DetourUntil(until) | BackendLink::OutageUntil(until) => *until > now,
+            });
+        }
+        self.backends.insert(backend, link);
+    }
+
     fn entry(&mut self, service: &Name) -> &mut ServiceLinks {
+        if !self.services.contains_key(service) {
+            self.services.insert(Name::clone(service), ServiceLinks::default());
+        }
         self.services.entry(Name::clone(service)).or_default()
     }
 }
--- /dev/null
+++ b/crates/dillspool_dialer/src/recovery.rs
@@ -0,0 +1,38 @@
+//! Probes backend servers while this host is partitioned from them.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tokio_util::sync::CancellationToken;
+
+use crate::dialer::{BackendDialer, DialerFleet};
+
+/// Number of backend servers of a service that are probed at once.
+const RECOVERY_PROBES: usize = 2;
+/// Interval between probes.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Sets what a dialer knows of the fleet, and probes backend servers while this host is partitioned from them, until
+/// `cancel`.
+pub async fn dial_backends(dialer: BackendDialer, fleet: DialerFleet, cancel: CancellationToken) {
+    if !dialer.set_fleet(fleet) {
+        log::error!("event=dialer_started_twice");
+        return;
+    }
+    let mut lost = dialer.lost_links().subscribe();
+    let probing = async {
+        while lost.wait_for(|lost| *lost).await.is_ok() {
+            tokio::time::sleep(RECOVERY_INTERVAL).await;
+            dialer.lost_links().send_replace(false);
+            let services = dialer.partitioned_services();
+            if !services.is_empty() {
+                dialer.lost_links().send_replace(true);
+            }
+            join_all(services.iter().map(|it| dialer.probe(it, RECOVERY_PROBES))).await;
+        }
+    };
+    tokio::select! {
+        () = probing => {}
+        () = cancel.cancelled() => {}
+    }
+}
--- a/crates/dillspool_dialer/tests/dialer.rs
+++ b/crates/dillspool_dialer/tests/dialer.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillspool_dialer::{BackendDialer, DialerFleet, dial_backends};
+use dillspool_dialer::{BackendDialer, DialerFleet, TunnelError, dial_backends};
 use dillspool_io::{HostClock, LinkMode, MemoryNet, NetListener};
 use dillspool_routing::{BackendEntry, BackendState, DirectoryView};
 use tokio::sync::watch;
@@ -52,7 +52,13 @@
         let view = DirectoryView { entries, ..DirectoryView::default() };
         let (sender, directory) = watch::channel(Arc::new(view));
         let dialer = BackendDialer::new(&net.stack(node(100)), &HostClock::steady());
-        let fleet = DialerFleet { directory };
+        let fleet = DialerFleet {
+            directory,
+            peers: Arc::new(Vec::new),
+            open_tunnel: Arc::new(|_peer, _entry| {
+                Box::pin(async { Err(TunnelError::PeerUnavailable("none".to_owned())) })
+            }),
+        };
         tokio::spawn(dial_backends(dialer.clone(), fleet, CancellationToken::new()));
         tokio::task::yield_now().await;
         Self { net, dialer, _listeners: listeners, _directory: sender }
--- a/crates/dillspool_dialer/tests/link_health.rs
+++ b/crates/dillspool_dialer/tests/link_health.rs
@@ -4,6 +4,7 @@
 
 use dillspool_dialer::{LinkChange, LinkHealth, ProbeTally};
 use dillspool_moment::Moment;
+use dillspool_routing::BackendInstance;
 
 /// Something that happens to the links, at a time in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -70,10 +71,14 @@
     Moment::after_origin(Duration::from_millis(millis))
 }
 
+fn backend() -> BackendInstance {
+    BackendInstance { id: "i-1".into(), start: None }
+}
+
 fn apply(health: &mut LinkHealth, event: LinkEvent) -> (u64, Option<LinkChange>) {
     let service = "service".into();
     match event {
-        LinkEvent::Connected(now) => (now, health.record_connected(&service, at(now))),
+        LinkEvent::Connected(now) => (now, health.record_connected(&service, &backend(), at(now))),
         LinkEvent::Verified(from, now, probed, is_any_reachable) => {
             let tally = ProbeTally { started: at(from), probed, is_any_reachable };
             (now, health.record_verification(&service, tally, at(now)))
--- a/crates/dillspool_forward/tests/throttle.rs
+++ b/crates/dillspool_forward/tests/throttle.rs
@@ -9,6 +9,7 @@
 use common::{ONE, ScriptedSite, Step, entry, pool, request, view};
 use dillspool_admission::AdmissionPolicy;
 use dillspool_capacity::DemandMeter;
+use dillspool_dialer::BackendDialer;
 use dillspool_forward::{ForwardContext, handle_request};
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{BackendEntry, BackendInstance, DirectoryView, EngineStage, RequestKind};
@@ -206,7 +207,8 @@
         calls: CallScheduler::new(CallSchedulerSettings::default(), 1, HostClock::steady()),
         limits: RateLimiter::for_backend_servers(2, HostClock::steady()),
         backend_limits: RateLimiter::for_backend_servers(2, HostClock::steady()),
-        bus: FleetBus::new(BusHandlers::none(), clock),
+        bus: FleetBus::new(BusHandlers::none(), clock.clone()),
+        dialer: BackendDialer::new(&net.stack(peer(2).ip()), &clock),
     };
     let listener = net.stack(peer(2).ip()).listen(peer(2)).await.expect("a free address");
     tokio::spawn(serve_schedule(listener, services, cancel.clone()));
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -18,7 +18,7 @@
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
     CallScheduler, FleetUpdate, LimitClient, PlacementScheduler, RateLimiter, ScheduleClient,
-    ScheduleServices,
+    ScheduleServices, tunnel_opener,
 };
 use dillspool_schema::Name;
 use dillspool_suspects::{SuspectPolicy, SuspectTracker};
@@ -135,6 +135,7 @@
             limits: limits.clone(),
             backend_limits: backend_limits.clone(),
             bus: fleet_bus(&suspects, &site, &clock),
+            dialer: site.dialer.clone(),
         };
         let schedule =
             start_schedule(&config, &stack, &replicas, schedule_listener, services, &background);
@@ -186,8 +187,7 @@
         let link_metrics = LinkMetrics::new(site.dialer.clone());
         let own_metrics = (throttle_metrics, call_metrics, link_metrics);
         daemon.start_status(&replicas, own_metrics, &metrics, readiness_listener, metrics_listener);
-        let fleet = DialerFleet { directory: replicas.directory.clone() };
-        tokio::spawn(dial_backends(site.dialer.clone(), fleet, daemon.background.clone()));
+        daemon.start_dialer(&replicas, &site, &stack);
         daemon.start_suspect_replicator(&replicas, &site, schedule.clone());
         daemon.start_notice_publisher(&replicas, &site, backend_limits, schedule.clone());
         daemon.start_maintenance(&replicas, &site, (budgets, host_count), demand, schedule, &clock);
@@ -295,6 +295,17 @@
         ));
     }
 
+    /// Lets connections to backend servers travel through other hosts.
+    fn start_dialer(&self, replicas: &StoreReplicas, site: &SiteProtocol, stack: &NetStack) {
+        let peers = replicas.peers.clone();
+        let fleet = DialerFleet {
+            directory: replicas.directory.clone(),
+            peers: Arc::new(move || peers.tunnel_peers()),
+            open_tunnel: tunnel_opener(stack, &self.config.host),
+        };
+        tokio::spawn(dial_backends(site.dialer.clone(), fleet, self.background.clone()));
+    }
+
     /// Starts sharing what backend servers announce in their responses with other hosts.
     fn start_notice_publisher(
         &self,
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use dillspool_dialer::TunnelPeer;
 use dillspool_part::host_seed;
 use dillspool_platform::{PlatformError, RowPrecondition, RowWrite, TableStore};
 use dillspool_scheduler::{SchedulePeers, SchedulerCandidate, rank_candidates};
@@ -96,6 +97,19 @@
         SchedulePeers { own_address: self.own.schedule, ranked: rank_candidates(service, &hosts) }
     }
 
+    /// Other hosts that may connect to backend servers for this one. They hold the whole directory.
+    pub(crate) fn tunnel_peers(&self) -> Vec<TunnelPeer> {
+        let peer = |row: &HostRow| {
+            let is_near = row.failure_domain == self.own.failure_domain;
+            Some(TunnelPeer { address: row.schedule?, is_near })
+        };
+        self.with_rows(|rows| {
+            let others =
+                full_replica_hosts(rows).into_iter().filter(|row| row.peers != self.own.peers);
+            others.filter_map(peer).collect()
+        })
+    }
+
     /// Who polls the store for this host's replicas.
     fn role(&self) -> FollowRole {
         match self.plan() {
--- a/crates/dillspool_scheduler/src/lib.rs
+++ b/crates/dillspool_scheduler/src/lib.rs
@@ -19,6 +19,9 @@
 mod placement_scheduler;
 mod rate_limiter;
 mod serve;
+mod tunnel_client;
+mod tunnel_serve;
+mod tunnel_stream;
 mod wire;
 
 pub use call_client::{CallClient, CallTicket};
@@ -31,4 +34,5 @@
 pub use placement_scheduler::{PlacementEvent, PlacementScheduler};
 pub use rate_limiter::{RateLimiter, RateLimiterSettings};
 pub use serve::{ScheduleServices, serve_schedule};
+pub use tunnel_client::tunnel_opener;
 pub use wire::ScheduleError;
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -73,6 +73,7 @@
             duty: self.duty,
             service: Name::clone(&self.service),
             hosts: u32::try_from((self.host_count)()).unwrap_or(u32::MAX),
+            backend: None,
         }
     }
 }
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dillspool_admission::{PlacementRequest, StreamEnd, TicketId};
+use dillspool_dialer::BackendDialer;
 use dillspool_io::{NetListener, NetStream};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
@@ -25,6 +26,7 @@
 use crate::link::HEARTBEAT_INTERVAL;
 use crate::placement_scheduler::{PlacementEvent, PlacementScheduler};
 use crate::rate_limiter::{LimitShare, RateLimiter};
+use crate::tunnel_serve::serve_tunnel;
 use crate::wire::{self, PROTOCOL_VERSION, ScheduleError};
 
 /// Timeout for the opening handshake; covers some round trips between failure domains.
@@ -59,6 +61,8 @@
     pub calls: CallScheduler,
     /// Distributes gossip updates.
     pub bus: FleetBus,
+    /// Connects to backend servers for other hosts.
+    pub dialer: BackendDialer,
 }
 
 impl ScheduleServices {
@@ -108,6 +112,7 @@
     match hello.duty {
         ScheduleDuty::Pool => serve_pool(writer, reader, services, hello, number).await,
         ScheduleDuty::Limits => serve_limits(writer, reader, &services, hello).await,
+        ScheduleDuty::Tunnel => serve_tunnel(writer, reader, services.dialer, hello).await,
         ScheduleDuty::Calls => serve_calls(writer, reader, services.calls, hello, number).await,
     }
 }
@@ -119,8 +124,14 @@
     hello: ScheduleHello,
     number: u64,
 ) {
-    let ScheduleServices { pools: scheduler, bus, limits: _, backend_limits: _, calls: _ } =
-        services;
+    let ScheduleServices {
+        pools: scheduler,
+        bus,
+        limits: _,
+        backend_limits: _,
+        calls: _,
+        dialer: _,
+    } = services;
     let service = hello.service;
     if !scheduler.has_pool(&service) {
         log::info!("event=schedule_refused cause=\"pool {service} is not known on this host yet\"");
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -16,6 +16,8 @@
     SchedulePart, SchedulePlacement, ScheduleRequest, ScheduleSpend, ScheduleSpent,
     ScheduleTurnAway,
 };
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -52,7 +54,7 @@
         .write_buffer_size(0)
 }
 
-pub(crate) fn encode(message: &ScheduleMessage) -> Result<Message, ScheduleError> {
+pub(crate) fn encode(message: &impl Serialize) -> Result<Message, ScheduleError> {
     let mut bytes = Vec::with_capacity(256);
     match ciborium::into_writer(message, &mut bytes) {
         Ok(()) => Ok(Message::Binary(bytes.into())),
@@ -60,7 +62,7 @@
     }
 }
 
-pub(crate) fn decode(bytes: &[u8]) -> Result<ScheduleMessage, ScheduleError> {
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ScheduleError> {
     match ciborium::from_reader(bytes) {
         Ok(message) => Ok(message),
         Err(error) => MalformedSnafu { reason: error.to_string() }.fail(),
--- a/crates/dillspool_scheduler/tests/call_fleet/mod.rs
+++ b/crates/dillspool_scheduler/tests/call_fleet/mod.rs
@@ -9,6 +9,7 @@
 use dillspool_calls::{CallDecision, CallRequest};
 use dillspool_capacity::DemandMeter;
 use dillspool_cases::ClockJumps;
+use dillspool_dialer::BackendDialer;
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{
     BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, RouteTable,
@@ -151,6 +152,10 @@
         backend_limits: RateLimiter::for_backend_servers(1, HostClock::steady()),
         calls: calls.clone(),
         bus: FleetBus::new(BusHandlers::none(), HostClock::steady()),
+        dialer: BackendDialer::new(
+            &MemoryNet::new().stack([10, 0, 0, 1].into()),
+            &HostClock::steady(),
+        ),
     }
 }
 
--- a/crates/dillspool_scheduler/tests/fleet_updates.rs
+++ b/crates/dillspool_scheduler/tests/fleet_updates.rs
@@ -7,6 +7,7 @@
 
 use dillspool_admission::AdmissionPolicy;
 use dillspool_capacity::DemandMeter;
+use dillspool_dialer::BackendDialer;
 use dillspool_io::{HostClock, MemoryNet, NetStream};
 use dillspool_leaving::{LeavingTracker, LeavingUpdate};
 use dillspool_routing::{
@@ -95,6 +96,7 @@
         duty: ScheduleDuty::Pool,
         service: "pool".into(),
         hosts: 0,
+        backend: None,
     };
     send(&mut socket, &ScheduleMessage::Hello(hello)).await;
     socket
@@ -184,7 +186,14 @@
         let cancel = CancellationToken::new();
         tokio::spawn(serve_schedule(
             listener,
-            ScheduleServices { pools: scheduler(), limits, backend_limits, calls: no_calls(), bus },
+            ScheduleServices {
+                pools: scheduler(),
+                limits,
+                backend_limits,
+                calls: no_calls(),
+                bus,
+                dialer: no_dialer(),
+            },
             cancel.clone(),
         ));
         let (mut one, mut two) = (link(&net, "10.0.0.2").await, link(&net, "10.0.0.3").await);
@@ -221,6 +230,11 @@
     services_with(BusHandlers { throttle, ..BusHandlers::none() })
 }
 
+/// A dialer that is not used.
+fn no_dialer() -> BackendDialer {
+    BackendDialer::new(&MemoryNet::new().stack([10, 0, 0, 1].into()), &HostClock::steady())
+}
+
 fn services_with(handlers: BusHandlers) -> ScheduleServices {
     ScheduleServices {
         pools: scheduler(),
@@ -231,6 +245,7 @@
         backend_limits: RateLimiter::for_backend_servers(1, HostClock::steady()),
         calls: no_calls(),
         bus: FleetBus::new(handlers, HostClock::steady()),
+        dialer: no_dialer(),
     }
 }
 
--- a/crates/dillspool_scheduler/tests/limit_links.rs
+++ b/crates/dillspool_scheduler/tests/limit_links.rs
@@ -7,6 +7,7 @@
 use dillspool_admission::AdmissionPolicy;
 use dillspool_capacity::DemandMeter;
 use dillspool_cases::run_paused;
+use dillspool_dialer::BackendDialer;
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_limits::{LimitRate, RateVersion, SpendDecision, SpendRequest};
 use dillspool_routing::{
@@ -79,6 +80,7 @@
                 backend_limits: no_limits(),
                 calls: no_calls(),
                 bus: no_updates(),
+                dialer: BackendDialer::new(&stack, &HostClock::steady()),
             },
             cancel.clone(),
         ));
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -10,6 +10,7 @@
 };
 use dillspool_capacity::DemandMeter;
 use dillspool_cases::run_paused;
+use dillspool_dialer::BackendDialer;
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{
     BackendEntry, BackendInstance, BackendStart, BackendState, ClientLimits, DirectoryView,
@@ -131,6 +132,7 @@
                 backend_limits: no_limits(),
                 calls: no_calls(),
                 bus: no_updates(),
+                dialer: BackendDialer::new(&stack, &HostClock::steady()),
             },
             cancel.clone(),
         ));
--- a/crates/dillspool_schema/src/lib.rs
+++ b/crates/dillspool_schema/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod router;
 pub mod schedule;
 pub mod settings;
+pub mod tunnel;
 
 mod name;
 mod secret;
