--- a/crates/dillspool_routerd/tests/partitioned_hosts.rs
+++ b/crates/dillspool_routerd/tests/partitioned_hosts.rs
@@ -9,6 +9,7 @@
 
 use dillspool_io::LinkMode;
 use fleet::{CallerReply, FleetOptions, RestartIdentity, TestFleet};
+use tokio::time::Instant;
 
 const HOSTS: usize = 6;
 /// Hosts 0, 2 and 4 are in one failure domain, the others in the other one.
@@ -123,3 +124,60 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// Streams at each partitioned host when its links break.
+const OPEN_STREAMS: usize = 12;
+/// Longest time of a stream at a sound host; without other load it takes half as long.
+const MAX_STREAM_TIME: Duration = Duration::from_millis(330);
+/// Streams at all sound hosts afterwards.
+const SOUND_STREAMS: usize = 24;
+/// Time from the start of these streams until then.
+const OPEN_TIME: Duration = Duration::from_millis(60);
+/// Time after which half the hosts have reported what they take for failures of backend servers.
+const REPORT_TIME: Duration = Duration::from_millis(200);
+
+/// Counts the attempts at a host that broke off, as if under a crash of their backend servers.
+async fn count_broken(fleet: &TestFleet, host: usize, found: &str) -> u64 {
+    let start = format!("dillspool_forward_broken_runs_total{{found=\"{found}\"}} ");
+    let lines = fleet.metrics(host, &start).await;
+    lines.iter().filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Streams of half the hosts break at one moment, at all engines. Guards against these failures being held against the
+/// engines, which would keep the requests of sound hosts from them, and against the requests, as if they had crashed
+/// their engines.
+#[tokio::test(start_paused = true)]
+async fn broken_links_are_not_held_against_backend_servers() {
+    let (partitioned, sound) = ([0, 2, 4], [1, 3, 5]);
+    let options = FleetOptions { failure_domains: FAILURE_DOMAINS, ..FleetOptions::default() };
+    let fleet = TestFleet::start_with(HOSTS, RestartIdentity::NewId, &options).await;
+    let fleet = &fleet;
+    let streams = (0..OPEN_STREAMS * partitioned.len()).map(|number| async move {
+        fleet.send(number % 8, partitioned[number % partitioned.len()], "/stream/1", "sound").await
+    });
+    let others = async {
+        tokio::time::sleep(OPEN_TIME).await;
+        for host in partitioned {
+            fleet.set_backend_links(host, LinkMode::Cut);
+        }
+        tokio::time::sleep(REPORT_TIME).await;
+        let requests = (0..SOUND_STREAMS).map(|number| async move {
+            let (sent, host) = (Instant::now(), sound[number % sound.len()]);
+            (fleet.send(number % 8, host, "/stream/1", "sound").await, sent.elapsed())
+        });
+        futures_util::future::join_all(requests).await
+    };
+    let (streams, others) =
+        futures_util::future::join(futures_util::future::join_all(streams), others).await;
+    let broken = streams.iter().filter(|reply| !reply.is_served()).count();
+    assert!(broken > OPEN_STREAMS, "only {broken} streams broke, so this checks nothing");
+    for host in partitioned {
+        assert_eq!(count_broken(fleet, host, "ended").await, 0, "crashes found at host {host}");
+    }
+    for (reply, took) in others {
+        assert!(
+            reply.is_served() && took <= MAX_STREAM_TIME,
+            "at a sound host: {reply:?} after {took:?}"
+        );
+    }
+}
