A host without links to engines leaves their orders to other hosts

What happened: the host that schedules a pool orders stage changes first. When it has lost its links to the engines, its orders fail, but the lease row lists the engines as ordered, and all hosts leave them alone for 20 s.

Change: a host whose links to a service are lost finds no change due there; a failed order has the links verified. Others order after their own delay. Evidence: a_host_without_links_leaves_orders_to_others is red without the check (no order in 10 s), green with it.

--- a/crates/dillspool_dialer/src/dialer.rs
+++ b/crates/dillspool_dialer/src/dialer.rs
@@ -146,21 +146,33 @@
         }
     }
 
-    /// The stack for direct connections. A backend server takes orders only from the host that issues them, so they
-    /// must not travel through another one.
-    pub fn direct_stack(&self) -> &NetStack {
-        &self.state.stack
-    }
-
     /// A stack whose connections go to a backend server, whatever address is asked for.
     pub fn stack_for(&self, entry: &Arc<BackendEntry>) -> NetStack {
+        self.stack_with(entry, |dialer, entry| {
+            Box::pin(async move { dialer.connect(&entry).await })
+        })
+    }
+
+    /// As [`BackendDialer::stack_for`], with direct connections only. A backend server takes orders only from the host
+    /// that issues them, so they must not travel through another one.
+    pub fn direct_stack_for(&self, entry: &Arc<BackendEntry>) -> NetStack {
+        self.stack_with(entry, |dialer, entry| {
+            Box::pin(async move { dialer.connect_without_peers(&entry).await })
+        })
+    }
+
+    fn stack_with(
+        &self,
+        entry: &Arc<BackendEntry>,
+        connect: impl Fn(Self, Arc<BackendEntry>) -> BoxFuture<io::Result<NetStream>>
+        + Send
+        + Sync
+        + 'static,
+    ) -> NetStack {
         let (dialer, entry) = (self.clone(), Arc::clone(entry));
         let stack = self.state.stack.clone();
         NetStack::new(
-            move |_address| {
-                let (dialer, entry) = (dialer.clone(), Arc::clone(&entry));
-                Box::pin(async move { dialer.connect(&entry).await })
-            },
+            move |_address| connect(dialer.clone(), Arc::clone(&entry)),
             move |address| {
                 let stack = stack.clone();
                 Box::pin(async move { stack.listen(address).await })
@@ -181,13 +193,7 @@
         };
         match path {
             BackendPath::Direct => self.connect_hedged(entry).await,
-            BackendPath::DirectOnly => {
-                let connected = self.connect_directly(entry, CONNECT_TIMEOUT).await;
-                if connected.is_err() {
-                    drop(self.start_verification(&entry.service));
-                }
-                connected
-            }
+            BackendPath::DirectOnly => self.connect_without_peers(entry).await,
             BackendPath::Detour => match self.connect_through_peer(entry).await {
                 Err(TunnelError::PeerUnavailable(_reason)) => {
                     self.connect_directly(entry, CONNECT_TIMEOUT).await
@@ -200,6 +206,14 @@
         }
     }
 
+    async fn connect_without_peers(&self, entry: &BackendEntry) -> io::Result<NetStream> {
+        let connected = self.connect_directly(entry, CONNECT_TIMEOUT).await;
+        if connected.is_err() {
+            drop(self.start_verification(&entry.service));
+        }
+        connected
+    }
+
     /// Connects directly and, when that fails or takes long, through another host as well; the first connection wins.
     async fn connect_hedged(&self, entry: &Arc<BackendEntry>) -> io::Result<NetStream> {
         let mut direct = pin!(self.connect_directly(entry, CONNECT_TIMEOUT));
--- a/crates/dillspool_roles/src/lib.rs
+++ b/crates/dillspool_roles/src/lib.rs
@@ -15,5 +15,5 @@
 pub use plan::{
     StageChange, initial_prefill_engines, plan_stage_changes, prefill_engines_for_share,
 };
-pub use reconciler::{BackoffFn, DelayFn, ReconcilerSettings, reconcile_stages};
+pub use reconciler::{BackoffFn, DelayFn, LostLinksFn, ReconcilerSettings, reconcile_stages};
 pub use targets::{PoolTargets, ShareRule};
--- a/crates/dillspool_roles/src/reconciler.rs
+++ b/crates/dillspool_roles/src/reconciler.rs
@@ -34,6 +34,8 @@
     pub delay: DelayFn,
     /// Whether an engine instance has asked this host to back off.
     pub is_backing_off: BackoffFn,
+    /// Whether this host has lost its links to the engines of a pool, so that another host must order them.
+    pub has_lost_links: LostLinksFn,
 }
 
 /// Returns the time that a host currently waits before it acts.
@@ -42,6 +44,9 @@
 /// Whether a backend server instance has asked this host to back off.
 pub type BackoffFn = Arc<dyn Fn(&BackendInstance) -> bool + Send + Sync>;
 
+/// Whether this host has lost its links to the engines of a service.
+pub type LostLinksFn = Arc<dyn Fn(&str) -> bool + Send + Sync>;
+
 impl fmt::Debug for ReconcilerSettings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("KeeperSettings").field("host", &self.host).finish_non_exhaustive()
@@ -148,6 +153,9 @@
         for service in config.services.values() {
             let Some(pool) = &service.engine else { continue };
             let prefill_target = self.settings.targets.update(&service.name, pool, &view, now);
+            if (self.settings.has_lost_links)(&service.name) {
+                continue;
+            }
             if self.may_order(&service.name, &view, prefill_target, now) {
                 due.extend(plan_stage_changes(&view, &service.name, prefill_target));
             }
--- a/crates/dillspool_roles/tests/reconciler.rs
+++ b/crates/dillspool_roles/tests/reconciler.rs
@@ -136,6 +136,7 @@
             clock: HostClock::steady(),
             delay: Arc::new(move || Duration::from_secs(host)),
             is_backing_off: Arc::clone(is_backing_off),
+            has_lost_links: Arc::new(|_service| false),
         };
         tokio::spawn(reconcile_stages(
             settings,
@@ -258,3 +259,46 @@
     assert_eq!(*orders.lock().unwrap(), ["p0 Decode"]);
     cancel.cancel();
 }
+
+/// The first host has lost its links to the engines. Guards against its orders, which no engine gets, keeping the other
+/// hosts from ordering the same engines.
+#[tokio::test(start_paused = true)]
+async fn a_host_without_links_leaves_orders_to_others() {
+    let (table, orders) = (MemoryTable::new(), Arc::default());
+    let (_config, config) = watch::channel(Some(Arc::new(config())));
+    let (_directory, listed) = watch::channel(view(4, 5));
+    let cancel = CancellationToken::new();
+    for host in 0..HOSTS {
+        let has_links = host > 0;
+        let lost = CallError::NotSent { reason: "links lost".to_owned() };
+        let mut calls = calls(&orders);
+        if !has_links {
+            calls.order = Arc::new(move |_entry, _order| {
+                let lost = lost.clone();
+                Box::pin(async { Err(lost) })
+            });
+        }
+        let settings = ReconcilerSettings {
+            host: format!("host-{host}").into(),
+            targets: PoolTargets::new(ShareRule::Fixed(0.33), DemandMeter::default()),
+            handover_gap: Duration::from_secs(3),
+            is_first_start: true,
+            clock: HostClock::steady(),
+            delay: Arc::new(move || Duration::from_secs(host * 2)),
+            is_backing_off: Arc::new(|_engine| false),
+            has_lost_links: Arc::new(move |_service| !has_links),
+        };
+        let (table, cancel) = (table.store(), cancel.clone());
+        tokio::spawn(reconcile_stages(
+            settings,
+            table,
+            calls,
+            config.clone(),
+            listed.clone(),
+            cancel,
+        ));
+    }
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    assert_eq!(*orders.lock().unwrap(), ["p0 Decode"]);
+    cancel.cancel();
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -275,7 +275,7 @@
             host_count,
             self.background.clone(),
         ));
-        let throttle = site.throttle.clone();
+        let (throttle, dialer) = (site.throttle.clone(), site.dialer.clone());
         let settings = ReconcilerSettings {
             host: Name::clone(&self.config.host),
             targets: PoolTargets::new(self.config.share_rule, demand),
@@ -284,6 +284,7 @@
             clock: clock.clone(),
             delay: order_delay(&self.config.host, replicas.config.clone(), schedule),
             is_backing_off: Arc::new(move |engine| throttle.backoff_until(engine).is_some()),
+            has_lost_links: Arc::new(move |service| dialer.is_partitioned(service)),
         };
         tokio::spawn(reconcile_stages(
             settings,
