An outage is found by two other hosts; detours last until a probe succeeds

What callers saw: where each server had lost the path to hosts of its own, a host that was asked for a tunnel had often lost its link to that server, too. Its answer passed for the server's fault, and nobody else was asked for a second. Detours ended each second, and the next connection waited 100 ms for its direct link again.

Change: two other hosts must fail before the server is held to be at fault; each tries for 150 ms, so a dead server is known as soon as before.

--- a/crates/dillspool_dialer/src/dialer.rs
+++ b/crates/dillspool_dialer/src/dialer.rs
@@ -25,10 +25,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without a direct connection after which another host is asked for one.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
-/// Timeout of a probe.
+/// Timeout of a probe, and of a connection for another host.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Number of backend servers that a verification probes.
 const VERIFICATION_PROBES: usize = 4;
+/// Number of other hosts that must fail to connect to a backend server before it is held to be at fault: the first one
+/// may have lost its link as well.
+const HOSTS_BEFORE_OUTAGE: usize = 2;
 /// Maximum number of tunnels that this host serves; each takes two file descriptors.
 const MAX_TUNNELS: usize = 512;
 
@@ -78,7 +81,7 @@
     peers: Mutex<TunnelPeers>,
     counters: TunnelCounters,
     served: Arc<Semaphore>,
-    /// Wakes the task that probes while this host is partitioned.
+    /// Wakes the task that probes lost links.
     lost: watch::Sender<bool>,
     verifications: Mutex<HashMap<Name, SharedVerification>>,
 }
@@ -289,12 +292,14 @@
             &mut rand::rng(),
         );
         let mut failure = TunnelError::PeerUnavailable("this host knows no other".to_owned());
+        let mut failed_hosts = 0;
         for peer in peers {
             match (fleet.open_tunnel)(peer, Arc::clone(entry)).await {
                 Ok(stream) => {
                     counters.opened.fetch_add(1, Ordering::Relaxed);
                     let now = self.state.clock.now();
                     lock(&self.state.health).record_detour(entry.instance(), now);
+                    self.state.lost.send_replace(true);
                     log::debug!("event=tunnel_opened backend={} peer={peer}", entry.id);
                     return Ok(stream);
                 }
@@ -307,10 +312,13 @@
                     failure = TunnelError::PeerUnavailable(reason);
                 }
                 Err(found @ (TunnelError::BackendRefused | TunnelError::BackendSilent)) => {
-                    let now = self.state.clock.now();
-                    lock(&self.state.health).record_outage(entry.instance(), now);
+                    failed_hosts += 1;
                     failure = found;
-                    break;
+                    if failed_hosts >= HOSTS_BEFORE_OUTAGE {
+                        let now = self.state.clock.now();
+                        lock(&self.state.health).record_outage(entry.instance(), now);
+                        break;
+                    }
                 }
             }
         }
@@ -344,7 +352,7 @@
         }
         let permit = Arc::clone(&self.state.served).try_acquire_owned();
         let permit = permit.map_err(|_full| unavailable("it serves too many tunnels"))?;
-        match self.connect_directly(&entry, CONNECT_TIMEOUT).await {
+        match self.connect_directly(&entry, PROBE_TIMEOUT).await {
             Ok(stream) => {
                 self.state.counters.served.fetch_add(1, Ordering::Relaxed);
                 Ok((stream, TunnelPermit { _permit: permit }))
@@ -412,6 +420,21 @@
         ProbeTally { started, probed, is_any_reachable }
     }
 
+    /// Backend servers that are reached through other hosts, at most `max_count`.
+    pub(crate) fn detoured(&self, max_count: usize) -> Vec<Arc<BackendEntry>> {
+        let Some(fleet) = self.state.fleet.get() else { return Vec::new() };
+        let instances = lock(&self.state.health).detoured(max_count, self.state.clock.now());
+        let view = Arc::clone(&fleet.directory.borrow());
+        let entries = instances.iter().filter_map(|backend| view.entries.get(&backend.id));
+        entries.cloned().collect()
+    }
+
+    /// Probes the direct link to a backend server; a success ends its detour.
+    pub(crate) async fn probe_link(&self, entry: &BackendEntry) {
+        // The connection itself records the success.
+        let _result = self.connect_directly(entry, PROBE_TIMEOUT).await;
+    }
+
     fn report(&self, service: &Name, change: Option<LinkChange>) {
         match change {
             Some(LinkChange::Lost) => {
--- a/crates/dillspool_dialer/src/link_health.rs
+++ b/crates/dillspool_dialer/src/link_health.rs
@@ -9,8 +9,9 @@
 
 /// Minimum time between two verifications of a service whose backend servers were found reachable.
 const VERIFICATION_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which a backend server is reached through other hosts before its direct link is tried again.
-const DETOUR_TIME: Duration = Duration::from_secs(1);
+/// Longest time for which a backend server is reached through other hosts; it ends sooner when a probe of the direct
+/// link succeeds.
+const DETOUR_TIME: Duration = Duration::from_secs(10);
 /// Time for which no other host is asked to connect to a backend server to which another one could not connect.
 const OUTAGE_TIME: Duration = Duration::from_secs(1);
 /// Number of backend servers with a link state from which expired ones are dropped.
@@ -106,6 +107,21 @@
         }
     }
 
+    /// Backend servers that are reached through other hosts, at most `max_count`, those first whose direct link was
+    /// lost first.
+    pub fn detoured(&self, max_count: usize, now: Moment) -> Vec<BackendInstance> {
+        let mut detoured: Vec<_> = self
+            .backends
+            .iter()
+            .filter_map(|(backend, link)| match link {
+                BackendLink::DetourUntil(until) if *until > now => Some((*until, backend.clone())),
+                BackendLink::DetourUntil(_) | BackendLink::OutageUntil(_) => None,
+            })
+            .collect();
+        detoured.sort_by_key(|(until, _backend)| *until);
+        detoured.into_iter().take(max_count).map(|(_until, backend)| backend).collect()
+    }
+
     /// Whether a failed connection calls for a verification.
     pub fn needs_verification(&self, service: &str, now: Moment) -> bool {
         let links = self.services.get(service).copied().unwrap_or_default();
