A host that stops waits for the streams that others run through it

What callers would have seen: at a host that reaches backend servers through another one, streams broke off when that other one was stopped as planned (4 of 700 while four hosts restarted). Cause: a stop waits for the host's own callers, then ends all links, tunnels too.

Change: a stopping host opens no further tunnels and waits within its grace until those that it serves have ended. Evidence: hosts_that_stop_break_off_no_streams_of_partitioned_hosts, red before.

--- a/crates/dillspool_dialer/src/dialer.rs
+++ b/crates/dillspool_dialer/src/dialer.rs
@@ -33,7 +33,7 @@
 /// may have lost its link as well.
 const HOSTS_BEFORE_OUTAGE: usize = 2;
 /// Maximum number of tunnels that this host serves; each takes two file descriptors.
-const MAX_TUNNELS: usize = 512;
+const MAX_TUNNELS: u32 = 512;
 
 type SharedVerification = Shared<BoxFuture<bool>>;
 
@@ -112,7 +112,7 @@
             health: Mutex::default(),
             peers: Mutex::default(),
             counters: TunnelCounters::default(),
-            served: Arc::new(Semaphore::new(MAX_TUNNELS)),
+            served: Arc::new(Semaphore::new(MAX_TUNNELS as usize)),
             lost: watch::Sender::new(false),
             verifications: Mutex::default(),
         };
@@ -367,6 +367,15 @@
         }
     }
 
+    /// Refuses further tunnels, and waits until those that this host serves have ended.
+    pub async fn drain_tunnels(&self) {
+        let all = Arc::clone(&self.state.served).acquire_many_owned(MAX_TUNNELS).await;
+        // The host is stopping; nothing returns the permits.
+        if let Ok(permits) = all {
+            permits.forget();
+        }
+    }
+
     /// Whether this host is partitioned from the backend servers of a service, by a verification if none is recent.
     pub async fn confirm_partitioned(&self, service: &Name) -> bool {
         if self.is_partitioned(service) {
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dillspool_capacity::DemandMeter;
-use dillspool_dialer::{DialerFleet, dial_backends};
+use dillspool_dialer::{BackendDialer, DialerFleet, dial_backends};
 use dillspool_forward::{
     BackendProbes, BackendTracker, ForwardContext, ForwardMetrics, RetryBudgets,
 };
@@ -86,6 +86,7 @@
     serving: TaskTracker,
     peers: PeerList,
     suspects: SuspectTracker,
+    dialer: BackendDialer,
     /// Budget for bytes held for slow peers; `None` if they are not limited.
     byte_budget: Option<ByteBudget>,
     clock: HostClock,
@@ -177,6 +178,7 @@
             serving: TaskTracker::new(),
             peers: replicas.peers.clone(),
             suspects: suspects.clone(),
+            dialer: site.dialer.clone(),
             clock: clock.clone(),
         };
         let throttle_metrics = ThrottleMetrics::new(
@@ -392,7 +394,9 @@
         self.clock.sleep_until(deadline.min(requested_at + READINESS_DRAIN_DELAY)).await;
         self.callers.cancel();
         self.serving.close();
-        let finished = self.clock.timeout_at(deadline, self.serving.wait()).await.is_ok();
+        // Streams of hosts that have lost their links run through this one.
+        let finishing = async { tokio::join!(self.serving.wait(), self.dialer.drain_tunnels()) };
+        let finished = self.clock.timeout_at(deadline, finishing).await.is_ok();
         self.background.cancel();
         log::info!("event=stopped all_answers_finished={finished}");
     }
--- a/crates/dillspool_routerd/tests/partitioned_hosts.rs
+++ b/crates/dillspool_routerd/tests/partitioned_hosts.rs
@@ -127,6 +127,8 @@
 
 /// Streams at each partitioned host when its links break.
 const OPEN_STREAMS: usize = 12;
+/// Streams at a partitioned host while four others stop and start again.
+const STREAMS_DURING_STOPS: usize = 700;
 /// Longest time of a stream at a sound host; without other load it takes half as long.
 const MAX_STREAM_TIME: Duration = Duration::from_millis(330);
 /// Streams at all sound hosts afterwards.
@@ -181,3 +183,31 @@
         );
     }
 }
+
+/// Hosts stop one after the other while another one reaches backend servers through them. Guards against a planned stop
+/// that breaks off the streams of that other host.
+#[tokio::test(start_paused = true)]
+async fn hosts_that_stop_break_off_no_streams_of_partitioned_hosts() {
+    let fleet = TestFleet::start(HOSTS, RestartIdentity::NewId).await;
+    let fleet = &fleet;
+    fleet.set_backend_links(0, LinkMode::Cut);
+    // Finds the links lost.
+    fleet.send(0, 0, "/stream/1", "sound").await;
+    let stops = async {
+        for host in 1..HOSTS - 1 {
+            fleet.restart_host(host).await;
+        }
+    };
+    let streams = (0..STREAMS_DURING_STOPS).map(|number| async move {
+        let interval = REQUEST_INTERVAL * u32::try_from(number).expect("few");
+        tokio::time::sleep(interval).await;
+        fleet.send(number % 8, 0, "/stream/1", "sound").await
+    });
+    let (replies, ()) =
+        futures_util::future::join(futures_util::future::join_all(streams), stops).await;
+    let broken: Vec<_> =
+        replies.iter().filter(|reply| reply.status == Some(200) && reply.body.is_none()).collect();
+    assert!(broken.is_empty(), "{} streams broke off: {:?}", broken.len(), broken.first());
+    let served = replies.iter().filter(|reply| reply.is_served()).count();
+    assert!(served * 100 >= replies.len() * 98, "{served} of {} served", replies.len());
+}
