--- a/crates/dillspool_dialer/src/dialer.rs
+++ b/crates/dillspool_dialer/src/dialer.rs
@@ -12,31 +12,26 @@
 use dillspool_io::{BoxFuture, HostClock, NetStack, NetStream};
 use dillspool_routing::{BackendEntry, DirectoryView};
 use dillspool_schema::Name;
-use futures_util::FutureExt;
-use futures_util::future::{Either, Shared, select, select_ok};
+use futures_util::future::{Either, select};
 use tokio::sync::{Semaphore, watch};
 
-use crate::link_health::{BackendPath, LinkChange, LinkHealth, ProbeTally};
-use crate::probe_targets::choose_probe_targets;
+use crate::link_health::{BackendPath, LinkChange, LinkHealth};
 use crate::tunnel::{OpenTunnelFn, TunnelError, TunnelPeer, TunnelPermit};
 use crate::tunnel_peers::TunnelPeers;
+use crate::verification::SharedVerification;
 
 /// Timeout for opening a connection: a round trip takes 1 to 3 ms, a retransmission after a lost packet one second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without a direct connection after which another host is asked for one.
 const HEDGE_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a probe, and of a connection for another host.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Number of backend servers that a verification probes.
-const VERIFICATION_PROBES: usize = 4;
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Number of other hosts that must fail to connect to a backend server before it is held to be at fault: the first one
 /// may have lost its link as well.
 const HOSTS_BEFORE_OUTAGE: usize = 2;
 /// Maximum number of tunnels that this host serves; each takes two file descriptors.
 const MAX_TUNNELS: u32 = 512;
 
-type SharedVerification = Shared<BoxFuture<bool>>;
-
 /// What a dialer knows of the fleet.
 #[derive(Clone)]
 pub struct DialerFleet {
@@ -72,24 +67,24 @@
     served: AtomicU64,
 }
 
-struct DialerState {
+pub(crate) struct DialerState {
     stack: NetStack,
-    clock: HostClock,
+    pub(crate) clock: HostClock,
     /// Not set on a host without a fleet, which then verifies no links and opens no tunnels.
-    fleet: OnceLock<DialerFleet>,
-    health: Mutex<LinkHealth>,
+    pub(crate) fleet: OnceLock<DialerFleet>,
+    pub(crate) health: Mutex<LinkHealth>,
     peers: Mutex<TunnelPeers>,
     counters: TunnelCounters,
     served: Arc<Semaphore>,
     /// Wakes the task that probes lost links.
     lost: watch::Sender<bool>,
-    verifications: Mutex<HashMap<Name, SharedVerification>>,
+    pub(crate) verifications: Mutex<HashMap<Name, SharedVerification>>,
 }
 
 /// Opens connections to backend servers; clones share what is known of the links.
 #[derive(Clone)]
 pub struct BackendDialer {
-    state: Arc<DialerState>,
+    pub(crate) state: Arc<DialerState>,
 }
 
 impl fmt::Debug for BackendDialer {
@@ -98,7 +93,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -376,59 +371,6 @@
         }
     }
 
-    /// Whether this host is partitioned from the backend servers of a service, by a verification if none is recent.
-    pub async fn confirm_partitioned(&self, service: &Name) -> bool {
-        if self.is_partitioned(service) {
-            return true;
-        }
-        match self.start_verification(service) {
-            Some(verification) => verification.await,
-            None => false,
-        }
-    }
-
-    /// Starts a verification, or joins the one in progress; `None` if a recent one found the links sound.
-    fn start_verification(&self, service: &Name) -> Option<SharedVerification> {
-        self.state.fleet.get()?;
-        let mut verifications = lock(&self.state.verifications);
-        if let Some(running) = verifications.get(service) {
-            return Some(running.clone());
-        }
-        if !lock(&self.state.health).needs_verification(service, self.state.clock.now()) {
-            return None;
-        }
-        let (dialer, of) = (self.clone(), Name::clone(service));
-        let verifying = tokio::spawn(async move {
-            let tally = dialer.probe(&of, VERIFICATION_PROBES).await;
-            let now = dialer.state.clock.now();
-            let change = lock(&dialer.state.health).record_verification(&of, tally, now);
-            dialer.report(&of, change);
-            lock(&dialer.state.verifications).remove(&of);
-            dialer.is_partitioned(&of)
-        });
-        let verification: BoxFuture<bool> =
-            Box::pin(async move { verifying.await.unwrap_or(false) });
-        let verification = verification.shared();
-        verifications.insert(Name::clone(service), verification.clone());
-        Some(verification)
-    }
-
-    /// Probes backend servers of a service until one accepts a connection.
-    pub(crate) async fn probe(&self, service: &Name, count: usize) -> ProbeTally {
-        let started = self.state.clock.now();
-        let targets = self.state.fleet.get().map_or_else(Vec::new, |fleet| {
-            let view = Arc::clone(&fleet.directory.borrow());
-            choose_probe_targets(&view, service, count, &mut rand::rng())
-        });
-        let probed = targets.len();
-        let attempts = targets.into_iter().map(|entry| {
-            let dialer = self.clone();
-            Box::pin(async move { dialer.connect_directly(&entry, PROBE_TIMEOUT).await })
-        });
-        let is_any_reachable = probed > 0 && select_ok(attempts).await.is_ok();
-        ProbeTally { started, probed, is_any_reachable }
-    }
-
     /// Backend servers that are reached through other hosts, at most `max_count`.
     pub(crate) fn detoured(&self, max_count: usize) -> Vec<Arc<BackendEntry>> {
         let Some(fleet) = self.state.fleet.get() else { return Vec::new() };
@@ -444,7 +386,7 @@
         let _result = self.connect_directly(entry, PROBE_TIMEOUT).await;
     }
 
-    fn report(&self, service: &Name, change: Option<LinkChange>) {
+    pub(crate) fn report(&self, service: &Name, change: Option<LinkChange>) {
         match change {
             Some(LinkChange::Lost) => {
                 log::warn!("event=backend_links_lost service={service}");
--- a/crates/dillspool_dialer/src/lib.rs
+++ b/crates/dillspool_dialer/src/lib.rs
@@ -10,6 +10,7 @@
 mod recovery;
 mod tunnel;
 mod tunnel_peers;
+mod verification;
 
 pub use dialer::{BackendDialer, DialerFleet, TunnelCounts};
 pub use link_health::{BackendPath, LinkChange, LinkHealth, ProbeTally};
--- a/crates/dillspool_dialer/src/link_health.rs
+++ b/crates/dillspool_dialer/src/link_health.rs
@@ -187,9 +187,6 @@
     }
 
     fn entry(&mut self, service: &Name) -> &mut ServiceLinks {
-        if !self.services.contains_key(service) {
-            self.services.insert(Name::clone(service), ServiceLinks::default());
-        }
         self.services.entry(Name::clone(service)).or_default()
     }
 }
--- a/crates/dillspool_dialer/src/tunnel.rs
+++ b/crates/dillspool_dialer/src/tunnel.rs
@@ -9,7 +9,7 @@
 use dillspool_routing::BackendEntry;
 use tokio::sync::OwnedSemaphorePermit;
 
-/// Why a host could not be reached through another one.
+/// Why a backend server could not be reached through another host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TunnelError {
     /// The backend server refused the other host's connection, too.
