Tests: all hosts partitioned, and no tunnels with sound links

Cause: docs/design/partitions.md says that requests are refused at once when no host reaches backend servers, that these are not taken for crashed then, and that a healthy fleet opens no tunnels. No test bore that out.

Change: two tests. With links of all hosts reset, hanging or closed, requests of all kinds are refused with a time to come back within 100 ms, none runs, and no crash is found; with sound links the three counts of tunnels are 0 on each host.

No check is changed.

--- a/crates/dillspool_routerd/tests/partitioned_hosts.rs
+++ b/crates/dillspool_routerd/tests/partitioned_hosts.rs
@@ -211,3 +211,49 @@
     let served = replies.iter().filter(|reply| reply.is_served()).count();
     assert!(served * 100 >= replies.len() * 98, "{served} of {} served", replies.len());
 }
+
+/// Longest time until a request that no host can have run is refused.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// No host reaches a backend server. Guards against callers that wait for what is known not to be served, and against
+/// backend servers that are taken for crashed.
+#[tokio::test(start_paused = true)]
+async fn requests_are_refused_at_once_when_all_hosts_are_partitioned() {
+    for mode in [LinkMode::Cut, LinkMode::Frozen, LinkMode::Closed] {
+        let fleet = TestFleet::start(HOSTS, RestartIdentity::NewId).await;
+        for host in 0..HOSTS {
+            fleet.set_backend_links(host, mode);
+        }
+        send_for(&fleet, RECOVERY_TIME).await;
+        for (number, path) in PATHS.into_iter().cycle().take(HOSTS * PATHS.len()).enumerate() {
+            let sent = Instant::now();
+            let reply = fleet.send(number % 8, number % HOSTS, path, "sound").await;
+            let took = sent.elapsed();
+            assert!(
+                reply.is_refusal() && took <= MAX_REFUSAL_TIME,
+                "{mode:?}: {reply:?} after {took:?}"
+            );
+            assert!(fleet.runs.of(&reply.id).is_empty(), "{mode:?}: {reply:?} ran");
+        }
+        for host in 0..HOSTS {
+            assert_eq!(
+                count_broken(&fleet, host, "ended").await,
+                0,
+                "{mode:?}: crashes at host {host}"
+            );
+        }
+    }
+}
+
+/// Guards against tunnels that cost a fleet whose links are sound.
+#[tokio::test(start_paused = true)]
+async fn hosts_with_sound_links_open_no_tunnels() {
+    let fleet = TestFleet::start(HOSTS, RestartIdentity::NewId).await;
+    send_for(&fleet, MEASURED_TIME).await;
+    for host in 0..HOSTS {
+        for name in ["opened", "failed", "served"] {
+            let lines = fleet.metrics(host, &format!("dillspool_tunnels_{name} ")).await;
+            assert_eq!(lines, [format!("dillspool_tunnels_{name} 0")], "host {host}");
+        }
+    }
+}
