Sight: lines and a counter name software versions and resumed attempts

No line named a version or the attempt that a request goes on from, so a host's own choice could not be told from a caller's return or an old directory.

No decision changes.

--- a/crates/dillspool_dialer/tests/dialer.rs
+++ b/crates/dillspool_dialer/tests/dialer.rs
@@ -7,7 +7,7 @@
 
 use dillspool_dialer::{BackendDialer, DialerFleet, TunnelError, dial_backends};
 use dillspool_io::{HostClock, LinkMode, MemoryNet, NetListener};
-use dillspool_routing::{BackendEntry, BackendState, DirectoryView};
+use dillspool_routing::{BackendEntry, BackendState, DirectoryView, SoftwareVersion};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +21,7 @@
     Arc::new(BackendEntry {
         id: format!("i-{number}").into(),
         start: None,
+        software: SoftwareVersion::default(),
         service: "service".into(),
         address: SocketAddr::new(node(number), 9000),
         failure_domain: format!("domain-{}", number % 3).into(),
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -8,7 +8,7 @@
 
 use dillspool_admission::EngineFault;
 use dillspool_io::{BoxFuture, ResponseBody};
-use dillspool_routing::{BackendEntry, RoutedRequest};
+use dillspool_routing::{BackendEntry, RoutedRequest, SoftwareVersion};
 use dillspool_suspects::{CopyGuard, SuspectDecision};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
@@ -105,6 +105,8 @@
     pub(crate) stages: FirstEventStages,
     /// Last event that the caller received.
     pub(crate) last_event: Option<u64>,
+    /// Software version of the engine that began the stream; `None` before its first event, or if it is not known.
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 impl ModelRequest {
@@ -121,6 +123,7 @@
             engine_wait_deadline: None,
             stages: FirstEventStages::default(),
             last_event: request.resume_after,
+            software: None,
         }
     }
 
@@ -173,8 +176,12 @@
         })
     }
 
-    pub(crate) fn record_first_event(&self, after: Duration) {
+    /// Records the first event of this response, which an engine of this software version sent.
+    pub(crate) fn record_first_event(&mut self, after: Duration, software: &SoftwareVersion) {
         self.context.metrics.record_first_part(after);
+        if self.request.resume_after.is_none() {
+            self.software = Some(software.clone());
+        }
     }
 
     /// Records a complete response, with the mean gap between its events.
--- a/crates/dillspool_forward/src/generate/send.rs
+++ b/crates/dillspool_forward/src/generate/send.rs
@@ -13,6 +13,7 @@
 use super::{ModelRequest, OpenOutcome, OpenStream, PreparedAttempt, SentAttempt};
 use crate::calls::{BackendResponse, CallError, ForwardParams};
 use crate::context::RESTARTED_CAUSE;
+use crate::metrics::ResumptionLabels;
 use crate::placement::{Placement, StreamTicket};
 use crate::refusal::Refusal;
 use crate::response_body::read_within_budget;
@@ -92,13 +93,16 @@
             )
         });
         log::info!(
-            "event=stream_placed id={} backend={} directory={} reserved={reserved_tokens} prompt={prompt} guess={estimate} prefill={} after_ms={} resume_after={}",
+            "event=stream_placed id={} backend={} software={} directory={} reserved={reserved_tokens} prompt={prompt} guess={estimate} prefill={} prefill_software={} after_ms={} resume_after={} resumes={}",
             self.request.id,
             entry.id,
+            entry.software,
             self.context.view().version,
             params.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.id),
+            params.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.software.0),
             self.request.age().as_millis(),
             self.last_event.unwrap_or(0),
+            self.request.resumed_attempt.as_deref().unwrap_or("none"),
         );
     }
 
@@ -133,6 +137,7 @@
             if self.is_before_first_event() {
                 self.stages.opened = self.request.age();
             }
+            self.record_resumption(&entry);
             let body = response.body;
             let open = OpenStream { entry, status, body, read_at_decode, ticket };
             return Ok(Some(OpenOutcome::Stream(open, headers)));
@@ -154,6 +159,20 @@
         }
     }
 
+    /// Counts a stream that an engine goes on with.
+    fn record_resumption(&self, entry: &BackendEntry) {
+        if self.last_event.is_none() {
+            return;
+        }
+        let by = if self.is_before_first_event() { "caller" } else { "host" };
+        let software = match &self.software {
+            Some(software) if *software == entry.software => "same",
+            Some(_other) => "other",
+            None => "unknown",
+        };
+        self.context.metrics.record_resumption(&ResumptionLabels { by, software });
+    }
+
     /// Records an engine's failure and builds its response for the caller.
     fn relay_failure(
         &self,
--- a/crates/dillspool_forward/src/metrics.rs
+++ b/crates/dillspool_forward/src/metrics.rs
@@ -42,6 +42,21 @@
     }
 }
 
+/// Labels of a stream that was resumed at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct ResumptionLabels {
+    /// Who resumed it: `host` within one response, or `caller` with another attempt.
+    pub(crate) by: &'static str,
+    /// Whether the engine runs the software version that began the stream: `same`, `other` or `unknown`.
+    pub(crate) software: &'static str,
+}
+
+impl EncodeLabelSet for ResumptionLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        write_labels(encoder, &[("by", self.by), ("software", self.software)])
+    }
+}
+
 /// Counters and histograms of the requests of one host.
 #[derive(Clone, Debug)]
 pub struct ForwardMetrics {
@@ -56,6 +71,7 @@
     overruled_decisions: Counter,
     throttled: Counter,
     failed_attempts: Family<FailureLabels, Counter>,
+    resumptions: Family<ResumptionLabels, Counter>,
 }
 
 impl Default for ForwardMetrics {
@@ -74,6 +90,7 @@
             overruled_decisions: Counter::default(),
             throttled: Counter::default(),
             failed_attempts: Family::default(),
+            resumptions: Family::default(),
         }
     }
 }
@@ -127,6 +144,11 @@
             "Runs that broke off, by what became of their backend servers",
             self.failed_attempts.clone(),
         );
+        registry.register(
+            "forward_resumed_streams",
+            "Streams that went on at an engine, by whether it runs the software version that began them",
+            self.resumptions.clone(),
+        );
     }
 
     pub(crate) fn record_start(&self) {
@@ -165,6 +187,10 @@
         self.failed_attempts.get_or_create(&FailureLabels { found }).inc();
     }
 
+    pub(crate) fn record_resumption(&self, labels: &ResumptionLabels) {
+        self.resumptions.get_or_create(labels).inc();
+    }
+
     pub(crate) fn record_throttled(&self) {
         self.throttled.inc();
     }
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -163,7 +163,11 @@
     fn record_events(&mut self, count: u64) {
         let age = self.model_request.request.age();
         match self.stats.record_events(count, age) {
-            None => self.model_request.record_first_event(age),
+            None => {
+                if let Some(reader) = &self.reader {
+                    self.model_request.record_first_event(age, &reader.open.entry.software);
+                }
+            }
             Some(gap) => self.log_event_gap(gap),
         }
     }
@@ -194,9 +198,10 @@
         let failed = self.reader.take();
         let request = Arc::clone(&self.model_request.request);
         log::info!(
-            "event=stream_broke id={} backend={} events={} after_ms={} cause=\"{cause}\"",
+            "event=stream_broke id={} backend={} software={} events={} after_ms={} cause=\"{cause}\"",
             request.id,
             failed.as_ref().map_or("", |reader| &*reader.open.entry.id),
+            failed.as_ref().map_or("", |reader| &*reader.open.entry.software.0),
             self.stats.events,
             request.age().as_millis(),
         );
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -19,7 +19,7 @@
 use dillspool_routing::{
     BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
     GenerationParams, RequestKind, RouteEntry, RouteTable, RoutedRequest, RoutingConfig,
-    ServiceEntry, ServiceShare,
+    ServiceEntry, ServiceShare, SoftwareVersion,
 };
 use dillspool_scheduler::{
     BusHandlers, CallClient, CallScheduler, CallSchedulerSettings, FleetBus, LimitClient,
@@ -121,6 +121,7 @@
     BackendEntry {
         id: id.into(),
         start: None,
+        software: SoftwareVersion::default(),
         service: "service".into(),
         address: ([127, 0, 0, 1], 9).into(),
         failure_domain: domain.into(),
@@ -440,6 +441,7 @@
         workspace: None,
         generation,
         resume_after: None,
+        resumed_attempt: None,
         config_version: 1,
         held_bytes: ExchangeBytes::default(),
         accepts_chunked: true,
--- a/crates/dillspool_roles/tests/plan.rs
+++ b/crates/dillspool_roles/tests/plan.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use dillspool_roles::{initial_prefill_engines, plan_stage_changes, prefill_engines_for_share};
-use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage};
+use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EngineStage, SoftwareVersion};
 
 fn engine(
     id: String,
@@ -14,6 +14,7 @@
     Arc::new(BackendEntry {
         id: id.into(),
         start: None,
+        software: SoftwareVersion::default(),
         service: "pool".into(),
         address: ([127, 0, 0, 1], 9).into(),
         failure_domain: domain.into(),
--- a/crates/dillspool_roles/tests/reconciler.rs
+++ b/crates/dillspool_roles/tests/reconciler.rs
@@ -11,7 +11,7 @@
 use dillspool_roles::{BackoffFn, PoolTargets, ReconcilerSettings, ShareRule, reconcile_stages};
 use dillspool_routing::{
     BackendEntry, BackendInstance, BackendStart, BackendState, ClientLimits, DirectoryView,
-    EnginePool, EngineStage, RouteTable, RoutingConfig, ServiceEntry,
+    EnginePool, EngineStage, RouteTable, RoutingConfig, ServiceEntry, SoftwareVersion,
 };
 use hyper::StatusCode;
 use tokio::sync::watch;
@@ -63,6 +63,7 @@
         let entry = BackendEntry {
             id: id.into(),
             start: start.map(BackendStart),
+            software: SoftwareVersion::default(),
             service: "pool".into(),
             address: ([127, 0, 0, 1], 9).into(),
             failure_domain: "domain".into(),
--- a/crates/dillspool_roles/tests/targets.rs
+++ b/crates/dillspool_roles/tests/targets.rs
@@ -7,7 +7,9 @@
 
 use dillspool_capacity::DemandMeter;
 use dillspool_roles::{PoolTargets, ShareRule};
-use dillspool_routing::{BackendEntry, BackendState, DirectoryView, EnginePool, EngineStage};
+use dillspool_routing::{
+    BackendEntry, BackendState, DirectoryView, EnginePool, EngineStage, SoftwareVersion,
+};
 use tokio::time::Instant;
 
 const POOL: EnginePool = EnginePool {
@@ -27,6 +29,7 @@
         let entry = BackendEntry {
             id: format!("engine-{at}").into(),
             start: None,
+            software: SoftwareVersion::default(),
             service: "pool".into(),
             address: ([127, 0, 0, 1], 9).into(),
             failure_domain: "domain".into(),
--- a/crates/dillspool_router/src/directory_tracker.rs
+++ b/crates/dillspool_router/src/directory_tracker.rs
@@ -327,8 +327,9 @@
         }
         let start = entry.start.map_or(String::new(), |start| format!(" start={start}"));
         log::info!(
-            "event=backend_seen backend={id} service={} address={} failure_domain={} state={:?} stage={:?} row={row_version}{start}",
+            "event=backend_seen backend={id} service={} software={} address={} failure_domain={} state={:?} stage={:?} row={row_version}{start}",
             entry.service,
+            entry.software,
             entry.address,
             entry.failure_domain,
             entry.state,
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -172,6 +172,7 @@
             workspace,
             generation: metadata.generation,
             resume_after: metadata.resume_after,
+            resumed_attempt: metadata.resumed_attempt,
             config_version: config.version,
             held_bytes,
             accepts_chunked: parts.version > Version::HTTP_10,
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -22,7 +22,8 @@
 use dillspool_router::{PolicyConfig, RouterConfig, SiteProtocol};
 use dillspool_routing::{
     BackendEntry, BackendStart, BackendState, ClientLimits, RequestKind, RequestMetadata,
-    RouteEntry, RouteTable, RoutingConfig, ServiceShare, WorkspaceEntry, WorkspaceTable,
+    RouteEntry, RouteTable, RoutingConfig, ServiceShare, SoftwareVersion, WorkspaceEntry,
+    WorkspaceTable,
 };
 use dillspool_scheduler::{CallSchedulerSettings, RateLimiterSettings};
 use dillspool_suspects::FingerprintKey;
@@ -166,6 +167,7 @@
     Ok(BackendEntry {
         id: id.into(),
         start,
+        software: SoftwareVersion::default(),
         service: "service".into(),
         address,
         failure_domain: "domain".into(),
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -52,6 +52,18 @@
     }
 }
 
+/// Version of the software that a backend server runs. Versions have no order: an earlier one may follow a later one.
+///
+/// What two versions generate does not fit together; `docs/design/software_versions.md` lists what must not mix them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SoftwareVersion(pub Name);
+
+impl std::fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendState {
@@ -77,6 +89,8 @@
     pub id: BackendId,
     /// Start time; `None` if the directory row has none.
     pub start: Option<BackendStart>,
+    /// Version of its software, not of the weights that it serves.
+    pub software: SoftwareVersion,
     /// Service to which the backend server belongs.
     pub service: Name,
     /// Address on which it listens.
--- a/crates/dillspool_routing/src/lib.rs
+++ b/crates/dillspool_routing/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use backend::{
     BackendEntry, BackendId, BackendInstance, BackendStart, BackendState, DirectoryView,
-    EngineStage,
+    EngineStage, SoftwareVersion,
 };
 pub use config::{ClientLimits, EnginePool, RoutingConfig, ServiceEntry};
 pub use request::{GenerationParams, PromptPart, RequestMetadata, RoutedRequest};
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -55,6 +55,8 @@
     pub generation: Option<GenerationParams>,
     /// ID of the last event that the client received before its stream was interrupted.
     pub resume_after: Option<u64>,
+    /// ID of the attempt that brought the first event of the interrupted stream.
+    pub resumed_attempt: Option<Name>,
 }
 
 /// A fully received request with its route.
@@ -90,6 +92,8 @@
     pub generation: Option<GenerationParams>,
     /// ID of the last event that the client received before its stream was interrupted.
     pub resume_after: Option<u64>,
+    /// ID of the attempt that brought the first event of the interrupted stream.
+    pub resumed_attempt: Option<Name>,
     /// Version of the configuration that the route was selected from.
     pub config_version: u64,
     /// Accounts for the memory that the host holds for the request.
--- a/crates/dillspool_scheduler/tests/call_fleet/mod.rs
+++ b/crates/dillspool_scheduler/tests/call_fleet/mod.rs
@@ -13,7 +13,7 @@
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{
     BackendEntry, BackendStart, BackendState, ClientLimits, DirectoryView, RouteTable,
-    RoutingConfig, ServiceEntry,
+    RoutingConfig, ServiceEntry, SoftwareVersion,
 };
 use dillspool_scheduler::{
     BusHandlers, CallClient, CallScheduler, CallSchedulerSettings, CallTicket, FleetBus,
@@ -52,6 +52,7 @@
     BackendEntry {
         id: id.into(),
         start: Some(BackendStart(1)),
+        software: SoftwareVersion::default(),
         service: SERVICE.into(),
         address: ([10, 0, 1, 1], 9).into(),
         failure_domain: id.into(),
--- a/crates/dillspool_scheduler/tests/fleet_updates.rs
+++ b/crates/dillspool_scheduler/tests/fleet_updates.rs
@@ -12,7 +12,7 @@
 use dillspool_leaving::{LeavingTracker, LeavingUpdate};
 use dillspool_routing::{
     BackendEntry, BackendInstance, BackendStart, BackendState, ClientLimits, DirectoryView,
-    EngineStage, RouteTable, RoutingConfig, ServiceEntry,
+    EngineStage, RouteTable, RoutingConfig, ServiceEntry, SoftwareVersion,
 };
 use dillspool_scheduler::{
     BusHandlers, CallScheduler, CallSchedulerSettings, FleetBus, NoticeHandlers,
@@ -67,6 +67,7 @@
     let engine = BackendEntry {
         id: "e1".into(),
         start: None,
+        software: SoftwareVersion::default(),
         service: "pool".into(),
         address: address(),
         failure_domain: "domain".into(),
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -14,7 +14,7 @@
 use dillspool_io::{HostClock, LinkMode, MemoryNet};
 use dillspool_routing::{
     BackendEntry, BackendInstance, BackendStart, BackendState, ClientLimits, DirectoryView,
-    EnginePool, EngineStage, RouteTable, RoutingConfig, ServiceEntry,
+    EnginePool, EngineStage, RouteTable, RoutingConfig, ServiceEntry, SoftwareVersion,
 };
 use dillspool_scheduler::{
     BusHandlers, CallScheduler, CallSchedulerSettings, FleetBus, PlacementEvent,
@@ -64,6 +64,7 @@
     let entry = |id: &str, stage| BackendEntry {
         id: id.into(),
         start,
+        software: SoftwareVersion::default(),
         service: SERVICE.into(),
         address: ([10, 0, 1, 1], 9).into(),
         failure_domain: "domain".into(),
--- a/crates/dillspool_scheduler/tests/tunnels.rs
+++ b/crates/dillspool_scheduler/tests/tunnels.rs
@@ -9,7 +9,7 @@
 use dillspool_capacity::DemandMeter;
 use dillspool_dialer::{BackendDialer, DialerFleet, TunnelError, dial_backends};
 use dillspool_io::{HostClock, LinkMode, MemoryNet, NetStream};
-use dillspool_routing::{BackendEntry, BackendState, DirectoryView};
+use dillspool_routing::{BackendEntry, BackendState, DirectoryView, SoftwareVersion};
 use dillspool_scheduler::{
     BusHandlers, CallScheduler, CallSchedulerSettings, FleetBus, PlacementScheduler, RateLimiter,
     ScheduleServices, serve_schedule, tunnel_opener,
@@ -34,6 +34,7 @@
     Arc::new(BackendEntry {
         id: format!("i-{number}").into(),
         start: None,
+        software: SoftwareVersion::default(),
         service: "service".into(),
         address: SocketAddr::new(node(number), 9000),
         failure_domain: "domain".into(),
