--- a/crates/dillspool_routerd/tests/fleet/counted.rs
+++ b/crates/dillspool_routerd/tests/fleet/counted.rs
@@ -11,7 +11,7 @@
 use dillspool_router::{RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
 use dillspool_site_standin::{
-    BackendRow, MOST_SLOTS, StandinKind, StandinRoute, StandinStore, config_text,
+    BackendRow, FIRST_SOFTWARE, MOST_SLOTS, StandinKind, StandinRoute, StandinStore, config_text,
 };
 use futures_util::future::join_all;
 use http_body_util::Full;
@@ -130,7 +130,8 @@
     let address = SocketAddr::new(node(2, number), 9000);
     let failure_domain = &format!("domain-{}", number % DOMAINS);
     let slots = MOST_SLOTS;
-    BackendRow { service, address, failure_domain, kind, state: "ready", slots }.text(1)
+    let software = FIRST_SOFTWARE;
+    BackendRow { service, address, failure_domain, kind, software, state: "ready", slots }.text(1)
 }
 
 /// Settings of a host.
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod counted;
 mod reply;
+mod streams;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -19,8 +20,8 @@
     CallSchedulerSettings, RateLimiterSettings, SchedulerCandidate, rank_candidates,
 };
 use dillspool_site_standin::{
-    PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute, StandinStore,
-    TIME_BUDGET, TOKEN_COUNTS, config_text,
+    FIRST_SOFTWARE, PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute,
+    StandinStore, TIME_BUDGET, TOKEN_COUNTS, config_text,
 };
 use dillspool_suspects::{FingerprintKey, RequestFingerprint};
 use http_body_util::Full;
@@ -29,11 +30,14 @@
 use tokio_util::sync::CancellationToken;
 
 pub use reply::{CallerReply, find_slow_refusals};
+pub use streams::{ResumePoint, StreamTry, TakenStream};
 
 /// Number of backend servers of a fleet.
 const BACKENDS: usize = 12;
 /// Kinds of the backend servers, assigned in turn.
 const KINDS: [StandinKind; 3] = [StandinKind::Plain, StandinKind::Decode, StandinKind::Prefill];
+/// Callers with an address of their own.
+pub const CALLERS: usize = 8;
 /// Host name of all routes.
 const ROUTE_HOST: &str = "fleet.example";
 /// Time in which a fleet connects to its store, its schedulers and its peers.
@@ -63,8 +67,15 @@
     pub failure_domains: usize,
     /// Capacity of plain backend servers; `None` for unlimited.
     pub plain_capacity: Option<PlainCapacity>,
+    /// Software version of each start of a backend server, by its number and start; `None` for one version.
+    pub software: Option<SoftwareFn>,
+    /// Whether the hosts start as those of a new fleet.
+    pub is_first_start: bool,
 }
 
+/// Returns the software version of a start of a backend server, by its number and start.
+pub type SoftwareFn = fn(usize, u64) -> &'static str;
+
 fn node(net: u8, number: usize) -> IpAddr {
     Ipv4Addr::new(10, 0, net, u8::try_from(number + 1).expect("few nodes")).into()
 }
@@ -112,22 +123,24 @@
         fleet.write_config(1, &[]);
         for number in 0..BACKENDS {
             fleet
-                .start_backend(
-                    number,
-                    KINDS[number % KINDS.len()],
-                    restart_identity,
-                    options.plain_capacity,
-                )
+                .start_backend(number, KINDS[number % KINDS.len()], restart_identity, options)
                 .await;
         }
         for number in 0..hosts {
-            let mut config = RouterConfig { calls: options.calls, ..host_config(number, hosts) };
+            let mut config = RouterConfig {
+                calls: options.calls,
+                first_start: options.is_first_start,
+                ..host_config(number, hosts)
+            };
             if let Some(domain) = number.checked_rem(options.failure_domains) {
                 config.failure_domain = format!("domain-{domain}").into();
             }
             fleet.hosts.push((config, RunningHost::default()));
             fleet.start_host(number).await;
         }
+        for (config, _running) in &mut fleet.hosts {
+            config.first_start = false;
+        }
         tokio::time::sleep(SETTLE_TIME).await;
         fleet
     }
@@ -168,9 +181,10 @@
         number: usize,
         kind: StandinKind,
         restart_identity: RestartIdentity,
-        plain_capacity: Option<PlainCapacity>,
+        options: &FleetOptions,
     ) {
-        let capacity = plain_capacity.filter(|_capacity| kind == StandinKind::Plain);
+        let capacity = options.plain_capacity.filter(|_capacity| kind == StandinKind::Plain);
+        let software = options.software.unwrap_or(|_number, _start| FIRST_SOFTWARE);
         let address = backend_address(number);
         let stack = self.net.stack(address.ip());
         let (store, runs) = (self.store.clone(), self.runs.clone());
@@ -184,7 +198,8 @@
                     RestartIdentity::SameId => format!("i-{number}"),
                 };
                 let backend = StandinBackend::new(&id, kind, &runs).started(start);
-                let backend = backend.with_capacity(capacity);
+                let backend =
+                    backend.with_capacity(capacity).with_software(software(number, start));
                 backend.serve(&stack, address).await.expect("a free address");
                 backends.lock().expect("no panic").insert(number, backend.clone());
                 store.write("servers", &id, Some(&backend.row(service, address, "ready")));
@@ -227,6 +242,30 @@
         stop(&mut *self.hosts[number].1.lock().await).await;
     }
 
+    /// Kills a host: its connections break and it is gone, without a stop of its own.
+    pub async fn kill_host(&self, number: usize) {
+        self.set_all_links(number, LinkMode::Cut);
+        let daemon = self.hosts[number].1.lock().await.take();
+        // What is left of it in this process ends without a link to anything.
+        tokio::spawn(async move { stop(&mut { daemon }).await });
+    }
+
+    /// Sets the mode of the links between a host and everything else.
+    pub fn set_all_links(&self, number: usize, mode: LinkMode) {
+        let others: Vec<_> = (0..self.hosts.len()).collect();
+        self.set_links(&[number], &others, mode);
+        self.set_backend_links(number, mode);
+        self.set_caller_links(number, mode);
+        self.net.set_link(node(1, number), store_address().ip(), mode);
+    }
+
+    /// Sets the mode of the links between a host and all callers.
+    pub fn set_caller_links(&self, number: usize, mode: LinkMode) {
+        for caller in 0..CALLERS {
+            self.net.set_link(node(1, number), node(3, caller), mode);
+        }
+    }
+
     /// Restarts a host; concurrent calls wait for each other.
     pub async fn restart_host(&self, number: usize) {
         let mut running = self.hosts[number].1.lock().await;
--- /dev/null
+++ b/crates/dillspool_routerd/tests/fleet/streams.rs
@@ -0,0 +1,137 @@
+//! Callers that read a stream event by event, and resume it at another host when it breaks off.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use dillspool_io::exchange_once;
+use dillspool_site_standin::{FIRST_SOFTWARE, LAST_EVENT, RESUMED_ATTEMPT, STREAM_EVENTS};
+use http_body_util::BodyExt;
+
+use hyper::header::HeaderValue;
+use tokio::time::Instant;
+
+use super::{CALLERS, TestFleet, node};
+
+/// Time without an event after which a caller gives a stream up.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
+/// Longest time to connect to a host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Where a stream was interrupted.
+#[derive(Clone, Debug)]
+pub struct ResumePoint {
+    /// The attempt that brought its first event.
+    pub attempt: String,
+    /// The last event that the caller has.
+    pub last_event: u64,
+}
+
+/// One try of a caller.
+#[derive(Clone, Debug, Default)]
+pub struct StreamTry {
+    /// Id of the attempt.
+    pub id: String,
+    /// Status, if the head of a response arrived.
+    pub status: Option<u16>,
+    /// Whether the response has a `Retry-After` header.
+    pub has_retry_after: bool,
+    /// Number of each event and software version of the engine that sent it.
+    pub events: Vec<(u64, String)>,
+    /// Whether the response ended cleanly.
+    pub is_complete: bool,
+    /// Time until the response ended.
+    pub took: Duration,
+}
+
+/// A stream with all tries of its caller.
+#[derive(Clone, Debug, Default)]
+pub struct TakenStream {
+    pub tries: Vec<StreamTry>,
+}
+
+impl TakenStream {
+    /// Numbers and software versions of all events that the caller has.
+    pub fn events(&self) -> Vec<(u64, String)> {
+        self.tries.iter().flat_map(|it| it.events.clone()).collect()
+    }
+
+    /// Software versions whose engines sent events.
+    pub fn versions(&self) -> BTreeSet<String> {
+        self.events().into_iter().map(|(_number, software)| software).collect()
+    }
+
+    /// Whether the caller has each event once, and the last try ended cleanly.
+    pub fn is_whole(&self) -> bool {
+        let numbers: Vec<_> = self.events().into_iter().map(|(number, _software)| number).collect();
+        numbers == (1..=STREAM_EVENTS).collect::<Vec<_>>()
+            && self.tries.last().is_some_and(|it| it.is_complete)
+    }
+
+    /// Whether the caller took the stream up again after events.
+    pub fn was_resumed(&self) -> bool {
+        self.tries.len() > 1 && !self.tries[0].events.is_empty()
+    }
+}
+
+impl TestFleet {
+    /// Sends one try to a host and reads its events.
+    pub async fn read_stream(
+        &self,
+        caller: usize,
+        host: usize,
+        path: &str,
+        resume: Option<&ResumePoint>,
+    ) -> StreamTry {
+        let (id, address, mut request) = self.request(host, path, "sound");
+        if let Some(resume) = resume {
+            let headers = request.headers_mut();
+            let attempt = HeaderValue::from_str(&resume.attempt).expect("an id");
+            headers.insert(RESUMED_ATTEMPT, attempt);
+            headers.insert(LAST_EVENT, HeaderValue::from(resume.last_event));
+        }
+        let sent = Instant::now();
+        let mut read = StreamTry { id, ..StreamTry::default() };
+        let stack = self.net.stack(node(3, caller % CALLERS));
+        let exchange = exchange_once(&stack, address, request, CONNECT_TIMEOUT);
+        if let Ok(Ok(response)) = tokio::time::timeout(MAX_SILENCE, exchange).await {
+            read.status = Some(response.status().as_u16());
+            read.has_retry_after = response.headers().contains_key("retry-after");
+            if response.status().is_success() {
+                read_events(response.into_body(), &mut read).await;
+            }
+        }
+        read.took = sent.elapsed();
+        read
+    }
+}
+
+async fn read_events<B>(mut body: B, read: &mut StreamTry)
+where
+    B: hyper::body::Body<Data = bytes::Bytes> + Unpin,
+{
+    let mut pending = BytesMut::new();
+    loop {
+        match tokio::time::timeout(MAX_SILENCE, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(bytes) = frame.into_data() {
+                    pending.extend_from_slice(&bytes);
+                }
+            }
+            Ok(None) => {
+                read.is_complete = pending.is_empty();
+                return;
+            }
+            Ok(Some(Err(_broken))) => return,
+            Err(_silence) => return,
+        }
+        while let Some(end) = pending.windows(2).position(|pair| pair == b"\n\n") {
+            let event = pending.split_to(end + 2);
+            let text = String::from_utf8_lossy(&event).into_owned();
+            let number = text.lines().find_map(|line| line.strip_prefix("id: ")?.parse().ok());
+            let data = text.lines().find_map(|line| line.strip_prefix("data: "));
+            let software = data.and_then(|data| data.split(' ').nth(2)).unwrap_or(FIRST_SOFTWARE);
+            read.events.push((number.expect("an event with an id"), software.to_owned()));
+        }
+    }
+}
