--- a/crates/dillspool_admission/src/decode_state.rs
+++ b/crates/dillspool_admission/src/decode_state.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dillspool_moment::Moment;
-use dillspool_routing::BackendStart;
+use dillspool_routing::{BackendStart, SoftwareVersion};
 use dillspool_schema::Name;
 
 use crate::breaker::CircuitBreaker;
@@ -132,6 +132,7 @@
     pub(crate) failure_domain: Name,
     /// The engine start to which this state applies; `None` until one is reported.
     pub(crate) start: Option<BackendStart>,
+    pub(crate) software: SoftwareVersion,
     pub(crate) streams: Vec<StreamRecord>,
     pub(crate) breaker: CircuitBreaker,
     forecast: Option<MemoryForecast>,
@@ -143,11 +144,16 @@
 }
 
 impl DecodeState {
-    pub(crate) fn new(failure_domain: Name, start: Option<BackendStart>) -> Self {
+    pub(crate) fn new(
+        failure_domain: Name,
+        start: Option<BackendStart>,
+        software: SoftwareVersion,
+    ) -> Self {
         let breaker = CircuitBreaker::default();
         Self {
             failure_domain,
             start,
+            software,
             streams: Vec::new(),
             breaker,
             forecast: None,
--- a/crates/dillspool_admission/src/planner.rs
+++ b/crates/dillspool_admission/src/planner.rs
@@ -119,21 +119,25 @@
     /// streams, and its faults before the restart no longer count.
     pub fn set_engines(&mut self, engines: impl Iterator<Item = PoolEngine>) {
         let (mut decode, mut prefill) = (BTreeMap::new(), BTreeMap::new());
-        for PoolEngine { backend: BackendInstance { id, start }, failure_domain, is_prefill } in
-            engines
-        {
+        for engine in engines {
+            let PoolEngine { backend, failure_domain, is_prefill, software } = engine;
+            let BackendInstance { id, start } = backend;
             if BackendStart::are_different(self.engine_start(&id), start) {
                 self.remove_engine(&id);
             }
             if is_prefill {
                 let state = self.prefill_engines.remove(&id);
-                let mut state = state.unwrap_or_else(|| PrefillState::new(failure_domain, start));
+                let mut state = state
+                    .unwrap_or_else(|| PrefillState::new(failure_domain, start, software.clone()));
                 state.start = start.or(state.start);
+                state.software = software;
                 prefill.insert(id, state);
             } else {
                 let state = self.decode_engines.remove(&id);
-                let mut state = state.unwrap_or_else(|| DecodeState::new(failure_domain, start));
+                let mut state = state
+                    .unwrap_or_else(|| DecodeState::new(failure_domain, start, software.clone()));
                 state.start = start.or(state.start);
+                state.software = software;
                 decode.insert(id, state);
             }
         }
@@ -187,10 +191,9 @@
     ) -> Option<Name> {
         let decode = Name::clone(&self.placements.get(&ticket)?.decode_engine);
         self.dequeue_prefill(ticket);
-        let domain =
-            self.decode_engines.get(&decode).map(|state| Name::clone(&state.failure_domain));
-        let domain = domain.unwrap_or_else(|| Name::clone(&request.failure_domain));
-        let (prefill, wait) = self.shortest_prefill_queue(request, &domain, now)?;
+        let state = self.decode_engines.get(&decode)?;
+        let domain = &state.failure_domain;
+        let (prefill, wait) = self.shortest_prefill_queue(request, domain, &state.software, now)?;
         if wait > request.objective_left.max(MAX_LATE_PREFILL_WAIT) {
             return None;
         }
--- a/crates/dillspool_admission/src/planner/choose.rs
+++ b/crates/dillspool_admission/src/planner/choose.rs
@@ -5,9 +5,11 @@
 //! with the shortest wait is chosen. Failing engines look empty and would attract all requests, so
 //! failures count as used memory. `docs/design/admission.md` has the runs behind each limit.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use dillspool_moment::Moment;
+use dillspool_routing::SoftwareVersion;
 use dillspool_schema::Name;
 use rand::Rng;
 
@@ -37,6 +39,15 @@
 /// known exactly, and in a burst all queues grow up to the limit.
 const OBJECTIVE_FRACTION: f64 = 0.8;
 
+/// A decode engine with enough free memory for a request.
+#[derive(Clone, Debug)]
+pub(super) struct RankedEngine {
+    score: f64,
+    name: Name,
+    domain: Name,
+    software: SoftwareVersion,
+}
+
 impl PoolPlanner {
     /// Selects the engines for a request at `now`.
     pub(super) fn choose(
@@ -46,34 +57,53 @@
     ) -> Result<StreamPlacement, PlacementBlocker> {
         let reserve_tokens = self.reservation_tokens(request);
         let mut ranked = self.rank_decode_engines(request, now)?;
-        let (_decode, domain) = ranked.first().ok_or(PlacementBlocker::NoMemory)?.clone();
-        let wait = self.shortest_prefill_queue(request, &domain, now);
-        let queued = wait.as_ref().map_or(Duration::ZERO, |(_prefill, wait)| *wait);
-        ranked.retain(|(decode, _domain)| {
-            let state = self.decode_engines.get(decode);
+        if ranked.is_empty() {
+            return Err(PlacementBlocker::NoMemory);
+        }
+        let prefill_queues = self.prefill_queues(&ranked, request, now);
+        ranked.retain(|engine| {
+            let queue = prefill_queues.get(&engine.software);
+            let wait = queue.map_or(Duration::ZERO, |(_prefill, wait)| *wait);
+            let state = self.decode_engines.get(&engine.name);
             let slowness = state.map_or(1.0, |state| state.slowness(now, &self.lifetimes));
-            self.is_likely_to_complete(request, queued, slowness)
+            self.is_likely_to_complete(request, wait, slowness)
         });
-        let (decode, _domain) = ranked.first().ok_or(PlacementBlocker::Deadline)?.clone();
-        if let Some((prefill, wait)) = &wait
-            && self.is_prefill_in_time(request, *wait)
-        {
-            let prefill = Some(Name::clone(prefill));
-            return Ok(StreamPlacement {
-                decode_engine: decode,
-                reserve_tokens,
-                prefill_engine: prefill,
-            });
+        if ranked.is_empty() {
+            return Err(PlacementBlocker::Deadline);
         }
-        let local = ranked.into_iter().find(|(decode, _domain)| {
-            self.can_prefill_locally(decode, request, wait.is_some(), now)
+        let remote = ranked.iter().find_map(|engine| {
+            let (prefill, wait) = prefill_queues.get(&engine.software)?;
+            self.is_prefill_in_time(request, *wait).then(|| (engine, Some(Name::clone(prefill))))
         });
-        match local {
-            Some((decode, _domain)) => {
-                Ok(StreamPlacement { decode_engine: decode, reserve_tokens, prefill_engine: None })
-            }
-            None => Err(PlacementBlocker::SlowPrefill),
-        }
+        let chosen = remote.or_else(|| {
+            let mut local = ranked.iter().filter(|engine| {
+                self.can_prefill_locally(&engine.name, request, !prefill_queues.is_empty(), now)
+            });
+            Some((local.next()?, None))
+        });
+        let (decode, prefill_engine) = chosen.ok_or(PlacementBlocker::SlowPrefill)?;
+        let decode_engine = Name::clone(&decode.name);
+        Ok(StreamPlacement { decode_engine, reserve_tokens, prefill_engine })
+    }
+
+    /// Returns the prefill engine with the shortest wait, and that wait, for each software version of
+    /// the ranked decode engines that has one.
+    ///
+    /// A decode engine cannot use the KV cache of another version.
+    fn prefill_queues(
+        &self,
+        ranked: &[RankedEngine],
+        request: &PlacementRequest,
+        now: Moment,
+    ) -> BTreeMap<SoftwareVersion, (Name, Duration)> {
+        let mut seen = BTreeSet::new();
+        let best_of_each = ranked.iter().filter(|engine| seen.insert(&engine.software));
+        let queues = best_of_each.filter_map(|engine| {
+            let RankedEngine { domain, software, .. } = engine;
+            let queue = self.shortest_prefill_queue(request, domain, software, now)?;
+            Some((software.clone(), queue))
+        });
+        queues.collect()
     }
 
     /// Returns the decode engines with enough free memory, best first.
@@ -82,7 +112,7 @@
         &mut self,
         request: &PlacementRequest,
         now: Moment,
-    ) -> Result<Vec<(Name, Name)>, PlacementBlocker> {
+    ) -> Result<Vec<RankedEngine>, PlacementBlocker> {
         let stream = self.stream_record(TicketId(u64::MAX), request);
         let typical = MemoryForecast::for_stream(&stream, now, &self.lifetimes, 1.0);
         let memory = self.engine_capacity.memory_tokens as f64;
@@ -90,11 +120,16 @@
             if request.class == WorkClass::Late { self.policy.late_margin * memory } else { 0.0 };
         let (lifetimes, capacity, policy) = (&self.lifetimes, self.engine_capacity, self.policy);
         // If all engines are unavailable, the cause lies elsewhere, so all remain candidates.
-        let all_unavailable = self.decode_engines.values().all(|state| state.is_unavailable(now));
+        let mut allowed =
+            self.decode_engines.values().filter(|state| request.allows_software(&state.software));
+        let all_unavailable = allowed.all(|state| state.is_unavailable(now));
         let mut ranked = Vec::new();
         let mut has_candidate = false;
         for (name, state) in &mut self.decode_engines {
-            if !request.allows_engine(name) || (state.is_unavailable(now) && !all_unavailable) {
+            if !request.allows_engine(name)
+                || !request.allows_software(&state.software)
+                || (state.is_unavailable(now) && !all_unavailable)
+            {
                 continue;
             }
             has_candidate = true;
@@ -118,31 +153,33 @@
             let jitter = self.rng.random_range(0.0..TIE_BREAK_FRACTION) * memory;
             let failing = state.breaker.failure_rate(now) * policy.failure_weight * memory;
             let slow = (slowness - 1.0) * policy.slow_weight * memory;
-            ranked.push((
-                free - distance - failing - slow + jitter,
-                Name::clone(name),
-                Name::clone(&state.failure_domain),
-            ));
+            ranked.push(RankedEngine {
+                score: free - distance - failing - slow + jitter,
+                name: Name::clone(name),
+                domain: Name::clone(&state.failure_domain),
+                software: state.software.clone(),
+            });
         }
         if !has_candidate {
             return Err(PlacementBlocker::NoEngine);
         }
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        Ok(ranked.into_iter().map(|(_score, name, domain)| (name, domain)).collect())
+        ranked.sort_by(|a, b| b.score.total_cmp(&a.score));
+        Ok(ranked)
     }
 
-    /// Returns the prefill engine with the shortest wait for a request that decodes in `domain`.
+    /// Returns the prefill engine with the shortest wait for a request that decodes in `domain`, at an
+    /// engine with this software version.
     pub(super) fn shortest_prefill_queue(
         &self,
         request: &PlacementRequest,
         domain: &Name,
+        software: &SoftwareVersion,
         now: Moment,
     ) -> Option<(Name, Duration)> {
         let seconds_per_token = self.prefill_rate.seconds_per_token();
-        let available = self
-            .prefill_engines
-            .iter()
-            .filter(|(name, state)| request.allows_engine(name) && !state.is_unavailable(now));
+        let available = self.prefill_engines.iter().filter(|(name, state)| {
+            state.software == *software && request.allows_engine(name) && !state.is_unavailable(now)
+        });
         let waits = available.map(|(name, state)| {
             let wait = state.queue_wait(now, seconds_per_token);
             let distance =
--- a/crates/dillspool_admission/src/planner/wait.rs
+++ b/crates/dillspool_admission/src/planner/wait.rs
@@ -12,7 +12,7 @@
 
 use super::{FIRST_TOKEN_OVERHEAD, PlacementBlocker, PoolPlanner, is_in_time};
 use crate::decode_state::local_prefill_time;
-use crate::prefill_state::prefill_time;
+use crate::prefill_state::{PrefillState, prefill_time};
 use crate::queue::QueuedRequest;
 use crate::request::{
     PlacementDecision, PlacementRejection, PlacementRequest, TicketId, WorkClass,
@@ -122,7 +122,10 @@
         if request.class == WorkClass::UnderWay {
             return Duration::ZERO;
         }
-        if self.prefill_engines.values().any(|state| !state.is_unavailable(now)) {
+        let is_available = |state: &PrefillState| {
+            request.allows_software(&state.software) && !state.is_unavailable(now)
+        };
+        if self.prefill_engines.values().any(is_available) {
             // The prefill queues shrink no faster than the time that is left.
             return if is_in_time(request) { Duration::MAX } else { Duration::ZERO };
         }
--- a/crates/dillspool_admission/src/prefill_state.rs
+++ b/crates/dillspool_admission/src/prefill_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dillspool_moment::Moment;
-use dillspool_routing::BackendStart;
+use dillspool_routing::{BackendStart, SoftwareVersion};
 use dillspool_schema::Name;
 
 use crate::breaker::CircuitBreaker;
@@ -36,13 +36,19 @@
     pub(crate) failure_domain: Name,
     /// The engine start to which this state applies; `None` until one is reported.
     pub(crate) start: Option<BackendStart>,
+    pub(crate) software: SoftwareVersion,
     pub(crate) breaker: CircuitBreaker,
     prompts: VecDeque<PromptRecord>,
 }
 
 impl PrefillState {
-    pub(crate) fn new(failure_domain: Name, start: Option<BackendStart>) -> Self {
-        Self { failure_domain, start, breaker: CircuitBreaker::default(), prompts: VecDeque::new() }
+    pub(crate) fn new(
+        failure_domain: Name,
+        start: Option<BackendStart>,
+        software: SoftwareVersion,
+    ) -> Self {
+        let breaker = CircuitBreaker::default();
+        Self { failure_domain, start, software, breaker, prompts: VecDeque::new() }
     }
 
     /// Whether the engine gets no prompts now: its circuit breaker is open, or a probe prompt is in
--- a/crates/dillspool_admission/src/request.rs
+++ b/crates/dillspool_admission/src/request.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dillspool_part::ClassSubset;
-use dillspool_routing::BackendInstance;
+use dillspool_routing::{BackendInstance, SoftwareVersion};
 use dillspool_schema::Name;
 
 /// Identifies a request to the planner; unique among the requests in progress.
@@ -19,6 +19,8 @@
     pub failure_domain: Name,
     /// Whether the engine runs prefills; otherwise it decodes.
     pub is_prefill: bool,
+    /// Version of the engine's software.
+    pub software: SoftwareVersion,
 }
 
 /// What an answer is worth to its caller, in descending order.
@@ -65,6 +67,8 @@
     pub refusals: usize,
     /// The engines that the request's host knows; `None` for all.
     pub subset: Option<ClassSubset>,
+    /// The only software version at which the stream may go on; `None` for any.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// The priority of a queued request; the lowest value is served first.
@@ -81,6 +85,11 @@
         !self.excluded.contains(engine) && self.subset.is_none_or(|subset| subset.contains(engine))
     }
 
+    /// Whether the stream may run at an engine with this software version.
+    pub(crate) fn allows_software(&self, software: &SoftwareVersion) -> bool {
+        self.software.as_ref().is_none_or(|required| required == software)
+    }
+
     /// The queue priority: class first, then workspace, then route.
     pub(crate) fn queue_priority(&self) -> QueuePriority {
         QueuePriority {
--- a/crates/dillspool_admission/tests/deadlines.rs
+++ b/crates/dillspool_admission/tests/deadlines.rs
@@ -8,7 +8,7 @@
     TicketId, WorkClass,
 };
 use dillspool_moment::Moment;
-use dillspool_routing::BackendInstance;
+use dillspool_routing::{BackendInstance, SoftwareVersion};
 
 struct DeadlineCase {
     name: &'static str,
@@ -80,7 +80,12 @@
 
 fn engine(id: &str, prefills: bool) -> PoolEngine {
     let backend = BackendInstance { id: id.into(), start: None };
-    PoolEngine { backend, failure_domain: "d".into(), is_prefill: prefills }
+    PoolEngine {
+        backend,
+        failure_domain: "d".into(),
+        is_prefill: prefills,
+        software: SoftwareVersion::default(),
+    }
 }
 
 fn decide(case: &DeadlineCase) -> PlacementDecision {
@@ -103,6 +108,7 @@
         excluded: Vec::new(),
         refusals: 0,
         subset: None,
+        software: None,
     };
     planner.decide(TicketId(1), request, Moment::after_origin(Duration::from_secs(1)))
 }
--- a/crates/dillspool_admission/tests/model/simulation.rs
+++ b/crates/dillspool_admission/tests/model/simulation.rs
@@ -15,7 +15,7 @@
     PlacementRequest, PoolEngine, PoolPlanner, StreamEnd, StreamPlacement, TicketId, WorkClass,
 };
 use dillspool_moment::Moment;
-use dillspool_routing::BackendInstance;
+use dillspool_routing::{BackendInstance, SoftwareVersion};
 use dillspool_schema::Name;
 
 use super::engines::{DecodeEngine, RunningStream, is_slow};
@@ -80,6 +80,7 @@
         backend: instance(name),
         failure_domain: "domain".into(),
         is_prefill,
+        software: SoftwareVersion::default(),
     };
     let decode: Vec<_> = decode.iter().map(|name| engine(name, false)).collect();
     decode.into_iter().chain(prefill.iter().map(move |name| engine(name, true)).collect::<Vec<_>>())
@@ -182,6 +183,7 @@
             excluded: Vec::new(),
             refusals: caller.refusals,
             subset: None,
+            software: None,
         }
     }
 
--- a/crates/dillspool_admission/tests/restarts.rs
+++ b/crates/dillspool_admission/tests/restarts.rs
@@ -8,7 +8,7 @@
     PoolPlanner, TicketId, WorkClass,
 };
 use dillspool_moment::Moment;
-use dillspool_routing::{BackendInstance, BackendStart};
+use dillspool_routing::{BackendInstance, BackendStart, SoftwareVersion};
 
 fn backend(id: &str, start: Option<u64>) -> BackendInstance {
     BackendInstance { id: id.into(), start: start.map(BackendStart) }
@@ -19,6 +19,7 @@
         backend: backend(id, start),
         failure_domain: "d".into(),
         is_prefill: prefills,
+        software: SoftwareVersion::default(),
     };
     [engine("decode", false), engine("prefill", true)]
 }
@@ -39,6 +40,7 @@
         excluded: Vec::new(),
         refusals: 0,
         subset: None,
+        software: None,
     }
 }
 
--- a/crates/dillspool_admission/tests/slow_engines.rs
+++ b/crates/dillspool_admission/tests/slow_engines.rs
@@ -8,7 +8,7 @@
     StreamEnd, StreamPlacement, TicketId, WorkClass,
 };
 use dillspool_moment::Moment;
-use dillspool_routing::BackendInstance;
+use dillspool_routing::{BackendInstance, SoftwareVersion};
 
 struct PaceCase {
     name: &'static str,
@@ -31,7 +31,12 @@
 
 fn engine(id: &str, prefills: bool) -> PoolEngine {
     let backend = BackendInstance { id: id.into(), start: None };
-    PoolEngine { backend, failure_domain: "d".into(), is_prefill: prefills }
+    PoolEngine {
+        backend,
+        failure_domain: "d".into(),
+        is_prefill: prefills,
+        software: SoftwareVersion::default(),
+    }
 }
 
 fn request() -> PlacementRequest {
@@ -50,6 +55,7 @@
         excluded: Vec::new(),
         refusals: 0,
         subset: None,
+        software: None,
     }
 }
 
--- a/crates/dillspool_admission/tests/waiting.rs
+++ b/crates/dillspool_admission/tests/waiting.rs
@@ -7,11 +7,16 @@
     StreamEnd, TicketId, WorkClass,
 };
 use dillspool_moment::Moment;
-use dillspool_routing::BackendInstance;
+use dillspool_routing::{BackendInstance, SoftwareVersion};
 
 fn engine(id: &str, prefills: bool) -> PoolEngine {
     let backend = BackendInstance { id: id.into(), start: None };
-    PoolEngine { backend, failure_domain: "d".into(), is_prefill: prefills }
+    PoolEngine {
+        backend,
+        failure_domain: "d".into(),
+        is_prefill: prefills,
+        software: SoftwareVersion::default(),
+    }
 }
 
 fn request(class: WorkClass, prompt_tokens: u64) -> PlacementRequest {
@@ -30,6 +35,7 @@
         excluded: Vec::new(),
         refusals: 0,
         subset: None,
+        software: None,
     }
 }
 
--- a/crates/dillspool_forward/src/context.rs
+++ b/crates/dillspool_forward/src/context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dillspool_origins::OriginTracker;
 use dillspool_routing::{BackendEntry, BackendId, DirectoryView, RoutedRequest};
 use dillspool_scheduler::{CallClient, LimitClient, ScheduleClient};
 use dillspool_schema::Name;
@@ -53,6 +54,8 @@
     pub probes: BackendProbes,
     /// Requests suspected of crashing backend servers.
     pub suspects: SuspectTracker,
+    /// The software versions that began streams.
+    pub origins: OriginTracker,
     /// Counters and histograms.
     pub metrics: ForwardMetrics,
     /// Tasks that outlive their request, such as releasing a reservation.
@@ -82,7 +85,7 @@
     }
 
     /// Waits until the directory shows a restart of a backend server, plus [`RESTART_GRACE`] for data that the
-    /// previous instance sent. Never returns for a backend server that reports no start.
+    /// previous instance sent, unless the new one has another software version. Never returns for a backend server that reports no start.
     pub(crate) async fn wait_for_restart(&self, entry: &BackendEntry) {
         let mut directory = self.directory.clone();
         if entry.start.is_none()
@@ -90,7 +93,9 @@
         {
             std::future::pending::<()>().await;
         }
-        tokio::time::sleep(RESTART_GRACE).await;
+        if !self.view().has_changed_software(entry) {
+            tokio::time::sleep(RESTART_GRACE).await;
+        }
     }
 
     /// Runs a call to a backend server and fails it if the backend server restarts, since a new instance does not
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -1,5 +1,6 @@
 //! Handles a model request: reserves decode memory, prefills the prompt, then opens the stream.
 
+mod origin;
 mod prepare;
 mod send;
 
@@ -8,12 +9,13 @@
 
 use dillspool_admission::EngineFault;
 use dillspool_io::{BoxFuture, ResponseBody};
-use dillspool_routing::{BackendEntry, RoutedRequest, SoftwareVersion};
+use dillspool_routing::{BackendEntry, RoutedRequest};
 use dillspool_suspects::{CopyGuard, SuspectDecision};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 
+use self::origin::StreamSoftware;
 use crate::backend_probe::AttemptProbes;
 use crate::context::{ForwardContext, RESTARTED_CAUSE};
 use crate::placement::{Placement, StreamTicket};
@@ -36,10 +38,13 @@
 ) -> Result<Response<ResponseBody>, (Refusal, RequestTrace)> {
     let mut model_request = ModelRequest::new(context, request, copy);
     let mut trace = trace;
+    if let Err(refusal) = model_request.find_origin().await {
+        return Err((refusal, trace));
+    }
     match model_request.open(None).await {
         Ok(OpenOutcome::Stream(open, headers)) => {
             let status = open.status;
-            let relay = StreamRelay::new(model_request, open, trace);
+            let relay = StreamRelay::new(model_request, *open, trace);
             let mut response = Response::new(relay.into_body());
             *response.status_mut() = status;
             *response.headers_mut() = headers;
@@ -67,7 +72,7 @@
 
 /// Result of opening a stream, unless it is refused.
 enum OpenOutcome {
-    Stream(OpenStream, HeaderMap),
+    Stream(Box<OpenStream>, HeaderMap),
     /// An engine's failure response, for the caller.
     Failure(Response<ResponseBody>),
 }
@@ -105,8 +110,10 @@
     pub(crate) stages: FirstEventStages,
     /// Last event that the caller received.
     pub(crate) last_event: Option<u64>,
-    /// Software version of the engine that began the stream; `None` before its first event, or if it is not known.
-    pub(crate) software: Option<SoftwareVersion>,
+    /// Software version at which the stream may go on.
+    software: StreamSoftware,
+    /// When the origin of the stream was last recorded.
+    origin_recorded_at: Option<Instant>,
 }
 
 impl ModelRequest {
@@ -123,7 +130,8 @@
             engine_wait_deadline: None,
             stages: FirstEventStages::default(),
             last_event: request.resume_after,
-            software: None,
+            software: StreamSoftware::Any,
+            origin_recorded_at: None,
         }
     }
 
@@ -158,7 +166,7 @@
             return Err(Refusal::new(RefusalCause::Unknown));
         }
         match self.open(prepared).await? {
-            OpenOutcome::Stream(open, _headers) => Ok(open),
+            OpenOutcome::Stream(open, _headers) => Ok(*open),
             OpenOutcome::Failure(_response) => Err(Refusal::new(RefusalCause::Unknown)),
         }
     }
@@ -176,12 +184,8 @@
         })
     }
 
-    /// Records the first event of this response, which an engine of this software version sent.
-    pub(crate) fn record_first_event(&mut self, after: Duration, software: &SoftwareVersion) {
+    pub(crate) fn record_first_event(&self, after: Duration) {
         self.context.metrics.record_first_part(after);
-        if self.request.resume_after.is_none() {
-            self.software = Some(software.clone());
-        }
     }
 
     /// Records a complete response, with the mean gap between its events.
--- a/crates/dillspool_forward/src/generate/prepare.rs
+++ b/crates/dillspool_forward/src/generate/prepare.rs
@@ -36,6 +36,11 @@
         if self.may_have_run && !self.probes.may_retry(&self.context, &self.request).await {
             return Err(self.final_refusal());
         }
+        self.check_software().map_err(|refusal| {
+            // Once a response has begun, only the log shows the cause.
+            let has_begun = !self.is_before_first_event();
+            if self.may_have_run && !has_begun { self.final_refusal() } else { refusal }
+        })?;
         let placing = self.request.clock.timeout_at(self.request.deadline, self.place()).await;
         let placement = match placing {
             Ok(placed) => placed?,
@@ -67,10 +72,10 @@
     }
 
     /// Requests that miss their objective in any case, as when many callers retry at once, yield to those
-    /// that can meet theirs.
+    /// that can meet theirs and have as many engines.
     fn priority(&self) -> WorkPriority {
         let is_streaming = !self.is_before_first_event();
-        if self.request.is_past_objective() && !is_streaming {
+        if self.request.is_past_objective() && !is_streaming && !self.has_fewer_engines() {
             WorkPriority::Late
         } else {
             WorkPriority::Normal
@@ -102,7 +107,15 @@
         let placed = loop {
             let mut excluded = self.tried.ids(&view);
             excluded.extend(blocked_backends(&self.context, &self.request));
-            let query = placement_request(&self.context, &self.request, class, max_wait, &excluded);
+            let software = self.software.required();
+            let query = placement_request(
+                &self.context,
+                &self.request,
+                class,
+                max_wait,
+                &excluded,
+                software,
+            );
             let placed = place(&self.context, &self.request, query).await;
             let is_limited = placed.as_ref().is_err_and(Refusal::is_backends_limited);
             if !is_limited || !Box::pin(wait_until_unblocked(&self.context, &self.request)).await {
@@ -113,7 +126,8 @@
     }
 
     fn class(&self) -> WorkClass {
-        if !self.is_before_first_event() {
+        // A stream that a caller resumes competes with new ones for fewer engines than those have.
+        if !self.is_before_first_event() || self.has_fewer_engines() {
             WorkClass::UnderWay
         } else if self.request.is_past_objective() {
             WorkClass::Late
@@ -139,7 +153,9 @@
     /// Places a stream like a plain request, for services whose backend servers have no stages.
     async fn place_without_stages(&self, view: &DirectoryView) -> Result<Placement, Refusal> {
         let (context, request) = (&self.context, &self.request);
-        let pick = || context.picker(view).pick_plain(&request.service, &self.tried);
+        let software = self.software.required();
+        let pick =
+            || context.picker(view).pick_with_software(&request.service, &self.tried, software);
         if let Some((entry, _permit)) = pick_with_permit(context, request, pick).await {
             return Ok(Placement::without_reservation(context, entry));
         }
--- a/crates/dillspool_forward/src/generate/send.rs
+++ b/crates/dillspool_forward/src/generate/send.rs
@@ -73,6 +73,10 @@
             self.tried.push(decode);
             return false;
         }
+        if self.software.required().is_some_and(|software| decode.software != *software) {
+            self.tried.push(decode);
+            return false;
+        }
         let view = self.context.view();
         let prefill_engine = prepared.prefill.prefilled.as_ref().map(|prefilled| &prefilled.engine);
         let mut engines = iter::once(decode).chain(prefill_engine);
@@ -140,7 +144,7 @@
             self.record_resumption(&entry);
             let body = response.body;
             let open = OpenStream { entry, status, body, read_at_decode, ticket };
-            return Ok(Some(OpenOutcome::Stream(open, headers)));
+            return Ok(Some(OpenOutcome::Stream(Box::new(open), headers)));
         }
         if !response.is_verified_failure() {
             let cause = format!("unverified response with status {}", status.as_u16());
@@ -165,7 +169,7 @@
             return;
         }
         let by = if self.is_before_first_event() { "caller" } else { "host" };
-        let software = match &self.software {
+        let software = match self.software.required() {
             Some(software) if *software == entry.software => "same",
             Some(_other) => "other",
             None => "unknown",
--- a/crates/dillspool_forward/src/picker.rs
+++ b/crates/dillspool_forward/src/picker.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dillspool_routing::{BackendEntry, DirectoryView};
+use dillspool_routing::{BackendEntry, DirectoryView, SoftwareVersion};
 use dillspool_throttle::ThrottleTracker;
 use rand::Rng;
 
@@ -33,8 +33,20 @@
         &self,
         service: &str,
         tried: &TriedBackends,
+    ) -> Option<Arc<BackendEntry>> {
+        self.pick_with_software(service, tried, None)
+    }
+
+    /// Like [`Self::pick_plain`], only among backend servers with a software version if there is one.
+    pub(crate) fn pick_with_software(
+        &self,
+        service: &str,
+        tried: &TriedBackends,
+        software: Option<&SoftwareVersion>,
     ) -> Option<Arc<BackendEntry>> {
         let candidates = self.view.ready(service).filter(|entry| !tried.contains(entry));
+        let candidates =
+            candidates.filter(|entry| software.is_none_or(|software| entry.software == *software));
         let candidates =
             candidates.filter(|entry| self.throttle.blocked_until(&entry.instance()).is_none());
         least_cost(candidates, |entry| {
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -10,7 +10,7 @@
     EngineFault, PlacementDecision, PlacementRejection, PlacementRequest, StreamEnd,
     StreamPlacement, WorkClass,
 };
-use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
+use dillspool_routing::{BackendEntry, BackendId, RoutedRequest, SoftwareVersion};
 use dillspool_scheduler::{PlacementEvent, PlacementTicket};
 use dillspool_schema::Name;
 
@@ -123,6 +123,7 @@
     class: WorkClass,
     max_wait: Duration,
     excluded: &[BackendId],
+    software: Option<&SoftwareVersion>,
 ) -> PlacementRequest {
     let (prompt_tokens, estimated_tokens, max_tokens) =
         request.generation.as_ref().map_or((0, 0, 0), |generation| {
@@ -150,6 +151,7 @@
         excluded: excluded.to_vec(),
         refusals: 0,
         subset,
+        software: software.cloned(),
     }
 }
 
@@ -163,6 +165,21 @@
     Blocked,
     /// The engine accepts no new requests, as far as this host knows.
     Unavailable,
+    /// The engine runs another software version than the stream needs.
+    OtherSoftware,
+}
+
+/// Engines of the request's service with another software version than `software`.
+pub(crate) fn other_software(
+    context: &ForwardContext,
+    request: &RoutedRequest,
+    software: Option<&SoftwareVersion>,
+) -> Vec<BackendId> {
+    let view = context.view();
+    let others = view
+        .ready(&request.service)
+        .filter(|entry| software.is_some_and(|software| entry.software != *software));
+    others.map(|entry| BackendId::clone(&entry.id)).collect()
 }
 
 /// Finds engines for a request: asks the scheduler for a placement and reserves memory there, and asks
@@ -191,7 +208,7 @@
             }
         };
         let mut refusals = query.refusals + 1;
-        match try_place(context, request, &ticket, &placement).await {
+        match try_place(context, request, &ticket, &query, &placement).await {
             PlacementAttempt::Reserved(entry, reservation) => {
                 return Ok(build_placement(context, entry, placement, reservation, ticket));
             }
@@ -204,13 +221,18 @@
             PlacementAttempt::Unavailable => {
                 query.excluded.push(Name::clone(&placement.decode_engine));
             }
+            PlacementAttempt::OtherSoftware => {
+                // A scheduler of an earlier build does not know of software versions.
+                query.excluded.extend(other_software(context, request, query.software.as_ref()));
+            }
         }
         if blocked >= MAX_BLOCKED_BACKENDS
             && let Some(refusal) = refusal_if_blocked(context, request)
         {
             return Err(refusal);
         }
-        let fresh = placement_request(context, request, class, query.max_wait, &query.excluded);
+        let (excluded, software) = (&query.excluded, query.software.as_ref());
+        let fresh = placement_request(context, request, class, query.max_wait, excluded, software);
         query = PlacementRequest { refusals, ..fresh };
         if request.remaining().is_zero() {
             return Err(Refusal::new(RefusalCause::TooLateNotRun));
@@ -223,11 +245,15 @@
     context: &ForwardContext,
     request: &RoutedRequest,
     ticket: &PlacementTicket,
+    query: &PlacementRequest,
     placement: &StreamPlacement,
 ) -> PlacementAttempt {
     let Some(entry) = context.ready_entry(request, &placement.decode_engine) else {
         return PlacementAttempt::Unavailable;
     };
+    if query.software.as_ref().is_some_and(|software| entry.software != *software) {
+        return PlacementAttempt::OtherSoftware;
+    }
     let Some(permit) = acquire_permit(context, request, &entry, RESERVED_REQUEST_COST).await else {
         return PlacementAttempt::Blocked;
     };
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -12,7 +12,7 @@
 use crate::backend_probe::AttemptProbes;
 use crate::calls::{CallError, PrefillParams, PrefilledPrompt, WorkPriority};
 use crate::context::ForwardContext;
-use crate::placement::{Placement, placement_request};
+use crate::placement::{Placement, other_software, placement_request};
 use crate::retry_budget::RetryReservation;
 use crate::throttle::{
     MAX_BLOCKED_BACKENDS, REQUEST_COST, acquire_permit, charge_send, should_release,
@@ -86,6 +86,12 @@
             next = next_prefill_engine(context, request, placement, priority, &tried).await;
             continue;
         };
+        if entry.software != placement.entry.software {
+            // A scheduler of an earlier build does not know of software versions.
+            tried.extend(other_software(context, request, Some(&placement.entry.software)));
+            next = next_prefill_engine(context, request, placement, priority, &tried).await;
+            continue;
+        }
         let Some(send_permit) = acquire_permit(context, request, &entry, REQUEST_COST).await else {
             if tried.len() >= MAX_BLOCKED_BACKENDS {
                 return None;
@@ -140,7 +146,8 @@
     tried: &[BackendId],
 ) -> Option<BackendId> {
     let class = if priority == WorkPriority::Late { WorkClass::Late } else { WorkClass::InTime };
-    let query = placement_request(context, request, class, request.remaining(), tried);
+    let software = Some(&placement.entry.software);
+    let query = placement_request(context, request, class, request.remaining(), tried, software);
     placement.ticket.choose_prefill(&query).await
 }
 
--- a/crates/dillspool_forward/src/refusal.rs
+++ b/crates/dillspool_forward/src/refusal.rs
@@ -39,6 +39,10 @@
     NoBackend,
     /// The backend servers of the service cannot respond before the deadline.
     NoRoom,
+    /// No engine with the software version that began the stream accepts requests.
+    SoftwareGone,
+    /// It is not known which software version began the stream.
+    SoftwareUnknown,
     /// No engine has memory for the response.
     NoMemory,
     /// No engine can prefill the prompt in time.
@@ -72,6 +76,8 @@
             Self::BackendsLimited => "backends_limited",
             Self::NoBackend => "no_backend",
             Self::NoRoom => "no_room",
+            Self::SoftwareGone => "software_gone",
+            Self::SoftwareUnknown => "software_unknown",
             Self::NoMemory => "no_memory",
             Self::NoPrefill => "no_prefill",
             Self::NotRun => "not_run",
@@ -98,6 +104,8 @@
             | Self::BackendsLimited
             | Self::NoBackend
             | Self::NoRoom
+            | Self::SoftwareGone
+            | Self::SoftwareUnknown
             | Self::NoMemory
             | Self::NoPrefill
             | Self::NotRun
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -164,11 +164,15 @@
         let age = self.model_request.request.age();
         match self.stats.record_events(count, age) {
             None => {
+                self.model_request.record_first_event(age);
                 if let Some(reader) = &self.reader {
-                    self.model_request.record_first_event(age, &reader.open.entry.software);
+                    self.model_request.record_begun(&reader.open.entry.software);
                 }
             }
-            Some(gap) => self.log_event_gap(gap),
+            Some(gap) => {
+                self.model_request.renew_origin();
+                self.log_event_gap(gap);
+            }
         }
     }
 
@@ -206,6 +210,9 @@
             request.age().as_millis(),
         );
         if let Some(failed) = failed {
+            if self.model_request.last_event != failed.last_event {
+                self.model_request.record_engine_restart(&failed.open.entry);
+            }
             self.model_request.last_event = failed.last_event;
             self.model_request.record_broken_stream(&failed.open, cause);
         }
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -16,6 +16,7 @@
     RetryBudgets, WorkPriority,
 };
 use dillspool_io::{ExchangeBytes, HostClock, full_body};
+use dillspool_origins::{OriginSettings, OriginTracker};
 use dillspool_routing::{
     BackendEntry, BackendState, ClientLimits, DirectoryView, EnginePool, EngineStage,
     GenerationParams, RequestKind, RouteEntry, RouteTable, RoutedRequest, RoutingConfig,
@@ -313,6 +314,8 @@
         let calls = CallScheduler::new(CallSchedulerSettings::default(), 1, HostClock::steady());
         let budget =
             BudgetSettings { ratio: 0.2, window: Duration::from_secs(10), extra: 1_000_000.0 };
+        let origins = OriginTracker::new(OriginSettings::new_fleet(HostClock::steady()));
+        origins.observe_directory(&directory.borrow());
         let context = ForwardContext {
             failure_domain: "near".into(),
             calls: self.calls(),
@@ -331,6 +334,7 @@
             backend_tracker: BackendTracker::default(),
             budgets: RetryBudgets::new(budget, HostClock::steady()),
             probes: BackendProbes::default(),
+            origins,
             suspects: SuspectTracker::new(SuspectPolicy::default(), HostClock::steady()),
             metrics: ForwardMetrics::default(),
             tasks: TaskTracker::new(),
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -14,6 +14,7 @@
     ByteBudget, HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http,
     serve_http_with_budget,
 };
+use dillspool_origins::{OriginSettings, OriginTracker};
 use dillspool_roles::{PoolTargets, ReconcilerSettings, reconcile_stages};
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
@@ -37,6 +38,8 @@
 use crate::ingress::{IngressState, KnownConfig};
 use crate::link_metrics::LinkMetrics;
 use crate::notice_publisher::NoticePublisher;
+use crate::origin_metrics::OriginMetrics;
+use crate::origin_publisher::OriginPublisher;
 use crate::peer_list::{PeerList, maintain_peer_list};
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
@@ -46,6 +49,7 @@
 use crate::suspect_metrics::SuspectMetrics;
 use crate::suspect_rows::SuspectReplicator;
 use crate::throttle_metrics::ThrottleMetrics;
+use crate::version_rows::VersionRecorder;
 
 /// Maximum number of caller connections; each may need a second file descriptor for its backend
 /// server.
@@ -124,6 +128,7 @@
         let metrics = ForwardMetrics::default();
         let suspects = SuspectTracker::new(SuspectPolicy::default(), clock.clone());
         suspects.set_lifted(config.lifted.clone());
+        let origins = OriginTracker::new(origin_settings(&config, &replicas, &clock));
         let limits = RateLimiter::new(config.limits, clock.clone());
         let backend_limits = RateLimiter::for_backend_servers(config.limits.shares, clock.clone());
         let seed = host_hash(&config.host);
@@ -135,7 +140,7 @@
             calls: calls.clone(),
             limits: limits.clone(),
             backend_limits: backend_limits.clone(),
-            bus: fleet_bus(&suspects, &site, &clock),
+            bus: fleet_bus(&suspects, &origins, &site, &clock),
             dialer: site.dialer.clone(),
         };
         let schedule =
@@ -149,9 +154,8 @@
             schedule.clone(),
             &background,
         );
-        let call_metrics = CallMetrics::new(calls.clone());
         let call_client =
-            start_calls(&config, &stack, &replicas, calls, host_count.clone(), &background);
+            start_calls(&config, &stack, &replicas, calls.clone(), host_count.clone(), &background);
         let context = ForwardContext {
             failure_domain: Name::clone(&config.failure_domain),
             calls: site.calls.clone(),
@@ -165,6 +169,7 @@
             budgets: budgets.clone(),
             probes: BackendProbes::default(),
             suspects: suspects.clone(),
+            origins: origins.clone(),
             metrics: metrics.clone(),
             tasks: TaskTracker::new(),
         };
@@ -181,16 +186,16 @@
             dialer: site.dialer.clone(),
             clock: clock.clone(),
         };
-        let throttle_metrics = ThrottleMetrics::new(
-            site.throttle.clone(),
-            site.leaving.clone(),
-            [context.limits.clone(), backend_limits.clone()],
+        let own_metrics = (
+            throttle_metrics(&site, &context),
+            CallMetrics::new(calls),
+            LinkMetrics::new(site.dialer.clone()),
+            OriginMetrics::new(origins.clone()),
         );
-        let link_metrics = LinkMetrics::new(site.dialer.clone());
-        let own_metrics = (throttle_metrics, call_metrics, link_metrics);
         daemon.start_status(&replicas, own_metrics, &metrics, readiness_listener, metrics_listener);
         daemon.start_dialer(&replicas, &site, &stack);
         daemon.start_suspect_replicator(&replicas, &site, schedule.clone());
+        daemon.start_origins(&replicas, &site, &origins, &schedule);
         daemon.start_notice_publisher(&replicas, &site, backend_limits, schedule.clone());
         daemon.start_maintenance(&replicas, &site, (budgets, host_count), demand, schedule, &clock);
         daemon.start_callers(&replicas, &site, context, callers_listener, clock);
@@ -206,7 +211,12 @@
     fn start_status(
         &self,
         replicas: &StoreReplicas,
-        (throttle_metrics, call_metrics, link_metrics): (ThrottleMetrics, CallMetrics, LinkMetrics),
+        (throttle_metrics, call_metrics, link_metrics, origin_metrics): (
+            ThrottleMetrics,
+            CallMetrics,
+            LinkMetrics,
+            OriginMetrics,
+        ),
         metrics: &ForwardMetrics,
         readiness_listener: NetListener,
         metrics_listener: NetListener,
@@ -238,6 +248,7 @@
         throttle_metrics.register(&mut registry);
         call_metrics.register(&mut registry);
         link_metrics.register(&mut registry);
+        origin_metrics.register(&mut registry);
         let held_metrics = HeldMetrics::new(self.byte_budget.clone());
         held_metrics.register(&mut registry);
         let refresh = move || {
@@ -247,6 +258,7 @@
             throttle_metrics.refresh();
             call_metrics.refresh();
             link_metrics.refresh();
+            origin_metrics.refresh();
         };
         let handler = metrics_handler(registry, refresh);
         tokio::spawn(serve_http(metrics_listener, limits, handler, self.background.clone()));
@@ -327,6 +339,31 @@
         tokio::spawn(publisher.run(self.background.clone()));
     }
 
+    /// Starts sharing with other hosts which software version began each stream.
+    fn start_origins(
+        &self,
+        replicas: &StoreReplicas,
+        site: &SiteProtocol,
+        origins: &OriginTracker,
+        schedule: &ScheduleClient,
+    ) {
+        let publisher = OriginPublisher {
+            tracker: origins.clone(),
+            schedule: schedule.clone(),
+            directory: replicas.directory.clone(),
+        };
+        tokio::spawn(publisher.run(self.background.clone()));
+        let recorder = VersionRecorder {
+            table: Name::clone(&site.own_table),
+            store: site.store.clone(),
+            rows: replicas.hosts.subscribe(),
+            unreadable: replicas.unreadable.clone(),
+            tracker: origins.clone(),
+            schedule: schedule.clone(),
+        };
+        tokio::spawn(recorder.run(self.background.clone()));
+    }
+
     /// Starts exchanging with other hosts which requests crashed backend servers.
     fn start_suspect_replicator(
         &self,
@@ -430,3 +467,22 @@
 async fn listen(stack: &NetStack, address: SocketAddr) -> Result<NetListener, RouterError> {
     stack.listen(address).await.context(ListenSnafu { address })
 }
+
+fn throttle_metrics(site: &SiteProtocol, context: &ForwardContext) -> ThrottleMetrics {
+    let limits = [context.limits.clone(), context.backend_limits.clone()];
+    ThrottleMetrics::new(site.throttle.clone(), site.leaving.clone(), limits)
+}
+
+/// A directory as old as a change may take to be in force does not show every engine any more.
+fn origin_settings(
+    config: &RouterConfig,
+    replicas: &StoreReplicas,
+    clock: &HostClock,
+) -> OriginSettings {
+    let (backends, limit) = (replicas.backends.clone(), config.change_limit);
+    OriginSettings {
+        is_first_start: config.first_start,
+        is_directory_fresh: Arc::new(move || backends.age().is_some_and(|age| age <= limit)),
+        clock: clock.clone(),
+    }
+}
--- a/crates/dillspool_router/src/fleet_tasks.rs
+++ b/crates/dillspool_router/src/fleet_tasks.rs
@@ -7,6 +7,7 @@
 
 use dillspool_forward::RetryBudgets;
 use dillspool_io::{HostClock, NetListener, NetStack};
+use dillspool_origins::OriginTracker;
 use dillspool_roles::DelayFn;
 use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
@@ -77,6 +78,7 @@
 /// Connects the trackers of this host with its links for exchanging updates.
 pub(crate) fn fleet_bus(
     suspects: &SuspectTracker,
+    origins: &OriginTracker,
     site: &SiteProtocol,
     clock: &HostClock,
 ) -> FleetBus {
@@ -98,7 +100,10 @@
         apply_update: Arc::new(move |update| updater.apply_update(update)),
         newest_updates: Arc::new(move |max_updates| reader.newest_updates(max_updates)),
     };
-    FleetBus::new(BusHandlers { suspects, throttle, leaving }, clock.clone())
+    FleetBus::new(
+        BusHandlers { suspects, throttle, leaving, origins: origins.clone() },
+        clock.clone(),
+    )
 }
 
 /// Starts this host's scheduler, its service for other hosts, and its link to the scheduler that it
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -142,7 +142,9 @@
         let route = config.routes.find(&host, parts.uri.path()).cloned();
         let route = route.ok_or_else(|| self.unknown_refusal(RefusalCause::NoRoute))?;
         let workspace = self.workspace_of(&config, &route, &metadata.key)?;
-        let service = route.pick_service(&id).map(Name::clone);
+        // A resumed stream goes to the service that began it, for as long as the route does not change.
+        let picked_by = metadata.resumed_attempt.as_ref().unwrap_or(&id);
+        let service = route.pick_service(picked_by).map(Name::clone);
         let service = service.ok_or(Refusal::new(RefusalCause::NoRoute))?;
         let time_budget = metadata.time_budget.unwrap_or(route.timeout);
         let spent_before = self.retry_detector.record_request(&route.name, time_budget);
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -16,6 +16,8 @@
 mod link_metrics;
 mod memory_limits;
 mod notice_publisher;
+mod origin_metrics;
+mod origin_publisher;
 mod peer_list;
 mod policy;
 mod request_body;
@@ -30,6 +32,7 @@
 mod suspect_rows;
 mod throttle_metrics;
 mod unreadable_rows;
+mod version_rows;
 
 pub use config_tracker::track_config;
 pub use daemon::{RouterDaemon, RouterError};
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -94,7 +94,7 @@
 }
 
 /// Daemon of a host; `None` while it is stopped.
-type RunningHost = tokio::sync::Mutex<Option<RouterDaemon>>;
+type RunningHost = Arc<tokio::sync::Mutex<Option<RouterDaemon>>>;
 
 impl TestFleet {
     /// Starts `hosts` hosts and four backend servers of each kind, and waits for [`SETTLE_TIME`].
@@ -245,9 +245,9 @@
     /// Kills a host: its connections break and it is gone, without a stop of its own.
     pub async fn kill_host(&self, number: usize) {
         self.set_all_links(number, LinkMode::Cut);
-        let daemon = self.hosts[number].1.lock().await.take();
-        // What is left of it in this process ends without a link to anything.
-        tokio::spawn(async move { stop(&mut { daemon }).await });
+        // What is left of it in this process ends without a link to anything; a new start waits for that.
+        let mut running = Arc::clone(&self.hosts[number].1).lock_owned().await;
+        tokio::spawn(async move { stop(&mut running).await });
     }
 
     /// Sets the mode of the links between a host and everything else.
@@ -277,7 +277,8 @@
     pub fn allow_suspects(&mut self, number: usize, lifted: Vec<RequestFingerprint>) {
         let (config, running) = &mut self.hosts[number];
         config.lifted = lifted;
-        running.get_mut().as_ref().expect("it runs").reload(config.clone());
+        let running = Arc::get_mut(running).expect("it is not being killed").get_mut();
+        running.as_ref().expect("it runs").reload(config.clone());
     }
 
     /// Sets the mode of the links between two sets of hosts.
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -159,6 +159,12 @@
         self.entries.get(id).is_some_and(|entry| self.accepts_requests(entry))
     }
 
+    /// Whether a backend server has restarted with another software version since `entry` was read.
+    pub fn has_changed_software(&self, entry: &BackendEntry) -> bool {
+        self.has_restarted(entry)
+            && self.entries.get(&entry.id).is_some_and(|known| known.software != entry.software)
+    }
+
     /// Whether a backend server has restarted since `entry` was read, which means that its
     /// in-memory state is lost.
     pub fn has_restarted(&self, entry: &BackendEntry) -> bool {
--- a/crates/dillspool_scheduler/src/call_serve.rs
+++ b/crates/dillspool_scheduler/src/call_serve.rs
@@ -92,6 +92,9 @@
                 | ScheduleMessage::Suspect(_)
                 | ScheduleMessage::Throttle(_)
                 | ScheduleMessage::Leaving(_)
+                | ScheduleMessage::Origins(_)
+                | ScheduleMessage::OriginAsk(_)
+                | ScheduleMessage::OriginKnown(_)
                 | ScheduleMessage::CallDecided(_) => {
                     let reason = "not a message about a call".to_owned();
                     return Err(ScheduleError::Malformed { reason });
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -4,13 +4,16 @@
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use dillspool_admission::{PlacementDecision, PlacementRequest, StreamEnd, TicketId};
 use dillspool_io::NetStack;
+use dillspool_origins::{OriginAnswer, OriginRecord};
 use dillspool_routing::RoutingConfig;
 use dillspool_schema::Name;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet_bus::{FleetBus, FleetUpdate};
@@ -18,6 +21,11 @@
 use crate::link_manager::{LinkManager, PeersFn, SchedulePeers};
 use crate::placement_scheduler::{PlacementEvent, PlacementScheduler};
 
+/// Time that a question waits for a link: a host that has just started, or lost its scheduler, finds
+/// one within some round trips.
+const LINK_WAIT: Duration = Duration::from_millis(400);
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Requests placements and reports what happens to the placed requests.
 #[derive(Clone)]
 pub struct ScheduleClient {
@@ -57,7 +65,7 @@
                 if self.link(&service.name).is_some() {
                     continue;
                 }
-                let link = SchedulerLink::for_pool(self.bus.clone());
+                let link = SchedulerLink::for_pool(Name::clone(&service.name), self.bus.clone());
                 self.with_links(|links| links.insert(Name::clone(&service.name), link.clone()));
                 let manager = LinkManager {
                     link,
@@ -88,6 +96,11 @@
         self.link(service).is_some_and(|link| link.is_scheduler())
     }
 
+    /// Returns whether a service is a pool.
+    pub fn is_pool(&self, service: &str) -> bool {
+        self.link(service).is_some()
+    }
+
     /// Returns whether this host is the scheduler of any pool, as far as it knows.
     pub fn is_any_scheduler(&self) -> bool {
         self.with_links(|links| links.values().any(SchedulerLink::is_scheduler))
@@ -121,6 +134,29 @@
         }
     }
 
+    /// Tells the scheduler of a pool, or where this host is the scheduler the hosts that keep them, of
+    /// streams that began.
+    pub fn publish_origins(&self, service: &str, records: Vec<OriginRecord>) {
+        match self.link(service) {
+            Some(link) if link.is_scheduler() => self.bus.origins.relay(records),
+            Some(link) => link.send_origins(&records),
+            None => {}
+        }
+    }
+
+    /// Asks the scheduler of a pool what it knows of the stream that an attempt began. `None` if this
+    /// host is the scheduler, or no scheduler answers.
+    pub async fn find_origin(&self, service: &str, attempt: Option<&Name>) -> Option<OriginAnswer> {
+        let link = self.link(service)?;
+        let is_settled = || link.is_scheduler() || link.is_linked();
+        let give_up_at = Instant::now() + LINK_WAIT;
+        while !is_settled() && Instant::now() < give_up_at {
+            tokio::time::sleep(LINK_CHECK_INTERVAL).await;
+        }
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1;
+        link.request_origin(ticket, attempt).await
+    }
+
     /// Opens a ticket for a request.
     pub fn open_ticket(&self, service: &Name) -> PlacementTicket {
         let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1);
--- a/crates/dillspool_scheduler/src/fleet_bus.rs
+++ b/crates/dillspool_scheduler/src/fleet_bus.rs
@@ -15,6 +15,7 @@
 use dillspool_io::HostClock;
 use dillspool_leaving::LeavingUpdate;
 use dillspool_moment::Moment;
+use dillspool_origins::{OriginSettings, OriginTracker};
 use dillspool_routing::{BackendInstance, BackendStart};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
@@ -24,6 +25,7 @@
 use dillspool_throttle::{RequestRate, ThrottleUpdate};
 use tokio::sync::broadcast;
 
+use crate::origin_relay::OriginRelay;
 use crate::wire::millis;
 
 /// Updates queued for one host's link. A host that falls behind learns of suspects from the store,
@@ -90,6 +92,8 @@
     pub throttle: NoticeHandlers<ThrottleUpdate>,
     /// Updates on backend servers that are leaving.
     pub leaving: NoticeHandlers<LeavingUpdate>,
+    /// The software versions that began streams.
+    pub origins: OriginTracker,
 }
 
 impl BusHandlers {
@@ -101,7 +105,9 @@
             newest_updates: Arc::new(|_max_updates| Vec::new()),
             newest_repeated: Arc::new(|_max_updates| Vec::new()),
         };
-        Self { suspects, throttle: NoticeHandlers::none(), leaving: NoticeHandlers::none() }
+        let origins = OriginTracker::new(OriginSettings::new_fleet(HostClock::steady()));
+        let (throttle, leaving) = (NoticeHandlers::none(), NoticeHandlers::none());
+        Self { suspects, throttle, leaving, origins }
     }
 }
 
@@ -120,6 +126,7 @@
 #[derive(Clone)]
 pub struct FleetBus {
     handlers: Arc<BusHandlers>,
+    pub(crate) origins: OriginRelay,
     clock: HostClock,
     /// Updates for the served hosts, each with the host that sent it.
     served: broadcast::Sender<SourcedUpdate>,
@@ -140,7 +147,8 @@
     /// Creates a bus with these callbacks.
     pub fn new(handlers: BusHandlers, clock: HostClock) -> Self {
         let (served, _receiver) = broadcast::channel(UPDATE_QUEUE_LEN);
-        Self { handlers: Arc::new(handlers), clock, served, links: Arc::default() }
+        let origins = OriginRelay::new(handlers.origins.clone());
+        Self { handlers: Arc::new(handlers), origins, clock, served, links: Arc::default() }
     }
 
     /// Registers a link of a served host.
--- a/crates/dillspool_scheduler/src/lib.rs
+++ b/crates/dillspool_scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod limit_client;
 mod link;
 mod link_manager;
+mod origin_relay;
 mod placement_scheduler;
 mod rate_limiter;
 mod serve;
--- a/crates/dillspool_scheduler/src/link.rs
+++ b/crates/dillspool_scheduler/src/link.rs
@@ -15,9 +15,11 @@
 use dillspool_calls::CallDecision;
 use dillspool_limits::{SpendDecision, SpendRequest};
 use dillspool_moment::Moment;
+use dillspool_origins::{OriginAnswer, OriginRecord};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
     ScheduleAsk, ScheduleDuty, ScheduleGiveBack, ScheduleHeld, ScheduleHello, ScheduleMessage,
+    ScheduleOriginAsk,
 };
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -74,6 +76,7 @@
             service: Name::clone(&self.service),
             hosts: u32::try_from((self.host_count)()).unwrap_or(u32::MAX),
             backend: None,
+            origins: self.duty == ScheduleDuty::Pool,
         }
     }
 }
@@ -84,6 +87,7 @@
     PrefillEngine(Option<Name>),
     Spent(SpendDecision),
     Call(CallDecision),
+    Origin(OriginAnswer),
 }
 
 /// A request that waits for its responses; dropping it unregisters it.
@@ -151,6 +155,9 @@
     is_scheduler: bool,
     /// Number of hosts that the scheduler serves, by its last heartbeat.
     hosts: Option<usize>,
+    /// Whether the scheduler wants to be told of streams, by its last heartbeat; `None` if it does not
+    /// understand such messages.
+    share_origins: Option<bool>,
     /// Queue of outgoing messages; `None` while no scheduler is linked.
     sender: Option<mpsc::Sender<ScheduleMessage>>,
     pending: HashMap<u64, mpsc::Sender<ScheduleReply>>,
@@ -166,20 +173,61 @@
     state: Arc<Mutex<LinkState>>,
     /// Called with the host count of each heartbeat from the linked host.
     on_heartbeat: Arc<HeartbeatFn>,
-    /// Receives the scheduler's updates; `None` on links to holders of limits and schedulers of
-    /// calls.
-    bus: Option<FleetBus>,
+    /// `None` on links to holders of limits and schedulers of calls.
+    pool: Option<LinkedPool>,
+}
+
+/// The pool whose scheduler a link leads to.
+#[derive(Clone)]
+struct LinkedPool {
+    service: Name,
+    /// Receives the scheduler's updates.
+    bus: FleetBus,
 }
 
 impl SchedulerLink {
     /// Creates a link that calls `on_heartbeat` with the host count of each heartbeat.
     pub(crate) fn new(on_heartbeat: impl Fn(usize) + Send + Sync + 'static) -> Self {
-        Self { state: Arc::default(), on_heartbeat: Arc::new(on_heartbeat), bus: None }
+        Self { state: Arc::default(), on_heartbeat: Arc::new(on_heartbeat), pool: None }
     }
 
     /// Creates a link to the scheduler of a pool.
-    pub(crate) fn for_pool(bus: FleetBus) -> Self {
-        Self { bus: Some(bus), ..Self::new(|_hosts| {}) }
+    pub(crate) fn for_pool(service: Name, bus: FleetBus) -> Self {
+        Self { pool: Some(LinkedPool { service, bus }), ..Self::new(|_hosts| {}) }
+    }
+
+    /// Tells the scheduler of streams, if it understands that.
+    pub(crate) fn send_origins(&self, records: &[OriginRecord]) {
+        let Some(pool) = &self.pool else { return };
+        let is_understood = self.with(|state| state.share_origins.is_some());
+        for message in pool.bus.origins.encode(records).into_iter().filter(|_| is_understood) {
+            self.send_update(message);
+        }
+    }
+
+    /// Asks the scheduler what it knows of the stream that an attempt began; `None` if there is no
+    /// scheduler, no response, or no understanding of the question.
+    pub(crate) async fn request_origin(
+        &self,
+        ticket: u64,
+        attempt: Option<&Name>,
+    ) -> Option<OriginAnswer> {
+        self.with(|state| state.share_origins)?;
+        let ask = ScheduleOriginAsk { ticket, attempt: attempt.cloned() };
+        let mut pending = self.send_request(ticket, ScheduleMessage::OriginAsk(ask))?;
+        match pending.response(RESPONSE_TIMEOUT).await {
+            Some(ScheduleReply::Origin(answer)) => Some(answer),
+            Some(
+                ScheduleReply::Decided(_)
+                | ScheduleReply::PrefillEngine(_)
+                | ScheduleReply::Spent(_)
+                | ScheduleReply::Call(_),
+            ) => None,
+            None => {
+                self.disconnect(ticket);
+                None
+            }
+        }
     }
 
     /// Sends an update to the scheduler.
@@ -220,7 +268,12 @@
         let mut pending = self.send_placement_request(ticket, request, true)?;
         match pending.response(RESPONSE_TIMEOUT).await {
             Some(ScheduleReply::PrefillEngine(prefill)) => Some(prefill),
-            Some(ScheduleReply::Decided(_) | ScheduleReply::Spent(_) | ScheduleReply::Call(_))
+            Some(
+                ScheduleReply::Decided(_)
+                | ScheduleReply::Spent(_)
+                | ScheduleReply::Call(_)
+                | ScheduleReply::Origin(_),
+            )
             | None => None,
         }
     }
@@ -243,7 +296,8 @@
             Some(
                 ScheduleReply::Decided(_)
                 | ScheduleReply::PrefillEngine(_)
-                | ScheduleReply::Call(_),
+                | ScheduleReply::Call(_)
+                | ScheduleReply::Origin(_),
             ) => None,
             None => {
                 self.disconnect(ticket);
@@ -304,7 +358,10 @@
         match reply {
             Some(ScheduleReply::Decided(decision)) => Some(decision),
             Some(
-                ScheduleReply::PrefillEngine(_) | ScheduleReply::Spent(_) | ScheduleReply::Call(_),
+                ScheduleReply::PrefillEngine(_)
+                | ScheduleReply::Spent(_)
+                | ScheduleReply::Call(_)
+                | ScheduleReply::Origin(_),
             ) => None,
             None => {
                 self.disconnect(ticket);
--- a/crates/dillspool_scheduler/src/link/connection.rs
+++ b/crates/dillspool_scheduler/src/link/connection.rs
@@ -11,9 +11,8 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use super::{LinkDuty, ScheduleReply, SchedulerLink};
+use super::{LinkDuty, LinkedPool, ScheduleReply, SchedulerLink};
 use crate::call_wire;
-use crate::fleet_bus::FleetBus;
 use crate::wire::{self, ScheduleError};
 
 /// Interval between heartbeats.
@@ -29,15 +28,15 @@
 /// A link that the scheduler has accepted.
 pub(crate) struct OpenedLink {
     socket: WebSocketStream<NetStream>,
-    /// Number of hosts that the scheduler serves, by its first heartbeat.
-    hosts: usize,
+    /// Its first heartbeat.
+    beat: ScheduleBeat,
 }
 
 impl SchedulerLink {
     /// Serves an open link until it closes; requests are only sent meanwhile.
     pub(crate) async fn run(&self, opened: OpenedLink) -> Result<(), ScheduleError> {
-        let OpenedLink { socket, hosts } = opened;
-        self.record_heartbeat(hosts);
+        let OpenedLink { socket, beat } = opened;
+        self.record_heartbeat(&beat);
         let (sender, queue) = mpsc::channel(SEND_QUEUE_LEN);
         self.with(|state| {
             for (ticket, placement) in &state.placements {
@@ -47,9 +46,14 @@
             for (ticket, call) in &state.calls {
                 let _sent = sender.try_send(call.message(*ticket));
             }
-            for update in self.bus.iter().flat_map(FleetBus::initial_updates) {
+            for update in self.pool.iter().flat_map(|pool| pool.bus.initial_updates()) {
                 let _sent = sender.try_send(update);
             }
+            if let Some(pool) = self.pool.as_ref().filter(|_| beat.share_origins.is_some()) {
+                for message in pool.bus.origins.initial_messages() {
+                    let _sent = sender.try_send(message);
+                }
+            }
             state.sender = Some(sender);
         });
         let _open = OpenLink(self);
@@ -87,20 +91,32 @@
                         self.reply(ticket, ScheduleReply::Call(decision));
                     }
                 }
-                ScheduleMessage::Beat(beat) => self.record_heartbeat(beat.hosts as usize),
+                ScheduleMessage::Beat(beat) => self.record_heartbeat(&beat),
                 ScheduleMessage::Suspect(message) => {
-                    if let Some(bus) = &self.bus {
-                        bus.receive_suspect(message);
+                    if let Some(pool) = &self.pool {
+                        pool.bus.receive_suspect(message);
                     }
                 }
                 ScheduleMessage::Throttle(message) => {
-                    if let Some(bus) = &self.bus {
-                        bus.receive_throttle(&message);
+                    if let Some(pool) = &self.pool {
+                        pool.bus.receive_throttle(&message);
                     }
                 }
                 ScheduleMessage::Leaving(message) => {
-                    if let Some(bus) = &self.bus {
-                        bus.receive_leaving(&message);
+                    if let Some(pool) = &self.pool {
+                        pool.bus.receive_leaving(&message);
+                    }
+                }
+                ScheduleMessage::Origins(message) => {
+                    if let Some(pool) = &self.pool {
+                        pool.bus.origins.receive(message);
+                    }
+                }
+                ScheduleMessage::OriginKnown(answer) => {
+                    if let Some(pool) = &self.pool {
+                        let ticket = answer.ticket;
+                        let answer = pool.bus.origins.decode_answer(answer);
+                        self.reply(ticket, ScheduleReply::Origin(answer));
                     }
                 }
                 ScheduleMessage::Hello(_)
@@ -111,6 +127,7 @@
                 | ScheduleMessage::CallAsk(_)
                 | ScheduleMessage::CallHeld(_)
                 | ScheduleMessage::CallEnded(_)
+                | ScheduleMessage::OriginAsk(_)
                 | ScheduleMessage::Note(_) => {}
             }
             if !self.is_linked() {
@@ -119,9 +136,15 @@
         }
     }
 
-    /// Records the host count of a heartbeat.
-    fn record_heartbeat(&self, hosts: usize) {
-        self.with(|state| state.hosts = Some(hosts));
+    fn record_heartbeat(&self, beat: &ScheduleBeat) {
+        let hosts = beat.hosts as usize;
+        self.with(|state| {
+            state.hosts = Some(hosts);
+            state.share_origins = beat.share_origins;
+        });
+        if let Some(LinkedPool { service, bus }) = &self.pool {
+            bus.origins.tracker.set_requested(service, beat.share_origins == Some(true));
+        }
         (self.on_heartbeat)(hosts);
     }
 
@@ -144,7 +167,8 @@
                 ScheduleReply::Spent(_)
                 | ScheduleReply::Decided(_)
                 | ScheduleReply::PrefillEngine(_)
-                | ScheduleReply::Call(_),
+                | ScheduleReply::Call(_)
+                | ScheduleReply::Origin(_),
                 _refund,
             )) => log::debug!("event=schedule_answer_late ticket={ticket}"),
         }
@@ -159,9 +183,13 @@
     fn drop(&mut self) {
         self.0.with(|state| {
             state.sender = None;
+            state.share_origins = None;
             state.pending.clear();
             state.refund_if_granted.clear();
         });
+        if let Some(LinkedPool { service, bus }) = &self.0.pool {
+            bus.origins.tracker.set_requested(service, false);
+        }
     }
 }
 
@@ -190,7 +218,7 @@
         let message = match tokio::time::timeout(HEARTBEAT_INTERVAL, queue.recv()).await {
             Ok(Some(message)) => message,
             Ok(None) => return Err(closed("a response timed out")),
-            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { hosts: 0 }),
+            Err(_elapsed) => ScheduleMessage::Beat(ScheduleBeat { hosts: 0, share_origins: None }),
         };
         send(&mut writer, &message).await?;
     }
@@ -220,7 +248,7 @@
         send(&mut socket, &ScheduleMessage::Hello(duty.hello())).await?;
         let first = socket.next().await;
         match decode_incoming(Some(first))? {
-            ScheduleMessage::Beat(beat) => Ok(OpenedLink { socket, hosts: beat.hosts as usize }),
+            ScheduleMessage::Beat(beat) => Ok(OpenedLink { socket, beat }),
             _other => Err(closed("the first message is not a heartbeat")),
         }
     };
--- a/crates/dillspool_scheduler/src/placement_scheduler.rs
+++ b/crates/dillspool_scheduler/src/placement_scheduler.rs
@@ -137,7 +137,8 @@
             let engines = view.ready(&service.name).filter_map(|entry| {
                 let is_prefill = entry.stage? == EngineStage::Prefill;
                 let failure_domain = Name::clone(&entry.failure_domain);
-                Some(PoolEngine { backend: entry.instance(), failure_domain, is_prefill })
+                let (backend, software) = (entry.instance(), entry.software.clone());
+                Some(PoolEngine { backend, failure_domain, is_prefill, software })
             });
             planner.set_engines(engines);
         }
--- a/crates/dillspool_scheduler/src/serve.rs
+++ b/crates/dillspool_scheduler/src/serve.rs
@@ -140,9 +140,15 @@
     let (sender, queue) = mpsc::channel(SEND_QUEUE_LEN);
     // The host waits for a heartbeat as confirmation that it is served.
     let _served = scheduler.serve_host(&service);
-    let heartbeat = || heartbeat(scheduler.host_count(&service));
+    let heartbeat = || {
+        ScheduleMessage::Beat(ScheduleBeat {
+            hosts: u32::try_from(scheduler.host_count(&service)).unwrap_or(u32::MAX),
+            share_origins: Some(bus.origins.tracker.is_shared(&service)),
+        })
+    };
     let _queued = sender.try_send(heartbeat());
     let link = bus.serve_link(&hello.host, number);
+    let _keeper = hello.origins.then(|| bus.origins.serve_link(&hello.host, number, &sender));
     for update in bus.initial_updates_for_host() {
         let _queued = sender.try_send(update);
     }
@@ -229,6 +235,9 @@
             | ScheduleMessage::Suspect(_)
             | ScheduleMessage::Throttle(_)
             | ScheduleMessage::Leaving(_)
+            | ScheduleMessage::Origins(_)
+            | ScheduleMessage::OriginAsk(_)
+            | ScheduleMessage::OriginKnown(_)
             | ScheduleMessage::CallAsk(_)
             | ScheduleMessage::CallDecided(_)
             | ScheduleMessage::CallHeld(_)
@@ -281,7 +290,8 @@
 
 /// Builds a heartbeat with the number of hosts that share the duty.
 pub(crate) fn heartbeat(hosts: usize) -> ScheduleMessage {
-    ScheduleMessage::Beat(ScheduleBeat { hosts: u32::try_from(hosts).unwrap_or(u32::MAX) })
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    ScheduleMessage::Beat(ScheduleBeat { hosts, share_origins: None })
 }
 
 /// Sends queued messages and regular heartbeats. Heartbeats are sent between responses, too, since
@@ -373,8 +383,15 @@
                         self.bus.broadcast(Some(&self.name), &update);
                     }
                 }
+                ScheduleMessage::Origins(message) => {
+                    self.bus.origins.relay(self.bus.origins.receive(message));
+                }
+                ScheduleMessage::OriginAsk(ask) => {
+                    self.send(self.bus.origins.answer(&self.service, &ask))?;
+                }
                 ScheduleMessage::Beat(_beat) => {}
                 ScheduleMessage::Hello(_)
+                | ScheduleMessage::OriginKnown(_)
                 | ScheduleMessage::Spend(_)
                 | ScheduleMessage::GiveBack(_)
                 | ScheduleMessage::Spent(_)
--- a/crates/dillspool_scheduler/src/tunnel_client.rs
+++ b/crates/dillspool_scheduler/src/tunnel_client.rs
@@ -45,6 +45,7 @@
         service: Name::clone(&entry.service),
         hosts: 0,
         backend: Some(Name::clone(&entry.id)),
+        origins: false,
     };
     let hello = wire::encode(&ScheduleMessage::Hello(hello)).map_err(unavailable)?;
     let handshake = async {
--- a/crates/dillspool_scheduler/src/wire.rs
+++ b/crates/dillspool_scheduler/src/wire.rs
@@ -9,7 +9,7 @@
 use dillspool_limits::{LimitRate, RateVersion, SpendDecision, SpendRequest};
 use dillspool_moment::Moment;
 use dillspool_part::ClassSubset;
-use dillspool_routing::{BackendInstance, BackendStart};
+use dillspool_routing::{BackendInstance, BackendStart, SoftwareVersion};
 use dillspool_schema::Name;
 use dillspool_schema::schedule::{
     ScheduleCause, ScheduleClass, ScheduleDecision, ScheduleEvent, ScheduleMessage, ScheduleNote,
@@ -95,6 +95,7 @@
         part: request
             .subset
             .map(|subset| SchedulePart { seed: subset.seed, bits: subset.sampling_bits }),
+        software: request.software.as_ref().map(|software| Name::clone(&software.0)),
     }
 }
 
@@ -120,6 +121,7 @@
         subset: request
             .part
             .map(|subset| ClassSubset { seed: subset.seed, sampling_bits: subset.bits }),
+        software: request.software.map(SoftwareVersion),
     }
 }
 
--- a/crates/dillspool_scheduler/tests/fleet_updates.rs
+++ b/crates/dillspool_scheduler/tests/fleet_updates.rs
@@ -98,6 +98,7 @@
         service: "pool".into(),
         hosts: 0,
         backend: None,
+        origins: false,
     };
     send(&mut socket, &ScheduleMessage::Hello(hello)).await;
     socket
@@ -286,7 +287,8 @@
         let sent = format!("{} takes {}", case.backend, case.per_s.unwrap_or_default());
         let expected = if case.is_applied { vec![sent] } else { vec![] };
         send(&mut one, &ScheduleMessage::Throttle(update.clone())).await;
-        send(&mut two, &ScheduleMessage::Beat(ScheduleBeat { hosts: 0 })).await;
+        send(&mut two, &ScheduleMessage::Beat(ScheduleBeat { hosts: 0, share_origins: None }))
+            .await;
         assert_eq!(received(&mut two).await, (expected.clone(), true), "{}", case.name);
         // The sender does not get its own update back, and no host gets an update twice.
         assert_eq!(received(&mut one).await, (vec![], true), "{}: itself", case.name);
--- a/crates/dillspool_scheduler/tests/links.rs
+++ b/crates/dillspool_scheduler/tests/links.rs
@@ -97,6 +97,7 @@
         excluded: Vec::new(),
         refusals: 0,
         subset: None,
+        software: None,
     }
 }
 
