Stage changes leave each software version engines of both stages

What callers would see: a pool turned the first engines by failure domain and ID, whatever their software version, among them the last decode engine of a version, whose streams could then go on nowhere, or the only prefill engine, whose KV caches no other version may use.

Change: a version without an engine of the other stage gets one first, and the last engine of a version goes only when there is no other one. With one version the order is the same as before; with several it costs a pass over the engines and one over the versions for each change.

Test: each_version_keeps_engines_of_both_stages, four of whose five cases fail on the code before.

--- a/crates/dillspool_roles/src/plan.rs
+++ b/crates/dillspool_roles/src/plan.rs
@@ -1,8 +1,9 @@
 //! Plans which engines of a pool should change their stage.
 
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use dillspool_routing::{BackendEntry, DirectoryView, EngineStage};
+use dillspool_routing::{BackendEntry, DirectoryView, EngineStage, SoftwareVersion};
 
 /// Number of engines of a pool below which none is switched to prefill: the few that decode are
 /// needed more.
@@ -73,23 +74,61 @@
     let (prefill, decode) = pool_engines(view, service);
     if prefill.len() >= prefill_target {
         let surplus = prefill.len() - prefill_target;
-        return change_first(prefill, surplus, EngineStage::Decode);
+        return change_first(prefill, &decode, surplus, EngineStage::Decode);
     }
     if prefill.len() + decode.len() < MIN_POOL_FOR_PREFILL_SWITCH {
         return Vec::new();
     }
     let shortage = prefill_target - prefill.len();
     let max_switched = prefill_engines_for_share(decode.len(), MAX_SWITCHED_SHARE);
-    change_first(decode, shortage.min(max_switched), EngineStage::Prefill)
+    change_first(decode, &prefill, shortage.min(max_switched), EngineStage::Prefill)
 }
 
-/// Changes the first `count` engines by failure domain and id, an order that is the same on every
-/// host.
+/// Changes `count` engines of one stage to the other, `stage`. Streams stay at the software version that
+/// began them and use KV caches of that version only, so the next engine is one whose version has none of
+/// the other stage, and the last engine of a version goes only when there is no other one. Beyond that
+/// they go by failure domain and ID, an order that is the same on every host.
 fn change_first(
     mut engines: Vec<Arc<BackendEntry>>,
+    others: &[Arc<BackendEntry>],
     count: usize,
     stage: EngineStage,
 ) -> Vec<StageChange> {
     engines.sort_by(|a, b| (&a.failure_domain, &a.id).cmp(&(&b.failure_domain, &b.id)));
-    engines.into_iter().take(count).map(|entry| StageChange { entry, stage }).collect()
+    let mut by_version: BTreeMap<SoftwareVersion, VersionEngines> = BTreeMap::new();
+    for (index, entry) in engines.into_iter().enumerate() {
+        let version = by_version.entry(entry.software.clone()).or_default();
+        version.engines.push_back((index, entry));
+    }
+    for entry in others {
+        if let Some(version) = by_version.get_mut(&entry.software) {
+            version.others += 1;
+        }
+    }
+    let mut changes = Vec::new();
+    while changes.len() < count {
+        let next = by_version.values_mut().filter(|version| !version.engines.is_empty());
+        let Some(version) = next.min_by_key(|version| version.change_order()) else { break };
+        if let Some((_index, entry)) = version.engines.pop_front() {
+            changes.push(StageChange { entry, stage });
+            version.others += 1;
+        }
+    }
+    changes
+}
+
+/// Engines of one software version.
+#[derive(Default)]
+struct VersionEngines {
+    /// Those that may change their stage, with their places among those of all versions.
+    engines: VecDeque<(usize, Arc<BackendEntry>)>,
+    /// Number of engines of the other stage.
+    others: usize,
+}
+
+impl VersionEngines {
+    /// Orders versions by which should change an engine first.
+    fn change_order(&self) -> (bool, bool, Option<usize>) {
+        (self.engines.len() <= 1, self.others > 0, self.engines.front().map(|it| it.0))
+    }
 }
--- a/crates/dillspool_roles/tests/plan.rs
+++ b/crates/dillspool_roles/tests/plan.rs
@@ -86,3 +86,73 @@
         assert_eq!(initial_prefill_engines(engines, 0.2), prefill, "of {engines}");
     }
 }
+
+struct VersionCase {
+    name: &'static str,
+    /// Software versions of the prefill and of the decode engines.
+    prefill: &'static [&'static str],
+    decode: &'static [&'static str],
+    target: usize,
+    /// Versions of the engines that change their stage, in order.
+    changed: &'static [&'static str],
+}
+
+/// Guards against stage changes that leave a software version without an engine of a stage, so that its streams cannot go
+/// on, or that no decode engine can use what its prefill engines compute.
+#[test]
+fn each_version_keeps_engines_of_both_stages() {
+    let cases = [
+        VersionCase {
+            name: "one version: by ID",
+            prefill: &["v1", "v1", "v1"],
+            decode: &["v1", "v1"],
+            target: 1,
+            changed: &["v1", "v1"],
+        },
+        VersionCase {
+            name: "a version whose prefill engine is its last keeps it",
+            prefill: &["v1", "v2", "v2"],
+            decode: &["v1", "v2", "v2"],
+            target: 2,
+            changed: &["v2"],
+        },
+        VersionCase {
+            name: "a version without a decode engine gets one first",
+            prefill: &["v1", "v1", "v2", "v2"],
+            decode: &["v1", "v1", "v1"],
+            target: 3,
+            changed: &["v2"],
+        },
+        VersionCase {
+            name: "a version without a prefill engine gets one first",
+            prefill: &["v1"],
+            decode: &["v1", "v1", "v1", "v2", "v2", "v2", "v2", "v2", "v2"],
+            target: 3,
+            changed: &["v2", "v1"],
+        },
+        VersionCase {
+            name: "the last decode engine of a version stays",
+            prefill: &["v1"],
+            decode: &["v1", "v2", "v2", "v2", "v2"],
+            target: 2,
+            changed: &["v2"],
+        },
+    ];
+    for case in cases {
+        let engines = |stage, versions: &[&str]| {
+            let entry = |(at, software): (usize, &&str)| {
+                let entry =
+                    engine(format!("{stage:?}{at:02}"), "domain", stage, BackendState::Ready);
+                let software = SoftwareVersion((*software).into());
+                Arc::new(BackendEntry { software, ..(*entry).clone() })
+            };
+            versions.iter().enumerate().map(entry).collect::<Vec<_>>()
+        };
+        let prefill = engines(EngineStage::Prefill, case.prefill);
+        let decode = engines(EngineStage::Decode, case.decode);
+        let view = view(prefill.into_iter().chain(decode));
+        let changes = plan_stage_changes(&view, "pool", case.target);
+        let versions: Vec<_> = changes.iter().map(|it| it.entry.software.to_string()).collect();
+        assert_eq!(versions, case.changed, "{}", case.name);
+    }
+}
