Versions that have left are remembered for as long as their callers may return

Cause: a version that had left counted for two minutes, whatever the routes allow. After a release every stream of which no host knows would have been refused for that long, above all when all hosts are lost at once.

A stream breaks off at the latest when the last engine of its version ends, and its caller returns within its own time.

--- a/crates/dillspool_origins/src/lib.rs
+++ b/crates/dillspool_origins/src/lib.rs
@@ -16,6 +16,6 @@
 pub use registry::{OriginRecord, OriginRegistry};
 pub use tracker::{OriginSettings, OriginTracker};
 
-/// Time for which it is remembered who began a stream, and which versions a service had. A caller
-/// takes a stream up again within its own deadline.
+/// Time for which it is remembered who began a stream, counted from when it was last known to be in
+/// progress. A caller takes a stream up again within its own deadline.
 pub const ORIGIN_TTL: std::time::Duration = std::time::Duration::from_mins(2);
--- a/crates/dillspool_origins/src/tracker.rs
+++ b/crates/dillspool_origins/src/tracker.rs
@@ -152,6 +152,11 @@
         self.notify_if_due(&state);
     }
 
+    /// Applies the longest time for which a route lets a request run.
+    pub fn set_longest_timeout(&self, timeout: Duration) {
+        self.state().history.set_longest_timeout(timeout);
+    }
+
     /// Records the versions that the store names for a service.
     pub fn record_stored(
         &self,
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -351,6 +351,7 @@
             tracker: origins.clone(),
             schedule: schedule.clone(),
             directory: replicas.directory.clone(),
+            config: replicas.config.clone(),
         };
         tokio::spawn(publisher.run(self.background.clone()));
         let recorder = VersionRecorder {
--- a/crates/dillspool_router/src/origin_publisher.rs
+++ b/crates/dillspool_router/src/origin_publisher.rs
@@ -3,22 +3,26 @@
 use std::sync::Arc;
 
 use dillspool_origins::OriginTracker;
-use dillspool_routing::DirectoryView;
+use dillspool_routing::{DirectoryView, RoutingConfig};
 use dillspool_scheduler::ScheduleClient;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// Feeds the directory to the tracker, and the tracker's records to the schedulers.
+/// Feeds the directory and the configuration to the tracker, and the tracker's records to the schedulers.
 pub(crate) struct OriginPublisher {
     pub(crate) tracker: OriginTracker,
     pub(crate) schedule: ScheduleClient,
     pub(crate) directory: watch::Receiver<Arc<DirectoryView>>,
+    pub(crate) config: watch::Receiver<Option<Arc<RoutingConfig>>>,
 }
 
 impl OriginPublisher {
     /// Runs until `cancel`.
     pub(crate) async fn run(mut self, cancel: CancellationToken) {
         loop {
+            if let Some(config) = &*self.config.borrow_and_update() {
+                self.tracker.set_longest_timeout(config.routes.longest_timeout());
+            }
             let view = Arc::clone(&self.directory.borrow_and_update());
             self.tracker.observe_directory(&view);
             loop {
@@ -32,6 +36,12 @@
                         }
                         break;
                     }
+                    changed = self.config.changed() => {
+                        if changed.is_err() {
+                            return;
+                        }
+                        break;
+                    }
                     () = self.tracker.changed() => {}
                     () = cancel.cancelled() => return,
                 }
--- a/crates/dillspool_routing/src/route.rs
+++ b/crates/dillspool_routing/src/route.rs
@@ -109,6 +109,12 @@
         path.rmatch_indices('/').find_map(|(at, _slash)| prefixes.get(path.get(..=at)?))
     }
 
+    /// Longest timeout of any route; zero without routes.
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.by_host.values().flat_map(BTreeMap::values);
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.by_host.values().map(BTreeMap::len).sum()
