Names of software versions are bounded, and cannot break a log line

Cause: a directory row may name a version of up to 16 KB; a message of 256 records with long names passed the 64 KB that a link takes, which closes it. Found by reading the change once more.

Log lines replace blanks and quotes in a version.

--- a/crates/dillspool_forward/src/generate/send.rs
+++ b/crates/dillspool_forward/src/generate/send.rs
@@ -103,7 +103,10 @@
             entry.software,
             self.context.view().version,
             params.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.id),
-            params.prefilled.as_ref().map_or("none", |prefilled| &*prefilled.engine.software.0),
+            params
+                .prefilled
+                .as_ref()
+                .map_or("none".to_owned(), |prefilled| prefilled.engine.software.to_string()),
             self.request.age().as_millis(),
             self.last_event.unwrap_or(0),
             self.request.resumed_attempt.as_deref().unwrap_or("none"),
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -205,7 +205,7 @@
             "event=stream_broke id={} backend={} software={} events={} after_ms={} cause=\"{cause}\"",
             request.id,
             failed.as_ref().map_or("", |reader| &*reader.open.entry.id),
-            failed.as_ref().map_or("", |reader| &*reader.open.entry.software.0),
+            failed.as_ref().map_or(String::new(), |it| it.open.entry.software.to_string()),
             self.stats.events,
             request.age().as_millis(),
         );
--- a/crates/dillspool_origins/src/registry.rs
+++ b/crates/dillspool_origins/src/registry.rs
@@ -10,8 +10,9 @@
 
 /// Maximum number of streams remembered; the oldest are dropped first.
 const MAX_RECORDS: usize = 16_384;
-/// Maximum length of an attempt's ID, which the caller chooses.
-const MAX_ATTEMPT_BYTES: usize = 128;
+/// Maximum length of an attempt's ID, which the caller chooses, and of the names of a service and a
+/// software version. Some dozen records must fit into a message.
+const MAX_NAME_BYTES: usize = 200;
 
 /// A stream that began.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +27,13 @@
     pub at: Moment,
 }
 
+impl OriginRecord {
+    fn has_bounded_names(&self) -> bool {
+        let software = self.software.as_ref().map_or(0, |software| software.0.len());
+        [self.attempt.len(), self.service.len(), software].iter().all(|it| *it <= MAX_NAME_BYTES)
+    }
+}
+
 /// Streams by the ID of the attempt that began them.
 #[derive(Clone, Debug, Default)]
 pub struct OriginRegistry {
@@ -40,7 +48,7 @@
     /// Records of one stream that disagree leave its version in doubt, in whatever order they come.
     pub fn record(&mut self, record: OriginRecord, now: Moment) -> bool {
         self.remove_expired(now);
-        if record.attempt.len() > MAX_ATTEMPT_BYTES || is_expired(record.at, now) {
+        if !record.has_bounded_names() || is_expired(record.at, now) {
             return false;
         }
         let Some(known) = self.records.get_mut(&record.attempt) else {
--- a/crates/dillspool_router/src/version_rows.rs
+++ b/crates/dillspool_router/src/version_rows.rs
@@ -138,8 +138,8 @@
     }
 
     async fn write(&self, service: &Name, versions: &BTreeSet<SoftwareVersion>) -> bool {
-        let names: BTreeSet<_> = versions.iter().map(|version| Name::clone(&version.0)).collect();
-        let listed = names.iter().map(|name| &**name).collect::<Vec<_>>().join(",");
+        let names = versions.iter().map(|version| Name::clone(&version.0)).collect();
+        let listed = versions.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
         let value = serde_json::to_string(&VersionRow { versions: names }).ok();
         let key = format!("{VERSIONS_KEY_PREFIX}{service}").into();
         let write = RowWrite { key, expect: RowPrecondition::Any, value };
--- a/crates/dillspool_routing/src/backend.rs
+++ b/crates/dillspool_routing/src/backend.rs
@@ -1,6 +1,7 @@
 //! Backend servers as listed in the platform's directory.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -59,8 +60,10 @@
 pub struct SoftwareVersion(pub Name);
 
 impl std::fmt::Display for SoftwareVersion {
+    /// Replaces characters that would break a log line.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
+        let sanitize = |c: char| if c.is_ascii_graphic() && c != '"' { c } else { '\'' };
+        self.0.chars().map(sanitize).try_for_each(|c| f.write_char(c))
     }
 }
 
--- a/crates/dillspool_scheduler/src/origin_relay.rs
+++ b/crates/dillspool_scheduler/src/origin_relay.rs
@@ -31,8 +31,8 @@
 /// Time for which a scheduler collects records before it passes them on. Only the loss of both the
 /// scheduler and the host that sent them loses these.
 const RELAY_INTERVAL: Duration = Duration::from_millis(50);
-/// Records in one message, well below the maximum size of a message.
-const MAX_MESSAGE_RECORDS: usize = 256;
+/// Records in one message, which stays below the maximum size of a message with names of any length.
+const MAX_MESSAGE_RECORDS: usize = 64;
 /// Newest records sent when a link opens.
 const MAX_INITIAL_RECORDS: usize = 2_048;
 
