Soak: engines of two software versions, and callers that take streams up again

A stream with events of two versions breaks a promise, more than two that callers put together do, as the users' rule says.

--- a/crates/dillspool_routerd/tests/fleet/streams.rs
+++ b/crates/dillspool_routerd/tests/fleet/streams.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use dillspool_io::exchange_once;
-use dillspool_site_standin::{FIRST_SOFTWARE, LAST_EVENT, RESUMED_ATTEMPT, STREAM_EVENTS};
-use http_body_util::BodyExt;
+use dillspool_site_standin::{
+    LAST_EVENT, RESUMED_ATTEMPT, ReceivedEvent, STREAM_EVENTS, read_events,
+};
 
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
@@ -36,8 +36,7 @@
     pub status: Option<u16>,
     /// Whether the response has a `Retry-After` header.
     pub has_retry_after: bool,
-    /// Number of each event and software version of the engine that sent it.
-    pub events: Vec<(u64, String)>,
+    pub events: Vec<ReceivedEvent>,
     /// Whether the response ended cleanly.
     pub is_complete: bool,
     /// Time until the response ended.
@@ -51,20 +50,19 @@
 }
 
 impl TakenStream {
-    /// Numbers and software versions of all events that the caller has.
-    pub fn events(&self) -> Vec<(u64, String)> {
-        self.tries.iter().flat_map(|it| it.events.clone()).collect()
+    /// All events that the caller has.
+    pub fn events(&self) -> impl Iterator<Item = &ReceivedEvent> {
+        self.tries.iter().flat_map(|it| &it.events)
     }
 
     /// Software versions whose engines sent events.
     pub fn versions(&self) -> BTreeSet<String> {
-        self.events().into_iter().map(|(_number, software)| software).collect()
+        self.events().map(|event| event.software.clone()).collect()
     }
 
     /// Whether the caller has each event once, and the last try ended cleanly.
     pub fn is_whole(&self) -> bool {
-        let numbers: Vec<_> = self.events().into_iter().map(|(number, _software)| number).collect();
-        numbers == (1..=STREAM_EVENTS).collect::<Vec<_>>()
+        self.events().map(|event| event.number).eq(1..=STREAM_EVENTS)
             && self.tries.last().is_some_and(|it| it.is_complete)
     }
 
@@ -98,40 +96,11 @@
             read.status = Some(response.status().as_u16());
             read.has_retry_after = response.headers().contains_key("retry-after");
             if response.status().is_success() {
-                read_events(response.into_body(), &mut read).await;
+                let body = response.into_body();
+                read.is_complete = read_events(body, MAX_SILENCE, &mut read.events).await;
             }
         }
         read.took = sent.elapsed();
         read
     }
 }
-
-async fn read_events<B>(mut body: B, read: &mut StreamTry)
-where
-    B: hyper::body::Body<Data = bytes::Bytes> + Unpin,
-{
-    let mut pending = BytesMut::new();
-    loop {
-        match tokio::time::timeout(MAX_SILENCE, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                if let Ok(bytes) = frame.into_data() {
-                    pending.extend_from_slice(&bytes);
-                }
-            }
-            Ok(None) => {
-                read.is_complete = pending.is_empty();
-                return;
-            }
-            Ok(Some(Err(_broken))) => return,
-            Err(_silence) => return,
-        }
-        while let Some(end) = pending.windows(2).position(|pair| pair == b"\n\n") {
-            let event = pending.split_to(end + 2);
-            let text = String::from_utf8_lossy(&event).into_owned();
-            let number = text.lines().find_map(|line| line.strip_prefix("id: ")?.parse().ok());
-            let data = text.lines().find_map(|line| line.strip_prefix("data: "));
-            let software = data.and_then(|data| data.split(' ').nth(2)).unwrap_or(FIRST_SOFTWARE);
-            read.events.push((number.expect("an event with an id"), software.to_owned()));
-        }
-    }
-}
--- a/crates/dillspool_routerd/tests/soak.rs
+++ b/crates/dillspool_routerd/tests/soak.rs
@@ -3,11 +3,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use dillspool_soak::SoakTrouble::{Deadly, Limits, Notices, Restarts, Restored, SlowPeers};
+use dillspool_soak::SoakTrouble::{
+    Deadly, Limits, Notices, Restarts, Restored, SlowPeers, Versions,
+};
 use dillspool_soak::{SoakSettings, SoakTrouble, run_soak};
 
 /// Seeds that run in CI: two baseline seeds and every seed that once found a violation, with its cause.
-const SEEDS: [SoakCase; 8] = [
+const SEEDS: [SoakCase; 9] = [
     SoakCase { seed: 1, troubles: &[], cause: "baseline" },
     SoakCase { seed: 2, troubles: &[], cause: "baseline" },
     SoakCase {
@@ -24,6 +26,11 @@
     SoakCase { seed: 6, troubles: &[Notices], cause: "servers that leave or ask for a pause" },
     SoakCase { seed: 7, troubles: &[Restored], cause: "a store restored from a backup" },
     SoakCase { seed: 8, troubles: &[SlowPeers], cause: "peers that read and write slowly" },
+    SoakCase {
+        seed: 9,
+        troubles: &[Versions, Restarts],
+        cause: "engines of two software versions",
+    },
 ];
 
 /// A seed, the faults it injects and the cause that it covers.
--- a/crates/dillspool_routerd/tests/software_series.rs
+++ b/crates/dillspool_routerd/tests/software_series.rs
@@ -152,9 +152,9 @@
     let mut resume: Option<ResumePoint> = None;
     for host in (number..).take(TRIES).map(|host| host % HOSTS) {
         let read = fleet.read_stream(number, host, "/resumed/1", resume.as_ref()).await;
-        if let Some((last_event, _software)) = read.events.last() {
+        if let Some(last) = read.events.last() {
             let attempt = resume.map_or_else(|| read.id.clone(), |resume| resume.attempt);
-            resume = Some(ResumePoint { attempt, last_event: *last_event });
+            resume = Some(ResumePoint { attempt, last_event: last.number });
         }
         let is_complete = read.is_complete;
         taken.tries.push(read);
@@ -184,7 +184,7 @@
     let (resumed, gone_on) = resumed.fold((0, 0), |(resumed, gone_on), stream| {
         (resumed + 1, gone_on + usize::from(stream.is_whole()))
     });
-    let begun = streams.iter().filter(|it| !it.events().is_empty()).count();
+    let begun = streams.iter().filter(|it| it.events().next().is_some()).count();
     println!(
         "seed {seed}: {} streams, {begun} begun, {gone_on} of {resumed} resumed went on, {} mixed",
         streams.len(),
--- a/crates/dillspool_routerd/tests/software_versions.rs
+++ b/crates/dillspool_routerd/tests/software_versions.rs
@@ -153,9 +153,9 @@
     let mut resume: Option<ResumePoint> = None;
     for host in (number..).take(TRIES).map(|host| host % HOSTS) {
         let read = fleet.read_stream(number, host, "/resumed/1", resume.as_ref()).await;
-        if let Some((last_event, _software)) = read.events.last() {
+        if let Some(last) = read.events.last() {
             let attempt = resume.map_or_else(|| read.id.clone(), |resume| resume.attempt);
-            resume = Some(ResumePoint { attempt, last_event: *last_event });
+            resume = Some(ResumePoint { attempt, last_event: last.number });
         }
         let is_final = read.is_complete || (read.status == Some(503) && !read.has_retry_after);
         taken.tries.push(read);
@@ -254,10 +254,10 @@
     let (begun, ()) = join(streams, cut).await;
     change(fleet).await;
     let resumed = begun.into_iter().map(|first| async move {
-        let (last_event, software) = first.events.last().cloned().expect("it has begun");
-        let resume = ResumePoint { attempt: first.id.clone(), last_event };
+        let last = first.events.last().cloned().expect("it has begun");
+        let resume = ResumePoint { attempt: first.id.clone(), last_event: last.number };
         let next = fleet.read_stream(1, 1, "/resumed/1", Some(&resume)).await;
-        (software, TakenStream { tries: vec![first, next] })
+        (last.software, TakenStream { tries: vec![first, next] })
     });
     join_all(resumed).await
 }
--- a/crates/dillspool_soak/src/backends.rs
+++ b/crates/dillspool_soak/src/backends.rs
@@ -13,6 +13,8 @@
 const SPOILED_FOR: Duration = Duration::from_millis(120);
 /// Time after which a backend server that a request has crashed is back.
 const BACK_AFTER: Duration = Duration::from_millis(1_500);
+/// The other software version of engines.
+const SECOND_SOFTWARE: &str = "v2";
 /// Start of a backend server whose clock goes back with each start.
 const FIRST_START: u64 = 1_000_000;
 
@@ -22,6 +24,23 @@
     pub(crate) stack: NetStack,
     pub(crate) store: StandinStore,
     pub(crate) runs: RunLog,
+    /// Whether engines have two software versions.
+    pub(crate) has_versions: bool,
+}
+
+impl PlaceTools {
+    /// The backend server of a start, with the software version of that start.
+    fn backend(&self, id: &str, kind: StandinKind, number: usize, starts: u32) -> StandinBackend {
+        let backend = StandinBackend::new(id, kind, &self.runs);
+        // Of three engines of a stage two have one version; each start changes it.
+        let is_second = number.is_multiple_of(3) != starts.is_multiple_of(2);
+        let is_engine = kind != StandinKind::Plain;
+        if self.has_versions && is_engine && is_second {
+            backend.with_software(SECOND_SOFTWARE)
+        } else {
+            backend
+        }
+    }
 }
 
 /// A place for a backend server; one comes after the other there.
@@ -44,7 +63,7 @@
         kind: StandinKind,
     ) -> std::io::Result<Self> {
         let service = if kind == StandinKind::Plain { "plain" } else { "pool" };
-        let backend = StandinBackend::new(&format!("i-{number}-0"), kind, &tools.runs);
+        let backend = tools.backend(&format!("i-{number}-0"), kind, number, 0);
         let address = backend.serve(&tools.stack, local()).await?;
         let proxy = LoopbackProxy::start(address).await?;
         let tools = tools.clone();
@@ -90,7 +109,8 @@
         self.starts += 1;
         self.tools.store.write("servers", &self.backend.id, None);
         let id = format!("i-{}-{}", self.number, self.starts);
-        self.take_over(StandinBackend::new(&id, self.kind, &self.tools.runs)).await
+        let backend = self.tools.backend(&id, self.kind, self.number, self.starts);
+        self.take_over(backend).await
     }
 
     /// Starts a backend server again under its id; its clock may have gone back.
@@ -98,7 +118,8 @@
         self.starts += 1;
         let starts = u64::from(self.starts);
         let start = if self.number.is_multiple_of(2) { starts } else { FIRST_START - starts };
-        let backend = StandinBackend::new(&self.backend.id, self.kind, &self.tools.runs);
+        let (tools, id) = (&self.tools, &self.backend.id);
+        let backend = tools.backend(id, self.kind, self.number, self.starts);
         self.take_over(backend.started(start)).await
     }
 
--- a/crates/dillspool_soak/src/check.rs
+++ b/crates/dillspool_soak/src/check.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
-use dillspool_site_standin::{RunLog, expected_answer, stream_text};
+use dillspool_site_standin::{
+    FIRST_SOFTWARE, ReceivedEvent, RunLog, expected_answer, parse_event, stream_text,
+};
 
 /// Kinds of calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,11 +93,11 @@
         broken("a refusal that says not run is true", format!("{status}, ran at {ran:?}"));
     }
     if (200..300).contains(status) {
-        let expected = match call.kind {
-            CallKind::Repeatable | CallKind::Unrepeatable => expected_answer(&call.id),
-            CallKind::ResumableStream | CallKind::Stream => stream_text(&call.id, 0),
+        let is_whole = match call.kind {
+            CallKind::Repeatable | CallKind::Unrepeatable => *body == expected_answer(&call.id),
+            CallKind::ResumableStream | CallKind::Stream => is_whole_stream(&call.id, body),
         };
-        if *body != expected {
+        if !is_whole {
             broken("every caller gets the whole answer to its own request", format!("{body:?}"));
         }
         if ran.is_empty() {
@@ -104,3 +106,11 @@
     }
     violations
 }
+
+/// Whether a body is a whole stream of engines with one software version.
+fn is_whole_stream(id: &str, body: &str) -> bool {
+    let first = body.split_inclusive("\n\n").next().and_then(parse_event);
+    let Some(ReceivedEvent { software, .. }) = first else { return false };
+    let suffix = if software == FIRST_SOFTWARE { String::new() } else { format!(" {software}") };
+    body == stream_text(id, 0).replace("\n\n", &format!("{suffix}\n\n"))
+}
--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod proxy;
 mod rest;
 mod restored;
+mod resumptions;
 mod router;
 mod slow_peers;
 mod world;
--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -48,6 +48,9 @@
     /// Also have callers and backend servers read and send slowly, or not at all.
     #[arg(long)]
     slow_readers: bool,
+    /// Also have engines of two software versions, and callers that take streams up again.
+    #[arg(long)]
+    versions: bool,
     /// Folder of settings and logs; that of a seed without a broken promise is removed.
     #[arg(long, default_value = "target/soak")]
     folder: PathBuf,
@@ -94,6 +97,7 @@
         (args.notices, SoakTrouble::Notices),
         (args.restored, SoakTrouble::Restored),
         (args.slow_readers, SoakTrouble::SlowPeers),
+        (args.versions, SoakTrouble::Versions),
     ];
     flags.into_iter().filter_map(|(is_set, trouble)| is_set.then_some(trouble)).collect()
 }
@@ -116,6 +120,9 @@
         report.most_ends,
         report.violations.len()
     );
+    if !report.resumptions.is_empty() {
+        println!("seed {seed}: {}", report.resumptions);
+    }
     for violation in &report.violations {
         println!("seed {seed}: {violation}");
     }
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -25,6 +25,7 @@
 use crate::proxy::{LoopbackProxy, ProxyMode};
 use crate::rest::check_rest;
 use crate::restored::{StoreCopies, play_restored};
+use crate::resumptions::{ResumptionLog, keep_resuming};
 use crate::router::{RouterPlace, RouterProcess};
 use crate::slow_peers::{MEMORY_MB, play_slow_peers};
 
@@ -42,6 +43,8 @@
     Notices,
     /// The store comes back from copies, some seconds old, among the faults and after them.
     Restored,
+    /// Engines of two software versions serve, and callers take streams up again at other hosts.
+    Versions,
     /// Once the faults are over callers and backend servers read and send slowly, or not at all.
     SlowPeers,
 }
@@ -76,6 +79,8 @@
     pub faults: usize,
     /// Backend servers that the worst of the deadly requests crashed.
     pub most_ends: usize,
+    /// Streams that callers took up again, in words; empty without [`SoakTrouble::Versions`].
+    pub resumptions: String,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -142,6 +147,16 @@
         Arc::clone(&calls),
         stop_calls.clone(),
     ));
+    let resumptions = ResumptionLog::default();
+    let resuming_callers = world.plays(SoakTrouble::Versions).then(|| {
+        tokio::spawn(keep_resuming(
+            world.places.iter().map(|place| place.callers).collect(),
+            world.settings.seed,
+            resumptions.clone(),
+            Arc::clone(&calls),
+            stop_calls.clone(),
+        ))
+    });
     let faults = draw_faults(&mut random, world.settings.span);
     for fault in &faults {
         world.pass(fault.after).await?;
@@ -165,6 +180,13 @@
     // The callers bound every call in time.
     let _ended = callers.await;
     let _ended = deadly_callers.await;
+    let mut counted = String::new();
+    if let Some(callers) = resuming_callers {
+        let _ended = callers.await;
+        let (found, count) = resumptions.check();
+        violations.extend(found);
+        counted = count;
+    }
     let calls = calls.lock().unwrap_or_else(PoisonError::into_inner).clone();
     violations.extend(check_calls(&calls, world.runs()));
     if world.plays(SoakTrouble::Restored) {
@@ -180,6 +202,7 @@
         calls: calls.len(),
         served: calls.iter().filter(served).count(),
         faults: faults.len(),
+        resumptions: counted,
         most_ends: deadly.iter().map(|it| world.runs().ends(&it.path())).max().unwrap_or_default(),
         violations,
     })
@@ -258,7 +281,12 @@
         let store = StandinStore::default();
         let store_address = store.serve(&stack, local(), cancel.clone()).await?;
         let mut world = Self {
-            tools: PlaceTools { stack, store, runs: RunLog::default() },
+            tools: PlaceTools {
+                stack,
+                store,
+                runs: RunLog::default(),
+                has_versions: settings.troubles.contains(&SoakTrouble::Versions),
+            },
             places: Vec::new(),
             routers: Vec::new(),
             store_links: Vec::new(),
