Refusals by software version are explained; one caller of streams in the tests

dillspool explain names software_gone and software_unknown. A host whose write of a pool's versions failed waits for its turn again before the next one, so that many hosts do not repeat writes to a store that is back. The two tests of software versions share the caller that takes streams up.

--- a/crates/dillspool_explain/src/report.rs
+++ b/crates/dillspool_explain/src/report.rs
@@ -135,6 +135,12 @@
         "no_backend" => "no backend server of its service accepted requests",
         "no_room" => "the backend servers could not respond to it in time; it did not run",
         "no_memory" => "no decode engine had enough memory for its response; it did not run",
+        "software_gone" => {
+            "no engine is left with the software version that began its stream; it did not run"
+        }
+        "software_unknown" => {
+            "no host knew which software version began its stream; it did not run"
+        }
         "not_run" => "none of the backend servers that were tried ran it",
         "too_late_not_run" => "its deadline passed before it ran",
         "deadly" => {
--- a/crates/dillspool_forward/src/generate/origin.rs
+++ b/crates/dillspool_forward/src/generate/origin.rs
@@ -54,8 +54,12 @@
             told
         };
         let decision = decide_origin(service, &own, told.as_ref());
+        let software = match &decision {
+            OriginDecision::Began(software) => software.to_string(),
+            OriginDecision::Unknown => "unknown".to_owned(),
+        };
         log::info!(
-            "event=stream_resumed id={} resumes={} last_event={} decision={decision:?} recorded={} told={} versions={} complete={}",
+            "event=stream_resumed id={} resumes={} last_event={} software={software} recorded={} told={} versions={} complete={}",
             request.id,
             attempt.map_or("none", |attempt| &**attempt),
             request.resume_after.unwrap_or(0),
--- a/crates/dillspool_router/src/origin_metrics.rs
+++ b/crates/dillspool_router/src/origin_metrics.rs
@@ -21,7 +21,7 @@
         let help = "Streams of which this host remembers the software version that began them";
         registry.register("origins_streams", help, self.streams.clone());
         let help =
-            "Services of which other hosts get these records, since they have several versions";
+            "Services of which all hosts need these records, since they may have several versions";
         registry.register("origins_shared_services", help, self.shared_services.clone());
     }
 
--- a/crates/dillspool_router/src/version_rows.rs
+++ b/crates/dillspool_router/src/version_rows.rs
@@ -118,20 +118,17 @@
                 state.write_at.remove(&service);
                 continue;
             }
-            let now = Instant::now();
-            let fallback = || {
-                let delay = rand::rng().random_range(FALLBACK_DELAY_S);
-                now + Duration::from_secs_f64(delay)
-            };
-            let write_at = *state.write_at.entry(Name::clone(&service)).or_insert_with(fallback);
-            let is_retry = write_at <= now;
-            if !is_retry && !self.schedule.is_scheduler_for(&service) {
+            let write_at =
+                state.write_at.entry(Name::clone(&service)).or_insert_with(fallback_time);
+            let is_fallback_due = *write_at <= Instant::now();
+            if !is_fallback_due && !self.schedule.is_scheduler_for(&service) {
                 continue;
             }
             if self.write(&service, &versions).await {
                 state.stored.insert(Name::clone(&service), versions);
                 state.write_at.remove(&service);
             } else {
+                state.write_at.insert(service, fallback_time());
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
@@ -155,3 +152,8 @@
         }
     }
 }
+
+/// When a host that is not the scheduler writes a row that differs now.
+fn fallback_time() -> Instant {
+    Instant::now() + Duration::from_secs_f64(rand::rng().random_range(FALLBACK_DELAY_S))
+}
--- a/crates/dillspool_routerd/tests/fleet/streams.rs
+++ b/crates/dillspool_routerd/tests/fleet/streams.rs
@@ -103,4 +103,32 @@
         read.took = sent.elapsed();
         read
     }
+
+    /// Reads a stream from the first host, and goes on at the next one each time that it breaks off. A caller that
+    /// `stops_if_refused` stops when it is refused without a time to come back.
+    pub async fn take_stream(
+        &self,
+        caller: usize,
+        hosts: impl Iterator<Item = usize>,
+        try_interval: Duration,
+        stops_if_refused: bool,
+    ) -> TakenStream {
+        let mut taken = TakenStream::default();
+        let mut resume: Option<ResumePoint> = None;
+        for host in hosts {
+            let read = self.read_stream(caller, host, "/resumed/1", resume.as_ref()).await;
+            if let Some(last) = read.events.last() {
+                let attempt = resume.map_or_else(|| read.id.clone(), |resume| resume.attempt);
+                resume = Some(ResumePoint { attempt, last_event: last.number });
+            }
+            let is_refused = read.status == Some(503) && !read.has_retry_after;
+            let is_final = read.is_complete || (stops_if_refused && is_refused);
+            taken.tries.push(read);
+            if is_final {
+                break;
+            }
+            tokio::time::sleep(try_interval).await;
+        }
+        taken
+    }
 }
--- a/crates/dillspool_routerd/tests/software_series.rs
+++ b/crates/dillspool_routerd/tests/software_series.rs
@@ -11,7 +11,7 @@
 use dillspool_cases::seeds;
 use dillspool_io::LinkMode;
 use dillspool_site_standin::{BackendFault, StandinKind, StoreMode};
-use fleet::{FleetOptions, RestartIdentity, ResumePoint, TakenStream, TestFleet};
+use fleet::{FleetOptions, RestartIdentity, TakenStream, TestFleet};
 use futures_util::future::{join, join_all};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -148,22 +148,8 @@
 
 async fn take_stream(fleet: &TestFleet, number: usize) -> TakenStream {
     tokio::time::sleep(STREAM_INTERVAL * u32::try_from(number).expect("few")).await;
-    let mut taken = TakenStream::default();
-    let mut resume: Option<ResumePoint> = None;
-    for host in (number..).take(TRIES).map(|host| host % HOSTS) {
-        let read = fleet.read_stream(number, host, "/resumed/1", resume.as_ref()).await;
-        if let Some(last) = read.events.last() {
-            let attempt = resume.map_or_else(|| read.id.clone(), |resume| resume.attempt);
-            resume = Some(ResumePoint { attempt, last_event: last.number });
-        }
-        let is_complete = read.is_complete;
-        taken.tries.push(read);
-        if is_complete {
-            break;
-        }
-        tokio::time::sleep(TRY_INTERVAL).await;
-    }
-    taken
+    let hosts = (number..).take(TRIES).map(|host| host % HOSTS);
+    fleet.take_stream(number, hosts, TRY_INTERVAL, false).await
 }
 
 /// Runs a series and returns the violations.
--- a/crates/dillspool_routerd/tests/software_versions.rs
+++ b/crates/dillspool_routerd/tests/software_versions.rs
@@ -149,22 +149,8 @@
 
 /// A caller that goes on at the next host until it has all events, or is refused without a time to come back.
 async fn take_stream(fleet: &TestFleet, number: usize) -> TakenStream {
-    let mut taken = TakenStream::default();
-    let mut resume: Option<ResumePoint> = None;
-    for host in (number..).take(TRIES).map(|host| host % HOSTS) {
-        let read = fleet.read_stream(number, host, "/resumed/1", resume.as_ref()).await;
-        if let Some(last) = read.events.last() {
-            let attempt = resume.map_or_else(|| read.id.clone(), |resume| resume.attempt);
-            resume = Some(ResumePoint { attempt, last_event: last.number });
-        }
-        let is_final = read.is_complete || (read.status == Some(503) && !read.has_retry_after);
-        taken.tries.push(read);
-        if is_final {
-            break;
-        }
-        tokio::time::sleep(TRY_INTERVAL).await;
-    }
-    taken
+    let hosts = (number..).take(TRIES).map(|host| host % HOSTS);
+    fleet.take_stream(number, hosts, TRY_INTERVAL, true).await
 }
 
 async fn take_streams(fleet: &TestFleet) -> Vec<TakenStream> {
--- a/crates/dillspool_scheduler/tests/origin_links.rs
+++ b/crates/dillspool_scheduler/tests/origin_links.rs
@@ -198,6 +198,19 @@
 
 type HostSocket = WebSocketStream<NetStream>;
 
+/// The first message of a host; one of an earlier build does not understand messages about origins.
+fn hello(origins: bool) -> ScheduleMessage {
+    ScheduleMessage::Hello(ScheduleHello {
+        version: 6,
+        host: "host-9".into(),
+        duty: ScheduleDuty::Pool,
+        service: POOL.into(),
+        hosts: 0,
+        backend: None,
+        origins,
+    })
+}
+
 async fn send(socket: &mut HostSocket, message: &ScheduleMessage) {
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes).expect("a message");
@@ -230,16 +243,7 @@
         let stream = stack.connect(address(1)).await.expect("it listens");
         let url = format!("ws://{}/", address(1));
         let (mut socket, _response) = client_async(url, stream).await.expect("a handshake");
-        let hello = ScheduleHello {
-            version: 6,
-            host: "host-9".into(),
-            duty: ScheduleDuty::Pool,
-            service: POOL.into(),
-            hosts: 0,
-            backend: None,
-            origins: understands,
-        };
-        send(&mut socket, &ScheduleMessage::Hello(hello)).await;
+        send(&mut socket, &hello(understands)).await;
         let _opened = received(&mut socket).await;
         host.begin(&format!("stream-{understands}"), "v2");
         let (messages, beats) = received(&mut socket).await;
@@ -289,16 +293,7 @@
     let stream = net.stack(address(9).ip()).connect(address(1)).await.expect("it listens");
     let url = format!("ws://{}/", address(1));
     let (mut socket, _response) = client_async(url, stream).await.expect("a handshake");
-    let hello = ScheduleHello {
-        version: 6,
-        host: "host-9".into(),
-        duty: ScheduleDuty::Pool,
-        service: POOL.into(),
-        hosts: 0,
-        backend: None,
-        origins: true,
-    };
-    send(&mut socket, &ScheduleMessage::Hello(hello)).await;
+    send(&mut socket, &hello(true)).await;
     let origin = |attempt: &str, software: Option<&str>, age_ms| ScheduleOrigin {
         attempt: attempt.into(),
         service: POOL.into(),
