A directory counts as fresh for as long as a poll of it is held

Cause: a host polls the store for changes of the directory, for 2.5 s if there are none, and took its directory for stale after 2 s (the time in which a change must be in force). Between two answers it neither trusted its own directory nor, at the scheduler, that of others, and sent its records anew.

Change: stale is older than both times together.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -474,13 +474,14 @@
     ThrottleMetrics::new(site.throttle.clone(), site.leaving.clone(), limits)
 }
 
-/// A directory as old as a change may take to be in force does not show every engine any more.
+/// A poll of the store is held for a time if nothing changes. A directory that is older than that and the time in which a
+/// change must be in force does not show every engine any more.
 fn origin_settings(
     config: &RouterConfig,
     replicas: &StoreReplicas,
     clock: &HostClock,
 ) -> OriginSettings {
-    let (backends, limit) = (replicas.backends.clone(), config.change_limit);
+    let (backends, limit) = (replicas.backends.clone(), config.watch_wait + config.change_limit);
     OriginSettings {
         is_first_start: config.first_start,
         is_directory_fresh: Arc::new(move || backends.age().is_some_and(|age| age <= limit)),
