--- a/crates/dillspool_forward/src/generate/prepare.rs
+++ b/crates/dillspool_forward/src/generate/prepare.rs
@@ -126,9 +126,12 @@
     }
 
     fn class(&self) -> WorkClass {
-        // A stream that a caller resumes competes with new ones for fewer engines than those have.
+        // A stream that a caller resumes goes on as often as new ones begin: it is placed like a new one, or before
+        // them where they have more engines.
         if !self.is_before_first_event() || self.has_fewer_engines() {
             WorkClass::UnderWay
+        } else if self.software.required().is_some() {
+            WorkClass::InTime
         } else if self.request.is_past_objective() {
             WorkClass::Late
         } else {
--- a/crates/dillspool_forward/src/placement.rs
+++ b/crates/dillspool_forward/src/placement.rs
@@ -133,7 +133,10 @@
                 .min(generation.max_output_tokens);
             (generation.prompt_tokens, estimate, generation.max_output_tokens)
         });
-    let spent = request.spent_before + request.age();
+    // A resumed stream has missed its objective, and gets the time of a new one.
+    let spent_before =
+        if request.resume_after.is_some() { Duration::ZERO } else { request.spent_before };
+    let spent = spent_before + request.age();
     let subset =
         context.directory.borrow().subset.as_ref().map(|subset| subset.for_class(&request.service));
     PlacementRequest {
