--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -9,6 +9,7 @@
 
 use dillspool_admission::EngineFault;
 use dillspool_io::{BoxFuture, ResponseBody};
+use dillspool_moment::Moment;
 use dillspool_routing::{BackendEntry, RoutedRequest};
 use dillspool_suspects::{CopyGuard, SuspectDecision};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -113,7 +114,7 @@
     /// Software version at which the stream may go on.
     software: StreamSoftware,
     /// When the origin of the stream was last recorded.
-    origin_recorded_at: Option<Instant>,
+    origin_recorded_at: Option<Moment>,
 }
 
 impl ModelRequest {
--- a/crates/dillspool_forward/src/generate/origin.rs
+++ b/crates/dillspool_forward/src/generate/origin.rs
@@ -5,7 +5,6 @@
 use dillspool_origins::{ORIGIN_TTL, OriginDecision, decide_origin};
 use dillspool_routing::{BackendEntry, EngineStage, SoftwareVersion};
 use dillspool_schema::Name;
-use tokio::time::Instant;
 
 use super::{ModelRequest, refusal_with_jitter};
 use crate::refusal::{Refusal, RefusalCause};
@@ -131,13 +130,14 @@
     /// Records the origin again from time to time, so that it is remembered for as long as the stream
     /// is in progress.
     pub(crate) fn renew_origin(&mut self) {
-        if self.origin_recorded_at.is_some_and(|at| at.elapsed() >= RENEWAL_INTERVAL) {
+        let clock = &self.request.clock;
+        if self.origin_recorded_at.is_some_and(|at| clock.since(at) >= RENEWAL_INTERVAL) {
             self.record_origin();
         }
     }
 
     fn record_origin(&mut self) {
-        self.origin_recorded_at = Some(Instant::now());
+        self.origin_recorded_at = Some(self.request.clock.now());
         if !self.request.route.resumable {
             return;
         }
--- a/crates/dillspool_router/src/version_rows.rs
+++ b/crates/dillspool_router/src/version_rows.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use dillspool_moment::Moment;
 use dillspool_origins::OriginTracker;
 use dillspool_platform::{RowPrecondition, RowWrite, StoreVersion, TableStore};
 use dillspool_routing::SoftwareVersion;
@@ -17,7 +18,6 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::unreadable_rows::UnreadableRows;
@@ -57,7 +57,7 @@
     /// Versions by service, as stored.
     stored: HashMap<Name, BTreeSet<SoftwareVersion>>,
     /// When this host writes the row of a service unless another one has.
-    write_at: HashMap<Name, Instant>,
+    write_at: HashMap<Name, Moment>,
 }
 
 impl VersionRecorder {
@@ -118,9 +118,9 @@
                 state.write_at.remove(&service);
                 continue;
             }
-            let write_at =
-                state.write_at.entry(Name::clone(&service)).or_insert_with(fallback_time);
-            let is_fallback_due = *write_at <= Instant::now();
+            let now = self.tracker.clock().now();
+            let write_at = state.write_at.entry(Name::clone(&service));
+            let is_fallback_due = *write_at.or_insert_with(|| now + fallback_delay()) <= now;
             if !is_fallback_due && !self.schedule.is_scheduler_for(&service) {
                 continue;
             }
@@ -128,7 +128,7 @@
                 state.stored.insert(Name::clone(&service), versions);
                 state.write_at.remove(&service);
             } else {
-                state.write_at.insert(service, fallback_time());
+                state.write_at.insert(service, now + fallback_delay());
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
@@ -153,7 +153,6 @@
     }
 }
 
-/// When a host that is not the scheduler writes a row that differs now.
-fn fallback_time() -> Instant {
-    Instant::now() + Duration::from_secs_f64(rand::rng().random_range(FALLBACK_DELAY_S))
+fn fallback_delay() -> Duration {
+    Duration::from_secs_f64(rand::rng().random_range(FALLBACK_DELAY_S))
 }
--- a/crates/dillspool_scheduler/src/client.rs
+++ b/crates/dillspool_scheduler/src/client.rs
@@ -13,7 +13,6 @@
 use dillspool_schema::Name;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet_bus::{FleetBus, FleetUpdate};
@@ -148,10 +147,13 @@
     /// host is the scheduler, or no scheduler answers.
     pub async fn find_origin(&self, service: &str, attempt: Option<&Name>) -> Option<OriginAnswer> {
         let link = self.link(service)?;
-        let is_settled = || link.is_scheduler() || link.is_linked();
-        let give_up_at = Instant::now() + LINK_WAIT;
-        while !is_settled() && Instant::now() < give_up_at {
-            tokio::time::sleep(LINK_CHECK_INTERVAL).await;
+        let settling = async {
+            while !link.is_scheduler() && !link.is_linked() {
+                tokio::time::sleep(LINK_CHECK_INTERVAL).await;
+            }
+        };
+        if tokio::time::timeout(LINK_WAIT, settling).await.is_err() {
+            return None;
         }
         let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed) + 1;
         link.request_origin(ticket, attempt).await
