--- a/crates/dillspool_origins/src/tracker.rs
+++ b/crates/dillspool_origins/src/tracker.rs
@@ -260,7 +260,7 @@
         (state.registry.count(), state.shared.len())
     }
 
-    /// Current time on this tracker's clock.
+    /// The clock of all ages.
     pub fn clock(&self) -> &HostClock {
         &self.settings.clock
     }
