Observability: lines name the parts of prompts and how far a run had come

break_traced says whether the run that broke off was starting (no event yet, or its first one within 250 ms) or underway, and names the fingerprints of the prompt's parts but the last; request_ended names the parts, too, and dillspool suspects lists them with their crashes, refusals and good ends. No decision reads any of it.

--- a/crates/dillspool_explain/src/suspects.rs
+++ b/crates/dillspool_explain/src/suspects.rs
@@ -1,11 +1,12 @@
-//! Table of requests during which backend servers crashed.
+//! Table of requests, and of prompt parts, during which backend servers crashed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::iter;
 
 use crate::log_line::LogLine;
 
-/// Counts for one request and its copies.
+/// Counts for one request and its copies, or for all requests with one part in their prompts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SuspectStats {
     /// Instances of backend servers that crashed while they ran it.
@@ -22,7 +23,7 @@
     pub last_ms: u64,
 }
 
-/// All requests during which backend servers crashed.
+/// All requests and prompt parts during which backend servers crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SuspectTable {
     /// Statistics by fingerprint.
@@ -34,11 +35,13 @@
     pub fn from_lines<'a>(lines: impl IntoIterator<Item = &'a str>) -> Self {
         let mut table = Self::default();
         for line in lines.into_iter().filter_map(LogLine::parse) {
-            let fingerprint = line.field("print");
-            if fingerprint.is_empty() {
-                continue;
+            let parts = line.field("parts").split(',');
+            // A run that had sent events for a while did not crash its engine by beginning on a part.
+            let parts = parts.filter(|_part| line.field("progress") != "underway");
+            let fingerprints = iter::once(line.field("print")).chain(parts);
+            for fingerprint in fingerprints.filter(|fingerprint| !fingerprint.is_empty()) {
+                table.suspects.entry(fingerprint.to_owned()).or_default().record(&line);
             }
-            table.suspects.entry(fingerprint.to_owned()).or_default().record(&line);
         }
         table.suspects.retain(|_fingerprint, stats| !stats.crashed.is_empty());
         table
--- a/crates/dillspool_forward/src/backend_probe.rs
+++ b/crates/dillspool_forward/src/backend_probe.rs
@@ -14,13 +14,14 @@
     BackendEntry, BackendInstance, BackendStart, DirectoryView, RoutedRequest,
 };
 use dillspool_schema::Name;
-use dillspool_suspects::SuspectDecision;
+use dillspool_suspects::{RunProgress, SuspectDecision};
 use futures_util::FutureExt;
 use futures_util::future::Shared;
 use tokio::sync::oneshot;
 
 use crate::calls::ProbeResult;
 use crate::context::ForwardContext;
+use crate::trace::join_fingerprints;
 
 /// How long the directory row of an unresponsive backend server is watched. The row expires after three
 /// missed heartbeats of about a second, and a restarted backend server is listed some seconds later.
@@ -104,8 +105,9 @@
         context: &ForwardContext,
         request: &RoutedRequest,
         entry: &Arc<BackendEntry>,
+        progress: RunProgress,
     ) {
-        self.running.push(spawn_failure_probe(context, request, entry));
+        self.running.push(spawn_failure_probe(context, request, entry, progress));
     }
 
     /// Whether a request that may have run may be sent to another backend server.
@@ -148,11 +150,13 @@
     context: &ForwardContext,
     request: &RoutedRequest,
     entry: &Arc<BackendEntry>,
+    progress: RunProgress,
 ) -> ProbeHandle {
     let (running, finished) = oneshot::channel();
     let (context, entry) = (context.clone(), Arc::clone(entry));
-    // Clones only the id and the fingerprint: the request's body would stay in memory while the row is watched.
+    // Clones only the id and the fingerprints: the request's body would stay in memory while the row is watched.
     let (id, fingerprint) = (Name::clone(&request.id), request.fingerprint);
+    let parts = Arc::clone(&request.part_fingerprints);
     let tasks = context.tasks.clone();
     tasks.spawn(async move {
         let mut running = Some(running);
@@ -170,10 +174,12 @@
         drop(running);
         context.metrics.record_failed_attempt(cause.name());
         log::info!(
-            "event=break_traced id={id} print={fingerprint} backend={} start={} found={}",
+            "event=break_traced id={id} print={fingerprint} backend={} start={} found={} progress={} parts={}",
             entry.id,
             entry.start.map_or(0, |start| start.0),
             cause.name(),
+            progress.name(),
+            join_fingerprints(&parts),
         );
     });
     ProbeHandle { finished }
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -11,7 +11,7 @@
 use dillspool_io::{BoxFuture, ResponseBody};
 use dillspool_moment::Moment;
 use dillspool_routing::{BackendEntry, RoutedRequest};
-use dillspool_suspects::{CopyGuard, SuspectDecision};
+use dillspool_suspects::{CopyGuard, RunProgress, SuspectDecision};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
@@ -198,9 +198,14 @@
         }
     }
 
-    pub(crate) fn record_broken_stream(&mut self, open: &OpenStream, cause: &str) {
+    pub(crate) fn record_broken_stream(
+        &mut self,
+        open: &OpenStream,
+        progress: RunProgress,
+        cause: &str,
+    ) {
         self.may_have_run = true;
-        self.probes.start(&self.context, &self.request, &open.entry);
+        self.probes.start(&self.context, &self.request, &open.entry, progress);
         self.record_no_response(&open.entry, &open.ticket, cause);
         self.tried.push(&open.entry);
     }
--- a/crates/dillspool_forward/src/generate/send.rs
+++ b/crates/dillspool_forward/src/generate/send.rs
@@ -8,6 +8,7 @@
 use dillspool_io::DeadlineElapsed;
 use dillspool_routing::BackendEntry;
 use dillspool_scheduler::PlacementEvent;
+use dillspool_suspects::RunProgress;
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::{ModelRequest, OpenOutcome, OpenStream, PreparedAttempt, SentAttempt};
@@ -210,7 +211,7 @@
         cause: &str,
     ) -> Result<Option<OpenOutcome>, Refusal> {
         self.may_have_run = true;
-        self.probes.start(&self.context, &self.request, entry);
+        self.probes.start(&self.context, &self.request, entry, RunProgress::Starting);
         self.record_no_response(entry, ticket, cause);
         self.record_failed_send(entry, cause);
         if self.request.route.is_idempotent() { Ok(None) } else { Err(self.final_refusal()) }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -8,6 +8,7 @@
 use dillspool_io::{DeadlineElapsed, ResponseBody, full_body};
 use dillspool_routing::{BackendEntry, RoutedRequest};
 use dillspool_scheduler::CallTicket;
+use dillspool_suspects::RunProgress;
 use dillspool_version::StoreVersion;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
@@ -197,7 +198,7 @@
             }
             failed => {
                 if matches!(failed, AttemptOutcome::Unknown(_)) {
-                    probes.start(context, request, &entry);
+                    probes.start(context, request, &entry, RunProgress::Starting);
                 }
                 if matches!(failed, AttemptOutcome::NotSent(_)) {
                     permit.refund();
--- a/crates/dillspool_forward/src/prefill.rs
+++ b/crates/dillspool_forward/src/prefill.rs
@@ -7,6 +7,7 @@
 use dillspool_io::DeadlineElapsed;
 use dillspool_routing::{BackendEntry, BackendId, RoutedRequest};
 use dillspool_scheduler::PlacementEvent;
+use dillspool_suspects::RunProgress;
 use tokio::time::Instant;
 
 use crate::backend_probe::AttemptProbes;
@@ -124,7 +125,7 @@
             send_permit.refund();
         }
         if matches!(error, CallError::Lost { .. }) {
-            probes.start(context, request, &entry);
+            probes.start(context, request, &entry, RunProgress::Starting);
             if !probes.may_retry(context, request).await {
                 return None;
             }
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -214,7 +214,7 @@
                 self.model_request.record_engine_restart(&failed.open.entry);
             }
             self.model_request.last_event = failed.last_event;
-            self.model_request.record_broken_stream(&failed.open, cause);
+            self.model_request.record_broken_stream(&failed.open, failed.progress(), cause);
         }
         match self.model_request.resume(prepared).await {
             Ok(open) => {
--- a/crates/dillspool_forward/src/response_body.rs
+++ b/crates/dillspool_forward/src/response_body.rs
@@ -15,7 +15,7 @@
 use dillspool_moment::Moment;
 use dillspool_routing::{BackendEntry, RoutedRequest};
 use dillspool_scheduler::CallTicket;
-use dillspool_suspects::CopyGuard;
+use dillspool_suspects::{CopyGuard, RunProgress};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
@@ -285,7 +285,8 @@
     fn finish_broken(&mut self, cause: &str) {
         let entry = &self.response.entry;
         // Runs in the background; the request is not retried, whatever the cause.
-        let _probe = spawn_failure_probe(&self.context, &self.request, entry);
+        let _probe =
+            spawn_failure_probe(&self.context, &self.request, entry, RunProgress::Underway);
         self.context.backend_tracker.record_no_response(&entry.instance(), cause);
         if let Some(mut call) = self.response.call.take() {
             call.complete(CallOutcome::Lost, self.request.clock.since(self.response.sent_at));
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -7,7 +7,7 @@
 use dillspool_calls::{CallDecision, CallRequest, RejectCause};
 use dillspool_routing::{BackendId, DirectoryView, RoutedRequest};
 use dillspool_schema::Name;
-use dillspool_suspects::CopyRefusal;
+use dillspool_suspects::{CopyRefusal, RequestFingerprint};
 use dillspool_version::StoreVersion;
 
 use crate::context::ForwardContext;
@@ -16,6 +16,9 @@
 use crate::retry_budget::RetryBudgets;
 use crate::stages::{FirstEventStages, LateCause, StreamStats};
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Reports the end of a request. Dropped before the end, it reports that the caller disconnected.
 #[derive(Debug)]
 pub(crate) struct RequestTrace {
@@ -125,7 +128,7 @@
             format!("backend={backend} directory={directory} chosen={count} ")
         });
         log::info!(
-            "event=request_ended id={} print={} route={} service={} workspace={} config={} outcome={outcome} cause={cause} after_ms={} {choice}{detail}",
+            "event=request_ended id={} print={} route={} service={} workspace={} config={} outcome={outcome} cause={cause} after_ms={} parts={} {choice}{detail}",
             request.id,
             request.fingerprint,
             request.route.name,
@@ -133,6 +136,7 @@
             request.workspace.as_ref().map_or("", |workspace| &*workspace.name),
             request.config_version,
             elapsed.as_millis(),
+            join_fingerprints(&request.part_fingerprints),
         );
         let route = Name::clone(&request.route.name);
         self.metrics.record_end(&OutcomeLabels { route, outcome, cause }, elapsed);
@@ -145,6 +149,12 @@
     }
 }
 
+/// Fingerprints as a log field.
+pub(crate) fn join_fingerprints(fingerprints: &[RequestFingerprint]) -> String {
+    let shown = fingerprints.iter().take(MAX_LOGGED_PARTS).map(ToString::to_string);
+    shown.collect::<Vec<_>>().join(",")
+}
+
 /// Logs a request that is refused because earlier copies of it crashed backend servers.
 pub(crate) fn log_suspect_refused(request: &RoutedRequest, refused: CopyRefusal) {
     log::info!(
--- a/crates/dillspool_forward/tests/common/mod.rs
+++ b/crates/dillspool_forward/tests/common/mod.rs
@@ -432,6 +432,7 @@
                 body: b"body",
             },
         ),
+        part_fingerprints: Arc::default(),
         method: Method::POST,
         uri: Uri::from_static("/x/1"),
         headers: HeaderMap::new(),
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -10,7 +10,7 @@
 use dillspool_keys::PresentedKey;
 use dillspool_moment::Moment;
 use dillspool_routing::{
-    RequestMetadata, RouteEntry, RoutedRequest, RoutingConfig, WorkspaceEntry,
+    GenerationParams, RequestMetadata, RouteEntry, RoutedRequest, RoutingConfig, WorkspaceEntry,
 };
 use dillspool_schema::Name;
 use dillspool_suspects::{FingerprintInput, FingerprintKey, RequestFingerprint};
@@ -34,6 +34,9 @@
 /// Maximum number of requests in flight. Each takes two of about 3,900 file descriptors, and its
 /// body counts toward the memory of the process.
 const MAX_IN_FLIGHT: usize = 1_500;
+/// Maximum number of parts of a prompt that are fingerprinted, from its start; bounds the work for a
+/// header that lists thousands.
+const MAX_FINGERPRINTED_PARTS: usize = 64;
 
 /// Handles to the configuration that this host knows.
 #[derive(Clone, Debug)]
@@ -158,9 +161,11 @@
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let fingerprint_input = FingerprintInput { caller, host: &route.host, path, body: &body };
         let fingerprint = RequestFingerprint::of(&self.fingerprint_key, &fingerprint_input);
+        let part_fingerprints = self.fingerprint_parts(metadata.generation.as_ref());
         let routed = RoutedRequest {
             id,
             fingerprint,
+            part_fingerprints,
             method: parts.method,
             uri: origin_form(&parts.uri),
             headers: parts.headers,
@@ -184,6 +189,15 @@
 }
 
 impl IngressState {
+    fn fingerprint_parts(
+        &self,
+        generation: Option<&GenerationParams>,
+    ) -> Arc<[RequestFingerprint]> {
+        let parts = generation.map_or(&[][..], GenerationParams::shared_parts);
+        let parts = parts.iter().take(MAX_FINGERPRINTED_PARTS);
+        parts.map(|part| RequestFingerprint::of_part(&self.fingerprint_key, &part.id)).collect()
+    }
+
     /// Workspace of the key in a request, if its route requires one.
     fn workspace_of(
         &self,
--- a/crates/dillspool_routing/src/request.rs
+++ b/crates/dillspool_routing/src/request.rs
@@ -66,6 +66,8 @@
     pub id: Name,
     /// Identifies the request across retries by the client.
     pub fingerprint: RequestFingerprint,
+    /// Identify the parts of the prompt that other requests may share, in order.
+    pub part_fingerprints: Arc<[RequestFingerprint]>,
     /// HTTP method.
     pub method: Method,
     /// Path and query, unchanged.
@@ -103,6 +105,13 @@
     pub accepts_chunked: bool,
 }
 
+impl GenerationParams {
+    /// The parts of the prompt that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt_parts.split_last().map_or(&[], |(_last, shared)| shared)
+    }
+}
+
 impl RoutedRequest {
     /// Time left until the deadline.
     pub fn remaining(&self) -> Duration {
--- a/crates/dillspool_suspects/src/fingerprint.rs
+++ b/crates/dillspool_suspects/src/fingerprint.rs
@@ -12,6 +12,10 @@
 
 type Hasher = Hmac<Sha256>;
 
+/// First bytes of the fingerprints of prompt parts; no request has them. The kind is part of the
+/// value, so that hosts of earlier builds store and relay it like any other fingerprint.
+const PART_PREFIX: [u8; 4] = *b"part";
+
 /// Secret key for fingerprints. Without it, nobody can use a fingerprint to test whether a guessed
 /// body is the one that was sent.
 #[derive(Clone)]
@@ -54,10 +58,10 @@
     pub body: &'a [u8],
 }
 
-/// Keyed hash of a request's caller, host name, path and body.
+/// Keyed hash of a request's caller, host name, path and body, or of the ID of a prompt part.
 ///
-/// All copies of a request have the same fingerprint, whatever their IDs; the body cannot be
-/// recovered from it.
+/// All copies of a request have the same fingerprint, whatever their IDs, and so have all
+/// occurrences of a part; the body or ID cannot be recovered from it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
 
@@ -71,11 +75,33 @@
             hasher.update(part);
         }
         hasher.update(parts.body);
-        let whole = hasher.finalize().into_bytes();
-        let mut fingerprint = [0; FINGERPRINT_BYTES];
-        fingerprint.copy_from_slice(&whole[..FINGERPRINT_BYTES]);
+        let mut fingerprint = first_bytes(hasher);
+        if fingerprint.starts_with(&PART_PREFIX) {
+            fingerprint[0] = !fingerprint[0];
+        }
         Self(fingerprint)
     }
+
+    /// Computes the fingerprint of a prompt part from its ID.
+    pub fn of_part(key: &FingerprintKey, part_id: &str) -> Self {
+        let mut hasher = key.keyed.clone();
+        hasher.update(part_id.as_bytes());
+        let mut fingerprint = first_bytes(hasher);
+        fingerprint[..PART_PREFIX.len()].copy_from_slice(&PART_PREFIX);
+        Self(fingerprint)
+    }
+
+    /// Whether it stands for a prompt part rather than for a request.
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_PREFIX)
+    }
+}
+
+fn first_bytes(hasher: Hasher) -> [u8; FINGERPRINT_BYTES] {
+    let digest = hasher.finalize().into_bytes();
+    let mut first = [0; FINGERPRINT_BYTES];
+    first.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
+    first
 }
 
 impl fmt::Display for RequestFingerprint {
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -11,6 +11,7 @@
 mod policy;
 mod recent;
 mod registry;
+mod run_progress;
 mod tracker;
 
 pub use fingerprint::{FingerprintError, FingerprintInput, FingerprintKey, RequestFingerprint};
@@ -18,4 +19,5 @@
 pub use registry::{
     BackendCrash, CrashedInstance, SuspectDecision, SuspectRegistry, SuspectUpdate,
 };
+pub use run_progress::{RunProgress, START_PERIOD};
 pub use tracker::{CopyGuard, CopyRefusal, SuspectTracker};
--- /dev/null
+++ b/crates/dillspool_suspects/src/run_progress.rs
@@ -0,0 +1,34 @@
+//! How far a run had come when its backend server crashed.
+
+use std::time::Duration;
+
+/// Time after its first event for which a run counts as starting.
+pub const START_PERIOD: Duration = Duration::from_millis(250);
+
+/// How far a run had come when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunProgress {
+    /// It had sent no event, or its first one within [`START_PERIOD`].
+    Starting,
+    /// It had sent events for longer than that.
+    Underway,
+}
+
+impl RunProgress {
+    /// Progress of a run whose first event arrived that long ago, if it has.
+    pub fn since_first_event(elapsed: Option<Duration>) -> Self {
+        if elapsed.is_some_and(|elapsed| elapsed >= START_PERIOD) {
+            Self::Underway
+        } else {
+            Self::Starting
+        }
+    }
+
+    /// Value in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Underway => "underway",
+        }
+    }
+}
