--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses only some items")]
 
 pub mod counted;
+mod prompts;
 mod reply;
 mod streams;
 
@@ -20,8 +21,8 @@
     CallSchedulerSettings, RateLimiterSettings, SchedulerCandidate, rank_candidates,
 };
 use dillspool_site_standin::{
-    FIRST_SOFTWARE, PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute,
-    StandinStore, TIME_BUDGET, TOKEN_COUNTS, config_text,
+    DeadlyParts, FIRST_SOFTWARE, PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind,
+    StandinRoute, StandinStore, TIME_BUDGET, TOKEN_COUNTS, config_text,
 };
 use dillspool_suspects::{FingerprintKey, RequestFingerprint};
 use http_body_util::Full;
@@ -29,6 +30,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+pub use prompts::{PromptReply, PromptSource};
 pub use reply::{CallerReply, find_slow_refusals};
 pub use streams::{ResumePoint, StreamTry, TakenStream};
 
@@ -85,6 +87,8 @@
     pub net: MemoryNet,
     pub store: StandinStore,
     pub runs: RunLog,
+    /// Parts of prompts that crash engines.
+    pub deadly_parts: DeadlyParts,
     /// Backend servers that have crashed, by ID and start number.
     pub crashed: Arc<Mutex<Vec<String>>>,
     /// Running backend servers by number.
@@ -112,6 +116,7 @@
             net: MemoryNet::new(),
             store: StandinStore::default(),
             runs: RunLog::default(),
+            deadly_parts: DeadlyParts::default(),
             crashed: Arc::default(),
             backends: Arc::default(),
             hosts: Vec::new(),
@@ -188,6 +193,7 @@
         let address = backend_address(number);
         let stack = self.net.stack(address.ip());
         let (store, runs) = (self.store.clone(), self.runs.clone());
+        let deadly_parts = self.deadly_parts.clone();
         let (crashed, cancel) = (Arc::clone(&self.crashed), self.cancel.clone());
         let backends = Arc::clone(&self.backends);
         let service = service_of(kind);
@@ -200,6 +206,7 @@
                 let backend = StandinBackend::new(&id, kind, &runs).started(start);
                 let backend =
                     backend.with_capacity(capacity).with_software(software(number, start));
+                let backend = backend.with_deadly_parts(&deadly_parts);
                 backend.serve(&stack, address).await.expect("a free address");
                 backends.lock().expect("no panic").insert(number, backend.clone());
                 store.write("servers", &id, Some(&backend.row(service, address, "ready")));
@@ -333,6 +340,16 @@
     /// Sends a request from a caller to a host.
     pub async fn send(&self, caller: usize, host: usize, path: &str, body: &str) -> CallerReply {
         let (id, address, request) = self.request(host, path, body);
+        self.exchange(caller, id, address, request).await
+    }
+
+    async fn exchange(
+        &self,
+        caller: usize,
+        id: String,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> CallerReply {
         let stack = self.net.stack(node(3, caller));
         let no_reply = CallerReply { id: id.clone(), ..CallerReply::none() };
         let exchange = async {
