A part of prompts that crashes engines is refused

Cause: crashes were held against whole requests only, by workspace, host name, path and body. Class: what is learnt is kept under a key that repeats less often than its cause.

Change: a crash is held against the parts of the runs that were starting there (no event yet, or the first one within 100 ms), and cleared by an answer that begins well. Of the rest the narrowest part is blamed: a part that is in most prompts is in the crashes of every other one. Parts that were in the same crashes are refused only together, until a request with some of them tells. Crashes that this explains are not held against whole requests. A refusal lasts 30 s (4 s for a part that began well before), four times as long after each failed trial; one request a host is the trial, at moments spread over hosts. Fingerprints of parts begin with fixed bytes, so that rows and links, those of an earlier build included, carry them as they are.

--- a/crates/dillspool_entry/src/problem.rs
+++ b/crates/dillspool_entry/src/problem.rs
@@ -110,7 +110,7 @@
 /// Converts the refusal to run a copy of a suspect request.
 pub(crate) fn copy_problem(refusal: CopyRefusal) -> RequestProblem {
     match refusal {
-        CopyRefusal::Deadly { .. } => deadly_problem(),
+        CopyRefusal::Deadly { .. } | CopyRefusal::DeadlyPart { .. } => deadly_problem(),
         CopyRefusal::CopyRuns { .. } => copy_runs_problem(),
     }
 }
--- a/crates/dillspool_forward/src/backend_probe.rs
+++ b/crates/dillspool_forward/src/backend_probe.rs
@@ -14,14 +14,14 @@
     BackendEntry, BackendInstance, BackendStart, DirectoryView, RoutedRequest,
 };
 use dillspool_schema::Name;
-use dillspool_suspects::{RunProgress, SuspectDecision};
+use dillspool_suspects::RunProgress;
 use futures_util::FutureExt;
 use futures_util::future::Shared;
 use tokio::sync::oneshot;
 
 use crate::calls::ProbeResult;
 use crate::context::ForwardContext;
-use crate::trace::join_fingerprints;
+use crate::trace::parts_field;
 
 /// How long the directory row of an unresponsive backend server is watched. The row expires after three
 /// missed heartbeats of about a second, and a restarted backend server is listed some seconds later.
@@ -126,7 +126,7 @@
                 let _finished = earlier.finished.await;
             }
             match newest {
-                Some(newest) if context.suspects.needs_failure_cause(request.fingerprint) => {
+                Some(newest) if needs_failure_cause(context, request) => {
                     let _finished = newest.finished.await;
                 }
                 Some(newest) => self.running.push(newest),
@@ -141,11 +141,15 @@
 
 /// Whether a request is not refused for the backend servers that crashed on it.
 pub(crate) fn is_retryable(context: &ForwardContext, request: &RoutedRequest) -> bool {
-    !matches!(context.suspects.decide(request.fingerprint), SuspectDecision::Refused { .. })
+    !context.suspects.is_refused(request.fingerprint, &request.part_fingerprints)
+}
+
+fn needs_failure_cause(context: &ForwardContext, request: &RoutedRequest) -> bool {
+    context.suspects.needs_failure_cause(request.fingerprint, &request.part_fingerprints)
 }
 
 /// Determines in the background why an attempt failed, and counts a crash of its backend server against the
-/// request.
+/// request and, if the run was starting, against the parts of its prompt.
 pub(crate) fn spawn_failure_probe(
     context: &ForwardContext,
     request: &RoutedRequest,
@@ -156,7 +160,7 @@
     let (context, entry) = (context.clone(), Arc::clone(entry));
     // Clones only the id and the fingerprints: the request's body would stay in memory while the row is watched.
     let (id, fingerprint) = (Name::clone(&request.id), request.fingerprint);
-    let parts = Arc::clone(&request.part_fingerprints);
+    let (parts, shown_parts) = (Arc::clone(&request.part_fingerprints), parts_field(request));
     let tasks = context.tasks.clone();
     tasks.spawn(async move {
         let mut running = Some(running);
@@ -169,7 +173,11 @@
             }
         };
         if cause == FailureCause::Crashed {
-            context.suspects.record_crash(fingerprint, entry.instance().label());
+            let starting_parts = match progress {
+                RunProgress::Starting => &parts[..],
+                RunProgress::Underway => &[],
+            };
+            context.suspects.record_crash(fingerprint, starting_parts, &entry.instance().label());
         }
         drop(running);
         context.metrics.record_failed_attempt(cause.name());
@@ -179,7 +187,7 @@
             entry.start.map_or(0, |start| start.0),
             cause.name(),
             progress.name(),
-            join_fingerprints(&parts),
+            shown_parts,
         );
     });
     ProbeHandle { finished }
--- a/crates/dillspool_forward/src/generate.rs
+++ b/crates/dillspool_forward/src/generate.rs
@@ -11,13 +11,13 @@
 use dillspool_io::{BoxFuture, ResponseBody};
 use dillspool_moment::Moment;
 use dillspool_routing::{BackendEntry, RoutedRequest};
-use dillspool_suspects::{CopyGuard, RunProgress, SuspectDecision};
+use dillspool_suspects::{CopyGuard, RunProgress};
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::Rng;
 use tokio::time::Instant;
 
 use self::origin::StreamSoftware;
-use crate::backend_probe::AttemptProbes;
+use crate::backend_probe::{AttemptProbes, is_retryable};
 use crate::context::{ForwardContext, RESTARTED_CAUSE};
 use crate::placement::{Placement, StreamTicket};
 use crate::prefill::PrefillGuard;
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Records that an answer whose first event arrived `age` ago has begun well on the parts of its prompt.
+    pub(crate) fn record_begun_well(&self, age: Duration) {
+        self.context.suspects.record_begun_well(&self.request.part_fingerprints, age);
+    }
+
     pub(crate) fn record_broken_stream(
         &mut self,
         open: &OpenStream,
@@ -234,8 +239,7 @@
 
     /// The refusal when no further attempt is possible.
     fn final_refusal(&self) -> Refusal {
-        let decision = self.context.suspects.decide(self.request.fingerprint);
-        if !self.may_have_run && matches!(decision, SuspectDecision::Refused { .. }) {
+        if !self.may_have_run && !is_retryable(&self.context, &self.request) {
             return Refusal::new(RefusalCause::Deadly);
         }
         let is_past_deadline = self.request.remaining().is_zero();
--- a/crates/dillspool_forward/src/generate/prepare.rs
+++ b/crates/dillspool_forward/src/generate/prepare.rs
@@ -41,10 +41,15 @@
             let has_begun = !self.is_before_first_event();
             if self.may_have_run && !has_begun { self.final_refusal() } else { refusal }
         })?;
-        let placing = self.request.clock.timeout_at(self.request.deadline, self.place()).await;
-        let placement = match placing {
-            Ok(placed) => placed?,
-            Err(DeadlineElapsed) => return Err(self.final_refusal()),
+        let placing = self.request.clock.timeout_at(self.request.deadline, self.place());
+        let parts = &self.request.part_fingerprints;
+        let refused = self.context.suspects.wait_until_refused(self.request.fingerprint, parts);
+        let placement = tokio::select! {
+            placed = placing => match placed {
+                Ok(placed) => placed?,
+                Err(DeadlineElapsed) => return Err(self.final_refusal()),
+            },
+            () = refused => return Err(self.final_refusal()),
         };
         let reserved = self.request.age();
         if self.attempts > 0 {
--- a/crates/dillspool_forward/src/handle.rs
+++ b/crates/dillspool_forward/src/handle.rs
@@ -72,17 +72,22 @@
 
 /// Admits a copy of a request, unless the request is suspected of crashing backend servers.
 ///
-/// Callers retry a request that crashes its engine under another id and at any host. If each copy were treated
-/// as a new request, each would crash another engine along with everything that runs there.
+/// Callers retry a request that crashes its engine under another id and at any host, and a part that crashes
+/// engines comes in many prompts. If each were treated as a new request, each would crash another engine along with
+/// everything that runs there.
 fn admit_copy(context: &ForwardContext, request: &RoutedRequest) -> Result<CopyGuard, Refusal> {
-    context.suspects.admit(request.fingerprint).map_err(|refused| {
-        log_suspect_refused(request, refused);
-        match refused {
-            // No Retry-After: a retry would be refused at any time.
-            CopyRefusal::Deadly { .. } => Refusal::new(RefusalCause::Deadly),
-            CopyRefusal::CopyRuns { .. } => {
-                Refusal::with_retry_after(RefusalCause::CopyRuns, COPY_RETRY_DELAY)
+    context.suspects.admit_prompt(request.fingerprint, &request.part_fingerprints).map_err(
+        |refused| {
+            log_suspect_refused(request, refused);
+            match refused {
+                // No Retry-After: a retry would be refused at any time.
+                CopyRefusal::Deadly { .. } | CopyRefusal::DeadlyPart { .. } => {
+                    Refusal::new(RefusalCause::Deadly)
+                }
+                CopyRefusal::CopyRuns { .. } => {
+                    Refusal::with_retry_after(RefusalCause::CopyRuns, COPY_RETRY_DELAY)
+                }
             }
-        }
-    })
+        },
+    )
 }
--- a/crates/dillspool_forward/src/plain.rs
+++ b/crates/dillspool_forward/src/plain.rs
@@ -193,6 +193,7 @@
                 context.backend_tracker.record_success(&entry.instance(), started.elapsed());
                 if response.status.is_success() {
                     context.suspects.record_success(request.fingerprint);
+                    context.suspects.record_begun_well(&request.part_fingerprints, Duration::ZERO);
                 }
                 return Ok(PlainResponse::Complete(response.into_response()));
             }
--- a/crates/dillspool_forward/src/reader.rs
+++ b/crates/dillspool_forward/src/reader.rs
@@ -4,7 +4,6 @@
 
 use bytes::{Bytes, BytesMut};
 use dillspool_io::{BoxError, BoxFuture, ByteGuard, ExchangeBytes};
-use dillspool_suspects::RunProgress;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::time::Instant;
@@ -31,8 +30,6 @@
     pub(crate) last_event: Option<u64>,
     /// When the last complete event arrived, or the stream was opened.
     pub(crate) last_at: Instant,
-    /// When the first complete event of this stream arrived.
-    first_at: Option<Instant>,
     /// Resolves to the cause when the stream must end even if data still arrives. Shared by all reads, so that
     /// they don't set up its timer and watches again.
     cutoff: BoxFuture<&'static str>,
@@ -51,7 +48,7 @@
     ) -> Self {
         let (splitter, last_at) = (EventSplitter::default(), Instant::now());
         let partial = held_bytes.empty_guard();
-        Self { open, splitter, last_event, last_at, first_at: None, cutoff, held_bytes, partial }
+        Self { open, splitter, last_event, last_at, cutoff, held_bytes, partial }
     }
 
     /// Restarts stall detection when the caller reads again. With a byte budget the caller can pause the stream,
@@ -62,11 +59,6 @@
         }
     }
 
-    /// How far the engine's run has come.
-    pub(crate) fn progress(&self) -> RunProgress {
-        RunProgress::since_first_event(self.first_at.map(|first_at| first_at.elapsed()))
-    }
-
     /// Reads until at least one event is complete. Returns `None` if nothing arrived by `until`; the stream stays
     /// usable.
     ///
@@ -134,7 +126,6 @@
             }
             self.last_event = event.id.or(self.last_event);
             self.last_at = Instant::now();
-            self.first_at.get_or_insert(self.last_at);
             count += 1;
             events.extend_from_slice(&event.bytes);
         }
--- a/crates/dillspool_forward/src/relay.rs
+++ b/crates/dillspool_forward/src/relay.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use dillspool_io::{BoxError, BoxFuture, ResponseBody};
+use dillspool_moment::Moment;
+use dillspool_suspects::{PROOF_PERIOD, RunProgress};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -49,6 +51,10 @@
     opened_at: Instant,
     /// Earliest time of the next search for a replacement engine.
     next_search_at: Instant,
+    /// When the first event of the engine's run arrived.
+    run_began_at: Option<Moment>,
+    /// Whether the run has been recorded as begun well.
+    has_begun_well: bool,
 }
 
 impl StreamRelay {
@@ -66,6 +72,8 @@
             stats: StreamStats { read_at_decode, ..StreamStats::default() },
             opened_at: Instant::now(),
             next_search_at: Instant::now(),
+            run_began_at: None,
+            has_begun_well: false,
         }
     }
 
@@ -103,7 +111,21 @@
         }
     }
 
+    /// Time since the first event of the engine's run.
+    fn run_age(&self) -> Option<Duration> {
+        let clock = &self.model_request.request.clock;
+        self.run_began_at.map(|began_at| clock.since(began_at))
+    }
+
+    fn record_begun_well(&mut self, age: Duration) {
+        if !self.has_begun_well {
+            self.has_begun_well = true;
+            self.model_request.record_begun_well(age);
+        }
+    }
+
     fn finish(&mut self) {
+        self.record_begun_well(self.run_age().unwrap_or_default());
         let event_gap = self.stats.mean_event_gap();
         if let Some(reader) = &mut self.reader {
             self.model_request.record_success(&mut reader.open, event_gap);
@@ -162,6 +184,10 @@
 
     fn record_events(&mut self, count: u64) {
         let age = self.model_request.request.age();
+        self.run_began_at.get_or_insert(self.model_request.request.clock.now());
+        if let Some(run_age) = self.run_age().filter(|run_age| *run_age >= PROOF_PERIOD) {
+            self.record_begun_well(run_age);
+        }
         match self.stats.record_events(count, age) {
             None => {
                 self.model_request.record_first_event(age);
@@ -214,7 +240,9 @@
                 self.model_request.record_engine_restart(&failed.open.entry);
             }
             self.model_request.last_event = failed.last_event;
-            self.model_request.record_broken_stream(&failed.open, failed.progress(), cause);
+            let progress = RunProgress::since_first_event(self.run_age());
+            self.model_request.record_broken_stream(&failed.open, progress, cause);
+            (self.run_began_at, self.has_begun_well) = (None, false);
         }
         match self.model_request.resume(prepared).await {
             Ok(open) => {
--- a/crates/dillspool_forward/src/response_body.rs
+++ b/crates/dillspool_forward/src/response_body.rs
@@ -276,6 +276,8 @@
         }
         if status.is_success() {
             self.context.suspects.record_success(self.request.fingerprint);
+            let parts = &self.request.part_fingerprints;
+            self.context.suspects.record_begun_well(parts, std::time::Duration::ZERO);
             self.trace.answered(status.as_u16());
         } else {
             self.trace.failed(status.as_u16());
--- a/crates/dillspool_forward/src/trace.rs
+++ b/crates/dillspool_forward/src/trace.rs
@@ -7,7 +7,7 @@
 use dillspool_calls::{CallDecision, CallRequest, RejectCause};
 use dillspool_routing::{BackendId, DirectoryView, RoutedRequest};
 use dillspool_schema::Name;
-use dillspool_suspects::{CopyRefusal, RequestFingerprint};
+use dillspool_suspects::{CopyRefusal, join_fingerprints};
 use dillspool_version::StoreVersion;
 
 use crate::context::ForwardContext;
@@ -136,7 +136,7 @@
             request.workspace.as_ref().map_or("", |workspace| &*workspace.name),
             request.config_version,
             elapsed.as_millis(),
-            join_fingerprints(&request.part_fingerprints),
+            parts_field(request),
         );
         let route = Name::clone(&request.route.name);
         self.metrics.record_end(&OutcomeLabels { route, outcome, cause }, elapsed);
@@ -149,10 +149,10 @@
     }
 }
 
-/// Fingerprints as a log field.
-pub(crate) fn join_fingerprints(fingerprints: &[RequestFingerprint]) -> String {
-    let shown = fingerprints.iter().take(MAX_LOGGED_PARTS).map(ToString::to_string);
-    shown.collect::<Vec<_>>().join(",")
+/// The first parts of a prompt as a log field.
+pub(crate) fn parts_field(request: &RoutedRequest) -> String {
+    let parts = &request.part_fingerprints;
+    join_fingerprints(&parts[..parts.len().min(MAX_LOGGED_PARTS)])
 }
 
 /// Logs a request that is refused because earlier copies of it crashed backend servers.
--- a/crates/dillspool_pool/src/suspects.rs
+++ b/crates/dillspool_pool/src/suspects.rs
@@ -38,7 +38,9 @@
                 self.active.insert(stream.clone(), guard);
                 Ok(())
             }
-            Err(CopyRefusal::Deadly { .. }) => Err(RefuseCause::Deadly),
+            Err(CopyRefusal::Deadly { .. } | CopyRefusal::DeadlyPart { .. }) => {
+                Err(RefuseCause::Deadly)
+            }
             Err(CopyRefusal::CopyRuns { .. }) => Err(RefuseCause::CopyRuns),
         }
     }
--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -67,6 +67,8 @@
     /// Version of each applied row.
     row_versions: HashMap<Name, StoreVersion>,
     own: SuspectRow,
+    /// [`SuspectTracker::cleared_parts`] as of which the own row has no cleared crash of a part.
+    cleared_parts: Option<u64>,
     /// Crashes that some row records.
     recorded_crashes: HashSet<(RequestFingerprint, Name)>,
     /// When crashes that no row records by then are written to this host's row.
@@ -93,6 +95,7 @@
         loop {
             let is_known = self.take_rows(&mut state, &clock);
             self.take_updates(&mut state, &clock);
+            self.drop_cleared_parts(&mut state, &clock);
             self.schedule_adoption(&mut state);
             let adopt_at = state.adopt_at.unwrap_or_else(Instant::now);
             let text = serde_json::to_string(&state.own).unwrap_or_default();
@@ -135,6 +138,16 @@
         }
     }
 
+    /// Removes the crashes of parts that are not held against them any more. A popular part is in most
+    /// crashes and soon cleared; a host that starts later learns only of what the rows still have.
+    fn drop_cleared_parts(&self, state: &mut ReplicatorState, clock: &TrackerClock) {
+        let cleared_parts = Some(self.tracker.cleared_parts());
+        if state.cleared_parts != cleared_parts {
+            state.cleared_parts = cleared_parts;
+            state.own.drop_cleared_parts(clock);
+        }
+    }
+
     /// Crashes that no row records, of requests with more than one crash.
     fn unrecorded_crashes(&self, state: &ReplicatorState) -> Vec<SuspectUpdate> {
         let mut repeated = self.tracker.newest_repeated(MAX_ADOPTED);
@@ -206,6 +219,7 @@
             if *key == own_key {
                 // Written by this host before it restarted, or by a write that completed late.
                 state.own.adopt(&decoded);
+                state.cleared_parts = None;
                 state.written = Some(text.to_string());
             }
         }
--- a/crates/dillspool_router/src/suspect_rows/row.rs
+++ b/crates/dillspool_router/src/suspect_rows/row.rs
@@ -72,6 +72,8 @@
                 backend: Arc::clone(&crash.backend),
                 at: clock.wall_of(crash.at),
             }),
+            // The crashes that it clears are dropped instead.
+            SuspectUpdate::Succeeded { fingerprint, .. } if fingerprint.is_part() => {}
             SuspectUpdate::Succeeded { fingerprint, at } => self.successes.push(RowSuccess {
                 fingerprint: fingerprint.to_string().into(),
                 at: clock.wall_of(*at),
@@ -83,6 +85,27 @@
         self.successes.drain(..excess);
     }
 
+    /// Removes the crashes of parts that are not held against them any more, and records a success for
+    /// hosts that learn of it only from this row.
+    pub(super) fn drop_cleared_parts(&mut self, clock: &TrackerClock) {
+        let is_cleared = |crash: &RowCrash| {
+            crash.fingerprint.parse::<RequestFingerprint>().is_ok_and(|fingerprint| {
+                fingerprint.is_part() && !clock.tracker.holds_crash(fingerprint, &crash.backend)
+            })
+        };
+        let (cleared, held) =
+            std::mem::take(&mut self.crashes).into_iter().partition::<Vec<_>, _>(is_cleared);
+        self.crashes = held;
+        for crash in cleared {
+            let fingerprint = crash.fingerprint;
+            self.successes.retain(|success| success.fingerprint != fingerprint);
+            // The success that cleared it came later, also where this host does not know when.
+            self.successes.push(RowSuccess { fingerprint, at: crash.at });
+        }
+        let excess = self.successes.len().saturating_sub(MAX_ENTRIES);
+        self.successes.drain(..excess);
+    }
+
     /// Returns whether a crash is recorded.
     pub(super) fn contains(&self, crash: &BackendCrash) -> bool {
         let fingerprint = crash.fingerprint.to_string();
--- a/crates/dillspool_suspects/src/policy.rs
+++ b/crates/dillspool_suspects/src/policy.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::part_policy::PartPolicy;
+
 /// Which crashes are attributed to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashAttribution {
@@ -44,6 +46,8 @@
     /// Maximum number of requests tracked; those with the fewest and oldest crashes are evicted
     /// first.
     pub max_fingerprints: usize,
+    /// When requests with a prompt part are refused.
+    pub parts: PartPolicy,
 }
 
 impl Default for SuspectPolicy {
@@ -59,6 +63,7 @@
             retention: Duration::from_hours(24),
             // About 2 MB.
             max_fingerprints: 4096,
+            parts: PartPolicy::default(),
         }
     }
 }
--- a/crates/dillspool_suspects/src/run_progress.rs
+++ b/crates/dillspool_suspects/src/run_progress.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// Time after its first event for which a run counts as starting.
-pub const START_PERIOD: Duration = Duration::from_millis(250);
+/// Time after its first event for which a run counts as starting. Crashes on a part come before the
+/// first event; the rest is for one that was sent but not processed.
+pub const START_PERIOD: Duration = Duration::from_millis(100);
+/// Time after its first event from which a run shows that its answer has begun well.
+pub const PROOF_PERIOD: Duration = Duration::from_millis(250);
 
 /// How far a run had come when it ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/dillspool_suspects/src/tracker.rs
+++ b/crates/dillspool_suspects/src/tracker.rs
@@ -7,10 +7,12 @@
 
 use dillspool_io::HostClock;
 use dillspool_moment::Moment;
-use tokio::sync::Notify;
+use rand::Rng;
+use tokio::sync::{Notify, watch};
 
 use crate::fingerprint::RequestFingerprint;
 use crate::instance_names::InstanceNames;
+use crate::part_registry::{PartDecision, PartGroup};
 use crate::policy::SuspectPolicy;
 use crate::registry::{
     BackendCrash, CrashedInstance, SuspectDecision, SuspectRegistry, SuspectUpdate,
@@ -19,14 +21,23 @@
 /// Maximum number of updates queued for other hosts; the oldest are dropped first.
 const MAX_QUEUED_UPDATES: usize = 1024;
 
+/// Up to this many consecutive crashes of a part, all of them are told again with each new one.
+const MAX_REPEATED_CRASHES: usize = 4;
+
 struct TrackerState {
     registry: SuspectRegistry,
     /// Requests that an operator has exempted.
     lifted: HashSet<RequestFingerprint>,
-    /// Number of copies running on this host.
+    /// Number of copies running on this host, and of trials of parts.
     running: HashMap<RequestFingerprint, usize>,
     updates: VecDeque<SuspectUpdate>,
     instance_names: InstanceNames,
+    /// Position of this host in the period over which trials of a part are spread, from 0 to 1.
+    trial_spread: f64,
+    /// Groups of parts that the log shows as refused.
+    logged_groups: Vec<PartGroup>,
+    /// Number of times that crashes of parts were cleared.
+    cleared_parts: u64,
 }
 
 /// Decides on copies of requests, based on crashes seen by this host and reported by others.
@@ -35,6 +46,8 @@
     state: Arc<Mutex<TrackerState>>,
     clock: HostClock,
     changed: Arc<Notify>,
+    /// Changes when a request may have become refused.
+    refusals: watch::Sender<()>,
 }
 
 impl fmt::Debug for SuspectTracker {
@@ -51,7 +64,15 @@
         /// Consecutive crashes.
         ends: usize,
     },
-    /// Another copy is running on this host; its outcome is awaited first.
+    /// Backend servers crash when they begin an answer on a part of its prompt.
+    DeadlyPart {
+        /// The part, or one of several that were in the same crashes.
+        part: RequestFingerprint,
+        /// Consecutive crashes.
+        ends: usize,
+    },
+    /// Another copy, or another trial of a part, is running on this host; its outcome is awaited
+    /// first.
     CopyRuns {
         /// Consecutive crashes.
         ends: usize,
@@ -67,8 +88,16 @@
             running: HashMap::new(),
             updates: VecDeque::new(),
             instance_names: InstanceNames::default(),
+            trial_spread: rand::rng().random_range(0.0..1.0),
+            logged_groups: Vec::new(),
+            cleared_parts: 0,
         };
-        Self { state: Arc::new(Mutex::new(state)), clock, changed: Arc::default() }
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            clock,
+            changed: Arc::default(),
+            refusals: watch::Sender::new(()),
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, TrackerState> {
@@ -80,7 +109,7 @@
         self.clock.now()
     }
 
-    /// Sets the requests that an operator exempts, whatever crashes are recorded for them.
+    /// Sets the requests and parts that an operator exempts, whatever crashes are recorded for them.
     pub fn set_lifted(&self, fingerprints: Vec<RequestFingerprint>) {
         self.state().lifted = fingerprints.into_iter().collect();
     }
@@ -108,8 +137,14 @@
                 (*fingerprint, state.registry.record_success(*fingerprint, *at))
             }
         };
+        if is_new {
+            state.record_change(update);
+        }
         let decision = state.registry.decide(fingerprint, now);
         drop(state);
+        if is_new {
+            self.refusals.send_replace(());
+        }
         // A single crash is logged only by the host that saw it; otherwise hundreds of hosts would
         // repeat each line.
         if is_new && decision.ends() != 1 {
@@ -127,6 +162,11 @@
             SuspectUpdate::Succeeded { .. } => vec![update.clone()],
             SuspectUpdate::Crashed(crash) => {
                 let crashes = self.state().registry.crashes(crash.fingerprint);
+                // A popular part has a crash whenever an engine crashes; other hosts have the
+                // earlier ones by now.
+                if crash.fingerprint.is_part() && crashes.len() > MAX_REPEATED_CRASHES {
+                    return vec![update.clone()];
+                }
                 let known = if crashes.len() > 1 { crashes } else { Vec::new() };
                 known.into_iter().map(SuspectUpdate::Crashed).collect()
             }
@@ -146,7 +186,27 @@
             *counts.entry(crash.fingerprint).or_default() += 1;
         }
         crashes.retain(|crash| counts.get(&crash.fingerprint).is_some_and(|count| *count > 1));
-        newest(crashes, max_updates)
+        let now = self.now();
+        let state = self.state();
+        let (refused, others): (Vec<_>, Vec<_>) =
+            crashes.into_iter().partition(|crash| state.is_refused(crash.fingerprint, now));
+        drop(state);
+        // What is refused goes first: among many crashes it is what others must not send.
+        let mut updates = newest(refused, max_updates);
+        updates.extend(newest(others, max_updates - updates.len()));
+        updates
+    }
+
+    /// Whether a crash is held against a request or part.
+    pub fn holds_crash(&self, fingerprint: RequestFingerprint, backend: &str) -> bool {
+        let crashes = self.state().registry.crashes(fingerprint);
+        crashes.iter().any(|crash| &*crash.backend == backend)
+    }
+
+    /// Number of times that crashes of parts were cleared; changes whenever
+    /// [`Self::holds_crash`] may have for a part.
+    pub fn cleared_parts(&self) -> u64 {
+        self.state().cleared_parts
     }
 
     /// Removes requests against which no crashes are held any more.
@@ -161,25 +221,76 @@
         self.state().registry.counts(now)
     }
 
+    /// Number of watched parts, and of groups of parts that are refused.
+    pub fn part_counts(&self) -> (usize, usize) {
+        let now = self.now();
+        self.state().registry.part_counts(now)
+    }
+
     /// Decides on a request as of now.
     pub fn decide(&self, fingerprint: RequestFingerprint) -> SuspectDecision {
         let now = self.now();
         self.state().decide(fingerprint, now)
     }
 
+    /// Whether a request with these prompt parts is refused as of now.
+    pub fn is_refused(
+        &self,
+        fingerprint: RequestFingerprint,
+        parts: &[RequestFingerprint],
+    ) -> bool {
+        let now = self.now();
+        let state = self.state();
+        let is_copy_refused =
+            matches!(state.decide(fingerprint, now), SuspectDecision::Refused { .. });
+        is_copy_refused || matches!(state.decide_parts(parts, now), PartDecision::Refused(_))
+    }
+
+    /// Waits until a request with these prompt parts is refused.
+    pub async fn wait_until_refused(
+        &self,
+        fingerprint: RequestFingerprint,
+        parts: &[RequestFingerprint],
+    ) {
+        let mut refusals = self.refusals.subscribe();
+        while !self.is_refused(fingerprint, parts) {
+            // The tracker holds the sender.
+            let _changed = refusals.changed().await;
+        }
+    }
+
     /// Whether the cause of a failed run should be known before the request is sent again.
-    pub fn needs_failure_cause(&self, fingerprint: RequestFingerprint) -> bool {
+    pub fn needs_failure_cause(
+        &self,
+        fingerprint: RequestFingerprint,
+        parts: &[RequestFingerprint],
+    ) -> bool {
         let now = self.now();
-        self.state().registry.is_near_refusal(fingerprint, now)
+        let state = self.state();
+        let mut fingerprints = parts.iter().chain(std::iter::once(&fingerprint));
+        fingerprints.any(|fingerprint| state.registry.is_near_refusal(*fingerprint, now))
     }
 
-    /// Admits a copy of a request.
+    /// Admits a copy of a request without prompt parts.
     ///
     /// # Errors
     ///
-    /// [`CopyRefusal`] if the request crashes backend servers, or if the outcome of another copy is
-    /// awaited.
+    /// See [`Self::admit_prompt`].
     pub fn admit(&self, fingerprint: RequestFingerprint) -> Result<CopyGuard, CopyRefusal> {
+        self.admit_prompt(fingerprint, &[])
+    }
+
+    /// Admits a copy of a request with these prompt parts.
+    ///
+    /// # Errors
+    ///
+    /// [`CopyRefusal`] if the request or one of its parts crashes backend servers, or if the outcome
+    /// of another copy or trial is awaited.
+    pub fn admit_prompt(
+        &self,
+        fingerprint: RequestFingerprint,
+        parts: &[RequestFingerprint],
+    ) -> Result<CopyGuard, CopyRefusal> {
         let now = self.now();
         let mut state = self.state();
         let running = state.running.get(&fingerprint).copied().unwrap_or_default();
@@ -193,26 +304,64 @@
             }
             SuspectDecision::Refused { ends } => return Err(CopyRefusal::Deadly { ends }),
         }
-        *state.running.entry(fingerprint).or_default() += 1;
-        Ok(CopyGuard { tracker: self.clone(), fingerprint })
+        let mut admitted = vec![fingerprint];
+        match state.decide_parts(parts, now) {
+            PartDecision::Clear => {}
+            PartDecision::Trial(group) => {
+                if group.parts.iter().any(|part| state.running.contains_key(part)) {
+                    return Err(CopyRefusal::CopyRuns { ends: group.crashes.len() });
+                }
+                admitted.extend(&group.parts);
+            }
+            PartDecision::Refused(group) => {
+                let (part, ends) = (group.parts[0], group.crashes.len());
+                return Err(CopyRefusal::DeadlyPart { part, ends });
+            }
+        }
+        for fingerprint in &admitted {
+            *state.running.entry(*fingerprint).or_default() += 1;
+        }
+        drop(state);
+        Ok(CopyGuard { tracker: self.clone(), fingerprints: admitted })
     }
 
-    /// Records that a backend server crashed while running a request.
-    pub fn record_crash(&self, fingerprint: RequestFingerprint, backend: CrashedInstance) {
-        self.record_crash_at(BackendCrash { fingerprint, backend, at: self.now() });
+    /// Records that a backend server crashed while running a request, and the prompt parts on which
+    /// that run was starting.
+    pub fn record_crash(
+        &self,
+        fingerprint: RequestFingerprint,
+        starting_parts: &[RequestFingerprint],
+        backend: &CrashedInstance,
+    ) {
+        let at = self.now();
+        let fingerprints = starting_parts.iter().chain(std::iter::once(&fingerprint));
+        let crashes: Vec<BackendCrash> = fingerprints
+            .map(|fingerprint| BackendCrash {
+                fingerprint: *fingerprint,
+                backend: Arc::clone(backend),
+                at,
+            })
+            .collect();
+        self.record_crashes_at(&crashes);
     }
 
-    fn record_crash_at(&self, crash: BackendCrash) {
-        let fingerprint = crash.fingerprint;
+    fn record_crashes_at(&self, crashes: &[BackendCrash]) {
         let mut state = self.state();
-        if !state.registry.record_crash(&crash) {
-            return;
+        let new = state.registry.record_crashes(crashes);
+        let mut decisions = Vec::new();
+        for crash in new {
+            decisions.push((crash.fingerprint, state.registry.decide(crash.fingerprint, crash.at)));
+            state.queue_update(SuspectUpdate::Crashed(crash));
         }
-        let decision = state.registry.decide(fingerprint, crash.at);
-        state.queue_update(SuspectUpdate::Crashed(crash));
+        state.log_group_changes();
         drop(state);
-        log_decision(fingerprint, decision, "seen");
-        self.changed.notify_one();
+        for (fingerprint, decision) in &decisions {
+            log_decision(*fingerprint, *decision, "seen");
+        }
+        if !decisions.is_empty() {
+            self.changed.notify_one();
+            self.refusals.send_replace(());
+        }
     }
 
     /// Records that a backend server with an unknown start time crashed `age` ago while running a
@@ -225,17 +374,30 @@
     ) {
         let at = self.now().saturating_sub(age);
         let start = self.state().instance_names.name(backend, at);
-        self.record_crash_at(BackendCrash { fingerprint, backend: start, at });
+        self.record_crashes_at(&[BackendCrash { fingerprint, backend: start, at }]);
     }
 
     /// Records that a copy succeeded.
     pub fn record_success(&self, fingerprint: RequestFingerprint) {
-        let at = self.now();
+        self.record_success_at(fingerprint, self.now());
+    }
+
+    /// Records that an answer whose first event arrived `age` ago has begun well on these parts.
+    pub fn record_begun_well(&self, parts: &[RequestFingerprint], age: Duration) {
+        let at = self.now().saturating_sub(age);
+        for part in parts {
+            self.record_success_at(*part, at);
+        }
+    }
+
+    fn record_success_at(&self, fingerprint: RequestFingerprint, at: Moment) {
         let mut state = self.state();
         if !state.registry.record_success(fingerprint, at) {
             return;
         }
-        state.queue_update(SuspectUpdate::Succeeded { fingerprint, at });
+        let update = SuspectUpdate::Succeeded { fingerprint, at };
+        state.record_change(&update);
+        state.queue_update(update);
         drop(state);
         log_decision(fingerprint, SuspectDecision::Clear, "seen");
         self.changed.notify_one();
@@ -250,6 +412,58 @@
         self.registry.decide(fingerprint, now)
     }
 
+    fn decide_parts(&self, parts: &[RequestFingerprint], now: Moment) -> PartDecision<'_> {
+        if self.lifted.is_empty() {
+            return self.registry.decide_parts(parts, self.trial_spread, now);
+        }
+        let held: Vec<_> =
+            parts.iter().filter(|part| !self.lifted.contains(part)).copied().collect();
+        self.registry.decide_parts(&held, self.trial_spread, now)
+    }
+
+    fn is_refused(&self, fingerprint: RequestFingerprint, now: Moment) -> bool {
+        matches!(self.registry.decide(fingerprint, now), SuspectDecision::Refused { .. })
+    }
+
+    /// Follows up on an update that has changed the registry.
+    fn record_change(&mut self, update: &SuspectUpdate) {
+        match update {
+            SuspectUpdate::Crashed(crash) if crash.fingerprint.is_part() => {
+                let fingerprint = crash.fingerprint;
+                // The host that reports it does not know that the part began well here since.
+                let success = self.registry.last_success(fingerprint);
+                if let Some(at) = success.filter(|at| *at >= crash.at) {
+                    self.queue_update(SuspectUpdate::Succeeded { fingerprint, at });
+                }
+            }
+            SuspectUpdate::Succeeded { fingerprint, .. } if fingerprint.is_part() => {
+                self.cleared_parts += 1;
+            }
+            SuspectUpdate::Crashed(_) | SuspectUpdate::Succeeded { .. } => return,
+        }
+        self.log_group_changes();
+    }
+
+    fn log_group_changes(&mut self) {
+        let groups = self.registry.part_groups();
+        if groups == self.logged_groups {
+            return;
+        }
+        for group in groups.iter().filter(|group| !self.logged_groups.contains(group)) {
+            log::info!(
+                "event=parts_refused parts={} ends={} for_s={}",
+                join_fingerprints(&group.parts),
+                group.crashes.len(),
+                group.refusal_period.as_secs(),
+            );
+        }
+        let is_left = |known: &&PartGroup| !groups.iter().any(|group| group.parts == known.parts);
+        for group in self.logged_groups.iter().filter(is_left) {
+            log::info!("event=parts_allowed parts={}", join_fingerprints(&group.parts));
+        }
+        self.logged_groups = groups.to_vec();
+    }
+
     fn queue_update(&mut self, update: SuspectUpdate) {
         if self.updates.len() >= MAX_QUEUED_UPDATES {
             self.updates.pop_front();
@@ -268,20 +482,29 @@
     log::info!("event=suspect print={fingerprint} decision={decision:?} from={from}");
 }
 
+/// Fingerprints as a log field.
+pub fn join_fingerprints(fingerprints: &[RequestFingerprint]) -> String {
+    let shown = fingerprints.iter().map(ToString::to_string);
+    shown.collect::<Vec<_>>().join(",")
+}
+
 /// A running copy; dropping the guard marks it as finished.
 #[derive(Debug)]
 pub struct CopyGuard {
     tracker: SuspectTracker,
-    fingerprint: RequestFingerprint,
+    /// The request, and the parts that it tries.
+    fingerprints: Vec<RequestFingerprint>,
 }
 
 impl Drop for CopyGuard {
     fn drop(&mut self) {
         let mut state = self.tracker.state();
-        if let Some(count) = state.running.get_mut(&self.fingerprint) {
-            *count -= 1;
-            if *count == 0 {
-                state.running.remove(&self.fingerprint);
+        for fingerprint in &self.fingerprints {
+            if let Some(count) = state.running.get_mut(fingerprint) {
+                *count -= 1;
+                if *count == 0 {
+                    state.running.remove(fingerprint);
+                }
             }
         }
     }
