Times of events before a host started keep their order

What callers saw: after all hosts had restarted, a part that had been refused crashed engines again (two more in deadly_parts.rs).

Cause: hosts tell each other how long ago a crash was; a clock that began with the process, or with a machine just booted, cannot express a time before that, so all crashes fell on its origin and counted as one moment. The origin of both clocks is now 48 h before, longer than anything is remembered. The test also needs wall-clock times that follow the paused clock: RouterConfig names the clock for times in rows.

--- a/crates/dillspool_io/src/host_clock.rs
+++ b/crates/dillspool_io/src/host_clock.rs
@@ -22,6 +22,10 @@
     stalls: Arc<watch::Sender<u64>>,
 }
 
+/// Time from the origin of the clocks to the start of the machine. Other hosts tell of events of before
+/// that, and their order must not be lost.
+const ORIGIN_AGE: Duration = Duration::from_hours(48);
+
 /// The deadline elapsed before the future was ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DeadlineElapsed;
@@ -31,7 +35,7 @@
     pub fn boot() -> Self {
         let steady = Self::steady();
         Self::from_fn(move || match clock_gettime(ClockId::CLOCK_BOOTTIME) {
-            Ok(time) => Moment::after_origin(Duration::from(time)),
+            Ok(time) => Moment::after_origin(ORIGIN_AGE + Duration::from(time)),
             Err(_no_such_clock) => steady.now(),
         })
     }
@@ -39,7 +43,7 @@
     /// Returns a clock that follows tokio's clock, which tests can pause.
     pub fn steady() -> Self {
         let origin = Instant::now();
-        Self::from_fn(move || Moment::after_origin(origin.elapsed()))
+        Self::from_fn(move || Moment::after_origin(ORIGIN_AGE + origin.elapsed()))
     }
 
     /// Returns a clock that reads the time from a closure.
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -11,8 +11,7 @@
     BackendProbes, BackendTracker, ForwardContext, ForwardMetrics, RetryBudgets,
 };
 use dillspool_io::{
-    ByteBudget, HostClock, NetListener, NetStack, ServerLimits, WallClock, serve_http,
-    serve_http_with_budget,
+    ByteBudget, HostClock, NetListener, NetStack, ServerLimits, serve_http, serve_http_with_budget,
 };
 use dillspool_origins::{OriginSettings, OriginTracker};
 use dillspool_roles::{PoolTargets, ReconcilerSettings, reconcile_stages};
@@ -380,7 +379,7 @@
             rows: replicas.hosts.subscribe(),
             unreadable: replicas.unreadable.clone(),
             tracker: self.suspects.clone(),
-            wall: WallClock::system(),
+            wall: self.config.wall_clock.clone(),
             publish: Arc::new(move |update| client.publish(&FleetUpdate::Suspect(update.clone()))),
             is_scheduler: Arc::new(move || schedule.is_any_scheduler()),
         };
--- a/crates/dillspool_router/src/settings.rs
+++ b/crates/dillspool_router/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dillspool_forward::BudgetSettings;
-use dillspool_io::ByteLimits;
+use dillspool_io::{ByteLimits, WallClock};
 use dillspool_roles::ShareRule;
 use dillspool_scheduler::{CallSchedulerSettings, RateLimiterSettings};
 use dillspool_schema::Name;
@@ -120,6 +120,8 @@
     pub policy: PolicyConfig,
     /// For which services one host schedules the calls of all.
     pub calls: CallSchedulerSettings,
+    /// Clock for timestamps that other hosts read.
+    pub wall_clock: WallClock,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -175,6 +177,7 @@
         limits: check_limits(settings.limits.as_ref())?,
         held_bytes: memory_limits::check(settings.memory.as_ref())?,
         fingerprint_key: fingerprint_key(settings.suspects.as_ref()),
+        wall_clock: WallClock::system(),
         lifted: parse_lifted(settings.suspects.as_ref())?,
         shutdown_grace: parse_seconds("lifecycle.grace_s", lifecycle.grace_s)?,
         lapse_grace: parse_seconds(
--- a/crates/dillspool_router/tests/common/mod.rs
+++ b/crates/dillspool_router/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use dillspool_forward::{
     BackendCalls, BackendResponse, BudgetSettings, CallError, OrderOutcome, ProbeResult,
 };
-use dillspool_io::{HostClock, MemoryNet, full_body};
+use dillspool_io::{HostClock, MemoryNet, WallClock, full_body};
 use dillspool_keys::{CallerKey, PresentedKey};
 use dillspool_leaving::LeavingTracker;
 use dillspool_platform::{
@@ -58,6 +58,7 @@
         held_bytes: None,
         fingerprint_key: FingerprintKey::default(),
         lifted: vec![],
+        wall_clock: WallClock::system(),
         shutdown_grace: Duration::from_secs(8),
         lapse_grace: Duration::from_secs(2),
         order_handover_gap: Duration::from_secs(3),
--- a/crates/dillspool_routerd/tests/deadly_parts.rs
+++ b/crates/dillspool_routerd/tests/deadly_parts.rs
@@ -16,6 +16,8 @@
 
 use std::time::Duration;
 
+use dillspool_io::LinkMode;
+use dillspool_site_standin::{StandinBackend, StandinKind, StoreMode};
 use fleet::{PromptReply, PromptSource, RestartIdentity, TestFleet};
 use tokio::time::Instant;
 
@@ -25,6 +27,8 @@
 const KNOWN_AFTER: usize = 5;
 /// Requests with such a part that may reach engines from `CONTACT_TIME` after that.
 const MAX_LATER_SENDS: usize = 3;
+/// Time after which a killed host starts again.
+const KILLED_TIME: Duration = Duration::from_secs(5);
 /// Time for which prompts are sent.
 const SPAN: Duration = Duration::from_secs(25);
 
@@ -167,3 +171,202 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+struct OutageCase {
+    name: &'static str,
+    mode: StoreMode,
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_deadly_part_is_refused_during_a_store_outage() {
+    let cases = [
+        OutageCase { name: "refuses", mode: StoreMode::Busy },
+        OutageCase { name: "is silent", mode: StoreMode::Silent },
+        OutageCase { name: "loses answers", mode: StoreMode::LosingAnswers },
+        OutageCase { name: "forgets its history", mode: StoreMode::Forgetful },
+    ];
+    let mut faults = Vec::new();
+    for outage in cases {
+        // Engines that keep their IDs are used again although the store cannot deliver their new rows.
+        let case = PartCase { restart_identity: RestartIdentity::SameId, ..MIDDLE };
+        let fleet = TestFleet::start(case.hosts, case.restart_identity).await;
+        fleet.deadly_parts.set(case.deadly);
+        fleet.store.set_mode(outage.mode);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let replies = send_both(&fleet, &case, SPAN).await;
+        let found = find_faults(&fleet, &case, &replies);
+        faults.extend(found.into_iter().map(|fault| format!("the store {}: {fault}", outage.name)));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against updates that wait for a write to the store: other hosts learnt of crashes only after its timeout.
+#[tokio::test(start_paused = true)]
+async fn other_hosts_learn_of_a_deadly_part_while_a_write_to_the_store_is_pending() {
+    for mode in [StoreMode::Serving, StoreMode::Silent] {
+        let fleet = TestFleet::start(3, RestartIdentity::NewId).await;
+        fleet.deadly_parts.set(MIDDLE.deadly);
+        fleet.store.set_mode(mode);
+        for _crash in 0..3 {
+            fleet.send_prompt(0, 0, MIDDLE.path, MIDDLE.guilty[0]).await;
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+        assert_eq!(fleet.crashes(), 3);
+        for host in 0..3 {
+            let reply = fleet.send_prompt(1, host, MIDDLE.path, MIDDLE.guilty[0]).await;
+            let is_final = reply.status == Some(503) && !reply.has_retry_after;
+            assert!(is_final, "{mode:?}, host {host}: {reply:?}");
+        }
+    }
+}
+
+struct LostHostsCase {
+    name: &'static str,
+    mode: StoreMode,
+    /// Hosts that are killed in turn, and the time between two kills.
+    killed: &'static [usize],
+    kill_interval_ms: u64,
+}
+
+/// Kills hosts in turn and starts each again some seconds later.
+async fn kill_in_turn(fleet: &TestFleet, case: &LostHostsCase) {
+    let kills = case.killed.iter().zip(1_u32..).map(|(host, turn)| async move {
+        tokio::time::sleep(Duration::from_millis(case.kill_interval_ms) * turn).await;
+        fleet.kill_host(*host).await;
+        tokio::time::sleep(KILLED_TIME).await;
+        fleet.set_all_links(*host, LinkMode::Open);
+        fleet.start_host(*host).await;
+    });
+    futures_util::future::join_all(kills).await;
+}
+
+/// Hosts that have seen a crash are killed before the next one.
+#[tokio::test(start_paused = true)]
+async fn a_deadly_part_is_refused_although_hosts_are_killed_between_crashes() {
+    let case = |name, mode, killed, kill_interval_ms| LostHostsCase {
+        name,
+        mode,
+        killed,
+        kill_interval_ms,
+    };
+    let cases = [
+        case("one after the other", StoreMode::Serving, &[0, 1, 2, 3, 4, 5], 300),
+        case("some, without the store", StoreMode::Silent, &[0, 1, 2, 3], 300),
+        case("twice", StoreMode::Serving, &[0, 1, 2, 3, 4, 5, 0, 1, 2], 1500),
+    ];
+    let mut faults = Vec::new();
+    for lost in cases {
+        let case = PartCase { hosts: 6, restart_identity: RestartIdentity::SameId, ..MIDDLE };
+        let fleet = TestFleet::start(case.hosts, case.restart_identity).await;
+        fleet.deadly_parts.set(case.deadly);
+        fleet.store.set_mode(lost.mode);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let sending = send_both(&fleet, &case, SPAN);
+        let (mut replies, ()) =
+            futures_util::future::join(sending, kill_in_turn(&fleet, &lost)).await;
+        if lost.mode != StoreMode::Serving {
+            // A host that starts without the store serves nobody.
+            replies.sound.retain(|prompt| !lost.killed.contains(&prompt.host));
+        }
+        let found = find_faults(&fleet, &case, &replies);
+        faults.extend(found.into_iter().map(|fault| format!("{}: {fault}", lost.name)));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Prompts with the deadly part of [`MIDDLE`], to all hosts in turn.
+fn deadly_prompts(hosts: usize, interval_ms: u64) -> PromptSource {
+    PromptSource {
+        path: MIDDLE.path,
+        parts: MIDDLE.guilty,
+        interval: Duration::from_millis(interval_ms),
+        hosts: (0..hosts).collect(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_deadly_part_is_refused_after_all_hosts_restart() {
+    let fleet = TestFleet::start(3, RestartIdentity::NewId).await;
+    fleet.deadly_parts.set(MIDDLE.deadly);
+    send_both(&fleet, &MIDDLE, Duration::from_secs(5)).await;
+    let before = fleet.crashes();
+    for host in 0..3 {
+        fleet.stop_host(host).await;
+    }
+    for host in 0..3 {
+        fleet.start_host(host).await;
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let replies = fleet.send_prompts(&deadly_prompts(3, 300), Duration::from_secs(10)).await;
+    assert_eq!(fleet.crashes(), before);
+    assert!(replies.iter().all(PromptReply::is_final_refusal), "{replies:?}");
+    let first = fleet.send_prompt(0, 0, MIDDLE.path, &["first", "x"]).await;
+    assert!(first.is_served(), "{first:?}");
+}
+
+/// A refusal costs no prefill, reservation or send, and ends once the part is sound.
+#[tokio::test(start_paused = true)]
+async fn a_part_that_has_become_sound_is_served_again() {
+    let fleet = TestFleet::start(3, RestartIdentity::NewId).await;
+    fleet.deadly_parts.set(MIDDLE.deadly);
+    let replies = send_both(&fleet, &MIDDLE, Duration::from_secs(8)).await;
+    let refused = replies.guilty.iter().filter(|prompt| prompt.is_final_refusal());
+    let sent = |prompt: &&PromptReply| !fleet.runs.arrivals_of(&prompt.reply.id).is_empty();
+    let known = known_at(&fleet, "bad").expect("crashes");
+    let late = refused.filter(|prompt| prompt.sent_at > known + CONTACT_TIME).filter(sent);
+    assert_eq!(late.count(), 0, "refused requests that reached an engine");
+    fleet.deadly_parts.set(&[]);
+    let crashes = fleet.crashes();
+    // One trial after the first refusal period, at some moment of its second half on each host.
+    let later = fleet.send_prompts(&deadly_prompts(3, 300), Duration::from_mins(1)).await;
+    let served = later.iter().rposition(|prompt| !prompt.reply.is_served());
+    assert!(served.is_some_and(|last_refused| last_refused < later.len() - 20), "{served:?}");
+    assert_eq!(fleet.crashes(), crashes);
+}
+
+struct OwnCrashCase {
+    name: &'static str,
+    /// Decode engines that crash at once, how often, and the time between.
+    engines: usize,
+    times: usize,
+    interval_ms: u64,
+}
+
+/// Popular parts are in the crash of every engine; what ends engines may be something else.
+#[tokio::test(start_paused = true)]
+async fn prompts_are_served_beside_engines_that_crash_by_themselves() {
+    let case =
+        |name, engines, times, interval_ms| OwnCrashCase { name, engines, times, interval_ms };
+    let cases = [
+        case("one after the other", 1, 10, 700),
+        case("two at once", 2, 6, 1500),
+        case("all at once", 4, 5, 3000),
+        case("all within a second", 1, 4, 200),
+    ];
+    for OwnCrashCase { name, engines, times, interval_ms } in cases {
+        let fleet = TestFleet::start(3, RestartIdentity::NewId).await;
+        let source = PromptSource { interval: Duration::from_millis(50), ..sound_prompts() };
+        let crashing = async {
+            for _time in 0..times {
+                tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+                let mut up = fleet.backends(StandinKind::Decode);
+                up.retain(|backend| !backend.has_ended());
+                up.iter().take(engines).for_each(StandinBackend::crash);
+            }
+        };
+        let sending = fleet.send_prompts(&source, SPAN);
+        let (replies, ()) = futures_util::future::join(sending, crashing).await;
+        assert!(fleet.crashes() >= times, "{name}: {} crashes", fleet.crashes());
+        let refused = replies.iter().filter(|prompt| prompt.is_final_refusal()).count();
+        assert_eq!(refused, 0, "{name}: sound prompts are refused as deadly");
+    }
+}
+
+fn sound_prompts() -> PromptSource {
+    PromptSource {
+        path: MIDDLE.path,
+        parts: MIDDLE.sound,
+        interval: Duration::from_millis(90),
+        hosts: vec![0, 1, 2],
+    }
+}
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use dillspool_forward::BudgetSettings;
-use dillspool_io::{HostClock, LinkMode, MemoryNet, exchange_once, read_body};
+use dillspool_io::{HostClock, LinkMode, MemoryNet, WallClock, exchange_once, read_body};
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
@@ -131,8 +131,11 @@
                 .start_backend(number, KINDS[number % KINDS.len()], restart_identity, options)
                 .await;
         }
+        // Rows carry wall-clock times, which must follow the paused clock.
+        let wall_clock = WallClock::tokio(WallClock::system().now());
         for number in 0..hosts {
             let mut config = RouterConfig {
+                wall_clock: wall_clock.clone(),
                 calls: options.calls,
                 first_start: options.is_first_start,
                 ..host_config(number, hosts)
@@ -479,6 +482,7 @@
         held_bytes: None,
         fingerprint_key: FingerprintKey::default(),
         lifted: vec![],
+        wall_clock: WallClock::system(),
         shutdown_grace: Duration::from_secs(4),
         lapse_grace: Duration::from_secs(2),
         order_handover_gap: Duration::from_secs(3),
--- a/crates/dillspool_routerd/tests/fleet/prompts.rs
+++ b/crates/dillspool_routerd/tests/fleet/prompts.rs
@@ -24,6 +24,7 @@
 pub struct PromptReply {
     /// Parts of the prompt but the last.
     pub parts: &'static [&'static str],
+    pub host: usize,
     pub sent_at: Instant,
     pub reply: CallerReply,
 }
@@ -63,7 +64,7 @@
             let host = source.hosts[number % source.hosts.len()];
             let sent_at = Instant::now();
             let reply = self.send_prompt(number % CALLERS, host, source.path, parts).await;
-            PromptReply { parts, sent_at, reply }
+            PromptReply { parts, host, sent_at, reply }
         });
         futures_util::future::join_all(callers).await
     }
