Hosts tell each other of crashes while a write to the store is pending

Cause: one task sent updates over the links and wrote the row, one after the other. Updates are now sent by a task of their own, which passes them on to the one that writes.

--- a/crates/dillspool_router/src/suspect_rows.rs
+++ b/crates/dillspool_router/src/suspect_rows.rs
@@ -7,7 +7,7 @@
 
 mod row;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use dillspool_schema::Name;
 use dillspool_suspects::{RequestFingerprint, SuspectTracker, SuspectUpdate};
 use dillspool_watch::TableReplica;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -30,6 +30,8 @@
 /// Time for which updates are batched into one write: a crash ends all requests on a backend server
 /// within a few milliseconds.
 const BATCH_WINDOW: Duration = Duration::from_millis(20);
+/// Batches of updates that wait while a write to the store is pending.
+const MAX_PENDING_BATCHES: usize = 256;
 /// Delay after a failed write; doubles up to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(500);
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
@@ -82,19 +84,21 @@
 impl SuspectReplicator {
     /// Runs until `cancel`.
     pub(crate) async fn run(self, cancel: CancellationToken) {
+        let (batches, received) = mpsc::channel(MAX_PENDING_BATCHES);
+        let publishing = publish_updates(self.tracker.clone(), Arc::clone(&self.publish), batches);
         tokio::select! {
-            () = self.replicate() => {}
+            () = self.replicate(received) => {}
+            () = publishing => {}
             () = cancel.cancelled() => {}
         }
     }
 
-    async fn replicate(mut self) {
+    async fn replicate(mut self, mut batches: mpsc::Receiver<VecDeque<SuspectUpdate>>) {
         let clock = TrackerClock { tracker: self.tracker.clone(), wall: self.wall.clone() };
         let mut state = ReplicatorState::default();
         let mut cleanup_at = Instant::now() + cleanup_interval();
         loop {
             let is_known = self.take_rows(&mut state, &clock);
-            self.take_updates(&mut state, &clock);
             self.drop_cleared_parts(&mut state, &clock);
             self.schedule_adoption(&mut state);
             let adopt_at = state.adopt_at.unwrap_or_else(Instant::now);
@@ -105,7 +109,13 @@
             let write_at = state.backoff.map_or_else(Instant::now, |(until, _delay)| until);
             tokio::select! {
                 changed = self.rows.changed() => if changed.is_err() { return },
-                () = self.tracker.changed() => self.collect_batch(&mut state, &clock).await,
+                Some(batch) = batches.recv() => {
+                    add_to_row(&mut state, batch, &clock);
+                    tokio::time::sleep(BATCH_WINDOW).await;
+                    while let Ok(batch) = batches.try_recv() {
+                        add_to_row(&mut state, batch, &clock);
+                    }
+                }
                 () = tokio::time::sleep_until(write_at), if is_due => {
                     self.write(&mut state, text).await;
                 }
@@ -125,19 +135,6 @@
         }
     }
 
-    /// Sends updates over the links at once, and waits briefly for more before they are written.
-    async fn collect_batch(&self, state: &mut ReplicatorState, clock: &TrackerClock) {
-        self.take_updates(state, clock);
-        tokio::time::sleep(BATCH_WINDOW).await;
-    }
-
-    fn take_updates(&self, state: &mut ReplicatorState, clock: &TrackerClock) {
-        for update in self.tracker.take_updates() {
-            (self.publish)(&update);
-            state.own.add(&update, clock);
-        }
-    }
-
     /// Removes the crashes of parts that are not held against them any more. A popular part is in most
     /// crashes and soon cleared; a host that starts later learns only of what the rows still have.
     fn drop_cleared_parts(&self, state: &mut ReplicatorState, clock: &TrackerClock) {
@@ -295,6 +292,31 @@
     }
 }
 
+/// Sends updates over this host's links at once, and passes them on for the row, whose writes may wait
+/// for the store.
+async fn publish_updates(
+    tracker: SuspectTracker,
+    publish: Arc<dyn Fn(&SuspectUpdate) + Send + Sync>,
+    batches: mpsc::Sender<VecDeque<SuspectUpdate>>,
+) {
+    loop {
+        let batch = tracker.take_updates();
+        for update in &batch {
+            publish(update);
+        }
+        if batches.try_send(batch).is_err() {
+            log::info!("event=suspects_not_told cause=\"too many updates wait for the store\"");
+        }
+        tracker.changed().await;
+    }
+}
+
+fn add_to_row(state: &mut ReplicatorState, batch: VecDeque<SuspectUpdate>, clock: &TrackerClock) {
+    for update in batch {
+        state.own.add(&update, clock);
+    }
+}
+
 fn cleanup_interval() -> Duration {
     Duration::from_secs_f64(rand::Rng::random_range(&mut rand::rng(), CLEANUP_INTERVAL_S))
 }
