--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -300,6 +300,11 @@
         }
     }
 
+    /// Sets the mode of the link between a host and another node.
+    pub fn set_link_to(&self, host: usize, other: IpAddr, mode: LinkMode) {
+        self.net.set_link(node(1, host), other, mode);
+    }
+
     /// Sets the mode of the links between a host and all backend servers.
     pub fn set_backend_links(&self, host: usize, mode: LinkMode) {
         for number in 0..BACKENDS {
