A host at its limit of connections makes room for new ones

What callers see: while the platform hands most new connections of a region to one host, and callers keep them open, the host would accept none beyond 1,800 until earlier ones had been idle for their timeout (15 s); new callers waited in the backlog, unread.

Cause: the server stopped accepting at its limit, however idle the connections. An eighth of them is now kept free: the oldest are closed as soon as they have no exchange in progress.

Test: crowded_server.rs, 120 kept connections where 40 are allowed; before, the 37th new one got no response in 500 ms; now all do, no response in progress is broken off. crowded_host.rs (most connections at one of eight hosts, five kinds of load) holds on the code before as well.

--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP servers with one task per connection.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::fmt;
 use std::future::Future;
@@ -22,6 +23,12 @@
 /// Largest connection buffer; it bounds the size of the request headers.
 const MAX_HEADER_BYTES: usize = 32 * 1024;
 
+/// Share of the connections, one in eight, that are kept free for new ones.
+const RESERVED_DIVISOR: usize = 8;
+
+/// Number of tokens from which on those of connections that have ended are removed.
+const MAX_TOKENS: usize = 8192;
+
 type HandlerFn = dyn Fn(Request<Incoming>) -> BoxFuture<Response<ResponseBody>> + Send + Sync;
 
 /// Asynchronous function that a server calls for each request.
@@ -48,7 +55,8 @@
 /// Limits that protect a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Maximum number of concurrent connections; others wait in the listen backlog.
+    /// Maximum number of concurrent connections; others wait in the listen backlog. Near it, the
+    /// oldest connections are closed as soon as they have no exchange in progress.
     pub max_connections: usize,
     /// Time to receive the request headers, counted from the end of the previous exchange.
     pub header_timeout: Duration,
@@ -95,7 +103,9 @@
     budget: Option<ByteBudget>,
     cancel: CancellationToken,
 ) {
-    let permits = Arc::new(Semaphore::new(limits.borrow().max_connections));
+    let max_connections = limits.borrow().max_connections;
+    let permits = Arc::new(Semaphore::new(max_connections));
+    let mut open = OpenConnections::default();
     let tracker = tokio_util::task::TaskTracker::new();
     loop {
         let permit = tokio::select! {
@@ -109,10 +119,12 @@
         let (Ok(permit), Some(stream)) = (permit, stream) else {
             break;
         };
+        open.close_oldest(permits.available_permits(), max_connections / RESERVED_DIVISOR);
         let limits = *limits.borrow();
         let caller = budget.as_ref().map(CallerConnection::new);
-        let (handler, cancel) = (handler.clone(), cancel.clone());
+        let (handler, cancel) = (handler.clone(), open.add(&cancel));
         tracker.spawn(async move {
+            let _ended = cancel.clone().drop_guard();
             match caller {
                 None => serve_connection(stream, limits, handler, cancel).await,
                 Some(caller) => {
@@ -133,6 +145,40 @@
     tracker.wait().await;
 }
 
+/// Tokens that close the open connections of a server gracefully, oldest first.
+#[derive(Debug, Default)]
+struct OpenConnections {
+    tokens: VecDeque<CancellationToken>,
+}
+
+impl OpenConnections {
+    /// Adds a connection; its token is cancelled when it ends, or to end it.
+    fn add(&mut self, cancel: &CancellationToken) -> CancellationToken {
+        let token = cancel.child_token();
+        self.tokens.push_back(token.clone());
+        token
+    }
+
+    /// Closes the oldest connections if there is room for fewer than `reserved` new ones. Callers that
+    /// open many and keep them idle must not keep others out.
+    fn close_oldest(&mut self, room: usize, reserved: usize) {
+        let mut missing = reserved.saturating_sub(room);
+        while let Some(oldest) = self.tokens.front() {
+            if !oldest.is_cancelled() {
+                if missing == 0 {
+                    break;
+                }
+                missing -= 1;
+                oldest.cancel();
+            }
+            self.tokens.pop_front();
+        }
+        if self.tokens.len() > MAX_TOKENS {
+            self.tokens.retain(|token| !token.is_cancelled());
+        }
+    }
+}
+
 /// Wraps a handler to add the connection to the extensions of its requests.
 fn with_caller_connection(caller: CallerConnection, handler: HttpHandler) -> HttpHandler {
     HttpHandler {
