--- a/crates/dillspool_routerd/tests/soak.rs
+++ b/crates/dillspool_routerd/tests/soak.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use dillspool_soak::SoakTrouble::{
-    Deadly, Limits, Notices, Restarts, Restored, SlowPeers, Versions,
+    Deadly, DeadlyParts, Limits, Notices, Restarts, Restored, SlowPeers, Versions,
 };
 use dillspool_soak::{SoakSettings, SoakTrouble, run_soak};
 
 /// Seeds that run in CI: two baseline seeds and every seed that once found a violation, with its cause.
-const SEEDS: [SoakCase; 9] = [
+const SEEDS: [SoakCase; 10] = [
     SoakCase { seed: 1, troubles: &[], cause: "baseline" },
     SoakCase { seed: 2, troubles: &[], cause: "baseline" },
     SoakCase {
@@ -31,6 +31,11 @@
         troubles: &[Versions, Restarts],
         cause: "engines of two software versions",
     },
+    SoakCase {
+        seed: 10,
+        troubles: &[DeadlyParts, Restarts],
+        cause: "prompts that share a part which crashes engines",
+    },
 ];
 
 /// A seed, the faults it injects and the cause that it covers.
--- a/crates/dillspool_soak/src/backends.rs
+++ b/crates/dillspool_soak/src/backends.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dillspool_io::NetStack;
-use dillspool_site_standin::{RunLog, StandinBackend, StandinKind, StandinStore};
+use dillspool_site_standin::{DeadlyParts, RunLog, StandinBackend, StandinKind, StandinStore};
 use tokio::time::Instant;
 
 use crate::proxy::LoopbackProxy;
@@ -26,12 +26,15 @@
     pub(crate) runs: RunLog,
     /// Whether engines have two software versions.
     pub(crate) has_versions: bool,
+    /// Parts of prompts that crash engines.
+    pub(crate) deadly_parts: DeadlyParts,
 }
 
 impl PlaceTools {
     /// The backend server of a start, with the software version of that start.
     fn backend(&self, id: &str, kind: StandinKind, number: usize, starts: u32) -> StandinBackend {
-        let backend = StandinBackend::new(id, kind, &self.runs);
+        let backend =
+            StandinBackend::new(id, kind, &self.runs).with_deadly_parts(&self.deadly_parts);
         // Of three engines of a stage two have one version; each start changes it.
         let is_second = number.is_multiple_of(3) != starts.is_multiple_of(2);
         let is_engine = kind != StandinKind::Plain;
--- a/crates/dillspool_soak/src/callers.rs
+++ b/crates/dillspool_soak/src/callers.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dillspool_io::{NetStack, exchange_once, read_body};
-use dillspool_site_standin::{DEADLY_BODY, REQUEST_ID, TIME_BUDGET, TOKEN_COUNTS};
+use dillspool_site_standin::{DEADLY_BODY, PROMPT_PARTS, REQUEST_ID, TIME_BUDGET, TOKEN_COUNTS};
 use http_body_util::Full;
 use hyper::Request;
 
@@ -73,15 +73,49 @@
 }
 
 async fn send_body(id: &str, path: &str, body: &'static str, host: SocketAddr) -> CallOutcome {
-    let request = Request::builder()
+    let request = request_head(id, path).body(Full::new(Bytes::from_static(body.as_bytes())));
+    let Ok(request) = request else { return CallOutcome::Nothing };
+    exchange(request, host).await
+}
+
+/// Sends one request whose prompt has these parts and one of its own.
+pub(crate) async fn call_prompt(
+    id: String,
+    kind: CallKind,
+    parts: &[&str],
+    host: SocketAddr,
+) -> CallRecord {
+    let outcome = send_prompt(&id, kind, parts, host).await;
+    CallRecord { id, kind, outcome }
+}
+
+/// As [`call_prompt`].
+pub(crate) async fn send_prompt(
+    id: &str,
+    kind: CallKind,
+    parts: &[&str],
+    host: SocketAddr,
+) -> CallOutcome {
+    let mut list: Vec<String> = parts.iter().map(|part| format!("{part}:20")).collect();
+    list.push(format!("own-{id}:20"));
+    let request = request_head(id, &format!("{}{id}", prefix(kind)))
+        .header(PROMPT_PARTS, list.join(","))
+        .body(Full::new(Bytes::from(format!("prompt {id}"))));
+    let Ok(request) = request else { return CallOutcome::Nothing };
+    exchange(request, host).await
+}
+
+fn request_head(id: &str, path: &str) -> hyper::http::request::Builder {
+    Request::builder()
         .method("POST")
         .uri(path)
         .header("host", ROUTE_HOST)
         .header(REQUEST_ID, id)
         .header(TIME_BUDGET, CALLER_WAIT_MS)
         .header(TOKEN_COUNTS, "100,100")
-        .body(Full::new(Bytes::from_static(body.as_bytes())));
-    let Ok(request) = request else { return CallOutcome::Nothing };
+}
+
+async fn exchange(request: Request<Full<Bytes>>, host: SocketAddr) -> CallOutcome {
     let stack = NetStack::tcp();
     let exchange = async {
         let response = exchange_once(&stack, host, request, CONNECT_LIMIT).await.ok()?;
--- a/crates/dillspool_soak/src/lib.rs
+++ b/crates/dillspool_soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod backends;
 mod callers;
 mod check;
+mod deadly_parts;
 mod faults;
 mod limits;
 mod notices;
--- a/crates/dillspool_soak/src/main.rs
+++ b/crates/dillspool_soak/src/main.rs
@@ -36,6 +36,9 @@
     /// Also send requests that crash what runs them, over and over.
     #[arg(long)]
     deadly: bool,
+    /// Also send prompts that share a part which crashes engines.
+    #[arg(long)]
+    deadly_parts: bool,
     /// Also have backend servers name how much they take.
     #[arg(long)]
     limits: bool,
@@ -93,6 +96,7 @@
     let flags = [
         (args.restarts, SoakTrouble::Restarts),
         (args.deadly, SoakTrouble::Deadly),
+        (args.deadly_parts, SoakTrouble::DeadlyParts),
         (args.limits, SoakTrouble::Limits),
         (args.notices, SoakTrouble::Notices),
         (args.restored, SoakTrouble::Restored),
@@ -113,11 +117,12 @@
         }
     };
     println!(
-        "seed {seed}: {} calls, {} served, {} faults, {} ends at most, {} broken promises",
+        "seed {seed}: {} calls, {} served, {} faults, {} ends at most, {} crashes by a part, {} broken promises",
         report.calls,
         report.served,
         report.faults,
         report.most_ends,
+        report.part_crashes,
         report.violations.len()
     );
     if !report.resumptions.is_empty() {
--- a/crates/dillspool_soak/src/rest.rs
+++ b/crates/dillspool_soak/src/rest.rs
@@ -4,8 +4,9 @@
 
 use crate::callers::{DeadlyRequest, call, send};
 use crate::check::{CallKind, CallOutcome, Violation};
+use crate::deadly_parts::check_parts;
 use crate::router::RouterPlace;
-use crate::world::{RECOVERY, SoakWorld};
+use crate::world::{RECOVERY, SoakTrouble, SoakWorld};
 
 /// Time after a stop in which the process may still run: its grace and a margin.
 const STOP_GRACE: Duration = Duration::from_secs(5);
@@ -35,6 +36,9 @@
     for request in deadly {
         violations.extend(check_deadly(world, *request, &places).await?);
     }
+    if world.plays(SoakTrouble::DeadlyParts) {
+        violations.extend(check_parts(world, &places).await?);
+    }
     for place in &places {
         violations.extend(check_config(world, place).await);
     }
--- a/crates/dillspool_soak/src/world.rs
+++ b/crates/dillspool_soak/src/world.rs
@@ -7,7 +7,8 @@
 
 use dillspool_io::NetStack;
 use dillspool_site_standin::{
-    BackendFault, RunLog, StandinKind, StandinRoute, StandinStore, StoreMode, config_text,
+    BackendFault, DeadlyParts, RunLog, StandinKind, StandinRoute, StandinStore, StoreMode,
+    config_text,
 };
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
@@ -19,6 +20,7 @@
 use crate::backends::{BackendPlace, PlaceTools, local};
 use crate::callers::{DeadlyRequest, ROUTE_HOST, attempt_id, call, prefix};
 use crate::check::{CallKind, CallOutcome, CallRecord, Violation, check_calls};
+use crate::deadly_parts::{DEADLY_PART, PromptLog, keep_prompting};
 use crate::faults::{DueFault, FaultKind, draw_faults};
 use crate::limits::play_limits;
 use crate::notices::play_notices;
@@ -37,6 +39,8 @@
     Restarts,
     /// Some callers send requests that crash what runs them, over and over.
     Deadly,
+    /// Some callers send prompts that share a part which crashes engines.
+    DeadlyParts,
     /// Once the faults are over some backend servers name how much they take, while others strike.
     Limits,
     /// After that some say that they leave, and others ask for rest.
@@ -79,6 +83,8 @@
     pub faults: usize,
     /// Backend servers that the worst of the deadly requests crashed.
     pub most_ends: usize,
+    /// Engines that the deadly part crashed.
+    pub part_crashes: usize,
     /// Streams that callers took up again, in words; empty without [`SoakTrouble::Versions`].
     pub resumptions: String,
     /// Broken promises.
@@ -147,6 +153,17 @@
         Arc::clone(&calls),
         stop_calls.clone(),
     ));
+    let prompts = PromptLog::default();
+    let prompting_callers = world.plays(SoakTrouble::DeadlyParts).then(|| {
+        world.deadly_parts().set(&[DEADLY_PART]);
+        tokio::spawn(keep_prompting(
+            world.places.iter().map(|place| place.callers).collect(),
+            world.settings.seed,
+            prompts.clone(),
+            Arc::clone(&calls),
+            stop_calls.clone(),
+        ))
+    });
     let resumptions = ResumptionLog::default();
     let resuming_callers = world.plays(SoakTrouble::Versions).then(|| {
         tokio::spawn(keep_resuming(
@@ -180,6 +197,10 @@
     // The callers bound every call in time.
     let _ended = callers.await;
     let _ended = deadly_callers.await;
+    if let Some(callers) = prompting_callers {
+        let _ended = callers.await;
+        violations.extend(prompts.check());
+    }
     let mut counted = String::new();
     if let Some(callers) = resuming_callers {
         let _ended = callers.await;
@@ -204,6 +225,7 @@
         faults: faults.len(),
         resumptions: counted,
         most_ends: deadly.iter().map(|it| world.runs().ends(&it.path())).max().unwrap_or_default(),
+        part_crashes: world.deadly_parts().crashes().len(),
         violations,
     })
 }
@@ -286,6 +308,7 @@
                 store,
                 runs: RunLog::default(),
                 has_versions: settings.troubles.contains(&SoakTrouble::Versions),
+                deadly_parts: DeadlyParts::default(),
             },
             places: Vec::new(),
             routers: Vec::new(),
@@ -395,7 +418,7 @@
         Ok(())
     }
 
-    fn plays(&self, trouble: SoakTrouble) -> bool {
+    pub(crate) fn plays(&self, trouble: SoakTrouble) -> bool {
         self.settings.troubles.contains(&trouble)
     }
 
@@ -404,6 +427,10 @@
         if self.plays(SoakTrouble::Deadly) { DEADLY.to_vec() } else { Vec::new() }
     }
 
+    pub(crate) fn deadly_parts(&self) -> &DeadlyParts {
+        &self.tools.deadly_parts
+    }
+
     pub(crate) fn runs(&self) -> &RunLog {
         &self.tools.runs
     }
