Blame for a crash waits for all reports, and goes to the fewest causes

Cause: reports of one crash come one by one, each with the parts of one host's runs, and a host that dies never reports; for some milliseconds, or for good, a sound part was in more crashes than the guilty one. Also a part in fewer crashes was blamed before one that explains all of them.

Change: a crash counts 100 ms after it was seen, when all hosts have reported it; a part counts as present in all of four crashes or more although one report is missing. Blamed is the part that explains the most crashes, unless two others explain all of these; parts on which no answer has begun well go first.

--- a/crates/dillspool_forward/src/generate/prepare.rs
+++ b/crates/dillspool_forward/src/generate/prepare.rs
@@ -51,6 +51,9 @@
             },
             () = refused => return Err(self.final_refusal()),
         };
+        if !is_retryable(&self.context, &self.request) {
+            return Err(self.final_refusal());
+        }
         let reserved = self.request.age();
         if self.attempts > 0 {
             self.withdraw_retry()?;
--- a/crates/dillspool_soak/src/deadly_parts.rs
+++ b/crates/dillspool_soak/src/deadly_parts.rs
@@ -104,19 +104,20 @@
     places: &[RouterPlace],
 ) -> std::io::Result<Vec<Violation>> {
     let before = world.deadly_parts().crashes().len();
+    let total = REST_PROMPTS * places.len();
     let mut refused = 0;
-    for copy in 0..REST_PROMPTS * places.len() {
+    for copy in 0..total {
         let id = format!("rest-part-{copy}");
         let host = places[copy % places.len()].callers;
         let outcome = send_prompt(&id, CallKind::Stream, &["first", DEADLY_PART], host).await;
-        refused = if is_deadly_refusal(&outcome) { refused + 1 } else { 0 };
+        refused += usize::from(is_deadly_refusal(&outcome));
         world.pass(REST_PROMPTS_APART).await?;
     }
     let crashes = world.deadly_parts().crashes().len() - before;
     let mut violations = Vec::new();
-    if refused < places.len() || crashes > MOST_CRASHES {
+    if refused + MOST_CRASHES < total || crashes > MOST_CRASHES {
         let detail = format!(
-            "{refused} prompts in a row were refused at rest, {crashes} engines crashed, {before} before"
+            "{refused} of {total} prompts were refused at rest, {crashes} engines crashed, {before} before"
         );
         violations.push(Violation { promise: "a part that crashes engines is stopped", detail });
     }
--- a/crates/dillspool_suspects/src/part_policy.rs
+++ b/crates/dillspool_suspects/src/part_policy.rs
@@ -11,9 +11,9 @@
     EveryCrash,
     /// The part with the most crashes among those on which runs were starting.
     MostCrashes,
-    /// The narrowest part: one whose crashes are not a part of another one's. Parts that were
-    /// present in all of its crashes must be present in a request, too, for it to be refused.
-    Narrowest,
+    /// The part in the most crashes, unless two others explain all of these. Parts that were present
+    /// in all of its crashes must be present in a request, too, for it to be refused.
+    FewestCauses,
 }
 
 /// When requests with a part are refused, and for how long.
@@ -51,7 +51,7 @@
 impl Default for PartPolicy {
     fn default() -> Self {
         Self {
-            attribution: PartAttribution::Narrowest,
+            attribution: PartAttribution::FewestCauses,
             refuse_after: 3,
             // The platform allows five crashes, and three sends from some seconds after them.
             always_refuse_after: 5,
--- a/crates/dillspool_suspects/src/part_registry.rs
+++ b/crates/dillspool_suspects/src/part_registry.rs
@@ -19,10 +19,13 @@
 const TRIAL_GAP: Duration = Duration::from_secs(3);
 /// Crashes within this time count as simultaneous. They are one for a part: what ends several
 /// backend servers at once ends runs with a popular part at each.
-const PART_SIMULTANEOUS_WINDOW: Duration = Duration::from_millis(50);
+const PART_SIMULTANEOUS_WINDOW: Duration = Duration::from_millis(25);
 /// Time within which all hosts report a crash. Until then a part that was in the same crash as another
-/// one may seem not to have been.
-const REPORT_WINDOW: Duration = Duration::from_millis(200);
+/// one may seem not to have been, so nothing is blamed on a part for it.
+const REPORT_WINDOW: Duration = Duration::from_millis(100);
+/// Number of crashes from which on a part counts as a companion although one report of it is missing:
+/// the host that saw it may have died.
+const MIN_CRASHES_FOR_MISSING: usize = 4;
 /// Most recent crashes kept per part.
 const MAX_PART_CRASHES: usize = 12;
 /// Most recent crashes kept per group.
@@ -43,8 +46,6 @@
     is_proven: bool,
     /// Consecutive crashes after which the group was refused.
     refused_after: usize,
-    /// When it was formed, until its parts have been checked against all reports of its crashes.
-    unchecked_since: Option<Moment>,
 }
 
 impl PartGroup {
@@ -85,6 +86,10 @@
     groups: Vec<PartGroup>,
     /// Instances whose crash a refused group explains.
     explained: HashSet<CrashedInstance>,
+    /// Crashes up to this moment have been reported by all hosts that saw them.
+    settled_until: Moment,
+    /// When the newest crash settles, if it had not at the last refresh.
+    unsettled_until: Option<Moment>,
 }
 
 /// A part that may be refused.
@@ -103,6 +108,8 @@
             proven: RecentFingerprints::new(policy.max_parts),
             groups: Vec::new(),
             explained: HashSet::new(),
+            settled_until: Moment::default(),
+            unsettled_until: None,
         }
     }
 
@@ -162,6 +169,11 @@
         trial
     }
 
+    /// When to refresh because a crash has settled.
+    pub(crate) fn unsettled_until(&self) -> Option<Moment> {
+        self.unsettled_until
+    }
+
     pub(crate) fn groups(&self) -> &[PartGroup] {
         &self.groups
     }
@@ -221,13 +233,17 @@
 
     /// Finds the groups to refuse anew. `requests` lists the crashes with the requests running there.
     pub(crate) fn refresh(&mut self, requests: &CrashIndex, now: Moment) {
+        self.settled_until = now.saturating_sub(REPORT_WINDOW);
+        let crashes = self.records.values().map(CrashRecord::latest_crash);
+        let newest = crashes.max().unwrap_or_default();
+        self.unsettled_until = (newest > self.settled_until).then_some(newest + REPORT_WINDOW);
         self.explained.clear();
         let known = std::mem::take(&mut self.groups);
         for group in known {
             self.keep_group(group, now);
         }
         while let Some(candidate) = self.find_candidate(requests, now) {
-            let group = self.new_group(&candidate, now);
+            let group = self.new_group(&candidate);
             self.explained.extend(candidate.crashes);
             self.groups.push(group);
         }
@@ -240,11 +256,6 @@
             self.records.get(part).is_none_or(|record| record.has_succeeded_since(last_crash))
         };
         group.parts.retain(|part| !has_succeeded(part));
-        if group.unchecked_since.is_some_and(|since| now.since(since) >= REPORT_WINDOW) {
-            group.unchecked_since = None;
-            let crashes = &group.crashes;
-            group.parts.retain(|part| crashes.iter().all(|(it, _at)| self.is_held(*part, it)));
-        }
         let Some(first) = group.parts.first().and_then(|part| self.records.get(part)) else {
             return;
         };
@@ -277,10 +288,10 @@
         record.is_some_and(|record| record.consecutive().any(|(other, _at)| other == backend))
     }
 
-    fn new_group(&self, candidate: &PartCandidate, now: Moment) -> PartGroup {
+    fn new_group(&self, candidate: &PartCandidate) -> PartGroup {
         let mut parts = vec![candidate.part];
-        if self.policy.attribution == PartAttribution::Narrowest {
-            parts.extend(self.companions(candidate, now));
+        if self.policy.attribution == PartAttribution::FewestCauses {
+            parts.extend(self.companions(candidate));
         }
         let at = |backend: &CrashedInstance| self.index.runs(backend).map(|runs| runs.at);
         let crashes = candidate.crashes.iter();
@@ -295,34 +306,34 @@
             refusal_period: self.policy.refusal_time(candidate.is_proven, 0),
             is_proven: candidate.is_proven,
             refused_after: moments.len(),
-            unchecked_since: Some(now),
         }
     }
 
-    /// Other parts that were present in all crashes of a candidate, as far as these are reported. If
+    /// Other parts that were present in all crashes of a candidate, as far as these were reported. If
     /// answers have recently begun well on the candidate, so they have on its companions.
-    fn companions(&self, candidate: &PartCandidate, now: Moment) -> Vec<RequestFingerprint> {
-        let is_reported = |backend: &&CrashedInstance| {
-            let runs = self.index.runs(backend);
-            runs.is_none_or(|runs| now.since(runs.at) >= REPORT_WINDOW)
-        };
-        let reported: Vec<_> = candidate.crashes.iter().filter(is_reported).collect();
-        // If all of them are that recent, there is nothing older to go by.
-        let crashes =
-            if reported.is_empty() { candidate.crashes.iter().collect() } else { reported };
+    fn companions(&self, candidate: &PartCandidate) -> Vec<RequestFingerprint> {
+        let crashes = &candidate.crashes;
+        let max_missing = usize::from(crashes.len() >= MIN_CRASHES_FOR_MISSING);
         let is_companion = |part: &RequestFingerprint| {
             let open = self.open_crashes(*part);
-            (candidate.is_proven || !self.proven.contains(*part))
-                && crashes.iter().all(|backend| open.contains(backend))
+            let missing = crashes.iter().filter(|backend| !open.contains(backend)).count();
+            (candidate.is_proven || !self.proven.contains(*part)) && missing <= max_missing
         };
-        let Some(first) = crashes.first() else { return Vec::new() };
-        self.others_at(candidate.part, first).filter(is_companion).collect()
+        let others: HashSet<_> =
+            crashes.iter().flat_map(|backend| self.others_at(candidate.part, backend)).collect();
+        others.into_iter().filter(is_companion).collect()
     }
 
-    /// Consecutive crashes of a part that no refused group explains.
-    fn open_crashes(&self, part: RequestFingerprint) -> Vec<&CrashedInstance> {
+    /// Settled consecutive crashes of a part.
+    fn settled_crashes(&self, part: RequestFingerprint) -> Vec<(&CrashedInstance, Moment)> {
         let crashes = self.records.get(&part).into_iter().flat_map(CrashRecord::consecutive);
-        let backends = crashes.map(|(backend, _at)| backend);
+        let settled = crashes.filter(|(_backend, at)| *at <= self.settled_until);
+        settled.map(|(backend, at)| (backend, *at)).collect()
+    }
+
+    /// Settled consecutive crashes of a part that no refused group explains.
+    fn open_crashes(&self, part: RequestFingerprint) -> Vec<&CrashedInstance> {
+        let backends = self.settled_crashes(part).into_iter().map(|(backend, _at)| backend);
         backends.filter(|backend| !self.explained.contains(*backend)).collect()
     }
 
@@ -330,36 +341,32 @@
         now.since(record.latest_crash()) < self.policy.watch_period
     }
 
-    /// The part to refuse next: the one with the fewest crashes among those with enough of them. A
-    /// part that is in many prompts is in the crashes of every other one.
+    /// The part to refuse next, among those with enough crashes: one on which no answer has begun well,
+    /// then one that two others don't explain as well, as they do a part that is in most prompts; of
+    /// these the one in the most crashes.
     fn find_candidate(&self, requests: &CrashIndex, now: Moment) -> Option<PartCandidate> {
-        if self.policy.attribution == PartAttribution::None {
-            return None;
-        }
-        let mut best: Option<PartCandidate> = None;
-        for (part, record) in &self.records {
-            if record.consecutive().count() < self.policy.refuse_after
-                || !self.is_current(record, now)
-                || self.is_refused_alone(*part)
-            {
-                continue;
-            }
+        let suspects = self.records.iter().filter(|(part, record)| {
+            record.consecutive().count() >= self.policy.refuse_after
+                && self.is_current(record, now)
+                && !self.is_refused_alone(**part)
+        });
+        let blamed = suspects.filter_map(|(part, _record)| {
             let mut open = self.open_crashes(*part);
             if self.is_only_common_part(*part) {
-                open = record.consecutive().map(|(backend, _at)| backend).collect();
+                open = self.settled_crashes(*part).into_iter().map(|crash| crash.0).collect();
             }
-            let is_narrower = best
-                .as_ref()
-                .is_none_or(|best| (open.len(), *part) < (best.crashes.len(), best.part));
-            if is_narrower && self.is_blamed(*part, &open, requests) {
-                best = Some(PartCandidate {
-                    part: *part,
-                    crashes: open.into_iter().cloned().collect(),
-                    is_proven: self.proven.contains(*part),
-                });
-            }
-        }
-        best
+            self.is_blamed(*part, &open, requests).then_some((*part, open))
+        });
+        let rank = |(part, open): &(RequestFingerprint, Vec<&CrashedInstance>)| {
+            let is_proven = self.proven.contains(*part);
+            (is_proven, self.is_broad(*part, open), std::cmp::Reverse(open.len()), *part)
+        };
+        let (part, open) = blamed.min_by_key(rank)?;
+        Some(PartCandidate {
+            part,
+            crashes: open.into_iter().cloned().collect(),
+            is_proven: self.proven.contains(part),
+        })
     }
 
     /// Whether a part has enough unexplained crashes to be refused.
@@ -380,7 +387,7 @@
                 };
                 self.count_moments(open.iter().filter(is_most).copied()) >= self.policy.refuse_after
             }
-            PartAttribution::Narrowest => {
+            PartAttribution::FewestCauses => {
                 let is_proven = self.proven.contains(part);
                 let is_broad = self.is_broad(part, open);
                 let unexplained = open
@@ -404,24 +411,17 @@
     /// Whether a part is in many crashes that no two other parts explain. Where answers have recently
     /// begun well on it, engines that crash by themselves are more likely.
     fn is_only_common_part(&self, part: RequestFingerprint) -> bool {
-        let crashes = self.crashes(part);
-        let count =
-            distinct_moments(crashes.iter().map(|crash| crash.at), PART_SIMULTANEOUS_WINDOW).len();
-        if self.policy.attribution != PartAttribution::Narrowest
+        let crashes = self.settled_crashes(part);
+        let count = distinct_moments(crashes.iter().map(|crash| crash.1), PART_SIMULTANEOUS_WINDOW);
+        let count = count.len();
+        if self.policy.attribution != PartAttribution::FewestCauses
             || count < self.policy.always_refuse_after
             || self.proven.contains(part)
         {
             return false;
         }
-        let others: HashSet<_> =
-            crashes.iter().flat_map(|crash| self.others_at(part, &crash.backend)).collect();
-        let others: Vec<_> = others.into_iter().filter(|it| !self.proven.contains(*it)).collect();
-        let is_explained_by = |one: RequestFingerprint, other: RequestFingerprint| {
-            crashes.iter().all(|crash| {
-                self.is_held(one, &crash.backend) || self.is_held(other, &crash.backend)
-            })
-        };
-        !others.iter().any(|one| others.iter().any(|other| is_explained_by(*one, *other)))
+        let crashes: Vec<_> = crashes.into_iter().map(|crash| crash.0).collect();
+        !self.may_have_two_causes(part, &crashes, |other| !self.proven.contains(other))
     }
 
     fn count_moments<'a>(&self, backends: impl Iterator<Item = &'a CrashedInstance>) -> usize {
@@ -440,23 +440,36 @@
         parts.filter(move |other| *other != part)
     }
 
-    /// Whether half of these crashes or more, but not all, may be another part's: one that had more
-    /// than one crash, each of them among these. If two parts are the cause, one of them has half. It
-    /// is no part on which an answer has begun well since the first of them, or ever if none has on
-    /// this one.
+    /// Whether two other parts may be the cause of these crashes, each of some of them. A part on which
+    /// an answer has begun well since the first of them is not, nor is one on which answers began well
+    /// before if none has on this one.
     fn is_broad(&self, part: RequestFingerprint, open: &[&CrashedInstance]) -> bool {
         let is_proven = self.proven.contains(part);
-        let others: HashSet<_> =
-            open.iter().flat_map(|backend| self.others_at(part, backend)).collect();
         let first = open.iter().filter_map(|backend| self.index.runs(backend)).map(|runs| runs.at);
         let first = first.min().unwrap_or_default();
-        let mut suspects = others.into_iter().filter(|other| {
-            self.proven.last(*other).is_none_or(|proven_at| is_proven && proven_at < first)
-        });
-        suspects.any(|other| {
-            let narrower = self.open_crashes(other);
-            (open.len().div_ceil(2).max(2)..open.len()).contains(&narrower.len())
-                && narrower.iter().all(|backend| open.contains(backend))
+        self.may_have_two_causes(part, open, |other| {
+            let last = self.proven.last(other);
+            last.is_none_or(|proven_at| is_proven && proven_at < first)
+                && !open.iter().all(|backend| self.is_held(other, backend))
+        })
+    }
+
+    /// Whether two other parts, or one, were present in all of these crashes.
+    fn may_have_two_causes(
+        &self,
+        part: RequestFingerprint,
+        crashes: &[&CrashedInstance],
+        is_suspect: impl Fn(RequestFingerprint) -> bool,
+    ) -> bool {
+        let others: HashSet<_> =
+            crashes.iter().flat_map(|backend| self.others_at(part, backend)).collect();
+        let others: Vec<_> = others.into_iter().filter(|other| is_suspect(*other)).collect();
+        others.iter().any(|one| {
+            let mut rest = crashes.iter().filter(|backend| !self.is_held(*one, backend)).peekable();
+            let Some(first) = rest.peek().copied() else { return true };
+            let rest: Vec<_> = rest.collect();
+            let mut candidates = self.others_at(part, first).filter(|other| is_suspect(*other));
+            candidates.any(|other| rest.iter().all(|backend| self.is_held(other, backend)))
         })
     }
 
--- a/crates/dillspool_suspects/src/registry.rs
+++ b/crates/dillspool_suspects/src/registry.rs
@@ -127,6 +127,21 @@
         self.requests.set_explained(self.parts.explained().clone());
     }
 
+    /// Finds anew which parts are refused if reports of a crash have become complete since the last
+    /// time; returns whether they have.
+    pub fn settle(&mut self, now: Moment) -> bool {
+        let is_due = self.parts.unsettled_until().is_some_and(|until| until <= now);
+        if is_due {
+            self.refresh(now);
+        }
+        is_due
+    }
+
+    /// Whether reports of a crash may still be incomplete.
+    pub fn is_unsettled(&self) -> bool {
+        self.parts.unsettled_until().is_some()
+    }
+
     /// Decides on a copy of a request that arrives now. For a part: what is known of it, whatever
     /// else the request contains.
     pub fn decide(&self, fingerprint: RequestFingerprint, now: Moment) -> SuspectDecision {
--- a/crates/dillspool_suspects/src/tracker.rs
+++ b/crates/dillspool_suspects/src/tracker.rs
@@ -24,6 +24,9 @@
 /// Up to this many consecutive crashes of a part, all of them are told again with each new one.
 const MAX_REPEATED_CRASHES: usize = 4;
 
+/// Interval at which a waiting request looks whether reports of a crash have become complete.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
+
 struct TrackerState {
     registry: SuspectRegistry,
     /// Requests that an operator has exempted.
@@ -240,7 +243,8 @@
         parts: &[RequestFingerprint],
     ) -> bool {
         let now = self.now();
-        let state = self.state();
+        let mut state = self.state();
+        state.settle(now);
         let is_copy_refused =
             matches!(state.decide(fingerprint, now), SuspectDecision::Refused { .. });
         is_copy_refused || matches!(state.decide_parts(parts, now), PartDecision::Refused(_))
@@ -254,8 +258,12 @@
     ) {
         let mut refusals = self.refusals.subscribe();
         while !self.is_refused(fingerprint, parts) {
-            // The tracker holds the sender.
-            let _changed = refusals.changed().await;
+            let is_unsettled = self.state().registry.is_unsettled();
+            tokio::select! {
+                // The tracker holds the sender.
+                _changed = refusals.changed() => {}
+                () = tokio::time::sleep(SETTLE_INTERVAL), if is_unsettled => {}
+            }
         }
     }
 
@@ -293,6 +301,7 @@
     ) -> Result<CopyGuard, CopyRefusal> {
         let now = self.now();
         let mut state = self.state();
+        state.settle(now);
         let running = state.running.get(&fingerprint).copied().unwrap_or_default();
         match state.decide(fingerprint, now) {
             // Popular requests are not held up by a single crash, which they may not have caused.
@@ -421,6 +430,12 @@
         self.registry.decide_parts(&held, self.trial_spread, now)
     }
 
+    fn settle(&mut self, now: Moment) {
+        if self.registry.settle(now) {
+            self.log_group_changes();
+        }
+    }
+
     fn is_refused(&self, fingerprint: RequestFingerprint, now: Moment) -> bool {
         matches!(self.registry.decide(fingerprint, now), SuspectDecision::Refused { .. })
     }
