--- a/crates/dillspool_suspects/src/fingerprint.rs
+++ b/crates/dillspool_suspects/src/fingerprint.rs
@@ -143,3 +143,9 @@
         Ok(Self(fingerprint))
     }
 }
+
+/// Fingerprints as a log field.
+pub fn join_fingerprints(fingerprints: &[RequestFingerprint]) -> String {
+    let shown = fingerprints.iter().map(ToString::to_string);
+    shown.collect::<Vec<_>>().join(",")
+}
--- a/crates/dillspool_suspects/src/lib.rs
+++ b/crates/dillspool_suspects/src/lib.rs
@@ -11,6 +11,7 @@
 mod crash_record;
 mod fingerprint;
 mod instance_names;
+mod part_group;
 mod part_policy;
 mod part_registry;
 mod policy;
@@ -20,12 +21,15 @@
 mod run_progress;
 mod tracker;
 
-pub use fingerprint::{FingerprintError, FingerprintInput, FingerprintKey, RequestFingerprint};
+pub use fingerprint::{
+    FingerprintError, FingerprintInput, FingerprintKey, RequestFingerprint, join_fingerprints,
+};
+pub use part_group::PartGroup;
 pub use part_policy::{PartAttribution, PartPolicy};
-pub use part_registry::{PartDecision, PartGroup};
+pub use part_registry::PartDecision;
 pub use policy::{COPY_RETRY_DELAY, CrashAttribution, SuspectPolicy};
 pub use registry::{
     BackendCrash, CrashedInstance, SuspectDecision, SuspectRegistry, SuspectUpdate,
 };
 pub use run_progress::{PROOF_PERIOD, RunProgress, START_PERIOD};
-pub use tracker::{CopyGuard, CopyRefusal, SuspectTracker, join_fingerprints};
+pub use tracker::{CopyGuard, CopyRefusal, SuspectTracker};
--- a/crates/dillspool_suspects/src/registry.rs
+++ b/crates/dillspool_suspects/src/registry.rs
@@ -5,7 +5,8 @@
 use dillspool_moment::Moment;
 
 use crate::fingerprint::RequestFingerprint;
-use crate::part_registry::{PartDecision, PartGroup, PartRegistry};
+use crate::part_group::PartGroup;
+use crate::part_registry::{PartDecision, PartRegistry};
 use crate::policy::SuspectPolicy;
 use crate::request_registry::RequestRegistry;
 
--- a/crates/dillspool_suspects/src/tracker.rs
+++ b/crates/dillspool_suspects/src/tracker.rs
@@ -1,25 +1,21 @@
 //! Tracks crashes and running copies of requests for one host.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+mod state;
+
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use dillspool_io::HostClock;
 use dillspool_moment::Moment;
-use rand::Rng;
 use tokio::sync::{Notify, watch};
 
 use crate::fingerprint::RequestFingerprint;
-use crate::instance_names::InstanceNames;
-use crate::part_registry::{PartDecision, PartGroup};
+use crate::part_registry::PartDecision;
 use crate::policy::SuspectPolicy;
-use crate::registry::{
-    BackendCrash, CrashedInstance, SuspectDecision, SuspectRegistry, SuspectUpdate,
-};
-
-/// Maximum number of updates queued for other hosts; the oldest are dropped first.
-const MAX_QUEUED_UPDATES: usize = 1024;
+use crate::registry::{BackendCrash, CrashedInstance, SuspectDecision, SuspectUpdate};
+use state::TrackerState;
 
 /// Up to this many consecutive crashes of a part, all of them are told again with each new one.
 const MAX_REPEATED_CRASHES: usize = 4;
@@ -27,22 +23,6 @@
 /// Interval at which a waiting request looks whether reports of a crash have become complete.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
 
-struct TrackerState {
-    registry: SuspectRegistry,
-    /// Requests that an operator has exempted.
-    lifted: HashSet<RequestFingerprint>,
-    /// Number of copies running on this host, and of trials of parts.
-    running: HashMap<RequestFingerprint, usize>,
-    updates: VecDeque<SuspectUpdate>,
-    instance_names: InstanceNames,
-    /// Position of this host in the period over which trials of a part are spread, from 0 to 1.
-    trial_spread: f64,
-    /// Groups of parts that the log shows as refused.
-    logged_groups: Vec<PartGroup>,
-    /// Number of times that crashes of parts were cleared.
-    cleared_parts: u64,
-}
-
 /// Decides on copies of requests, based on crashes seen by this host and reported by others.
 #[derive(Clone)]
 pub struct SuspectTracker {
@@ -85,18 +65,8 @@
 impl SuspectTracker {
     /// Creates a tracker without any recorded crashes.
     pub fn new(policy: SuspectPolicy, clock: HostClock) -> Self {
-        let state = TrackerState {
-            registry: SuspectRegistry::new(policy),
-            lifted: HashSet::new(),
-            running: HashMap::new(),
-            updates: VecDeque::new(),
-            instance_names: InstanceNames::default(),
-            trial_spread: rand::rng().random_range(0.0..1.0),
-            logged_groups: Vec::new(),
-            cleared_parts: 0,
-        };
         Self {
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(Mutex::new(TrackerState::new(policy))),
             clock,
             changed: Arc::default(),
             refusals: watch::Sender::new(()),
@@ -413,80 +383,6 @@
     }
 }
 
-impl TrackerState {
-    fn decide(&self, fingerprint: RequestFingerprint, now: Moment) -> SuspectDecision {
-        if self.lifted.contains(&fingerprint) {
-            return SuspectDecision::Clear;
-        }
-        self.registry.decide(fingerprint, now)
-    }
-
-    fn decide_parts(&self, parts: &[RequestFingerprint], now: Moment) -> PartDecision<'_> {
-        if self.lifted.is_empty() {
-            return self.registry.decide_parts(parts, self.trial_spread, now);
-        }
-        let held: Vec<_> =
-            parts.iter().filter(|part| !self.lifted.contains(part)).copied().collect();
-        self.registry.decide_parts(&held, self.trial_spread, now)
-    }
-
-    fn settle(&mut self, now: Moment) {
-        if self.registry.settle(now) {
-            self.log_group_changes();
-        }
-    }
-
-    fn is_refused(&self, fingerprint: RequestFingerprint, now: Moment) -> bool {
-        matches!(self.registry.decide(fingerprint, now), SuspectDecision::Refused { .. })
-    }
-
-    /// Follows up on an update that has changed the registry.
-    fn record_change(&mut self, update: &SuspectUpdate) {
-        match update {
-            SuspectUpdate::Crashed(crash) if crash.fingerprint.is_part() => {
-                let fingerprint = crash.fingerprint;
-                // The host that reports it does not know that the part began well here since.
-                let success = self.registry.last_success(fingerprint);
-                if let Some(at) = success.filter(|at| *at >= crash.at) {
-                    self.queue_update(SuspectUpdate::Succeeded { fingerprint, at });
-                }
-            }
-            SuspectUpdate::Succeeded { fingerprint, .. } if fingerprint.is_part() => {
-                self.cleared_parts += 1;
-            }
-            SuspectUpdate::Crashed(_) | SuspectUpdate::Succeeded { .. } => return,
-        }
-        self.log_group_changes();
-    }
-
-    fn log_group_changes(&mut self) {
-        let groups = self.registry.part_groups();
-        if groups == self.logged_groups {
-            return;
-        }
-        for group in groups.iter().filter(|group| !self.logged_groups.contains(group)) {
-            log::info!(
-                "event=parts_refused parts={} ends={} for_s={}",
-                join_fingerprints(&group.parts),
-                group.crashes.len(),
-                group.refusal_period.as_secs(),
-            );
-        }
-        let is_left = |known: &&PartGroup| !groups.iter().any(|group| group.parts == known.parts);
-        for group in self.logged_groups.iter().filter(is_left) {
-            log::info!("event=parts_allowed parts={}", join_fingerprints(&group.parts));
-        }
-        self.logged_groups = groups.to_vec();
-    }
-
-    fn queue_update(&mut self, update: SuspectUpdate) {
-        if self.updates.len() >= MAX_QUEUED_UPDATES {
-            self.updates.pop_front();
-        }
-        self.updates.push_back(update);
-    }
-}
-
 /// Returns the newest `max_updates` crashes.
 fn newest(mut crashes: Vec<BackendCrash>, max_updates: usize) -> Vec<SuspectUpdate> {
     crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at));
@@ -497,12 +393,6 @@
     log::info!("event=suspect print={fingerprint} decision={decision:?} from={from}");
 }
 
-/// Fingerprints as a log field.
-pub fn join_fingerprints(fingerprints: &[RequestFingerprint]) -> String {
-    let shown = fingerprints.iter().map(ToString::to_string);
-    shown.collect::<Vec<_>>().join(",")
-}
-
 /// A running copy; dropping the guard marks it as finished.
 #[derive(Debug)]
 pub struct CopyGuard {
