--- a/crates/dillspool_routerd/tests/unframed_answers.rs
+++ b/crates/dillspool_routerd/tests/unframed_answers.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use dillspool_io::{LinkMode, NetStack};
-use dillspool_site_standin::{BackendRow, FIRST_SOFTWARE, StandinKind, StandinRoute, config_text};
+use dillspool_site_standin::{
+    BackendRow, FIRST_SOFTWARE, REQUEST_ID, SEAL, StandinKind, StandinRoute, config_text,
+};
 use fleet::{CallerReply, RestartIdentity, TestFleet};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -126,12 +128,10 @@
                 let mut lines = text.lines().filter_map(|line| line.split_once(": "));
                 lines.find(|(key, _value)| key.eq_ignore_ascii_case(name)).map(|(_key, it)| it)
             };
-            let id = header("dillspool-attempt-id").unwrap_or_default();
+            let id = header(REQUEST_ID).unwrap_or_default();
             let number = answers.count.fetch_add(1, Ordering::Relaxed);
             let (body, end) = answers.script[number.min(answers.script.len() - 1)];
-            let head = format!(
-                "HTTP/1.1 200 OK\r\ndillspool-attempt-id: {id}\r\ndillspool-server-seal: s\r\n\r\n"
-            );
+            let head = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{SEAL}: s\r\n\r\n");
             let answer = format!("{head}{body}");
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
