--- a/crates/dillspool_forward/tests/suspects.rs
+++ b/crates/dillspool_forward/tests/suspects.rs
@@ -11,8 +11,9 @@
 use dillspool_io::read_response_body;
 use dillspool_routing::{
     BackendEntry, BackendStart, BackendState, DirectoryView, EngineStage, RequestKind,
+    RoutedRequest,
 };
-use dillspool_suspects::SuspectDecision;
+use dillspool_suspects::{FingerprintKey, RequestFingerprint, SuspectDecision};
 use hyper::header::RETRY_AFTER;
 
 const BEFORE: Option<BackendStart> = Some(BackendStart(1));
@@ -263,3 +264,41 @@
         assert_eq!(context.suspects.decide(print), SuspectDecision::Clear);
     }
 }
+
+struct PartCase {
+    name: &'static str,
+    step: Step,
+    decision: SuspectDecision,
+}
+
+/// A run that breaks off at its beginning is held against the parts of its prompt; a whole answer clears them.
+#[tokio::test(start_paused = true)]
+async fn a_crash_counts_against_the_parts_of_runs_that_were_starting() {
+    let case = |name, step, decision| PartCase { name, step, decision };
+    let cases = [
+        case("no response", Step::Lost, WATCHED),
+        case("a response without events", Step::Broken(vec![]), WATCHED),
+        case("a first event just before", Step::Broken(vec![ONE]), WATCHED),
+        case("it did not run", Step::NotRun(503), SuspectDecision::Clear),
+        case("a whole answer", Step::Stream(vec![ONE]), SuspectDecision::Clear),
+    ];
+    let part = RequestFingerprint::of_part(&FingerprintKey::default(), "part");
+    for PartCase { name, step, decision } in cases {
+        let site = ScriptedSite::default();
+        site.script("one", [step, Step::Stream(vec![ONE])]);
+        site.crashed.lock().unwrap().push("one".to_owned());
+        let kind = RequestKind::Streaming;
+        let (context, _directory) = site.context(single_backend(kind, BEFORE, BackendState::Ready));
+        let send = || async {
+            let routed =
+                RoutedRequest { part_fingerprints: [part].into(), ..request(kind, 1, false) };
+            let response = handle_request(context.clone(), routed).await;
+            read_response_body(response.into_body(), 10_000).await.is_ok()
+        };
+        let _complete = send().await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(context.suspects.decide(part), decision, "{name}");
+        assert!(send().await, "{name}: another request with the part");
+        assert_eq!(context.suspects.decide(part), SuspectDecision::Clear, "{name}");
+    }
+}
