--- a/crates/dillspool_routerd/tests/deadly_parts.rs
+++ b/crates/dillspool_routerd/tests/deadly_parts.rs
@@ -54,9 +54,10 @@
     sound: &[&["first", "x"], &["first", "y"], &["first", "z"]],
 };
 
-const CASES: [PartCase; 10] = [
+const CASES: [PartCase; 11] = [
     MIDDLE,
     PartCase { name: "the same with one host", hosts: 1, ..MIDDLE },
+    PartCase { name: "the same with twenty hosts", hosts: 20, ..MIDDLE },
     PartCase {
         name: "engines restart under the same IDs",
         restart_identity: RestartIdentity::SameId,
@@ -290,12 +291,7 @@
     fleet.deadly_parts.set(MIDDLE.deadly);
     send_both(&fleet, &MIDDLE, Duration::from_secs(5)).await;
     let before = fleet.crashes();
-    for host in 0..3 {
-        fleet.stop_host(host).await;
-    }
-    for host in 0..3 {
-        fleet.start_host(host).await;
-    }
+    fleet.restart_all_hosts().await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     let replies = fleet.send_prompts(&deadly_prompts(3, 300), Duration::from_secs(10)).await;
     assert_eq!(fleet.crashes(), before);
--- a/crates/dillspool_routerd/tests/deadly_requests.rs
+++ b/crates/dillspool_routerd/tests/deadly_requests.rs
@@ -137,12 +137,7 @@
         let fleet = TestFleet::start(3, RestartIdentity::NewId).await;
         send_copies(&fleet, path, DEADLY_BODY, 3).await;
         let before = fleet.crashes();
-        for host in 0..3 {
-            fleet.stop_host(host).await;
-        }
-        for host in 0..3 {
-            fleet.start_host(host).await;
-        }
+        fleet.restart_all_hosts().await;
         tokio::time::sleep(Duration::from_secs(3)).await;
         let last = send_copies(&fleet, path, DEADLY_BODY, 3).await;
         assert_eq!(fleet.crashes(), before, "{path}");
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses only some items")]
 
 pub mod counted;
+mod links;
 mod prompts;
 mod reply;
 mod streams;
@@ -252,6 +253,16 @@
         stop(&mut *self.hosts[number].1.lock().await).await;
     }
 
+    /// Stops all hosts, and then starts them again.
+    pub async fn restart_all_hosts(&self) {
+        for host in 0..self.hosts.len() {
+            self.stop_host(host).await;
+        }
+        for host in 0..self.hosts.len() {
+            self.start_host(host).await;
+        }
+    }
+
     /// Kills a host: its connections break and it is gone, without a stop of its own.
     pub async fn kill_host(&self, number: usize) {
         self.set_all_links(number, LinkMode::Cut);
@@ -260,22 +271,6 @@
         tokio::spawn(async move { stop(&mut running).await });
     }
 
-    /// Sets the mode of the links between a host and everything else.
-    pub fn set_all_links(&self, number: usize, mode: LinkMode) {
-        let others: Vec<_> = (0..self.hosts.len()).collect();
-        self.set_links(&[number], &others, mode);
-        self.set_backend_links(number, mode);
-        self.set_caller_links(number, mode);
-        self.net.set_link(node(1, number), store_address().ip(), mode);
-    }
-
-    /// Sets the mode of the links between a host and all callers.
-    pub fn set_caller_links(&self, number: usize, mode: LinkMode) {
-        for caller in 0..CALLERS {
-            self.net.set_link(node(1, number), node(3, caller), mode);
-        }
-    }
-
     /// Restarts a host; concurrent calls wait for each other.
     pub async fn restart_host(&self, number: usize) {
         let mut running = self.hosts[number].1.lock().await;
@@ -291,27 +286,6 @@
         running.as_ref().expect("it runs").reload(config.clone());
     }
 
-    /// Sets the mode of the links between two sets of hosts.
-    pub fn set_links(&self, one: &[usize], other: &[usize], mode: LinkMode) {
-        for a in one {
-            for b in other.iter().filter(|b| *b != a) {
-                self.net.set_link(node(1, *a), node(1, *b), mode);
-            }
-        }
-    }
-
-    /// Sets the mode of the link between a host and another node.
-    pub fn set_link_to(&self, host: usize, other: IpAddr, mode: LinkMode) {
-        self.net.set_link(node(1, host), other, mode);
-    }
-
-    /// Sets the mode of the links between a host and all backend servers.
-    pub fn set_backend_links(&self, host: usize, mode: LinkMode) {
-        for number in 0..BACKENDS {
-            self.net.set_link(node(1, host), backend_address(number).ip(), mode);
-        }
-    }
-
     /// Returns the scheduler host of a service, provided that all hosts run.
     pub fn scheduler_host(&self, service: &str) -> usize {
         let candidate = |(config, _daemon): &(RouterConfig, RunningHost)| SchedulerCandidate {
--- a/crates/dillspool_suspects/src/crash_record.rs
+++ b/crates/dillspool_suspects/src/crash_record.rs
@@ -4,8 +4,13 @@
 
 use dillspool_moment::Moment;
 
+use crate::fingerprint::RequestFingerprint;
 use crate::registry::CrashedInstance;
 
+/// When a registry is full, this fraction (one eighth) is evicted at once rather than one entry at a
+/// time.
+const EVICTION_DIVISOR: usize = 8;
+
 /// What is known about one request or prompt part.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashRecord {
@@ -67,3 +72,23 @@
         self.crashes.iter().map(|(_backend, at)| *at).max().unwrap_or_default()
     }
 }
+
+/// The records to evict from a full registry: those with the fewest and oldest crashes, `excess` of
+/// them or an eighth of `max_records`.
+pub(crate) fn evicted<'a>(
+    records: impl Iterator<Item = (&'a RequestFingerprint, &'a CrashRecord)>,
+    excess: usize,
+    max_records: usize,
+) -> Vec<RequestFingerprint> {
+    if excess == 0 {
+        return Vec::new();
+    }
+    let mut order: Vec<_> = records
+        .map(|(fingerprint, record)| {
+            (record.consecutive().count(), record.latest_crash(), *fingerprint)
+        })
+        .collect();
+    order.sort_unstable();
+    let count = excess.max(max_records / EVICTION_DIVISOR);
+    order.into_iter().take(count).map(|(_crashes, _latest, fingerprint)| fingerprint).collect()
+}
--- a/crates/dillspool_suspects/src/part_registry.rs
+++ b/crates/dillspool_suspects/src/part_registry.rs
@@ -9,13 +9,12 @@
 use dillspool_moment::Moment;
 
 use crate::crash_index::{CrashIndex, distinct_moments};
-use crate::crash_record::{AddOutcome, CrashRecord};
+use crate::crash_record::{AddOutcome, CrashRecord, evicted};
 use crate::fingerprint::RequestFingerprint;
 use crate::part_group::PartGroup;
 use crate::part_policy::{PartAttribution, PartPolicy};
 use crate::recent::RecentFingerprints;
 use crate::registry::{BackendCrash, CrashedInstance};
-use crate::request_registry::EVICTION_DIVISOR;
 use blame::PartCandidate;
 
 /// Crashes of a refused part that are this far apart come from different trials; those of requests
@@ -295,17 +294,9 @@
 
     fn evict(&mut self, now: Moment) {
         self.remove_expired(now);
-        let excess = self.records.len().saturating_sub(self.policy.max_parts);
-        if excess == 0 {
-            return;
-        }
         let records = self.records.iter().filter(|(part, _record)| self.group_of(**part).is_none());
-        let mut order: Vec<_> = records
-            .map(|(part, record)| (record.consecutive().count(), record.latest_crash(), *part))
-            .collect();
-        order.sort_unstable();
-        let dropped = excess.max(self.policy.max_parts / EVICTION_DIVISOR);
-        for (_crashes, _latest, part) in order.into_iter().take(dropped) {
+        let excess = self.records.len().saturating_sub(self.policy.max_parts);
+        for part in evicted(records, excess, self.policy.max_parts) {
             self.remove(part);
         }
     }
--- a/crates/dillspool_suspects/src/request_registry.rs
+++ b/crates/dillspool_suspects/src/request_registry.rs
@@ -6,7 +6,7 @@
 use dillspool_moment::Moment;
 
 use crate::crash_index::{CrashIndex, CrashedRuns, SIMULTANEOUS_WINDOW, distinct_moments};
-use crate::crash_record::{AddOutcome, CrashRecord};
+use crate::crash_record::{AddOutcome, CrashRecord, evicted};
 use crate::fingerprint::RequestFingerprint;
 use crate::policy::{CrashAttribution, SuspectPolicy};
 use crate::recent::RecentFingerprints;
@@ -14,9 +14,6 @@
 
 /// Most recent crashes kept per request; more would not change a decision.
 const MAX_CRASHES: usize = 8;
-/// When a registry is full, this fraction (one eighth) is evicted at once rather than one entry at a
-/// time.
-pub(crate) const EVICTION_DIVISOR: usize = 8;
 
 /// Requests that were running when backend servers crashed.
 ///
@@ -225,19 +222,7 @@
     fn evict(&mut self, now: Moment) {
         self.remove_expired(now);
         let excess = self.records.len().saturating_sub(self.policy.max_fingerprints);
-        if excess == 0 {
-            return;
-        }
-        let mut order: Vec<(usize, Moment, RequestFingerprint)> = self
-            .records
-            .iter()
-            .map(|(fingerprint, record)| {
-                (record.consecutive().count(), record.latest_crash(), *fingerprint)
-            })
-            .collect();
-        order.sort_unstable();
-        let dropped = excess.max(self.policy.max_fingerprints / EVICTION_DIVISOR);
-        for (_crashes, _latest, fingerprint) in order.into_iter().take(dropped) {
+        for fingerprint in evicted(self.records.iter(), excess, self.policy.max_fingerprints) {
             self.remove(fingerprint);
         }
     }
