A first part is not blamed alone for crashes that its group explains

What callers would see: at a host that starts and learns all crashes at once, sound prompts with the first part refused for 30 s, if the report of one crash lacks the guilty part (its host died).

Cause: the rule for a part that no two others explain looked at crashes that a refused group already explained, and blamed the first part once more, alone; a group also kept fewer crashes than a part, and no longer explained the oldest. Found by reading; parts.rs has both (red before: first and x refused).

--- a/crates/dillspool_suspects/src/part_policy.rs
+++ b/crates/dillspool_suspects/src/part_policy.rs
@@ -25,7 +25,7 @@
     pub refuse_after: usize,
     /// The same, crashes included at whose moment other backend servers crashed without a cause.
     pub always_refuse_after: usize,
-    /// The same for a part of whose crashes another one may have caused half.
+    /// The same for a part all of whose crashes two others may have caused.
     pub refuse_broad_after: usize,
     /// The same for a part on which answers have recently begun well.
     pub refuse_proven_after: usize,
--- a/crates/dillspool_suspects/src/part_registry.rs
+++ b/crates/dillspool_suspects/src/part_registry.rs
@@ -28,8 +28,8 @@
 const REPORT_WINDOW: Duration = Duration::from_millis(100);
 /// Most recent crashes kept per part.
 const MAX_PART_CRASHES: usize = 12;
-/// Most recent crashes kept per group.
-const MAX_GROUP_CRASHES: usize = 8;
+/// Most recent crashes kept per group; more than per part, so that a group explains all of them.
+const MAX_GROUP_CRASHES: usize = 2 * MAX_PART_CRASHES;
 
 /// Decision on a request with prompt parts.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/dillspool_suspects/src/part_registry/blame.rs
+++ b/crates/dillspool_suspects/src/part_registry/blame.rs
@@ -67,6 +67,10 @@
         });
         let blamed = suspects.filter_map(|(part, _record)| {
             let mut open = self.open_crashes(*part);
+            // What is explained already is blamed on nothing else.
+            if open.is_empty() {
+                return None;
+            }
             if self.is_only_common_part(*part) {
                 open = self.settled_crashes(*part).into_iter().map(|crash| crash.0).collect();
             }
--- a/crates/dillspool_suspects/tests/parts.rs
+++ b/crates/dillspool_suspects/tests/parts.rs
@@ -50,7 +50,7 @@
 const THREE: [Event; 3] =
     [Crash(1000, &["first", "bad"]), Crash(2000, &["bad"]), Crash(3000, &["bad", "x"])];
 
-const CASES: [PartCase; 12] = [
+const CASES: [PartCase; 13] = [
     PartCase {
         name: "two crashes",
         events: &[THREE[0], THREE[1]],
@@ -158,6 +158,20 @@
         refused: &[&["bad", "u"], &["bad", "x"]],
         allowed: &[&["x"], &["y", "z"]],
     },
+    PartCase {
+        name: "one report of the guilty part is missing",
+        events: &[
+            Crash(1000, &["first", "bad"]),
+            Crash(2000, &["first", "bad"]),
+            Crash(3000, &["first"]),
+            Crash(4000, &["first", "bad"]),
+            Crash(5000, &["first", "bad"]),
+            Crash(6000, &["first", "bad"]),
+        ],
+        asked_at: 6500,
+        refused: &[&["first", "bad"]],
+        allowed: &[&["x"]],
+    },
     PartCase {
         name: "a refusal period that has passed",
         events: &THREE,
@@ -345,3 +359,34 @@
     assert_eq!(part.to_string().parse(), Ok(part));
     assert!(part.to_string().starts_with("70617274"), "{part}");
 }
+
+/// A host that starts learns all crashes at once from the rows of others, one report of which may be missing.
+#[test]
+fn crashes_that_are_learnt_at_once_have_the_same_parts_refused() {
+    let mut crashes = Vec::new();
+    for number in 0..11_u64 {
+        let mut crash = |name| {
+            crashes.push(BackendCrash {
+                fingerprint: part(name),
+                backend: format!("engine {number}").into(),
+                at: at(1000 * (number + 1)),
+            });
+        };
+        crash("first");
+        if number != 5 {
+            crash("bad");
+        }
+    }
+    let mut registry = SuspectRegistry::new(SuspectPolicy::default());
+    registry.record_crashes(&crashes);
+    registry.settle(at(12_000));
+    for asked_at in [12_000, 13_000] {
+        let is_refused = |names: &[&str]| {
+            let decision = registry.decide_parts(&parts(names), 0.0, at(asked_at));
+            matches!(decision, PartDecision::Refused(_))
+        };
+        assert!(is_refused(&["first", "bad"]));
+        assert!(!is_refused(&["first", "x"]), "at {asked_at}");
+        registry.remove_expired(at(asked_at));
+    }
+}
