--- a/crates/dillspool_soak/src/deadly_parts.rs
+++ b/crates/dillspool_soak/src/deadly_parts.rs
@@ -25,6 +25,8 @@
 const REST_PROMPTS_APART: Duration = Duration::from_millis(400);
 /// Engines that the part may crash at rest, if the hosts that knew it were lost.
 const MOST_CRASHES: usize = 5;
+/// Time after which crashed engines are back and known.
+const BACK_AFTER: Duration = Duration::from_secs(3);
 /// Sound prompts that each host gets at rest; most of them must be served.
 const SOUND_PROMPTS: usize = 10;
 
@@ -121,6 +123,8 @@
         );
         violations.push(Violation { promise: "a part that crashes engines is stopped", detail });
     }
+    // What the part crashed is back before the other checks.
+    world.pass(BACK_AFTER).await?;
     for place in places {
         let mut served = 0;
         for number in 0..SOUND_PROMPTS {
