A crash counts 100 ms after this host has learnt of it

Cause: a host that starts reads the crashes of others row by row; they are old, so each counted at once, and a sound part whose crashes came first was blamed before the guilty part's were read. The window for reports now runs from the moment at which this host learns of a crash.

Test: crashes_that_are_learnt_at_once... reads the crashes one by one, those of the first part before the others.

--- a/crates/dillspool_suspects/src/crash_index.rs
+++ b/crates/dillspool_suspects/src/crash_index.rs
@@ -18,6 +18,8 @@
     pub(crate) fingerprints: Vec<RequestFingerprint>,
     /// Detection time of the crash, from the first report.
     pub(crate) at: Moment,
+    /// When this host learnt of the crash.
+    pub(crate) learned_at: Moment,
 }
 
 /// The recorded crashes by instance and by time.
@@ -28,8 +30,8 @@
 }
 
 impl CrashIndex {
-    pub(crate) fn add(&mut self, crash: &BackendCrash) {
-        let new = || CrashedRuns { fingerprints: Vec::new(), at: crash.at };
+    pub(crate) fn add(&mut self, crash: &BackendCrash, learned_at: Moment) {
+        let new = || CrashedRuns { fingerprints: Vec::new(), at: crash.at, learned_at };
         let runs = self.by_instance.entry(Arc::clone(&crash.backend)).or_insert_with(new);
         runs.fingerprints.push(crash.fingerprint);
         self.by_time.insert((runs.at, Arc::clone(&crash.backend)));
--- a/crates/dillspool_suspects/src/part_registry.rs
+++ b/crates/dillspool_suspects/src/part_registry.rs
@@ -23,8 +23,8 @@
 /// Crashes within this time count as simultaneous. They are one for a part: what ends several
 /// backend servers at once ends runs with a popular part at each.
 const PART_SIMULTANEOUS_WINDOW: Duration = Duration::from_millis(25);
-/// Time within which all hosts report a crash. Until then a part that was in the same crash as another
-/// one may seem not to have been, so nothing is blamed on a part for it.
+/// Time within which all reports of a crash arrive, from the first one on. Until then a part that was in
+/// the same crash as another one may seem not to have been, so nothing is blamed on a part for it.
 const REPORT_WINDOW: Duration = Duration::from_millis(100);
 /// Most recent crashes kept per part.
 const MAX_PART_CRASHES: usize = 12;
@@ -58,8 +58,10 @@
     groups: Vec<PartGroup>,
     /// Instances whose crash a refused group explains.
     explained: HashSet<CrashedInstance>,
-    /// Crashes up to this moment have been reported by all hosts that saw them.
+    /// Crashes learnt of up to this moment have been reported by all hosts that saw them.
     settled_until: Moment,
+    /// When this host learnt of the newest crash.
+    newest_learned_at: Moment,
     /// When the newest crash settles, if it had not at the last refresh.
     unsettled_until: Option<Moment>,
 }
@@ -74,13 +76,14 @@
             groups: Vec::new(),
             explained: HashSet::new(),
             settled_until: Moment::default(),
+            newest_learned_at: Moment::default(),
             unsettled_until: None,
         }
     }
 
     /// Records a crash of a backend server at which a run with the part was starting; returns
     /// whether it was new.
-    pub(crate) fn record_crash(&mut self, crash: &BackendCrash) -> bool {
+    pub(crate) fn record_crash(&mut self, crash: &BackendCrash, now: Moment) -> bool {
         let part = crash.fingerprint;
         let record = self.records.entry(part).or_default();
         let AddOutcome::Added { dropped } = record.add(&crash.backend, crash.at, MAX_PART_CRASHES)
@@ -94,9 +97,10 @@
         if let Some(dropped) = dropped {
             self.index.remove(part, &dropped);
         }
-        self.index.add(crash);
+        self.index.add(crash, now);
+        self.newest_learned_at = self.newest_learned_at.max(now);
         if self.records.len() > self.policy.max_parts {
-            self.evict(crash.at);
+            self.evict(now);
         }
         true
     }
@@ -199,8 +203,7 @@
     /// Finds the groups to refuse anew. `requests` lists the crashes with the requests running there.
     pub(crate) fn refresh(&mut self, requests: &CrashIndex, now: Moment) {
         self.settled_until = now.saturating_sub(REPORT_WINDOW);
-        let crashes = self.records.values().map(CrashRecord::latest_crash);
-        let newest = crashes.max().unwrap_or_default();
+        let newest = self.newest_learned_at;
         self.unsettled_until = (newest > self.settled_until).then_some(newest + REPORT_WINDOW);
         self.explained.clear();
         let known = std::mem::take(&mut self.groups);
--- a/crates/dillspool_suspects/src/part_registry/blame.rs
+++ b/crates/dillspool_suspects/src/part_registry/blame.rs
@@ -42,7 +42,9 @@
     /// Settled consecutive crashes of a part.
     fn settled_crashes(&self, part: RequestFingerprint) -> Vec<(&CrashedInstance, Moment)> {
         let crashes = self.records.get(&part).into_iter().flat_map(CrashRecord::consecutive);
-        let settled = crashes.filter(|(_backend, at)| *at <= self.settled_until);
+        let settled = crashes.filter(|(backend, _at)| {
+            self.index.runs(backend).is_some_and(|runs| runs.learned_at <= self.settled_until)
+        });
         settled.map(|(backend, at)| (backend, *at)).collect()
     }
 
--- a/crates/dillspool_suspects/src/registry.rs
+++ b/crates/dillspool_suspects/src/registry.rs
@@ -85,12 +85,13 @@
         Self { requests: RequestRegistry::new(policy), parts: PartRegistry::new(policy.parts) }
     }
 
-    /// Records crashes, of one instance or several; returns those that are new.
-    pub fn record_crashes(&mut self, crashes: &[BackendCrash]) -> Vec<BackendCrash> {
+    /// Records crashes, of one instance or several, of which this host learns now; returns those that
+    /// are new.
+    pub fn record_crashes(&mut self, crashes: &[BackendCrash], now: Moment) -> Vec<BackendCrash> {
         let mut new = Vec::new();
         for crash in crashes {
             let is_new = if crash.fingerprint.is_part() {
-                self.parts.record_crash(crash)
+                self.parts.record_crash(crash, now)
             } else {
                 self.requests.record_crash(crash)
             };
@@ -98,15 +99,15 @@
                 new.push(crash.clone());
             }
         }
-        if let Some(now) = new.iter().map(|crash| crash.at).max() {
+        if !new.is_empty() {
             self.refresh(now);
         }
         new
     }
 
-    /// Records a crash; returns whether it was new.
+    /// Records a crash of which this host learns as it is detected; returns whether it was new.
     pub fn record_crash(&mut self, crash: &BackendCrash) -> bool {
-        !self.record_crashes(std::slice::from_ref(crash)).is_empty()
+        !self.record_crashes(std::slice::from_ref(crash), crash.at).is_empty()
     }
 
     /// Records that a copy of a request succeeded, or that an answer began well on a part; returns
--- a/crates/dillspool_suspects/src/request_registry.rs
+++ b/crates/dillspool_suspects/src/request_registry.rs
@@ -52,7 +52,7 @@
         if let Some(dropped) = dropped {
             self.index.remove(crash.fingerprint, &dropped);
         }
-        self.index.add(crash);
+        self.index.add(crash, crash.at);
         if self.records.len() > self.policy.max_fingerprints {
             self.evict(crash.at);
         }
--- a/crates/dillspool_suspects/src/tracker.rs
+++ b/crates/dillspool_suspects/src/tracker.rs
@@ -104,7 +104,8 @@
         let mut state = self.state();
         let (fingerprint, is_new) = match update {
             SuspectUpdate::Crashed(crash) => {
-                (crash.fingerprint, state.registry.record_crash(crash))
+                let crashes = std::slice::from_ref(crash);
+                (crash.fingerprint, !state.registry.record_crashes(crashes, now).is_empty())
             }
             SuspectUpdate::Succeeded { fingerprint, at } => {
                 (*fingerprint, state.registry.record_success(*fingerprint, *at))
@@ -325,8 +326,9 @@
     }
 
     fn record_crashes_at(&self, crashes: &[BackendCrash]) {
+        let now = self.now();
         let mut state = self.state();
-        let new = state.registry.record_crashes(crashes);
+        let new = state.registry.record_crashes(crashes, now);
         let mut decisions = Vec::new();
         for crash in new {
             decisions.push((crash.fingerprint, state.registry.decide(crash.fingerprint, crash.at)));
--- a/crates/dillspool_suspects/tests/part_model.rs
+++ b/crates/dillspool_suspects/tests/part_model.rs
@@ -408,7 +408,7 @@
         let at = moment(now_s);
         let crash = |fingerprint| BackendCrash { fingerprint, backend: Arc::clone(&backend), at };
         let crashes: Vec<BackendCrash> = parts.into_iter().map(crash).collect();
-        self.registry.record_crashes(&crashes);
+        self.registry.record_crashes(&crashes, at);
     }
 }
 
--- a/crates/dillspool_suspects/tests/parts.rs
+++ b/crates/dillspool_suspects/tests/parts.rs
@@ -192,7 +192,7 @@
                     at: at(*ms),
                 };
                 let crashes: Vec<_> = parts(names).into_iter().map(crash).collect();
-                registry.record_crashes(&crashes);
+                registry.record_crashes(&crashes, at(*ms));
             }
             Success(ms, names) => {
                 for part in parts(names) {
@@ -230,7 +230,10 @@
             backend: format!("engine {number}").into(),
             at: at(1000 * (number + 1)),
         };
-        registry.record_crashes(&[crash(part("bad")), crash(request("/beside"))]);
+        registry.record_crashes(
+            &[crash(part("bad")), crash(request("/beside"))],
+            at(1000 * (number + 1)),
+        );
     }
     registry.settle(at(7000));
     assert_eq!(registry.decide(request("/beside"), at(7000)), SuspectDecision::Clear);
@@ -378,7 +381,11 @@
         }
     }
     let mut registry = SuspectRegistry::new(SuspectPolicy::default());
-    registry.record_crashes(&crashes);
+    // Rows are read one after the other; here all crashes of one part come first.
+    crashes.sort_by_key(|crash| crash.fingerprint);
+    for crash in &crashes {
+        registry.record_crashes(std::slice::from_ref(crash), at(11_900));
+    }
     registry.settle(at(12_000));
     for asked_at in [12_000, 13_000] {
         let is_refused = |names: &[&str]| {
