--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -166,8 +167,9 @@
 class BackendServer:
     """A sound backend server: a plain service, or an engine that prefills or decodes."""
 
-    def __init__(self, server_id, service, store, zone, stage=None, slots=6, work_s=0.03):
-        self.id, self.service, self.store, self.zone, self.stage = server_id, service, store, zone, stage
+    def __init__(self, server_id, service, world, zone, stage=None, slots=6, work_s=0.03):
+        self.id, self.service, self.zone, self.stage = server_id, service, zone, stage
+        self.store, self.record = world.store, world.record
         self.slots, self.work_s, self.ran, self.issued = slots, work_s, [], 0
 
     async def start(self):
@@ -218,6 +220,7 @@
             prompt = {"handle": f"{self.id}-k{self.issued}", "tokens": 10, "version": 1}
             return self.send(writer, 200, reply, json.dumps(prompt).encode())
         self.ran.append(request_id)
+        self.record(f"server: {self.id} runs {request_id}")
         await asyncio.sleep(self.work_s)
         self.send(writer, 200, {**base, "Dillspool-Server-Seal": f"s.{self.id}.{request_id}"},
                   f"answer to {request_id}".encode())
@@ -378,6 +381,7 @@
             task.cancel()
         for machine in self.machines:
             machine.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def send_request(port, method, path, request_id, budget_ms, headers, body=b""):
