--- a/review/kit/standins.py
+++ b/review/kit/standins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -20,14 +21,27 @@
 GRACE_S = 8
 
 
+USED_PORTS = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+    """Neighbouring free ports below the range from which the system takes those of outgoing connections."""
+    while True:
+        first = random.randrange(10000, 30000)
+        ports = range(first, first + count)
+        sockets = []
+        try:
+            for port in ports:
+                sockets.append(socket.socket())
+                sockets[-1].bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        finally:
+            for s in sockets:
+                s.close()
+        if USED_PORTS.isdisjoint(ports):
+            USED_PORTS.update(ports)
+            return list(ports)
 
 
 class Record:
