--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -10,6 +10,7 @@
 mod connect_probe;
 mod exchange;
 mod host_clock;
+mod link_meter;
 mod memory;
 mod metered_stream;
 mod server;
@@ -27,10 +28,12 @@
 pub use connect_probe::{ConnectOutcome, probe_connect};
 pub use exchange::{ExchangeBody, exchange_once, exchange_with_budget};
 pub use host_clock::{DeadlineElapsed, HostClock};
+pub use link_meter::{LinkBytes, LinkMeter};
 pub use memory::{LinkMode, MemoryNet};
 pub use metered_stream::CallerConnection;
 pub use server::{
-    HttpHandler, ServerLimits, handler, serve_http, serve_http_reloadable, serve_http_with_budget,
+    ConnectionGate, HttpHandler, ServerGuards, ServerLimits, handler, serve_http,
+    serve_http_guarded, serve_http_reloadable,
 };
 pub use stack::{BoxFuture, NetListener, NetStack, NetStream};
 pub use stall_detector::StallDetector;
--- a/crates/dillspool_io/src/memory.rs
+++ b/crates/dillspool_io/src/memory.rs
@@ -1,22 +1,27 @@
 //! An in-memory network for tests with paused time.
 //!
 //! Each node has its own IP address. A test can cut or freeze the link between two nodes to simulate a killed
-//! process, a network partition or a stopped process.
+//! process, a network partition or a stopped process, and limit the link of a node.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
 use tokio::sync::mpsc;
+use tokio::time::{Instant, Sleep};
 
 use crate::stack::{NetListener, NetStack, NetStream};
 
 /// Size of the buffer in each direction of a connection, as of a socket buffer.
 const BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum size of a write through a limited link; connections take turns between writes.
+const MAX_SEGMENT_BYTES: usize = 16 * 1024;
 /// Number of connections that can wait to be accepted by a listener.
 const BACKLOG_CONNECTIONS: usize = 1024;
 /// Ports assigned to listeners that ask for port 0 are above this one.
@@ -35,13 +40,17 @@
     Closed,
 }
 
-/// An unordered pair of nodes.
+/// A pair of nodes.
 type NodePair = (IpAddr, IpAddr);
+type ReadPairs = Arc<Mutex<BTreeSet<NodePair>>>;
 
 #[derive(Debug, Default)]
 struct NetState {
     listeners: BTreeMap<SocketAddr, mpsc::Sender<NetStream>>,
     modes: BTreeMap<NodePair, LinkMode>,
+    rates: BTreeMap<IpAddr, NodeRate>,
+    /// Pairs of nodes of which the second one has read bytes of a connection from the first one.
+    read: ReadPairs,
     links: Vec<(NodePair, Weak<Mutex<LinkState>>)>,
     next_port: u16,
 }
@@ -95,6 +104,17 @@
         }
     }
 
+    /// Limits the link of a node, in each direction, for connections opened from now on.
+    pub fn set_link_rate(&self, node: IpAddr, bytes_per_s: u32) {
+        lock(&self.state).rates.insert(node, NodeRate::new(bytes_per_s));
+    }
+
+    /// Returns whether `to` has read bytes of a connection that `from` opened.
+    pub fn was_read(&self, from: IpAddr, to: IpAddr) -> bool {
+        let read = Arc::clone(&lock(&self.state).read);
+        lock(&read).contains(&(from, to))
+    }
+
     fn listen(&self, at: SocketAddr) -> io::Result<NetListener> {
         let mut state = lock(&self.state);
         let mut local = at;
@@ -126,25 +146,35 @@
         }
         let (near, far) = tokio::io::duplex(BUFFER_BYTES);
         let link = Arc::new(Mutex::new(LinkState::default()));
-        let accept = {
+        let (accept, rates, read) = {
             let mut state = lock(&self.state);
             state.links.push((nodes, Arc::downgrade(&link)));
-            state.listeners.get(&to).cloned()
+            let rates = [from, to.ip()].map(|node| state.rates.get(&node).cloned());
+            (state.listeners.get(&to).cloned(), rates, Arc::clone(&state.read))
         };
+        let [near_rate, far_rate] = rates;
+        let outbound = SendPath::new(near_rate.as_ref(), far_rate.as_ref());
+        let inbound = SendPath::new(far_rate.as_ref(), near_rate.as_ref());
         let Some(accept) = accept else {
             return Err(io::ErrorKind::ConnectionRefused.into());
         };
-        let far = LinkStream { inner: far, link: Arc::clone(&link), side: 1 };
+        let far = LinkStream {
+            inner: far,
+            link: Arc::clone(&link),
+            side: 1,
+            path: inbound,
+            unread: Some(((from, to.ip()), read)),
+        };
         accept
             .send(NetStream::new(far))
             .await
             .map_err(|_closed| io::Error::from(io::ErrorKind::ConnectionRefused))?;
-        Ok(NetStream::new(LinkStream { inner: near, link, side: 0 }))
+        Ok(NetStream::new(LinkStream { inner: near, link, side: 0, path: outbound, unread: None }))
     }
 }
 
 /// Time between connection attempts to a frozen node.
-const CONNECT_RETRY_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+const CONNECT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
 struct LinkState {
@@ -177,6 +207,63 @@
     link: Arc<Mutex<LinkState>>,
     /// 0 for the connecting side, 1 for the accepting side.
     side: usize,
+    path: SendPath,
+    /// Where the accepting side records its first read; `None` once it has.
+    unread: Option<(NodePair, ReadPairs)>,
+}
+
+/// The link of a node; all its connections share the rate, and their writes queue for it.
+#[derive(Clone, Debug)]
+struct NodeRate {
+    bytes_per_s: u32,
+    /// When the last queued byte has passed, in each direction.
+    sent_until: Arc<Mutex<Instant>>,
+    received_until: Arc<Mutex<Instant>>,
+}
+
+impl NodeRate {
+    fn new(bytes_per_s: u32) -> Self {
+        let idle = || Arc::new(Mutex::new(Instant::now()));
+        Self { bytes_per_s, sent_until: idle(), received_until: idle() }
+    }
+}
+
+/// The links through which the bytes of one side of a connection pass.
+#[derive(Debug, Default)]
+struct SendPath {
+    /// Bytes per second and the end of the queue.
+    queues: Vec<(u32, Arc<Mutex<Instant>>)>,
+    /// The write that is on its way: its size, and when it arrives.
+    sending: Option<(usize, Pin<Box<Sleep>>)>,
+}
+
+impl SendPath {
+    fn new(from: Option<&NodeRate>, to: Option<&NodeRate>) -> Self {
+        let sent = from.map(|rate| (rate.bytes_per_s, Arc::clone(&rate.sent_until)));
+        let received = to.map(|rate| (rate.bytes_per_s, Arc::clone(&rate.received_until)));
+        Self { queues: sent.into_iter().chain(received).collect(), sending: None }
+    }
+
+    /// Waits until a write of `size` bytes has passed; returns how many bytes may be delivered.
+    fn poll_send(&mut self, size: usize, cx: &mut Context<'_>) -> Poll<usize> {
+        if self.queues.is_empty() {
+            return Poll::Ready(size);
+        }
+        let (sent, arrival) = self.sending.get_or_insert_with(|| {
+            let sent = size.min(MAX_SEGMENT_BYTES);
+            let arrivals = self.queues.iter().map(|(bytes_per_s, until)| {
+                let mut until = lock(until);
+                let sent = u32::try_from(sent).unwrap_or(u32::MAX);
+                let time = Duration::from_secs_f64(f64::from(sent) / f64::from(*bytes_per_s));
+                *until = (*until).max(Instant::now()) + time;
+                *until
+            });
+            let arrival = arrivals.max().unwrap_or_else(Instant::now);
+            (sent, Box::pin(tokio::time::sleep_until(arrival)))
+        });
+        std::task::ready!(arrival.as_mut().poll(cx));
+        Poll::Ready((*sent).min(size))
+    }
 }
 
 impl LinkStream {
@@ -199,7 +286,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         std::task::ready!(self.poll_open(0, cx))?;
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let ready = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if buf.filled().len() > filled
+            && let Some((nodes, read)) = self.unread.take()
+        {
+            lock(&read).insert(nodes);
+        }
+        ready
     }
 }
 
@@ -210,7 +304,10 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         std::task::ready!(self.poll_open(1, cx))?;
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let count = std::task::ready!(self.path.poll_send(buf.len(), cx));
+        let written = std::task::ready!(Pin::new(&mut self.inner).poll_write(cx, &buf[..count]));
+        self.path.sending = None;
+        Poll::Ready(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::ResponseBody;
@@ -68,6 +69,31 @@
     }
 }
 
+/// Observes the new connections of a server, and decides which ones it serves.
+#[derive(Clone)]
+pub struct ConnectionGate {
+    /// Whether a connection that was just accepted is served; otherwise it is closed unread, and its
+    /// caller can safely retry.
+    pub admit: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Called with the time from accepting a connection to the first run of its task.
+    pub record_start: Arc<dyn Fn(Duration) + Send + Sync>,
+}
+
+impl fmt::Debug for ConnectionGate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ConnectionGate")
+    }
+}
+
+/// What protects a server beyond its limits.
+#[derive(Clone, Debug, Default)]
+pub struct ServerGuards {
+    /// Budget for bytes held for callers.
+    pub budget: Option<ByteBudget>,
+    /// Gate for new connections.
+    pub gate: Option<ConnectionGate>,
+}
+
 /// Serves until `cancel`, then waits for the exchanges in progress to finish.
 pub async fn serve_http(
     listener: NetListener,
@@ -88,19 +114,19 @@
     handler: HttpHandler,
     cancel: CancellationToken,
 ) {
-    serve_http_with_budget(listener, limits, handler, None, cancel).await;
+    serve_http_guarded(listener, limits, handler, ServerGuards::default(), cancel).await;
 }
 
-/// As [`serve_http_reloadable`], with a budget for bytes held for callers.
+/// As [`serve_http_reloadable`], with a budget for bytes held for callers and a gate for new connections.
 ///
 /// Bytes that a caller has not read are charged to the exchange that the handler registers with the
 /// request's [`CallerConnection`]. The connection of a caller that reads nothing for the stall timeout is
 /// closed.
-pub async fn serve_http_with_budget(
+pub async fn serve_http_guarded(
     mut listener: NetListener,
     limits: watch::Receiver<ServerLimits>,
     handler: HttpHandler,
-    budget: Option<ByteBudget>,
+    guards: ServerGuards,
     cancel: CancellationToken,
 ) {
     let max_connections = limits.borrow().max_connections;
@@ -119,12 +145,19 @@
         let (Ok(permit), Some(stream)) = (permit, stream) else {
             break;
         };
+        if guards.gate.as_ref().is_some_and(|gate| !(gate.admit)()) {
+            continue;
+        }
         open.close_oldest(permits.available_permits(), max_connections / RESERVED_DIVISOR);
         let limits = *limits.borrow();
-        let caller = budget.as_ref().map(CallerConnection::new);
+        let caller = guards.budget.as_ref().map(CallerConnection::new);
+        let started = guards.gate.clone().map(|gate| (gate, Instant::now()));
         let (handler, cancel) = (handler.clone(), open.add(&cancel));
         tracker.spawn(async move {
             let _ended = cancel.clone().drop_guard();
+            if let Some((gate, accepted_at)) = started {
+                (gate.record_start)(accepted_at.elapsed());
+            }
             match caller {
                 None => serve_connection(stream, limits, handler, cancel).await,
                 Some(caller) => {
--- a/crates/dillspool_io/src/stack.rs
+++ b/crates/dillspool_io/src/stack.rs
@@ -13,6 +13,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+use crate::link_meter::LinkMeter;
+
 /// Boxed future, as returned by the closures of the interface structs.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
@@ -78,12 +80,13 @@
 pub struct NetListener {
     local: SocketAddr,
     incoming: mpsc::Receiver<NetStream>,
+    meter: LinkMeter,
 }
 
 impl NetListener {
     /// Creates a listener from a channel of accepted connections.
     pub fn new(local: SocketAddr, incoming: mpsc::Receiver<NetStream>) -> Self {
-        Self { local, incoming }
+        Self { local, incoming, meter: LinkMeter::default() }
     }
 
     /// Returns the address that clients connect to.
@@ -93,7 +96,7 @@
 
     /// Waits for the next connection; `None` once the channel is closed.
     pub async fn accept(&mut self) -> Option<NetStream> {
-        self.incoming.recv().await
+        self.incoming.recv().await.map(|stream| self.meter.wrap(stream))
     }
 }
 
@@ -105,6 +108,7 @@
 pub struct NetStack {
     connect: Arc<ConnectFn>,
     listen: Arc<ListenFn>,
+    meter: LinkMeter,
 }
 
 impl fmt::Debug for NetStack {
@@ -119,7 +123,8 @@
         connect: impl Fn(SocketAddr) -> BoxFuture<io::Result<NetStream>> + Send + Sync + 'static,
         listen: impl Fn(SocketAddr) -> BoxFuture<io::Result<NetListener>> + Send + Sync + 'static,
     ) -> Self {
-        Self { connect: Arc::new(connect), listen: Arc::new(listen) }
+        let meter = LinkMeter::default();
+        Self { connect: Arc::new(connect), listen: Arc::new(listen), meter }
     }
 
     /// Returns the TCP stack of the system.
@@ -142,12 +147,18 @@
 
     /// Opens a connection to an address.
     pub async fn connect(&self, to: SocketAddr) -> io::Result<NetStream> {
-        (self.connect)(to).await
+        (self.connect)(to).await.map(|stream| self.meter.wrap(stream))
     }
 
     /// Listens on an address; port 0 lets the system choose a port.
     pub async fn listen(&self, at: SocketAddr) -> io::Result<NetListener> {
-        (self.listen)(at).await
+        let listener = (self.listen)(at).await?;
+        Ok(NetListener { meter: self.meter.clone(), ..listener })
+    }
+
+    /// Returns the counter of the bytes of all connections of this stack and its clones.
+    pub fn meter(&self) -> &LinkMeter {
+        &self.meter
     }
 }
 
--- a/crates/dillspool_io/tests/byte_budget.rs
+++ b/crates/dillspool_io/tests/byte_budget.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use dillspool_io::{
     ByteBudget, ByteLimits, CallerConnection, ExchangeBytes, HttpError, LinkMode, MemoryNet,
-    ServerLimits, StalledSide, exchange_with_budget, full_body, handler, serve_http_with_budget,
+    ServerGuards, ServerLimits, StalledSide, exchange_with_budget, full_body, handler,
+    serve_http_guarded,
 };
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -211,11 +212,11 @@
         let listener = stack(&net, "10.0.0.1").listen(server()).await.expect("it listens");
         let (_limits, limits) = watch::channel(ServerLimits::default());
         let cancel = CancellationToken::new();
-        tokio::spawn(serve_http_with_budget(
+        tokio::spawn(serve_http_guarded(
             listener,
             limits,
             test_handler,
-            Some(budget.clone()),
+            ServerGuards { budget: Some(budget.clone()), gate: None },
             cancel,
         ));
         let mut caller = stack(&net, "10.0.0.2").connect(server()).await.expect("a connection");
--- /dev/null
+++ b/crates/dillspool_overload/src/limiter.rs
@@ -0,0 +1,149 @@
+//! Limits the rate of new connections while a host is overloaded.
+//!
+//! Load pattern: the balancer hands most new connections of a failure domain, or of a region, to one host, more
+//! than its link or processor bears. Each request that it then reads waits for all others and misses its
+//! deadline. A connection that is closed unread costs its caller one round trip, and the retry goes to another
+//! host.
+
+use std::time::Duration;
+
+use dillspool_moment::Moment;
+
+use crate::load::HostLoad;
+
+/// Time over which the admitted connections are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Bounds on a host's load, and how the limit follows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OverloadPolicy {
+    /// Fraction of the link's rate, in each direction, above which the host is overloaded.
+    pub max_link: f64,
+    /// Delay of a new connection's task above which the host is overloaded.
+    pub max_start_delay: Duration,
+    /// New connections per second that are always admitted.
+    pub min_rate: f64,
+    /// Smallest factor by which the limit is reduced at once.
+    pub min_reduction: f64,
+    /// Time between two reductions, in which the load follows the previous one.
+    pub reduction_interval: Duration,
+    /// Fraction of the limit by which it rises each second.
+    pub growth_per_s: f64,
+    /// The limit is removed when it has rejected no connection for this time.
+    pub removal_delay: Duration,
+}
+
+impl Default for OverloadPolicy {
+    fn default() -> Self {
+        Self {
+            max_link: 0.8,
+            max_start_delay: Duration::from_millis(25),
+            min_rate: 5.0,
+            min_reduction: 0.5,
+            reduction_interval: Duration::from_millis(500),
+            growth_per_s: 0.2,
+            removal_delay: Duration::from_secs(3),
+        }
+    }
+}
+
+impl OverloadPolicy {
+    /// Returns the load relative to its bounds; above 1 the host is overloaded.
+    pub fn pressure(&self, load: &HostLoad) -> f64 {
+        let link = load.sent.max(load.received) / self.max_link;
+        link.max(load.start_delay.as_secs_f64() / self.max_start_delay.as_secs_f64())
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RateLimit {
+    per_s: f64,
+    tokens: f64,
+    reduced_at: Moment,
+    rejected_at: Moment,
+}
+
+/// Decides which new connections are admitted.
+#[derive(Clone, Debug)]
+pub struct ConnectionLimiter {
+    policy: OverloadPolicy,
+    updated_at: Moment,
+    /// Decaying number of admitted connections, over [`RATE_WINDOW`].
+    admitted: f64,
+    /// `None` while the host is not overloaded.
+    limit: Option<RateLimit>,
+    is_overloaded: bool,
+}
+
+impl ConnectionLimiter {
+    /// Creates a limiter without a limit.
+    pub fn new(policy: OverloadPolicy) -> Self {
+        let updated_at = Moment::default();
+        Self { policy, updated_at, admitted: 0.0, limit: None, is_overloaded: false }
+    }
+
+    /// Returns the limit in connections per second, if there is one.
+    pub fn limit_per_s(&self) -> Option<f64> {
+        self.limit.map(|limit| limit.per_s)
+    }
+
+    /// Returns whether the host was above its bounds at the last sample.
+    pub fn is_overloaded(&self) -> bool {
+        self.is_overloaded
+    }
+
+    /// Adjusts the limit to a sample of the load.
+    pub fn record_load(&mut self, load: &HostLoad, now: Moment) {
+        self.advance(now);
+        let OverloadPolicy { min_rate, min_reduction, reduction_interval, .. } = self.policy;
+        let pressure = self.policy.pressure(load);
+        self.is_overloaded = pressure > 1.0;
+        if !self.is_overloaded {
+            return;
+        }
+        if self.limit.is_some_and(|limit| now.since(limit.reduced_at) < reduction_interval) {
+            return;
+        }
+        let current = self.limit.map_or(self.admitted, |limit| limit.per_s.min(self.admitted));
+        let per_s = (current * (1.0 / pressure).max(min_reduction)).max(min_rate);
+        let tokens = self.limit.map_or(0.0, |limit| limit.tokens);
+        let rejected_at = self.limit.map_or(now, |limit| limit.rejected_at);
+        self.limit = Some(RateLimit { per_s, tokens, reduced_at: now, rejected_at });
+    }
+
+    /// Admits a new connection, or rejects it.
+    pub fn try_admit(&mut self, now: Moment) -> bool {
+        self.advance(now);
+        if let Some(limit) = &mut self.limit {
+            if limit.tokens < 1.0 {
+                limit.rejected_at = now;
+                return false;
+            }
+            limit.tokens -= 1.0;
+        }
+        self.admitted += 1.0 / RATE_WINDOW.as_secs_f64();
+        true
+    }
+
+    /// Applies the time since the last call.
+    fn advance(&mut self, now: Moment) {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        self.updated_at = now;
+        self.admitted *= (-elapsed / RATE_WINDOW.as_secs_f64()).exp();
+        let OverloadPolicy { growth_per_s, removal_delay, .. } = self.policy;
+        let is_overloaded = self.is_overloaded;
+        if self
+            .limit
+            .is_some_and(|limit| !is_overloaded && now.since(limit.rejected_at) > removal_delay)
+        {
+            self.limit = None;
+        }
+        if let Some(limit) = &mut self.limit {
+            if !is_overloaded {
+                limit.per_s *= 1.0 + growth_per_s * elapsed.min(1.0);
+            }
+            limit.tokens =
+                (limit.tokens + limit.per_s * elapsed).min((limit.per_s / 10.0).max(1.0));
+        }
+    }
+}
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -11,7 +11,8 @@
     BackendProbes, BackendTracker, ForwardContext, ForwardMetrics, RetryBudgets,
 };
 use dillspool_io::{
-    ByteBudget, HostClock, NetListener, NetStack, ServerLimits, serve_http, serve_http_with_budget,
+    ByteBudget, HostClock, NetListener, NetStack, ServerGuards, ServerLimits, serve_http,
+    serve_http_guarded,
 };
 use dillspool_origins::{OriginSettings, OriginTracker};
 use dillspool_roles::{PoolTargets, ReconcilerSettings, reconcile_stages};
@@ -29,6 +30,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::call_metrics::CallMetrics;
+use crate::caller_gate::CallerGate;
 use crate::fleet_tasks::{
     HostCount, fleet_bus, host_hash, maintain_host_count, order_delay, start_backend_limits,
     start_calls, start_limits, start_schedule,
@@ -92,6 +94,7 @@
     dialer: BackendDialer,
     /// Budget for bytes held for slow peers; `None` if they are not limited.
     byte_budget: Option<ByteBudget>,
+    caller_gate: CallerGate,
     clock: HostClock,
 }
 
@@ -172,11 +175,11 @@
             metrics: metrics.clone(),
             tasks: TaskTracker::new(),
         };
-        let stopping = Arc::new(AtomicBool::new(false));
         let daemon = Self {
             byte_budget: config.held_bytes.map(ByteBudget::new),
+            caller_gate: CallerGate::new(&config, &stack, &clock),
             config,
-            stopping,
+            stopping: Arc::default(),
             callers,
             background,
             serving: TaskTracker::new(),
@@ -250,8 +253,11 @@
         origin_metrics.register(&mut registry);
         let held_metrics = HeldMetrics::new(self.byte_budget.clone());
         held_metrics.register(&mut registry);
+        let caller_gate = self.caller_gate.clone();
+        caller_gate.register(&mut registry);
         let refresh = move || {
             held_metrics.refresh();
+            caller_gate.refresh();
             store_metrics.refresh();
             suspect_metrics.refresh();
             throttle_metrics.refresh();
@@ -409,8 +415,12 @@
             clock,
         );
         let limits = caller_limits(replicas.config.clone(), &self.background);
-        let (byte_budget, cancel) = (self.byte_budget.clone(), self.callers.clone());
-        let serve = serve_http_with_budget(listener, limits, state.handler(), byte_budget, cancel);
+        let guards = ServerGuards {
+            budget: self.byte_budget.clone(),
+            gate: Some(self.caller_gate.connection_gate()),
+        };
+        let cancel = self.callers.clone();
+        let serve = serve_http_guarded(listener, limits, state.handler(), guards, cancel);
         self.serving.spawn(serve);
     }
 
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/design/platform_site.md`.
 
 mod call_metrics;
+mod caller_gate;
 mod config_tracker;
 mod daemon;
 mod departed_backends;
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -49,6 +49,9 @@
 const ROW_EXPIRY_DELAY: Duration = Duration::from_millis(3_600);
 /// Delay until a crashed backend server restarts.
 const RESTART_DELAY: Duration = Duration::from_secs(2);
+/// Addresses from here on are those of callers that send one request.
+const LONE_CALLERS: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 0);
+const BYTES_PER_MEGABIT: u32 = 125_000;
 /// Timeout of a caller, in milliseconds.
 const CALLER_WAIT_MS: u64 = 3_000;
 
@@ -74,6 +77,8 @@
     pub software: Option<SoftwareFn>,
     /// Whether the hosts start as those of a new fleet.
     pub is_first_start: bool,
+    /// Rate of each host's link in each direction; `None` for unlimited.
+    pub link_mbps: Option<u32>,
 }
 
 /// Returns the software version of a start of a backend server, by its number and start.
@@ -144,6 +149,10 @@
             if let Some(domain) = number.checked_rem(options.failure_domains) {
                 config.failure_domain = format!("domain-{domain}").into();
             }
+            if let Some(mbps) = options.link_mbps {
+                config.link_mbps = f64::from(mbps);
+                fleet.net.set_link_rate(config.callers.ip(), mbps * BYTES_PER_MEGABIT);
+            }
             fleet.hosts.push((config, RunningHost::default()));
             fleet.start_host(number).await;
         }
@@ -322,17 +331,17 @@
     /// Sends a request from a caller to a host.
     pub async fn send(&self, caller: usize, host: usize, path: &str, body: &str) -> CallerReply {
         let (id, address, request) = self.request(host, path, body);
-        self.exchange(caller, id, address, request).await
+        self.exchange_from(node(3, caller), id, address, request).await
     }
 
-    async fn exchange(
+    async fn exchange_from(
         &self,
-        caller: usize,
+        caller: IpAddr,
         id: String,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> CallerReply {
-        let stack = self.net.stack(node(3, caller));
+        let stack = self.net.stack(caller);
         let no_reply = CallerReply { id: id.clone(), ..CallerReply::none() };
         let exchange = async {
             let connect = Duration::from_millis(500);
@@ -349,6 +358,16 @@
         tokio::time::timeout(limit, exchange).await.unwrap_or(no_reply.clone())
     }
 
+    /// Sends a request from an address that no other request uses; returns the reply, and whether the host has read
+    /// from the connection.
+    pub async fn send_alone(&self, host: usize, path: &str, body: &str) -> (CallerReply, bool) {
+        let (id, address, request) = self.request(host, path, body);
+        let number: u32 = id.rsplit('-').next().and_then(|it| it.parse().ok()).expect("a number");
+        let caller = Ipv4Addr::from_bits(LONE_CALLERS.to_bits() + number).into();
+        let reply = self.exchange_from(caller, id, address, request).await;
+        (reply, self.net.was_read(caller, address.ip()))
+    }
+
     /// Sends requests to `hosts` hosts in turn, one per `request_interval`, for a time.
     ///
     /// Returns the replies with the time that each took.
--- a/crates/dillspool_routerd/tests/fleet/prompts.rs
+++ b/crates/dillspool_routerd/tests/fleet/prompts.rs
@@ -6,7 +6,7 @@
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
 
-use super::{CALLERS, CallerReply, TestFleet};
+use super::{CALLERS, CallerReply, TestFleet, node};
 
 /// Sends prompts with some parts in common, no two alike.
 #[derive(Clone, Debug)]
@@ -52,7 +52,7 @@
         request.headers_mut().insert(PROMPT_PARTS, value);
         let body = format!("prompt of {id}");
         *request.body_mut() = http_body_util::Full::new(body.into());
-        self.exchange(caller, id, address, request).await
+        self.exchange_from(node(3, caller), id, address, request).await
     }
 
     /// Sends prompts for a time and returns the replies in the order of sending.
