An overloaded host stops listening for callers for moments

What callers saw: while most new connections went to one host, the requests that it had read waited for all others on its link or processor and missed their deadlines, or were refused as no_room, since a full link silences schedulers.

Change: the rate of accepted connections is limited while the bytes of the link exceed 0.75 of its rate in a direction, or new connections wait 15 ms for the processor; it is reduced by at most half each 0.5 s and grows by a fifth a second. Beyond it the host does not listen for 100 ms or more: a refused caller has sent nothing, and its retry meets another host. Responses close their connections while the host is overloaded. Up to 16 connections are accepted at once; with one, a busy processor limited the rate of accepting and hid the load.

--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 /// Share of the connections, one in eight, that are kept free for new ones.
 const RESERVED_DIVISOR: usize = 8;
 
+/// Pause after listening on an address has failed.
+const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Number of tokens from which on those of connections that have ended are removed.
 const MAX_TOKENS: usize = 8192;
 
@@ -69,14 +73,41 @@
     }
 }
 
-/// Observes the new connections of a server, and decides which ones it serves.
+/// Observes the new connections of a server, and decides when it accepts none.
+///
+/// While it accepts none, it does not listen: a caller whose connection is refused sends no request, so its retry
+/// at another host is safe and costs the overloaded link and processor nothing.
 #[derive(Clone)]
 pub struct ConnectionGate {
-    /// Whether a connection that was just accepted is served; otherwise it is closed unread, and its
-    /// caller can safely retry.
-    pub admit: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Called for each accepted connection; returns for how long the server stops listening after it.
+    pub record_accept: Arc<dyn Fn() -> Option<Duration> + Send + Sync>,
     /// Called with the time from accepting a connection to the first run of its task.
     pub record_start: Arc<dyn Fn(Duration) + Send + Sync>,
+    /// Listens again after a pause.
+    pub listen: Arc<dyn Fn() -> BoxFuture<io::Result<NetListener>> + Send + Sync>,
+}
+
+impl ConnectionGate {
+    /// Listens again after `pause`; `None` if the server is cancelled before.
+    async fn listen_after(
+        &self,
+        pause: Duration,
+        cancel: &CancellationToken,
+    ) -> Option<NetListener> {
+        let mut delay = pause;
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                () = cancel.cancelled() => return None,
+            }
+            match (self.listen)().await {
+                Ok(listener) => return Some(listener),
+                // The previous socket may still be closing.
+                Err(error) => log::warn!("event=listen_failed error=\"{error}\""),
+            }
+            delay = LISTEN_RETRY_DELAY;
+        }
+    }
 }
 
 impl fmt::Debug for ConnectionGate {
@@ -145,15 +176,14 @@
         let (Ok(permit), Some(stream)) = (permit, stream) else {
             break;
         };
-        if guards.gate.as_ref().is_some_and(|gate| !(gate.admit)()) {
-            continue;
-        }
+        let pause = guards.gate.as_ref().and_then(|gate| (gate.record_accept)());
         open.close_oldest(permits.available_permits(), max_connections / RESERVED_DIVISOR);
         let limits = *limits.borrow();
         let caller = guards.budget.as_ref().map(CallerConnection::new);
         let started = guards.gate.clone().map(|gate| (gate, Instant::now()));
-        let (handler, cancel) = (handler.clone(), open.add(&cancel));
+        let (handler, connection_cancel) = (handler.clone(), open.add(&cancel));
         tracker.spawn(async move {
+            let cancel = connection_cancel;
             let _ended = cancel.clone().drop_guard();
             if let Some((gate, accepted_at)) = started {
                 (gate.record_start)(accepted_at.elapsed());
@@ -172,8 +202,19 @@
             }
             drop(permit);
         });
+        if let (Some(gate), Some(pause)) = (&guards.gate, pause) {
+            drop(listener);
+            let Some(reopened) = gate.listen_after(pause, &cancel).await else {
+                return wait_for_connections(tracker).await;
+            };
+            listener = reopened;
+        }
     }
     drop(listener);
+    wait_for_connections(tracker).await;
+}
+
+async fn wait_for_connections(tracker: tokio_util::task::TaskTracker) {
     tracker.close();
     tracker.wait().await;
 }
--- a/crates/dillspool_io/src/stack.rs
+++ b/crates/dillspool_io/src/stack.rs
@@ -187,8 +187,7 @@
 async fn listen_tcp(at: SocketAddr, unsent_limit: Option<u32>) -> io::Result<NetListener> {
     let listener = TcpListener::bind(at).await?;
     let local = listener.local_addr()?;
-    // Capacity 1, so that connections queue in the kernel's listen backlog.
-    let (sender, receiver) = mpsc::channel(1);
+    let (sender, receiver) = mpsc::channel(ACCEPT_BATCH);
     tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
@@ -225,5 +224,8 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Time that sent bytes may remain unacknowledged; long enough for two consecutive lost packets.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
+/// Connections that are accepted at once; the others queue in the kernel's listen backlog. With one at a time, a
+/// busy processor would limit the rate at which callers are accepted.
+const ACCEPT_BATCH: usize = 16;
 /// Pause after a failed accept, for example when the process has no free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/crates/dillspool_overload/src/limiter.rs
+++ b/crates/dillspool_overload/src/limiter.rs
@@ -2,8 +2,7 @@
 //!
 //! Load pattern: the balancer hands most new connections of a failure domain, or of a region, to one host, more
 //! than its link or processor bears. Each request that it then reads waits for all others and misses its
-//! deadline. A connection that is closed unread costs its caller one round trip, and the retry goes to another
-//! host.
+//! deadline. A connection that is refused costs its caller one round trip, and the retry goes to another host.
 
 use std::time::Duration;
 
@@ -11,7 +10,7 @@
 
 use crate::load::HostLoad;
 
-/// Time over which the admitted connections are counted.
+/// Time over which accepted connections are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Bounds on a host's load, and how the limit follows it.
@@ -21,7 +20,7 @@
     pub max_link: f64,
     /// Delay of a new connection's task above which the host is overloaded.
     pub max_start_delay: Duration,
-    /// New connections per second that are always admitted.
+    /// New connections per second that are always accepted.
     pub min_rate: f64,
     /// Smallest factor by which the limit is reduced at once.
     pub min_reduction: f64,
@@ -29,19 +28,22 @@
     pub reduction_interval: Duration,
     /// Fraction of the limit by which it rises each second.
     pub growth_per_s: f64,
-    /// The limit is removed when it has rejected no connection for this time.
+    /// Minimum pause in which no connection is accepted.
+    pub min_pause: Duration,
+    /// The limit is removed when it has caused no pause for this time.
     pub removal_delay: Duration,
 }
 
 impl Default for OverloadPolicy {
     fn default() -> Self {
         Self {
-            max_link: 0.8,
-            max_start_delay: Duration::from_millis(25),
+            max_link: 0.75,
+            max_start_delay: Duration::from_millis(15),
             min_rate: 5.0,
             min_reduction: 0.5,
             reduction_interval: Duration::from_millis(500),
             growth_per_s: 0.2,
+            min_pause: Duration::from_millis(100),
             removal_delay: Duration::from_secs(3),
         }
     }
@@ -60,16 +62,16 @@
     per_s: f64,
     tokens: f64,
     reduced_at: Moment,
-    rejected_at: Moment,
+    paused_at: Moment,
 }
 
-/// Decides which new connections are admitted.
+/// Decides when new connections are accepted.
 #[derive(Clone, Debug)]
 pub struct ConnectionLimiter {
     policy: OverloadPolicy,
     updated_at: Moment,
-    /// Decaying number of admitted connections, over [`RATE_WINDOW`].
-    admitted: f64,
+    /// Decaying number of accepted connections, over [`RATE_WINDOW`].
+    accepted: f64,
     /// `None` while the host is not overloaded.
     limit: Option<RateLimit>,
     is_overloaded: bool,
@@ -79,7 +81,7 @@
     /// Creates a limiter without a limit.
     pub fn new(policy: OverloadPolicy) -> Self {
         let updated_at = Moment::default();
-        Self { policy, updated_at, admitted: 0.0, limit: None, is_overloaded: false }
+        Self { policy, updated_at, accepted: 0.0, limit: None, is_overloaded: false }
     }
 
     /// Returns the limit in connections per second, if there is one.
@@ -104,37 +106,37 @@
         if self.limit.is_some_and(|limit| now.since(limit.reduced_at) < reduction_interval) {
             return;
         }
-        let current = self.limit.map_or(self.admitted, |limit| limit.per_s.min(self.admitted));
+        let current = self.limit.map_or(self.accepted, |limit| limit.per_s.min(self.accepted));
         let per_s = (current * (1.0 / pressure).max(min_reduction)).max(min_rate);
         let tokens = self.limit.map_or(0.0, |limit| limit.tokens);
-        let rejected_at = self.limit.map_or(now, |limit| limit.rejected_at);
-        self.limit = Some(RateLimit { per_s, tokens, reduced_at: now, rejected_at });
+        let paused_at = self.limit.map_or(now, |limit| limit.paused_at);
+        self.limit = Some(RateLimit { per_s, tokens, reduced_at: now, paused_at });
     }
 
-    /// Admits a new connection, or rejects it.
-    pub fn try_admit(&mut self, now: Moment) -> bool {
+    /// Records an accepted connection; returns for how long no other one is accepted.
+    pub fn record_accept(&mut self, now: Moment) -> Option<Duration> {
         self.advance(now);
-        if let Some(limit) = &mut self.limit {
-            if limit.tokens < 1.0 {
-                limit.rejected_at = now;
-                return false;
-            }
-            limit.tokens -= 1.0;
+        self.accepted += 1.0 / RATE_WINDOW.as_secs_f64();
+        let limit = self.limit.as_mut()?;
+        limit.tokens -= 1.0;
+        if limit.tokens >= 1.0 {
+            return None;
         }
-        self.admitted += 1.0 / RATE_WINDOW.as_secs_f64();
-        true
+        limit.paused_at = now;
+        let refill = Duration::from_secs_f64((1.0 - limit.tokens) / limit.per_s);
+        Some(refill.max(self.policy.min_pause))
     }
 
     /// Applies the time since the last call.
     fn advance(&mut self, now: Moment) {
         let elapsed = now.since(self.updated_at).as_secs_f64();
         self.updated_at = now;
-        self.admitted *= (-elapsed / RATE_WINDOW.as_secs_f64()).exp();
+        self.accepted *= (-elapsed / RATE_WINDOW.as_secs_f64()).exp();
         let OverloadPolicy { growth_per_s, removal_delay, .. } = self.policy;
         let is_overloaded = self.is_overloaded;
         if self
             .limit
-            .is_some_and(|limit| !is_overloaded && now.since(limit.rejected_at) > removal_delay)
+            .is_some_and(|limit| !is_overloaded && now.since(limit.paused_at) > removal_delay)
         {
             self.limit = None;
         }
--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -400,7 +400,7 @@
         listener: NetListener,
         clock: HostClock,
     ) {
-        let stopping = Arc::clone(&self.stopping);
+        let (stopping, gate) = (Arc::clone(&self.stopping), self.caller_gate.clone());
         let known = KnownConfig {
             config: replicas.config.clone(),
             operator: replicas.operator.clone(),
@@ -410,7 +410,7 @@
             site.clone(),
             context,
             known,
-            stopping,
+            move || stopping.load(Ordering::Relaxed) || gate.is_overloaded(),
             self.config.fingerprint_key.clone(),
             clock,
         );
--- a/crates/dillspool_router/src/ingress.rs
+++ b/crates/dillspool_router/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use dillspool_forward::{ForwardContext, Refusal, RefusalCause, handle_request};
@@ -58,8 +57,8 @@
     pub context: ForwardContext,
     /// The configuration.
     pub known: KnownConfig,
-    /// Set once the host is stopping; responses then close their connections.
-    pub stopping: Arc<AtomicBool>,
+    /// Whether responses close their connections, since callers must go to other hosts.
+    closes_connections: Arc<dyn Fn() -> bool + Send + Sync>,
     in_flight: Arc<Semaphore>,
     retry_detector: RetryDetector,
     fingerprint_key: FingerprintKey,
@@ -78,13 +77,23 @@
         site: SiteProtocol,
         context: ForwardContext,
         known: KnownConfig,
-        stopping: Arc<AtomicBool>,
+        closes_connections: impl Fn() -> bool + Send + Sync + 'static,
         fingerprint_key: FingerprintKey,
         clock: HostClock,
     ) -> Self {
         let in_flight = Arc::new(Semaphore::new(MAX_IN_FLIGHT));
         let retry_detector = RetryDetector::default();
-        Self { site, context, known, stopping, in_flight, retry_detector, fingerprint_key, clock }
+        let closes_connections = Arc::new(closes_connections);
+        Self {
+            site,
+            context,
+            known,
+            closes_connections,
+            in_flight,
+            retry_detector,
+            fingerprint_key,
+            clock,
+        }
     }
 
     /// Handler for the callers' listener.
@@ -117,7 +126,7 @@
         if let Some(id) = &id {
             (self.site.set_request_id)(response.headers_mut(), id);
         }
-        if self.stopping.load(Ordering::Relaxed) {
+        if (self.closes_connections)() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
