A host that decides on calls by itself learns how much of the servers it may use

What callers saw: a host that gets most calls and reaches no scheduler rejected most of them as no_room while the servers had room: it used 2/hosts of their limits.

Cause: an equal part of a whole, where callers come unequally.

Change: the share begins with 2/hosts, grows by half when it rejects a call (at most each 200 ms, to the whole), halves when a server refuses one, doesn't grow for 2 s after that, and returns to the first value after 10 s without a rejection.

--- a/crates/dillspool_scheduler/src/call_client.rs
+++ b/crates/dillspool_scheduler/src/call_client.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use dillspool_calls::{CallDecision, CallOutcome, CallRequest};
+use dillspool_calls::{CallDecision, CallOutcome, CallRequest, RejectCause};
 use dillspool_io::NetStack;
 use dillspool_moment::Moment;
 use dillspool_schema::Name;
@@ -18,19 +18,18 @@
 use crate::call_wire::with_elapsed;
 use crate::link::{CallReply, DECISION_TTL, LinkDuty, SchedulerLink};
 use crate::link_manager::{LinkManager, PeersFn, SchedulePeers};
+use crate::local_share::LocalShare;
 
 /// Stale decisions on one call before this host decides by itself. Without this bound, a host that
 /// is suspended again and again would ask until the caller's deadline.
 const MAX_STALE_DECISIONS: usize = 3;
-/// Multiple of the servers' limits that all hosts together may use while each decides by itself;
-/// more than 1 because callers are not spread evenly over the hosts.
-const LOCAL_SHARE_FACTOR: f64 = 2.0;
 
 type CountFn = dyn Fn() -> Option<usize> + Send + Sync;
 
 struct ClientState {
     scheduler: CallScheduler,
     links: Mutex<HashMap<Name, SchedulerLink>>,
+    local_shares: Mutex<HashMap<Name, LocalShare>>,
     next_ticket: AtomicU64,
     /// Returns the number of hosts in the fleet. `None` until the client is run.
     count: Mutex<Option<Arc<CountFn>>>,
@@ -54,6 +53,7 @@
         let state = ClientState {
             scheduler,
             links: Mutex::default(),
+            local_shares: Mutex::default(),
             next_ticket: AtomicU64::new(0),
             count: Mutex::default(),
         };
@@ -111,19 +111,28 @@
     }
 
     /// Returns the share of the servers' limits that this host may use by itself.
-    fn local_share(&self, link: &SchedulerLink) -> f64 {
-        let count = self.state.count.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        match count.map(|count| count()) {
-            Some(Some(hosts)) if !link.is_scheduler() => {
-                let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-                (LOCAL_SHARE_FACTOR / f64::from(hosts.max(1))).min(1.0)
+    fn local_share(&self, service: &Name, link: &SchedulerLink) -> f64 {
+        match self.host_count() {
+            Some(hosts) if !link.is_scheduler() => {
+                let now = self.state.scheduler.clock().now();
+                self.with_local_share(service, |share| share.current(hosts, now))
             }
             // This host is the scheduler, or the number of hosts is unknown, or the client has not
             // been run.
-            Some(Some(_) | None) | None => 1.0,
+            Some(_) | None => 1.0,
         }
     }
 
+    fn host_count(&self) -> Option<usize> {
+        let count = self.state.count.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        count.and_then(|count| count())
+    }
+
+    fn with_local_share<T>(&self, service: &Name, run: impl FnOnce(&mut LocalShare) -> T) -> T {
+        let mut shares = self.state.local_shares.lock().unwrap_or_else(PoisonError::into_inner);
+        run(shares.entry(Name::clone(service)).or_default())
+    }
+
     /// Opens a ticket for a call.
     pub fn open_ticket(&self, service: &Name) -> CallTicket {
         let link = self.state.scheduler.is_scheduled(service).then(|| self.link(service));
@@ -134,6 +143,7 @@
             current: None,
             decided_at: Moment::default(),
             queued: false,
+            is_local: false,
             waited: Duration::ZERO,
         }
     }
@@ -154,6 +164,8 @@
     decided_at: Moment,
     /// Whether the last request was queued.
     queued: bool,
+    /// Whether this host decided on the last request by itself.
+    is_local: bool,
     waited: Duration,
 }
 
@@ -198,15 +210,24 @@
                 CallReply::NoResponse => break,
             }
         }
-        let is_local = decided.is_none();
-        if is_local {
+        self.is_local = decided.is_none();
+        if self.is_local {
             decided = self.decide_locally(&link, &with_elapsed(request, clock.since(asked))).await;
+            if let (
+                Some(CallDecision::Reject { cause: RejectCause::NoCapacity, .. }),
+                Some(hosts),
+            ) = (&decided, self.client.host_count())
+            {
+                self.client.with_local_share(&self.service, |share| {
+                    share.record_rejection(hosts, clock.now());
+                });
+            }
         }
         self.decided_at = clock.now();
         self.waited = clock.since(asked);
         match (&decided, self.current) {
             (Some(CallDecision::Send { backend }), Some(ticket)) => {
-                link.record_call(ticket, request, backend, &clock, is_local);
+                link.record_call(ticket, request, backend, &clock, self.is_local);
             }
             _ => self.current = None,
         }
@@ -220,7 +241,7 @@
     ) -> Option<CallDecision> {
         let (scheduler, service) =
             (self.client.state.scheduler.clone(), Name::clone(&self.service));
-        scheduler.set_local_share(&service, self.client.local_share(link));
+        scheduler.set_local_share(&service, self.client.local_share(&service, link));
         for call in link.take_untracked_calls() {
             let id = CallScheduler::id_on_link(0, call.ticket);
             scheduler.adopt(id, &service, call.request, call.backend, call.ran);
@@ -266,6 +287,10 @@
     /// Reports how the call ended, `took` after it was sent.
     pub fn complete(&mut self, end: CallOutcome, took: Duration) {
         let (Some(ticket), Some(link)) = (self.current.take(), &self.link) else { return };
+        if self.is_local && end == CallOutcome::NotRun {
+            let now = self.client.state.scheduler.clock().now();
+            self.client.with_local_share(&self.service, |share| share.record_refusal(now));
+        }
         link.complete_call(ticket, end, took);
         self.client.state.scheduler.complete(CallScheduler::id_on_link(0, ticket), end, took);
     }
