An answer that brings nothing but framing is ended after some buffers full

What callers saw: a server that sends interim responses, or zeros of a chunk's size, without end kept its caller until the deadline; the host read all of it (41 MB in 2.5 s), enough to fill a link of 10 Mbit/s.

Cause: the parser drops such bytes as they come, so no limit on memory or on the length of a head or body sees them.

Change: an exchange counts the bytes since the last delivered part of the response and fails beyond 64 KB (1 MiB on hosts without limits on held bytes).

Test: endless_answers.rs, 14 kinds in a head or a body, with and without limits; red before for interim responses (41 MB, 504 after 2.5 s) and zeros of a chunk's size (41 MB, 504), 82 KB and 502 after 5 ms now. The other twelve held before.

--- a/crates/dillspool_io/src/exchange.rs
+++ b/crates/dillspool_io/src/exchange.rs
@@ -21,6 +21,7 @@
 
 use crate::byte_budget::{ExchangeBytes, StalledSide};
 use crate::client::HttpError;
+use crate::framing_limit::FramingCounter;
 use crate::metered_stream::MeteredStream;
 use crate::stack::NetStack;
 
@@ -29,6 +30,10 @@
 /// The response headers must fit into it. It is also the largest chunk in which a response is forwarded; a
 /// caller that stops reading leaves up to four chunks unread.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
+/// Largest number of bytes that are read without any part of a response, with and without a byte budget: some
+/// buffers full, since what is buffered is not delivered yet.
+const MAX_FRAMING_BYTES: usize = 4 * MAX_BUFFER_BYTES;
+const MAX_UNBUDGETED_FRAMING_BYTES: usize = 1024 * 1024;
 
 /// Closes the connection on drop.
 #[derive(Debug)]
@@ -46,6 +51,7 @@
 #[derive(Debug)]
 pub struct ExchangeBody {
     incoming: Incoming,
+    framing: FramingCounter,
     _guard: ConnectionGuard,
 }
 
@@ -57,7 +63,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.incoming).poll_frame(cx)
+        let frame = std::task::ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        self.framing.reset();
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -144,12 +152,14 @@
         Err(_elapsed) => return Err(not_sent(format!("no connection within {connect_timeout:?}"))),
     };
     let mut builder = http1::Builder::new();
+    let framing = FramingCounter::default();
     let (stream, max_chunk_bytes) = if exchange_bytes.limits().is_some() {
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let exchange = Arc::new(Mutex::new(exchange_bytes.clone()));
+        let stream = framing.limit(stream, MAX_FRAMING_BYTES);
         (MeteredStream::wrap(stream, exchange, StalledSide::Backend), MAX_BUFFER_BYTES)
     } else {
-        (stream, usize::MAX)
+        (framing.limit(stream, MAX_UNBUDGETED_FRAMING_BYTES), usize::MAX)
     };
     let request =
         request.map(|body| ChunkedBody { body, remainder: Bytes::new(), max_chunk_bytes });
@@ -165,7 +175,10 @@
     });
     let guard = ConnectionGuard { task };
     match sender.send_request(request).await {
-        Ok(response) => Ok(response.map(|incoming| ExchangeBody { incoming, _guard: guard })),
+        Ok(response) => {
+            framing.reset();
+            Ok(response.map(|incoming| ExchangeBody { incoming, framing, _guard: guard }))
+        }
         Err(error) => Err(HttpError::Lost { address, reason: error_chain(&error) }),
     }
 }
--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod connect_probe;
 mod exchange;
+mod framing_limit;
 mod host_clock;
 mod link_meter;
 mod memory;
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -14,7 +14,9 @@
 
 use bytes::Bytes;
 use dillspool_forward::BudgetSettings;
-use dillspool_io::{HostClock, LinkMode, MemoryNet, WallClock, exchange_once, read_body};
+use dillspool_io::{
+    ByteLimits, HostClock, LinkMode, MemoryNet, WallClock, exchange_once, read_body,
+};
 use dillspool_roles::ShareRule;
 use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
@@ -79,6 +81,8 @@
     pub is_first_start: bool,
     /// Rate of each host's link in each direction; `None` for unlimited.
     pub link_mbps: Option<u32>,
+    /// Limits on the bytes that a host holds; `None` for no limits.
+    pub held_bytes: Option<ByteLimits>,
 }
 
 /// Returns the software version of a start of a backend server, by its number and start.
@@ -144,6 +148,7 @@
                 wall_clock: wall_clock.clone(),
                 calls: options.calls,
                 first_start: options.is_first_start,
+                held_bytes: options.held_bytes,
                 ..host_config(number, hosts)
             };
             if let Some(domain) = number.checked_rem(options.failure_domains) {
