The limit of new connections follows the standing queue of the processor

Change: the shortest start delay of each sample counts (a standing queue shows in it, a burst doesn't), above 10 ms; a limit isn't reduced while the load falls; it rises the faster the further the load is below its bounds.

--- a/crates/dillspool_overload/src/limiter.rs
+++ b/crates/dillspool_overload/src/limiter.rs
@@ -26,7 +26,7 @@
     pub min_reduction: f64,
     /// Time between two reductions, in which the load follows the previous one.
     pub reduction_interval: Duration,
-    /// Fraction of the limit by which it rises each second.
+    /// Fraction of the limit by which it rises each second at the bounds of the load; it rises faster below them.
     pub growth_per_s: f64,
     /// Minimum pause in which no connection is accepted.
     pub min_pause: Duration,
@@ -38,7 +38,7 @@
     fn default() -> Self {
         Self {
             max_link: 0.75,
-            max_start_delay: Duration::from_millis(15),
+            max_start_delay: Duration::from_millis(10),
             min_rate: 5.0,
             min_reduction: 0.5,
             reduction_interval: Duration::from_millis(500),
@@ -61,7 +61,9 @@
 struct RateLimit {
     per_s: f64,
     tokens: f64,
-    reduced_at: Moment,
+    /// When the limit was last reduced, or kept since the load was falling, and the pressure then.
+    adjusted_at: Moment,
+    adjusted_pressure: f64,
     paused_at: Moment,
 }
 
@@ -74,14 +76,15 @@
     accepted: f64,
     /// `None` while the host is not overloaded.
     limit: Option<RateLimit>,
-    is_overloaded: bool,
+    /// Pressure at the last sample.
+    pressure: f64,
 }
 
 impl ConnectionLimiter {
     /// Creates a limiter without a limit.
     pub fn new(policy: OverloadPolicy) -> Self {
         let updated_at = Moment::default();
-        Self { policy, updated_at, accepted: 0.0, limit: None, is_overloaded: false }
+        Self { policy, updated_at, accepted: 0.0, limit: None, pressure: 0.0 }
     }
 
     /// Returns the limit in connections per second, if there is one.
@@ -91,7 +94,7 @@
 
     /// Returns whether the host was above its bounds at the last sample.
     pub fn is_overloaded(&self) -> bool {
-        self.is_overloaded
+        self.pressure > 1.0
     }
 
     /// Adjusts the limit to a sample of the load.
@@ -99,18 +102,31 @@
         self.advance(now);
         let OverloadPolicy { min_rate, min_reduction, reduction_interval, .. } = self.policy;
         let pressure = self.policy.pressure(load);
-        self.is_overloaded = pressure > 1.0;
-        if !self.is_overloaded {
+        self.pressure = pressure;
+        if !self.is_overloaded() {
             return;
         }
-        if self.limit.is_some_and(|limit| now.since(limit.reduced_at) < reduction_interval) {
+        let Some(limit) = &mut self.limit else {
+            let per_s = (self.accepted * (1.0 / pressure).max(min_reduction)).max(min_rate);
+            self.limit = Some(RateLimit {
+                per_s,
+                tokens: 0.0,
+                adjusted_at: now,
+                adjusted_pressure: pressure,
+                paused_at: now,
+            });
             return;
+        };
+        if now.since(limit.adjusted_at) < reduction_interval {
+            return;
+        }
+        // A backlog that is already shrinking needs no lower limit.
+        if pressure >= limit.adjusted_pressure {
+            let current = limit.per_s.min(self.accepted);
+            limit.per_s = (current * (1.0 / pressure).max(min_reduction)).max(min_rate);
         }
-        let current = self.limit.map_or(self.accepted, |limit| limit.per_s.min(self.accepted));
-        let per_s = (current * (1.0 / pressure).max(min_reduction)).max(min_rate);
-        let tokens = self.limit.map_or(0.0, |limit| limit.tokens);
-        let paused_at = self.limit.map_or(now, |limit| limit.paused_at);
-        self.limit = Some(RateLimit { per_s, tokens, reduced_at: now, paused_at });
+        limit.adjusted_at = now;
+        limit.adjusted_pressure = pressure;
     }
 
     /// Records an accepted connection; returns for how long no other one is accepted.
@@ -133,7 +149,8 @@
         self.updated_at = now;
         self.accepted *= (-elapsed / RATE_WINDOW.as_secs_f64()).exp();
         let OverloadPolicy { growth_per_s, removal_delay, .. } = self.policy;
-        let is_overloaded = self.is_overloaded;
+        let pressure = self.pressure;
+        let is_overloaded = self.is_overloaded();
         if self
             .limit
             .is_some_and(|limit| !is_overloaded && now.since(limit.paused_at) > removal_delay)
@@ -142,7 +159,7 @@
         }
         if let Some(limit) = &mut self.limit {
             if !is_overloaded {
-                limit.per_s *= 1.0 + growth_per_s * elapsed.min(1.0);
+                limit.per_s *= 1.0 + (growth_per_s + 1.0 - pressure) * elapsed.min(1.0);
             }
             limit.tokens =
                 (limit.tokens + limit.per_s * elapsed).min((limit.per_s / 10.0).max(1.0));
--- a/crates/dillspool_overload/src/load.rs
+++ b/crates/dillspool_overload/src/load.rs
@@ -25,8 +25,8 @@
     pub sent: f64,
     /// Fraction of the link's rate used for receiving; 0 if the rate is unknown.
     pub received: f64,
-    /// Time from accepting a connection to the first run of its task. It grows with the work that waits for
-    /// the processor.
+    /// Shortest time, in each sample, from accepting a connection to the first run of its task. It grows with the
+    /// work that always waits for the processor; a mean would also grow with bursts.
     pub start_delay: Duration,
 }
 
@@ -37,22 +37,22 @@
     link_bytes_per_s: Option<f64>,
     /// When and at which totals the last sample was taken.
     sampled: Option<(Moment, TrafficTotals)>,
-    /// Sum and number of the start delays since the last sample.
-    start_delays: (Duration, u32),
+    /// Shortest start delay since the last sample.
+    min_start_delay: Option<Duration>,
     load: HostLoad,
 }
 
 impl LoadTracker {
     /// Creates a tracker for a host with a link of `link_bytes_per_s` in each direction.
     pub fn new(link_bytes_per_s: Option<f64>) -> Self {
-        let (sampled, start_delays) = (None, (Duration::ZERO, 0));
-        Self { link_bytes_per_s, sampled, start_delays, load: HostLoad::default() }
+        let load = HostLoad::default();
+        Self { link_bytes_per_s, sampled: None, min_start_delay: None, load }
     }
 
     /// Records how long the task of an accepted connection waited for its first run.
     pub fn record_start(&mut self, delay: Duration) {
-        self.start_delays.0 += delay;
-        self.start_delays.1 += 1;
+        let shortest = self.min_start_delay.map_or(delay, |shortest| shortest.min(delay));
+        self.min_start_delay = Some(shortest);
     }
 
     /// Returns the load if a sample is due.
@@ -66,7 +66,6 @@
             return None;
         }
         self.sampled = Some((now, totals));
-        let (delay_sum, delay_count) = std::mem::take(&mut self.start_delays);
         let used = |bytes: u64| {
             let rate = self.link_bytes_per_s.unwrap_or(f64::INFINITY);
             #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
@@ -75,7 +74,7 @@
         };
         let weight = 1.0 - (-elapsed.as_secs_f64() / SMOOTHING_TIME.as_secs_f64()).exp();
         let smooth = |old: f64, new: f64| old + weight * (new - old);
-        let start_delay = delay_sum.checked_div(delay_count).unwrap_or_default();
+        let start_delay = self.min_start_delay.take().unwrap_or_default();
         self.load = HostLoad {
             sent: smooth(self.load.sent, used(totals.sent.saturating_sub(earlier.sent))),
             received: smooth(
