A host without a place takes that of a registered host that is gone

Cause: rows of hosts outlive their hosts and keep the six places of a failure domain, and only a registered host may hold a limit. Class: membership read from rows that nobody ends.

Change: a host without a place probes the registered hosts of its failure domain, a random one each 3 s, all each second while one doesn't answer. One that has accepted no connection for 10 s (2 s if none of the domain does) is gone, and its row is replaced by that of the prober in one transaction, on the condition that it hasn't changed: rows don't grow, one of several hosts succeeds, and no clock of another host matters. A host that comes back finds its row gone and has no place until it takes one. At rest there is no call to the store.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -42,6 +42,7 @@
 use crate::origin_metrics::OriginMetrics;
 use crate::origin_publisher::OriginPublisher;
 use crate::peer_list::{PeerList, maintain_peer_list};
+use crate::place_takeover::replace_gone_hosts;
 use crate::settings::RouterConfig;
 use crate::site::SiteProtocol;
 use crate::status::{metrics_handler, readiness_handler};
@@ -131,8 +132,7 @@
         let suspects = SuspectTracker::new(SuspectPolicy::default(), clock.clone());
         suspects.set_lifted(config.lifted.clone());
         let origins = OriginTracker::new(origin_settings(&config, &replicas, &clock));
-        let limits = RateLimiter::new(config.limits, clock.clone());
-        let backend_limits = RateLimiter::for_backend_servers(config.limits.shares, clock.clone());
+        let (limits, backend_limits) = rate_limiters(&config, &clock);
         let seed = host_hash(&config.host);
         let placements =
             PlacementScheduler::new(config.policy.admission, seed, demand.clone(), clock.clone());
@@ -196,6 +196,7 @@
         );
         daemon.start_status(&replicas, own_metrics, &metrics, readiness_listener, metrics_listener);
         daemon.start_dialer(&replicas, &site, &stack);
+        daemon.start_peer_list(&replicas, &site, &stack);
         daemon.start_suspect_replicator(&replicas, &site, schedule.clone());
         daemon.start_origins(&replicas, &site, &origins, &schedule);
         daemon.start_notice_publisher(&replicas, &site, backend_limits, schedule.clone());
@@ -269,15 +270,8 @@
         tokio::spawn(serve_http(metrics_listener, limits, handler, self.background.clone()));
     }
 
-    fn start_maintenance(
-        &self,
-        replicas: &StoreReplicas,
-        site: &SiteProtocol,
-        (budgets, host_count): (RetryBudgets, HostCount),
-        demand: DemandMeter,
-        schedule: ScheduleClient,
-        clock: &HostClock,
-    ) {
+    /// Starts following the host rows, and taking the places of hosts that are gone.
+    fn start_peer_list(&self, replicas: &StoreReplicas, site: &SiteProtocol, stack: &NetStack) {
         tokio::spawn(maintain_peer_list(
             self.config.clone(),
             (Name::clone(&site.own_table), site.store.clone()),
@@ -287,6 +281,25 @@
             replicas.role.clone(),
             self.background.clone(),
         ));
+        tokio::spawn(replace_gone_hosts(
+            self.config.clone(),
+            site.store.clone(),
+            replicas.peers.clone(),
+            stack.clone(),
+            self.clock.clone(),
+            self.background.clone(),
+        ));
+    }
+
+    fn start_maintenance(
+        &self,
+        replicas: &StoreReplicas,
+        site: &SiteProtocol,
+        (budgets, host_count): (RetryBudgets, HostCount),
+        demand: DemandMeter,
+        schedule: ScheduleClient,
+        clock: &HostClock,
+    ) {
         tokio::spawn(maintain_host_count(
             schedule.clone(),
             replicas.peers.clone(),
@@ -449,6 +462,13 @@
     }
 }
 
+/// Limiters of workspaces and of backend servers.
+fn rate_limiters(config: &RouterConfig, clock: &HostClock) -> (RateLimiter, RateLimiter) {
+    let of_workspaces = RateLimiter::new(config.limits, clock.clone());
+    let of_servers = RateLimiter::for_backend_servers(config.limits.shares, clock.clone());
+    (of_workspaces, of_servers)
+}
+
 /// Limits on caller connections, according to the current configuration.
 fn caller_limits(
     mut config: watch::Receiver<Option<Arc<RoutingConfig>>>,
--- a/crates/dillspool_router/src/host_rows.rs
+++ b/crates/dillspool_router/src/host_rows.rs
@@ -8,6 +8,7 @@
 use dillspool_watch::TableReplica;
 use tokio::time::Instant;
 
+use crate::gone_hosts::StoredHost;
 use crate::sources::{HostRow, should_register};
 use crate::unreadable_rows::UnreadableRows;
 
@@ -21,7 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HostRows {
     era: StoreEra,
-    stored: BTreeMap<Name, HostRow>,
+    stored: BTreeMap<Name, StoredHost>,
     /// Rows from before a restore, and until when they are valid.
     retained: Option<(Instant, BTreeMap<Name, HostRow>)>,
 }
@@ -46,7 +47,8 @@
             let reported = decoded.inspect_err(|error| {
                 unreadable.record(name, key, row.version, &error.to_string());
             });
-            Some((Name::clone(key), reported.ok()?))
+            let (key, version) = (Name::clone(key), row.version);
+            Some((Name::clone(&key), StoredHost { key, version, row: reported.ok()? }))
         });
         self.stored = rows.collect();
         self.retained.take_if(|(until, _rows)| *until <= Instant::now());
@@ -56,12 +58,23 @@
     pub(crate) fn needs_registration(&self, own: &HostRow) -> bool {
         let hosts = self.hosts();
         if hosts.contains(own) {
-            !self.stored.values().any(|row| row == own)
+            !self.stored.values().any(|stored| stored.row == *own)
         } else {
             should_register(&hosts, own)
         }
     }
 
+    /// Rows of the other hosts of the failure domain of a host that has no place among them; empty if it has one, or
+    /// may register beside them.
+    pub(crate) fn occupied_places(&self, own: &HostRow) -> Vec<StoredHost> {
+        let hosts = self.hosts();
+        if hosts.contains(own) || should_register(&hosts, own) {
+            return Vec::new();
+        }
+        let stored = self.stored.values();
+        stored.filter(|it| it.row.failure_domain == own.failure_domain).cloned().collect()
+    }
+
     /// Rows of all known hosts.
     pub(crate) fn hosts(&self) -> Vec<HostRow> {
         self.hosts_by_key().into_values().collect()
@@ -70,7 +83,7 @@
     fn hosts_by_key(&self) -> BTreeMap<Name, HostRow> {
         let mut rows =
             self.retained.as_ref().map(|(_until, rows)| rows.clone()).unwrap_or_default();
-        rows.extend(self.stored.iter().map(|(key, row)| (Name::clone(key), row.clone())));
+        rows.extend(self.stored.iter().map(|(key, stored)| (Name::clone(key), stored.row.clone())));
         rows
     }
 
--- a/crates/dillspool_router/src/peer_list.rs
+++ b/crates/dillspool_router/src/peer_list.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::directory_tracker::sleep_until;
+use crate::gone_hosts::StoredHost;
 use crate::host_rows::{HOST_KEY_PREFIX, HostRows};
 use crate::settings::RouterConfig;
 use crate::sources::{
@@ -37,7 +38,7 @@
 const BOOTSTRAP_PERIOD: Duration = Duration::from_secs(8);
 /// Delay after an attempt to write the row. It is longer than the row takes to come back, so that a
 /// host that receives no updates does not write it over and over.
-const REGISTRATION_RETRY_DELAY: Duration = Duration::from_secs(4);
+pub(crate) const REGISTRATION_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// The hosts from which this host reads what they have read from the store.
 #[derive(Clone, Debug)]
@@ -45,6 +46,8 @@
     own: HostRow,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     registered: Arc<Mutex<Vec<HostRow>>>,
+    /// Rows of this host's failure domain, if it has no place among them.
+    occupied: watch::Sender<Vec<StoredHost>>,
     /// Whether all hosts know the same host rows; before that, hosts disagree on who is a source.
     is_settled: Arc<AtomicBool>,
 }
@@ -61,10 +64,21 @@
             own,
             seeds: Arc::new(Mutex::new(config.seeds.clone())),
             registered: Arc::default(),
+            occupied: watch::Sender::new(Vec::new()),
             is_settled: Arc::new(AtomicBool::new(!config.first_start)),
         }
     }
 
+    /// Row of this host.
+    pub(crate) fn own(&self) -> &HostRow {
+        &self.own
+    }
+
+    /// Follows the rows of this host's failure domain, empty unless it has no place among them.
+    pub(crate) fn occupied(&self) -> watch::Receiver<Vec<StoredHost>> {
+        self.occupied.subscribe()
+    }
+
     fn set_settled(&self, is_settled: bool) {
         self.is_settled.store(is_settled, Ordering::Relaxed);
     }
@@ -190,6 +204,12 @@
         loop {
             rows.update(&own_table, &hosts.borrow_and_update(), &unreadable);
             peers.with_rows(|registered| *registered = rows.hosts());
+            let occupied = rows.occupied_places(&peers.own);
+            peers.occupied.send_if_modified(|known| {
+                let is_changed = *known != occupied;
+                *known = occupied;
+                is_changed
+            });
             let is_known =
                 hosts.borrow().version.is_known() || backends.borrow().version.is_known();
             // At the first start of a fleet no host is registered yet, and every host would seem to
@@ -249,9 +269,17 @@
     store: &TableStore,
     own: &HostRow,
 ) -> Result<(), PlatformError> {
+    store.commit(vec![own_row_write(config, own)?]).await?;
+    Ok(())
+}
+
+/// Write of the row of this host.
+pub(crate) fn own_row_write(
+    config: &RouterConfig,
+    own: &HostRow,
+) -> Result<RowWrite, PlatformError> {
     let value = serde_json::to_string(own)
         .map_err(|error| PlatformError::NotDone { reason: error.to_string() })?;
     let key = format!("{HOST_KEY_PREFIX}{}", config.host).into();
-    store.commit(vec![RowWrite { key, expect: RowPrecondition::Any, value: Some(value) }]).await?;
-    Ok(())
+    Ok(RowWrite { key, expect: RowPrecondition::Any, value: Some(value) })
 }
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -23,6 +23,7 @@
 use dillspool_scheduler::{
     CallSchedulerSettings, RateLimiterSettings, SchedulerCandidate, rank_candidates,
 };
+use dillspool_site::OWN_TABLE;
 use dillspool_site_standin::{
     DeadlyParts, FIRST_SOFTWARE, PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind,
     StandinRoute, StandinStore, TIME_BUDGET, TOKEN_COUNTS, config_text,
@@ -83,6 +84,10 @@
     pub link_mbps: Option<u32>,
     /// Limits on the bytes that a host holds; `None` for no limits.
     pub held_bytes: Option<ByteLimits>,
+    /// Rows of hosts that are gone, in each failure domain, which the store has before the hosts start.
+    pub gone_hosts: usize,
+    /// Whether the addresses of these refuse connections; otherwise they are silent.
+    pub gone_refuse: bool,
 }
 
 /// Returns the software version of a start of a backend server, by its number and start.
@@ -141,6 +146,7 @@
                 .start_backend(number, KINDS[number % KINDS.len()], restart_identity, options)
                 .await;
         }
+        fleet.write_gone_hosts(hosts, options);
         // Rows carry wall-clock times, which must follow the paused clock.
         let wall_clock = WallClock::tokio(WallClock::system().now());
         for number in 0..hosts {
@@ -168,6 +174,32 @@
         fleet
     }
 
+    fn write_gone_hosts(&self, hosts: usize, options: &FleetOptions) {
+        for domain in 0..options.failure_domains.max(1) {
+            for number in 0..options.gone_hosts {
+                let ip = node(4, domain * options.gone_hosts + number);
+                let failure_domain = match options.failure_domains {
+                    0 => "domain".to_owned(),
+                    _ => format!("domain-{domain}"),
+                };
+                let row = format!(
+                    r#"{{"peers":"{ip}:8146","schedule":"{ip}:7661","failure_domain":"{failure_domain}","link_mbps":100.0}}"#,
+                );
+                self.store.write(OWN_TABLE, &format!("hosts/gone-{domain}-{number}"), Some(&row));
+                let mode = if options.gone_refuse { LinkMode::Cut } else { LinkMode::Frozen };
+                for host in 0..hosts {
+                    self.net.set_link(node(1, host), ip, mode);
+                }
+            }
+        }
+    }
+
+    /// Returns the names of the hosts that have a row in the store.
+    pub fn registered_hosts(&self) -> Vec<String> {
+        let keys = self.store.keys(OWN_TABLE);
+        keys.iter().filter_map(|key| key.strip_prefix("hosts/")).map(str::to_owned).collect()
+    }
+
     /// Writes a version of the configuration without the routes of the `dropped` prefixes.
     pub fn write_config(&self, version: u64, dropped: &[&str]) {
         let route = |prefix, kind, service, attempts, is_resumable| StandinRoute {
