A crash of a part that a host forgets is not told as a success

Cause: each crash in the row that the tracker no longer held passed for cleared. Now a success is written only if the tracker knows of one after the crash, with its time; other forgotten crashes are dropped.

Test: a_forgotten_crash_of_a_part_is_not_a_success, red before in its case of 20 crashes, green.

--- a/crates/dillspool_router/src/suspect_rows/row.rs
+++ b/crates/dillspool_router/src/suspect_rows/row.rs
@@ -85,8 +85,9 @@
         self.successes.drain(..excess);
     }
 
-    /// Removes the crashes of parts that are not held against them any more, and records a success for
-    /// hosts that learn of it only from this row.
+    /// Removes the crashes of parts that are not held against them any more, and records the success that cleared
+    /// them for hosts that learn of it only from this row. Crashes that were evicted or have expired were not
+    /// cleared by any.
     pub(super) fn drop_cleared_parts(&mut self, clock: &TrackerClock) {
         let is_cleared = |crash: &RowCrash| {
             crash.fingerprint.parse::<RequestFingerprint>().is_ok_and(|fingerprint| {
@@ -96,11 +97,14 @@
         let (cleared, held) =
             std::mem::take(&mut self.crashes).into_iter().partition::<Vec<_>, _>(is_cleared);
         self.crashes = held;
-        for crash in cleared {
-            let fingerprint = crash.fingerprint;
-            self.successes.retain(|success| success.fingerprint != fingerprint);
-            // The success that cleared it came later, also where this host does not know when.
-            self.successes.push(RowSuccess { fingerprint, at: crash.at });
+        for RowCrash { fingerprint, at, .. } in cleared {
+            let part = fingerprint.parse::<RequestFingerprint>().ok();
+            let success = part.and_then(|part| clock.tracker.last_success(part));
+            let Some(success) = success.filter(|success| *success >= clock.moment_of(at)) else {
+                continue;
+            };
+            self.successes.retain(|known| known.fingerprint != fingerprint);
+            self.successes.push(RowSuccess { fingerprint, at: clock.wall_of(success) });
         }
         let excess = self.successes.len().saturating_sub(MAX_ENTRIES);
         self.successes.drain(..excess);
--- a/crates/dillspool_routerd/tests/suspect_rows.rs
+++ b/crates/dillspool_routerd/tests/suspect_rows.rs
@@ -145,3 +145,52 @@
         assert_eq!(fleet.crashes(), before, "{name}");
     }
 }
+
+/// A crash of a part, or the time of a success, in seconds before now.
+struct PartRowCase {
+    name: &'static str,
+    crashes_s: std::ops::Range<u64>,
+    success_s: Option<u64>,
+    /// Whether the row of the host names a success of the part afterwards.
+    names_success: bool,
+}
+
+/// Guards against crashes that a host forgets and tells others of as successes.
+#[tokio::test(start_paused = true)]
+async fn a_forgotten_crash_of_a_part_is_not_a_success() {
+    let cases = [
+        PartRowCase { name: "few", crashes_s: 20..23, success_s: None, names_success: false },
+        PartRowCase { name: "many", crashes_s: 20..40, success_s: None, names_success: false },
+        PartRowCase {
+            name: "few, and a success",
+            crashes_s: 20..23,
+            success_s: Some(10),
+            names_success: true,
+        },
+    ];
+    let print = RequestFingerprint::of_part(&FingerprintKey::default(), "part").to_string();
+    for case in &cases {
+        let fleet = TestFleet::start(2, RestartIdentity::NewId).await;
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let now = now.expect("after 1970").as_millis();
+        let before = |seconds: u64| now - u128::from(seconds) * 1_000;
+        let crashes =
+            case.crashes_s.clone().rev().map(|it| {
+                format!(r#"{{"print":"{print}","backend":"e{it}","at":{}}}"#, before(it))
+            });
+        let crashes: Vec<_> = crashes.collect();
+        let success =
+            case.success_s.map(|it| format!(r#"{{"print":"{print}","at":{}}}"#, before(it)));
+        let text = format!(
+            r#"{{"ends":[{}],"whole":[{}]}}"#,
+            crashes.join(","),
+            success.unwrap_or_default()
+        );
+        fleet.store.write(OWN_TABLE, "suspects/host-0", Some(&text));
+        fleet.restart_host(0).await;
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        let row = fleet.store.text(OWN_TABLE, "suspects/host-0").expect("a row");
+        let (_crashes, successes) = row.split_once("whole").expect("both lists");
+        assert_eq!(successes.contains(&print), case.names_success, "{}: {row}", case.name);
+    }
+}
--- a/crates/dillspool_suspects/src/tracker.rs
+++ b/crates/dillspool_suspects/src/tracker.rs
@@ -177,6 +177,11 @@
         crashes.iter().any(|crash| &*crash.backend == backend)
     }
 
+    /// Returns when an answer last began well on a part, as far as this host knows.
+    pub fn last_success(&self, part: RequestFingerprint) -> Option<Moment> {
+        self.state().registry.last_success(part)
+    }
+
     /// Number of times that crashes of parts were cleared; changes whenever
     /// [`Self::holds_crash`] may have for a part.
     pub fn cleared_parts(&self) -> u64 {
