Overload: one log line a failure to listen, lines while pauses go on, burst named

Read as a newcomer: the burst after a pause was a bare figure, listen_failed could write a line each 10 ms, and host_load was silent while pauses kept the load below its bounds. Decisions are the same.

--- a/crates/dillspool_io/src/server.rs
+++ b/crates/dillspool_io/src/server.rs
@@ -94,7 +94,7 @@
         pause: Duration,
         cancel: &CancellationToken,
     ) -> Option<NetListener> {
-        let mut delay = pause;
+        let (mut delay, mut has_failed) = (pause, false);
         loop {
             tokio::select! {
                 () = tokio::time::sleep(delay) => {}
@@ -103,9 +103,10 @@
             match (self.listen)().await {
                 Ok(listener) => return Some(listener),
                 // The previous socket may still be closing.
-                Err(error) => log::warn!("event=listen_failed error=\"{error}\""),
+                Err(error) if !has_failed => log::warn!("event=listen_failed error=\"{error}\""),
+                Err(_same) => {}
             }
-            delay = LISTEN_RETRY_DELAY;
+            (delay, has_failed) = (LISTEN_RETRY_DELAY, true);
         }
     }
 }
--- a/crates/dillspool_overload/src/limiter.rs
+++ b/crates/dillspool_overload/src/limiter.rs
@@ -12,6 +12,8 @@
 
 /// Time over which accepted connections are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Time of the limit's rate that may be accepted at once after a pause.
+const MAX_BURST_TIME: Duration = Duration::from_millis(100);
 
 /// Bounds on a host's load, and how the limit follows it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -161,8 +163,8 @@
             if !is_overloaded {
                 limit.per_s *= 1.0 + (growth_per_s + 1.0 - pressure) * elapsed.min(1.0);
             }
-            limit.tokens =
-                (limit.tokens + limit.per_s * elapsed).min((limit.per_s / 10.0).max(1.0));
+            let max_tokens = (limit.per_s * MAX_BURST_TIME.as_secs_f64()).max(1.0);
+            limit.tokens = (limit.tokens + limit.per_s * elapsed).min(max_tokens);
         }
     }
 }
--- a/crates/dillspool_router/src/caller_gate.rs
+++ b/crates/dillspool_router/src/caller_gate.rs
@@ -151,8 +151,9 @@
 
 impl GateState {
     fn log_load(&mut self, load: &HostLoad, now: Moment) {
-        let is_loaded =
-            load.sent.max(load.received) > LOGGED_LINK || load.start_delay > LOGGED_START_DELAY;
+        let is_loaded = load.sent.max(load.received) > LOGGED_LINK
+            || load.start_delay > LOGGED_START_DELAY
+            || self.pauses > 0;
         if !is_loaded || now.since(self.logged_at) < LOG_INTERVAL {
             return;
         }
