--- a/crates/dillspool_io/src/lib.rs
+++ b/crates/dillspool_io/src/lib.rs
@@ -14,6 +14,7 @@
 mod link_meter;
 mod memory;
 mod metered_stream;
+mod observed_stream;
 mod server;
 mod stack;
 mod stall_detector;
@@ -29,7 +30,7 @@
 pub use connect_probe::{ConnectOutcome, probe_connect};
 pub use exchange::{ExchangeBody, exchange_once, exchange_with_budget};
 pub use host_clock::{DeadlineElapsed, HostClock};
-pub use link_meter::{LinkBytes, LinkMeter};
+pub use link_meter::LinkMeter;
 pub use memory::{LinkMode, MemoryNet};
 pub use metered_stream::CallerConnection;
 pub use server::{
--- a/crates/dillspool_router/src/caller_gate.rs
+++ b/crates/dillspool_router/src/caller_gate.rs
@@ -96,8 +96,8 @@
 
     /// Updates the metrics to the current values.
     pub(crate) fn refresh(&self) {
-        let totals = self.stack.meter().totals();
-        for (counter, value) in [(&self.sent, totals.sent), (&self.received, totals.received)] {
+        let meter = self.stack.meter();
+        for (counter, value) in [(&self.sent, meter.sent()), (&self.received, meter.received())] {
             counter.inner().store(value, std::sync::atomic::Ordering::Relaxed);
         }
         self.start_delay.set(self.lock().load.load().start_delay.as_secs_f64());
@@ -124,8 +124,8 @@
 
     fn record_accept(&self) -> Option<Duration> {
         let now = self.clock.now();
-        let totals = self.stack.meter().totals();
-        let totals = TrafficTotals { sent: totals.sent, received: totals.received };
+        let meter = self.stack.meter();
+        let totals = TrafficTotals { sent: meter.sent(), received: meter.received() };
         self.accepted.inc();
         let mut state = self.lock();
         state.accepted += 1;
--- a/crates/dillspool_scheduler/src/local_share.rs
+++ b/crates/dillspool_scheduler/src/local_share.rs
@@ -20,23 +20,27 @@
 
 /// Learns the share from the host's own calls: an equal share is too small for a host that gets most callers, and
 /// only the servers tell whether they have room beyond it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct LocalShare {
-    /// Multiple of the initial share; 0 before the first change.
-    extra: f64,
+    /// Multiple of the initial share, at least 1.
+    factor: f64,
     changed_at: Moment,
     rejected_at: Moment,
     refused_at: Option<Moment>,
 }
 
+impl Default for LocalShare {
+    fn default() -> Self {
+        let start = Moment::default();
+        Self { factor: 1.0, changed_at: start, rejected_at: start, refused_at: None }
+    }
+}
+
 impl LocalShare {
     /// Returns the share in a fleet of `hosts`.
     pub fn current(&self, hosts: usize, now: Moment) -> f64 {
-        let initial = Self::initial(hosts);
-        if now.since(self.rejected_at) > RESET_DELAY {
-            return initial;
-        }
-        (initial * (1.0 + self.extra)).min(1.0)
+        let factor = if self.is_reset(now) { 1.0 } else { self.factor };
+        (Self::initial(hosts) * factor).min(1.0)
     }
 
     fn initial(hosts: usize) -> f64 {
@@ -44,10 +48,14 @@
         (INITIAL_FACTOR / f64::from(hosts.max(1))).min(1.0)
     }
 
+    fn is_reset(&self, now: Moment) -> bool {
+        now.since(self.rejected_at) > RESET_DELAY
+    }
+
     /// Records that a call was rejected for lack of capacity in a fleet of `hosts`.
     pub fn record_rejection(&mut self, hosts: usize, now: Moment) {
-        if now.since(self.rejected_at) > RESET_DELAY {
-            self.extra = 0.0;
+        if self.is_reset(now) {
+            self.factor = 1.0;
         }
         self.rejected_at = now;
         let was_refused = self.refused_at.is_some_and(|at| now.since(at) < REFUSAL_MEMORY);
@@ -55,8 +63,7 @@
             return;
         }
         self.changed_at = now;
-        let max_extra = 1.0 / Self::initial(hosts) - 1.0;
-        self.extra = ((1.0 + self.extra) * GROWTH - 1.0).min(max_extra);
+        self.factor = (self.factor * GROWTH).min(1.0 / Self::initial(hosts));
     }
 
     /// Records that a server refused a call.
@@ -66,6 +73,6 @@
             return;
         }
         self.changed_at = now;
-        self.extra = ((1.0 + self.extra) * REDUCTION - 1.0).max(0.0);
+        self.factor = (self.factor * REDUCTION).max(1.0);
     }
 }
