Callers' server, and options, settings and rows of test fleets, in files of their own

Change: caller_server.rs serves callers; the test fleet's options.rs, settings.rs and places.rs have what their names say. Code is moved, behaviour is the same.

--- a/crates/dillspool_router/src/daemon.rs
+++ b/crates/dillspool_router/src/daemon.rs
@@ -10,13 +10,9 @@
 use dillspool_forward::{
     BackendProbes, BackendTracker, ForwardContext, ForwardMetrics, RetryBudgets,
 };
-use dillspool_io::{
-    ByteBudget, HostClock, NetListener, NetStack, ServerGuards, ServerLimits, serve_http,
-    serve_http_guarded,
-};
+use dillspool_io::{ByteBudget, HostClock, NetListener, NetStack, ServerLimits, serve_http};
 use dillspool_origins::{OriginSettings, OriginTracker};
 use dillspool_roles::{PoolTargets, ReconcilerSettings, reconcile_stages};
-use dillspool_routing::RoutingConfig;
 use dillspool_scheduler::{
     CallScheduler, FleetUpdate, LimitClient, PlacementScheduler, RateLimiter, ScheduleClient,
     ScheduleServices, tunnel_opener,
@@ -25,18 +21,18 @@
 use dillspool_suspects::{SuspectPolicy, SuspectTracker};
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::call_metrics::CallMetrics;
 use crate::caller_gate::CallerGate;
+use crate::caller_server::CallerServer;
 use crate::fleet_tasks::{
     HostCount, fleet_bus, host_hash, maintain_host_count, order_delay, start_backend_limits,
     start_calls, start_limits, start_schedule,
 };
 use crate::held_metrics::HeldMetrics;
-use crate::ingress::{IngressState, KnownConfig};
+use crate::ingress::KnownConfig;
 use crate::link_metrics::LinkMetrics;
 use crate::notice_publisher::NoticePublisher;
 use crate::origin_metrics::OriginMetrics;
@@ -53,13 +49,8 @@
 use crate::throttle_metrics::ThrottleMetrics;
 use crate::version_rows::VersionRecorder;
 
-/// Maximum number of caller connections; each may need a second file descriptor for its backend
-/// server.
-const MAX_CALLER_CONNECTIONS: usize = 1_800;
 /// Maximum number of connections to each of the readiness and metrics listeners.
 const MAX_STATUS_CONNECTIONS: usize = 16;
-/// Idle timeout of connections before a configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after the stop signal during which new connections are still accepted: the platform polls
 /// readiness every second and removes a host after two failures.
 const READINESS_DRAIN_DELAY: Duration = Duration::from_millis(2_600);
@@ -201,7 +192,7 @@
         daemon.start_origins(&replicas, &site, &origins, &schedule);
         daemon.start_notice_publisher(&replicas, &site, backend_limits, schedule.clone());
         daemon.start_maintenance(&replicas, &site, (budgets, host_count), demand, schedule, &clock);
-        daemon.start_callers(&replicas, &site, context, callers_listener, clock);
+        daemon.start_callers(&replicas, &site, context, callers_listener);
         log::info!(
             "event=started failure_domain={} callers={} site={}",
             daemon.config.failure_domain,
@@ -411,30 +402,21 @@
         site: &SiteProtocol,
         context: ForwardContext,
         listener: NetListener,
-        clock: HostClock,
     ) {
-        let (stopping, gate) = (Arc::clone(&self.stopping), self.caller_gate.clone());
-        let known = KnownConfig {
-            config: replicas.config.clone(),
-            operator: replicas.operator.clone(),
-            change_limit: self.config.change_limit,
+        let server = CallerServer {
+            known: KnownConfig {
+                config: replicas.config.clone(),
+                operator: replicas.operator.clone(),
+                change_limit: self.config.change_limit,
+            },
+            stopping: Arc::clone(&self.stopping),
+            gate: self.caller_gate.clone(),
+            byte_budget: self.byte_budget.clone(),
+            fingerprint_key: self.config.fingerprint_key.clone(),
+            clock: self.clock.clone(),
         };
-        let state = IngressState::new(
-            site.clone(),
-            context,
-            known,
-            move || stopping.load(Ordering::Relaxed) || gate.is_overloaded(),
-            self.config.fingerprint_key.clone(),
-            clock,
-        );
-        let limits = caller_limits(replicas.config.clone(), &self.background);
-        let guards = ServerGuards {
-            budget: self.byte_budget.clone(),
-            gate: Some(self.caller_gate.connection_gate()),
-        };
-        let cancel = self.callers.clone();
-        let serve = serve_http_guarded(listener, limits, state.handler(), guards, cancel);
-        self.serving.spawn(serve);
+        let cancels = (self.callers.clone(), self.background.clone());
+        self.serving.spawn(server.serve(site.clone(), context, listener, cancels));
     }
 
     /// Applies the settings that can change without a restart.
@@ -469,31 +451,6 @@
     (of_workspaces, of_servers)
 }
 
-/// Limits on caller connections, according to the current configuration.
-fn caller_limits(
-    mut config: watch::Receiver<Option<Arc<RoutingConfig>>>,
-    cancel: &CancellationToken,
-) -> watch::Receiver<ServerLimits> {
-    let limits = |idle| ServerLimits {
-        max_connections: MAX_CALLER_CONNECTIONS,
-        // An idle connection is waiting for its next header.
-        header_timeout: idle,
-    };
-    let (sender, receiver) = watch::channel(limits(DEFAULT_IDLE_TIMEOUT));
-    let cancel = cancel.clone();
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                changed = config.changed() => if changed.is_err() { return },
-                () = cancel.cancelled() => return,
-            }
-            let idle = config.borrow_and_update().as_ref().map(|now| now.limits.idle_timeout);
-            sender.send_replace(limits(idle.unwrap_or(DEFAULT_IDLE_TIMEOUT)));
-        }
-    });
-    receiver
-}
-
 async fn listen(stack: &NetStack, address: SocketAddr) -> Result<NetListener, RouterError> {
     stack.listen(address).await.context(ListenSnafu { address })
 }
--- a/crates/dillspool_router/src/lib.rs
+++ b/crates/dillspool_router/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod call_metrics;
 mod caller_gate;
+mod caller_server;
 mod config_tracker;
 mod daemon;
 mod departed_backends;
--- a/crates/dillspool_routerd/tests/fleet/mod.rs
+++ b/crates/dillspool_routerd/tests/fleet/mod.rs
@@ -3,8 +3,11 @@
 
 pub mod counted;
 mod links;
+mod options;
+mod places;
 mod prompts;
 mod reply;
+mod settings;
 mod streams;
 
 use std::collections::BTreeMap;
@@ -13,29 +16,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dillspool_forward::BudgetSettings;
-use dillspool_io::{
-    ByteLimits, HostClock, LinkMode, MemoryNet, WallClock, exchange_once, read_body,
-};
-use dillspool_roles::ShareRule;
-use dillspool_router::{PolicyConfig, RouterConfig, RouterDaemon};
+use dillspool_io::{HostClock, LinkMode, MemoryNet, WallClock, exchange_once, read_body};
+use dillspool_router::{RouterConfig, RouterDaemon};
 use dillspool_routerd::prepared_platform;
-use dillspool_scheduler::{
-    CallSchedulerSettings, RateLimiterSettings, SchedulerCandidate, rank_candidates,
-};
-use dillspool_site::OWN_TABLE;
+use dillspool_scheduler::{SchedulerCandidate, rank_candidates};
 use dillspool_site_standin::{
-    DeadlyParts, FIRST_SOFTWARE, PlainCapacity, REQUEST_ID, RunLog, StandinBackend, StandinKind,
-    StandinRoute, StandinStore, TIME_BUDGET, TOKEN_COUNTS, config_text,
+    DeadlyParts, FIRST_SOFTWARE, REQUEST_ID, RunLog, StandinBackend, StandinKind, StandinRoute,
+    StandinStore, TIME_BUDGET, TOKEN_COUNTS, config_text,
 };
-use dillspool_suspects::{FingerprintKey, RequestFingerprint};
+use dillspool_suspects::RequestFingerprint;
 use http_body_util::Full;
 use hyper::Request;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+pub use options::{FleetOptions, RestartIdentity, SoftwareFn};
 pub use prompts::{PromptReply, PromptSource};
 pub use reply::{CallerReply, find_slow_refusals};
+use settings::host_config;
+pub use settings::settings_at;
 pub use streams::{ResumePoint, StreamTry, TakenStream};
 
 /// Number of backend servers of a fleet.
@@ -58,41 +57,6 @@
 /// Timeout of a caller, in milliseconds.
 const CALLER_WAIT_MS: u64 = 3_000;
 
-/// Identity of a backend server after a restart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RestartIdentity {
-    /// A new ID.
-    NewId,
-    /// The same ID with a new start number.
-    SameId,
-}
-
-/// Options of a test fleet.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct FleetOptions {
-    /// Settings for calls that one host schedules.
-    pub calls: CallSchedulerSettings,
-    /// Number of failure domains, to which hosts are assigned in turn; 0 for a single one.
-    pub failure_domains: usize,
-    /// Capacity of plain backend servers; `None` for unlimited.
-    pub plain_capacity: Option<PlainCapacity>,
-    /// Software version of each start of a backend server, by its number and start; `None` for one version.
-    pub software: Option<SoftwareFn>,
-    /// Whether the hosts start as those of a new fleet.
-    pub is_first_start: bool,
-    /// Rate of each host's link in each direction; `None` for unlimited.
-    pub link_mbps: Option<u32>,
-    /// Limits on the bytes that a host holds; `None` for no limits.
-    pub held_bytes: Option<ByteLimits>,
-    /// Rows of hosts that are gone, in each failure domain, which the store has before the hosts start.
-    pub gone_hosts: usize,
-    /// Whether the addresses of these refuse connections; otherwise they are silent.
-    pub gone_refuse: bool,
-}
-
-/// Returns the software version of a start of a backend server, by its number and start.
-pub type SoftwareFn = fn(usize, u64) -> &'static str;
-
 fn node(net: u8, number: usize) -> IpAddr {
     Ipv4Addr::new(10, 0, net, u8::try_from(number + 1).expect("few nodes")).into()
 }
@@ -174,32 +138,6 @@
         fleet
     }
 
-    fn write_gone_hosts(&self, hosts: usize, options: &FleetOptions) {
-        for domain in 0..options.failure_domains.max(1) {
-            for number in 0..options.gone_hosts {
-                let ip = node(4, domain * options.gone_hosts + number);
-                let failure_domain = match options.failure_domains {
-                    0 => "domain".to_owned(),
-                    _ => format!("domain-{domain}"),
-                };
-                let row = format!(
-                    r#"{{"peers":"{ip}:8146","schedule":"{ip}:7661","failure_domain":"{failure_domain}","link_mbps":100.0}}"#,
-                );
-                self.store.write(OWN_TABLE, &format!("hosts/gone-{domain}-{number}"), Some(&row));
-                let mode = if options.gone_refuse { LinkMode::Cut } else { LinkMode::Frozen };
-                for host in 0..hosts {
-                    self.net.set_link(node(1, host), ip, mode);
-                }
-            }
-        }
-    }
-
-    /// Returns the names of the hosts that have a row in the store.
-    pub fn registered_hosts(&self) -> Vec<String> {
-        let keys = self.store.keys(OWN_TABLE);
-        keys.iter().filter_map(|key| key.strip_prefix("hosts/")).map(str::to_owned).collect()
-    }
-
     /// Writes a version of the configuration without the routes of the `dropped` prefixes.
     pub fn write_config(&self, version: u64, dropped: &[&str]) {
         let route = |prefix, kind, service, attempts, is_resumable| StandinRoute {
@@ -487,43 +425,3 @@
 fn store_address() -> SocketAddr {
     SocketAddr::new(node(0, 8), 1)
 }
-
-fn host_config(number: usize, hosts: usize) -> RouterConfig {
-    let seeds = [0, hosts - 1].map(|seed| SocketAddr::new(node(1, seed), 8146));
-    let host = format!("host-{number}").into();
-    RouterConfig { host, seeds: seeds.to_vec(), ..settings_at(node(1, number), store_address()) }
-}
-
-/// Settings of a host with an address and a store.
-pub fn settings_at(ip: IpAddr, store: SocketAddr) -> RouterConfig {
-    let at = |port| SocketAddr::new(ip, port);
-    RouterConfig {
-        host: "host".into(),
-        failure_domain: "domain".into(),
-        callers: at(8144),
-        readiness: at(8140),
-        peers: at(8146),
-        metrics: at(7660),
-        schedule: at(7661),
-        store,
-        store_timeout: Duration::from_millis(700),
-        watch_wait: Duration::from_millis(2500),
-        change_limit: Duration::from_secs(2),
-        first_start: false,
-        seeds: Vec::new(),
-        link_mbps: 100.0,
-        budget: BudgetSettings { ratio: 0.2, window: Duration::from_secs(10), extra: 56.0 },
-        limits: RateLimiterSettings { slack: 0.0, shares: 2 },
-        held_bytes: None,
-        fingerprint_key: FingerprintKey::default(),
-        lifted: vec![],
-        wall_clock: WallClock::system(),
-        shutdown_grace: Duration::from_secs(4),
-        lapse_grace: Duration::from_secs(2),
-        order_handover_gap: Duration::from_secs(3),
-        share_rule: ShareRule::Fixed(0.5),
-        policy: PolicyConfig::default(),
-        calls: CallSchedulerSettings::default(),
-        log_level: log::LevelFilter::Info,
-    }
-}
