--- a/review/kit-2/src/router.rs
+++ b/review/kit-2/src/router.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -27,12 +28,21 @@
     pub ports: [u16; 2],
 }
 
+/// An address with a free port, below those that the system draws for outgoing connections.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + (std::process::id() as u16 % 997 * 17 + step) % 20_000;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
+}
+
 impl Host {
     pub fn new(name: &str, zone: &str) -> Self {
-        // All are held at once, so that no port is drawn twice.
-        let held: Vec<_> =
-            (0..5).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port")).collect();
-        let at: Vec<SocketAddr> = held.iter().map(|it| it.local_addr().expect("an address")).collect();
+        let at: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
         Self {
             name: name.to_owned(),
             zone: zone.to_owned(),
