--- a/review/kit-2/src/router.rs
+++ b/review/kit-2/src/router.rs
@@ -33,7 +33,7 @@
     static NEXT: AtomicU16 = AtomicU16::new(0);
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 12_000 + (std::process::id() as u16 % 997 * 17 + step) % 20_000;
+        let port = 12_000 + ((std::process::id() % 199) as u16 * 100 + step) % 20_000;
         if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
             return listener.local_addr().expect("an address");
         }
