--- a/review/kit-2/src/engine.rs
+++ b/review/kit-2/src/engine.rs
@@ -146,20 +146,19 @@
         if out.write_all(head.as_bytes()).is_err() {
             return;
         }
-        let spoil_at = after + (last - after) / 2;
+        // The second event of a write in the middle of the answer.
+        let spoil_at = after + (last - after) / 2 / EVENTS_A_WRITE * EVENTS_A_WRITE + EVENTS_A_WRITE;
         let mut number = after + 1;
-        let mut is_spoilt = is_spoilt;
         while number <= last {
             std::thread::sleep(STEP);
             let to = (number + EVENTS_A_WRITE - 1).min(last);
             let mut text: String = (number..=to).map(|number| event_text(attempt, number)).collect();
-            if is_spoilt && to >= spoil_at && to > after {
-                // Bytes that belong to no request: an event of before, with other data.
-                is_spoilt = false;
+            if is_spoilt && to == spoil_at {
+                // One byte of the answer is wrong: the first digit of the last id in this write.
                 self.garble.spoilt.fetch_add(1, Ordering::Relaxed);
-                text.push_str("id: 1\ndata: wrong\n\n");
+                text = text.replace(&format!("id: {to}\n"), &format!("id: 0{}\n", &to.to_string()[1..]));
                 self.record.line(&format!(
-                    "spoilt attempt={attempt} engine={} sent={number}..{to}, then an event with id 1",
+                    "spoilt attempt={attempt} engine={} wrote {number} and, with a wrong byte, {to}: {text:?}",
                     self.id
                 ));
             }
