--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -1,6 +1,7 @@
-//! Drives the cases of this review: `review-kit-2 case4 ROOT RECORD`.
+//! Drives the cases of this review: `review_kit_2 CASE ROOT RECORD`.
 
 mod case4;
+mod case5;
 mod engine;
 mod http;
 mod json;
@@ -20,6 +21,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let outcome = match case.as_str() {
         "case4" => case4::run(&PathBuf::from(root), record, has_trouble),
+        "case5" => case5::run(&PathBuf::from(root), record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match outcome {
--- a/review/kit-2/src/router.rs
+++ b/review/kit-2/src/router.rs
@@ -12,8 +12,11 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
+const SIGHUP: i32 = 1;
 
 extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
     fn prctl(option: i32, second: u64, third: u64, fourth: u64, fifth: u64) -> i32;
 }
 
@@ -26,6 +29,8 @@
     pub ready: SocketAddr,
     pub control: SocketAddr,
     pub ports: [u16; 2],
+    /// `bounds.quotaSlack`, where the deployment has it.
+    pub quota_slack: Option<u32>,
 }
 
 /// An address with a free port, below those that the system draws for outgoing connections.
@@ -50,6 +55,7 @@
             ready: at[1],
             control: at[2],
             ports: [at[3].port(), at[4].port()],
+            quota_slack: None,
         }
     }
 }
@@ -78,12 +84,13 @@
         ("limits.memoryMb", "110".to_owned()),
         ("bounds.graceS", "8".to_owned()),
         ("bounds.leaseMs", "3000".to_owned()),
+        ("bounds.quotaSlack", host.quota_slack.unwrap_or(0).to_string()),
     ];
     let mut text = String::new();
     let mut is_left_out = false;
     for line in template.lines() {
         if line.starts_with("{{#bounds.quotaSlack}}") || line.starts_with("{{/bounds.quotaSlack}}") {
-            is_left_out = line.contains('#');
+            is_left_out = line.contains('#') && host.quota_slack.is_none();
             continue;
         }
         if is_left_out || line.starts_with("{{#") || line.starts_with("{{/") {
@@ -139,6 +146,34 @@
         Ok(Self { host: host.clone(), child })
     }
 
+    /// Writes new seeds into the settings and tells the process so.
+    pub fn set_seeds(
+        &self,
+        root: &Path,
+        folder: &Path,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+    ) -> std::io::Result<()> {
+        let template = fs::read_to_string(root.join("deploy/router.toml"))?;
+        let file = folder.join(format!("{}.toml", self.host.name));
+        let new = folder.join(format!("{}.new", self.host.name));
+        fs::write(&new, settings(&template, &self.host, seeds, store, false))?;
+        fs::rename(new, file)?;
+        // SAFETY: the process is a child of this one that hasn't been waited for.
+        unsafe { kill(self.child.id() as i32, SIGHUP) };
+        Ok(())
+    }
+
+    /// Asks the process to leave and waits for its end, up to `grace`.
+    pub fn leave(mut self, grace: Duration) {
+        // SAFETY: the process is a child of this one that hasn't been waited for.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+        let until = Instant::now() + grace;
+        while Instant::now() < until && matches!(self.child.try_wait(), Ok(None)) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Waits until the host calls itself ready.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
